--- /dev/null
+++ b/drill/src/batch.rs
@@ -0,0 +1,171 @@
+//! Reads a batch of events, calls the module of each instance at once and gathers its answers.
+
+use crate::frame::{Fields, Malformed};
+use crate::reply::Reply;
+use crate::terms;
+use orchidtally::choice::Choice;
+use orchidtally::interface::{Ending, Found, Invocation, Outcome, RosterKind, RosterRow, Standing};
+
+/// The instances that this process hosts and the executor lists told to it. Instances share nothing else.
+#[derive(Default)]
+pub struct Host {
+    instances: Vec<Option<Box<Choice>>>,
+    lists: [Option<Vec<RosterRow>>; 16],
+}
+
+fn ending(fields: &Fields, code: u8) -> Result<Ending, Malformed> {
+    Ok(match code {
+        0 => Ending::Ok,
+        255 => Ending::Error,
+        254 => Ending::Full,
+        253 => Ending::TimedOut,
+        252 => Ending::ConnectFailed,
+        251 => Ending::Reset,
+        250 => Ending::Cancelled,
+        249 => Ending::NeverSent,
+        1 => Ending::Miss,
+        other => return Err(fields.fault(format!("no result has number {other}"))),
+    })
+}
+
+fn report(fields: &mut Fields) -> Result<Vec<f32>, Malformed> {
+    (0..fields.u8()?).map(|_| fields.f32()).collect()
+}
+
+fn row(fields: &mut Fields) -> Result<RosterRow, Malformed> {
+    let executor = fields.executor()?;
+    let (zone, kind, cell) = (fields.u8()?, fields.u8()?, fields.u16()?);
+    let standing = match fields.u8()? {
+        0 => Standing::Ready,
+        3 => Standing::Draining,
+        1 => Standing::Gone,
+        other => return Err(fields.fault(format!("no standing has number {other}"))),
+    };
+    let weight = f64::from(fields.f32()?);
+    let since = fields.seconds()?;
+    let since = if since > 0.0 { since } else { f64::NEG_INFINITY };
+    Ok(RosterRow { executor, zone, kind, cell, standing, weight, since })
+}
+
+impl Host {
+    /// Plays one frame (without its length) and leaves the answers in `reply`.
+    pub fn play(&mut self, frame: &[u8], reply: &mut Reply) -> Result<(), Malformed> {
+        let mut batch = Fields::new(frame, 4, 0);
+        let records = batch.u32()? as usize;
+        let now = batch.seconds()?;
+        reply.begin();
+        for n in 0..records {
+            let mut header = batch.part(5, n)?;
+            let (code, length) = (header.u8()?, header.u32()? as usize);
+            let fields = batch.part(length, n)?;
+            self.event(code, fields, now, reply)?;
+        }
+        if !batch.is_empty() {
+            return Err(batch.fault(format!("bytes left over after {records} records")));
+        }
+        Ok(())
+    }
+
+    fn event(&mut self, code: u8, mut f: Fields, now: f64, reply: &mut Reply) -> Result<(), Malformed> {
+        if code == 8 {
+            let (page, rows) = (usize::from(f.u16()?), f.u32()?);
+            let rows = (0..rows).map(|_| row(&mut f)).collect::<Result<_, _>>()?;
+            *self.lists.get_mut(page).ok_or_else(|| f.fault(format!("no list can have number {page}")))? =
+                Some(rows);
+            return Ok(());
+        }
+        let start = f.clone();
+        let who = f.u16()?;
+        let slot = usize::from(who);
+        reply.speak_for(who);
+        if code == 4 {
+            let seed = f.u64()?;
+            let length = f.u32()? as usize;
+            let at_text = f.clone();
+            let text = f.take(length)?;
+            let terms = terms::read(text).map_err(|e| at_text.fault(e))?;
+            if self.instances.len() <= slot {
+                self.instances.resize_with(slot + 1, || None);
+            }
+            self.instances[slot] = Some(Box::new(Choice::new(terms, seed, now, reply)));
+            return Ok(());
+        }
+        let choice = self
+            .instances
+            .get_mut(slot)
+            .and_then(Option::as_mut)
+            .ok_or_else(|| start.fault(format!("instance {who} was never started")))?;
+        match code {
+            1 => choice.timer(now, f.u64()?, reply),
+            2 => {
+                let (inv, dispatch) = (f.u32()?, f.u8()?);
+                f.executor()?;
+                choice.streaming(now, inv, dispatch, f.seconds()?, reply);
+            }
+            3 => {
+                let executor = f.executor()?;
+                let code = f.u8()?;
+                let ending = ending(&f, code)?;
+                f.seconds()?;
+                choice.probed(now, executor, ending, &report(&mut f)?, reply);
+            }
+            5 => {
+                let id = f.u32()?;
+                let (trigger_type, customer) = (usize::from(f.u8()?), usize::from(f.u16()?));
+                let (function, timeout_at, work) = (f.u64()?, f.seconds()?, f.seconds()?);
+                let (_memory, lanes, load_ms, options) = (f.f32()?, f.f32()?, f.f32()?, f.u8()?);
+                let lanes = f64::from(lanes);
+                if !choice.has_trigger_type(trigger_type) {
+                    return Err(start.fault(format!("no trigger type has number {trigger_type}")));
+                }
+                let work = (options & 1 != 0).then_some(work);
+                let load_time = (load_ms > 0.0 && load_ms.is_finite()).then(|| f64::from(load_ms) / 1e3);
+                let inv =
+                    Invocation { id, trigger_type, customer, function, timeout_at, work, lanes, load_time };
+                choice.invocation(now, &inv, reply);
+            }
+            6 => {
+                let (mode, _revision, page) = (f.u8()?, f.u32()?, usize::from(f.u16()?));
+                let kind = match mode {
+                    0 => RosterKind::Delta,
+                    1 | 2 => RosterKind::Full,
+                    3 => RosterKind::Failed,
+                    other => return Err(f.fault(format!("no roster event has mode {other}"))),
+                };
+                let rows = match self.lists.get(page).and_then(Option::as_ref) {
+                    Some(rows) => rows.as_slice(),
+                    None if kind == RosterKind::Failed => &[],
+                    None => return Err(f.fault(format!("list {page} was never given"))),
+                };
+                choice.roster(now, kind, rows, reply);
+            }
+            7 => {
+                let (inv, dispatch, executor, code) = (f.u32()?, f.u8()?, f.executor()?, f.u8()?);
+                let ending = ending(&f, code)?;
+                let (took, closed, info) = (f.seconds()?, f.u8()? != 0, f.u32()?);
+                let found = match info & 7 {
+                    1 => Found::Warm,
+                    2 => Found::Loaded,
+                    3 => Found::Waited,
+                    4 => Found::LoadFailed,
+                    _ => Found::Untold,
+                };
+                let crowd = info >> 3;
+                let report = &report(&mut f)?;
+                let outcome = Outcome { inv, dispatch, executor, ending, took, closed, found, crowd, report };
+                choice.outcome(now, &outcome, reply);
+            }
+            9 => {}
+            10 => {
+                let (took, code, function) = (f.seconds()?, f.u8()?, f.u64()?);
+                let ending = ending(&f, code)?;
+                let (executor, copies) = (f.executor()?, f.u8()?);
+                choice.held(now, executor, function, ending, took, copies, reply);
+            }
+            11 => choice.withdrawn(now, f.u32()?, reply),
+            12 => self.instances[slot] = None,
+            other => return Err(start.fault(format!("no event has code {other}"))),
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/drill/src/reply.rs
@@ -0,0 +1,79 @@
+//! The module's answers as records of a reply.
+
+use orchidtally::interface::{Answers, ExecutorId};
+
+/// The longest interval that a timer takes.
+const LONGEST_WAKE: f64 = 4_200.0;
+
+#[derive(Default)]
+pub struct Reply {
+    bytes: Vec<u8>,
+    instance: u16,
+}
+
+fn nanos(seconds: f64) -> [u8; 8] {
+    ((seconds * 1e9).round() as i64).to_le_bytes()
+}
+
+impl Reply {
+    pub fn begin(&mut self) {
+        self.bytes.clear();
+        self.bytes.extend([0; 4]);
+    }
+
+    pub fn speak_for(&mut self, instance: u16) {
+        self.instance = instance;
+    }
+
+    /// The whole reply with its length in front.
+    pub fn finish(&mut self) -> &[u8] {
+        let length = (self.bytes.len() - 4) as u32;
+        self.bytes[..4].copy_from_slice(&length.to_le_bytes());
+        &self.bytes
+    }
+
+    fn record(&mut self, code: u8, parts: &[&[u8]]) {
+        let length: usize = 2 + parts.iter().map(|p| p.len()).sum::<usize>();
+        self.bytes.push(code);
+        self.bytes.extend((length as u32).to_le_bytes());
+        self.bytes.extend(self.instance.to_le_bytes());
+        for part in parts {
+            self.bytes.extend(*part);
+        }
+    }
+}
+
+impl Answers for Reply {
+    fn dispatch(&mut self, inv: u32, to: ExecutorId, time_out: f64) {
+        // Zero would mean no time-out at all.
+        let within = nanos(time_out.max(1e-9));
+        self.record(66, &[&inv.to_le_bytes(), &to.0, &to.1.to_le_bytes(), &within]);
+    }
+    fn throttle(&mut self, inv: u32, retry_after: f64) {
+        self.record(78, &[&inv.to_le_bytes(), &nanos(retry_after.max(0.0))]);
+    }
+    fn error(&mut self, inv: u32) {
+        self.record(68, &[&inv.to_le_bytes()]);
+    }
+    fn cancel(&mut self, inv: u32, dispatch: u8) {
+        self.record(75, &[&inv.to_le_bytes(), &[dispatch]]);
+    }
+    fn hold(&mut self, to: ExecutorId, function: u64, copies: u8) {
+        self.record(73, &[&to.0, &to.1.to_le_bytes(), &function.to_le_bytes(), &[copies]]);
+    }
+    fn ask(&mut self, to: ExecutorId, function: u64) {
+        self.hold(to, function, 0);
+    }
+    fn unload(&mut self, to: ExecutorId, function: u64) {
+        self.record(77, &[&to.0, &to.1.to_le_bytes(), &function.to_le_bytes()]);
+    }
+    fn probe(&mut self, to: ExecutorId) {
+        self.record(67, &[&to.0, &to.1.to_le_bytes()]);
+    }
+    fn wake(&mut self, delay: f64, mark: u64) {
+        self.record(72, &[&nanos(delay.clamp(0.0, LONGEST_WAKE)), &mark.to_le_bytes()]);
+    }
+    fn watch_roster(&mut self) {
+        self.record(65, &[&[1]]);
+    }
+}
--- /dev/null
+++ b/drill/src/terms.rs
@@ -0,0 +1,105 @@
+//! The settings text of a start, walked straight into the terms that the module keeps.
+
+use orchidtally::interface::{Effect, Group, Terms, TriggerType};
+use serde_json::Value;
+
+fn need<'a>(value: &'a Value, key: &str) -> Result<&'a Value, String> {
+    key.split('.').try_fold(value, |v, k| v.get(k)).ok_or_else(|| format!("settings lack '{key}'"))
+}
+
+fn number(value: &Value, key: &str) -> Result<f64, String> {
+    need(value, key)?.as_f64().ok_or_else(|| format!("setting '{key}' is not a number"))
+}
+
+fn seconds(value: &Value, key: &str) -> Result<f64, String> {
+    Ok(number(value, key)? / 1e9)
+}
+
+/// A number that some sites leave out.
+fn number_or(value: &Value, key: &str, absent: f64) -> Result<f64, String> {
+    if need(value, key).is_err() { Ok(absent) } else { number(value, key) }
+}
+
+fn flag(value: &Value, key: &str) -> Result<bool, String> {
+    match need(value, key) {
+        Err(_) => Ok(false),
+        Ok(v) => v.as_bool().ok_or_else(|| format!("setting '{key}' is not true or false")),
+    }
+}
+
+fn text<'a>(value: &'a Value, key: &str) -> Result<&'a str, String> {
+    need(value, key)?.as_str().ok_or_else(|| format!("setting '{key}' is not a text"))
+}
+
+fn list<'a>(value: &'a Value, key: &str) -> Result<&'a [Value], String> {
+    let found = need(value, key)?.as_array().ok_or_else(|| format!("setting '{key}' is not a list"))?;
+    Ok(found)
+}
+
+fn trigger_type(v: &Value) -> Result<TriggerType, String> {
+    let effect = match text(v, "semantics")? {
+        "pure" => Effect::Idempotent,
+        "token" => Effect::Tokened,
+        "side_effect" => Effect::NonIdempotent,
+        other => return Err(format!("setting 'classes[].semantics' has an unknown value '{other}'")),
+    };
+    let (group, window) = if effect == Effect::Tokened {
+        let group = match text(v, "dedupScope")? {
+            "all" => Group::All,
+            "zone" => Group::Zone,
+            "cell" => Group::Cell,
+            other => return Err(format!("setting 'classes[].dedupScope' has an unknown value '{other}'")),
+        };
+        (group, seconds(v, "dedupWindow")?)
+    } else {
+        (Group::All, 0.0)
+    };
+    Ok(TriggerType {
+        objective: seconds(v, "aim")?,
+        stretch: number_or(v, "aimStretch", 0.0)?,
+        timeout: seconds(v, "deadline")?,
+        billed_value: number_or(v, "credit", 1.0)?,
+        effect,
+        group,
+        window,
+    })
+}
+
+pub fn read(bytes: &[u8]) -> Result<Terms, String> {
+    let v: &Value = &serde_json::from_slice(bytes).map_err(|e| format!("settings are not JSON: {e}"))?;
+    let customers = if need(v, "customers").is_ok() { list(v, "customers")? } else { &[] };
+    Ok(Terms {
+        trigger_types: list(v, "classes")?.iter().map(trigger_type).collect::<Result<_, _>>()?,
+        quotas: customers.iter().map(|c| number(c, "quotaRps")).collect::<Result<_, _>>()?,
+        over_share_value: number_or(v, "overShareWorth", 1.0)?,
+        value_by_work: need(v, "valueBy").is_ok_and(|w| w == "work"),
+        front_ends: number_or(v, "balancers", 1.0)?.max(1.0),
+        zone: number_or(v, "zone", 0.0)? as u8,
+        tick: seconds(v, "tick")?,
+        max_dispatches: number(v, "limits.maxAttempts")?.clamp(0.0, 255.0) as u8,
+        second_copies: flag(v, "limits.secondCopies")?,
+        cancel: flag(v, "limits.cancel")?,
+        max_retry_after: if flag(v, "limits.retryAfter")? {
+            seconds(v, "limits.maxRetryAfter")?
+        } else {
+            0.0
+        },
+        roster_asked: need(v, "registryMode").is_ok_and(|m| m == "ask"),
+        cold: seconds(v, "safety.cold")?,
+        cold_from: number(v, "safety.coldFrom")?,
+        overload_factor: number(v, "safety.overloadFactor")?,
+        fall: seconds(v, "safety.fall")?,
+        orders: flag(v, "specifics.loadControl")?,
+        answers_miss: need(v, "specifics.notLoaded").is_ok_and(|m| m == "miss"),
+        tells_warm: flag(v, "specifics.tellsWarm")?,
+        tells_crowd: flag(v, "specifics.notesPeersInHand")?,
+        keep_alive: number_or(v, "specifics.staysLoaded", 0.0)? / 1e9,
+        ration_floor: number_or(v, "specifics.loadFloor", 0.0)?,
+        ration_share: number_or(v, "specifics.loadPart", 0.0)?,
+        ration_window: number_or(v, "specifics.loadPeriod", 0.0)? / 1e9,
+        backlog_field: match need(v, "feedback.fields") {
+            Ok(_) => list(v, "feedback.fields")?.iter().position(|f| f == "backlog"),
+            Err(_) => None,
+        },
+    })
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,170 @@
+//! What the decision module is told and what it answers with. Times are seconds.
+
+/// An executor's address and port.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ExecutorId(pub [u8; 4], pub u16);
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    Idempotent,
+    Tokened,
+    NonIdempotent,
+}
+
+/// The executors among which a repeat of a tokened invocation is dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct TriggerType {
+    /// Latency objective.
+    pub objective: f64,
+    /// The objective grows by this many times the invocation's own work.
+    pub stretch: f64,
+    /// Client timeout, at the longest.
+    pub timeout: f64,
+    pub billed_value: f64,
+    pub effect: Effect,
+    pub group: Group,
+    /// How long the group remembers a token.
+    pub window: f64,
+}
+
+/// What a deployment grants and demands, decoded once when a front end starts.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub trigger_types: Vec<TriggerType>,
+    /// Invocations a second within each customer's share, over all front ends.
+    pub quotas: Vec<f64>,
+    pub over_share_value: f64,
+    pub value_by_work: bool,
+    pub front_ends: f64,
+    pub zone: u8,
+    pub tick: f64,
+    pub max_dispatches: u8,
+    pub second_copies: bool,
+    pub cancel: bool,
+    pub max_retry_after: f64,
+    pub roster_asked: bool,
+    pub cold: f64,
+    pub cold_from: f64,
+    pub overload_factor: f64,
+    pub fall: f64,
+    pub orders: bool,
+    pub answers_miss: bool,
+    pub tells_warm: bool,
+    pub tells_crowd: bool,
+    /// An idle copy stays loaded at least this long.
+    pub keep_alive: f64,
+    pub ration_floor: f64,
+    pub ration_share: f64,
+    pub ration_window: f64,
+    /// Where in a load report the invocations waiting are found.
+    pub backlog_field: Option<usize>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    Ready,
+    Draining,
+    Gone,
+}
+
+#[derive(Clone, Debug)]
+pub struct RosterRow {
+    pub executor: ExecutorId,
+    pub zone: u8,
+    pub kind: u8,
+    pub cell: u16,
+    pub standing: Standing,
+    pub weight: f64,
+    /// When it last started; minus infinity for long ago.
+    pub since: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RosterKind {
+    Delta,
+    Full,
+    Failed,
+}
+
+#[derive(Clone, Debug)]
+pub struct Invocation {
+    pub id: u32,
+    pub trigger_type: usize,
+    pub customer: usize,
+    pub function: u64,
+    /// The moment the client gives up.
+    pub timeout_at: f64,
+    /// Expected work, where the hint is valid.
+    pub work: Option<f64>,
+    pub lanes: f64,
+    /// Usual time of a load, where told.
+    pub load_time: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Ok,
+    Error,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    NeverSent,
+    Miss,
+}
+
+impl Ending {
+    /// Whether it proves that the dispatch never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::Full | Ending::ConnectFailed | Ending::NeverSent | Ending::Miss)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    Untold,
+    Warm,
+    Loaded,
+    Waited,
+    LoadFailed,
+}
+
+#[derive(Clone, Debug)]
+pub struct Outcome<'a> {
+    pub inv: u32,
+    pub dispatch: u8,
+    pub executor: ExecutorId,
+    pub ending: Ending,
+    pub took: f64,
+    /// The invocation has had its final answer.
+    pub closed: bool,
+    pub found: Found,
+    /// Invocations of the same function that the executor held, where told.
+    pub crowd: u32,
+    pub report: &'a [f32],
+}
+
+/// The module's answers, in the order in which they take effect.
+pub trait Answers {
+    fn dispatch(&mut self, inv: u32, to: ExecutorId, time_out: f64);
+    fn throttle(&mut self, inv: u32, retry_after: f64);
+    fn error(&mut self, inv: u32);
+    fn cancel(&mut self, inv: u32, dispatch: u8);
+    /// Orders an executor to hold copies of a function.
+    fn hold(&mut self, to: ExecutorId, function: u64, copies: u8);
+    /// Asks how many copies of a function stand.
+    fn ask(&mut self, to: ExecutorId, function: u64);
+    fn unload(&mut self, to: ExecutorId, function: u64);
+    fn probe(&mut self, to: ExecutorId);
+    fn wake(&mut self, delay: f64, mark: u64);
+    /// Subscribes to the roster where it has to be asked for.
+    fn watch_roster(&mut self);
+}
