--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,188 @@
+//! What the module keeps between inputs: plain records, and the upkeep that takes no decision.
+
+use crate::interface::{ExecutorId, RosterRow};
+use std::collections::{BTreeSet, HashMap, VecDeque};
+
+/// Executors, as parallel arrays under a dense index.
+#[derive(Default)]
+pub struct Fleet {
+    pub index: HashMap<ExecutorId, usize>,
+    pub ids: Vec<ExecutorId>,
+    pub zone: Vec<u8>,
+    pub kind: Vec<usize>,
+    pub cell: Vec<u16>,
+    pub ready: Vec<bool>,
+    pub weight: Vec<f64>,
+    pub since: Vec<f64>,
+    /// Own dispatches out there: the invocation's slot and when it was sent.
+    pub out: Vec<Vec<(usize, f64)>>,
+    pub limit: Vec<f64>,
+    pub backlog: Vec<f64>,
+    /// The latest answer times, in usual ones.
+    pub answers: Vec<VecDeque<f64>>,
+    pub suspect: Vec<bool>,
+    pub trial_at: Vec<f64>,
+    /// Times and mean work of the latest dispatches.
+    pub sent: Vec<VecDeque<(f64, f64)>>,
+    /// Rate of work answered, and when it was last brought up to date.
+    pub carry: Vec<(f64, f64)>,
+}
+
+impl Fleet {
+    /// The index of a roster row's executor, which is added where it is new.
+    pub fn index_of(&mut self, row: &RosterRow) -> usize {
+        if let Some(&x) = self.index.get(&row.executor) {
+            return x;
+        }
+        let x = self.ids.len();
+        self.index.insert(row.executor, x);
+        self.ids.push(row.executor);
+        self.zone.push(row.zone);
+        self.kind.push(usize::from(row.kind));
+        self.cell.push(row.cell);
+        self.ready.push(false);
+        self.weight.push(1.0);
+        self.since.push(f64::NEG_INFINITY);
+        self.out.push(vec![]);
+        self.limit.push(0.0);
+        self.backlog.push(0.0);
+        self.answers.push(VecDeque::new());
+        self.suspect.push(false);
+        self.trial_at.push(0.0);
+        self.sent.push(VecDeque::new());
+        self.carry.push((0.0, f64::NEG_INFINITY));
+        x
+    }
+
+    pub fn all(&self) -> std::ops::Range<usize> {
+        0..self.ids.len()
+    }
+
+    pub fn inflight(&self, x: usize) -> f64 {
+        self.out[x].len() as f64
+    }
+
+    /// One number for each executor, the same at every front end.
+    pub fn number(&self, x: usize) -> u64 {
+        let ExecutorId([a, b, c, d], port) = self.ids[x];
+        u64::from(u32::from_le_bytes([a, b, c, d])) << 16 | u64::from(port)
+    }
+}
+
+/// A dispatch that is out.
+#[derive(Clone, Copy)]
+pub struct Out {
+    pub dispatch: u8,
+    pub x: usize,
+    pub at: f64,
+    /// It is the placement of its function.
+    pub places: bool,
+    pub cancelled: bool,
+}
+
+#[derive(Default)]
+pub struct Inv {
+    pub id: u32,
+    pub ty: usize,
+    pub customer: usize,
+    pub f: usize,
+    pub work: Option<f64>,
+    pub timeout_at: f64,
+    pub objective_at: f64,
+    pub sent: u8,
+    pub out: Vec<Out>,
+    /// The earliest ended dispatch that may have run: where and when it was sent.
+    pub ran: Option<(usize, f64)>,
+    /// Where the last dispatch ended without an answer.
+    pub avoid: Option<usize>,
+    pub closed: bool,
+    pub streaming: bool,
+}
+
+/// An executor known to hold a function.
+pub struct Known {
+    pub x: usize,
+    pub until: f64,
+    pub full: bool,
+    pub renewing: bool,
+}
+
+pub struct Placement {
+    pub x: usize,
+    pub by_order: bool,
+    pub patience_at: f64,
+}
+
+#[derive(Default)]
+pub struct Function {
+    pub key: u64,
+    pub lanes: f64,
+    pub load_time: f64,
+    pub known: Vec<Known>,
+    pub waiting: Vec<usize>,
+    /// Invocations with a dispatch out.
+    pub out: Vec<usize>,
+    pub placement: Option<Placement>,
+    /// Where the last placement failed.
+    pub failed: Option<usize>,
+    pub tries: i32,
+    pub next_at: f64,
+    pub last_warm: Option<(usize, f64)>,
+    pub used: f64,
+}
+
+impl Function {
+    /// Own dispatches of this function that are out at an executor.
+    pub fn inflight(&self, invs: &[Inv], x: usize) -> f64 {
+        self.out.iter().flat_map(|&i| &invs[i].out).filter(|d| d.x == x).count() as f64
+    }
+
+    pub fn knows(&self, x: usize, now: f64) -> bool {
+        self.known.iter().any(|k| k.x == x && k.until > now)
+    }
+}
+
+/// Functions and invocations, each found by its id and kept in a slot.
+#[derive(Default)]
+pub struct Book {
+    pub functions: Vec<Function>,
+    pub function_index: HashMap<u64, usize>,
+    /// Functions with invocations waiting.
+    pub pending: BTreeSet<usize>,
+    pub invs: Vec<Inv>,
+    pub inv_index: HashMap<u32, usize>,
+    free: Vec<usize>,
+}
+
+impl Book {
+    pub fn add(&mut self, inv: Inv) -> usize {
+        let i = self.free.pop().unwrap_or(self.invs.len());
+        self.inv_index.insert(inv.id, i);
+        if i == self.invs.len() { self.invs.push(inv) } else { self.invs[i] = inv }
+        i
+    }
+
+    pub fn wait(&mut self, i: usize) {
+        let f = self.invs[i].f;
+        self.functions[f].out.retain(|&o| o != i);
+        self.functions[f].waiting.push(i);
+        self.pending.insert(f);
+    }
+
+    pub fn unwait(&mut self, i: usize) {
+        let f = self.invs[i].f;
+        self.functions[f].waiting.retain(|&w| w != i);
+        if self.functions[f].waiting.is_empty() {
+            self.pending.remove(&f);
+        }
+    }
+
+    /// Drops an invocation that has its final answer and nothing out.
+    pub fn release(&mut self, i: usize) {
+        let inv = &self.invs[i];
+        if inv.closed && inv.out.is_empty() && self.inv_index.remove(&inv.id).is_some() {
+            self.functions[inv.f].out.retain(|&o| o != i);
+            self.free.push(i);
+        }
+    }
+}
