--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod chance;
 pub mod choice;
 pub mod interface;
+pub mod state;
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,6 +17,10 @@
     /// Own dispatches out there: the invocation's slot and when it was sent.
     pub out: Vec<Vec<(usize, f64)>>,
     pub limit: Vec<f64>,
+    pub cut_at: Vec<f64>,
+    /// Answers 'full' in a row, and until when nothing is sent for them.
+    pub fulls: Vec<i32>,
+    pub paused: Vec<f64>,
     pub backlog: Vec<f64>,
     /// The latest answer times, in usual ones.
     pub answers: Vec<VecDeque<f64>>,
@@ -45,6 +49,9 @@
         self.since.push(f64::NEG_INFINITY);
         self.out.push(vec![]);
         self.limit.push(0.0);
+        self.cut_at.push(f64::NEG_INFINITY);
+        self.fulls.push(0);
+        self.paused.push(f64::NEG_INFINITY);
         self.backlog.push(0.0);
         self.answers.push(VecDeque::new());
         self.suspect.push(false);
@@ -155,10 +162,22 @@
 }
 
 impl Book {
+    /// The slot of a function, which is added where it is new.
+    pub fn function(&mut self, key: u64, lanes: f64, load_time: f64) -> usize {
+        *self.function_index.entry(key).or_insert_with(|| {
+            self.functions.push(Function { key, lanes, load_time, ..Function::default() });
+            self.functions.len() - 1
+        })
+    }
+
     pub fn add(&mut self, inv: Inv) -> usize {
         let i = self.free.pop().unwrap_or(self.invs.len());
         self.inv_index.insert(inv.id, i);
-        if i == self.invs.len() { self.invs.push(inv) } else { self.invs[i] = inv }
+        if i == self.invs.len() {
+            self.invs.push(inv)
+        } else {
+            self.invs[i] = inv
+        }
         i
     }
 
