Let suspicion age and draw cold executors by their warmth

Causes: a suspect that got no traffic stayed suspect for ever (seen with nothing in flight for 25 s), and successors of a deploy stood idle while the rest were crowded, as placements took cold executors last. Covers any short fault that heals and any restart; could harm where a fault lasts: it is met again every 5 s.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,9 +11,11 @@
 
 /// Interval of the heartbeat; whatever waits is looked at again that often.
 const BEAT: f64 = 0.025;
-/// Answer times by which an executor is judged, the quantile taken, and how far above its fellows is suspect.
+/// Answers by which an executor is judged, the quantile taken, and how far above its fellows is suspect.
 const JUDGED: usize = 16;
 const LEAST_JUDGED: usize = 4;
+/// Answers older than this say nothing of an executor any more.
+const JUDGED_FOR: f64 = 5.0;
 const HIGH_QUANTILE: f64 = 0.85;
 const SUSPECT: f64 = 3.0;
 /// A failure weighs as an answer this many times the usual.
@@ -570,10 +572,10 @@
         let draw = |x: usize| {
             let drawn = agreed(function.key, self.fleet.number(x));
             let share = (f64::from(drawn) + 1.0) / 4_294_967_297.0;
-            (self.warmth(x) < 1.0, -share.ln() / self.fleet.weight[x])
+            -share.ln() / (self.fleet.weight[x] * self.warmth(x))
         };
         let mut fitting: Vec<usize> = self.fleet.all().filter(fits).collect();
-        fitting.sort_by(|&a, &b| draw(a).partial_cmp(&draw(b)).expect("draws are numbers"));
+        fitting.sort_by(|&a, &b| draw(a).total_cmp(&draw(b)));
         fitting.truncate(2);
         fitting.into_iter().reduce(|a, b| if self.busy(b) + 1.0 < self.busy(a) { b } else { a })
     }
@@ -625,10 +627,10 @@
         let answers = &mut self.fleet.answers[x];
         if self.fleet.suspect[x] && sample < SUSPECT {
             // A trial that went well takes the worst memory with it.
-            let worst = (0..answers.len()).max_by(|&a, &b| answers[a].total_cmp(&answers[b]));
+            let worst = (0..answers.len()).max_by(|&a, &b| answers[a].1.total_cmp(&answers[b].1));
             worst.map(|n| answers.remove(n));
         }
-        answers.push_back(sample);
+        answers.push_back((now, sample));
         if answers.len() > JUDGED {
             answers.pop_front();
         }
@@ -642,7 +644,7 @@
     /// An executor that broke off or took no connection is suspect at once, whatever the roster says.
     fn distrust(&mut self, x: usize) {
         self.fleet.answers[x].clear();
-        self.fleet.answers[x].extend([FAILURE; LEAST_JUDGED]);
+        self.fleet.answers[x].extend([(self.now, FAILURE); LEAST_JUDGED]);
         self.fleet.trial_at[x] = self.now + 1.0;
         self.judge();
     }
@@ -654,7 +656,8 @@
         let quantile = |x: usize| {
             let usual = |&(i, at): &(usize, f64)| (now - at) / self.usual[self.book.invs[i].ty].max(1e-6);
             let ages = self.fleet.out[x].iter().map(usual).filter(|&age| age > SUSPECT);
-            let mut times: Vec<f64> = self.fleet.answers[x].iter().copied().chain(ages).collect();
+            let recent = self.fleet.answers[x].iter().filter(|a| now < a.0 + JUDGED_FOR).map(|a| a.1);
+            let mut times: Vec<f64> = recent.chain(ages).collect();
             times.sort_by(f64::total_cmp);
             let rank = (times.len() as f64 * HIGH_QUANTILE) as usize;
             (times.len() >= LEAST_JUDGED).then(|| times[rank.min(times.len() - 1)])
--- a/src/state.rs
+++ b/src/state.rs
@@ -22,8 +22,8 @@
     pub fulls: Vec<i32>,
     pub paused: Vec<f64>,
     pub backlog: Vec<f64>,
-    /// The latest answer times, in usual ones.
-    pub answers: Vec<VecDeque<f64>>,
+    /// The latest answers: when they came, and their times in usual ones.
+    pub answers: Vec<VecDeque<(f64, f64)>>,
     pub suspect: Vec<bool>,
     pub trial_at: Vec<f64>,
     /// Times and mean work of the latest dispatches.
