Let a placement wait for its two drawn executors; room by value, peers and kind

Also in: newest waiting first, room shared by billed value, peers' in-flight as told, ages count only since the executor was last heard.

--- a/drill/src/terms.rs
+++ b/drill/src/terms.rs
@@ -59,6 +59,7 @@
         stretch: number_or(v, "aimStretch", 0.0)?,
         timeout: seconds(v, "deadline")?,
         billed_value: number_or(v, "credit", 1.0)?,
+        late_share: number_or(v, "lateWorth", 0.0)?,
         effect,
         group,
         window,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -17,7 +17,9 @@
 /// Answers older than this say nothing of an executor any more.
 const JUDGED_FOR: f64 = 5.0;
 const HIGH_QUANTILE: f64 = 0.85;
-const SUSPECT: f64 = 3.0;
+const SUSPECT: f64 = 4.0;
+/// Fellows are those of the same kind where so many of them can be judged.
+const FELLOWS: usize = 3;
 /// A failure weighs as an answer this many times the usual.
 const FAILURE: f64 = 20.0;
 /// A suspect is tried again with one invocation after this share of the latency objective.
@@ -29,6 +31,11 @@
 const LIMIT_LEAST: f64 = 3.0;
 /// A copy more is loaded, lanes left over elsewhere, where an executor is this many times less busy.
 const SPREAD: f64 = 3.0;
+/// Weight of the newest invocation in the mean billed value, and seconds of a share that may be saved up.
+const VALUE_SHARE: f64 = 0.01;
+const SHARE_BURST: f64 = 2.0;
+/// Orders to load that one front end has out at an executor.
+const LOADS_EACH: u32 = 5;
 /// Pause after an answer 'full', and how often it doubles while nothing else comes.
 const FULL_PAUSE: f64 = 0.1;
 const FULL_DOUBLINGS: i32 = 4;
@@ -42,6 +49,8 @@
 /// Cache time, as a share of the time an idle copy stays; and where no such time is told.
 const CACHE_SHARE: f64 = 0.85;
 const CACHE_TIME: f64 = 5.0;
+/// Weight of the newest note on what peers have in flight of a function.
+const CROWD_SHARE: f64 = 0.3;
 /// A function is kept loaded by orders for this many keep-alive times after its last invocation.
 const RENEWED_FOR: f64 = 3.0;
 /// Part of the cold budget that is used, for peers that know less and for jitter on the way.
@@ -77,6 +86,9 @@
     /// When invocations were taken and orders given, over the window of the ration.
     taken: VecDeque<f64>,
     orders: VecDeque<f64>,
+    /// Invocations left of each customer's share, and when that was brought up to date.
+    shares: Vec<(f64, f64)>,
+    mean_value: f64,
     /// What loads take, over what is told.
     load_ratio: f64,
 }
@@ -89,7 +101,6 @@
         out.wake(BEAT.max(terms.tick), 0);
         Choice {
             usual: terms.trigger_types.iter().map(|t| t.objective / 4.0).collect(),
-            terms,
             chance: Chance::new(seed),
             now,
             beats: 0,
@@ -97,9 +108,12 @@
             book: Book::default(),
             touched: vec![],
             carried: vec![],
+            shares: terms.quotas.iter().map(|q| (SHARE_BURST * q / terms.front_ends, now)).collect(),
+            mean_value: 0.0,
             taken: VecDeque::new(),
             orders: VecDeque::new(),
             load_ratio: 1.0,
+            terms,
         }
     }
 
@@ -139,12 +153,13 @@
         let f = self.book.function(inv.function, lanes, inv.load_time.unwrap_or(LOAD_TIME));
         let ty = &self.terms.trigger_types[inv.trigger_type];
         let objective = (ty.objective + ty.stretch * inv.work.unwrap_or(0.0)).min(ty.timeout);
+        let value = self.value(inv);
+        self.mean_value += VALUE_SHARE * (value - self.mean_value);
         let i = self.book.add(Inv {
             id: inv.id,
             ty: inv.trigger_type,
-            customer: inv.customer,
+            value,
             f,
-            work: inv.work,
             timeout_at: inv.timeout_at,
             objective_at: now + objective,
             ..Inv::default()
@@ -168,9 +183,20 @@
         if let Some(&waiting) = self.terms.backlog_field.and_then(|field| o.report.get(field)) {
             self.fleet.backlog[x] = f64::from(waiting).max(0.0);
         }
+        if o.ending != Ending::TimedOut && o.ending != Ending::Cancelled {
+            self.fleet.heard[x] = now;
+        }
         self.learn(x, ty, &done, o);
         match o.ending {
-            Ending::Ok => self.know(f, x),
+            Ending::Ok => {
+                let own = self.book.functions[f].inflight(&self.book.invs, x);
+                self.know(f, x);
+                if self.terms.tells_crowd {
+                    let known = self.book.functions[f].known.last_mut().filter(|k| k.x == x);
+                    let others = (f64::from(o.crowd) - own).max(0.0);
+                    known.map(|k| k.others += CROWD_SHARE * (others - k.others));
+                }
+            }
             Ending::Full => {
                 self.book.functions[f].known.iter_mut().filter(|k| k.x == x).for_each(|k| k.full = true)
             }
@@ -226,6 +252,7 @@
         else {
             return;
         };
+        self.loads_answered(x, ending);
         if ending == Ending::Ok {
             let ratio = took / self.book.functions[f].load_time;
             if ratio > 0.2 {
@@ -298,7 +325,7 @@
 
     /// The least busy known executor with room gets the invocation.
     fn send_to_known_with_room(&mut self, f: usize, out: &mut dyn Answers) -> bool {
-        for n in 0..self.book.functions[f].waiting.len() {
+        for n in (0..self.book.functions[f].waiting.len()).rev() {
             let i = self.book.functions[f].waiting[n];
             if let Some(x) = self.least_busy_known(f, i, true) {
                 return self.dispatch(i, x, false, out);
@@ -328,10 +355,10 @@
             let x = bound.min_by(|&a, &b| self.busy(a).total_cmp(&self.busy(b)));
             return x.is_some_and(|x| self.dispatch(i, x, false, out));
         }
-        let Some(x) = self.placement_target(f) else { return false };
+        let Some(x) = self.placement_target(f, self.part(i)) else { return false };
         // Guards against loading ever more copies of what only the fleet's crowding holds up.
         let known = function.known.iter().filter(|k| self.fleet.ready[k.x] && !self.fleet.suspect[k.x]);
-        let idle_lanes = |k: &&Known| !k.full && function.inflight(&self.book.invs, k.x) < function.lanes;
+        let idle_lanes = |k: &&Known| self.has_lane(f, k);
         if known.clone().filter(idle_lanes).any(|k| self.busy(k.x) < SPREAD * self.busy(x)) {
             return false;
         }
@@ -347,7 +374,7 @@
 
     /// While a placement is under way the rest go to the least busy known executor.
     fn send_to_least_busy(&mut self, f: usize, out: &mut dyn Answers) -> bool {
-        for n in 0..self.book.functions[f].waiting.len() {
+        for n in (0..self.book.functions[f].waiting.len()).rev() {
             let i = self.book.functions[f].waiting[n];
             if let Some(x) = self.least_busy_known(f, i, false) {
                 return self.dispatch(i, x, false, out);
@@ -493,6 +520,7 @@
             return false;
         }
         self.orders.push_back(self.now);
+        self.fleet.loading[x] += 1;
         out.hold(self.fleet.ids[x], self.book.functions[f].key, copies);
         true
     }
@@ -526,11 +554,11 @@
 
     fn least_busy_known(&self, f: usize, i: usize, with_room: bool) -> Option<usize> {
         let function = &self.book.functions[f];
+        let part = self.part(i);
         let fits = |k: &&Known| {
-            let own = function.inflight(&self.book.invs, k.x);
             k.until > self.now
-                && self.takes_more(k.x)
-                && (!with_room || !k.full && own < function.lanes)
+                && self.takes_more(k.x, part)
+                && (!with_room || self.has_lane(f, k))
                 && (!self.fleet.suspect[k.x] || self.may_try(i, k.x))
                 && self.allows_dispatch(i, k.x)
         };
@@ -539,14 +567,44 @@
         known.min_by(|a, b| rank(a).partial_cmp(&rank(b)).expect("busy is a number")).map(|k| k.x)
     }
 
+    /// Room: own in-flight, and what peers are told to hold there, below the lanes of the copies.
+    fn has_lane(&self, f: usize, k: &Known) -> bool {
+        let function = &self.book.functions[f];
+        !k.full && function.inflight(&self.book.invs, k.x) + k.others < function.lanes * k.copies
+    }
+
     /// A suspect is tried with one idempotent invocation at a time.
     fn may_try(&self, i: usize, x: usize) -> bool {
         let ty = &self.terms.trigger_types[self.book.invs[i].ty];
         self.fleet.out[x].is_empty() && self.now >= self.fleet.trial_at[x] && ty.effect == Effect::Idempotent
     }
 
-    fn takes_more(&self, x: usize) -> bool {
-        self.fleet.inflight(x) < self.fleet.limit[x] && self.now >= self.fleet.paused[x]
+    /// What an invocation is billed for a unit of work; little where its customer is past its share.
+    fn value(&mut self, inv: &Invocation) -> f64 {
+        let ty = &self.terms.trigger_types[inv.trigger_type];
+        let work = if self.terms.value_by_work { 1.0 } else { self.usual[inv.trigger_type].max(1e-6) };
+        let mut within = true;
+        if let Some(quota) = self.terms.quotas.get(inv.customer).map(|q| q / self.terms.front_ends) {
+            let (left, at) = &mut self.shares[inv.customer];
+            *left = (*left + (self.now - *at) * quota).min(SHARE_BURST * quota);
+            *at = self.now;
+            within = *left >= 1.0;
+            *left -= if within { 1.0 } else { 0.0 };
+        }
+        ty.billed_value / work * if within { 1.0 } else { self.terms.over_share_value }
+    }
+
+    /// The part of an executor's limit that an invocation may fill: that of its billed value now in the mean.
+    /// Guards the room against what earns little, late or past a customer's share, when room is short.
+    fn part(&self, i: usize) -> f64 {
+        let inv = &self.book.invs[i];
+        let late = self.now > inv.objective_at;
+        let left = if late { self.terms.trigger_types[inv.ty].late_share } else { 1.0 };
+        (inv.value * left / self.mean_value).min(1.0)
+    }
+
+    fn takes_more(&self, x: usize, part: f64) -> bool {
+        self.fleet.inflight(x) < (self.fleet.limit[x] * part).max(1.0) && self.now >= self.fleet.paused[x]
     }
 
     fn busy(&self, x: usize) -> f64 {
@@ -556,14 +614,19 @@
 
     /// The last executor known warm, else the less loaded of two. The two are drawn with the function's
     /// key for a seed, so that all front ends draw the same and share the copy that one has loaded.
-    fn placement_target(&self, f: usize) -> Option<usize> {
+    fn placement_target(&self, f: usize, part: f64) -> Option<usize> {
         let function = &self.book.functions[f];
         let fits = |&x: &usize| {
             self.fleet.ready[x]
                 && !self.fleet.suspect[x]
                 && function.failed != Some(x)
-                && !function.known.iter().any(|k| k.x == x && k.until > self.now)
-                && self.takes_more(x)
+                && !function.knows(x, self.now)
+        };
+        // Where both are at their bounds the placement waits: a copy elsewhere would serve this front end alone.
+        let takes = |&x: &usize| {
+            self.now >= self.fleet.loads_paused[x]
+                && self.fleet.loading[x] < LOADS_EACH
+                && self.takes_more(x, part)
         };
         let last = function.last_warm.filter(|&(x, at)| self.now < at + self.terms.keep_alive && fits(&x));
         if let Some((x, _)) = last {
@@ -577,7 +640,7 @@
         let mut fitting: Vec<usize> = self.fleet.all().filter(fits).collect();
         fitting.sort_by(|&a, &b| draw(a).total_cmp(&draw(b)));
         fitting.truncate(2);
-        fitting.into_iter().reduce(|a, b| if self.busy(b) + 1.0 < self.busy(a) { b } else { a })
+        fitting.into_iter().filter(takes).reduce(|a, b| if self.busy(b) + 1.0 < self.busy(a) { b } else { a })
     }
 
     // ---- What is known of executors ----
@@ -641,6 +704,18 @@
         }
     }
 
+    /// Guards against orders repeated to one that has no room, a queue of loads, or drains untold.
+    fn loads_answered(&mut self, x: usize, ending: Ending) {
+        self.fleet.loading[x] = self.fleet.loading[x].saturating_sub(1);
+        if ending == Ending::Full {
+            let pause = FULL_PAUSE * 2f64.powi(self.fleet.load_fulls[x].min(FULL_DOUBLINGS));
+            self.fleet.load_fulls[x] += 1;
+            self.fleet.loads_paused[x] = self.now + pause;
+        } else {
+            self.fleet.load_fulls[x] = 0;
+        }
+    }
+
     /// An executor that broke off or took no connection is suspect at once, whatever the roster says.
     fn distrust(&mut self, x: usize) {
         self.fleet.answers[x].clear();
@@ -655,7 +730,8 @@
         let now = self.now;
         let quantile = |x: usize| {
             let usual = |&(i, at): &(usize, f64)| (now - at) / self.usual[self.book.invs[i].ty].max(1e-6);
-            let ages = self.fleet.out[x].iter().map(usual).filter(|&age| age > SUSPECT);
+            let unheard = self.fleet.out[x].iter().filter(|&&(_, at)| at > self.fleet.heard[x]);
+            let ages = unheard.map(usual).filter(|&age| age > SUSPECT);
             let recent = self.fleet.answers[x].iter().filter(|a| now < a.0 + JUDGED_FOR).map(|a| a.1);
             let mut times: Vec<f64> = recent.chain(ages).collect();
             times.sort_by(f64::total_cmp);
@@ -663,12 +739,21 @@
             (times.len() >= LEAST_JUDGED).then(|| times[rank.min(times.len() - 1)])
         };
         let quantiles: Vec<Option<f64>> = self.fleet.all().map(quantile).collect();
-        let mut fellows: Vec<f64> =
-            self.fleet.all().filter(|&x| self.fleet.ready[x]).filter_map(|x| quantiles[x]).collect();
-        fellows.sort_by(f64::total_cmp);
-        let middle = fellows.get(fellows.len() / 2).copied().unwrap_or(1.0).max(1.0);
-        for (x, quantile) in quantiles.iter().enumerate() {
-            self.fleet.suspect[x] = quantile.is_some_and(|q| q > SUSPECT * middle);
+        for x in self.fleet.all() {
+            let fellows = |same: bool| {
+                let like =
+                    |&y: &usize| self.fleet.ready[y] && (!same || self.fleet.kind[y] == self.fleet.kind[x]);
+                let mut found: Vec<f64> =
+                    self.fleet.all().filter(like).filter_map(|y| quantiles[y]).collect();
+                found.sort_by(f64::total_cmp);
+                found
+            };
+            let mut found = fellows(true);
+            if found.len() < FELLOWS {
+                found = fellows(false);
+            }
+            let middle = found.get(found.len() / 2).copied().unwrap_or(1.0).max(1.0);
+            self.fleet.suspect[x] = quantiles[x].is_some_and(|q| q > SUSPECT * middle);
         }
         for kind in 0..self.carried.len() {
             let warm = |&x: &usize| {
@@ -695,6 +780,8 @@
         }
         self.fleet.limit[x] = LIMIT_START;
         self.fleet.backlog[x] = 0.0;
+        self.fleet.load_fulls[x] = 0;
+        self.fleet.loads_paused[x] = self.now;
         self.fleet.fulls[x] = 0;
         self.fleet.paused[x] = self.now;
         self.fleet.cut_at[x] = self.now;
@@ -715,8 +802,10 @@
         }
         let until = self.now + self.cache_time();
         let function = &mut self.book.functions[f];
-        function.known.retain(|k| k.x != x);
-        function.known.push(Known { x, until, full: false, renewing: false });
+        let at = function.known.iter().position(|k| k.x == x);
+        let (others, copies) =
+            at.map(|at| function.known.remove(at)).map_or((0.0, 1.0), |k| (k.others, k.copies));
+        function.known.push(Known { x, until, full: false, renewing: false, others, copies });
         function.last_warm = Some((x, self.now));
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -28,6 +28,8 @@
     /// Client timeout, at the longest.
     pub timeout: f64,
     pub billed_value: f64,
+    /// What is left of the billed value after the objective.
+    pub late_share: f64,
     pub effect: Effect,
     pub group: Group,
     /// How long the group remembers a token.
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,6 +17,12 @@
     /// Own dispatches out there: the invocation's slot and when it was sent.
     pub out: Vec<Vec<(usize, f64)>>,
     pub limit: Vec<f64>,
+    /// The same for orders to load.
+    pub load_fulls: Vec<i32>,
+    pub loads_paused: Vec<f64>,
+    /// Own orders to load that are out there.
+    pub loading: Vec<u32>,
+    pub heard: Vec<f64>,
     pub cut_at: Vec<f64>,
     /// Answers 'full' in a row, and until when nothing is sent for them.
     pub fulls: Vec<i32>,
@@ -49,6 +55,10 @@
         self.since.push(f64::NEG_INFINITY);
         self.out.push(vec![]);
         self.limit.push(0.0);
+        self.load_fulls.push(0);
+        self.loads_paused.push(f64::NEG_INFINITY);
+        self.loading.push(0);
+        self.heard.push(f64::NEG_INFINITY);
         self.cut_at.push(f64::NEG_INFINITY);
         self.fulls.push(0);
         self.paused.push(f64::NEG_INFINITY);
@@ -91,9 +101,9 @@
 pub struct Inv {
     pub id: u32,
     pub ty: usize,
-    pub customer: usize,
+    /// Billed value for each unit of work, within the objective.
+    pub value: f64,
     pub f: usize,
-    pub work: Option<f64>,
     pub timeout_at: f64,
     pub objective_at: f64,
     pub sent: u8,
@@ -112,6 +122,9 @@
     pub until: f64,
     pub full: bool,
     pub renewing: bool,
+    /// What peers have in flight there, where told.
+    pub others: f64,
+    pub copies: f64,
 }
 
 pub struct Placement {
