--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,7 +43,7 @@
 const BACKOFF: f64 = 0.1;
 const BACKOFF_GROWTH: f64 = 1.1;
 /// A placement is given this many usual load times before a second one is tried.
-const PATIENCE: f64 = 2.5;
+const PATIENCE: f64 = 4.0;
 /// Load time where none is told and none was seen.
 const LOAD_TIME: f64 = 1.0;
 /// Cache time, as a share of the time an idle copy stays; and where no such time is told.
@@ -383,15 +383,16 @@
         false
     }
 
-    /// What is out at a suspect, or out for long where second copies are granted, gets another dispatch.
+    /// What is out at a suspect, or at one not heard of for long where second copies are granted, gets another
+    /// dispatch. Guards against hangs and lost links; never for mere slowness, as copies feed a crowd.
     fn move_from_slow(&mut self, f: usize, out: &mut dyn Answers) -> bool {
         for n in 0..self.book.functions[f].out.len() {
             let i = self.book.functions[f].out[n];
             let inv = &self.book.invs[i];
             let ty = &self.terms.trigger_types[inv.ty];
             let &[d] = inv.out.as_slice() else { continue };
-            let slow = self.now - d.at > SECOND_COPY * ty.objective;
-            let moved = self.fleet.suspect[d.x] || self.terms.second_copies && slow && !d.places;
+            let silent = self.fleet.heard[d.x] < d.at && self.now - d.at > SECOND_COPY * ty.objective;
+            let moved = self.fleet.suspect[d.x] || self.terms.second_copies && silent && !d.places;
             if inv.closed || inv.streaming || d.cancelled || ty.effect == Effect::NonIdempotent || !moved {
                 continue;
             }
