Fold mechanics into plain state; bound and streamed invocations apart

A tokened invocation that may have run has a rule of its own and no longer blocks placements; idempotent repeats no longer force loads anywhere; a stream cancels the other dispatch; a failed subscription is asked for again.

--- a/drill/src/batch.rs
+++ b/drill/src/batch.rs
@@ -100,14 +100,15 @@
             2 => {
                 let (inv, dispatch) = (f.u32()?, f.u8()?);
                 f.executor()?;
-                choice.streaming(now, inv, dispatch, f.seconds()?, reply);
+                f.seconds()?;
+                choice.streaming(now, inv, dispatch, reply);
             }
             3 => {
-                let executor = f.executor()?;
+                f.executor()?;
                 let code = f.u8()?;
-                let ending = ending(&f, code)?;
+                ending(&f, code)?;
                 f.seconds()?;
-                choice.probed(now, executor, ending, &report(&mut f)?, reply);
+                report(&mut f)?;
             }
             5 => {
                 let id = f.u32()?;
@@ -157,10 +158,11 @@
             }
             9 => {}
             10 => {
-                let (took, code, function) = (f.seconds()?, f.u8()?, f.u64()?);
-                let ending = ending(&f, code)?;
-                let (executor, copies) = (f.executor()?, f.u8()?);
-                choice.held(now, executor, function, ending, took, copies, reply);
+                f.seconds()?;
+                let code = f.u8()?;
+                let (ending, function) = (ending(&f, code)?, f.u64()?);
+                let (executor, _copies) = (f.executor()?, f.u8()?);
+                choice.held(now, executor, function, ending, reply);
             }
             11 => choice.withdrawn(now, f.u32()?, reply),
             12 => self.instances[slot] = None,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,27 +6,26 @@
 
 use crate::chance::{Chance, agreed};
 use crate::interface::*;
-use crate::state::{Book, Fleet, Inv, Known, Out, Placement};
-use std::collections::VecDeque;
+use crate::state::*;
 
 /// Interval of the heartbeat; whatever waits is looked at again that often.
 const BEAT: f64 = 0.025;
-/// Answers by which an executor is judged, the quantile taken, and how far above its fellows is suspect.
+/// Mean pause before a subscription to the roster that failed is asked for again.
+const WATCH_PAUSE: f64 = 1.0;
+/// Answers by which an executor is judged, the least number of them (and of fellows of its kind), the quantile
+/// taken, and how far above its fellows' is suspect.
 const JUDGED: usize = 16;
 const LEAST_JUDGED: usize = 4;
 /// Answers older than this say nothing of an executor any more.
 const JUDGED_FOR: f64 = 5.0;
 const HIGH_QUANTILE: f64 = 0.85;
 const SUSPECT: f64 = 4.0;
-/// Fellows are those of the same kind where so many of them can be judged.
-const FELLOWS: usize = 3;
 /// A failure weighs as an answer this many times the usual.
 const FAILURE: f64 = 20.0;
 /// A suspect is tried again with one invocation after this share of the latency objective.
 const TRIAL_PAUSE: f64 = 0.7;
-/// In-flight limit of an executor: start, bounds, and what a missed latency objective leaves of it.
+/// In-flight limit of an executor: start, least, and what a missed latency objective leaves of it.
 const LIMIT_START: f64 = 8.0;
-const LIMIT_MOST: f64 = 64.0;
 const LIMIT_CUT: f64 = 0.9;
 const LIMIT_LEAST: f64 = 3.0;
 /// A copy more is loaded, lanes left over elsewhere, where an executor is this many times less busy.
@@ -39,11 +38,13 @@
 /// Pause after an answer 'full', and how often it doubles while nothing else comes.
 const FULL_PAUSE: f64 = 0.1;
 const FULL_DOUBLINGS: i32 = 4;
+/// Weight of the newest answer in the usual answer time.
+const USUAL_SHARE: f64 = 0.02;
 /// Backoff of a failed placement, and its growth.
 const BACKOFF: f64 = 0.1;
 const BACKOFF_GROWTH: f64 = 1.1;
 /// A placement is given this many usual load times before a second one is tried.
-const PATIENCE: f64 = 4.0;
+const PATIENCE: f64 = 5.0;
 /// Load time where none is told and none was seen.
 const LOAD_TIME: f64 = 1.0;
 /// Cache time, as a share of the time an idle copy stays; and where no such time is told.
@@ -57,15 +58,20 @@
 const COLD_MARGIN: f64 = 0.8;
 /// Time constant of the work rate that an executor is seen to carry.
 const CARRY_TIME: f64 = 5.0;
+/// Least share of the longest stay-away advised; the rest is chance, so that clients don't return in step.
+const STAY_AWAY: f64 = 0.25;
 /// A second copy leaves after this share of the latency objective.
 const SECOND_COPY: f64 = 0.6;
 
 type Rule = fn(&mut Choice, usize, &mut dyn Answers) -> bool;
-const RULES: [Rule; 6] = [
+const RULES: [Rule; 7] = [
     Choice::give_up,
-    Choice::send_to_known_with_room,
+    // The least busy known executor with room gets the invocation.
+    |c, f, out| c.send_to_known(f, true, out),
+    Choice::send_within_group,
     Choice::place,
-    Choice::send_to_least_busy,
+    // While a placement is under way the rest go to the least busy known executor.
+    |c, f, out| c.send_to_known(f, false, out),
     Choice::move_from_slow,
     Choice::renew,
 ];
@@ -77,27 +83,22 @@
     beats: u64,
     fleet: Fleet,
     book: Book,
-    /// Functions touched by the input in hand.
-    touched: Vec<usize>,
+    touched: Vec<usize>, // functions
     /// The usual answer time of each trigger type, on a loaded copy.
     usual: Vec<f64>,
     /// Work rate that an executor of each kind was seen to carry for this front end, at the most.
     carried: Vec<f64>,
     /// When invocations were taken and orders given, over the window of the ration.
-    taken: VecDeque<f64>,
-    orders: VecDeque<f64>,
-    /// Invocations left of each customer's share, and when that was brought up to date.
-    shares: Vec<(f64, f64)>,
+    taken: Moments,
+    orders: Moments,
+    shares: Vec<Allowance>, // of customers
     mean_value: f64,
-    /// What loads take, over what is told.
-    load_ratio: f64,
+    /// When to subscribe to the roster, where it has to be asked for.
+    watch_at: f64,
 }
 
 impl Choice {
     pub fn new(terms: Terms, seed: u64, now: f64, out: &mut dyn Answers) -> Self {
-        if terms.roster_asked {
-            out.watch_roster();
-        }
         out.wake(BEAT.max(terms.tick), 0);
         Choice {
             usual: terms.trigger_types.iter().map(|t| t.objective / 4.0).collect(),
@@ -108,11 +109,11 @@
             book: Book::default(),
             touched: vec![],
             carried: vec![],
-            shares: terms.quotas.iter().map(|q| (SHARE_BURST * q / terms.front_ends, now)).collect(),
+            shares: terms.quotas.iter().map(|_| Allowance { left: 0.0, at: now - SHARE_BURST }).collect(),
             mean_value: 0.0,
-            taken: VecDeque::new(),
-            orders: VecDeque::new(),
-            load_ratio: 1.0,
+            taken: Moments::default(),
+            orders: Moments::default(),
+            watch_at: now,
             terms,
         }
     }
@@ -125,6 +126,9 @@
 
     pub fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Answers) {
         self.now = now;
+        if kind == RosterKind::Failed {
+            self.watch_at = now + WATCH_PAUSE * (0.5 + self.chance.unit());
+        }
         if kind == RosterKind::Full {
             self.fleet.ready.fill(false);
         }
@@ -138,17 +142,18 @@
                 self.forget(x);
             }
         }
-        for x in self.fleet.all() {
-            if !self.fleet.ready[x] {
-                self.forget(x);
-            }
-        }
+        self.fleet
+            .all()
+            .filter(|&x| !self.fleet.ready[x])
+            .collect::<Vec<_>>()
+            .iter()
+            .for_each(|&x| self.forget(x));
         self.settle_pending(out);
     }
 
     pub fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Answers) {
         self.now = now;
-        self.taken.push_back(now);
+        self.taken.add(now);
         let lanes = if inv.lanes >= 1.0 { inv.lanes.floor() } else { 1.0 };
         let f = self.book.function(inv.function, lanes, inv.load_time.unwrap_or(LOAD_TIME));
         let ty = &self.terms.trigger_types[inv.trigger_type];
@@ -172,12 +177,9 @@
 
     pub fn outcome(&mut self, now: f64, o: &Outcome, out: &mut dyn Answers) {
         self.now = now;
-        let (Some(&i), Some(&x)) = (self.book.inv_index.get(&o.inv), self.fleet.index.get(&o.executor))
-        else {
-            return;
-        };
-        let Some(at) = self.book.invs[i].out.iter().position(|d| d.dispatch == o.dispatch) else { return };
-        let done = self.book.invs[i].out.remove(at);
+        let Some(&i) = self.book.inv_index.get(&o.inv) else { return };
+        let Some(done) = self.book.ended(i, o.dispatch) else { return };
+        let x = done.x;
         let (f, ty) = (self.book.invs[i].f, self.book.invs[i].ty);
         self.fleet.out[x].retain(|&(other, at)| other != i || at != done.at);
         if let Some(&waiting) = self.terms.backlog_field.and_then(|field| o.report.get(field)) {
@@ -187,24 +189,22 @@
             self.fleet.heard[x] = now;
         }
         self.learn(x, ty, &done, o);
+        let until = now + self.cache_time();
+        let function = &mut self.book.functions[f];
         match o.ending {
-            Ending::Ok => {
-                let own = self.book.functions[f].inflight(&self.book.invs, x);
-                self.know(f, x);
+            Ending::Ok if self.fleet.ready[x] => {
+                let own = function.inflight(&self.book.invs, x);
+                let known = function.know(x, now, until);
                 if self.terms.tells_crowd {
-                    let known = self.book.functions[f].known.last_mut().filter(|k| k.x == x);
-                    let others = (f64::from(o.crowd) - own).max(0.0);
-                    known.map(|k| k.others += CROWD_SHARE * (others - k.others));
+                    known.others += CROWD_SHARE * ((f64::from(o.crowd) - own).max(0.0) - known.others);
                 }
             }
-            Ending::Full => {
-                self.book.functions[f].known.iter_mut().filter(|k| k.x == x).for_each(|k| k.full = true)
-            }
-            Ending::TimedOut | Ending::ConnectFailed | Ending::Reset | Ending::Miss => self.evict(f, x),
-            Ending::Error | Ending::Cancelled | Ending::NeverSent => {}
+            Ending::Full => function.known.iter_mut().filter(|k| k.x == x).for_each(|k| k.full = true),
+            Ending::TimedOut | Ending::ConnectFailed | Ending::Reset | Ending::Miss => function.evict(x),
+            Ending::Ok | Ending::Error | Ending::Cancelled | Ending::NeverSent => {}
         }
         if done.places {
-            self.placed(f, x, o.ending == Ending::Ok);
+            self.placed(f, x, false, o.ending == Ending::Ok);
         }
         let inv = &mut self.book.invs[i];
         if !o.ending.never_ran() && inv.ran.is_none_or(|(_, at)| done.at < at) {
@@ -221,10 +221,12 @@
         self.settle_pending(out);
     }
 
-    pub fn streaming(&mut self, now: f64, inv: u32, _dispatch: u8, _took: f64, _out: &mut dyn Answers) {
+    /// The answer has begun to stream: this dispatch is the client's, any other is not wanted.
+    pub fn streaming(&mut self, now: f64, inv: u32, dispatch: u8, out: &mut dyn Answers) {
         self.now = now;
         if let Some(&i) = self.book.inv_index.get(&inv) {
             self.book.invs[i].streaming = true;
+            self.cancel_out(i, Some(dispatch), out);
         }
     }
 
@@ -237,60 +239,39 @@
     }
 
     /// The answer to an order to load.
-    pub fn held(
-        &mut self,
-        now: f64,
-        executor: ExecutorId,
-        function: u64,
-        ending: Ending,
-        took: f64,
-        _copies: u8,
-        out: &mut dyn Answers,
-    ) {
+    pub fn held(&mut self, now: f64, at: ExecutorId, key: u64, ending: Ending, out: &mut dyn Answers) {
         self.now = now;
-        let (Some(&f), Some(&x)) = (self.book.function_index.get(&function), self.fleet.index.get(&executor))
-        else {
-            return;
-        };
-        self.loads_answered(x, ending);
-        if ending == Ending::Ok {
-            let ratio = took / self.book.functions[f].load_time;
-            if ratio > 0.2 {
-                self.load_ratio += 0.1 * (ratio - self.load_ratio);
-            }
-            self.know(f, x);
+        let Some(&f) = self.book.function_index.get(&key) else { return };
+        let Some(&x) = self.fleet.index.get(&at) else { return };
+        self.fleet.loading[x] = self.fleet.loading[x].saturating_sub(1);
+        // Guards against orders repeated to one that has no room, a queue of loads, or drains untold.
+        match ending {
+            Ending::Full => self.fleet.loads_paused[x].grow(now, FULL_PAUSE, FULL_DOUBLINGS),
+            _ => self.fleet.loads_paused[x].end(),
+        }
+        if ending == Ending::Ok && self.fleet.ready[x] {
+            let until = now + self.cache_time();
+            self.book.functions[f].know(x, now, until);
         } else {
-            self.evict(f, x);
+            self.book.functions[f].evict(x);
             if matches!(ending, Ending::ConnectFailed | Ending::Reset) {
                 self.distrust(x);
             }
         }
-        if self.book.functions[f].placement.as_ref().is_some_and(|p| p.by_order && p.x == x) {
-            self.placed(f, x, ending == Ending::Ok);
-        }
+        self.placed(f, x, true, ending == Ending::Ok);
         self.touched.push(f);
         self.settle(out);
     }
 
-    pub fn probed(
-        &mut self,
-        now: f64,
-        _x: ExecutorId,
-        _ending: Ending,
-        _report: &[f32],
-        _out: &mut dyn Answers,
-    ) {
-        self.now = now;
-    }
-
     pub fn timer(&mut self, now: f64, _mark: u64, out: &mut dyn Answers) {
         self.now = now;
         self.beats += 1;
         out.wake(self.beat(), 0);
-        let old = now - self.terms.ration_window;
-        while self.taken.front().is_some_and(|&t| t <= old) {
-            self.taken.pop_front();
+        if self.terms.roster_asked && now >= self.watch_at {
+            self.watch_at = f64::INFINITY;
+            out.watch_roster();
         }
+        self.taken.after(now - self.terms.ration_window);
         if self.beats.is_multiple_of(4) {
             self.judge();
             for f in &mut self.book.functions {
@@ -323,17 +304,33 @@
         true
     }
 
-    /// The least busy known executor with room gets the invocation.
-    fn send_to_known_with_room(&mut self, f: usize, out: &mut dyn Answers) -> bool {
-        for n in (0..self.book.functions[f].waiting.len()).rev() {
+    /// Newest first: it has its whole latency objective before it.
+    fn send_to_known(&mut self, f: usize, with_room: bool, out: &mut dyn Answers) -> bool {
+        let to = |&i: &usize| Some((i, self.least_busy_known(f, i, with_room)?));
+        let found = self.book.functions[f].waiting.iter().rev().find_map(to);
+        found.is_some_and(|(i, x)| self.dispatch(i, x, false, out))
+    }
+
+    /// A tokened invocation that may have run is bound to its group, whatever is known elsewhere.
+    fn send_within_group(&mut self, f: usize, out: &mut dyn Answers) -> bool {
+        for n in 0..self.book.functions[f].waiting.len() {
             let i = self.book.functions[f].waiting[n];
-            if let Some(x) = self.least_busy_known(f, i, true) {
-                return self.dispatch(i, x, false, out);
+            if self.bound(i) {
+                let group =
+                    self.fleet.all().filter(|&x| !self.fleet.suspect[x] && self.allows_dispatch(i, x));
+                if let Some(x) = group.min_by(|&a, &b| self.busy(a).total_cmp(&self.busy(b))) {
+                    return self.dispatch(i, x, false, out);
+                }
             }
         }
         false
     }
 
+    fn bound(&self, i: usize) -> bool {
+        let inv = &self.book.invs[i];
+        inv.ran.is_some() && self.terms.trigger_types[inv.ty].effect == Effect::Tokened
+    }
+
     /// With none that has room, one further instance is placed, one placement at a time.
     fn place(&mut self, f: usize, out: &mut dyn Answers) -> bool {
         let function = &self.book.functions[f];
@@ -341,20 +338,12 @@
             if self.fleet.ready[p.x] && !self.fleet.suspect[p.x] && self.now < p.patience_at {
                 return false;
             }
-            let x = p.x;
-            self.placed(f, x, false);
+            let (x, by_order) = (p.x, p.by_order);
+            self.placed(f, x, by_order, false);
             return true;
         }
-        let Some(&i) = function.waiting.first() else { return false };
-        if self.now < function.next_at {
-            return false;
-        }
-        // A tokened invocation that may have run is bound to its group, whatever is known elsewhere.
-        if self.book.invs[i].ran.is_some() {
-            let bound = self.fleet.all().filter(|&x| self.allows_dispatch(i, x) && !self.fleet.suspect[x]);
-            let x = bound.min_by(|&a, &b| self.busy(a).total_cmp(&self.busy(b)));
-            return x.is_some_and(|x| self.dispatch(i, x, false, out));
-        }
+        let free = function.waiting.iter().find(|&&i| !self.bound(i));
+        let Some(&i) = free.filter(|_| self.now >= function.next_at) else { return false };
         let Some(x) = self.placement_target(f, self.part(i)) else { return false };
         // Guards against loading ever more copies of what only the fleet's crowding holds up.
         let known = function.known.iter().filter(|k| self.fleet.ready[k.x] && !self.fleet.suspect[k.x]);
@@ -362,27 +351,16 @@
         if known.clone().filter(idle_lanes).any(|k| self.busy(k.x) < SPREAD * self.busy(x)) {
             return false;
         }
-        let load = self.book.functions[f].load_time * self.load_ratio.max(1.0);
         let by_order = self.terms.orders && self.order(f, x, 1, out);
-        if !by_order && !self.dispatch(i, x, true, out) {
+        let by_dispatch = !by_order && !(self.terms.orders && self.terms.answers_miss);
+        if !by_order && !(by_dispatch && self.dispatch(i, x, true, out)) {
             return false;
         }
-        let patience_at = self.now + PATIENCE * load;
+        let patience_at = self.now + PATIENCE * self.book.functions[f].load_time;
         self.book.functions[f].placement = Some(Placement { x, by_order, patience_at });
         true
     }
 
-    /// While a placement is under way the rest go to the least busy known executor.
-    fn send_to_least_busy(&mut self, f: usize, out: &mut dyn Answers) -> bool {
-        for n in (0..self.book.functions[f].waiting.len()).rev() {
-            let i = self.book.functions[f].waiting[n];
-            if let Some(x) = self.least_busy_known(f, i, false) {
-                return self.dispatch(i, x, false, out);
-            }
-        }
-        false
-    }
-
     /// What is out at a suspect, or at one not heard of for long where second copies are granted, gets another
     /// dispatch. Guards against hangs and lost links; never for mere slowness, as copies feed a crowd.
     fn move_from_slow(&mut self, f: usize, out: &mut dyn Answers) -> bool {
@@ -470,10 +448,10 @@
             return true;
         }
         let span = self.now - self.terms.fall - 2.0 * BEAT;
-        let spent: f64 = self.fleet.sent[x].iter().filter(|s| s.0 > span).map(|s| s.1).sum();
+        let spent = self.fleet.sent_since(x, span);
         let carried = self.carried.get(self.fleet.kind[x]).copied().unwrap_or(0.0);
         let budget = COLD_MARGIN * carried * part * self.terms.overload_factor * self.terms.fall;
-        let no_fellow = !self.fleet.all().any(|y| self.fleet.ready[y] && self.warmth(y) >= 1.0);
+        let no_fellow = !self.fleet.all().any(|y| self.is_warm(y));
         spent + work <= budget || no_fellow && spent == 0.0 && self.fleet.out[x].is_empty()
     }
 
@@ -481,46 +459,32 @@
         if !self.allows_dispatch(i, x) {
             return false;
         }
-        let now = self.now;
-        let inv = &mut self.book.invs[i];
-        let (f, ty) = (inv.f, inv.ty);
-        inv.out.push(Out { dispatch: inv.sent, x, at: now, places, cancelled: false });
-        inv.sent += 1;
-        out.dispatch(inv.id, self.fleet.ids[x], inv.timeout_at - now);
-        self.fleet.out[x].push((i, now));
-        self.fleet.sent[x].push_back((now, self.usual[ty]));
-        while self.fleet.sent[x].front().is_some_and(|s| s.0 < now - 2.0 * self.terms.fall) {
-            self.fleet.sent[x].pop_front();
-        }
+        let inv = &self.book.invs[i];
+        let ty = inv.ty;
+        out.dispatch(inv.id, self.fleet.ids[x], inv.timeout_at - self.now);
+        self.fleet.note_sent(x, i, self.now, self.usual[ty], 2.0 * self.terms.fall);
         if self.fleet.suspect[x] {
-            self.fleet.trial_at[x] = now + TRIAL_PAUSE * self.terms.trigger_types[ty].objective;
-        }
-        self.book.unwait(i);
-        let function = &mut self.book.functions[f];
-        if !function.out.contains(&i) {
-            function.out.push(i);
+            self.fleet.trial_at[x] = self.now + TRIAL_PAUSE * self.terms.trigger_types[ty].objective;
         }
+        self.book.send(i, x, self.now, places);
         true
     }
 
     /// Drains and the ration: no order to load goes out but through here.
     fn order(&mut self, f: usize, x: usize, copies: u8, out: &mut dyn Answers) -> bool {
         let window = self.terms.ration_window;
+        if !self.fleet.ready[x] {
+            return false;
+        }
         if window > 0.0 {
-            let (now, tick) = (self.now, self.terms.tick);
-            while self.orders.front().is_some_and(|&t| t < now - window - tick) {
-                self.orders.pop_front();
-            }
-            let taken = self.taken.iter().filter(|&&t| t > now - window + tick).count();
-            let most = self.terms.ration_floor + self.terms.ration_share * taken as f64;
-            if (self.orders.len() + 1) as f64 > most {
+            // A tick to the safe side at either end.
+            let ordered = self.orders.after(self.now - window - self.terms.tick);
+            let taken = self.taken.after(self.now - window + self.terms.tick);
+            if ordered + 1.0 > self.terms.ration_floor + self.terms.ration_share * taken {
                 return false;
             }
+            self.orders.add(self.now);
         }
-        if !self.fleet.ready[x] {
-            return false;
-        }
-        self.orders.push_back(self.now);
         self.fleet.loading[x] += 1;
         out.hold(self.fleet.ids[x], self.book.functions[f].key, copies);
         true
@@ -529,12 +493,8 @@
     fn may_throttle(&self, i: usize) -> bool {
         let inv = &self.book.invs[i];
         let ty = &self.terms.trigger_types[inv.ty];
-        let may_have_run = inv.ran.is_some() || !inv.out.is_empty();
-        match ty.effect {
-            Effect::Idempotent => true,
-            Effect::Tokened => !may_have_run || ty.group == Group::All,
-            Effect::NonIdempotent => !may_have_run,
-        }
+        let never_ran = inv.ran.is_none() && inv.out.is_empty();
+        never_ran || ty.effect == Effect::Idempotent || ty.effect == Effect::Tokened && ty.group == Group::All
     }
 
     /// The one place of final answers other than succeeded ones.
@@ -543,7 +503,7 @@
             return;
         }
         if self.may_throttle(i) {
-            let share = 0.25 + 0.75 * self.chance.unit();
+            let share = STAY_AWAY + (1.0 - STAY_AWAY) * self.chance.unit();
             out.throttle(self.book.invs[i].id, share * self.terms.max_retry_after);
         } else {
             out.error(self.book.invs[i].id);
@@ -571,7 +531,7 @@
     /// Room: own in-flight, and what peers are told to hold there, below the lanes of the copies.
     fn has_lane(&self, f: usize, k: &Known) -> bool {
         let function = &self.book.functions[f];
-        !k.full && function.inflight(&self.book.invs, k.x) + k.others < function.lanes * k.copies
+        !k.full && function.inflight(&self.book.invs, k.x) + k.others < function.lanes
     }
 
     /// A suspect is tried with one idempotent invocation at a time.
@@ -584,14 +544,9 @@
     fn value(&mut self, inv: &Invocation) -> f64 {
         let ty = &self.terms.trigger_types[inv.trigger_type];
         let work = if self.terms.value_by_work { 1.0 } else { self.usual[inv.trigger_type].max(1e-6) };
-        let mut within = true;
-        if let Some(quota) = self.terms.quotas.get(inv.customer).map(|q| q / self.terms.front_ends) {
-            let (left, at) = &mut self.shares[inv.customer];
-            *left = (*left + (self.now - *at) * quota).min(SHARE_BURST * quota);
-            *at = self.now;
-            within = *left >= 1.0;
-            *left -= if within { 1.0 } else { 0.0 };
-        }
+        let quota = self.terms.quotas.get(inv.customer).map(|q| q / self.terms.front_ends);
+        let now = self.now;
+        let within = quota.is_none_or(|q| self.shares[inv.customer].take(now, q, SHARE_BURST * q));
         ty.billed_value / work * if within { 1.0 } else { self.terms.over_share_value }
     }
 
@@ -605,7 +560,8 @@
     }
 
     fn takes_more(&self, x: usize, part: f64) -> bool {
-        self.fleet.inflight(x) < (self.fleet.limit[x] * part).max(1.0) && self.now >= self.fleet.paused[x]
+        self.fleet.inflight(x) < (self.fleet.limit[x] * part).max(1.0)
+            && self.now >= self.fleet.paused[x].until
     }
 
     fn busy(&self, x: usize) -> f64 {
@@ -625,7 +581,7 @@
         };
         // Where both are at their bounds the placement waits: a copy elsewhere would serve this front end alone.
         let takes = |&x: &usize| {
-            self.now >= self.fleet.loads_paused[x]
+            self.now >= self.fleet.loads_paused[x].until
                 && self.fleet.loading[x] < LOADS_EACH
                 && self.takes_more(x, part)
         };
@@ -651,6 +607,10 @@
         if risen >= 1.0 { 1.0 } else { self.terms.cold_from + (1.0 - self.terms.cold_from) * risen }
     }
 
+    fn is_warm(&self, x: usize) -> bool {
+        self.fleet.ready[x] && self.warmth(x) >= 1.0
+    }
+
     fn learn(&mut self, x: usize, ty: usize, done: &Out, o: &Outcome) {
         let now = self.now;
         let loaded = done.places || matches!(o.found, Found::Loaded | Found::Waited | Found::LoadFailed);
@@ -658,11 +618,9 @@
         let sample = match o.ending {
             Ending::Ok if loaded => return,
             Ending::Ok => {
-                self.fleet.fulls[x] = 0;
-                self.usual[ty] += 0.02 * (o.took - self.usual[ty]);
-                let (rate, at) = self.fleet.carry[x];
-                self.fleet.carry[x] =
-                    (rate * (-(now - at) / CARRY_TIME).exp() + self.usual[ty] / CARRY_TIME, now);
+                self.fleet.paused[x].end();
+                self.usual[ty] += USUAL_SHARE * (o.took - self.usual[ty]);
+                self.fleet.carry(x, self.usual[ty], now, CARRY_TIME);
                 if o.took > objective {
                     // One cut for what was sent since the last one.
                     if done.at > self.fleet.cut_at[x] {
@@ -670,7 +628,7 @@
                         self.fleet.cut_at[x] = now;
                     }
                 } else if self.fleet.inflight(x) * 2.0 >= self.fleet.limit[x] {
-                    self.fleet.limit[x] = (self.fleet.limit[x] + 1.0 / self.fleet.limit[x]).min(LIMIT_MOST);
+                    self.fleet.limit[x] += 1.0 / self.fleet.limit[x];
                 }
                 o.took / self.usual[ty].max(1e-6)
             }
@@ -679,25 +637,17 @@
             Ending::Full => {
                 // Guards against storms into executors that turn everything away: crowded, draining before
                 // the roster says so, or without memory. Harms little where one function alone was refused.
-                let pause = FULL_PAUSE * 2f64.powi(self.fleet.fulls[x].min(FULL_DOUBLINGS));
-                self.fleet.fulls[x] += 1;
-                self.fleet.paused[x] = now + pause;
+                self.fleet.paused[x].grow(now, FULL_PAUSE, FULL_DOUBLINGS);
                 self.fleet.limit[x] =
                     (self.fleet.inflight(x) * LIMIT_CUT).clamp(LIMIT_LEAST, self.fleet.limit[x]);
                 return;
             }
             Ending::Cancelled | Ending::NeverSent | Ending::Miss => return,
         };
-        let answers = &mut self.fleet.answers[x];
         if self.fleet.suspect[x] && sample < SUSPECT {
-            // A trial that went well takes the worst memory with it.
-            let worst = (0..answers.len()).max_by(|&a, &b| answers[a].1.total_cmp(&answers[b].1));
-            worst.map(|n| answers.remove(n));
-        }
-        answers.push_back((now, sample));
-        if answers.len() > JUDGED {
-            answers.pop_front();
+            self.fleet.forgive(x);
         }
+        self.fleet.remember(x, now, sample, JUDGED);
         if matches!(o.ending, Ending::Reset | Ending::ConnectFailed) {
             self.distrust(x);
         } else if sample >= SUSPECT || self.fleet.suspect[x] {
@@ -705,18 +655,6 @@
         }
     }
 
-    /// Guards against orders repeated to one that has no room, a queue of loads, or drains untold.
-    fn loads_answered(&mut self, x: usize, ending: Ending) {
-        self.fleet.loading[x] = self.fleet.loading[x].saturating_sub(1);
-        if ending == Ending::Full {
-            let pause = FULL_PAUSE * 2f64.powi(self.fleet.load_fulls[x].min(FULL_DOUBLINGS));
-            self.fleet.load_fulls[x] += 1;
-            self.fleet.loads_paused[x] = self.now + pause;
-        } else {
-            self.fleet.load_fulls[x] = 0;
-        }
-    }
-
     /// An executor that broke off or took no connection is suspect at once, whatever the roster says.
     fn distrust(&mut self, x: usize) {
         self.fleet.answers[x].clear();
@@ -729,66 +667,38 @@
     /// counts with its age. Guards against executors that hang, fail fast or have become slow.
     fn judge(&mut self) {
         let now = self.now;
-        let quantile = |x: usize| {
+        let high = |x: usize| {
             let usual = |&(i, at): &(usize, f64)| (now - at) / self.usual[self.book.invs[i].ty].max(1e-6);
             let unheard = self.fleet.out[x].iter().filter(|&&(_, at)| at > self.fleet.heard[x]);
             let ages = unheard.map(usual).filter(|&age| age > SUSPECT);
             let recent = self.fleet.answers[x].iter().filter(|a| now < a.0 + JUDGED_FOR).map(|a| a.1);
-            let mut times: Vec<f64> = recent.chain(ages).collect();
-            times.sort_by(f64::total_cmp);
-            let rank = (times.len() as f64 * HIGH_QUANTILE) as usize;
-            (times.len() >= LEAST_JUDGED).then(|| times[rank.min(times.len() - 1)])
+            let times: Vec<f64> = recent.chain(ages).collect();
+            if times.len() < LEAST_JUDGED { None } else { quantile(times, HIGH_QUANTILE) }
         };
-        let quantiles: Vec<Option<f64>> = self.fleet.all().map(quantile).collect();
+        let quantiles: Vec<Option<f64>> = self.fleet.all().map(high).collect();
         for x in self.fleet.all() {
-            let fellows = |same: bool| {
-                let like =
-                    |&y: &usize| self.fleet.ready[y] && (!same || self.fleet.kind[y] == self.fleet.kind[x]);
-                let mut found: Vec<f64> =
-                    self.fleet.all().filter(like).filter_map(|y| quantiles[y]).collect();
-                found.sort_by(f64::total_cmp);
-                found
-            };
-            let mut found = fellows(true);
-            if found.len() < FELLOWS {
-                found = fellows(false);
+            let judged = |y: &usize| self.fleet.ready[*y] && quantiles[*y].is_some();
+            let mut found: Vec<usize> = self.fleet.all().filter(judged).collect();
+            let kind = self.fleet.kind[x];
+            if found.iter().filter(|&&y| self.fleet.kind[y] == kind).count() >= LEAST_JUDGED {
+                found.retain(|&y| self.fleet.kind[y] == kind);
             }
-            let middle = found.get(found.len() / 2).copied().unwrap_or(1.0).max(1.0);
-            self.fleet.suspect[x] = quantiles[x].is_some_and(|q| q > SUSPECT * middle);
+            let middle = quantile(found.iter().filter_map(|&y| quantiles[y]).collect(), 0.5).unwrap_or(1.0);
+            self.fleet.suspect[x] = quantiles[x].is_some_and(|q| q > SUSPECT * middle.max(1.0));
         }
         for kind in 0..self.carried.len() {
-            let warm = |&x: &usize| {
-                self.fleet.ready[x]
-                    && self.fleet.kind[x] == kind
-                    && self.warmth(x) >= 1.0
-                    && !self.fleet.suspect[x]
-            };
-            let rates: Vec<f64> = self
-                .fleet
-                .all()
-                .filter(warm)
-                .map(|x| self.fleet.carry[x].0 * (-(now - self.fleet.carry[x].1) / CARRY_TIME).exp())
-                .collect();
-            let mean = rates.iter().sum::<f64>() / rates.len().max(1) as f64;
+            let warm = |x: &usize| self.fleet.kind[*x] == kind && self.is_warm(*x) && !self.fleet.suspect[*x];
+            let fellows: Vec<usize> = self.fleet.all().filter(warm).collect();
+            let rates = fellows.iter().map(|&x| self.fleet.carry(x, 0.0, now, CARRY_TIME));
+            let mean = rates.sum::<f64>() / fellows.len().max(1) as f64;
             self.carried[kind] = self.carried[kind].max(mean);
         }
     }
 
     /// An executor that restarted, drains or is gone: all that was known of it is void.
     fn forget(&mut self, x: usize) {
-        for f in 0..self.book.functions.len() {
-            self.evict(f, x);
-        }
-        self.fleet.limit[x] = LIMIT_START;
-        self.fleet.backlog[x] = 0.0;
-        self.fleet.load_fulls[x] = 0;
-        self.fleet.loads_paused[x] = self.now;
-        self.fleet.fulls[x] = 0;
-        self.fleet.paused[x] = self.now;
-        self.fleet.cut_at[x] = self.now;
-        self.fleet.answers[x].clear();
-        self.fleet.suspect[x] = false;
-        self.fleet.carry[x] = (0.0, self.now);
+        self.book.functions.iter_mut().for_each(|f| f.evict(x));
+        self.fleet.forget(x, LIMIT_START, self.now);
     }
 
     // ---- What is known of functions and invocations ----
@@ -797,29 +707,12 @@
         if self.terms.keep_alive > 0.0 { CACHE_SHARE * self.terms.keep_alive } else { CACHE_TIME }
     }
 
-    fn know(&mut self, f: usize, x: usize) {
-        if !self.fleet.ready[x] {
-            return;
-        }
-        let until = self.now + self.cache_time();
-        let function = &mut self.book.functions[f];
-        let at = function.known.iter().position(|k| k.x == x);
-        let (others, copies) =
-            at.map(|at| function.known.remove(at)).map_or((0.0, 1.0), |k| (k.others, k.copies));
-        function.known.push(Known { x, until, full: false, renewing: false, others, copies });
-        function.last_warm = Some((x, self.now));
-    }
-
-    fn evict(&mut self, f: usize, x: usize) {
-        let function = &mut self.book.functions[f];
-        function.known.retain(|k| k.x != x);
-        function.last_warm = function.last_warm.filter(|w| w.0 != x);
-    }
-
     /// A placement has come to its end; a failed one alone is tried again, after a growing pause.
-    fn placed(&mut self, f: usize, x: usize, well: bool) {
+    fn placed(&mut self, f: usize, x: usize, by_order: bool, well: bool) {
         let function = &mut self.book.functions[f];
-        function.placement = None;
+        if function.placement.take_if(|p| p.x == x && p.by_order == by_order).is_none() {
+            return;
+        }
         function.failed = (!well).then_some(x);
         function.tries = if well { 0 } else { function.tries + 1 };
         if !well {
@@ -830,9 +723,15 @@
     fn close(&mut self, i: usize, out: &mut dyn Answers) {
         self.book.unwait(i);
         self.book.invs[i].closed = true;
+        if !self.book.invs[i].streaming {
+            self.cancel_out(i, None, out);
+        }
+    }
+
+    fn cancel_out(&mut self, i: usize, but: Option<u8>, out: &mut dyn Answers) {
         let inv = &mut self.book.invs[i];
-        if self.terms.cancel && !inv.streaming {
-            for d in inv.out.iter_mut().filter(|d| !d.cancelled) {
+        if self.terms.cancel {
+            for d in inv.out.iter_mut().filter(|d| !d.cancelled && Some(d.dispatch) != but) {
                 d.cancelled = true;
                 out.cancel(inv.id, d.dispatch);
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,16 +17,13 @@
     /// Own dispatches out there: the invocation's slot and when it was sent.
     pub out: Vec<Vec<(usize, f64)>>,
     pub limit: Vec<f64>,
-    /// The same for orders to load.
-    pub load_fulls: Vec<i32>,
-    pub loads_paused: Vec<f64>,
     /// Own orders to load that are out there.
     pub loading: Vec<u32>,
     pub heard: Vec<f64>,
     pub cut_at: Vec<f64>,
-    /// Answers 'full' in a row, and until when nothing is sent for them.
-    pub fulls: Vec<i32>,
-    pub paused: Vec<f64>,
+    /// What answers 'full' ask for: to dispatches, and to orders to load.
+    pub paused: Vec<Pause>,
+    pub loads_paused: Vec<Pause>,
     pub backlog: Vec<f64>,
     /// The latest answers: when they came, and their times in usual ones.
     pub answers: Vec<VecDeque<(f64, f64)>>,
@@ -55,13 +52,11 @@
         self.since.push(f64::NEG_INFINITY);
         self.out.push(vec![]);
         self.limit.push(0.0);
-        self.load_fulls.push(0);
-        self.loads_paused.push(f64::NEG_INFINITY);
         self.loading.push(0);
         self.heard.push(f64::NEG_INFINITY);
         self.cut_at.push(f64::NEG_INFINITY);
-        self.fulls.push(0);
-        self.paused.push(f64::NEG_INFINITY);
+        self.paused.push(Pause::default());
+        self.loads_paused.push(Pause::default());
         self.backlog.push(0.0);
         self.answers.push(VecDeque::new());
         self.suspect.push(false);
@@ -71,6 +66,54 @@
         x
     }
 
+    /// Voids what was heard of an executor. What is out there still counts, and so does what was sent.
+    pub fn forget(&mut self, x: usize, limit: f64, now: f64) {
+        self.limit[x] = limit;
+        self.backlog[x] = 0.0;
+        self.paused[x] = Pause::default();
+        self.loads_paused[x] = Pause::default();
+        self.cut_at[x] = now;
+        self.answers[x].clear();
+        self.suspect[x] = false;
+        self.carry[x] = (0.0, now);
+    }
+
+    /// Adds answered work to the rate that an executor carries, a mean that fades over `time`.
+    pub fn carry(&mut self, x: usize, work: f64, now: f64, time: f64) -> f64 {
+        let (rate, at) = self.carry[x];
+        self.carry[x] = (rate * (-(now - at) / time).exp() + work / time, now);
+        self.carry[x].0
+    }
+
+    /// Notes a dispatch, and what it weighs for the next `kept` seconds.
+    pub fn note_sent(&mut self, x: usize, i: usize, now: f64, work: f64, kept: f64) {
+        self.out[x].push((i, now));
+        self.sent[x].push_back((now, work));
+        while self.sent[x].front().is_some_and(|s| s.0 < now - kept) {
+            self.sent[x].pop_front();
+        }
+    }
+
+    /// Work sent since a moment that is still kept.
+    pub fn sent_since(&self, x: usize, since: f64) -> f64 {
+        self.sent[x].iter().filter(|s| s.0 > since).map(|s| s.1).sum()
+    }
+
+    /// Keeps an answer among the latest `most`.
+    pub fn remember(&mut self, x: usize, now: f64, sample: f64, most: usize) {
+        self.answers[x].push_back((now, sample));
+        if self.answers[x].len() > most {
+            self.answers[x].pop_front();
+        }
+    }
+
+    /// Drops the worst of the answers remembered.
+    pub fn forgive(&mut self, x: usize) {
+        let answers = &mut self.answers[x];
+        let worst = (0..answers.len()).max_by(|&a, &b| answers[a].1.total_cmp(&answers[b].1));
+        worst.map(|n| answers.remove(n));
+    }
+
     pub fn all(&self) -> std::ops::Range<usize> {
         0..self.ids.len()
     }
@@ -86,6 +129,65 @@
     }
 }
 
+/// A pause that doubles with each refusal in a row.
+#[derive(Clone, Copy, Default)]
+pub struct Pause {
+    refusals: i32,
+    pub until: f64,
+}
+
+impl Pause {
+    pub fn grow(&mut self, now: f64, first: f64, doublings: i32) {
+        self.until = now + first * 2f64.powi(self.refusals.min(doublings));
+        self.refusals += 1;
+    }
+
+    pub fn end(&mut self) {
+        self.refusals = 0;
+    }
+}
+
+/// An allowance that fills at a rate up to a most.
+pub struct Allowance {
+    pub left: f64,
+    pub at: f64,
+}
+
+impl Allowance {
+    pub fn take(&mut self, now: f64, rate: f64, most: f64) -> bool {
+        self.left = (self.left + (now - self.at) * rate).min(most);
+        self.at = now;
+        let granted = self.left >= 1.0;
+        self.left -= if granted { 1.0 } else { 0.0 };
+        granted
+    }
+}
+
+/// Moments within a window of the past.
+#[derive(Default)]
+pub struct Moments(VecDeque<f64>);
+
+impl Moments {
+    pub fn add(&mut self, now: f64) {
+        self.0.push_back(now);
+    }
+
+    /// How many came after `since`; earlier ones are dropped.
+    pub fn after(&mut self, since: f64) -> f64 {
+        while self.0.front().is_some_and(|&t| t <= since) {
+            self.0.pop_front();
+        }
+        self.0.len() as f64
+    }
+}
+
+/// The value at a share of the sorted list.
+pub fn quantile(mut values: Vec<f64>, share: f64) -> Option<f64> {
+    values.sort_by(f64::total_cmp);
+    let rank = (values.len() as f64 * share) as usize;
+    values.get(rank.min(values.len().saturating_sub(1))).copied()
+}
+
 /// A dispatch that is out.
 #[derive(Clone, Copy)]
 pub struct Out {
@@ -124,7 +226,6 @@
     pub renewing: bool,
     /// What peers have in flight there, where told.
     pub others: f64,
-    pub copies: f64,
 }
 
 pub struct Placement {
@@ -157,6 +258,20 @@
         self.out.iter().flat_map(|&i| &invs[i].out).filter(|d| d.x == x).count() as f64
     }
 
+    /// Sets or renews an entry.
+    pub fn know(&mut self, x: usize, now: f64, until: f64) -> &mut Known {
+        self.last_warm = Some((x, now));
+        let at = self.known.iter().position(|k| k.x == x);
+        let others = at.map_or(0.0, |at| self.known.swap_remove(at).others);
+        self.known.push(Known { x, until, full: false, renewing: false, others });
+        self.known.last_mut().expect("an entry was pushed")
+    }
+
+    pub fn evict(&mut self, x: usize) {
+        self.known.retain(|k| k.x != x);
+        self.last_warm = self.last_warm.filter(|w| w.0 != x);
+    }
+
     pub fn knows(&self, x: usize, now: f64) -> bool {
         self.known.iter().any(|k| k.x == x && k.until > now)
     }
@@ -194,6 +309,24 @@
         i
     }
 
+    /// Adds a dispatch to those that are out.
+    pub fn send(&mut self, i: usize, x: usize, at: f64, places: bool) {
+        self.unwait(i);
+        let inv = &mut self.invs[i];
+        inv.out.push(Out { dispatch: inv.sent, x, at, places, cancelled: false });
+        inv.sent += 1;
+        let out = &mut self.functions[inv.f].out;
+        if !out.contains(&i) {
+            out.push(i);
+        }
+    }
+
+    /// Takes a dispatch that ended off those that are out.
+    pub fn ended(&mut self, i: usize, dispatch: u8) -> Option<Out> {
+        let at = self.invs[i].out.iter().position(|d| d.dispatch == dispatch)?;
+        Some(self.invs[i].out.remove(at))
+    }
+
     pub fn wait(&mut self, i: usize) {
         let f = self.invs[i].f;
         self.functions[f].out.retain(|&o| o != i);
