Run a plain model of the five rules beside the module; tests for each failure met

Broken by hand in the module, it caught: a second final answer, no deadline, a non-idempotent repeat, group, window, throttling after a run, drains for dispatches, the cold budget, the ration. Two were not seen, as a second place holds them too: the bound on dispatches out (the rule that sends copies checks the grant) and drains for orders (targets are drawn from ready ones). A test found that an executor was its own fellow: with few judged it was never suspect. Now it is not.

--- a/src/chance.rs
+++ b/src/chance.rs
@@ -5,11 +5,11 @@
 impl Chance {
     pub fn new(seed: u64) -> Self {
         let mut chance = Chance(seed.wrapping_add(1_442_695_040_888_963_407));
-        chance.next();
+        chance.draw();
         chance
     }
 
-    pub fn next(&mut self) -> u32 {
+    fn draw(&mut self) -> u32 {
         let old = self.0;
         self.0 = old.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         let mixed = (((old >> 18) ^ old) >> 27) as u32;
@@ -18,7 +18,7 @@
 
     /// A number from 0 up to, but not including, 1.
     pub fn unit(&mut self) -> f64 {
-        f64::from(self.next()) / 4_294_967_296.0
+        f64::from(self.draw()) / 4_294_967_296.0
     }
 }
 
@@ -26,5 +26,5 @@
 pub fn agreed(a: u64, b: u64) -> u32 {
     let mut chance =
         Chance::new(a.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ b.wrapping_mul(0xd6e8_feb8_6659_fd93));
-    chance.next()
+    chance.draw()
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 //! `interface.rs`. After each input the rules of `RULES` are gone through, in order, for every function
 //! that the input touched, until none fires.
 
-use crate::chance::{Chance, agreed};
+use crate::chance::Chance;
 use crate::interface::*;
 use crate::state::*;
 
@@ -86,8 +86,6 @@
     touched: Vec<usize>, // functions
     /// The usual answer time of each trigger type, on a loaded copy.
     usual: Vec<f64>,
-    /// Work rate that an executor of each kind was seen to carry for this front end, at the most.
-    carried: Vec<f64>,
     /// When invocations were taken and orders given, over the window of the ration.
     taken: Moments,
     orders: Moments,
@@ -108,7 +106,6 @@
             fleet: Fleet::default(),
             book: Book::default(),
             touched: vec![],
-            carried: vec![],
             shares: terms.quotas.iter().map(|_| Allowance { left: 0.0, at: now - SHARE_BURST }).collect(),
             mean_value: 0.0,
             taken: Moments::default(),
@@ -134,7 +131,6 @@
         }
         for row in rows {
             let x = self.fleet.index_of(row);
-            self.carried.resize(self.carried.len().max(self.fleet.kind[x] + 1), 0.0);
             self.fleet.ready[x] = row.standing == Standing::Ready;
             self.fleet.weight[x] = if row.weight > 0.0 && row.weight.is_finite() { row.weight } else { 1.0 };
             if row.since > self.fleet.since[x] || self.fleet.limit[x] == 0.0 {
@@ -160,15 +156,8 @@
         let objective = (ty.objective + ty.stretch * inv.work.unwrap_or(0.0)).min(ty.timeout);
         let value = self.value(inv);
         self.mean_value += VALUE_SHARE * (value - self.mean_value);
-        let i = self.book.add(Inv {
-            id: inv.id,
-            ty: inv.trigger_type,
-            value,
-            f,
-            timeout_at: inv.timeout_at,
-            objective_at: now + objective,
-            ..Inv::default()
-        });
+        let (id, ty, timeout_at, objective_at) = (inv.id, inv.trigger_type, inv.timeout_at, now + objective);
+        let i = self.book.add(Inv { id, ty, f, value, timeout_at, objective_at, ..Inv::default() });
         self.book.functions[f].used = now;
         self.book.wait(i);
         self.touched.push(f);
@@ -226,7 +215,9 @@
         self.now = now;
         if let Some(&i) = self.book.inv_index.get(&inv) {
             self.book.invs[i].streaming = true;
-            self.cancel_out(i, Some(dispatch), out);
+            if self.terms.cancel {
+                self.book.cancel(i, Some(dispatch), out);
+            }
         }
     }
 
@@ -351,9 +342,9 @@
         if known.clone().filter(idle_lanes).any(|k| self.busy(k.x) < SPREAD * self.busy(x)) {
             return false;
         }
-        let by_order = self.terms.orders && self.order(f, x, 1, out);
-        let by_dispatch = !by_order && !(self.terms.orders && self.terms.answers_miss);
-        if !by_order && !(by_dispatch && self.dispatch(i, x, true, out)) {
+        let by_order = self.terms.orders && self.order(f, x, out);
+        let only_orders_load = self.terms.orders && self.terms.answers_miss;
+        if !by_order && (only_orders_load || !self.dispatch(i, x, true, out)) {
             return false;
         }
         let patience_at = self.now + PATIENCE * self.book.functions[f].load_time;
@@ -375,16 +366,13 @@
                 continue;
             }
             if self.terms.second_copies {
-                if let Some(x) =
-                    self.least_busy_known(f, i, true).filter(|&x| x != d.x && !self.fleet.suspect[x])
-                {
+                if let Some(x) = self.least_busy_known(f, i, true).filter(|&x| !self.fleet.suspect[x]) {
                     return self.dispatch(i, x, false, out);
                 }
             } else if self.terms.cancel && inv.sent < self.terms.max_dispatches {
                 let elsewhere = |x: usize| x != d.x && !self.fleet.suspect[x] && self.may_repeat(i, x);
                 if self.fleet.all().any(elsewhere) {
-                    self.book.invs[i].out[0].cancelled = true;
-                    out.cancel(self.book.invs[i].id, d.dispatch);
+                    self.book.cancel(i, None, out);
                     return true;
                 }
             }
@@ -400,7 +388,7 @@
         }
         let [k] = function.known.as_slice() else { return false };
         let (x, due) = (k.x, k.until - 20.0 * self.beat());
-        if k.renewing || self.now < due || self.fleet.suspect[x] || !self.order(f, x, 1, out) {
+        if k.renewing || self.now < due || self.fleet.suspect[x] || !self.order(f, x, out) {
             return false;
         }
         self.book.functions[f].known[0].renewing = true;
@@ -425,17 +413,13 @@
         let inv = &self.book.invs[i];
         let ty = &self.terms.trigger_types[inv.ty];
         let first = inv.out.iter().map(|d| (d.x, d.at)).chain(inv.ran).min_by(|a, b| a.1.total_cmp(&b.1));
+        let margin = 2.0 * self.terms.tick;
         self.fleet.ready[x]
             && first.is_none_or(|(at, when)| match ty.effect {
                 Effect::Idempotent => true,
                 Effect::NonIdempotent => false,
                 Effect::Tokened => {
-                    let same = match ty.group {
-                        Group::All => true,
-                        Group::Zone => self.fleet.zone[x] == self.fleet.zone[at],
-                        Group::Cell => self.fleet.cell[x] == self.fleet.cell[at],
-                    };
-                    same && self.now + 2.0 * self.terms.tick < when + ty.window
+                    self.fleet.same_group(ty.group, x, at) && self.now < when + ty.window - margin
                 }
             })
     }
@@ -449,7 +433,7 @@
         }
         let span = self.now - self.terms.fall - 2.0 * BEAT;
         let spent = self.fleet.sent_since(x, span);
-        let carried = self.carried.get(self.fleet.kind[x]).copied().unwrap_or(0.0);
+        let carried = self.fleet.carried.get(self.fleet.kind[x]).copied().unwrap_or(0.0);
         let budget = COLD_MARGIN * carried * part * self.terms.overload_factor * self.terms.fall;
         let no_fellow = !self.fleet.all().any(|y| self.is_warm(y));
         spent + work <= budget || no_fellow && spent == 0.0 && self.fleet.out[x].is_empty()
@@ -471,7 +455,7 @@
     }
 
     /// Drains and the ration: no order to load goes out but through here.
-    fn order(&mut self, f: usize, x: usize, copies: u8, out: &mut dyn Answers) -> bool {
+    fn order(&mut self, f: usize, x: usize, out: &mut dyn Answers) -> bool {
         let window = self.terms.ration_window;
         if !self.fleet.ready[x] {
             return false;
@@ -486,7 +470,7 @@
             self.orders.add(self.now);
         }
         self.fleet.loading[x] += 1;
-        out.hold(self.fleet.ids[x], self.book.functions[f].key, copies);
+        out.hold(self.fleet.ids[x], self.book.functions[f].key, 1);
         true
     }
 
@@ -518,6 +502,7 @@
         let part = self.part(i);
         let fits = |k: &&Known| {
             k.until > self.now
+                && !self.book.invs[i].out.iter().any(|d| d.x == k.x)
                 && self.takes_more(k.x, part)
                 && (!with_room || self.has_lane(f, k))
                 && (!self.fleet.suspect[k.x] || self.may_try(i, k.x))
@@ -589,13 +574,9 @@
         if let Some((x, _)) = last {
             return Some(x);
         }
-        let draw = |x: usize| {
-            let drawn = agreed(function.key, self.fleet.number(x));
-            let share = (f64::from(drawn) + 1.0) / 4_294_967_297.0;
-            -share.ln() / (self.fleet.weight[x] * self.warmth(x))
-        };
+        let lot = |x: usize| self.fleet.lot(x, function.key, self.fleet.weight[x] * self.warmth(x));
         let mut fitting: Vec<usize> = self.fleet.all().filter(fits).collect();
-        fitting.sort_by(|&a, &b| draw(a).total_cmp(&draw(b)));
+        fitting.sort_by(|&a, &b| lot(a).total_cmp(&lot(b)));
         fitting.truncate(2);
         fitting.into_iter().filter(takes).reduce(|a, b| if self.busy(b) + 1.0 < self.busy(a) { b } else { a })
     }
@@ -677,21 +658,22 @@
         };
         let quantiles: Vec<Option<f64>> = self.fleet.all().map(high).collect();
         for x in self.fleet.all() {
-            let judged = |y: &usize| self.fleet.ready[*y] && quantiles[*y].is_some();
+            let judged = |y: &usize| *y != x && self.fleet.ready[*y] && quantiles[*y].is_some();
             let mut found: Vec<usize> = self.fleet.all().filter(judged).collect();
             let kind = self.fleet.kind[x];
             if found.iter().filter(|&&y| self.fleet.kind[y] == kind).count() >= LEAST_JUDGED {
                 found.retain(|&y| self.fleet.kind[y] == kind);
             }
             let middle = quantile(found.iter().filter_map(|&y| quantiles[y]).collect(), 0.5).unwrap_or(1.0);
-            self.fleet.suspect[x] = quantiles[x].is_some_and(|q| q > SUSPECT * middle.max(1.0));
+            let alone = !self.fleet.all().any(|y| y != x && self.fleet.ready[y]);
+            self.fleet.suspect[x] = !alone && quantiles[x].is_some_and(|q| q > SUSPECT * middle.max(1.0));
         }
-        for kind in 0..self.carried.len() {
+        for kind in 0..self.fleet.carried.len() {
             let warm = |x: &usize| self.fleet.kind[*x] == kind && self.is_warm(*x) && !self.fleet.suspect[*x];
             let fellows: Vec<usize> = self.fleet.all().filter(warm).collect();
             let rates = fellows.iter().map(|&x| self.fleet.carry(x, 0.0, now, CARRY_TIME));
             let mean = rates.sum::<f64>() / fellows.len().max(1) as f64;
-            self.carried[kind] = self.carried[kind].max(mean);
+            self.fleet.carried[kind] = self.fleet.carried[kind].max(mean);
         }
     }
 
@@ -723,18 +705,8 @@
     fn close(&mut self, i: usize, out: &mut dyn Answers) {
         self.book.unwait(i);
         self.book.invs[i].closed = true;
-        if !self.book.invs[i].streaming {
-            self.cancel_out(i, None, out);
-        }
-    }
-
-    fn cancel_out(&mut self, i: usize, but: Option<u8>, out: &mut dyn Answers) {
-        let inv = &mut self.book.invs[i];
-        if self.terms.cancel {
-            for d in inv.out.iter_mut().filter(|d| !d.cancelled && Some(d.dispatch) != but) {
-                d.cancelled = true;
-                out.cancel(inv.id, d.dispatch);
-            }
+        if self.terms.cancel && !self.book.invs[i].streaming {
+            self.book.cancel(i, None, out);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -45,7 +45,6 @@
     pub over_share_value: f64,
     pub value_by_work: bool,
     pub front_ends: f64,
-    pub zone: u8,
     pub tick: f64,
     pub max_dispatches: u8,
     pub second_copies: bool,
@@ -58,7 +57,6 @@
     pub fall: f64,
     pub orders: bool,
     pub answers_miss: bool,
-    pub tells_warm: bool,
     pub tells_crowd: bool,
     /// An idle copy stays loaded at least this long.
     pub keep_alive: f64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What the module keeps between inputs: plain records, and the upkeep that takes no decision.
 
-use crate::interface::{ExecutorId, RosterRow};
+use crate::chance::agreed;
+use crate::interface::{Answers, ExecutorId, Group, RosterRow};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// Executors, as parallel arrays under a dense index.
@@ -33,6 +34,8 @@
     pub sent: Vec<VecDeque<(f64, f64)>>,
     /// Rate of work answered, and when it was last brought up to date.
     pub carry: Vec<(f64, f64)>,
+    /// For each kind of executor, the highest mean of those rates seen.
+    pub carried: Vec<f64>,
 }
 
 impl Fleet {
@@ -63,6 +66,7 @@
         self.trial_at.push(0.0);
         self.sent.push(VecDeque::new());
         self.carry.push((0.0, f64::NEG_INFINITY));
+        self.carried.resize(self.carried.len().max(self.kind[x] + 1), 0.0);
         x
     }
 
@@ -122,10 +126,20 @@
         self.out[x].len() as f64
     }
 
-    /// One number for each executor, the same at every front end.
-    pub fn number(&self, x: usize) -> u64 {
+    /// An executor's lot for a key, the same at every front end; the smaller comes first. On average the lots
+    /// of one twice the size are half as large.
+    pub fn lot(&self, x: usize, key: u64, size: f64) -> f64 {
         let ExecutorId([a, b, c, d], port) = self.ids[x];
-        u64::from(u32::from_le_bytes([a, b, c, d])) << 16 | u64::from(port)
+        let number = u64::from(u32::from_le_bytes([a, b, c, d])) << 16 | u64::from(port);
+        -((f64::from(agreed(key, number)) + 1.0) / 4_294_967_297.0).ln() / size
+    }
+
+    pub fn same_group(&self, group: Group, x: usize, y: usize) -> bool {
+        match group {
+            Group::All => true,
+            Group::Zone => self.zone[x] == self.zone[y],
+            Group::Cell => self.cell[x] == self.cell[y],
+        }
     }
 }
 
@@ -321,6 +335,15 @@
         }
     }
 
+    /// Cancels what is out of an invocation, but for one dispatch.
+    pub fn cancel(&mut self, i: usize, but: Option<u8>, out: &mut dyn Answers) {
+        let inv = &mut self.invs[i];
+        for d in inv.out.iter_mut().filter(|d| !d.cancelled && Some(d.dispatch) != but) {
+            d.cancelled = true;
+            out.cancel(inv.id, d.dispatch);
+        }
+    }
+
     /// Takes a dispatch that ended off those that are out.
     pub fn ended(&mut self, i: usize, dispatch: u8) -> Option<Out> {
         let at = self.invs[i].out.iter().position(|d| d.dispatch == dispatch)?;
--- /dev/null
+++ b/tests/choice.rs
@@ -0,0 +1,216 @@
+//! The module beside a plain model of the five rules, and a small test for each failure met.
+
+mod plain;
+
+use orchidtally::interface::*;
+use plain::{Said, World, terms};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+/// One thing that happens: what, where, how, and how much later.
+type Happening = (u8, usize, usize, f64);
+
+const ENDINGS: [Ending; 9] = [
+    Ending::Ok,
+    Ending::Error,
+    Ending::Full,
+    Ending::TimedOut,
+    Ending::ConnectFailed,
+    Ending::Reset,
+    Ending::Ok,
+    Ending::Miss,
+    Ending::Ok,
+];
+
+fn play(terms: Terms, happenings: &[Happening]) {
+    let mut w = World::new(terms, 6);
+    for &(what, a, b, later) in happenings {
+        match what {
+            0..=3 => {
+                w.invoke(b % 3, a as u64 % 5, 0.3 + later * 20.0);
+            }
+            4..=6 => {
+                let out =
+                    |t: &plain::Taken| t.sent.iter().position(|s| s.ending.is_none()).map(|n| (t.inv.id, n));
+                let out: Vec<_> = w.plain.taken.iter().filter_map(out).collect();
+                if let Some(&(inv, n)) = out.get(a % out.len().max(1)) {
+                    w.end(inv, n, ENDINGS[b % ENDINGS.len()]);
+                }
+            }
+            7 => w.load_all(ENDINGS[b % ENDINGS.len()]),
+            8 => {
+                let standing = [Standing::Ready, Standing::Draining, Standing::Gone, Standing::Ready][b % 4];
+                let since = if b >= 4 { w.plain.now - later } else { f64::NEG_INFINITY };
+                w.roster(a % 6, standing, since);
+            }
+            _ => {}
+        }
+        w.pass(later);
+    }
+    w.all_answered();
+}
+
+#[test]
+fn the_module_and_the_plain_model_agree_on_what_is_allowed() {
+    let config = Config { cases: 200, failure_persistence: None, ..Config::default() };
+    let mut runner = TestRunner::new_with_rng(config, TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]));
+    let happening = (0u8..10, 0usize..60, 0usize..72, 0.0f64..0.25);
+    let day = (any::<[bool; 4]>(), prop::collection::vec(happening, 1..250));
+    let outcome = runner.run(&day, |([second_copies, orders, rationed, miss], happenings)| {
+        let mut terms = terms();
+        (terms.second_copies, terms.orders, terms.answers_miss) = (second_copies, orders, miss);
+        terms.ration_window = if rationed { 5.0 } else { 0.0 };
+        play(terms, &happenings);
+        Ok(())
+    });
+    outcome.unwrap();
+}
+
+/// A fleet on which function 1 is known at one executor, and that executor.
+fn warm(terms: Terms, executors: usize) -> (World, usize) {
+    let mut w = World::new(terms, executors);
+    let inv = w.invoke(0, 1, 5.0);
+    w.load_all(Ending::Ok);
+    let Some(&Said::Dispatch(_, x)) = w.plain.said.last() else { panic!("nothing was sent") };
+    w.end(inv, 0, Ending::Ok);
+    (w, x)
+}
+
+#[test]
+fn invocations_of_a_cold_function_share_one_placement() {
+    let mut w = World::new(terms(), 6);
+    for _ in 0..8 {
+        w.invoke(0, 1, 5.0);
+    }
+    assert_eq!(w.plain.said.len(), 1, "one order, nothing sent: {:?}", w.plain.said);
+    w.load_all(Ending::Ok);
+    let sent = w.plain.said.iter().filter(|s| matches!(s, Said::Dispatch(..))).count();
+    assert_eq!(sent, 8, "all follow its answer: {:?}", w.plain.said);
+}
+
+#[test]
+fn a_placement_is_drawn_alike_by_all_front_ends() {
+    let drawn = |before: u64| {
+        let mut w = World::new(terms(), 6);
+        for _ in 0..before {
+            w.choice.timer(100.0, 0, &mut w.plain);
+        }
+        w.invoke(0, 42, 5.0);
+        w.plain.said[0].clone()
+    };
+    assert_eq!(drawn(0), drawn(3));
+}
+
+#[test]
+fn full_answers_do_not_start_a_storm() {
+    let (mut w, x) = warm(terms(), 1);
+    let inv = w.invoke(0, 1, 5.0);
+    w.end(inv, 1 - 1, Ending::Full);
+    w.pass(0.05);
+    assert_eq!(w.sent_to(x), 2, "nothing is sent while the pause lasts");
+    w.pass(0.1);
+    assert_eq!(w.sent_to(x), 3);
+}
+
+#[test]
+fn an_estimate_never_throttles_everything_for_good() {
+    let (mut w, x) = warm(terms(), 1);
+    for _ in 0..60 {
+        let (inv, now) = (w.invoke(0, 1, 5.0), w.plain.now);
+        let dispatch = (w.plain.taken[inv as usize].sent.len().max(1) - 1) as u8;
+        w.plain.taken[inv as usize].sent[0].ending = Some(Ending::Ok);
+        w.plain.taken[inv as usize].closed_at = Some(now);
+        let (executor, found) = (plain::id(x), Found::Warm);
+        let ending = Ending::Ok;
+        let o = Outcome {
+            inv,
+            dispatch,
+            executor,
+            ending,
+            took: 4.0,
+            closed: true,
+            found,
+            crowd: 0,
+            report: &[],
+        };
+        w.choice.outcome(now, &o, &mut w.plain);
+    }
+    let inv = w.invoke(0, 1, 5.0);
+    assert!(matches!(w.plain.said.last(), Some(&Said::Dispatch(i, _)) if i == inv));
+}
+
+#[test]
+fn a_silent_executor_loses_what_may_be_moved() {
+    let (mut w, x) = warm(Terms { second_copies: true, ..terms() }, 4);
+    w.pass(0.01);
+    let stuck = w.invoke(0, 1, 5.0);
+    for _ in 0..2 {
+        w.invoke(2, 1, 5.0);
+    }
+    w.load_all(Ending::Ok);
+    w.pass(0.9);
+    let sent = &w.plain.taken[stuck as usize].sent;
+    assert!(sent.len() == 2 && sent[0].x == x && sent[1].x != x, "a second copy went elsewhere");
+}
+
+#[test]
+fn one_that_fails_fast_is_left_and_tried_again_later() {
+    let (mut w, x) = warm(terms(), 4);
+    for function in 0..40 {
+        let inv = w.invoke(0, function, 5.0);
+        w.load_all(Ending::Ok);
+        let ending = if w.plain.taken[inv as usize].sent[0].x == x { Ending::Error } else { Ending::Ok };
+        w.end(inv, 0, ending);
+    }
+    w.load_all(Ending::Ok);
+    let before = w.sent_to(x);
+    for _ in 0..4 {
+        w.invoke(2, 1, 5.0);
+    }
+    assert_eq!(w.sent_to(x), before, "no invocation that may run only once is risked there");
+    w.pass(6.0);
+    w.invoke(0, 9, 5.0);
+    w.all_answered();
+}
+
+#[test]
+fn a_refused_connection_is_enough_to_leave_an_executor() {
+    let (mut w, x) = warm(terms(), 4);
+    let inv = w.invoke(2, 1, 5.0);
+    w.end(inv, 0, Ending::ConnectFailed);
+    w.pass(0.2);
+    w.load_all(Ending::Ok);
+    assert_eq!(w.plain.taken[inv as usize].sent.len(), 2);
+    assert_ne!(w.plain.taken[inv as usize].sent[1].x, x);
+}
+
+#[test]
+fn an_executor_that_restarted_is_known_to_be_empty_and_cold() {
+    let (mut w, x) = warm(terms(), 4);
+    let now = w.plain.now;
+    w.roster(x, Standing::Ready, now);
+    w.invoke(0, 1, 5.0);
+    assert!(matches!(w.plain.said.last(), Some(Said::Hold(..))), "the copy there is gone");
+}
+
+#[test]
+fn streams_and_odd_inputs_are_taken_calmly() {
+    let (mut w, _) = warm(terms(), 2);
+    let inv = w.invoke(0, 1, 5.0);
+    w.choice.streaming(w.plain.now, inv, 0, &mut w.plain);
+    w.pass(2.0);
+    assert_eq!(w.plain.taken[inv as usize].sent.len(), 1);
+    w.end(inv, 0, Ending::Ok);
+    w.choice.withdrawn(w.plain.now, inv, &mut w.plain);
+    w.choice.withdrawn(w.plain.now, 999, &mut w.plain);
+    w.choice.roster(w.plain.now, RosterKind::Failed, &[], &mut w.plain);
+    w.choice.held(w.plain.now, plain::id(9), 77, Ending::Ok, &mut w.plain);
+    let past = w.invoke(2, 1, 0.0);
+    assert!(
+        w.plain.taken[past as usize].closed_at.is_some(),
+        "a client timeout already past is answered at once"
+    );
+    let mut empty = World::new(terms(), 0);
+    empty.invoke(0, 1, 1.0);
+    empty.all_answered();
+}
--- /dev/null
+++ b/tests/plain/mod.rs
@@ -0,0 +1,329 @@
+//! A slow, plain model of the five rules. It hears every answer of the module and judges each on its own.
+
+use orchidtally::choice::Choice;
+use orchidtally::interface::*;
+
+#[derive(Clone, Debug, PartialEq)]
+pub enum Said {
+    Dispatch(u32, usize),
+    Throttle(u32),
+    Error(u32),
+    Cancel(u32, u8),
+    Hold(usize, u64),
+}
+
+pub struct Sent {
+    pub x: usize,
+    pub at: f64,
+    pub ending: Option<Ending>,
+}
+
+pub struct Taken {
+    pub inv: Invocation,
+    pub sent: Vec<Sent>,
+    pub closed_at: Option<f64>,
+}
+
+pub struct Executor {
+    pub ready: bool,
+    pub since: f64,
+    pub cell: u16,
+    pub oks: u32,
+}
+
+/// The rules' bookkeeping, kept without any help of the module's.
+pub struct Plain {
+    pub terms: Terms,
+    pub now: f64,
+    pub fleet: Vec<Executor>,
+    pub taken: Vec<Taken>,
+    pub holds: Vec<(f64, usize, u64, bool)>,
+    pub arrivals: Vec<f64>,
+    pub wakes: Vec<f64>,
+    pub said: Vec<Said>,
+}
+
+pub fn id(x: usize) -> ExecutorId {
+    ExecutorId([10, 0, 0, x as u8], 7000)
+}
+
+pub fn terms() -> Terms {
+    let ty = |effect, group| TriggerType {
+        objective: 1.0,
+        stretch: 0.0,
+        timeout: 5.0,
+        billed_value: 1.0,
+        late_share: 0.2,
+        effect,
+        group,
+        window: 2.0,
+    };
+    Terms {
+        trigger_types: vec![
+            ty(Effect::Idempotent, Group::All),
+            ty(Effect::Tokened, Group::Cell),
+            ty(Effect::NonIdempotent, Group::All),
+        ],
+        quotas: vec![],
+        over_share_value: 0.1,
+        value_by_work: false,
+        front_ends: 3.0,
+        tick: 0.002,
+        max_dispatches: 4,
+        second_copies: false,
+        cancel: true,
+        max_retry_after: 1.0,
+        roster_asked: false,
+        cold: 10.0,
+        cold_from: 0.2,
+        overload_factor: 2.0,
+        fall: 1.0,
+        orders: true,
+        answers_miss: false,
+        tells_crowd: false,
+        keep_alive: 8.0,
+        ration_floor: 2.0,
+        ration_share: 0.2,
+        ration_window: 5.0,
+        backlog_field: None,
+    }
+}
+
+impl Plain {
+    fn open(&self, inv: u32) -> &Taken {
+        let taken =
+            self.taken.iter().find(|t| t.inv.id == inv).expect("an answer to an invocation never taken");
+        assert!(taken.closed_at.is_none(), "rule 1: {inv} had its final answer");
+        taken
+    }
+
+    fn close(&mut self, inv: u32) {
+        let now = self.now;
+        self.taken.iter_mut().find(|t| t.inv.id == inv).unwrap().closed_at = Some(now);
+    }
+
+    fn may_have_run(sent: &Sent) -> bool {
+        sent.ending.is_none_or(|e| !e.never_ran())
+    }
+
+    fn warm_part(&self, x: usize) -> f64 {
+        let age = (self.now - self.fleet[x].since) / self.terms.cold;
+        (self.terms.cold_from + (1.0 - self.terms.cold_from) * age).min(1.0)
+    }
+
+    fn judge_dispatch(&self, inv: u32, x: usize) {
+        let taken = self.open(inv);
+        let ty = &self.terms.trigger_types[taken.inv.trigger_type];
+        let out = taken.sent.iter().filter(|s| s.ending.is_none()).count();
+        assert!(out == 0 || self.terms.second_copies, "rule 2: two dispatches of {inv} out");
+        assert!(taken.sent.len() < usize::from(self.terms.max_dispatches), "the dispatch limit");
+        if let Some(first) = taken.sent.iter().find(|s| Self::may_have_run(s)) {
+            match ty.effect {
+                Effect::Idempotent => {}
+                Effect::NonIdempotent => panic!("rule 2: {inv} may have run and was dispatched again"),
+                Effect::Tokened => {
+                    assert_eq!(self.fleet[first.x].cell, self.fleet[x].cell, "rule 2: outside the group");
+                    assert!(self.now <= first.at + ty.window, "rule 2: past the window");
+                }
+            }
+        }
+        assert!(self.fleet[x].ready, "rule 3: a dispatch to an executor told draining or gone");
+        let part = self.warm_part(x);
+        if part < 1.0 {
+            let warm = (0..self.fleet.len()).filter(|&y| self.fleet[y].ready && self.warm_part(y) >= 1.0);
+            // All invocations here weigh the same, so counts will do. No fellow carried more than all the
+            // answers there were, over the shortest time in which the module takes a rate.
+            let oks: u32 = self.fleet.iter().map(|e| e.oks).sum();
+            let budget = self.terms.overload_factor * part * self.terms.fall * f64::from(oks) / 5.0;
+            let budget = if warm.count() == 0 { budget.max(1.0) } else { budget };
+            let all = self.taken.iter().flat_map(|t| &t.sent);
+            let sent = 1 + all.filter(|s| s.x == x && s.at > self.now - self.terms.fall).count();
+            assert!(sent as f64 <= budget, "rule 4: {sent} sent to a cold executor, {budget} granted");
+        }
+    }
+}
+
+impl Answers for Plain {
+    fn dispatch(&mut self, inv: u32, to: ExecutorId, time_out: f64) {
+        let x = usize::from(to.0[3]);
+        self.judge_dispatch(inv, x);
+        let now = self.now;
+        let taken = self.taken.iter_mut().find(|t| t.inv.id == inv).unwrap();
+        assert!(
+            time_out > 0.0 && now + time_out <= taken.inv.timeout_at + 1e-6,
+            "a time-out past the client's"
+        );
+        taken.sent.push(Sent { x, at: now, ending: None });
+        self.said.push(Said::Dispatch(inv, x));
+    }
+    fn throttle(&mut self, inv: u32, retry_after: f64) {
+        let taken = self.open(inv);
+        let ty = &self.terms.trigger_types[taken.inv.trigger_type];
+        let harmless = ty.effect == Effect::Idempotent
+            || ty.effect == Effect::Tokened && ty.group == Group::All
+            || !taken.sent.iter().any(Self::may_have_run);
+        assert!(harmless, "rule 2: {inv} may have run and was throttled");
+        assert!((0.0..=self.terms.max_retry_after).contains(&retry_after));
+        self.close(inv);
+        self.said.push(Said::Throttle(inv));
+    }
+    fn error(&mut self, inv: u32) {
+        self.open(inv);
+        self.close(inv);
+        self.said.push(Said::Error(inv));
+    }
+    fn cancel(&mut self, inv: u32, dispatch: u8) {
+        let taken = self.taken.iter().find(|t| t.inv.id == inv).unwrap();
+        assert!(usize::from(dispatch) < taken.sent.len(), "a cancel of a dispatch never made");
+        self.said.push(Said::Cancel(inv, dispatch));
+    }
+    fn hold(&mut self, to: ExecutorId, function: u64, copies: u8) {
+        let x = usize::from(to.0[3]);
+        assert!(self.fleet[x].ready, "rule 3: an order to an executor told draining or gone");
+        let window = self.terms.ration_window;
+        if copies > 0 && window > 0.0 {
+            let recent = |at: f64| at > self.now - window;
+            let orders = 1 + self.holds.iter().filter(|h| recent(h.0)).count();
+            let taken = self.arrivals.iter().filter(|&&at| recent(at)).count();
+            let most = self.terms.ration_floor + self.terms.ration_share * taken as f64;
+            assert!(orders as f64 <= most, "rule 5: {orders} orders, {most} granted");
+        }
+        self.holds.push((self.now, x, function, true));
+        self.said.push(Said::Hold(x, function));
+    }
+    fn wake(&mut self, delay: f64, _mark: u64) {
+        self.wakes.push(self.now + delay);
+    }
+    fn ask(&mut self, _to: ExecutorId, _function: u64) {}
+    fn unload(&mut self, _to: ExecutorId, _function: u64) {}
+    fn probe(&mut self, _to: ExecutorId) {}
+    fn watch_roster(&mut self) {}
+}
+
+/// A front end with its fleet, to which things happen one by one.
+pub struct World {
+    pub choice: Choice,
+    pub plain: Plain,
+}
+
+impl World {
+    pub fn new(terms: Terms, executors: usize) -> World {
+        let executor = |x| Executor { ready: false, since: f64::NEG_INFINITY, cell: x as u16 / 2, oks: 0 };
+        let fleet = (0..executors).map(executor).collect();
+        let mut plain = Plain {
+            terms: terms.clone(),
+            now: 100.0,
+            fleet,
+            taken: vec![],
+            holds: vec![],
+            arrivals: vec![],
+            wakes: vec![],
+            said: vec![],
+        };
+        let choice = Choice::new(terms, 7, 100.0, &mut plain);
+        let mut world = World { choice, plain };
+        for x in 0..executors {
+            world.roster(x, Standing::Ready, f64::NEG_INFINITY);
+        }
+        world
+    }
+
+    pub fn roster(&mut self, x: usize, standing: Standing, since: f64) {
+        let e = &mut self.plain.fleet[x];
+        (e.ready, e.since) = (standing == Standing::Ready, since.max(e.since));
+        let row = RosterRow { executor: id(x), zone: 0, kind: 0, cell: e.cell, standing, weight: 1.0, since };
+        self.choice.roster(self.plain.now, RosterKind::Delta, &[row], &mut self.plain);
+    }
+
+    pub fn invoke(&mut self, trigger_type: usize, function: u64, within: f64) -> u32 {
+        let (id, now) = (self.plain.taken.len() as u32, self.plain.now);
+        let (timeout_at, load_time) = (now + within, Some(1.0));
+        let inv = Invocation {
+            id,
+            trigger_type,
+            customer: 0,
+            function,
+            timeout_at,
+            work: None,
+            lanes: 2.0,
+            load_time,
+        };
+        self.plain.arrivals.push(now);
+        self.plain.taken.push(Taken { inv: inv.clone(), sent: vec![], closed_at: None });
+        self.choice.invocation(now, &inv, &mut self.plain);
+        id
+    }
+
+    pub fn end(&mut self, inv: u32, dispatch: usize, ending: Ending) {
+        let taken = &mut self.plain.taken[inv as usize];
+        let sent = &mut taken.sent[dispatch];
+        if sent.ending.replace(ending).is_some() {
+            return;
+        }
+        let x = sent.x;
+        if ending == Ending::Ok {
+            self.plain.fleet[x].oks += 1;
+            taken.closed_at.get_or_insert(self.plain.now);
+        }
+        let closed = taken.closed_at.is_some();
+        let (dispatch, executor, found) = (dispatch as u8, id(x), Found::Untold);
+        // A quarter of the objective, which leaves the usual answer time as it was at the start.
+        let o = Outcome { inv, dispatch, executor, ending, took: 0.25, closed, found, crowd: 0, report: &[] };
+        self.choice.outcome(self.plain.now, &o, &mut self.plain);
+    }
+
+    pub fn answer_hold(&mut self, n: usize, ending: Ending) {
+        let (_, x, function, open) = self.plain.holds[n];
+        if open {
+            self.plain.holds[n].3 = false;
+            self.choice.held(self.plain.now, id(x), function, ending, &mut self.plain);
+        }
+    }
+
+    /// Answers every order that is out.
+    pub fn load_all(&mut self, ending: Ending) {
+        (0..self.plain.holds.len()).for_each(|n| self.answer_hold(n, ending));
+    }
+
+    /// Lets time pass; timers ring, and dispatches end with their client's patience.
+    pub fn pass(&mut self, seconds: f64) {
+        let until = self.plain.now + seconds;
+        loop {
+            let due = |t: &Taken| {
+                t.sent.iter().position(|s| s.ending.is_none()).map(|n| (t.inv.id, n, t.inv.timeout_at))
+            };
+            let wake = self.plain.wakes.iter().copied().fold(f64::INFINITY, f64::min);
+            let out = self.plain.taken.iter().filter_map(due).min_by(|a, b| a.2.total_cmp(&b.2));
+            match out {
+                Some((inv, n, at)) if at <= wake && at <= until => {
+                    self.plain.now = at.max(self.plain.now);
+                    self.end(inv, n, Ending::TimedOut);
+                }
+                _ if wake <= until => {
+                    self.plain.now = wake;
+                    self.plain.wakes.retain(|&w| w > wake);
+                    self.choice.timer(wake, 0, &mut self.plain);
+                }
+                _ => break,
+            }
+        }
+        self.plain.now = until;
+    }
+
+    pub fn sent_to(&self, x: usize) -> usize {
+        self.plain.taken.iter().flat_map(|t| &t.sent).filter(|s| s.x == x).count()
+    }
+
+    /// Every invocation taken has had its final answer in time.
+    pub fn all_answered(&mut self) {
+        self.pass(6.0);
+        for t in &self.plain.taken {
+            let at = t.closed_at.unwrap_or_else(|| panic!("rule 1: {} was never answered", t.inv.id));
+            assert!(
+                at <= t.inv.timeout_at + 0.008 || at <= t.inv.timeout_at.max(100.0) + 0.008,
+                "rule 1: {} late",
+                t.inv.id
+            );
+        }
+    }
+}
