--- a/src/choice.rs
+++ b/src/choice.rs
@@ -352,8 +352,8 @@
         true
     }
 
-    /// What is out at a suspect, or at one not heard of for long where second copies are granted, gets another
-    /// dispatch. Guards against hangs and lost links; never for mere slowness, as copies feed a crowd.
+    /// What is out at an executor not heard of for long gets another dispatch: a copy where granted, else after a
+    /// cancel if it is suspect too. Guards against hangs and lost links; never for mere slowness: that feeds a crowd.
     fn move_from_slow(&mut self, f: usize, out: &mut dyn Answers) -> bool {
         for n in 0..self.book.functions[f].out.len() {
             let i = self.book.functions[f].out[n];
@@ -361,7 +361,7 @@
             let ty = &self.terms.trigger_types[inv.ty];
             let &[d] = inv.out.as_slice() else { continue };
             let silent = self.fleet.heard[d.x] < d.at && self.now - d.at > SECOND_COPY * ty.objective;
-            let moved = self.fleet.suspect[d.x] || self.terms.second_copies && silent && !d.places;
+            let moved = silent && (self.terms.second_copies && !d.places || self.fleet.suspect[d.x]);
             if inv.closed || inv.streaming || d.cancelled || ty.effect == Effect::NonIdempotent || !moved {
                 continue;
             }
