--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,14 +25,17 @@
 /// A suspect is tried again with one invocation after this share of the latency objective.
 const TRIAL_PAUSE: f64 = 0.7;
 /// In-flight limit of an executor: start, least, and what a missed latency objective leaves of it.
-const LIMIT_START: f64 = 8.0;
-const LIMIT_CUT: f64 = 0.9;
+const LIMIT_START: f64 = 5.0;
+const LIMIT_CUT: f64 = 0.6;
 const LIMIT_LEAST: f64 = 3.0;
 /// A copy more is loaded, lanes left over elsewhere, where an executor is this many times less busy.
 const SPREAD: f64 = 3.0;
 /// Weight of the newest invocation in the mean billed value, and seconds of a share that may be saved up.
 const VALUE_SHARE: f64 = 0.01;
 const SHARE_BURST: f64 = 2.0;
+/// Weight of the newest answer in the share that found no copy, and the share at which copies drive out copies.
+const STALE_SHARE: f64 = 0.01;
+const STALE_MOST: f64 = 0.1;
 /// Orders to load that one front end has out at an executor.
 const LOADS_EACH: u32 = 5;
 /// Pause after an answer 'full', and how often it doubles while nothing else comes.
@@ -91,6 +94,8 @@
     orders: Moments,
     shares: Vec<Allowance>, // of customers
     mean_value: f64,
+    /// Share of the latest answers by known executors that found no copy.
+    stale: f64,
     /// When to subscribe to the roster, where it has to be asked for.
     watch_at: f64,
 }
@@ -108,6 +113,7 @@
             touched: vec![],
             shares: terms.quotas.iter().map(|_| Allowance { left: 0.0, at: now - SHARE_BURST }).collect(),
             mean_value: 0.0,
+            stale: 0.0,
             taken: Moments::default(),
             orders: Moments::default(),
             watch_at: now,
@@ -338,6 +344,9 @@
         let Some(x) = self.placement_target(f, self.part(i)) else { return false };
         // Guards against loading ever more copies of what only the fleet's crowding holds up.
         let known = function.known.iter().filter(|k| self.fleet.ready[k.x] && !self.fleet.suspect[k.x]);
+        if self.stale > STALE_MOST && known.clone().next().is_some() {
+            return false;
+        }
         let idle_lanes = |k: &&Known| self.has_lane(f, k);
         if known.clone().filter(idle_lanes).any(|k| self.busy(k.x) < SPREAD * self.busy(x)) {
             return false;
@@ -596,6 +605,9 @@
         let now = self.now;
         let loaded = done.places || matches!(o.found, Found::Loaded | Found::Waited | Found::LoadFailed);
         let objective = self.terms.trigger_types[ty].objective;
+        if o.ending == Ending::Ok && !done.places {
+            self.stale += STALE_SHARE * (f64::from(u8::from(loaded)) - self.stale);
+        }
         let sample = match o.ending {
             Ending::Ok if loaded => return,
             Ending::Ok => {
