--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,40 +22,40 @@
 const SUSPECT: f64 = 4.0;
 /// A failure weighs as an answer this many times the usual.
 const FAILURE: f64 = 20.0;
-/// A suspect is tried again with one invocation after this share of the latency objective.
-const TRIAL_PAUSE: f64 = 0.7;
 /// In-flight limit of an executor: start, least, and what a missed latency objective leaves of it.
 const LIMIT_START: f64 = 5.0;
 const LIMIT_CUT: f64 = 0.6;
 const LIMIT_LEAST: f64 = 3.0;
-/// A copy more is loaded, lanes left over elsewhere, where an executor is this many times less busy.
-const SPREAD: f64 = 3.0;
-/// Weight of the newest invocation in the mean billed value, and seconds of a share that may be saved up.
-const VALUE_SHARE: f64 = 0.01;
+/// Weight of the newest value in means over the traffic, and in the note on what peers have in flight.
+const NEWEST: f64 = 0.015;
+const CROWD_SHARE: f64 = 0.3;
+/// Seconds of a customer's share that may be saved up.
 const SHARE_BURST: f64 = 2.0;
-/// Weight of the newest answer in the share that found no copy, and the share at which copies drive out copies.
-const STALE_SHARE: f64 = 0.01;
+/// A copy more is loaded, lanes left elsewhere, where an executor is this many times less busy; none is where
+/// this share of the answers from known executors finds none loaded: copies then drive out copies.
+const SPREAD: f64 = 3.0;
 const STALE_MOST: f64 = 0.1;
+/// After this share of the latency objective a silent executor's work is moved, and a suspect tried again.
+const SILENCE: f64 = 0.6;
+/// Pause after a reset or a failed connection before an executor is tried again.
+const DISTRUST: f64 = 1.0;
 /// Orders to load that one front end has out at an executor.
 const LOADS_EACH: u32 = 5;
 /// Pause after an answer 'full', and how often it doubles while nothing else comes.
 const FULL_PAUSE: f64 = 0.1;
 const FULL_DOUBLINGS: i32 = 4;
-/// Weight of the newest answer in the usual answer time.
-const USUAL_SHARE: f64 = 0.02;
 /// Backoff of a failed placement, and its growth.
 const BACKOFF: f64 = 0.1;
 const BACKOFF_GROWTH: f64 = 1.1;
-/// A placement is given this many usual load times before a second one is tried.
-const PATIENCE: f64 = 5.0;
-/// Load time where none is told and none was seen.
+/// Load time where none is told; a placement is given so many of them before a second one is tried.
 const LOAD_TIME: f64 = 1.0;
+const PATIENCE: f64 = 5.0;
 /// Cache time, as a share of the time an idle copy stays; and where no such time is told.
 const CACHE_SHARE: f64 = 0.85;
 const CACHE_TIME: f64 = 5.0;
-/// Weight of the newest note on what peers have in flight of a function.
-const CROWD_SHARE: f64 = 0.3;
-/// A function is kept loaded by orders for this many keep-alive times after its last invocation.
+/// A function is kept loaded by orders, so long before its last entry ends, for this many cache times after its
+/// last invocation.
+const RENEW_AHEAD: f64 = 0.5;
 const RENEWED_FOR: f64 = 3.0;
 /// Part of the cold budget that is used, for peers that know less and for jitter on the way.
 const COLD_MARGIN: f64 = 0.8;
@@ -63,8 +63,6 @@
 const CARRY_TIME: f64 = 5.0;
 /// Least share of the longest stay-away advised; the rest is chance, so that clients don't return in step.
 const STAY_AWAY: f64 = 0.25;
-/// A second copy leaves after this share of the latency objective.
-const SECOND_COPY: f64 = 0.6;
 
 type Rule = fn(&mut Choice, usize, &mut dyn Answers) -> bool;
 const RULES: [Rule; 7] = [
@@ -150,7 +148,7 @@
             .collect::<Vec<_>>()
             .iter()
             .for_each(|&x| self.forget(x));
-        self.settle_pending(out);
+        self.settle(out);
     }
 
     pub fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Answers) {
@@ -161,7 +159,7 @@
         let ty = &self.terms.trigger_types[inv.trigger_type];
         let objective = (ty.objective + ty.stretch * inv.work.unwrap_or(0.0)).min(ty.timeout);
         let value = self.value(inv);
-        self.mean_value += VALUE_SHARE * (value - self.mean_value);
+        self.mean_value += NEWEST * (value - self.mean_value);
         let (id, ty, timeout_at, objective_at) = (inv.id, inv.trigger_type, inv.timeout_at, now + objective);
         let i = self.book.add(Inv { id, ty, f, value, timeout_at, objective_at, ..Inv::default() });
         self.book.functions[f].used = now;
@@ -213,7 +211,7 @@
         }
         self.book.release(i);
         self.touched.push(f);
-        self.settle_pending(out);
+        self.settle(out);
     }
 
     /// The answer has begun to stream: this dispatch is the client's, any other is not wanted.
@@ -276,7 +274,7 @@
             }
             self.touched.extend(0..self.book.functions.len());
         }
-        self.settle_pending(out);
+        self.settle(out);
     }
 
     // ---- The rules, in their order ----
@@ -342,13 +340,10 @@
         let free = function.waiting.iter().find(|&&i| !self.bound(i));
         let Some(&i) = free.filter(|_| self.now >= function.next_at) else { return false };
         let Some(x) = self.placement_target(f, self.part(i)) else { return false };
-        // Guards against loading ever more copies of what only the fleet's crowding holds up.
-        let known = function.known.iter().filter(|k| self.fleet.ready[k.x] && !self.fleet.suspect[k.x]);
-        if self.stale > STALE_MOST && known.clone().next().is_some() {
-            return false;
-        }
-        let idle_lanes = |k: &&Known| self.has_lane(f, k);
-        if known.clone().filter(idle_lanes).any(|k| self.busy(k.x) < SPREAD * self.busy(x)) {
+        // Guards against copies for what only the fleet's crowding holds up, and against copies driving out copies.
+        let known = |k: &&Known| self.fleet.ready[k.x] && !self.fleet.suspect[k.x];
+        let serves = |k: &Known| self.has_lane(f, k) && self.busy(k.x) < SPREAD * self.busy(x);
+        if function.known.iter().filter(known).any(|k| self.stale > STALE_MOST || serves(k)) {
             return false;
         }
         let by_order = self.terms.orders && self.order(f, x, out);
@@ -369,7 +364,7 @@
             let inv = &self.book.invs[i];
             let ty = &self.terms.trigger_types[inv.ty];
             let &[d] = inv.out.as_slice() else { continue };
-            let silent = self.fleet.heard[d.x] < d.at && self.now - d.at > SECOND_COPY * ty.objective;
+            let silent = self.fleet.heard[d.x] < d.at && self.now - d.at > SILENCE * ty.objective;
             let moved = silent && (self.terms.second_copies && !d.places || self.fleet.suspect[d.x]);
             if inv.closed || inv.streaming || d.cancelled || ty.effect == Effect::NonIdempotent || !moved {
                 continue;
@@ -396,7 +391,7 @@
             return false;
         }
         let [k] = function.known.as_slice() else { return false };
-        let (x, due) = (k.x, k.until - 20.0 * self.beat());
+        let (x, due) = (k.x, k.until - RENEW_AHEAD);
         if k.renewing || self.now < due || self.fleet.suspect[x] || !self.order(f, x, out) {
             return false;
         }
@@ -457,7 +452,7 @@
         out.dispatch(inv.id, self.fleet.ids[x], inv.timeout_at - self.now);
         self.fleet.note_sent(x, i, self.now, self.usual[ty], 2.0 * self.terms.fall);
         if self.fleet.suspect[x] {
-            self.fleet.trial_at[x] = self.now + TRIAL_PAUSE * self.terms.trigger_types[ty].objective;
+            self.fleet.trial_at[x] = self.now + SILENCE * self.terms.trigger_types[ty].objective;
         }
         self.book.send(i, x, self.now, places);
         true
@@ -606,13 +601,13 @@
         let loaded = done.places || matches!(o.found, Found::Loaded | Found::Waited | Found::LoadFailed);
         let objective = self.terms.trigger_types[ty].objective;
         if o.ending == Ending::Ok && !done.places {
-            self.stale += STALE_SHARE * (f64::from(u8::from(loaded)) - self.stale);
+            self.stale += NEWEST * (f64::from(u8::from(loaded)) - self.stale);
         }
         let sample = match o.ending {
             Ending::Ok if loaded => return,
             Ending::Ok => {
                 self.fleet.paused[x].end();
-                self.usual[ty] += USUAL_SHARE * (o.took - self.usual[ty]);
+                self.usual[ty] += NEWEST * (o.took - self.usual[ty]);
                 self.fleet.carry(x, self.usual[ty], now, CARRY_TIME);
                 if o.took > objective {
                     // One cut for what was sent since the last one.
@@ -637,9 +632,6 @@
             }
             Ending::Cancelled | Ending::NeverSent | Ending::Miss => return,
         };
-        if self.fleet.suspect[x] && sample < SUSPECT {
-            self.fleet.forgive(x);
-        }
         self.fleet.remember(x, now, sample, JUDGED);
         if matches!(o.ending, Ending::Reset | Ending::ConnectFailed) {
             self.distrust(x);
@@ -652,7 +644,7 @@
     fn distrust(&mut self, x: usize) {
         self.fleet.answers[x].clear();
         self.fleet.answers[x].extend([(self.now, FAILURE); LEAST_JUDGED]);
-        self.fleet.trial_at[x] = self.now + 1.0;
+        self.fleet.trial_at[x] = self.now + DISTRUST;
         self.judge();
     }
 
@@ -726,12 +718,9 @@
         BEAT.max(self.terms.tick)
     }
 
-    fn settle_pending(&mut self, out: &mut dyn Answers) {
-        self.touched.extend(&self.book.pending);
-        self.settle(out);
-    }
-
+    /// Goes through the rules for what the input touched and for every function with invocations waiting.
     fn settle(&mut self, out: &mut dyn Answers) {
+        self.touched.extend(&self.book.pending);
         while let Some(f) = self.touched.pop() {
             while RULES.iter().any(|rule| rule(self, f, out)) {}
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -111,13 +111,6 @@
         }
     }
 
-    /// Drops the worst of the answers remembered.
-    pub fn forgive(&mut self, x: usize) {
-        let answers = &mut self.answers[x];
-        let worst = (0..answers.len()).max_by(|&a, &b| answers[a].1.total_cmp(&answers[b].1));
-        worst.map(|n| answers.remove(n));
-    }
-
     pub fn all(&self) -> std::ops::Range<usize> {
         0..self.ids.len()
     }
