Limits follow the median answer; a client's repeat takes no share anew

Causes: one late answer (heavy, or behind a load) cut the in-flight limit, at every load alike: late shares were 10 % at 2 and at 12 in flight; and repeats of throttled invocations used up their customer's share (12,000 of 20,000).

--- a/drill/src/batch.rs
+++ b/drill/src/batch.rs
@@ -121,8 +121,18 @@
                 }
                 let work = (options & 1 != 0).then_some(work);
                 let load_time = (load_ms > 0.0 && load_ms.is_finite()).then(|| f64::from(load_ms) / 1e3);
-                let inv =
-                    Invocation { id, trigger_type, customer, function, timeout_at, work, lanes, load_time };
+                let repeat = options & 2 != 0;
+                let inv = Invocation {
+                    id,
+                    trigger_type,
+                    customer,
+                    function,
+                    repeat,
+                    timeout_at,
+                    work,
+                    lanes,
+                    load_time,
+                };
                 choice.invocation(now, &inv, reply);
             }
             6 => {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,10 +22,13 @@
 const SUSPECT: f64 = 4.0;
 /// A failure weighs as an answer this many times the usual.
 const FAILURE: f64 = 20.0;
-/// In-flight limit of an executor: start, least, and what a missed latency objective leaves of it.
+/// In-flight limit of an executor: start, what is left of it when its typical answer takes more than a share of
+/// the latency objective, least, that share, and the step by which the typical answer is tracked.
 const LIMIT_START: f64 = 5.0;
 const LIMIT_CUT: f64 = 0.6;
 const LIMIT_LEAST: f64 = 3.0;
+const TYPICAL_MOST: f64 = 0.3;
+const TYPICAL_STEP: f64 = 1.1;
 /// Weight of the newest value in means over the traffic, and in the note on what peers have in flight.
 const NEWEST: f64 = 0.015;
 const CROWD_SHARE: f64 = 0.3;
@@ -529,13 +532,15 @@
         self.fleet.out[x].is_empty() && self.now >= self.fleet.trial_at[x] && ty.effect == Effect::Idempotent
     }
 
-    /// What an invocation is billed for a unit of work; little where its customer is past its share.
+    /// What an invocation is billed for a unit of work; little where its customer is past its share. A client's
+    /// repeat takes no share anew: throttling would else use up the share that it makes clients ask again for.
     fn value(&mut self, inv: &Invocation) -> f64 {
         let ty = &self.terms.trigger_types[inv.trigger_type];
         let work = if self.terms.value_by_work { 1.0 } else { self.usual[inv.trigger_type].max(1e-6) };
         let quota = self.terms.quotas.get(inv.customer).map(|q| q / self.terms.front_ends);
         let now = self.now;
-        let within = quota.is_none_or(|q| self.shares[inv.customer].take(now, q, SHARE_BURST * q));
+        let within =
+            quota.is_none_or(|q| self.shares[inv.customer].take(now, q, SHARE_BURST * q, inv.repeat));
         ty.billed_value / work * if within { 1.0 } else { self.terms.over_share_value }
     }
 
@@ -609,7 +614,10 @@
                 self.fleet.paused[x].end();
                 self.usual[ty] += NEWEST * (o.took - self.usual[ty]);
                 self.fleet.carry(x, self.usual[ty], now, CARRY_TIME);
-                if o.took > objective {
+                let slower = o.took / objective > self.fleet.typical[x];
+                self.fleet.typical[x] *= if slower { TYPICAL_STEP } else { 1.0 / TYPICAL_STEP };
+                // By the median: a heavy invocation or one behind a load says nothing of the crowd there.
+                if self.fleet.typical[x] > TYPICAL_MOST {
                     // One cut for what was sent since the last one.
                     if done.at > self.fleet.cut_at[x] {
                         self.fleet.limit[x] = (self.fleet.limit[x] * LIMIT_CUT).max(LIMIT_LEAST);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -99,6 +99,8 @@
     pub trigger_type: usize,
     pub customer: usize,
     pub function: u64,
+    /// The client says that it asks again.
+    pub repeat: bool,
     /// The moment the client gives up.
     pub timeout_at: f64,
     /// Expected work, where the hint is valid.
--- a/src/state.rs
+++ b/src/state.rs
@@ -21,6 +21,8 @@
     /// Own orders to load that are out there.
     pub loading: Vec<u32>,
     pub heard: Vec<f64>,
+    /// Tracks the median of the answer times, in latency objectives.
+    pub typical: Vec<f64>,
     pub cut_at: Vec<f64>,
     /// What answers 'full' ask for: to dispatches, and to orders to load.
     pub paused: Vec<Pause>,
@@ -57,6 +59,7 @@
         self.limit.push(0.0);
         self.loading.push(0);
         self.heard.push(f64::NEG_INFINITY);
+        self.typical.push(0.0);
         self.cut_at.push(f64::NEG_INFINITY);
         self.paused.push(Pause::default());
         self.loads_paused.push(Pause::default());
@@ -76,6 +79,7 @@
         self.backlog[x] = 0.0;
         self.paused[x] = Pause::default();
         self.loads_paused[x] = Pause::default();
+        self.typical[x] = 0.1;
         self.cut_at[x] = now;
         self.answers[x].clear();
         self.suspect[x] = false;
@@ -161,11 +165,12 @@
 }
 
 impl Allowance {
-    pub fn take(&mut self, now: f64, rate: f64, most: f64) -> bool {
+    /// Whether one is left; it is taken unless `look` says only to look.
+    pub fn take(&mut self, now: f64, rate: f64, most: f64, look: bool) -> bool {
         self.left = (self.left + (now - self.at) * rate).min(most);
         self.at = now;
         let granted = self.left >= 1.0;
-        self.left -= if granted { 1.0 } else { 0.0 };
+        self.left -= if granted && !look { 1.0 } else { 0.0 };
         granted
     }
 }
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -244,6 +244,7 @@
             customer: 0,
             function,
             timeout_at,
+            repeat: false,
             work: None,
             lanes: 2.0,
             load_time,
