--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,14 +12,14 @@
 const BEAT: f64 = 0.025;
 /// Mean pause before a subscription to the roster that failed is asked for again.
 const WATCH_PAUSE: f64 = 1.0;
-/// Answers by which an executor is judged, the least number of them (and of fellows of its kind), the quantile
+/// Answers by which an executor is judged, the least number of them, the quantile
 /// taken, and how far above its fellows' is suspect.
 const JUDGED: usize = 16;
 const LEAST_JUDGED: usize = 4;
 /// Answers older than this say nothing of an executor any more.
 const JUDGED_FOR: f64 = 5.0;
 const HIGH_QUANTILE: f64 = 0.85;
-const SUSPECT: f64 = 4.0;
+const SUSPECT: f64 = 12.0;
 /// A failure weighs as an answer this many times the usual.
 const FAILURE: f64 = 20.0;
 /// In-flight limit of an executor: start, what is left of it when its typical answer takes more than a share of
@@ -670,13 +670,8 @@
         };
         let quantiles: Vec<Option<f64>> = self.fleet.all().map(high).collect();
         for x in self.fleet.all() {
-            let judged = |y: &usize| *y != x && self.fleet.ready[*y] && quantiles[*y].is_some();
-            let mut found: Vec<usize> = self.fleet.all().filter(judged).collect();
-            let kind = self.fleet.kind[x];
-            if found.iter().filter(|&&y| self.fleet.kind[y] == kind).count() >= LEAST_JUDGED {
-                found.retain(|&y| self.fleet.kind[y] == kind);
-            }
-            let middle = quantile(found.iter().filter_map(|&y| quantiles[y]).collect(), 0.5).unwrap_or(1.0);
+            let fellows = self.fleet.all().filter(|&y| y != x && self.fleet.ready[y]);
+            let middle = quantile(fellows.filter_map(|y| quantiles[y]).collect(), 0.5).unwrap_or(1.0);
             let alone = !self.fleet.all().any(|y| y != x && self.fleet.ready[y]);
             self.fleet.suspect[x] = !alone && quantiles[x].is_some_and(|q| q > SUSPECT * middle.max(1.0));
         }
