--- a/src/choice.rs
+++ b/src/choice.rs
@@ -12,8 +12,7 @@
 const BEAT: f64 = 0.025;
 /// Mean pause before a subscription to the roster that failed is asked for again.
 const WATCH_PAUSE: f64 = 1.0;
-/// Answers by which an executor is judged, the least number of them, the quantile
-/// taken, and how far above its fellows' is suspect.
+/// Answers that judge an executor, the least of them, the quantile, and how far above its fellows is suspect.
 const JUDGED: usize = 16;
 const LEAST_JUDGED: usize = 4;
 /// Answers older than this say nothing of an executor any more.
@@ -22,8 +21,8 @@
 const SUSPECT: f64 = 12.0;
 /// A failure weighs as an answer this many times the usual.
 const FAILURE: f64 = 20.0;
-/// In-flight limit of an executor: start, what is left of it when its typical answer takes more than a share of
-/// the latency objective, least, that share, and the step by which the typical answer is tracked.
+/// In-flight limit of an executor: start, cut, least, the typical answer (in objectives) that cuts it, and the
+/// step by which the typical answer is tracked.
 const LIMIT_START: f64 = 5.0;
 const LIMIT_CUT: f64 = 0.6;
 const LIMIT_LEAST: f64 = 3.0;
@@ -56,7 +55,7 @@
 /// Cache time, as a share of the time an idle copy stays; and where no such time is told.
 const CACHE_SHARE: f64 = 0.85;
 const CACHE_TIME: f64 = 5.0;
-/// A function is kept loaded by orders, so long before its last entry ends, for this many cache times after its
+/// A function is kept loaded by orders, so long before its last entry ends, for so many cache times after its
 /// last invocation.
 const RENEW_AHEAD: f64 = 0.5;
 const RENEWED_FOR: f64 = 3.0;
@@ -343,7 +342,7 @@
         let free = function.waiting.iter().find(|&&i| !self.bound(i));
         let Some(&i) = free.filter(|_| self.now >= function.next_at) else { return false };
         let Some(x) = self.placement_target(f, self.part(i)) else { return false };
-        // Guards against copies for what only the fleet's crowding holds up, and against copies driving out copies.
+        // Guards against copies for what only crowding holds up, and against copies that drive out copies.
         let known = |k: &&Known| self.fleet.ready[k.x] && !self.fleet.suspect[k.x];
         let serves = |k: &Known| self.has_lane(f, k) && self.busy(k.x) < SPREAD * self.busy(x);
         if function.known.iter().filter(known).any(|k| self.stale > STALE_MOST || serves(k)) {
@@ -359,8 +358,8 @@
         true
     }
 
-    /// What is out at an executor not heard of for long gets another dispatch: a copy where granted, else after a
-    /// cancel if it is suspect too. Guards against hangs and lost links; never for mere slowness: that feeds a crowd.
+    /// What is out at an executor long silent gets another dispatch: a copy where granted, else after a cancel if
+    /// it is suspect too. Guards against hangs and lost links; never for mere slowness: that feeds a crowd.
     fn move_from_slow(&mut self, f: usize, out: &mut dyn Answers) -> bool {
         for n in 0..self.book.functions[f].out.len() {
             let i = self.book.functions[f].out[n];
@@ -533,7 +532,7 @@
     }
 
     /// What an invocation is billed for a unit of work; little where its customer is past its share. A client's
-    /// repeat takes no share anew: throttling would else use up the share that it makes clients ask again for.
+    /// repeat takes no share anew, or throttling would use up the share of what it makes clients ask again.
     fn value(&mut self, inv: &Invocation) -> f64 {
         let ty = &self.terms.trigger_types[inv.trigger_type];
         let work = if self.terms.value_by_work { 1.0 } else { self.usual[inv.trigger_type].max(1e-6) };
@@ -573,7 +572,7 @@
                 && function.failed != Some(x)
                 && !function.knows(x, self.now)
         };
-        // Where both are at their bounds the placement waits: a copy elsewhere would serve this front end alone.
+        // Where both are at their bounds the placement waits: a copy elsewhere would serve one front end alone.
         let takes = |&x: &usize| {
             self.now >= self.fleet.loads_paused[x].until
                 && self.fleet.loading[x] < LOADS_EACH
@@ -724,6 +723,8 @@
     /// Goes through the rules for what the input touched and for every function with invocations waiting.
     fn settle(&mut self, out: &mut dyn Answers) {
         self.touched.extend(&self.book.pending);
+        // Where most wait comes first, so that scarce room and loads serve the most.
+        self.touched.sort_by_key(|&f| self.book.functions[f].waiting.len());
         while let Some(f) = self.touched.pop() {
             while RULES.iter().any(|rule| rule(self, f, out)) {}
         }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -214,3 +214,22 @@
     empty.invoke(0, 1, 1.0);
     empty.all_answered();
 }
+
+#[test]
+fn where_most_wait_is_served_first() {
+    let mut w = World::new(Terms { ration_floor: 1.0, ration_share: 0.0, ..terms() }, 4);
+    w.invoke(0, 1, 5.0);
+    for function in [2, 3, 3, 3, 4] {
+        w.invoke(0, function, 5.0);
+    }
+    // Only one order is granted in a while, and the first function has it; the executors refuse the rest.
+    let sent = w.plain.taken[1..].iter().filter(|t| !t.sent.is_empty());
+    let refused: Vec<_> = sent.map(|t| t.inv.id).collect();
+    for inv in refused {
+        w.end(inv, 0, Ending::Full);
+    }
+    w.plain.said.clear();
+    w.pass(5.1);
+    let order = w.plain.said.iter().find(|s| matches!(s, Said::Hold(..) | Said::Dispatch(..)));
+    assert!(matches!(order, Some(Said::Dispatch(inv, _)) if (2..5).contains(inv)), "{order:?}");
+}
