--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,8 +21,8 @@
 const SUSPECT: f64 = 12.0;
 /// A failure weighs as an answer this many times the usual.
 const FAILURE: f64 = 20.0;
-/// In-flight limit of an executor: start, cut, least, the typical answer (in objectives) that cuts it, and the
-/// step by which the typical answer is tracked.
+/// In-flight limit of an executor: start, cut, least, the typical answer in objectives that cuts it,
+/// and the step by which that is tracked.
 const LIMIT_START: f64 = 5.0;
 const LIMIT_CUT: f64 = 0.6;
 const LIMIT_LEAST: f64 = 3.0;
@@ -285,8 +285,7 @@
     fn give_up(&mut self, f: usize, out: &mut dyn Answers) -> bool {
         let hopeless = |&&i: &&usize| {
             let inv = &self.book.invs[i];
-            let known =
-                self.book.functions[f].known.iter().any(|k| self.fleet.ready[k.x] && k.until > self.now);
+            let known = self.book.functions[f].known.iter().any(|k| k.until > self.now);
             // Half the objective at the most: an estimate that throttled everything would never be put right.
             let left = self.usual[inv.ty].min(0.5 * self.terms.trigger_types[inv.ty].objective);
             let late = known && self.now + left > inv.objective_at;
@@ -358,8 +357,8 @@
         true
     }
 
-    /// What is out at an executor long silent gets another dispatch: a copy where granted, else after a cancel if
-    /// it is suspect too. Guards against hangs and lost links; never for mere slowness: that feeds a crowd.
+    /// What is out at an executor long silent gets another dispatch: a copy where granted, else after a cancel
+    /// if it is suspect too. Guards against hangs and lost links; mere slowness is left, as copies feed a crowd.
     fn move_from_slow(&mut self, f: usize, out: &mut dyn Answers) -> bool {
         for n in 0..self.book.functions[f].out.len() {
             let i = self.book.functions[f].out[n];
@@ -531,8 +530,8 @@
         self.fleet.out[x].is_empty() && self.now >= self.fleet.trial_at[x] && ty.effect == Effect::Idempotent
     }
 
-    /// What an invocation is billed for a unit of work; little where its customer is past its share. A client's
-    /// repeat takes no share anew, or throttling would use up the share of what it makes clients ask again.
+    /// What an invocation is billed for a unit of work; little where its customer is past its share. A
+    /// client's repeat takes no share anew, or throttling would use up what it makes clients ask for again.
     fn value(&mut self, inv: &Invocation) -> f64 {
         let ty = &self.terms.trigger_types[inv.trigger_type];
         let work = if self.terms.value_by_work { 1.0 } else { self.usual[inv.trigger_type].max(1e-6) };
@@ -572,7 +571,7 @@
                 && function.failed != Some(x)
                 && !function.knows(x, self.now)
         };
-        // Where both are at their bounds the placement waits: a copy elsewhere would serve one front end alone.
+        // Where both are at their bounds the placement waits: a copy elsewhere serves one front end only.
         let takes = |&x: &usize| {
             self.now >= self.fleet.loads_paused[x].until
                 && self.fleet.loading[x] < LOADS_EACH
@@ -616,13 +615,12 @@
                 let slower = o.took / objective > self.fleet.typical[x];
                 self.fleet.typical[x] *= if slower { TYPICAL_STEP } else { 1.0 / TYPICAL_STEP };
                 // By the median: a heavy invocation or one behind a load says nothing of the crowd there.
-                if self.fleet.typical[x] > TYPICAL_MOST {
-                    // One cut for what was sent since the last one.
-                    if done.at > self.fleet.cut_at[x] {
-                        self.fleet.limit[x] = (self.fleet.limit[x] * LIMIT_CUT).max(LIMIT_LEAST);
-                        self.fleet.cut_at[x] = now;
-                    }
-                } else if self.fleet.inflight(x) * 2.0 >= self.fleet.limit[x] {
+                // One cut for what was sent since the last one.
+                let crowded = self.fleet.typical[x] > TYPICAL_MOST;
+                if crowded && done.at > self.fleet.cut_at[x] {
+                    self.fleet.limit[x] = (self.fleet.limit[x] * LIMIT_CUT).max(LIMIT_LEAST);
+                    self.fleet.cut_at[x] = now;
+                } else if !crowded && self.fleet.inflight(x) * 2.0 >= self.fleet.limit[x] {
                     self.fleet.limit[x] += 1.0 / self.fleet.limit[x];
                 }
                 o.took / self.usual[ty].max(1e-6)
