--- a/src/choice.rs
+++ b/src/choice.rs
@@ -357,8 +357,8 @@
         true
     }
 
-    /// What is out at an executor long silent gets another dispatch: a copy where granted, else after a cancel
-    /// if it is suspect too. Guards against hangs and lost links; mere slowness is left, as copies feed a crowd.
+    /// What is out at an executor long silent gets another dispatch: a copy where granted, else after a
+    /// cancel if it is suspect too. Guards against hangs and lost links, not slowness: copies feed a crowd.
     fn move_from_slow(&mut self, f: usize, out: &mut dyn Answers) -> bool {
         for n in 0..self.book.functions[f].out.len() {
             let i = self.book.functions[f].out[n];
