--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 //! `interface.rs`. After each input the rules of `RULES` are gone through, in order, for every function
 //! that the input touched, until none fires.
 
-use crate::chance::Chance;
+use crate::chance::{Chance, agreed};
 use crate::interface::*;
 use crate::state::*;
 
@@ -37,6 +37,11 @@
 /// this share of the answers from known executors finds none loaded: copies then drive out copies.
 const SPREAD: f64 = 3.0;
 const STALE_MOST: f64 = 0.1;
+/// Time over which parts of the traffic are taken, copies for each executor that a part would fill, and the
+/// time in which a report fades.
+const SHARE_TIME: f64 = 8.0;
+const COPIES: f64 = 1.5;
+const REPORT_TIME: f64 = 2.0;
 /// After this share of the latency objective a silent executor's work is moved, and a suspect tried again.
 const SILENCE: f64 = 0.6;
 /// Pause after a reset or a failed connection before an executor is tried again.
@@ -82,6 +87,7 @@
 pub struct Choice {
     terms: Terms,
     chance: Chance,
+    seed: u64,
     now: f64,
     beats: u64,
     fleet: Fleet,
@@ -94,6 +100,9 @@
     orders: Moments,
     shares: Vec<Allowance>, // of customers
     mean_value: f64,
+    mean_backlog: f64,
+    /// Own invocations lately.
+    lately: Faded,
     /// Share of the latest answers by known executors that found no copy.
     stale: f64,
     /// When to subscribe to the roster, where it has to be asked for.
@@ -106,6 +115,7 @@
         Choice {
             usual: terms.trigger_types.iter().map(|t| t.objective / 4.0).collect(),
             chance: Chance::new(seed),
+            seed,
             now,
             beats: 0,
             fleet: Fleet::default(),
@@ -113,6 +123,8 @@
             touched: vec![],
             shares: terms.quotas.iter().map(|_| Allowance { left: 0.0, at: now - SHARE_BURST }).collect(),
             mean_value: 0.0,
+            mean_backlog: 0.0,
+            lately: Faded::default(),
             stale: 0.0,
             taken: Moments::default(),
             orders: Moments::default(),
@@ -165,6 +177,8 @@
         let (id, ty, timeout_at, objective_at) = (inv.id, inv.trigger_type, inv.timeout_at, now + objective);
         let i = self.book.add(Inv { id, ty, f, value, timeout_at, objective_at, ..Inv::default() });
         self.book.functions[f].used = now;
+        self.book.functions[f].taken.add(1.0, now, SHARE_TIME);
+        self.lately.add(1.0, now, SHARE_TIME);
         self.book.wait(i);
         self.touched.push(f);
         self.settle(out);
@@ -178,7 +192,9 @@
         let (f, ty) = (self.book.invs[i].f, self.book.invs[i].ty);
         self.fleet.out[x].retain(|&(other, at)| other != i || at != done.at);
         if let Some(&waiting) = self.terms.backlog_field.and_then(|field| o.report.get(field)) {
-            self.fleet.backlog[x] = f64::from(waiting).max(0.0);
+            let waiting = f64::from(waiting).max(0.0);
+            self.mean_backlog += NEWEST * (waiting - self.mean_backlog);
+            self.fleet.backlog[x] = (waiting, now);
         }
         if o.ending != Ending::TimedOut && o.ending != Ending::Cancelled {
             self.fleet.heard[x] = now;
@@ -340,7 +356,9 @@
         }
         let free = function.waiting.iter().find(|&&i| !self.bound(i));
         let Some(&i) = free.filter(|_| self.now >= function.next_at) else { return false };
-        let Some(x) = self.placement_target(f, self.part(i)) else { return false };
+        let part = self.part(i);
+        let Some(x) = self.placement_target(f, part) else { return false };
+        let function = &self.book.functions[f];
         // Guards against copies for what only crowding holds up, and against copies that drive out copies.
         let known = |k: &&Known| self.fleet.ready[k.x] && !self.fleet.suspect[k.x];
         let serves = |k: &Known| self.has_lane(f, k) && self.busy(k.x) < SPREAD * self.busy(x);
@@ -513,7 +531,7 @@
                 && (!self.fleet.suspect[k.x] || self.may_try(i, k.x))
                 && self.allows_dispatch(i, k.x)
         };
-        let rank = |k: &&Known| (self.book.invs[i].avoid == Some(k.x), self.busy(k.x));
+        let rank = |k: &&Known| (self.book.invs[i].avoid == Some(k.x), self.busy(k.x) * self.dither(i, k.x));
         let known = function.known.iter().filter(fits);
         known.min_by(|a, b| rank(a).partial_cmp(&rank(b)).expect("busy is a number")).map(|k| k.x)
     }
@@ -521,7 +539,16 @@
     /// Room: own in-flight, and what peers are told to hold there, below the lanes of the copies.
     fn has_lane(&self, f: usize, k: &Known) -> bool {
         let function = &self.book.functions[f];
-        !k.full && function.inflight(&self.book.invs, k.x) + k.others < function.lanes
+        let held = function.inflight(&self.book.invs, k.x) + k.others;
+        !k.full && held < function.lanes && (function.known.len() as f64) + 1.0 > self.wanted(f)
+    }
+
+    /// Executors that a function's part of the traffic would fill, with space for others, and one. What is
+    /// seen here is a sample of what all front ends take, so one invocation alone tells nothing.
+    fn wanted(&self, f: usize) -> f64 {
+        let seen = (self.book.functions[f].taken.at(self.now, SHARE_TIME) - 1.0).max(0.0);
+        let ready = self.fleet.ready.iter().filter(|&&r| r).count() as f64;
+        1.0 + COPIES * ready * seen / self.lately.at(self.now, SHARE_TIME).max(1.0)
     }
 
     /// A suspect is tried with one idempotent invocation at a time.
@@ -557,13 +584,26 @@
     }
 
     fn busy(&self, x: usize) -> f64 {
-        let held = self.fleet.inflight(x) + self.fleet.backlog[x] / self.terms.front_ends;
+        let held = self.fleet.inflight(x) + self.backlog(x);
         (held + 1.0) / (self.fleet.weight[x] * self.warmth(x))
     }
 
+    /// What it reported waiting; that fades to the mean, which also stands for what was never heard.
+    fn backlog(&self, x: usize) -> f64 {
+        let (waiting, at) = self.fleet.backlog[x];
+        let fresh = (-(self.now - at) / REPORT_TIME).exp();
+        self.mean_backlog + fresh * (waiting - self.mean_backlog)
+    }
+
+    /// Chance in the place of what peers have there unseen, so that they don't all choose the same.
+    fn dither(&self, i: usize, x: usize) -> f64 {
+        let drawn = f64::from(agreed(self.seed ^ u64::from(self.book.invs[i].id), x as u64)) / 4_294_967_296.0;
+        1.0 + (1.0 - 1.0 / self.terms.front_ends) * drawn
+    }
+
     /// The last executor known warm, else the less loaded of two. The two are drawn with the function's
     /// key for a seed, so that all front ends draw the same and share the copy that one has loaded.
-    fn placement_target(&self, f: usize, part: f64) -> Option<usize> {
+    fn placement_target(&mut self, f: usize, part: f64) -> Option<usize> {
         let function = &self.book.functions[f];
         let fits = |&x: &usize| {
             self.fleet.ready[x]
@@ -584,8 +624,13 @@
         let lot = |x: usize| self.fleet.lot(x, function.key, self.fleet.weight[x] * self.warmth(x));
         let mut fitting: Vec<usize> = self.fleet.all().filter(fits).collect();
         fitting.sort_by(|&a, &b| lot(a).total_cmp(&lot(b)));
-        fitting.truncate(2);
-        fitting.into_iter().filter(takes).reduce(|a, b| if self.busy(b) + 1.0 < self.busy(a) { b } else { a })
+        fitting.truncate(self.wanted(f).ceil().max(2.0) as usize);
+        fitting.retain(takes);
+        // Two of them by chance, in their order.
+        while fitting.len() > 2 {
+            fitting.remove((self.chance.unit() * fitting.len() as f64) as usize);
+        }
+        fitting.into_iter().reduce(|a, b| if self.busy(b) + 1.0 < self.busy(a) { b } else { a })
     }
 
     // ---- What is known of executors ----
@@ -611,7 +656,7 @@
             Ending::Ok => {
                 self.fleet.paused[x].end();
                 self.usual[ty] += NEWEST * (o.took - self.usual[ty]);
-                self.fleet.carry(x, self.usual[ty], now, CARRY_TIME);
+                self.fleet.carry[x].add(self.usual[ty] / CARRY_TIME, now, CARRY_TIME);
                 let slower = o.took / objective > self.fleet.typical[x];
                 self.fleet.typical[x] *= if slower { TYPICAL_STEP } else { 1.0 / TYPICAL_STEP };
                 // By the median: a heavy invocation or one behind a load says nothing of the crowd there.
@@ -675,7 +720,7 @@
         for kind in 0..self.fleet.carried.len() {
             let warm = |x: &usize| self.fleet.kind[*x] == kind && self.is_warm(*x) && !self.fleet.suspect[*x];
             let fellows: Vec<usize> = self.fleet.all().filter(warm).collect();
-            let rates = fellows.iter().map(|&x| self.fleet.carry(x, 0.0, now, CARRY_TIME));
+            let rates = fellows.iter().map(|&x| self.fleet.carry[x].at(now, CARRY_TIME));
             let mean = rates.sum::<f64>() / fellows.len().max(1) as f64;
             self.fleet.carried[kind] = self.fleet.carried[kind].max(mean);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -27,7 +27,8 @@
     /// What answers 'full' ask for: to dispatches, and to orders to load.
     pub paused: Vec<Pause>,
     pub loads_paused: Vec<Pause>,
-    pub backlog: Vec<f64>,
+    /// Invocations reported waiting, and when that was told.
+    pub backlog: Vec<(f64, f64)>,
     /// The latest answers: when they came, and their times in usual ones.
     pub answers: Vec<VecDeque<(f64, f64)>>,
     pub suspect: Vec<bool>,
@@ -35,7 +36,7 @@
     /// Times and mean work of the latest dispatches.
     pub sent: Vec<VecDeque<(f64, f64)>>,
     /// Rate of work answered, and when it was last brought up to date.
-    pub carry: Vec<(f64, f64)>,
+    pub carry: Vec<Faded>,
     /// For each kind of executor, the highest mean of those rates seen.
     pub carried: Vec<f64>,
 }
@@ -63,12 +64,12 @@
         self.cut_at.push(f64::NEG_INFINITY);
         self.paused.push(Pause::default());
         self.loads_paused.push(Pause::default());
-        self.backlog.push(0.0);
+        self.backlog.push((0.0, f64::NEG_INFINITY));
         self.answers.push(VecDeque::new());
         self.suspect.push(false);
         self.trial_at.push(0.0);
         self.sent.push(VecDeque::new());
-        self.carry.push((0.0, f64::NEG_INFINITY));
+        self.carry.push(Faded::default());
         self.carried.resize(self.carried.len().max(self.kind[x] + 1), 0.0);
         x
     }
@@ -76,21 +77,14 @@
     /// Voids what was heard of an executor. What is out there still counts, and so does what was sent.
     pub fn forget(&mut self, x: usize, limit: f64, now: f64) {
         self.limit[x] = limit;
-        self.backlog[x] = 0.0;
+        self.backlog[x] = (0.0, f64::NEG_INFINITY);
         self.paused[x] = Pause::default();
         self.loads_paused[x] = Pause::default();
         self.typical[x] = 0.1;
         self.cut_at[x] = now;
         self.answers[x].clear();
         self.suspect[x] = false;
-        self.carry[x] = (0.0, now);
-    }
-
-    /// Adds answered work to the rate that an executor carries, a mean that fades over `time`.
-    pub fn carry(&mut self, x: usize, work: f64, now: f64, time: f64) -> f64 {
-        let (rate, at) = self.carry[x];
-        self.carry[x] = (rate * (-(now - at) / time).exp() + work / time, now);
-        self.carry[x].0
+        self.carry[x] = Faded::default();
     }
 
     /// Notes a dispatch, and what it weighs for the next `kept` seconds.
@@ -175,6 +169,21 @@
     }
 }
 
+/// A sum that fades over time.
+#[derive(Clone, Copy, Default)]
+pub struct Faded(f64, f64);
+
+impl Faded {
+    pub fn add(&mut self, amount: f64, now: f64, time: f64) -> f64 {
+        *self = Faded(self.at(now, time) + amount, now);
+        self.0
+    }
+
+    pub fn at(&self, now: f64, time: f64) -> f64 {
+        self.0 * (-(now - self.1) / time).exp()
+    }
+}
+
 /// Moments within a window of the past.
 #[derive(Default)]
 pub struct Moments(VecDeque<f64>);
@@ -262,6 +271,8 @@
     pub next_at: f64,
     pub last_warm: Option<(usize, f64)>,
     pub used: f64,
+    /// Own invocations of it lately.
+    pub taken: Faded,
 }
 
 impl Function {
