--- a/drill/src/terms.rs
+++ b/drill/src/terms.rs
@@ -75,6 +75,7 @@
         over_share_value: number_or(v, "overShareWorth", 1.0)?,
         value_by_work: need(v, "valueBy").is_ok_and(|w| w == "work"),
         front_ends: number_or(v, "balancers", 1.0)?.max(1.0),
+        index: number_or(v, "index", 0.0)?.max(0.0),
         tick: seconds(v, "tick")?,
         max_dispatches: number(v, "limits.maxAttempts")?.clamp(0.0, 255.0) as u8,
         second_copies: flag(v, "limits.secondCopies")?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -67,7 +67,8 @@
 /// Part of the cold budget that is used, for peers that know less and for jitter on the way.
 const COLD_MARGIN: f64 = 0.8;
 /// Time constant of the work rate that an executor is seen to carry.
-const CARRY_TIME: f64 = 5.0;
+const CARRY_TIME: f64 = 10.0;
+const CARRIED_KEPT: f64 = 0.99;
 /// Least share of the longest stay-away advised; the rest is chance, so that clients don't return in step.
 const STAY_AWAY: f64 = 0.25;
 
@@ -447,19 +448,25 @@
             })
     }
 
-    /// A cold executor's budget over the span in which it could be pushed over: this front end sends it no
-    /// more than its own traffic to warm fellows of the size, scaled to what a cold one can do.
+    /// A cold executor's budget over the span in which it could be pushed over: what one front end's part of
+    /// the traffic to a warm fellow comes to, scaled to what a cold one can do. What is less than a whole
+    /// invocation falls to front ends in turn, by a rota that all draw alike; one at least has a turn.
     fn cold_room(&self, x: usize, work: f64) -> bool {
-        let part = self.warmth(x);
-        if part >= 1.0 {
+        if self.warmth(x) >= 1.0 {
             return true;
         }
         let span = self.now - self.terms.fall - 2.0 * BEAT;
-        let spent = self.fleet.sent_since(x, span);
+        let slot = ((self.now - self.fleet.since[x]) / self.terms.fall) as u64;
+        let turn = (self.terms.index + self.fleet.lot_number(x, slot)) % self.terms.front_ends;
+        let whole = (self.entitled(x, work) + turn / self.terms.front_ends).floor();
+        self.fleet.sent_since(x, span) / work + 1.0 <= whole + 1e-9
+    }
+
+    /// A front end's part of a cold executor's budget, in invocations.
+    fn entitled(&self, x: usize, work: f64) -> f64 {
         let carried = self.fleet.carried.get(self.fleet.kind[x]).copied().unwrap_or(0.0);
-        let budget = COLD_MARGIN * carried * part * self.terms.overload_factor * self.terms.fall;
-        let no_fellow = !self.fleet.all().any(|y| self.is_warm(y));
-        spent + work <= budget || no_fellow && spent == 0.0 && self.fleet.out[x].is_empty()
+        let budget = COLD_MARGIN * carried * self.warmth(x) * self.terms.overload_factor * self.terms.fall;
+        (budget / work).max(1.0 / self.terms.front_ends)
     }
 
     fn dispatch(&mut self, i: usize, x: usize, places: bool, out: &mut dyn Answers) -> bool {
@@ -585,7 +592,10 @@
 
     fn busy(&self, x: usize) -> f64 {
         let held = self.fleet.inflight(x) + self.backlog(x);
-        (held + 1.0) / (self.fleet.weight[x] * self.warmth(x))
+        // Where a cold one's budget goes round in turns, who has a turn takes it up.
+        let typical = self.usual.iter().sum::<f64>() / self.usual.len() as f64;
+        let pull = (self.warmth(x) / self.entitled(x, typical).min(1.0)).min(1.0);
+        (held + 1.0) / (self.fleet.weight[x] * pull)
     }
 
     /// What it reported waiting; that fades to the mean, which also stands for what was never heard.
@@ -722,7 +732,7 @@
             let fellows: Vec<usize> = self.fleet.all().filter(warm).collect();
             let rates = fellows.iter().map(|&x| self.fleet.carry[x].at(now, CARRY_TIME));
             let mean = rates.sum::<f64>() / fellows.len().max(1) as f64;
-            self.fleet.carried[kind] = self.fleet.carried[kind].max(mean);
+            self.fleet.carried[kind] = (self.fleet.carried[kind] * CARRIED_KEPT).max(mean);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -45,6 +45,8 @@
     pub over_share_value: f64,
     pub value_by_work: bool,
     pub front_ends: f64,
+    /// Which of them this is.
+    pub index: f64,
     pub tick: f64,
     pub max_dispatches: u8,
     pub second_copies: bool,
--- a/src/state.rs
+++ b/src/state.rs
@@ -120,9 +120,13 @@
     /// An executor's lot for a key, the same at every front end; the smaller comes first. On average the lots
     /// of one twice the size are half as large.
     pub fn lot(&self, x: usize, key: u64, size: f64) -> f64 {
+        -((self.lot_number(x, key) + 1.0) / 4_294_967_297.0).ln() / size
+    }
+
+    pub fn lot_number(&self, x: usize, key: u64) -> f64 {
         let ExecutorId([a, b, c, d], port) = self.ids[x];
         let number = u64::from(u32::from_le_bytes([a, b, c, d])) << 16 | u64::from(port);
-        -((f64::from(agreed(key, number)) + 1.0) / 4_294_967_297.0).ln() / size
+        f64::from(agreed(key, number))
     }
 
     pub fn same_group(&self, group: Group, x: usize, y: usize) -> bool {
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -68,6 +68,7 @@
         over_share_value: 0.1,
         value_by_work: false,
         front_ends: 3.0,
+        index: 0.0,
         tick: 0.002,
         max_dispatches: 4,
         second_copies: false,
