--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,8 +40,9 @@
 /// Time over which parts of the traffic are taken, copies for each executor that a part would fill, and the
 /// time in which a report fades.
 const SHARE_TIME: f64 = 8.0;
-const COPIES: f64 = 1.5;
+const COPIES: f64 = 3.0;
 const REPORT_TIME: f64 = 2.0;
+const SAMPLE: f64 = 8.0;
 /// After this share of the latency objective a silent executor's work is moved, and a suspect tried again.
 const SILENCE: f64 = 0.6;
 /// Pause after a reset or a failed connection before an executor is tried again.
@@ -555,7 +556,7 @@
     fn wanted(&self, f: usize) -> f64 {
         let seen = (self.book.functions[f].taken.at(self.now, SHARE_TIME) - 1.0).max(0.0);
         let ready = self.fleet.ready.iter().filter(|&&r| r).count() as f64;
-        1.0 + COPIES * ready * seen / self.lately.at(self.now, SHARE_TIME).max(1.0)
+        1.0 + COPIES * ready * seen / (self.lately.at(self.now, SHARE_TIME) + SAMPLE)
     }
 
     /// A suspect is tried with one idempotent invocation at a time.
@@ -634,7 +635,7 @@
         let lot = |x: usize| self.fleet.lot(x, function.key, self.fleet.weight[x] * self.warmth(x));
         let mut fitting: Vec<usize> = self.fleet.all().filter(fits).collect();
         fitting.sort_by(|&a, &b| lot(a).total_cmp(&lot(b)));
-        fitting.truncate(self.wanted(f).ceil().max(2.0) as usize);
+        fitting.truncate(self.wanted(f).max(2.0) as usize);
         fitting.retain(takes);
         // Two of them by chance, in their order.
         while fitting.len() > 2 {
