--- a/src/choice.rs
+++ b/src/choice.rs
@@ -43,6 +43,8 @@
 const COPIES: f64 = 3.0;
 const REPORT_TIME: f64 = 2.0;
 const SAMPLE: f64 = 8.0;
+/// An executor has no room where what waits there takes more of the shortest latency objective than this.
+const QUEUE_MOST: f64 = 1.0;
 /// After this share of the latency objective a silent executor's work is moved, and a suspect tried again.
 const SILENCE: f64 = 0.6;
 /// Pause after a reset or a failed connection before an executor is tried again.
@@ -105,6 +107,9 @@
     mean_backlog: f64,
     /// Own invocations lately.
     lately: Faded,
+    /// Those answered well.
+    answered: Faded,
+    least_objective: f64,
     /// Share of the latest answers by known executors that found no copy.
     stale: f64,
     /// When to subscribe to the roster, where it has to be asked for.
@@ -127,6 +132,8 @@
             mean_value: 0.0,
             mean_backlog: 0.0,
             lately: Faded::default(),
+            answered: Faded::default(),
+            least_objective: terms.trigger_types.iter().map(|t| t.objective).fold(f64::INFINITY, f64::min),
             stale: 0.0,
             taken: Moments::default(),
             orders: Moments::default(),
@@ -588,6 +595,7 @@
 
     fn takes_more(&self, x: usize, part: f64) -> bool {
         self.fleet.inflight(x) < (self.fleet.limit[x] * part).max(1.0)
+            && self.queue_time(x) < QUEUE_MOST * part
             && self.now >= self.fleet.paused[x].until
     }
 
@@ -599,6 +607,13 @@
         (held + 1.0) / (self.fleet.weight[x] * pull)
     }
 
+    /// How long what waits there will take, by what all front ends together are answered: each sees its part.
+    fn queue_time(&self, x: usize) -> f64 {
+        let ready = self.fleet.ready.iter().filter(|&&r| r).count().max(1) as f64;
+        let taken = self.lately.at(self.now, SHARE_TIME) / SHARE_TIME * self.terms.front_ends / ready;
+        self.backlog(x) / taken.max(1.0) / self.least_objective
+    }
+
     /// What it reported waiting; that fades to the mean, which also stands for what was never heard.
     fn backlog(&self, x: usize) -> f64 {
         let (waiting, at) = self.fleet.backlog[x];
@@ -667,6 +682,7 @@
             Ending::Ok => {
                 self.fleet.paused[x].end();
                 self.usual[ty] += NEWEST * (o.took - self.usual[ty]);
+                self.answered.add(1.0, now, CARRY_TIME);
                 self.fleet.carry[x].add(self.usual[ty] / CARRY_TIME, now, CARRY_TIME);
                 let slower = o.took / objective > self.fleet.typical[x];
                 self.fleet.typical[x] *= if slower { TYPICAL_STEP } else { 1.0 / TYPICAL_STEP };
