--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,7 +25,11 @@
 /// and the step by which that is tracked.
 const LIMIT_START: f64 = 5.0;
 const LIMIT_CUT: f64 = 0.6;
-const LIMIT_LEAST: f64 = 3.0;
+const LIMIT_LEAST: f64 = 9.0;
+const LIMIT_GROWTH: f64 = 0.15;
+const LIMIT_MOST: f64 = 10.0;
+/// How long a turn in a rota of the front ends lasts.
+const TURN: f64 = 0.1;
 const TYPICAL_MOST: f64 = 0.3;
 const TYPICAL_STEP: f64 = 1.1;
 /// Weight of the newest value in means over the traffic, and in the note on what peers have in flight.
@@ -110,6 +114,12 @@
     /// Those answered well.
     answered: Faded,
     least_objective: f64,
+    /// What all front ends together may have in flight at an executor; the median of the answer times, in
+    /// latency objectives, that sets it; and when it was last cut.
+    limit: f64,
+    typical: f64,
+    cut_at: f64,
+    limit_at: f64,
     /// Share of the latest answers by known executors that found no copy.
     stale: f64,
     /// When to subscribe to the roster, where it has to be asked for.
@@ -135,6 +145,10 @@
             answered: Faded::default(),
             least_objective: terms.trigger_types.iter().map(|t| t.objective).fold(f64::INFINITY, f64::min),
             stale: 0.0,
+            limit: LIMIT_START,
+            typical: 0.1,
+            cut_at: now,
+            limit_at: now,
             taken: Moments::default(),
             orders: Moments::default(),
             watch_at: now,
@@ -157,10 +171,11 @@
             self.fleet.ready.fill(false);
         }
         for row in rows {
+            let known = self.fleet.ids.len();
             let x = self.fleet.index_of(row);
             self.fleet.ready[x] = row.standing == Standing::Ready;
             self.fleet.weight[x] = if row.weight > 0.0 && row.weight.is_finite() { row.weight } else { 1.0 };
-            if row.since > self.fleet.since[x] || self.fleet.limit[x] == 0.0 {
+            if row.since > self.fleet.since[x] || x == known {
                 self.fleet.since[x] = row.since;
                 self.forget(x);
             }
@@ -465,9 +480,15 @@
         }
         let span = self.now - self.terms.fall - 2.0 * BEAT;
         let slot = ((self.now - self.fleet.since[x]) / self.terms.fall) as u64;
+        let whole = (self.entitled(x, work) + self.turn(x, slot)).floor();
+        self.fleet.sent_since(x, span) / work + 1.0 <= whole
+    }
+
+    /// Its place, from 0 up to 1, in a rota of all front ends for an executor: what is less than one each goes
+    /// round in turns, without any of them knowing of another.
+    fn turn(&self, x: usize, slot: u64) -> f64 {
         let turn = (self.terms.index + self.fleet.lot_number(x, slot)) % self.terms.front_ends;
-        let whole = (self.entitled(x, work) + turn / self.terms.front_ends).floor();
-        self.fleet.sent_since(x, span) / work + 1.0 <= whole + 1e-9
+        turn / self.terms.front_ends + 1e-9
     }
 
     /// A front end's part of a cold executor's budget, in invocations.
@@ -594,7 +615,9 @@
     }
 
     fn takes_more(&self, x: usize, part: f64) -> bool {
-        self.fleet.inflight(x) < (self.fleet.limit[x] * part).max(1.0)
+        let slot = (self.now / TURN) as u64;
+        let limit = (self.limit * part + self.turn(x, slot)).floor();
+        self.fleet.inflight(x) < limit
             && self.queue_time(x) < QUEUE_MOST * part
             && self.now >= self.fleet.paused[x].until
     }
@@ -684,17 +707,18 @@
                 self.usual[ty] += NEWEST * (o.took - self.usual[ty]);
                 self.answered.add(1.0, now, CARRY_TIME);
                 self.fleet.carry[x].add(self.usual[ty] / CARRY_TIME, now, CARRY_TIME);
-                let slower = o.took / objective > self.fleet.typical[x];
-                self.fleet.typical[x] *= if slower { TYPICAL_STEP } else { 1.0 / TYPICAL_STEP };
+                self.typical *= if o.took / objective > self.typical { TYPICAL_STEP } else { 1.0 / TYPICAL_STEP };
                 // By the median: a heavy invocation or one behind a load says nothing of the crowd there.
                 // One cut for what was sent since the last one.
-                let crowded = self.fleet.typical[x] > TYPICAL_MOST;
-                if crowded && done.at > self.fleet.cut_at[x] {
-                    self.fleet.limit[x] = (self.fleet.limit[x] * LIMIT_CUT).max(LIMIT_LEAST);
-                    self.fleet.cut_at[x] = now;
-                } else if !crowded && self.fleet.inflight(x) * 2.0 >= self.fleet.limit[x] {
-                    self.fleet.limit[x] += 1.0 / self.fleet.limit[x];
+                let crowded = self.typical > TYPICAL_MOST;
+                if crowded && done.at > self.cut_at {
+                    self.limit = (self.limit * LIMIT_CUT).max(LIMIT_LEAST / self.terms.front_ends);
+                    self.cut_at = now;
+                } else if !crowded {
+                    self.limit *= (LIMIT_GROWTH * (now - self.limit_at)).exp();
+                    self.limit = self.limit.min(LIMIT_MOST);
                 }
+                self.limit_at = now;
                 o.took / self.usual[ty].max(1e-6)
             }
             Ending::Error if o.found == Found::LoadFailed => return,
@@ -703,8 +727,6 @@
                 // Guards against storms into executors that turn everything away: crowded, draining before
                 // the roster says so, or without memory. Harms little where one function alone was refused.
                 self.fleet.paused[x].grow(now, FULL_PAUSE, FULL_DOUBLINGS);
-                self.fleet.limit[x] =
-                    (self.fleet.inflight(x) * LIMIT_CUT).clamp(LIMIT_LEAST, self.fleet.limit[x]);
                 return;
             }
             Ending::Cancelled | Ending::NeverSent | Ending::Miss => return,
@@ -756,7 +778,7 @@
     /// An executor that restarted, drains or is gone: all that was known of it is void.
     fn forget(&mut self, x: usize) {
         self.book.functions.iter_mut().for_each(|f| f.evict(x));
-        self.fleet.forget(x, LIMIT_START, self.now);
+        self.fleet.forget(x);
     }
 
     // ---- What is known of functions and invocations ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,13 +17,9 @@
     pub since: Vec<f64>,
     /// Own dispatches out there: the invocation's slot and when it was sent.
     pub out: Vec<Vec<(usize, f64)>>,
-    pub limit: Vec<f64>,
     /// Own orders to load that are out there.
     pub loading: Vec<u32>,
     pub heard: Vec<f64>,
-    /// Tracks the median of the answer times, in latency objectives.
-    pub typical: Vec<f64>,
-    pub cut_at: Vec<f64>,
     /// What answers 'full' ask for: to dispatches, and to orders to load.
     pub paused: Vec<Pause>,
     pub loads_paused: Vec<Pause>,
@@ -57,11 +53,8 @@
         self.weight.push(1.0);
         self.since.push(f64::NEG_INFINITY);
         self.out.push(vec![]);
-        self.limit.push(0.0);
         self.loading.push(0);
         self.heard.push(f64::NEG_INFINITY);
-        self.typical.push(0.0);
-        self.cut_at.push(f64::NEG_INFINITY);
         self.paused.push(Pause::default());
         self.loads_paused.push(Pause::default());
         self.backlog.push((0.0, f64::NEG_INFINITY));
@@ -75,13 +68,10 @@
     }
 
     /// Voids what was heard of an executor. What is out there still counts, and so does what was sent.
-    pub fn forget(&mut self, x: usize, limit: f64, now: f64) {
-        self.limit[x] = limit;
+    pub fn forget(&mut self, x: usize) {
         self.backlog[x] = (0.0, f64::NEG_INFINITY);
         self.paused[x] = Pause::default();
         self.loads_paused[x] = Pause::default();
-        self.typical[x] = 0.1;
-        self.cut_at[x] = now;
         self.answers[x].clear();
         self.suspect[x] = false;
         self.carry[x] = Faded::default();
