--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,8 +47,6 @@
 const COPIES: f64 = 3.0;
 const REPORT_TIME: f64 = 2.0;
 const SAMPLE: f64 = 8.0;
-/// An executor has no room where what waits there takes more of the shortest latency objective than this.
-const QUEUE_MOST: f64 = 1.0;
 /// After this share of the latency objective a silent executor's work is moved, and a suspect tried again.
 const SILENCE: f64 = 0.6;
 /// Pause after a reset or a failed connection before an executor is tried again.
@@ -111,9 +109,6 @@
     mean_backlog: f64,
     /// Own invocations lately.
     lately: Faded,
-    /// Those answered well.
-    answered: Faded,
-    least_objective: f64,
     /// What all front ends together may have in flight at an executor; the median of the answer times, in
     /// latency objectives, that sets it; and when it was last cut.
     limit: f64,
@@ -142,8 +137,6 @@
             mean_value: 0.0,
             mean_backlog: 0.0,
             lately: Faded::default(),
-            answered: Faded::default(),
-            least_objective: terms.trigger_types.iter().map(|t| t.objective).fold(f64::INFINITY, f64::min),
             stale: 0.0,
             limit: LIMIT_START,
             typical: 0.1,
@@ -618,7 +611,6 @@
         let slot = (self.now / TURN) as u64;
         let limit = (self.limit * part + self.turn(x, slot)).floor();
         self.fleet.inflight(x) < limit
-            && self.queue_time(x) < QUEUE_MOST * part
             && self.now >= self.fleet.paused[x].until
     }
 
@@ -630,13 +622,6 @@
         (held + 1.0) / (self.fleet.weight[x] * pull)
     }
 
-    /// How long what waits there will take, by what all front ends together are answered: each sees its part.
-    fn queue_time(&self, x: usize) -> f64 {
-        let ready = self.fleet.ready.iter().filter(|&&r| r).count().max(1) as f64;
-        let taken = self.lately.at(self.now, SHARE_TIME) / SHARE_TIME * self.terms.front_ends / ready;
-        self.backlog(x) / taken.max(1.0) / self.least_objective
-    }
-
     /// What it reported waiting; that fades to the mean, which also stands for what was never heard.
     fn backlog(&self, x: usize) -> f64 {
         let (waiting, at) = self.fleet.backlog[x];
@@ -705,7 +690,6 @@
             Ending::Ok => {
                 self.fleet.paused[x].end();
                 self.usual[ty] += NEWEST * (o.took - self.usual[ty]);
-                self.answered.add(1.0, now, CARRY_TIME);
                 self.fleet.carry[x].add(self.usual[ty] / CARRY_TIME, now, CARRY_TIME);
                 self.typical *= if o.took / objective > self.typical { TYPICAL_STEP } else { 1.0 / TYPICAL_STEP };
                 // By the median: a heavy invocation or one behind a load says nothing of the crowd there.
