--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,7 +45,7 @@
 /// time in which a report fades.
 const SHARE_TIME: f64 = 8.0;
 const COPIES: f64 = 3.0;
-const REPORT_TIME: f64 = 2.0;
+const REPORT_TIME: f64 = 10.0;
 const SAMPLE: f64 = 8.0;
 /// After this share of the latency objective a silent executor's work is moved, and a suspect tried again.
 const SILENCE: f64 = 0.6;
