--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,6 +47,8 @@
 const COPIES: f64 = 3.0;
 const REPORT_TIME: f64 = 10.0;
 const SAMPLE: f64 = 8.0;
+/// Invocations of one function that an executor should hold.
+const CROWD: f64 = 2.0;
 /// After this share of the latency objective a silent executor's work is moved, and a suspect tried again.
 const SILENCE: f64 = 0.6;
 /// Pause after a reset or a failed connection before an executor is tried again.
@@ -218,12 +220,14 @@
         }
         self.learn(x, ty, &done, o);
         let until = now + self.cache_time();
+        let (wanted, mut crowd) = (self.wanted(f), None);
         let function = &mut self.book.functions[f];
         match o.ending {
             Ending::Ok if self.fleet.ready[x] => {
                 let own = function.inflight(&self.book.invs, x);
                 let known = function.know(x, now, until);
                 if self.terms.tells_crowd {
+                    crowd = Some(f64::from(o.crowd));
                     known.others += CROWD_SHARE * ((f64::from(o.crowd) - own).max(0.0) - known.others);
                 }
             }
@@ -231,6 +235,10 @@
             Ending::TimedOut | Ending::ConnectFailed | Ending::Reset | Ending::Miss => function.evict(x),
             Ending::Ok | Ending::Error | Ending::Cancelled | Ending::NeverSent => {}
         }
+        if let Some(crowd) = crowd {
+            function.heard += 1.0;
+            function.everywhere += CROWD_SHARE.max(1.0 / function.heard) * (crowd * wanted - function.everywhere);
+        }
         if done.places {
             self.placed(f, x, false, o.ending == Ending::Ok);
         }
@@ -577,7 +585,8 @@
     fn wanted(&self, f: usize) -> f64 {
         let seen = (self.book.functions[f].taken.at(self.now, SHARE_TIME) - 1.0).max(0.0);
         let ready = self.fleet.ready.iter().filter(|&&r| r).count() as f64;
-        1.0 + COPIES * ready * seen / (self.lately.at(self.now, SHARE_TIME) + SAMPLE)
+        let by_traffic = COPIES * ready * seen / (self.lately.at(self.now, SHARE_TIME) + SAMPLE);
+        (1.0 + by_traffic.max(self.book.functions[f].everywhere / CROWD)).min(ready)
     }
 
     /// A suspect is tried with one idempotent invocation at a time.
--- a/src/state.rs
+++ b/src/state.rs
@@ -265,6 +265,10 @@
     pub next_at: f64,
     pub last_warm: Option<(usize, f64)>,
     pub used: f64,
+    /// What all executors are told to hold of it.
+    pub everywhere: f64,
+    /// How often that was told.
+    pub heard: f64,
     /// Own invocations of it lately.
     pub taken: Faded,
 }
