--- a/src/choice.rs
+++ b/src/choice.rs
@@ -193,8 +193,10 @@
         let objective = (ty.objective + ty.stretch * inv.work.unwrap_or(0.0)).min(ty.timeout);
         let value = self.value(inv);
         self.mean_value += NEWEST * (value - self.mean_value);
-        let (id, ty, timeout_at, objective_at) = (inv.id, inv.trigger_type, inv.timeout_at, now + objective);
-        let i = self.book.add(Inv { id, ty, f, value, timeout_at, objective_at, ..Inv::default() });
+        let (id, ty, timeout_at) = (inv.id, inv.trigger_type, inv.timeout_at);
+        // What counts is the lesser of the latency objective and the client timeout.
+        let objective_at = (now + objective).min(timeout_at);
+        let i = self.book.add(Inv { id, ty, f, value, timeout_at, objective_at, patience: objective_at - now, ..Inv::default() });
         self.book.functions[f].used = now;
         self.book.functions[f].taken.add(1.0, now, SHARE_TIME);
         self.lately.add(1.0, now, SHARE_TIME);
@@ -232,6 +234,8 @@
                 }
             }
             Ending::Full => function.known.iter_mut().filter(|k| k.x == x).for_each(|k| k.full = true),
+            // A client that left early tells nothing of the copy.
+            Ending::TimedOut if o.took < SILENCE * self.terms.trigger_types[ty].objective => {}
             Ending::TimedOut | Ending::ConnectFailed | Ending::Reset | Ending::Miss => function.evict(x),
             Ending::Ok | Ending::Error | Ending::Cancelled | Ending::NeverSent => {}
         }
@@ -327,8 +331,8 @@
         let hopeless = |&&i: &&usize| {
             let inv = &self.book.invs[i];
             let known = self.book.functions[f].known.iter().any(|k| k.until > self.now);
-            // Half the objective at the most: an estimate that throttled everything would never be put right.
-            let left = self.usual[inv.ty].min(0.5 * self.terms.trigger_types[inv.ty].objective);
+            // Half the patience at the most: an estimate that throttled everything would never be put right.
+            let left = self.usual[inv.ty].min(0.5 * inv.patience);
             let late = known && self.now + left > inv.objective_at;
             inv.sent >= self.terms.max_dispatches
                 || self.now + 2.0 * self.beat() >= inv.timeout_at
@@ -715,7 +719,9 @@
                 o.took / self.usual[ty].max(1e-6)
             }
             Ending::Error if o.found == Found::LoadFailed => return,
-            Ending::Error | Ending::TimedOut | Ending::Reset | Ending::ConnectFailed => FAILURE,
+            // A client's early leaving is no executor's fault: it says that the answer would take so long.
+            Ending::TimedOut => (o.took / self.usual[ty].max(1e-6)).min(FAILURE),
+            Ending::Error | Ending::Reset | Ending::ConnectFailed => FAILURE,
             Ending::Full => {
                 // Guards against storms into executors that turn everything away: crowded, draining before
                 // the roster says so, or without memory. Harms little where one function alone was refused.
--- a/src/state.rs
+++ b/src/state.rs
@@ -223,6 +223,8 @@
     pub f: usize,
     pub timeout_at: f64,
     pub objective_at: f64,
+    /// From its arrival to the end of the objective or of the client's patience.
+    pub patience: f64,
     pub sent: u8,
     pub out: Vec<Out>,
     /// The earliest ended dispatch that may have run: where and when it was sent.
