--- a/src/choice.rs
+++ b/src/choice.rs
@@ -60,6 +60,8 @@
 const FULL_DOUBLINGS: i32 = 4;
 /// Backoff of a failed placement, and its growth.
 const BACKOFF: f64 = 0.1;
+/// So many times less busy the second of two drawn has to be.
+const SECOND: f64 = 2.0;
 const BACKOFF_GROWTH: f64 = 1.1;
 /// Load time where none is told; a placement is given so many of them before a second one is tried.
 const LOAD_TIME: f64 = 1.0;
@@ -677,7 +679,7 @@
         while fitting.len() > 2 {
             fitting.remove((self.chance.unit() * fitting.len() as f64) as usize);
         }
-        fitting.into_iter().reduce(|a, b| if self.busy(b) + 1.0 < self.busy(a) { b } else { a })
+        fitting.into_iter().reduce(|a, b| if SECOND * self.busy(b) < self.busy(a) { b } else { a })
     }
 
     // ---- What is known of executors ----
