Take executors that broke off, and a location where none answers, for cold ones for 8 s

Cause: front ends send to executors that restarted before the roster tells, and push them over: a guard of its own beside the roster. Also covers links cut to one location; it could harm where single connections fail on healthy executors, for 8 s.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,6 +53,8 @@
 const SILENCE: f64 = 0.6;
 /// Pause after a reset or a failed connection before an executor is tried again.
 const DISTRUST: f64 = 1.0;
+/// After that, what answers again may be as cold as one just started, for so long.
+const BROKEN_FOR: f64 = 8.0;
 /// Orders to load that one front end has out at an executor.
 const LOADS_EACH: u32 = 5;
 /// Pause after an answer 'full', and how often it doubles while nothing else comes.
@@ -219,7 +221,7 @@
             self.mean_backlog += NEWEST * (waiting - self.mean_backlog);
             self.fleet.backlog[x] = (waiting, now);
         }
-        if o.ending != Ending::TimedOut && o.ending != Ending::Cancelled {
+        if !matches!(o.ending, Ending::TimedOut | Ending::Cancelled | Ending::ConnectFailed | Ending::Reset) {
             self.fleet.heard[x] = now;
         }
         self.learn(x, ty, &done, o);
@@ -486,7 +488,7 @@
             return true;
         }
         let span = self.now - self.terms.fall - 2.0 * BEAT;
-        let slot = ((self.now - self.fleet.since[x]) / self.terms.fall) as u64;
+        let slot = (self.now / self.terms.fall) as u64;
         let whole = (self.entitled(x, work) + self.turn(x, slot)).floor();
         self.fleet.sent_since(x, span) / work + 1.0 <= whole
     }
@@ -686,6 +688,7 @@
 
     fn warmth(&self, x: usize) -> f64 {
         let risen = ((self.now - self.fleet.since[x]) / self.terms.cold).clamp(0.0, 1.0);
+        let risen = if self.now < self.fleet.broke_at[x] + BROKEN_FOR { 0.0 } else { risen };
         if risen >= 1.0 { 1.0 } else { self.terms.cold_from + (1.0 - self.terms.cold_from) * risen }
     }
 
@@ -740,8 +743,18 @@
         }
     }
 
-    /// An executor that broke off or took no connection is suspect at once, whatever the roster says.
+    /// An executor that broke off or took no connection is suspect at once, whatever the roster says. What
+    /// answers next may have just started: guards against all front ends pushing it over before they are told.
     fn distrust(&mut self, x: usize) {
+        self.fleet.broke_at[x] = self.now;
+        // Where two in a location broke and none of it was heard since, the rest of it is as doubtful.
+        let (now, zone) = (self.now, self.fleet.zone[x]);
+        let fellows: Vec<usize> = self.fleet.all().filter(|&y| self.fleet.zone[y] == zone).collect();
+        let broke = |&&y: &&usize| now < self.fleet.broke_at[y] + BROKEN_FOR && self.fleet.ready[y];
+        let first = fellows.iter().filter(broke).map(|&y| self.fleet.broke_at[y]).fold(now, f64::min);
+        if first < now && fellows.iter().all(|&y| self.fleet.heard[y] <= first) {
+            fellows.iter().for_each(|&y| self.fleet.broke_at[y] = now);
+        }
         self.fleet.answers[x].clear();
         self.fleet.answers[x].extend([(self.now, FAILURE); LEAST_JUDGED]);
         self.fleet.trial_at[x] = self.now + DISTRUST;
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,6 +20,8 @@
     /// Own orders to load that are out there.
     pub loading: Vec<u32>,
     pub heard: Vec<f64>,
+    /// When it last broke off or took no connection.
+    pub broke_at: Vec<f64>,
     /// What answers 'full' ask for: to dispatches, and to orders to load.
     pub paused: Vec<Pause>,
     pub loads_paused: Vec<Pause>,
@@ -55,6 +57,7 @@
         self.out.push(vec![]);
         self.loading.push(0);
         self.heard.push(f64::NEG_INFINITY);
+        self.broke_at.push(f64::NEG_INFINITY);
         self.paused.push(Pause::default());
         self.loads_paused.push(Pause::default());
         self.backlog.push((0.0, f64::NEG_INFINITY));
