--- a/src/choice.rs
+++ b/src/choice.rs
@@ -71,10 +71,6 @@
 /// Cache time, as a share of the time an idle copy stays; and where no such time is told.
 const CACHE_SHARE: f64 = 0.85;
 const CACHE_TIME: f64 = 5.0;
-/// A function is kept loaded by orders, so long before its last entry ends, for so many cache times after its
-/// last invocation.
-const RENEW_AHEAD: f64 = 0.5;
-const RENEWED_FOR: f64 = 3.0;
 /// Part of the cold budget that is used, for peers that know less and for jitter on the way.
 const COLD_MARGIN: f64 = 0.8;
 /// Time constant of the work rate that an executor is seen to carry.
@@ -84,7 +80,7 @@
 const STAY_AWAY: f64 = 0.25;
 
 type Rule = fn(&mut Choice, usize, &mut dyn Answers) -> bool;
-const RULES: [Rule; 7] = [
+const RULES: [Rule; 6] = [
     Choice::give_up,
     // The least busy known executor with room gets the invocation.
     |c, f, out| c.send_to_known(f, true, out),
@@ -93,7 +89,6 @@
     // While a placement is under way the rest go to the least busy known executor.
     |c, f, out| c.send_to_known(f, false, out),
     Choice::move_from_slow,
-    Choice::renew,
 ];
 
 pub struct Choice {
@@ -201,7 +196,6 @@
         // What counts is the lesser of the latency objective and the client timeout.
         let objective_at = (now + objective).min(timeout_at);
         let i = self.book.add(Inv { id, ty, f, value, timeout_at, objective_at, patience: objective_at - now, ..Inv::default() });
-        self.book.functions[f].used = now;
         self.book.functions[f].taken.add(1.0, now, SHARE_TIME);
         self.lately.add(1.0, now, SHARE_TIME);
         self.book.wait(i);
@@ -436,21 +430,6 @@
         false
     }
 
-    /// The last copy known of a function still in use is kept loaded by an order.
-    fn renew(&mut self, f: usize, out: &mut dyn Answers) -> bool {
-        let function = &self.book.functions[f];
-        if !self.terms.orders || self.now > function.used + RENEWED_FOR * self.cache_time() {
-            return false;
-        }
-        let [k] = function.known.as_slice() else { return false };
-        let (x, due) = (k.x, k.until - RENEW_AHEAD);
-        if k.renewing || self.now < due || self.fleet.suspect[x] || !self.order(f, x, out) {
-            return false;
-        }
-        self.book.functions[f].known[0].renewing = true;
-        true
-    }
-
     // ---- What every send and every final answer passes ----
 
     /// Effects, drains and cold executors: no dispatch goes out but through here.
--- a/src/state.rs
+++ b/src/state.rs
@@ -243,7 +243,6 @@
     pub x: usize,
     pub until: f64,
     pub full: bool,
-    pub renewing: bool,
     /// What peers have in flight there, where told.
     pub others: f64,
 }
@@ -269,7 +268,6 @@
     pub tries: i32,
     pub next_at: f64,
     pub last_warm: Option<(usize, f64)>,
-    pub used: f64,
     /// What all executors are told to hold of it.
     pub everywhere: f64,
     /// How often that was told.
@@ -289,7 +287,7 @@
         self.last_warm = Some((x, now));
         let at = self.known.iter().position(|k| k.x == x);
         let others = at.map_or(0.0, |at| self.known.swap_remove(at).others);
-        self.known.push(Known { x, until, full: false, renewing: false, others });
+        self.known.push(Known { x, until, full: false, others });
         self.known.last_mut().expect("an entry was pushed")
     }
 
