--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,7 +44,7 @@
 /// Time over which parts of the traffic are taken, copies for each executor that a part would fill, and the
 /// time in which a report fades.
 const SHARE_TIME: f64 = 8.0;
-const COPIES: f64 = 2.0;
+const COPIES: f64 = 1.3;
 const REPORT_TIME: f64 = 10.0;
 const SAMPLE: f64 = 8.0;
 /// Invocations of one function that an executor should hold.
