--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,10 +37,8 @@
 const CROWD_SHARE: f64 = 0.3;
 /// Seconds of a customer's share that may be saved up.
 const SHARE_BURST: f64 = 2.0;
-/// A copy more is loaded, lanes left elsewhere, where an executor is this many times less busy; none is where
-/// this share of the answers from known executors finds none loaded: copies then drive out copies.
+/// A copy more is loaded, lanes left elsewhere, where an executor is this many times less busy.
 const SPREAD: f64 = 3.0;
-const STALE_MOST: f64 = 0.1;
 /// Time over which parts of the traffic are taken, copies for each executor that a part would fill, and the
 /// time in which a report fades.
 const SHARE_TIME: f64 = 8.0;
@@ -116,8 +114,6 @@
     typical: f64,
     cut_at: f64,
     limit_at: f64,
-    /// Share of the latest answers by known executors that found no copy.
-    stale: f64,
     /// When to subscribe to the roster, where it has to be asked for.
     watch_at: f64,
 }
@@ -138,7 +134,6 @@
             mean_value: 0.0,
             mean_backlog: 0.0,
             lately: Faded::default(),
-            stale: 0.0,
             limit: LIMIT_START,
             typical: 0.1,
             cut_at: now,
@@ -386,10 +381,10 @@
         let part = self.part(i);
         let Some(x) = self.placement_target(f, part) else { return false };
         let function = &self.book.functions[f];
-        // Guards against copies for what only crowding holds up, and against copies that drive out copies.
+        // Guards against copies for what only crowding holds up.
         let known = |k: &&Known| self.fleet.ready[k.x] && !self.fleet.suspect[k.x];
         let serves = |k: &Known| self.has_lane(f, k) && self.busy(k.x) < SPREAD * self.busy(x);
-        if function.known.iter().filter(known).any(|k| self.stale > STALE_MOST || serves(k)) {
+        if function.known.iter().filter(known).any(serves) {
             return false;
         }
         let by_order = self.terms.orders && self.order(f, x, out);
@@ -679,9 +674,6 @@
         let now = self.now;
         let loaded = done.places || matches!(o.found, Found::Loaded | Found::Waited | Found::LoadFailed);
         let objective = self.terms.trigger_types[ty].objective;
-        if o.ending == Ending::Ok && !done.places {
-            self.stale += NEWEST * (f64::from(u8::from(loaded)) - self.stale);
-        }
         let sample = match o.ending {
             Ending::Ok if loaded => return,
             Ending::Ok => {
