--- a/src/choice.rs
+++ b/src/choice.rs
@@ -219,11 +219,9 @@
         let function = &mut self.book.functions[f];
         match o.ending {
             Ending::Ok if self.fleet.ready[x] => {
-                let own = function.inflight(&self.book.invs, x);
-                let known = function.know(x, now, until);
+                function.know(x, now, until);
                 if self.terms.tells_crowd {
                     crowd = Some(f64::from(o.crowd));
-                    known.others += CROWD_SHARE * ((f64::from(o.crowd) - own).max(0.0) - known.others);
                 }
             }
             Ending::Full => function.known.iter_mut().filter(|k| k.x == x).for_each(|k| k.full = true),
@@ -558,7 +556,7 @@
     /// Room: own in-flight, and what peers are told to hold there, below the lanes of the copies.
     fn has_lane(&self, f: usize, k: &Known) -> bool {
         let function = &self.book.functions[f];
-        let held = function.inflight(&self.book.invs, k.x) + k.others;
+        let held = function.inflight(&self.book.invs, k.x);
         !k.full && held < function.lanes && (function.known.len() as f64) + 1.0 > self.wanted(f)
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -243,8 +243,6 @@
     pub x: usize,
     pub until: f64,
     pub full: bool,
-    /// What peers have in flight there, where told.
-    pub others: f64,
 }
 
 pub struct Placement {
@@ -283,12 +281,10 @@
     }
 
     /// Sets or renews an entry.
-    pub fn know(&mut self, x: usize, now: f64, until: f64) -> &mut Known {
+    pub fn know(&mut self, x: usize, now: f64, until: f64) {
         self.last_warm = Some((x, now));
-        let at = self.known.iter().position(|k| k.x == x);
-        let others = at.map_or(0.0, |at| self.known.swap_remove(at).others);
-        self.known.push(Known { x, until, full: false, others });
-        self.known.last_mut().expect("an entry was pushed")
+        self.known.retain(|k| k.x != x);
+        self.known.push(Known { x, until, full: false });
     }
 
     pub fn evict(&mut self, x: usize) {
