--- a/src/choice.rs
+++ b/src/choice.rs
@@ -678,23 +678,17 @@
                 self.fleet.paused[x].end();
                 self.usual[ty] += NEWEST * (o.took - self.usual[ty]);
                 self.fleet.carry[x].add(self.usual[ty] / CARRY_TIME, now, CARRY_TIME);
-                self.typical *= if o.took / objective > self.typical { TYPICAL_STEP } else { 1.0 / TYPICAL_STEP };
-                // By the median: a heavy invocation or one behind a load says nothing of the crowd there.
-                // One cut for what was sent since the last one.
-                let crowded = self.typical > TYPICAL_MOST;
-                if crowded && done.at > self.cut_at {
-                    self.limit = (self.limit * LIMIT_CUT).max(LIMIT_LEAST / self.terms.front_ends);
-                    self.cut_at = now;
-                } else if !crowded {
-                    self.limit *= (LIMIT_GROWTH * (now - self.limit_at)).exp();
-                    self.limit = self.limit.min(LIMIT_MOST);
-                }
-                self.limit_at = now;
+                self.gauge(o.took / objective, done.at);
                 o.took / self.usual[ty].max(1e-6)
             }
             Ending::Error if o.found == Found::LoadFailed => return,
             // A client's early leaving is no executor's fault: it says that the answer would take so long.
-            Ending::TimedOut => (o.took / self.usual[ty].max(1e-6)).min(FAILURE),
+            Ending::TimedOut => {
+                if o.took / objective > self.typical {
+                    self.gauge(o.took / objective, done.at);
+                }
+                (o.took / self.usual[ty].max(1e-6)).min(FAILURE)
+            }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => FAILURE,
             Ending::Full => {
                 // Guards against storms into executors that turn everything away: crowded, draining before
@@ -712,6 +706,21 @@
         }
     }
 
+    /// The shared limit goes by the median answer time: a heavy invocation or one behind a load says nothing of
+    /// the crowd. One cut for what was sent since the last one. Guards against overload and executors slowed for
+    /// everyone; it could harm where work is long by nature, near its objective.
+    fn gauge(&mut self, time: f64, sent_at: f64) {
+        self.typical *= if time > self.typical { TYPICAL_STEP } else { 1.0 / TYPICAL_STEP };
+        if self.typical <= TYPICAL_MOST {
+            let grown = self.limit * (LIMIT_GROWTH * (self.now - self.limit_at)).exp();
+            self.limit = grown.min(LIMIT_MOST);
+        } else if sent_at > self.cut_at {
+            self.limit = (self.limit * LIMIT_CUT).max(LIMIT_LEAST / self.terms.front_ends);
+            self.cut_at = self.now;
+        }
+        self.limit_at = self.now;
+    }
+
     /// An executor that broke off or took no connection is suspect at once, whatever the roster says. What
     /// answers next may have just started: guards against all front ends pushing it over before they are told.
     fn distrust(&mut self, x: usize) {
