--- a/src/choice.rs
+++ b/src/choice.rs
@@ -37,6 +37,8 @@
 const CROWD_SHARE: f64 = 0.3;
 /// Seconds of a customer's share that may be saved up.
 const SHARE_BURST: f64 = 2.0;
+const SHARE_SAMPLE: f64 = 5.0;
+const REPEAT_COST: f64 = 0.33;
 /// A copy more is loaded, lanes left elsewhere, where an executor is this many times less busy.
 const SPREAD: f64 = 3.0;
 /// Time over which parts of the traffic are taken, copies for each executor that a part would fill, and the
@@ -130,7 +132,7 @@
             fleet: Fleet::default(),
             book: Book::default(),
             touched: vec![],
-            shares: terms.quotas.iter().map(|_| Allowance { left: 0.0, at: now - SHARE_BURST }).collect(),
+            shares: terms.quotas.iter().map(|_| Allowance { left: f64::INFINITY, at: now }).collect(),
             mean_value: 0.0,
             mean_backlog: 0.0,
             lately: Faded::default(),
@@ -576,14 +578,19 @@
     }
 
     /// What an invocation is billed for a unit of work; little where its customer is past its share. A
-    /// client's repeat takes no share anew, or throttling would use up what it makes clients ask for again.
+    /// client's repeat takes a part of one, and only of what first tries leave: guards the others' shares, and
+    /// its own first tries, against clients that repeat without end.
     fn value(&mut self, inv: &Invocation) -> f64 {
         let ty = &self.terms.trigger_types[inv.trigger_type];
         let work = if self.terms.value_by_work { 1.0 } else { self.usual[inv.trigger_type].max(1e-6) };
         let quota = self.terms.quotas.get(inv.customer).map(|q| q / self.terms.front_ends);
         let now = self.now;
-        let within =
-            quota.is_none_or(|q| self.shares[inv.customer].take(now, q, SHARE_BURST * q, inv.repeat));
+        // A few seen tell little: the less of a share falls to one front end, the more of it may be saved up.
+        let within = quota.is_none_or(|q| {
+            let most = SHARE_BURST * q + SHARE_SAMPLE * q.sqrt();
+            let (cost, least) = if inv.repeat { (REPEAT_COST, most / 2.0) } else { (1.0, 1.0) };
+            self.shares[inv.customer].take(now, q, most, cost, least)
+        });
         ty.billed_value / work * if within { 1.0 } else { self.terms.over_share_value }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -156,12 +156,12 @@
 }
 
 impl Allowance {
-    /// Whether one is left; it is taken unless `look` says only to look.
-    pub fn take(&mut self, now: f64, rate: f64, most: f64, look: bool) -> bool {
+    /// Takes a cost where so much at the least is left, and tells whether it was.
+    pub fn take(&mut self, now: f64, rate: f64, most: f64, cost: f64, least: f64) -> bool {
         self.left = (self.left + (now - self.at) * rate).min(most);
         self.at = now;
-        let granted = self.left >= 1.0;
-        self.left -= if granted && !look { 1.0 } else { 0.0 };
+        let granted = self.left >= least;
+        self.left -= if granted { cost } else { 0.0 };
         granted
     }
 }
