--- a/src/choice.rs
+++ b/src/choice.rs
@@ -96,6 +96,7 @@
     chance: Chance,
     seed: u64,
     now: f64,
+    started: f64,
     beats: u64,
     fleet: Fleet,
     book: Book,
@@ -128,6 +129,7 @@
             chance: Chance::new(seed),
             seed,
             now,
+            started: now,
             beats: 0,
             fleet: Fleet::default(),
             book: Book::default(),
@@ -769,7 +771,9 @@
             let warm = |x: &usize| self.fleet.kind[*x] == kind && self.is_warm(*x) && !self.fleet.suspect[*x];
             let fellows: Vec<usize> = self.fleet.all().filter(warm).collect();
             let rates = fellows.iter().map(|&x| self.fleet.carry[x].at(now, CARRY_TIME));
-            let mean = rates.sum::<f64>() / fellows.len().max(1) as f64;
+            // One just started has seen a part of the time only.
+            let seen = 1.0 - (-(now - self.started) / CARRY_TIME).exp();
+            let mean = rates.sum::<f64>() / fellows.len().max(1) as f64 / seen.max(0.1);
             self.fleet.carried[kind] = (self.fleet.carried[kind] * CARRIED_KEPT).max(mean);
         }
     }
