--- a/src/choice.rs
+++ b/src/choice.rs
@@ -80,11 +80,10 @@
 const STAY_AWAY: f64 = 0.25;
 
 type Rule = fn(&mut Choice, usize, &mut dyn Answers) -> bool;
-const RULES: [Rule; 6] = [
+const RULES: [Rule; 5] = [
     Choice::give_up,
     // The least busy known executor with room gets the invocation.
     |c, f, out| c.send_to_known(f, true, out),
-    Choice::send_within_group,
     Choice::place,
     // While a placement is under way the rest go to the least busy known executor.
     |c, f, out| c.send_to_known(f, false, out),
@@ -347,21 +346,7 @@
         found.is_some_and(|(i, x)| self.dispatch(i, x, false, out))
     }
 
-    /// A tokened invocation that may have run is bound to its group, whatever is known elsewhere.
-    fn send_within_group(&mut self, f: usize, out: &mut dyn Answers) -> bool {
-        for n in 0..self.book.functions[f].waiting.len() {
-            let i = self.book.functions[f].waiting[n];
-            if self.bound(i) {
-                let group =
-                    self.fleet.all().filter(|&x| !self.fleet.suspect[x] && self.allows_dispatch(i, x));
-                if let Some(x) = group.min_by(|&a, &b| self.busy(a).total_cmp(&self.busy(b))) {
-                    return self.dispatch(i, x, false, out);
-                }
-            }
-        }
-        false
-    }
-
+    /// A tokened invocation that may have run is bound to its group.
     fn bound(&self, i: usize) -> bool {
         let inv = &self.book.invs[i];
         inv.ran.is_some() && self.terms.trigger_types[inv.ty].effect == Effect::Tokened
@@ -614,10 +599,7 @@
 
     fn busy(&self, x: usize) -> f64 {
         let held = self.fleet.inflight(x) + self.backlog(x);
-        // Where a cold one's budget goes round in turns, who has a turn takes it up.
-        let typical = self.usual.iter().sum::<f64>() / self.usual.len() as f64;
-        let pull = (self.warmth(x) / self.entitled(x, typical).min(1.0)).min(1.0);
-        (held + 1.0) / (self.fleet.weight[x] * pull)
+        (held + 1.0) / (self.fleet.weight[x] * self.warmth(x))
     }
 
     /// What it reported waiting; that fades to the mean, which also stands for what was never heard.
