--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,8 +55,6 @@
 const DISTRUST: f64 = 1.0;
 /// After that, what answers again may be as cold as one just started, for so long.
 const BROKEN_FOR: f64 = 8.0;
-/// Orders to load that one front end has out at an executor.
-const LOADS_EACH: u32 = 5;
 /// Pause after an answer 'full', and how often it doubles while nothing else comes.
 const FULL_PAUSE: f64 = 0.1;
 const FULL_DOUBLINGS: i32 = 4;
@@ -193,7 +191,16 @@
         let (id, ty, timeout_at) = (inv.id, inv.trigger_type, inv.timeout_at);
         // What counts is the lesser of the latency objective and the client timeout.
         let objective_at = (now + objective).min(timeout_at);
-        let i = self.book.add(Inv { id, ty, f, value, timeout_at, objective_at, patience: objective_at - now, ..Inv::default() });
+        let i = self.book.add(Inv {
+            id,
+            ty,
+            f,
+            value,
+            timeout_at,
+            objective_at,
+            patience: objective_at - now,
+            ..Inv::default()
+        });
         self.book.functions[f].taken.add(1.0, now, SHARE_TIME);
         self.lately.add(1.0, now, SHARE_TIME);
         self.book.wait(i);
@@ -235,7 +242,8 @@
         }
         if let Some(crowd) = crowd {
             function.heard += 1.0;
-            function.everywhere += CROWD_SHARE.max(1.0 / function.heard) * (crowd * wanted - function.everywhere);
+            function.everywhere +=
+                CROWD_SHARE.max(1.0 / function.heard) * (crowd * wanted - function.everywhere);
         }
         if done.places {
             self.placed(f, x, false, o.ending == Ending::Ok);
@@ -244,7 +252,6 @@
         if !o.ending.never_ran() && inv.ran.is_none_or(|(_, at)| done.at < at) {
             inv.ran = Some((x, done.at));
         }
-        inv.avoid = Some(x);
         if o.closed || o.ending == Ending::Ok {
             self.close(i, out);
         } else if inv.out.is_empty() && !inv.closed {
@@ -279,7 +286,6 @@
         self.now = now;
         let Some(&f) = self.book.function_index.get(&key) else { return };
         let Some(&x) = self.fleet.index.get(&at) else { return };
-        self.fleet.loading[x] = self.fleet.loading[x].saturating_sub(1);
         // Guards against orders repeated to one that has no room, a queue of loads, or drains untold.
         match ending {
             Ending::Full => self.fleet.loads_paused[x].grow(now, FULL_PAUSE, FULL_DOUBLINGS),
@@ -498,7 +504,6 @@
             }
             self.orders.add(self.now);
         }
-        self.fleet.loading[x] += 1;
         out.hold(self.fleet.ids[x], self.book.functions[f].key, 1);
         true
     }
@@ -537,9 +542,9 @@
                 && (!self.fleet.suspect[k.x] || self.may_try(i, k.x))
                 && self.allows_dispatch(i, k.x)
         };
-        let rank = |k: &&Known| (self.book.invs[i].avoid == Some(k.x), self.busy(k.x) * self.dither(i, k.x));
+        let rank = |k: &&Known| self.busy(k.x) * self.dither(i, k.x);
         let known = function.known.iter().filter(fits);
-        known.min_by(|a, b| rank(a).partial_cmp(&rank(b)).expect("busy is a number")).map(|k| k.x)
+        known.min_by(|a, b| rank(a).total_cmp(&rank(b))).map(|k| k.x)
     }
 
     /// Room: own in-flight, and what peers are told to hold there, below the lanes of the copies.
@@ -593,8 +598,7 @@
     fn takes_more(&self, x: usize, part: f64) -> bool {
         let slot = (self.now / TURN) as u64;
         let limit = (self.limit * part + self.turn(x, slot)).floor();
-        self.fleet.inflight(x) < limit
-            && self.now >= self.fleet.paused[x].until
+        self.fleet.inflight(x) < limit && self.now >= self.fleet.paused[x].until
     }
 
     fn busy(&self, x: usize) -> f64 {
@@ -611,7 +615,8 @@
 
     /// Chance in the place of what peers have there unseen, so that they don't all choose the same.
     fn dither(&self, i: usize, x: usize) -> f64 {
-        let drawn = f64::from(agreed(self.seed ^ u64::from(self.book.invs[i].id), x as u64)) / 4_294_967_296.0;
+        let drawn =
+            f64::from(agreed(self.seed ^ u64::from(self.book.invs[i].id), x as u64)) / 4_294_967_296.0;
         1.0 + (1.0 - 1.0 / self.terms.front_ends) * drawn
     }
 
@@ -626,11 +631,7 @@
                 && !function.knows(x, self.now)
         };
         // Where both are at their bounds the placement waits: a copy elsewhere serves one front end only.
-        let takes = |&x: &usize| {
-            self.now >= self.fleet.loads_paused[x].until
-                && self.fleet.loading[x] < LOADS_EACH
-                && self.takes_more(x, part)
-        };
+        let takes = |&x: &usize| self.now >= self.fleet.loads_paused[x].until && self.takes_more(x, part);
         let last = function.last_warm.filter(|&(x, at)| self.now < at + self.terms.keep_alive && fits(&x));
         if let Some((x, _)) = last {
             return Some(x);
--- a/src/state.rs
+++ b/src/state.rs
@@ -17,8 +17,6 @@
     pub since: Vec<f64>,
     /// Own dispatches out there: the invocation's slot and when it was sent.
     pub out: Vec<Vec<(usize, f64)>>,
-    /// Own orders to load that are out there.
-    pub loading: Vec<u32>,
     pub heard: Vec<f64>,
     /// When it last broke off or took no connection.
     pub broke_at: Vec<f64>,
@@ -55,7 +53,6 @@
         self.weight.push(1.0);
         self.since.push(f64::NEG_INFINITY);
         self.out.push(vec![]);
-        self.loading.push(0);
         self.heard.push(f64::NEG_INFINITY);
         self.broke_at.push(f64::NEG_INFINITY);
         self.paused.push(Pause::default());
@@ -232,8 +229,6 @@
     pub out: Vec<Out>,
     /// The earliest ended dispatch that may have run: where and when it was sent.
     pub ran: Option<(usize, f64)>,
-    /// Where the last dispatch ended without an answer.
-    pub avoid: Option<usize>,
     pub closed: bool,
     pub streaming: bool,
 }
