Wake for what is due, judge in one pass, forget functions long unused

The heartbeat every 25 ms at each front end is gone: a front end with nothing waiting or out asks for no timer, what is out is looked at every 0.1 s by its own functions, and executors are judged against one median. What executors carry is kept by kind.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,8 +8,10 @@
 use crate::interface::*;
 use crate::state::*;
 
-/// Interval of the heartbeat; whatever waits is looked at again that often.
+/// Interval at which whatever waits is looked at again.
 const BEAT: f64 = 0.025;
+/// A function unused for so long is forgotten.
+const FORGOTTEN: f64 = 120.0;
 /// Mean pause before a subscription to the roster that failed is asked for again.
 const WATCH_PAUSE: f64 = 1.0;
 /// Answers that judge an executor, the least of them, the quantile, and how far above its fellows is suspect.
@@ -18,6 +20,7 @@
 /// Answers older than this say nothing of an executor any more.
 const JUDGED_FOR: f64 = 5.0;
 const HIGH_QUANTILE: f64 = 0.85;
+const MIDDLE: f64 = 0.45;
 const SUSPECT: f64 = 12.0;
 /// A failure weighs as an answer this many times the usual.
 const FAILURE: f64 = 20.0;
@@ -73,7 +76,6 @@
 const COLD_MARGIN: f64 = 0.8;
 /// Time constant of the work rate that an executor is seen to carry.
 const CARRY_TIME: f64 = 10.0;
-const CARRIED_KEPT: f64 = 0.99;
 /// Least share of the longest stay-away advised; the rest is chance, so that clients don't return in step.
 const STAY_AWAY: f64 = 0.25;
 
@@ -94,7 +96,6 @@
     seed: u64,
     now: f64,
     started: f64,
-    beats: u64,
     fleet: Fleet,
     book: Book,
     touched: Vec<usize>, // functions
@@ -116,18 +117,20 @@
     limit_at: f64,
     /// When to subscribe to the roster, where it has to be asked for.
     watch_at: f64,
+    /// When the next timer rings, and when executors are judged next.
+    wake_at: f64,
+    judge_at: f64,
+    count: f64, // of invocations
 }
 
 impl Choice {
     pub fn new(terms: Terms, seed: u64, now: f64, out: &mut dyn Answers) -> Self {
-        out.wake(BEAT.max(terms.tick), 0);
-        Choice {
+        let mut choice = Choice {
             usual: terms.trigger_types.iter().map(|t| t.objective / 4.0).collect(),
             chance: Chance::new(seed),
             seed,
             now,
             started: now,
-            beats: 0,
             fleet: Fleet::default(),
             book: Book::default(),
             touched: vec![],
@@ -142,8 +145,13 @@
             taken: Moments::default(),
             orders: Moments::default(),
             watch_at: now,
+            wake_at: f64::INFINITY,
+            judge_at: now,
+            count: 0.0,
             terms,
-        }
+        };
+        choice.settle(out);
+        choice
     }
 
     pub fn has_trigger_type(&self, ty: usize) -> bool {
@@ -157,25 +165,24 @@
         if kind == RosterKind::Failed {
             self.watch_at = now + WATCH_PAUSE * (0.5 + self.chance.unit());
         }
+        let before = self.fleet.ready.clone();
         if kind == RosterKind::Full {
             self.fleet.ready.fill(false);
         }
         for row in rows {
-            let known = self.fleet.ids.len();
             let x = self.fleet.index_of(row);
             self.fleet.ready[x] = row.standing == Standing::Ready;
             self.fleet.weight[x] = if row.weight > 0.0 && row.weight.is_finite() { row.weight } else { 1.0 };
-            if row.since > self.fleet.since[x] || x == known {
+            if row.since > self.fleet.since[x] {
                 self.fleet.since[x] = row.since;
                 self.forget(x);
             }
         }
-        self.fleet
-            .all()
-            .filter(|&x| !self.fleet.ready[x])
-            .collect::<Vec<_>>()
-            .iter()
-            .for_each(|&x| self.forget(x));
+        for (x, before) in before.into_iter().enumerate() {
+            if before && !self.fleet.ready[x] {
+                self.forget(x);
+            }
+        }
         self.settle(out);
     }
 
@@ -187,7 +194,8 @@
         let ty = &self.terms.trigger_types[inv.trigger_type];
         let objective = (ty.objective + ty.stretch * inv.work.unwrap_or(0.0)).min(ty.timeout);
         let value = self.value(inv);
-        self.mean_value += NEWEST * (value - self.mean_value);
+        self.count += 1.0;
+        self.mean_value += NEWEST.max(1.0 / self.count) * (value - self.mean_value);
         let (id, ty, timeout_at) = (inv.id, inv.trigger_type, inv.timeout_at);
         // What counts is the lesser of the latency objective and the client timeout.
         let objective_at = (now + objective).min(timeout_at);
@@ -307,19 +315,20 @@
 
     pub fn timer(&mut self, now: f64, _mark: u64, out: &mut dyn Answers) {
         self.now = now;
-        self.beats += 1;
-        out.wake(self.beat(), 0);
+        if now + 1e-6 < self.wake_at {
+            return;
+        }
+        self.wake_at = f64::INFINITY;
         if self.terms.roster_asked && now >= self.watch_at {
             self.watch_at = f64::INFINITY;
             out.watch_roster();
         }
-        self.taken.after(now - self.terms.ration_window);
-        if self.beats.is_multiple_of(4) {
+        if now >= self.judge_at {
+            self.judge_at = now + 4.0 * self.beat();
             self.judge();
-            for f in &mut self.book.functions {
-                f.known.retain(|k| k.until > now);
-            }
-            self.touched.extend(0..self.book.functions.len());
+            self.taken.after(now - self.terms.ration_window);
+            self.book.sweep(now - FORGOTTEN, now);
+            self.touched.extend(self.fleet.out.iter().flatten().map(|&(i, _)| self.book.invs[i].f));
         }
         self.settle(out);
     }
@@ -469,7 +478,13 @@
 
     /// A front end's part of a cold executor's budget, in invocations.
     fn entitled(&self, x: usize, work: f64) -> f64 {
-        let carried = self.fleet.carried.get(self.fleet.kind[x]).copied().unwrap_or(0.0);
+        let fellow = |&y: &usize| self.fleet.ready[y] && self.fleet.kind[y] == self.fleet.kind[x];
+        let warm = self.fleet.all().filter(fellow).filter(|&y| self.warmth(y) >= 1.0).count();
+        let fellows = if warm > 0 { warm } else { self.fleet.all().filter(fellow).count() };
+        // One just started has seen a part of the time only.
+        let seen = CARRY_TIME * (1.0 - (-(self.now - self.started) / CARRY_TIME).exp()).max(0.1);
+        let carried = self.fleet.carried[self.fleet.kind[x]].at(self.now, CARRY_TIME);
+        let carried = carried / seen / fellows.max(1) as f64;
         let budget = COLD_MARGIN * carried * self.warmth(x) * self.terms.overload_factor * self.terms.fall;
         (budget / work).max(1.0 / self.terms.front_ends)
     }
@@ -656,10 +671,6 @@
         if risen >= 1.0 { 1.0 } else { self.terms.cold_from + (1.0 - self.terms.cold_from) * risen }
     }
 
-    fn is_warm(&self, x: usize) -> bool {
-        self.fleet.ready[x] && self.warmth(x) >= 1.0
-    }
-
     fn learn(&mut self, x: usize, ty: usize, done: &Out, o: &Outcome) {
         let now = self.now;
         let loaded = done.places || matches!(o.found, Found::Loaded | Found::Waited | Found::LoadFailed);
@@ -669,7 +680,7 @@
             Ending::Ok => {
                 self.fleet.paused[x].end();
                 self.usual[ty] += NEWEST * (o.took - self.usual[ty]);
-                self.fleet.carry[x].add(self.usual[ty] / CARRY_TIME, now, CARRY_TIME);
+                self.fleet.carried[self.fleet.kind[x]].add(self.usual[ty], now, CARRY_TIME);
                 self.gauge(o.took / objective, done.at);
                 o.took / self.usual[ty].max(1e-6)
             }
@@ -744,20 +755,11 @@
             if times.len() < LEAST_JUDGED { None } else { quantile(times, HIGH_QUANTILE) }
         };
         let quantiles: Vec<Option<f64>> = self.fleet.all().map(high).collect();
+        let ready: Vec<usize> = self.fleet.all().filter(|&x| self.fleet.ready[x]).collect();
+        let middle = quantile(ready.iter().filter_map(|&x| quantiles[x]).collect(), MIDDLE).unwrap_or(1.0);
         for x in self.fleet.all() {
-            let fellows = self.fleet.all().filter(|&y| y != x && self.fleet.ready[y]);
-            let middle = quantile(fellows.filter_map(|y| quantiles[y]).collect(), 0.5).unwrap_or(1.0);
-            let alone = !self.fleet.all().any(|y| y != x && self.fleet.ready[y]);
-            self.fleet.suspect[x] = !alone && quantiles[x].is_some_and(|q| q > SUSPECT * middle.max(1.0));
-        }
-        for kind in 0..self.fleet.carried.len() {
-            let warm = |x: &usize| self.fleet.kind[*x] == kind && self.is_warm(*x) && !self.fleet.suspect[*x];
-            let fellows: Vec<usize> = self.fleet.all().filter(warm).collect();
-            let rates = fellows.iter().map(|&x| self.fleet.carry[x].at(now, CARRY_TIME));
-            // One just started has seen a part of the time only.
-            let seen = 1.0 - (-(now - self.started) / CARRY_TIME).exp();
-            let mean = rates.sum::<f64>() / fellows.len().max(1) as f64 / seen.max(0.1);
-            self.fleet.carried[kind] = (self.fleet.carried[kind] * CARRIED_KEPT).max(mean);
+            let far = quantiles[x].is_some_and(|q| q > SUSPECT * middle.max(1.0));
+            self.fleet.suspect[x] = far && ready.iter().any(|&y| y != x);
         }
     }
 
@@ -798,7 +800,8 @@
         BEAT.max(self.terms.tick)
     }
 
-    /// Goes through the rules for what the input touched and for every function with invocations waiting.
+    /// Goes through the rules for what the input touched and for every function with invocations waiting, and
+    /// asks to be woken for what is left: soon for what waits, later for what is out, else not at all.
     fn settle(&mut self, out: &mut dyn Answers) {
         self.touched.extend(&self.book.pending);
         // Where most wait comes first, so that scarce room and loads serve the most.
@@ -806,5 +809,16 @@
         while let Some(f) = self.touched.pop() {
             while RULES.iter().any(|rule| rule(self, f, out)) {}
         }
+        let out_there = self.fleet.out.iter().any(|o| !o.is_empty());
+        let due = match (self.book.pending.is_empty(), out_there) {
+            (false, _) => self.now + self.beat(),
+            (true, true) => self.judge_at.max(self.now + self.beat()),
+            _ => f64::INFINITY,
+        };
+        let due = if self.terms.roster_asked { due.min(self.watch_at.max(self.now)) } else { due };
+        if due < self.wake_at {
+            self.wake_at = due;
+            out.wake(due - self.now, 0);
+        }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -31,10 +31,8 @@
     pub trial_at: Vec<f64>,
     /// Times and mean work of the latest dispatches.
     pub sent: Vec<VecDeque<(f64, f64)>>,
-    /// Rate of work answered, and when it was last brought up to date.
-    pub carry: Vec<Faded>,
-    /// For each kind of executor, the highest mean of those rates seen.
-    pub carried: Vec<f64>,
+    /// For each kind of executor, the work that was answered lately.
+    pub carried: Vec<Faded>,
 }
 
 impl Fleet {
@@ -62,8 +60,7 @@
         self.suspect.push(false);
         self.trial_at.push(0.0);
         self.sent.push(VecDeque::new());
-        self.carry.push(Faded::default());
-        self.carried.resize(self.carried.len().max(self.kind[x] + 1), 0.0);
+        self.carried.resize(self.carried.len().max(self.kind[x] + 1), Faded::default());
         x
     }
 
@@ -74,7 +71,6 @@
         self.loads_paused[x] = Pause::default();
         self.answers[x].clear();
         self.suspect[x] = false;
-        self.carry[x] = Faded::default();
     }
 
     /// Notes a dispatch, and what it weighs for the next `kept` seconds.
@@ -173,6 +169,11 @@
         self.0
     }
 
+    /// When it was last added to.
+    pub fn since(&self) -> f64 {
+        self.1
+    }
+
     pub fn at(&self, now: f64, time: f64) -> f64 {
         self.0 * (-(now - self.1) / time).exp()
     }
@@ -302,17 +303,39 @@
     pub invs: Vec<Inv>,
     pub inv_index: HashMap<u32, usize>,
     free: Vec<usize>,
+    free_functions: Vec<usize>,
+    swept: usize,
 }
 
 impl Book {
     /// The slot of a function, which is added where it is new.
     pub fn function(&mut self, key: u64, lanes: f64, load_time: f64) -> usize {
         *self.function_index.entry(key).or_insert_with(|| {
-            self.functions.push(Function { key, lanes, load_time, ..Function::default() });
-            self.functions.len() - 1
+            let f = self.free_functions.pop().unwrap_or(self.functions.len());
+            if f == self.functions.len() {
+                self.functions.push(Function::default());
+            }
+            self.functions[f] = Function { key, lanes, load_time, ..Function::default() };
+            f
         })
     }
 
+    /// Drops entries past their time, and functions unused since a moment, of a few functions at a time.
+    pub fn sweep(&mut self, unused_since: f64, now: f64) {
+        for _ in 0..self.functions.len().min(16) {
+            self.swept = (self.swept + 1) % self.functions.len();
+            let f = &mut self.functions[self.swept];
+            f.known.retain(|k| k.until > now);
+            let idle = f.waiting.is_empty() && f.out.is_empty() && f.placement.is_none();
+            let listed = self.function_index.get(&f.key) == Some(&self.swept);
+            if idle && listed && f.taken.since() < unused_since {
+                self.function_index.remove(&f.key);
+                *f = Function::default();
+                self.free_functions.push(self.swept);
+            }
+        }
+    }
+
     pub fn add(&mut self, inv: Inv) -> usize {
         let i = self.free.pop().unwrap_or(self.invs.len());
         self.inv_index.insert(inv.id, i);
