--- a/src/chance.rs
+++ b/src/chance.rs
@@ -1,5 +1,6 @@
 //! A permuted congruential generator (PCG-XSH-RR 64/32).
 
+#[derive(Default)]
 pub struct Chance(u64);
 
 impl Chance {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -8,73 +8,66 @@
 use crate::interface::*;
 use crate::state::*;
 
-/// Interval at which whatever waits is looked at again.
+/// Interval at which whatever waits is looked at again, and after which an unused function is forgotten.
 const BEAT: f64 = 0.025;
-/// A function unused for so long is forgotten.
 const FORGOTTEN: f64 = 120.0;
 /// Mean pause before a subscription to the roster that failed is asked for again.
 const WATCH_PAUSE: f64 = 1.0;
-/// Answers that judge an executor, the least of them, the quantile, and how far above its fellows is suspect.
+/// Answers that judge an executor, the least of them, their age at the most, the quantile, its fellows' middle
+/// and how far above that is suspect; a failure weighs as an answer this many times the usual.
 const JUDGED: usize = 16;
 const LEAST_JUDGED: usize = 4;
-/// Answers older than this say nothing of an executor any more.
 const JUDGED_FOR: f64 = 5.0;
 const HIGH_QUANTILE: f64 = 0.85;
 const MIDDLE: f64 = 0.45;
 const SUSPECT: f64 = 12.0;
-/// A failure weighs as an answer this many times the usual.
 const FAILURE: f64 = 20.0;
-/// In-flight limit of an executor: start, cut, least, the typical answer in objectives that cuts it,
-/// and the step by which that is tracked.
+/// In-flight limit at an executor: start, cut, least of all front ends together, growth a second, most; the
+/// median answer in objectives that cuts it, the step by which that is tracked; how long a turn lasts.
 const LIMIT_START: f64 = 5.0;
 const LIMIT_CUT: f64 = 0.6;
 const LIMIT_LEAST: f64 = 9.0;
 const LIMIT_GROWTH: f64 = 0.15;
 const LIMIT_MOST: f64 = 10.0;
-/// How long a turn in a rota of the front ends lasts.
-const TURN: f64 = 0.1;
 const TYPICAL_MOST: f64 = 0.3;
 const TYPICAL_STEP: f64 = 1.1;
-/// Weight of the newest value in means over the traffic, and in the note on what peers have in flight.
+const TURN: f64 = 0.1;
+/// Weight of the newest value in means over the traffic, and in what a function's crowds tell.
 const NEWEST: f64 = 0.015;
-const CROWD_SHARE: f64 = 0.3;
-/// Seconds of a customer's share that may be saved up.
+const NEWEST_CROWD: f64 = 0.3;
+/// Of a customer's share, the seconds and the root that may be saved up, and what a repeat takes of one.
 const SHARE_BURST: f64 = 2.0;
 const SHARE_SAMPLE: f64 = 5.0;
 const REPEAT_COST: f64 = 0.33;
-/// A copy more is loaded, lanes left elsewhere, where an executor is this many times less busy.
+/// Times less busy: an executor that gets a copy while lanes are left elsewhere, the second of two drawn.
 const SPREAD: f64 = 3.0;
-/// Time over which parts of the traffic are taken, copies for each executor that a part would fill, and the
-/// time in which a report fades.
-const SHARE_TIME: f64 = 8.0;
-const COPIES: f64 = 1.3;
-const REPORT_TIME: f64 = 10.0;
+const SECOND: f64 = 2.0;
+/// Time over which parts of the traffic are taken, what is added for its being a sample, copies for each
+/// executor that a part would fill, and invocations of one function that an executor should hold.
+const PART_TIME: f64 = 8.0;
 const SAMPLE: f64 = 8.0;
-/// Invocations of one function that an executor should hold.
+const COPIES: f64 = 1.3;
 const CROWD: f64 = 2.0;
+/// Time in which a report fades.
+const REPORT_TIME: f64 = 10.0;
 /// After this share of the latency objective a silent executor's work is moved, and a suspect tried again.
 const SILENCE: f64 = 0.6;
-/// Pause after a reset or a failed connection before an executor is tried again.
+/// Pause after a reset or a failed connection; so long what answers again may be as cold as one just started.
 const DISTRUST: f64 = 1.0;
-/// After that, what answers again may be as cold as one just started, for so long.
 const BROKEN_FOR: f64 = 8.0;
 /// Pause after an answer 'full', and how often it doubles while nothing else comes.
 const FULL_PAUSE: f64 = 0.1;
 const FULL_DOUBLINGS: i32 = 4;
-/// Backoff of a failed placement, and its growth.
+/// Backoff of a failed placement, and its growth; it is given so many load times; load time where none is told.
 const BACKOFF: f64 = 0.1;
-/// So many times less busy the second of two drawn has to be.
-const SECOND: f64 = 2.0;
 const BACKOFF_GROWTH: f64 = 1.1;
-/// Load time where none is told; a placement is given so many of them before a second one is tried.
-const LOAD_TIME: f64 = 1.0;
 const PATIENCE: f64 = 5.0;
+const LOAD_TIME: f64 = 1.0;
 /// Cache time, as a share of the time an idle copy stays; and where no such time is told.
 const CACHE_SHARE: f64 = 0.85;
 const CACHE_TIME: f64 = 5.0;
-/// Part of the cold budget that is used, for peers that know less and for jitter on the way.
+/// Part of the cold budget that is used; time constant of the work that executors are seen to carry.
 const COLD_MARGIN: f64 = 0.8;
-/// Time constant of the work rate that an executor is seen to carry.
 const CARRY_TIME: f64 = 10.0;
 /// Least share of the longest stay-away advised; the rest is chance, so that clients don't return in step.
 const STAY_AWAY: f64 = 0.25;
@@ -90,12 +83,15 @@
     Choice::move_from_slow,
 ];
 
+#[derive(Default)]
 pub struct Choice {
     terms: Terms,
     chance: Chance,
     seed: u64,
     now: f64,
     started: f64,
+    beat: f64,
+    cache_time: f64,
     fleet: Fleet,
     book: Book,
     touched: Vec<usize>, // functions
@@ -107,49 +103,40 @@
     shares: Vec<Allowance>, // of customers
     mean_value: f64,
     mean_backlog: f64,
-    /// Own invocations lately.
+    /// Own invocations: all, and lately.
+    count: f64,
     lately: Faded,
-    /// What all front ends together may have in flight at an executor; the median of the answer times, in
-    /// latency objectives, that sets it; and when it was last cut.
+    /// What one front end may have in flight at an executor; the median of the answer times, in latency
+    /// objectives, that sets it; when it was last cut, and last set.
     limit: f64,
     typical: f64,
     cut_at: f64,
     limit_at: f64,
-    /// When to subscribe to the roster, where it has to be asked for.
+    /// When to subscribe to the roster, when the next timer rings, and when executors are judged next.
     watch_at: f64,
-    /// When the next timer rings, and when executors are judged next.
     wake_at: f64,
     judge_at: f64,
-    count: f64, // of invocations
 }
 
 impl Choice {
     pub fn new(terms: Terms, seed: u64, now: f64, out: &mut dyn Answers) -> Self {
         let mut choice = Choice {
             usual: terms.trigger_types.iter().map(|t| t.objective / 4.0).collect(),
-            chance: Chance::new(seed),
-            seed,
-            now,
-            started: now,
-            fleet: Fleet::default(),
-            book: Book::default(),
-            touched: vec![],
             shares: terms.quotas.iter().map(|_| Allowance { left: f64::INFINITY, at: now }).collect(),
-            mean_value: 0.0,
-            mean_backlog: 0.0,
-            lately: Faded::default(),
+            chance: Chance::new(seed),
+            beat: BEAT.max(terms.tick),
+            cache_time: if terms.keep_alive > 0.0 { CACHE_SHARE * terms.keep_alive } else { CACHE_TIME },
             limit: LIMIT_START,
-            typical: 0.1,
-            cut_at: now,
-            limit_at: now,
-            taken: Moments::default(),
-            orders: Moments::default(),
-            watch_at: now,
+            typical: TYPICAL_MOST / 3.0,
             wake_at: f64::INFINITY,
-            judge_at: now,
-            count: 0.0,
             terms,
+            seed,
+            now,
+            ..Choice::default()
         };
+        for at in [&mut choice.started, &mut choice.cut_at, &mut choice.limit_at, &mut choice.watch_at] {
+            *at = now;
+        }
         choice.settle(out);
         choice
     }
@@ -169,19 +156,21 @@
         if kind == RosterKind::Full {
             self.fleet.ready.fill(false);
         }
+        let mut restarted = vec![];
         for row in rows {
             let x = self.fleet.index_of(row);
             self.fleet.ready[x] = row.standing == Standing::Ready;
             self.fleet.weight[x] = if row.weight > 0.0 && row.weight.is_finite() { row.weight } else { 1.0 };
             if row.since > self.fleet.since[x] {
                 self.fleet.since[x] = row.since;
-                self.forget(x);
+                restarted.push(x);
             }
         }
-        for (x, before) in before.into_iter().enumerate() {
-            if before && !self.fleet.ready[x] {
-                self.forget(x);
-            }
+        // Of one that restarted, drains or is gone all that was known is void.
+        let left = (0..before.len()).filter(|&x| before[x] && !self.fleet.ready[x]);
+        for x in left.chain(restarted).collect::<Vec<_>>() {
+            self.book.functions.iter_mut().for_each(|f| f.evict(x));
+            self.fleet.forget(x);
         }
         self.settle(out);
     }
@@ -198,19 +187,11 @@
         self.mean_value += NEWEST.max(1.0 / self.count) * (value - self.mean_value);
         let (id, ty, timeout_at) = (inv.id, inv.trigger_type, inv.timeout_at);
         // What counts is the lesser of the latency objective and the client timeout.
-        let objective_at = (now + objective).min(timeout_at);
-        let i = self.book.add(Inv {
-            id,
-            ty,
-            f,
-            value,
-            timeout_at,
-            objective_at,
-            patience: objective_at - now,
-            ..Inv::default()
-        });
-        self.book.functions[f].taken.add(1.0, now, SHARE_TIME);
-        self.lately.add(1.0, now, SHARE_TIME);
+        let patience = objective.min(timeout_at - now);
+        let i =
+            self.book.add(Inv { id, ty, f, value, timeout_at, patience, taken_at: now, ..Inv::default() });
+        self.book.functions[f].taken.add(1.0, now, PART_TIME);
+        self.lately.add(1.0, now, PART_TIME);
         self.book.wait(i);
         self.touched.push(f);
         self.settle(out);
@@ -232,14 +213,17 @@
             self.fleet.heard[x] = now;
         }
         self.learn(x, ty, &done, o);
-        let until = now + self.cache_time();
-        let (wanted, mut crowd) = (self.wanted(f), None);
+        let until = now + self.cache_time;
+        let wanted = self.wanted(f);
         let function = &mut self.book.functions[f];
         match o.ending {
             Ending::Ok if self.fleet.ready[x] => {
                 function.know(x, now, until);
                 if self.terms.tells_crowd {
-                    crowd = Some(f64::from(o.crowd));
+                    function.heard += 1.0;
+                    let told = f64::from(o.crowd) * wanted;
+                    function.everywhere +=
+                        NEWEST_CROWD.max(1.0 / function.heard) * (told - function.everywhere);
                 }
             }
             Ending::Full => function.known.iter_mut().filter(|k| k.x == x).for_each(|k| k.full = true),
@@ -248,11 +232,6 @@
             Ending::TimedOut | Ending::ConnectFailed | Ending::Reset | Ending::Miss => function.evict(x),
             Ending::Ok | Ending::Error | Ending::Cancelled | Ending::NeverSent => {}
         }
-        if let Some(crowd) = crowd {
-            function.heard += 1.0;
-            function.everywhere +=
-                CROWD_SHARE.max(1.0 / function.heard) * (crowd * wanted - function.everywhere);
-        }
         if done.places {
             self.placed(f, x, false, o.ending == Ending::Ok);
         }
@@ -300,7 +279,7 @@
             _ => self.fleet.loads_paused[x].end(),
         }
         if ending == Ending::Ok && self.fleet.ready[x] {
-            let until = now + self.cache_time();
+            let until = now + self.cache_time;
             self.book.functions[f].know(x, now, until);
         } else {
             self.book.functions[f].evict(x);
@@ -324,7 +303,7 @@
             out.watch_roster();
         }
         if now >= self.judge_at {
-            self.judge_at = now + 4.0 * self.beat();
+            self.judge_at = now + 4.0 * self.beat;
             self.judge();
             self.taken.after(now - self.terms.ration_window);
             self.book.sweep(now - FORGOTTEN, now);
@@ -342,9 +321,9 @@
             let known = self.book.functions[f].known.iter().any(|k| k.until > self.now);
             // Half the patience at the most: an estimate that throttled everything would never be put right.
             let left = self.usual[inv.ty].min(0.5 * inv.patience);
-            let late = known && self.now + left > inv.objective_at;
+            let late = known && self.now + left > inv.taken_at + inv.patience;
             inv.sent >= self.terms.max_dispatches
-                || self.now + 2.0 * self.beat() >= inv.timeout_at
+                || self.now + 2.0 * self.beat >= inv.timeout_at
                 || (inv.ran.is_some() && !self.fleet.all().any(|x| self.may_repeat(i, x)))
                 || late && self.may_throttle(i)
         };
@@ -361,12 +340,6 @@
         found.is_some_and(|(i, x)| self.dispatch(i, x, false, out))
     }
 
-    /// A tokened invocation that may have run is bound to its group.
-    fn bound(&self, i: usize) -> bool {
-        let inv = &self.book.invs[i];
-        inv.ran.is_some() && self.terms.trigger_types[inv.ty].effect == Effect::Tokened
-    }
-
     /// With none that has room, one further instance is placed, one placement at a time.
     fn place(&mut self, f: usize, out: &mut dyn Answers) -> bool {
         let function = &self.book.functions[f];
@@ -378,15 +351,17 @@
             self.placed(f, x, by_order, false);
             return true;
         }
-        let free = function.waiting.iter().find(|&&i| !self.bound(i));
+        let free =
+            function.waiting.iter().find(|&&i| self.book.invs[i].ran.is_none() || self.is_idempotent(i));
         let Some(&i) = free.filter(|_| self.now >= function.next_at) else { return false };
         let part = self.part(i);
         let Some(x) = self.placement_target(f, part) else { return false };
         let function = &self.book.functions[f];
         // Guards against copies for what only crowding holds up.
-        let known = |k: &&Known| self.fleet.ready[k.x] && !self.fleet.suspect[k.x];
-        let serves = |k: &Known| self.has_lane(f, k) && self.busy(k.x) < SPREAD * self.busy(x);
-        if function.known.iter().filter(known).any(serves) {
+        let serves = |k: &Known| {
+            !self.fleet.suspect[k.x] && self.has_lane(f, k) && self.busy(k.x) < SPREAD * self.busy(x)
+        };
+        if function.known.iter().any(serves) {
             return false;
         }
         let by_order = self.terms.orders && self.order(f, x, out);
@@ -416,12 +391,12 @@
                 if let Some(x) = self.least_busy_known(f, i, true).filter(|&x| !self.fleet.suspect[x]) {
                     return self.dispatch(i, x, false, out);
                 }
-            } else if self.terms.cancel && inv.sent < self.terms.max_dispatches {
-                let elsewhere = |x: usize| x != d.x && !self.fleet.suspect[x] && self.may_repeat(i, x);
-                if self.fleet.all().any(elsewhere) {
-                    self.book.cancel(i, None, out);
-                    return true;
-                }
+                continue;
+            }
+            let elsewhere = |x: usize| x != d.x && !self.fleet.suspect[x] && self.may_repeat(i, x);
+            if self.terms.cancel && inv.sent < self.terms.max_dispatches && self.fleet.all().any(elsewhere) {
+                self.book.cancel(i, None, out);
+                return true;
             }
         }
         false
@@ -445,15 +420,15 @@
         let inv = &self.book.invs[i];
         let ty = &self.terms.trigger_types[inv.ty];
         let first = inv.out.iter().map(|d| (d.x, d.at)).chain(inv.ran).min_by(|a, b| a.1.total_cmp(&b.1));
-        let margin = 2.0 * self.terms.tick;
-        self.fleet.ready[x]
-            && first.is_none_or(|(at, when)| match ty.effect {
-                Effect::Idempotent => true,
-                Effect::NonIdempotent => false,
-                Effect::Tokened => {
-                    self.fleet.same_group(ty.group, x, at) && self.now < when + ty.window - margin
-                }
-            })
+        let harmless = |(at, when): (usize, f64)| match ty.effect {
+            Effect::Idempotent => true,
+            Effect::NonIdempotent => false,
+            Effect::Tokened => {
+                let ends = when + ty.window - 2.0 * self.terms.tick;
+                self.fleet.same_group(ty.group, x, at) && self.now < ends
+            }
+        };
+        self.fleet.ready[x] && first.is_none_or(harmless)
     }
 
     /// A cold executor's budget over the span in which it could be pushed over: what one front end's part of
@@ -572,16 +547,19 @@
     /// Executors that a function's part of the traffic would fill, with space for others, and one. What is
     /// seen here is a sample of what all front ends take, so one invocation alone tells nothing.
     fn wanted(&self, f: usize) -> f64 {
-        let seen = (self.book.functions[f].taken.at(self.now, SHARE_TIME) - 1.0).max(0.0);
+        let seen = (self.book.functions[f].taken.at(self.now, PART_TIME) - 1.0).max(0.0);
         let ready = self.fleet.ready.iter().filter(|&&r| r).count() as f64;
-        let by_traffic = COPIES * ready * seen / (self.lately.at(self.now, SHARE_TIME) + SAMPLE);
+        let by_traffic = COPIES * ready * seen / (self.lately.at(self.now, PART_TIME) + SAMPLE);
         (1.0 + by_traffic.max(self.book.functions[f].everywhere / CROWD)).min(ready)
     }
 
+    fn is_idempotent(&self, i: usize) -> bool {
+        self.terms.trigger_types[self.book.invs[i].ty].effect == Effect::Idempotent
+    }
+
     /// A suspect is tried with one idempotent invocation at a time.
     fn may_try(&self, i: usize, x: usize) -> bool {
-        let ty = &self.terms.trigger_types[self.book.invs[i].ty];
-        self.fleet.out[x].is_empty() && self.now >= self.fleet.trial_at[x] && ty.effect == Effect::Idempotent
+        self.fleet.out[x].is_empty() && self.now >= self.fleet.trial_at[x] && self.is_idempotent(i)
     }
 
     /// What an invocation is billed for a unit of work; little where its customer is past its share. A
@@ -605,7 +583,7 @@
     /// Guards the room against what earns little, late or past a customer's share, when room is short.
     fn part(&self, i: usize) -> f64 {
         let inv = &self.book.invs[i];
-        let late = self.now > inv.objective_at;
+        let late = self.now > inv.taken_at + inv.patience;
         let left = if late { self.terms.trigger_types[inv.ty].late_share } else { 1.0 };
         (inv.value * left / self.mean_value).min(1.0)
     }
@@ -616,23 +594,18 @@
         self.fleet.inflight(x) < limit && self.now >= self.fleet.paused[x].until
     }
 
+    /// Own in-flight and what it reported waiting; that fades to the mean, which stands for what was never heard.
     fn busy(&self, x: usize) -> f64 {
-        let held = self.fleet.inflight(x) + self.backlog(x);
-        (held + 1.0) / (self.fleet.weight[x] * self.warmth(x))
-    }
-
-    /// What it reported waiting; that fades to the mean, which also stands for what was never heard.
-    fn backlog(&self, x: usize) -> f64 {
         let (waiting, at) = self.fleet.backlog[x];
         let fresh = (-(self.now - at) / REPORT_TIME).exp();
-        self.mean_backlog + fresh * (waiting - self.mean_backlog)
+        let held = self.fleet.inflight(x) + self.mean_backlog + fresh * (waiting - self.mean_backlog);
+        (held + 1.0) / (self.fleet.weight[x] * self.warmth(x))
     }
 
     /// Chance in the place of what peers have there unseen, so that they don't all choose the same.
     fn dither(&self, i: usize, x: usize) -> f64 {
-        let drawn =
-            f64::from(agreed(self.seed ^ u64::from(self.book.invs[i].id), x as u64)) / 4_294_967_296.0;
-        1.0 + (1.0 - 1.0 / self.terms.front_ends) * drawn
+        let drawn = f64::from(agreed(self.seed ^ u64::from(self.book.invs[i].id), x as u64));
+        1.0 + (1.0 - 1.0 / self.terms.front_ends) * drawn / f64::from(u32::MAX)
     }
 
     /// The last executor known warm, else the less loaded of two. The two are drawn with the function's
@@ -648,8 +621,8 @@
         // Where both are at their bounds the placement waits: a copy elsewhere serves one front end only.
         let takes = |&x: &usize| self.now >= self.fleet.loads_paused[x].until && self.takes_more(x, part);
         let last = function.last_warm.filter(|&(x, at)| self.now < at + self.terms.keep_alive && fits(&x));
-        if let Some((x, _)) = last {
-            return Some(x);
+        if last.is_some() {
+            return last.map(|l| l.0);
         }
         let lot = |x: usize| self.fleet.lot(x, function.key, self.fleet.weight[x] * self.warmth(x));
         let mut fitting: Vec<usize> = self.fleet.all().filter(fits).collect();
@@ -687,9 +660,7 @@
             Ending::Error if o.found == Found::LoadFailed => return,
             // A client's early leaving is no executor's fault: it says that the answer would take so long.
             Ending::TimedOut => {
-                if o.took / objective > self.typical {
-                    self.gauge(o.took / objective, done.at);
-                }
+                self.gauge(self.typical.max(o.took / objective), done.at);
                 (o.took / self.usual[ty].max(1e-6)).min(FAILURE)
             }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => FAILURE,
@@ -709,14 +680,14 @@
         }
     }
 
-    /// The shared limit goes by the median answer time: a heavy invocation or one behind a load says nothing of
-    /// the crowd. One cut for what was sent since the last one. Guards against overload and executors slowed for
-    /// everyone; it could harm where work is long by nature, near its objective.
+    /// The limit goes by the median answer time, of all executors: a heavy invocation or one behind a load says
+    /// nothing of the crowd. One cut for what was sent since the last. Guards against overload, whatever its
+    /// cause; it could harm where work is long by nature.
     fn gauge(&mut self, time: f64, sent_at: f64) {
-        self.typical *= if time > self.typical { TYPICAL_STEP } else { 1.0 / TYPICAL_STEP };
+        self.typical *=
+            TYPICAL_STEP.powf((time - self.typical).signum() * f64::from(u8::from(time != self.typical)));
         if self.typical <= TYPICAL_MOST {
-            let grown = self.limit * (LIMIT_GROWTH * (self.now - self.limit_at)).exp();
-            self.limit = grown.min(LIMIT_MOST);
+            self.limit *= (LIMIT_GROWTH * (self.now - self.limit_at)).exp().min(LIMIT_MOST / self.limit);
         } else if sent_at > self.cut_at {
             self.limit = (self.limit * LIMIT_CUT).max(LIMIT_LEAST / self.terms.front_ends);
             self.cut_at = self.now;
@@ -729,12 +700,12 @@
     fn distrust(&mut self, x: usize) {
         self.fleet.broke_at[x] = self.now;
         // Where two in a location broke and none of it was heard since, the rest of it is as doubtful.
-        let (now, zone) = (self.now, self.fleet.zone[x]);
-        let fellows: Vec<usize> = self.fleet.all().filter(|&y| self.fleet.zone[y] == zone).collect();
-        let broke = |&&y: &&usize| now < self.fleet.broke_at[y] + BROKEN_FOR && self.fleet.ready[y];
-        let first = fellows.iter().filter(broke).map(|&y| self.fleet.broke_at[y]).fold(now, f64::min);
-        if first < now && fellows.iter().all(|&y| self.fleet.heard[y] <= first) {
-            fellows.iter().for_each(|&y| self.fleet.broke_at[y] = now);
+        let (now, fleet) = (self.now, &mut self.fleet);
+        let fellow: Vec<usize> = fleet.all().filter(|&y| fleet.zone[y] == fleet.zone[x]).collect();
+        let broke = fellow.iter().map(|&y| fleet.broke_at[y]).filter(|&at| now < at + BROKEN_FOR);
+        let first = broke.fold(now, f64::min);
+        if first < now && fellow.iter().all(|&y| fleet.heard[y] <= first) {
+            fellow.iter().for_each(|&y| fleet.broke_at[y] = now);
         }
         self.fleet.answers[x].clear();
         self.fleet.answers[x].extend([(self.now, FAILURE); LEAST_JUDGED]);
@@ -763,18 +734,8 @@
         }
     }
 
-    /// An executor that restarted, drains or is gone: all that was known of it is void.
-    fn forget(&mut self, x: usize) {
-        self.book.functions.iter_mut().for_each(|f| f.evict(x));
-        self.fleet.forget(x);
-    }
-
     // ---- What is known of functions and invocations ----
 
-    fn cache_time(&self) -> f64 {
-        if self.terms.keep_alive > 0.0 { CACHE_SHARE * self.terms.keep_alive } else { CACHE_TIME }
-    }
-
     /// A placement has come to its end; a failed one alone is tried again, after a growing pause.
     fn placed(&mut self, f: usize, x: usize, by_order: bool, well: bool) {
         let function = &mut self.book.functions[f];
@@ -796,10 +757,6 @@
         }
     }
 
-    fn beat(&self) -> f64 {
-        BEAT.max(self.terms.tick)
-    }
-
     /// Goes through the rules for what the input touched and for every function with invocations waiting, and
     /// asks to be woken for what is left: soon for what waits, later for what is out, else not at all.
     fn settle(&mut self, out: &mut dyn Answers) {
@@ -809,11 +766,11 @@
         while let Some(f) = self.touched.pop() {
             while RULES.iter().any(|rule| rule(self, f, out)) {}
         }
-        let out_there = self.fleet.out.iter().any(|o| !o.is_empty());
-        let due = match (self.book.pending.is_empty(), out_there) {
-            (false, _) => self.now + self.beat(),
-            (true, true) => self.judge_at.max(self.now + self.beat()),
-            _ => f64::INFINITY,
+        let soon = self.now + self.beat;
+        let due = match self.book.pending.is_empty() {
+            false => soon,
+            true if self.fleet.out.iter().any(|o| !o.is_empty()) => self.judge_at.max(soon),
+            true => f64::INFINITY,
         };
         let due = if self.terms.roster_asked { due.min(self.watch_at.max(self.now)) } else { due };
         if due < self.wake_at {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -37,7 +37,7 @@
 }
 
 /// What a deployment grants and demands, decoded once when a front end starts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Terms {
     pub trigger_types: Vec<TriggerType>,
     /// Invocations a second within each customer's share, over all front ends.
--- a/src/state.rs
+++ b/src/state.rs
@@ -223,7 +223,7 @@
     pub value: f64,
     pub f: usize,
     pub timeout_at: f64,
-    pub objective_at: f64,
+    pub taken_at: f64,
     /// From its arrival to the end of the objective or of the client's patience.
     pub patience: f64,
     pub sent: u8,
