--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,7 +4,7 @@
 //! `interface.rs`. After each input the rules of `RULES` are gone through, in order, for every function
 //! that the input touched, until none fires.
 
-use crate::chance::{Chance, agreed};
+use crate::chance::Chance;
 use crate::interface::*;
 use crate::state::*;
 
@@ -87,7 +87,6 @@
 pub struct Choice {
     terms: Terms,
     chance: Chance,
-    seed: u64,
     now: f64,
     started: f64,
     beat: f64,
@@ -130,7 +129,6 @@
             typical: TYPICAL_MOST / 3.0,
             wake_at: f64::INFINITY,
             terms,
-            seed,
             now,
             ..Choice::default()
         };
@@ -532,7 +530,7 @@
                 && (!self.fleet.suspect[k.x] || self.may_try(i, k.x))
                 && self.allows_dispatch(i, k.x)
         };
-        let rank = |k: &&Known| self.busy(k.x) * self.dither(i, k.x);
+        let rank = |k: &&Known| self.busy(k.x);
         let known = function.known.iter().filter(fits);
         known.min_by(|a, b| rank(a).total_cmp(&rank(b))).map(|k| k.x)
     }
@@ -602,12 +600,6 @@
         (held + 1.0) / (self.fleet.weight[x] * self.warmth(x))
     }
 
-    /// Chance in the place of what peers have there unseen, so that they don't all choose the same.
-    fn dither(&self, i: usize, x: usize) -> f64 {
-        let drawn = f64::from(agreed(self.seed ^ u64::from(self.book.invs[i].id), x as u64));
-        1.0 + (1.0 - 1.0 / self.terms.front_ends) * drawn / f64::from(u32::MAX)
-    }
-
     /// The last executor known warm, else the less loaded of two. The two are drawn with the function's
     /// key for a seed, so that all front ends draw the same and share the copy that one has loaded.
     fn placement_target(&mut self, f: usize, part: f64) -> Option<usize> {
@@ -660,7 +652,9 @@
             Ending::Error if o.found == Found::LoadFailed => return,
             // A client's early leaving is no executor's fault: it says that the answer would take so long.
             Ending::TimedOut => {
-                self.gauge(self.typical.max(o.took / objective), done.at);
+                if o.took / objective > self.typical {
+                    self.gauge(o.took / objective, done.at);
+                }
                 (o.took / self.usual[ty].max(1e-6)).min(FAILURE)
             }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => FAILURE,
@@ -684,8 +678,7 @@
     /// nothing of the crowd. One cut for what was sent since the last. Guards against overload, whatever its
     /// cause; it could harm where work is long by nature.
     fn gauge(&mut self, time: f64, sent_at: f64) {
-        self.typical *=
-            TYPICAL_STEP.powf((time - self.typical).signum() * f64::from(u8::from(time != self.typical)));
+        self.typical *= if time > self.typical { TYPICAL_STEP } else { 1.0 / TYPICAL_STEP };
         if self.typical <= TYPICAL_MOST {
             self.limit *= (LIMIT_GROWTH * (self.now - self.limit_at)).exp().min(LIMIT_MOST / self.limit);
         } else if sent_at > self.cut_at {
