--- a/src/choice.rs
+++ b/src/choice.rs
@@ -271,11 +271,6 @@
         self.now = now;
         let Some(&f) = self.book.function_index.get(&key) else { return };
         let Some(&x) = self.fleet.index.get(&at) else { return };
-        // Guards against orders repeated to one that has no room, a queue of loads, or drains untold.
-        match ending {
-            Ending::Full => self.fleet.loads_paused[x].grow(now, FULL_PAUSE, FULL_DOUBLINGS),
-            _ => self.fleet.loads_paused[x].end(),
-        }
         if ending == Ending::Ok && self.fleet.ready[x] {
             let until = now + self.cache_time;
             self.book.functions[f].know(x, now, until);
@@ -611,7 +606,7 @@
                 && !function.knows(x, self.now)
         };
         // Where both are at their bounds the placement waits: a copy elsewhere serves one front end only.
-        let takes = |&x: &usize| self.now >= self.fleet.loads_paused[x].until && self.takes_more(x, part);
+        let takes = |&x: &usize| self.takes_more(x, part);
         let last = function.last_warm.filter(|&(x, at)| self.now < at + self.terms.keep_alive && fits(&x));
         if last.is_some() {
             return last.map(|l| l.0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,9 +20,8 @@
     pub heard: Vec<f64>,
     /// When it last broke off or took no connection.
     pub broke_at: Vec<f64>,
-    /// What answers 'full' ask for: to dispatches, and to orders to load.
+    /// What answers 'full' ask for.
     pub paused: Vec<Pause>,
-    pub loads_paused: Vec<Pause>,
     /// Invocations reported waiting, and when that was told.
     pub backlog: Vec<(f64, f64)>,
     /// The latest answers: when they came, and their times in usual ones.
@@ -54,7 +53,6 @@
         self.heard.push(f64::NEG_INFINITY);
         self.broke_at.push(f64::NEG_INFINITY);
         self.paused.push(Pause::default());
-        self.loads_paused.push(Pause::default());
         self.backlog.push((0.0, f64::NEG_INFINITY));
         self.answers.push(VecDeque::new());
         self.suspect.push(false);
@@ -68,7 +66,6 @@
     pub fn forget(&mut self, x: usize) {
         self.backlog[x] = (0.0, f64::NEG_INFINITY);
         self.paused[x] = Pause::default();
-        self.loads_paused[x] = Pause::default();
         self.answers[x].clear();
         self.suspect[x] = false;
     }
