--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,8 +13,8 @@
 const FORGOTTEN: f64 = 120.0;
 /// Mean pause before a subscription to the roster that failed is asked for again.
 const WATCH_PAUSE: f64 = 1.0;
-/// Answers that judge an executor, the least of them, their age at the most, the quantile, its fellows' middle
-/// and how far above that is suspect; a failure weighs as an answer this many times the usual.
+/// Answers that judge an executor, the least of them, their age at the most, the quantile, its fellows'
+/// middle, and how far above that is suspect; a failure weighs as an answer this many times the usual.
 const JUDGED: usize = 16;
 const LEAST_JUDGED: usize = 4;
 const JUDGED_FOR: f64 = 5.0;
@@ -58,7 +58,7 @@
 /// Pause after an answer 'full', and how often it doubles while nothing else comes.
 const FULL_PAUSE: f64 = 0.1;
 const FULL_DOUBLINGS: i32 = 4;
-/// Backoff of a failed placement, and its growth; it is given so many load times; load time where none is told.
+/// Backoff of a failed placement, its growth, load times that one is given; load time where none is told.
 const BACKOFF: f64 = 0.1;
 const BACKOFF_GROWTH: f64 = 1.1;
 const PATIENCE: f64 = 5.0;
@@ -75,11 +75,9 @@
 type Rule = fn(&mut Choice, usize, &mut dyn Answers) -> bool;
 const RULES: [Rule; 5] = [
     Choice::give_up,
-    // The least busy known executor with room gets the invocation.
     |c, f, out| c.send_to_known(f, true, out),
     Choice::place,
-    // While a placement is under way the rest go to the least busy known executor.
-    |c, f, out| c.send_to_known(f, false, out),
+    |c, f, out| c.send_to_known(f, false, out), // while a placement is under way
     Choice::move_from_slow,
 ];
 
@@ -102,9 +100,7 @@
     shares: Vec<Allowance>, // of customers
     mean_value: f64,
     mean_backlog: f64,
-    /// Own invocations: all, and lately.
-    count: f64,
-    lately: Faded,
+    lately: Faded, // own invocations
     /// What one front end may have in flight at an executor; the median of the answer times, in latency
     /// objectives, that sets it; when it was last cut, and last set.
     limit: f64,
@@ -143,30 +139,12 @@
         ty < self.terms.trigger_types.len()
     }
 
-    // ---- Inputs ----
-
     pub fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Answers) {
         self.now = now;
         if kind == RosterKind::Failed {
             self.watch_at = now + WATCH_PAUSE * (0.5 + self.chance.unit());
         }
-        let before = self.fleet.ready.clone();
-        if kind == RosterKind::Full {
-            self.fleet.ready.fill(false);
-        }
-        let mut restarted = vec![];
-        for row in rows {
-            let x = self.fleet.index_of(row);
-            self.fleet.ready[x] = row.standing == Standing::Ready;
-            self.fleet.weight[x] = if row.weight > 0.0 && row.weight.is_finite() { row.weight } else { 1.0 };
-            if row.since > self.fleet.since[x] {
-                self.fleet.since[x] = row.since;
-                restarted.push(x);
-            }
-        }
-        // Of one that restarted, drains or is gone all that was known is void.
-        let left = (0..before.len()).filter(|&x| before[x] && !self.fleet.ready[x]);
-        for x in left.chain(restarted).collect::<Vec<_>>() {
+        for x in self.fleet.list(kind == RosterKind::Full, rows) {
             self.book.functions.iter_mut().for_each(|f| f.evict(x));
             self.fleet.forget(x);
         }
@@ -181,15 +159,12 @@
         let ty = &self.terms.trigger_types[inv.trigger_type];
         let objective = (ty.objective + ty.stretch * inv.work.unwrap_or(0.0)).min(ty.timeout);
         let value = self.value(inv);
-        self.count += 1.0;
-        self.mean_value += NEWEST.max(1.0 / self.count) * (value - self.mean_value);
+        self.mean_value += NEWEST.max(1.0 / self.lately.add(1.0, now, PART_TIME)) * (value - self.mean_value);
         let (id, ty, timeout_at) = (inv.id, inv.trigger_type, inv.timeout_at);
         // What counts is the lesser of the latency objective and the client timeout.
         let patience = objective.min(timeout_at - now);
-        let i =
-            self.book.add(Inv { id, ty, f, value, timeout_at, patience, taken_at: now, ..Inv::default() });
+        let i = self.book.add(Inv { id, ty, f, value, timeout_at, patience, at: now, ..Inv::default() });
         self.book.functions[f].taken.add(1.0, now, PART_TIME);
-        self.lately.add(1.0, now, PART_TIME);
         self.book.wait(i);
         self.touched.push(f);
         self.settle(out);
@@ -211,17 +186,13 @@
             self.fleet.heard[x] = now;
         }
         self.learn(x, ty, &done, o);
-        let until = now + self.cache_time;
-        let wanted = self.wanted(f);
+        let (until, wanted) = (now + self.cache_time, self.wanted(f));
         let function = &mut self.book.functions[f];
         match o.ending {
             Ending::Ok if self.fleet.ready[x] => {
                 function.know(x, now, until);
                 if self.terms.tells_crowd {
-                    function.heard += 1.0;
-                    let told = f64::from(o.crowd) * wanted;
-                    function.everywhere +=
-                        NEWEST_CROWD.max(1.0 / function.heard) * (told - function.everywhere);
+                    function.tell(f64::from(o.crowd) * wanted, NEWEST_CROWD);
                 }
             }
             Ending::Full => function.known.iter_mut().filter(|k| k.x == x).for_each(|k| k.full = true),
@@ -234,8 +205,8 @@
             self.placed(f, x, false, o.ending == Ending::Ok);
         }
         let inv = &mut self.book.invs[i];
-        if !o.ending.never_ran() && inv.ran.is_none_or(|(_, at)| done.at < at) {
-            inv.ran = Some((x, done.at));
+        if !o.ending.never_ran() {
+            inv.ran = inv.ran.filter(|&(_, at)| at <= done.at).or(Some((x, done.at)));
         }
         if o.closed || o.ending == Ending::Ok {
             self.close(i, out);
@@ -305,8 +276,6 @@
         self.settle(out);
     }
 
-    // ---- The rules, in their order ----
-
     /// Nothing is held that can't be answered any more, or not in time where a throttling reply is harmless.
     fn give_up(&mut self, f: usize, out: &mut dyn Answers) -> bool {
         let hopeless = |&&i: &&usize| {
@@ -314,7 +283,7 @@
             let known = self.book.functions[f].known.iter().any(|k| k.until > self.now);
             // Half the patience at the most: an estimate that throttled everything would never be put right.
             let left = self.usual[inv.ty].min(0.5 * inv.patience);
-            let late = known && self.now + left > inv.taken_at + inv.patience;
+            let late = known && self.now + left > inv.at + inv.patience;
             inv.sent >= self.terms.max_dispatches
                 || self.now + 2.0 * self.beat >= inv.timeout_at
                 || (inv.ran.is_some() && !self.fleet.all().any(|x| self.may_repeat(i, x)))
@@ -344,9 +313,10 @@
             self.placed(f, x, by_order, false);
             return true;
         }
-        let free =
-            function.waiting.iter().find(|&&i| self.book.invs[i].ran.is_none() || self.is_idempotent(i));
-        let Some(&i) = free.filter(|_| self.now >= function.next_at) else { return false };
+        let free = |&&i: &&usize| self.book.invs[i].ran.is_none() || self.is_idempotent(i);
+        let Some(&i) = function.waiting.iter().find(free).filter(|_| self.now >= function.next_at) else {
+            return false;
+        };
         let part = self.part(i);
         let Some(x) = self.placement_target(f, part) else { return false };
         let function = &self.book.functions[f];
@@ -358,8 +328,7 @@
             return false;
         }
         let by_order = self.terms.orders && self.order(f, x, out);
-        let only_orders_load = self.terms.orders && self.terms.answers_miss;
-        if !by_order && (only_orders_load || !self.dispatch(i, x, true, out)) {
+        if !by_order && (self.terms.orders && self.terms.answers_miss || !self.dispatch(i, x, true, out)) {
             return false;
         }
         let patience_at = self.now + PATIENCE * self.book.functions[f].load_time;
@@ -395,8 +364,6 @@
         false
     }
 
-    // ---- What every send and every final answer passes ----
-
     /// Effects, drains and cold executors: no dispatch goes out but through here.
     fn allows_dispatch(&self, i: usize, x: usize) -> bool {
         let inv = &self.book.invs[i];
@@ -416,17 +383,14 @@
         let harmless = |(at, when): (usize, f64)| match ty.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => false,
-            Effect::Tokened => {
-                let ends = when + ty.window - 2.0 * self.terms.tick;
-                self.fleet.same_group(ty.group, x, at) && self.now < ends
-            }
+            Effect::Tokened if !self.fleet.same_group(ty.group, x, at) => false,
+            Effect::Tokened => self.now < when + ty.window - 2.0 * self.terms.tick,
         };
         self.fleet.ready[x] && first.is_none_or(harmless)
     }
 
-    /// A cold executor's budget over the span in which it could be pushed over: what one front end's part of
-    /// the traffic to a warm fellow comes to, scaled to what a cold one can do. What is less than a whole
-    /// invocation falls to front ends in turn, by a rota that all draw alike; one at least has a turn.
+    /// A cold executor's budget over the span in which it could be pushed over: this front end's part, what's
+    /// less than a whole invocation by turns.
     fn cold_room(&self, x: usize, work: f64) -> bool {
         if self.warmth(x) >= 1.0 {
             return true;
@@ -437,14 +401,14 @@
         self.fleet.sent_since(x, span) / work + 1.0 <= whole
     }
 
-    /// Its place, from 0 up to 1, in a rota of all front ends for an executor: what is less than one each goes
-    /// round in turns, without any of them knowing of another.
+    /// Its place, from 0 up to 1, in a rota for an executor that all front ends draw alike.
     fn turn(&self, x: usize, slot: u64) -> f64 {
         let turn = (self.terms.index + self.fleet.lot_number(x, slot)) % self.terms.front_ends;
         turn / self.terms.front_ends + 1e-9
     }
 
-    /// A front end's part of a cold executor's budget, in invocations.
+    /// A front end's part of that budget, in invocations: its part of the traffic to a warm fellow, scaled to
+    /// what a cold one can do. All front ends together have a turn for one at least.
     fn entitled(&self, x: usize, work: f64) -> f64 {
         let fellow = |&y: &usize| self.fleet.ready[y] && self.fleet.kind[y] == self.fleet.kind[x];
         let warm = self.fleet.all().filter(fellow).filter(|&y| self.warmth(y) >= 1.0).count();
@@ -500,9 +464,6 @@
 
     /// The one place of final answers other than succeeded ones.
     fn answer(&mut self, i: usize, out: &mut dyn Answers) {
-        if self.book.invs[i].closed {
-            return;
-        }
         if self.may_throttle(i) {
             let share = STAY_AWAY + (1.0 - STAY_AWAY) * self.chance.unit();
             out.throttle(self.book.invs[i].id, share * self.terms.max_retry_after);
@@ -512,8 +473,6 @@
         self.close(i, out);
     }
 
-    // ---- Choosing an executor ----
-
     fn least_busy_known(&self, f: usize, i: usize, with_room: bool) -> Option<usize> {
         let function = &self.book.functions[f];
         let part = self.part(i);
@@ -530,7 +489,7 @@
         known.min_by(|a, b| rank(a).total_cmp(&rank(b))).map(|k| k.x)
     }
 
-    /// Room: own in-flight, and what peers are told to hold there, below the lanes of the copies.
+    /// Room: own in-flight below the lanes, and as many executors known as the function wants.
     fn has_lane(&self, f: usize, k: &Known) -> bool {
         let function = &self.book.functions[f];
         let held = function.inflight(&self.book.invs, k.x);
@@ -555,9 +514,9 @@
         self.fleet.out[x].is_empty() && self.now >= self.fleet.trial_at[x] && self.is_idempotent(i)
     }
 
-    /// What an invocation is billed for a unit of work; little where its customer is past its share. A
-    /// client's repeat takes a part of one, and only of what first tries leave: guards the others' shares, and
-    /// its own first tries, against clients that repeat without end.
+    /// What an invocation is billed for a unit of work; little where its customer is past its share. A repeat
+    /// takes a part of one, and only of what first tries leave: guards other customers, and its own first
+    /// tries, against clients that repeat without end.
     fn value(&mut self, inv: &Invocation) -> f64 {
         let ty = &self.terms.trigger_types[inv.trigger_type];
         let work = if self.terms.value_by_work { 1.0 } else { self.usual[inv.trigger_type].max(1e-6) };
@@ -576,7 +535,7 @@
     /// Guards the room against what earns little, late or past a customer's share, when room is short.
     fn part(&self, i: usize) -> f64 {
         let inv = &self.book.invs[i];
-        let late = self.now > inv.taken_at + inv.patience;
+        let late = self.now > inv.at + inv.patience;
         let left = if late { self.terms.trigger_types[inv.ty].late_share } else { 1.0 };
         (inv.value * left / self.mean_value).min(1.0)
     }
@@ -587,7 +546,7 @@
         self.fleet.inflight(x) < limit && self.now >= self.fleet.paused[x].until
     }
 
-    /// Own in-flight and what it reported waiting; that fades to the mean, which stands for what was never heard.
+    /// Own in-flight and what it reported waiting; that fades to the mean, as for what was never heard.
     fn busy(&self, x: usize) -> f64 {
         let (waiting, at) = self.fleet.backlog[x];
         let fresh = (-(self.now - at) / REPORT_TIME).exp();
@@ -595,8 +554,8 @@
         (held + 1.0) / (self.fleet.weight[x] * self.warmth(x))
     }
 
-    /// The last executor known warm, else the less loaded of two. The two are drawn with the function's
-    /// key for a seed, so that all front ends draw the same and share the copy that one has loaded.
+    /// The last executor known warm, else the less loaded of two, drawn with the function's key for a seed:
+    /// all front ends draw the same and share the copy that one has loaded.
     fn placement_target(&mut self, f: usize, part: f64) -> Option<usize> {
         let function = &self.book.functions[f];
         let fits = |&x: &usize| {
@@ -608,8 +567,8 @@
         // Where both are at their bounds the placement waits: a copy elsewhere serves one front end only.
         let takes = |&x: &usize| self.takes_more(x, part);
         let last = function.last_warm.filter(|&(x, at)| self.now < at + self.terms.keep_alive && fits(&x));
-        if last.is_some() {
-            return last.map(|l| l.0);
+        if let Some((x, _)) = last {
+            return Some(x);
         }
         let lot = |x: usize| self.fleet.lot(x, function.key, self.fleet.weight[x] * self.warmth(x));
         let mut fitting: Vec<usize> = self.fleet.all().filter(fits).collect();
@@ -623,8 +582,6 @@
         fitting.into_iter().reduce(|a, b| if SECOND * self.busy(b) < self.busy(a) { b } else { a })
     }
 
-    // ---- What is known of executors ----
-
     fn warmth(&self, x: usize) -> f64 {
         let risen = ((self.now - self.fleet.since[x]) / self.terms.cold).clamp(0.0, 1.0);
         let risen = if self.now < self.fleet.broke_at[x] + BROKEN_FOR { 0.0 } else { risen };
@@ -654,8 +611,7 @@
             }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => FAILURE,
             Ending::Full => {
-                // Guards against storms into executors that turn everything away: crowded, draining before
-                // the roster says so, or without memory. Harms little where one function alone was refused.
+                // Guards against storms into executors that turn everything away, crowded or draining.
                 self.fleet.paused[x].grow(now, FULL_PAUSE, FULL_DOUBLINGS);
                 return;
             }
@@ -669,9 +625,9 @@
         }
     }
 
-    /// The limit goes by the median answer time, of all executors: a heavy invocation or one behind a load says
-    /// nothing of the crowd. One cut for what was sent since the last. Guards against overload, whatever its
-    /// cause; it could harm where work is long by nature.
+    /// The limit goes by the median answer time: a heavy invocation or one behind a load says nothing of the
+    /// crowd. One cut for what was sent since the last. Guards against overload, whatever its cause; it could
+    /// harm where work is long by nature.
     fn gauge(&mut self, time: f64, sent_at: f64) {
         self.typical *= if time > self.typical { TYPICAL_STEP } else { 1.0 / TYPICAL_STEP };
         if self.typical <= TYPICAL_MOST {
@@ -684,7 +640,7 @@
     }
 
     /// An executor that broke off or took no connection is suspect at once, whatever the roster says. What
-    /// answers next may have just started: guards against all front ends pushing it over before they are told.
+    /// answers next may have just started: guards against all front ends pushing it over untold.
     fn distrust(&mut self, x: usize) {
         self.fleet.broke_at[x] = self.now;
         // Where two in a location broke and none of it was heard since, the rest of it is as doubtful.
@@ -722,8 +678,6 @@
         }
     }
 
-    // ---- What is known of functions and invocations ----
-
     /// A placement has come to its end; a failed one alone is tried again, after a growing pause.
     fn placed(&mut self, f: usize, x: usize, by_order: bool, well: bool) {
         let function = &mut self.book.functions[f];
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,7 +1,7 @@
 //! What the module keeps between inputs: plain records, and the upkeep that takes no decision.
 
 use crate::chance::agreed;
-use crate::interface::{Answers, ExecutorId, Group, RosterRow};
+use crate::interface::{Answers, ExecutorId, Group, RosterRow, Standing};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// Executors, as parallel arrays under a dense index.
@@ -62,6 +62,27 @@
         x
     }
 
+    /// Enters roster rows, and tells of which executors all that was known is void: those that restarted,
+    /// drain or are gone. A full list leaves out what is gone.
+    pub fn list(&mut self, full: bool, rows: &[RosterRow]) -> Vec<usize> {
+        let before = self.ready.clone();
+        if full {
+            self.ready.fill(false);
+        }
+        let mut void = vec![];
+        for row in rows {
+            let x = self.index_of(row);
+            self.ready[x] = row.standing == Standing::Ready;
+            self.weight[x] = if row.weight > 0.0 && row.weight.is_finite() { row.weight } else { 1.0 };
+            if row.since > self.since[x] {
+                self.since[x] = row.since;
+                void.push(x);
+            }
+        }
+        void.extend((0..before.len()).filter(|&x| before[x] && !self.ready[x]));
+        void
+    }
+
     /// Voids what was heard of an executor. What is out there still counts, and so does what was sent.
     pub fn forget(&mut self, x: usize) {
         self.backlog[x] = (0.0, f64::NEG_INFINITY);
@@ -220,7 +241,8 @@
     pub value: f64,
     pub f: usize,
     pub timeout_at: f64,
-    pub taken_at: f64,
+    /// When it was taken.
+    pub at: f64,
     /// From its arrival to the end of the objective or of the client's patience.
     pub patience: f64,
     pub sent: u8,
@@ -280,6 +302,12 @@
         self.known.push(Known { x, until, full: false });
     }
 
+    /// Takes what an answer tells of its crowds into the mean; the first ones weigh more.
+    pub fn tell(&mut self, told: f64, weight: f64) {
+        self.heard += 1.0;
+        self.everywhere += weight.max(1.0 / self.heard) * (told - self.everywhere);
+    }
+
     pub fn evict(&mut self, x: usize) {
         self.known.retain(|k| k.x != x);
         self.last_warm = self.last_warm.filter(|w| w.0 != x);
