--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,7 +46,7 @@
 const PART_TIME: f64 = 8.0;
 const SAMPLE: f64 = 8.0;
 const COPIES: f64 = 1.3;
-const CROWD: f64 = 2.0;
+const CROWD: f64 = 3.0;
 /// Time in which a report fades.
 const REPORT_TIME: f64 = 10.0;
 /// After this share of the latency objective a silent executor's work is moved, and a suspect tried again.
