An answer full counts for the limit as one as late as the objective

Cause: in erie's incident four of five dispatches were turned away while the limit stood open for fifteen seconds. It could harm where one function alone is refused everywhere.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -11,7 +11,7 @@
 /// Interval at which whatever waits is looked at again, and after which an unused function is forgotten.
 const BEAT: f64 = 0.025;
 const FORGOTTEN: f64 = 120.0;
-/// Mean pause before a subscription to the roster that failed is asked for again.
+/// Mean pause after a failed subscription to the roster.
 const WATCH_PAUSE: f64 = 1.0;
 /// Answers that judge an executor, the least of them, their age at the most, the quantile, its fellows'
 /// middle, and how far above that is suspect; a failure weighs as an answer this many times the usual.
@@ -54,7 +54,8 @@
 /// Pause after a reset or a failed connection; so long what answers again may be as cold as one just started.
 const DISTRUST: f64 = 1.0;
 const BROKEN_FOR: f64 = 8.0;
-/// Pause after an answer 'full', and how often it doubles while nothing else comes.
+/// Pause after an answer 'full', and how often it doubles while nothing else comes. Guards against storms into
+/// executors that turn everything away, crowded or draining.
 const FULL_PAUSE: f64 = 0.1;
 const FULL_DOUBLINGS: i32 = 4;
 /// Backoff of a failed placement, its growth, load times that one is given; load time where none is told.
@@ -559,8 +560,6 @@
                 && function.failed != Some(x)
                 && !function.knows(x, self.now)
         };
-        // Where both are at their bounds the placement waits: a copy elsewhere serves one front end only.
-        let takes = |&x: &usize| self.takes_more(x, part);
         let last = function.last_warm.filter(|&(x, at)| self.now < at + self.terms.keep_alive && fits(&x));
         if let Some((x, _)) = last {
             return Some(x);
@@ -569,7 +568,8 @@
         let mut fitting: Vec<usize> = self.fleet.all().filter(fits).collect();
         fitting.sort_by(|&a, &b| lot(a).total_cmp(&lot(b)));
         fitting.truncate(self.wanted(f).max(2.0) as usize);
-        fitting.retain(takes);
+        // Where all are at their bounds the placement waits: a copy elsewhere serves one front end only.
+        fitting.retain(|&x| self.takes_more(x, part));
         // Two of them by chance, in their order.
         while fitting.len() > 2 {
             fitting.remove((self.chance.unit() * fitting.len() as f64) as usize);
@@ -612,8 +612,8 @@
             }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => FAILURE,
             Ending::Full => {
-                // Guards against storms into executors that turn everything away, crowded or draining.
                 self.fleet.paused[x].grow(now, FULL_PAUSE, FULL_DOUBLINGS);
+                self.gauge(1.0, done.at);
                 return;
             }
             Ending::Cancelled | Ending::NeverSent | Ending::Miss => return,
