--- a/src/choice.rs
+++ b/src/choice.rs
@@ -585,7 +585,7 @@
 
     fn learn(&mut self, x: usize, ty: usize, done: &Out, o: &Outcome) {
         let now = self.now;
-        let loaded = done.places || matches!(o.found, Found::Loaded | Found::Waited | Found::LoadFailed);
+        let loaded = if o.found == Found::Untold { done.places } else { o.found != Found::Warm };
         let objective = self.terms.trigger_types[ty].objective;
         let sample = match o.ending {
             Ending::Ok if loaded => return,
