--- a/src/choice.rs
+++ b/src/choice.rs
@@ -564,7 +564,7 @@
         if let Some((x, _)) = last {
             return Some(x);
         }
-        let lot = |x: usize| self.fleet.lot(x, function.key, self.fleet.weight[x] * self.warmth(x));
+        let lot = |x: usize| self.fleet.lot(x, function.key, self.fleet.weight[x]);
         let mut fitting: Vec<usize> = self.fleet.all().filter(fits).collect();
         fitting.sort_by(|&a, &b| lot(a).total_cmp(&lot(b)));
         fitting.truncate(self.wanted(f).max(2.0) as usize);
