--- a/drill/src/terms.rs
+++ b/drill/src/terms.rs
@@ -76,6 +76,8 @@
         value_by_work: need(v, "valueBy").is_ok_and(|w| w == "work"),
         front_ends: number_or(v, "balancers", 1.0)?.max(1.0),
         index: number_or(v, "index", 0.0)?.max(0.0),
+        zone: number_or(v, "zone", 0.0)?.clamp(0.0, 255.0) as u8,
+        crossing: number_or(v, "penalties.crossZone", 0.0)?.max(0.0),
         tick: seconds(v, "tick")?,
         max_dispatches: number(v, "limits.maxAttempts")?.clamp(0.0, 255.0) as u8,
         second_copies: flag(v, "limits.secondCopies")?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,8 +47,9 @@
 const SAMPLE: f64 = 8.0;
 const COPIES: f64 = 1.3;
 const CROWD: f64 = 3.0;
-/// Time in which a report fades.
+/// Time in which a report fades; how much busier an executor elsewhere counts, by what a crossing costs.
 const REPORT_TIME: f64 = 10.0;
+const FAR: f64 = 20.0;
 /// After this share of the latency objective a silent executor's work is moved, and a suspect tried again.
 const SILENCE: f64 = 0.6;
 /// Pause after a reset or a failed connection; so long what answers again may be as cold as one just started.
@@ -92,8 +93,7 @@
     fleet: Fleet,
     book: Book,
     touched: Vec<usize>, // functions
-    /// The usual answer time of each trigger type, on a loaded copy.
-    usual: Vec<f64>,
+    usual: Vec<f64>,     // answer times of each trigger type, on a loaded copy
     /// When invocations were taken and orders given, over the window of the ration.
     taken: Moments,
     orders: Moments,
@@ -101,8 +101,7 @@
     mean_value: f64,
     mean_backlog: f64,
     lately: Faded, // own invocations
-    /// What one front end may have in flight at an executor; the median of the answer times, in latency
-    /// objectives, that sets it; when it was last cut, and last set.
+    /// Own in-flight limit at an executor; the median answer, in objectives, that sets it; last cut, last set.
     limit: f64,
     typical: f64,
     cut_at: f64,
@@ -242,8 +241,7 @@
         let Some(&f) = self.book.function_index.get(&key) else { return };
         let Some(&x) = self.fleet.index.get(&at) else { return };
         if ending == Ending::Ok && self.fleet.ready[x] {
-            let until = now + self.cache_time;
-            self.book.functions[f].know(x, now, until);
+            self.book.functions[f].know(x, now, now + self.cache_time);
         } else {
             self.book.functions[f].evict(x);
             if matches!(ending, Ending::ConnectFailed | Ending::Reset) {
@@ -402,8 +400,8 @@
 
     /// Its place, from 0 up to 1, in a rota for an executor that all front ends draw alike.
     fn turn(&self, x: usize, slot: u64) -> f64 {
-        let turn = (self.terms.index + self.fleet.lot_number(x, slot)) % self.terms.front_ends;
-        turn / self.terms.front_ends + 1e-9
+        let drawn = self.terms.index + self.fleet.lot_number(x, slot);
+        drawn % self.terms.front_ends / self.terms.front_ends + 1e-9
     }
 
     /// A front end's part of that budget, in invocations: its part of the traffic to a warm fellow, scaled to
@@ -455,8 +453,9 @@
     fn may_throttle(&self, i: usize) -> bool {
         let inv = &self.book.invs[i];
         let ty = &self.terms.trigger_types[inv.ty];
-        let never_ran = inv.ran.is_none() && inv.out.is_empty();
-        never_ran || ty.effect == Effect::Idempotent || ty.effect == Effect::Tokened && ty.group == Group::All
+        let harmless =
+            ty.effect == Effect::Idempotent || ty.effect == Effect::Tokened && ty.group == Group::All;
+        harmless || inv.ran.is_none() && inv.out.is_empty()
     }
 
     /// The one place of final answers other than succeeded ones.
@@ -547,7 +546,8 @@
         let (waiting, at) = self.fleet.backlog[x];
         let fresh = (-(self.now - at) / REPORT_TIME).exp();
         let held = self.fleet.inflight(x) + self.mean_backlog + fresh * (waiting - self.mean_backlog);
-        (held + 1.0) / (self.fleet.weight[x] * self.warmth(x))
+        let far = if self.fleet.zone[x] == self.terms.zone { 1.0 } else { 1.0 + FAR * self.terms.crossing };
+        far * (held + 1.0) / (self.fleet.weight[x] * self.warmth(x))
     }
 
     /// The last executor known warm, else the less loaded of two, drawn with the function's key for a seed:
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -47,6 +47,9 @@
     pub front_ends: f64,
     /// Which of them this is.
     pub index: f64,
+    /// Its location, and what a dispatch to another one costs.
+    pub zone: u8,
+    pub crossing: f64,
     pub tick: f64,
     pub max_dispatches: u8,
     pub second_copies: bool,
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -69,6 +69,8 @@
         value_by_work: false,
         front_ends: 3.0,
         index: 0.0,
+        zone: 0,
+        crossing: 0.02,
         tick: 0.002,
         max_dispatches: 4,
         second_copies: false,
