--- a/src/choice.rs
+++ b/src/choice.rs
@@ -55,8 +55,8 @@
 /// Pause after a reset or a failed connection; so long what answers again may be as cold as one just started.
 const DISTRUST: f64 = 1.0;
 const BROKEN_FOR: f64 = 8.0;
-/// Pause after an answer 'full', and how often it doubles while nothing else comes. Guards against storms into
-/// executors that turn everything away, crowded or draining.
+/// Pause after an answer 'full', and how often it doubles while nothing else comes. Guards against storms
+/// into executors that turn everything away, crowded or draining.
 const FULL_PAUSE: f64 = 0.1;
 const FULL_DOUBLINGS: i32 = 4;
 /// Backoff of a failed placement, its growth, load times that one is given; load time where none is told.
@@ -101,7 +101,7 @@
     mean_value: f64,
     mean_backlog: f64,
     lately: Faded, // own invocations
-    /// Own in-flight limit at an executor; the median answer, in objectives, that sets it; last cut, last set.
+    /// In-flight limit at an executor; the median answer, in objectives, that sets it; last cut, last set.
     limit: f64,
     typical: f64,
     cut_at: f64,
