--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -263,6 +263,29 @@
     empty.all_answered();
 }
 
+#[test]
+fn a_function_told_to_be_crowded_reaches_more_executors() {
+    let (mut w, _) = warm(Terms { tells_crowd: true, ..terms() }, 6);
+    w.crowd = 24;
+    for _ in 0..8 {
+        let inv = w.invoke(0, 1, 5.0);
+        w.load_all(Ending::Ok);
+        w.end(inv, 0, Ending::Ok);
+        w.pass(3.0);
+    }
+    assert!((0..6).filter(|&x| w.sent_to(x) > 0).count() > 2);
+}
+
+#[test]
+fn a_client_that_leaves_early_is_no_executors_fault_and_an_idle_front_end_sleeps() {
+    let (mut w, x) = warm(terms(), 4);
+    w.invoke(0, 1, 0.2);
+    w.pass(1.0);
+    assert!(w.plain.wakes.is_empty(), "no timer with nothing waiting or out");
+    w.invoke(0, 1, 5.0);
+    assert!(matches!(w.plain.said.last(), Some(&Said::Dispatch(_, to)) if to == x));
+}
+
 #[test]
 fn where_most_wait_is_served_first() {
     let mut w = World::new(Terms { ration_floor: 1.0, ration_share: 0.0, ..terms() }, 4);
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -134,7 +134,7 @@
         let part = self.warm_part(x);
         if part < 1.0 {
             // All invocations here weigh the same, so counts will do. No fellow carried more than all the
-            // answers there were, over the shortest time in which the module takes a rate; a turn is one more.
+            // answers there were, over the shortest time in which a rate is taken; a turn is one more.
             let oks: u32 = self.fleet.iter().map(|e| e.oks).sum();
             let budget = self.terms.overload_factor * part * self.terms.fall * f64::from(oks) + 1.0;
             let all = self.taken.iter().flat_map(|t| &t.sent);
@@ -205,6 +205,8 @@
 pub struct World {
     pub choice: Choice,
     pub plain: Plain,
+    /// What executors tell to hold of each function.
+    pub crowd: u32,
 }
 
 impl World {
@@ -222,7 +224,7 @@
             said: vec![],
         };
         let choice = Choice::new(terms, 7, 100.0, &mut plain);
-        let mut world = World { choice, plain };
+        let mut world = World { choice, plain, crowd: 0 };
         for x in 0..executors {
             world.roster(x, Standing::Ready, f64::NEG_INFINITY);
         }
@@ -270,7 +272,8 @@
         let closed = taken.closed_at.is_some();
         let (dispatch, executor, found) = (dispatch as u8, id(x), Found::Untold);
         // A quarter of the objective, which leaves the usual answer time as it was at the start.
-        let o = Outcome { inv, dispatch, executor, ending, took: 0.25, closed, found, crowd: 0, report: &[] };
+        let (took, crowd, report) = (0.25, self.crowd, &[][..]);
+        let o = Outcome { inv, dispatch, executor, ending, took, closed, found, crowd, report };
         self.choice.outcome(self.plain.now, &o, &mut self.plain);
     }
 
