--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,9 +38,9 @@
 const SHARE_BURST: f64 = 2.0;
 const SHARE_SAMPLE: f64 = 5.0;
 const REPEAT_COST: f64 = 0.33;
-/// Times less busy: an executor that gets a copy while lanes are left elsewhere, the second of two drawn.
+/// Times less busy: for a copy with lanes left elsewhere; over one, by front ends, the second of two drawn.
 const SPREAD: f64 = 3.0;
-const SECOND: f64 = 2.0;
+const SECOND: f64 = 9.0;
 /// Time over which parts of the traffic are taken, what is added for its being a sample, copies for each
 /// executor that a part would fill, and invocations of one function that an executor should hold.
 const PART_TIME: f64 = 8.0;
@@ -570,11 +570,11 @@
         fitting.truncate(self.wanted(f).max(2.0) as usize);
         // Where all are at their bounds the placement waits: a copy elsewhere serves one front end only.
         fitting.retain(|&x| self.takes_more(x, part));
-        // Two of them by chance, in their order.
         while fitting.len() > 2 {
             fitting.remove((self.chance.unit() * fitting.len() as f64) as usize);
         }
-        fitting.into_iter().reduce(|a, b| if SECOND * self.busy(b) < self.busy(a) { b } else { a })
+        let margin = 1.0 + SECOND / self.terms.front_ends;
+        fitting.into_iter().reduce(|a, b| if margin * self.busy(b) < self.busy(a) { b } else { a })
     }
 
     fn warmth(&self, x: usize) -> f64 {
