Wait for as many copies as a hot function's share fills, and try ten rollouts at once

Cause: a front end asked for one copy of the new version ahead of a step, whatever the rate; where the first share of a hot function fills two executors, the first invocations met one. Change: the wish is reckoned from the plan's stated rate or what front ends take, the work and the lanes; a step is given once so many copies are known. The sockets test has clocks a second apart and ten rollouts at once. Measured: at 200 a second and 50 ms the steps of 0.1 and 0.5 wait for 1 and 4 copies; nine of ten rollouts finish and one is taken back, each effect once.

--- a/crates/coordinator/tests/sockets.rs
+++ b/crates/coordinator/tests/sockets.rs
@@ -77,7 +77,7 @@
             let make = Make::roomy(number);
             let load = load.clone();
             let catalogue = move |name: &str| {
-                let is_new = name == format!("f@{}", digest(NEW));
+                let is_new = name.ends_with(&format!("@{}", digest(NEW)));
                 Some(Program {
                     lanes: 32,
                     load_time: if is_new { load.get() } else { 0.05 },
@@ -98,15 +98,26 @@
     let list: Vec<_> = executors.iter().map(|e| format!("{{ address: \"{}\" }}", e.address)).collect();
     let asked: Vec<_> = coordinators.iter().map(|a| format!("\"{a}\"")).collect();
     let (old, new) = (digest(OLD), digest(NEW));
+    let function = |name: &str| {
+        format!(
+            r#"{{ name: "{name}", lanes: 32, loadTime: "200ms",
+                versions: [{{ digest: "sha256:{old}" }}, {{ digest: "sha256:{new}" }}],
+                aliases: {{ stable: "sha256:{old}", next: "sha256:{new}" }} }}"#
+        )
+    };
+    let functions: Vec<String> = ["f".into()]
+        .into_iter()
+        .chain((0..10).map(|n| format!("g{n}")))
+        .map(|n: String| function(&n))
+        .collect();
+    let functions = functions.join(", ");
     let text = format!(
         r#"{{
             triggerTypes: [
                 {{ name: "look", effect: "idempotent", objective: "2s", timeout: "4s", lateShare: 0.5 }},
                 {{ name: "act", effect: "nonIdempotent", objective: "2s", timeout: "4s", lateShare: 0.5 }},
             ],
-            functions: [{{ name: "f", lanes: 32, loadTime: "200ms",
-                versions: [{{ digest: "sha256:{old}" }}, {{ digest: "sha256:{new}" }}],
-                aliases: {{ stable: "sha256:{old}", next: "sha256:{new}" }} }}],
+            functions: [{functions}],
             executors: {{ list: [{}] }},
             safety: {{ cold: "50ms", fall: "10ms" }},
             loading: {{ {loading} }},
@@ -119,13 +130,18 @@
 }
 
 fn gateway(text: &str) -> Gateway {
+    gateway_ahead(text, 0.0)
+}
+
+/// With a wall clock that is so far ahead.
+fn gateway_ahead(text: &str, ahead: f64) -> Gateway {
     let listener = orchidtally_frontend::listen(any_port()).unwrap();
     let at = listener.get_ref().local_addr().unwrap();
     let (stop, stopped) = async_channel::bounded(1);
     let (text, seed) = (text.to_owned(), u64::from(at.port()));
     let thread = std::thread::spawn(move || {
         let deployment = Deployment::read(&text).unwrap_or_else(|f| panic!("{f:?}"));
-        let start = Start { deployment, seed, ahead: 0.0, step: None, stop: stopped, random: false };
+        let start = Start { deployment, seed, ahead, step: None, stop: stopped, random: false };
         let tally = orchidtally_frontend::run(start, listener);
         assert_eq!(tally.overdue, 0);
     });
@@ -151,8 +167,12 @@
 }
 
 fn plan(steps: &str) -> Order {
+    plan_of("r", "f", 0.1, steps)
+}
+
+fn plan_of(name: &str, function: &str, pace: f64, steps: &str) -> Order {
     let plan = format!(
-        "{{ name: 'r', function: 'f', to: 'next', loadsPerSecond: 0.1, holdback: 0, keepFrom: '200ms', steps: [{steps}] }}"
+        "{{ name: '{name}', function: '{function}', to: 'next', loadsPerSecond: {pace}, holdback: 0, keepFrom: '200ms', steps: [{steps}] }}"
     );
     Order::Start { plan, dry: false }
 }
@@ -373,3 +393,57 @@
     gateway.end();
     two.end();
 }
+
+#[test]
+fn ten_rollouts_at_once_on_front_ends_whose_clocks_are_a_second_apart_come_to_their_ends() {
+    let at = free();
+    let w = world(&[at], "rationFloor: 30, rationWindow: '5s'");
+    let office = office(&w.text, at, &folder("ten"));
+    let gateways = [gateway_ahead(&w.text, -0.5), gateway_ahead(&w.text, 0.5)];
+    let callers: Vec<_> = gateways
+        .iter()
+        .enumerate()
+        .map(|(n, g)| Caller::new(&w.stage, n as u32, n as u32, g.at, false))
+        .collect();
+    let steps = "{ share: 0.5, leastTime: '300ms', leastEvidence: 5 }, { share: 1, leastTime: '300ms', leastEvidence: 5 }";
+    on(&w.stage, async {
+        for n in 0..10 {
+            assert_eq!(order(at, plan_of(&format!("r{n}"), &format!("g{n}"), 6.0, steps)).await.0, 200);
+        }
+        assert_eq!(order(at, Order::Back { name: "r3".into(), why: "a test".into() }).await.0, 200);
+        let over = async || {
+            let (_, body) =
+                http_ask(at, Method::GET, "/v1/rollouts", vec![], Duration::from_secs(3)).await.unwrap();
+            let value: serde_json::Value = serde_json::from_slice(&body).unwrap();
+            let phases =
+                value["rollouts"].as_array().unwrap().iter().map(|r| r["phase"].as_str().unwrap().to_owned());
+            let phases: Vec<_> = phases.collect();
+            (
+                phases.iter().filter(|p| *p == "finished").count(),
+                phases.iter().filter(|p| *p == "takenBack").count(),
+            )
+        };
+        let mut n = 0;
+        while over().await != (9, 1) {
+            for caller in &callers {
+                let name = format!("t{n}");
+                let asked = Ask { function: format!("g{}", n % 10), ..ask(&name, ACT) };
+                assert!(succeeded(&caller.invoke(&asked).await));
+                assert_eq!(w.ran(&name).len(), 1, "each effect once");
+                n += 1;
+            }
+        }
+        w.stage.sleep(0.3).await;
+        for (g, caller) in (0..10).flat_map(|g| callers.iter().map(move |c| (g, c))) {
+            let name = format!("last-{g}-{}", caller.number);
+            let asked = Ask { function: format!("g{g}"), ..ask(&name, LOOK) };
+            assert!(succeeded(&caller.invoke(&asked).await));
+            let wanted = if g == 3 { OLD } else { NEW };
+            assert_eq!(w.ran(&name), [digest(wanted)]);
+        }
+    });
+    for gateway in gateways {
+        gateway.end();
+    }
+    office.end();
+}
--- a/crates/rollout/src/frontend.rs
+++ b/crates/rollout/src/frontend.rs
@@ -4,6 +4,7 @@
 
 use crate::evidence::{Arm, Cell, Delta, Gathered, Tracked};
 use crate::plan::{Gate, Key};
+use crate::reckoning::copies_for;
 use crate::sequential::Tests;
 use crate::split::{self, Who};
 use crate::state::{Epoch, Phase, Published, Rollout};
@@ -21,6 +22,8 @@
 const OTHERS: usize = 2;
 const LATELY: f64 = 5.0;
 const MOST_EXECUTORS: usize = 10_000;
+/// Weight of the newest second in the rate of a function.
+const RATE_NEWEST: f64 = 0.2;
 /// Copies of the old version are renewed this often, as parts of the time that an idle copy stays.
 const RENEWED: f64 = 0.4;
 /// Loads are no invocation's, so they have a cell of their own in each location.
@@ -109,6 +112,10 @@
     took_back: Option<String>,
     taken: u64,
     rate_from: f64,
+    /// Invocations of the function a second here, lately.
+    rate: f64,
+    /// Copies of the new version that the step needs.
+    wanted: usize,
     next_load_at: f64,
     next_renewal_at: f64,
 }
@@ -223,6 +230,8 @@
                     took_back: None,
                     taken: 0,
                     rate_from: now,
+                    rate: 0.0,
+                    wanted: 1,
                     next_load_at: now,
                     next_renewal_at: now,
                 };
@@ -432,9 +441,15 @@
             };
             // Each front end has its turn in the pace that all of them keep together.
             let awaited = local.rollout.split_at().is_some() && !local.ready && place.orders;
+            if let (true, Some(step), Some(to)) = (awaited, local.rollout.split_at(), &local.to) {
+                // Guards a hot function, whose first share fills more than one copy: what the plan states, or what
+                // front ends like this one take between them.
+                let rate = plan.rate.unwrap_or(0.0).max(local.rate * f64::from(place.count));
+                local.wanted = copies_for(rate, plan.steps[step].share, to) as usize;
+            }
             if awaited && now >= local.next_load_at {
                 local.next_load_at = now + f64::from(place.count) / plan.loads_per_second;
-                want(true, &local.to, 1);
+                want(true, &local.to, local.wanted);
             } else if awaited {
                 want(true, &local.to, 0);
             }
@@ -458,7 +473,7 @@
     /// guards a rollout against waiting without end where placements take all orders.
     pub fn prepared(&mut self, ahead: &Ahead, known: usize, ordered: bool) {
         if let Some(local) = self.local_of(ahead.run).filter(|_| ahead.is_new) {
-            local.ready |= known > 0 || ahead.copies > 0 && !ordered;
+            local.ready |= known >= local.wanted || ahead.copies > 0 && !ordered;
         }
     }
 
@@ -508,6 +523,7 @@
                 ready: ready && local.given == local.rollout.split_at(),
                 rate: local.taken as f64 / passed,
             };
+            local.rate += RATE_NEWEST * (delta.rate - local.rate);
             (local.taken, local.rate_from) = (0, now);
             self.waiting.push(delta);
         }
--- a/crates/rollout/src/reckoning.rs
+++ b/crates/rollout/src/reckoning.rs
@@ -2,7 +2,7 @@
 //! evidence that they ask for. A plan that can't be kept is refused with the reckoning.
 
 use crate::plan::{Gate, Plan};
-use orchidtally_deployment::Deployment;
+use orchidtally_deployment::{Deployment, Version};
 use serde::{Deserialize, Serialize};
 
 /// Of the ration's floor, the part that rollouts may use; the rest is for ordinary placements.
@@ -40,12 +40,16 @@
     t.front_ends * PART_OF_RATION * t.ration_floor / t.ration_window
 }
 
-/// Copies that a rate of invocations needs.
+/// Copies that a share of a rate of invocations needs.
+pub fn copies_for(rate: f64, share: f64, version: &Version) -> u64 {
+    let work = version.work.unwrap_or(0.0);
+    (share * rate * work / (version.lanes * FILLED)).ceil().max(1.0) as u64
+}
+
 fn copies(plan: &Plan, deployment: &Deployment, share: f64) -> u64 {
     let version = deployment.function(&plan.function).and_then(|f| f.version(&plan.to).cloned());
     let (Some(rate), Some(version)) = (plan.rate, version) else { return 1 };
-    let work = version.work.unwrap_or(0.0);
-    (share * rate * work / (version.lanes * FILLED)).ceil().max(1.0) as u64
+    copies_for(rate, share, &version)
 }
 
 /// Invocations of the new version a second at a step.
--- a/crates/rollout/tests/decisions.rs
+++ b/crates/rollout/tests/decisions.rs
@@ -588,3 +588,47 @@
     let step = w.until(3_000, |w| w.coordinator.published().rollouts["misting"].step == 1);
     assert!(step.is_some(), "a tenth of one a second brings 50 in the end: {}", w.reason());
 }
+
+#[test]
+fn a_hot_function_waits_for_as_many_copies_as_its_share_fills() {
+    let d = deployment();
+    // A tenth of 200 a second at 50 ms is one lane all the time, of the two that a copy has filled to 0.7: 1 copy;
+    // half of it is 5 lanes: 4 copies.
+    let plan = plan("rate: 200,");
+    let mut coordinator = Coordinator::new(Kept::default(), 1, 0.0);
+    let start = Command::Start { plan: Box::new(plan), from: OLD.into(), to: NEW.into() };
+    coordinator.command(0.0, &start, 7).unwrap_or_else(|r| panic!("{}", r.0));
+    let place = Place { index: 0, count: 4, location: 0, orders: true, keep_alive: 10.0 };
+    let mut shares = Shares::new(place, 0.0);
+    let mut wished = vec![];
+    for step in 0..2 {
+        let mut published = coordinator.published().clone();
+        for r in published.rollouts.values_mut() {
+            (r.phase, r.step, r.number) = (Phase::Shifting, step, step as u64 + 10);
+        }
+        published.number += step as u64 + 1;
+        shares.adopt(100.0 * step as f64, published, |name| d.function(name));
+        let now = 100.0 * step as f64 + 50.0;
+        let given = |shares: &mut Shares| {
+            shares.turn(now);
+            let f = d.function("mist").unwrap();
+            (0..400)
+                .filter(|n| {
+                    let r = shares.resolve(&f, None, 0, 1, &who(&n.to_string())).unwrap();
+                    r.version.digest.as_ref() == NEW
+                })
+                .count()
+        };
+        let before = given(&mut shares);
+        let ahead = shares.ahead(now).into_iter().find(|a| a.is_new).unwrap();
+        wished.push(ahead.copies);
+        if ahead.copies > 1 {
+            shares.prepared(&ahead, ahead.copies - 1, true);
+            assert!(given(&mut shares) <= before + 20, "one copy less than that is not enough");
+        }
+        shares.prepared(&ahead, ahead.copies, true);
+        shares.adopt(now, coordinator.published().clone(), |name| d.function(name));
+        assert!(given(&mut shares) > before + 20);
+    }
+    assert_eq!(wished, [1, 4]);
+}
