Pace the ten rollouts of the test within what its ration grants

Cause: 6 loads a second were asked for where the ration grants 3, so that the plans were refused. Change: the test asks for 3. Measured: the coordinator's five socket tests pass.

--- a/crates/coordinator/tests/sockets.rs
+++ b/crates/coordinator/tests/sockets.rs
@@ -408,7 +408,7 @@
     let steps = "{ share: 0.5, leastTime: '300ms', leastEvidence: 5 }, { share: 1, leastTime: '300ms', leastEvidence: 5 }";
     on(&w.stage, async {
         for n in 0..10 {
-            assert_eq!(order(at, plan_of(&format!("r{n}"), &format!("g{n}"), 6.0, steps)).await.0, 200);
+            assert_eq!(order(at, plan_of(&format!("r{n}"), &format!("g{n}"), 3.0, steps)).await.0, 200);
         }
         assert_eq!(order(at, Order::Back { name: "r3".into(), why: "a test".into() }).await.0, 200);
         let over = async || {
