--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -12,6 +12,7 @@
 
 use clap::{Parser, Subcommand, ValueEnum};
 use orchidtally_deployment::Deployment;
+use orchidtally_trigger::Section;
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -67,11 +68,16 @@
 
 /// Reads a deployment file; faults go to standard error with the file's name.
 pub fn read_deployment(file: &Path) -> Result<Deployment, u8> {
+    read_whole(file).map(|read| read.0)
+}
+
+/// With its triggers, where it has some.
+pub fn read_whole(file: &Path) -> Result<(Deployment, Option<Section>), u8> {
     let text = std::fs::read_to_string(file).map_err(|e| {
         eprintln!("{}: {e}", file.display());
         BAD_INPUT
     })?;
-    Deployment::read(&text).map_err(|faults| {
+    orchidtally_trigger::read(&text).map_err(|faults| {
         for fault in &faults {
             eprintln!("{}:{fault}", file.display());
         }
@@ -97,13 +103,14 @@
     }
     let done = match arguments.command {
         Command::Serve(a) => serve::run(a),
-        Command::Check { file } => read_deployment(&file).map(|d| {
+        Command::Check { file } => read_whole(&file).map(|(d, mqtt)| {
             println!(
-                "{}: sound; '{}', {} trigger types, {} functions listed",
+                "{}: sound; '{}', {} trigger types, {} functions listed, {} triggers by messages",
                 file.display(),
                 d.name,
                 d.trigger_types.len(),
-                d.functions.len()
+                d.functions.len(),
+                mqtt.map_or(0, |m| m.rules.list.len())
             );
         }),
         Command::Invoke(a) => invoke::run(a),
--- a/crates/cli/src/rehearse/mod.rs
+++ b/crates/cli/src/rehearse/mod.rs
@@ -2,12 +2,13 @@
 //! checked from the traffic.
 
 mod day;
+mod messages;
 mod play;
 mod rolling;
 
 use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO};
 use day::Day;
-use orchidtally_witness::{Answer, Record, Verdict, judge};
+use orchidtally_witness::{Answer, Messages, Record, Verdict, judge, messages as judge_messages};
 use serde::Serialize;
 use std::collections::HashMap;
 use std::path::PathBuf;
@@ -24,8 +25,8 @@
     /// Length of the built-in day, in seconds.
     #[arg(long, default_value_t = 20.0)]
     length: f64,
-    /// Plants a breach of this rule in the traffic; it has to be found.
-    #[arg(long, value_name = "RULE", value_parser = clap::value_parser!(u8).range(1..=5))]
+    /// Plants a breach of this rule in the traffic; it has to be found. 6, with --mqtt: messages given twice.
+    #[arg(long, value_name = "RULE", value_parser = clap::value_parser!(u8).range(1..=6))]
     sabotage: Option<u8>,
     /// A day as the users' bench prints it, scaled down to this machine.
     #[arg(long, value_name = "FILE", conflicts_with = "day")]
@@ -36,6 +37,9 @@
     /// What the new version of that rollout is like.
     #[arg(long, value_enum, default_value_t = rolling::NewVersion::FailsLater)]
     new_version: rolling::NewVersion,
+    /// Lets controllers publish messages beside the day's traffic, by way of a broker with faults of its own.
+    #[arg(long)]
+    mqtt: bool,
     /// Writes every record of the traffic here, one JSON object a line.
     #[arg(long, value_name = "FILE")]
     records: Option<PathBuf>,
@@ -78,11 +82,16 @@
 }
 
 pub fn run(arguments: Arguments) -> Result<(), u8> {
+    if arguments.sabotage == Some(6) && !arguments.mqtt {
+        eprintln!("--sabotage 6 is a broker's fault: --mqtt is wanted with it");
+        return Err(BAD_INPUT);
+    }
     let day = day(&arguments)?;
     let wish = play::Wish {
         seed: arguments.seed,
         sabotage: arguments.sabotage,
         front_end_log: arguments.front_end_log.clone(),
+        messages: arguments.mqtt,
         rollout: match &arguments.rollout {
             None => None,
             Some(file) if file == BUILT_IN => {
@@ -104,9 +113,11 @@
         })?;
     }
     let verdict = judge(&played.terms, &played.fleet, &played.records);
-    report(&day, &played, &verdict);
+    let messages = arguments.mqtt.then(|| judge_messages(&played.terms, &played.records));
+    report(&day, &played, &verdict, messages.as_ref());
     let rolled_well = played.rollout.as_ref().is_none_or(rolling::Seen::is_well);
-    if verdict.kept() && rolled_well { Ok(()) } else { Err(NOT_SO) }
+    let carried_well = messages.as_ref().is_none_or(Messages::kept);
+    if verdict.kept() && rolled_well && carried_well { Ok(()) } else { Err(NOT_SO) }
 }
 
 /// The last line of the output.
@@ -117,6 +128,8 @@
     found: &'a Verdict,
     #[serde(skip_serializing_if = "Option::is_none")]
     rollout: Option<Rolled<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    mqtt: Option<&'a Messages>,
 }
 
 #[derive(Serialize)]
@@ -132,7 +145,7 @@
     sorted.get(rank.min(sorted.len().saturating_sub(1))).copied().unwrap_or(f64::NAN)
 }
 
-fn report(day: &Day, played: &play::Played, verdict: &Verdict) {
+fn report(day: &Day, played: &play::Played, verdict: &Verdict, messages: Option<&Messages>) {
     println!("troubles:");
     for t in &day.troubles {
         println!("  {:>5.1} s  {:<16} for {:>4.1} s, size {:.2}", t.at, t.kind.name(), t.lasts, t.size);
@@ -161,7 +174,16 @@
         seen.told.iter().for_each(|line| println!("  {line}"));
         Rolled { seen, effects_twice: broken(2), orders_over_ration: broken(5) }
     });
-    let line = Line { verdict: if verdict.kept() { "kept" } else { "broken" }, found: verdict, rollout };
+    if let Some(m) = messages {
+        println!(
+            "messages: {} published, {} answers, {} of them of unknown outcome",
+            m.messages, m.answers, m.unknown_outcome
+        );
+        m.breaches.iter().for_each(|breach| println!("  {breach}"));
+    }
+    let kept = verdict.kept() && messages.is_none_or(Messages::kept);
+    let line =
+        Line { verdict: if kept { "kept" } else { "broken" }, found: verdict, rollout, mqtt: messages };
     let line = serde_json::to_string(&line).unwrap_or_default();
     println!("{line}");
 }
--- a/crates/cli/src/rehearse/play.rs
+++ b/crates/cli/src/rehearse/play.rs
@@ -1,6 +1,7 @@
 //! Plays a day: front ends as processes of their own, everything else on one thread beside them.
 
 use super::day::{Day, Kind, Trouble};
+use super::messages::Messages;
 use super::rolling::{self, Rolling};
 use bytes::Bytes;
 use futures_lite::future;
@@ -11,12 +12,12 @@
 use orchidtally_standin::publisher::{Publisher, Row};
 use orchidtally_standin::rogue::Rogue;
 use orchidtally_standin::store::Store;
-use orchidtally_standin::{Stage, Until, any_port};
+use orchidtally_standin::{Stage, Until, any_port, port_for_later};
 use orchidtally_witness::{self as witness, Answer, Effect, Group, Record, Standing, Terms, TriggerType};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
@@ -41,6 +42,7 @@
     pub sabotage: Option<u8>,
     pub front_end_log: String,
     pub rollout: Option<rolling::Wish>,
+    pub messages: bool,
 }
 
 pub struct Played {
@@ -86,12 +88,7 @@
     /// The longest that the stand-ins' thread came late to anything.
     lag: Cell<f64>,
     rolling: Option<Rc<Rolling>>,
-}
-
-fn free_ports(n: usize) -> io::Result<Vec<SocketAddr>> {
-    // All are held until the last is found, so that they differ.
-    let held: Vec<TcpListener> = (0..n).map(|_| TcpListener::bind(any_port())).collect::<io::Result<_>>()?;
-    held.iter().map(TcpListener::local_addr).collect()
+    messages: Option<Rc<Messages>>,
 }
 
 fn description(day: &Day, publisher: SocketAddr, more: &str) -> String {
@@ -174,6 +171,9 @@
     if let Some(rolling) = &theatre.rolling {
         rolling.end();
     }
+    if let Some(messages) = &theatre.messages {
+        messages.end();
+    }
     // It lies in the temporary folder, where nobody misses it.
     let _ = std::fs::remove_file(&theatre.file);
     let notes = played?;
@@ -197,6 +197,7 @@
 fn set(stage: Stage, day: &Day, wish: &Wish) -> io::Result<Rc<Theatre>> {
     let store = Store::new(&stage, 12.0, 48);
     let rolling = wish.rollout.as_ref().map(|w| Rolling::new(&stage, w)).transpose()?.map(Rc::new);
+    let messages = if wish.messages { Some(Rc::new(Messages::new(&stage, wish.seed)?)) } else { None };
     let rolled = rolling.clone();
     let catalogue: Catalogue = Rc::new(move |name| {
         if let Some(program) = rolled.as_ref().and_then(|r| r.program(name)) {
@@ -254,8 +255,9 @@
         executors.push(executor);
     }
     let publisher = Publisher::start(&stage, any_port(), rows)?;
-    let text =
-        description(day, publisher.address, &rolling.as_ref().map(|r| r.description()).unwrap_or_default());
+    let mut more = rolling.as_ref().map(|r| r.description()).unwrap_or_default();
+    more += &messages.as_ref().map(|m| m.description()).unwrap_or_default();
+    let text = description(day, publisher.address, &more);
     let deployment = Deployment::read(&text).map_err(|f| io::Error::other(format!("{f:?}")))?;
     let file = std::env::temp_dir().join(format!(
         "orchidtally-rehearsal-{}-{}.json5",
@@ -264,8 +266,8 @@
     ));
     std::fs::write(&file, text)?;
     let mut front_ends = vec![];
-    for (n, at) in free_ports(day.front_ends as usize)?.into_iter().enumerate() {
-        let index = n as u32;
+    for n in 0..day.front_ends as usize {
+        let (index, at) = (n as u32, port_for_later()?);
         let callers = (0..4).map(|c| Caller::new(&stage, 10 * index + c, index, at, c == 3)).collect();
         let spread = if day.front_ends > 1 { n as f64 / f64::from(day.front_ends - 1) } else { 0.0 };
         front_ends.push(Rc::new(FrontEnd {
@@ -300,6 +302,7 @@
         names: Cell::new(0),
         lag: Cell::new(0.0),
         rolling,
+        messages,
     }))
 }
 
@@ -364,7 +367,9 @@
             self.stage
                 .spawn(async move {
                     me.stage.sleep(WARM_UP + 0.25 * me.day.length).await;
-                    me.sabotage(rule).await;
+                    if rule <= 5 {
+                        me.sabotage(rule).await;
+                    }
                 })
                 .detach();
         }
@@ -378,12 +383,23 @@
             };
             self.stage.spawn(work).detach();
         }
+        if let Some(messages) = self.messages.clone() {
+            let (length, rate) = (self.day.length, self.day.rate);
+            self.pending.set(self.pending.get() + 1);
+            let me = self.clone();
+            let work = async move {
+                messages.perform(from, length, rate, sabotage == Some(6)).await;
+                me.pending.set(me.pending.get() - 1);
+            };
+            self.stage.spawn(work).detach();
+        }
         let beat = self.stage.spawn(self.clone().heartbeat());
         let progress = self.stage.spawn(self.clone().progress(from));
         self.clone().traffic(from).await;
         // What is open is answered, and what was ordered to end does.
         let longest = self.deployment.terms.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
-        let until = self.stage.now() + longest + 2.0;
+        let answers = if self.messages.is_some() { 20.0 } else { 0.0 };
+        let until = self.stage.now() + longest + 2.0 + answers;
         while self.pending.get() > 0 && self.stage.now() < until {
             self.stage.sleep(0.02).await;
         }
--- a/crates/cli/src/rehearse/rolling.rs
+++ b/crates/cli/src/rehearse/rolling.rs
@@ -9,13 +9,13 @@
 use orchidtally_net::http::ask;
 use orchidtally_rollout::coordinator::Event;
 use orchidtally_standin::executor::{Program, digest, echo};
-use orchidtally_standin::{Stage, any_port};
+use orchidtally_standin::{Stage, port_for_later};
 use orchidtally_witness::Record;
 use serde::Serialize;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
@@ -113,8 +113,7 @@
 
 impl Rolling {
     pub fn new(stage: &Stage, wish: &Wish) -> io::Result<Rolling> {
-        // The port is free: nobody else uses this address.
-        let at = TcpListener::bind(any_port())?.local_addr()?;
+        let at = port_for_later()?;
         let state = std::env::temp_dir().join(format!("orchidtally-rollout-{}", std::process::id()));
         // One of an earlier process with this number.
         let _ = std::fs::remove_dir_all(&state);
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,9 +1,10 @@
 //! `orchidtally serve`.
 
-use crate::{BAD_INPUT, COULD_NOT_RUN, local, read_deployment};
+use crate::{BAD_INPUT, COULD_NOT_RUN, local, read_whole};
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use orchidtally_frontend::Start;
+use orchidtally_frontend::mqtt::Triggers;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use tracing::info;
@@ -52,9 +53,9 @@
 }
 
 pub fn run(arguments: Arguments) -> Result<(), u8> {
-    let mut deployment = match &arguments.deployment {
-        Some(file) => read_deployment(file)?,
-        None => local::deployment(arguments.listen).map_err(|e| {
+    let (mut deployment, section) = match &arguments.deployment {
+        Some(file) => read_whole(file)?,
+        None => local::deployment(arguments.listen).map(|d| (d, None)).map_err(|e| {
             eprintln!("no local executors: {e}");
             COULD_NOT_RUN
         })?,
@@ -66,6 +67,11 @@
         }
         deployment.terms.index = f64::from(index);
     }
+    let index = deployment.terms.index as u32;
+    let triggers = section.map(|s| Triggers::open(s, index)).transpose().map_err(|e| {
+        eprintln!("the journal of triggers can't be used: {e}");
+        COULD_NOT_RUN
+    })?;
     let at = arguments.listen.unwrap_or(deployment.listen);
     let listener = orchidtally_frontend::listen(at).map_err(|e| {
         eprintln!("can't listen at {at}: {e}");
@@ -102,6 +108,7 @@
         step: arguments.clock_step,
         stop: stopped,
         random: arguments.random,
+        triggers,
     };
     let tally = orchidtally_frontend::run(start, listener);
     info!(?tally, "ended");
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -118,6 +118,31 @@
     }
 }
 
+#[test]
+fn messages_have_one_answer_and_one_effect_though_half_of_the_front_ends_are_killed() {
+    let day = r#"{ length: "8s", rate: 200, frontEnds: 6, executors: 6, troubles: [
+        { kind: "killFrontEnds", at: "2s", for: "2s", size: 0.46 },
+        { kind: "deploy", at: "3s", for: "2s", size: 0.5 },
+        { kind: "killFrontEnds", at: "5s", for: "1s", size: 1 },
+    ] }"#;
+    let day = file("messages.json5", day);
+    let play = |more: &[&str]| {
+        let mut command = Command::new(PROGRAM);
+        command.arg("rehearse").arg(&day).arg("--mqtt").args(more);
+        command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn().unwrap()
+    };
+    let (well, planted) = (play(&[]), play(&["--sabotage", "6"]));
+    let output = well.wait_with_output().unwrap();
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stdout));
+    let mqtt = verdict(&output)["mqtt"].clone();
+    let of = |key: &str| mqtt[key].as_u64().unwrap();
+    assert!(of("messages") > 150 && of("answers") == of("messages"), "{mqtt}");
+    assert_eq!((of("answered_twice"), of("unanswered"), of("effects_twice"), of("untrue")), (0, 0, 0, 0));
+    let output = planted.wait_with_output().unwrap();
+    assert_eq!(output.status.code(), Some(1), "{}", text(&output.stdout));
+    assert!(verdict(&output)["mqtt"]["effects_twice"].as_u64().unwrap() > 0, "{}", text(&output.stdout));
+}
+
 #[test]
 fn a_rollout_that_goes_wrong_under_a_bad_day_is_taken_back_in_time() {
     let day = r#"{ length: "14s", rate: 160, troubles: [
--- a/crates/coordinator/tests/sockets.rs
+++ b/crates/coordinator/tests/sockets.rs
@@ -11,7 +11,7 @@
 use orchidtally_standin::client::{Ask, Caller, Heard};
 use orchidtally_standin::executor::{Executor, Make, Program, Surroundings, digest};
 use orchidtally_standin::store::Store;
-use orchidtally_standin::{Stage, any_port};
+use orchidtally_standin::{Stage, any_port, port_for_later};
 use orchidtally_witness::Record;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -59,7 +59,7 @@
 }
 
 fn free() -> SocketAddr {
-    std::net::TcpListener::bind(any_port()).unwrap().local_addr().unwrap()
+    port_for_later().unwrap()
 }
 
 fn folder(name: &str) -> PathBuf {
@@ -141,7 +141,8 @@
     let (text, seed) = (text.to_owned(), u64::from(at.port()));
     let thread = std::thread::spawn(move || {
         let deployment = Deployment::read(&text).unwrap_or_else(|f| panic!("{f:?}"));
-        let start = Start { deployment, seed, ahead, step: None, stop: stopped, random: false };
+        let start =
+            Start { deployment, seed, ahead, step: None, stop: stopped, random: false, triggers: None };
         let tally = orchidtally_frontend::run(start, listener);
         assert_eq!(tally.overdue, 0);
     });
--- a/crates/frontend/src/hub.rs
+++ b/crates/frontend/src/hub.rs
@@ -58,6 +58,22 @@
     pub payload_bytes: u64,
 }
 
+/// What is asked, by way of whatever ingress.
+pub struct Asked<'a> {
+    pub name: String,
+    pub function: Rc<str>,
+    pub resolved: Resolved,
+    pub trigger_type: usize,
+    /// Its place among the deployment's, and its name.
+    pub customer: (usize, &'a str),
+    pub token: &'a str,
+    pub repeat: bool,
+    /// When its final answer has to be there.
+    pub timeout_at: f64,
+    pub payload: Vec<Bytes>,
+    pub payload_bytes: u64,
+}
+
 /// A streamed answer was cut off by its executor.
 #[derive(Debug)]
 pub struct CutOff;
@@ -137,6 +153,8 @@
     warned_of_index: Cell<Option<Instant>>,
     /// Answers that told of another front end with this one's index.
     pub index_taken: Cell<u64>,
+    /// How triggers stand, where there are any.
+    pub triggers: Cell<Option<crate::mqtt::Standing>>,
 }
 
 /// A number for an executor, for what has to tell them apart only. Never 0.
@@ -209,6 +227,7 @@
                 rearm: async_channel::bounded(1),
                 warned_of_index: Cell::new(None),
                 index_taken: Cell::new(0),
+                triggers: Cell::new(None),
             }
         });
         if let Source::Listed(rows) = &hub.deployment.source {
@@ -293,7 +312,7 @@
     }
 
     /// Takes an invocation. The receiver gets its final answer.
-    pub fn take(&self, offer: Offer, work: Work) -> Result<Taken, Refused> {
+    fn take(&self, offer: Offer, work: Work) -> Result<Taken, Refused> {
         let (reply, answer) = oneshot::channel();
         let inv = Rc::new(Cell::new(0));
         let client = Client { work: Rc::new(work), offer, inv: inv.clone(), reply };
@@ -301,6 +320,42 @@
         Ok((inv, answer))
     }
 
+    /// Takes what an ingress was asked.
+    pub fn take_asked(&self, asked: Asked) -> Result<Taken, Refused> {
+        let Resolved { version, invoked } = asked.resolved;
+        let offer = Offer {
+            trigger_type: asked.trigger_type,
+            customer: asked.customer.0,
+            function: version.key,
+            repeat: asked.repeat,
+            moved: false,
+            timeout_at: asked.timeout_at,
+            work: version.work,
+            lanes: version.lanes,
+            load_time: version.load_time,
+        };
+        let work = Work {
+            name: asked.name,
+            function: asked.function,
+            digest: version.digest,
+            invoked,
+            failed: Cell::new(false),
+            last: Cell::new(0),
+            dispatched: 0,
+            trigger_type: asked.trigger_type,
+            customer: asked.customer.1.to_owned(),
+            token: asked.token.to_owned(),
+            payload: asked.payload,
+            payload_bytes: asked.payload_bytes,
+        };
+        self.take(offer, work)
+    }
+
+    /// The name of the front end's own location.
+    pub fn location(&self) -> &str {
+        self.deployment.locations.get(usize::from(self.deployment.terms.zone)).map_or("", String::as_str)
+    }
+
     /// The version that an invocation gets, and whether it counts as evidence.
     pub fn resolve(
         &self,
--- a/crates/frontend/src/ingress.rs
+++ b/crates/frontend/src/ingress.rs
@@ -2,7 +2,7 @@
 //! A body is taken in whole chunks, which are handed on as they are; it is here before the module hears of
 //! the invocation, so that a slow sender holds neither a stream nor a decision.
 
-use crate::hub::{Brought, CutOff, Final, Hub, Work};
+use crate::hub::{Asked, Brought, CutOff, Final, Hub};
 use async_executor::LocalExecutor;
 use bytes::Bytes;
 use futures_lite::future;
@@ -14,9 +14,8 @@
 use hyper::body::Incoming;
 use hyper_util::server::conn::auto;
 use orchidtally::interface::Effect;
-use orchidtally_engine::{Cause, Offer, Refused};
+use orchidtally_engine::{Cause, Refused};
 use orchidtally_net::{Stream, within};
-use orchidtally_rollout::Resolved;
 use orchidtally_rollout::plan::Key;
 use orchidtally_rollout::split::Who;
 use serde_json::json;
@@ -156,10 +155,10 @@
 }
 
 /// Withdraws an invocation whose client goes away before it is answered.
-struct Guard<'a> {
-    hub: &'a Hub,
-    inv: Rc<Cell<u32>>,
-    answered: bool,
+pub(crate) struct Guard<'a> {
+    pub hub: &'a Hub,
+    pub inv: Rc<Cell<u32>>,
+    pub answered: bool,
 }
 
 impl Drop for Guard<'_> {
@@ -265,43 +264,25 @@
         Some(Key::Token) => token,
         Some(Key::Header(name)) => header(headers, name)?,
     };
-    let who = Who {
-        customer: customer.1,
-        location: deployment.locations.get(usize::from(deployment.terms.zone)).map_or("", String::as_str),
-        key: key.unwrap_or(&name_of_invocation),
-    };
+    let who = Who { customer: customer.1, location: hub.location(), key: key.unwrap_or(&name_of_invocation) };
     let no_version = || unknown(format!("function '{name}' has no version '{}'", asked.unwrap_or("stable")));
     let resolved = hub.resolve(&function, asked, trigger_type, customer.0, &who).ok_or_else(no_version)?;
-    let Resolved { version, invoked } = resolved;
     let told = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
     let (payload, payload_bytes) = body(hub, incoming, told).await?;
     let bounds = &deployment.bounds;
-    let offer = Offer {
-        trigger_type,
-        customer: customer.0,
-        function: version.key,
-        repeat,
-        moved: false,
-        timeout_at: arrived + left - bounds.answer_margin - hub.open() as f64 * bounds.answer_time,
-        work: version.work,
-        lanes: version.lanes,
-        load_time: version.load_time,
-    };
-    let work = Work {
+    let asked = Asked {
         name: name_of_invocation.clone(),
         function: function.name,
-        digest: version.digest,
-        invoked,
-        failed: Cell::new(false),
-        last: Cell::new(0),
-        dispatched: 0,
+        resolved,
         trigger_type,
-        customer: customer.1.to_owned(),
-        token: token.unwrap_or_default().to_owned(),
+        customer,
+        token: token.unwrap_or_default(),
+        repeat,
+        timeout_at: arrived + left - bounds.answer_margin - hub.open() as f64 * bounds.answer_time,
         payload,
         payload_bytes,
     };
-    let (inv, answer) = hub.take(offer, work).map_err(|refused| {
+    let (inv, answer) = hub.take_asked(asked).map_err(|refused| {
         let (detail, time) = match refused {
             Refused::Full => ("as many invocations are open as may be", deployment.terms.max_retry_after),
             Refused::Leaving => ("this front end is ending; ask another", 0.0),
@@ -359,6 +340,18 @@
     json!({ "term": published.epoch.term, "number": published.number, "rollouts": rollouts })
 }
 
+/// How triggers stand.
+fn triggers(hub: &Hub) -> serde_json::Value {
+    let Some(standing) = hub.triggers.get() else { return serde_json::Value::Null };
+    json!({
+        "connected": standing.connected,
+        "inHand": standing.in_hand,
+        "waiting": standing.waiting,
+        "journalWorks": standing.journal_works,
+        "messages": standing.tally,
+    })
+}
+
 /// What the front end says of itself.
 fn standing(hub: &Hub) -> Response<Answer> {
     let t = hub.tally();
@@ -378,6 +371,7 @@
         "overdue": t.overdue,
         "indexTaken": hub.index_taken.get(),
         "rollouts": rollouts(hub),
+        "mqtt": triggers(hub),
     });
     let mut response = Response::new(Answer::Chunks([Bytes::from(body.to_string())].into()));
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/frontend/src/lib.rs
+++ b/crates/frontend/src/lib.rs
@@ -3,11 +3,12 @@
 
 mod hub;
 pub mod ingress;
+pub mod mqtt;
 mod pool;
 mod rollouts;
 pub mod roster;
 
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use hub::Hub;
@@ -34,6 +35,8 @@
     pub stop: async_channel::Receiver<()>,
     /// Decide by random choice instead of the module, for comparisons.
     pub random: bool,
+    /// What comes by messages, where the deployment file has a broker.
+    pub triggers: Option<mqtt::Triggers>,
 }
 
 /// Binds the address that the deployment states.
@@ -50,7 +53,9 @@
     if !hub.deployment.coordinators.is_empty() {
         spawner.spawn(rollouts::keep_up(hub.clone())).detach();
     }
-    let work = attend(hub, spawner.clone(), listener, start.stop);
+    let (leave, leaving) = async_channel::bounded::<()>(1);
+    let carried = start.triggers.and_then(|triggers| hub.spawn(mqtt::carry(hub.clone(), triggers, leaving)));
+    let work = attend(hub, spawner.clone(), listener, start.stop, (carried, leave));
     async_io::block_on(spawner.run(work))
 }
 
@@ -59,6 +64,7 @@
     spawner: Rc<LocalExecutor<'static>>,
     listener: Async<TcpListener>,
     stop: async_channel::Receiver<()>,
+    (carried, stop_carrying): (Option<Task<()>>, async_channel::Sender<()>),
 ) -> Tally {
     let most = hub.deployment.bounds.connections;
     let open = Rc::new(Cell::new(0));
@@ -92,11 +98,19 @@
         }
     }
     drop(listener);
+    drop(stop_carrying);
+    let longest = hub.deployment.terms.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
+    let deadline = Instant::now() + Duration::from_secs_f64(longest) + LEAVE_MARGIN;
+    if let Some(carried) = carried {
+        // Messages in hand may have to be dispatched yet.
+        let left = orchidtally_net::within(deadline - Instant::now(), carried).await;
+        if left.is_none() {
+            warn!("left with messages in hand: the journal has them");
+        }
+    }
     hub.leave();
     info!(open = hub.open(), connections = open.get(), "leaving: nothing new is taken");
     drop(leave);
-    let longest = hub.deployment.terms.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
-    let deadline = Instant::now() + Duration::from_secs_f64(longest) + LEAVE_MARGIN;
     while (hub.open() > 0 || open.get() > 0) && Instant::now() < deadline {
         Timer::after(Duration::from_millis(5)).await;
     }
--- /dev/null
+++ b/crates/frontend/src/mqtt.rs
@@ -0,0 +1,556 @@
+//! Carries messages: the connection to the broker, the journal's thread and the invocations round a `Desk`, which
+//! decides.
+
+use crate::hub::{Asked, Brought, Final, Hub};
+use crate::ingress::Guard;
+use async_executor::Task;
+use bytes::{Bytes, BytesMut};
+use futures_lite::future;
+use futures_lite::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use futures_rustls::TlsConnector;
+use futures_rustls::pki_types::pem::PemObject;
+use futures_rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use futures_rustls::rustls::{ClientConfig, RootCertStore};
+use orchidtally_engine::{Cause, Refused};
+use orchidtally_journal::{Group, Journal};
+use orchidtally_mqtt::packet::Packet;
+use orchidtally_mqtt::{decode, encode};
+use orchidtally_rollout::plan::Key;
+use orchidtally_rollout::split::Who;
+use orchidtally_trigger::Section;
+use orchidtally_trigger::desk::{Desk, Notice, Tally, Todo};
+use orchidtally_trigger::ledger::{Answer, Held, Record};
+use orchidtally_trigger::section::Tls;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tracing::{debug, error, info, warn};
+
+/// Inputs that wait to be gone through; the socket is not read meanwhile.
+const INPUTS: usize = 1_024;
+/// Bytes that wait to be written to the broker.
+const MOST_OUT: usize = 512 * 1024;
+/// For a connection, with its TLS.
+const CONNECT_TIME: Duration = Duration::from_secs(5);
+/// Between tries to connect, from the first to the longest, in seconds; each varies by half.
+const PAUSE: (f64, f64) = (0.1, 5.0);
+
+/// What a front end needs to serve triggers: the section, and its journal with what stood in it.
+pub struct Triggers {
+    pub section: Section,
+    journal: Journal,
+    records: Vec<Record>,
+    cut: u64,
+}
+
+fn bad(folder: &Path, what: impl std::fmt::Display) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, format!("{}: {what}", folder.display()))
+}
+
+/// The records that a journal holds, in their order.
+pub fn records(snapshot: Option<&[u8]>, entries: &[Vec<u8>]) -> Result<Vec<Record>, serde_json::Error> {
+    let mut records: Vec<Record> = match snapshot {
+        Some(state) => serde_json::from_slice(state)?,
+        None => vec![],
+    };
+    for entry in entries {
+        records.push(serde_json::from_slice(entry)?);
+    }
+    Ok(records)
+}
+
+impl Triggers {
+    /// Opens the journal of a front end.
+    pub fn open(section: Section, index: u32) -> io::Result<Triggers> {
+        let folder = section.folder(index);
+        let (journal, found) = Journal::open(&folder)?;
+        let records = records(found.snapshot.as_deref(), &found.entries)
+            .map_err(|e| bad(&folder, format!("an entry can't be read, so that nothing is served: {e}")))?;
+        Ok(Triggers { section, journal, records, cut: found.cut })
+    }
+}
+
+/// A stream to the broker, plain or encrypted.
+trait Wire: AsyncRead + AsyncWrite + Unpin {}
+impl<T: AsyncRead + AsyncWrite + Unpin> Wire for T {}
+
+enum Input {
+    Connected(io::Result<Box<dyn Wire>>),
+    /// Of a connection, by number.
+    Packet(u64, Packet),
+    Lost(u64, String),
+    /// What waits to be written has been, or a part of it.
+    Room,
+    Came(u64, Answer),
+}
+
+/// From the journal's thread.
+enum Word {
+    Kept(bool),
+    Replaced(bool),
+}
+
+/// What waits to be written to the broker.
+#[derive(Default)]
+struct Outbox {
+    bytes: RefCell<BytesMut>,
+    ended: Cell<bool>,
+}
+
+struct Connection {
+    number: u64,
+    outbox: Rc<Outbox>,
+    wake: async_channel::Sender<()>,
+    _tasks: [Option<Task<()>>; 2],
+}
+
+/// What a front end says of its triggers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Standing {
+    pub tally: Tally,
+    pub connected: bool,
+    pub in_hand: usize,
+    pub waiting: usize,
+    pub journal_works: bool,
+}
+
+struct Carrier {
+    hub: Rc<Hub>,
+    section: Rc<Section>,
+    desk: Desk,
+    journal: Group,
+    inputs: async_channel::Sender<Input>,
+    words: async_channel::Sender<Word>,
+    connection: Option<Connection>,
+    connecting: Option<Task<()>>,
+    connections: u64,
+    connect_at: f64,
+    pause: f64,
+    invocations: HashMap<u64, Task<()>>,
+    journal_works: bool,
+}
+
+fn tls(section: &Tls) -> Result<TlsConnector, Box<dyn std::error::Error>> {
+    let mut roots = RootCertStore::empty();
+    for certificate in CertificateDer::pem_file_iter(&section.authorities)? {
+        roots.add(certificate?)?;
+    }
+    let config = ClientConfig::builder().with_root_certificates(roots);
+    let config = match &section.identity {
+        Some((certificates, key)) => {
+            let chain: Result<Vec<_>, _> = CertificateDer::pem_file_iter(certificates)?.collect();
+            config.with_client_auth_cert(chain?, PrivateKeyDer::from_pem_file(key)?)?
+        }
+        None => config.with_no_client_auth(),
+    };
+    Ok(TlsConnector::from(Arc::new(config)))
+}
+
+async fn connect(section: &Section) -> io::Result<Box<dyn Wire>> {
+    let stream = orchidtally_net::connect(section.broker, CONNECT_TIME).await?;
+    let Some(wanted) = &section.tls else { return Ok(Box::new(stream)) };
+    // The files are read for each connection, so that those that were replaced count from the next on.
+    let connector = tls(wanted).map_err(|e| io::Error::other(format!("TLS: {e}")))?;
+    let name = ServerName::try_from(wanted.name.clone()).map_err(io::Error::other)?;
+    let shaken = orchidtally_net::within(CONNECT_TIME, connector.connect(name, stream)).await;
+    Ok(Box::new(shaken.ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??))
+}
+
+/// Reads packets until the connection ends.
+async fn read(
+    mut stream: impl AsyncRead + Unpin,
+    number: u64,
+    section: Rc<Section>,
+    inputs: async_channel::Sender<Input>,
+) {
+    let (mut buffer, mut bytes) = (BytesMut::new(), vec![0; 16 * 1024]);
+    let ended = 'all: loop {
+        match stream.read(&mut bytes).await {
+            Ok(0) => break "the broker closed the connection".into(),
+            Err(e) => break e.to_string(),
+            Ok(n) => buffer.extend_from_slice(&bytes[..n]),
+        }
+        loop {
+            match decode(&mut buffer, section.version, section.largest_packet as usize) {
+                Ok(Some((_, packet))) => {
+                    if inputs.send(Input::Packet(number, packet)).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(None) => break,
+                Err(fault) => break 'all fault.to_string(),
+            }
+        }
+    };
+    // Nobody listens where the front end has ended.
+    let _ = inputs.send(Input::Lost(number, ended)).await;
+}
+
+/// Writes what waits, until the connection ends.
+async fn write(
+    mut stream: impl AsyncWrite + Unpin,
+    number: u64,
+    outbox: Rc<Outbox>,
+    woken: async_channel::Receiver<()>,
+    inputs: async_channel::Sender<Input>,
+) {
+    while woken.recv().await.is_ok() {
+        loop {
+            let bytes = outbox.bytes.borrow_mut().split().freeze();
+            if bytes.is_empty() {
+                break;
+            }
+            let full = bytes.len() >= MOST_OUT;
+            let written = async {
+                stream.write_all(&bytes).await?;
+                stream.flush().await
+            };
+            if let Err(e) = written.await {
+                let _ = inputs.send(Input::Lost(number, e.to_string())).await;
+                return;
+            }
+            if full && inputs.send(Input::Room).await.is_err() {
+                return;
+            }
+        }
+        if outbox.ended.get() {
+            // It was said goodbye to in order; that it is gone before matters to nobody.
+            let _ = stream.close().await;
+            return;
+        }
+    }
+}
+
+/// Invokes for a message and gives its final answer.
+async fn invoke(hub: Rc<Hub>, held: Held, ready_by: f64) -> Answer {
+    let errored = |why: String| Answer::Errored { why, may_have_run: false };
+    let deployment = &hub.deployment;
+    let work = &held.work;
+    let Some(trigger_type) = deployment.trigger_type(&work.trigger_type) else {
+        return errored(format!("there is no trigger type '{}' any more", work.trigger_type));
+    };
+    let customer = match deployment.customers.iter().position(|c| *c == work.customer) {
+        Some(n) => n,
+        None if deployment.customers.is_empty() => 0,
+        None => return errored(format!("there is no customer '{}' any more", work.customer)),
+    };
+    let Some(function) = deployment.function(&work.function) else {
+        return errored(format!("there is no function '{}' any more", work.function));
+    };
+    if ready_by <= hub.now() {
+        return Answer::Throttled;
+    }
+    let key = hub.shares.borrow().key(&work.function).cloned();
+    let key = match &key {
+        Some(Key::Customer) => &work.customer,
+        Some(Key::Token) if !work.token.is_empty() => &work.token,
+        _ => &held.name,
+    };
+    let who = Who { customer: &work.customer, location: hub.location(), key };
+    let Some(resolved) = hub.resolve(&function, None, trigger_type, customer, &who) else {
+        return errored(format!("function '{}' has no version 'stable'", work.function));
+    };
+    let asked = Asked {
+        name: held.name.clone(),
+        function: function.name.clone(),
+        resolved,
+        trigger_type,
+        customer: (customer, &work.customer),
+        token: &work.token,
+        repeat: false,
+        timeout_at: ready_by,
+        payload_bytes: held.payload.len() as u64,
+        payload: vec![held.payload.clone()],
+    };
+    let (inv, answer) = match hub.take_asked(asked) {
+        Ok(taken) => taken,
+        Err(Refused::Full | Refused::Leaving) => return Answer::Throttled,
+    };
+    let mut guard = Guard { hub: &hub, inv, answered: false };
+    let answer = answer.await;
+    guard.answered = true;
+    match answer {
+        Ok(Final::Succeeded(Brought::Whole(chunks))) => Answer::Succeeded {
+            payload: match chunks.as_slice() {
+                [one] => one.clone(),
+                many => Bytes::from(many.concat()),
+            },
+        },
+        Ok(Final::Succeeded(Brought::Streamed(_))) => Answer::Errored {
+            why: "its answer was streamed, which a message can't be".into(),
+            may_have_run: true,
+        },
+        Ok(Final::Throttled { .. }) => Answer::Throttled,
+        Ok(Final::Errored { cause, may_have_run }) => {
+            let why = match cause {
+                Cause::TimedOut => "no answer came in time",
+                Cause::Failed => "the executor failed",
+            };
+            Answer::Errored { why: why.into(), may_have_run }
+        }
+        Err(_) => Answer::Errored { why: "the front end lost track of it".into(), may_have_run: true },
+    }
+}
+
+impl Carrier {
+    fn lost(&mut self, why: &str) {
+        let Some(_) = self.connection.take() else { return };
+        warn!(broker = %self.section.broker, why, "the connection to the broker is gone");
+        self.desk.lost();
+        self.later();
+    }
+
+    fn later(&mut self) {
+        self.connect_at = self.hub.now() + self.pause * (0.5 + rand::random::<f64>());
+        self.pause = (2.0 * self.pause).min(PAUSE.1);
+    }
+
+    fn start_connecting(&mut self) {
+        let (section, inputs) = (self.section.clone(), self.inputs.clone());
+        let work = async move {
+            let connected = connect(&section).await;
+            // Nobody listens where the front end has ended.
+            let _ = inputs.send(Input::Connected(connected)).await;
+        };
+        self.connecting = self.hub.spawn(work);
+    }
+
+    fn connected(&mut self, stream: Box<dyn Wire>) {
+        self.connections += 1;
+        let number = self.connections;
+        let (reading, writing) = futures_lite::io::split(stream);
+        let (wake, woken) = async_channel::bounded(1);
+        let outbox = Rc::new(Outbox::default());
+        let read = self.hub.spawn(read(reading, number, self.section.clone(), self.inputs.clone()));
+        let write = self.hub.spawn(write(writing, number, outbox.clone(), woken, self.inputs.clone()));
+        self.connection = Some(Connection { number, outbox, wake, _tasks: [read, write] });
+        self.desk.connect(self.hub.now());
+    }
+
+    fn apply(&mut self, input: Input) {
+        let now = self.hub.now();
+        let is_this = |number: u64| self.connection.as_ref().is_some_and(|c| c.number == number);
+        match input {
+            Input::Connected(stream) => {
+                self.connecting = None;
+                match stream {
+                    Ok(stream) => self.connected(stream),
+                    Err(fault) => {
+                        warn!(broker = %self.section.broker, %fault, "the broker is not to be reached");
+                        self.later();
+                    }
+                }
+            }
+            Input::Packet(number, packet) if is_this(number) => {
+                if let Err(ended) = self.desk.received(now, packet, &self.hub.deployment) {
+                    self.lost(&ended.to_string());
+                }
+            }
+            Input::Lost(number, why) if is_this(number) => self.lost(&why),
+            Input::Packet(..) | Input::Lost(..) | Input::Room => {}
+            Input::Came(n, answer) => {
+                self.invocations.remove(&n);
+                self.desk.came(now, n, answer);
+            }
+        }
+    }
+
+    fn heard(&mut self, word: Word) {
+        let now = self.hub.now();
+        match word {
+            Word::Kept(well) => self.desk.kept(now, well),
+            Word::Replaced(well) => self.desk.replaced(now, well),
+        }
+    }
+
+    fn perform(&mut self) {
+        while let Some(todo) = self.desk.next_todo() {
+            match todo {
+                Todo::Write(entry) => {
+                    let words = self.words.clone();
+                    let told = move |kept: io::Result<()>| {
+                        if let Err(fault) = &kept {
+                            error!(%fault, "the journal did not keep an entry");
+                        }
+                        // Nobody listens where the front end has ended.
+                        let _ = words.send_blocking(Word::Kept(kept.is_ok()));
+                    };
+                    if self.journal.append(entry, told).is_err() {
+                        // Its thread has died: its queue is as long as all that can be in hand.
+                        self.desk.kept(self.hub.now(), false);
+                    }
+                }
+                Todo::Replace(state) => {
+                    let words = self.words.clone();
+                    let told = move |done: io::Result<()>| {
+                        if let Err(fault) = &done {
+                            error!(%fault, "the journal's state could not be replaced");
+                        }
+                        let _ = words.send_blocking(Word::Replaced(done.is_ok()));
+                    };
+                    if self.journal.replace(state, told).is_err() {
+                        self.desk.replaced(self.hub.now(), false);
+                    }
+                }
+                Todo::Dispatch(n) => {
+                    let Some(held) = self.desk.held(n).cloned() else { continue };
+                    let (hub, inputs, ready_by) =
+                        (self.hub.clone(), self.inputs.clone(), self.desk.ready_by(n));
+                    let work = async move {
+                        let answer = invoke(hub, held, ready_by).await;
+                        let _ = inputs.send(Input::Came(n, answer)).await;
+                    };
+                    self.invocations.extend(self.hub.spawn(work).map(|task| (n, task)));
+                }
+                Todo::Withdraw(n) => {
+                    self.invocations.remove(&n);
+                }
+            }
+        }
+        while let Some(notice) = self.desk.next_notice() {
+            match notice {
+                Notice::Connected { session_present } => {
+                    self.pause = PAUSE.0;
+                    info!(broker = %self.section.broker, session_present, "connected to the broker");
+                }
+                Notice::Refused(filters) => error!(?filters, "the broker refused subscriptions"),
+                Notice::SetAside { topic, why } => warn!(topic, why, "a message was set aside"),
+                Notice::NotPublished { topic, code } => warn!(topic, ?code, "the broker took no answer"),
+                Notice::JournalFailed => {
+                    self.journal_works = false;
+                    error!("the journal can't be written: no message is taken until it can");
+                }
+                Notice::JournalBack => {
+                    self.journal_works = true;
+                    info!("the journal can be written again");
+                }
+            }
+        }
+        let Some(connection) = &self.connection else { return };
+        let mut bytes = connection.outbox.bytes.borrow_mut();
+        while bytes.len() < MOST_OUT
+            && let Some(packet) = self.desk.next_packet()
+        {
+            match encode(&packet, self.section.version) {
+                Ok(encoded) => bytes.extend_from_slice(&encoded),
+                Err(fault) => error!(%fault, "a packet could not be written"),
+            }
+        }
+        if !bytes.is_empty() {
+            // A full channel has woken it already.
+            let _ = connection.wake.try_send(());
+        }
+    }
+
+    fn tell(&self) {
+        let (in_hand, waiting) = self.desk.in_hand();
+        self.hub.triggers.set(Some(Standing {
+            tally: self.desk.tally(),
+            connected: self.desk.is_connected(),
+            in_hand,
+            waiting,
+            journal_works: self.journal_works,
+        }));
+    }
+}
+
+/// Serves triggers until the front end leaves and what it had in hand is answered, or its patience ends.
+pub async fn carry(hub: Rc<Hub>, triggers: Triggers, leaving: async_channel::Receiver<()>) {
+    let Triggers { section, journal, records, cut } = triggers;
+    if cut > 0 || !records.is_empty() {
+        info!(entries = records.len(), cut, "the journal of a life before was read");
+    }
+    let section = Rc::new(section);
+    let now = hub.now();
+    let password = match section.password_file.as_ref().map(std::fs::read) {
+        Some(Ok(bytes)) => Some(Bytes::from(bytes.trim_ascii_end().to_vec())),
+        Some(Err(fault)) => {
+            error!(%fault, file = ?section.password_file, "the broker's password can't be read");
+            None
+        }
+        None => None,
+    };
+    let desk = Desk::new(&section, &hub.deployment, hub.sender.index, password, &records, now);
+    let (inputs, incoming) = async_channel::bounded(INPUTS);
+    let most_entries = 8 * section.most_held() + 1_024;
+    let (words, told) = async_channel::bounded(2 * most_entries);
+    let mut carrier = Carrier {
+        journal: Group::new(journal, most_entries),
+        hub: hub.clone(),
+        section,
+        desk,
+        inputs,
+        words,
+        connection: None,
+        connecting: None,
+        connections: 0,
+        connect_at: now,
+        pause: PAUSE.0,
+        invocations: HashMap::new(),
+        journal_works: true,
+    };
+    let mut left = false;
+    loop {
+        let now = hub.now();
+        if let Err(ended) = carrier.desk.turn(now) {
+            carrier.lost(&ended.to_string());
+        }
+        if carrier.connection.is_none() && carrier.connecting.is_none() && now >= carrier.connect_at {
+            carrier.start_connecting();
+        }
+        carrier.perform();
+        carrier.tell();
+        if left && carrier.desk.in_hand().0 == 0 {
+            break;
+        }
+        let due = carrier.desk.due_at().min(match (&carrier.connection, &carrier.connecting) {
+            (None, None) => carrier.connect_at,
+            _ => f64::INFINITY,
+        });
+        let time = Duration::from_secs_f64((due - now).clamp(0.0, 60.0));
+        let input = async { incoming.recv().await.ok().map(Ok) };
+        let word = async { told.recv().await.ok().map(Err) };
+        let leaves = async {
+            if left {
+                future::pending::<()>().await;
+            }
+            // Nothing is ever sent: the channel closes.
+            let _ = leaving.recv().await;
+            None
+        };
+        let next = future::or(word, future::or(input, leaves));
+        match orchidtally_net::within(time, next).await {
+            Some(Some(Ok(input))) => carrier.apply(input),
+            Some(Some(Err(word))) => carrier.heard(word),
+            Some(None) => {
+                left = true;
+                carrier.desk.leave();
+            }
+            None => {}
+        }
+        // What has come together is gone through together.
+        for _ in 0..INPUTS {
+            let Ok(word) = told.try_recv() else { break };
+            carrier.heard(word);
+        }
+        for _ in 0..INPUTS {
+            let Ok(input) = incoming.try_recv() else { break };
+            carrier.apply(input);
+        }
+    }
+    carrier.desk.disconnect(hub.now());
+    carrier.perform();
+    if let Some(connection) = carrier.connection.take() {
+        connection.outbox.ended.set(true);
+        let _ = connection.wake.try_send(());
+        let [_, write] = connection._tasks;
+        if let Some(write) = write {
+            let _ = orchidtally_net::within(Duration::from_millis(500), write).await;
+        }
+    }
+    debug!("no more messages are carried");
+}
--- /dev/null
+++ b/crates/frontend/tests/triggers.rs
@@ -0,0 +1,277 @@
+//! Triggers on sockets: a front end, executors, and the broker stand-in with its faults.
+
+use bytes::Bytes;
+use futures_lite::future::FutureExt;
+use futures_rustls::TlsAcceptor;
+use futures_rustls::pki_types::PrivateKeyDer;
+use futures_rustls::rustls::ServerConfig;
+use orchidtally_frontend::Start;
+use orchidtally_frontend::mqtt::Triggers;
+use orchidtally_mqtt::packet::{Property, Qos};
+use orchidtally_standin::broker::{Message, Served, Wire, Wrap};
+use orchidtally_standin::executor::{Executor, Make, Program, Surroundings, echo};
+use orchidtally_standin::store::Store;
+use orchidtally_standin::{Stage, any_port};
+use orchidtally_witness::Record;
+use std::cell::RefCell;
+use std::future::Future;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread::JoinHandle;
+
+struct World {
+    stage: Stage,
+    broker: Rc<Served>,
+    _executor: Rc<Executor>,
+    text: String,
+}
+
+struct Gateway {
+    stop: async_channel::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl Gateway {
+    fn end(self) {
+        drop(self.stop);
+        self.thread.join().unwrap();
+    }
+}
+
+fn folder(name: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("triggers-{name}"));
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
+fn world(at: &Path, version: &str, tls: &str, wrap: Option<Wrap>) -> World {
+    let stage = Stage::new(1);
+    let around = Surroundings {
+        store: Store::new(&stage, 8.0, 8),
+        catalogue: Rc::new(|_| {
+            Some(Program { lanes: 32, load_time: 0.05, work: 0.005, run: echo, ..Program::default() })
+        }),
+        tokens: Rc::default(),
+        token_window: 5.0,
+    };
+    let executor = Executor::start(&stage, Make::roomy(0), any_port(), around).unwrap();
+    let broker = Served::start(&stage, any_port(), wrap).unwrap();
+    let text = format!(
+        r#"{{
+            triggerTypes: [
+                {{ name: "act", effect: "nonIdempotent", objective: "2s", timeout: "4s" }},
+                {{ name: "look", effect: "idempotent", objective: "2s", timeout: "4s" }},
+            ],
+            functions: [{{ name: "mist", lanes: 32, loadTime: "200ms" }}],
+            executors: {{ list: [{{ address: "{}" }}] }},
+            safety: {{ cold: "50ms", fall: "10ms" }},
+            mqtt: {{
+                broker: "{}", version: "{version}", {tls} keepAlive: "1s",
+                journal: {{ folder: "{}/journal-{{index}}" }}, setAside: {{ topic: "aside", after: 3 }},
+                triggers: [
+                    {{ topic: "act/{{n}}", function: "mist", triggerType: "act", answer: "done/{{n}}" }},
+                    {{ topic: "look/{{n}}", function: "mist", triggerType: "look", answer: "done/{{n}}", qos: 1, payload: "json" }},
+                ],
+            }},
+        }}"#,
+        executor.address,
+        broker.address,
+        at.display()
+    );
+    World { stage, broker, _executor: executor, text }
+}
+
+fn gateway(text: &str) -> Gateway {
+    let listener = orchidtally_frontend::listen(any_port()).unwrap();
+    let (stop, stopped) = async_channel::bounded(1);
+    let text = text.to_owned();
+    let thread = std::thread::spawn(move || {
+        let (deployment, section) = orchidtally_trigger::read(&text).unwrap_or_else(|f| panic!("{f:?}"));
+        let triggers = Some(Triggers::open(section.unwrap(), 0).unwrap());
+        let start =
+            Start { deployment, seed: 7, ahead: 0.0, step: None, stop: stopped, random: false, triggers };
+        orchidtally_frontend::run(start, listener);
+    });
+    Gateway { stop, thread }
+}
+
+fn on<T>(stage: &Stage, work: impl Future<Output = T>) -> T {
+    let late = async {
+        stage.sleep(40.0).await;
+        panic!("the case did not end");
+    };
+    async_io::block_on(stage.tasks.run(futures_lite::future::or(work, late)))
+}
+
+impl World {
+    fn publish(&self, topic: &str, payload: &str) {
+        self.broker.publish(Message {
+            topic: topic.into(),
+            payload: Bytes::copy_from_slice(payload.as_bytes()),
+            qos: Qos::ExactlyOnce,
+            retain: false,
+            properties: vec![],
+            until: f64::INFINITY,
+        });
+    }
+
+    /// The answers so far on a topic, with their outcome.
+    fn answers(&self, topic: &str) -> Vec<(String, String)> {
+        let broker = self.broker.broker.borrow();
+        let outcome = |m: &Message| {
+            let told = m.properties.iter().find_map(|p| match p {
+                Property::User(name, value) if name == "orchidtally-outcome" => Some(value.clone()),
+                _ => None,
+            });
+            told.unwrap_or_default()
+        };
+        let of = broker.published.iter().filter(|m| m.topic == topic);
+        of.map(|m| (outcome(m), String::from_utf8_lossy(&m.payload).into_owned())).collect()
+    }
+
+    async fn answer(&self, topic: &str) -> (String, String) {
+        loop {
+            if let Some(answer) = self.answers(topic).pop() {
+                return answer;
+            }
+            self.stage.sleep(0.01).await;
+        }
+    }
+
+    fn runs(&self) -> usize {
+        self.stage.records().iter().filter(|r| matches!(r, Record::Ran { .. })).count()
+    }
+}
+
+fn succeeded(payload: &str) -> (String, String) {
+    ("succeeded".into(), payload.into())
+}
+
+type Identity = (rcgen::Certificate, rcgen::KeyPair);
+
+fn identity() -> Identity {
+    let made = rcgen::generate_simple_self_signed(vec!["broker.test".into()]).unwrap();
+    (made.cert, made.signing_key)
+}
+
+#[test]
+fn messages_are_answered_over_tls_whose_certificates_are_read_for_each_connection() {
+    let at = folder("tls");
+    let current: Rc<RefCell<Identity>> = Rc::new(RefCell::new(identity()));
+    let (pem, mine) = (at.join("authorities.pem"), current.clone());
+    std::fs::write(&pem, current.borrow().0.pem()).unwrap();
+    let wrap: Wrap = Rc::new(move |stream| {
+        let (chain, key) = {
+            let identity = mine.borrow();
+            let key = PrivateKeyDer::Pkcs8(identity.1.serialize_der().into());
+            (vec![identity.0.der().clone()], key)
+        };
+        async move {
+            let config = ServerConfig::builder().with_no_client_auth().with_single_cert(chain, key).ok()?;
+            let shaken = TlsAcceptor::from(Arc::new(config)).accept(stream).await.ok()?;
+            Some(Box::new(shaken) as Box<dyn Wire>)
+        }
+        .boxed_local()
+    });
+    let tls = format!(r#"tls: {{ authorities: "{}", name: "broker.test" }},"#, pem.display());
+    let w = world(&at, "5", &tls, Some(wrap));
+    let gateway = gateway(&w.text);
+    on(&w.stage, async {
+        w.stage.sleep(0.3).await;
+        w.publish("act/1", "warm");
+        assert_eq!(w.answer("done/1").await, succeeded("warm"));
+        // The broker gets another certificate: it is not believed until the file has it.
+        *current.borrow_mut() = identity();
+        w.broker.break_all();
+        w.publish("act/2", "warmer");
+        w.stage.sleep(0.8).await;
+        assert!(w.answers("done/2").is_empty(), "nobody speaks to a broker that isn't known");
+        std::fs::write(&pem, current.borrow().0.pem()).unwrap();
+        assert_eq!(w.answer("done/2").await, succeeded("warmer"));
+    });
+    gateway.end();
+}
+
+#[test]
+fn a_broker_that_refuses_talks_nonsense_is_silent_or_forgets_is_found_again() {
+    let at = folder("faults");
+    let w = world(&at, "5", "", None);
+    let gateway = gateway(&w.text);
+    let mut n = 0;
+    let mut again = async |w: &World| {
+        n += 1;
+        w.stage.sleep(0.3).await;
+        w.publish(&format!("act/{n}"), "x");
+        assert_eq!(w.answer(&format!("done/{n}")).await, succeeded("x"));
+    };
+    on(&w.stage, async {
+        again(&w).await;
+        // CONNACK: server unavailable, not authorized.
+        w.broker.broker.borrow_mut().wrongs.refuses.extend([0x88, 0x87]);
+        w.broker.break_all();
+        again(&w).await;
+        assert!(w.broker.broker.borrow().wrongs.refuses.is_empty());
+        w.broker.malformed.set(true);
+        w.broker.break_all();
+        again(&w).await;
+        assert!(!w.broker.malformed.get());
+        // Longer than half of the keep alive without an answer to a ping.
+        w.broker.silent.set(w.stage.now() + 2.5);
+        again(&w).await;
+        w.broker.restart(0.2, false).await.unwrap();
+        w.stage.sleep(1.0).await;
+        again(&w).await;
+    });
+    assert_eq!(w.runs(), 5, "each once");
+    gateway.end();
+}
+
+#[test]
+fn what_can_never_be_invoked_is_set_aside_and_answered_and_old_state_is_left_alone() {
+    let at = folder("aside");
+    let w = world(&at, "5", "", None);
+    let gateway = gateway(&w.text);
+    on(&w.stage, async {
+        w.stage.sleep(0.3).await;
+        w.publish("look/1", "no json");
+        let (outcome, told) = w.answer("done/1").await;
+        assert!(outcome == "setAside" && told.contains("not JSON"), "{outcome} {told}");
+        assert_eq!(w.answer("aside").await.1, "no json");
+        w.publish("look/2", "{}");
+        assert_eq!(w.answer("done/2").await, succeeded("{}"));
+    });
+    assert_eq!(w.runs(), 1);
+    gateway.end();
+}
+
+#[test]
+fn version_3_1_1_has_its_outcomes_in_the_payload() {
+    let at = folder("v311");
+    let w = world(&at, "3.1.1", "", None);
+    let gateway = gateway(&w.text);
+    on(&w.stage, async {
+        w.stage.sleep(0.3).await;
+        w.publish("act/1", "warm");
+        let (_, told) = w.answer("done/1").await;
+        let told: serde_json::Value = serde_json::from_str(&told).unwrap();
+        assert_eq!((&told["outcome"], &told["payload"]), (&"succeeded".into(), &"warm".into()));
+    });
+    gateway.end();
+}
+
+#[test]
+fn a_journal_that_is_damaged_or_not_its_own_is_not_served_from() {
+    let at = folder("damaged");
+    let w = world(&at, "5", "", None);
+    let (_, section) = orchidtally_trigger::read(&w.text).unwrap();
+    let section = section.unwrap();
+    let open = || Triggers::open(section.clone(), 0).map(|_| ()).map_err(|e| e.to_string());
+    open().unwrap();
+    let (mut journal, _) = orchidtally_journal::Journal::open(&section.folder(0)).unwrap();
+    journal.append(b"{\"what\":\"nothing known\"}").unwrap();
+    assert!(open().unwrap_err().contains("another process has it open"));
+    drop(journal);
+    assert!(open().unwrap_err().contains("an entry can't be read"), "nothing is skipped in silence");
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -19,6 +19,7 @@
 use std::future::Future;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// What all stand-ins of a rehearsal share: the thread's tasks, the clock, chance and the records.
@@ -86,6 +87,20 @@
     if TcpListener::bind(own).is_ok() { own } else { SocketAddr::from((Ipv4Addr::LOCALHOST, 0)) }
 }
 
+/// A port of that address for another process to listen at later: outside of the range from which systems give free
+/// ports, so that nothing that is started meanwhile gets it.
+pub fn port_for_later() -> std::io::Result<SocketAddr> {
+    static NEXT: AtomicU16 = AtomicU16::new(20_000);
+    let mut at = any_port();
+    loop {
+        at.set_port(NEXT.fetch_add(1, Ordering::Relaxed));
+        match TcpListener::bind(at) {
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse && at.port() < 32_000 => {}
+            bound => return bound.map(|_| at),
+        }
+    }
+}
+
 /// A switch that is on until a moment.
 #[derive(Default)]
 pub struct Until(Cell<f64>);
--- a/crates/trigger/src/ledger.rs
+++ b/crates/trigger/src/ledger.rs
@@ -395,7 +395,16 @@
     /// The final answer of its invocation.
     pub fn came(&mut self, n: u64, answer: Answer) -> Vec<Do> {
         let Some(m) = self.messages.get_mut(&n).filter(|m| m.answer.is_none()) else { return vec![] };
-        m.answer = Some(answer);
+        // Guards what is said of a message whose dispatch was out when a front end died: that it has not run this
+        // time proves nothing.
+        let before = m.times > 1 && m.effect != Effect::NonIdempotent;
+        m.answer = Some(match (answer, m.effect) {
+            (Answer::Throttled, Effect::Tokened { .. }) if before => Answer::Unknown,
+            (Answer::Errored { why, may_have_run }, _) => {
+                Answer::Errored { why, may_have_run: may_have_run || before }
+            }
+            (answer, _) => answer,
+        });
         // Nobody may hear an answer to what another front end may answer too.
         if m.owned && m.taken { self.is_owned(n) } else { vec![] }
     }
--- a/crates/witness/src/lib.rs
+++ b/crates/witness/src/lib.rs
@@ -2,8 +2,10 @@
 //! reached executors and what came of it there, and what the roster's publisher told whom. It knows neither
 //! the module nor the engine. All times are seconds on one clock.
 
+mod messages;
 mod rules;
 
+pub use messages::{Messages, messages};
 pub use rules::{Rule, Verdict, judge};
 use serde::{Deserialize, Serialize};
 
@@ -186,6 +188,18 @@
         executor: usize,
         until: f64,
     },
+    /// A controller published a message that is to become an invocation.
+    Published {
+        at: f64,
+        invocation: String,
+        trigger_type: String,
+    },
+    /// Its answer came.
+    Heard {
+        at: f64,
+        invocation: String,
+        outcome: String,
+    },
     /// A front end was killed outright.
     Killed {
         at: f64,
@@ -215,6 +229,8 @@
             | Record::Told { at, .. }
             | Record::Fell { at, .. }
             | Record::Deaf { at, .. }
+            | Record::Published { at, .. }
+            | Record::Heard { at, .. }
             | Record::Killed { at, .. }
             | Record::Up { at, .. } => at,
         }
--- a/crates/witness/src/rules.rs
+++ b/crates/witness/src/rules.rs
@@ -340,11 +340,20 @@
         return rule;
     }
     let mut taken: HashMap<u32, Vec<f64>> = HashMap::new();
+    let mut published: HashMap<&str, f64> = HashMap::new();
     let mut ordered: HashMap<u64, Vec<f64>> = HashMap::new();
     let deaf = deaf(records);
     for &r in records {
         match r {
             Record::Offered { at, front_end, .. } => taken.entry(*front_end).or_default().push(*at),
+            Record::Published { at, invocation, .. } => {
+                published.insert(invocation, *at);
+            }
+            // Which front end was given a message is seen by its first dispatch.
+            Record::Reached { front_end, invocation, .. } if published.contains_key(invocation.as_str()) => {
+                let at = published.remove(invocation.as_str());
+                taken.entry(*front_end).or_default().extend(at);
+            }
             // When an order was given that a deaf executor read late is not known.
             Record::Ordered { at, executor, .. } if is_deaf(&deaf, *executor, *at, terms.transit) => {}
             Record::Ordered { at, front_end, life, copies, .. } if *copies > 0 => {
