Write invocations down before they are dispatched, where a trigger type says so

Need: a client of a non-idempotent invocation whose front end dies has to learn whether it may ask again. Change: journalled trigger types are taken under their names: written down before the dispatch, their answer before it is sent; asked again under the name the answer is said again, or that it isn't known. GET /v1/invocations/NAME.

--- a/crates/cli/src/journal.rs
+++ b/crates/cli/src/journal.rs
@@ -2,7 +2,11 @@
 
 use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO};
 use clap::Subcommand;
-use orchidtally_journal::{Journal, inspect};
+use orchidtally_journal::{Journal, Recovered, inspect};
+use orchidtally_rollout::coordinator::Kept;
+use orchidtally_trigger::ledger::{self, Ledger};
+use orchidtally_trigger::promises::{self, Promises};
+use serde::de::DeserializeOwned;
 use std::io::ErrorKind;
 use std::path::{Path, PathBuf};
 
@@ -18,7 +22,7 @@
     Check { folder: PathBuf },
     /// Print the snapshot and the entries since, one a line; what is not text as hexadecimal digits.
     Show { folder: PathBuf },
-    /// Fold a journal whose last entry says everything, as the coordinator's does, into a snapshot.
+    /// Fold a journal's entries into a snapshot: a coordinator's, that of triggers, or of promises.
     Compact { folder: PathBuf },
 }
 
@@ -41,6 +45,35 @@
     }
 }
 
+/// The records of a journal of some kind, if all that it holds is of that kind.
+fn of_kind<R: DeserializeOwned>(found: &Recovered) -> Option<Vec<R>> {
+    let mut records: Vec<R> = match &found.snapshot {
+        Some(state) => serde_json::from_slice(state).ok()?,
+        None => vec![],
+    };
+    for entry in &found.entries {
+        records.push(serde_json::from_slice(entry).ok()?);
+    }
+    Some(records)
+}
+
+/// The state that all entries come to.
+fn folded(found: &Recovered) -> Option<Vec<u8>> {
+    if let Some(records) = of_kind::<ledger::Record>(found) {
+        // What is to be done of it is its front end's affair.
+        let (ledger, _) = Ledger::recover(&records, u32::MAX, 0.0);
+        return serde_json::to_vec(&ledger.records()).ok();
+    }
+    if let Some(records) = of_kind::<promises::Record>(found) {
+        let all = Promises::new(f64::INFINITY, usize::MAX, usize::MAX).noted(&records);
+        return serde_json::to_vec(&all.records()).ok();
+    }
+    // Each of a coordinator's entries is its whole state.
+    let last = found.entries.last()?;
+    serde_json::from_slice::<Kept>(last).ok()?;
+    Some(last.clone())
+}
+
 pub fn run(arguments: Arguments) -> Result<(), u8> {
     match arguments.command {
         Command::Check { folder } => {
@@ -65,13 +98,17 @@
             // Opening makes a folder where there is none, which is not meant here.
             inspect(&folder).map_err(|e| told(&folder, &e))?;
             let (mut journal, found) = Journal::open(&folder).map_err(|e| told(&folder, &e))?;
-            let Some(last) = found.entries.last() else {
+            if found.entries.is_empty() {
                 println!("nothing to fold");
                 return Ok(());
+            }
+            let Some(state) = folded(&found) else {
+                eprintln!("{}: what it holds is of no known kind; it is left as it is", folder.display());
+                return Err(NOT_SO);
             };
             let before = journal.length();
-            journal.snapshot(last).map_err(|e| told(&folder, &e))?;
-            println!("{before} bytes of entries folded into a snapshot of {} bytes", last.len());
+            journal.snapshot(&state).map_err(|e| told(&folder, &e))?;
+            println!("{before} bytes of entries folded into a snapshot of {} bytes", state.len());
         }
     }
     Ok(())
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -4,6 +4,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::StreamExt;
 use orchidtally_frontend::Start;
+use orchidtally_frontend::book::Book;
 use orchidtally_frontend::mqtt::Triggers;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -72,6 +73,12 @@
         eprintln!("the journal of triggers can't be used: {e}");
         COULD_NOT_RUN
     })?;
+    let now =
+        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
+    let book = Book::open(&deployment, now).map_err(|e| {
+        eprintln!("the journal of promises can't be used: {e}");
+        COULD_NOT_RUN
+    })?;
     let at = arguments.listen.unwrap_or(deployment.listen);
     let listener = orchidtally_frontend::listen(at).map_err(|e| {
         eprintln!("can't listen at {at}: {e}");
@@ -109,6 +116,7 @@
         stop: stopped,
         random: arguments.random,
         triggers,
+        book,
     };
     let tally = orchidtally_frontend::run(start, listener);
     info!(?tally, "ended");
--- a/crates/coordinator/tests/sockets.rs
+++ b/crates/coordinator/tests/sockets.rs
@@ -141,8 +141,16 @@
     let (text, seed) = (text.to_owned(), u64::from(at.port()));
     let thread = std::thread::spawn(move || {
         let deployment = Deployment::read(&text).unwrap_or_else(|f| panic!("{f:?}"));
-        let start =
-            Start { deployment, seed, ahead, step: None, stop: stopped, random: false, triggers: None };
+        let start = Start {
+            deployment,
+            seed,
+            ahead,
+            step: None,
+            stop: stopped,
+            random: false,
+            triggers: None,
+            book: None,
+        };
         let tally = orchidtally_frontend::run(start, listener);
         assert_eq!(tally.overdue, 0);
     });
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -11,6 +11,7 @@
 use sha2::{Digest, Sha256};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 
 /// What the program needs of a trigger type besides the module's terms, at the same place of its list.
@@ -19,6 +20,26 @@
     pub name: String,
     /// The answer is passed on from its first byte.
     pub streams: bool,
+    /// Invocations over HTTP are written down under their names before they are dispatched.
+    pub journalled: bool,
+}
+
+/// Where that is kept, and for how long.
+#[derive(Clone, Debug)]
+pub struct Journalling {
+    folder: String,
+    /// With more entries and state than this nothing new is taken.
+    pub max_bytes: u64,
+    /// Seconds that an answer is kept, and names at the most.
+    pub keep: f64,
+    pub most_kept: usize,
+}
+
+impl Journalling {
+    /// The folder of one front end.
+    pub fn folder(&self, index: u32) -> PathBuf {
+        self.folder.replace("{index}", &index.to_string()).into()
+    }
 }
 
 /// What runs under a function's name. Copies, placements and reports are of a version.
@@ -99,6 +120,7 @@
     pub coordinators: Vec<SocketAddr>,
     /// How often they are asked.
     pub rollouts_asked: f64,
+    pub journal: Option<Journalling>,
     pub bounds: Bounds,
 }
 
@@ -168,6 +190,7 @@
         "loading",
         "reports",
         "rollouts",
+        "journal",
         "mqtt",
     ]);
     let name = top.maybe("name", Place::text).unwrap_or_else(|| "unnamed".into());
@@ -190,6 +213,8 @@
         triggers.push(trigger);
         trigger_types.push(terms);
     }
+    let triggers_journalled: Vec<String> =
+        triggers.iter().filter(|t| t.journalled).map(|t| t.name.clone()).collect();
     let (mut customers, mut quotas) = (vec![], vec![]);
     for place in top.at("customers").list() {
         let fields = place.object(&["name", "share"]);
@@ -349,12 +374,36 @@
         allowed,
         coordinators,
         rollouts_asked,
+        journal: journalling(&top, count, &triggers_journalled),
         bounds,
     };
     let more = more(&top.at("mqtt"), &deployment);
     Some((deployment, more))
 }
 
+fn journalling(top: &Fields, front_ends: u32, journalled: &[String]) -> Option<Journalling> {
+    let place = top.at("journal");
+    if !place.is_given() {
+        if let Some(name) = journalled.first() {
+            place.fault(format!("is missing; the trigger type '{name}' is journalled"));
+        }
+        return None;
+    }
+    let fields = place.object(&["folder", "maxBytes", "keep", "mostKept"]);
+    let folder = fields.at("folder").text();
+    if folder.as_ref().is_some_and(|f| front_ends > 1 && !f.contains("{index}")) {
+        fields
+            .at("folder")
+            .fault("there are several front ends; '{index}' has to stand in it for each one's own");
+    }
+    Some(Journalling {
+        folder: folder?,
+        max_bytes: fields.maybe("maxBytes", |p| p.bytes(65_536.0..=1e12)).unwrap_or(268_435_456.0) as u64,
+        keep: fields.maybe("keep", |p| p.seconds(1.0..=2_592_000.0)).unwrap_or(3_600.0),
+        most_kept: fields.maybe("mostKept", |p| p.whole(1..=10_000_000)).unwrap_or(100_000) as usize,
+    })
+}
+
 /// The fields of an object that may be left out whole.
 fn optional<'a, 'd>(top: &Fields<'a, 'd>, name: &str, keys: &[&str]) -> Fields<'a, 'd> {
     let place = top.at(name);
@@ -398,6 +447,7 @@
         "group",
         "window",
         "streams",
+        "journalled",
     ]);
     let name = fields.at("name").text();
     let effect = fields.at("effect").one_of(&[
@@ -430,7 +480,14 @@
             fields.at(key).fault("only a tokened trigger type has one");
         }
     }
-    let trigger = Trigger { name: name?, streams: fields.at("streams").flag(false) };
+    let (streams, journalled) = (fields.at("streams").flag(false), fields.at("journalled").flag(false));
+    if journalled && effect.is_some_and(|e| e != Effect::NonIdempotent) {
+        fields.at("journalled").fault("only a non-idempotent trigger type gains by it");
+    }
+    if journalled && streams {
+        fields.at("journalled").fault("a streamed answer can't be kept");
+    }
+    let trigger = Trigger { name: name?, streams, journalled };
     let terms = TriggerType {
         objective: objective?,
         stretch,
--- a/crates/frontend/src/hub.rs
+++ b/crates/frontend/src/hub.rs
@@ -1,6 +1,7 @@
 //! One front end: its engine, and what performs the module's answers on sockets. All of it lives on one
 //! thread; nothing is shared with other front ends.
 
+use crate::book::Book;
 use crate::pool::{Caps, Pool};
 use crate::roster;
 use async_executor::{LocalExecutor, Task};
@@ -155,6 +156,7 @@
     pub index_taken: Cell<u64>,
     /// How triggers stand, where there are any.
     pub triggers: Cell<Option<crate::mqtt::Standing>>,
+    pub book: Option<Rc<Book>>,
 }
 
 /// A number for an executor, for what has to tell them apart only. Never 0.
@@ -179,6 +181,7 @@
         seed: u64,
         ahead: f64,
         random: bool,
+        book: Option<Rc<Book>>,
         spawner: &Rc<LocalExecutor<'static>>,
     ) -> Rc<Hub> {
         let started = Instant::now();
@@ -228,6 +231,7 @@
                 warned_of_index: Cell::new(None),
                 index_taken: Cell::new(0),
                 triggers: Cell::new(None),
+                book,
             }
         });
         if let Source::Listed(rows) = &hub.deployment.source {
--- a/crates/frontend/src/ingress.rs
+++ b/crates/frontend/src/ingress.rs
@@ -2,6 +2,7 @@
 //! A body is taken in whole chunks, which are handed on as they are; it is here before the module hears of
 //! the invocation, so that a slow sender holds neither a stream nor a decision.
 
+use crate::book::{Book, NotKept, Promised};
 use crate::hub::{Asked, Brought, CutOff, Final, Hub};
 use async_executor::LocalExecutor;
 use bytes::Bytes;
@@ -18,6 +19,7 @@
 use orchidtally_net::{Stream, within};
 use orchidtally_rollout::plan::Key;
 use orchidtally_rollout::split::Who;
+use orchidtally_trigger::promises::{Outcome, Standing};
 use serde_json::json;
 use smol_hyper::rt::SmolTimer;
 use std::cell::Cell;
@@ -38,6 +40,10 @@
 pub const REPEAT: &str = "orchidtally-repeat";
 /// The invocation's name in logs and traces; one is drawn where the client gives none.
 pub const INVOCATION: &str = "orchidtally-invocation";
+/// `1` where an answer was given before, or would have been.
+pub const RECORDED: &str = "orchidtally-recorded";
+/// `1` where its body was too long to be kept.
+pub const BODY_LEFT_OUT: &str = "orchidtally-body-left-out";
 pub const TOKEN: &str = "idempotency-key";
 /// Milliseconds to stay away; `Retry-After` has whole seconds only.
 pub const STAY_AWAY: &str = "orchidtally-stay-away";
@@ -201,6 +207,62 @@
     })
 }
 
+/// What an earlier invocation of a name came to.
+fn recorded(standing: Standing) -> Response<Answer> {
+    let recorded = |mut response: Response<Answer>| {
+        response.headers_mut().insert(HeaderName::from_static(RECORDED), HeaderValue::from_static("1"));
+        response
+    };
+    match standing {
+        Standing::Over(Outcome::Answered { status, body, whole }) => {
+            let status = StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+            let mut response =
+                Response::new(Answer::Chunks(if body.is_empty() { [].into() } else { [body].into() }));
+            if !whole {
+                response
+                    .headers_mut()
+                    .insert(HeaderName::from_static(BODY_LEFT_OUT), HeaderValue::from_static("1"));
+            }
+            if status != StatusCode::OK {
+                let problem = HeaderValue::from_static("application/problem+json");
+                response.headers_mut().insert(CONTENT_TYPE, problem);
+            }
+            *response.status_mut() = status;
+            recorded(response)
+        }
+        Standing::Over(Outcome::Unknown) => {
+            let detail =
+                "the front end died, or its client left, with its dispatch out: whether it ran isn't known";
+            recorded(problem(StatusCode::INTERNAL_SERVER_ERROR, "unknown outcome", detail, true))
+        }
+        Standing::Running | Standing::New(_) => {
+            problem(StatusCode::CONFLICT, "still running", "an invocation of this name is under way", true)
+        }
+        Standing::Full => {
+            let detail = "as many invocations are kept as may be; nothing has run";
+            problem(StatusCode::SERVICE_UNAVAILABLE, "throttled", detail, false)
+        }
+    }
+}
+
+/// A promise under a name, or what to answer where there was one.
+async fn promise(
+    hub: &Hub,
+    book: &Rc<Book>,
+    name: &str,
+) -> Result<Result<Promised, Response<Answer>>, Problem> {
+    match book.offered(hub.now(), name).await {
+        Ok((Standing::New(_), Some(promised))) => Ok(Ok(promised)),
+        Ok((standing, _)) => Ok(Err(recorded(standing))),
+        Err(NotKept) => {
+            let detail = "the journal can't be written; nothing has run";
+            let mut problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, "throttled", detail);
+            problem.retry_after = Some(hub.deployment.terms.max_retry_after);
+            Err(problem)
+        }
+    }
+}
+
 async fn invoke(hub: &Hub, request: Request<Incoming>) -> Result<Response<Answer>, Problem> {
     let arrived = hub.now();
     let deployment = &hub.deployment;
@@ -249,6 +311,7 @@
         Some(other) => return Err(Problem::bad(format!("header '{REPEAT}': '{other}' is neither 0 nor 1"))),
     };
     let given = header(headers, INVOCATION)?.map(str::to_owned);
+    let named = given.is_some();
     let name_of_invocation = given.unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
     let (name, asked) = match name.split_once('@') {
         Some((name, version)) => (name, Some(version)),
@@ -282,6 +345,20 @@
         payload,
         payload_bytes,
     };
+    let promised = match &hub.book {
+        Some(book) if deployment.trigger_types[trigger_type].journalled => {
+            if !named {
+                let detail =
+                    format!("header '{INVOCATION}' is missing; this trigger type is journalled by it");
+                return Err(Problem::bad(detail));
+            }
+            match promise(hub, book, &name_of_invocation).await? {
+                Ok(promised) => Some(promised),
+                Err(before) => return Ok(before),
+            }
+        }
+        _ => None,
+    };
     let (inv, answer) = hub.take_asked(asked).map_err(|refused| {
         let (detail, time) = match refused {
             Refused::Full => ("as many invocations are open as may be", deployment.terms.max_retry_after),
@@ -294,6 +371,7 @@
     let mut guard = Guard { hub, inv, answered: false };
     let answer = answer.await;
     guard.answered = true;
+    let mut may_have_run = true;
     let mut response = match answer {
         Ok(Final::Succeeded(brought)) => Response::new(match brought {
             Brought::Whole(chunks) => Answer::Chunks(chunks.into()),
@@ -305,23 +383,29 @@
             } else {
                 (StatusCode::SERVICE_UNAVAILABLE, "there is no room in time; asking again is harmless")
             };
+            may_have_run = false;
             let mut response = problem(status, "throttled", detail, false);
             stay_away(response.headers_mut(), retry_after);
             response
         }
-        Ok(Final::Errored { cause, may_have_run }) => {
+        Ok(Final::Errored { cause, may_have_run: ran }) => {
             let status = match cause {
                 Cause::TimedOut => StatusCode::GATEWAY_TIMEOUT,
                 Cause::Failed => StatusCode::BAD_GATEWAY,
             };
-            let detail = if may_have_run { "it may have run" } else { "it has not run" };
-            problem(status, "errored", detail, may_have_run)
+            let detail = if ran { "it may have run" } else { "it has not run" };
+            may_have_run = ran;
+            problem(status, "errored", detail, ran)
         }
         Err(_) => {
             let detail = "the front end lost track of it; it may have run";
             problem(StatusCode::INTERNAL_SERVER_ERROR, "errored", detail, true)
         }
     };
+    if let (Some(promised), Answer::Chunks(chunks)) = (promised, response.body()) {
+        let body = Bytes::from(chunks.iter().flatten().copied().collect::<Vec<u8>>());
+        promised.answered(hub.now(), may_have_run, response.status().as_u16(), &body).await;
+    }
     if let Ok(value) = HeaderValue::from_str(&name_of_invocation) {
         response.headers_mut().insert(HeaderName::from_static(INVOCATION), value);
     }
@@ -382,6 +466,13 @@
     if request.method() == Method::GET && request.uri().path() == "/v1/front-end" {
         return Ok(standing(&hub));
     }
+    let asked =
+        request.uri().path().strip_prefix("/v1/invocations/").filter(|_| request.method() == Method::GET);
+    if let (Some(name), Some(book)) = (asked, &hub.book) {
+        let unknown =
+            || problem(StatusCode::NOT_FOUND, "unknown invocation", "none of this name is kept here", false);
+        return Ok(book.standing(name).map_or_else(unknown, recorded));
+    }
     Ok(invoke(&hub, request).await.unwrap_or_else(Problem::response))
 }
 
--- a/crates/frontend/src/lib.rs
+++ b/crates/frontend/src/lib.rs
@@ -1,6 +1,7 @@
 //! One front end on sockets: a thread that owns one engine, with it one decision module, and shares nothing
 //! with other front ends.
 
+pub mod book;
 mod hub;
 pub mod ingress;
 pub mod mqtt;
@@ -37,6 +38,8 @@
     pub random: bool,
     /// What comes by messages, where the deployment file has a broker.
     pub triggers: Option<mqtt::Triggers>,
+    /// Promises to HTTP clients, where the deployment file has a journal.
+    pub book: Option<book::Book>,
 }
 
 /// Binds the address that the deployment states.
@@ -47,7 +50,8 @@
 /// Runs a front end on this thread until it is stopped and what was open is answered.
 pub fn run(start: Start, listener: Async<TcpListener>) -> Tally {
     let spawner = Rc::new(LocalExecutor::new());
-    let hub = Hub::new(start.deployment, start.seed, start.ahead, start.random, &spawner);
+    let book = start.book.map(Rc::new);
+    let hub = Hub::new(start.deployment, start.seed, start.ahead, start.random, book, &spawner);
     spawner.spawn(hub.clone().keep_time()).detach();
     spawner.spawn(hub.clone().keep_house(start.ahead, start.step)).detach();
     if !hub.deployment.coordinators.is_empty() {
--- a/crates/frontend/src/mqtt.rs
+++ b/crates/frontend/src/mqtt.rs
@@ -34,6 +34,8 @@
 const INPUTS: usize = 1_024;
 /// Bytes that wait to be written to the broker.
 const MOST_OUT: usize = 512 * 1024;
+/// Entries that share a sync.
+const SHARING: usize = 1_024;
 /// For a connection, with its TLS.
 const CONNECT_TIME: Duration = Duration::from_secs(5);
 /// Between tries to connect, from the first to the longest, in seconds; each varies by half.
@@ -45,6 +47,8 @@
     journal: Journal,
     records: Vec<Record>,
     cut: u64,
+    /// Entries that share a sync at the most.
+    sharing: usize,
 }
 
 fn bad(folder: &Path, what: impl std::fmt::Display) -> io::Error {
@@ -70,7 +74,18 @@
         let (journal, found) = Journal::open(&folder)?;
         let records = records(found.snapshot.as_deref(), &found.entries)
             .map_err(|e| bad(&folder, format!("an entry can't be read, so that nothing is served: {e}")))?;
-        Ok(Triggers { section, journal, records, cut: found.cut })
+        Ok(Triggers { section, journal, records, cut: found.cut, sharing: SHARING })
+    }
+
+    /// What a life before had in hand.
+    pub fn records(&self) -> &[Record] {
+        &self.records
+    }
+
+    /// With the journal as measurements want it: without syncs, or with one for each entry.
+    pub fn measured(self, synced: bool, sharing: usize) -> Triggers {
+        let journal = if synced { self.journal } else { self.journal.without_syncs() };
+        Triggers { journal, sharing, ..self }
     }
 }
 
@@ -460,7 +475,7 @@
 
 /// Serves triggers until the front end leaves and what it had in hand is answered, or its patience ends.
 pub async fn carry(hub: Rc<Hub>, triggers: Triggers, leaving: async_channel::Receiver<()>) {
-    let Triggers { section, journal, records, cut } = triggers;
+    let Triggers { section, journal, records, cut, sharing } = triggers;
     if cut > 0 || !records.is_empty() {
         info!(entries = records.len(), cut, "the journal of a life before was read");
     }
@@ -479,7 +494,7 @@
     let most_entries = 8 * section.most_held() + 1_024;
     let (words, told) = async_channel::bounded(2 * most_entries);
     let mut carrier = Carrier {
-        journal: Group::new(journal, most_entries),
+        journal: Group::sharing(journal, most_entries, sharing),
         hub: hub.clone(),
         section,
         desk,
--- a/crates/frontend/tests/hard_cases.rs
+++ b/crates/frontend/tests/hard_cases.rs
@@ -86,7 +86,16 @@
         );
         let deployment = Deployment::read(&text).unwrap();
         orchidtally_frontend::run(
-            Start { deployment, seed, ahead: 0.0, step: None, stop: stopped, random: false, triggers: None },
+            Start {
+                deployment,
+                seed,
+                ahead: 0.0,
+                step: None,
+                stop: stopped,
+                random: false,
+                triggers: None,
+                book: None,
+            },
             listener,
         )
     });
--- a/crates/frontend/tests/triggers.rs
+++ b/crates/frontend/tests/triggers.rs
@@ -6,19 +6,23 @@
 use futures_rustls::pki_types::PrivateKeyDer;
 use futures_rustls::rustls::ServerConfig;
 use orchidtally_frontend::Start;
+use orchidtally_frontend::book::Book;
 use orchidtally_frontend::mqtt::Triggers;
 use orchidtally_mqtt::packet::{Property, Qos};
 use orchidtally_standin::broker::{Message, Served, Wire, Wrap};
+use orchidtally_standin::client::{Ask, Caller, Heard};
 use orchidtally_standin::executor::{Executor, Make, Program, Surroundings, echo};
 use orchidtally_standin::store::Store;
 use orchidtally_standin::{Stage, any_port};
 use orchidtally_witness::Record;
 use std::cell::RefCell;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::thread::JoinHandle;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 struct World {
     stage: Stage,
@@ -28,6 +32,7 @@
 }
 
 struct Gateway {
+    at: SocketAddr,
     stop: async_channel::Sender<()>,
     thread: JoinHandle<()>,
 }
@@ -61,12 +66,13 @@
     let text = format!(
         r#"{{
             triggerTypes: [
-                {{ name: "act", effect: "nonIdempotent", objective: "2s", timeout: "4s" }},
+                {{ name: "act", effect: "nonIdempotent", objective: "2s", timeout: "4s", journalled: true }},
                 {{ name: "look", effect: "idempotent", objective: "2s", timeout: "4s" }},
             ],
             functions: [{{ name: "mist", lanes: 32, loadTime: "200ms" }}],
             executors: {{ list: [{{ address: "{}" }}] }},
             safety: {{ cold: "50ms", fall: "10ms" }},
+            journal: {{ folder: "{}/promises-{{index}}" }},
             mqtt: {{
                 broker: "{}", version: "{version}", {tls} keepAlive: "1s",
                 journal: {{ folder: "{}/journal-{{index}}" }}, setAside: {{ topic: "aside", after: 3 }},
@@ -77,6 +83,7 @@
             }},
         }}"#,
         executor.address,
+        at.display(),
         broker.address,
         at.display()
     );
@@ -85,16 +92,27 @@
 
 fn gateway(text: &str) -> Gateway {
     let listener = orchidtally_frontend::listen(any_port()).unwrap();
+    let at = listener.get_ref().local_addr().unwrap();
     let (stop, stopped) = async_channel::bounded(1);
     let text = text.to_owned();
     let thread = std::thread::spawn(move || {
         let (deployment, section) = orchidtally_trigger::read(&text).unwrap_or_else(|f| panic!("{f:?}"));
         let triggers = Some(Triggers::open(section.unwrap(), 0).unwrap());
-        let start =
-            Start { deployment, seed: 7, ahead: 0.0, step: None, stop: stopped, random: false, triggers };
+        let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64();
+        let book = Book::open(&deployment, now).unwrap();
+        let start = Start {
+            deployment,
+            seed: 7,
+            ahead: 0.0,
+            step: None,
+            stop: stopped,
+            random: false,
+            triggers,
+            book,
+        };
         orchidtally_frontend::run(start, listener);
     });
-    Gateway { stop, thread }
+    Gateway { at, stop, thread }
 }
 
 fn on<T>(stage: &Stage, work: impl Future<Output = T>) -> T {
@@ -275,3 +293,53 @@
     drop(journal);
     assert!(open().unwrap_err().contains("an entry can't be read"), "nothing is skipped in silence");
 }
+
+#[test]
+fn a_journalled_invocation_never_runs_again_under_its_name() {
+    let at = folder("promises");
+    let w = world(&at, "5", "", None);
+    // As a front end left it that died with this one's dispatch out.
+    let left = at.join("promises-0");
+    let (mut journal, _) = orchidtally_journal::Journal::open(&left).unwrap();
+    journal.append(br#"{"promise":"taken","name":"lost","at":999999999.0}"#).unwrap();
+    drop(journal);
+    let invoke = async |gateway: &Gateway, name: &str, payload: &'static str| {
+        let caller = Caller::new(&w.stage, 0, 0, gateway.at, true);
+        let ask = Ask {
+            invocation: name.into(),
+            function: "mist".into(),
+            trigger_type: (0, "act".into()),
+            time_left: 4.0,
+            payload: payload.into(),
+            ..Ask::default()
+        };
+        match caller.invoke(&ask).await {
+            Heard::Answered { status, body, .. } => (status, String::from_utf8_lossy(&body).into_owned()),
+            other => panic!("{other:?}"),
+        }
+    };
+    let first = gateway(&w.text);
+    on(&w.stage, async {
+        w.stage.sleep(0.2).await;
+        assert_eq!(invoke(&first, "one", "a").await, (200, "a".into()));
+        assert_eq!(invoke(&first, "one", "b").await, (200, "a".into()), "the first answer is said again");
+        let (status, told) = invoke(&first, "lost", "c").await;
+        assert!(status == 500 && told.contains("unknown outcome"), "{status} {told}");
+    });
+    first.end();
+    let second = gateway(&w.text);
+    on(&w.stage, async {
+        assert_eq!(invoke(&second, "one", "d").await, (200, "a".into()), "it outlives the front end");
+        assert_eq!(invoke(&second, "two", "e").await, (200, "e".into()));
+        let time = std::time::Duration::from_secs(2);
+        let known = async |name: &str| {
+            let path = format!("/v1/invocations/{name}");
+            orchidtally_net::http::ask(second.at, http::Method::GET, &path, vec![], time).await.unwrap()
+        };
+        assert_eq!(known("one").await, (http::StatusCode::OK, Bytes::from_static(b"a")));
+        assert_eq!(known("lost").await.0, http::StatusCode::INTERNAL_SERVER_ERROR);
+        assert_eq!(known("three").await.0, http::StatusCode::NOT_FOUND);
+    });
+    second.end();
+    assert_eq!(w.runs(), 2);
+}
--- a/crates/journal/src/group.rs
+++ b/crates/journal/src/group.rs
@@ -37,7 +37,7 @@
     writer: Option<JoinHandle<Journal>>,
 }
 
-fn write(mut journal: Journal, jobs: Receiver<Job>) -> Journal {
+fn write(mut journal: Journal, jobs: Receiver<Job>, most_entries: usize) -> Journal {
     // After an entry that was not kept none is until all is replaced: what is kept is always the beginning of what
     // was handed over, so that nobody has to reckon with a gap.
     let mut failed = None::<(io::ErrorKind, String)>;
@@ -56,7 +56,7 @@
         };
         let mut bytes = first.0.len();
         let mut batch = vec![first];
-        while batch.len() < MOST_ENTRIES && bytes < MOST_BYTES {
+        while batch.len() < most_entries && bytes < MOST_BYTES {
             match jobs.try_recv() {
                 Ok(Job::Append(entry, told)) => {
                     bytes += entry.len();
@@ -83,8 +83,13 @@
 impl Group {
     /// `most_waiting`: entries that may wait for the writer.
     pub fn new(journal: Journal, most_waiting: usize) -> Group {
+        Group::sharing(journal, most_waiting, MOST_ENTRIES)
+    }
+
+    /// With so many entries that share a sync at the most.
+    pub fn sharing(journal: Journal, most_waiting: usize, most_entries: usize) -> Group {
         let (send, jobs) = sync_channel(most_waiting.max(1));
-        let writer = std::thread::spawn(move || write(journal, jobs));
+        let writer = std::thread::spawn(move || write(journal, jobs, most_entries));
         Group { jobs: Some(send), writer: Some(writer) }
     }
 
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -38,6 +38,7 @@
     length: u64,
     /// An append failed and could not be taken back: nothing can be added that is sure to be read again.
     broken: bool,
+    synced: bool,
     _lock: File,
 }
 
@@ -197,7 +198,12 @@
         }
         let length = length.max(MAGIC.len() as u64);
         let folder = folder.to_owned();
-        Ok((Journal { folder, generation, log, length, broken: false, _lock: lock }, recovered))
+        Ok((Journal { folder, generation, log, length, broken: false, synced: true, _lock: lock }, recovered))
+    }
+
+    /// Promises nothing: entries are written and not synced. For measurements.
+    pub fn without_syncs(self) -> Journal {
+        Journal { synced: false, ..self }
     }
 
     /// Bytes of entries since the snapshot.
@@ -233,7 +239,9 @@
             self.broken = back.is_err();
             return Err(fault);
         }
-        if let Err(fault) = self.log.sync_data() {
+        if self.synced
+            && let Err(fault) = self.log.sync_data()
+        {
             // What the system holds of it may be marked as written by now: a later sync would prove nothing.
             self.broken = true;
             return Err(fault);
--- a/crates/trigger/src/ledger.rs
+++ b/crates/trigger/src/ledger.rs
@@ -48,7 +48,7 @@
 }
 
 /// Bytes as text.
-mod coded {
+pub(crate) mod coded {
     use super::*;
 
     pub fn serialize<S: Serializer>(bytes: &Bytes, s: S) -> Result<S::Ok, S::Error> {
--- a/crates/trigger/src/lib.rs
+++ b/crates/trigger/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod desk;
 pub mod ledger;
 pub mod pattern;
+pub mod promises;
 pub mod rules;
 pub mod section;
 
