--- a/crates/frontend/benches/triggers.rs
+++ b/crates/frontend/benches/triggers.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
-const MESSAGES: usize = 1_500;
+const MESSAGES: usize = 6_000;
 const IN_FLIGHT: usize = 64;
 const BACKLOG: usize = 100_000;
 /// Of the backlog, one in so many can still be in time.
@@ -144,7 +144,7 @@
         let (mut sent, mut done) = (0, 0);
         let mut began: HashMap<usize, Instant> = HashMap::new();
         let mut times = vec![];
-        let warm = IN_FLIGHT.min(MESSAGES / 10);
+        let warm = MESSAGES / 10;
         let mut from = Instant::now();
         while done < MESSAGES {
             while sent < MESSAGES && sent - done < in_flight {
--- a/crates/frontend/src/mqtt.rs
+++ b/crates/frontend/src/mqtt.rs
@@ -24,10 +24,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tracing::{debug, error, info, warn};
 
 /// Inputs that wait to be gone through; the socket is not read meanwhile.
@@ -38,6 +38,8 @@
 const SHARING: usize = 1_024;
 /// For a connection, with its TLS.
 const CONNECT_TIME: Duration = Duration::from_secs(5);
+/// The files of TLS are looked at so often, in seconds.
+const FILES_LOOKED_AT: f64 = 3.0;
 /// Between tries to connect, from the first to the longest, in seconds; each varies by half.
 const PAUSE: (f64, f64) = (0.1, 5.0);
 
@@ -147,6 +149,9 @@
     pause: f64,
     invocations: HashMap<u64, Task<()>>,
     journal_works: bool,
+    /// When the files of TLS were changed, as of the connection that stands, and when that is looked at next.
+    files: Option<SystemTime>,
+    look_at: f64,
 }
 
 fn tls(section: &Tls) -> Result<TlsConnector, Box<dyn std::error::Error>> {
@@ -324,7 +329,32 @@
         self.pause = (2.0 * self.pause).min(PAUSE.1);
     }
 
+    /// When the newest of the files of TLS was changed.
+    fn files_changed(&self) -> Option<SystemTime> {
+        let tls = self.section.tls.as_ref()?;
+        let identity = tls.identity.iter().flat_map(|(a, b)| [a, b]);
+        let changed = |path: &PathBuf| std::fs::metadata(path).and_then(|m| m.modified()).ok();
+        identity.chain([&tls.authorities]).filter_map(changed).max()
+    }
+
+    /// Ends a connection whose certificates were replaced; the next one has the new ones.
+    fn look_at_files(&mut self, now: f64) {
+        if now < self.look_at || self.section.tls.is_none() {
+            return;
+        }
+        self.look_at = now + FILES_LOOKED_AT;
+        if self.connection.is_some() && self.files_changed() != self.files {
+            info!("the files of TLS have changed: connecting anew");
+            self.desk.disconnect(now);
+            self.perform();
+            self.connection = None;
+            self.desk.lost();
+            self.connect_at = now;
+        }
+    }
+
     fn start_connecting(&mut self) {
+        self.files = self.files_changed();
         let (section, inputs) = (self.section.clone(), self.inputs.clone());
         let work = async move {
             let connected = connect(&section).await;
@@ -507,6 +537,8 @@
         pause: PAUSE.0,
         invocations: HashMap::new(),
         journal_works: true,
+        files: None,
+        look_at: now,
     };
     let mut left = false;
     loop {
@@ -517,6 +549,7 @@
         if carrier.connection.is_none() && carrier.connecting.is_none() && now >= carrier.connect_at {
             carrier.start_connecting();
         }
+        carrier.look_at_files(now);
         carrier.perform();
         carrier.tell();
         if left && carrier.desk.in_hand().0 == 0 {
@@ -526,7 +559,8 @@
             (None, None) => carrier.connect_at,
             _ => f64::INFINITY,
         });
-        let time = Duration::from_secs_f64((due - now).clamp(0.0, 60.0));
+        let longest = if carrier.section.tls.is_some() { FILES_LOOKED_AT } else { 60.0 };
+        let time = Duration::from_secs_f64((due - now).clamp(0.0, longest));
         let input = async { incoming.recv().await.ok().map(Ok) };
         let word = async { told.recv().await.ok().map(Err) };
         let leaves = async {
--- a/crates/frontend/tests/triggers.rs
+++ b/crates/frontend/tests/triggers.rs
@@ -208,6 +208,15 @@
         assert!(w.answers("done/2").is_empty(), "nobody speaks to a broker that isn't known");
         std::fs::write(&pem, current.borrow().0.pem()).unwrap();
         assert_eq!(w.answer("done/2").await, succeeded("warmer"));
+        // Files that change end the connection that stands.
+        let before = w.broker.accepted();
+        w.stage.sleep(0.05).await;
+        std::fs::write(&pem, current.borrow().0.pem()).unwrap();
+        while w.broker.accepted() == before {
+            w.stage.sleep(0.05).await;
+        }
+        w.publish("act/3", "again");
+        assert_eq!(w.answer("done/3").await, succeeded("again"));
     });
     gateway.end();
 }
--- a/crates/journal/src/lib.rs
+++ b/crates/journal/src/lib.rs
@@ -206,6 +206,11 @@
         Journal { synced: false, ..self }
     }
 
+    /// As if a sync had failed, for tests of what stands round it.
+    pub fn fail(&mut self) {
+        self.broken = true;
+    }
+
     /// Bytes of entries since the snapshot.
     pub fn length(&self) -> u64 {
         self.length - MAGIC.len() as u64
--- a/crates/journal/tests/journal.rs
+++ b/crates/journal/tests/journal.rs
@@ -190,3 +190,26 @@
     let damaged = Journal::open(&at).unwrap_err();
     assert!(damaged.to_string().contains("the snapshot is damaged"), "{damaged}");
 }
+
+#[test]
+fn after_an_entry_that_was_not_kept_none_is_until_all_is_replaced() {
+    let at = folder("failed");
+    let (mut journal, _) = Journal::open(&at).unwrap();
+    journal.append(b"before").unwrap();
+    journal.fail();
+    let group = Group::new(journal, 64);
+    let (tell, told) = std::sync::mpsc::channel();
+    let append = |entry: &[u8]| {
+        let tell = tell.clone();
+        group.append(entry.to_vec(), move |kept| tell.send(kept.is_ok()).unwrap()).unwrap();
+        told.recv().unwrap()
+    };
+    assert_eq!([append(b"a"), append(b"b")], [false, false]);
+    let tell_replaced = tell.clone();
+    group.replace(b"all".to_vec(), move |done| tell_replaced.send(done.is_ok()).unwrap()).unwrap();
+    assert!(told.recv().unwrap());
+    assert!(append(b"after"));
+    drop(group.close().unwrap());
+    let found = inspect(&at).unwrap();
+    assert_eq!((found.snapshot.as_deref(), found.entries), (Some(&b"all"[..]), vec![b"after".to_vec()]));
+}
--- a/crates/standin/src/broker.rs
+++ b/crates/standin/src/broker.rs
@@ -469,6 +469,11 @@
         }
     }
 
+    /// Connections that it has taken so far.
+    pub fn accepted(&self) -> u64 {
+        self.numbers.get()
+    }
+
     /// Breaks all connections off.
     pub fn break_all(&self) {
         let numbers: Vec<u64> = self.writers.borrow().keys().copied().collect();
--- a/crates/trigger/tests/rules.rs
+++ b/crates/trigger/tests/rules.rs
@@ -111,6 +111,35 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 300, rng_seed: RngSeed::Fixed(2), failure_persistence: None, ..ProptestConfig::default() })]
 
+    /// Whatever a section says it is read or told what is wrong, and whatever comes is judged.
+    #[test]
+    fn no_section_and_no_message_is_too_odd(
+        topic in "[a-c{}/+#$.]{0,12}", answer in "[a-c{}/+#]{0,8}", given in "[a-z/\u{0}]{0,8}", qos in 0u8..4,
+        payload in proptest::collection::vec(any::<u8>(), 0..20), sent in "[0-9]{0,25}", names in proptest::collection::vec(("[a-z-]{0,24}", "[ -~]{0,9}"), 0..4),
+    ) {
+        let text = format!(
+            r#"{{ triggerTypes: [{{ name: "t", effect: "tokened", group: "all", window: "9s", objective: "1s", timeout: "5s" }}],
+                otherFunctions: {{}}, executors: {{ list: [{{ address: "127.0.0.1:1" }}] }},
+                mqtt: {{ broker: "127.0.0.1:2", journal: {{ folder: "x" }}, triggers: [
+                    {{ topic: "{topic}", function: "f", triggerType: "t", answer: "{answer}", qos: {qos}, payload: "json", sentAt: "sent" }}] }} }}"#
+        );
+        match orchidtally_trigger::read(&text) {
+            Err(faults) => prop_assert!(!faults.is_empty() && faults.iter().all(|f| f.key.starts_with("mqtt"))),
+            Ok((d, section)) => {
+                let rules = section.unwrap().rules;
+                let mut properties: Vec<Property> = names.into_iter().map(|(k, v)| Property::User(k, v)).collect();
+                properties.push(Property::User("sent".into(), sent));
+                let m = Delivery { payload: payload.into(), ..message(&given, "", properties) };
+                if let Ok(call) = rules.call(&d, &m) {
+                    prop_assert!(rules.list[call.rule].topic.filter().matches(&given));
+                    prop_assert!(call.answer.is_none_or(|a| !rules.list[0].topic.filter().matches(&a.topic)));
+                    prop_assert!(serde_json::from_slice::<serde_json::Value>(&call.payload).is_ok());
+                    prop_assert_eq!(call.token, rules.call(&d, &m).unwrap().token);
+                }
+            }
+        }
+    }
+
     /// What a pattern takes apart it puts together again.
     #[test]
     fn a_topic_filled_in_again_is_the_same(levels in proptest::collection::vec(("[a-c]{0,2}", 0u8..3), 1..5), rest in "[a-c/]{0,5}") {
