--- a/crates/cli/src/rehearse/mod.rs
+++ b/crates/cli/src/rehearse/mod.rs
@@ -5,6 +5,7 @@
 mod messages;
 mod play;
 mod rolling;
+mod roster;
 
 use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO};
 use day::Day;
@@ -40,6 +41,9 @@
     /// Lets controllers publish messages beside the day's traffic, by way of a broker with faults of its own.
     #[arg(long)]
     mqtt: bool,
+    /// Has executors and front ends in a store that speaks etcd's protocol and has faults of its own.
+    #[arg(long)]
+    etcd: bool,
     /// Writes every record of the traffic here, one JSON object a line.
     #[arg(long, value_name = "FILE")]
     records: Option<PathBuf>,
@@ -92,6 +96,7 @@
         sabotage: arguments.sabotage,
         front_end_log: arguments.front_end_log.clone(),
         messages: arguments.mqtt,
+        etcd: arguments.etcd,
         rollout: match &arguments.rollout {
             None => None,
             Some(file) if file == BUILT_IN => {
@@ -130,6 +135,8 @@
     rollout: Option<Rolled<'a>>,
     #[serde(skip_serializing_if = "Option::is_none")]
     mqtt: Option<&'a Messages>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    roster: Option<roster::Seen>,
 }
 
 #[derive(Serialize)]
@@ -181,9 +188,16 @@
         );
         m.breaches.iter().for_each(|breach| println!("  {breach}"));
     }
+    let roster =
+        played.roster.as_ref().map(|r| r.seen(&played.records, played.relists, (broken(3), broken(4))));
     let kept = verdict.kept() && messages.is_none_or(Messages::kept);
-    let line =
-        Line { verdict: if kept { "kept" } else { "broken" }, found: verdict, rollout, mqtt: messages };
+    let line = Line {
+        verdict: if kept { "kept" } else { "broken" },
+        found: verdict,
+        rollout,
+        mqtt: messages,
+        roster,
+    };
     let line = serde_json::to_string(&line).unwrap_or_default();
     println!("{line}");
 }
--- a/crates/cli/src/rehearse/play.rs
+++ b/crates/cli/src/rehearse/play.rs
@@ -3,6 +3,7 @@
 use super::day::{Day, Kind, Trouble};
 use super::messages::Messages;
 use super::rolling::{self, Rolling};
+use super::roster::Roster;
 use bytes::Bytes;
 use futures_lite::future;
 use futures_lite::io::AsyncWriteExt;
@@ -43,6 +44,7 @@
     pub front_end_log: String,
     pub rollout: Option<rolling::Wish>,
     pub messages: bool,
+    pub etcd: bool,
 }
 
 pub struct Played {
@@ -51,6 +53,9 @@
     pub records: Vec<Record>,
     pub notes: Vec<String>,
     pub rollout: Option<rolling::Seen>,
+    pub roster: Option<Rc<Roster>>,
+    /// Lists that front ends had to ask for again.
+    pub relists: u64,
 }
 
 struct FrontEnd {
@@ -89,9 +94,11 @@
     lag: Cell<f64>,
     rolling: Option<Rc<Rolling>>,
     messages: Option<Rc<Messages>>,
+    roster: Option<Rc<Roster>>,
+    relists: Cell<u64>,
 }
 
-fn description(day: &Day, publisher: SocketAddr, more: &str) -> String {
+fn description(day: &Day, source: &str, more: &str) -> String {
     let locations: Vec<String> = (0..day.locations).map(|n| format!("\"room-{n}\"")).collect();
     format!(
         r#"{{
@@ -106,7 +113,7 @@
     {{ name: "watch", effect: "idempotent", objective: "500ms", timeout: "4s", streams: true }},
   ],
   otherFunctions: {{ lanes: 4, memory: "100MB", loadTime: "300ms" }},
-  executors: {{ allowedNetworks: ["127.0.0.0/8"], publisher: "{publisher}" }},
+  executors: {{ allowedNetworks: ["127.0.0.0/8"], {source} }},
   limits: {{
     maxDispatches: 4, maxRetryAfter: "1s", openInvocations: 4000, connections: 400, bodyBytes: "64KiB",
     senderTime: "1s", answerMargin: "200ms", streamsPerConnection: 64, connectionsPerExecutor: 4,
@@ -185,7 +192,8 @@
     let rollout = theatre.rolling.as_ref().map(|r| r.seen(&records));
     let mut terms = theatre.terms.clone();
     terms.transit += theatre.lag.get();
-    Ok(Played { terms, fleet, records, notes, rollout })
+    let (roster, relists) = (theatre.roster.clone(), theatre.relists.get());
+    Ok(Played { terms, fleet, records, notes, rollout, roster, relists })
 }
 
 /// Executors stand in locations by turns; cells are pairs within a location.
@@ -257,7 +265,17 @@
     let publisher = Publisher::start(&stage, any_port(), rows)?;
     let mut more = rolling.as_ref().map(|r| r.description()).unwrap_or_default();
     more += &messages.as_ref().map(|m| m.description()).unwrap_or_default();
-    let text = description(day, publisher.address, &more);
+    let placed = day.clone();
+    let roster = if wish.etcd {
+        Some(Roster::new(&stage, move |n| (n as u32 % placed.locations, cell(n, &placed)))?)
+    } else {
+        None
+    };
+    let source = match &roster {
+        Some(roster) => roster.description(),
+        None => format!("publisher: \"{}\"", publisher.address),
+    };
+    let text = description(day, &source, &more);
     let deployment = Deployment::read(&text).map_err(|f| io::Error::other(format!("{f:?}")))?;
     let file = std::env::temp_dir().join(format!(
         "orchidtally-rehearsal-{}-{}.json5",
@@ -303,6 +321,8 @@
         lag: Cell::new(0.0),
         rolling,
         messages,
+        roster,
+        relists: Cell::new(0),
     }))
 }
 
@@ -350,6 +370,9 @@
         if let Some(rolling) = &self.rolling {
             rolling.start(&self.file)?;
         }
+        if let Some(roster) = &self.roster {
+            roster.start(&self.executors);
+        }
         for fe in &self.front_ends {
             self.start(fe)?;
         }
@@ -383,6 +406,15 @@
             };
             self.stage.spawn(work).detach();
         }
+        if let Some(roster) = self.roster.clone() {
+            let (length, me) = (self.day.length, self.clone());
+            self.pending.set(self.pending.get() + 1);
+            let work = async move {
+                roster.perform(from, length).await;
+                me.pending.set(me.pending.get() - 1);
+            };
+            self.stage.spawn(work).detach();
+        }
         if let Some(messages) = self.messages.clone() {
             let (length, rate) = (self.day.length, self.day.rate);
             self.pending.set(self.pending.get() + 1);
@@ -428,6 +460,8 @@
             match standing(fe.at).await {
                 Ok(text) => {
                     let v: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+                    let relists = v.pointer("/roster/relists").and_then(serde_json::Value::as_u64);
+                    self.relists.set(self.relists.get() + relists.unwrap_or(0));
                     let overdue = v.get("overdue").and_then(serde_json::Value::as_u64);
                     if overdue != Some(0) {
                         notes.push(format!(
@@ -682,6 +716,10 @@
     }
 
     fn tell(&self, e: &Executor, standing: Standing) {
+        if let Some(roster) = &self.roster {
+            roster.change(e, standing);
+            return;
+        }
         self.publisher.change(e.make.number, standing, e.since());
     }
 
--- /dev/null
+++ b/crates/cli/src/rehearse/roster.rs
@@ -0,0 +1,206 @@
+//! A store beside a day: executors have their entries in it with leases, front ends follow it, and it is torn off,
+//! stalled, compacted, set back and loses all leases at once.
+
+use orchidtally_etcd::rpc::event::EventType;
+use orchidtally_etcd::rpc::{Event, PutRequest, RangeRequest};
+use orchidtally_standin::Stage;
+use orchidtally_standin::etcd::Served;
+use orchidtally_standin::executor::Executor;
+use orchidtally_witness::{Record, Standing};
+use serde::Serialize;
+use serde_json::json;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+
+const PREFIX: &str = "/orchidtally/executors/";
+/// Seconds that an executor's entry outlives its last word, and between those.
+const LEASE: i64 = 2;
+const RENEWED: f64 = 0.4;
+/// A connection breaks with each so-manieth message.
+const BREAKS_EVERY: u64 = 120;
+
+pub struct Roster {
+    stage: Stage,
+    pub etcd: Rc<Served>,
+    /// Lease and standing of each executor.
+    entries: RefCell<Vec<(i64, Standing)>>,
+    executors: RefCell<Vec<Rc<Executor>>>,
+    /// Location and cell of each.
+    place: Place,
+}
+
+type Place = Box<dyn Fn(usize) -> (u32, u32)>;
+
+/// What is told of the roster in the last line.
+#[derive(Debug, Default, Serialize)]
+pub struct Seen {
+    pub drains: u64,
+    pub worst_drain_s: f64,
+    pub stale_dispatches: u64,
+    pub relists: u64,
+    pub cold_fallen: u64,
+}
+
+impl Roster {
+    pub fn new(stage: &Stage, place: impl Fn(usize) -> (u32, u32) + 'static) -> io::Result<Rc<Roster>> {
+        let etcd = Served::start(stage, 3)?;
+        let (entries, executors) = Default::default();
+        Ok(Rc::new(Roster { stage: stage.clone(), etcd, entries, executors, place: Box::new(place) }))
+    }
+
+    pub fn description(&self) -> String {
+        let endpoints: Vec<String> = self.etcd.addresses.iter().map(|a| format!("\"{a}\"")).collect();
+        format!("etcd: {{ endpoints: [{}], lease: \"3s\" }}", endpoints.join(", "))
+    }
+
+    fn value(&self, e: &Executor) -> String {
+        let (location, cell) = (self.place)(e.make.number);
+        let standing = match self.entries.borrow()[e.make.number].1 {
+            Standing::Draining => "draining",
+            _ => "ready",
+        };
+        let value = json!({
+            "location": format!("room-{location}"), "kind": "box", "cell": cell, "standing": standing,
+            "since": self.stage.wall(e.since()),
+        });
+        value.to_string()
+    }
+
+    fn put(&self, e: &Executor) {
+        let put = PutRequest {
+            key: format!("{PREFIX}{}", e.address).into(),
+            value: self.value(e).into(),
+            lease: self.entries.borrow()[e.make.number].0,
+            prev_kv: false,
+        };
+        if let Err(status) = self.etcd.store.borrow_mut().put(&put) {
+            eprintln!("executor {} has no entry: {status}", e.make.number);
+        }
+    }
+
+    /// Enters all executors, and records what front ends are told of them from now on.
+    pub fn start(self: &Rc<Self>, executors: &[Rc<Executor>]) {
+        let now = self.stage.now();
+        *self.executors.borrow_mut() = executors.to_vec();
+        for e in executors {
+            let lease = self.etcd.store.borrow_mut().grant(now, LEASE).id;
+            self.entries.borrow_mut().push((lease, Standing::Ready));
+            self.put(e);
+        }
+        let numbers: HashMap<String, usize> =
+            executors.iter().map(|e| (format!("{PREFIX}{}", e.address), e.make.number)).collect();
+        let (stage, all) = (self.stage.clone(), executors.to_vec());
+        let hears = move |agent: &str, event: &Event| {
+            let Some((index, life)) = agent.split_once('.') else { return };
+            let (Ok(front_end), Ok(life)) = (index.parse(), life.parse()) else { return };
+            let Some(kv) = &event.kv else { return };
+            let Some(&executor) = numbers.get(&*String::from_utf8_lossy(&kv.key)) else { return };
+            let standing = match event.r#type() {
+                EventType::Delete => Standing::Gone,
+                _ if String::from_utf8_lossy(&kv.value).contains("draining") => Standing::Draining,
+                _ => Standing::Ready,
+            };
+            let (at, since) = (stage.now(), all[executor].since());
+            stage.record(Record::Told { at, front_end, life, executor, standing, since });
+        };
+        *self.etcd.told.borrow_mut() = Some(Rc::new(hears));
+        let me = self.clone();
+        let renewals = async move {
+            loop {
+                me.stage.sleep(RENEWED).await;
+                let up: Vec<_> = me.executors.borrow().iter().filter(|e| e.is_up()).cloned().collect();
+                up.iter().for_each(|e| me.renew(e));
+            }
+        };
+        self.stage.spawn(renewals).detach();
+    }
+
+    /// Keeps an entry: its lease, and what it says, which a store that was set back may have otherwise.
+    fn renew(&self, e: &Executor) {
+        let now = self.stage.now();
+        let lease = self.entries.borrow()[e.make.number].0;
+        let over = self.etcd.store.borrow_mut().keep_alive(now, lease).ttl == 0;
+        if over {
+            self.entries.borrow_mut()[e.make.number].0 = self.etcd.store.borrow_mut().grant(now, LEASE).id;
+        }
+        let wanted = self.value(e);
+        let question =
+            RangeRequest { key: format!("{PREFIX}{}", e.address).into(), ..RangeRequest::default() };
+        let found = self.etcd.store.borrow().range(&question).map(|r| r.kvs).unwrap_or_default();
+        if over || found.first().is_none_or(|kv| kv.value != wanted.as_bytes()) {
+            self.put(e);
+        }
+    }
+
+    /// What an executor, or whoever stops it, says of it.
+    pub fn change(&self, e: &Executor, standing: Standing) {
+        if standing == Standing::Gone {
+            let lease = self.entries.borrow()[e.make.number].0;
+            self.etcd.store.borrow_mut().revoke(lease);
+            return;
+        }
+        self.entries.borrow_mut()[e.make.number].1 = standing;
+        self.renew(e);
+    }
+
+    /// What goes wrong with the store through a day.
+    pub async fn perform(self: Rc<Self>, from: f64, length: f64) {
+        let until = async |share: f64| self.stage.sleep(from + share * length - self.stage.now()).await;
+        until(0.15).await;
+        self.etcd.wrongs.breaks_every.set(BREAKS_EVERY);
+        until(0.3).await;
+        self.etcd.wrongs.stalled.set(self.stage.now() + 1.5);
+        until(0.45).await;
+        self.etcd.store.borrow_mut().expire_all();
+        until(0.55).await;
+        // While all watchers are off it changes, and is compacted past what they had seen.
+        self.etcd.wrongs.stalled.set(self.stage.now() + 0.3);
+        self.etcd.cut_off();
+        self.executors.borrow().iter().filter(|e| e.is_up()).for_each(|e| self.put(e));
+        let revision = self.etcd.store.borrow().revision;
+        if let Err(status) = self.etcd.store.borrow_mut().compact(revision) {
+            eprintln!("nothing was compacted: {status}");
+        }
+        until(0.65).await;
+        self.etcd.wrongs.delay.set(0.1);
+        until(0.75).await;
+        self.etcd.wrongs.delay.set(0.0);
+        self.etcd.wrongs.breaks_every.set(0);
+        // Older data, as after a restore.
+        let revision = self.etcd.store.borrow().revision;
+        self.etcd.store.borrow_mut().restore(revision - 6);
+        // It is another cluster then.
+        self.etcd.store.borrow_mut().cluster += 1;
+        self.etcd.cut_off();
+    }
+
+    /// How soon after it was told of a drain each front end had sent its last dispatch.
+    pub fn seen(&self, records: &[Record], relists: u64, (stale, fallen): (u64, u64)) -> Seen {
+        let mut seen = Seen { relists, stale_dispatches: stale, cold_fallen: fallen, ..Seen::default() };
+        let mut drains: HashMap<(u64, usize), f64> = HashMap::new();
+        let mut records: Vec<&Record> = records.iter().collect();
+        records.sort_by(|a, b| a.at().total_cmp(&b.at()));
+        for r in records {
+            match r {
+                Record::Told { at, life, executor, standing: Standing::Draining, .. } => {
+                    drains.entry((*life, *executor)).or_insert_with(|| {
+                        seen.drains += 1;
+                        *at
+                    });
+                }
+                Record::Told { life, executor, .. } => {
+                    drains.remove(&(*life, *executor));
+                }
+                Record::Reached { at, life, executor, .. } => {
+                    if let Some(told) = drains.get(&(*life, *executor)) {
+                        seen.worst_drain_s = seen.worst_drain_s.max(at - told);
+                    }
+                }
+                _ => {}
+            }
+        }
+        seen
+    }
+}
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -143,6 +143,23 @@
     assert!(verdict(&output)["mqtt"]["effects_twice"].as_u64().unwrap() > 0, "{}", text(&output.stdout));
 }
 
+#[test]
+fn a_roster_from_etcd_that_is_torn_compacted_and_set_back_keeps_all_rules() {
+    let output = run(&["rehearse", "--etcd", "--length", "8"]);
+    let verdict = verdict(&output);
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output.stdout));
+    assert!(broken(&verdict).is_empty(), "{}", text(&output.stdout));
+    let roster = &verdict["roster"];
+    assert_eq!((&roster["stale_dispatches"], &roster["cold_fallen"]), (&0.into(), &0.into()));
+    assert!(
+        roster["drains"].as_u64().unwrap() > 0 && roster["worst_drain_s"].as_f64().unwrap() < 1.35,
+        "{roster}"
+    );
+    assert!(roster["relists"].as_u64().unwrap() > 0, "{roster}");
+    let planted = run(&["rehearse", "--etcd", "--length", "8", "--sabotage", "2"]);
+    assert_eq!(planted.status.code(), Some(1), "{}", text(&planted.stdout));
+}
+
 #[test]
 fn a_rollout_that_goes_wrong_under_a_bad_day_is_taken_back_in_time() {
     let day = r#"{ length: "14s", rate: 160, troubles: [
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -78,6 +78,17 @@
     Listed(Vec<RosterRow>),
     /// A publisher that is asked for the roster and tells its changes.
     Publisher(SocketAddr),
+    /// etcd, where executors and front ends have their entries.
+    Etcd(Etcd),
+}
+
+#[derive(Clone, Debug)]
+pub struct Etcd {
+    pub endpoints: Vec<SocketAddr>,
+    /// All keys begin so.
+    pub prefix: String,
+    /// Seconds that a front end's entry outlives its last word.
+    pub lease: f64,
 }
 
 /// What the front end grants its clients and opens to executors.
@@ -345,7 +356,7 @@
         second_copies: limits.at("secondCopies").flag(false),
         cancel: limits.at("cancel").flag(true),
         max_retry_after: limits.maybe("maxRetryAfter", |p| p.seconds(0.0..=3_600.0)).unwrap_or(1.0),
-        roster_asked: matches!(source, Source::Publisher(_)),
+        roster_asked: !matches!(source, Source::Listed(_)),
         cold: safety.maybe("cold", |p| p.seconds(0.001..=3_600.0)).unwrap_or(15.0),
         cold_from: safety.maybe("coldFrom", |p| p.number(0.001..=1.0)).unwrap_or(0.15),
         overload_factor: safety.maybe("overloadFactor", |p| p.number(1.0..=100.0)).unwrap_or(2.0),
@@ -584,7 +595,7 @@
     by_cell: bool,
     by_zone: bool,
 ) -> (Source, Vec<IpNet>) {
-    let fields = place.object(&["allowedNetworks", "publisher", "list"]);
+    let fields = place.object(&["allowedNetworks", "publisher", "list", "etcd"]);
     let allowed: Vec<IpNet> = fields
         .at("allowedNetworks")
         .list()
@@ -594,8 +605,33 @@
     let allows = |a: &SocketAddr| allowed.is_empty() || allowed.iter().any(|n| n.contains(&a.ip()));
     let publisher = fields.maybe("publisher", |p| p.parsed("an address and port", str::parse));
     let (listed, published) = (fields.at("list").is_given(), fields.at("publisher").is_given());
-    if place.is_given() && listed == published {
-        place.fault("either 'list' or 'publisher' is wanted");
+    let etcd = fields.maybe("etcd", |p| {
+        let f = p.object(&["endpoints", "prefix", "lease"]);
+        let endpoints: Vec<SocketAddr> = f
+            .at("endpoints")
+            .list()
+            .iter()
+            .filter_map(|p| p.parsed("an address and port", str::parse))
+            .collect();
+        if endpoints.is_empty() {
+            f.at("endpoints").fault("at least one is wanted");
+        }
+        let prefix = f.maybe("prefix", Place::text).unwrap_or_else(|| "/orchidtally/".into());
+        if !prefix.ends_with('/') {
+            f.at("prefix").fault("has to end with '/'");
+        }
+        Some(Etcd {
+            endpoints,
+            prefix,
+            lease: f.maybe("lease", |p| p.seconds(2.0..=3_600.0)).unwrap_or(10.0),
+        })
+    });
+    let sources = [listed, published, fields.at("etcd").is_given()];
+    if place.is_given() && sources.iter().filter(|s| **s).count() != 1 {
+        place.fault("one of 'list', 'publisher' and 'etcd' is wanted");
+    }
+    if let Some(etcd) = etcd {
+        return (Source::Etcd(etcd), allowed);
     }
     if let Some(publisher) = publisher {
         if !allows(&publisher) {
--- a/crates/engine/src/baseline.rs
+++ b/crates/engine/src/baseline.rs
@@ -7,6 +7,8 @@
 
 /// What the engine tells to whatever decides.
 pub trait Decisions {
+    /// Those that share nothing by the number of front ends need not know it.
+    fn living(&mut self, _now: f64, _living: Living, _out: &mut dyn Answers) {}
     fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Answers);
     fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Answers);
     fn outcome(&mut self, now: f64, o: &Outcome, out: &mut dyn Answers);
@@ -18,6 +20,9 @@
 }
 
 impl Decisions for Choice {
+    fn living(&mut self, now: f64, living: Living, out: &mut dyn Answers) {
+        Choice::living(self, now, living, out);
+    }
     fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Answers) {
         Choice::roster(self, now, kind, rows, out);
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -396,6 +396,10 @@
         self.play(now, host, |choice, now, out| choice.roster(now, kind, rows, out));
     }
 
+    pub fn living(&mut self, now: f64, living: Living, host: &mut dyn Host) {
+        self.play(now, host, |choice, now, out| choice.living(now, living, out));
+    }
+
     /// The answer to an order to load.
     pub fn held(&mut self, now: f64, at: ExecutorId, function: u64, ending: Ending, host: &mut dyn Host) {
         self.play(now, host, |choice, now, out| choice.held(now, at, function, ending, out));
--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -55,6 +55,8 @@
     tasks: Rc<LocalExecutor<'static>>,
     connection: RefCell<Option<Rc<Connection>>>,
     pub token: RefCell<Option<String>>,
+    /// What it says of itself in each exchange, for logs.
+    name: RefCell<String>,
 }
 
 /// A stream of messages both ways.
@@ -112,9 +114,14 @@
             tasks,
             connection: RefCell::default(),
             token: RefCell::default(),
+            name: RefCell::default(),
         }
     }
 
+    pub fn says(&self, name: String) {
+        *self.name.borrow_mut() = name;
+    }
+
     pub fn endpoint(&self) -> Option<SocketAddr> {
         self.endpoints.get(self.at.get() % self.endpoints.len().max(1)).copied()
     }
@@ -152,7 +159,8 @@
         let connection = self.connection().await?;
         let mut request = http::Request::post(format!("http://etcd{path}"))
             .header(http::header::CONTENT_TYPE, CONTENT_TYPE)
-            .header(http::header::TE, "trailers");
+            .header(http::header::TE, "trailers")
+            .header(http::header::USER_AGENT, self.name.borrow().as_str());
         if let Some(token) = self.token.borrow().as_ref() {
             request = request.header("token", token);
         }
--- a/crates/frontend/src/hub.rs
+++ b/crates/frontend/src/hub.rs
@@ -14,6 +14,8 @@
 use orchidtally_engine::clock::Clock;
 use orchidtally_engine::evidence::{self, Transport};
 use orchidtally_engine::{Cause, Engine, Host, NOTHING_TOLD, Offer, Refused, Told};
+use orchidtally_membership::members::LATE;
+use orchidtally_membership::{Cache, Members};
 use orchidtally_rollout::frontend::{Came, may_move};
 use orchidtally_rollout::split::Who;
 use orchidtally_rollout::{Arm, Invoked, Published, Resolved, Shares};
@@ -142,7 +144,13 @@
 
 pub struct Hub {
     pub deployment: Deployment,
-    pub sender: v1::Sender,
+    /// Its index changes where it claims one in etcd.
+    pub sender: Cell<v1::Sender>,
+    /// The roster and the front ends, where they come from etcd.
+    pub cache: RefCell<Cache>,
+    pub members: RefCell<Members>,
+    /// By how many the rota goes, and since when.
+    rota: Cell<(u32, f64)>,
     engine: RefCell<Engine>,
     pub shares: RefCell<Shares>,
     floor: RefCell<Floor>,
@@ -220,7 +228,10 @@
             Hub {
                 shares: RefCell::new(Shares::new(place, now)),
                 deployment,
-                sender,
+                sender: Cell::new(sender),
+                cache: RefCell::new(Cache::new(now)),
+                members: RefCell::new(Members::new(sender.count)),
+                rota: Cell::new((0, f64::INFINITY)),
                 engine: RefCell::new(engine),
                 floor: RefCell::new(floor),
                 clock,
@@ -439,13 +450,51 @@
         });
     }
 
+    /// Tells the module by how many front ends to share. The rota goes by a power of two, so that it changes seldom, and
+    /// is joined once all must have seen that change.
+    pub fn count_front_ends(&self) {
+        let now = self.now();
+        let figure = self.members.borrow().figure(now);
+        let rota = figure.count.next_power_of_two();
+        if self.rota.get().0 != rota {
+            self.rota.set((rota, now));
+        }
+        let shares = figure.shares && now >= self.rota.get().1 + LATE;
+        let index = figure.index.unwrap_or(0);
+        self.sender.set(v1::Sender { index, count: rota, ..self.sender.get() });
+        let living = Living {
+            front_ends: f64::from(figure.count),
+            rota: f64::from(rota),
+            index: f64::from(index),
+            shares,
+        };
+        self.play(|engine, now, floor| engine.living(now, living, floor));
+    }
+
+    /// What a dispatch or an order told of whether an executor is there.
+    fn heard_of(&self, executor: ExecutorId, seen: Option<Transport>) {
+        if !matches!(self.deployment.source, Source::Etcd(_)) {
+            return;
+        }
+        match seen {
+            None => self.cache.borrow_mut().answered(self.now(), &executor),
+            Some(Transport::NoConnection) => {
+                let told = self.cache.borrow_mut().failed(&executor);
+                if let Some((kind, rows)) = told {
+                    self.play(|engine, now, floor| engine.roster(now, kind, &rows, floor));
+                }
+            }
+            Some(_) => {}
+        }
+    }
+
     /// Two front ends with one index share a turn at each cold executor.
     fn another_has_index(&self, executor: ExecutorId) {
         self.index_taken.set(self.index_taken.get() + 1);
         let lately = self.warned_of_index.get().is_some_and(|at| at.elapsed() < Duration::from_secs(10));
         if !lately {
             self.warned_of_index.set(Some(Instant::now()));
-            error!(index = self.sender.index, executor = %executor.0, "another front end has this one's index");
+            error!(index = self.sender.get().index, executor = %executor.0, "another front end has this one's index");
         }
     }
 
@@ -465,7 +514,7 @@
             Effect::NonIdempotent => v1::Effect::NonIdempotent,
         };
         let head = frame(&v1::Dispatch {
-            from: Some(self.sender),
+            from: Some(self.sender.get()),
             invocation: work.name.clone(),
             number: work.dispatched + u32::from(n),
             digest: work.digest.to_string(),
@@ -479,6 +528,7 @@
         });
         let began = Instant::now();
         let exchanged = pool.exchange::<v1::Answer>(DISPATCH, head, &work.payload).await;
+        self.heard_of(to, exchanged.as_ref().err().copied());
         let (answer, mut incoming) = match exchanged {
             Ok(exchanged) => exchanged,
             Err(seen) => {
@@ -718,7 +768,7 @@
             return;
         };
         let order = v1::Order {
-            from: Some(hub.sender),
+            from: Some(hub.sender.get()),
             kind: kind.into(),
             function: named.function.to_string(),
             digest: named.digest.to_string(),
@@ -784,7 +834,7 @@
     fn probe(&mut self, to: ExecutorId) {
         let Some(hub) = self.hub.upgrade() else { return };
         let pool = self.pool(&hub, to);
-        let probe = frame(&v1::Probe { from: Some(hub.sender) });
+        let probe = frame(&v1::Probe { from: Some(hub.sender.get()) });
         let work = async move {
             let answered = pool.exchange::<v1::ProbeAnswer>(PROBE, probe, &[]).await;
             debug!(executor = %to.0, report = ?answered.ok().map(|a| a.0.report), "probed");
@@ -796,6 +846,11 @@
 
     fn watch_roster(&mut self) {
         let Some(hub) = self.hub.upgrade() else { return };
+        if let Source::Etcd(etcd) = &hub.deployment.source {
+            info!(endpoints = ?etcd.endpoints, "following the roster in etcd");
+            crate::etcd::keep(&hub, etcd);
+            return;
+        }
         let Source::Publisher(publisher) = hub.deployment.source else { return };
         info!(%publisher, "asking for the roster");
         self.roster = hub.spawn(roster::watch(hub.clone(), publisher));
--- a/crates/frontend/src/ingress.rs
+++ b/crates/frontend/src/ingress.rs
@@ -424,6 +424,28 @@
     json!({ "term": published.epoch.term, "number": published.number, "rollouts": rollouts })
 }
 
+/// The roster and the front ends, where they come from etcd.
+fn roster(hub: &Hub) -> serde_json::Value {
+    if !matches!(hub.deployment.source, orchidtally_deployment::Source::Etcd(_)) {
+        return serde_json::Value::Null;
+    }
+    let (cache, now) = (hub.cache.borrow(), hub.now());
+    let (known, held) = cache.known();
+    let figure = hub.members.borrow().figure(now);
+    let faults: serde_json::Map<_, _> =
+        cache.faults().map(|(key, why)| (String::from_utf8_lossy(key).into_owned(), why.into())).collect();
+    json!({
+        "age": cache.age(now),
+        "executors": known,
+        "held": held,
+        "relists": cache.relists,
+        "wentBack": cache.went_back,
+        "faults": faults,
+        "frontEnds": figure.count,
+        "shares": figure.shares,
+    })
+}
+
 /// How triggers stand.
 fn triggers(hub: &Hub) -> serde_json::Value {
     let Some(standing) = hub.triggers.get() else { return serde_json::Value::Null };
@@ -441,8 +463,9 @@
     let t = hub.tally();
     let body = json!({
         "deployment": hub.deployment.name,
-        "index": hub.sender.index,
-        "frontEnds": hub.sender.count,
+        "index": hub.sender.get().index,
+        "frontEnds": hub.sender.get().count,
+        "roster": roster(hub),
         "open": hub.open(),
         "taken": t.taken,
         "refused": t.refused,
--- a/crates/frontend/src/lib.rs
+++ b/crates/frontend/src/lib.rs
@@ -2,6 +2,7 @@
 //! with other front ends.
 
 pub mod book;
+pub mod etcd;
 mod hub;
 pub mod ingress;
 pub mod mqtt;
--- a/crates/frontend/src/rollouts.rs
+++ b/crates/frontend/src/rollouts.rs
@@ -31,7 +31,7 @@
     let pause = Duration::from_secs_f64(hub.deployment.rollouts_asked);
     let mut reached = true;
     loop {
-        let told = hub.shares.borrow_mut().tell(hub.sender.incarnation);
+        let told = hub.shares.borrow_mut().tell(hub.sender.get().incarnation);
         let rounds: Vec<_> = hub.deployment.coordinators.iter().map(|&at| (at, told.clone())).collect();
         let tasks: Vec<_> = rounds
             .into_iter()
--- a/crates/frontend/src/roster.rs
+++ b/crates/frontend/src/roster.rs
@@ -30,7 +30,7 @@
 }
 
 /// A row as the module takes it, or why it can't.
-fn row(deployment: &Deployment, row: &v1::RosterRow, now: f64) -> Result<RosterRow, String> {
+pub fn row(deployment: &Deployment, row: &v1::RosterRow, now: f64) -> Result<RosterRow, String> {
     let address: SocketAddr = row.address.parse().map_err(|e| format!("{e}"))?;
     if !deployment.allows(address) {
         return Err("its address is in none of the allowed networks".into());
@@ -69,7 +69,7 @@
             header_bytes: bounds.header_bytes,
         };
         let pool = Pool::new(self.address, caps, self.hub.spawner());
-        let ask = frame(&v1::RosterWatch { from: Some(self.hub.sender) });
+        let ask = frame(&v1::RosterWatch { from: Some(self.hub.sender.get()) });
         let start = (self.hub, pool, None);
         futures_lite::stream::unfold(start, move |(hub, pool, incoming)| {
             let ask = ask.clone();
--- a/crates/membership/src/cache.rs
+++ b/crates/membership/src/cache.rs
@@ -14,6 +14,8 @@
 const HELD: f64 = 10.0;
 /// Executors that are remembered to have drained.
 const MOST_DRAINED: usize = 100_000;
+/// A list is asked for so often at the least, in seconds.
+const LISTED_AGAIN: f64 = 300.0;
 /// Malformed entries that are remembered by name.
 const MOST_FAULTS: usize = 1_000;
 
@@ -70,6 +72,7 @@
     /// Starts of executors that were told to drain, by key, for when the store is set back to before that.
     drained: BTreeMap<Vec<u8>, f64>,
     heard_at: f64,
+    listed_at: f64,
     pub relists: u64,
     /// Times that the store had gone back, or was another.
     pub went_back: u64,
@@ -122,11 +125,13 @@
     /// A sign of life: nothing has changed up to this revision.
     pub fn progressed(&mut self, now: f64, stamp: Stamp) {
         self.heard_at = now;
+        // Guards against a store that was set back and has caught up since, which no revision tells.
+        self.stale |= now - self.listed_at > LISTED_AGAIN;
         match &mut self.stamp {
-            Some(known) if known.cluster == stamp.cluster => {
-                known.revision = known.revision.max(stamp.revision)
+            Some(known) if known.cluster == stamp.cluster && known.revision <= stamp.revision => {
+                known.revision = stamp.revision;
             }
-            // Another store answers: its list comes before its word.
+            // Another store answers, or one that was set back: its list comes before its word.
             _ => self.stale = true,
         }
     }
@@ -216,7 +221,7 @@
         self.relists += u64::from(self.listed);
         let back = self.stamp.is_some_and(|s| s.cluster != stamp.cluster || s.revision > stamp.revision);
         self.went_back += u64::from(back);
-        (self.stamp, self.stale) = (Some(stamp), false);
+        (self.stamp, self.stale, self.listed_at) = (Some(stamp), false, now);
         let mut rows = vec![];
         for change in list {
             let Some(row) = self.read(change, read) else { continue };
--- a/crates/membership/src/members.rs
+++ b/crates/membership/src/members.rs
@@ -42,11 +42,11 @@
         Members { stated, most: stated, ..Members::default() }
     }
 
-    /// The index to claim, where these are taken: the lowest free one, or one of the lowest few by a draw, so that
-    /// many that start together don't all try for one.
-    pub fn wanted(taken: &BTreeSet<u32>, draw: f64, contended: bool) -> u32 {
+    /// The index to claim, where these are taken: the lowest free one, or after claims that were lost one of the lowest
+    /// few by a draw, twice as many each time, so that many that start together don't all try for one.
+    pub fn wanted(taken: &BTreeSet<u32>, draw: f64, lost: u32) -> u32 {
         let free = (0..).filter(|n| !taken.contains(n));
-        let among = if contended { 16 } else { 1 };
+        let among = 1u32 << lost.min(8);
         let skip = (draw.clamp(0.0, 0.999) * f64::from(among)) as usize;
         free.skip(skip).map(|n: u32| n).next().unwrap_or(0)
     }
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -94,7 +94,7 @@
                     None => {
                         m.members.disowned();
                         let taken: BTreeSet<u32> = store.keys().copied().collect();
-                        let index = Members::wanted(&taken, chance.random(), false);
+                        let index = Members::wanted(&taken, chance.random(), 0);
                         store.insert(index, (m.id, now + LEASE));
                         m.members.owns(now, index, LEASE);
                     }
--- a/crates/standin/src/etcd.rs
+++ b/crates/standin/src/etcd.rs
@@ -289,8 +289,12 @@
     /// Lists that were asked for, at the most in a tenth of a second.
     pub lists: RefCell<Vec<f64>>,
     cut: RefCell<(async_channel::Sender<()>, async_channel::Receiver<()>)>,
+    /// Hears of each entry that is told to a client, by what that says of itself.
+    pub told: RefCell<Option<Hears>>,
 }
 
+pub type Hears = Rc<dyn Fn(&str, &Event)>;
+
 impl Served {
     pub fn start(stage: &Stage, members: usize) -> std::io::Result<Rc<Served>> {
         let listeners: Vec<_> =
@@ -304,6 +308,7 @@
             messages: Cell::new(0),
             lists: RefCell::default(),
             cut: RefCell::new(async_channel::bounded(1)),
+            told: RefCell::default(),
         });
         for listener in listeners {
             let me = served.clone();
@@ -372,6 +377,8 @@
     ) {
         let path = request.uri().path().to_owned();
         let token = request.headers().get("token").and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let agent = request.headers().get(http::header::USER_AGENT).and_then(|v| v.to_str().ok());
+        let agent = agent.unwrap_or_default().to_owned();
         let mut body = request.into_body();
         let response = || {
             let response = http::Response::builder().header(http::header::CONTENT_TYPE, CONTENT_TYPE);
@@ -388,7 +395,7 @@
         }
         if path == orchidtally_etcd::WATCH {
             if let Ok(out) = respond.send_response(response(), false) {
-                self.watch(body, out).await;
+                self.watch(body, out, &agent).await;
             }
             return;
         }
@@ -400,7 +407,7 @@
         if self.waits().await {
             return;
         }
-        let answered = self.answer(&path, &mut bytes);
+        let answered = self.answer(&path, &mut bytes, &agent);
         let Ok(mut out) = respond.send_response(response(), false) else { return };
         let status = match answered {
             Ok(message) => {
@@ -414,7 +421,14 @@
         let _ = out.send_trailers(trailers(&status));
     }
 
-    fn answer(&self, path: &str, bytes: &mut BytesMut) -> Result<Bytes, Status> {
+    fn tells(&self, agent: &str, event: &Event) {
+        let hears = self.told.borrow().clone();
+        if let Some(hears) = hears {
+            hears(agent, event);
+        }
+    }
+
+    fn answer(&self, path: &str, bytes: &mut BytesMut, agent: &str) -> Result<Bytes, Status> {
         fn read<M: Message + Default>(bytes: &mut BytesMut) -> Result<M, Status> {
             match deframe(bytes, orchidtally_etcd::client::LONGEST) {
                 Ok(Some(message)) => Ok(message),
@@ -426,7 +440,12 @@
         Ok(match path {
             orchidtally_etcd::RANGE => {
                 self.lists.borrow_mut().push(now);
-                frame(&store.range(&read(bytes)?)?)
+                let found = store.range(&read(bytes)?)?;
+                for kv in &found.kvs {
+                    let event = Event { r#type: EventType::Put.into(), kv: Some(kv.clone()), prev_kv: None };
+                    self.tells(agent, &event);
+                }
+                frame(&found)
             }
             orchidtally_etcd::PUT => frame(&store.put(&read(bytes)?)?),
             orchidtally_etcd::DELETE_RANGE => frame(&store.delete(&read(bytes)?)),
@@ -448,7 +467,7 @@
         })
     }
 
-    async fn watch(&self, mut body: h2::RecvStream, mut out: h2::SendStream<Bytes>) {
+    async fn watch(&self, mut body: h2::RecvStream, mut out: h2::SendStream<Bytes>, agent: &str) {
         let mut bytes = BytesMut::new();
         let create = loop {
             match deframe::<WatchRequest>(&mut bytes, orchidtally_etcd::client::LONGEST) {
@@ -481,6 +500,12 @@
             if self.wrongs.stalled.is_on(self.stage.now()) {
                 continue;
             }
+            if let Some(asked) = futures_lite::future::poll_once(body.data()).await {
+                let Some(Ok(chunk)) = asked else { return };
+                let _ = body.flow_control().release_capacity(chunk.len());
+                // Nothing but its progress is asked of a watch that stands.
+                said_at = f64::NEG_INFINITY;
+            }
             let found = self.store.borrow().events(next, &create.key, &create.range_end);
             let mut answers = vec![];
             match found {
@@ -516,7 +541,13 @@
                 }
             }
             for answer in answers {
-                if self.waits().await || out.send_data(frame(&answer), false).is_err() || answer.canceled {
+                answer.events.iter().for_each(|e| self.tells(agent, e));
+                if self.waits().await || out.send_data(frame(&answer), false).is_err() {
+                    return;
+                }
+                if answer.canceled {
+                    // The stream stays, with other watches perhaps; this one has ended.
+                    while let Some(Ok(_)) = body.data().await {}
                     return;
                 }
             }
--- a/crates/witness/src/rules.rs
+++ b/crates/witness/src/rules.rs
@@ -341,6 +341,13 @@
     }
     let mut taken: HashMap<u32, Vec<f64>> = HashMap::new();
     let mut published: HashMap<&str, f64> = HashMap::new();
+    // Front ends may name themselves by a number that changes; their lives don't.
+    let mut of_life: HashMap<u64, u32> = HashMap::new();
+    for r in records {
+        if let Record::Told { life, front_end, .. } = r {
+            of_life.insert(*life, *front_end);
+        }
+    }
     let mut ordered: HashMap<u64, Vec<f64>> = HashMap::new();
     let deaf = deaf(records);
     for &r in records {
@@ -350,9 +357,11 @@
                 published.insert(invocation, *at);
             }
             // Which front end was given a message is seen by its first dispatch.
-            Record::Reached { front_end, invocation, .. } if published.contains_key(invocation.as_str()) => {
+            Record::Reached { front_end, life, invocation, .. }
+                if published.contains_key(invocation.as_str()) =>
+            {
                 let at = published.remove(invocation.as_str());
-                taken.entry(*front_end).or_default().extend(at);
+                taken.entry(*of_life.get(life).unwrap_or(front_end)).or_default().extend(at);
             }
             // When an order was given that a deaf executor read late is not known.
             Record::Ordered { at, executor, .. } if is_deaf(&deaf, *executor, *at, terms.transit) => {}
@@ -362,6 +371,7 @@
                 // Orders may have come closer together on their way, and invocations be counted late.
                 let from = at - terms.ration_window;
                 let orders = mine.iter().filter(|&&t| t > from + terms.transit).count() as f64;
+                let front_end = of_life.get(life).unwrap_or(front_end);
                 let offers = taken.get(front_end).map(Vec::as_slice).unwrap_or_default();
                 let offers = offers.iter().filter(|&&t| t > from - terms.transit).count() as f64;
                 let most = terms.ration_floor + terms.ration_share * offers;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -88,6 +88,9 @@
 #[derive(Default)]
 pub struct Choice {
     terms: Terms,
+    /// By what the rota for cold executors goes, and whether this front end is in it.
+    rota: f64,
+    sharing: bool,
     chance: Chance,
     now: f64,
     started: f64,
@@ -118,6 +121,8 @@
 impl Choice {
     pub fn new(terms: Terms, seed: u64, now: f64, out: &mut dyn Answers) -> Self {
         let mut choice = Choice {
+            rota: terms.front_ends,
+            sharing: true,
             usual: terms.trigger_types.iter().map(|t| t.objective / 4.0).collect(),
             shares: terms.quotas.iter().map(|_| Allowance { left: f64::INFINITY, at: now }).collect(),
             chance: Chance::new(seed),
@@ -152,6 +157,14 @@
         self.settle(out);
     }
 
+    /// How many front ends live. What is shared strictly has to wait while one can't know that.
+    pub fn living(&mut self, now: f64, living: Living, out: &mut dyn Answers) {
+        self.now = now;
+        (self.terms.front_ends, self.terms.index) = (living.front_ends.max(1.0), living.index);
+        (self.rota, self.sharing) = (living.rota.max(1.0), living.shares);
+        self.settle(out);
+    }
+
     pub fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Answers) {
         self.now = now;
         if !inv.moved {
@@ -460,6 +473,10 @@
         if self.warmth(x) >= 1.0 {
             return true;
         }
+        // Guards against front ends that come, go and see each other late: their parts would exceed the whole.
+        if !self.sharing {
+            return false;
+        }
         let span = self.now - self.terms.fall - 2.0 * BEAT;
         let slot = (self.now / (self.terms.fall + self.terms.skew)) as u64;
         let whole = (self.entitled(x, work) + self.turn(x, slot)).floor();
@@ -469,7 +486,7 @@
     /// Its place, from 0 up to 1, in a rota for an executor that all front ends draw alike.
     fn turn(&self, x: usize, slot: u64) -> f64 {
         let drawn = (self.terms.index + self.fleet.lot_number(x, slot)) as u64;
-        (drawn % self.terms.front_ends as u64) as f64 / self.terms.front_ends + 1e-9
+        (drawn % self.rota as u64) as f64 / self.rota + 1e-9
     }
 
     /// A front end's part of that budget, in invocations: its part of the traffic to a warm fellow, scaled to
@@ -481,7 +498,7 @@
         let fellows = self.fleet.fellows[kind].at(now, CARRY_TIME).max(1.0);
         let carried = self.fleet.carried[kind].at(now, CARRY_TIME) / seen / fellows;
         let budget = COLD_MARGIN * carried * self.warmth(x) * self.terms.overload_factor * self.terms.fall;
-        (budget / work).max(1.0 / self.terms.front_ends)
+        (budget / work).max(1.0 / self.rota)
     }
 
     fn dispatch(&mut self, i: usize, x: usize, places: bool, out: &mut dyn Answers) -> bool {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -191,3 +191,16 @@
     /// Subscribes to the roster where it has to be asked for.
     fn watch_roster(&mut self);
 }
+
+/// The front ends that live, as far as this one knows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Living {
+    /// What they share by.
+    pub front_ends: f64,
+    /// By what their rota goes; all that share have the same.
+    pub rota: f64,
+    /// This one's place in it, which no other has.
+    pub index: f64,
+    /// Whether it has a part of what all of them strictly share.
+    pub shares: bool,
+}
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -124,6 +124,27 @@
     outcome.unwrap();
 }
 
+/// Guards against front ends that come and go and see each other late: one that can't know by how many to share sends
+/// a cold executor nothing, and goes on once it can.
+#[test]
+fn a_front_end_that_cannot_know_its_part_leaves_cold_executors_alone() {
+    let to_cold = |shares: bool| {
+        let mut w = World::new(Terms { orders: false, ..terms() }, 2);
+        let began = w.plain.now;
+        let living = Living { front_ends: 3.0, rota: 4.0, index: 1.0, shares };
+        w.choice.living(w.plain.now, living, &mut w.plain);
+        w.roster(0, Standing::Gone, f64::NEG_INFINITY);
+        w.roster(1, Standing::Ready, w.plain.now);
+        for n in 0..100 {
+            w.invoke(0, n % 3, 0.5);
+            w.pass(0.1);
+        }
+        w.plain.taken.iter().flat_map(|t| &t.sent).filter(|s| s.at < began + 10.0).count()
+    };
+    assert_eq!(to_cold(false), 0);
+    assert!(to_cold(true) > 0);
+}
+
 /// A fleet on which function 1 is known at one executor, and that executor.
 fn warm(terms: Terms, executors: usize) -> (World, usize) {
     let mut w = World::new(terms, executors);
