--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod measure;
 mod rehearse;
 mod rollout;
+mod roster;
 mod serve;
 
 use clap::{Parser, Subcommand, ValueEnum};
@@ -56,6 +57,8 @@
     Rehearse(rehearse::Arguments),
     /// Shift a function's traffic to a new version gradually, watch it, take it back.
     Rollout(rollout::Arguments),
+    /// See and change the roster in etcd: list, watch, drain, undrain.
+    Roster(roster::Arguments),
     /// Look into a folder of durable state: check, show, compact.
     Journal(journal::Arguments),
     /// Measure a front end on this machine against a direct client, a bare relay and random choice.
@@ -116,6 +119,7 @@
         Command::Invoke(a) => invoke::run(a),
         Command::Rehearse(a) => rehearse::run(a),
         Command::Rollout(a) => rollout::run(a),
+        Command::Roster(a) => roster::run(a),
         Command::Journal(a) => journal::run(a),
         Command::Measure(a) => measure::run(a),
     };
--- a/crates/frontend/src/etcd.rs
+++ b/crates/frontend/src/etcd.rs
@@ -330,7 +330,10 @@
     let grant = LeaseGrantRequest { ttl: terms.lease.ceil() as i64, id: 0 };
     let lease: LeaseGrantResponse = client.unary(LEASE_GRANT, &grant, PATIENCE).await?;
     let key = Bytes::from(format!("{prefix}{wanted}"));
-    let value = format!("{{\"life\":{},\"location\":\"{}\"}}", hub.sender.get().incarnation, hub.location());
+    let at = hub.at.get().map(|at| at.to_string());
+    let value =
+        serde_json::json!({ "life": hub.sender.get().incarnation, "location": hub.location(), "at": at })
+            .to_string();
     let put = PutRequest { key: key.clone(), value: value.into(), lease: lease.id, prev_kv: false };
     let claim = TxnRequest {
         compare: vec![Compare {
--- a/crates/frontend/src/hub.rs
+++ b/crates/frontend/src/hub.rs
@@ -165,6 +165,8 @@
     /// How triggers stand, where there are any.
     pub triggers: Cell<Option<crate::mqtt::Standing>>,
     pub book: Option<Rc<Book>>,
+    /// Where it takes invocations.
+    pub at: Cell<Option<SocketAddr>>,
 }
 
 /// A number for an executor, for what has to tell them apart only. Never 0.
@@ -243,6 +245,7 @@
                 index_taken: Cell::new(0),
                 triggers: Cell::new(None),
                 book,
+                at: Cell::new(None),
             }
         });
         if let Source::Listed(rows) = &hub.deployment.source {
--- a/crates/frontend/src/ingress.rs
+++ b/crates/frontend/src/ingress.rs
@@ -436,6 +436,7 @@
         cache.faults().map(|(key, why)| (String::from_utf8_lossy(key).into_owned(), why.into())).collect();
     json!({
         "age": cache.age(now),
+        "revision": cache.revision(),
         "executors": known,
         "held": held,
         "relists": cache.relists,
--- a/crates/frontend/src/lib.rs
+++ b/crates/frontend/src/lib.rs
@@ -53,6 +53,7 @@
     let spawner = Rc::new(LocalExecutor::new());
     let book = start.book.map(Rc::new);
     let hub = Hub::new(start.deployment, start.seed, start.ahead, start.random, book, &spawner);
+    hub.at.set(listener.get_ref().local_addr().ok());
     spawner.spawn(hub.clone().keep_time()).detach();
     spawner.spawn(hub.clone().keep_house(start.ahead, start.step)).detach();
     if !hub.deployment.coordinators.is_empty() {
--- a/crates/membership/src/cache.rs
+++ b/crates/membership/src/cache.rs
@@ -2,7 +2,7 @@
 //! back, no deletion is missed, and a store that lost its mind does not take the fleet with it.
 
 use orchidtally::interface::{ExecutorId, RosterKind, RosterRow, Standing};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Entries that vanish within this time count together.
 const TOGETHER: f64 = 5.0;
@@ -38,12 +38,19 @@
 #[derive(Clone, Debug)]
 struct Entry {
     row: RosterRow,
+    /// As the executor says it itself.
+    stated: RosterRow,
     created: i64,
     modified: i64,
     /// The store has it no more, since then; it is believed to live.
     held_since: Option<f64>,
 }
 
+/// The executor's key, where a key is an operator's mark at it.
+fn marked(key: &[u8]) -> Option<&[u8]> {
+    key.strip_suffix(b"/drain")
+}
+
 /// What the host is to do next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Next {
@@ -65,6 +72,8 @@
     /// A list has to come before the next watch.
     stale: bool,
     entries: BTreeMap<Vec<u8>, Entry>,
+    /// Executors that an operator has drained, by key.
+    marks: BTreeSet<Vec<u8>>,
     /// When entries vanished lately.
     vanished: VecDeque<f64>,
     answered: BTreeMap<(std::net::IpAddr, u16), f64>,
@@ -108,6 +117,11 @@
         self.faults.iter().map(|(key, why)| (key.as_slice(), why.as_str()))
     }
 
+    /// The revision that it has heard of.
+    pub fn revision(&self) -> i64 {
+        self.stamp.map_or(0, |s| s.revision)
+    }
+
     /// Those that are believed to be there, and how many of them the store has no more.
     pub fn known(&self) -> (usize, usize) {
         (self.entries.len(), self.entries.values().filter(|e| e.held_since.is_some()).count())
@@ -165,7 +179,10 @@
     }
 
     /// Puts an entry in; what is new about it.
-    fn put(&mut self, change: &Change, row: RosterRow, rows: &mut Vec<RosterRow>) {
+    fn put(&mut self, change: &Change, stated: RosterRow, rows: &mut Vec<RosterRow>) {
+        let marked = self.marks.contains(change.key) && stated.standing == Standing::Ready;
+        let standing = if marked { Standing::Draining } else { stated.standing };
+        let row = RosterRow { standing, ..stated.clone() };
         match row.standing {
             Standing::Draining => {
                 self.drained.insert(change.key.to_vec(), row.since);
@@ -188,7 +205,8 @@
         if before.is_none_or(|b| b.row != row) {
             rows.push(row.clone());
         }
-        let entry = Entry { row, created: change.created, modified: change.modified, held_since: None };
+        let (created, modified) = (change.created, change.modified);
+        let entry = Entry { row, stated, created, modified, held_since: None };
         self.entries.insert(change.key.to_vec(), entry);
     }
 
@@ -223,7 +241,8 @@
         self.went_back += u64::from(back);
         (self.stamp, self.stale, self.listed_at) = (Some(stamp), false, now);
         let mut rows = vec![];
-        for change in list {
+        self.marks = list.iter().filter_map(|c| marked(c.key)).map(<[u8]>::to_vec).collect();
+        for change in list.iter().filter(|c| marked(c.key).is_none()) {
             let Some(row) = self.read(change, read) else { continue };
             // Guards what was told to drain against a store that was set back to before that: the same start of the
             // same executor does not become ready by it.
@@ -239,7 +258,7 @@
                 self.put(change, row, &mut rows);
             }
         }
-        let listed: std::collections::BTreeSet<&[u8]> = list.iter().map(|c| c.key).collect();
+        let listed: BTreeSet<&[u8]> = list.iter().map(|c| c.key).collect();
         let missing: Vec<Vec<u8>> =
             self.entries.keys().filter(|k| !listed.contains(k.as_slice())).cloned().collect();
         self.remove(now, missing, back, &mut rows);
@@ -259,6 +278,20 @@
         self.heard_at = now;
         let (mut rows, mut removed) = (vec![], vec![]);
         for change in changes.iter().filter(|c| c.modified > known.revision) {
+            if let Some(key) = marked(change.key) {
+                match change.value {
+                    Some(_) => self.marks.insert(key.to_vec()),
+                    None => self.marks.remove(key),
+                };
+                // What is deleted already in this answer stays so.
+                if let Some(entry) = self.entries.get(key).filter(|e| e.held_since.is_none()) {
+                    let (created, modified) = (entry.created, entry.modified);
+                    let again = Change { key, value: None, created, modified };
+                    let stated = entry.stated.clone();
+                    self.put(&again, stated, &mut rows);
+                }
+                continue;
+            }
             match change.value {
                 None => removed.push(change.key.to_vec()),
                 Some(_) => {
--- a/crates/membership/tests/cache.rs
+++ b/crates/membership/tests/cache.rs
@@ -205,7 +205,16 @@
                 let key = self.key();
                 self.store.delete(&DeleteRangeRequest { key, ..DeleteRangeRequest::default() });
             }
-            35..=54 => self.serve(),
+            35..=38 => {
+                // An operator drains one, or withdraws that.
+                let key: Bytes = [&self.key()[..], b"/drain"].concat().into();
+                if self.chance.random() {
+                    self.store.put(&PutRequest { key, value: "{}".into(), ..PutRequest::default() }).unwrap();
+                } else {
+                    self.store.delete(&DeleteRangeRequest { key, ..DeleteRangeRequest::default() });
+                }
+            }
+            39..=54 => self.serve(),
             55..=79 => self.hear(),
             80..=84 => self.cut(),
             85..=92 => self.connect(),
@@ -254,7 +263,12 @@
             ..Default::default()
         };
         let kvs = self.store.range(&question).unwrap().kvs;
-        let rows = kvs.iter().filter_map(|kv| read(&kv.key, &kv.value).ok());
+        let is_marked = |key: &[u8]| kvs.iter().any(|kv| kv.key == [key, b"/drain"].concat());
+        let rows = kvs.iter().filter(|kv| !kv.key.ends_with(b"/drain")).filter_map(|kv| {
+            let row = read(&kv.key, &kv.value).ok()?;
+            let standing = if is_marked(&kv.key) { Standing::Draining } else { row.standing };
+            Some(RosterRow { standing, ..row })
+        });
         rows.map(|r| ((r.executor.0, r.executor.1), r)).collect()
     }
 }
--- a/crates/standin/src/etcd.rs
+++ b/crates/standin/src/etcd.rs
@@ -399,6 +399,12 @@
             }
             return;
         }
+        if path == orchidtally_etcd::LEASE_KEEP_ALIVE {
+            if let Ok(out) = respond.send_response(response(), false) {
+                self.keep_leases(body, out).await;
+            }
+            return;
+        }
         let mut bytes = BytesMut::new();
         while let Some(Ok(chunk)) = body.data().await {
             let _ = body.flow_control().release_capacity(chunk.len());
@@ -452,9 +458,6 @@
             orchidtally_etcd::TXN => frame(&store.txn(&read(bytes)?)?),
             orchidtally_etcd::COMPACT => frame(&store.compact(read::<CompactionRequest>(bytes)?.revision)?),
             orchidtally_etcd::LEASE_GRANT => frame(&store.grant(now, read::<LeaseGrantRequest>(bytes)?.ttl)),
-            orchidtally_etcd::LEASE_KEEP_ALIVE => {
-                frame(&store.keep_alive(now, read::<LeaseKeepAliveRequest>(bytes)?.id))
-            }
             orchidtally_etcd::LEASE_REVOKE => {
                 store.revoke(read::<LeaseRevokeRequest>(bytes)?.id);
                 frame(&LeaseRevokeResponse { header: store.header() })
@@ -467,6 +470,24 @@
         })
     }
 
+    /// Each question on the stream has its answer.
+    async fn keep_leases(&self, mut body: h2::RecvStream, mut out: h2::SendStream<Bytes>) {
+        let mut bytes = BytesMut::new();
+        while let Some(Ok(chunk)) = body.data().await {
+            let _ = body.flow_control().release_capacity(chunk.len());
+            bytes.extend_from_slice(&chunk);
+            while let Ok(Some(question)) = deframe::<LeaseKeepAliveRequest>(&mut bytes, PART * 1024) {
+                if self.waits().await {
+                    return;
+                }
+                let answer = self.store.borrow_mut().keep_alive(self.stage.now(), question.id);
+                if out.send_data(frame(&answer), false).is_err() {
+                    return;
+                }
+            }
+        }
+    }
+
     async fn watch(&self, mut body: h2::RecvStream, mut out: h2::SendStream<Bytes>, agent: &str) {
         let mut bytes = BytesMut::new();
         let create = loop {
--- a/crates/witness/src/rules.rs
+++ b/crates/witness/src/rules.rs
@@ -333,6 +333,37 @@
     rule
 }
 
+/// Messages that became invocations: where, and between which moments. When a front end took one is not seen from
+/// outside, only when it was published and when its first dispatch in a life came to an executor; of one that was never
+/// dispatched not even where.
+fn offered_by_messages(records: &[&Record], of_life: &HashMap<u64, u32>) -> Vec<(Option<u32>, f64, f64)> {
+    let mut published: HashMap<&str, f64> = HashMap::new();
+    let mut reached: HashMap<(&str, u64), (u32, f64)> = HashMap::new();
+    let mut dispatched: HashMap<&str, ()> = HashMap::new();
+    let mut heard: HashMap<&str, f64> = HashMap::new();
+    for r in records {
+        match r {
+            Record::Published { at, invocation, .. } => {
+                published.insert(invocation, *at);
+            }
+            Record::Reached { at, front_end, life, invocation, .. } => {
+                dispatched.insert(invocation, ());
+                reached.entry((invocation, *life)).or_insert((*of_life.get(life).unwrap_or(front_end), *at));
+            }
+            Record::Heard { at, invocation, .. } => {
+                heard.entry(invocation).or_insert(*at);
+            }
+            _ => {}
+        }
+    }
+    let sent = reached.iter().filter_map(|((invocation, _), (front_end, at))| {
+        Some((Some(*front_end), *published.get(invocation)?, *at))
+    });
+    let unsent = heard.iter().filter(|(invocation, _)| !dispatched.contains_key(*invocation));
+    let unsent = unsent.filter_map(|(invocation, at)| Some((None, *published.get(invocation)?, *at)));
+    sent.chain(unsent).collect()
+}
+
 /// Rule 5: orders to load stay within the ration.
 fn orders(terms: &Terms, records: &[&Record]) -> Rule {
     let mut rule = Rule::new(5);
@@ -340,7 +371,6 @@
         return rule;
     }
     let mut taken: HashMap<u32, Vec<f64>> = HashMap::new();
-    let mut published: HashMap<&str, f64> = HashMap::new();
     // Front ends may name themselves by a number that changes; their lives don't.
     let mut of_life: HashMap<u64, u32> = HashMap::new();
     for r in records {
@@ -350,19 +380,10 @@
     }
     let mut ordered: HashMap<u64, Vec<f64>> = HashMap::new();
     let deaf = deaf(records);
+    let messages = offered_by_messages(records, &of_life);
     for &r in records {
         match r {
             Record::Offered { at, front_end, .. } => taken.entry(*front_end).or_default().push(*at),
-            Record::Published { at, invocation, .. } => {
-                published.insert(invocation, *at);
-            }
-            // Which front end was given a message is seen by its first dispatch.
-            Record::Reached { front_end, life, invocation, .. }
-                if published.contains_key(invocation.as_str()) =>
-            {
-                let at = published.remove(invocation.as_str());
-                taken.entry(*of_life.get(life).unwrap_or(front_end)).or_default().extend(at);
-            }
             // When an order was given that a deaf executor read late is not known.
             Record::Ordered { at, executor, .. } if is_deaf(&deaf, *executor, *at, terms.transit) => {}
             Record::Ordered { at, front_end, life, copies, .. } if *copies > 0 => {
@@ -373,7 +394,10 @@
                 let orders = mine.iter().filter(|&&t| t > from + terms.transit).count() as f64;
                 let front_end = of_life.get(life).unwrap_or(front_end);
                 let offers = taken.get(front_end).map(Vec::as_slice).unwrap_or_default();
-                let offers = offers.iter().filter(|&&t| t > from - terms.transit).count() as f64;
+                let offers = offers.iter().filter(|&&t| t > from - terms.transit).count();
+                let mine = |m: &&(Option<u32>, f64, f64)| m.0.is_none_or(|f| f == *front_end);
+                let lately = |m: &&(Option<u32>, f64, f64)| m.2 > from - terms.transit && m.1 <= *at;
+                let offers = (offers + messages.iter().filter(mine).filter(lately).count()) as f64;
                 let most = terms.ration_floor + terms.ration_share * offers;
                 rule.check(orders <= most, || {
                     format!("front end {front_end} gave {orders} orders by {at:.3}, {most:.1} granted")
