--- a/crates/witness/src/rules.rs
+++ b/crates/witness/src/rules.rs
@@ -1,7 +1,7 @@
 //! Each rule as a pass of its own over the records.
 
 use crate::*;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// What was checked of a rule, and the breaches found.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -339,7 +339,7 @@
 fn offered_by_messages(records: &[&Record], of_life: &HashMap<u64, u32>) -> Vec<(Option<u32>, f64, f64)> {
     let mut published: HashMap<&str, f64> = HashMap::new();
     let mut reached: HashMap<(&str, u64), (u32, f64)> = HashMap::new();
-    let mut dispatched: HashMap<&str, ()> = HashMap::new();
+    let mut dispatched: HashSet<&str> = HashSet::new();
     let mut heard: HashMap<&str, f64> = HashMap::new();
     for r in records {
         match r {
@@ -347,7 +347,7 @@
                 published.insert(invocation, *at);
             }
             Record::Reached { at, front_end, life, invocation, .. } => {
-                dispatched.insert(invocation, ());
+                dispatched.insert(invocation);
                 reached.entry((invocation, *life)).or_insert((*of_life.get(life).unwrap_or(front_end), *at));
             }
             Record::Heard { at, invocation, .. } => {
@@ -359,7 +359,7 @@
     let sent = reached.iter().filter_map(|((invocation, _), (front_end, at))| {
         Some((Some(*front_end), *published.get(invocation)?, *at))
     });
-    let unsent = heard.iter().filter(|(invocation, _)| !dispatched.contains_key(*invocation));
+    let unsent = heard.iter().filter(|(invocation, _)| !dispatched.contains(*invocation));
     let unsent = unsent.filter_map(|(invocation, at)| Some((None, *published.get(invocation)?, *at)));
     sent.chain(unsent).collect()
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -473,7 +473,7 @@
         if self.warmth(x) >= 1.0 {
             return true;
         }
-        // Guards against front ends that come, go and see each other late: their parts would exceed the whole.
+        // Guards against front ends that see each other come and go late: their parts would exceed the whole.
         if !self.sharing {
             return false;
         }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -124,8 +124,8 @@
     outcome.unwrap();
 }
 
-/// Guards against front ends that come and go and see each other late: one that can't know by how many to share sends
-/// a cold executor nothing, and goes on once it can.
+/// Guards against front ends that see each other come and go late: one that can't know by how many to share
+/// sends a cold executor nothing, and goes on once it can.
 #[test]
 fn a_front_end_that_cannot_know_its_part_leaves_cold_executors_alone() {
     let to_cold = |shares: bool| {
