--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -12,6 +12,9 @@
 
 #[derive(clap::Args)]
 pub struct Arguments {
+    /// Serve on the platform's protocol, as the file named by LB_CONFIG tells.
+    #[arg(long, conflicts_with_all = ["deployment", "listen", "index", "seed"])]
+    platform: bool,
     /// The deployment file, in JSON5.
     #[arg(long)]
     deployment: Option<PathBuf>,
@@ -53,7 +56,26 @@
     });
 }
 
+/// A front end on the platform's protocol, told all by its environment.
+fn platform() -> Result<(), u8> {
+    let told = |key| std::env::var(key).ok();
+    let bad = |fault: String| {
+        eprintln!("{fault}");
+        BAD_INPUT
+    };
+    let file = PathBuf::from(told("LB_CONFIG").ok_or_else(|| bad("LB_CONFIG names no file".into()))?);
+    let start = orchidtally_platform::start::read(&file).map_err(bad)?;
+    start.agrees(told("LB_NAME").as_deref(), told("LB_LISTEN").as_deref()).map_err(bad)?;
+    orchidtally_platform::run(start, file).map(drop).map_err(|e| {
+        eprintln!("can't serve: {e}");
+        COULD_NOT_RUN
+    })
+}
+
 pub fn run(arguments: Arguments) -> Result<(), u8> {
+    if arguments.platform {
+        return platform();
+    }
     let (mut deployment, section) = match &arguments.deployment {
         Some(file) => read_whole(file)?,
         None => local::deployment(arguments.listen).map(|d| (d, None)).map_err(|e| {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,7 @@
 //! kernel, and the time-outs that go with them.
 
 pub mod http;
+pub mod turn;
 
 use async_io::{Async, Timer};
 use futures_lite::future;
--- /dev/null
+++ b/crates/platform/src/floor.rs
@@ -0,0 +1,282 @@
+//! Performs the engine's answers: lines to executors, frames to clients. What comes of a dispatch that can't
+//! be sent is told to the engine after its present turn.
+
+use crate::clients::Client;
+use crate::links::{self, BACKLOG, Executor, Link, Queued};
+use mio::net::TcpStream;
+use mio::{Interest, Registry};
+use orchidtally::interface::ExecutorId;
+use orchidtally_engine::evidence::Transport;
+use orchidtally_engine::{Cause, Host};
+use orchidtally_frames as frames;
+use orchidtally_lines as lines;
+use slab::Slab;
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::rc::Rc;
+
+/// Prefixes of the tags of orders and probes: no id of an invocation, 16 hex digits, begins so.
+pub const ORDER: &str = "order-";
+const PROBE: &str = "probe-";
+
+/// An invocation that was taken.
+pub struct Work {
+    pub client: usize,
+    pub stream: u32,
+    /// The client's id for it.
+    pub id: Rc<str>,
+    pub trigger_type: usize,
+    pub function: Rc<str>,
+    pub token: Option<String>,
+    pub body: Vec<u8>,
+    pub timeout_at: f64,
+}
+
+/// An order to load that is out.
+pub struct Order {
+    pub to: ExecutorId,
+    pub function: u64,
+    pub copies: u8,
+    pub by: f64,
+    pub link: usize,
+}
+
+pub struct Floor {
+    pub now: f64,
+    pub registry: Registry,
+    pub trigger_types: Vec<String>,
+    pub streams: usize,
+    pub connect_time: f64,
+    pub order_time: f64,
+    /// Connections to executors at the most.
+    pub most_links: usize,
+    pub clients: Slab<Client>,
+    pub links: Slab<Link>,
+    pub executors: BTreeMap<ExecutorId, Executor>,
+    pub works: HashMap<u32, Work>,
+    /// Bytes of the bodies that are held.
+    pub held: usize,
+    /// Ids of what is open.
+    pub ids: HashSet<Rc<str>>,
+    /// Where a dispatch is out.
+    pub outs: HashMap<(u32, u8), usize>,
+    pub orders: BTreeMap<u64, Order>,
+    pub next_tag: u64,
+    /// Dispatches and orders that could not be sent.
+    pub unsent: Vec<(u32, u8, Transport)>,
+    pub undone: Vec<(u64, Transport)>,
+    pub dirty_clients: Vec<usize>,
+    pub dirty_links: Vec<usize>,
+    /// The invocation that is being taken.
+    pub taking: Option<Work>,
+    /// The body of the answer that is being told.
+    pub brought: Vec<u8>,
+    pub longest_stay_away: f64,
+}
+
+impl Floor {
+    pub fn touch_client(&mut self, slot: usize) {
+        if let Some(client) = self.clients.get_mut(slot) {
+            client.idle_since = self.now;
+            if !std::mem::replace(&mut client.dirty, true) {
+                self.dirty_clients.push(slot);
+            }
+        }
+    }
+
+    pub fn touch_link(&mut self, slot: usize) {
+        if self.links.get_mut(slot).is_some_and(|l| !std::mem::replace(&mut l.dirty, true)) {
+            self.dirty_links.push(slot);
+        }
+    }
+
+    /// The invocation is over for its client.
+    pub fn drop_work(&mut self, inv: u32) -> Option<Work> {
+        let work = self.works.remove(&inv)?;
+        self.held -= work.body.len();
+        self.ids.remove(&work.id);
+        if let Some(client) = self.clients.get_mut(work.client) {
+            client.open.remove(&work.stream);
+        }
+        Some(work)
+    }
+
+    /// The one place of final answers.
+    fn answer(&mut self, inv: u32, code: u8, fields: &[(&str, &str)], body: &[u8]) {
+        let Some(work) = self.drop_work(inv) else { return };
+        if let Some(client) = self.clients.get_mut(work.client) {
+            client.answer(work.stream, code, fields, body);
+            self.touch_client(work.client);
+        }
+    }
+
+    /// A connection over which a line may go: one that stands before one that is being made, the fuller first,
+    /// so that those not needed become idle; else a new one.
+    fn link_for(&mut self, to: ExecutorId, id: &str) -> Result<usize, Transport> {
+        let executor = self.executors.get(&to).ok_or(Transport::NoConnection)?;
+        let fits = executor.links.iter().filter(|&&l| self.links[l].takes(id, self.streams));
+        let best = fits.max_by_key(|&&l| (self.links[l].connected, self.links[l].open.len()));
+        if let Some(&found) = best {
+            return Ok(found);
+        }
+        let share = (self.most_links / self.executors.len().max(1)).max(1);
+        if executor.links.len() >= share || self.links.len() >= self.most_links {
+            return Err(Transport::Saturated);
+        }
+        let address = executor.address;
+        let mut stream = TcpStream::connect(address).map_err(|_| Transport::NoConnection)?;
+        let slot = self.links.vacant_key();
+        let both = Interest::READABLE | Interest::WRITABLE;
+        self.registry.register(&mut stream, links::token(slot), both).map_err(|_| Transport::NoConnection)?;
+        self.links.insert(Link::new(to, stream, self.now, self.connect_time));
+        if let Some(executor) = self.executors.get_mut(&to) {
+            executor.links.push(slot);
+        }
+        Ok(slot)
+    }
+
+    fn line(&mut self, to: ExecutorId, line: Vec<u8>) {
+        // Nothing is owed for one that finds no connection.
+        if let Ok(slot) = self.link_for(to, "") {
+            self.links[slot].queue.push_back(Queued::Line(line));
+            self.touch_link(slot);
+        }
+    }
+
+    fn order(&mut self, to: ExecutorId, function: u64, copies: u8) {
+        let tag = self.next_tag;
+        self.next_tag += 1;
+        let found = self.link_for(to, "");
+        let link = found.unwrap_or(usize::MAX);
+        self.orders.insert(tag, Order { to, function, copies, by: self.now + self.order_time, link });
+        match found {
+            Ok(slot) => {
+                self.links[slot].orders.insert(tag, None);
+                self.links[slot].queue.push_back(Queued::Order(tag));
+                self.touch_link(slot);
+            }
+            Err(why) => self.undone.push((tag, why)),
+        }
+    }
+
+    /// Makes lines of what is queued, as long as the kernel takes them, and hands them over.
+    pub fn flush_link(&mut self, slot: usize) -> std::io::Result<()> {
+        let Some(link) = self.links.get_mut(slot) else { return Ok(()) };
+        if !link.connected {
+            return Ok(());
+        }
+        loop {
+            while link.socket.waiting() < BACKLOG {
+                let from = link.socket.written() + link.socket.waiting() as u64;
+                let line = match link.queue.pop_front() {
+                    None => break,
+                    Some(Queued::Line(line)) => line,
+                    Some(Queued::Order(tag)) => {
+                        let Some(order) = self.orders.get(&tag) else { continue };
+                        link.orders.insert(tag, Some(from));
+                        lines::hold(
+                            &format!("{ORDER}{tag}"),
+                            &format!("{:016x}", order.function),
+                            order.copies,
+                        )
+                    }
+                    Some(Queued::Dispatch(id)) => {
+                        let Some(out) = link.open.get_mut(&id) else { continue };
+                        let Some(work) = self.works.get(&out.inv) else { continue };
+                        out.from = Some(from);
+                        let left = (work.timeout_at - self.now).max(0.001);
+                        lines::dispatch(&lines::Dispatch {
+                            id: &id,
+                            trigger_type: &self.trigger_types[work.trigger_type],
+                            function: &work.function,
+                            limit_ms: (left * 1e3).ceil() as u64,
+                            token: work.token.as_deref(),
+                            body: &work.body,
+                        })
+                    }
+                };
+                link.socket.out().extend_from_slice(&line);
+            }
+            link.socket.flush()?;
+            if link.queue.is_empty() || link.socket.waiting() >= BACKLOG {
+                return Ok(());
+            }
+        }
+    }
+}
+
+impl Host for Floor {
+    fn taken(&mut self, inv: u32) {
+        let Some(work) = self.taking.take() else { return };
+        if let Some(client) = self.clients.get_mut(work.client) {
+            client.open.insert(work.stream, inv);
+        }
+        self.held += work.body.len();
+        self.ids.insert(work.id.clone());
+        self.works.insert(inv, work);
+    }
+
+    fn dispatch(&mut self, inv: u32, dispatch: u8, to: ExecutorId, _within: f64) {
+        let Some(id) = self.works.get(&inv).map(|w| w.id.clone()) else {
+            return self.unsent.push((inv, dispatch, Transport::Withheld));
+        };
+        match self.link_for(to, &id) {
+            Ok(slot) => {
+                let out = links::Out { inv, dispatch, at: self.now, from: None };
+                self.links[slot].open.insert(id.clone(), out);
+                self.links[slot].queue.push_back(Queued::Dispatch(id));
+                self.outs.insert((inv, dispatch), slot);
+                self.touch_link(slot);
+            }
+            Err(why) => self.unsent.push((inv, dispatch, why)),
+        }
+    }
+
+    fn cancel(&mut self, inv: u32, dispatch: u8) {
+        let Some(slot) = self.outs.remove(&(inv, dispatch)) else { return };
+        let Some(link) = self.links.get_mut(slot) else { return };
+        let found = link.open.iter().find(|(_, o)| o.inv == inv && o.dispatch == dispatch);
+        let Some((id, at)) = found.map(|(id, o)| (id.clone(), o.at)) else { return };
+        if link.give_up(&id) {
+            // One that was silent ever since, for longer than a new one takes to be made, may be dead.
+            link.retired |= link.heard_at < at && self.now > at + 2.0 * self.connect_time;
+            link.queue.push_back(Queued::Line(lines::cancel(&id)));
+        }
+        link.idle_since = self.now;
+        self.touch_link(slot);
+    }
+
+    fn succeeded(&mut self, inv: u32, _dispatch: u8) {
+        let body = std::mem::take(&mut self.brought);
+        self.answer(inv, frames::SUCCEEDED, &[], &body);
+    }
+
+    fn throttled(&mut self, inv: u32, retry_after: f64, _past_share: bool) {
+        let ms = format!("{}", (retry_after * 1e3).round().max(0.0) as u64);
+        let fields = [("cooldown", ms.as_str())];
+        self.answer(inv, frames::THROTTLED, if retry_after > 0.0 { &fields } else { &[] }, &[]);
+    }
+
+    fn errored(&mut self, inv: u32, _cause: Cause, _may_have_run: bool) {
+        self.answer(inv, frames::ERRORED, &[], &[]);
+    }
+
+    fn hold(&mut self, to: ExecutorId, function: u64, copies: u8) {
+        self.order(to, function, copies);
+    }
+
+    fn ask(&mut self, to: ExecutorId, function: u64) {
+        self.order(to, function, 0);
+    }
+
+    fn unload(&mut self, to: ExecutorId, function: u64) {
+        self.line(to, lines::unload(&format!("{function:016x}")));
+    }
+
+    fn probe(&mut self, to: ExecutorId) {
+        self.next_tag += 1;
+        self.line(to, lines::probe(&format!("{PROBE}{}", self.next_tag)));
+    }
+
+    /// It is asked for all the time.
+    fn watch_roster(&mut self) {}
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,12 @@
+//! The platform's front end: the engine, and with it the decision module, on the platform's protocol. One
+//! thread goes through whatever is ready, a turn at a time; every table and buffer is bounded by the limits
+//! told at the start. It decides nothing: it turns what it reads into calls and answers into messages.
+
+mod clients;
+mod floor;
+mod front;
+mod links;
+mod roster;
+pub mod start;
+
+pub use front::run;
--- /dev/null
+++ b/crates/platform/src/links.rs
@@ -0,0 +1,147 @@
+//! Connections to executors. Each belongs to an executor's id, never to an address, and ends with it.
+
+use crate::clients::FIRST_TOKEN;
+use mio::Token;
+use mio::net::TcpStream;
+use orchidtally::interface::ExecutorId;
+use orchidtally_engine::evidence::Transport;
+use orchidtally_lines::Decoder;
+use orchidtally_net::turn::Socket;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Ids given up on a connection whose answers may still come over it. Past so many it takes nothing new.
+const MOST_GIVEN_UP: usize = 256;
+/// Bytes that wait to be handed to the kernel, past which what is queued stays where it can be taken back.
+pub const BACKLOG: usize = 64 * 1024;
+/// A line that has begun and does not end for so long never will: executors write an answer at once.
+const HALF_LINE: f64 = 0.5;
+
+/// A dispatch on a connection.
+pub struct Out {
+    pub inv: u32,
+    pub dispatch: u8,
+    pub at: f64,
+    /// Where its line begins among the bytes of the connection; `None` while it is queued.
+    pub from: Option<u64>,
+}
+
+/// What waits to be written. A dispatch becomes a line only then, so that it tells the time truly left.
+pub enum Queued {
+    Dispatch(Rc<str>),
+    /// An order to load, by its number.
+    Order(u64),
+    Line(Vec<u8>),
+}
+
+pub struct Link {
+    pub to: ExecutorId,
+    pub socket: Socket,
+    pub connected: bool,
+    pub connect_by: f64,
+    pub decoder: Decoder,
+    /// Dispatches by the id that they have on the wire.
+    pub open: BTreeMap<Rc<str>, Out>,
+    /// Orders that were written or wait, by number: where the line begins.
+    pub orders: BTreeMap<u64, Option<u64>>,
+    given_up: BTreeSet<Rc<str>>,
+    pub queue: VecDeque<Queued>,
+    /// Nothing new goes over it; it is closed once nothing is open.
+    pub retired: bool,
+    pub heard_at: f64,
+    pub idle_since: f64,
+    line_since: Option<f64>,
+    pub dirty: bool,
+}
+
+impl Link {
+    pub fn new(to: ExecutorId, stream: TcpStream, now: f64, connect_time: f64) -> Link {
+        Link {
+            to,
+            socket: Socket::new(stream),
+            connected: false,
+            connect_by: now + connect_time,
+            decoder: Decoder::default(),
+            open: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            given_up: BTreeSet::new(),
+            queue: VecDeque::new(),
+            retired: false,
+            heard_at: now,
+            idle_since: now,
+            line_since: None,
+            dirty: false,
+        }
+    }
+
+    /// Whether a dispatch with this id may go over it. One whose id was given up on it may not: its answer
+    /// could be the earlier one's.
+    pub fn takes(&self, id: &str, streams: usize) -> bool {
+        !self.retired
+            && self.open.len() < streams
+            && !self.open.contains_key(id)
+            && !self.given_up.contains(id)
+    }
+
+    pub fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.orders.is_empty() && self.queue.is_empty() && self.socket.waiting() == 0
+    }
+
+    /// A dispatch is not waited for any more. Tells whether the executor may have begun to read it.
+    pub fn give_up(&mut self, id: &Rc<str>) -> bool {
+        let Some(out) = self.open.remove(id) else { return false };
+        if out.from.is_none() {
+            self.queue.retain(|q| !matches!(q, Queued::Dispatch(queued) if queued == id));
+            return false;
+        }
+        self.given_up.insert(id.clone());
+        // A connection that brought nothing since, for longer than one takes to be made, may be dead.
+        self.retired |= self.given_up.len() >= MOST_GIVEN_UP;
+        true
+    }
+
+    /// An answer has come under an id that was given up.
+    pub fn settled(&mut self, id: &str) {
+        self.given_up.remove(id);
+    }
+
+    /// What the end of the connection proves of a line that begins there.
+    pub fn proves(&self, from: Option<u64>, seen: Transport) -> Transport {
+        match from {
+            _ if !self.connected => Transport::NoConnection,
+            Some(from) if from < self.socket.written() => seen,
+            _ => Transport::Unwritten,
+        }
+    }
+
+    pub fn heard(&mut self, now: f64) {
+        self.heard_at = now;
+        self.line_since = if self.decoder.is_within() { self.line_since.or(Some(now)) } else { None };
+    }
+
+    /// Why it is broken off at this moment, if it is.
+    pub fn overdue(&self, now: f64, idle_close: f64) -> Option<(Transport, &'static str)> {
+        if !self.connected {
+            return (now > self.connect_by).then_some((Transport::NoConnection, "no connection in time"));
+        }
+        if self.line_since.is_some_and(|at| now > at + HALF_LINE) {
+            return Some((Transport::Malformed, "half a line and no more"));
+        }
+        // Well before the executor does, so that nothing is sent into a connection that it is closing.
+        let idle = self.is_idle() && (self.retired || now > self.idle_since + 0.5 * idle_close);
+        idle.then_some((Transport::Broken, "idle"))
+    }
+}
+
+/// An executor as it is reached.
+pub struct Executor {
+    pub name: String,
+    pub address: SocketAddr,
+    pub links: Vec<usize>,
+    pub listed: bool,
+}
+
+pub fn token(slot: usize) -> Token {
+    Token(FIRST_TOKEN + 2 * slot + 1)
+}
--- /dev/null
+++ b/crates/resolver/src/lib.rs
@@ -0,0 +1,194 @@
+//! The platform's lists of executors: what was known at the start in its JSON, later ones as answers of DNS.
+//! Both become rows of the roster. No sockets.
+
+use orchidtally::interface::{ExecutorId, RosterRow, Standing};
+use serde::Deserialize;
+use simple_dns::rdata::RData;
+use simple_dns::{CLASS, Name, Packet, PacketFlag, QCLASS, QTYPE, Question, RCODE, TYPE};
+use std::collections::HashMap;
+use std::net::{IpAddr, Ipv6Addr, SocketAddr};
+
+/// The service whose targets are the executors.
+pub const SERVICE: &str = "_data._tcp.farm.lan";
+/// An answer's bytes at the most.
+pub const LONGEST: usize = 8_000;
+
+/// A row of the roster, and where its executor is reached.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    pub name: String,
+    pub address: SocketAddr,
+    pub row: RosterRow,
+}
+
+/// The module's id for an executor: of its name alone, since its address may be another's later and is not
+/// the same for every front end. The same at all of them.
+pub fn id(name: &str) -> ExecutorId {
+    ExecutorId(IpAddr::V6(Ipv6Addr::from_bits(xxhash_rust::xxh3::xxh3_128(name.as_bytes()))), 0)
+}
+
+/// Names of locations and kinds, by the index that the module knows.
+pub struct Places<'a> {
+    pub zones: &'a [String],
+    pub kinds: &'a [String],
+}
+
+impl Places<'_> {
+    fn find(names: &[String], name: &str, what: &str) -> Result<u8, String> {
+        let found = names.iter().position(|n| n == name).and_then(|n| u8::try_from(n).ok());
+        found.ok_or_else(|| format!("{what} '{name}' is not in the settings"))
+    }
+}
+
+/// Seconds of a start told in milliseconds; 0 means long ago.
+fn since(started_ms: f64) -> f64 {
+    if started_ms > 0.0 { started_ms / 1e3 } else { f64::NEG_INFINITY }
+}
+
+#[derive(Deserialize)]
+struct Known {
+    index: u32,
+    updates: Vec<Update>,
+}
+
+#[derive(Deserialize)]
+struct Update {
+    endpoints: Endpoints,
+}
+
+#[derive(Deserialize)]
+struct Endpoints {
+    whole: bool,
+    hosts: Vec<Host>,
+}
+
+#[derive(Deserialize)]
+struct Host {
+    host: String,
+    dial: SocketAddr,
+    site: String,
+    class: String,
+    block: u16,
+    health: Health,
+    share: f64,
+    #[serde(default)]
+    born_ms: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+enum Health {
+    Serving,
+    Draining,
+    Deleted,
+}
+
+/// The list of the start, in its order, and the number of the last event in it.
+pub fn known(value: &serde_json::Value, places: &Places) -> Result<(u32, Vec<Entry>), String> {
+    let known = Known::deserialize(value).map_err(|e| e.to_string())?;
+    let mut entries: Vec<Entry> = vec![];
+    for update in known.updates {
+        if update.endpoints.whole {
+            entries.clear();
+        }
+        for host in update.endpoints.hosts {
+            let standing = match host.health {
+                Health::Serving => Standing::Ready,
+                Health::Draining => Standing::Draining,
+                Health::Deleted => Standing::Gone,
+            };
+            let row = RosterRow {
+                executor: id(&host.host),
+                zone: Places::find(places.zones, &host.site, "location")?,
+                kind: Places::find(places.kinds, &host.class, "kind")?,
+                cell: host.block,
+                standing,
+                weight: host.share,
+                since: since(host.born_ms),
+            };
+            entries.retain(|e| e.name != host.host);
+            if standing != Standing::Gone {
+                entries.push(Entry { name: host.host, address: host.dial, row });
+            }
+        }
+    }
+    Ok((known.index, entries))
+}
+
+/// Asks for the whole list under an id.
+pub fn query(id: u16) -> Result<Vec<u8>, String> {
+    let name = Name::new(SERVICE).map_err(|e| e.to_string())?;
+    let mut packet = Packet::new_query(id);
+    packet.questions.push(Question::new(name, QTYPE::TYPE(TYPE::SRV), QCLASS::CLASS(CLASS::IN), false));
+    packet.build_bytes_vec().map_err(|e| e.to_string())
+}
+
+/// The labels of a name as text.
+fn labels(name: &Name) -> Vec<String> {
+    name.get_labels().iter().map(|l| l.to_string().to_ascii_lowercase()).collect()
+}
+
+/// An answer to the query with an id: the number of the last event in it, and the whole list. An answer that
+/// is not whole in every row is none: what it left out would be taken to be gone.
+pub fn answer(bytes: &[u8], id_asked: u16, places: &Places) -> Result<(u32, Vec<Entry>), String> {
+    let packet = Packet::parse(bytes).map_err(|e| format!("unreadable: {e}"))?;
+    if packet.id() != id_asked || !packet.has_flags(PacketFlag::RESPONSE) {
+        return Err("not the answer to what was asked".into());
+    }
+    if packet.has_flags(PacketFlag::TRUNCATION) {
+        return Err("truncated".into());
+    }
+    if packet.rcode() != RCODE::NoError {
+        return Err(format!("failed: {:?}", packet.rcode()));
+    }
+    let service: Vec<String> = SERVICE.split('.').map(str::to_owned).collect();
+    if packet.questions.iter().any(|q| labels(&q.qname) != service) {
+        return Err("not the answer to what was asked".into());
+    }
+    let serials = packet.name_servers.iter().chain(&packet.answers).filter_map(|r| match &r.rdata {
+        RData::SOA(soa) => Some(soa.serial),
+        _ => None,
+    });
+    let serial = serials.max().ok_or("without a serial")?;
+    let (mut addresses, mut texts) = (HashMap::new(), HashMap::new());
+    for record in packet.answers.iter().chain(&packet.additional_records) {
+        match &record.rdata {
+            RData::A(a) => {
+                addresses.insert(labels(&record.name), IpAddr::from(a.address.to_be_bytes()));
+            }
+            RData::TXT(txt) => {
+                texts.insert(labels(&record.name), txt.attributes());
+            }
+            _ => {}
+        }
+    }
+    let mut entries = vec![];
+    for record in &packet.answers {
+        let RData::SRV(srv) = &record.rdata else { continue };
+        let target = labels(&srv.target);
+        let [name, zone, ..] = target.as_slice() else { return Err("a target without a location".into()) };
+        let ip = *addresses.get(&target).ok_or_else(|| format!("'{name}' has no address"))?;
+        let text = texts.get(&target).ok_or_else(|| format!("'{name}' has no text"))?;
+        let field = |key: &str| {
+            let found = text.get(key).and_then(|v| v.as_deref());
+            found.ok_or_else(|| format!("'{name}' has no '{key}'"))
+        };
+        let number = |key: &str| {
+            let number = field(key)?.parse::<f64>().ok().filter(|n| n.is_finite());
+            number.ok_or_else(|| format!("'{key}' of '{name}' is no number"))
+        };
+        let cell =
+            field("cell")?.parse().map_err(|_| format!("'cell' of '{name}' is no number of a cell"))?;
+        let row = RosterRow {
+            executor: id(name),
+            zone: Places::find(places.zones, zone, "location")?,
+            kind: Places::find(places.kinds, field("kind")?, "kind")?,
+            cell,
+            standing: if srv.priority == 0 { Standing::Ready } else { Standing::Draining },
+            weight: f64::from(srv.weight) / 10.0,
+            since: since(number("started")?),
+        };
+        entries.push(Entry { name: name.clone(), address: SocketAddr::new(ip, srv.port), row });
+    }
+    Ok((serial, entries))
+}
--- a/drill/src/terms.rs
+++ b/crates/terms/src/lib.rs
@@ -1,4 +1,5 @@
-//! The settings text of a start, walked straight into the terms that the module keeps.
+//! The platform's settings object, walked straight into the terms that the module keeps. The simulator's
+//! adapter and the front end on sockets read it here.
 
 use orchidtally::interface::{Effect, Group, Terms, TriggerType};
 use serde_json::Value;
@@ -67,7 +68,10 @@
 }
 
 pub fn read(bytes: &[u8]) -> Result<Terms, String> {
-    let v: &Value = &serde_json::from_slice(bytes).map_err(|e| format!("settings are not JSON: {e}"))?;
+    decode(&serde_json::from_slice(bytes).map_err(|e| format!("settings are not JSON: {e}"))?)
+}
+
+fn decode(v: &Value) -> Result<Terms, String> {
     let customers = if need(v, "customers").is_ok() { list(v, "customers")? } else { &[] };
     Ok(Terms {
         trigger_types: list(v, "classes")?.iter().map(trigger_type).collect::<Result<_, _>>()?,
@@ -106,3 +110,44 @@
         },
     })
 }
+
+/// What the platform's front end needs of the settings besides the terms.
+#[derive(Clone, Debug)]
+pub struct Grounds {
+    pub terms: Terms,
+    /// Names, each list by the index that the module knows.
+    pub trigger_types: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub report: Vec<String>,
+    pub most_open: usize,
+    pub streams: usize,
+    pub connect_time: f64,
+    /// Executors close what was idle for so long.
+    pub idle_close: f64,
+    /// An order to load without an answer by then has timed out.
+    pub order_time: f64,
+}
+
+fn names(value: &Value, key: &str) -> Result<Vec<String>, String> {
+    let name = |v: &Value| v.as_str().map(str::to_owned);
+    let all = list(value, key)?.iter().map(name).collect::<Option<_>>();
+    all.ok_or_else(|| format!("setting '{key}' holds something other than texts"))
+}
+
+/// Reads settings for a front end on sockets.
+pub fn grounds(v: &Value) -> Result<Grounds, String> {
+    let trigger_types = list(v, "classes")?.iter().map(|c| text(c, "name").map(str::to_owned));
+    Ok(Grounds {
+        terms: decode(v)?,
+        trigger_types: trigger_types.collect::<Result<_, _>>()?,
+        zones: names(v, "zones")?,
+        kinds: names(v, "shapes")?,
+        report: if need(v, "feedback.fields").is_ok() { names(v, "feedback.fields")? } else { vec![] },
+        most_open: number(v, "limits.maxOpen")?.clamp(1.0, 1e6) as usize,
+        streams: number(v, "limits.streamsPerConn")?.clamp(1.0, 1e4) as usize,
+        connect_time: seconds(v, "limits.connectTimeout")?.max(0.0),
+        idle_close: seconds(v, "limits.idleClose")?.max(0.0),
+        order_time: number_or(v, "specifics.answerWithin", f64::INFINITY)?.max(0.0) / 1e9,
+    })
+}
--- a/drill/src/batch.rs
+++ b/drill/src/batch.rs
@@ -2,7 +2,6 @@
 
 use crate::frame::{Fields, Malformed};
 use crate::reply::Reply;
-use crate::terms;
 use orchidtally::choice::Choice;
 use orchidtally::interface::{Ending, Found, Invocation, Outcome, RosterKind, RosterRow, Standing};
 
@@ -83,7 +82,7 @@
             let length = f.u32()? as usize;
             let at_text = f.clone();
             let text = f.take(length)?;
-            let terms = terms::read(text).map_err(|e| at_text.fault(e))?;
+            let terms = orchidtally_terms::read(text).map_err(|e| at_text.fault(e))?;
             if self.instances.len() <= slot {
                 self.instances.resize_with(slot + 1, || None);
             }
--- a/drill/src/lib.rs
+++ b/drill/src/lib.rs
@@ -3,7 +3,6 @@
 mod batch;
 mod frame;
 mod reply;
-mod terms;
 
 use batch::Host;
 use frame::Malformed;
