Tell a broken connection from an ended process; grant no order for what was taken back

Ration: the log counted 2,814 of 5,350 invocations as withdrawn: clients that take back hundreds at once. Each had had its placement at once and counted for the ration (Choice::invocation). Losses: 36 connections lost on 6 executors in 20 s at three front ends, so each executor broke off about every 8 s for each of them. The module takes an executor that broke off for one that may have just started, suspect for 5 s and cold for 8 s (distrust, BROKEN_FOR): all were cold nearly always. The module is right where a process ended; the front end told it so of every spoilt answer.

Change: what ends with a connection is judged by whether another connection to the executor, made before, still stands 20 ms later; only if none does is it a reset. So that there is one, what is open is spread over up to four. A spoilt answer is an error of an executor that is there; what was open beside it is cancelled, not failed. What was queued and never handed over goes over another connection. Invocations withdrawn in the read that brought them are never taken; the module counts none that was withdrawn.

--- a/crates/engine/src/evidence.rs
+++ b/crates/engine/src/evidence.rs
@@ -21,8 +21,10 @@
     Reset,
     /// The connection ended after bytes of the dispatch were handed to the kernel.
     Broken,
-    /// What came back could not be read as an answer.
+    /// What came back could not be read as an answer. The executor is there, and may have run it.
     Malformed,
+    /// The connection was given up or broke for another dispatch's sake, while the executor's others stand.
+    Cut,
     /// Nothing came in time.
     TimedOut,
     /// It was withdrawn before it was given to a connection.
@@ -36,7 +38,10 @@
         Transport::Answered(ending) => ending,
         Transport::NoConnection | Transport::Unwritten => Ending::ConnectFailed,
         Transport::Saturated | Transport::Refused | Transport::AboveLast => Ending::Full,
-        Transport::Reset | Transport::Broken | Transport::Malformed => Ending::Reset,
+        // Not a reset: that says of the executor that it may have just started anew.
+        Transport::Malformed => Ending::Error,
+        Transport::Cut => Ending::Cancelled,
+        Transport::Reset | Transport::Broken => Ending::Reset,
         Transport::TimedOut => Ending::TimedOut,
         Transport::Withheld => Ending::NeverSent,
     }
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -251,11 +251,17 @@
         (Transport::Reset, false),
         (Transport::Broken, false),
         (Transport::Malformed, false),
+        (Transport::Cut, false),
         (Transport::TimedOut, false),
         (Transport::Withheld, true),
     ];
     for (seen, never_ran) in table {
         assert_eq!(ending(seen).never_ran(), never_ran, "{seen:?}");
+        // Only these say that the executor may have just started anew, cold: one whose answer was spoilt, or
+        // that has other connections standing, is there.
+        let may_be_new = [Transport::NoConnection, Transport::Unwritten, Transport::Reset, Transport::Broken];
+        let told = matches!(ending(seen), Ending::Reset | Ending::ConnectFailed);
+        assert_eq!(told, may_be_new.contains(&seen), "{seen:?}");
     }
 }
 
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -6,6 +6,7 @@
 use mio::net::TcpStream;
 use mio::{Interest, Registry};
 use orchidtally::interface::ExecutorId;
+use orchidtally::state::Ordered;
 use orchidtally_engine::evidence::Transport;
 use orchidtally_engine::{Cause, Host};
 use orchidtally_frames as frames;
@@ -36,7 +37,7 @@
     pub to: ExecutorId,
     pub function: u64,
     pub copies: u8,
-    pub by: f64,
+    pub begun: f64,
     pub link: usize,
 }
 
@@ -46,7 +47,6 @@
     pub trigger_types: Vec<String>,
     pub streams: usize,
     pub connect_time: f64,
-    pub order_time: f64,
     /// Connections to executors at the most.
     pub most_links: usize,
     pub clients: Slab<Client>,
@@ -109,31 +109,103 @@
         }
     }
 
-    /// A connection over which a line may go: one that stands before one that is being made, the fuller first,
-    /// so that those not needed become idle; else a new one.
+    /// A connection over which a line may go: the one that stands and has the least open, unless another may
+    /// be made to spread over; else one that is being made.
     fn link_for(&mut self, to: ExecutorId, id: &str) -> Result<usize, Transport> {
         let executor = self.executors.get(&to).ok_or(Transport::NoConnection)?;
-        let fits = executor.links.iter().filter(|&&l| self.links[l].takes(id, self.streams));
-        let best = fits.max_by_key(|&&l| (self.links[l].connected, self.links[l].open.len()));
-        if let Some(&found) = best {
-            return Ok(found);
-        }
+        let rank = |l: usize| {
+            (!self.links[l].connected, self.links[l].open.len(), Ordered(self.links[l].idle_since))
+        };
+        let fits = executor.links.iter().copied().filter(|&l| self.links[l].takes(id, self.streams));
+        let best = fits.min_by_key(|&l| rank(l));
+        let taking = executor.links.iter().filter(|&&l| !self.links[l].retired).count();
+        let wanted = match best {
+            Some(best) if self.links[best].is_idle() => links::LEAST,
+            Some(_) => links::SPREAD,
+            None => usize::MAX,
+        };
         let share = (self.most_links / self.executors.len().max(1)).max(1);
-        if executor.links.len() >= share || self.links.len() >= self.most_links {
-            return Err(Transport::Saturated);
+        let may = taking < wanted && executor.links.len() < share && self.links.len() < self.most_links;
+        let begun = may.then(|| self.begin_link(to));
+        match (best, begun) {
+            (Some(best), _) => Ok(best),
+            (None, Some(begun)) => begun,
+            (None, None) => Err(Transport::Saturated),
         }
-        let address = executor.address;
-        let mut stream = TcpStream::connect(address).map_err(|_| Transport::NoConnection)?;
+    }
+
+    fn begin_link(&mut self, to: ExecutorId) -> Result<usize, Transport> {
+        let executor = self.executors.get_mut(&to).ok_or(Transport::NoConnection)?;
+        let mut stream = TcpStream::connect(executor.address).map_err(|_| Transport::NoConnection)?;
         let slot = self.links.vacant_key();
         let both = Interest::READABLE | Interest::WRITABLE;
         self.registry.register(&mut stream, links::token(slot), both).map_err(|_| Transport::NoConnection)?;
         self.links.insert(Link::new(to, stream, self.now, self.connect_time));
-        if let Some(executor) = self.executors.get_mut(&to) {
-            executor.links.push(slot);
-        }
+        executor.links.push(slot);
         Ok(slot)
     }
 
+    /// Whether a connection to the executor that was begun before a moment stands.
+    pub fn stands(&self, to: ExecutorId, before: f64) -> bool {
+        let links = self.executors.get(&to).map_or(&[][..], |e| &e.links);
+        links.iter().any(|&l| self.links[l].connected && self.links[l].begun_at < before)
+    }
+
+    /// Puts a dispatch on a connection.
+    fn send(&mut self, inv: u32, dispatch: u8, to: ExecutorId, at: f64) {
+        let Some(id) = self.works.get(&inv).map(|w| w.id.clone()) else {
+            return self.unsent.push((inv, dispatch, Transport::Withheld));
+        };
+        match self.link_for(to, &id) {
+            Ok(slot) => {
+                self.links[slot].open.insert(id.clone(), links::Out { inv, dispatch, at, from: None });
+                self.links[slot].queue.push_back(Queued::Dispatch(id));
+                self.outs.insert((inv, dispatch), slot);
+                self.touch_link(slot);
+            }
+            Err(why) => self.unsent.push((inv, dispatch, why)),
+        }
+    }
+
+    fn send_order(&mut self, tag: u64, to: ExecutorId) {
+        match self.link_for(to, "") {
+            Ok(slot) => {
+                self.links[slot].orders.insert(tag, None);
+                self.links[slot].queue.push_back(Queued::Order(tag));
+                if let Some(order) = self.orders.get_mut(&tag) {
+                    order.link = slot;
+                }
+                self.touch_link(slot);
+            }
+            Err(why) => self.undone.push((tag, why)),
+        }
+    }
+
+    /// A connection ended under what was never handed over: it goes over another, within the time that a
+    /// connection may take to be made. The executor is not told to be out of reach as long as another stands.
+    pub fn send_again(&mut self, link: &mut Link, made: bool) {
+        let again = made || self.stands(link.to, self.now);
+        let unwritten: Vec<Rc<str>> =
+            link.open.iter().filter(|(_, o)| link.is_unwritten(o.from)).map(|(id, _)| id.clone()).collect();
+        for out in unwritten.iter().filter_map(|id| link.open.remove(id)) {
+            self.outs.remove(&(out.inv, out.dispatch));
+            match again && self.now < out.at + self.connect_time {
+                true => self.send(out.inv, out.dispatch, link.to, out.at),
+                false => self.unsent.push((out.inv, out.dispatch, Transport::NoConnection)),
+            }
+        }
+        let unwritten: Vec<u64> =
+            link.orders.iter().filter(|&(_, &from)| link.is_unwritten(from)).map(|(&tag, _)| tag).collect();
+        for tag in unwritten {
+            link.orders.remove(&tag);
+            let begun = self.orders.get(&tag).map_or(0.0, |o| o.begun);
+            match again && self.now < begun + self.connect_time {
+                true => self.send_order(tag, link.to),
+                false => self.undone.push((tag, Transport::NoConnection)),
+            }
+        }
+    }
+
     fn line(&mut self, to: ExecutorId, line: Vec<u8>) {
         // Nothing is owed for one that finds no connection.
         if let Ok(slot) = self.link_for(to, "") {
@@ -145,17 +217,8 @@
     fn order(&mut self, to: ExecutorId, function: u64, copies: u8) {
         let tag = self.next_tag;
         self.next_tag += 1;
-        let found = self.link_for(to, "");
-        let link = found.unwrap_or(usize::MAX);
-        self.orders.insert(tag, Order { to, function, copies, by: self.now + self.order_time, link });
-        match found {
-            Ok(slot) => {
-                self.links[slot].orders.insert(tag, None);
-                self.links[slot].queue.push_back(Queued::Order(tag));
-                self.touch_link(slot);
-            }
-            Err(why) => self.undone.push((tag, why)),
-        }
+        self.orders.insert(tag, Order { to, function, copies, begun: self.now, link: usize::MAX });
+        self.send_order(tag, to);
     }
 
     /// Makes lines of what is queued, as long as the kernel takes them, and hands them over.
@@ -216,19 +279,7 @@
     }
 
     fn dispatch(&mut self, inv: u32, dispatch: u8, to: ExecutorId, _within: f64) {
-        let Some(id) = self.works.get(&inv).map(|w| w.id.clone()) else {
-            return self.unsent.push((inv, dispatch, Transport::Withheld));
-        };
-        match self.link_for(to, &id) {
-            Ok(slot) => {
-                let out = links::Out { inv, dispatch, at: self.now, from: None };
-                self.links[slot].open.insert(id.clone(), out);
-                self.links[slot].queue.push_back(Queued::Dispatch(id));
-                self.outs.insert((inv, dispatch), slot);
-                self.touch_link(slot);
-            }
-            Err(why) => self.unsent.push((inv, dispatch, why)),
-        }
+        self.send(inv, dispatch, to, self.now);
     }
 
     fn cancel(&mut self, inv: u32, dispatch: u8) {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -8,6 +8,7 @@
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use orchidtally::interface::*;
+use orchidtally::state::Ordered;
 use orchidtally_engine::clock::Clock;
 use orchidtally_engine::evidence::{self, Transport};
 use orchidtally_engine::{Engine, Offer, Refused, Tally, Told};
@@ -64,6 +65,9 @@
     links_lost: u64,
 }
 
+/// Invocations that were read and not yet taken: the stream, and the payload where it is not too long.
+type Fresh = Vec<(u32, Option<Vec<u8>>)>;
+
 struct Front {
     poll: Poll,
     listener: Option<TcpListener>,
@@ -79,6 +83,8 @@
     again: VecDeque<Token>,
     buffer: Box<[u8]>,
     counts: Counts,
+    /// Connections to executors that ended, when and how, with what is to be judged of them.
+    severed: VecDeque<(f64, Transport, links::Link)>,
     leaving_since: Option<f64>,
     /// Nothing has been open since.
     quiet_since: Option<f64>,
@@ -171,7 +177,6 @@
             trigger_types: grounds.trigger_types.clone(),
             streams: grounds.streams,
             connect_time: grounds.connect_time,
-            order_time: grounds.order_time,
             most_links: start.sockets - most_clients - OWN_SOCKETS,
             clients: Slab::new(),
             links: Slab::new(),
@@ -206,6 +211,7 @@
             again: VecDeque::new(),
             buffer: vec![0; READ].into(),
             counts: Counts::default(),
+            severed: VecDeque::new(),
             leaving_since: None,
             quiet_since: None,
             file,
@@ -227,7 +233,8 @@
     /// Waits for something to be ready or due.
     fn wait(&mut self, events: &mut Events) -> io::Result<()> {
         let now = self.now();
-        let due = self.engine.due_at().min(self.resolver.due_at()).min(self.sweep_at);
+        let severed = self.severed.front().map_or(f64::INFINITY, |s| s.0 + links::ALL_RESET);
+        let due = self.engine.due_at().min(self.resolver.due_at()).min(self.sweep_at).min(severed);
         let left = if self.again.is_empty() { (due - now).clamp(0.0, SWEEP) } else { 0.0 };
         match self.poll.poll(events, Some(Duration::from_secs_f64(left))) {
             Err(e) if e.kind() == io::ErrorKind::Interrupted => Ok(()),
@@ -327,6 +334,19 @@
     }
 
     fn read_client(&mut self, now: f64, slot: usize) {
+        let mut fresh = vec![];
+        self.read_frames(now, slot, &mut fresh);
+        if self.floor.clients.get(slot).is_none_or(|c| c.ending) {
+            return;
+        }
+        for (stream, payload) in fresh {
+            self.invoke(now, slot, stream, payload.as_deref());
+        }
+    }
+
+    /// Reads what there is. Invocations are taken after that, but for those that were withdrawn by then:
+    /// guards against clients that take back hundreds at once, each of which would have had its placement.
+    fn read_frames(&mut self, now: f64, slot: usize, fresh: &mut Fresh) {
         for _ in 0..READS {
             let Some(client) = self.floor.clients.get_mut(slot) else { return };
             if client.ending {
@@ -346,7 +366,7 @@
                 }
                 Ok(Brought::Bytes(n)) => {
                     client.decoder.push(&self.buffer[..n]);
-                    if let Err(fault) = self.frames(now, slot) {
+                    if let Err(fault) = self.frames(now, slot, fresh) {
                         self.counts.unreadable += 1;
                         if let Some(client) = self.floor.clients.get_mut(slot) {
                             client.answer(0, frames::ERRORED, &[], fault.0.as_bytes());
@@ -361,7 +381,7 @@
         self.again.push_back(clients::token(slot));
     }
 
-    fn frames(&mut self, now: f64, slot: usize) -> Result<(), frames::Unreadable> {
+    fn frames(&mut self, now: f64, slot: usize, fresh: &mut Fresh) -> Result<(), frames::Unreadable> {
         let mut whole = false;
         loop {
             let Some(client) = self.floor.clients.get_mut(slot) else { return Ok(()) };
@@ -374,10 +394,10 @@
                         return Err(frames::Unreadable("a stream's number was used before"));
                     }
                     client.last_stream = stream;
-                    let payload = frame.payload.map(<[u8]>::to_vec);
-                    self.invoke(now, slot, stream, payload.as_deref());
+                    fresh.push((stream, frame.payload.map(<[u8]>::to_vec)));
                 }
                 frames::WITHDRAW => {
+                    fresh.retain(|f| f.0 != stream);
                     if let Some(&inv) = client.open.get(&stream) {
                         self.floor.drop_work(inv);
                         self.engine.withdrawn(now, inv, &mut self.floor);
@@ -596,6 +616,7 @@
     /// Ends a connection to an executor, and with it all that is open on it.
     fn dissolve(&mut self, now: f64, slot: usize, seen: Transport, why: &str) {
         let Some(mut link) = self.floor.links.try_remove(slot) else { return };
+        // One whose socket is gone already needs no more.
         let _ = self.poll.registry().deregister(&mut link.socket.stream);
         if let Some(executor) = self.floor.executors.get_mut(&link.to) {
             executor.links.retain(|&l| l != slot);
@@ -607,22 +628,41 @@
                 self.floor.executors.remove(&link.to);
             }
         }
+        let made = link.connected;
+        self.floor.send_again(&mut link, made);
         for out in link.open.values() {
             self.floor.outs.remove(&(out.inv, out.dispatch));
         }
-        for out in link.open.values() {
-            let ending = evidence::ending(link.proves(out.from, seen));
-            self.engine.ended(
-                now,
-                out.inv,
-                out.dispatch,
-                ending,
-                orchidtally_engine::NOTHING_TOLD,
-                &mut self.floor,
-            );
-        }
-        for (&tag, &from) in &link.orders {
-            self.ordered(now, tag, link.proves(from, seen), 0);
+        // An answer that breaks off was begun: the executor is there, as it is where it sent what can't be read.
+        let seen =
+            if seen == Transport::Broken && link.decoder.is_within() { Transport::Malformed } else { seen };
+        self.severed.push_back((now, seen, link));
+    }
+
+    /// Judges what ended connections leave: where another stands, the process did not end.
+    fn judge_severed(&mut self, now: f64) {
+        for _ in 0..self.severed.len() {
+            let Some((at, seen, link)) = self.severed.pop_front() else { return };
+            let stands = self.floor.stands(link.to, at);
+            if seen == Transport::Broken && stands && now < at + links::ALL_RESET {
+                self.severed.push_back((at, seen, link));
+                continue;
+            }
+            let one_of_several = seen == Transport::Malformed || stands;
+            let first = link.open.values().map(|o| Ordered(o.at)).min();
+            for out in link.open.values() {
+                // Where the executor is there, the earliest is most likely the one whose answer went wrong.
+                let seen = match one_of_several {
+                    false => seen,
+                    true if Some(Ordered(out.at)) == first => Transport::Malformed,
+                    true => Transport::Cut,
+                };
+                let (ending, told) = (evidence::ending(seen), orchidtally_engine::NOTHING_TOLD);
+                self.engine.ended(now, out.inv, out.dispatch, ending, told, &mut self.floor);
+            }
+            for &tag in link.orders.keys() {
+                self.ordered(now, tag, if one_of_several { Transport::Cut } else { seen }, 0);
+            }
         }
     }
 
@@ -658,7 +698,10 @@
         for (slot, (seen, why)) in late {
             self.dissolve(now, slot, seen, why);
         }
-        while let Some((&tag, _)) = self.floor.orders.iter().next().filter(|(_, o)| o.by <= now) {
+        let order_time = self.grounds.order_time;
+        while let Some((&tag, _)) =
+            self.floor.orders.iter().next().filter(|(_, o)| o.begun + order_time <= now)
+        {
             self.ordered(now, tag, Transport::TimedOut, 0);
         }
         if let Some(since) = self.leaving_since
@@ -679,6 +722,7 @@
     /// Tells the engine what could not be sent and writes what there is to write, until nothing is left.
     fn settle(&mut self, now: f64) {
         loop {
+            self.judge_severed(now);
             for (inv, dispatch, why) in std::mem::take(&mut self.floor.unsent) {
                 let ending = evidence::ending(why);
                 self.engine.ended(
--- a/crates/platform/src/links.rs
+++ b/crates/platform/src/links.rs
@@ -15,6 +15,13 @@
 const MOST_GIVEN_UP: usize = 256;
 /// Bytes that wait to be handed to the kernel, past which what is queued stays where it can be taken back.
 pub const BACKLOG: usize = 64 * 1024;
+/// Connections to one executor: what is open is spread over so many, since one that goes bad takes all that is
+/// open on it with it.
+pub const SPREAD: usize = 4;
+/// At least so many: where one breaks and another stands, the executor's process did not end.
+pub const LEAST: usize = 2;
+/// When a process ends, its connections are all reset within this time.
+pub const ALL_RESET: f64 = 0.02;
 /// A line that has begun and does not end for so long never will: executors write an answer at once.
 const HALF_LINE: f64 = 0.5;
 
@@ -39,6 +46,8 @@
     pub to: ExecutorId,
     pub socket: Socket,
     pub connected: bool,
+    /// When it was begun.
+    pub begun_at: f64,
     pub connect_by: f64,
     pub decoder: Decoder,
     /// Dispatches by the id that they have on the wire.
@@ -61,6 +70,7 @@
             to,
             socket: Socket::new(stream),
             connected: false,
+            begun_at: now,
             connect_by: now + connect_time,
             decoder: Decoder::default(),
             open: BTreeMap::new(),
@@ -106,13 +116,9 @@
         self.given_up.remove(id);
     }
 
-    /// What the end of the connection proves of a line that begins there.
-    pub fn proves(&self, from: Option<u64>, seen: Transport) -> Transport {
-        match from {
-            _ if !self.connected => Transport::NoConnection,
-            Some(from) if from < self.socket.written() => seen,
-            _ => Transport::Unwritten,
-        }
+    /// Whether not a byte of the line that begins there was handed to the kernel.
+    pub fn is_unwritten(&self, from: Option<u64>) -> bool {
+        !self.connected || from.is_none_or(|from| from >= self.socket.written())
     }
 
     pub fn heard(&mut self, now: f64) {
@@ -145,3 +151,79 @@
 pub fn token(slot: usize) -> Token {
     Token(FIRST_TOKEN + 2 * slot + 1)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Read;
+    use std::net::TcpListener;
+
+    fn link() -> (Link, std::net::TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let stream = TcpStream::connect(listener.local_addr().expect("it is bound")).expect("begun");
+        let (peer, _) = listener.accept().expect("it comes");
+        let mut link = Link::new(orchidtally_resolver::id("s-1"), stream, 0.0, 0.25);
+        link.connected = true;
+        (link, peer)
+    }
+
+    fn put(link: &mut Link, id: &str, from: Option<u64>) -> Rc<str> {
+        let id: Rc<str> = id.into();
+        link.open.insert(id.clone(), Out { inv: 1, dispatch: 0, at: 1.0, from });
+        id
+    }
+
+    /// A late answer to a dispatch that was given up must not pass for that of the next with the same id.
+    #[test]
+    fn an_id_given_up_goes_over_another_connection_until_its_answer_has_come() {
+        let (mut link, _peer) = link();
+        let id = put(&mut link, "a", Some(0));
+        assert!(!link.takes("a", 32), "it is open there");
+        assert!(link.give_up(&id));
+        assert!(!link.takes("a", 32) && link.takes("b", 32));
+        link.settled("a");
+        assert!(link.takes("a", 32));
+        let id = put(&mut link, "a", None);
+        link.queue.push_back(Queued::Dispatch(id.clone()));
+        assert!(!link.give_up(&id), "a queued one is just taken back");
+        assert!(link.queue.is_empty() && link.takes("a", 32));
+        for n in 0..MOST_GIVEN_UP {
+            let id = put(&mut link, &format!("{n}"), Some(0));
+            assert!(!link.retired);
+            link.give_up(&id);
+        }
+        assert!(link.retired, "ids given up are bounded");
+    }
+
+    #[test]
+    fn only_what_the_kernel_never_got_is_unwritten() {
+        let (mut link, mut peer) = link();
+        link.socket.out().extend_from_slice(b"first\n");
+        link.socket.flush().expect("it takes six bytes");
+        assert!(!link.is_unwritten(Some(0)) && !link.is_unwritten(Some(5)));
+        assert!(link.is_unwritten(Some(6)) && link.is_unwritten(None));
+        let mut there = [0; 6];
+        peer.read_exact(&mut there).expect("it came");
+        assert_eq!(&there, b"first\n");
+        link.connected = false;
+        assert!(link.is_unwritten(Some(0)), "without a connection nothing is");
+    }
+
+    #[test]
+    fn half_a_line_and_idleness_end_a_connection_and_work_does_not() {
+        let (mut link, _peer) = link();
+        assert_eq!(link.overdue(7.0, 15.0), None);
+        assert_eq!(link.overdue(8.0, 15.0), Some((Transport::Broken, "idle")));
+        put(&mut link, "a", Some(0));
+        assert_eq!(link.overdue(100.0, 15.0), None);
+        link.decoder.push(b"{\"t\":");
+        link.heard(100.0);
+        assert_eq!(link.overdue(100.4, 15.0), None);
+        link.decoder.push(b"\"DO");
+        link.heard(100.4);
+        assert!(link.overdue(100.6, 15.0).is_some(), "the time runs from its first byte");
+        link.connected = false;
+        assert_eq!(link.overdue(0.2, 15.0), None);
+        assert!(link.overdue(0.3, 15.0).is_some());
+    }
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -258,6 +258,8 @@
     pub fn withdrawn(&mut self, now: f64, inv: u32, out: &mut dyn Answers) {
         self.now = now;
         if let Some(&i) = self.book.inv_index.get(&inv) {
+            // It grants no order to load: guards against clients that take back what they just asked.
+            self.taken.remove(self.book.invs[i].at);
             self.close(i, out);
             self.book.release(i);
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -241,6 +241,13 @@
         self.0.push_back(now);
     }
 
+    /// Takes one back.
+    pub fn remove(&mut self, moment: f64) {
+        if let Ok(n) = self.0.binary_search_by(|t| t.total_cmp(&moment)) {
+            self.0.remove(n);
+        }
+    }
+
     /// How many came after `since`; earlier ones are dropped.
     pub fn after(&mut self, since: f64) -> f64 {
         while self.0.front().is_some_and(|&t| t <= since) {
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -380,3 +380,16 @@
     assert_eq!(w.ahead(1, 0), 1, "and known for longer than without");
     assert_eq!(w.ahead(2, 0), 0, "which the other is not");
 }
+
+#[test]
+fn what_a_client_takes_back_grants_no_order() {
+    let mut w = World::new(Terms { ration_floor: 1.0, ..terms() }, 6);
+    for _ in 0..20 {
+        let inv = w.invoke(0, 1, 5.0);
+        w.withdraw(inv);
+    }
+    for function in 2..6 {
+        w.invoke(0, function, 5.0);
+    }
+    assert_eq!(w.plain.holds.len(), 1, "the floor, and no fifth part of what was taken back");
+}
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -267,6 +267,14 @@
         id
     }
 
+    /// The client takes an invocation back; it counts for no order from then on.
+    pub fn withdraw(&mut self, inv: u32) {
+        let (now, at) = (self.plain.now, self.plain.taken[inv as usize].inv.timeout_at);
+        self.plain.taken[inv as usize].closed_at = Some(now.min(at));
+        self.plain.arrivals.pop();
+        self.choice.withdrawn(now, inv, &mut self.plain);
+    }
+
     /// Wishes for copies ahead of invocations; tells how many are known.
     pub fn ahead(&mut self, function: u64, copies: usize) -> usize {
         let wish = Ahead { function, lanes: 2.0, load_time: Some(1.0), copies };
