Weigh a failure above any answer time; hold what no executor serves against none

A log of answers: all but one from one executor that failed within 3 ms, from the start to its release. A log of judge(): its quantile stood at 20.0 (FAILURE), while the bound is 12 x the middle, and that was over 20 whenever the middle was over 1.67: the executor went in and out of suspicion (src/choice.rs, learn and judge).

Change: a failure weighs more than any answer time (FAILED); where most fail, none is suspect, as before. So an error of a function that was never seen served counts once another executor serves it.

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -445,6 +445,7 @@
                 }
             }
         };
+        debug!(why, "not taken");
         self.counts.turned_away += u64::from(code == frames::THROTTLED);
         let ms = format!("{}", (cooldown * 1e3).ceil());
         let fields = [("cooldown", ms.as_str())];
@@ -584,6 +585,10 @@
             return link.settled(&answer.id);
         };
         self.floor.outs.remove(&(out.inv, out.dispatch));
+        if answer.word != Word::Done {
+            let executor = self.floor.executors.get(&link.to).map(|e| e.name.as_str());
+            debug!(executor, word = ?answer.word, tell = ?answer.tell, after = now - out.at, "no success");
+        }
         self.floor.brought = answer.body;
         let found = match answer.tell {
             Tell::Nothing => Found::Untold,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,7 +14,9 @@
 /// Mean pause after a failed subscription to the roster.
 const WATCH_PAUSE: f64 = 1.0;
 /// Answers that judge an executor, the least of them, their age at the most, the quantile, its fellows'
-/// middle, and how far above that is suspect; a failure weighs as an answer this many times the usual.
+/// middle, and how far above that is suspect; an unanswered one weighs this many times the usual at the most.
+/// A failure weighs more than any: guards against one that fails fast while the middle is high, since a bound
+/// that goes by the middle would pass over a fixed weight. Where most fail none is suspect.
 const JUDGED: usize = 16;
 const LEAST_JUDGED: usize = 4;
 const JUDGED_FOR: f64 = 5.0;
@@ -22,6 +24,7 @@
 const MIDDLE: f64 = 0.45;
 const SUSPECT: f64 = 12.0;
 const FAILURE: f64 = 20.0;
+const FAILED: f64 = f64::INFINITY;
 /// In-flight limit at an executor: cut, least of all front ends together, growth a second, most; the
 /// median answer in objectives that cuts it, the step by which that is tracked; how long a turn lasts.
 const LIMIT_CUT: f64 = 0.6;
@@ -211,7 +214,7 @@
         if !matches!(o.ending, Ending::TimedOut | Ending::Cancelled | Ending::ConnectFailed | Ending::Reset) {
             self.fleet.heard[x] = now;
         }
-        self.learn(x, ty, &done, o);
+        self.learn(x, (f, ty), &done, o);
         let (until, wanted) = (now + self.cache_time, self.wanted(f));
         let function = &mut self.book.functions[f];
         match o.ending {
@@ -230,6 +233,11 @@
         if done.places {
             self.placed(f, x, false, o.ending == Ending::Ok);
         }
+        let erred_at = &mut self.book.functions[f].erred_at;
+        if let Some(y) = erred_at.take_if(|&mut y| o.ending == Ending::Ok && y != x) {
+            self.fleet.remember(y, now, FAILED, JUDGED);
+            self.judge();
+        }
         let inv = &mut self.book.invs[i];
         if !o.ending.never_ran() {
             inv.ran = inv.ran.filter(|&(_, at)| at <= done.at).or(Some((x, done.at)));
@@ -695,7 +703,7 @@
         self.fleet.warm[kind].0
     }
 
-    fn learn(&mut self, x: usize, ty: usize, done: &Out, o: &Outcome) {
+    fn learn(&mut self, x: usize, (f, ty): (usize, usize), done: &Out, o: &Outcome) {
         let now = self.now;
         let loaded = if o.found == Found::Untold { done.places } else { o.found != Found::Warm };
         let objective = self.terms.trigger_types[ty].objective;
@@ -714,6 +722,11 @@
                 o.took / self.usual[ty].max(1e-6)
             }
             Ending::Error if o.found == Found::LoadFailed => return,
+            // Where a function was never seen served, that may be its own fault, or its client's: it counts once
+            // another executor serves it. Guards against clients that invoke what no executor knows.
+            Ending::Error if !self.book.functions[f].served => {
+                return self.book.functions[f].erred_at = Some(x);
+            }
             // A client's early leaving is no executor's fault: it says that the answer would take so long.
             Ending::TimedOut => {
                 if o.took / objective > self.typical {
@@ -721,7 +734,7 @@
                 }
                 (o.took / self.usual[ty].max(1e-6)).min(FAILURE)
             }
-            Ending::Error | Ending::Reset | Ending::ConnectFailed => FAILURE,
+            Ending::Error | Ending::Reset | Ending::ConnectFailed => FAILED,
             Ending::Full => {
                 self.fleet.paused[x].grow(now, FULL_PAUSE, FULL_DOUBLINGS);
                 self.gauge(1.0, done.at);
@@ -768,7 +781,7 @@
             fellow.iter().for_each(|&y| fleet.broke_at[y] = now);
         }
         self.fleet.answers[x].clear();
-        self.fleet.answers[x].extend([(self.now, FAILURE); LEAST_JUDGED]);
+        self.fleet.answers[x].extend([(self.now, FAILED); LEAST_JUDGED]);
         self.fleet.trial_at[x] = self.now + DISTRUST;
         self.judge();
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -340,6 +340,9 @@
     pub tries: i32,
     pub next_at: f64,
     pub last_warm: Option<(usize, f64)>,
+    /// Whether an executor was seen serving it ever, and where it errored before that.
+    pub served: bool,
+    pub erred_at: Option<usize>,
     /// What all executors are told to hold of it.
     pub everywhere: f64,
     /// How often that was told.
@@ -359,6 +362,7 @@
     /// Sets or renews an entry.
     pub fn know(&mut self, x: usize, now: f64, until: f64) {
         self.last_warm = Some((x, now));
+        self.served = true;
         self.known.retain(|k| k.x != x);
         self.known.push(Known { x, until, full: false });
     }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -240,6 +240,10 @@
         w.load_all(Ending::Ok);
         let ending = if w.plain.taken[inv as usize].sent[0].x == x { Ending::Error } else { Ending::Ok };
         w.end(inv, 0, ending);
+        if ending == Ending::Error {
+            w.pass(0.15);
+            w.end(inv, 1, Ending::Ok);
+        }
     }
     w.load_all(Ending::Ok);
     let before = w.sent_to(x);
@@ -252,6 +256,46 @@
     w.all_answered();
 }
 
+#[test]
+fn one_that_fails_fast_is_left_also_where_answers_take_long_everywhere() {
+    let (mut w, x) = warm(terms(), 4);
+    (1..40).for_each(|function| {
+        let inv = w.invoke(0, function, 5.0);
+        w.load_all(Ending::Ok);
+        w.end(inv, 0, Ending::Ok);
+    });
+    w.took = 1.0;
+    let mut failed = 0;
+    for n in 0..160 {
+        let inv = w.invoke(2, 1 + n % 32, 5.0);
+        if let Some(sent) = w.plain.taken[inv as usize].sent.first() {
+            let there = sent.x == x;
+            failed += u32::from(there);
+            w.end(inv, 0, if there { Ending::Error } else { Ending::Ok });
+        }
+        w.pass(0.02);
+    }
+    assert!(failed < 10, "{failed} were risked at the one that fails");
+}
+
+#[test]
+fn errors_of_what_no_executor_serves_are_none_of_theirs() {
+    let (mut w, x) = warm(Terms { orders: false, ..terms() }, 4);
+    for function in 100..160 {
+        let first = w.invoke(2, function, 5.0);
+        if w.plain.taken[first as usize].sent[0].x == x {
+            // One of those that a client invokes though no executor knows them.
+            w.end(first, 0, Ending::Error);
+            continue;
+        }
+        w.end(first, 0, Ending::Ok);
+        let second = w.invoke(2, function, 5.0);
+        w.end(second, 0, Ending::Ok);
+    }
+    let last = w.invoke(2, 1, 5.0);
+    assert_eq!(w.plain.said.last(), Some(&Said::Dispatch(last, x)), "what it serves goes there as before");
+}
+
 #[test]
 fn a_refused_connection_is_enough_to_leave_an_executor() {
     let (mut w, x) = warm(terms(), 4);
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -215,6 +215,8 @@
     pub plain: Plain,
     /// What executors tell to hold of each function.
     pub crowd: u32,
+    /// How long answers take. A quarter of the objective leaves the usual time as it was at the start.
+    pub took: f64,
 }
 
 impl World {
@@ -232,7 +234,7 @@
             said: vec![],
         };
         let choice = Choice::new(terms, 7, 100.0, &mut plain);
-        let mut world = World { choice, plain, crowd: 0 };
+        let mut world = World { choice, plain, crowd: 0, took: 0.25 };
         for x in 0..executors {
             world.roster(x, Standing::Ready, f64::NEG_INFINITY);
         }
@@ -294,8 +296,7 @@
         }
         let closed = taken.closed_at.is_some();
         let (dispatch, executor, found) = (dispatch as u8, id(x), Found::Untold);
-        // A quarter of the objective, which leaves the usual answer time as it was at the start.
-        let (took, crowd, report) = (0.25, self.crowd, &[][..]);
+        let (took, crowd, report) = (self.took, self.crowd, &[][..]);
         let o = Outcome { inv, dispatch, executor, ending, took, closed, found, crowd, report };
         self.choice.outcome(self.plain.now, &o, &mut self.plain);
     }
