--- /dev/null
+++ b/crates/resolver/tests/lists.rs
@@ -0,0 +1,149 @@
+use orchidtally::interface::Standing;
+use orchidtally_resolver::*;
+use proptest::prelude::*;
+use simple_dns::rdata::{A, RData, SOA, SRV, TXT};
+use simple_dns::{CLASS, Name, Packet, PacketFlag, QCLASS, QTYPE, Question, RCODE, ResourceRecord, TYPE};
+use std::net::Ipv4Addr;
+
+fn names(all: &[&str]) -> Vec<String> {
+    all.iter().map(|&n| n.to_owned()).collect()
+}
+
+fn name(text: &str) -> Name<'_> {
+    Name::new(text).expect("a sound name")
+}
+
+/// A resolver's answer: executors by name, each with its priority.
+fn list(id: u16, serial: u32, executors: &[(&str, u16)], compressed: bool) -> Vec<u8> {
+    let mut packet = Packet::new_reply(id);
+    packet.set_flags(PacketFlag::RESPONSE);
+    packet.questions.push(Question::new(
+        name(SERVICE),
+        QTYPE::TYPE(TYPE::SRV),
+        QCLASS::CLASS(CLASS::IN),
+        false,
+    ));
+    for &(target, priority) in executors {
+        let srv = SRV { priority, weight: 40, port: 4100, target: name(target) };
+        packet.answers.push(ResourceRecord::new(name(SERVICE), CLASS::IN, 0, RData::SRV(srv)));
+        let a = A::from(Ipv4Addr::new(10, 1, 0, 9));
+        packet.additional_records.push(ResourceRecord::new(name(target), CLASS::IN, 0, RData::A(a)));
+        let mut txt = TXT::new();
+        for text in ["kind=std", "cell=2", "started=1500"] {
+            txt.add_string(text).expect("a sound text");
+        }
+        packet.additional_records.push(ResourceRecord::new(name(target), CLASS::IN, 0, RData::TXT(txt)));
+    }
+    let soa = SOA {
+        mname: name("farm.lan"),
+        rname: name("farm.lan"),
+        serial,
+        refresh: 1,
+        retry: 1,
+        expire: 1,
+        minimum: 0,
+    };
+    packet.name_servers.push(ResourceRecord::new(name("farm.lan"), CLASS::IN, 0, RData::SOA(soa)));
+    let built = if compressed { packet.build_bytes_vec_compressed() } else { packet.build_bytes_vec() };
+    built.expect("it can be built")
+}
+
+const TWO: [(&str, u16); 2] = [("s-1.east.hosts", 0), ("s-2.west.hosts", 1)];
+
+fn read(bytes: &[u8], id: u16) -> Result<(u32, Vec<Entry>), String> {
+    let (zones, kinds) = (names(&["west", "east"]), names(&["big", "std"]));
+    answer(bytes, id, &Places { zones: &zones, kinds: &kinds })
+}
+
+#[test]
+fn a_list_is_read_whole_compressed_or_not() {
+    for compressed in [false, true] {
+        let (serial, entries) = read(&list(7, 41, &TWO, compressed), 7).expect("a sound answer");
+        assert_eq!((serial, entries.len()), (41, 2));
+        let [one, two] = entries.as_slice() else { panic!("two of them") };
+        assert_eq!((one.name.as_str(), one.address.to_string()), ("s-1", "10.1.0.9:4100".into()));
+        let row = &one.row;
+        assert_eq!((row.executor, row.zone, row.kind, row.cell), (id("s-1"), 1, 1, 2));
+        assert_eq!((row.standing, row.weight, row.since), (Standing::Ready, 4.0, 1.5));
+        assert_eq!((two.row.standing, two.row.zone), (Standing::Draining, 0));
+        assert_ne!(one.row.executor, two.row.executor, "their address is one, they are not");
+    }
+}
+
+#[test]
+fn a_query_asks_for_the_service_under_its_id() {
+    let bytes = query(0xbeef).expect("it can be built");
+    let packet = Packet::parse(&bytes).expect("it can be read");
+    assert_eq!((packet.id(), packet.questions.len()), (0xbeef, 1));
+    assert_eq!(packet.questions[0].qname.to_string(), SERVICE);
+    assert_eq!(packet.questions[0].qtype, QTYPE::TYPE(TYPE::SRV));
+}
+
+/// What is wrong with an answer, and how it gets so.
+type Spoilt = (&'static str, fn(&mut Packet));
+
+/// What is not a whole list in every row is none: what it left out would be taken to be gone.
+#[test]
+fn what_is_no_whole_list_is_refused() {
+    let sound = list(7, 41, &TWO, true);
+    assert!(read(&sound, 8).is_err(), "another query's");
+    for cut in 0..sound.len() {
+        assert!(read(&sound[..cut], 7).is_err(), "cut at {cut}");
+    }
+    let changed = |change: fn(&mut Packet)| {
+        let mut packet = Packet::parse(&sound).expect("it is sound");
+        change(&mut packet);
+        packet.build_bytes_vec().expect("it can be built")
+    };
+    let bad: [Spoilt; 6] = [
+        ("a query", |p| p.remove_flags(PacketFlag::RESPONSE)),
+        ("truncated", |p| p.set_flags(PacketFlag::TRUNCATION)),
+        ("failed", |p| *p.rcode_mut() = RCODE::ServerFailure),
+        ("without a serial", |p| p.name_servers.clear()),
+        ("without addresses", |p| p.additional_records.retain(|r| !matches!(r.rdata, RData::A(_)))),
+        ("without texts", |p| p.additional_records.retain(|r| !matches!(r.rdata, RData::TXT(_)))),
+    ];
+    for (what, change) in bad {
+        assert!(read(&changed(change), 7).is_err(), "{what}");
+    }
+    assert!(read(&list(7, 41, &[("s-1.south.hosts", 0)], false), 7).is_err(), "a location that is none");
+}
+
+#[test]
+fn known_is_a_whole_list_and_what_changed_since() {
+    let (zones, kinds) = (names(&["east"]), names(&["std"]));
+    let places = Places { zones: &zones, kinds: &kinds };
+    let host = |host: &str, health: &str, born: u64| {
+        serde_json::json!({"host": host, "dial": "10.1.0.9:4100", "site": "east", "class": "std", "block": 2,
+            "health": health, "share": 4, "born_ms": born})
+    };
+    let update = |whole: bool, hosts: Vec<serde_json::Value>| serde_json::json!({"index": 1, "endpoints": {"seq": 7, "whole": whole, "hosts": hosts}});
+    let first = update(true, vec![host("s-1", "SERVING", 0), host("s-2", "SERVING", 0)]);
+    let then = update(
+        false,
+        vec![host("s-1", "DELETED", 0), host("s-2", "DRAINING", 0), host("s-3", "SERVING", 2500)],
+    );
+    let told = serde_json::json!({"index": 3, "updates": [first, then]});
+    let (serial, entries) = known(&told, &places).expect("it is sound");
+    let all: Vec<_> = entries.iter().map(|e| (e.name.as_str(), e.row.standing, e.row.since)).collect();
+    assert_eq!(serial, 3);
+    let expected = [("s-2", Standing::Draining, f64::NEG_INFINITY), ("s-3", Standing::Ready, 2.5)];
+    assert_eq!(all, expected);
+    let bad = update(true, vec![host("s-1", "ODD", 0)]);
+    let fault =
+        known(&serde_json::json!({"index": 3, "updates": [bad]}), &places).expect_err("no such state");
+    assert!(fault.contains("ODD"), "{fault}");
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_upset_it(bytes in prop::collection::vec(any::<u8>(), 0..300), at in 0usize..200, byte: u8) {
+        let _ = read(&bytes, 7);
+        let mut list = list(7, 41, &TWO, true);
+        let at = at % list.len();
+        list[at] = byte;
+        if let Ok((_, entries)) = read(&list, 7) {
+            prop_assert!(entries.len() <= 2);
+        }
+    }
+}
