Hold a lost connection against an executor only where it never brought an answer

Ruled out: long idle connections.

Change: where another connection stands, a loss is an executor's error only if something unreadable came or nothing ever did over it; else all that was open is cancelled (Link::verdicts, table test).

--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -6,7 +6,6 @@
 use mio::net::TcpStream;
 use mio::{Interest, Registry};
 use orchidtally::interface::ExecutorId;
-use orchidtally::state::Ordered;
 use orchidtally_engine::evidence::Transport;
 use orchidtally_engine::{Cause, Host};
 use orchidtally_frames as frames;
@@ -113,11 +112,8 @@
     /// be made to spread over; else one that is being made.
     fn link_for(&mut self, to: ExecutorId, id: &str) -> Result<usize, Transport> {
         let executor = self.executors.get(&to).ok_or(Transport::NoConnection)?;
-        let rank = |l: usize| {
-            (!self.links[l].connected, self.links[l].open.len(), Ordered(self.links[l].idle_since))
-        };
         let fits = executor.links.iter().copied().filter(|&l| self.links[l].takes(id, self.streams));
-        let best = fits.min_by_key(|&l| rank(l));
+        let best = fits.min_by_key(|&l| self.links[l].rank());
         let taking = executor.links.iter().filter(|&&l| !self.links[l].retired).count();
         let wanted = match best {
             Some(best) if self.links[best].is_idle() => links::LEAST,
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -8,7 +8,6 @@
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use orchidtally::interface::*;
-use orchidtally::state::Ordered;
 use orchidtally_engine::clock::Clock;
 use orchidtally_engine::evidence::{self, Transport};
 use orchidtally_engine::{Engine, Offer, Refused, Tally, Told};
@@ -574,8 +573,7 @@
 
     fn answered(&mut self, now: f64, slot: usize, answer: Answer) {
         let Some(link) = self.floor.links.get_mut(slot) else { return };
-        link.heard_at = now;
-        link.idle_since = now;
+        (link.heard_at, link.idle_since, link.answered) = (now, now, true);
         if let Some(tag) = answer.id.strip_prefix(ORDER).and_then(|t| t.parse().ok()) {
             return self.ordered(now, tag, ending(answer.word), answer.count);
         }
@@ -654,15 +652,9 @@
                 continue;
             }
             let one_of_several = seen == Transport::Malformed || stands;
-            let first = link.open.values().map(|o| Ordered(o.at)).min();
-            for out in link.open.values() {
-                // Where the executor is there, the earliest is most likely the one whose answer went wrong.
-                let seen = match one_of_several {
-                    false => seen,
-                    true if Some(Ordered(out.at)) == first => Transport::Malformed,
-                    true => Transport::Cut,
-                };
-                let (ending, told) = (evidence::ending(seen), orchidtally_engine::NOTHING_TOLD);
+            for (out, verdict) in link.verdicts(seen) {
+                let ending = evidence::ending(if one_of_several { verdict } else { seen });
+                let told = orchidtally_engine::NOTHING_TOLD;
                 self.engine.ended(now, out.inv, out.dispatch, ending, told, &mut self.floor);
             }
             for &tag in link.orders.keys() {
--- a/crates/platform/src/links.rs
+++ b/crates/platform/src/links.rs
@@ -4,9 +4,11 @@
 use mio::Token;
 use mio::net::TcpStream;
 use orchidtally::interface::ExecutorId;
+use orchidtally::state::Ordered;
 use orchidtally_engine::evidence::Transport;
 use orchidtally_lines::Decoder;
 use orchidtally_net::turn::Socket;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -59,6 +61,8 @@
     /// Nothing new goes over it; it is closed once nothing is open.
     pub retired: bool,
     pub heard_at: f64,
+    /// It brought an answer, ever.
+    pub answered: bool,
     pub idle_since: f64,
     line_since: Option<f64>,
     pub dirty: bool,
@@ -79,6 +83,7 @@
             queue: VecDeque::new(),
             retired: false,
             heard_at: now,
+            answered: false,
             idle_since: now,
             line_since: None,
             dirty: false,
@@ -94,6 +99,24 @@
             && !self.given_up.contains(id)
     }
 
+    /// The less comes first: one that stands, then with the least open, then used last. Guards against
+    /// connections that a peer, or something on the way, lets go of when idle for longer than anybody told.
+    pub fn rank(&self) -> (bool, usize, Reverse<Ordered>) {
+        (!self.connected, self.open.len(), Reverse(Ordered(self.idle_since)))
+    }
+
+    /// How each dispatch that is open ended with the connection, while the executor is there: at fault is the
+    /// earliest, whose answer most likely went wrong, where something unreadable came or nothing ever did.
+    /// Guards against executors that answer noise or break off always, and not against them for a connection
+    /// lost on the way.
+    pub fn verdicts(&self, seen: Transport) -> impl Iterator<Item = (&Out, Transport)> {
+        let at_fault = seen == Transport::Malformed || !self.answered;
+        let first = self.open.values().map(|o| Ordered(o.at)).min().filter(|_| at_fault);
+        let verdict =
+            move |at| if Some(Ordered(at)) == first { Transport::Malformed } else { Transport::Cut };
+        self.open.values().map(move |o| (o, verdict(o.at)))
+    }
+
     pub fn is_idle(&self) -> bool {
         self.open.is_empty() && self.orders.is_empty() && self.queue.is_empty() && self.socket.waiting() == 0
     }
@@ -195,6 +218,33 @@
         assert!(link.retired, "ids given up are bounded");
     }
 
+    #[test]
+    fn a_connection_used_lately_comes_before_one_long_idle_and_a_busier_one_after_both() {
+        let ((mut late, _a), (mut idle, _b), (mut busy, _c), (mut begun, _d)) =
+            (link(), link(), link(), link());
+        (late.idle_since, idle.idle_since, begun.connected) = (5.0, 1.0, false);
+        put(&mut busy, "a", Some(0));
+        let mut all =
+            [("begun", begun.rank()), ("busy", busy.rank()), ("idle", idle.rank()), ("late", late.rank())];
+        all.sort_by_key(|r| r.1);
+        assert_eq!(all.map(|r| r.0), ["late", "idle", "busy", "begun"]);
+    }
+
+    #[test]
+    fn a_connection_lost_on_the_way_is_no_executors_fault() {
+        let (mut link, _peer) = link();
+        put(&mut link, "a", Some(0));
+        put(&mut link, "b", Some(9));
+        link.open.values_mut().filter(|o| o.from == Some(9)).for_each(|o| o.at = 2.0);
+        let verdicts = |link: &Link, seen| link.verdicts(seen).map(|(o, v)| (o.from, v)).collect::<Vec<_>>();
+        let at_fault = [(Some(0), Transport::Malformed), (Some(9), Transport::Cut)];
+        let lost = [(Some(0), Transport::Cut), (Some(9), Transport::Cut)];
+        assert_eq!(verdicts(&link, Transport::Broken), at_fault, "nothing ever came");
+        link.answered = true;
+        assert_eq!(verdicts(&link, Transport::Broken), lost);
+        assert_eq!(verdicts(&link, Transport::Malformed), at_fault);
+    }
+
     #[test]
     fn only_what_the_kernel_never_got_is_unwritten() {
         let (mut link, mut peer) = link();
