--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -106,7 +106,7 @@
             "health": "SERVING", "share": 4, "born_ms": 0})
     };
     let resolver = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let at = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let at = orchidtally_standin::port_for_later().unwrap();
     let told = json!({
         "name": "n0", "listen": at, "seed": "8c1f30d27a5be964", "dns": resolver,
         "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 128}, "settings": settings(),
@@ -263,10 +263,13 @@
     std::thread::sleep(Duration::from_millis(200));
     assert_eq!(ask(&mut client, &invocation(1, &id(1), "read", CALM, b"")).2, frames::SUCCEEDED);
     front.signal("TERM");
-    std::thread::sleep(Duration::from_millis(300));
-    let mut late = front.client();
     let mut ready = vec![];
     frames::put(&mut ready, frames::ASK_READY, 0, None, Some(&[]), &[]);
+    let begun = Instant::now();
+    while ask(&mut client, &ready).2 == frames::IS_READY {
+        assert!(begun.elapsed() < Duration::from_secs(5), "it heard nothing of the signal");
+    }
+    let mut late = front.client();
     assert_eq!(ask(&mut late, &ready).2, frames::NOT_READY);
     assert_eq!(
         ask(&mut late, &invocation(1, &id(2), "read", CALM, b"")).2,
