--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -6,6 +6,7 @@
 use orchidtally_frontend::Start;
 use orchidtally_frontend::book::Book;
 use orchidtally_frontend::mqtt::Triggers;
+use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use tracing::info;
@@ -124,11 +125,13 @@
         info!(?signal, "told to end");
         stop.close();
     });
-    println!("listening on http://{at}");
+    let mut words = format!("listening on http://{at}\n");
     if arguments.deployment.is_none() {
-        println!("try: curl -d 'hello' http://{at}/v1/functions/upper/invocations");
-        println!("functions: {}", local::FUNCTIONS.map(|f| f.0).join(", "));
+        words += &format!("try: curl -d 'hello' http://{at}/v1/functions/upper/invocations\n");
+        words += &format!("functions: {}\n", local::FUNCTIONS.map(|f| f.0).join(", "));
     }
+    // Whoever started it may have stopped reading: that is no reason to end.
+    let _ = std::io::stdout().write_all(words.as_bytes());
     let seed = arguments.seed.unwrap_or_else(rand::random);
     let start = Start {
         deployment,
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -91,6 +91,7 @@
         .spawn()
         .unwrap();
     let mut first = String::new();
+    // Nobody reads on after the first line, which must not end it.
     BufReader::new(serving.stdout.take().unwrap()).read_line(&mut first).unwrap();
     assert!(first.starts_with("listening on"), "{first}");
     assert!(serving.try_wait().unwrap().is_none(), "it serves while the input is open");
