--- a/src/choice.rs
+++ b/src/choice.rs
@@ -722,8 +722,8 @@
                 o.took / self.usual[ty].max(1e-6)
             }
             Ending::Error if o.found == Found::LoadFailed => return,
-            // Where a function was never seen served, that may be its own fault, or its client's: it counts once
-            // another executor serves it. Guards against clients that invoke what no executor knows.
+            // Where a function was never seen served, that may be its own fault, or its client's: it counts
+            // once another executor serves it. Guards against clients that invoke what no executor knows.
             Ending::Error if !self.book.functions[f].served => {
                 return self.book.functions[f].erred_at = Some(x);
             }
