--- a/crates/platform/src/links.rs
+++ b/crates/platform/src/links.rs
@@ -129,7 +129,6 @@
             return false;
         }
         self.given_up.insert(id.clone());
-        // A connection that brought nothing since, for longer than one takes to be made, may be dead.
         self.retired |= self.given_up.len() >= MOST_GIVEN_UP;
         true
     }
