Part placements by the loads that executors tell; give up what is late and not placed

The margin is 1.5 and half as much again for each load told in the mean of 10 s. What can't be in time any more and has no placement under way is throttled at once.

--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -370,6 +370,7 @@
         ration_share: loading.maybe("rationShare", |p| p.number(0.0..=1.0)).unwrap_or(0.2),
         ration_window: loading.maybe("rationWindow", |p| p.seconds(0.0..=3_600.0)).unwrap_or(5.0),
         backlog_field: reports.iter().position(|r| r == "backlog"),
+        loads_field: reports.iter().position(|r| r == "loads"),
     };
     let deployment = Deployment {
         name,
--- a/crates/engine/benches/scale.rs
+++ b/crates/engine/benches/scale.rs
@@ -76,6 +76,7 @@
         ration_share: 0.2,
         ration_window: 5.0,
         backlog_field: Some(0),
+        loads_field: None,
         ..Terms::default()
     }
 }
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -37,6 +37,17 @@
     Ok(found)
 }
 
+/// Which field of a load report is meant, by its name and by what the settings say of it, if they do.
+fn reported(v: &Value, is_meant: impl Fn(&str, &str) -> bool) -> Result<Option<usize>, String> {
+    if need(v, "feedback.fields").is_err() {
+        return Ok(None);
+    }
+    let meaning =
+        |name: &str| text(v, &format!("specifics.report{}", name.to_uppercase())).unwrap_or_default();
+    let meant = |f: &Value| f.as_str().is_some_and(|name| is_meant(name, meaning(name)));
+    Ok(list(v, "feedback.fields")?.iter().position(meant))
+}
+
 fn trigger_type(v: &Value) -> Result<TriggerType, String> {
     let effect = match text(v, "semantics")? {
         "pure" => Effect::Idempotent,
@@ -104,10 +115,8 @@
         ration_floor: number_or(v, "specifics.loadFloor", 0.0)?,
         ration_share: number_or(v, "specifics.loadPart", 0.0)?,
         ration_window: number_or(v, "specifics.loadPeriod", 0.0)? / 1e9,
-        backlog_field: match need(v, "feedback.fields") {
-            Ok(_) => list(v, "feedback.fields")?.iter().position(|f| f == "backlog"),
-            Err(_) => None,
-        },
+        backlog_field: reported(v, |name, _| name == "backlog")?,
+        loads_field: reported(v, |_, meaning| meaning.starts_with("loads under way"))?,
     })
 }
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,8 +41,11 @@
 const SHARE_BURST: f64 = 2.0;
 const SHARE_SAMPLE: f64 = 5.0;
 const REPEAT_COST: f64 = 0.33;
-/// Times less busy that an executor has to be: for a copy with lanes left elsewhere, and the second of two drawn.
+/// Times less busy that an executor has to be: for a copy with lanes left elsewhere; for the second of two drawn,
+/// at the least and for each load that executors have under way or waiting in the mean.
 const SPREAD: f64 = 3.0;
+const SECOND: f64 = 1.5;
+const SECOND_BY_LOADS: f64 = 0.5;
 /// Time over which parts of the traffic are taken, what is added for its being a sample, copies for each
 /// executor that a part would fill, and invocations of one function that an executor should hold.
 const PART_TIME: f64 = 8.0;
@@ -108,6 +111,8 @@
     shares: Vec<Allowance>, // of customers
     mean_value: f64,
     mean_backlog: f64,
+    loads: Faded, // told in reports, and how many told them
+    reports: Faded,
     lately: Faded, // own invocations
     /// In-flight limit at an executor; the median answer, in objectives, that sets it; last cut, last set.
     limit: f64,
@@ -210,6 +215,10 @@
             self.mean_backlog += NEWEST * (waiting - self.mean_backlog);
             self.fleet.backlog[x] = (waiting, now);
         }
+        if let Some(&loads) = self.terms.loads_field.and_then(|field| o.report.get(field)) {
+            self.loads.add(f64::from(loads).max(0.0), now, REPORT_TIME);
+            self.reports.add(1.0, now, REPORT_TIME);
+        }
         if !matches!(o.ending, Ending::TimedOut | Ending::Cancelled | Ending::ConnectFailed | Ending::Reset) {
             self.fleet.heard[x] = now;
         }
@@ -351,12 +360,14 @@
 
     /// Nothing is held that can't be answered any more, or not in time where a throttling reply is harmless.
     fn give_up(&mut self, f: usize, out: &mut dyn Answers) -> bool {
-        let known = self.book.functions[f].known.iter().any(|k| k.until > self.now);
+        // While a placement is under way, its answer is waited for; else what is late stays so.
+        let function = &self.book.functions[f];
+        let settled = function.placement.is_none() || function.known.iter().any(|k| k.until > self.now);
         let hopeless = |&&i: &&usize| {
             let inv = &self.book.invs[i];
             // Half the patience at the most: an estimate that throttled everything would never be put right.
             let left = self.usual[inv.ty].min(0.5 * inv.patience);
-            let late = known && self.now + left > inv.at + inv.patience;
+            let late = settled && self.now + left > inv.at + inv.patience;
             inv.sent >= self.terms.max_dispatches
                 || self.now + 2.0 * self.beat >= inv.timeout_at
                 || (inv.ran.is_some() && !self.fleet.all().any(|x| self.may_repeat(i, x)))
@@ -681,8 +692,10 @@
         while fitting.len() > 2 {
             fitting.remove((self.chance.unit() * fitting.len() as f64) as usize);
         }
-        // One report more or less must not part front ends: each that goes elsewhere has a copy loaded there.
-        fitting.into_iter().reduce(|a, b| if SPREAD * self.busy(b) < self.busy(a) { b } else { a })
+        // Front ends that a report parts each have a copy loaded: guards executors that load all they can.
+        let loads = self.loads.at(self.now, REPORT_TIME) / self.reports.at(self.now, REPORT_TIME).max(1e-6);
+        let margin = SECOND + SECOND_BY_LOADS * loads;
+        fitting.into_iter().reduce(|a, b| if margin * self.busy(b) < self.busy(a) { b } else { a })
     }
 
     fn warmth(&self, x: usize) -> f64 {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -74,6 +74,8 @@
     pub ration_window: f64,
     /// Where in a load report the invocations waiting are found.
     pub backlog_field: Option<usize>,
+    /// Where in it the loads under way or waiting are found.
+    pub loads_field: Option<usize>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
