Leave room for own traffic after a cut; read longer lists and unnamed locations

The floor is now four times the own rate times the usual answer time: about as much again waits for loads, and small numbers come in clumps. Need, lists (issue, hard cases): one row in a location or of a kind that the settings don't name cost the whole list, and a start; answers over 8,000 bytes were cut; where descriptors ran out, an executor without a connection never got one.

--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -121,8 +121,9 @@
             None => usize::MAX,
         };
         let share = (self.most_links / self.executors.len().max(1)).max(1);
-        let may = taking < wanted && executor.links.len() < share && self.links.len() < self.most_links;
-        let begun = may.then(|| self.begin_link(to));
+        let may = taking < wanted && executor.links.len() < share;
+        let room = may && (self.links.len() < self.most_links || best.is_none() && self.make_room());
+        let begun = room.then(|| self.begin_link(to));
         match (best, begun) {
             (Some(best), _) => Ok(best),
             (None, Some(begun)) => begun,
@@ -130,6 +131,20 @@
         }
     }
 
+    /// Closes the connection that was idle for longest. Guards executors without one against never getting one
+    /// where there are more of them than descriptors; could harm by a handshake for each dispatch.
+    fn make_room(&mut self) -> bool {
+        let idle = self.links.iter().filter(|(_, l)| l.connected && l.is_idle());
+        let longest = idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|(slot, _)| slot);
+        let Some(mut link) = longest.and_then(|slot| self.links.try_remove(slot)) else { return false };
+        // One whose socket is gone already needs no more.
+        let _ = self.registry.deregister(&mut link.socket.stream);
+        if let Some(executor) = self.executors.get_mut(&link.to) {
+            executor.links.retain(|&l| Some(l) != longest);
+        }
+        true
+    }
+
     fn begin_link(&mut self, to: ExecutorId) -> Result<usize, Transport> {
         let executor = self.executors.get_mut(&to).ok_or(Transport::NoConnection)?;
         let mut stream = TcpStream::connect(executor.address).map_err(|_| Transport::NoConnection)?;
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -74,6 +74,7 @@
     engine: Engine,
     floor: Floor,
     grounds: Grounds,
+    places: Places,
     clock: Clock,
     began: Instant,
     most_clients: usize,
@@ -202,6 +203,7 @@
             engine,
             floor,
             grounds,
+            places: start.places,
             clock,
             began,
             most_clients,
@@ -258,10 +260,14 @@
     }
 
     fn resolve(&mut self, now: f64) {
-        let places = Places { zones: &self.grounds.zones, kinds: &self.grounds.kinds };
-        if let Some(entries) = self.resolver.read(now, &places) {
+        let (named, left_out) = (self.places.named(), self.places.left_out);
+        if let Some(entries) = self.resolver.read(now, &mut self.places) {
             self.list(now, entries);
         }
+        if named != self.places.named() || left_out != self.places.left_out {
+            let ((locations, kinds), left_out) = (self.places.named(), self.places.left_out);
+            warn!(locations, kinds, left_out, "lists name locations or kinds that the settings don't");
+        }
     }
 
     /// A whole list of executors: what is not in it is gone.
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -18,6 +18,7 @@
     asked: Option<(u16, f64)>,
     next_at: f64,
     serial: u32,
+    buffer: Box<[u8]>,
     /// Answers that could not be used, since the last good one.
     pub bad: u64,
 }
@@ -35,7 +36,8 @@
 impl Resolver {
     pub fn new(at: SocketAddr, serial: u32, registry: &Registry, token: mio::Token) -> io::Result<Resolver> {
         let socket = socket(at, registry, token)?;
-        Ok(Resolver { socket, at, asked: None, next_at: 0.0, serial, bad: 0 })
+        let buffer = vec![0; LONGEST].into();
+        Ok(Resolver { socket, at, asked: None, next_at: 0.0, serial, buffer, bad: 0 })
     }
 
     /// Asks at another address from now on. The numbers of events go on.
@@ -67,19 +69,18 @@
     }
 
     /// Reads what has come; the latest list, if it is newer than the last.
-    pub fn read(&mut self, now: f64, places: &Places) -> Option<Vec<Entry>> {
+    pub fn read(&mut self, now: f64, places: &mut Places) -> Option<Vec<Entry>> {
         let mut newest = None;
-        let mut bytes = [0; LONGEST + 1];
         // A bound on what a flood of answers may hold a turn up.
         for _ in 0..32 {
-            let read = match self.socket.recv(&mut bytes) {
+            let read = match self.socket.recv(&mut self.buffer) {
                 Ok(n) => n,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 // Nobody listens there, for now.
                 Err(_) => continue,
             };
             let Some((id, _)) = self.asked else { continue };
-            match orchidtally_resolver::answer(&bytes[..read], id, places) {
+            match orchidtally_resolver::answer(&self.buffer[..read], id, places) {
                 // An older list than was told already comes from a resolver that lags: asked again soon.
                 Ok((serial, _)) if serial < self.serial => self.bad += 1,
                 Ok((serial, entries)) => {
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -32,6 +32,7 @@
     pub resolver: SocketAddr,
     pub serial: u32,
     pub known: Vec<Entry>,
+    pub places: Places,
     pub grounds: Grounds,
 }
 
@@ -45,9 +46,9 @@
 fn parse(text: &[u8]) -> Result<Start, String> {
     let told: Told = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let grounds = orchidtally_terms::grounds(&told.settings)?;
-    let places = Places { zones: &grounds.zones, kinds: &grounds.kinds };
+    let mut places = Places::new(grounds.zones.clone(), grounds.kinds.clone());
     let (serial, known) =
-        orchidtally_resolver::known(&told.known, &places).map_err(|e| format!("key 'known': {e}"))?;
+        orchidtally_resolver::known(&told.known, &mut places).map_err(|e| format!("key 'known': {e}"))?;
     let seed = u64::from_str_radix(&told.seed, 16).map_err(|e| format!("key 'seed': {e}"))?;
     let least = |value: f64, least: f64, key: &str| match value >= least {
         true => Ok(value as usize),
@@ -62,6 +63,7 @@
         resolver: told.dns,
         serial,
         known,
+        places,
         grounds,
     })
 }
--- a/crates/resolver/src/lib.rs
+++ b/crates/resolver/src/lib.rs
@@ -10,8 +10,9 @@
 
 /// The service whose targets are the executors.
 pub const SERVICE: &str = "_data._tcp.farm.lan";
-/// An answer's bytes at the most.
-pub const LONGEST: usize = 8_000;
+/// An answer's bytes at the most: what a UDP datagram carries over IPv4. Hundreds of executors take more than
+/// the 8,000 that the platform's page names.
+pub const LONGEST: usize = 65_507;
 
 /// A row of the roster, and where its executor is reached.
 #[derive(Clone, Debug, PartialEq)]
@@ -27,16 +28,48 @@
     ExecutorId(IpAddr::V6(Ipv6Addr::from_bits(xxhash_rust::xxh3::xxh3_128(name.as_bytes()))), 0)
 }
 
-/// Names of locations and kinds, by the index that the module knows.
-pub struct Places<'a> {
-    pub zones: &'a [String],
-    pub kinds: &'a [String],
+/// Names of locations and kinds, by the index that the module knows. Lists may name more than the settings do;
+/// those are added as they come.
+#[derive(Clone, Debug, Default)]
+pub struct Places {
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    /// Rows that were left out, for being in a location past those that can be told apart.
+    pub left_out: u64,
 }
 
-impl Places<'_> {
-    fn find(names: &[String], name: &str, what: &str) -> Result<u8, String> {
-        let found = names.iter().position(|n| n == name).and_then(|n| u8::try_from(n).ok());
-        found.ok_or_else(|| format!("{what} '{name}' is not in the settings"))
+/// Names told apart, by an index of one byte.
+const MOST_NAMES: usize = 256;
+
+impl Places {
+    pub fn new(zones: Vec<String>, kinds: Vec<String>) -> Places {
+        Places { zones, kinds, left_out: 0 }
+    }
+
+    /// How many names there are by now, of locations and of kinds.
+    pub fn named(&self) -> (usize, usize) {
+        (self.zones.len(), self.kinds.len())
+    }
+
+    fn index(names: &mut Vec<String>, name: &str) -> Option<u8> {
+        let known = names.iter().position(|n| n == name);
+        let at = known.or_else(|| {
+            let room = names.len() < MOST_NAMES;
+            room.then(|| names.push(name.to_owned())).map(|()| names.len() - 1)
+        });
+        at.and_then(|at| u8::try_from(at).ok())
+    }
+
+    /// Two locations must not be taken for one: a row for which there is none left is passed over.
+    fn zone(&mut self, name: &str) -> Option<u8> {
+        let zone = Self::index(&mut self.zones, name);
+        self.left_out += u64::from(zone.is_none());
+        zone
+    }
+
+    /// Kinds past those that can be told apart are held for one.
+    fn kind(&mut self, name: &str) -> u8 {
+        Self::index(&mut self.kinds, name).unwrap_or(u8::MAX)
     }
 }
 
@@ -84,7 +117,7 @@
 }
 
 /// The list of the start, in its order, and the number of the last event in it.
-pub fn known(value: &serde_json::Value, places: &Places) -> Result<(u32, Vec<Entry>), String> {
+pub fn known(value: &serde_json::Value, places: &mut Places) -> Result<(u32, Vec<Entry>), String> {
     let known = Known::deserialize(value).map_err(|e| e.to_string())?;
     let mut entries: Vec<Entry> = vec![];
     for update in known.updates {
@@ -97,16 +130,17 @@
                 Health::Draining => Standing::Draining,
                 Health::Deleted => Standing::Gone,
             };
+            entries.retain(|e| e.name != host.host);
+            let Some(zone) = places.zone(&host.site) else { continue };
             let row = RosterRow {
                 executor: id(&host.host),
-                zone: Places::find(places.zones, &host.site, "location")?,
-                kind: Places::find(places.kinds, &host.class, "kind")?,
+                zone,
+                kind: places.kind(&host.class),
                 cell: host.block,
                 standing,
                 weight: host.share,
                 since: since(host.born_ms),
             };
-            entries.retain(|e| e.name != host.host);
             if standing != Standing::Gone {
                 entries.push(Entry { name: host.host, address: host.dial, row });
             }
@@ -130,7 +164,7 @@
 
 /// An answer to the query with an id: the number of the last event in it, and the whole list. An answer that
 /// is not whole in every row is none: what it left out would be taken to be gone.
-pub fn answer(bytes: &[u8], id_asked: u16, places: &Places) -> Result<(u32, Vec<Entry>), String> {
+pub fn answer(bytes: &[u8], id_asked: u16, places: &mut Places) -> Result<(u32, Vec<Entry>), String> {
     let packet = Packet::parse(bytes).map_err(|e| format!("unreadable: {e}"))?;
     if packet.id() != id_asked || !packet.has_flags(PacketFlag::RESPONSE) {
         return Err("not the answer to what was asked".into());
@@ -179,14 +213,16 @@
         };
         let cell =
             field("cell")?.parse().map_err(|_| format!("'cell' of '{name}' is no number of a cell"))?;
+        let started = number("started")?;
+        let Some(zone) = places.zone(zone) else { continue };
         let row = RosterRow {
             executor: id(name),
-            zone: Places::find(places.zones, zone, "location")?,
-            kind: Places::find(places.kinds, field("kind")?, "kind")?,
+            zone,
+            kind: places.kind(field("kind")?),
             cell,
             standing: if srv.priority == 0 { Standing::Ready } else { Standing::Draining },
             weight: f64::from(srv.weight) / 10.0,
-            since: since(number("started")?),
+            since: since(started),
         };
         entries.push(Entry { name: name.clone(), address: SocketAddr::new(ip, srv.port), row });
     }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,6 +34,8 @@
 const TYPICAL_MOST: f64 = 0.3;
 const TYPICAL_STEP: f64 = 1.1;
 const TURN: f64 = 0.1;
+/// The limit is never under this many times what own traffic keeps out at usual times: as much waits for loads.
+const OWN_WORK: f64 = 4.0;
 /// Weight of the newest value in means over the traffic, and in what a function's crowds tell.
 const NEWEST: f64 = 0.015;
 const NEWEST_CROWD: f64 = 0.3;
@@ -114,6 +116,7 @@
     loads: Faded, // told in reports, and how many told them
     reports: Faded,
     lately: Faded, // own invocations
+    work: Faded,   // and their usual answer times
     /// In-flight limit at an executor; the median answer, in objectives, that sets it; last cut, last set.
     limit: f64,
     typical: f64,
@@ -198,6 +201,7 @@
             ..Inv::default()
         });
         self.book.functions[f].taken.add(1.0, now, PART_TIME);
+        self.work.add(self.usual[ty], now, PART_TIME);
         self.book.wait(i);
         self.touched.push(f);
         self.settle(out);
@@ -644,13 +648,15 @@
     /// All front ends together have a place at each executor, however small the part: guards a trigger type
     /// that was never answered, and so is thought slow and worth little, against never being served.
     fn takes_more(&self, x: usize, part: f64) -> bool {
-        let limit = (self.limit * part).max(1.0 / self.terms.front_ends);
+        // An equal part is too little for one with several times the mean traffic, and with few answers it would
+        // take long to grow: guards both after a cut. It could harm where answers are quick and executors full.
+        let ready = self.fleet.ready_count.max(1) as f64;
+        let own = OWN_WORK * self.work.at(self.now, PART_TIME) / PART_TIME / ready;
+        let limit = (self.limit.max(own) * part).max(1.0 / self.terms.front_ends);
         // Under one place at each, what is out at all of them counts: guards little traffic against waiting for
         // its turn at the few executors that it knows; it could harm one that all of it goes to.
-        let (held, limit) = match limit < 1.0 {
-            true => (self.fleet.out_count as f64, limit * self.fleet.ready_count as f64),
-            false => (self.fleet.inflight(x), limit),
-        };
+        let (all, held) = (self.fleet.out_count as f64, self.fleet.inflight(x));
+        let (held, limit) = if limit < 1.0 { (all, limit * ready) } else { (held, limit) };
         // A turn is less than one, so that it decides only about the last place.
         let turn = || held < (limit + self.turn(x, (self.now / TURN) as u64)).floor();
         self.now >= self.fleet.paused[x].until && (held < limit.floor() || held < limit + 1.0 && turn())
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -506,3 +506,33 @@
     w.pass(0.05);
     assert!(w.plain.taken[inv as usize].closed_at.is_some());
 }
+
+/// Found with 300 front ends: one with several times the mean traffic had an equal part of a limit that was cut
+/// to its least, and throttled what an idle fleet could have served.
+#[test]
+fn a_front_end_with_much_traffic_has_room_for_it_after_a_cut() {
+    let (mut w, _) = warm(Terms { front_ends: 300.0, tells_crowd: true, ..terms() }, 36);
+    let mut play = |took: f64, rounds: usize| {
+        w.took = took;
+        let mut at_once = 0;
+        for _ in 0..rounds {
+            let all: Vec<u32> = (0..4).map(|_| w.invoke(0, 1, 2.0)).collect();
+            at_once += all.iter().filter(|&&inv| !w.plain.taken[inv as usize].sent.is_empty()).count();
+            w.load_all(Ending::Ok);
+            w.pass(0.2);
+            for inv in 0..w.plain.taken.len() {
+                if let Some(n) = w.plain.taken[inv].sent.iter().position(|s| s.ending.is_none()) {
+                    w.end(inv as u32, n, Ending::Ok);
+                }
+            }
+        }
+        at_once
+    };
+    play(0.6, 40);
+    play(0.2, 10);
+    assert_eq!(
+        play(0.2, 10),
+        40,
+        "twenty a second, four out at a time, each with a usual time of a fifth second"
+    );
+}
