Place without an order where the settings make orders dear

The front end sends no probes; orders are priced so: without any the price is gone. Test: dear, cheap, and dear where nothing else loads.

--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -363,6 +363,7 @@
         fall: safety.maybe("fall", |p| p.seconds(0.01..=60.0)).unwrap_or(1.0),
         skew,
         orders,
+        order_price: 0.0,
         answers_miss,
         tells_crowd: loading.at("tellsCrowd").flag(true),
         keep_alive: loading.maybe("keepAlive", |p| p.seconds(0.0..=86_400.0)).unwrap_or(8.0),
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -109,6 +109,7 @@
         fall: seconds(v, "safety.fall")?,
         skew: 0.0,
         orders: flag(v, "specifics.loadControl")?,
+        order_price: number_or(v, "penalties.probe", 0.0)?.max(0.0),
         answers_miss: need(v, "specifics.notLoaded").is_ok_and(|m| m == "miss"),
         tells_crowd: flag(v, "specifics.notesPeersInHand")?,
         keep_alive: number_or(v, "specifics.staysLoaded", 0.0)? / 1e9,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,7 +34,7 @@
 const TYPICAL_MOST: f64 = 0.3;
 const TYPICAL_STEP: f64 = 1.1;
 const TURN: f64 = 0.1;
-/// The limit is never under this many times what own traffic keeps out at usual times: as much waits for loads.
+/// The limit is never under this many times the own traffic out at usual times: as much waits for loads.
 const OWN_WORK: f64 = 4.0;
 /// Weight of the newest value in means over the traffic, and in what a function's crowds tell.
 const NEWEST: f64 = 0.015;
@@ -43,8 +43,8 @@
 const SHARE_BURST: f64 = 2.0;
 const SHARE_SAMPLE: f64 = 5.0;
 const REPEAT_COST: f64 = 0.33;
-/// Times less busy that an executor has to be: for a copy with lanes left elsewhere; for the second of two drawn,
-/// at the least and for each load that executors have under way or waiting in the mean.
+/// Times less busy that one has to be: for a copy with lanes left elsewhere; for the second of two drawn, at
+/// the least and for each load that executors have under way or waiting in the mean.
 const SPREAD: f64 = 3.0;
 const SECOND: f64 = 1.5;
 const SECOND_BY_LOADS: f64 = 0.5;
@@ -74,9 +74,10 @@
 /// Cache time, as a share of the time an idle copy stays; and where no such time is told.
 const CACHE_SHARE: f64 = 0.85;
 const CACHE_TIME: f64 = 5.0;
-/// Of the ration, the part for copies ahead of invocations; what is left of its time when one is renewed.
+/// Of the ration, the part for copies ahead; time left to one that is renewed; the price of a dear order.
 const AHEAD: f64 = 0.5;
 const RENEWED: f64 = 0.6;
+const DEAR: f64 = 0.02;
 /// Part of the cold budget that is used; time constant of the work that executors are seen to carry.
 const COLD_MARGIN: f64 = 0.5;
 const CARRY_TIME: f64 = 10.0;
@@ -113,10 +114,9 @@
     shares: Vec<Allowance>, // of customers
     mean_value: f64,
     mean_backlog: f64,
-    loads: Faded, // told in reports, and how many told them
-    reports: Faded,
-    lately: Faded, // own invocations
-    work: Faded,   // and their usual answer times
+    loads: (Faded, Faded), // told in reports, and how many told them
+    lately: Faded,         // own invocations
+    work: Faded,           // and their usual answer times
     /// In-flight limit at an executor; the median answer, in objectives, that sets it; last cut, last set.
     limit: f64,
     typical: f64,
@@ -220,8 +220,8 @@
             self.fleet.backlog[x] = (waiting, now);
         }
         if let Some(&loads) = self.terms.loads_field.and_then(|field| o.report.get(field)) {
-            self.loads.add(f64::from(loads).max(0.0), now, REPORT_TIME);
-            self.reports.add(1.0, now, REPORT_TIME);
+            self.loads.0.add(f64::from(loads).max(0.0), now, REPORT_TIME);
+            self.loads.1.add(1.0, now, REPORT_TIME);
         }
         if !matches!(o.ending, Ending::TimedOut | Ending::Cancelled | Ending::ConnectFailed | Ending::Reset) {
             self.fleet.heard[x] = now;
@@ -428,7 +428,8 @@
         if function.known.iter().any(serves) {
             return false;
         }
-        let by_order = self.terms.orders && self.order(f, x, out);
+        let worth_it = self.terms.answers_miss || self.terms.order_price < DEAR;
+        let by_order = self.terms.orders && worth_it && self.order(f, x, out);
         if !by_order && (self.terms.orders && self.terms.answers_miss || !self.dispatch(i, x, true, out)) {
             return false;
         }
@@ -648,13 +649,13 @@
     /// All front ends together have a place at each executor, however small the part: guards a trigger type
     /// that was never answered, and so is thought slow and worth little, against never being served.
     fn takes_more(&self, x: usize, part: f64) -> bool {
-        // An equal part is too little for one with several times the mean traffic, and with few answers it would
-        // take long to grow: guards both after a cut. It could harm where answers are quick and executors full.
+        // An equal part is too little where traffic is several times the mean, and few answers let it grow
+        // slowly: guards both after a cut. It could harm where answers are quick and executors full.
         let ready = self.fleet.ready_count.max(1) as f64;
         let own = OWN_WORK * self.work.at(self.now, PART_TIME) / PART_TIME / ready;
         let limit = (self.limit.max(own) * part).max(1.0 / self.terms.front_ends);
-        // Under one place at each, what is out at all of them counts: guards little traffic against waiting for
-        // its turn at the few executors that it knows; it could harm one that all of it goes to.
+        // Under one place at each, what is out at all of them counts: guards little traffic against waiting
+        // for its turn at the few executors that it knows; it could harm one that all of it goes to.
         let (all, held) = (self.fleet.out_count as f64, self.fleet.inflight(x));
         let (held, limit) = if limit < 1.0 { (all, limit * ready) } else { (held, limit) };
         // A turn is less than one, so that it decides only about the last place.
@@ -699,7 +700,7 @@
             fitting.remove((self.chance.unit() * fitting.len() as f64) as usize);
         }
         // Front ends that a report parts each have a copy loaded: guards executors that load all they can.
-        let loads = self.loads.at(self.now, REPORT_TIME) / self.reports.at(self.now, REPORT_TIME).max(1e-6);
+        let loads = self.loads.0.at(self.now, REPORT_TIME) / self.loads.1.at(self.now, REPORT_TIME).max(1e-6);
         let margin = SECOND + SECOND_BY_LOADS * loads;
         fitting.into_iter().reduce(|a, b| if margin * self.busy(b) < self.busy(a) { b } else { a })
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -65,6 +65,8 @@
     /// How far the clocks of any two front ends may differ.
     pub skew: f64,
     pub orders: bool,
+    /// What an order costs, in invocations.
+    pub order_price: f64,
     pub answers_miss: bool,
     pub tells_crowd: bool,
     /// An idle copy stays loaded at least this long.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -536,3 +536,16 @@
         "twenty a second, four out at a time, each with a usual time of a fifth second"
     );
 }
+
+/// Found with 300 front ends: orders cost 0.08 of an invocation each, and nine in ten found the copy standing.
+#[test]
+fn where_orders_are_dear_the_invocation_is_the_placement() {
+    let placed = |order_price: f64, answers_miss: bool| {
+        let mut w = World::new(Terms { order_price, answers_miss, ..terms() }, 6);
+        w.invoke(0, 1, 5.0);
+        w.plain.said[0].clone()
+    };
+    assert!(matches!(placed(0.08, false), Said::Dispatch(0, _)));
+    assert!(matches!(placed(0.011, false), Said::Hold(_, 1)));
+    assert!(matches!(placed(0.08, true), Said::Hold(_, 1)), "nothing else loads a copy there");
+}
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -90,6 +90,7 @@
         fall: 1.0,
         skew: 0.0,
         orders: true,
+        order_price: 0.0,
         answers_miss: false,
         tells_crowd: false,
         keep_alive: 8.0,
