--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -537,7 +537,7 @@
     );
 }
 
-/// Found with 300 front ends: orders cost 0.08 of an invocation each, and nine in ten found the copy standing.
+/// Found with 300 front ends: orders cost 0.08 of an invocation each, and most found the copy standing.
 #[test]
 fn where_orders_are_dear_the_invocation_is_the_placement() {
     let placed = |order_price: f64, answers_miss: bool| {
