Keep signals that come before it serves; let silent clients give way before usual ones

Seen: a SIGHUP or SIGTERM while the configuration is read (a file that a test feeds slowly) ends the process; the test's writer had `Os { code: 32, kind: BrokenPipe }`. At fault: front::run registered signals after start::read; clients::least_missed took the longest idle, and a usual client is idle for longer between two invocations than a bad one that has just come. Ruled out: two signals at once on a running front end, and the reload beside the end (both passed as it stood); a fixed share of places for those without a whole frame was not built: in a burst of good clients it would close what was just accepted. Change: handlers stand before anything is read (Waiting); where places are taken, one that has owed a whole frame for longer than the settings' time for a connection gives way first. Tests: early signals, three orders; end and reload with an invocation out; three of ten serve on with the traffic of ten and the killed come back; usual clients beside a hundred bad ones a second lose no connection. First and last fail without the change.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -64,13 +64,15 @@
         eprintln!("{fault}");
         BAD_INPUT
     };
+    let unable = |e: std::io::Error| {
+        eprintln!("can't serve: {e}");
+        COULD_NOT_RUN
+    };
+    let signals = orchidtally_platform::Waiting::new().map_err(unable)?;
     let file = PathBuf::from(told("LB_CONFIG").ok_or_else(|| bad("LB_CONFIG names no file".into()))?);
     let start = orchidtally_platform::start::read(&file).map_err(bad)?;
     start.agrees(told("LB_NAME").as_deref(), told("LB_LISTEN").as_deref()).map_err(bad)?;
-    orchidtally_platform::run(start, file).map(drop).map_err(|e| {
-        eprintln!("can't serve: {e}");
-        COULD_NOT_RUN
-    })
+    orchidtally_platform::run(start, file, signals).map(drop).map_err(unable)
 }
 
 pub fn run(arguments: Arguments) -> Result<(), u8> {
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -18,6 +18,7 @@
 const BREAKS_OFF: &str = "0000000000000002";
 const NOISE: &str = "0000000000000003";
 const SILENT: &str = "0000000000000004";
+const SLOW: &str = "0000000000000005";
 
 /// Dispatches by the client's id, as they came to executors.
 type Seen = Arc<Mutex<HashMap<String, Vec<Value>>>>;
@@ -55,7 +56,10 @@
             }
             ("DO", NOISE) if first => "\u{1}noise\n".into(),
             ("DO", SILENT) if first => continue,
-            ("DO", _) => {
+            ("DO", item) => {
+                if item == SLOW {
+                    std::thread::sleep(Duration::from_millis(900));
+                }
                 json!({"t": "DONE", "i": id, "f": {"tell": "warm", "crowd": "1"}, "b": message["b"]})
                     .to_string()
                     + "\n"
@@ -99,37 +103,57 @@
     })
 }
 
-fn start(name: &str) -> FrontEnd {
-    start_among(name, 2, 128)
+fn host(n: usize, dial: SocketAddr) -> Value {
+    json!({"host": format!("s-{n}"), "dial": dial, "site": "east", "class": "std", "block": 1,
+        "health": "SERVING", "share": 4, "born_ms": 0})
 }
 
-fn start_among(name: &str, executors: usize, sockets: usize) -> FrontEnd {
-    let seen = Seen::default();
-    let host = |n: usize| {
-        json!({"host": format!("s-{n}"), "dial": executor(seen.clone()), "site": "east", "class": "std", "block": 1,
-            "health": "SERVING", "share": 4, "born_ms": 0})
-    };
+/// What a front end is told, and where it is to listen.
+fn told(hosts: &[Value], sockets: usize) -> (String, SocketAddr) {
     let resolver = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let at = orchidtally_standin::port_for_later().unwrap();
     let told = json!({
         "name": "n0", "listen": at, "seed": "8c1f30d27a5be964", "dns": resolver,
         "limits": {"cores": 1.0, "memory_mb": 32, "sockets": sockets}, "settings": settings(),
-        "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"seq": 1, "whole": true, "hosts": (1..=executors).map(host).collect::<Vec<_>>()}}]},
+        "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"seq": 1, "whole": true, "hosts": hosts}}]},
     });
+    (told.to_string(), at)
+}
+
+fn start(name: &str) -> FrontEnd {
+    start_among(name, 2, 128)
+}
+
+fn start_among(name: &str, executors: usize, sockets: usize) -> FrontEnd {
+    let seen = Seen::default();
+    let hosts: Vec<Value> = (1..=executors).map(|n| host(n, executor(seen.clone()))).collect();
+    start_with(name, &hosts, sockets, seen)
+}
+
+fn start_with(name: &str, hosts: &[Value], sockets: usize, seen: Seen) -> FrontEnd {
+    let (told, at) = told(hosts, sockets);
     let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
-    std::fs::write(&file, told.to_string()).unwrap();
-    let mut command = Command::new(PROGRAM);
-    command.args(["serve", "--platform"]).env("LB_CONFIG", &file).stderr(Stdio::null());
-    let front = FrontEnd { process: command.spawn().unwrap(), at, file, seen };
-    let begun = Instant::now();
-    while TcpStream::connect(at).is_err() {
-        assert!(begun.elapsed() < Duration::from_secs(10), "it never listened");
-        std::thread::sleep(Duration::from_millis(10));
-    }
+    std::fs::write(&file, told).unwrap();
+    let front = FrontEnd::begin(file, at, seen);
+    front.listens();
     front
 }
 
 impl FrontEnd {
+    fn begin(file: PathBuf, at: SocketAddr, seen: Seen) -> FrontEnd {
+        let mut command = Command::new(PROGRAM);
+        command.args(["serve", "--platform"]).env("LB_CONFIG", &file).stderr(Stdio::null());
+        FrontEnd { process: command.spawn().unwrap(), at, file, seen }
+    }
+
+    fn listens(&self) {
+        let begun = Instant::now();
+        while TcpStream::connect(self.at).is_err() {
+            assert!(begun.elapsed() < Duration::from_secs(10), "it never listened");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     fn client(&self) -> TcpStream {
         let stream = TcpStream::connect(self.at).unwrap();
         stream.set_read_timeout(Some(Duration::from_secs(6))).unwrap();
@@ -316,3 +340,119 @@
         assert_eq!((stream, code), (n as u32, frames::SUCCEEDED), "function {function}");
     }
 }
+
+/// A signal that comes while the file is still being read finds its handler there: it would end the process.
+#[test]
+fn signals_before_it_is_ready_and_two_at_once_end_nothing_too_early() {
+    for (signals, ends) in [(&["HUP"][..], false), (&["TERM", "HUP"], true), (&["HUP", "TERM"], true)] {
+        let seen = Seen::default();
+        let (told, at) = told(&[host(1, executor(seen.clone()))], 128);
+        let file =
+            PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("early-{}.json", signals.join("-")));
+        // A file that takes as long to be read as this test wants.
+        let _ = std::fs::remove_file(&file);
+        assert!(Command::new("mkfifo").arg(&file).status().unwrap().success());
+        let mut front = FrontEnd::begin(file.clone(), at, seen);
+        let mut slow = std::fs::OpenOptions::new().write(true).open(&file).unwrap();
+        signals.iter().for_each(|s| front.signal(s));
+        std::fs::remove_file(&file).unwrap();
+        std::fs::write(&file, &told).unwrap();
+        std::thread::sleep(Duration::from_millis(50));
+        slow.write_all(told.as_bytes()).unwrap();
+        drop(slow);
+        front.listens();
+        let mut client = front.client();
+        let answer = ask(&mut client, &invocation(1, &id(1), "command", CALM, b"early"));
+        assert_eq!(answer, (frames::ANSWER, 1, frames::SUCCEEDED, b"early".to_vec()), "{signals:?}");
+        if ends {
+            assert_eq!(next(&mut client), Some((frames::NO_MORE, 0, 0, vec![])));
+            assert_eq!(front.process.wait().unwrap().code(), Some(0), "{signals:?}");
+        } else {
+            std::thread::sleep(Duration::from_millis(1_000));
+            assert_eq!(ask(&mut client, &invocation(2, &id(2), "read", CALM, b"")).2, frames::SUCCEEDED);
+        }
+    }
+}
+
+/// Both at once, with an invocation out: it is answered, and the process ends by itself.
+#[test]
+fn a_reload_together_with_the_end_loses_nothing() {
+    let mut front = start("both");
+    let mut client = front.client();
+    client.write_all(&invocation(1, &id(1), "read", SLOW, b"out")).unwrap();
+    while front.dispatches(&id(1)).is_empty() {
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    front.signal("TERM");
+    front.signal("HUP");
+    front.signal("TERM");
+    let answer = next(&mut client).expect("an answer");
+    let answer = if answer.0 == frames::NO_MORE { next(&mut client).expect("an answer") } else { answer };
+    assert_eq!(answer, (frames::ANSWER, 1, frames::SUCCEEDED, b"out".to_vec()));
+    assert_eq!(front.process.wait().unwrap().code(), Some(0));
+}
+
+/// Three of ten are left, with all the traffic; what was killed starts from nothing and serves.
+#[test]
+fn three_of_ten_front_ends_serve_on_after_the_rest_was_killed() {
+    let seen = Seen::default();
+    let hosts: Vec<Value> = (1..=3).map(|n| host(n, executor(seen.clone()))).collect();
+    let begin = |n: usize| start_with(&format!("killed-{n}"), &hosts, 128, seen.clone());
+    let mut all: Vec<FrontEnd> = (0..10).map(begin).collect();
+    let mut ids = 0;
+    let mut round = |fronts: &[FrontEnd], invocations: u32| {
+        let mut clients: Vec<TcpStream> = fronts.iter().map(FrontEnd::client).collect();
+        for n in 1..=invocations {
+            for client in &mut clients {
+                ids += 1;
+                let service = ["read", "update", "command"][n as usize % 3];
+                client
+                    .write_all(&invocation(n, &id(ids), service, &id(0x2000 + u64::from(n % 7)), b"x"))
+                    .unwrap();
+            }
+        }
+        for client in &mut clients {
+            for _ in 0..invocations {
+                assert_eq!(next(client).expect("an answer").2, frames::SUCCEEDED);
+            }
+        }
+    };
+    round(&all, 12);
+    // Dropped, a front end is killed.
+    all.truncate(3);
+    round(&all, 32);
+    all.extend((3..10).map(begin));
+    round(&all, 12);
+    let seen = seen.lock().unwrap();
+    let mut commands = seen.values().filter(|d| d[0]["f"]["cls"] == "command");
+    assert!(commands.all(|d| d.len() == 1), "what may run once only was dispatched twice");
+}
+
+/// Usual clients on a third of the descriptors, and a hundred bad ones a second: no usual connection is given up
+/// for them, and each invocation has its answer.
+#[test]
+fn usual_clients_on_a_third_of_the_descriptors_do_not_feel_bad_ones() {
+    let front = start_among("crowd", 2, 192);
+    let mut usual: Vec<TcpStream> = (0..64).map(|_| front.client()).collect();
+    let mut bad: Vec<TcpStream> = vec![];
+    let mut ids = 0;
+    for n in 1..=4u32 {
+        for (m, client) in usual.iter_mut().enumerate() {
+            if n > 1 {
+                // Silent ones, ones with half a frame, and ones that send noise come between any two.
+                let mut worse = front.client();
+                match m % 3 {
+                    0 => {}
+                    1 => worse.write_all(&[0, 0, 1, 0, frames::INVOKE, 0]).unwrap(),
+                    _ => worse.write_all(&[0xff; 64]).unwrap(),
+                }
+                bad.push(worse);
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            ids += 1;
+            let answer = ask(client, &invocation(n, &id(ids), "command", CALM, b"usual"));
+            assert_eq!((answer.2, answer.3), (frames::SUCCEEDED, b"usual".to_vec()), "client {m}, round {n}");
+        }
+    }
+    assert_eq!(bad.len(), 192);
+}
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -2,6 +2,7 @@
 
 use mio::Token;
 use mio::net::TcpStream;
+use orchidtally::state::Ordered;
 use orchidtally_frames::{self as frames, Decoder};
 use orchidtally_net::turn::Socket;
 use slab::Slab;
@@ -82,10 +83,13 @@
     }
 }
 
-/// The one to close where another wants in: longest idle of those with nothing open.
-pub fn least_missed(clients: &Slab<Client>) -> Option<usize> {
+/// The one to close where another wants in, of those with nothing open: first one that has owed a whole frame for
+/// longer than a connection may take to be made, else the longest idle. Guards usual clients, idle between two
+/// invocations, against bad ones that come and stay silent; could harm one that is very slow with its first.
+pub fn least_missed(clients: &Slab<Client>, now: f64, connect_time: f64) -> Option<usize> {
+    let late = |c: &Client| c.waiting_since.is_some_and(|at| now > at + connect_time);
     let idle = clients.iter().filter(|(_, c)| c.open.is_empty());
-    idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|(slot, _)| slot)
+    idle.min_by_key(|(_, c)| (!late(c), Ordered(c.idle_since))).map(|(slot, _)| slot)
 }
 
 pub const FIRST_TOKEN: usize = 16;
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -94,10 +94,19 @@
     report_at: f64,
 }
 
+/// Signals from its making on: they wait until the front end serves. One that comes before this would end the
+/// process, so it is made before anything is read.
+pub struct Waiting(Signals);
+
+impl Waiting {
+    pub fn new() -> io::Result<Waiting> {
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).map(Waiting)
+    }
+}
+
 /// Serves until told to end and what was taken is answered.
-pub fn run(start: Start, file: PathBuf) -> io::Result<Tally> {
+pub fn run(start: Start, file: PathBuf, Waiting(mut signals): Waiting) -> io::Result<Tally> {
     let poll = Poll::new()?;
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
     poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
     let mut front = Front::new(start, file, poll)?;
     let mut events = Events::with_capacity(1024);
@@ -312,7 +321,7 @@
             };
             if self.floor.clients.len() >= self.most_clients {
                 self.counts.evicted += 1;
-                match clients::least_missed(&self.floor.clients) {
+                match clients::least_missed(&self.floor.clients, now, self.grounds.connect_time) {
                     Some(slot) => self.close_client(now, slot),
                     None => continue,
                 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,4 +9,4 @@
 mod roster;
 pub mod start;
 
-pub use front::run;
+pub use front::{Waiting, run};
