End the start at settings of an unknown kind or out of range, naming the key

Seen: registryMode, notLoaded and valueBy of any unknown value were held for push, load and request (need(..).is_ok_and(== ..) in terms::decode), so that a roster that has to be asked for would never have been; negative periods and a cold share of 1.5 were taken as they came. A cold time of 0, which is in range, made the warmth of an executor just started not a number (0 / 0 in Choice::warmth): 300 front ends waited for turns there; the new test had `left: 0, right: 5`. Change: kinds and bounds are read by one function each; unknown fields are still passed over, optional ones may be absent.

--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -315,7 +315,15 @@
         std::fs::write(&file, text).unwrap();
         Command::new(PROGRAM).args(["serve", "--platform"]).env("LB_CONFIG", &file).output().unwrap()
     };
-    let cases = [("{", "bad.json"), (r#"{"name":"n0"}"#, "listen"), ("[]", "bad.json")];
+    let mut odd: Value = serde_json::from_str(&told(&[], 128).0).unwrap();
+    odd["settings"]["registryMode"] = "gossip".into();
+    let odd = odd.to_string();
+    let cases = [
+        ("{", "bad.json"),
+        (r#"{"name":"n0"}"#, "listen"),
+        ("[]", "bad.json"),
+        (&odd, "'registryMode' has an unknown value 'gossip'"),
+    ];
     for (text, named) in cases {
         let output = run(text);
         let said = String::from_utf8_lossy(&output.stderr).into_owned();
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -12,13 +12,39 @@
     need(value, key)?.as_f64().ok_or_else(|| format!("setting '{key}' is not a number"))
 }
 
+/// A number within bounds.
+fn within(value: &Value, key: &str, least: f64, most: f64) -> Result<f64, String> {
+    let number = number(value, key)?;
+    if (least..=most).contains(&number) {
+        return Ok(number);
+    }
+    let bounds = if most.is_finite() { format!("{least} to {most}") } else { format!("{least} or more") };
+    Err(format!("setting '{key}' is {number}; {bounds} is wanted"))
+}
+
+/// One that can't be under zero.
+fn amount(value: &Value, key: &str) -> Result<f64, String> {
+    within(value, key, 0.0, f64::INFINITY)
+}
+
 fn seconds(value: &Value, key: &str) -> Result<f64, String> {
-    Ok(number(value, key)? / 1e9)
+    Ok(amount(value, key)? / 1e9)
+}
+
+/// What some sites leave out.
+fn amount_or(value: &Value, key: &str, absent: f64) -> Result<f64, String> {
+    if need(value, key).is_err() { Ok(absent) } else { amount(value, key) }
 }
 
-/// A number that some sites leave out.
-fn number_or(value: &Value, key: &str, absent: f64) -> Result<f64, String> {
-    if need(value, key).is_err() { Ok(absent) } else { number(value, key) }
+/// Whether a setting of two kinds is the second; the first stands where it is left out. Guards against a third
+/// that would be held for the first.
+fn is_second(value: &Value, key: &str, kinds: [&str; 2]) -> Result<bool, String> {
+    if need(value, key).is_err() {
+        return Ok(false);
+    }
+    let kind = text(value, key)?;
+    let known = kinds.iter().position(|k| *k == kind);
+    known.map(|n| n == 1).ok_or_else(|| format!("setting '{key}' has an unknown value '{kind}'"))
 }
 
 fn flag(value: &Value, key: &str) -> Result<bool, String> {
@@ -68,10 +94,10 @@
     };
     Ok(TriggerType {
         objective: seconds(v, "aim")?,
-        stretch: number_or(v, "aimStretch", 0.0)?,
+        stretch: amount_or(v, "aimStretch", 0.0)?,
         timeout: seconds(v, "deadline")?,
-        billed_value: number_or(v, "credit", 1.0)?,
-        late_share: number_or(v, "lateWorth", 0.0)?,
+        billed_value: amount_or(v, "credit", 1.0)?,
+        late_share: amount_or(v, "lateWorth", 0.0)?,
         effect,
         group,
         window,
@@ -86,15 +112,15 @@
     let customers = if need(v, "customers").is_ok() { list(v, "customers")? } else { &[] };
     Ok(Terms {
         trigger_types: list(v, "classes")?.iter().map(trigger_type).collect::<Result<_, _>>()?,
-        quotas: customers.iter().map(|c| number(c, "quotaRps")).collect::<Result<_, _>>()?,
-        over_share_value: number_or(v, "overShareWorth", 1.0)?,
-        value_by_work: need(v, "valueBy").is_ok_and(|w| w == "work"),
-        front_ends: number_or(v, "balancers", 1.0)?.max(1.0),
-        index: number_or(v, "index", 0.0)?.max(0.0),
-        zone: number_or(v, "zone", 0.0)?.clamp(0.0, 255.0) as u8,
-        crossing: number_or(v, "penalties.crossZone", 0.0)?.max(0.0),
+        quotas: customers.iter().map(|c| amount(c, "quotaRps")).collect::<Result<_, _>>()?,
+        over_share_value: amount_or(v, "overShareWorth", 1.0)?,
+        value_by_work: is_second(v, "valueBy", ["request", "work"])?,
+        front_ends: amount_or(v, "balancers", 1.0)?.max(1.0),
+        index: amount_or(v, "index", 0.0)?,
+        zone: if need(v, "zone").is_ok() { within(v, "zone", 0.0, 255.0)? as u8 } else { 0 },
+        crossing: amount_or(v, "penalties.crossZone", 0.0)?,
         tick: seconds(v, "tick")?,
-        max_dispatches: number(v, "limits.maxAttempts")?.clamp(0.0, 255.0) as u8,
+        max_dispatches: within(v, "limits.maxAttempts", 1.0, f64::INFINITY)?.min(255.0) as u8,
         second_copies: flag(v, "limits.secondCopies")?,
         cancel: flag(v, "limits.cancel")?,
         max_retry_after: if flag(v, "limits.retryAfter")? {
@@ -102,20 +128,20 @@
         } else {
             0.0
         },
-        roster_asked: need(v, "registryMode").is_ok_and(|m| m == "ask"),
+        roster_asked: is_second(v, "registryMode", ["push", "ask"])?,
         cold: seconds(v, "safety.cold")?,
-        cold_from: number(v, "safety.coldFrom")?,
-        overload_factor: number(v, "safety.overloadFactor")?,
+        cold_from: within(v, "safety.coldFrom", 0.0, 1.0)?,
+        overload_factor: amount(v, "safety.overloadFactor")?,
         fall: seconds(v, "safety.fall")?,
         skew: 0.0,
         orders: flag(v, "specifics.loadControl")?,
-        order_price: number_or(v, "penalties.probe", 0.0)?.max(0.0),
-        answers_miss: need(v, "specifics.notLoaded").is_ok_and(|m| m == "miss"),
+        order_price: amount_or(v, "penalties.probe", 0.0)?,
+        answers_miss: is_second(v, "specifics.notLoaded", ["load", "miss"])?,
         tells_crowd: flag(v, "specifics.notesPeersInHand")?,
-        keep_alive: number_or(v, "specifics.staysLoaded", 0.0)? / 1e9,
-        ration_floor: number_or(v, "specifics.loadFloor", 0.0)?,
-        ration_share: number_or(v, "specifics.loadPart", 0.0)?,
-        ration_window: number_or(v, "specifics.loadPeriod", 0.0)? / 1e9,
+        keep_alive: amount_or(v, "specifics.staysLoaded", 0.0)? / 1e9,
+        ration_floor: amount_or(v, "specifics.loadFloor", 0.0)?,
+        ration_share: amount_or(v, "specifics.loadPart", 0.0)?,
+        ration_window: amount_or(v, "specifics.loadPeriod", 0.0)? / 1e9,
         backlog_field: reported(v, |name, _| name == "backlog")?,
         loads_field: reported(v, |_, meaning| meaning.starts_with("loads under way"))?,
     })
@@ -154,10 +180,10 @@
         zones: names(v, "zones")?,
         kinds: names(v, "shapes")?,
         report: if need(v, "feedback.fields").is_ok() { names(v, "feedback.fields")? } else { vec![] },
-        most_open: number(v, "limits.maxOpen")?.clamp(1.0, 1e6) as usize,
-        streams: number(v, "limits.streamsPerConn")?.clamp(1.0, 1e4) as usize,
-        connect_time: seconds(v, "limits.connectTimeout")?.max(0.0),
-        idle_close: seconds(v, "limits.idleClose")?.max(0.0),
-        order_time: number_or(v, "specifics.answerWithin", f64::INFINITY)?.max(0.0) / 1e9,
+        most_open: within(v, "limits.maxOpen", 1.0, f64::INFINITY)?.min(1e6) as usize,
+        streams: within(v, "limits.streamsPerConn", 1.0, f64::INFINITY)?.min(1e4) as usize,
+        connect_time: seconds(v, "limits.connectTimeout")?,
+        idle_close: seconds(v, "limits.idleClose")?,
+        order_time: amount_or(v, "specifics.answerWithin", f64::INFINITY)? / 1e9,
     })
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -723,7 +723,7 @@
 
     fn warmth(&self, x: usize) -> f64 {
         let age = self.now - self.terms.skew - self.fleet.since[x];
-        let risen = (age / self.terms.cold).clamp(0.0, 1.0);
+        let risen = if age >= self.terms.cold { 1.0 } else { (age / self.terms.cold).max(0.0) };
         let risen = if self.now < self.fleet.broke_at[x] + BROKEN_FOR { 0.0 } else { risen };
         if risen >= 1.0 { 1.0 } else { self.terms.cold_from + (1.0 - self.terms.cold_from) * risen }
     }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -709,3 +709,13 @@
         assert!(loads <= 140, "{loads} loads of 20 functions at {front_ends} front ends");
     }
 }
+
+/// Where executors are told to be warm at once, one that started this moment is.
+#[test]
+fn without_a_cold_time_a_new_executor_is_used_at_once() {
+    let mut w = World::new(Terms { cold: 0.0, orders: false, front_ends: 300.0, ..terms() }, 1);
+    let started = w.plain.now;
+    w.roster(0, Standing::Ready, started);
+    (0..5).for_each(|_| _ = w.invoke(0, 1, 5.0));
+    assert_eq!(w.sent_to(0), 5);
+}
