Count functions, not invocations of one, in the test of a cold time of 0

Change: five functions. With the mend of Choice::warmth all five are sent, without it none (`left: 0`, `right: 5`).

--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -716,6 +716,6 @@
     let mut w = World::new(Terms { cold: 0.0, orders: false, front_ends: 300.0, ..terms() }, 1);
     let started = w.plain.now;
     w.roster(0, Standing::Ready, started);
-    (0..5).for_each(|_| _ = w.invoke(0, 1, 5.0));
+    (0..5).for_each(|function| _ = w.invoke(0, function, 5.0));
     assert_eq!(w.sent_to(0), 5);
 }
