Use another executor where a known cold one gives no turn

A probe that logged each dispatch to a cold executor beside what it is granted by all 330 front ends (an estimate from those that sent, so too high): `16 cold executors 22 sent each 38.7 granted each 173.2 warmth 0.62 no turn 51182`, that is 51,182 checks in that second found no turn, with four fifths of the turns unused. At fault: Choice::place takes a known executor with a lane as serving though cold_room gives it nothing, so nothing is placed; and placement_target may choose, of the two drawn, the one without a turn. Change: a known cold executor without a turn has no room; of those drawn, one with a turn is taken.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -346,7 +346,7 @@
         }
         let load_time = function.load_time;
         let renewed = renewed.filter(|_| wish.copies > 0);
-        let x = if count < wish.copies { self.placement_target(f, 1.0) } else { renewed };
+        let x = if count < wish.copies { self.placement_target(f, None) } else { renewed };
         if let Some(x) = x
             && self.order(f, x, out)
             && count < wish.copies
@@ -429,17 +429,17 @@
         let Some(&i) = function.waiting.iter().find(free).filter(|_| self.now >= function.next_at) else {
             return false;
         };
-        let part = self.part(i);
-        let Some(x) = self.placement_target(f, part) else { return false };
+        let Some(x) = self.placement_target(f, Some(i)) else { return false };
         let function = &self.book.functions[f];
-        // Guards against copies for what only crowding holds up.
-        let (wanted, most) = (self.wanted(f), SPREAD * self.busy(x));
+        // Guards against copies for what only crowding holds up. A cold one without a turn has no room.
+        let (wanted, most, work) = (self.wanted(f), SPREAD * self.busy(x), self.usual[self.book.invs[i].ty]);
         let serves = |k: &Known| {
             // Not one whose time is over: with many functions it is long until they are swept.
             k.until > self.now
                 && !self.fleet.suspect[k.x]
                 && self.has_lane(f, k, wanted)
                 && self.busy(k.x) < most
+                && self.cold_room(k.x, work)
         };
         if function.known.iter().any(serves) {
             return false;
@@ -689,8 +689,8 @@
     }
 
     /// The last executor known warm, else the less loaded of two, drawn with the function's key for a seed:
-    /// all front ends draw the same and share the copy that one has loaded.
-    fn placement_target(&mut self, f: usize, part: f64) -> Option<usize> {
+    /// all front ends draw the same and share the copy that one has loaded. It has room for what is placed.
+    fn placement_target(&mut self, f: usize, placed: Option<usize>) -> Option<usize> {
         if self.book.functions[f].lots.0 != self.fleet.version {
             let key = self.book.functions[f].key;
             let mut lots: Vec<usize> = self.fleet.all().filter(|&x| self.fleet.ready[x]).collect();
@@ -711,7 +711,9 @@
         let lots = function.lots.1.iter().copied();
         let mut fitting: Vec<usize> = lots.filter(fits).take(self.wanted(f).max(2.0) as usize).collect();
         // Where all are at their bounds the placement waits: a copy elsewhere serves one front end only.
-        fitting.retain(|&x| self.takes_more(x, part));
+        let part = placed.map_or(1.0, |i| self.part(i));
+        let cold = |x| placed.is_none_or(|i| self.cold_room(x, self.usual[self.book.invs[i].ty]));
+        fitting.retain(|&x| self.takes_more(x, part) && cold(x));
         while fitting.len() > 2 {
             fitting.remove((self.chance.unit() * fitting.len() as f64) as usize);
         }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -719,3 +719,29 @@
     (0..5).for_each(|function| _ = w.invoke(0, function, 5.0));
     assert_eq!(w.sent_to(0), 5);
 }
+
+/// Found with 300 front ends: while most executors were cold, invocations waited for a turn at the one that they
+/// knew, and the turns at others were left unused.
+#[test]
+fn without_a_turn_at_a_known_cold_executor_another_is_used() {
+    let at_once = |trial: u32| {
+        let mut w = World::new(Terms { cold: 1e4, orders: false, front_ends: 2.0, ..terms() }, 2);
+        let now = w.plain.now;
+        (0..2).for_each(|x| w.roster(x, Standing::Ready, now));
+        w.pass(trial.into());
+        let mut sent = |ends: bool| {
+            let inv = w.invoke(0, 1, 5.0);
+            let sent = !w.plain.taken[inv as usize].sent.is_empty();
+            if ends && sent {
+                w.end(inv, 0, Ending::Ok);
+            }
+            w.pass(1.0);
+            sent
+        };
+        while !sent(true) {}
+        sent(false)
+    };
+    // What went to the known one a moment ago still counts there; the other has a turn half of the time.
+    let served = (0..200).filter(|&trial| at_once(trial)).count();
+    assert!(served > 70, "{served} of 200");
+}
