Hand cancels over before any dispatch is written; read answers to earlier queries

A move writes a cancel on one connection and a dispatch on another; `settle` wrote connections in the order in which they were touched, and a cancel waited in its connection's queue. Two moves in one turn to one executor wrote the second one's dispatch before its cancel.

Change: a cancel goes straight into its connection's bytes and is handed over before any dispatch becomes a line, at the one place that makes lines; a connection that takes it not whole is cut off. Found beside it: an answer of the resolver that took longer than 0.15 s came under an id that was asked no more, so that no list was ever read; up to 16 queries are out now.

--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -10,6 +10,7 @@
 use orchidtally_engine::{Cause, Host};
 use orchidtally_frames as frames;
 use orchidtally_lines as lines;
+use orchidtally_terms::Grounds;
 use slab::Slab;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
@@ -65,6 +66,9 @@
     pub undone: Vec<(u64, Transport)>,
     pub dirty_clients: Vec<usize>,
     pub dirty_links: Vec<usize>,
+    /// Connections with cancels that are not handed over, and those that took them not whole, with the reason.
+    cancelled: Vec<usize>,
+    pub cut: Vec<(usize, String)>,
     /// The invocation that is being taken.
     pub taking: Option<Work>,
     /// The body of the answer that is being told.
@@ -73,6 +77,35 @@
 }
 
 impl Floor {
+    pub fn new(now: f64, registry: Registry, grounds: &Grounds, most_links: usize) -> Floor {
+        Floor {
+            now,
+            registry,
+            trigger_types: grounds.trigger_types.clone(),
+            streams: grounds.streams,
+            connect_time: grounds.connect_time,
+            most_links,
+            clients: Slab::new(),
+            links: Slab::new(),
+            executors: BTreeMap::new(),
+            works: HashMap::new(),
+            held: 0,
+            ids: HashSet::new(),
+            outs: HashMap::new(),
+            orders: BTreeMap::new(),
+            next_tag: 1,
+            unsent: vec![],
+            undone: vec![],
+            dirty_clients: vec![],
+            dirty_links: vec![],
+            cancelled: vec![],
+            cut: vec![],
+            taking: None,
+            brought: vec![],
+            longest_stay_away: grounds.terms.max_retry_after,
+        }
+    }
+
     pub fn touch_client(&mut self, slot: usize) {
         if let Some(client) = self.clients.get_mut(slot) {
             client.idle_since = self.now;
@@ -232,10 +265,28 @@
         self.send_order(tag, to);
     }
 
-    /// Makes lines of what is queued, as long as the kernel takes them, and hands them over.
+    /// Hands every cancel over. A connection that takes them not whole is cut off, which gives up all that is
+    /// open on it. Guards against a dispatch that reaches an executor before the cancel of the one before it has
+    /// left, so that two are out; it could harm what else is open at an executor that is slow to read.
+    fn hand_over_cancels(&mut self) {
+        for slot in std::mem::take(&mut self.cancelled) {
+            let Some(link) = self.links.get_mut(slot) else { continue };
+            let fault = match link.socket.flush() {
+                Ok(()) if link.socket.waiting() == 0 => continue,
+                Ok(()) => "takes no cancel".to_owned(),
+                Err(fault) => fault.to_string(),
+            };
+            link.cut_off();
+            self.cut.push((slot, fault));
+        }
+    }
+
+    /// Makes lines of what is queued, as long as the kernel takes them, and hands them over. No dispatch goes
+    /// out but through here.
     pub fn flush_link(&mut self, slot: usize) -> std::io::Result<()> {
+        self.hand_over_cancels();
         let Some(link) = self.links.get_mut(slot) else { return Ok(()) };
-        if !link.connected {
+        if !link.connected || link.is_cut {
             return Ok(());
         }
         loop {
@@ -301,7 +352,9 @@
         if link.give_up(&id) {
             // One that was silent ever since, for longer than a new one takes to be made, may be dead.
             link.retired |= link.heard_at < at && self.now > at + 2.0 * self.connect_time;
-            link.queue.push_back(Queued::Line(lines::cancel(&id)));
+            // Ahead of what is queued. Its dispatch was made a line, so that it comes after that.
+            link.socket.out().extend_from_slice(&lines::cancel(&id));
+            self.cancelled.push(slot);
         }
         link.idle_since = self.now;
         self.touch_link(slot);
@@ -342,3 +395,7 @@
     /// It is asked for all the time.
     fn watch_roster(&mut self) {}
 }
+
+#[cfg(test)]
+#[path = "floor_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/floor_tests.rs
@@ -0,0 +1,114 @@
+//! What goes over the sockets, and in which order, without a front end round it.
+
+use super::*;
+use std::io::Read;
+use std::net::TcpListener;
+use std::time::Duration;
+
+const SETTINGS: &str = r#"{
+    "balancers": 1, "index": 0, "zone": 0, "zones": ["east"], "shapes": ["std"], "tick": 2e6,
+    "classes": [{"name": "read", "aim": 1e9, "deadline": 3e9, "credit": 1, "lateWorth": 0, "semantics": "pure",
+        "dedupScope": "all", "dedupWindow": 0}],
+    "limits": {"maxAttempts": 4, "cancel": true, "retryAfter": true, "maxRetryAfter": 1e9, "secondCopies": false,
+        "maxOpen": 1000, "streamsPerConn": 32, "connectTimeout": 2.5e8, "idleClose": 1.5e10},
+    "safety": {"cold": 1e9, "coldFrom": 0.2, "overloadFactor": 2, "fall": 1e9},
+    "specifics": {"loadControl": true, "notLoaded": "load", "staysLoaded": 8e9}}"#;
+
+/// A floor with some executors, each reached over one connection that stands, and the executors' ends of these.
+fn set(executors: usize) -> (Floor, Vec<ExecutorId>, Vec<std::net::TcpStream>) {
+    let settings = serde_json::from_str(SETTINGS).expect("it is JSON");
+    let grounds = orchidtally_terms::grounds(&settings).expect("they are sound");
+    let poll = mio::Poll::new().expect("a poll");
+    let mut floor = Floor::new(0.0, poll.registry().try_clone().expect("it can be"), &grounds, executors);
+    let mut ends = vec![];
+    let mut ids = vec![];
+    for n in 0..executors {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let (name, address) = (format!("s-{n}"), listener.local_addr().expect("it is bound"));
+        let id = orchidtally_resolver::id(&name);
+        floor.executors.insert(id, Executor { name, address, links: vec![], listed: true });
+        let slot = floor.link_for(id, "").expect("there is room");
+        ends.push(listener.accept().expect("it comes").0);
+        ends[n].set_read_timeout(Some(Duration::from_millis(200))).expect("a time");
+        floor.links[slot].connected = true;
+        ids.push(id);
+    }
+    (floor, ids, ends)
+}
+
+fn take(floor: &mut Floor, inv: u32) {
+    let id: Rc<str> = format!("{inv:016x}").into();
+    floor.taking = Some(Work {
+        client: usize::MAX,
+        stream: 1,
+        id,
+        trigger_type: 0,
+        function: "0000000000000001".into(),
+        token: None,
+        body: vec![],
+        timeout_at: 3.0,
+    });
+    floor.taken(inv);
+}
+
+fn flush(floor: &mut Floor) {
+    for slot in std::mem::take(&mut floor.dirty_links) {
+        floor.links[slot].dirty = false;
+        floor.flush_link(slot).expect("it is taken");
+    }
+}
+
+/// What has come to an executor's end by now.
+fn come(end: &mut std::net::TcpStream) -> String {
+    let mut bytes = vec![0; 64 * 1024];
+    let n = end.read(&mut bytes).unwrap_or(0);
+    String::from_utf8_lossy(&bytes[..n]).into_owned()
+}
+
+/// Two invocations are moved in one turn, crosswise: whichever connection is written first, both cancels leave
+/// before either is sent again.
+#[test]
+fn a_cancel_leaves_before_the_next_dispatch_of_the_same_invocation() {
+    let (mut floor, ids, mut ends) = set(2);
+    (0..2).for_each(|inv| take(&mut floor, inv));
+    floor.dispatch(0, 0, ids[0], 3.0);
+    floor.dispatch(1, 0, ids[1], 3.0);
+    flush(&mut floor);
+    ends.iter_mut().for_each(|end| assert!(come(end).contains("DO")));
+    for inv in 0..2 {
+        floor.cancel(inv, 0);
+        floor.dispatch(inv, 1, ids[1 - inv as usize], 3.0);
+    }
+    let first = floor.dirty_links.remove(0);
+    floor.flush_link(first).expect("it is taken");
+    for end in &mut ends {
+        let line = come(end);
+        assert!(line.starts_with(r#"{"#) && line.contains("UNDO"), "the cancel is there: {line}");
+    }
+    flush(&mut floor);
+    assert!(come(&mut ends[0]).contains(r#""DO""#) || come(&mut ends[1]).contains(r#""DO""#));
+}
+
+/// An executor that reads nothing: the cancel stays behind what the kernel holds. Its connection ends, so that what
+/// is open on it is given up before it goes out elsewhere.
+#[test]
+fn a_connection_that_takes_no_cancel_is_cut_off() {
+    let (mut floor, ids, mut ends) = set(2);
+    take(&mut floor, 0);
+    floor.dispatch(0, 0, ids[0], 3.0);
+    flush(&mut floor);
+    let slot = floor.executors[&ids[0]].links[0];
+    while floor.links[slot].socket.waiting() == 0 {
+        floor.links[slot].socket.out().resize(1 << 20, b' ');
+        floor.links[slot].socket.flush().expect("it stands");
+    }
+    floor.cancel(0, 0);
+    floor.dispatch(0, 1, ids[1], 3.0);
+    let elsewhere = floor.executors[&ids[1]].links[0];
+    floor.flush_link(elsewhere).expect("it is taken");
+    assert!(floor.links[slot].is_cut && floor.cut.len() == 1, "to be dissolved");
+    assert!(come(&mut ends[1]).contains(r#""DO""#));
+    let mut rest = vec![];
+    ends[0].read_to_end(&mut rest).expect("an end, not a silence");
+    assert!(!rest.is_empty());
+}
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -18,8 +18,7 @@
 use orchidtally_terms::Grounds;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
-use slab::Slab;
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::VecDeque;
 use std::io;
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -180,30 +179,8 @@
         let now = clock.read(0.0);
         // Usual clients hold a third of the descriptors; the rest of their half is for those that misbehave.
         let most_clients = start.sockets / 2;
-        let mut floor = Floor {
-            now,
-            registry: poll.registry().try_clone()?,
-            trigger_types: grounds.trigger_types.clone(),
-            streams: grounds.streams,
-            connect_time: grounds.connect_time,
-            most_links: start.sockets - most_clients - OWN_SOCKETS,
-            clients: Slab::new(),
-            links: Slab::new(),
-            executors: BTreeMap::new(),
-            works: HashMap::new(),
-            held: 0,
-            ids: HashSet::new(),
-            outs: HashMap::new(),
-            orders: BTreeMap::new(),
-            next_tag: 1,
-            unsent: vec![],
-            undone: vec![],
-            dirty_clients: vec![],
-            dirty_links: vec![],
-            taking: None,
-            brought: vec![],
-            longest_stay_away: grounds.terms.max_retry_after,
-        };
+        let most_links = start.sockets - most_clients - OWN_SOCKETS;
+        let mut floor = Floor::new(now, poll.registry().try_clone()?, &grounds, most_links);
         let engine = Engine::new(grounds.terms.clone(), grounds.most_open, start.seed, now, &mut floor);
         let mut front = Front {
             poll,
@@ -757,6 +734,11 @@
                     self.dissolve(now, slot, Transport::Broken, &fault.to_string());
                 }
             }
+            for (slot, why) in std::mem::take(&mut self.floor.cut) {
+                if self.floor.links.get(slot).is_some_and(|l| l.is_cut) {
+                    self.dissolve(now, slot, Transport::Broken, &why);
+                }
+            }
             for slot in std::mem::take(&mut self.floor.dirty_clients) {
                 let Some(client) = self.floor.clients.get_mut(slot) else { continue };
                 client.dirty = false;
--- a/crates/platform/src/links.rs
+++ b/crates/platform/src/links.rs
@@ -70,6 +70,8 @@
     pub idle_since: f64,
     line_since: Option<f64>,
     pub dirty: bool,
+    /// It was cut off here and is to be dissolved.
+    pub is_cut: bool,
 }
 
 impl Link {
@@ -91,6 +93,7 @@
             idle_since: now,
             line_since: None,
             dirty: false,
+            is_cut: false,
         }
     }
 
@@ -137,6 +140,13 @@
         true
     }
 
+    /// Ends it for the executor at once; what is open on it is judged when it is dissolved.
+    pub fn cut_off(&mut self) {
+        (self.retired, self.is_cut) = (true, true);
+        // One that is gone already needs no more.
+        let _ = self.socket.stream.shutdown(std::net::Shutdown::Both);
+    }
+
     /// An answer has come under an id that was given up.
     pub fn settled(&mut self, id: &str) {
         self.given_up.remove(id);
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -3,19 +3,23 @@
 use mio::net::UdpSocket;
 use mio::{Interest, Registry};
 use orchidtally_resolver::{Entry, LONGEST, Places};
+use std::collections::VecDeque;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// An event counts as told 1.5 s after it happened: asked this often, several answers may be lost by then.
 const ASK_EVERY: f64 = 0.2;
-/// A query without a good answer by then is lost, or its answer was no good; another is asked.
+/// After so long without a good answer another query goes out; the first one's answer still counts.
 const ANSWER_WITHIN: f64 = 0.15;
+/// Queries whose answers are still read. Guards against a resolver that takes longer than the time above: with one
+/// query at a time every answer came under an id that was asked no more, and no list was ever read.
+const MOST_ASKED: usize = 16;
 
 pub struct Resolver {
     socket: UdpSocket,
     at: SocketAddr,
-    /// The id of the query that is out, and when it was asked.
-    asked: Option<(u16, f64)>,
+    /// The ids of the queries that are out, in their order.
+    asked: VecDeque<u16>,
     next_at: f64,
     serial: u32,
     buffer: Box<[u8]>,
@@ -37,13 +41,13 @@
     pub fn new(at: SocketAddr, serial: u32, registry: &Registry, token: mio::Token) -> io::Result<Resolver> {
         let socket = socket(at, registry, token)?;
         let buffer = vec![0; LONGEST].into();
-        Ok(Resolver { socket, at, asked: None, next_at: 0.0, serial, buffer, bad: 0 })
+        Ok(Resolver { socket, at, asked: VecDeque::new(), next_at: 0.0, serial, buffer, bad: 0 })
     }
 
     /// Asks at another address from now on. The numbers of events go on.
     pub fn turn_to(&mut self, at: SocketAddr, registry: &Registry, token: mio::Token) -> io::Result<()> {
         let socket = socket(at, registry, token)?;
-        (self.socket, self.at, self.asked, self.next_at) = (socket, at, None, 0.0);
+        (self.socket, self.at, self.asked, self.next_at) = (socket, at, VecDeque::new(), 0.0);
         Ok(())
     }
 
@@ -52,16 +56,20 @@
     }
 
     pub fn due_at(&self) -> f64 {
-        self.asked.map_or(self.next_at, |(_, at)| at + ANSWER_WITHIN)
+        self.next_at
     }
 
     pub fn turn(&mut self, now: f64) {
-        if now < self.due_at() {
+        if now < self.next_at {
             return;
         }
         // Ids are drawn, so that no answer to another query fits this one.
         let id = rand::random();
-        self.asked = Some((id, now));
+        self.next_at = now + ANSWER_WITHIN;
+        self.asked.push_back(id);
+        if self.asked.len() > MOST_ASKED {
+            self.asked.pop_front();
+        }
         // One that can't be sent is asked again like one whose answer got lost.
         if let Ok(query) = orchidtally_resolver::query(id) {
             let _ = self.socket.send(&query);
@@ -79,13 +87,18 @@
                 // Nobody listens there, for now.
                 Err(_) => continue,
             };
-            let Some((id, _)) = self.asked else { continue };
+            let id = self.buffer[..read].first_chunk().map_or(0, |&id| u16::from_be_bytes(id));
+            let Some(query) = self.asked.iter().position(|&asked| asked == id) else {
+                self.bad += 1;
+                continue;
+            };
             match orchidtally_resolver::answer(&self.buffer[..read], id, self.serial, places) {
                 // An older list than was told already comes from a resolver that lags: asked again soon.
                 Ok((serial, _)) if serial < self.serial => self.bad += 1,
                 Ok((serial, entries)) => {
-                    (self.asked, self.next_at, self.bad) = (None, now + ASK_EVERY, 0);
-                    self.serial = serial;
+                    // Those asked before stay: what is told in a late answer is told all the same.
+                    self.asked.remove(query);
+                    (self.next_at, self.bad, self.serial) = (now + ASK_EVERY, 0, serial);
                     newest = entries.or(newest);
                 }
                 Err(fault) => {
@@ -99,3 +112,56 @@
         newest
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// An empty list under a query's id.
+    fn answer(query: &[u8], serial: u32) -> Vec<u8> {
+        let mut bytes = query[..2].to_vec();
+        // An answer with one record of authority: the root's, SOA, IN, without a time to live, 22 bytes.
+        bytes.extend([0x84, 0, 0, 0, 0, 0, 0, 1, 0, 0, 0, 0, 6, 0, 1, 0, 0, 0, 0, 0, 22, 0, 0]);
+        bytes.extend(serial.to_be_bytes());
+        bytes.extend([0; 16]);
+        bytes
+    }
+
+    #[test]
+    fn answers_that_take_longer_than_the_time_between_queries_are_read() {
+        let there = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+        let at = there.local_addr().expect("it is bound");
+        let poll = mio::Poll::new().expect("a poll");
+        let mut resolver = Resolver::new(at, 1, poll.registry(), mio::Token(0)).expect("a socket");
+        let mut places = Places::new(vec![], vec![]);
+        let mut queries = vec![];
+        for n in 0..3 {
+            resolver.turn(0.15 * f64::from(n));
+            let mut query = [0; 512];
+            let (size, from) = there.recv_from(&mut query).expect("a query");
+            queries.push((query[..size].to_vec(), from));
+        }
+        let mut read = |query: usize, serial: u32| {
+            let (query, from) = &queries[query];
+            there.send_to(&answer(query, serial), from).expect("sent");
+            resolver.read(0.31, &mut places).map(|list| list.len())
+        };
+        assert_eq!(read(1, 2), Some(0), "the second of three, newer than what was told");
+        assert_eq!(read(0, 1), None, "overtaken, and older");
+        assert_eq!(read(1, 3), None, "answered once");
+        assert_eq!(read(2, 2), None, "nothing new");
+        resolver.turn(1.0);
+        resolver.turn(1.15);
+        let mut next = || {
+            let mut query = [0; 512];
+            let (size, from) = there.recv_from(&mut query).expect("a query");
+            (query[..size].to_vec(), from)
+        };
+        let (first, second) = (next(), next());
+        for ((query, from), serial) in [(second, 3), (first, 4)] {
+            there.send_to(&answer(&query, serial), from).expect("sent");
+            assert_eq!(resolver.read(1.2, &mut places).map(|list| list.len()), Some(0), "{serial}, overtaken");
+        }
+        assert_eq!(resolver.due_at(), 1.2 + ASK_EVERY);
+    }
+}
