Hold a moved dispatch for a moment; let nobody be lost at the end; use the cold budget's slack

Who waits to be accepted is accepted first, and each that goes on asking on an open connection is answered before the process ends.

--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -1,14 +1,13 @@
-//! Performs the engine's answers: lines to executors, frames to clients. What comes of a dispatch that can't
-//! be sent is told to the engine after its present turn.
+//! What is open, and the connections that lines and frames go over. What comes of a dispatch that can't be sent is
+//! told to the engine after its present turn.
 
 use crate::clients::Client;
+use crate::held::Held;
 use crate::links::{self, BACKLOG, Executor, Link, Queued};
 use mio::net::TcpStream;
 use mio::{Interest, Registry};
 use orchidtally::interface::ExecutorId;
 use orchidtally_engine::evidence::Transport;
-use orchidtally_engine::{Cause, Host};
-use orchidtally_frames as frames;
 use orchidtally_lines as lines;
 use orchidtally_terms::Grounds;
 use slab::Slab;
@@ -17,7 +16,7 @@
 
 /// Prefixes of the tags of orders and probes: no id of an invocation, 16 hex digits, begins so.
 pub const ORDER: &str = "order-";
-const PROBE: &str = "probe-";
+pub const PROBE: &str = "probe-";
 
 /// An invocation that was taken.
 pub struct Work {
@@ -30,6 +29,8 @@
     pub token: Option<String>,
     pub body: Vec<u8>,
     pub timeout_at: f64,
+    /// The moment at which a dispatch of it was last given up, here and not by the executor.
+    pub given_up_at: f64,
 }
 
 /// An order to load that is out.
@@ -47,18 +48,21 @@
     pub trigger_types: Vec<String>,
     pub streams: usize,
     pub connect_time: f64,
+    /// What counts as one moment.
+    pub tick: f64,
     /// Connections to executors at the most.
     pub most_links: usize,
     pub clients: Slab<Client>,
     pub links: Slab<Link>,
     pub executors: BTreeMap<ExecutorId, Executor>,
     pub works: HashMap<u32, Work>,
-    /// Bytes of the bodies that are held.
-    pub held: usize,
+    /// Bytes of the bodies that are kept.
+    pub kept: usize,
     /// Ids of what is open.
     pub ids: HashSet<Rc<str>>,
     /// Where a dispatch is out.
     pub outs: HashMap<(u32, u8), usize>,
+    pub held: Held,
     pub orders: BTreeMap<u64, Order>,
     pub next_tag: u64,
     /// Dispatches and orders that could not be sent.
@@ -67,7 +71,7 @@
     pub dirty_clients: Vec<usize>,
     pub dirty_links: Vec<usize>,
     /// Connections with cancels that are not handed over, and those that took them not whole, with the reason.
-    cancelled: Vec<usize>,
+    pub cancelled: Vec<usize>,
     pub cut: Vec<(usize, String)>,
     /// The invocation that is being taken.
     pub taking: Option<Work>,
@@ -84,14 +88,16 @@
             trigger_types: grounds.trigger_types.clone(),
             streams: grounds.streams,
             connect_time: grounds.connect_time,
+            tick: grounds.terms.tick,
             most_links,
             clients: Slab::new(),
             links: Slab::new(),
             executors: BTreeMap::new(),
             works: HashMap::new(),
-            held: 0,
+            kept: 0,
             ids: HashSet::new(),
             outs: HashMap::new(),
+            held: Held::default(),
             orders: BTreeMap::new(),
             next_tag: 1,
             unsent: vec![],
@@ -124,7 +130,7 @@
     /// The invocation is over for its client.
     pub fn drop_work(&mut self, inv: u32) -> Option<Work> {
         let work = self.works.remove(&inv)?;
-        self.held -= work.body.len();
+        self.kept -= work.body.len();
         self.ids.remove(&work.id);
         if let Some(client) = self.clients.get_mut(work.client) {
             client.open.remove(&work.stream);
@@ -133,7 +139,7 @@
     }
 
     /// The one place of final answers.
-    fn answer(&mut self, inv: u32, code: u8, fields: &[(&str, &str)], body: &[u8]) {
+    pub fn answer(&mut self, inv: u32, code: u8, fields: &[(&str, &str)], body: &[u8]) {
         let Some(work) = self.drop_work(inv) else { return };
         if let Some(client) = self.clients.get_mut(work.client) {
             client.answer(work.stream, code, fields, body);
@@ -195,8 +201,15 @@
         links.iter().any(|&l| self.links[l].connected && self.links[l].begun_at < before)
     }
 
+    /// What was held back and may go now.
+    pub fn release(&mut self) {
+        for (inv, dispatch, to) in self.held.due(self.now, self.tick) {
+            self.send(inv, dispatch, to, self.now);
+        }
+    }
+
     /// Puts a dispatch on a connection.
-    fn send(&mut self, inv: u32, dispatch: u8, to: ExecutorId, at: f64) {
+    pub fn send(&mut self, inv: u32, dispatch: u8, to: ExecutorId, at: f64) {
         let Some(id) = self.works.get(&inv).map(|w| w.id.clone()) else {
             return self.unsent.push((inv, dispatch, Transport::Withheld));
         };
@@ -250,7 +263,7 @@
         }
     }
 
-    fn line(&mut self, to: ExecutorId, line: Vec<u8>) {
+    pub fn line(&mut self, to: ExecutorId, line: Vec<u8>) {
         // Nothing is owed for one that finds no connection.
         if let Ok(slot) = self.link_for(to, "") {
             self.links[slot].queue.push_back(Queued::Line(line));
@@ -258,7 +271,7 @@
         }
     }
 
-    fn order(&mut self, to: ExecutorId, function: u64, copies: u8) {
+    pub fn order(&mut self, to: ExecutorId, function: u64, copies: u8) {
         let tag = self.next_tag;
         self.next_tag += 1;
         self.orders.insert(tag, Order { to, function, copies, begun: self.now, link: usize::MAX });
@@ -329,73 +342,6 @@
     }
 }
 
-impl Host for Floor {
-    fn taken(&mut self, inv: u32) {
-        let Some(work) = self.taking.take() else { return };
-        if let Some(client) = self.clients.get_mut(work.client) {
-            client.open.insert(work.stream, inv);
-        }
-        self.held += work.body.len();
-        self.ids.insert(work.id.clone());
-        self.works.insert(inv, work);
-    }
-
-    fn dispatch(&mut self, inv: u32, dispatch: u8, to: ExecutorId, _within: f64) {
-        self.send(inv, dispatch, to, self.now);
-    }
-
-    fn cancel(&mut self, inv: u32, dispatch: u8) {
-        let Some(slot) = self.outs.remove(&(inv, dispatch)) else { return };
-        let Some(link) = self.links.get_mut(slot) else { return };
-        let found = link.open.iter().find(|(_, o)| o.inv == inv && o.dispatch == dispatch);
-        let Some((id, at)) = found.map(|(id, o)| (id.clone(), o.at)) else { return };
-        if link.give_up(&id) {
-            // One that was silent ever since, for longer than a new one takes to be made, may be dead.
-            link.retired |= link.heard_at < at && self.now > at + 2.0 * self.connect_time;
-            // Ahead of what is queued. Its dispatch was made a line, so that it comes after that.
-            link.socket.out().extend_from_slice(&lines::cancel(&id));
-            self.cancelled.push(slot);
-        }
-        link.idle_since = self.now;
-        self.touch_link(slot);
-    }
-
-    fn succeeded(&mut self, inv: u32, _dispatch: u8) {
-        let body = std::mem::take(&mut self.brought);
-        self.answer(inv, frames::SUCCEEDED, &[], &body);
-    }
-
-    fn throttled(&mut self, inv: u32, retry_after: f64, _past_share: bool) {
-        let ms = format!("{}", (retry_after * 1e3).round().max(0.0) as u64);
-        let fields = [("cooldown", ms.as_str())];
-        self.answer(inv, frames::THROTTLED, if retry_after > 0.0 { &fields } else { &[] }, &[]);
-    }
-
-    fn errored(&mut self, inv: u32, _cause: Cause, _may_have_run: bool) {
-        self.answer(inv, frames::ERRORED, &[], &[]);
-    }
-
-    fn hold(&mut self, to: ExecutorId, function: u64, copies: u8) {
-        self.order(to, function, copies);
-    }
-
-    fn ask(&mut self, to: ExecutorId, function: u64) {
-        self.order(to, function, 0);
-    }
-
-    fn unload(&mut self, to: ExecutorId, function: u64) {
-        self.line(to, lines::unload(&format!("{function:016x}")));
-    }
-
-    fn probe(&mut self, to: ExecutorId) {
-        self.next_tag += 1;
-        self.line(to, lines::probe(&format!("{PROBE}{}", self.next_tag)));
-    }
-
-    /// It is asked for all the time.
-    fn watch_roster(&mut self) {}
-}
-
 #[cfg(test)]
 #[path = "floor_tests.rs"]
 mod tests;
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -32,9 +32,12 @@
 /// How often the wall clock is followed, and counts are logged.
 const UPKEEP: f64 = 1.0;
 const REPORT: f64 = 10.0;
-/// After SIGTERM clients go on coming for up to 0.6 s; then they are told to come no more.
-const SERVE_ON: f64 = 0.75;
-/// So long clients have to read their last answers before the process ends.
+/// After SIGTERM clients go on coming for up to 0.6 s; then they are told to come no more. What comes later than 0.7 s
+/// has to be answered before the process is killed, which may be 0.7 s after the longest client timeout: from then
+/// on nothing is taken, and it is throttled at once.
+const SERVE_ON: f64 = 0.65;
+/// So long clients have to read their last answers before the process ends, and so long it waits after what a
+/// client sent in spite of having been told; for the longest client timeout at the most.
 const LAST_WORDS: f64 = 0.1;
 /// Bytes read at a time, and times that one connection is read in a turn: the others have their turn then.
 const READ: usize = 64 * 1024;
@@ -85,7 +88,7 @@
     /// Connections to executors that ended, when and how, with what is to be judged of them.
     severed: VecDeque<(f64, Transport, links::Link)>,
     leaving_since: Option<f64>,
-    /// Nothing has been open since.
+    /// Nothing has been open, and nobody has asked, since.
     quiet_since: Option<f64>,
     file: PathBuf,
     sweep_at: f64,
@@ -113,6 +116,7 @@
         front.wait(&mut events)?;
         let now = front.now();
         front.floor.now = now;
+        front.floor.release();
         // Answers first: they free places for what clients ask.
         let links = events.iter().filter(|e| e.token().0 >= clients::FIRST_TOKEN && e.token().0 % 2 == 1);
         let mut tokens: Vec<Token> = links.map(|e| e.token()).collect();
@@ -221,7 +225,8 @@
     fn wait(&mut self, events: &mut Events) -> io::Result<()> {
         let now = self.now();
         let severed = self.severed.front().map_or(f64::INFINITY, |s| s.0 + links::ALL_RESET);
-        let due = self.engine.due_at().min(self.resolver.due_at()).min(self.sweep_at).min(severed);
+        let held = if self.floor.held.is_empty() { f64::INFINITY } else { now + self.grounds.terms.tick };
+        let due = self.engine.due_at().min(self.resolver.due_at()).min(self.sweep_at).min(severed).min(held);
         let left = if self.again.is_empty() { (due - now).clamp(0.0, SWEEP) } else { 0.0 };
         match self.poll.poll(events, Some(Duration::from_secs_f64(left))) {
             Err(e) if e.kind() == io::ErrorKind::Interrupted => Ok(()),
@@ -419,7 +424,7 @@
             }
             Ok((offer, work)) => {
                 let full = self.floor.clients.get(slot).is_none_or(|c| c.open.len() >= clients::MOST_OPEN)
-                    || self.floor.held + work.body.len() > self.most_held;
+                    || self.floor.kept + work.body.len() > self.most_held;
                 let taken = if full {
                     Err(Refused::Full)
                 } else {
@@ -432,7 +437,10 @@
                     Err(Refused::Full) => {
                         (frames::THROTTLED, self.floor.longest_stay_away, "too much is open")
                     }
-                    Err(Refused::Leaving) => (frames::THROTTLED, 0.0, "the front end is ending"),
+                    Err(Refused::Leaving) => {
+                        self.quiet_since = None;
+                        (frames::THROTTLED, 0.0, "the front end is ending")
+                    }
                 }
             }
         };
@@ -516,6 +524,7 @@
             token: token.map(str::to_owned),
             body: body.to_vec(),
             timeout_at,
+            given_up_at: f64::NEG_INFINITY,
         };
         Ok((offer, work))
     }
@@ -627,6 +636,9 @@
         self.floor.send_again(&mut link, made);
         for out in link.open.values() {
             self.floor.outs.remove(&(out.inv, out.dispatch));
+            if let Some(work) = self.floor.works.get_mut(&out.inv) {
+                work.given_up_at = now;
+            }
         }
         // An answer that breaks off was begun: the executor is there, as it is where it sent what can't be read.
         let seen =
@@ -693,10 +705,10 @@
         {
             self.ordered(now, tag, Transport::TimedOut, 0);
         }
-        if let Some(since) = self.leaving_since
-            && now > since + SERVE_ON
-            && let Some(mut listener) = self.listener.take()
-        {
+        if self.leaving_since.is_some_and(|since| now > since + SERVE_ON) && self.listener.is_some() {
+            // Who waits to be accepted is told with the others.
+            self.accept(now);
+            let Some(mut listener) = self.listener.take() else { return };
             let _ = self.poll.registry().deregister(&mut listener);
             self.engine.leave();
             info!(open = self.engine.open(), clients = self.floor.clients.len(), "nothing new is taken");
@@ -767,6 +779,8 @@
             self.quiet_since = None;
             return false;
         }
-        now > *self.quiet_since.get_or_insert(now) + LAST_WORDS
+        let longest = self.grounds.terms.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
+        let kept_up = self.leaving_since.is_some_and(|since| now > since + SERVE_ON + longest);
+        kept_up || now > *self.quiet_since.get_or_insert(now) + LAST_WORDS
     }
 }
--- /dev/null
+++ b/crates/platform/src/held.rs
@@ -0,0 +1,40 @@
+//! Dispatches that wait until what was given up of the same invocation has surely left.
+
+use orchidtally::interface::ExecutorId;
+
+struct Waiting {
+    inv: u32,
+    dispatch: u8,
+    to: ExecutorId,
+    /// The first turn after the one in which it was made: what was given up in that one is handed over by then.
+    since: Option<f64>,
+}
+
+/// At most one for each invocation that is open. A cancel and the next dispatch go over two connections, on which
+/// nothing keeps their order: guards against two that are out for the moment between; could harm by that moment.
+#[derive(Default)]
+pub struct Held(Vec<Waiting>);
+
+impl Held {
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    pub fn push(&mut self, inv: u32, dispatch: u8, to: ExecutorId) {
+        self.0.push(Waiting { inv, dispatch, to, since: None });
+    }
+
+    /// Takes one back; tells whether it was held.
+    pub fn remove(&mut self, inv: u32, dispatch: u8) -> bool {
+        let before = self.0.len();
+        self.0.retain(|w| (w.inv, w.dispatch) != (inv, dispatch));
+        self.0.len() < before
+    }
+
+    /// Those that have waited for a time since a turn after their own, in the order in which they came.
+    pub fn due(&mut self, now: f64, time: f64) -> Vec<(u32, u8, ExecutorId)> {
+        self.0.iter_mut().for_each(|w| _ = w.since.get_or_insert(now));
+        let due = self.0.extract_if(.., |w| w.since.is_some_and(|since| now >= since + time));
+        due.map(|w| (w.inv, w.dispatch, w.to)).collect()
+    }
+}
--- /dev/null
+++ b/crates/platform/src/host.rs
@@ -0,0 +1,83 @@
+//! Performs the engine's answers: lines to executors, frames to clients.
+
+use crate::floor::{Floor, PROBE};
+use orchidtally::interface::ExecutorId;
+use orchidtally_engine::{Cause, Host};
+use orchidtally_frames as frames;
+use orchidtally_lines as lines;
+
+impl Host for Floor {
+    fn taken(&mut self, inv: u32) {
+        let Some(work) = self.taking.take() else { return };
+        if let Some(client) = self.clients.get_mut(work.client) {
+            client.open.insert(work.stream, inv);
+        }
+        self.kept += work.body.len();
+        self.ids.insert(work.id.clone());
+        self.works.insert(inv, work);
+    }
+
+    fn dispatch(&mut self, inv: u32, dispatch: u8, to: ExecutorId, _within: f64) {
+        if self.works.get(&inv).is_some_and(|w| self.now < w.given_up_at + self.tick) {
+            return self.held.push(inv, dispatch, to);
+        }
+        self.send(inv, dispatch, to, self.now);
+    }
+
+    fn cancel(&mut self, inv: u32, dispatch: u8) {
+        if self.held.remove(inv, dispatch) {
+            return;
+        }
+        let Some(slot) = self.outs.remove(&(inv, dispatch)) else { return };
+        let Some(link) = self.links.get_mut(slot) else { return };
+        let found = link.open.iter().find(|(_, o)| o.inv == inv && o.dispatch == dispatch);
+        let Some((id, at)) = found.map(|(id, o)| (id.clone(), o.at)) else { return };
+        if link.give_up(&id) {
+            // One that was silent ever since, for longer than a new one takes to be made, may be dead.
+            link.retired |= link.heard_at < at && self.now > at + 2.0 * self.connect_time;
+            // Ahead of what is queued. Its dispatch was made a line, so that it comes after that.
+            link.socket.out().extend_from_slice(&lines::cancel(&id));
+            self.cancelled.push(slot);
+            if let Some(work) = self.works.get_mut(&inv) {
+                work.given_up_at = self.now;
+            }
+        }
+        link.idle_since = self.now;
+        self.touch_link(slot);
+    }
+
+    fn succeeded(&mut self, inv: u32, _dispatch: u8) {
+        let body = std::mem::take(&mut self.brought);
+        self.answer(inv, frames::SUCCEEDED, &[], &body);
+    }
+
+    fn throttled(&mut self, inv: u32, retry_after: f64, _past_share: bool) {
+        let ms = format!("{}", (retry_after * 1e3).round().max(0.0) as u64);
+        let fields = [("cooldown", ms.as_str())];
+        self.answer(inv, frames::THROTTLED, if retry_after > 0.0 { &fields } else { &[] }, &[]);
+    }
+
+    fn errored(&mut self, inv: u32, _cause: Cause, _may_have_run: bool) {
+        self.answer(inv, frames::ERRORED, &[], &[]);
+    }
+
+    fn hold(&mut self, to: ExecutorId, function: u64, copies: u8) {
+        self.order(to, function, copies);
+    }
+
+    fn ask(&mut self, to: ExecutorId, function: u64) {
+        self.order(to, function, 0);
+    }
+
+    fn unload(&mut self, to: ExecutorId, function: u64) {
+        self.line(to, lines::unload(&format!("{function:016x}")));
+    }
+
+    fn probe(&mut self, to: ExecutorId) {
+        self.next_tag += 1;
+        self.line(to, lines::probe(&format!("{PROBE}{}", self.next_tag)));
+    }
+
+    /// It is asked for all the time.
+    fn watch_roster(&mut self) {}
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,8 @@
 mod clients;
 mod floor;
 mod front;
+mod held;
+mod host;
 mod links;
 mod roster;
 pub mod start;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -81,8 +81,8 @@
 const AHEAD: f64 = 0.5;
 const RENEWED: f64 = 0.6;
 const DEAR: f64 = 0.02;
-/// Part of the cold budget that is used; time constant of the work that executors are seen to carry.
-const COLD_MARGIN: f64 = 0.5;
+/// What a cold executor bears over its budget, in roots of it; time constant of the work executors carry.
+const COLD_SLACK: f64 = 3.0;
 const CARRY_TIME: f64 = 10.0;
 /// Least share of the longest stay-away advised; the rest is chance, so that clients don't return in step.
 const STAY_AWAY: f64 = 0.25;
@@ -538,8 +538,10 @@
         let seen = CARRY_TIME * (1.0 - (-(now - self.started) / CARRY_TIME).exp()).max(0.1);
         let fellows = self.fleet.fellows[kind].at(now, CARRY_TIME).max(1.0);
         let carried = self.fleet.carried[kind].at(now, CARRY_TIME) / seen / fellows;
-        let budget = COLD_MARGIN * carried * self.warmth(x) * self.terms.overload_factor * self.terms.fall;
-        (budget / work).max(1.0 / self.rota)
+        let budget = carried * self.warmth(x) * self.terms.overload_factor * self.terms.fall / work;
+        // Turns of two slots may fall into one span: guards it against both, where they exceed what it bears.
+        let all = (budget * self.terms.front_ends).max(1.0);
+        (budget * (0.5 + 0.5 * COLD_SLACK / all.sqrt()).min(1.0)).max(1.0 / self.rota)
     }
 
     fn dispatch(&mut self, i: usize, x: usize, places: bool, out: &mut dyn Answers) -> bool {
@@ -631,9 +633,10 @@
         self.terms.trigger_types[self.book.invs[i].ty].effect == Effect::Idempotent
     }
 
-    /// A suspect is tried with one idempotent invocation at a time.
+    /// A suspect is tried with one idempotent invocation at a time, and with none that was moved from there.
     fn may_try(&self, i: usize, x: usize) -> bool {
-        self.fleet.out[x].is_empty() && self.now >= self.fleet.trial_at[x] && self.is_idempotent(i)
+        let moved = self.book.invs[i].ran.is_some_and(|(at, _)| at == x);
+        self.fleet.out[x].is_empty() && self.now >= self.fleet.trial_at[x] && self.is_idempotent(i) && !moved
     }
 
     /// What an invocation is billed for a unit of work; little where its customer is past its share. A repeat
