Part the platform's front end: clients, executors, and the thread that turns

Change: moves alone: what clients ask into ingress.rs, what executors answer and what the end of a connection proves into egress.rs; fields and entries that the three share are visible within the crate, nothing else differs.

--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -1,7 +1,7 @@
 //! The front end's one thread: what is ready is read, told to the engine, and what came of it is written.
 
 use crate::clients::{self, Client};
-use crate::floor::{Floor, ORDER, Work};
+use crate::floor::Floor;
 use crate::links::{self, Executor};
 use crate::roster::Resolver;
 use crate::start::{self, Start};
@@ -10,10 +10,8 @@
 use orchidtally::interface::*;
 use orchidtally_engine::clock::Clock;
 use orchidtally_engine::evidence::{self, Transport};
-use orchidtally_engine::{Engine, Offer, Refused, Tally, Told};
+use orchidtally_engine::{Engine, Tally};
 use orchidtally_frames as frames;
-use orchidtally_lines::{Answer, Tell, Word};
-use orchidtally_net::turn::Brought;
 use orchidtally_resolver::{Entry, Places};
 use orchidtally_terms::Grounds;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -22,9 +20,9 @@
 use std::io;
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tracing::{debug, info, warn};
+use tracing::{info, warn};
 
-const LISTENER: Token = Token(0);
+pub const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
 const RESOLVER: Token = Token(2);
 /// How often connections are looked through for what is overdue on them.
@@ -41,59 +39,50 @@
 const LAST_WORDS: f64 = 0.1;
 /// Bytes read at a time, and times that one connection is read in a turn: the others have their turn then.
 const READ: usize = 64 * 1024;
-const READS: usize = 4;
-/// Connections accepted in a turn.
-const ACCEPTS: usize = 256;
+pub const READS: usize = 4;
 /// Descriptors for the listener, the resolver, signals, logs and the poll itself.
 const OWN_SOCKETS: usize = 16;
-/// The longest that a client may say it waits: a day would only hold a place.
-const LONGEST_ALLOW_MS: f64 = 600_000.0;
-/// A token's length at the most.
-const LONGEST_TOKEN: usize = 256;
 
 fn wall() -> f64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64())
 }
 
 #[derive(Debug, Default)]
-struct Counts {
-    accepted: u64,
-    evicted: u64,
-    unusable: u64,
-    turned_away: u64,
-    unreadable: u64,
-    links_made: u64,
-    links_lost: u64,
+pub struct Counts {
+    pub accepted: u64,
+    pub evicted: u64,
+    pub unusable: u64,
+    pub turned_away: u64,
+    pub unreadable: u64,
+    pub links_made: u64,
+    pub links_lost: u64,
 }
 
-/// Invocations that were read and not yet taken: the stream, and the payload where it is not too long.
-type Fresh = Vec<(u32, Option<Vec<u8>>)>;
-
-struct Front {
-    poll: Poll,
-    listener: Option<TcpListener>,
-    resolver: Resolver,
-    engine: Engine,
-    floor: Floor,
-    grounds: Grounds,
-    places: Places,
-    clock: Clock,
-    began: Instant,
-    most_clients: usize,
-    most_held: usize,
+pub struct Front {
+    pub poll: Poll,
+    pub listener: Option<TcpListener>,
+    pub resolver: Resolver,
+    pub engine: Engine,
+    pub floor: Floor,
+    pub grounds: Grounds,
+    pub places: Places,
+    pub clock: Clock,
+    pub began: Instant,
+    pub most_clients: usize,
+    pub most_held: usize,
     /// Sources that may have more to read than a turn takes.
-    again: VecDeque<Token>,
-    buffer: Box<[u8]>,
-    counts: Counts,
+    pub again: VecDeque<Token>,
+    pub buffer: Box<[u8]>,
+    pub counts: Counts,
     /// Connections to executors that ended, when and how, with what is to be judged of them.
-    severed: VecDeque<(f64, Transport, links::Link)>,
-    leaving_since: Option<f64>,
+    pub severed: VecDeque<(f64, Transport, links::Link)>,
+    pub leaving_since: Option<f64>,
     /// Nothing has been open, and nobody has asked, since.
-    quiet_since: Option<f64>,
-    file: PathBuf,
-    sweep_at: f64,
-    upkeep_at: f64,
-    report_at: f64,
+    pub quiet_since: Option<f64>,
+    pub file: PathBuf,
+    pub sweep_at: f64,
+    pub upkeep_at: f64,
+    pub report_at: f64,
 }
 
 /// Signals from its making on: they wait until the front end serves. One that comes before this would end the
@@ -149,29 +138,6 @@
     }
 }
 
-/// What the module is told of an answer's ending.
-fn ending(word: Word) -> Transport {
-    match word {
-        Word::Done => Transport::Answered(Ending::Ok),
-        Word::Lack => Transport::Answered(Ending::Miss),
-        Word::Wait => Transport::Answered(Ending::Full),
-        Word::Broke => Transport::Answered(Ending::Error),
-        Word::Past => Transport::Answered(Ending::NeverSent),
-        // No answer to a dispatch or an order.
-        Word::Fit | Word::Unfit => Transport::Malformed,
-    }
-}
-
-fn hex(text: &str) -> Option<u64> {
-    let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
-    digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
-}
-
-/// A figure of a client: a number within bounds.
-fn figure(text: &str, least: f64, most: f64) -> Option<f64> {
-    text.parse::<f64>().ok().filter(|n| (least..=most).contains(n))
-}
-
 impl Front {
     fn new(start: Start, file: PathBuf, poll: Poll) -> io::Result<Front> {
         let mut listener = TcpListener::bind(start.listen)?;
@@ -288,385 +254,6 @@
         self.floor.executors.retain(|_, e| e.listed || !e.links.is_empty());
     }
 
-    fn accept(&mut self, now: f64) {
-        for _ in 0..ACCEPTS {
-            let Some(listener) = &self.listener else { return };
-            let mut stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                Err(fault) => {
-                    // A connection that broke before it was taken, or no descriptor: the next turn tries again.
-                    debug!(%fault, "accepting");
-                    break;
-                }
-            };
-            if self.floor.clients.len() >= self.most_clients {
-                self.counts.evicted += 1;
-                match clients::least_missed(&self.floor.clients, now, self.grounds.connect_time) {
-                    Some(slot) => self.close_client(now, slot),
-                    None => continue,
-                }
-            }
-            self.counts.accepted += 1;
-            let token = clients::token(self.floor.clients.vacant_key());
-            let both = Interest::READABLE | Interest::WRITABLE;
-            if self.poll.registry().register(&mut stream, token, both).is_ok() {
-                self.floor.clients.insert(Client::new(stream, now));
-            }
-        }
-        self.again.push_back(LISTENER);
-    }
-
-    /// Closes a client's connection; what it has open nobody waits for any more.
-    fn close_client(&mut self, now: f64, slot: usize) {
-        let Some(mut client) = self.floor.clients.try_remove(slot) else { return };
-        // One whose socket is gone already needs no more.
-        let _ = self.poll.registry().deregister(&mut client.socket.stream);
-        for inv in client.open.into_values() {
-            self.floor.drop_work(inv);
-            self.engine.withdrawn(now, inv, &mut self.floor);
-        }
-    }
-
-    fn read_client(&mut self, now: f64, slot: usize) {
-        let mut fresh = vec![];
-        self.read_frames(now, slot, &mut fresh);
-        if self.floor.clients.get(slot).is_none_or(|c| c.ending) {
-            return;
-        }
-        for (stream, payload) in fresh {
-            self.invoke(now, slot, stream, payload.as_deref());
-        }
-    }
-
-    /// Reads what there is. Invocations are taken after that, but for those that were withdrawn by then:
-    /// guards against clients that take back hundreds at once, each of which would have had its placement.
-    fn read_frames(&mut self, now: f64, slot: usize, fresh: &mut Fresh) {
-        for _ in 0..READS {
-            let Some(client) = self.floor.clients.get_mut(slot) else { return };
-            if client.ending {
-                return;
-            }
-            client.full = client.socket.waiting() > clients::BACKLOG;
-            if client.full {
-                return self.floor.touch_client(slot);
-            }
-            let brought = client.socket.read(&mut self.buffer);
-            match brought {
-                Ok(Brought::Nothing) => {
-                    if client.socket.waiting() > 0 {
-                        self.floor.touch_client(slot);
-                    }
-                    return;
-                }
-                Ok(Brought::Bytes(n)) => {
-                    client.decoder.push(&self.buffer[..n]);
-                    if let Err(fault) = self.frames(now, slot, fresh) {
-                        self.counts.unreadable += 1;
-                        if let Some(client) = self.floor.clients.get_mut(slot) {
-                            client.answer(0, frames::ERRORED, &[], fault.0.as_bytes());
-                            client.ending = true;
-                        }
-                        return self.floor.touch_client(slot);
-                    }
-                }
-                Ok(Brought::End) | Err(_) => return self.close_client(now, slot),
-            }
-        }
-        self.again.push_back(clients::token(slot));
-    }
-
-    fn frames(&mut self, now: f64, slot: usize, fresh: &mut Fresh) -> Result<(), frames::Unreadable> {
-        let mut whole = false;
-        loop {
-            let Some(client) = self.floor.clients.get_mut(slot) else { return Ok(()) };
-            let Some(frame) = client.decoder.read()? else { break };
-            whole = true;
-            let stream = frame.stream;
-            match frame.kind {
-                frames::INVOKE => {
-                    if stream <= client.last_stream {
-                        return Err(frames::Unreadable("a stream's number was used before"));
-                    }
-                    client.last_stream = stream;
-                    fresh.push((stream, frame.payload.map(<[u8]>::to_vec)));
-                }
-                frames::WITHDRAW => {
-                    fresh.retain(|f| f.0 != stream);
-                    if let Some(&inv) = client.open.get(&stream) {
-                        self.floor.drop_work(inv);
-                        self.engine.withdrawn(now, inv, &mut self.floor);
-                    }
-                }
-                frames::ASK_READY => {
-                    let ready = self.leaving_since.is_none() && !self.floor.executors.is_empty();
-                    let code = if ready { frames::IS_READY } else { frames::NOT_READY };
-                    frames::put(client.socket.out(), frames::READY, stream, Some(code), Some(&[]), &[]);
-                    self.floor.touch_client(slot);
-                }
-                _ => return Err(frames::Unreadable("a frame of a type that clients don't send")),
-            }
-        }
-        if let Some(client) = self.floor.clients.get_mut(slot) {
-            client.heard(now, whole);
-        }
-        Ok(())
-    }
-
-    /// Takes an invocation, or answers why not.
-    fn invoke(&mut self, now: f64, slot: usize, stream: u32, payload: Option<&[u8]>) {
-        let read = payload.ok_or("the frame is too long for an invocation");
-        let (code, cooldown, why) = match read.and_then(|p| self.offer(now, slot, stream, p)) {
-            Err(why) => {
-                self.counts.unusable += 1;
-                (frames::ERRORED, 0.0, why)
-            }
-            Ok((offer, work)) => {
-                let full = self.floor.clients.get(slot).is_none_or(|c| c.open.len() >= clients::MOST_OPEN)
-                    || self.floor.kept + work.body.len() > self.most_held;
-                let taken = if full {
-                    Err(Refused::Full)
-                } else {
-                    self.floor.taking = Some(work);
-                    self.engine.take(now, &offer, &mut self.floor)
-                };
-                self.floor.taking = None;
-                match taken {
-                    Ok(_) => return,
-                    Err(Refused::Full) => {
-                        (frames::THROTTLED, self.floor.longest_stay_away, "too much is open")
-                    }
-                    Err(Refused::Leaving) => {
-                        self.quiet_since = None;
-                        (frames::THROTTLED, 0.0, "the front end is ending")
-                    }
-                }
-            }
-        };
-        debug!(why, "not taken");
-        self.counts.turned_away += u64::from(code == frames::THROTTLED);
-        let ms = format!("{}", (cooldown * 1e3).ceil());
-        let fields = [("cooldown", ms.as_str())];
-        if let Some(client) = self.floor.clients.get_mut(slot) {
-            client.answer(stream, code, if cooldown > 0.0 { &fields } else { &[] }, why.as_bytes());
-        }
-        self.floor.touch_client(slot);
-    }
-
-    /// What a client asks, checked; or what is wrong with it.
-    fn offer(
-        &self,
-        now: f64,
-        client: usize,
-        stream: u32,
-        payload: &[u8],
-    ) -> Result<(Offer, Work), &'static str> {
-        let (fields, body) = frames::fields(payload).map_err(|e| e.0)?;
-        if body.len() > frames::LONGEST_BODY {
-            return Err("the body is over 16 KiB");
-        }
-        let field = |name: &str| fields.iter().find(|f| f.0 == name).map(|f| f.1);
-        let service = field("service").ok_or("no 'service'")?;
-        let trigger_type = self.grounds.trigger_types.iter().position(|t| t == service);
-        let trigger_type = trigger_type.ok_or("'service' names nothing that is served")?;
-        let ty = &self.grounds.terms.trigger_types[trigger_type];
-        let id = field("ref").filter(|id| hex(id).is_some()).ok_or("'ref' is not 16 hex digits")?;
-        if self.floor.ids.contains(id) {
-            return Err("'ref' is that of an open invocation");
-        }
-        let function_text = field("lookup").ok_or("no 'lookup'")?;
-        let function = hex(function_text).ok_or("'lookup' is not 16 hex digits")?;
-        let allow = field("allow").and_then(|a| figure(a, 1.0, LONGEST_ALLOW_MS));
-        let allow = allow.ok_or("'allow' is no number of milliseconds that can be waited")?;
-        let repeat = match field("dup") {
-            None | Some("0") => false,
-            Some("1") => true,
-            Some(_) => return Err("'dup' is neither 1 nor absent"),
-        };
-        let token = field("replay");
-        if token.is_some_and(|t| t.is_empty() || t.len() > LONGEST_TOKEN) {
-            return Err("'replay' is empty or too long");
-        }
-        if token.is_none() && ty.effect == Effect::Tokened {
-            return Err("no 'replay', which this 'service' needs");
-        }
-        let (mut lanes, mut load_time) = (1.0, None);
-        for tag in field("tags").unwrap_or_default().split(';').filter(|t| !t.is_empty()) {
-            let (name, value) = tag.split_once(':').ok_or("'tags' has no form that can be read")?;
-            match name {
-                "memory_mb" => _ = figure(value, 0.0, 1e7).ok_or("'memory_mb' is out of range")?,
-                "lanes" => lanes = figure(value, 1.0, 1e4).ok_or("'lanes' is out of range")?,
-                "load_ms" => {
-                    load_time = Some(figure(value, 0.0, 3.6e6).ok_or("'load_ms' is out of range")? / 1e3)
-                }
-                _ => {}
-            }
-        }
-        let timeout_at = now + (allow / 1e3).min(ty.timeout);
-        let offer = Offer {
-            trigger_type,
-            customer: 0,
-            function,
-            repeat,
-            moved: false,
-            timeout_at,
-            work: None,
-            lanes,
-            load_time,
-        };
-        let work = Work {
-            client,
-            stream,
-            id: id.into(),
-            trigger_type,
-            function: function_text.into(),
-            token: token.map(str::to_owned),
-            body: body.to_vec(),
-            timeout_at,
-            given_up_at: f64::NEG_INFINITY,
-        };
-        Ok((offer, work))
-    }
-
-    fn read_link(&mut self, now: f64, slot: usize) {
-        let Some(link) = self.floor.links.get_mut(slot) else { return };
-        if !link.connected {
-            match link.socket.is_connected() {
-                Ok(false) => return,
-                Ok(true) => {
-                    link.connected = true;
-                    link.heard(now);
-                    self.counts.links_made += 1;
-                    self.floor.touch_link(slot);
-                }
-                Err(fault) => return self.dissolve(now, slot, Transport::NoConnection, &fault.to_string()),
-            }
-        }
-        for _ in 0..READS {
-            let Some(link) = self.floor.links.get_mut(slot) else { return };
-            match link.socket.read(&mut self.buffer) {
-                Ok(Brought::Nothing) => {
-                    if link.socket.waiting() > 0 || !link.queue.is_empty() {
-                        self.floor.touch_link(slot);
-                    }
-                    return;
-                }
-                Ok(Brought::Bytes(n)) => {
-                    link.decoder.push(&self.buffer[..n]);
-                    loop {
-                        let Some(link) = self.floor.links.get_mut(slot) else { return };
-                        match link.decoder.read() {
-                            Ok(None) => break link.heard(now),
-                            Ok(Some(answer)) => self.answered(now, slot, answer),
-                            Err(fault) => return self.dissolve(now, slot, Transport::Malformed, &fault.0),
-                        }
-                    }
-                }
-                Ok(Brought::End) => {
-                    return self.dissolve(now, slot, Transport::Broken, "closed by the executor");
-                }
-                Err(fault) => return self.dissolve(now, slot, Transport::Broken, &fault.to_string()),
-            }
-        }
-        self.again.push_back(links::token(slot));
-    }
-
-    fn answered(&mut self, now: f64, slot: usize, answer: Answer) {
-        let Some(link) = self.floor.links.get_mut(slot) else { return };
-        (link.heard_at, link.idle_since, link.answered) = (now, now, true);
-        if let Some(tag) = answer.id.strip_prefix(ORDER).and_then(|t| t.parse().ok()) {
-            return self.ordered(now, tag, ending(answer.word), answer.count);
-        }
-        let there = link.open.get(answer.id.as_str()).is_some_and(|o| o.from.is_some());
-        let Some(out) = there.then(|| link.open.remove(answer.id.as_str())).flatten() else {
-            // Of one given up, a second copy, or of nothing that was asked.
-            return link.settled(&answer.id);
-        };
-        self.floor.outs.remove(&(out.inv, out.dispatch));
-        if answer.word != Word::Done {
-            let executor = self.floor.executors.get(&link.to).map(|e| e.name.as_str());
-            debug!(executor, word = ?answer.word, tell = ?answer.tell, after = now - out.at, "no success");
-        }
-        self.floor.brought = answer.body;
-        let found = match answer.tell {
-            Tell::Nothing => Found::Untold,
-            Tell::Warm => Found::Warm,
-            Tell::Cold => Found::Loaded,
-            Tell::Joined => Found::Waited,
-            Tell::LoadFailed => Found::LoadFailed,
-        };
-        let report = orchidtally_lines::report(&answer.meter, &self.grounds.report);
-        let told = Told { found, crowd: answer.crowd, report: &report };
-        let ending = evidence::ending(ending(answer.word));
-        self.engine.ended(now, out.inv, out.dispatch, ending, told, &mut self.floor);
-        self.floor.brought = vec![];
-    }
-
-    /// An order to load has come to its end.
-    fn ordered(&mut self, now: f64, tag: u64, seen: Transport, count: u32) {
-        let Some(order) = self.floor.orders.remove(&tag) else { return };
-        if let Some(link) = self.floor.links.get_mut(order.link) {
-            link.orders.remove(&tag);
-        }
-        let ending = match evidence::ending(seen) {
-            // One that only asked.
-            Ending::Ok if order.copies == 0 && count == 0 => Ending::Miss,
-            ending => ending,
-        };
-        self.engine.held(now, order.to, order.function, ending, &mut self.floor);
-    }
-
-    /// Ends a connection to an executor, and with it all that is open on it.
-    fn dissolve(&mut self, now: f64, slot: usize, seen: Transport, why: &str) {
-        let Some(mut link) = self.floor.links.try_remove(slot) else { return };
-        // One whose socket is gone already needs no more.
-        let _ = self.poll.registry().deregister(&mut link.socket.stream);
-        if let Some(executor) = self.floor.executors.get_mut(&link.to) {
-            executor.links.retain(|&l| l != slot);
-            if !link.is_idle() {
-                self.counts.links_lost += 1;
-                debug!(executor = executor.name, open = link.open.len(), why, "lost a connection");
-            }
-            if !executor.listed && executor.links.is_empty() {
-                self.floor.executors.remove(&link.to);
-            }
-        }
-        let made = link.connected;
-        self.floor.send_again(&mut link, made);
-        for out in link.open.values() {
-            self.floor.outs.remove(&(out.inv, out.dispatch));
-            if let Some(work) = self.floor.works.get_mut(&out.inv) {
-                work.given_up_at = now;
-            }
-        }
-        // An answer that breaks off was begun: the executor is there, as it is where it sent what can't be read.
-        let seen =
-            if seen == Transport::Broken && link.decoder.is_within() { Transport::Malformed } else { seen };
-        self.severed.push_back((now, seen, link));
-    }
-
-    /// Judges what ended connections leave: where another stands, the process did not end.
-    fn judge_severed(&mut self, now: f64) {
-        for _ in 0..self.severed.len() {
-            let Some((at, seen, link)) = self.severed.pop_front() else { return };
-            let stands = self.floor.stands(link.to, at);
-            if seen == Transport::Broken && stands && now < at + links::ALL_RESET {
-                self.severed.push_back((at, seen, link));
-                continue;
-            }
-            let one_of_several = seen == Transport::Malformed || stands;
-            for (out, verdict) in link.verdicts(seen) {
-                let ending = evidence::ending(if one_of_several { verdict } else { seen });
-                let told = orchidtally_engine::NOTHING_TOLD;
-                self.engine.ended(now, out.inv, out.dispatch, ending, told, &mut self.floor);
-            }
-            for &tag in link.orders.keys() {
-                self.ordered(now, tag, if one_of_several { Transport::Cut } else { seen }, 0);
-            }
-        }
-    }
-
     fn keep_house(&mut self, now: f64) {
         self.resolver.turn(now);
         if now < self.sweep_at {
--- /dev/null
+++ b/crates/platform/src/ingress.rs
@@ -0,0 +1,275 @@
+//! Clients: what they ask, checked, and what they are told where it is not taken.
+
+use crate::clients::{self, Client};
+use crate::floor::Work;
+use crate::front::{Front, LISTENER, READS};
+use mio::Interest;
+use orchidtally::interface::Effect;
+use orchidtally_engine::{Offer, Refused};
+use orchidtally_frames as frames;
+use orchidtally_net::turn::Brought;
+use std::io;
+use tracing::debug;
+
+/// Connections accepted in a turn.
+const ACCEPTS: usize = 256;
+/// The longest that a client may say it waits: a day would only hold a place.
+const LONGEST_ALLOW_MS: f64 = 600_000.0;
+/// A token's length at the most.
+const LONGEST_TOKEN: usize = 256;
+
+/// Invocations that were read and not yet taken: the stream, and the payload where it is not too long.
+type Fresh = Vec<(u32, Option<Vec<u8>>)>;
+
+fn hex(text: &str) -> Option<u64> {
+    let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+    digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
+}
+
+/// A figure of a client: a number within bounds.
+fn figure(text: &str, least: f64, most: f64) -> Option<f64> {
+    text.parse::<f64>().ok().filter(|n| (least..=most).contains(n))
+}
+
+impl Front {
+    pub fn accept(&mut self, now: f64) {
+        for _ in 0..ACCEPTS {
+            let Some(listener) = &self.listener else { return };
+            let mut stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
+                Err(fault) => {
+                    // A connection that broke before it was taken, or no descriptor: the next turn tries again.
+                    debug!(%fault, "accepting");
+                    break;
+                }
+            };
+            if self.floor.clients.len() >= self.most_clients {
+                self.counts.evicted += 1;
+                match clients::least_missed(&self.floor.clients, now, self.grounds.connect_time) {
+                    Some(slot) => self.close_client(now, slot),
+                    None => continue,
+                }
+            }
+            self.counts.accepted += 1;
+            let token = clients::token(self.floor.clients.vacant_key());
+            let both = Interest::READABLE | Interest::WRITABLE;
+            if self.poll.registry().register(&mut stream, token, both).is_ok() {
+                self.floor.clients.insert(Client::new(stream, now));
+            }
+        }
+        self.again.push_back(LISTENER);
+    }
+
+    /// Closes a client's connection; what it has open nobody waits for any more.
+    pub fn close_client(&mut self, now: f64, slot: usize) {
+        let Some(mut client) = self.floor.clients.try_remove(slot) else { return };
+        // One whose socket is gone already needs no more.
+        let _ = self.poll.registry().deregister(&mut client.socket.stream);
+        for inv in client.open.into_values() {
+            self.floor.drop_work(inv);
+            self.engine.withdrawn(now, inv, &mut self.floor);
+        }
+    }
+
+    pub fn read_client(&mut self, now: f64, slot: usize) {
+        let mut fresh = vec![];
+        self.read_frames(now, slot, &mut fresh);
+        if self.floor.clients.get(slot).is_none_or(|c| c.ending) {
+            return;
+        }
+        for (stream, payload) in fresh {
+            self.invoke(now, slot, stream, payload.as_deref());
+        }
+    }
+
+    /// Reads what there is. Invocations are taken after that, but for those that were withdrawn by then:
+    /// guards against clients that take back hundreds at once, each of which would have had its placement.
+    fn read_frames(&mut self, now: f64, slot: usize, fresh: &mut Fresh) {
+        for _ in 0..READS {
+            let Some(client) = self.floor.clients.get_mut(slot) else { return };
+            if client.ending {
+                return;
+            }
+            client.full = client.socket.waiting() > clients::BACKLOG;
+            if client.full {
+                return self.floor.touch_client(slot);
+            }
+            let brought = client.socket.read(&mut self.buffer);
+            match brought {
+                Ok(Brought::Nothing) => {
+                    if client.socket.waiting() > 0 {
+                        self.floor.touch_client(slot);
+                    }
+                    return;
+                }
+                Ok(Brought::Bytes(n)) => {
+                    client.decoder.push(&self.buffer[..n]);
+                    if let Err(fault) = self.frames(now, slot, fresh) {
+                        self.counts.unreadable += 1;
+                        if let Some(client) = self.floor.clients.get_mut(slot) {
+                            client.answer(0, frames::ERRORED, &[], fault.0.as_bytes());
+                            client.ending = true;
+                        }
+                        return self.floor.touch_client(slot);
+                    }
+                }
+                Ok(Brought::End) | Err(_) => return self.close_client(now, slot),
+            }
+        }
+        self.again.push_back(clients::token(slot));
+    }
+
+    fn frames(&mut self, now: f64, slot: usize, fresh: &mut Fresh) -> Result<(), frames::Unreadable> {
+        let mut whole = false;
+        loop {
+            let Some(client) = self.floor.clients.get_mut(slot) else { return Ok(()) };
+            let Some(frame) = client.decoder.read()? else { break };
+            whole = true;
+            let stream = frame.stream;
+            match frame.kind {
+                frames::INVOKE => {
+                    if stream <= client.last_stream {
+                        return Err(frames::Unreadable("a stream's number was used before"));
+                    }
+                    client.last_stream = stream;
+                    fresh.push((stream, frame.payload.map(<[u8]>::to_vec)));
+                }
+                frames::WITHDRAW => {
+                    fresh.retain(|f| f.0 != stream);
+                    if let Some(&inv) = client.open.get(&stream) {
+                        self.floor.drop_work(inv);
+                        self.engine.withdrawn(now, inv, &mut self.floor);
+                    }
+                }
+                frames::ASK_READY => {
+                    let ready = self.leaving_since.is_none() && !self.floor.executors.is_empty();
+                    let code = if ready { frames::IS_READY } else { frames::NOT_READY };
+                    frames::put(client.socket.out(), frames::READY, stream, Some(code), Some(&[]), &[]);
+                    self.floor.touch_client(slot);
+                }
+                _ => return Err(frames::Unreadable("a frame of a type that clients don't send")),
+            }
+        }
+        if let Some(client) = self.floor.clients.get_mut(slot) {
+            client.heard(now, whole);
+        }
+        Ok(())
+    }
+
+    /// Takes an invocation, or answers why not.
+    fn invoke(&mut self, now: f64, slot: usize, stream: u32, payload: Option<&[u8]>) {
+        let read = payload.ok_or("the frame is too long for an invocation");
+        let (code, cooldown, why) = match read.and_then(|p| self.offer(now, slot, stream, p)) {
+            Err(why) => {
+                self.counts.unusable += 1;
+                (frames::ERRORED, 0.0, why)
+            }
+            Ok((offer, work)) => {
+                let full = self.floor.clients.get(slot).is_none_or(|c| c.open.len() >= clients::MOST_OPEN)
+                    || self.floor.kept + work.body.len() > self.most_held;
+                let taken = if full {
+                    Err(Refused::Full)
+                } else {
+                    self.floor.taking = Some(work);
+                    self.engine.take(now, &offer, &mut self.floor)
+                };
+                self.floor.taking = None;
+                match taken {
+                    Ok(_) => return,
+                    Err(Refused::Full) => {
+                        (frames::THROTTLED, self.floor.longest_stay_away, "too much is open")
+                    }
+                    Err(Refused::Leaving) => {
+                        self.quiet_since = None;
+                        (frames::THROTTLED, 0.0, "the front end is ending")
+                    }
+                }
+            }
+        };
+        debug!(why, "not taken");
+        self.counts.turned_away += u64::from(code == frames::THROTTLED);
+        let ms = format!("{}", (cooldown * 1e3).ceil());
+        let fields = [("cooldown", ms.as_str())];
+        if let Some(client) = self.floor.clients.get_mut(slot) {
+            client.answer(stream, code, if cooldown > 0.0 { &fields } else { &[] }, why.as_bytes());
+        }
+        self.floor.touch_client(slot);
+    }
+
+    /// What a client asks, checked; or what is wrong with it.
+    fn offer(
+        &self,
+        now: f64,
+        client: usize,
+        stream: u32,
+        payload: &[u8],
+    ) -> Result<(Offer, Work), &'static str> {
+        let (fields, body) = frames::fields(payload).map_err(|e| e.0)?;
+        if body.len() > frames::LONGEST_BODY {
+            return Err("the body is over 16 KiB");
+        }
+        let field = |name: &str| fields.iter().find(|f| f.0 == name).map(|f| f.1);
+        let service = field("service").ok_or("no 'service'")?;
+        let trigger_type = self.grounds.trigger_types.iter().position(|t| t == service);
+        let trigger_type = trigger_type.ok_or("'service' names nothing that is served")?;
+        let ty = &self.grounds.terms.trigger_types[trigger_type];
+        let id = field("ref").filter(|id| hex(id).is_some()).ok_or("'ref' is not 16 hex digits")?;
+        if self.floor.ids.contains(id) {
+            return Err("'ref' is that of an open invocation");
+        }
+        let function_text = field("lookup").ok_or("no 'lookup'")?;
+        let function = hex(function_text).ok_or("'lookup' is not 16 hex digits")?;
+        let allow = field("allow").and_then(|a| figure(a, 1.0, LONGEST_ALLOW_MS));
+        let allow = allow.ok_or("'allow' is no number of milliseconds that can be waited")?;
+        let repeat = match field("dup") {
+            None | Some("0") => false,
+            Some("1") => true,
+            Some(_) => return Err("'dup' is neither 1 nor absent"),
+        };
+        let token = field("replay");
+        if token.is_some_and(|t| t.is_empty() || t.len() > LONGEST_TOKEN) {
+            return Err("'replay' is empty or too long");
+        }
+        if token.is_none() && ty.effect == Effect::Tokened {
+            return Err("no 'replay', which this 'service' needs");
+        }
+        let (mut lanes, mut load_time) = (1.0, None);
+        for tag in field("tags").unwrap_or_default().split(';').filter(|t| !t.is_empty()) {
+            let (name, value) = tag.split_once(':').ok_or("'tags' has no form that can be read")?;
+            match name {
+                "memory_mb" => _ = figure(value, 0.0, 1e7).ok_or("'memory_mb' is out of range")?,
+                "lanes" => lanes = figure(value, 1.0, 1e4).ok_or("'lanes' is out of range")?,
+                "load_ms" => {
+                    load_time = Some(figure(value, 0.0, 3.6e6).ok_or("'load_ms' is out of range")? / 1e3)
+                }
+                _ => {}
+            }
+        }
+        let timeout_at = now + (allow / 1e3).min(ty.timeout);
+        let offer = Offer {
+            trigger_type,
+            customer: 0,
+            function,
+            repeat,
+            moved: false,
+            timeout_at,
+            work: None,
+            lanes,
+            load_time,
+        };
+        let work = Work {
+            client,
+            stream,
+            id: id.into(),
+            trigger_type,
+            function: function_text.into(),
+            token: token.map(str::to_owned),
+            body: body.to_vec(),
+            timeout_at,
+            given_up_at: f64::NEG_INFINITY,
+        };
+        Ok((offer, work))
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,10 +3,12 @@
 //! told at the start. It decides nothing: it turns what it reads into calls and answers into messages.
 
 mod clients;
+mod egress;
 mod floor;
 mod front;
 mod held;
 mod host;
+mod ingress;
 mod links;
 mod roster;
 pub mod start;
