Test lists whose answers are late, lost or overtaken, and a resolver that is away

Change: the stand-in resolver tells late answers (sent after the next query) and counts lost ones as told; it can be away, with what it would have told counted after a time. Away for longer than the grace after 4.5 s is not kept by design: an executor whose drain nobody could tell gets what its next answer 'full' then turns away (docs/design/platform.md).

--- /dev/null
+++ b/crates/standin/src/platform/client.rs
@@ -0,0 +1,153 @@
+//! Clients that send the platform's frames.
+
+use crate::Stage;
+use async_channel::Sender;
+use async_io::Async;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
+use orchidtally_frames as frames;
+use orchidtally_witness::{Answer, Record};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// One invocation as a client sends it.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub id: u64,
+    /// Its place among the settings' and its name.
+    pub trigger_type: (usize, &'static str),
+    pub function: u64,
+    pub allow: f64,
+    pub body: Vec<u8>,
+}
+
+/// What a client heard: the answer's code, and its body.
+type Heard = (u8, Vec<u8>);
+
+struct Open {
+    stream: Rc<Async<TcpStream>>,
+    next: Cell<u32>,
+    waiting: RefCell<HashMap<u32, Sender<Heard>>>,
+    /// Told to send no more, or ended.
+    over: Cell<bool>,
+}
+
+/// A client's way to one front end: one connection, and a new one where that is over.
+pub struct Client {
+    stage: Stage,
+    front_end: u32,
+    at: SocketAddr,
+    open: RefCell<Option<Rc<Open>>>,
+}
+
+impl Client {
+    pub fn new(stage: &Stage, front_end: u32, at: SocketAddr) -> Rc<Client> {
+        Rc::new(Client { stage: stage.clone(), front_end, at, open: RefCell::default() })
+    }
+
+    async fn connection(&self) -> std::io::Result<Rc<Open>> {
+        let stands = self.open.borrow().clone().filter(|o| !o.over.get());
+        if let Some(open) = stands {
+            return Ok(open);
+        }
+        let stream = Rc::new(Async::<TcpStream>::connect(self.at).await?);
+        let (next, waiting, over) = (Cell::new(1), RefCell::default(), Cell::new(false));
+        let open = Rc::new(Open { stream, next, waiting, over });
+        let listening = open.clone();
+        self.stage
+            .spawn(async move {
+                let mut decoder = frames::Decoder::default();
+                let mut buffer = vec![0; 16 * 1024];
+                'reading: while let Ok(n @ 1..) = (&*listening.stream).read(&mut buffer).await {
+                    decoder.push(&buffer[..n]);
+                    loop {
+                        let frame = match decoder.read() {
+                            Ok(Some(frame)) => frame,
+                            Ok(None) => break,
+                            Err(_) => break 'reading,
+                        };
+                        let payload = frame.payload.unwrap_or_default();
+                        match (frame.kind, payload.split_first()) {
+                            (frames::NO_MORE, _) => listening.over.set(true),
+                            (frames::ANSWER, Some((&code, rest))) => {
+                                let body = frames::fields(rest).map(|f| f.1.to_vec()).unwrap_or_default();
+                                let to = listening.waiting.borrow().get(&frame.stream).cloned();
+                                if let Some(to) = to {
+                                    // A second answer has no room there, and is noted by who looks.
+                                    let _ = to.try_send((code, body));
+                                }
+                            }
+                            _ => {}
+                        }
+                    }
+                }
+                listening.over.set(true);
+                listening.waiting.borrow_mut().clear();
+            })
+            .detach();
+        *self.open.borrow_mut() = Some(open.clone());
+        Ok(open)
+    }
+
+    /// Sends an invocation and notes what comes of it; nothing where no connection came about.
+    pub async fn invoke(&self, ask: &Ask) -> Option<Answer> {
+        let open = self.connection().await.ok()?;
+        let stream = open.next.get();
+        open.next.set(stream + 1);
+        // Room for a second answer, so that one is seen.
+        let (to, answers) = async_channel::bounded(2);
+        open.waiting.borrow_mut().insert(stream, to);
+        let (at, invocation) = (self.stage.now(), format!("{:016x}", ask.id));
+        // By the platform's rules time limits are longer by so much on sockets.
+        let until = at + ask.allow + 0.05;
+        let (client, trigger_type) = (self.front_end, ask.trigger_type.0);
+        let front_end = self.front_end;
+        let offered =
+            Record::Offered { at, client, invocation: invocation.clone(), front_end, trigger_type, until };
+        self.stage.record(offered);
+        let (allow, function) = (format!("{}", (ask.allow * 1e3) as u64), format!("{:016x}", ask.function));
+        let token = format!("{:032x}", ask.id);
+        let fields = [
+            ("service", ask.trigger_type.1),
+            ("ref", &invocation),
+            ("allow", &allow),
+            ("lookup", &function),
+            ("replay", &token),
+            ("tags", "memory_mb:64;lanes:4;load_ms:50"),
+        ];
+        let mut frame = vec![];
+        frames::put(&mut frame, frames::INVOKE, stream, None, Some(&fields), &ask.body);
+        let heard = async {
+            (&*open.stream).write_all(&frame).await.ok()?;
+            answers.recv().await.ok()
+        };
+        let timed_out = async {
+            self.stage.sleep(until + 0.5 - self.stage.now()).await;
+            Some((0, vec![]))
+        };
+        let heard = future::or(heard, timed_out).await;
+        let at = self.stage.now();
+        let answer = match heard {
+            Some((frames::SUCCEEDED, body)) if body == ask.body => Answer::Succeeded,
+            Some((frames::THROTTLED, _)) => Answer::Throttled,
+            Some((frames::ERRORED, _)) => Answer::Errored,
+            // What no executor made, or nothing: as if there had been no answer.
+            Some(_) => {
+                self.stage.record(Record::GaveUp { at, invocation });
+                return None;
+            }
+            None => {
+                self.stage.record(Record::Lost { at, invocation });
+                return None;
+            }
+        };
+        self.stage.record(Record::Answered { at, invocation: invocation.clone(), answer });
+        self.stage.sleep(0.3).await;
+        if answers.try_recv().is_ok() {
+            self.stage.record(Record::Answered { at: self.stage.now(), invocation, answer });
+        }
+        open.waiting.borrow_mut().remove(&stream);
+        Some(answer)
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform/mod.rs
@@ -0,0 +1,28 @@
+//! The operators' platform: executors that speak its lines, a resolver that answers over DNS, clients that send
+//! its frames; with faults by script. Each executor and the resolver have an address for each front end, so that
+//! what came is known to be whose. What they see is noted for the witness.
+
+mod client;
+mod executor;
+mod resolver;
+
+pub use client::{Ask, Client};
+pub use executor::{Executor, Faults, Spoil, executors};
+pub use resolver::{Odd, Resolver, Row};
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+/// Which life each front end is in; a new one with each start.
+#[derive(Default)]
+pub struct Lives(RefCell<HashMap<u32, u64>>);
+
+impl Lives {
+    pub fn begin(&self, front_end: u32) {
+        *self.0.borrow_mut().entry(front_end).or_default() += 1;
+    }
+
+    pub(crate) fn of(&self, front_end: u32) -> u64 {
+        let count = self.0.borrow().get(&front_end).copied().unwrap_or_default();
+        count << 32 | u64::from(front_end)
+    }
+}
