Measure spread from executors' records: herds, idleness beside queues, peaks, copies

Need: even load with hundreds of processes is to be measured before anything is changed. Change: witness::spread reads when executors stand, what reached them and what they loaded, and knows no front end.

--- a/crates/witness/src/lib.rs
+++ b/crates/witness/src/lib.rs
@@ -4,10 +4,12 @@
 
 mod messages;
 mod rules;
+mod spread;
 
 pub use messages::{Messages, messages};
 pub use rules::{Rule, Verdict, judge};
 use serde::{Deserialize, Serialize};
+pub use spread::{Spread, spread};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -182,6 +184,28 @@
         executor: usize,
         since: f64,
     },
+    /// An executor stands ready from here on, with nothing in hand and no copy, and runs so many at a time.
+    Stands {
+        at: f64,
+        executor: usize,
+        lanes: u32,
+    },
+    /// It ended, or takes nothing new.
+    Down {
+        at: f64,
+        executor: usize,
+    },
+    /// It began to load a copy of a function, or let the last one go.
+    Loads {
+        at: f64,
+        executor: usize,
+        function: String,
+    },
+    Unloads {
+        at: f64,
+        executor: usize,
+        function: String,
+    },
     /// An executor read nothing from its sockets from here until `until`.
     Deaf {
         at: f64,
@@ -228,6 +252,10 @@
             | Record::Ordered { at, .. }
             | Record::Told { at, .. }
             | Record::Fell { at, .. }
+            | Record::Stands { at, .. }
+            | Record::Down { at, .. }
+            | Record::Loads { at, .. }
+            | Record::Unloads { at, .. }
             | Record::Deaf { at, .. }
             | Record::Published { at, .. }
             | Record::Heard { at, .. }
