--- a/crates/engine/tests/fleet/mod.rs
+++ b/crates/engine/tests/fleet/mod.rs
@@ -326,9 +326,9 @@
         };
         if replaced_at.is_some_and(|at| now >= at) {
             replaced_at = None;
-            for x in 0..play.executors / 3 {
+            for (x, replaced) in ids.iter_mut().enumerate().take(play.executors / 3) {
                 world.borrow_mut().stands(x);
-                ids[x] = id(x, 1);
+                *replaced = id(x, 1);
             }
             for (engine, side, _) in &mut sides {
                 side.ids = ids.clone();
