Part the module's tests and the fleet in simulated time by what they are about

Change: moves alone: failures of executors, room, many front ends; executors in simulated time beside the front ends.

--- a/crates/engine/tests/fleet/mod.rs
+++ b/crates/engine/tests/fleet/mod.rs
@@ -4,16 +4,18 @@
 // Each program that plays it uses a part.
 #![allow(dead_code)]
 
+mod world;
+
 use orchidtally::chance::Chance;
 use orchidtally::interface::*;
-use orchidtally::state::Ordered;
 use orchidtally_engine::baseline::Decisions;
 use orchidtally_engine::{Cause, Engine, Host, Offer, Told};
 use orchidtally_witness as witness;
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BinaryHeap};
 use std::rc::Rc;
+use world::{Executor, Job, What, World};
 
 pub const LANES: u32 = 4;
 const WORK: f64 = 0.1;
@@ -43,138 +45,6 @@
 /// Makes what decides at a front end, by its terms, its seed and the true state; `None`: the module.
 pub type Maker = dyn Fn(&Terms, u64, &Truth) -> Option<Box<dyn Decisions>>;
 
-enum What {
-    Arrives(u64),
-    Reaches { fe: usize, life: u32, inv: u32, n: u8, x: usize, function: u64 },
-    Loaded { x: usize, life: u32 },
-    Ends { x: usize, life: u32, job: Job },
-    Answers { fe: usize, life: u32, inv: u32, n: u8, ending: Ending, found: Found, crowd: u32, waiting: f32 },
-    Turns(usize),
-}
-
-#[derive(Clone, Copy)]
-struct Job {
-    fe: usize,
-    life: u32,
-    inv: u32,
-    n: u8,
-    function: u64,
-    found: Found,
-    crowd: u32,
-}
-
-#[derive(Default)]
-struct Executor {
-    life: u32,
-    running: Vec<Job>,
-    waiting: VecDeque<Job>,
-    /// When each copy stands, and when it was last used.
-    copies: BTreeMap<u64, (f64, f64)>,
-}
-
-pub struct World {
-    now: f64,
-    next: u64,
-    due: BinaryHeap<Reverse<(Ordered, u64)>>,
-    what: BTreeMap<u64, What>,
-    executors: Vec<Executor>,
-    truth: Truth,
-    chance: Chance,
-    pub records: Vec<witness::Record>,
-    pub succeeded: u64,
-    pub in_time: u64,
-    pub given_up: u64,
-}
-
-impl World {
-    fn at(&mut self, at: f64, what: What) {
-        self.next += 1;
-        self.due.push(Reverse((Ordered(at), self.next)));
-        self.what.insert(self.next, what);
-    }
-
-    fn exponential(&mut self, mean: f64) -> f64 {
-        -(1.0 - self.chance.unit()).ln() * mean
-    }
-
-    /// Starts an executor, cold; what the one before had in hand is reset.
-    fn stands(&mut self, x: usize) {
-        let lost: Vec<Job> =
-            self.executors[x].waiting.iter().chain(&self.executors[x].running).copied().collect();
-        lost.iter().for_each(|job| self.answer(x, job, Ending::Reset));
-        let life = self.executors[x].life + 1;
-        self.executors[x] = Executor { life, ..Executor::default() };
-        self.truth.borrow_mut()[x] = 0;
-        self.records.push(witness::Record::Stands { at: self.now, executor: x, lanes: LANES });
-    }
-
-    fn reaches(&mut self, x: usize, job: Job) {
-        let (at, now) = (self.now, self.now);
-        let e = &self.executors[x];
-        if e.waiting.len() >= ROOM {
-            return self.answer(x, &job, Ending::Full);
-        }
-        self.records.push(witness::Record::Reached {
-            at,
-            executor: x,
-            front_end: job.fe as u32,
-            life: job.life.into(),
-            invocation: format!("{}-{}", job.fe, job.inv),
-            number: job.n.into(),
-            token: String::new(),
-            trigger_type: "look".into(),
-        });
-        self.truth.borrow_mut()[x] += 1;
-        let e = &mut self.executors[x];
-        let held = e.waiting.iter().chain(&e.running);
-        let crowd = held.filter(|w| w.function == job.function).count() as u32;
-        let stale = e.copies.get(&job.function).is_some_and(|c| c.1 + KEEP < now);
-        if stale {
-            e.copies.remove(&job.function);
-        }
-        let stands_at = e.copies.get(&job.function).map(|c| c.0);
-        let found = match stands_at {
-            None => Found::Loaded,
-            Some(at) if at > now => Found::Waited,
-            Some(_) => Found::Warm,
-        };
-        let stands_at = stands_at.unwrap_or(now + LOAD_TIME);
-        e.copies.insert(job.function, (stands_at, now.max(stands_at)));
-        e.waiting.push_back(Job { found, crowd, ..job });
-        let life = e.life;
-        if found == Found::Loaded {
-            let name = format!("{}", job.function);
-            if stale {
-                self.records.push(witness::Record::Unloads { at, executor: x, function: name.clone() });
-            }
-            self.records.push(witness::Record::Loads { at, executor: x, function: name });
-            self.at(stands_at, What::Loaded { x, life });
-        }
-        self.start(x);
-    }
-
-    /// Begins what can run: the first that wait whose copies stand.
-    fn start(&mut self, x: usize) {
-        while self.executors[x].running.len() < LANES as usize {
-            let now = self.now;
-            let e = &mut self.executors[x];
-            let ready = |w: &Job| e.copies.get(&w.function).is_some_and(|c| c.0 <= now);
-            let Some(n) = e.waiting.iter().position(ready) else { return };
-            let Some(job) = e.waiting.remove(n) else { return };
-            e.running.push(job);
-            let life = e.life;
-            let work = self.exponential(WORK);
-            self.at(now + work, What::Ends { x, life, job });
-        }
-    }
-
-    fn answer(&mut self, x: usize, job: &Job, ending: Ending) {
-        let waiting = self.executors[x].waiting.len() as f32;
-        let Job { fe, life, inv, n, found, crowd, .. } = *job;
-        self.at(self.now + TRANSIT, What::Answers { fe, life, inv, n, ending, found, crowd, waiting });
-    }
-}
-
 /// One front end's side of the world.
 struct Side {
     fe: usize,
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -1,5 +1,10 @@
 //! A slow, plain model of the five rules. It hears every answer of the module and judges each on its own.
 
+// Each program of tests uses a part.
+#![allow(dead_code)]
+
+pub mod warm;
+
 use orchidtally::choice::Choice;
 use orchidtally::interface::*;
 
