--- a/crates/engine/src/baseline.rs
+++ b/crates/engine/src/baseline.rs
@@ -17,6 +17,13 @@
     fn held(&mut self, now: f64, at: ExecutorId, key: u64, ending: Ending, out: &mut dyn Answers);
     fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Answers) -> usize;
     fn timer(&mut self, now: f64, out: &mut dyn Answers);
+    /// Whether what was decided still holds as its bytes leave; baselines don't mind.
+    fn leaves(&mut self, _now: f64, _inv: u32, _dispatch: u8) -> bool {
+        true
+    }
+    fn order_leaves(&self, _to: ExecutorId) -> bool {
+        true
+    }
     /// Entries in its tables, where it has any.
     fn kept(&self) -> Kept {
         Kept::default()
@@ -51,6 +58,12 @@
     fn timer(&mut self, now: f64, out: &mut dyn Answers) {
         Choice::timer(self, now, 0, out);
     }
+    fn leaves(&mut self, now: f64, inv: u32, dispatch: u8) -> bool {
+        Choice::leaves(self, now, inv, dispatch)
+    }
+    fn order_leaves(&self, to: ExecutorId) -> bool {
+        Choice::order_leaves(self, to)
+    }
     fn kept(&self) -> Kept {
         Choice::kept(self)
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -4,14 +4,15 @@
 
 pub mod baseline;
 pub mod clock;
+mod desk;
 pub mod evidence;
 
 use baseline::Decisions;
+use desk::{Desk, Open, Speaker};
 use orchidtally::choice::Choice;
 use orchidtally::interface::*;
 use orchidtally::state::Ordered;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
 
 /// The engine answers an invocation itself if the module has left it open for this long past its timeout.
 /// It never should: each such answer is counted as a fault of the program.
@@ -94,152 +95,6 @@
     pub overdue: u64,
 }
 
-struct Sent {
-    to: ExecutorId,
-    at: f64,
-    ending: Option<Ending>,
-}
-
-struct Open {
-    timeout_at: f64,
-    sent: Vec<Sent>,
-    /// The dispatch whose answer has begun to stream to the client.
-    streaming: Option<u8>,
-    closed: bool,
-}
-
-impl Open {
-    fn may_have_run(&self) -> bool {
-        self.sent.iter().any(|s| s.ending.is_none_or(|e| !e.never_ran()))
-    }
-
-    fn is_over(&self) -> bool {
-        self.closed && self.sent.iter().all(|s| s.ending.is_some())
-    }
-}
-
-/// Everything but the module, so that the module can be called with it as its `Answers`.
-#[derive(Default)]
-struct Desk {
-    now: f64,
-    open: HashMap<u32, Open>,
-    /// Invocations without a final answer.
-    waiting: usize,
-    /// Time-outs of dispatches, and the engine's own last look at each invocation (`None`).
-    deadlines: BinaryHeap<Reverse<(Ordered, u32, Option<u8>)>>,
-    wake_at: Option<f64>,
-    /// Dispatches that ended by what the module itself asked for; it hears of them after the present call.
-    ended: VecDeque<(u32, u8)>,
-    tally: Tally,
-}
-
-impl Desk {
-    fn close(&mut self, inv: u32) -> Option<&Open> {
-        let open = self.open.get_mut(&inv).filter(|o| !o.closed)?;
-        open.closed = true;
-        self.waiting -= 1;
-        Some(open)
-    }
-
-    fn tidy(&mut self, inv: u32) {
-        if self.open.get(&inv).is_some_and(Open::is_over) {
-            self.open.remove(&inv);
-        }
-    }
-
-    /// Drops deadlines of what has ended, once they are the most of the heap.
-    fn prune(&mut self) {
-        if self.deadlines.len() > 1_024 + 4 * self.open.len() {
-            let open = &self.open;
-            self.deadlines.retain(|Reverse((_, inv, n))| {
-                open.get(inv).is_some_and(|o| match n {
-                    Some(n) => o.sent.get(usize::from(*n)).is_some_and(|s| s.ending.is_none()),
-                    None => !o.closed,
-                })
-            });
-        }
-    }
-}
-
-/// The module's answers, performed on the spot.
-struct Speaker<'a> {
-    desk: &'a mut Desk,
-    host: &'a mut dyn Host,
-}
-
-impl Answers for Speaker<'_> {
-    fn dispatch(&mut self, inv: u32, to: ExecutorId, time_out: f64) {
-        let desk = &mut *self.desk;
-        let Some(open) = desk.open.get_mut(&inv) else { return };
-        let n = open.sent.len() as u8;
-        let time_out_at = (desk.now + time_out.max(0.0)).min(open.timeout_at);
-        open.sent.push(Sent { to, at: desk.now, ending: None });
-        if open.closed || open.streaming.is_some() || time_out_at <= desk.now {
-            open.sent[usize::from(n)].ending = Some(evidence::ending(evidence::Transport::Withheld));
-            desk.ended.push_back((inv, n));
-            return;
-        }
-        desk.tally.dispatches += 1;
-        desk.deadlines.push(Reverse((Ordered(time_out_at), inv, Some(n))));
-        self.host.dispatch(inv, n, to, time_out_at - desk.now);
-    }
-
-    fn throttle(&mut self, inv: u32, retry_after: f64, past_share: bool) {
-        if self.desk.close(inv).is_some() {
-            self.desk.tally.throttled += 1;
-            self.host.throttled(inv, retry_after, past_share);
-        }
-    }
-
-    fn error(&mut self, inv: u32) {
-        let Some(open) = self.desk.close(inv) else { return };
-        let may_have_run = open.may_have_run();
-        let timed_out = open.sent.last().is_some_and(|s| s.ending == Some(Ending::TimedOut));
-        let cause = if timed_out || open.sent.is_empty() { Cause::TimedOut } else { Cause::Failed };
-        self.desk.tally.errored += 1;
-        self.host.errored(inv, cause, may_have_run);
-    }
-
-    fn cancel(&mut self, inv: u32, dispatch: u8) {
-        let Some(open) = self.desk.open.get_mut(&inv) else { return };
-        if open.streaming == Some(dispatch) {
-            return;
-        }
-        let Some(sent) = open.sent.get_mut(usize::from(dispatch)).filter(|s| s.ending.is_none()) else {
-            return;
-        };
-        sent.ending = Some(Ending::Cancelled);
-        self.desk.ended.push_back((inv, dispatch));
-        self.host.cancel(inv, dispatch);
-    }
-
-    fn hold(&mut self, to: ExecutorId, function: u64, copies: u8) {
-        self.desk.tally.orders += u64::from(copies > 0);
-        self.host.hold(to, function, copies);
-    }
-
-    fn ask(&mut self, to: ExecutorId, function: u64) {
-        self.host.ask(to, function);
-    }
-
-    fn unload(&mut self, to: ExecutorId, function: u64) {
-        self.host.unload(to, function);
-    }
-
-    fn probe(&mut self, to: ExecutorId) {
-        self.host.probe(to);
-    }
-
-    fn wake(&mut self, delay: f64, _mark: u64) {
-        let at = self.desk.now + delay;
-        self.desk.wake_at = Some(self.desk.wake_at.map_or(at, |w| w.min(at)));
-    }
-
-    fn watch_roster(&mut self) {
-        self.host.watch_roster();
-    }
-}
-
 /// One front end's decisions and what is open at it.
 pub struct Engine {
     choice: Box<dyn Decisions>,
@@ -357,6 +212,17 @@
         Ok(id)
     }
 
+    /// Whether a dispatch may leave now. It is asked as its bytes do, which may be long after it was decided on.
+    pub fn leaves(&mut self, now: f64, inv: u32, dispatch: u8) -> bool {
+        let sent = self.desk.open.get(&inv).and_then(|o| o.sent.get(usize::from(dispatch)));
+        sent.is_some_and(|s| s.ending.is_none()) && self.choice.leaves(now.max(self.desk.now), inv, dispatch)
+    }
+
+    /// The same of an order to load.
+    pub fn order_leaves(&mut self, to: ExecutorId) -> bool {
+        self.choice.order_leaves(to)
+    }
+
     /// A dispatch has ended. What was cancelled, timed out or ended before is not heard again.
     pub fn ended(&mut self, now: f64, inv: u32, n: u8, ending: Ending, told: Told, host: &mut dyn Host) {
         let Some(open) = self.desk.open.get_mut(&inv) else { return };
--- a/crates/net/src/turn.rs
+++ b/crates/net/src/turn.rs
@@ -67,6 +67,13 @@
         self.written
     }
 
+    /// Takes back what was appended from a byte of the connection on, as `written` counts them, of which nothing was
+    /// handed over.
+    pub fn take_back(&mut self, from: u64) {
+        let kept = from.saturating_sub(self.written) as usize;
+        self.out.truncate(self.at + kept);
+    }
+
     /// Hands over what the kernel takes.
     pub fn flush(&mut self) -> io::Result<()> {
         while self.at < self.out.len() {
--- /dev/null
+++ b/crates/platform/src/crossing_tests/connections.rs
@@ -0,0 +1,179 @@
+//! Lists, answers, ends of connections, while a dispatch or an order is on its way.
+
+use super::*;
+use Standing::{Draining, Ready};
+
+/// Sends an invocation and turns until its dispatch, or its order, is queued on a connection that is being made.
+fn queued(stage: &mut Stage, client: &mut TcpStream) -> ExecutorId {
+    client.write_all(&invocation(1, &id(1), "read")).expect("it stands");
+    let links = |s: &Stage| {
+        s.front.floor.links.iter().find(|(_, l)| !l.connected).map(|(_, l)| (l.to, l.queue.len()))
+    };
+    stage.until("queued", |s| links(s).is_some_and(|(_, queued)| queued > 0));
+    links(stage).expect("it is there").0
+}
+
+/// An executor is known to serve the function.
+fn warm(executors: usize) -> (Stage, TcpStream) {
+    let mut stage = Stage::new(executors, 128, |s| s["specifics"]["loadControl"] = false.into());
+    let mut client = stage.client();
+    client.write_all(&invocation(1, &id(100), "read")).expect("it stands");
+    let (x, end) = stage.dispatched(&id(100));
+    stage.peers[x].say(end, "DONE", &id(100));
+    stage.until("answered", |_| !got(&mut client).0.is_empty());
+    (stage, client)
+}
+
+fn number(stage: &Stage, to: ExecutorId) -> usize {
+    stage.peers.iter().position(|p| orchidtally_resolver::id(&p.name) == to).expect("it is one of them")
+}
+
+/// What was allowed when it was decided left for an executor told draining by then, as long as its connection took
+/// to be made.
+#[test]
+fn an_order_on_a_connection_being_made_does_not_leave_once_its_executor_drains() {
+    let mut stage = Stage::new(2, 128, |_| {});
+    let mut client = stage.client();
+    let first = queued(&mut stage, &mut client);
+    let x = number(&stage, first);
+    let all = [(x, Draining, stage.peers[x].at), (1 - x, Ready, stage.peers[1 - x].at)];
+    stage.list(&all);
+    let (there, _) = stage.dispatched(&id(1));
+    assert_eq!(there, 1 - x);
+    let peer = &mut stage.peers[x];
+    assert!(peer.lines("PIN", "").is_empty() && peer.lines("DO", "").is_empty());
+}
+
+#[test]
+fn a_dispatch_on_a_connection_being_made_does_not_leave_once_its_executor_drains() {
+    let mut stage = Stage::new(2, 128, |s| s["specifics"]["loadControl"] = false.into());
+    let mut client = stage.client();
+    let first = queued(&mut stage, &mut client);
+    let x = number(&stage, first);
+    let all = [(x, Draining, stage.peers[x].at), (1 - x, Ready, stage.peers[1 - x].at)];
+    stage.list(&all);
+    assert_eq!(stage.dispatched(&id(1)).0, 1 - x);
+    assert!(stage.peers[x].lines("DO", "").is_empty());
+}
+
+/// It went to whoever had taken over the address.
+#[test]
+fn what_is_queued_for_an_executor_that_moves_goes_to_its_new_address() {
+    let mut stage = Stage::new(2, 128, |s| s["specifics"]["loadControl"] = false.into());
+    let mut client = stage.client();
+    let first = queued(&mut stage, &mut client);
+    let x = number(&stage, first);
+    // The other stands at the first one's address from now on, and the other way round.
+    let all = [(x, Ready, stage.peers[1 - x].at), (1 - x, Ready, stage.peers[x].at)];
+    stage.list(&all);
+    let (there, _) = stage.dispatched(&id(1));
+    assert_eq!(there, 1 - x, "the peer at its new address");
+    assert!(stage.peers[x].lines("DO", "").is_empty());
+}
+
+/// An executor that reads nothing: lines made long before left for it whenever it read again.
+#[test]
+fn lines_that_the_kernel_does_not_take_are_asked_about_again_as_they_leave() {
+    let mut stage = Stage::new(2, 128, |s| s["specifics"]["loadControl"] = false.into());
+    let mut client = stage.client();
+    let (x, end) = stage.out(&mut client, 1, "read");
+    // Nobody reads there until the kernel takes no more.
+    let to = orchidtally_resolver::id(&stage.peers[x].name);
+    let links = stage.front.floor.executors[&to].links.clone();
+    for &slot in &links {
+        let socket = &mut stage.front.floor.links[slot].socket;
+        while socket.waiting() == 0 {
+            socket.out().resize(1 << 20, b'\n');
+            socket.flush().expect("it stands");
+        }
+    }
+    client.write_all(&invocation(2, &id(2), "read")).expect("it stands");
+    stage.until("queued", |s| s.front.floor.outs.keys().any(|k| k.0 != 0));
+    (0..3).for_each(|_| _ = stage.turn());
+    let all = [(x, Draining, stage.peers[x].at), (1 - x, Ready, stage.peers[1 - x].at)];
+    stage.list(&all);
+    // It reads again; the second invocation goes to the other.
+    assert_eq!(stage.dispatched(&id(2)).0, 1 - x);
+    assert!(stage.peers[x].lines("DO", &id(2)).is_empty());
+    assert_eq!(stage.peers[x].lines("DO", &id(1)), [end]);
+}
+
+/// A second answer to the first dispatch was taken for one to the next, which then counted as never run.
+#[test]
+fn a_second_answer_is_not_taken_for_one_to_the_next_dispatch() {
+    let (mut stage, mut client) = warm(1);
+    client.write_all(&invocation(2, &id(1), "command")).expect("it stands");
+    let (x, end) = stage.dispatched(&id(1));
+    stage.peers[x].say(end, "WAIT", &id(1));
+    stage.until("sent again", |s| s.peers[x].lines("DO", &id(1)).len() == 2);
+    // The second one comes late, by whichever connection the first went over.
+    stage.peers[x].say(end, "WAIT", &id(1));
+    let sent = stage.peers[x].lines("DO", &id(1));
+    let next = sent.into_iter().find(|&e| e != end).expect("over another connection");
+    stage.peers[x].say(next, "DONE", &id(1));
+    let mut answers = vec![];
+    stage.until("answered", |_| {
+        answers.extend(got(&mut client).0);
+        !answers.is_empty()
+    });
+    assert_eq!(answers, [(frames::ANSWER, 2, frames::SUCCEEDED)]);
+    assert_eq!(stage.peers[x].lines("DO", &id(1)).len(), 2, "a non-idempotent one is out once at a time");
+}
+
+/// Writing met the reset first, and what the executor had answered before it was never read.
+#[test]
+fn an_answer_before_a_reset_is_read_where_writing_meets_the_reset_first() {
+    let mut stage = Stage::new(1, 128, |s| s["specifics"]["loadControl"] = false.into());
+    let mut client = stage.client();
+    let (x, end) = stage.out(&mut client, 1, "command");
+    stage.peers[x].say(end, "DONE", &id(1));
+    let (socket, _) = stage.peers[x].ends.remove(end);
+    orchidtally_net::break_on_close(&socket);
+    drop(socket);
+    // Something is written there before anything is read.
+    let to = orchidtally_resolver::id(&stage.peers[x].name);
+    let now = stage.front.now();
+    for slot in stage.front.floor.executors[&to].links.clone() {
+        stage.front.floor.links[slot].queue.push_back(crate::links::Queued::Line(b"\n".to_vec()));
+        stage.front.floor.touch_link(slot);
+    }
+    stage.front.settle(now);
+    let mut answers = vec![];
+    stage.until("answered", |_| {
+        answers.extend(got(&mut client).0);
+        !answers.is_empty()
+    });
+    assert_eq!(answers, [(frames::ANSWER, 1, frames::SUCCEEDED)]);
+}
+
+/// It was not known any more that its cancel might be under way.
+#[test]
+fn an_id_taken_back_and_asked_again_at_once_waits_for_its_cancel() {
+    let (mut stage, mut client) = warm(2);
+    client.write_all(&invocation(2, &id(1), "read")).expect("it stands");
+    stage.dispatched(&id(1));
+    let mut both = vec![];
+    frames::put(&mut both, frames::WITHDRAW, 2, None, None, &[]);
+    both.extend(invocation(101, &id(1), "read"));
+    client.write_all(&both).expect("it stands");
+    stage.until("taken", |s| s.front.engine.tally().taken == 3);
+    assert!(!stage.front.floor.held.is_empty(), "the turn that gives the first up sends no second");
+    let sent = |s: &mut Stage| s.peers.iter_mut().map(|p| p.lines("DO", &id(1)).len()).sum::<usize>();
+    stage.until("sent again", |s| sent(s) == 2);
+}
+
+/// Whether a connection is taken that the executor may be closing by now.
+#[test]
+fn a_connection_idle_for_its_time_takes_nothing_though_it_was_not_closed_yet() {
+    let mut stage = Stage::new(1, 128, |s| s["specifics"]["loadControl"] = false.into());
+    let mut client = stage.client();
+    let (x, end) = stage.out(&mut client, 1, "read");
+    stage.peers[x].say(end, "DONE", &id(1));
+    stage.until("answered", |_| !got(&mut client).0.is_empty());
+    // As if it had stood there idle; the look at what is overdue comes later.
+    let before = stage.front.now() - 14.0;
+    stage.front.floor.links.iter_mut().for_each(|(_, l)| l.idle_since = before);
+    stage.front.sweep_at = f64::INFINITY;
+    let (_, other) = stage.out(&mut client, 2, "read");
+    assert_ne!(other, end);
+}
--- /dev/null
+++ b/crates/platform/src/crossing_tests/leaving.rs
@@ -0,0 +1,82 @@
+//! The end, with clients that are within a frame, wait to be accepted, or read nothing.
+
+use super::*;
+use signal_hook::consts::SIGTERM;
+
+fn told_to_end(stage: &mut Stage) {
+    let now = stage.front.now();
+    stage.front.signalled(now, SIGTERM);
+    // As if it had been told so long ago that nothing more is taken.
+    stage.front.leaving_since = Some(now - 0.7);
+}
+
+/// The process had ended before the rest of it came.
+#[test]
+fn an_invocation_half_read_when_nothing_more_is_taken_is_answered() {
+    let mut stage = Stage::new(1, 128, |_| {});
+    let mut client = stage.client();
+    let whole = invocation(1, &id(1), "read");
+    client.write_all(&whole[..20]).expect("it stands");
+    stage.until("half of it", |s| s.front.floor.clients[0].is_within());
+    told_to_end(&mut stage);
+    let begun = Instant::now();
+    while begun.elapsed() < Duration::from_millis(300) {
+        assert!(!stage.turn(), "the rest is waited for");
+    }
+    client.write_all(&whole[20..]).expect("it stands");
+    let mut answers = vec![];
+    let mut over = false;
+    stage.until("over", |s| {
+        over |= s.turn();
+        answers.extend(got(&mut client).0);
+        over
+    });
+    answers.extend(got(&mut client).0);
+    assert_eq!(answers, [(frames::NO_MORE, 0, 0), (frames::ANSWER, 1, frames::THROTTLED)]);
+}
+
+/// Nearly as many as can wait: each is told, none is reset with the listener.
+#[test]
+fn all_that_wait_to_be_accepted_are_told_of_the_end() {
+    let mut stage = Stage::new(1, 512, |_| {});
+    let mut waiting: Vec<TcpStream> =
+        (0..100).map(|_| TcpStream::connect(stage.at).expect("it listens")).collect();
+    told_to_end(&mut stage);
+    // The turn that closes the listener.
+    stage.until("closed", |s| s.front.listener.is_none());
+    assert_eq!(stage.front.counts.accepted, 100);
+    for client in &mut waiting {
+        client.set_nonblocking(true).expect("it can be");
+        assert_eq!(got(client), (vec![(frames::NO_MORE, 0, 0)], None));
+    }
+}
+
+/// What comes in the last moment is read once more before the process ends.
+#[test]
+fn what_comes_with_the_last_turn_is_answered() {
+    let mut stage = Stage::new(1, 128, |_| {});
+    let mut client = stage.client();
+    told_to_end(&mut stage);
+    stage.until("quiet", |s| s.front.quiet_since.is_some());
+    // The look at whether it is over comes after this turn's reading.
+    client.write_all(&invocation(1, &id(1), "read")).expect("it stands");
+    stage.front.quiet_since = Some(f64::NEG_INFINITY);
+    let now = stage.front.now();
+    assert!(!stage.front.is_over(now));
+    assert_eq!(got(&mut client).0, [(frames::NO_MORE, 0, 0), (frames::ANSWER, 1, frames::THROTTLED)]);
+}
+
+/// A client that never reads does not hold the process for longer than the longest client timeout.
+#[test]
+fn a_client_that_reads_nothing_does_not_hold_up_the_end() {
+    let mut stage = Stage::new(1, 128, |_| {});
+    let _client = stage.client();
+    stage.front.floor.clients[0].socket.out().resize(16 << 20, 0);
+    stage.front.floor.touch_client(0);
+    told_to_end(&mut stage);
+    stage.until("closed", |s| s.front.listener.is_none());
+    let now = stage.front.now();
+    assert!(!stage.front.is_over(now), "it has some time");
+    stage.front.leaving_since = Some(now - 4.7);
+    assert!(stage.front.is_over(now));
+}
--- a/crates/platform/src/egress.rs
+++ b/crates/platform/src/egress.rs
@@ -24,47 +24,63 @@
 }
 
 impl Front {
-    pub fn read_link(&mut self, now: f64, slot: usize) {
-        let Some(link) = self.floor.links.get_mut(slot) else { return };
+    /// Reads what there is; tells whether the connection still stands.
+    pub fn read_link(&mut self, now: f64, slot: usize) -> bool {
+        let Some(link) = self.floor.links.get_mut(slot) else { return false };
         if !link.connected {
             match link.socket.is_connected() {
-                Ok(false) => return,
+                Ok(false) => return true,
                 Ok(true) => {
                     link.connected = true;
                     link.heard(now);
+                    let took = now - link.begun_at;
+                    if let Some(executor) = self.floor.executors.get_mut(&link.to) {
+                        executor.reach = executor.reach.min(took);
+                    }
                     self.counts.links_made += 1;
                     self.floor.touch_link(slot);
                 }
-                Err(fault) => return self.dissolve(now, slot, Transport::NoConnection, &fault.to_string()),
+                Err(fault) => {
+                    self.dissolve(now, slot, Transport::NoConnection, &fault.to_string());
+                    return false;
+                }
             }
         }
         for _ in 0..READS {
-            let Some(link) = self.floor.links.get_mut(slot) else { return };
+            let Some(link) = self.floor.links.get_mut(slot) else { return false };
             match link.socket.read(&mut self.buffer) {
                 Ok(Brought::Nothing) => {
                     if link.socket.waiting() > 0 || !link.queue.is_empty() {
                         self.floor.touch_link(slot);
                     }
-                    return;
+                    return true;
                 }
                 Ok(Brought::Bytes(n)) => {
                     link.decoder.push(&self.buffer[..n]);
                     loop {
-                        let Some(link) = self.floor.links.get_mut(slot) else { return };
+                        let Some(link) = self.floor.links.get_mut(slot) else { return false };
                         match link.decoder.read() {
                             Ok(None) => break link.heard(now),
                             Ok(Some(answer)) => self.answered(now, slot, answer),
-                            Err(fault) => return self.dissolve(now, slot, Transport::Malformed, &fault.0),
+                            Err(fault) => {
+                                self.dissolve(now, slot, Transport::Malformed, &fault.0);
+                                return false;
+                            }
                         }
                     }
                 }
                 Ok(Brought::End) => {
-                    return self.dissolve(now, slot, Transport::Broken, "closed by the executor");
+                    self.dissolve(now, slot, Transport::Broken, "closed by the executor");
+                    return false;
+                }
+                Err(fault) => {
+                    self.dissolve(now, slot, Transport::Broken, &fault.to_string());
+                    return false;
                 }
-                Err(fault) => return self.dissolve(now, slot, Transport::Broken, &fault.to_string()),
             }
         }
         self.again.push_back(links::token(slot));
+        true
     }
 
     fn answered(&mut self, now: f64, slot: usize, answer: Answer) {
@@ -78,6 +94,7 @@
             // Of one given up, a second copy, or of nothing that was asked.
             return link.settled(&answer.id);
         };
+        link.said(now, answer.id.as_str().into());
         self.floor.outs.remove(&(out.inv, out.dispatch));
         if answer.word != Word::Done {
             let executor = self.floor.executors.get(&link.to).map(|e| e.name.as_str());
@@ -127,13 +144,11 @@
                 self.floor.executors.remove(&link.to);
             }
         }
-        let made = link.connected;
-        self.floor.send_again(&mut link, made);
-        for out in link.open.values() {
+        let again = link.connected || self.floor.stands(link.to, now);
+        self.floor.send_again(link.to, link.take_unwritten(), again);
+        for (id, out) in &link.open {
             self.floor.outs.remove(&(out.inv, out.dispatch));
-            if let Some(work) = self.floor.works.get_mut(&out.inv) {
-                work.given_up_at = now;
-            }
+            self.floor.note_given_up(id, link.to);
         }
         // An answer that breaks off was begun: the executor is there, as it is where it sent what can't be read.
         let seen =
--- /dev/null
+++ b/crates/platform/src/ending.rs
@@ -0,0 +1,101 @@
+//! Signals: another resolver, and the end.
+
+use crate::clients::Client;
+use crate::front::{Front, RESOLVER};
+use crate::start;
+use orchidtally_frames as frames;
+use signal_hook::consts::SIGHUP;
+use tracing::{info, warn};
+
+/// After SIGTERM clients go on coming for up to 0.6 s; then they are told to come no more. What comes later than 0.7 s
+/// has to be answered before the process is killed, which may be 0.7 s after the longest client timeout: from then
+/// on nothing is taken, and it is throttled at once.
+const SERVE_ON: f64 = 0.65;
+/// So long clients have to read their last answers before the process ends, and so long it waits after what a
+/// client sent in spite of having been told; for the longest client timeout at the most.
+const LAST_WORDS: f64 = 0.1;
+/// After SIGHUP the file is read again this often for so long: it may be half replaced when the signal comes, and
+/// nobody tells when it is whole. What the new resolver has to tell counts as told 4 s after the signal.
+const REREAD_EVERY: f64 = 0.25;
+const REREAD_FOR: f64 = 3.5;
+impl Front {
+    pub fn signalled(&mut self, now: f64, signal: i32) {
+        if signal != SIGHUP {
+            info!(signal, "told to end");
+            self.leaving_since.get_or_insert(now);
+            return;
+        }
+        (self.reread_until, self.reread_at) = (now + REREAD_FOR, now);
+        self.reread(now);
+    }
+
+    /// Takes the resolver's address from the file after SIGHUP, as often as it may still change.
+    pub fn reread(&mut self, now: f64) {
+        if now < self.reread_at {
+            return;
+        }
+        let first = self.reread_at + REREAD_FOR >= self.reread_until;
+        self.reread_at = if now < self.reread_until { now + REREAD_EVERY } else { f64::INFINITY };
+        let last = self.reread_at.is_infinite();
+        match start::read(&self.file) {
+            Err(fault) if first => {
+                warn!(%fault, "the new file can't be used yet; the old one stays, it is read again")
+            }
+            Err(fault) if last => warn!(%fault, "the new file can't be used; the old one stays"),
+            Err(_) => {}
+            Ok(new) if new.resolver == self.resolver.at() => {
+                if first {
+                    info!("the new file names the same resolver");
+                }
+            }
+            Ok(new) => match self.resolver.turn_to(new.resolver, self.poll.registry(), RESOLVER) {
+                Ok(()) => info!(resolver = %new.resolver, "asks another resolver"),
+                Err(fault) => warn!(%fault, resolver = %new.resolver, "the resolver can't be asked"),
+            },
+        }
+    }
+
+    /// Some time after it was told to end nothing new is taken, and clients are told so.
+    pub fn stop_taking(&mut self, now: f64) {
+        if self.listener.is_none() || self.leaving_since.is_none_or(|since| now <= since + SERVE_ON) {
+            return;
+        }
+        // Who waits to be accepted is told with the others: no more can wait than one look takes.
+        self.accept(now);
+        let Some(mut listener) = self.listener.take() else { return };
+        // The process ends anyway.
+        let _ = self.poll.registry().deregister(&mut listener);
+        self.engine.leave();
+        info!(open = self.engine.open(), clients = self.floor.clients.len(), "nothing new is taken");
+        let all: Vec<usize> = self.floor.clients.iter().map(|(slot, _)| slot).collect();
+        for slot in all {
+            frames::put(self.floor.clients[slot].socket.out(), frames::NO_MORE, 0, None, None, &[]);
+            self.floor.touch_client(slot);
+        }
+    }
+
+    /// Told to end, nothing open, and clients had the time to read.
+    pub fn is_over(&mut self, now: f64) -> bool {
+        if self.listener.is_some() || self.engine.open() > 0 {
+            self.quiet_since = None;
+            return false;
+        }
+        let longest = self.grounds.terms.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
+        if self.leaving_since.is_some_and(|since| now > since + SERVE_ON + longest) {
+            return true;
+        }
+        let is_done = |c: &Client| c.socket.waiting() == 0 && c.is_idle() && !c.is_within();
+        if !self.floor.clients.iter().all(|(_, c)| c.ending.is_some() || is_done(c)) {
+            self.quiet_since = None;
+            return false;
+        }
+        if now <= *self.quiet_since.get_or_insert(now) + LAST_WORDS {
+            return false;
+        }
+        // What came since this turn began is answered too.
+        let all: Vec<usize> = self.floor.clients.iter().map(|(slot, _)| slot).collect();
+        all.into_iter().for_each(|slot| self.read_client(now, slot));
+        self.settle(now);
+        self.quiet_since.is_some()
+    }
+}
--- a/crates/platform/src/floor_tests.rs
+++ b/crates/platform/src/floor_tests.rs
@@ -27,11 +27,14 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let (name, address) = (format!("s-{n}"), listener.local_addr().expect("it is bound"));
         let id = orchidtally_resolver::id(&name);
-        floor.executors.insert(id, Executor { name, address, links: vec![], listed: true });
+        floor
+            .executors
+            .insert(id, Executor { name, address, links: vec![], listed: true, reach: f64::INFINITY });
         let slot = floor.link_for(id, "").expect("there is room");
         ends.push(listener.accept().expect("it comes").0);
         ends[n].set_read_timeout(Some(Duration::from_millis(200))).expect("a time");
         floor.links[slot].connected = true;
+        floor.executors.get_mut(&id).expect("it is known").reach = 0.001;
         ids.push(id);
     }
     (floor, ids, ends)
@@ -48,15 +51,36 @@
         token: None,
         body: vec![],
         timeout_at: 3.0,
-        given_up_at: f64::NEG_INFINITY,
     });
     floor.taken(inv);
 }
 
+/// Lets everything leave, or nothing, and counts what it was asked.
+struct Gate {
+    open: bool,
+    asked: usize,
+}
+
+impl Departures for Gate {
+    fn dispatch_leaves(&mut self, _: f64, _: u32, _: u8) -> bool {
+        self.asked += 1;
+        self.open
+    }
+
+    fn order_leaves(&mut self, _: ExecutorId) -> bool {
+        self.asked += 1;
+        self.open
+    }
+}
+
 fn flush(floor: &mut Floor) {
+    flush_by(floor, &mut Gate { open: true, asked: 0 });
+}
+
+fn flush_by(floor: &mut Floor, gate: &mut Gate) {
     for slot in std::mem::take(&mut floor.dirty_links) {
         floor.links[slot].dirty = false;
-        floor.flush_link(slot).expect("it is taken");
+        floor.flush_link(slot, gate).expect("it is taken");
     }
 }
 
@@ -83,7 +107,7 @@
     }
     let first = floor.dirty_links.remove(0);
     floor.links[first].dirty = false;
-    floor.flush_link(first).expect("it is taken");
+    floor.flush_link(first, &mut Gate { open: true, asked: 0 }).expect("it is taken");
     for end in &mut ends {
         let line = come(end);
         assert!(line.contains("UNDO") && !line.contains(r#""DO""#), "the cancel alone: {line}");
@@ -133,7 +157,7 @@
     floor.cancel(0, 0);
     floor.dispatch(0, 1, ids[1], 3.0);
     let elsewhere = floor.executors[&ids[1]].links[0];
-    floor.flush_link(elsewhere).expect("it is taken");
+    floor.flush_link(elsewhere, &mut Gate { open: true, asked: 0 }).expect("it is taken");
     assert!(floor.links[slot].is_cut && floor.cut.len() == 1, "to be dissolved");
     let mut rest = vec![];
     ends[0].read_to_end(&mut rest).expect("an end, not a silence");
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -2,45 +2,39 @@
 
 use crate::clients::{self, Client};
 use crate::floor::Floor;
-use crate::links::{self, Executor};
+use crate::links;
 use crate::roster::Resolver;
-use crate::start::{self, Start};
+use crate::start::Start;
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
-use orchidtally::interface::*;
 use orchidtally_engine::clock::Clock;
 use orchidtally_engine::evidence::{self, Transport};
 use orchidtally_engine::{Engine, Tally};
 use orchidtally_frames as frames;
-use orchidtally_resolver::{Entry, Places};
+use orchidtally_resolver::Places;
 use orchidtally_terms::Grounds;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use std::collections::VecDeque;
 use std::io;
+use std::net::Shutdown;
 use std::path::PathBuf;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use tracing::{info, warn};
+use tracing::info;
 
 pub const LISTENER: Token = Token(0);
 const SIGNALS: Token = Token(1);
-const RESOLVER: Token = Token(2);
+pub const RESOLVER: Token = Token(2);
 /// How often connections are looked through for what is overdue on them.
 const SWEEP: f64 = 0.025;
 /// How often the wall clock is followed, and counts are logged.
 const UPKEEP: f64 = 1.0;
 const REPORT: f64 = 10.0;
-/// After SIGTERM clients go on coming for up to 0.6 s; then they are told to come no more. What comes later than 0.7 s
-/// has to be answered before the process is killed, which may be 0.7 s after the longest client timeout: from then
-/// on nothing is taken, and it is throttled at once.
-const SERVE_ON: f64 = 0.65;
-/// So long clients have to read their last answers before the process ends, and so long it waits after what a
-/// client sent in spite of having been told; for the longest client timeout at the most.
-const LAST_WORDS: f64 = 0.1;
 /// Bytes read at a time, and times that one connection is read in a turn: the others have their turn then.
 const READ: usize = 64 * 1024;
 pub const READS: usize = 4;
-/// Descriptors for the listener, the resolver, signals, logs and the poll itself.
+/// Descriptors for the listener, resolvers asked now and before, signals, logs, the file, the poll itself, and
+/// connections over the bound.
 const OWN_SOCKETS: usize = 16;
 
 fn wall() -> f64 {
@@ -76,7 +70,12 @@
     pub counts: Counts,
     /// Connections to executors that ended, when and how, with what is to be judged of them.
     pub severed: VecDeque<(f64, Transport, links::Link)>,
+    /// Connections wait to be accepted for which there was no descriptor.
+    pub accept_later: bool,
     pub leaving_since: Option<f64>,
+    /// The file is read again until then, and when next.
+    pub reread_until: f64,
+    pub reread_at: f64,
     /// Nothing has been open, and nobody has asked, since.
     pub quiet_since: Option<f64>,
     pub file: PathBuf,
@@ -102,35 +101,7 @@
     let mut front = Front::new(start, file, poll)?;
     let mut events = Events::with_capacity(1024);
     loop {
-        front.wait(&mut events)?;
-        let now = front.now();
-        front.floor.now = now;
-        front.floor.release();
-        // Answers first: they free places for what clients ask.
-        let links = events.iter().filter(|e| e.token().0 >= clients::FIRST_TOKEN && e.token().0 % 2 == 1);
-        let mut tokens: Vec<Token> = links.map(|e| e.token()).collect();
-        tokens
-            .extend(events.iter().map(|e| e.token()).filter(|t| t.0 < clients::FIRST_TOKEN || t.0 % 2 == 0));
-        for _ in 0..front.again.len() {
-            tokens.extend(front.again.pop_front());
-        }
-        for token in tokens {
-            match token {
-                LISTENER => front.accept(now),
-                RESOLVER => front.resolve(now),
-                SIGNALS => {
-                    for signal in signals.pending() {
-                        front.signalled(now, signal);
-                    }
-                }
-                Token(n) if n % 2 == 0 => front.read_client(now, (n - clients::FIRST_TOKEN) / 2),
-                Token(n) => front.read_link(now, (n - clients::FIRST_TOKEN) / 2),
-            }
-        }
-        front.engine.turn(now, &mut front.floor);
-        front.keep_house(now);
-        front.settle(now);
-        if front.is_over(now) {
+        if front.turn(&mut events, || signals.pending().collect())? {
             let tally = front.engine.tally();
             info!(?tally, "ended");
             return Ok(tally);
@@ -139,7 +110,7 @@
 }
 
 impl Front {
-    fn new(start: Start, file: PathBuf, poll: Poll) -> io::Result<Front> {
+    pub fn new(start: Start, file: PathBuf, poll: Poll) -> io::Result<Front> {
         let mut listener = TcpListener::bind(start.listen)?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         let resolver = Resolver::new(start.resolver, start.serial, poll.registry(), RESOLVER)?;
@@ -169,7 +140,10 @@
             buffer: vec![0; READ].into(),
             counts: Counts::default(),
             severed: VecDeque::new(),
+            accept_later: false,
             leaving_since: None,
+            reread_until: f64::NEG_INFINITY,
+            reread_at: f64::INFINITY,
             quiet_since: None,
             file,
             sweep_at: now,
@@ -183,6 +157,36 @@
         Ok(front)
     }
 
+    /// Waits, and goes through what is ready. Tells whether the front end has ended.
+    pub fn turn(&mut self, events: &mut Events, signals: impl FnOnce() -> Vec<i32>) -> io::Result<bool> {
+        self.wait(events)?;
+        let now = self.now();
+        self.floor.now = now;
+        self.floor.release();
+        // Answers first: they free places for what clients ask.
+        let is_link = |t: &Token| t.0 >= clients::FIRST_TOKEN && t.0 % 2 == 1;
+        let mut tokens: Vec<Token> = events.iter().map(|e| e.token()).collect();
+        tokens.sort_by_key(|t| !is_link(t));
+        tokens.extend(self.again.drain(..));
+        let mut signals = Some(signals);
+        for token in tokens {
+            match token {
+                LISTENER => self.accept(now),
+                RESOLVER => self.resolve(now),
+                SIGNALS => {
+                    let signals = signals.take().map_or(vec![], |pending| pending());
+                    signals.into_iter().for_each(|signal| self.signalled(now, signal));
+                }
+                Token(n) if n % 2 == 0 => self.read_client(now, (n - clients::FIRST_TOKEN) / 2),
+                Token(n) => _ = self.read_link(now, (n - clients::FIRST_TOKEN) / 2),
+            }
+        }
+        self.engine.turn(now, &mut self.floor);
+        self.keep_house(now);
+        self.settle(now);
+        Ok(self.is_over(now))
+    }
+
     fn now(&mut self) -> f64 {
         self.clock.read(self.began.elapsed().as_secs_f64())
     }
@@ -200,60 +204,6 @@
         }
     }
 
-    fn signalled(&mut self, now: f64, signal: i32) {
-        if signal != SIGHUP {
-            info!(signal, "told to end");
-            self.leaving_since.get_or_insert(now);
-            return;
-        }
-        match start::read(&self.file) {
-            Err(fault) => warn!(fault, "the new file can't be used; the old one stays"),
-            Ok(new) if new.resolver == self.resolver.at() => info!("the new file names the same resolver"),
-            Ok(new) => match self.resolver.turn_to(new.resolver, self.poll.registry(), RESOLVER) {
-                Ok(()) => info!(resolver = %new.resolver, "asks another resolver"),
-                Err(fault) => warn!(%fault, resolver = %new.resolver, "the resolver can't be asked"),
-            },
-        }
-    }
-
-    fn resolve(&mut self, now: f64) {
-        let (named, left_out) = (self.places.named(), self.places.left_out);
-        if let Some(entries) = self.resolver.read(now, &mut self.places) {
-            self.list(now, entries);
-        }
-        if named != self.places.named() || left_out != self.places.left_out {
-            let ((locations, kinds), left_out) = (self.places.named(), self.places.left_out);
-            warn!(locations, kinds, left_out, "lists name locations or kinds that the settings don't");
-        }
-    }
-
-    /// A whole list of executors: what is not in it is gone.
-    fn list(&mut self, now: f64, entries: Vec<Entry>) {
-        self.floor.executors.values_mut().for_each(|e| e.listed = false);
-        let rows: Vec<RosterRow> = entries.iter().map(|e| e.row.clone()).collect();
-        for entry in entries {
-            let known = self.floor.executors.entry(entry.row.executor).or_insert_with(|| Executor {
-                name: entry.name,
-                address: entry.address,
-                links: vec![],
-                listed: true,
-            });
-            known.listed = true;
-            if known.address != entry.address {
-                known.address = entry.address;
-                known.links.iter().for_each(|&l| self.floor.links[l].retired = true);
-            }
-        }
-        for executor in self.floor.executors.values().filter(|e| !e.listed) {
-            info!(executor = executor.name, "gone");
-            executor.links.iter().for_each(|&l| self.floor.links[l].retired = true);
-        }
-        let ready = rows.iter().filter(|r| r.standing == Standing::Ready).count();
-        info!(executors = rows.len(), ready, "the roster");
-        self.engine.roster(now, RosterKind::Full, &rows, &mut self.floor);
-        self.floor.executors.retain(|_, e| e.listed || !e.links.is_empty());
-    }
-
     fn keep_house(&mut self, now: f64) {
         self.resolver.turn(now);
         if now < self.sweep_at {
@@ -275,11 +225,17 @@
             self.counts.unreadable += 1;
             if let Some(client) = self.floor.clients.get_mut(slot).filter(|c| c.socket.waiting() == 0) {
                 client.answer(0, frames::ERRORED, &[], why.as_bytes());
-                // What the kernel does not take at once is not waited for.
-                let _ = client.socket.flush();
             }
+            self.end_client(now, slot);
+        }
+        let ended = self.floor.clients.iter().filter(|(_, c)| c.has_ended(now)).map(|(slot, _)| slot);
+        for slot in ended.collect::<Vec<_>>() {
             self.close_client(now, slot);
         }
+        if self.accept_later {
+            self.accept(now);
+        }
+        self.floor.given_up.retain(|_, until| *until > now);
         let idle_close = self.grounds.idle_close;
         let overdue = |(slot, l): (usize, &links::Link)| Some((slot, l.overdue(now, idle_close)?));
         let late: Vec<_> = self.floor.links.iter().filter_map(overdue).collect();
@@ -292,23 +248,12 @@
         {
             self.ordered(now, tag, Transport::TimedOut, 0);
         }
-        if self.leaving_since.is_some_and(|since| now > since + SERVE_ON) && self.listener.is_some() {
-            // Who waits to be accepted is told with the others.
-            self.accept(now);
-            let Some(mut listener) = self.listener.take() else { return };
-            let _ = self.poll.registry().deregister(&mut listener);
-            self.engine.leave();
-            info!(open = self.engine.open(), clients = self.floor.clients.len(), "nothing new is taken");
-            let all: Vec<usize> = self.floor.clients.iter().map(|(slot, _)| slot).collect();
-            for slot in all {
-                frames::put(self.floor.clients[slot].socket.out(), frames::NO_MORE, 0, None, None, &[]);
-                self.floor.touch_client(slot);
-            }
-        }
+        self.reread(now);
+        self.stop_taking(now);
     }
 
     /// Tells the engine what could not be sent and writes what there is to write, until nothing is left.
-    fn settle(&mut self, now: f64) {
+    pub fn settle(&mut self, now: f64) {
         loop {
             self.judge_severed(now);
             for (inv, dispatch, why) in std::mem::take(&mut self.floor.unsent) {
@@ -329,12 +274,15 @@
                 if let Some(link) = self.floor.links.get_mut(slot) {
                     link.dirty = false;
                 }
-                if let Err(fault) = self.floor.flush_link(slot) {
+                if let Err(fault) = self.floor.flush_link(slot, &mut self.engine)
+                    && self.read_link(now, slot)
+                {
+                    // What it answered before it broke was read.
                     self.dissolve(now, slot, Transport::Broken, &fault.to_string());
                 }
             }
             for (slot, why) in std::mem::take(&mut self.floor.cut) {
-                if self.floor.links.get(slot).is_some_and(|l| l.is_cut) {
+                if self.floor.links.get(slot).is_some_and(|l| l.is_cut) && self.read_link(now, slot) {
                     self.dissolve(now, slot, Transport::Broken, &why);
                 }
             }
@@ -346,7 +294,13 @@
                 if client.full && client.socket.waiting() <= clients::BACKLOG {
                     self.again.push_back(clients::token(slot));
                 }
-                if flushed.is_err() || client.ending && client.socket.waiting() == 0 {
+                let written = client.socket.waiting() == 0;
+                if let Some(ending) = client.ending.as_mut().filter(|e| written && !e.shut) {
+                    ending.shut = true;
+                    // One that is gone already needs no word of it.
+                    let _ = client.socket.stream.shutdown(Shutdown::Write);
+                }
+                if flushed.is_err() {
                     self.close_client(now, slot);
                 }
             }
@@ -358,16 +312,8 @@
             }
         }
     }
-
-    /// Told to end, nothing open, and clients had the time to read.
-    fn is_over(&mut self, now: f64) -> bool {
-        let written = || self.floor.clients.iter().all(|(_, c)| c.socket.waiting() == 0);
-        if self.listener.is_some() || self.engine.open() > 0 || !written() {
-            self.quiet_since = None;
-            return false;
-        }
-        let longest = self.grounds.terms.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
-        let kept_up = self.leaving_since.is_some_and(|since| now > since + SERVE_ON + longest);
-        kept_up || now > *self.quiet_since.get_or_insert(now) + LAST_WORDS
-    }
 }
+
+#[cfg(test)]
+#[path = "crossing_tests/mod.rs"]
+mod tests;
--- a/crates/platform/src/held.rs
+++ b/crates/platform/src/held.rs
@@ -6,6 +6,7 @@
     inv: u32,
     dispatch: u8,
     to: ExecutorId,
+    time: f64,
     /// The first turn after the one in which it was made: what was given up in that one is handed over by then.
     since: Option<f64>,
 }
@@ -20,8 +21,9 @@
         self.0.is_empty()
     }
 
-    pub fn push(&mut self, inv: u32, dispatch: u8, to: ExecutorId) {
-        self.0.push(Waiting { inv, dispatch, to, since: None });
+    /// Holds one for a time.
+    pub fn push(&mut self, inv: u32, dispatch: u8, to: ExecutorId, time: f64) {
+        self.0.push(Waiting { inv, dispatch, to, time, since: None });
     }
 
     /// Takes one back; tells whether it was held.
@@ -31,10 +33,10 @@
         self.0.len() < before
     }
 
-    /// Those that have waited for a time since a turn after their own, in the order in which they came.
-    pub fn due(&mut self, now: f64, time: f64) -> Vec<(u32, u8, ExecutorId)> {
+    /// Those that have waited for their time since a turn after their own, in the order in which they came.
+    pub fn due(&mut self, now: f64) -> Vec<(u32, u8, ExecutorId)> {
         self.0.iter_mut().for_each(|w| _ = w.since.get_or_insert(now));
-        let due = self.0.extract_if(.., |w| w.since.is_some_and(|since| now >= since + time));
+        let due = self.0.extract_if(.., |w| w.since.is_some_and(|since| now >= since + w.time));
         due.map(|w| (w.inv, w.dispatch, w.to)).collect()
     }
 }
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -18,10 +18,11 @@
     }
 
     fn dispatch(&mut self, inv: u32, dispatch: u8, to: ExecutorId, _within: f64) {
-        if self.works.get(&inv).is_some_and(|w| self.now < w.given_up_at + self.tick) {
-            return self.held.push(inv, dispatch, to);
+        let until = self.works.get(&inv).and_then(|w| self.given_up.get(&w.id));
+        match until.map(|until| until - self.now).filter(|&left| left > 0.0) {
+            Some(left) => self.held.push(inv, dispatch, to, left),
+            None => self.send(inv, dispatch, to, self.now),
         }
-        self.send(inv, dispatch, to, self.now);
     }
 
     fn cancel(&mut self, inv: u32, dispatch: u8) {
@@ -35,14 +36,17 @@
         if link.give_up(&id) {
             // One that was silent ever since, for longer than a new one takes to be made, may be dead.
             link.retired |= link.heard_at < at && self.now > at + 2.0 * self.connect_time;
-            // Ahead of what is queued. Its dispatch was made a line, so that it comes after that.
-            link.socket.out().extend_from_slice(&lines::cancel(&id));
-            self.cancelled.push(slot);
-            if let Some(work) = self.works.get_mut(&inv) {
-                work.given_up_at = self.now;
+            if self.cancels {
+                // Ahead of what is queued. Its dispatch was made a line, so that it comes after that.
+                link.socket.out().extend_from_slice(&lines::cancel(&id));
+                self.cancelled.push(slot);
             }
+            let to = link.to;
+            self.note_given_up(&id, to);
+        }
+        if let Some(link) = self.links.get_mut(slot) {
+            link.idle_since = self.now;
         }
-        link.idle_since = self.now;
         self.touch_link(slot);
     }
 
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -1,26 +1,19 @@
 //! Clients: what they ask, checked, and what they are told where it is not taken.
 
-use crate::clients::{self, Client};
+use crate::clients::{self, Fresh};
 use crate::floor::Work;
-use crate::front::{Front, LISTENER, READS};
-use mio::Interest;
+use crate::front::{Front, READS};
 use orchidtally::interface::Effect;
 use orchidtally_engine::{Offer, Refused};
 use orchidtally_frames as frames;
 use orchidtally_net::turn::Brought;
-use std::io;
 use tracing::debug;
 
-/// Connections accepted in a turn.
-const ACCEPTS: usize = 256;
 /// The longest that a client may say it waits: a day would only hold a place.
 const LONGEST_ALLOW_MS: f64 = 600_000.0;
 /// A token's length at the most.
 const LONGEST_TOKEN: usize = 256;
 
-/// Invocations that were read and not yet taken: the stream, and the payload where it is not too long.
-type Fresh = Vec<(u32, Option<Vec<u8>>)>;
-
 fn hex(text: &str) -> Option<u64> {
     let digits = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
     digits.then(|| u64::from_str_radix(text, 16).ok()).flatten()
@@ -32,87 +25,52 @@
 }
 
 impl Front {
-    pub fn accept(&mut self, now: f64) {
-        for _ in 0..ACCEPTS {
-            let Some(listener) = &self.listener else { return };
-            let mut stream = match listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => continue,
-                Err(fault) => {
-                    // A connection that broke before it was taken, or no descriptor: the next turn tries again.
-                    debug!(%fault, "accepting");
-                    break;
-                }
-            };
-            if self.floor.clients.len() >= self.most_clients {
-                self.counts.evicted += 1;
-                match clients::least_missed(&self.floor.clients, now, self.grounds.connect_time) {
-                    Some(slot) => self.close_client(now, slot),
-                    None => continue,
-                }
-            }
-            self.counts.accepted += 1;
-            let token = clients::token(self.floor.clients.vacant_key());
-            let both = Interest::READABLE | Interest::WRITABLE;
-            if self.poll.registry().register(&mut stream, token, both).is_ok() {
-                self.floor.clients.insert(Client::new(stream, now));
-            }
-        }
-        self.again.push_back(LISTENER);
-    }
-
-    /// Closes a client's connection; what it has open nobody waits for any more.
-    pub fn close_client(&mut self, now: f64, slot: usize) {
-        let Some(mut client) = self.floor.clients.try_remove(slot) else { return };
-        // One whose socket is gone already needs no more.
-        let _ = self.poll.registry().deregister(&mut client.socket.stream);
-        for inv in client.open.into_values() {
-            self.floor.drop_work(inv);
-            self.engine.withdrawn(now, inv, &mut self.floor);
-        }
-    }
-
     pub fn read_client(&mut self, now: f64, slot: usize) {
-        let mut fresh = vec![];
-        self.read_frames(now, slot, &mut fresh);
-        if self.floor.clients.get(slot).is_none_or(|c| c.ending) {
+        self.read_frames(now, slot);
+        let Some(client) = self.floor.clients.get_mut(slot).filter(|c| c.ending.is_none()) else { return };
+        if client.full {
+            if client.holds_too_much() {
+                client.answer(0, frames::ERRORED, &[], b"more is asked than answers are read");
+                self.end_client(now, slot);
+            }
             return;
         }
-        for (stream, payload) in fresh {
-            self.invoke(now, slot, stream, payload.as_deref());
+        let (guest, asked) = (client.guest, client.asked);
+        for fresh in std::mem::take(&mut client.fresh) {
+            self.invoke(slot, &fresh, guest);
+        }
+        if guest && asked {
+            self.end_client(now, slot);
         }
     }
 
-    /// Reads what there is. Invocations are taken after that, but for those that were withdrawn by then:
-    /// guards against clients that take back hundreds at once, each of which would have had its placement.
-    fn read_frames(&mut self, now: f64, slot: usize, fresh: &mut Fresh) {
+    /// Reads what there is, also where nothing is taken: its end, and what it takes back, are to be seen at once.
+    /// Invocations are taken after that, but for those that were withdrawn by then: guards against clients that take
+    /// back hundreds at once, each of which would have had its placement.
+    fn read_frames(&mut self, now: f64, slot: usize) {
         for _ in 0..READS {
             let Some(client) = self.floor.clients.get_mut(slot) else { return };
-            if client.ending {
-                return;
-            }
             client.full = client.socket.waiting() > clients::BACKLOG;
-            if client.full {
-                return self.floor.touch_client(slot);
-            }
-            let brought = client.socket.read(&mut self.buffer);
-            match brought {
+            match client.socket.read(&mut self.buffer) {
                 Ok(Brought::Nothing) => {
                     if client.socket.waiting() > 0 {
                         self.floor.touch_client(slot);
                     }
                     return;
                 }
+                Ok(Brought::Bytes(n)) if client.ending.is_some() => {
+                    if !client.reads_over(n) {
+                        return self.close_client(now, slot);
+                    }
+                }
                 Ok(Brought::Bytes(n)) => {
                     client.decoder.push(&self.buffer[..n]);
-                    if let Err(fault) = self.frames(now, slot, fresh) {
+                    if let Err(fault) = self.frames(now, slot) {
                         self.counts.unreadable += 1;
                         if let Some(client) = self.floor.clients.get_mut(slot) {
                             client.answer(0, frames::ERRORED, &[], fault.0.as_bytes());
-                            client.ending = true;
                         }
-                        return self.floor.touch_client(slot);
+                        return self.end_client(now, slot);
                     }
                 }
                 Ok(Brought::End) | Err(_) => return self.close_client(now, slot),
@@ -121,7 +79,7 @@
         self.again.push_back(clients::token(slot));
     }
 
-    fn frames(&mut self, now: f64, slot: usize, fresh: &mut Fresh) -> Result<(), frames::Unreadable> {
+    fn frames(&mut self, now: f64, slot: usize) -> Result<(), frames::Unreadable> {
         let mut whole = false;
         loop {
             let Some(client) = self.floor.clients.get_mut(slot) else { return Ok(()) };
@@ -134,17 +92,20 @@
                         return Err(frames::Unreadable("a stream's number was used before"));
                     }
                     client.last_stream = stream;
-                    fresh.push((stream, frame.payload.map(<[u8]>::to_vec)));
+                    let payload = frame.payload.map(<[u8]>::to_vec);
+                    client.fresh.push(Fresh { at: now, stream, payload });
                 }
                 frames::WITHDRAW => {
-                    fresh.retain(|f| f.0 != stream);
+                    client.fresh.retain(|f| f.stream != stream);
                     if let Some(&inv) = client.open.get(&stream) {
                         self.floor.drop_work(inv);
                         self.engine.withdrawn(now, inv, &mut self.floor);
                     }
                 }
                 frames::ASK_READY => {
-                    let ready = self.leaving_since.is_none() && !self.floor.executors.is_empty();
+                    // With nobody who could tell of any executor it serves what comes all the same.
+                    let known = !self.floor.executors.is_empty() || self.resolver.is_quiet();
+                    let ready = self.leaving_since.is_none() && known;
                     let code = if ready { frames::IS_READY } else { frames::NOT_READY };
                     frames::put(client.socket.out(), frames::READY, stream, Some(code), Some(&[]), &[]);
                     self.floor.touch_client(slot);
@@ -159,21 +120,23 @@
     }
 
     /// Takes an invocation, or answers why not.
-    fn invoke(&mut self, now: f64, slot: usize, stream: u32, payload: Option<&[u8]>) {
-        let read = payload.ok_or("the frame is too long for an invocation");
+    fn invoke(&mut self, slot: usize, fresh: &Fresh, guest: bool) {
+        let (stream, now) = (fresh.stream, fresh.at);
+        let read = fresh.payload.as_deref().ok_or("the frame is too long for an invocation");
         let (code, cooldown, why) = match read.and_then(|p| self.offer(now, slot, stream, p)) {
             Err(why) => {
                 self.counts.unusable += 1;
                 (frames::ERRORED, 0.0, why)
             }
             Ok((offer, work)) => {
-                let full = self.floor.clients.get(slot).is_none_or(|c| c.open.len() >= clients::MOST_OPEN)
+                let full = guest
+                    || self.floor.clients.get(slot).is_none_or(|c| c.open.len() >= clients::MOST_OPEN)
                     || self.floor.kept + work.body.len() > self.most_held;
                 let taken = if full {
                     Err(Refused::Full)
                 } else {
                     self.floor.taking = Some(work);
-                    self.engine.take(now, &offer, &mut self.floor)
+                    self.engine.take(self.floor.now, &offer, &mut self.floor)
                 };
                 self.floor.taking = None;
                 match taken {
@@ -268,7 +231,6 @@
             token: token.map(str::to_owned),
             body: body.to_vec(),
             timeout_at,
-            given_up_at: f64::NEG_INFINITY,
         };
         Ok((offer, work))
     }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -2,15 +2,19 @@
 //! thread goes through whatever is ready, a turn at a time; every table and buffer is bounded by the limits
 //! told at the start. It decides nothing: it turns what it reads into calls and answers into messages.
 
+mod accepting;
 mod clients;
 mod egress;
+mod ending;
 mod floor;
 mod front;
 mod held;
 mod host;
 mod ingress;
 mod links;
+mod listing;
 mod roster;
+mod sending;
 pub mod start;
 
 pub use front::{Waiting, run};
--- a/crates/platform/src/links.rs
+++ b/crates/platform/src/links.rs
@@ -31,6 +31,16 @@
 /// seconds, and a connection closed early costs another handshake; what is left is many round trips.
 const IDLE_SHARE: f64 = 0.9;
 
+/// A second answer comes within this time of the first.
+const SAID_TWICE: f64 = 0.5;
+
+/// What was never handed over, in its order.
+#[derive(Default)]
+pub struct Unwritten {
+    pub dispatches: Vec<Out>,
+    pub orders: Vec<u64>,
+}
+
 /// A dispatch on a connection.
 pub struct Out {
     pub inv: u32,
@@ -61,6 +71,8 @@
     /// Orders that were written or wait, by number: where the line begins.
     pub orders: BTreeMap<u64, Option<u64>>,
     given_up: BTreeSet<Rc<str>>,
+    /// Ids answered a moment ago, and when.
+    answered_ids: VecDeque<(f64, Rc<str>)>,
     pub queue: VecDeque<Queued>,
     /// Nothing new goes over it; it is closed once nothing is open.
     pub retired: bool,
@@ -86,6 +98,7 @@
             open: BTreeMap::new(),
             orders: BTreeMap::new(),
             given_up: BTreeSet::new(),
+            answered_ids: VecDeque::new(),
             queue: VecDeque::new(),
             retired: false,
             heard_at: now,
@@ -97,13 +110,21 @@
         }
     }
 
-    /// Whether a dispatch with this id may go over it. One whose id was given up on it may not: its answer
-    /// could be the earlier one's.
-    pub fn takes(&self, id: &str, streams: usize) -> bool {
+    /// Whether a dispatch with this id may go over it. One whose id was given up on it, or answered just now, may not:
+    /// a late or a second answer could be the earlier one's. Nor may any once it is so long idle that it is to be
+    /// closed: the executor may be closing it.
+    pub fn takes(&self, id: &str, streams: usize, now: f64, idle_close: f64) -> bool {
+        let answered = |(at, said): &(f64, Rc<str>)| &**said == id && now < at + SAID_TWICE;
         !self.retired
             && self.open.len() < streams
             && !self.open.contains_key(id)
             && !self.given_up.contains(id)
+            && !self.answered_ids.iter().any(answered)
+            && !(self.connected && self.is_idle() && self.is_over_idle(now, idle_close))
+    }
+
+    fn is_over_idle(&self, now: f64, idle_close: f64) -> bool {
+        now > self.idle_since + IDLE_SHARE * idle_close
     }
 
     /// The less comes first: one that stands, then with the least open, then used last. Guards against
@@ -147,6 +168,14 @@
         let _ = self.socket.stream.shutdown(std::net::Shutdown::Both);
     }
 
+    /// An id was answered. It goes over this connection again once no second answer can come any more.
+    pub fn said(&mut self, now: f64, id: Rc<str>) {
+        while self.answered_ids.front().is_some_and(|(at, _)| now >= at + SAID_TWICE) {
+            self.answered_ids.pop_front();
+        }
+        self.answered_ids.push_back((now, id));
+    }
+
     /// An answer has come under an id that was given up.
     pub fn settled(&mut self, id: &str) {
         self.given_up.remove(id);
@@ -157,6 +186,37 @@
         !self.connected || from.is_none_or(|from| from >= self.socket.written())
     }
 
+    /// Takes everything out of which the kernel got no byte.
+    pub fn take_unwritten(&mut self) -> Unwritten {
+        let ids: Vec<Rc<str>> =
+            self.open.keys().filter(|id| self.is_unwritten(self.open[*id].from)).cloned().collect();
+        let mut dispatches: Vec<Out> = ids.iter().filter_map(|id| self.open.remove(id)).collect();
+        dispatches.sort_by_key(|o| (Ordered(o.at), o.inv));
+        let orders = self.orders.iter().filter(|&(_, &from)| self.is_unwritten(from)).map(|(&tag, _)| tag);
+        let orders: Vec<u64> = orders.collect();
+        self.orders.retain(|tag, _| !orders.contains(tag));
+        self.queue.clear();
+        Unwritten { dispatches, orders }
+    }
+
+    /// Lines of which the kernel took no byte go back into the queue, to be asked about again when it takes more.
+    pub fn take_back(&mut self) {
+        let written = self.socket.written();
+        let mut back: Vec<(u64, Queued)> = vec![];
+        for (id, out) in self.open.iter_mut().filter(|(_, o)| o.from.is_some_and(|from| from >= written)) {
+            back.extend(out.from.take().map(|from| (from, Queued::Dispatch(id.clone()))));
+        }
+        for (&tag, begins) in self.orders.iter_mut().filter(|(_, o)| o.is_some_and(|from| from >= written)) {
+            back.extend(begins.take().map(|from| (from, Queued::Order(tag))));
+        }
+        back.sort_by_key(|b| b.0);
+        let Some(&(first, _)) = back.first() else { return };
+        self.socket.take_back(first);
+        // Lines between them that nothing is owed for are not missed; a cancel is never among them, since it leaves
+        // at once or its connection is cut off.
+        back.into_iter().rev().for_each(|(_, queued)| self.queue.push_front(queued));
+    }
+
     pub fn heard(&mut self, now: f64) {
         self.heard_at = now;
         self.line_since = if self.decoder.is_within() { self.line_since.or(Some(now)) } else { None };
@@ -171,7 +231,7 @@
             return Some((Transport::Malformed, "half a line and no more"));
         }
         // Before the executor does, so that nothing is sent into a connection that it is closing.
-        let idle = self.is_idle() && (self.retired || now > self.idle_since + IDLE_SHARE * idle_close);
+        let idle = self.is_idle() && (self.retired || self.is_over_idle(now, idle_close));
         idle.then_some((Transport::Broken, "idle"))
     }
 }
@@ -182,6 +242,8 @@
     pub address: SocketAddr,
     pub links: Vec<usize>,
     pub listed: bool,
+    /// The shortest time in which a connection to it was made: no less than it takes a message to get there.
+    pub reach: f64,
 }
 
 pub fn token(slot: usize) -> Token {
@@ -189,104 +251,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::io::Read;
-    use std::net::TcpListener;
-
-    fn link() -> (Link, std::net::TcpStream) {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-        let stream = TcpStream::connect(listener.local_addr().expect("it is bound")).expect("begun");
-        let (peer, _) = listener.accept().expect("it comes");
-        let mut link = Link::new(orchidtally_resolver::id("s-1"), stream, 0.0, 0.25);
-        link.connected = true;
-        (link, peer)
-    }
-
-    fn put(link: &mut Link, id: &str, from: Option<u64>) -> Rc<str> {
-        let id: Rc<str> = id.into();
-        link.open.insert(id.clone(), Out { inv: 1, dispatch: 0, at: 1.0, from });
-        id
-    }
-
-    /// A late answer to a dispatch that was given up must not pass for that of the next with the same id.
-    #[test]
-    fn an_id_given_up_goes_over_another_connection_until_its_answer_has_come() {
-        let (mut link, _peer) = link();
-        let id = put(&mut link, "a", Some(0));
-        assert!(!link.takes("a", 32), "it is open there");
-        assert!(link.give_up(&id));
-        assert!(!link.takes("a", 32) && link.takes("b", 32));
-        link.settled("a");
-        assert!(link.takes("a", 32));
-        let id = put(&mut link, "a", None);
-        link.queue.push_back(Queued::Dispatch(id.clone()));
-        assert!(!link.give_up(&id), "a queued one is just taken back");
-        assert!(link.queue.is_empty() && link.takes("a", 32));
-        for n in 0..MOST_GIVEN_UP {
-            let id = put(&mut link, &format!("{n}"), Some(0));
-            assert!(!link.retired);
-            link.give_up(&id);
-        }
-        assert!(link.retired, "ids given up are bounded");
-    }
-
-    #[test]
-    fn a_connection_used_lately_comes_before_one_long_idle_and_a_busier_one_after_both() {
-        let ((mut late, _a), (mut idle, _b), (mut busy, _c), (mut begun, _d)) =
-            (link(), link(), link(), link());
-        (late.idle_since, idle.idle_since, begun.connected) = (5.0, 1.0, false);
-        put(&mut busy, "a", Some(0));
-        let mut all =
-            [("begun", begun.rank()), ("busy", busy.rank()), ("idle", idle.rank()), ("late", late.rank())];
-        all.sort_by_key(|r| r.1);
-        assert_eq!(all.map(|r| r.0), ["late", "idle", "busy", "begun"]);
-    }
-
-    #[test]
-    fn a_connection_lost_on_the_way_is_no_executors_fault() {
-        let (mut link, _peer) = link();
-        put(&mut link, "a", Some(0));
-        put(&mut link, "b", Some(9));
-        link.open.values_mut().filter(|o| o.from == Some(9)).for_each(|o| o.at = 2.0);
-        let verdicts = |link: &Link, seen| link.verdicts(seen).map(|(o, v)| (o.from, v)).collect::<Vec<_>>();
-        let at_fault = [(Some(0), Transport::Malformed), (Some(9), Transport::Cut)];
-        let lost = [(Some(0), Transport::Cut), (Some(9), Transport::Cut)];
-        assert_eq!(verdicts(&link, Transport::Broken), at_fault, "nothing ever came");
-        link.answered = true;
-        assert_eq!(verdicts(&link, Transport::Broken), lost);
-        assert_eq!(verdicts(&link, Transport::Malformed), at_fault);
-    }
-
-    #[test]
-    fn only_what_the_kernel_never_got_is_unwritten() {
-        let (mut link, mut peer) = link();
-        link.socket.out().extend_from_slice(b"first\n");
-        link.socket.flush().expect("it takes six bytes");
-        assert!(!link.is_unwritten(Some(0)) && !link.is_unwritten(Some(5)));
-        assert!(link.is_unwritten(Some(6)) && link.is_unwritten(None));
-        let mut there = [0; 6];
-        peer.read_exact(&mut there).expect("it came");
-        assert_eq!(&there, b"first\n");
-        link.connected = false;
-        assert!(link.is_unwritten(Some(0)), "without a connection nothing is");
-    }
-
-    #[test]
-    fn half_a_line_and_idleness_end_a_connection_and_work_does_not() {
-        let (mut link, _peer) = link();
-        assert_eq!(link.overdue(13.0, 15.0), None, "one in use every ten seconds or so is kept");
-        assert_eq!(link.overdue(14.0, 15.0), Some((Transport::Broken, "idle")));
-        put(&mut link, "a", Some(0));
-        assert_eq!(link.overdue(100.0, 15.0), None);
-        link.decoder.push(b"{\"t\":");
-        link.heard(100.0);
-        assert_eq!(link.overdue(100.4, 15.0), None);
-        link.decoder.push(b"\"DO");
-        link.heard(100.4);
-        assert!(link.overdue(100.6, 15.0).is_some(), "the time runs from its first byte");
-        link.connected = false;
-        assert_eq!(link.overdue(0.2, 15.0), None);
-        assert!(link.overdue(0.3, 15.0).is_some());
-    }
-}
+#[path = "links_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/platform/src/listing.rs
@@ -0,0 +1,54 @@
+//! Lists of executors, as the resolver tells them.
+
+use crate::front::Front;
+use crate::links::Executor;
+use orchidtally::interface::*;
+use orchidtally_resolver::Entry;
+use tracing::{info, warn};
+
+impl Front {
+    pub fn resolve(&mut self, now: f64) {
+        let (named, left_out) = (self.places.named(), self.places.left_out);
+        if let Some(entries) = self.resolver.read(now, &mut self.places) {
+            self.list(now, entries);
+        }
+        if named != self.places.named() || left_out != self.places.left_out {
+            let ((locations, kinds), left_out) = (self.places.named(), self.places.left_out);
+            warn!(locations, kinds, left_out, "lists name locations or kinds that the settings don't");
+        }
+    }
+
+    /// A whole list of executors: what is not in it is gone.
+    pub fn list(&mut self, now: f64, entries: Vec<Entry>) {
+        self.floor.executors.values_mut().for_each(|e| e.listed = false);
+        let mut moved: Vec<usize> = vec![];
+        let rows: Vec<RosterRow> = entries.iter().map(|e| e.row.clone()).collect();
+        for entry in entries {
+            let known = self.floor.executors.entry(entry.row.executor).or_insert_with(|| Executor {
+                name: entry.name,
+                address: entry.address,
+                links: vec![],
+                listed: true,
+                reach: f64::INFINITY,
+            });
+            known.listed = true;
+            if known.address != entry.address {
+                known.address = entry.address;
+                moved.extend(&known.links);
+            }
+        }
+        for executor in self.floor.executors.values().filter(|e| !e.listed) {
+            info!(executor = executor.name, "gone");
+            moved.extend(&executor.links);
+        }
+        for link in moved {
+            // What is queued there goes over another, or nowhere.
+            self.floor.links[link].retired = true;
+            self.floor.touch_link(link);
+        }
+        let ready = rows.iter().filter(|r| r.standing == Standing::Ready).count();
+        info!(executors = rows.len(), ready, "the roster");
+        self.engine.roster(now, RosterKind::Full, &rows, &mut self.floor);
+        self.floor.executors.retain(|_, e| e.listed || !e.links.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/platform/src/sending.rs
@@ -0,0 +1,232 @@
+//! Lines to executors: over which connection each goes, and when it leaves.
+
+use crate::floor::{Departures, Floor, ORDER, Order};
+use crate::links::{self, BACKLOG, Link, Queued, Unwritten};
+use mio::Interest;
+use mio::net::TcpStream;
+use orchidtally::interface::ExecutorId;
+use orchidtally_engine::evidence::Transport;
+use orchidtally_lines as lines;
+use std::rc::Rc;
+
+impl Floor {
+    /// A connection over which a line may go: the one that stands and has the least open, unless another may
+    /// be made to spread over; else one that is being made.
+    pub fn link_for(&mut self, to: ExecutorId, id: &str) -> Result<usize, Transport> {
+        let executor = self.executors.get(&to).ok_or(Transport::NoConnection)?;
+        let takes = |&l: &usize| self.links[l].takes(id, self.streams, self.now, self.idle_close);
+        let fits = executor.links.iter().copied().filter(takes);
+        let best = fits.min_by_key(|&l| self.links[l].rank());
+        let taking = executor.links.iter().filter(|&&l| !self.links[l].retired).count();
+        let wanted = match best {
+            Some(best) if self.links[best].is_idle() => links::LEAST,
+            Some(_) => links::SPREAD,
+            None => usize::MAX,
+        };
+        let share = (self.most_links / self.executors.len().max(1)).max(1);
+        let may = taking < wanted && executor.links.len() < share;
+        let room = may && (self.links.len() < self.most_links || best.is_none() && self.make_room());
+        let begun = room.then(|| self.begin_link(to));
+        match (best, begun) {
+            (Some(best), _) => Ok(best),
+            (None, Some(begun)) => begun,
+            (None, None) => Err(Transport::Saturated),
+        }
+    }
+
+    /// Closes the connection that was idle for longest. Guards executors without one against never getting one
+    /// where there are more of them than descriptors; could harm by a handshake for each dispatch.
+    fn make_room(&mut self) -> bool {
+        let idle = self.links.iter().filter(|(_, l)| l.connected && l.is_idle());
+        let longest = idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|(slot, _)| slot);
+        let Some(mut link) = longest.and_then(|slot| self.links.try_remove(slot)) else { return false };
+        // One whose socket is gone already needs no more.
+        let _ = self.registry.deregister(&mut link.socket.stream);
+        if let Some(executor) = self.executors.get_mut(&link.to) {
+            executor.links.retain(|&l| Some(l) != longest);
+        }
+        true
+    }
+
+    fn begin_link(&mut self, to: ExecutorId) -> Result<usize, Transport> {
+        let executor = self.executors.get_mut(&to).ok_or(Transport::NoConnection)?;
+        let mut stream = TcpStream::connect(executor.address).map_err(|_| Transport::NoConnection)?;
+        let slot = self.links.vacant_key();
+        let both = Interest::READABLE | Interest::WRITABLE;
+        self.registry.register(&mut stream, links::token(slot), both).map_err(|_| Transport::NoConnection)?;
+        self.links.insert(Link::new(to, stream, self.now, self.connect_time));
+        executor.links.push(slot);
+        Ok(slot)
+    }
+
+    /// Whether a connection to the executor that was begun before a moment stands.
+    pub fn stands(&self, to: ExecutorId, before: f64) -> bool {
+        let links = self.executors.get(&to).map_or(&[][..], |e| &e.links);
+        links.iter().any(|&l| self.links[l].connected && self.links[l].begun_at < before)
+    }
+
+    /// Until when a dispatch after one that is given up now, over a connection to that executor, is held: a cancel
+    /// and the next dispatch go over two connections, on which nothing keeps their order.
+    pub fn note_given_up(&mut self, id: &Rc<str>, to: ExecutorId) {
+        let reach = self.executors.get(&to).map_or(0.0, |e| e.reach).min(self.connect_time);
+        self.given_up.insert(id.clone(), self.now + reach.max(self.tick));
+    }
+
+    /// What was held back and may go now.
+    pub fn release(&mut self) {
+        for (inv, dispatch, to) in self.held.due(self.now) {
+            self.send(inv, dispatch, to, self.now);
+        }
+    }
+
+    /// Puts a dispatch on a connection.
+    pub fn send(&mut self, inv: u32, dispatch: u8, to: ExecutorId, at: f64) {
+        let Some(id) = self.works.get(&inv).map(|w| w.id.clone()) else {
+            return self.unsent.push((inv, dispatch, Transport::Withheld));
+        };
+        match self.link_for(to, &id) {
+            Ok(slot) => {
+                self.links[slot].open.insert(id.clone(), links::Out { inv, dispatch, at, from: None });
+                self.links[slot].queue.push_back(Queued::Dispatch(id));
+                self.outs.insert((inv, dispatch), slot);
+                self.touch_link(slot);
+            }
+            Err(why) => self.unsent.push((inv, dispatch, why)),
+        }
+    }
+
+    fn send_order(&mut self, tag: u64, to: ExecutorId) {
+        match self.link_for(to, "") {
+            Ok(slot) => {
+                self.links[slot].orders.insert(tag, None);
+                self.links[slot].queue.push_back(Queued::Order(tag));
+                if let Some(order) = self.orders.get_mut(&tag) {
+                    order.link = slot;
+                }
+                self.touch_link(slot);
+            }
+            Err(why) => self.undone.push((tag, why)),
+        }
+    }
+
+    /// A connection ended, or takes nothing new, under what was never handed over: it goes over another, within the
+    /// time that a connection may take to be made. `again`: the executor is not known to be out of reach.
+    pub fn send_again(&mut self, to: ExecutorId, unwritten: Unwritten, again: bool) {
+        for out in unwritten.dispatches {
+            self.outs.remove(&(out.inv, out.dispatch));
+            match again && self.now < out.at + self.connect_time {
+                true => self.send(out.inv, out.dispatch, to, out.at),
+                false => self.unsent.push((out.inv, out.dispatch, Transport::NoConnection)),
+            }
+        }
+        for tag in unwritten.orders {
+            let begun = self.orders.get(&tag).map_or(0.0, |o| o.begun);
+            match again && self.now < begun + self.connect_time {
+                true => self.send_order(tag, to),
+                false => self.undone.push((tag, Transport::NoConnection)),
+            }
+        }
+    }
+
+    pub fn line(&mut self, to: ExecutorId, line: Vec<u8>) {
+        // Nothing is owed for one that finds no connection.
+        if let Ok(slot) = self.link_for(to, "") {
+            self.links[slot].queue.push_back(Queued::Line(line));
+            self.touch_link(slot);
+        }
+    }
+
+    pub fn order(&mut self, to: ExecutorId, function: u64, copies: u8) {
+        let tag = self.next_tag;
+        self.next_tag += 1;
+        self.orders.insert(tag, Order { to, function, copies, begun: self.now, link: usize::MAX });
+        self.send_order(tag, to);
+    }
+
+    /// Hands every cancel over. A connection that takes them not whole is cut off, which gives up all that is
+    /// open on it. Guards against a dispatch that reaches an executor before the cancel of the one before it has
+    /// left, so that two are out; it could harm what else is open at an executor that is slow to read.
+    fn hand_over_cancels(&mut self) {
+        for slot in std::mem::take(&mut self.cancelled) {
+            let Some(link) = self.links.get_mut(slot) else { continue };
+            let fault = match link.socket.flush() {
+                Ok(()) if link.socket.waiting() == 0 => continue,
+                Ok(()) => "takes no cancel".to_owned(),
+                Err(fault) => fault.to_string(),
+            };
+            link.cut_off();
+            self.cut.push((slot, fault));
+        }
+    }
+
+    /// Makes lines of what is queued, as long as the kernel takes them, and hands them over. No dispatch and no order
+    /// goes out but through here, and whether it still may is asked as its first byte leaves: a line of which the
+    /// kernel took none is taken back into the queue. Guards what is bounded in time against connections that are
+    /// slow to be made and executors that read nothing.
+    pub fn flush_link(&mut self, slot: usize, departures: &mut dyn Departures) -> std::io::Result<()> {
+        self.hand_over_cancels();
+        let Some(link) = self.links.get_mut(slot) else { return Ok(()) };
+        if link.retired && !link.is_cut && !link.queue.is_empty() {
+            // Nothing new goes over it; its executor may have moved, and another stand at its address.
+            let (to, unwritten) = (link.to, link.take_unwritten());
+            self.send_again(to, unwritten, true);
+        }
+        let Some(link) = self.links.get_mut(slot) else { return Ok(()) };
+        if !link.connected || link.is_cut {
+            return Ok(());
+        }
+        loop {
+            link.socket.flush()?;
+            if link.socket.waiting() > 0 {
+                link.take_back();
+                return Ok(());
+            }
+            if link.queue.is_empty() {
+                return Ok(());
+            }
+            while link.socket.waiting() < BACKLOG {
+                let from = link.socket.written() + link.socket.waiting() as u64;
+                let line = match link.queue.pop_front() {
+                    None => break,
+                    Some(Queued::Line(line)) => line,
+                    Some(Queued::Order(tag)) => {
+                        let Some(order) = self.orders.get(&tag) else { continue };
+                        if !departures.order_leaves(order.to) {
+                            link.orders.remove(&tag);
+                            self.undone.push((tag, Transport::Withheld));
+                            continue;
+                        }
+                        link.orders.insert(tag, Some(from));
+                        lines::hold(
+                            &format!("{ORDER}{tag}"),
+                            &format!("{:016x}", order.function),
+                            order.copies,
+                        )
+                    }
+                    Some(Queued::Dispatch(id)) => {
+                        let Some(out) = link.open.get_mut(&id) else { continue };
+                        let (inv, dispatch) = (out.inv, out.dispatch);
+                        let leaves = departures.dispatch_leaves(self.now, inv, dispatch);
+                        let Some(work) = self.works.get(&inv).filter(|_| leaves) else {
+                            link.open.remove(&id);
+                            self.outs.remove(&(inv, dispatch));
+                            self.unsent.push((inv, dispatch, Transport::Withheld));
+                            continue;
+                        };
+                        out.from = Some(from);
+                        let left = (work.timeout_at - self.now).max(0.001);
+                        lines::dispatch(&lines::Dispatch {
+                            id: &id,
+                            trigger_type: &self.trigger_types[work.trigger_type],
+                            function: &work.function,
+                            limit_ms: (left * 1e3).ceil() as u64,
+                            token: work.token.as_deref(),
+                            body: &work.body,
+                        })
+                    }
+                };
+                link.socket.out().extend_from_slice(&line);
+            }
+        }
+    }
+}
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -43,7 +43,7 @@
     parse(&text).map_err(fault)
 }
 
-fn parse(text: &[u8]) -> Result<Start, String> {
+pub(crate) fn parse(text: &[u8]) -> Result<Start, String> {
     let told: Told = serde_json::from_slice(text).map_err(|e| e.to_string())?;
     let grounds = orchidtally_terms::grounds(&told.settings)?;
     let mut places = Places::new(grounds.zones.clone(), grounds.kinds.clone());
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -85,7 +85,7 @@
 const RENEWED: f64 = 0.6;
 const DEAR: f64 = 0.02;
 /// What a cold executor bears over its budget, in roots of it; time constant of the work executors carry.
-const COLD_SLACK: f64 = 3.0;
+const COLD_SLACK: f64 = 2.0;
 const CARRY_TIME: f64 = 10.0;
 /// Least share of the longest stay-away advised; the rest is chance, so that clients don't return in step.
 const STAY_AWAY: f64 = 0.25;
@@ -159,11 +159,8 @@
 
     /// What is kept of executors, functions and invocations: all three level off.
     pub fn kept(&self) -> Kept {
-        Kept {
-            executors: self.fleet.ids.len(),
-            functions: self.book.functions.len(),
-            invocations: self.book.invs.len(),
-        }
+        let (executors, functions) = (self.fleet.ids.len(), self.book.functions.len());
+        Kept { executors, functions, invocations: self.book.invs.len() }
     }
 
     pub fn has_trigger_type(&self, ty: usize) -> bool {
@@ -204,20 +201,11 @@
         let objective = (ty.objective + ty.stretch * inv.work.unwrap_or(0.0)).min(ty.timeout);
         let (value, past_share) = self.value(inv);
         self.mean_value += NEWEST.max(1.0 / self.lately.add(1.0, now, PART_TIME)) * (value - self.mean_value);
-        let (id, ty, timeout_at) = (inv.id, inv.trigger_type, inv.timeout_at);
+        let (id, ty, timeout_at, at) = (inv.id, inv.trigger_type, inv.timeout_at, now);
         // What counts is the lesser of the latency objective and the client timeout.
         let patience = objective.min(timeout_at - now);
-        let i = self.book.add(Inv {
-            id,
-            ty,
-            f,
-            value,
-            past_share,
-            timeout_at,
-            patience,
-            at: now,
-            ..Inv::default()
-        });
+        let inv = Inv { id, ty, f, value, past_share, timeout_at, patience, at, ..Inv::default() };
+        let i = self.book.add(inv);
         self.book.functions[f].taken.add(1.0, now, PART_TIME);
         self.work.add(self.usual[ty], now, PART_TIME);
         self.book.wait(i);
@@ -282,6 +270,24 @@
         self.settle(out);
     }
 
+    /// What was decided is asked again as its bytes leave: guards what is bounded in time against connections
+    /// that are slow to be made or to take bytes. Could harm by a dispatch that is decided on over and over.
+    pub fn leaves(&mut self, now: f64, inv: u32, dispatch: u8) -> bool {
+        self.now = now;
+        let Some(&i) = self.book.inv_index.get(&inv) else { return false };
+        let mut all = self.book.invs[i].out.iter().filter(|d| !d.cancelled);
+        let Some(&d) = all.find(|d| d.dispatch == dispatch) else { return false };
+        let work = self.fleet.take_sent(d.x, d.at);
+        let leaves = self.allows_dispatch(i, d.x, Some(dispatch));
+        self.fleet.sent[d.x].extend(work.filter(|_| leaves).map(|work| (now, work)));
+        leaves
+    }
+
+    /// The same of an order to load.
+    pub fn order_leaves(&self, to: ExecutorId) -> bool {
+        self.fleet.index.get(&to).is_some_and(|&x| self.fleet.ready[x])
+    }
+
     /// The answer has begun to stream: this dispatch is the client's, any other is not wanted.
     pub fn streaming(&mut self, now: f64, inv: u32, dispatch: u8, out: &mut dyn Answers) {
         self.now = now;
@@ -327,23 +333,15 @@
     /// placements; it could harm where orders are scarce, so a part of them is left to those.
     pub fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Answers) -> usize {
         self.now = now;
-        let f = self.book.function(
-            wish.function,
-            wish.lanes.max(1.0).floor(),
-            wish.load_time.unwrap_or(LOAD_TIME),
-        );
+        let (lanes, load_time) = (wish.lanes.max(1.0).floor(), wish.load_time.unwrap_or(LOAD_TIME));
+        let f = self.book.function(wish.function, lanes, load_time);
         self.touched.push(f);
         self.settle(out); // ends a placement past its patience
+        let spare = self.ration_left(AHEAD);
         let function = &self.book.functions[f];
         let known = function.known.iter().filter(|k| k.until > now && self.fleet.ready[k.x]);
         let (count, oldest) = (known.clone().count(), known.min_by(|a, b| a.until.total_cmp(&b.until)));
         let renewed = oldest.filter(|k| k.until < now + RENEWED * self.cache_time).map(|k| k.x);
-        let span = (
-            now - self.terms.ration_window - self.terms.tick,
-            now - self.terms.ration_window + self.terms.tick,
-        );
-        let granted = AHEAD * (self.terms.ration_floor + self.terms.ration_share * self.taken.after(span.1));
-        let spare = self.terms.ration_window <= 0.0 || self.orders.after(span.0) + 1.0 <= granted;
         if !spare || !self.terms.orders || function.placement.is_some() || now < function.next_at {
             return count;
         }
--- a/src/choice/send.rs
+++ b/src/choice/send.rs
@@ -37,7 +37,7 @@
             let late = settled && self.now + left > inv.at + inv.patience;
             inv.sent >= self.terms.max_dispatches
                 || self.now + 2.0 * self.beat >= inv.timeout_at
-                || (inv.ran.is_some() && !self.fleet.all().any(|x| self.may_repeat(i, x)))
+                || (inv.ran.is_some() && !self.fleet.all().any(|x| self.may_repeat(i, x, None)))
                 || late && self.may_throttle(i)
         };
         let Some(&i) = self.book.functions[f].waiting.iter().find(hopeless) else { return false };
@@ -120,7 +120,7 @@
                 }
                 continue;
             }
-            let elsewhere = |x: usize| x != d.x && !self.fleet.suspect[x] && self.may_repeat(i, x);
+            let elsewhere = |x: usize| x != d.x && !self.fleet.suspect[x] && self.may_repeat(i, x, None);
             if self.terms.cancel && inv.sent < self.terms.max_dispatches && self.fleet.all().any(elsewhere) {
                 self.book.cancel(i, None, out);
                 return true;
@@ -129,22 +129,24 @@
         false
     }
 
-    /// Effects, drains and cold executors: no dispatch goes out but through here.
-    fn allows_dispatch(&self, i: usize, x: usize) -> bool {
+    /// Effects, drains and cold executors: no dispatch is made, nor leaves (by its number), but through here.
+    pub(super) fn allows_dispatch(&self, i: usize, x: usize, leaving: Option<u8>) -> bool {
         let inv = &self.book.invs[i];
+        let others = inv.out.iter().filter(|d| Some(d.dispatch) != leaving).count();
         !inv.closed
-            && inv.sent < self.terms.max_dispatches
-            && inv.out.len() <= usize::from(self.terms.second_copies)
+            && inv.sent - u8::from(leaving.is_some()) < self.terms.max_dispatches
+            && others <= usize::from(self.terms.second_copies)
             && self.now + self.terms.tick < inv.timeout_at
-            && self.may_repeat(i, x)
+            && self.may_repeat(i, x, leaving)
             && self.cold_room(x, self.usual[inv.ty])
     }
 
     /// Whether another dispatch there could have no second effect.
-    fn may_repeat(&self, i: usize, x: usize) -> bool {
+    fn may_repeat(&self, i: usize, x: usize, leaving: Option<u8>) -> bool {
         let inv = &self.book.invs[i];
         let ty = &self.terms.trigger_types[inv.ty];
-        let first = inv.out.iter().map(|d| (d.x, d.at)).chain(inv.ran).min_by(|a, b| a.1.total_cmp(&b.1));
+        let others = inv.out.iter().filter(|d| Some(d.dispatch) != leaving).map(|d| (d.x, d.at));
+        let first = others.chain(inv.ran).min_by(|a, b| a.1.total_cmp(&b.1));
         let harmless = |(at, when): (usize, f64)| match ty.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => false,
@@ -162,7 +164,8 @@
             return true;
         }
         // Guards against front ends that see each other come and go late: their parts would exceed the whole.
-        if !self.sharing {
+        // One that started anew knows not what it sent before: it sits out the span that is under way.
+        if !self.sharing || self.now < self.started + self.terms.fall + 2.0 * BEAT {
             return false;
         }
         let span = self.now - self.terms.fall - 2.0 * BEAT;
@@ -192,7 +195,7 @@
     }
 
     fn dispatch(&mut self, i: usize, x: usize, places: bool, out: &mut dyn Answers) -> bool {
-        if !self.allows_dispatch(i, x) {
+        if !self.allows_dispatch(i, x, None) {
             return false;
         }
         let inv = &self.book.invs[i];
@@ -206,21 +209,20 @@
         true
     }
 
+    /// Whether the ration, or a part of it, has an order left; a tick to the safe side at either end.
+    pub(super) fn ration_left(&mut self, part: f64) -> bool {
+        let (since, tick) = (self.now - self.terms.ration_window, self.terms.tick);
+        let ordered = self.orders.after(since - tick);
+        let granted = self.terms.ration_floor + self.terms.ration_share * self.taken.after(since + tick);
+        self.terms.ration_window <= 0.0 || ordered + 1.0 <= part * granted
+    }
+
     /// Drains and the ration: no order to load goes out but through here.
     pub(super) fn order(&mut self, f: usize, x: usize, out: &mut dyn Answers) -> bool {
-        let window = self.terms.ration_window;
-        if !self.fleet.ready[x] {
+        if !self.fleet.ready[x] || !self.ration_left(1.0) {
             return false;
         }
-        if window > 0.0 {
-            // A tick to the safe side at either end.
-            let ordered = self.orders.after(self.now - window - self.terms.tick);
-            let taken = self.taken.after(self.now - window + self.terms.tick);
-            if ordered + 1.0 > self.terms.ration_floor + self.terms.ration_share * taken {
-                return false;
-            }
-            self.orders.add(self.now);
-        }
+        self.orders.add(self.now);
         out.hold(self.fleet.ids[x], self.book.functions[f].key, 1);
         true
     }
@@ -254,7 +256,7 @@
                 && self.takes_more(k.x, part)
                 && (!with_room || self.has_lane(f, k, wanted))
                 && (!self.fleet.suspect[k.x] || self.may_try(i, k.x))
-                && self.allows_dispatch(i, k.x)
+                && self.allows_dispatch(i, k.x, None)
         };
         let known = function.known.iter().filter(fits).map(|k| (self.busy(k.x), k.x));
         known.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, x)| x)
