--- a/crates/engine/src/baseline.rs
+++ b/crates/engine/src/baseline.rs
@@ -17,6 +17,8 @@
     fn held(&mut self, now: f64, at: ExecutorId, key: u64, ending: Ending, out: &mut dyn Answers);
     fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Answers) -> usize;
     fn timer(&mut self, now: f64, out: &mut dyn Answers);
+    /// Nothing that is open is waited for past a moment.
+    fn end_by(&mut self, _now: f64, _at: f64, _out: &mut dyn Answers) {}
     /// Whether what was decided still holds as its bytes leave; baselines don't mind.
     fn leaves(&mut self, _now: f64, _inv: u32, _dispatch: u8) -> bool {
         true
@@ -58,6 +60,9 @@
     fn timer(&mut self, now: f64, out: &mut dyn Answers) {
         Choice::timer(self, now, 0, out);
     }
+    fn end_by(&mut self, now: f64, at: f64, out: &mut dyn Answers) {
+        Choice::end_by(self, now, at, out);
+    }
     fn leaves(&mut self, now: f64, inv: u32, dispatch: u8) -> bool {
         Choice::leaves(self, now, inv, dispatch)
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -136,6 +136,17 @@
         self.leaving = true;
     }
 
+    /// Nothing that is open is waited for past a moment, as if its client gave up then: the process ends.
+    pub fn end_by(&mut self, now: f64, at: f64, host: &mut dyn Host) {
+        for (&inv, open) in self.desk.open.iter_mut().filter(|(_, o)| !o.closed && o.timeout_at > at) {
+            open.timeout_at = at;
+            let out = (0..).zip(&open.sent).filter(|(_, s)| s.ending.is_none());
+            self.desk.deadlines.extend(out.map(|(n, _)| Reverse((Ordered(at), inv, Some(n)))));
+            self.desk.deadlines.push(Reverse((Ordered(at + OVERDUE), inv, None)));
+        }
+        self.play(now, host, |choice, now, out| choice.end_by(now, at, out));
+    }
+
     /// When `turn` is next to be called.
     pub fn due_at(&self) -> f64 {
         let deadline = self.desk.deadlines.peek().map(|Reverse((at, ..))| at.0);
--- a/crates/platform/src/crossing_tests/clients.rs
+++ b/crates/platform/src/crossing_tests/clients.rs
@@ -116,9 +116,11 @@
     let mut first = stage.client();
     let rest: Vec<TcpStream> = (1..stage.front.most_clients).map(|_| stage.client()).collect();
     first.write_all(&invocation(1, &id(1), "read")).expect("it stands");
-    // Taken in the same turn: the listener comes before the client in it.
+    // The listener comes before the client in this turn.
     let one_more = TcpStream::connect(stage.at).expect("it listens");
-    stage.until("taken", |s| s.front.counts.evicted > 0);
+    let now = stage.front.now();
+    stage.front.accept(now);
+    assert_eq!(stage.front.counts.evicted, 1);
     stage.dispatched(&id(1));
     assert_eq!(got(&mut first), (vec![], None), "it stands");
     drop((rest, one_more));
--- a/crates/platform/src/crossing_tests/mod.rs
+++ b/crates/platform/src/crossing_tests/mod.rs
@@ -17,6 +17,8 @@
     pub at: SocketAddr,
     listener: std::net::TcpListener,
     pub ends: Vec<(TcpStream, String)>,
+    /// Orders to load that were answered.
+    pub orders: usize,
 }
 
 impl Peer {
@@ -24,7 +26,7 @@
         let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         listener.set_nonblocking(true).expect("it can be");
         let at = listener.local_addr().expect("it is bound");
-        Peer { name: format!("s-{n}"), at, listener, ends: vec![] }
+        Peer { name: format!("s-{n}"), at, listener, ends: vec![], orders: 0 }
     }
 
     /// Reads what has come by now.
@@ -160,6 +162,7 @@
                 let orders: Vec<String> =
                     come.lines().filter(|l| l.contains(r#""PIN""#)).map(str::to_owned).collect();
                 *come = come.lines().filter(|l| !l.contains(r#""PIN""#)).map(|l| format!("{l}\n")).collect();
+                peer.orders += orders.len();
                 for order in orders {
                     let order: Value = serde_json::from_str(&order).expect("a line");
                     let answer = json!({"t": "DONE", "i": order["i"], "f": {"count": 1}}).to_string() + "\n";
--- a/crates/platform/src/ending.rs
+++ b/crates/platform/src/ending.rs
@@ -12,8 +12,13 @@
 /// on nothing is taken, and it is throttled at once.
 const SERVE_ON: f64 = 0.65;
 /// So long clients have to read their last answers before the process ends, and so long it waits after what a
-/// client sent in spite of having been told; for the longest client timeout at the most.
+/// client sent in spite of having been told; until shortly before it may be killed at the most.
 const LAST_WORDS: f64 = 0.1;
+/// The process may be killed so long after SIGTERM, and the longest client timeout before it, or this where that is
+/// longer. All is answered, and read if it is read at all, a moment sooner.
+const KILLED_AFTER: f64 = 0.7;
+const LONGEST_COUNTED: f64 = 3.0;
+const SOONER: f64 = 0.15;
 /// After SIGHUP the file is read again this often for so long: it may be half replaced when the signal comes, and
 /// nobody tells when it is whole. What the new resolver has to tell counts as told 4 s after the signal.
 const REREAD_EVERY: f64 = 0.25;
@@ -66,6 +71,9 @@
         // The process ends anyway.
         let _ = self.poll.registry().deregister(&mut listener);
         self.engine.leave();
+        let end_by = self.killed_at() - SOONER;
+        self.floor.works.values_mut().for_each(|w| w.timeout_at = w.timeout_at.min(end_by));
+        self.engine.end_by(now, end_by, &mut self.floor);
         info!(open = self.engine.open(), clients = self.floor.clients.len(), "nothing new is taken");
         let all: Vec<usize> = self.floor.clients.iter().map(|(slot, _)| slot).collect();
         for slot in all {
@@ -74,14 +82,19 @@
         }
     }
 
+    /// When the process may be killed, once it was told to end.
+    fn killed_at(&self) -> f64 {
+        let longest = self.grounds.terms.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
+        self.leaving_since.map_or(f64::INFINITY, |since| since + longest.min(LONGEST_COUNTED) + KILLED_AFTER)
+    }
+
     /// Told to end, nothing open, and clients had the time to read.
     pub fn is_over(&mut self, now: f64) -> bool {
         if self.listener.is_some() || self.engine.open() > 0 {
             self.quiet_since = None;
             return false;
         }
-        let longest = self.grounds.terms.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
-        if self.leaving_since.is_some_and(|since| now > since + SERVE_ON + longest) {
+        if now > self.killed_at() - SOONER / 3.0 {
             return true;
         }
         let is_done = |c: &Client| c.socket.waiting() == 0 && c.is_idle() && !c.is_within();
--- a/crates/platform/src/links_tests.rs
+++ b/crates/platform/src/links_tests.rs
@@ -102,3 +102,31 @@
     assert_eq!(link.overdue(0.2, 15.0), None);
     assert!(link.overdue(0.3, 15.0).is_some());
 }
+
+/// Lines of which the kernel got no byte go back, in their order; one that has begun to leave stays.
+#[test]
+fn what_the_kernel_took_nothing_of_is_taken_back_in_its_order() {
+    let (mut link, _peer) = link();
+    while link.socket.waiting() == 0 {
+        link.socket.out().extend_from_slice(&[b' '; 1 << 20]);
+        link.socket.flush().expect("it stands");
+    }
+    let written = link.socket.written();
+    let begun = put(&mut link, "z", Some(written - 1));
+    let at = link.socket.written() + link.socket.waiting() as u64;
+    let kept = link.socket.waiting();
+    for (n, id) in ["b", "a"].into_iter().enumerate() {
+        put(&mut link, id, Some(at + 10 * n as u64));
+    }
+    link.orders.insert(7, Some(at + 20));
+    link.socket.out().extend_from_slice(&[b'x'; 30]);
+    link.take_back();
+    assert_eq!(link.socket.waiting(), kept);
+    let queued = link.queue.iter().map(|q| match q {
+        Queued::Dispatch(id) => id.to_string(),
+        Queued::Order(tag) => tag.to_string(),
+        Queued::Line(_) => panic!("no line was there"),
+    });
+    assert_eq!(queued.collect::<Vec<_>>(), ["b", "a", "7"]);
+    assert!(link.open[&begun].from.is_some() && link.open["a"].from.is_none() && link.orders[&7].is_none());
+}
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -217,8 +217,7 @@
         self.now = now;
         let Some(&i) = self.book.inv_index.get(&o.inv) else { return };
         let Some(done) = self.book.ended(i, o.dispatch) else { return };
-        let x = done.x;
-        let (f, ty) = (self.book.invs[i].f, self.book.invs[i].ty);
+        let (x, f, ty) = (done.x, self.book.invs[i].f, self.book.invs[i].ty);
         self.fleet.note_ended(x, i, done.at);
         if let Some(&waiting) = self.terms.backlog_field.and_then(|field| o.report.get(field)) {
             let waiting = f64::from(waiting).max(0.0);
@@ -288,6 +287,13 @@
         self.fleet.index.get(&to).is_some_and(|&x| self.fleet.ready[x])
     }
 
+    /// The front end is about to end: nothing is waited for past a moment.
+    pub fn end_by(&mut self, now: f64, at: f64, out: &mut dyn Answers) {
+        self.now = now;
+        self.book.invs.iter_mut().for_each(|inv| inv.timeout_at = inv.timeout_at.min(at));
+        self.settle(out);
+    }
+
     /// The answer has begun to stream: this dispatch is the client's, any other is not wanted.
     pub fn streaming(&mut self, now: f64, inv: u32, dispatch: u8, out: &mut dyn Answers) {
         self.now = now;
@@ -341,12 +347,12 @@
         let function = &self.book.functions[f];
         let known = function.known.iter().filter(|k| k.until > now && self.fleet.ready[k.x]);
         let (count, oldest) = (known.clone().count(), known.min_by(|a, b| a.until.total_cmp(&b.until)));
-        let renewed = oldest.filter(|k| k.until < now + RENEWED * self.cache_time).map(|k| k.x);
+        let due = |k: &&Known| wish.copies > 0 && k.until < now + RENEWED * self.cache_time;
+        let renewed = oldest.filter(due).map(|k| k.x);
         if !spare || !self.terms.orders || function.placement.is_some() || now < function.next_at {
             return count;
         }
         let load_time = function.load_time;
-        let renewed = renewed.filter(|_| wish.copies > 0);
         let x = if count < wish.copies { self.placement_target(f, None) } else { renewed };
         if let Some(x) = x
             && self.order(f, x, out)
--- a/src/choice/send.rs
+++ b/src/choice/send.rs
@@ -198,9 +198,8 @@
         if !self.allows_dispatch(i, x, None) {
             return false;
         }
-        let inv = &self.book.invs[i];
-        let ty = inv.ty;
-        out.dispatch(inv.id, self.fleet.ids[x], inv.timeout_at - self.now);
+        let &Inv { id, ty, timeout_at, .. } = &self.book.invs[i];
+        out.dispatch(id, self.fleet.ids[x], timeout_at - self.now);
         self.fleet.note_sent(x, i, self.now, self.usual[ty], 2.0 * self.terms.fall);
         if self.fleet.suspect[x] {
             self.fleet.trial_at[x] = self.now + SILENCE * self.terms.trigger_types[ty].objective;
--- /dev/null
+++ b/tests/leaving.rs
@@ -0,0 +1,80 @@
+//! What was decided is asked again as its bytes leave, which may be long after.
+
+mod plain;
+
+use orchidtally::interface::*;
+use plain::warm::warm;
+use plain::{Said, World, id, terms};
+
+fn leaves(w: &mut World, inv: u32, dispatch: u8) -> bool {
+    w.choice.leaves(w.plain.now, inv, dispatch)
+}
+
+/// One dispatch that is out, and where.
+fn out(terms: Terms) -> (World, u32, usize) {
+    let (mut w, x) = warm(terms, 4);
+    let inv = w.invoke(0, 1, 5.0);
+    assert_eq!(w.plain.said.last(), Some(&Said::Dispatch(inv, x)));
+    (w, inv, x)
+}
+
+#[test]
+fn nothing_leaves_for_an_executor_that_was_told_draining_or_gone_meanwhile() {
+    for standing in [Standing::Draining, Standing::Gone] {
+        let (mut w, inv, x) = out(terms());
+        assert!(leaves(&mut w, inv, 0) && w.choice.order_leaves(id(x)));
+        w.roster(x, standing, f64::NEG_INFINITY);
+        assert!(!leaves(&mut w, inv, 0) && !w.choice.order_leaves(id(x)), "{standing:?}");
+    }
+    let (w, ..) = out(terms());
+    assert!(!w.choice.order_leaves(id(200)), "nobody knows it");
+}
+
+/// The window runs from the first that may have run; the repeat may be on its way for as long as a connection takes.
+#[test]
+fn a_repeat_does_not_leave_once_the_window_of_its_token_is_over() {
+    let (mut w, x) = warm(terms(), 4);
+    let inv = w.invoke(1, 1, 5.0);
+    assert_eq!(w.plain.said.last(), Some(&Said::Dispatch(inv, x)));
+    assert!(leaves(&mut w, inv, 0), "the first has no window");
+    w.pass(1.5);
+    assert!(leaves(&mut w, inv, 0));
+    w.end(inv, 0, Ending::Error);
+    assert_eq!(w.plain.taken[inv as usize].sent.len(), 2, "it may be repeated");
+    assert!(leaves(&mut w, inv, 1));
+    w.pass(0.49);
+    assert!(leaves(&mut w, inv, 1));
+    w.pass(0.02);
+    assert!(!leaves(&mut w, inv, 1), "2 s after the first");
+}
+
+#[test]
+fn nothing_leaves_after_its_time_nor_once_it_is_over() {
+    let (mut w, inv, _) = out(terms());
+    w.plain.now += 4.997;
+    assert!(leaves(&mut w, inv, 0));
+    w.plain.now += 0.002;
+    assert!(!leaves(&mut w, inv, 0), "less than a moment is left");
+    let (mut w, inv, _) = out(terms());
+    w.withdraw(inv);
+    assert!(!leaves(&mut w, inv, 0) && !leaves(&mut w, 999, 0));
+    let (mut w, inv, _) = out(terms());
+    w.end(inv, 0, Ending::Ok);
+    assert!(!leaves(&mut w, inv, 0));
+}
+
+/// An executor that restarted while a connection to it was being made is as cold as any, and what leaves late weighs
+/// when it leaves.
+#[test]
+fn what_leaves_late_counts_at_a_cold_executor_when_it_leaves() {
+    let (mut w, x) = warm(Terms { orders: false, front_ends: 1.0, ..terms() }, 1);
+    w.pass(3.0);
+    let first = w.invoke(0, 1, 4.0);
+    assert_eq!(w.plain.taken[first as usize].sent.len(), 1);
+    w.pass(2.0);
+    w.roster(x, Standing::Ready, w.plain.now);
+    assert!(leaves(&mut w, first, 0), "its turn of one");
+    let second = w.invoke(0, 2, 4.0);
+    w.pass(0.5);
+    assert!(w.plain.taken[second as usize].sent.is_empty(), "the first has just left");
+}
