Take each invocation as of the customer that it names, not all as the first's

Cause: ingress.rs took every invocation as customer 0, so that all traffic used up the first customer's share. Now the name is looked up; one that the settings don't have is errored, and who names none is within nobody's share.

--- a/crates/cli/tests/platform_crossings.rs
+++ b/crates/cli/tests/platform_crossings.rs
@@ -72,8 +72,9 @@
     std::thread::sleep(Duration::from_millis(600));
     let spent = used(front.process.id()) - before;
     assert!(spent < 0.3, "{spent} s of processor time in 0.6 s");
-    drop(busy);
+    // It waits already when descriptors come free; no other connection tells of it.
     let mut client = front.client();
+    drop(busy);
     assert_eq!(ask(&mut client, &invocation(1, &id(1), "read", CALM, b"")).2, frames::SUCCEEDED);
 }
 
--- a/crates/platform/src/crossing_tests/leaving.rs
+++ b/crates/platform/src/crossing_tests/leaving.rs
@@ -35,16 +35,17 @@
     assert_eq!(answers, [(frames::NO_MORE, 0, 0), (frames::ANSWER, 1, frames::THROTTLED)]);
 }
 
-/// Nearly as many as can wait: each is told, none is reset with the listener.
+/// Nearly as many as can wait, all since the last look: each is told, none is reset with the listener.
 #[test]
 fn all_that_wait_to_be_accepted_are_told_of_the_end() {
     let mut stage = Stage::new(1, 512, |_| {});
     let mut waiting: Vec<TcpStream> =
         (0..100).map(|_| TcpStream::connect(stage.at).expect("it listens")).collect();
     told_to_end(&mut stage);
-    // The turn that closes the listener.
-    stage.until("closed", |s| s.front.listener.is_none());
-    assert_eq!(stage.front.counts.accepted, 100);
+    let now = stage.front.now();
+    stage.front.stop_taking(now);
+    stage.front.settle(now);
+    assert_eq!((stage.front.counts.accepted, stage.front.listener.is_none()), (100, true));
     for client in &mut waiting {
         client.set_nonblocking(true).expect("it can be");
         assert_eq!(got(client), (vec![(frames::NO_MORE, 0, 0)], None));
--- a/crates/platform/src/crossing_tests/mod.rs
+++ b/crates/platform/src/crossing_tests/mod.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod connections;
 mod leaving;
+mod settings;
 
 use super::*;
 use orchidtally::interface::*;
--- a/crates/platform/src/floor_tests.rs
+++ b/crates/platform/src/floor_tests.rs
@@ -163,3 +163,31 @@
     ends[0].read_to_end(&mut rest).expect("an end, not a silence");
     assert!(!rest.is_empty());
 }
+
+/// Whatever the kernel takes of a batch of lines, none that has not begun to leave stays made.
+#[test]
+fn no_line_stays_made_of_which_the_kernel_took_nothing() {
+    let (mut floor, ids, mut ends) = set(1);
+    let slot = floor.executors[&ids[0]].links[0];
+    while floor.links[slot].socket.waiting() == 0 {
+        floor.links[slot].socket.out().resize(1 << 20, b' ');
+        floor.links[slot].socket.flush().expect("it stands");
+    }
+    for inv in 0..30 {
+        take(&mut floor, inv);
+        floor.works.get_mut(&inv).expect("it is open").body = vec![7; 16 * 1024];
+        floor.dispatch(inv, 0, ids[0], 3.0);
+    }
+    let mut gate = Gate { open: true, asked: 0 };
+    let mut bytes = vec![0; 20 * 1024];
+    let mut stuck = 0;
+    while !floor.links[slot].queue.is_empty() {
+        ends[0].read_exact(&mut bytes).expect("there is more");
+        floor.flush_link(slot, &mut gate).expect("it is taken");
+        let link = &floor.links[slot];
+        let begun = |o: &crate::links::Out| o.from.is_none_or(|from| from < link.socket.written());
+        assert!(link.open.values().all(begun));
+        stuck += usize::from(link.socket.waiting() > 0);
+    }
+    assert!(stuck > 0 && gate.asked > 30, "lines were taken back and asked about again: {}", gate.asked);
+}
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -162,7 +162,7 @@
     }
 
     /// What a client asks, checked; or what is wrong with it.
-    fn offer(
+    pub fn offer(
         &self,
         now: f64,
         client: usize,
@@ -191,6 +191,12 @@
             Some("1") => true,
             Some(_) => return Err("'dup' is neither 1 nor absent"),
         };
+        // Who names no customer is within nobody's share, and takes of none.
+        let customers = &self.grounds.customers;
+        let customer = match field("project").filter(|_| !customers.is_empty()) {
+            None => customers.len(),
+            Some(name) => customers.iter().position(|c| c == name).ok_or("'project' names no customer")?,
+        };
         let token = field("replay");
         if token.is_some_and(|t| t.is_empty() || t.len() > LONGEST_TOKEN) {
             return Err("'replay' is empty or too long");
@@ -213,7 +219,7 @@
         let timeout_at = now + (allow / 1e3).min(ty.timeout);
         let offer = Offer {
             trigger_type,
-            customer: 0,
+            customer,
             function,
             repeat,
             moved: false,
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -108,8 +108,12 @@
     decode(&serde_json::from_slice(bytes).map_err(|e| format!("settings are not JSON: {e}"))?)
 }
 
+fn customers(v: &Value) -> Result<&[Value], String> {
+    if need(v, "customers").is_ok() { list(v, "customers") } else { Ok(&[]) }
+}
+
 fn decode(v: &Value) -> Result<Terms, String> {
-    let customers = if need(v, "customers").is_ok() { list(v, "customers")? } else { &[] };
+    let customers = customers(v)?;
     Ok(Terms {
         trigger_types: list(v, "classes")?.iter().map(trigger_type).collect::<Result<_, _>>()?,
         quotas: customers.iter().map(|c| amount(c, "quotaRps")).collect::<Result<_, _>>()?,
@@ -153,6 +157,8 @@
     pub terms: Terms,
     /// Names, each list by the index that the module knows.
     pub trigger_types: Vec<String>,
+    /// Those that have shares; none on some deployments.
+    pub customers: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
     pub report: Vec<String>,
@@ -177,6 +183,10 @@
     Ok(Grounds {
         terms: decode(v)?,
         trigger_types: trigger_types.collect::<Result<_, _>>()?,
+        customers: customers(v)?
+            .iter()
+            .map(|c| text(c, "name").map(str::to_owned))
+            .collect::<Result<_, _>>()?,
         zones: names(v, "zones")?,
         kinds: names(v, "shapes")?,
         report: if need(v, "feedback.fields").is_ok() { names(v, "feedback.fields")? } else { vec![] },
