Leave alone who turns all away while no list of executors can be had

Cause: a resolver that is away can't tell who drains; all counts as told 4.5 s after that, and the grace runs. Nobody can know but by what an executor shows.

--- a/crates/cli/tests/platform_lists.rs
+++ b/crates/cli/tests/platform_lists.rs
@@ -82,3 +82,26 @@
     assert!(day.0.rules[2].checked > 0, "{:?}", day.0);
     kept("away", day, 0.95);
 }
+
+/// Past that and the grace nobody can know who drains but by what it shows: one that turns away all that comes is left
+/// alone, and one that is gone takes no connection. What reaches them before they have shown it is counted.
+#[test]
+fn little_reaches_executors_that_drain_while_the_resolver_is_away_for_longer() {
+    let (verdict, succeeded) = play("away-longer", 2, 10.0, |day| async move {
+        day.stage.sleep(0.3).await;
+        day.resolver.go_away(9.0, 4.5, 2);
+        day.stage.sleep(0.3).await;
+        day.change(0, Standing::Draining);
+        day.executors[0].draining.set(true);
+        day.change(1, Standing::Draining);
+        day.executors[1].draining.set(true);
+    });
+    let late = verdict.rules[2].breaches.len();
+    println!(
+        "{late} of {} dispatches and orders: {:#?}",
+        verdict.rules[2].checked, verdict.rules[2].breaches
+    );
+    assert!(succeeded >= 0.95, "{succeeded}");
+    // From the grace on for 3.5 s: two executors, two front ends. Without leaving those alone it was 8.
+    assert!(late <= 6, "{:#?}", verdict.rules[2].breaches);
+}
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -206,6 +206,7 @@
 
     fn keep_house(&mut self, now: f64) {
         self.resolver.turn(now);
+        self.watch_resolver(now);
         if now < self.sweep_at {
             return;
         }
--- a/crates/platform/src/listing.rs
+++ b/crates/platform/src/listing.rs
@@ -18,6 +18,16 @@
         }
     }
 
+    /// Tells that no list can be had, and that one can again where nothing else tells so.
+    pub fn watch_resolver(&mut self, now: f64) {
+        let quiet = self.resolver.is_quiet();
+        if std::mem::replace(&mut self.resolver.told_quiet, quiet) != quiet {
+            info!(quiet, "the resolver");
+            let kind = if quiet { RosterKind::Failed } else { RosterKind::Delta };
+            self.engine.roster(now, kind, &[], &mut self.floor);
+        }
+    }
+
     /// A whole list of executors: what is not in it is gone.
     pub fn list(&mut self, now: f64, entries: Vec<Entry>) {
         self.floor.executors.values_mut().for_each(|e| e.listed = false);
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -31,6 +31,8 @@
     next_at: f64,
     serial: u32,
     buffer: Box<[u8]>,
+    /// It was told on that no list can be had.
+    pub told_quiet: bool,
     /// Answers that could not be used, since the last good one.
     pub bad: u64,
 }
@@ -55,7 +57,7 @@
     pub fn new(at: SocketAddr, serial: u32, registry: &Registry, token: mio::Token) -> io::Result<Resolver> {
         let now = Asked::new(at, registry, token)?;
         let buffer = vec![0; LONGEST].into();
-        Ok(Resolver { now, before: VecDeque::new(), next_at: 0.0, serial, buffer, bad: 0 })
+        Ok(Resolver { now, before: VecDeque::new(), next_at: 0.0, serial, buffer, told_quiet: false, bad: 0 })
     }
 
     /// Asks at another address from now on. The numbers of events go on, and the one asked so far is heard until the
--- a/src/choice/judge.rs
+++ b/src/choice/judge.rs
@@ -77,12 +77,8 @@
             self.book.functions[f].lots = (self.fleet.version, lots);
         }
         let function = &self.book.functions[f];
-        let fits = |&x: &usize| {
-            self.fleet.ready[x]
-                && !self.fleet.suspect[x]
-                && function.failed != Some(x)
-                && !function.knows(x, self.now)
-        };
+        let is_sound = |x: usize| self.is_open(x) && !self.fleet.suspect[x];
+        let fits = |&x: &usize| is_sound(x) && function.failed != Some(x) && !function.knows(x, self.now);
         let last = function.last_warm.filter(|&(x, at)| self.now < at + self.terms.keep_alive && fits(&x));
         if let Some((x, _)) = last {
             return Some(x);
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -105,6 +105,7 @@
     /// By what the rota for cold executors goes, and whether this front end is in it.
     rota: f64,
     sharing: bool,
+    blind: bool, // no list can be had
     chance: Chance,
     now: f64,
     started: f64,
@@ -168,8 +169,8 @@
     }
 
     pub fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Answers) {
-        self.now = now;
-        if kind == RosterKind::Failed {
+        (self.now, self.blind) = (now, kind == RosterKind::Failed);
+        if self.blind {
             self.watch_at = now + WATCH_PAUSE * (0.5 + self.chance.unit());
         }
         let void = self.fleet.list(now, kind == RosterKind::Full, rows);
@@ -231,6 +232,7 @@
         if !matches!(o.ending, Ending::TimedOut | Ending::Cancelled | Ending::ConnectFailed | Ending::Reset) {
             self.fleet.heard[x] = now;
         }
+        self.fleet.note_answer(x, o.ending);
         self.learn(x, (f, ty), &done, o);
         let (until, wanted) = (now + self.cache_time, self.wanted(f));
         let function = &mut self.book.functions[f];
@@ -284,7 +286,7 @@
 
     /// The same of an order to load.
     pub fn order_leaves(&self, to: ExecutorId) -> bool {
-        self.fleet.index.get(&to).is_some_and(|&x| self.fleet.ready[x])
+        self.fleet.index.get(&to).is_some_and(|&x| self.is_open(x))
     }
 
     /// The front end is about to end: nothing is waited for past a moment.
@@ -320,6 +322,7 @@
         self.now = now;
         let Some(&f) = self.book.function_index.get(&key) else { return };
         let Some(&x) = self.fleet.index.get(&at) else { return };
+        self.fleet.note_answer(x, ending);
         if ending == Ending::Ok && self.fleet.ready[x] {
             self.book.functions[f].know(x, now, now + self.cache_time);
         } else {
@@ -384,17 +387,4 @@
         }
         self.settle(out);
     }
-
-    /// A placement has come to its end; a failed one alone is tried again, after a growing pause.
-    fn placed(&mut self, f: usize, x: usize, by_order: bool, well: bool) {
-        let function = &mut self.book.functions[f];
-        if function.placement.take_if(|p| p.x == x && p.by_order == by_order).is_none() {
-            return;
-        }
-        function.failed = (!well).then_some(x);
-        function.tries = if well { 0 } else { function.tries + 1 };
-        if !well {
-            function.next_at = self.now + BACKOFF * BACKOFF_GROWTH.powi(function.tries - 1);
-        }
-    }
 }
--- a/src/choice/send.rs
+++ b/src/choice/send.rs
@@ -80,15 +80,11 @@
         let function = &self.book.functions[f];
         // Guards against copies for what only crowding holds up. A cold one without a turn has no room.
         let (wanted, most, work) = (self.wanted(f), SPREAD * self.busy(x), self.usual[self.book.invs[i].ty]);
-        let serves = |k: &Known| {
-            // Not one whose time is over: with many functions it is long until they are swept.
-            k.until > self.now
-                && !self.fleet.suspect[k.x]
-                && self.has_lane(f, k, wanted)
-                && self.busy(k.x) < most
-                && self.cold_room(k.x, work)
-        };
-        if function.known.iter().any(serves) {
+        // Not one whose time is over: with many functions it is long until they are swept.
+        let stands =
+            |k: &&Known| k.until > self.now && !self.fleet.suspect[k.x] && self.has_lane(f, k, wanted);
+        let bears = |k: &Known| self.busy(k.x) < most && self.cold_room(k.x, work);
+        if function.known.iter().filter(stands).any(bears) {
             return false;
         }
         let worth_it = self.terms.answers_miss || self.terms.order_price < DEAR;
@@ -101,6 +97,19 @@
         true
     }
 
+    /// A placement has come to its end; a failed one alone is tried again, after a growing pause.
+    pub(super) fn placed(&mut self, f: usize, x: usize, by_order: bool, well: bool) {
+        let function = &mut self.book.functions[f];
+        if function.placement.take_if(|p| p.x == x && p.by_order == by_order).is_none() {
+            return;
+        }
+        function.failed = (!well).then_some(x);
+        function.tries = if well { 0 } else { function.tries + 1 };
+        if !well {
+            function.next_at = self.now + BACKOFF * BACKOFF_GROWTH.powi(function.tries - 1);
+        }
+    }
+
     /// What is out at an executor long silent gets another dispatch: a copy where granted, else after a
     /// cancel if it is suspect too. Guards against hangs and lost links, not slowness: copies feed a crowd.
     pub(super) fn move_from_slow(&mut self, f: usize, out: &mut dyn Answers) -> bool {
@@ -141,6 +150,12 @@
             && self.cold_room(x, self.usual[inv.ty])
     }
 
+    /// Told ready, and not seen to drain: while no list is to be had, one that turns all away is left alone.
+    /// Guards drains that nobody can tell; could harm a crowded one until a list can be had.
+    pub(super) fn is_open(&self, x: usize) -> bool {
+        self.fleet.ready[x] && (!self.blind || self.fleet.turned_away[x] < LEAST_JUDGED)
+    }
+
     /// Whether another dispatch there could have no second effect.
     fn may_repeat(&self, i: usize, x: usize, leaving: Option<u8>) -> bool {
         let inv = &self.book.invs[i];
@@ -153,7 +168,7 @@
             Effect::Tokened if !self.fleet.same_group(ty.group, x, at) => false,
             Effect::Tokened => self.now < when + ty.window - 2.0 * self.terms.tick,
         };
-        self.fleet.ready[x] && first.is_none_or(harmless)
+        self.is_open(x) && first.is_none_or(harmless)
     }
 
     /// A cold executor's budget over the span in which it could be pushed over: this front end's part, what's
@@ -218,7 +233,7 @@
 
     /// Drains and the ration: no order to load goes out but through here.
     pub(super) fn order(&mut self, f: usize, x: usize, out: &mut dyn Answers) -> bool {
-        if !self.fleet.ready[x] || !self.ration_left(1.0) {
+        if !self.is_open(x) || !self.ration_left(1.0) {
             return false;
         }
         self.orders.add(self.now);
@@ -249,15 +264,12 @@
     fn least_busy_known(&self, f: usize, i: usize, with_room: bool) -> Option<usize> {
         let function = &self.book.functions[f];
         let (part, wanted) = (self.part(i), self.wanted(f));
-        let fits = |k: &&Known| {
-            k.until > self.now
-                && !self.book.invs[i].out.iter().any(|d| d.x == k.x)
-                && self.takes_more(k.x, part)
-                && (!with_room || self.has_lane(f, k, wanted))
-                && (!self.fleet.suspect[k.x] || self.may_try(i, k.x))
-                && self.allows_dispatch(i, k.x, None)
-        };
-        let known = function.known.iter().filter(fits).map(|k| (self.busy(k.x), k.x));
+        let out = &self.book.invs[i].out;
+        let stands = |k: &&Known| k.until > self.now && !out.iter().any(|d| d.x == k.x);
+        let has_room = |k: &&Known| self.takes_more(k.x, part) && (!with_room || self.has_lane(f, k, wanted));
+        let is_sound = |k: &&Known| !self.fleet.suspect[k.x] || self.may_try(i, k.x);
+        let fit = function.known.iter().filter(stands).filter(has_room).filter(is_sound);
+        let known = fit.filter(|k| self.allows_dispatch(i, k.x, None)).map(|k| (self.busy(k.x), k.x));
         known.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, x)| x)
     }
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -3,7 +3,7 @@
 mod book;
 
 use crate::chance::agreed;
-use crate::interface::{ExecutorId, Group, RosterRow, Standing};
+use crate::interface::{Ending, ExecutorId, Group, RosterRow, Standing};
 pub use book::*;
 use std::collections::{HashMap, VecDeque};
 use std::net::IpAddr;
@@ -30,6 +30,8 @@
     pub heard: Vec<f64>,
     /// When it last broke off or took no connection.
     pub broke_at: Vec<f64>,
+    /// Dispatches and orders in a row that it turned away as 'full'.
+    pub turned_away: Vec<usize>,
     /// What answers 'full' ask for.
     pub paused: Vec<Pause>,
     /// Invocations reported waiting, and when that was told.
@@ -76,6 +78,7 @@
         put(&mut self.out, x, vec![]);
         put(&mut self.heard, x, f64::NEG_INFINITY);
         put(&mut self.broke_at, x, f64::NEG_INFINITY);
+        put(&mut self.turned_away, x, 0);
         put(&mut self.paused, x, Pause::default());
         put(&mut self.backlog, x, (0.0, f64::NEG_INFINITY));
         put(&mut self.answers, x, VecDeque::new());
@@ -138,7 +141,7 @@
     /// Voids what was heard of an executor. What is out there still counts, and so does what was sent.
     pub fn forget(&mut self, x: usize) {
         self.backlog[x] = (0.0, f64::NEG_INFINITY);
-        self.paused[x] = Pause::default();
+        (self.paused[x], self.turned_away[x]) = (Pause::default(), 0);
         self.answers[x].clear();
         self.suspect[x] = false;
     }
@@ -166,6 +169,15 @@
         self.out_count -= before - self.out[x].len();
     }
 
+    /// Notes how a dispatch or an order ended.
+    pub fn note_answer(&mut self, x: usize, ending: Ending) {
+        match ending {
+            Ending::Full => self.turned_away[x] += 1,
+            Ending::Ok => self.turned_away[x] = 0,
+            _ => {}
+        }
+    }
+
     /// Work sent since a moment that is still kept.
     pub fn sent_since(&self, x: usize, since: f64) -> f64 {
         self.sent[x].iter().filter(|s| s.0 > since).map(|s| s.1).sum()
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -78,3 +78,33 @@
     w.pass(0.5);
     assert!(w.plain.taken[second as usize].sent.is_empty(), "the first has just left");
 }
+
+/// While no list can be had nobody is told who drains: one that turns away whatever comes is left alone until one can.
+#[test]
+fn one_that_turns_all_away_is_left_alone_while_no_list_can_be_had() {
+    let turn_away = |w: &mut World, pause: f64| {
+        let inv = w.invoke(0, 1, 5.0);
+        let sent = !w.plain.taken[inv as usize].sent.is_empty();
+        if sent {
+            w.end(inv, 0, Ending::Full);
+        }
+        w.withdraw(inv);
+        w.pass(pause);
+        sent
+    };
+    let list = |w: &mut World, kind| w.choice.roster(w.plain.now, kind, &[], &mut w.plain);
+    let pauses = [0.15, 0.25, 0.45, 0.85];
+    let (mut w, x) = warm(Terms { orders: false, ..terms() }, 1);
+    assert!(pauses.into_iter().all(|pause| turn_away(&mut w, pause)), "with a list it is asked again");
+    list(&mut w, RosterKind::Failed);
+    assert!(!turn_away(&mut w, 0.1) && !w.choice.order_leaves(id(x)));
+    list(&mut w, RosterKind::Delta);
+    assert!(w.choice.order_leaves(id(x)) && turn_away(&mut w, 0.1));
+    // One that serves in between is crowded, not draining.
+    let (mut w, x) = warm(Terms { orders: false, ..terms() }, 1);
+    list(&mut w, RosterKind::Failed);
+    assert!(pauses[..3].iter().all(|&pause| turn_away(&mut w, pause)));
+    let inv = w.invoke(0, 1, 5.0);
+    w.end(inv, 0, Ending::Ok);
+    assert!(pauses[..3].iter().all(|&pause| turn_away(&mut w, pause)) && w.choice.order_leaves(id(x)));
+}
