Test that nothing begins for a client that has gone, wherever its invocation waits

Waiting for a load, queued on a connection being made, waiting to be sent again, judged after a broken connection, held until a cancel has arrived, after a reset or an end within a frame, and taken back as its answer comes: each is forced by the order of turns and bytes over loopback sockets, and nothing leaves within 0.4 s.

--- a/crates/platform/src/crossing_tests/mod.rs
+++ b/crates/platform/src/crossing_tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 mod connections;
+mod gone;
 mod leaving;
 mod settings;
 
