--- a/crates/platform/src/crossing_tests/mod.rs
+++ b/crates/platform/src/crossing_tests/mod.rs
@@ -112,7 +112,7 @@
             "limits": {"cores": 1.0, "memory_mb": 32, "sockets": sockets}, "settings": settings,
             "known": {"index": 1, "updates": [{"index": 1, "endpoints": {"seq": 1, "whole": true, "hosts": hosts}}]},
         });
-        let start = crate::start::parse(told.to_string().as_bytes()).expect("it is sound");
+        let start = crate::start::parse("told", told.to_string().as_bytes()).expect("it is sound");
         let front = Front::new(start, PathBuf::new(), Poll::new().expect("a poll")).expect("it starts");
         Stage { front, events: Events::with_capacity(1024), peers, _resolver: resolver, at }
     }
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
+use thiserror::Error;
 
 #[derive(Deserialize)]
 struct Told {
@@ -36,23 +37,48 @@
     pub grounds: Grounds,
 }
 
+/// Why a front end can't start from its file, and what to do about it.
+#[derive(Debug, Error)]
+pub enum Fault {
+    #[error("{file}: {source}; it has to be a file that can be read")]
+    Unreadable { file: String, source: std::io::Error },
+    #[error("{file}: {why}; write it whole, as one JSON object")]
+    NotJson { file: String, why: String },
+    #[error("{file}: key 'settings': {source}")]
+    Settings { file: String, source: orchidtally_terms::Fault },
+    #[error("{file}: key 'known': {why}; write the updates as the resolver told them")]
+    Known { file: String, why: String },
+    #[error("{file}: key 'seed': {why}; write hex digits, 16 at the most")]
+    Seed { file: String, why: String },
+    #[error("{file}: key 'limits.{key}': {value} is under {least}; grant at least so much")]
+    Limit { file: String, key: &'static str, value: f64, least: f64 },
+    #[error(
+        "{variable} is '{told}', key '{key}' is '{written}'; make them the same, or leave the variable out"
+    )]
+    Disagrees { variable: &'static str, told: String, key: &'static str, written: String },
+}
+
 /// Reads the file whole; a fault names it and the key.
-pub fn read(path: &Path) -> Result<Start, String> {
-    let fault = |what: String| format!("{}: {what}", path.display());
-    let text = std::fs::read(path).map_err(|e| fault(e.to_string()))?;
-    parse(&text).map_err(fault)
+pub fn read(path: &Path) -> Result<Start, Fault> {
+    let file = path.display().to_string();
+    let text = std::fs::read(path).map_err(|source| Fault::Unreadable { file: file.clone(), source })?;
+    parse(&file, &text)
 }
 
-pub(crate) fn parse(text: &[u8]) -> Result<Start, String> {
-    let told: Told = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    let grounds = orchidtally_terms::grounds(&told.settings)?;
+pub(crate) fn parse(file: &str, text: &[u8]) -> Result<Start, Fault> {
+    let file = || file.to_owned();
+    let told: Told =
+        serde_json::from_slice(text).map_err(|e| Fault::NotJson { file: file(), why: e.to_string() })?;
+    let grounds = orchidtally_terms::grounds(&told.settings)
+        .map_err(|source| Fault::Settings { file: file(), source })?;
     let mut places = Places::new(grounds.zones.clone(), grounds.kinds.clone());
-    let (serial, known) =
-        orchidtally_resolver::known(&told.known, &mut places).map_err(|e| format!("key 'known': {e}"))?;
-    let seed = u64::from_str_radix(&told.seed, 16).map_err(|e| format!("key 'seed': {e}"))?;
-    let least = |value: f64, least: f64, key: &str| match value >= least {
+    let (serial, known) = orchidtally_resolver::known(&told.known, &mut places)
+        .map_err(|why| Fault::Known { file: file(), why })?;
+    let seed =
+        u64::from_str_radix(&told.seed, 16).map_err(|e| Fault::Seed { file: file(), why: e.to_string() })?;
+    let least = |value: f64, least: f64, key| match value >= least {
         true => Ok(value as usize),
-        false => Err(format!("key 'limits.{key}': {value} is under {least}")),
+        false => Err(Fault::Limit { file: file(), key, value, least }),
     };
     Ok(Start {
         name: told.name,
@@ -70,11 +96,16 @@
 
 impl Start {
     /// The environment tells some of it too; it has to tell the same.
-    pub fn agrees(&self, name: Option<&str>, listen: Option<&str>) -> Result<(), String> {
-        if let Some(name) = name.filter(|&n| n != self.name) {
-            return Err(format!("LB_NAME is '{name}', key 'name' is '{}'", self.name));
+    pub fn agrees(&self, name: Option<&str>, listen: Option<&str>) -> Result<(), Fault> {
+        let disagrees = |variable, told: &str, key, written| {
+            Err(Fault::Disagrees { variable, told: told.to_owned(), key, written })
+        };
+        if let Some(told) = name.filter(|&n| n != self.name) {
+            return disagrees("LB_NAME", told, "name", self.name.clone());
+        }
+        match listen.filter(|l| l.parse::<SocketAddr>().ok() != Some(self.listen)) {
+            None => Ok(()),
+            Some(told) => disagrees("LB_LISTEN", told, "listen", self.listen.to_string()),
         }
-        let listen = listen.filter(|l| l.parse::<SocketAddr>().ok() != Some(self.listen));
-        listen.map_or(Ok(()), |l| Err(format!("LB_LISTEN is '{l}', key 'listen' is '{}'", self.listen)))
     }
 }
--- /dev/null
+++ b/crates/terms/src/fault.rs
@@ -0,0 +1,27 @@
+//! Why settings can't be used, and what to do about it.
+
+use thiserror::Error;
+
+#[derive(Clone, Debug, PartialEq, Error)]
+pub enum Fault {
+    #[error("settings are not JSON: {0}; write them as one JSON object")]
+    NotJson(String),
+    #[error("settings lack '{key}'; add it")]
+    Lacking { key: String },
+    #[error("setting '{key}' is not {wanted}; write one")]
+    WrongForm { key: String, wanted: &'static str },
+    #[error("setting '{key}' is {value}; {bounds} is wanted")]
+    OutOfRange { key: String, value: f64, bounds: String },
+    #[error("setting '{key}' has an unknown value '{value}'; {known} are known")]
+    Unknown { key: String, value: String, known: String },
+}
+
+impl Fault {
+    pub(crate) fn form(key: &str, wanted: &'static str) -> Fault {
+        Fault::WrongForm { key: key.into(), wanted }
+    }
+
+    pub(crate) fn unknown(key: &str, value: &str, known: &[&str]) -> Fault {
+        Fault::Unknown { key: key.into(), value: value.into(), known: known.join(", ") }
+    }
+}
--- a/crates/terms/src/lib.rs
+++ b/crates/terms/src/lib.rs
@@ -1,70 +1,73 @@
 //! The platform's settings object, walked straight into the terms that the module keeps. The simulator's
 //! adapter and the front end on sockets read it here.
 
+mod fault;
+
+pub use fault::Fault;
 use orchidtally::interface::{Effect, Group, Terms, TriggerType};
 use serde_json::Value;
 
-fn need<'a>(value: &'a Value, key: &str) -> Result<&'a Value, String> {
-    key.split('.').try_fold(value, |v, k| v.get(k)).ok_or_else(|| format!("settings lack '{key}'"))
+fn need<'a>(value: &'a Value, key: &str) -> Result<&'a Value, Fault> {
+    key.split('.').try_fold(value, |v, k| v.get(k)).ok_or_else(|| Fault::Lacking { key: key.into() })
 }
 
-fn number(value: &Value, key: &str) -> Result<f64, String> {
-    need(value, key)?.as_f64().ok_or_else(|| format!("setting '{key}' is not a number"))
+fn number(value: &Value, key: &str) -> Result<f64, Fault> {
+    need(value, key)?.as_f64().ok_or_else(|| Fault::form(key, "a number"))
 }
 
 /// A number within bounds.
-fn within(value: &Value, key: &str, least: f64, most: f64) -> Result<f64, String> {
+fn within(value: &Value, key: &str, least: f64, most: f64) -> Result<f64, Fault> {
     let number = number(value, key)?;
     if (least..=most).contains(&number) {
         return Ok(number);
     }
     let bounds = if most.is_finite() { format!("{least} to {most}") } else { format!("{least} or more") };
-    Err(format!("setting '{key}' is {number}; {bounds} is wanted"))
+    Err(Fault::OutOfRange { key: key.into(), value: number, bounds })
 }
 
 /// One that can't be under zero.
-fn amount(value: &Value, key: &str) -> Result<f64, String> {
+fn amount(value: &Value, key: &str) -> Result<f64, Fault> {
     within(value, key, 0.0, f64::INFINITY)
 }
 
-fn seconds(value: &Value, key: &str) -> Result<f64, String> {
+fn seconds(value: &Value, key: &str) -> Result<f64, Fault> {
     Ok(amount(value, key)? / 1e9)
 }
 
 /// What some sites leave out.
-fn amount_or(value: &Value, key: &str, absent: f64) -> Result<f64, String> {
+fn amount_or(value: &Value, key: &str, absent: f64) -> Result<f64, Fault> {
     if need(value, key).is_err() { Ok(absent) } else { amount(value, key) }
 }
 
 /// Whether a setting of two kinds is the second; the first stands where it is left out. Guards against a third
 /// that would be held for the first.
-fn is_second(value: &Value, key: &str, kinds: [&str; 2]) -> Result<bool, String> {
+fn is_second(value: &Value, key: &str, kinds: [&str; 2]) -> Result<bool, Fault> {
     if need(value, key).is_err() {
         return Ok(false);
     }
     let kind = text(value, key)?;
     let known = kinds.iter().position(|k| *k == kind);
-    known.map(|n| n == 1).ok_or_else(|| format!("setting '{key}' has an unknown value '{kind}'"))
+    known.map(|n| n == 1).ok_or_else(|| Fault::unknown(key, kind, &kinds))
 }
 
-fn flag(value: &Value, key: &str) -> Result<bool, String> {
+fn flag(value: &Value, key: &str) -> Result<bool, Fault> {
     match need(value, key) {
         Err(_) => Ok(false),
-        Ok(v) => v.as_bool().ok_or_else(|| format!("setting '{key}' is not true or false")),
+        Ok(v) => v.as_bool().ok_or_else(|| Fault::form(key, "true or false")),
     }
 }
 
-fn text<'a>(value: &'a Value, key: &str) -> Result<&'a str, String> {
-    need(value, key)?.as_str().ok_or_else(|| format!("setting '{key}' is not a text"))
+fn text<'a>(value: &'a Value, key: &str) -> Result<&'a str, Fault> {
+    need(value, key)?.as_str().ok_or_else(|| Fault::form(key, "a text"))
 }
 
-fn list<'a>(value: &'a Value, key: &str) -> Result<&'a [Value], String> {
-    let found = need(value, key)?.as_array().ok_or_else(|| format!("setting '{key}' is not a list"))?;
+fn list<'a>(value: &'a Value, key: &str) -> Result<&'a [Value], Fault> {
+    let found = need(value, key)?.as_array().ok_or_else(|| Fault::form(key, "a list"))?;
     Ok(found)
 }
 
 /// Which field of a load report is meant, by its name and by what the settings say of it, if they do.
-fn reported(v: &Value, is_meant: impl Fn(&str, &str) -> bool) -> Result<Option<usize>, String> {
+fn reported(v: &Value, is_meant: impl Fn(&str, &str) -> bool) -> Result<Option<usize>, Fault> {
     if need(v, "feedback.fields").is_err() {
         return Ok(None);
     }
@@ -74,19 +77,19 @@
     Ok(list(v, "feedback.fields")?.iter().position(meant))
 }
 
-fn trigger_type(v: &Value) -> Result<TriggerType, String> {
+fn trigger_type(v: &Value) -> Result<TriggerType, Fault> {
     let effect = match text(v, "semantics")? {
         "pure" => Effect::Idempotent,
         "token" => Effect::Tokened,
         "side_effect" => Effect::NonIdempotent,
-        other => return Err(format!("setting 'classes[].semantics' has an unknown value '{other}'")),
+        other => return Err(Fault::unknown("classes[].semantics", other, &["pure", "token", "side_effect"])),
     };
     let (group, window) = if effect == Effect::Tokened {
         let group = match text(v, "dedupScope")? {
             "all" => Group::All,
             "zone" => Group::Zone,
             "cell" => Group::Cell,
-            other => return Err(format!("setting 'classes[].dedupScope' has an unknown value '{other}'")),
+            other => return Err(Fault::unknown("classes[].dedupScope", other, &["all", "zone", "cell"])),
         };
         (group, seconds(v, "dedupWindow")?)
     } else {
@@ -104,15 +107,15 @@
     })
 }
 
-pub fn read(bytes: &[u8]) -> Result<Terms, String> {
-    decode(&serde_json::from_slice(bytes).map_err(|e| format!("settings are not JSON: {e}"))?)
+pub fn read(bytes: &[u8]) -> Result<Terms, Fault> {
+    decode(&serde_json::from_slice(bytes).map_err(|e| Fault::NotJson(e.to_string()))?)
 }
 
-fn customers(v: &Value) -> Result<&[Value], String> {
+fn customers(v: &Value) -> Result<&[Value], Fault> {
     if need(v, "customers").is_ok() { list(v, "customers") } else { Ok(&[]) }
 }
 
-fn decode(v: &Value) -> Result<Terms, String> {
+fn decode(v: &Value) -> Result<Terms, Fault> {
     let customers = customers(v)?;
     Ok(Terms {
         trigger_types: list(v, "classes")?.iter().map(trigger_type).collect::<Result<_, _>>()?,
@@ -171,14 +174,14 @@
     pub order_time: f64,
 }
 
-fn names(value: &Value, key: &str) -> Result<Vec<String>, String> {
+fn names(value: &Value, key: &str) -> Result<Vec<String>, Fault> {
     let name = |v: &Value| v.as_str().map(str::to_owned);
     let all = list(value, key)?.iter().map(name).collect::<Option<_>>();
-    all.ok_or_else(|| format!("setting '{key}' holds something other than texts"))
+    all.ok_or_else(|| Fault::form(key, "a list of texts"))
 }
 
 /// Reads settings for a front end on sockets.
-pub fn grounds(v: &Value) -> Result<Grounds, String> {
+pub fn grounds(v: &Value) -> Result<Grounds, Fault> {
     let trigger_types = list(v, "classes")?.iter().map(|c| text(c, "name").map(str::to_owned));
     Ok(Grounds {
         terms: decode(v)?,
--- a/crates/terms/tests/settings.rs
+++ b/crates/terms/tests/settings.rs
@@ -33,7 +33,7 @@
 }
 
 fn terms(settings: &Value) -> Result<Terms, String> {
-    read(settings.to_string().as_bytes())
+    read(settings.to_string().as_bytes()).map_err(|fault| fault.to_string())
 }
 
 #[test]
@@ -79,7 +79,7 @@
     for pointer in
         ["/limits/maxOpen", "/limits/streamsPerConn", "/limits/connectTimeout", "/limits/idleClose"]
     {
-        let fault = grounds(&with(pointer, Some(json!(-1)))).expect_err(pointer);
+        let fault = grounds(&with(pointer, Some(json!(-1)))).expect_err(pointer).to_string();
         assert!(fault.contains(&pointer[8..]), "{fault}");
     }
 }
--- a/drill/src/batch.rs
+++ b/drill/src/batch.rs
@@ -82,7 +82,7 @@
             let length = f.u32()? as usize;
             let at_text = f.clone();
             let text = f.take(length)?;
-            let terms = orchidtally_terms::read(text).map_err(|e| at_text.fault(e))?;
+            let terms = orchidtally_terms::read(text).map_err(|e| at_text.fault(e.to_string()))?;
             if self.instances.len() <= slot {
                 self.instances.resize_with(slot + 1, || None);
             }
