Count an order to load against the ration when it leaves

Cause: an order was counted when it was decided on and could leave up to twice connectTimeout later, so that orders of more than the window could arrive within one (read off the code; not seen in a play). Choice::order_leaves takes the moment back, asks the ration again and counts it at the moment it leaves.

--- a/crates/engine/src/baseline.rs
+++ b/crates/engine/src/baseline.rs
@@ -23,7 +23,7 @@
     fn leaves(&mut self, _now: f64, _inv: u32, _dispatch: u8) -> bool {
         true
     }
-    fn order_leaves(&self, _to: ExecutorId) -> bool {
+    fn order_leaves(&mut self, _now: f64, _to: ExecutorId, _at: f64) -> bool {
         true
     }
     /// Entries in its tables, where it has any.
@@ -66,8 +66,8 @@
     fn leaves(&mut self, now: f64, inv: u32, dispatch: u8) -> bool {
         Choice::leaves(self, now, inv, dispatch)
     }
-    fn order_leaves(&self, to: ExecutorId) -> bool {
-        Choice::order_leaves(self, to)
+    fn order_leaves(&mut self, now: f64, to: ExecutorId, at: f64) -> bool {
+        Choice::order_leaves(self, now, to, at)
     }
     fn kept(&self) -> Kept {
         Choice::kept(self)
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -229,9 +229,9 @@
         sent.is_some_and(|s| s.ending.is_none()) && self.choice.leaves(now.max(self.desk.now), inv, dispatch)
     }
 
-    /// The same of an order to load.
-    pub fn order_leaves(&mut self, to: ExecutorId) -> bool {
-        self.choice.order_leaves(to)
+    /// The same of an order to load that was given at a moment.
+    pub fn order_leaves(&mut self, now: f64, to: ExecutorId, at: f64) -> bool {
+        self.choice.order_leaves(now.max(self.desk.now), to, at)
     }
 
     /// A dispatch has ended. What was cancelled, timed out or ended before is not heard again.
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -33,7 +33,7 @@
 /// What is asked as bytes leave: whether what was decided on earlier still holds.
 pub trait Departures {
     fn dispatch_leaves(&mut self, now: f64, inv: u32, dispatch: u8) -> bool;
-    fn order_leaves(&mut self, to: ExecutorId) -> bool;
+    fn order_leaves(&mut self, now: f64, to: ExecutorId, at: f64) -> bool;
 }
 
 impl Departures for Engine {
@@ -41,8 +41,8 @@
         self.leaves(now, inv, dispatch)
     }
 
-    fn order_leaves(&mut self, to: ExecutorId) -> bool {
-        Engine::order_leaves(self, to)
+    fn order_leaves(&mut self, now: f64, to: ExecutorId, at: f64) -> bool {
+        Engine::order_leaves(self, now, to, at)
     }
 }
 
--- a/crates/platform/src/floor_tests.rs
+++ b/crates/platform/src/floor_tests.rs
@@ -67,7 +67,7 @@
         self.open
     }
 
-    fn order_leaves(&mut self, _: ExecutorId) -> bool {
+    fn order_leaves(&mut self, _: f64, _: ExecutorId, _: f64) -> bool {
         self.asked += 1;
         self.open
     }
--- a/crates/platform/src/sending.rs
+++ b/crates/platform/src/sending.rs
@@ -191,7 +191,10 @@
                     Some(Queued::Line(line)) => line,
                     Some(Queued::Order(tag)) => {
                         let Some(order) = self.orders.get(&tag) else { continue };
-                        if !departures.order_leaves(order.to) {
+                        // One that only asks loads nothing.
+                        let leaves =
+                            order.copies == 0 || departures.order_leaves(self.now, order.to, order.begun);
+                        if !leaves {
                             link.orders.remove(&tag);
                             self.undone.push((tag, Transport::Withheld));
                             continue;
--- a/src/choice/mod.rs
+++ b/src/choice/mod.rs
@@ -284,9 +284,12 @@
         leaves
     }
 
-    /// The same of an order to load.
-    pub fn order_leaves(&self, to: ExecutorId) -> bool {
-        self.fleet.index.get(&to).is_some_and(|&x| self.is_open(x))
+    /// The same of an order to load, given at a moment; it counts against the ration when it leaves.
+    pub fn order_leaves(&mut self, now: f64, to: ExecutorId, at: f64) -> bool {
+        self.now = now;
+        self.orders.remove(at);
+        let open = self.fleet.index.get(&to).is_some_and(|&x| self.is_open(x));
+        (open && self.ration_left(1.0)).then(|| self.orders.add(now)).is_some()
     }
 
     /// The front end is about to end: nothing is waited for past a moment.
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -10,6 +10,11 @@
     w.choice.leaves(w.plain.now, inv, dispatch)
 }
 
+/// Whether an order that is given now may leave now.
+fn order_leaves(w: &mut World, x: usize) -> bool {
+    w.choice.order_leaves(w.plain.now, id(x), w.plain.now)
+}
+
 /// One dispatch that is out, and where.
 fn out(terms: Terms) -> (World, u32, usize) {
     let (mut w, x) = warm(terms, 4);
@@ -22,12 +27,12 @@
 fn nothing_leaves_for_an_executor_that_was_told_draining_or_gone_meanwhile() {
     for standing in [Standing::Draining, Standing::Gone] {
         let (mut w, inv, x) = out(terms());
-        assert!(leaves(&mut w, inv, 0) && w.choice.order_leaves(id(x)));
+        assert!(leaves(&mut w, inv, 0) && order_leaves(&mut w, x));
         w.roster(x, standing, f64::NEG_INFINITY);
-        assert!(!leaves(&mut w, inv, 0) && !w.choice.order_leaves(id(x)), "{standing:?}");
+        assert!(!leaves(&mut w, inv, 0) && !order_leaves(&mut w, x), "{standing:?}");
     }
-    let (w, ..) = out(terms());
-    assert!(!w.choice.order_leaves(id(200)), "nobody knows it");
+    let (mut w, ..) = out(terms());
+    assert!(!order_leaves(&mut w, 200), "nobody knows it");
 }
 
 /// The window runs from the first that may have run; the repeat may be on its way for as long as a connection takes.
@@ -97,14 +102,32 @@
     let (mut w, x) = warm(Terms { orders: false, ..terms() }, 1);
     assert!(pauses.into_iter().all(|pause| turn_away(&mut w, pause)), "with a list it is asked again");
     list(&mut w, RosterKind::Failed);
-    assert!(!turn_away(&mut w, 0.1) && !w.choice.order_leaves(id(x)));
+    assert!(!turn_away(&mut w, 0.1) && !order_leaves(&mut w, x));
     list(&mut w, RosterKind::Delta);
-    assert!(w.choice.order_leaves(id(x)) && turn_away(&mut w, 0.1));
+    assert!(order_leaves(&mut w, x) && turn_away(&mut w, 0.1));
     // One that serves in between is crowded, not draining.
     let (mut w, x) = warm(Terms { orders: false, ..terms() }, 1);
     list(&mut w, RosterKind::Failed);
     assert!(pauses[..3].iter().all(|&pause| turn_away(&mut w, pause)));
     let inv = w.invoke(0, 1, 5.0);
     w.end(inv, 0, Ending::Ok);
-    assert!(pauses[..3].iter().all(|&pause| turn_away(&mut w, pause)) && w.choice.order_leaves(id(x)));
+    assert!(pauses[..3].iter().all(|&pause| turn_away(&mut w, pause)) && order_leaves(&mut w, x));
+}
+
+/// An order that took its time to leave is one of the span in which it left.
+#[test]
+fn an_order_counts_against_the_ration_when_it_leaves() {
+    let mut w = World::new(Terms { ration_floor: 1.0, ration_share: 0.0, ..terms() }, 4);
+    w.invoke(0, 1, 4.0);
+    let (given, x, ..) = w.plain.holds[0];
+    w.pass(0.3);
+    assert!(w.choice.order_leaves(w.plain.now, id(x), given));
+    w.pass(4.8);
+    w.invoke(0, 2, 4.0);
+    assert_eq!(w.plain.holds.len(), 1, "within 5 s of its leaving");
+    w.pass(0.3);
+    w.invoke(0, 3, 4.0);
+    assert_eq!(w.plain.holds.len(), 2, "and not after that");
+    // Another that waited for a connection meanwhile finds nothing left.
+    assert!(!w.choice.order_leaves(w.plain.now, id(x), given));
 }
