--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -171,5 +171,5 @@
 }
 
 #[cfg(test)]
-#[path = "floor_tests.rs"]
+#[path = "tests/floor.rs"]
 mod tests;
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -316,5 +316,5 @@
 }
 
 #[cfg(test)]
-#[path = "crossing_tests/mod.rs"]
+#[path = "tests/mod.rs"]
 mod tests;
--- a/crates/platform/src/links.rs
+++ b/crates/platform/src/links.rs
@@ -251,5 +251,5 @@
 }
 
 #[cfg(test)]
-#[path = "links_tests.rs"]
+#[path = "tests/links.rs"]
 mod tests;
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -157,5 +157,5 @@
 }
 
 #[cfg(test)]
-#[path = "roster_tests.rs"]
+#[path = "tests/roster.rs"]
 mod tests;
