Call connections, open and pending invocations and signals by their names

Link, Work, Fresh and Waiting hid standard concepts: they are Connection, OpenInvocation, PendingInvocation, PendingSignals and HeldDispatch now, with their fields, files and functions.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -68,7 +68,7 @@
         eprintln!("can't serve: {e}");
         COULD_NOT_RUN
     };
-    let signals = orchidtally_platform::Waiting::new().map_err(unable)?;
+    let signals = orchidtally_platform::PendingSignals::new().map_err(unable)?;
     let file = PathBuf::from(told("LB_CONFIG").ok_or_else(|| bad("LB_CONFIG names no file".into()))?);
     let start = orchidtally_platform::start::read(&file).map_err(|e| bad(e.to_string()))?;
     start.agrees(told("LB_NAME").as_deref(), told("LB_LISTEN").as_deref()).map_err(|e| bad(e.to_string()))?;
--- a/crates/platform/src/accepting.rs
+++ b/crates/platform/src/accepting.rs
@@ -74,7 +74,7 @@
     pub fn withdraw_all(&mut self, now: f64, slot: usize) {
         let Some(client) = self.floor.clients.get_mut(slot) else { return };
         for inv in std::mem::take(&mut client.open).into_values() {
-            self.floor.drop_work(inv);
+            self.floor.drop_invocation(inv);
             self.engine.withdrawn(now, inv, &mut self.floor);
         }
     }
--- a/crates/platform/src/clients.rs
+++ b/crates/platform/src/clients.rs
@@ -26,7 +26,7 @@
 pub const GUESTS: usize = 2;
 
 /// An invocation that was read and not yet taken: its payload where it is not too long.
-pub struct Fresh {
+pub struct PendingInvocation {
     pub at: f64,
     pub stream: u32,
     pub payload: Option<Vec<u8>>,
@@ -46,7 +46,7 @@
     /// The engine's id of what is open, by stream.
     pub open: BTreeMap<u32, u32>,
     pub last_stream: u32,
-    pub fresh: Vec<Fresh>,
+    pub pending: Vec<PendingInvocation>,
     /// When it connected, or when its frame that is not whole yet began.
     waiting_since: Option<f64>,
     /// When it last took something of what waits, and how many bytes it had by then.
@@ -69,7 +69,7 @@
             decoder: Decoder::default(),
             open: BTreeMap::new(),
             last_stream: 0,
-            fresh: vec![],
+            pending: vec![],
             waiting_since: Some(now),
             stalled_since: None,
             idle_since: now,
@@ -104,7 +104,7 @@
 
     /// Nothing is open on it, nor about to be.
     pub fn is_idle(&self) -> bool {
-        self.open.is_empty() && self.fresh.is_empty()
+        self.open.is_empty() && self.pending.is_empty()
     }
 
     /// A part of a frame has come.
@@ -114,13 +114,13 @@
 
     /// More is not taken from it than a client may have open whose answers it reads.
     pub fn holds_too_much(&self) -> bool {
-        let bytes: usize = self.fresh.iter().filter_map(|f| f.payload.as_ref()).map(Vec::len).sum();
-        self.fresh.len() > MOST_OPEN || bytes > BACKLOG
+        let bytes: usize = self.pending.iter().filter_map(|f| f.payload.as_ref()).map(Vec::len).sum();
+        self.pending.len() > MOST_OPEN || bytes > BACKLOG
     }
 
     /// From here on it is closed as soon as what waits is written and the peer has had time to read it.
     pub fn end(&mut self, now: f64) {
-        self.fresh.clear();
+        self.pending.clear();
         self.ending.get_or_insert(Ending { by: now + LINGER, bytes_left: LINGER_BYTES, shut: false });
     }
 
--- a/crates/platform/src/links.rs
+++ b/crates/platform/src/connections.rs
@@ -58,7 +58,7 @@
     Line(Vec<u8>),
 }
 
-pub struct Link {
+pub struct Connection {
     pub to: ExecutorId,
     pub socket: Socket,
     pub connected: bool,
@@ -86,9 +86,9 @@
     pub is_cut: bool,
 }
 
-impl Link {
-    pub fn new(to: ExecutorId, stream: TcpStream, now: f64, connect_time: f64) -> Link {
-        Link {
+impl Connection {
+    pub fn new(to: ExecutorId, stream: TcpStream, now: f64, connect_time: f64) -> Connection {
+        Connection {
             to,
             socket: Socket::new(stream),
             connected: false,
@@ -240,7 +240,7 @@
 pub struct Executor {
     pub name: String,
     pub address: SocketAddr,
-    pub links: Vec<usize>,
+    pub connections: Vec<usize>,
     pub listed: bool,
     /// The shortest time in which a connection to it was made: no less than it takes a message to get there.
     pub reach: f64,
@@ -251,5 +251,5 @@
 }
 
 #[cfg(test)]
-#[path = "tests/links.rs"]
+#[path = "tests/connection.rs"]
 mod tests;
--- a/crates/platform/src/egress.rs
+++ b/crates/platform/src/egress.rs
@@ -1,8 +1,8 @@
 //! Executors: what they answer, and what the end of a connection proves.
 
+use crate::connections;
 use crate::floor::ORDER;
 use crate::front::{Front, READS};
-use crate::links;
 use orchidtally::interface::{Ending, Found};
 use orchidtally_engine::Told;
 use orchidtally_engine::evidence::{self, Transport};
@@ -25,20 +25,20 @@
 
 impl Front {
     /// Reads what there is; tells whether the connection still stands.
-    pub fn read_link(&mut self, now: f64, slot: usize) -> bool {
-        let Some(link) = self.floor.links.get_mut(slot) else { return false };
-        if !link.connected {
-            match link.socket.is_connected() {
+    pub fn read_connection(&mut self, now: f64, slot: usize) -> bool {
+        let Some(connection) = self.floor.connections.get_mut(slot) else { return false };
+        if !connection.connected {
+            match connection.socket.is_connected() {
                 Ok(false) => return true,
                 Ok(true) => {
-                    link.connected = true;
-                    link.heard(now);
-                    let took = now - link.begun_at;
-                    if let Some(executor) = self.floor.executors.get_mut(&link.to) {
+                    connection.connected = true;
+                    connection.heard(now);
+                    let took = now - connection.begun_at;
+                    if let Some(executor) = self.floor.executors.get_mut(&connection.to) {
                         executor.reach = executor.reach.min(took);
                     }
-                    self.counts.links_made += 1;
-                    self.floor.touch_link(slot);
+                    self.counts.connections_made += 1;
+                    self.floor.touch_connection(slot);
                 }
                 Err(fault) => {
                     self.dissolve(now, slot, Transport::NoConnection, &fault.to_string());
@@ -47,20 +47,20 @@
             }
         }
         for _ in 0..READS {
-            let Some(link) = self.floor.links.get_mut(slot) else { return false };
-            match link.socket.read(&mut self.buffer) {
+            let Some(connection) = self.floor.connections.get_mut(slot) else { return false };
+            match connection.socket.read(&mut self.buffer) {
                 Ok(Brought::Nothing) => {
-                    if link.socket.waiting() > 0 || !link.queue.is_empty() {
-                        self.floor.touch_link(slot);
+                    if connection.socket.waiting() > 0 || !connection.queue.is_empty() {
+                        self.floor.touch_connection(slot);
                     }
                     return true;
                 }
                 Ok(Brought::Bytes(n)) => {
-                    link.decoder.push(&self.buffer[..n]);
+                    connection.decoder.push(&self.buffer[..n]);
                     loop {
-                        let Some(link) = self.floor.links.get_mut(slot) else { return false };
-                        match link.decoder.read() {
-                            Ok(None) => break link.heard(now),
+                        let Some(connection) = self.floor.connections.get_mut(slot) else { return false };
+                        match connection.decoder.read() {
+                            Ok(None) => break connection.heard(now),
                             Ok(Some(answer)) => self.answered(now, slot, answer),
                             Err(fault) => {
                                 self.dissolve(now, slot, Transport::Malformed, &fault.0);
@@ -79,25 +79,25 @@
                 }
             }
         }
-        self.again.push_back(links::token(slot));
+        self.again.push_back(connections::token(slot));
         true
     }
 
     fn answered(&mut self, now: f64, slot: usize, answer: Answer) {
-        let Some(link) = self.floor.links.get_mut(slot) else { return };
-        (link.heard_at, link.idle_since, link.answered) = (now, now, true);
+        let Some(connection) = self.floor.connections.get_mut(slot) else { return };
+        (connection.heard_at, connection.idle_since, connection.answered) = (now, now, true);
         if let Some(tag) = answer.id.strip_prefix(ORDER).and_then(|t| t.parse().ok()) {
             return self.ordered(now, tag, ending(answer.word), answer.count);
         }
-        let there = link.open.get(answer.id.as_str()).is_some_and(|o| o.from.is_some());
-        let Some(out) = there.then(|| link.open.remove(answer.id.as_str())).flatten() else {
+        let there = connection.open.get(answer.id.as_str()).is_some_and(|o| o.from.is_some());
+        let Some(out) = there.then(|| connection.open.remove(answer.id.as_str())).flatten() else {
             // Of one given up, a second copy, or of nothing that was asked.
-            return link.settled(&answer.id);
+            return connection.settled(&answer.id);
         };
-        link.said(now, answer.id.as_str().into());
+        connection.said(now, answer.id.as_str().into());
         self.floor.outs.remove(&(out.inv, out.dispatch));
         if answer.word != Word::Done {
-            let executor = self.floor.executors.get(&link.to).map(|e| e.name.as_str());
+            let executor = self.floor.executors.get(&connection.to).map(|e| e.name.as_str());
             debug!(executor, word = ?answer.word, tell = ?answer.tell, after = now - out.at, "no success");
         }
         self.floor.brought = answer.body;
@@ -118,8 +118,8 @@
     /// An order to load has come to its end.
     pub fn ordered(&mut self, now: f64, tag: u64, seen: Transport, count: u32) {
         let Some(order) = self.floor.orders.remove(&tag) else { return };
-        if let Some(link) = self.floor.links.get_mut(order.link) {
-            link.orders.remove(&tag);
+        if let Some(connection) = self.floor.connections.get_mut(order.connection) {
+            connection.orders.remove(&tag);
         }
         let ending = match evidence::ending(seen) {
             // One that only asked.
@@ -131,47 +131,50 @@
 
     /// Ends a connection to an executor, and with it all that is open on it.
     pub fn dissolve(&mut self, now: f64, slot: usize, seen: Transport, why: &str) {
-        let Some(mut link) = self.floor.links.try_remove(slot) else { return };
+        let Some(mut connection) = self.floor.connections.try_remove(slot) else { return };
         // One whose socket is gone already needs no more.
-        let _ = self.poll.registry().deregister(&mut link.socket.stream);
-        if let Some(executor) = self.floor.executors.get_mut(&link.to) {
-            executor.links.retain(|&l| l != slot);
-            if !link.is_idle() {
-                self.counts.links_lost += 1;
-                debug!(executor = executor.name, open = link.open.len(), why, "lost a connection");
+        let _ = self.poll.registry().deregister(&mut connection.socket.stream);
+        if let Some(executor) = self.floor.executors.get_mut(&connection.to) {
+            executor.connections.retain(|&l| l != slot);
+            if !connection.is_idle() {
+                self.counts.connections_lost += 1;
+                debug!(executor = executor.name, open = connection.open.len(), why, "lost a connection");
             }
-            if !executor.listed && executor.links.is_empty() {
-                self.floor.executors.remove(&link.to);
+            if !executor.listed && executor.connections.is_empty() {
+                self.floor.executors.remove(&connection.to);
             }
         }
-        let again = link.connected || self.floor.stands(link.to, now);
-        self.floor.send_again(link.to, link.take_unwritten(), again);
-        for (id, out) in &link.open {
+        let again = connection.connected || self.floor.stands(connection.to, now);
+        self.floor.send_again(connection.to, connection.take_unwritten(), again);
+        for (id, out) in &connection.open {
             self.floor.outs.remove(&(out.inv, out.dispatch));
-            self.floor.note_given_up(id, link.to);
+            self.floor.note_given_up(id, connection.to);
         }
         // An answer that breaks off was begun: the executor is there, as it is where it sent what can't be read.
-        let seen =
-            if seen == Transport::Broken && link.decoder.is_within() { Transport::Malformed } else { seen };
-        self.severed.push_back((now, seen, link));
+        let seen = if seen == Transport::Broken && connection.decoder.is_within() {
+            Transport::Malformed
+        } else {
+            seen
+        };
+        self.severed.push_back((now, seen, connection));
     }
 
     /// Judges what ended connections leave: where another stands, the process did not end.
     pub fn judge_severed(&mut self, now: f64) {
         for _ in 0..self.severed.len() {
-            let Some((at, seen, link)) = self.severed.pop_front() else { return };
-            let stands = self.floor.stands(link.to, at);
-            if seen == Transport::Broken && stands && now < at + links::ALL_RESET {
-                self.severed.push_back((at, seen, link));
+            let Some((at, seen, connection)) = self.severed.pop_front() else { return };
+            let stands = self.floor.stands(connection.to, at);
+            if seen == Transport::Broken && stands && now < at + connections::ALL_RESET {
+                self.severed.push_back((at, seen, connection));
                 continue;
             }
             let one_of_several = seen == Transport::Malformed || stands;
-            for (out, verdict) in link.verdicts(seen) {
+            for (out, verdict) in connection.verdicts(seen) {
                 let ending = evidence::ending(if one_of_several { verdict } else { seen });
                 let told = orchidtally_engine::NOTHING_TOLD;
                 self.engine.ended(now, out.inv, out.dispatch, ending, told, &mut self.floor);
             }
-            for &tag in link.orders.keys() {
+            for &tag in connection.orders.keys() {
                 self.ordered(now, tag, if one_of_several { Transport::Cut } else { seen }, 0);
             }
         }
--- a/crates/platform/src/ending.rs
+++ b/crates/platform/src/ending.rs
@@ -72,7 +72,7 @@
         let _ = self.poll.registry().deregister(&mut listener);
         self.engine.leave();
         let end_by = self.killed_at() - SOONER;
-        self.floor.works.values_mut().for_each(|w| w.timeout_at = w.timeout_at.min(end_by));
+        self.floor.invocations.values_mut().for_each(|w| w.timeout_at = w.timeout_at.min(end_by));
         self.engine.end_by(now, end_by, &mut self.floor);
         info!(open = self.engine.open(), clients = self.floor.clients.len(), "nothing new is taken");
         let all: Vec<usize> = self.floor.clients.iter().map(|(slot, _)| slot).collect();
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -2,8 +2,8 @@
 //! told to the engine after its present turn.
 
 use crate::clients::Client;
+use crate::connections::{Connection, Executor};
 use crate::held::Held;
-use crate::links::{Executor, Link};
 use mio::Registry;
 use orchidtally::interface::ExecutorId;
 use orchidtally_engine::Engine;
@@ -18,7 +18,7 @@
 pub const PROBE: &str = "probe-";
 
 /// An invocation that was taken.
-pub struct Work {
+pub struct OpenInvocation {
     pub client: usize,
     pub stream: u32,
     /// The client's id for it.
@@ -52,7 +52,7 @@
     pub function: u64,
     pub copies: u8,
     pub begun: f64,
-    pub link: usize,
+    pub connection: usize,
 }
 
 pub struct Floor {
@@ -68,11 +68,11 @@
     /// Whether executors take cancels.
     pub cancels: bool,
     /// Connections to executors at the most.
-    pub most_links: usize,
+    pub most_connections: usize,
     pub clients: Slab<Client>,
-    pub links: Slab<Link>,
+    pub connections: Slab<Connection>,
     pub executors: BTreeMap<ExecutorId, Executor>,
-    pub works: HashMap<u32, Work>,
+    pub invocations: HashMap<u32, OpenInvocation>,
     /// Bytes of the bodies that are kept.
     pub kept: usize,
     /// Ids of what is open.
@@ -88,19 +88,19 @@
     pub unsent: Vec<(u32, u8, Transport)>,
     pub undone: Vec<(u64, Transport)>,
     pub dirty_clients: Vec<usize>,
-    pub dirty_links: Vec<usize>,
+    pub dirty_connections: Vec<usize>,
     /// Connections with cancels that are not handed over, and those that took them not whole, with the reason.
     pub cancelled: Vec<usize>,
     pub cut: Vec<(usize, String)>,
     /// The invocation that is being taken.
-    pub taking: Option<Work>,
+    pub taking: Option<OpenInvocation>,
     /// The body of the answer that is being told.
     pub brought: Vec<u8>,
     pub longest_stay_away: f64,
 }
 
 impl Floor {
-    pub fn new(now: f64, registry: Registry, grounds: &Grounds, most_links: usize) -> Floor {
+    pub fn new(now: f64, registry: Registry, grounds: &Grounds, most_connections: usize) -> Floor {
         Floor {
             now,
             registry,
@@ -110,11 +110,11 @@
             tick: grounds.terms.tick,
             idle_close: grounds.idle_close,
             cancels: grounds.terms.cancel,
-            most_links,
+            most_connections,
             clients: Slab::new(),
-            links: Slab::new(),
+            connections: Slab::new(),
             executors: BTreeMap::new(),
-            works: HashMap::new(),
+            invocations: HashMap::new(),
             kept: 0,
             ids: HashSet::new(),
             outs: HashMap::new(),
@@ -125,7 +125,7 @@
             unsent: vec![],
             undone: vec![],
             dirty_clients: vec![],
-            dirty_links: vec![],
+            dirty_connections: vec![],
             cancelled: vec![],
             cut: vec![],
             taking: None,
@@ -143,15 +143,15 @@
         }
     }
 
-    pub fn touch_link(&mut self, slot: usize) {
-        if self.links.get_mut(slot).is_some_and(|l| !std::mem::replace(&mut l.dirty, true)) {
-            self.dirty_links.push(slot);
+    pub fn touch_connection(&mut self, slot: usize) {
+        if self.connections.get_mut(slot).is_some_and(|l| !std::mem::replace(&mut l.dirty, true)) {
+            self.dirty_connections.push(slot);
         }
     }
 
     /// The invocation is over for its client.
-    pub fn drop_work(&mut self, inv: u32) -> Option<Work> {
-        let work = self.works.remove(&inv)?;
+    pub fn drop_invocation(&mut self, inv: u32) -> Option<OpenInvocation> {
+        let work = self.invocations.remove(&inv)?;
         self.kept -= work.body.len();
         self.ids.remove(&work.id);
         if let Some(client) = self.clients.get_mut(work.client) {
@@ -162,7 +162,7 @@
 
     /// The one place of final answers.
     pub fn answer(&mut self, inv: u32, code: u8, fields: &[(&str, &str)], body: &[u8]) {
-        let Some(work) = self.drop_work(inv) else { return };
+        let Some(work) = self.drop_invocation(inv) else { return };
         if let Some(client) = self.clients.get_mut(work.client) {
             client.answer(work.stream, code, fields, body);
             self.touch_client(work.client);
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -1,8 +1,8 @@
 //! The front end's one thread: what is ready is read, told to the engine, and what came of it is written.
 
 use crate::clients::{self, Client};
+use crate::connections;
 use crate::floor::Floor;
-use crate::links;
 use crate::roster::Resolver;
 use crate::start::Start;
 use mio::net::TcpListener;
@@ -48,8 +48,8 @@
     pub unusable: u64,
     pub turned_away: u64,
     pub unreadable: u64,
-    pub links_made: u64,
-    pub links_lost: u64,
+    pub connections_made: u64,
+    pub connections_lost: u64,
 }
 
 pub struct Front {
@@ -69,7 +69,7 @@
     pub buffer: Box<[u8]>,
     pub counts: Counts,
     /// Connections to executors that ended, when and how, with what is to be judged of them.
-    pub severed: VecDeque<(f64, Transport, links::Link)>,
+    pub severed: VecDeque<(f64, Transport, connections::Connection)>,
     /// Connections wait to be accepted for which there was no descriptor.
     pub accept_later: bool,
     pub leaving_since: Option<f64>,
@@ -86,16 +86,16 @@
 
 /// Signals from its making on: they wait until the front end serves. One that comes before this would end the
 /// process, so it is made before anything is read.
-pub struct Waiting(Signals);
+pub struct PendingSignals(Signals);
 
-impl Waiting {
-    pub fn new() -> io::Result<Waiting> {
-        Signals::new([SIGTERM, SIGINT, SIGHUP]).map(Waiting)
+impl PendingSignals {
+    pub fn new() -> io::Result<PendingSignals> {
+        Signals::new([SIGTERM, SIGINT, SIGHUP]).map(PendingSignals)
     }
 }
 
 /// Serves until told to end and what was taken is answered.
-pub fn run(start: Start, file: PathBuf, Waiting(mut signals): Waiting) -> io::Result<Tally> {
+pub fn run(start: Start, file: PathBuf, PendingSignals(mut signals): PendingSignals) -> io::Result<Tally> {
     let poll = Poll::new()?;
     poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
     let mut front = Front::new(start, file, poll)?;
@@ -120,8 +120,8 @@
         let now = clock.read(0.0);
         // Usual clients hold a third of the descriptors; the rest of their half is for those that misbehave.
         let most_clients = start.sockets / 2;
-        let most_links = start.sockets - most_clients - OWN_SOCKETS;
-        let mut floor = Floor::new(now, poll.registry().try_clone()?, &grounds, most_links);
+        let most_connections = start.sockets - most_clients - OWN_SOCKETS;
+        let mut floor = Floor::new(now, poll.registry().try_clone()?, &grounds, most_connections);
         let engine = Engine::new(grounds.terms.clone(), grounds.most_open, start.seed, now, &mut floor);
         let mut front = Front {
             poll,
@@ -164,9 +164,9 @@
         self.floor.now = now;
         self.floor.release();
         // Answers first: they free places for what clients ask.
-        let is_link = |t: &Token| t.0 >= clients::FIRST_TOKEN && t.0 % 2 == 1;
+        let is_connection = |t: &Token| t.0 >= clients::FIRST_TOKEN && t.0 % 2 == 1;
         let mut tokens: Vec<Token> = events.iter().map(|e| e.token()).collect();
-        tokens.sort_by_key(|t| !is_link(t));
+        tokens.sort_by_key(|t| !is_connection(t));
         tokens.extend(self.again.drain(..));
         let mut signals = Some(signals);
         for token in tokens {
@@ -178,7 +178,7 @@
                     signals.into_iter().for_each(|signal| self.signalled(now, signal));
                 }
                 Token(n) if n % 2 == 0 => self.read_client(now, (n - clients::FIRST_TOKEN) / 2),
-                Token(n) => _ = self.read_link(now, (n - clients::FIRST_TOKEN) / 2),
+                Token(n) => _ = self.read_connection(now, (n - clients::FIRST_TOKEN) / 2),
             }
         }
         self.engine.turn(now, &mut self.floor);
@@ -194,7 +194,7 @@
     /// Waits for something to be ready or due.
     fn wait(&mut self, events: &mut Events) -> io::Result<()> {
         let now = self.now();
-        let severed = self.severed.front().map_or(f64::INFINITY, |s| s.0 + links::ALL_RESET);
+        let severed = self.severed.front().map_or(f64::INFINITY, |s| s.0 + connections::ALL_RESET);
         let held = if self.floor.held.is_empty() { f64::INFINITY } else { now + self.grounds.terms.tick };
         let due = self.engine.due_at().min(self.resolver.due_at()).min(self.sweep_at).min(severed).min(held);
         let left = if self.again.is_empty() { (due - now).clamp(0.0, SWEEP) } else { 0.0 };
@@ -218,7 +218,7 @@
         if now > self.report_at {
             self.report_at = now + REPORT;
             info!(tally = ?self.engine.tally(), counts = ?self.counts, open = self.engine.open(), kept = ?self.engine.kept(),
-                clients = self.floor.clients.len(), links = self.floor.links.len(), "standing");
+                clients = self.floor.clients.len(), connections = self.floor.connections.len(), "standing");
         }
         let overdue = |(slot, c): (usize, &Client)| Some((slot, c.overdue(now)?));
         let late: Vec<_> = self.floor.clients.iter().filter_map(overdue).collect();
@@ -238,8 +238,9 @@
         }
         self.floor.given_up.retain(|_, until| *until > now);
         let idle_close = self.grounds.idle_close;
-        let overdue = |(slot, l): (usize, &links::Link)| Some((slot, l.overdue(now, idle_close)?));
-        let late: Vec<_> = self.floor.links.iter().filter_map(overdue).collect();
+        let overdue =
+            |(slot, l): (usize, &connections::Connection)| Some((slot, l.overdue(now, idle_close)?));
+        let late: Vec<_> = self.floor.connections.iter().filter_map(overdue).collect();
         for (slot, (seen, why)) in late {
             self.dissolve(now, slot, seen, why);
         }
@@ -271,19 +272,21 @@
             for (tag, why) in std::mem::take(&mut self.floor.undone) {
                 self.ordered(now, tag, why, 0);
             }
-            for slot in std::mem::take(&mut self.floor.dirty_links) {
-                if let Some(link) = self.floor.links.get_mut(slot) {
-                    link.dirty = false;
+            for slot in std::mem::take(&mut self.floor.dirty_connections) {
+                if let Some(connection) = self.floor.connections.get_mut(slot) {
+                    connection.dirty = false;
                 }
-                if let Err(fault) = self.floor.flush_link(slot, &mut self.engine)
-                    && self.read_link(now, slot)
+                if let Err(fault) = self.floor.flush_connection(slot, &mut self.engine)
+                    && self.read_connection(now, slot)
                 {
                     // What it answered before it broke was read.
                     self.dissolve(now, slot, Transport::Broken, &fault.to_string());
                 }
             }
             for (slot, why) in std::mem::take(&mut self.floor.cut) {
-                if self.floor.links.get(slot).is_some_and(|l| l.is_cut) && self.read_link(now, slot) {
+                if self.floor.connections.get(slot).is_some_and(|l| l.is_cut)
+                    && self.read_connection(now, slot)
+                {
                     self.dissolve(now, slot, Transport::Broken, &why);
                 }
             }
@@ -306,8 +309,12 @@
                 }
             }
             let floor = &self.floor;
-            let more =
-                [floor.unsent.len(), floor.undone.len(), floor.dirty_links.len(), floor.dirty_clients.len()];
+            let more = [
+                floor.unsent.len(),
+                floor.undone.len(),
+                floor.dirty_connections.len(),
+                floor.dirty_clients.len(),
+            ];
             if more == [0; 4] {
                 return;
             }
--- a/crates/platform/src/held.rs
+++ b/crates/platform/src/held.rs
@@ -2,7 +2,7 @@
 
 use orchidtally::interface::ExecutorId;
 
-struct Waiting {
+struct HeldDispatch {
     inv: u32,
     dispatch: u8,
     to: ExecutorId,
@@ -14,7 +14,7 @@
 /// At most one for each invocation that is open. A cancel and the next dispatch go over two connections, on which
 /// nothing keeps their order: guards against two that are out for the moment between; could harm by that moment.
 #[derive(Default)]
-pub struct Held(Vec<Waiting>);
+pub struct Held(Vec<HeldDispatch>);
 
 impl Held {
     pub fn is_empty(&self) -> bool {
@@ -23,7 +23,7 @@
 
     /// Holds one for a time.
     pub fn push(&mut self, inv: u32, dispatch: u8, to: ExecutorId, time: f64) {
-        self.0.push(Waiting { inv, dispatch, to, time, since: None });
+        self.0.push(HeldDispatch { inv, dispatch, to, time, since: None });
     }
 
     /// Takes one back; tells whether it was held.
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -14,11 +14,11 @@
         }
         self.kept += work.body.len();
         self.ids.insert(work.id.clone());
-        self.works.insert(inv, work);
+        self.invocations.insert(inv, work);
     }
 
     fn dispatch(&mut self, inv: u32, dispatch: u8, to: ExecutorId, _within: f64) {
-        let until = self.works.get(&inv).and_then(|w| self.given_up.get(&w.id));
+        let until = self.invocations.get(&inv).and_then(|w| self.given_up.get(&w.id));
         match until.map(|until| until - self.now).filter(|&left| left > 0.0) {
             Some(left) => self.held.push(inv, dispatch, to, left),
             None => self.send(inv, dispatch, to, self.now),
@@ -30,24 +30,24 @@
             return;
         }
         let Some(slot) = self.outs.remove(&(inv, dispatch)) else { return };
-        let Some(link) = self.links.get_mut(slot) else { return };
-        let found = link.open.iter().find(|(_, o)| o.inv == inv && o.dispatch == dispatch);
+        let Some(connection) = self.connections.get_mut(slot) else { return };
+        let found = connection.open.iter().find(|(_, o)| o.inv == inv && o.dispatch == dispatch);
         let Some((id, at)) = found.map(|(id, o)| (id.clone(), o.at)) else { return };
-        if link.give_up(&id) {
+        if connection.give_up(&id) {
             // One that was silent ever since, for longer than a new one takes to be made, may be dead.
-            link.retired |= link.heard_at < at && self.now > at + 2.0 * self.connect_time;
+            connection.retired |= connection.heard_at < at && self.now > at + 2.0 * self.connect_time;
             if self.cancels {
                 // Ahead of what is queued. Its dispatch was made a line, so that it comes after that.
-                link.socket.out().extend_from_slice(&lines::cancel(&id));
+                connection.socket.out().extend_from_slice(&lines::cancel(&id));
                 self.cancelled.push(slot);
             }
-            let to = link.to;
+            let to = connection.to;
             self.note_given_up(&id, to);
         }
-        if let Some(link) = self.links.get_mut(slot) {
-            link.idle_since = self.now;
+        if let Some(connection) = self.connections.get_mut(slot) {
+            connection.idle_since = self.now;
         }
-        self.touch_link(slot);
+        self.touch_connection(slot);
     }
 
     fn succeeded(&mut self, inv: u32, _dispatch: u8) {
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -1,7 +1,7 @@
 //! Clients: what they ask, checked, and what they are told where it is not taken.
 
-use crate::clients::{self, Fresh};
-use crate::floor::Work;
+use crate::clients::{self, PendingInvocation};
+use crate::floor::OpenInvocation;
 use crate::front::{Front, READS};
 use orchidtally::interface::Effect;
 use orchidtally_engine::{Offer, Refused};
@@ -36,8 +36,8 @@
             return;
         }
         let (guest, asked) = (client.guest, client.asked);
-        for fresh in std::mem::take(&mut client.fresh) {
-            self.invoke(slot, &fresh, guest);
+        for pending in std::mem::take(&mut client.pending) {
+            self.invoke(slot, &pending, guest);
         }
         if guest && asked {
             self.end_client(now, slot);
@@ -93,12 +93,12 @@
                     }
                     client.last_stream = stream;
                     let payload = frame.payload.map(<[u8]>::to_vec);
-                    client.fresh.push(Fresh { at: now, stream, payload });
+                    client.pending.push(PendingInvocation { at: now, stream, payload });
                 }
                 frames::WITHDRAW => {
-                    client.fresh.retain(|f| f.stream != stream);
+                    client.pending.retain(|f| f.stream != stream);
                     if let Some(&inv) = client.open.get(&stream) {
-                        self.floor.drop_work(inv);
+                        self.floor.drop_invocation(inv);
                         self.engine.withdrawn(now, inv, &mut self.floor);
                     }
                 }
@@ -120,9 +120,9 @@
     }
 
     /// Takes an invocation, or answers why not.
-    fn invoke(&mut self, slot: usize, fresh: &Fresh, guest: bool) {
-        let (stream, now) = (fresh.stream, fresh.at);
-        let read = fresh.payload.as_deref().ok_or("the frame is too long for an invocation");
+    fn invoke(&mut self, slot: usize, pending: &PendingInvocation, guest: bool) {
+        let (stream, now) = (pending.stream, pending.at);
+        let read = pending.payload.as_deref().ok_or("the frame is too long for an invocation");
         let (code, cooldown, why) = match read.and_then(|p| self.offer(now, slot, stream, p)) {
             Err(why) => {
                 self.counts.unusable += 1;
@@ -168,7 +168,7 @@
         client: usize,
         stream: u32,
         payload: &[u8],
-    ) -> Result<(Offer, Work), &'static str> {
+    ) -> Result<(Offer, OpenInvocation), &'static str> {
         let (fields, body) = frames::fields(payload).map_err(|e| e.0)?;
         if body.len() > frames::LONGEST_BODY {
             return Err("the body is over 16 KiB");
@@ -228,7 +228,7 @@
             lanes,
             load_time,
         };
-        let work = Work {
+        let work = OpenInvocation {
             client,
             stream,
             id: id.into(),
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod accepting;
 mod clients;
+mod connections;
 mod egress;
 mod ending;
 mod floor;
@@ -11,10 +12,9 @@
 mod held;
 mod host;
 mod ingress;
-mod links;
 mod listing;
 mod roster;
 mod sending;
 pub mod start;
 
-pub use front::{Waiting, run};
+pub use front::{PendingSignals, run};
--- a/crates/platform/src/listing.rs
+++ b/crates/platform/src/listing.rs
@@ -1,7 +1,7 @@
 //! Lists of executors, as the resolver tells them.
 
+use crate::connections::Executor;
 use crate::front::Front;
-use crate::links::Executor;
 use orchidtally::interface::*;
 use orchidtally_resolver::Entry;
 use tracing::{info, warn};
@@ -37,28 +37,28 @@
             let known = self.floor.executors.entry(entry.row.executor).or_insert_with(|| Executor {
                 name: entry.name,
                 address: entry.address,
-                links: vec![],
+                connections: vec![],
                 listed: true,
                 reach: f64::INFINITY,
             });
             known.listed = true;
             if known.address != entry.address {
                 known.address = entry.address;
-                moved.extend(&known.links);
+                moved.extend(&known.connections);
             }
         }
         for executor in self.floor.executors.values().filter(|e| !e.listed) {
             info!(executor = executor.name, "gone");
-            moved.extend(&executor.links);
+            moved.extend(&executor.connections);
         }
-        for link in moved {
+        for connection in moved {
             // What is queued there goes over another, or nowhere.
-            self.floor.links[link].retired = true;
-            self.floor.touch_link(link);
+            self.floor.connections[connection].retired = true;
+            self.floor.touch_connection(connection);
         }
         let ready = rows.iter().filter(|r| r.standing == Standing::Ready).count();
         info!(executors = rows.len(), ready, "the roster");
         self.engine.roster(now, RosterKind::Full, &rows, &mut self.floor);
-        self.floor.executors.retain(|_, e| e.listed || !e.links.is_empty());
+        self.floor.executors.retain(|_, e| e.listed || !e.connections.is_empty());
     }
 }
--- a/crates/platform/src/sending.rs
+++ b/crates/platform/src/sending.rs
@@ -1,7 +1,7 @@
 //! Lines to executors: over which connection each goes, and when it leaves.
 
+use crate::connections::{self, BACKLOG, Connection, Queued, Unwritten};
 use crate::floor::{Departures, Floor, ORDER, Order};
-use crate::links::{self, BACKLOG, Link, Queued, Unwritten};
 use mio::Interest;
 use mio::net::TcpStream;
 use orchidtally::interface::ExecutorId;
@@ -12,21 +12,22 @@
 impl Floor {
     /// A connection over which a line may go: the one that stands and has the least open, unless another may
     /// be made to spread over; else one that is being made.
-    pub fn link_for(&mut self, to: ExecutorId, id: &str) -> Result<usize, Transport> {
+    pub fn connection_for(&mut self, to: ExecutorId, id: &str) -> Result<usize, Transport> {
         let executor = self.executors.get(&to).ok_or(Transport::NoConnection)?;
-        let takes = |&l: &usize| self.links[l].takes(id, self.streams, self.now, self.idle_close);
-        let fits = executor.links.iter().copied().filter(takes);
-        let best = fits.min_by_key(|&l| self.links[l].rank());
-        let taking = executor.links.iter().filter(|&&l| !self.links[l].retired).count();
+        let takes = |&l: &usize| self.connections[l].takes(id, self.streams, self.now, self.idle_close);
+        let fits = executor.connections.iter().copied().filter(takes);
+        let best = fits.min_by_key(|&l| self.connections[l].rank());
+        let taking = executor.connections.iter().filter(|&&l| !self.connections[l].retired).count();
         let wanted = match best {
-            Some(best) if self.links[best].is_idle() => links::LEAST,
-            Some(_) => links::SPREAD,
+            Some(best) if self.connections[best].is_idle() => connections::LEAST,
+            Some(_) => connections::SPREAD,
             None => usize::MAX,
         };
-        let share = (self.most_links / self.executors.len().max(1)).max(1);
-        let may = taking < wanted && executor.links.len() < share;
-        let room = may && (self.links.len() < self.most_links || best.is_none() && self.make_room());
-        let begun = room.then(|| self.begin_link(to));
+        let share = (self.most_connections / self.executors.len().max(1)).max(1);
+        let may = taking < wanted && executor.connections.len() < share;
+        let room =
+            may && (self.connections.len() < self.most_connections || best.is_none() && self.make_room());
+        let begun = room.then(|| self.begin_connection(to));
         match (best, begun) {
             (Some(best), _) => Ok(best),
             (None, Some(begun)) => begun,
@@ -37,32 +38,36 @@
     /// Closes the connection that was idle for longest. Guards executors without one against never getting one
     /// where there are more of them than descriptors; could harm by a handshake for each dispatch.
     fn make_room(&mut self) -> bool {
-        let idle = self.links.iter().filter(|(_, l)| l.connected && l.is_idle());
+        let idle = self.connections.iter().filter(|(_, l)| l.connected && l.is_idle());
         let longest = idle.min_by(|a, b| a.1.idle_since.total_cmp(&b.1.idle_since)).map(|(slot, _)| slot);
-        let Some(mut link) = longest.and_then(|slot| self.links.try_remove(slot)) else { return false };
+        let Some(mut connection) = longest.and_then(|slot| self.connections.try_remove(slot)) else {
+            return false;
+        };
         // One whose socket is gone already needs no more.
-        let _ = self.registry.deregister(&mut link.socket.stream);
-        if let Some(executor) = self.executors.get_mut(&link.to) {
-            executor.links.retain(|&l| Some(l) != longest);
+        let _ = self.registry.deregister(&mut connection.socket.stream);
+        if let Some(executor) = self.executors.get_mut(&connection.to) {
+            executor.connections.retain(|&l| Some(l) != longest);
         }
         true
     }
 
-    fn begin_link(&mut self, to: ExecutorId) -> Result<usize, Transport> {
+    fn begin_connection(&mut self, to: ExecutorId) -> Result<usize, Transport> {
         let executor = self.executors.get_mut(&to).ok_or(Transport::NoConnection)?;
         let mut stream = TcpStream::connect(executor.address).map_err(|_| Transport::NoConnection)?;
-        let slot = self.links.vacant_key();
+        let slot = self.connections.vacant_key();
         let both = Interest::READABLE | Interest::WRITABLE;
-        self.registry.register(&mut stream, links::token(slot), both).map_err(|_| Transport::NoConnection)?;
-        self.links.insert(Link::new(to, stream, self.now, self.connect_time));
-        executor.links.push(slot);
+        self.registry
+            .register(&mut stream, connections::token(slot), both)
+            .map_err(|_| Transport::NoConnection)?;
+        self.connections.insert(Connection::new(to, stream, self.now, self.connect_time));
+        executor.connections.push(slot);
         Ok(slot)
     }
 
     /// Whether a connection to the executor that was begun before a moment stands.
     pub fn stands(&self, to: ExecutorId, before: f64) -> bool {
-        let links = self.executors.get(&to).map_or(&[][..], |e| &e.links);
-        links.iter().any(|&l| self.links[l].connected && self.links[l].begun_at < before)
+        let connections = self.executors.get(&to).map_or(&[][..], |e| &e.connections);
+        connections.iter().any(|&l| self.connections[l].connected && self.connections[l].begun_at < before)
     }
 
     /// Until when a dispatch after one that is given up now, over a connection to that executor, is held: a cancel
@@ -81,29 +86,31 @@
 
     /// Puts a dispatch on a connection.
     pub fn send(&mut self, inv: u32, dispatch: u8, to: ExecutorId, at: f64) {
-        let Some(id) = self.works.get(&inv).map(|w| w.id.clone()) else {
+        let Some(id) = self.invocations.get(&inv).map(|w| w.id.clone()) else {
             return self.unsent.push((inv, dispatch, Transport::Withheld));
         };
-        match self.link_for(to, &id) {
+        match self.connection_for(to, &id) {
             Ok(slot) => {
-                self.links[slot].open.insert(id.clone(), links::Out { inv, dispatch, at, from: None });
-                self.links[slot].queue.push_back(Queued::Dispatch(id));
+                self.connections[slot]
+                    .open
+                    .insert(id.clone(), connections::Out { inv, dispatch, at, from: None });
+                self.connections[slot].queue.push_back(Queued::Dispatch(id));
                 self.outs.insert((inv, dispatch), slot);
-                self.touch_link(slot);
+                self.touch_connection(slot);
             }
             Err(why) => self.unsent.push((inv, dispatch, why)),
         }
     }
 
     fn send_order(&mut self, tag: u64, to: ExecutorId) {
-        match self.link_for(to, "") {
+        match self.connection_for(to, "") {
             Ok(slot) => {
-                self.links[slot].orders.insert(tag, None);
-                self.links[slot].queue.push_back(Queued::Order(tag));
+                self.connections[slot].orders.insert(tag, None);
+                self.connections[slot].queue.push_back(Queued::Order(tag));
                 if let Some(order) = self.orders.get_mut(&tag) {
-                    order.link = slot;
+                    order.connection = slot;
                 }
-                self.touch_link(slot);
+                self.touch_connection(slot);
             }
             Err(why) => self.undone.push((tag, why)),
         }
@@ -130,16 +137,16 @@
 
     pub fn line(&mut self, to: ExecutorId, line: Vec<u8>) {
         // Nothing is owed for one that finds no connection.
-        if let Ok(slot) = self.link_for(to, "") {
-            self.links[slot].queue.push_back(Queued::Line(line));
-            self.touch_link(slot);
+        if let Ok(slot) = self.connection_for(to, "") {
+            self.connections[slot].queue.push_back(Queued::Line(line));
+            self.touch_connection(slot);
         }
     }
 
     pub fn order(&mut self, to: ExecutorId, function: u64, copies: u8) {
         let tag = self.next_tag;
         self.next_tag += 1;
-        self.orders.insert(tag, Order { to, function, copies, begun: self.now, link: usize::MAX });
+        self.orders.insert(tag, Order { to, function, copies, begun: self.now, connection: usize::MAX });
         self.send_order(tag, to);
     }
 
@@ -148,13 +155,13 @@
     /// left, so that two are out; it could harm what else is open at an executor that is slow to read.
     fn hand_over_cancels(&mut self) {
         for slot in std::mem::take(&mut self.cancelled) {
-            let Some(link) = self.links.get_mut(slot) else { continue };
-            let fault = match link.socket.flush() {
-                Ok(()) if link.socket.waiting() == 0 => continue,
+            let Some(connection) = self.connections.get_mut(slot) else { continue };
+            let fault = match connection.socket.flush() {
+                Ok(()) if connection.socket.waiting() == 0 => continue,
                 Ok(()) => "takes no cancel".to_owned(),
                 Err(fault) => fault.to_string(),
             };
-            link.cut_off();
+            connection.cut_off();
             self.cut.push((slot, fault));
         }
     }
@@ -163,30 +170,30 @@
     /// goes out but through here, and whether it still may is asked as its first byte leaves: a line of which the
     /// kernel took none is taken back into the queue. Guards what is bounded in time against connections that are
     /// slow to be made and executors that read nothing.
-    pub fn flush_link(&mut self, slot: usize, departures: &mut dyn Departures) -> std::io::Result<()> {
+    pub fn flush_connection(&mut self, slot: usize, departures: &mut dyn Departures) -> std::io::Result<()> {
         self.hand_over_cancels();
-        let Some(link) = self.links.get_mut(slot) else { return Ok(()) };
-        if link.retired && !link.is_cut && !link.queue.is_empty() {
+        let Some(connection) = self.connections.get_mut(slot) else { return Ok(()) };
+        if connection.retired && !connection.is_cut && !connection.queue.is_empty() {
             // Nothing new goes over it; its executor may have moved, and another stand at its address.
-            let (to, unwritten) = (link.to, link.take_unwritten());
+            let (to, unwritten) = (connection.to, connection.take_unwritten());
             self.send_again(to, unwritten, true);
         }
-        let Some(link) = self.links.get_mut(slot) else { return Ok(()) };
-        if !link.connected || link.is_cut {
+        let Some(connection) = self.connections.get_mut(slot) else { return Ok(()) };
+        if !connection.connected || connection.is_cut {
             return Ok(());
         }
         loop {
-            link.socket.flush()?;
-            if link.socket.waiting() > 0 {
-                link.take_back();
+            connection.socket.flush()?;
+            if connection.socket.waiting() > 0 {
+                connection.take_back();
                 return Ok(());
             }
-            if link.queue.is_empty() {
+            if connection.queue.is_empty() {
                 return Ok(());
             }
-            while link.socket.waiting() < BACKLOG {
-                let from = link.socket.written() + link.socket.waiting() as u64;
-                let line = match link.queue.pop_front() {
+            while connection.socket.waiting() < BACKLOG {
+                let from = connection.socket.written() + connection.socket.waiting() as u64;
+                let line = match connection.queue.pop_front() {
                     None => break,
                     Some(Queued::Line(line)) => line,
                     Some(Queued::Order(tag)) => {
@@ -195,11 +202,11 @@
                         let leaves =
                             order.copies == 0 || departures.order_leaves(self.now, order.to, order.begun);
                         if !leaves {
-                            link.orders.remove(&tag);
+                            connection.orders.remove(&tag);
                             self.undone.push((tag, Transport::Withheld));
                             continue;
                         }
-                        link.orders.insert(tag, Some(from));
+                        connection.orders.insert(tag, Some(from));
                         lines::hold(
                             &format!("{ORDER}{tag}"),
                             &format!("{:016x}", order.function),
@@ -207,11 +214,11 @@
                         )
                     }
                     Some(Queued::Dispatch(id)) => {
-                        let Some(out) = link.open.get_mut(&id) else { continue };
+                        let Some(out) = connection.open.get_mut(&id) else { continue };
                         let (inv, dispatch) = (out.inv, out.dispatch);
                         let leaves = departures.dispatch_leaves(self.now, inv, dispatch);
-                        let Some(work) = self.works.get(&inv).filter(|_| leaves) else {
-                            link.open.remove(&id);
+                        let Some(work) = self.invocations.get(&inv).filter(|_| leaves) else {
+                            connection.open.remove(&id);
                             self.outs.remove(&(inv, dispatch));
                             self.unsent.push((inv, dispatch, Transport::Withheld));
                             continue;
@@ -228,7 +235,7 @@
                         })
                     }
                 };
-                link.socket.out().extend_from_slice(&line);
+                connection.socket.out().extend_from_slice(&line);
             }
         }
     }
--- a/crates/platform/src/tests/clients.rs
+++ b/crates/platform/src/tests/clients.rs
@@ -46,11 +46,11 @@
     fill(&mut stage, 0);
     client.write_all(&invocation(1, &id(1), "read")).expect("it stands");
     client.write_all(&invocation(2, &id(2), "read")).expect("it stands");
-    stage.until("read", |s| s.front.floor.clients[0].fresh.len() == 2);
+    stage.until("read", |s| s.front.floor.clients[0].pending.len() == 2);
     let mut frame = vec![];
     frames::put(&mut frame, frames::WITHDRAW, 1, None, None, &[]);
     client.write_all(&frame).expect("it stands");
-    stage.until("taken back", |s| s.front.floor.clients[0].fresh.len() == 1);
+    stage.until("taken back", |s| s.front.floor.clients[0].pending.len() == 1);
     assert_eq!(stage.front.engine.open(), 0, "nothing is taken yet");
     let mut all = 0;
     let mut bytes = vec![0; 1 << 20];
--- a/crates/platform/src/tests/floor.rs
+++ b/crates/platform/src/tests/floor.rs
@@ -29,11 +29,11 @@
         let id = orchidtally_resolver::id(&name);
         floor
             .executors
-            .insert(id, Executor { name, address, links: vec![], listed: true, reach: f64::INFINITY });
-        let slot = floor.link_for(id, "").expect("there is room");
+            .insert(id, Executor { name, address, connections: vec![], listed: true, reach: f64::INFINITY });
+        let slot = floor.connection_for(id, "").expect("there is room");
         ends.push(listener.accept().expect("it comes").0);
         ends[n].set_read_timeout(Some(Duration::from_millis(200))).expect("a time");
-        floor.links[slot].connected = true;
+        floor.connections[slot].connected = true;
         floor.executors.get_mut(&id).expect("it is known").reach = 0.001;
         ids.push(id);
     }
@@ -42,7 +42,7 @@
 
 fn take(floor: &mut Floor, inv: u32) {
     let id: Rc<str> = format!("{inv:016x}").into();
-    floor.taking = Some(Work {
+    floor.taking = Some(OpenInvocation {
         client: usize::MAX,
         stream: 1,
         id,
@@ -78,9 +78,9 @@
 }
 
 fn flush_by(floor: &mut Floor, gate: &mut Gate) {
-    for slot in std::mem::take(&mut floor.dirty_links) {
-        floor.links[slot].dirty = false;
-        floor.flush_link(slot, gate).expect("it is taken");
+    for slot in std::mem::take(&mut floor.dirty_connections) {
+        floor.connections[slot].dirty = false;
+        floor.flush_connection(slot, gate).expect("it is taken");
     }
 }
 
@@ -105,9 +105,9 @@
         floor.cancel(inv, 0);
         floor.dispatch(inv, 1, ids[1 - inv as usize], 3.0);
     }
-    let first = floor.dirty_links.remove(0);
-    floor.links[first].dirty = false;
-    floor.flush_link(first, &mut Gate { open: true, asked: 0 }).expect("it is taken");
+    let first = floor.dirty_connections.remove(0);
+    floor.connections[first].dirty = false;
+    floor.flush_connection(first, &mut Gate { open: true, asked: 0 }).expect("it is taken");
     for end in &mut ends {
         let line = come(end);
         assert!(line.contains("UNDO") && !line.contains(r#""DO""#), "the cancel alone: {line}");
@@ -149,16 +149,16 @@
     take(&mut floor, 0);
     floor.dispatch(0, 0, ids[0], 3.0);
     flush(&mut floor);
-    let slot = floor.executors[&ids[0]].links[0];
-    while floor.links[slot].socket.waiting() == 0 {
-        floor.links[slot].socket.out().resize(1 << 20, b' ');
-        floor.links[slot].socket.flush().expect("it stands");
+    let slot = floor.executors[&ids[0]].connections[0];
+    while floor.connections[slot].socket.waiting() == 0 {
+        floor.connections[slot].socket.out().resize(1 << 20, b' ');
+        floor.connections[slot].socket.flush().expect("it stands");
     }
     floor.cancel(0, 0);
     floor.dispatch(0, 1, ids[1], 3.0);
-    let elsewhere = floor.executors[&ids[1]].links[0];
-    floor.flush_link(elsewhere, &mut Gate { open: true, asked: 0 }).expect("it is taken");
-    assert!(floor.links[slot].is_cut && floor.cut.len() == 1, "to be dissolved");
+    let elsewhere = floor.executors[&ids[1]].connections[0];
+    floor.flush_connection(elsewhere, &mut Gate { open: true, asked: 0 }).expect("it is taken");
+    assert!(floor.connections[slot].is_cut && floor.cut.len() == 1, "to be dissolved");
     let mut rest = vec![];
     ends[0].read_to_end(&mut rest).expect("an end, not a silence");
     assert!(!rest.is_empty());
@@ -168,26 +168,27 @@
 #[test]
 fn no_line_stays_made_of_which_the_kernel_took_nothing() {
     let (mut floor, ids, mut ends) = set(1);
-    let slot = floor.executors[&ids[0]].links[0];
-    while floor.links[slot].socket.waiting() == 0 {
-        floor.links[slot].socket.out().resize(1 << 20, b' ');
-        floor.links[slot].socket.flush().expect("it stands");
+    let slot = floor.executors[&ids[0]].connections[0];
+    while floor.connections[slot].socket.waiting() == 0 {
+        floor.connections[slot].socket.out().resize(1 << 20, b' ');
+        floor.connections[slot].socket.flush().expect("it stands");
     }
     for inv in 0..30 {
         take(&mut floor, inv);
-        floor.works.get_mut(&inv).expect("it is open").body = vec![7; 16 * 1024];
+        floor.invocations.get_mut(&inv).expect("it is open").body = vec![7; 16 * 1024];
         floor.dispatch(inv, 0, ids[0], 3.0);
     }
     let mut gate = Gate { open: true, asked: 0 };
     let mut bytes = vec![0; 20 * 1024];
     let mut stuck = 0;
-    while !floor.links[slot].queue.is_empty() {
+    while !floor.connections[slot].queue.is_empty() {
         ends[0].read_exact(&mut bytes).expect("there is more");
-        floor.flush_link(slot, &mut gate).expect("it is taken");
-        let link = &floor.links[slot];
-        let begun = |o: &crate::links::Out| o.from.is_none_or(|from| from < link.socket.written());
-        assert!(link.open.values().all(begun));
-        stuck += usize::from(link.socket.waiting() > 0);
+        floor.flush_connection(slot, &mut gate).expect("it is taken");
+        let connection = &floor.connections[slot];
+        let begun =
+            |o: &crate::connections::Out| o.from.is_none_or(|from| from < connection.socket.written());
+        assert!(connection.open.values().all(begun));
+        stuck += usize::from(connection.socket.waiting() > 0);
     }
     assert!(stuck > 0 && gate.asked > 30, "lines were taken back and asked about again: {}", gate.asked);
 }
--- a/crates/platform/src/tests/gone.rs
+++ b/crates/platform/src/tests/gone.rs
@@ -16,8 +16,8 @@
     }
     assert_eq!(all_dispatches(stage), before);
     assert_eq!(stage.front.engine.open(), 0);
-    assert!(stage.front.floor.works.is_empty() && stage.front.floor.held.is_empty());
-    assert!(stage.front.floor.links.iter().all(|(_, l)| l.queue.is_empty() && l.open.is_empty()));
+    assert!(stage.front.floor.invocations.is_empty() && stage.front.floor.held.is_empty());
+    assert!(stage.front.floor.connections.iter().all(|(_, l)| l.queue.is_empty() && l.open.is_empty()));
 }
 
 fn without_orders(s: &mut Value) {
@@ -40,7 +40,9 @@
     let mut stage = Stage::new(2, 128, without_orders);
     let mut client = stage.client();
     client.write_all(&invocation(1, &id(1), "read")).expect("it stands");
-    stage.until("queued", |s| s.front.floor.links.iter().any(|(_, l)| !l.connected && !l.queue.is_empty()));
+    stage.until("queued", |s| {
+        s.front.floor.connections.iter().any(|(_, l)| !l.connected && !l.queue.is_empty())
+    });
     // Its end is read before the connection is seen to stand.
     client.shutdown(Shutdown::Write).expect("it stands");
     let now = stage.front.now();
@@ -69,8 +71,13 @@
     stage.until("two of them", |s| {
         s.peers[x].read();
         let to = orchidtally_resolver::id(&s.peers[x].name);
-        let _ = s.front.floor.link_for(to, "another");
-        s.front.floor.executors[&to].links.iter().filter(|&&l| s.front.floor.links[l].connected).count() > 1
+        let _ = s.front.floor.connection_for(to, "another");
+        s.front.floor.executors[&to]
+            .connections
+            .iter()
+            .filter(|&&l| s.front.floor.connections[l].connected)
+            .count()
+            > 1
     });
     let (socket, come) = stage.peers[x].ends.remove(end);
     orchidtally_net::break_on_close(&socket);
--- a/crates/platform/src/tests/leaving.rs
+++ b/crates/platform/src/tests/leaving.rs
@@ -94,7 +94,7 @@
     told_to_end(&mut stage);
     stage.until("closed", |s| s.front.listener.is_none());
     let since = stage.front.leaving_since.expect("it was told");
-    let by = stage.front.floor.works.values().map(|w| w.timeout_at).fold(0.0, f64::max);
+    let by = stage.front.floor.invocations.values().map(|w| w.timeout_at).fold(0.0, f64::max);
     assert!(by > since + 3.0 && by < since + 3.7, "{} s after SIGTERM", by - since);
     let mut answers = vec![];
     stage.until("answered", |_| {
--- a/crates/platform/src/tests/mod.rs
+++ b/crates/platform/src/tests/mod.rs
@@ -2,9 +2,9 @@
 //! executors on loopback sockets that say and read just what a test wants.
 
 mod clients;
-mod connections;
 mod gone;
 mod leaving;
+mod on_the_way;
 mod settings;
 
 use super::*;
