Call the resolver quiet after sixteen queries in a row, not sixteen lost in all

It counts queries since the last good answer now. The test fails with the old line: quiet at query 23 instead of 45.

--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -31,6 +31,8 @@
     next_at: f64,
     serial: u32,
     buffer: Box<[u8]>,
+    /// Queries since the last good answer.
+    unanswered: usize,
     /// It was told on that no list can be had.
     pub told_quiet: bool,
     /// Answers that could not be used, since the last good one.
@@ -57,7 +59,16 @@
     pub fn new(at: SocketAddr, serial: u32, registry: &Registry, token: mio::Token) -> io::Result<Resolver> {
         let now = Asked::new(at, registry, token)?;
         let buffer = vec![0; LONGEST].into();
-        Ok(Resolver { now, before: VecDeque::new(), next_at: 0.0, serial, buffer, told_quiet: false, bad: 0 })
+        Ok(Resolver {
+            now,
+            before: VecDeque::new(),
+            next_at: 0.0,
+            serial,
+            buffer,
+            unanswered: 0,
+            told_quiet: false,
+            bad: 0,
+        })
     }
 
     /// Asks at another address from now on. The numbers of events go on, and the one asked so far is heard until the
@@ -72,9 +83,9 @@
         Ok(())
     }
 
-    /// As many queries are out as may be answered, and none was.
+    /// As many queries as may be out at a time went without a good answer, one after the other.
     pub fn is_quiet(&self) -> bool {
-        self.now.queries.len() >= MOST_ASKED
+        self.unanswered >= MOST_ASKED
     }
 
     pub fn at(&self) -> SocketAddr {
@@ -92,6 +103,7 @@
         // Ids are drawn, so that no answer to another query fits this one.
         let id = rand::random();
         self.next_at = now + ANSWER_WITHIN;
+        self.unanswered += 1;
         self.now.queries.push_back(id);
         if self.now.queries.len() > MOST_ASKED {
             self.now.queries.pop_front();
@@ -129,7 +141,7 @@
                     Ok((serial, entries)) => {
                         // Those asked before stay: what is told in a late answer is told all the same.
                         asked.queries.remove(query);
-                        (self.bad, self.serial) = (0, serial);
+                        (self.bad, self.unanswered, self.serial) = (0, 0, serial);
                         newest = entries.or(newest);
                         if is_present {
                             answered = true;
--- a/crates/platform/src/tests/roster.rs
+++ b/crates/platform/src/tests/roster.rs
@@ -81,3 +81,28 @@
     first.send_to(&answer(&two.0, 4), two.1).expect("sent");
     assert_eq!(asking.read(0.3, &mut places).map(|list| list.len()), None);
 }
+
+/// Answers lost now and then add up to no silence; sixteen in a row do, and one that comes ends it.
+#[test]
+fn it_is_quiet_after_sixteen_queries_in_a_row_without_an_answer() {
+    let there = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let poll = mio::Poll::new().expect("a poll");
+    let at = there.local_addr().expect("it is bound");
+    let mut asking = Resolver::new(at, 1, poll.registry(), mio::Token(0)).expect("a socket");
+    let mut places = Places::new(vec![], vec![]);
+    let (mut now, mut quiet) = (0.0, vec![]);
+    for n in 0..60 {
+        asking.turn(now);
+        let mut query = [0; 512];
+        let (size, from) = there.recv_from(&mut query).expect("a query");
+        // Every third is answered at first; then none, but for one.
+        if n < 30 && n % 3 == 2 || n == 50 {
+            there.send_to(&answer(&query[..size], 2), from).expect("sent");
+            _ = asking.read(now, &mut places);
+        }
+        quiet.push(asking.is_quiet());
+        now += 0.3;
+    }
+    let from = quiet.iter().position(|&q| q);
+    assert_eq!((from, quiet[49], quiet[50], quiet[59]), (Some(45), true, false, false));
+}
