Log a file's faults once after SIGHUP; make way once for want of a descriptor

Read in a last look at the change: Front::reread took every look for the first, so that each logged; accept closed one idle client after the other where an error other than descriptors stays.

--- a/crates/platform/src/accepting.rs
+++ b/crates/platform/src/accepting.rs
@@ -14,6 +14,7 @@
 impl Front {
     pub fn accept(&mut self, now: f64) {
         self.accept_later = false;
+        let mut made_way = false;
         for _ in 0..ACCEPTS {
             let Some(listener) = &self.listener else { return };
             let stream = match listener.accept() {
@@ -24,17 +25,20 @@
                     continue;
                 }
                 Err(fault) => {
-                    // No descriptor or no memory: an idle one makes way. Where none is, it is tried again with the
-                    // next look at what is overdue; asking without a pause would take the whole core.
+                    // No descriptor or no memory: an idle one makes way. Where none is, or that was of no help, it is
+                    // tried again with the next look at what is overdue; asking without a pause would take the whole
+                    // core, and closing on and on every idle client.
                     debug!(%fault, "accepting");
-                    self.counts.evicted += 1;
-                    if self.make_way(now) {
+                    if !made_way && self.make_way(now) {
+                        self.counts.evicted += 1;
+                        made_way = true;
                         continue;
                     }
                     self.accept_later = true;
                     return;
                 }
             };
+            made_way = false;
             let mut client = Client::new(stream, now);
             if self.floor.clients.len() >= self.most_clients {
                 self.counts.evicted += 1;
--- a/crates/platform/src/ending.rs
+++ b/crates/platform/src/ending.rs
@@ -23,6 +23,7 @@
 /// nobody tells when it is whole. What the new resolver has to tell counts as told 4 s after the signal.
 const REREAD_EVERY: f64 = 0.25;
 const REREAD_FOR: f64 = 3.5;
+
 impl Front {
     pub fn signalled(&mut self, now: f64, signal: i32) {
         if signal != SIGHUP {
@@ -30,16 +31,15 @@
             self.leaving_since.get_or_insert(now);
             return;
         }
-        (self.reread_until, self.reread_at) = (now + REREAD_FOR, now);
-        self.reread(now);
+        self.reread_until = now + REREAD_FOR;
+        self.reread(now, true);
     }
 
     /// Takes the resolver's address from the file after SIGHUP, as often as it may still change.
-    pub fn reread(&mut self, now: f64) {
-        if now < self.reread_at {
+    pub fn reread(&mut self, now: f64, first: bool) {
+        if now < self.reread_at && !first {
             return;
         }
-        let first = self.reread_at + REREAD_FOR >= self.reread_until;
         self.reread_at = if now < self.reread_until { now + REREAD_EVERY } else { f64::INFINITY };
         let last = self.reread_at.is_infinite();
         match start::read(&self.file) {
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -250,7 +250,7 @@
         {
             self.ordered(now, tag, Transport::TimedOut, 0);
         }
-        self.reread(now);
+        self.reread(now, false);
         self.stop_taking(now);
     }
 
