Mend a test that read megabytes of line ends over and over

what_the_kernel_does_not_take_is_asked_about_again_as_it_leaves failed in 4 of 12 runs alone ('never: dispatched' after 20 s): the stand-in parsed millions of empty lines at each look.

--- a/crates/platform/src/tests/mod.rs
+++ b/crates/platform/src/tests/mod.rs
@@ -40,7 +40,8 @@
         let mut bytes = vec![0; 256 * 1024];
         for (end, come) in &mut self.ends {
             while let Ok(n @ 1..) = end.read(&mut bytes) {
-                come.push_str(&String::from_utf8_lossy(&bytes[..n]));
+                // Blanks that only fill the kernel's buffers are not kept: reading them over and over takes long.
+                come.push_str(String::from_utf8_lossy(&bytes[..n]).trim_matches(' '));
             }
         }
     }
--- a/crates/platform/src/tests/on_the_way.rs
+++ b/crates/platform/src/tests/on_the_way.rs
@@ -82,7 +82,7 @@
     for slot in stage.front.floor.executors[&to].connections.clone() {
         let socket = &mut stage.front.floor.connections[slot].socket;
         while socket.waiting() == 0 {
-            socket.out().extend_from_slice(b"\n");
+            socket.out().extend_from_slice(&[b' '; 4096]);
             socket.flush().expect("it stands");
         }
     }
