Test that a moved dispatch waits for as long as the first executor is far

Found missing on a last read: the hold by the time that a connection took to be made had no test. It fails with a tick in its place. No code changed.

--- a/crates/platform/src/tests/floor.rs
+++ b/crates/platform/src/tests/floor.rs
@@ -192,3 +192,21 @@
     }
     assert!(stuck > 0 && gate.asked > 30, "lines were taken back and asked about again: {}", gate.asked);
 }
+
+/// An executor that is far: its cancel is under way for longer than a tick, and the next dispatch may be faster.
+#[test]
+fn what_is_moved_waits_for_as_long_as_a_connection_to_the_first_took_to_be_made() {
+    let (mut floor, ids, mut ends) = set(2);
+    floor.executors.get_mut(&ids[0]).expect("it is known").reach = 0.02;
+    take(&mut floor, 0);
+    floor.dispatch(0, 0, ids[0], 3.0);
+    flush(&mut floor);
+    floor.cancel(0, 0);
+    floor.dispatch(0, 1, ids[1], 3.0);
+    for (now, there) in [(0.001, false), (0.020, false), (0.022, true)] {
+        floor.now = now;
+        floor.release();
+        flush(&mut floor);
+        assert_eq!(come(&mut ends[1]).contains(r#""DO""#), there, "at {now}");
+    }
+}
