--- a/crates/engine/src/baseline.rs
+++ b/crates/engine/src/baseline.rs
@@ -1,24 +1,24 @@
 //! Who decides: the module, or a baseline to measure it against. Baselines serve comparisons alone.
 
 use orchidtally::chance::Chance;
-use orchidtally::choice::Choice;
+use orchidtally::dispatch::Dispatcher;
 use orchidtally::interface::*;
 use std::collections::HashMap;
 
 /// What the engine tells to whatever decides.
 pub trait Decisions {
     /// Those that share nothing by the number of front ends need not know it.
-    fn living(&mut self, _now: f64, _living: Living, _out: &mut dyn Answers) {}
-    fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Answers);
-    fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Answers);
-    fn outcome(&mut self, now: f64, o: &Outcome, out: &mut dyn Answers);
-    fn streaming(&mut self, now: f64, inv: u32, dispatch: u8, out: &mut dyn Answers);
-    fn withdrawn(&mut self, now: f64, inv: u32, out: &mut dyn Answers);
-    fn held(&mut self, now: f64, at: ExecutorId, key: u64, ending: Ending, out: &mut dyn Answers);
-    fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Answers) -> usize;
-    fn timer(&mut self, now: f64, out: &mut dyn Answers);
+    fn living(&mut self, _now: f64, _living: MembershipView, _out: &mut dyn Actions) {}
+    fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Actions);
+    fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Actions);
+    fn outcome(&mut self, now: f64, o: &Outcome, out: &mut dyn Actions);
+    fn streaming(&mut self, now: f64, inv: u32, dispatch: u8, out: &mut dyn Actions);
+    fn withdrawn(&mut self, now: f64, inv: u32, out: &mut dyn Actions);
+    fn held(&mut self, now: f64, at: ExecutorId, key: u64, ending: Ending, out: &mut dyn Actions);
+    fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Actions) -> usize;
+    fn timer(&mut self, now: f64, out: &mut dyn Actions);
     /// Nothing that is open is waited for past a moment.
-    fn end_by(&mut self, _now: f64, _at: f64, _out: &mut dyn Answers) {}
+    fn end_by(&mut self, _now: f64, _at: f64, _out: &mut dyn Actions) {}
     /// Whether what was decided still holds as its bytes leave; baselines don't mind.
     fn leaves(&mut self, _now: f64, _inv: u32, _dispatch: u8) -> bool {
         true
@@ -32,45 +32,45 @@
     }
 }
 
-impl Decisions for Choice {
-    fn living(&mut self, now: f64, living: Living, out: &mut dyn Answers) {
-        Choice::living(self, now, living, out);
+impl Decisions for Dispatcher {
+    fn living(&mut self, now: f64, living: MembershipView, out: &mut dyn Actions) {
+        Dispatcher::living(self, now, living, out);
     }
-    fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Answers) {
-        Choice::roster(self, now, kind, rows, out);
+    fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Actions) {
+        Dispatcher::roster(self, now, kind, rows, out);
     }
-    fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Answers) {
-        Choice::invocation(self, now, inv, out);
+    fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Actions) {
+        Dispatcher::invocation(self, now, inv, out);
     }
-    fn outcome(&mut self, now: f64, o: &Outcome, out: &mut dyn Answers) {
-        Choice::outcome(self, now, o, out);
+    fn outcome(&mut self, now: f64, o: &Outcome, out: &mut dyn Actions) {
+        Dispatcher::outcome(self, now, o, out);
     }
-    fn streaming(&mut self, now: f64, inv: u32, dispatch: u8, out: &mut dyn Answers) {
-        Choice::streaming(self, now, inv, dispatch, out);
+    fn streaming(&mut self, now: f64, inv: u32, dispatch: u8, out: &mut dyn Actions) {
+        Dispatcher::streaming(self, now, inv, dispatch, out);
     }
-    fn withdrawn(&mut self, now: f64, inv: u32, out: &mut dyn Answers) {
-        Choice::withdrawn(self, now, inv, out);
+    fn withdrawn(&mut self, now: f64, inv: u32, out: &mut dyn Actions) {
+        Dispatcher::withdrawn(self, now, inv, out);
     }
-    fn held(&mut self, now: f64, at: ExecutorId, key: u64, ending: Ending, out: &mut dyn Answers) {
-        Choice::held(self, now, at, key, ending, out);
+    fn held(&mut self, now: f64, at: ExecutorId, key: u64, ending: Ending, out: &mut dyn Actions) {
+        Dispatcher::held(self, now, at, key, ending, out);
     }
-    fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Answers) -> usize {
-        Choice::ahead(self, now, wish, out)
+    fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Actions) -> usize {
+        Dispatcher::ahead(self, now, wish, out)
     }
-    fn timer(&mut self, now: f64, out: &mut dyn Answers) {
-        Choice::timer(self, now, 0, out);
+    fn timer(&mut self, now: f64, out: &mut dyn Actions) {
+        Dispatcher::timer(self, now, 0, out);
     }
-    fn end_by(&mut self, now: f64, at: f64, out: &mut dyn Answers) {
-        Choice::end_by(self, now, at, out);
+    fn end_by(&mut self, now: f64, at: f64, out: &mut dyn Actions) {
+        Dispatcher::end_by(self, now, at, out);
     }
     fn leaves(&mut self, now: f64, inv: u32, dispatch: u8) -> bool {
-        Choice::leaves(self, now, inv, dispatch)
+        Dispatcher::leaves(self, now, inv, dispatch)
     }
     fn order_leaves(&mut self, now: f64, to: ExecutorId, at: f64) -> bool {
-        Choice::order_leaves(self, now, to, at)
+        Dispatcher::order_leaves(self, now, to, at)
     }
     fn kept(&self) -> Kept {
-        Choice::kept(self)
+        Dispatcher::kept(self)
     }
 }
 
@@ -140,7 +140,7 @@
 }
 
 impl Decisions for Plain {
-    fn roster(&mut self, _: f64, kind: RosterKind, rows: &[RosterRow], _: &mut dyn Answers) {
+    fn roster(&mut self, _: f64, kind: RosterKind, rows: &[RosterRow], _: &mut dyn Actions) {
         if kind == RosterKind::Full {
             self.ready.clear();
         }
@@ -154,7 +154,7 @@
         self.out.retain(|x, _| ready.contains(x));
     }
 
-    fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Answers) {
+    fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Actions) {
         match self.choose() {
             Some(to) => {
                 self.open.insert(inv.id, to);
@@ -165,23 +165,23 @@
         }
     }
 
-    fn outcome(&mut self, _: f64, o: &Outcome, out: &mut dyn Answers) {
+    fn outcome(&mut self, _: f64, o: &Outcome, out: &mut dyn Actions) {
         if self.end(o.inv).is_some() && !o.closed && o.ending != Ending::Ok {
             if o.ending.never_ran() { out.throttle(o.inv, 0.0, false) } else { out.error(o.inv) }
         }
     }
 
-    fn streaming(&mut self, _: f64, _: u32, _: u8, _: &mut dyn Answers) {}
+    fn streaming(&mut self, _: f64, _: u32, _: u8, _: &mut dyn Actions) {}
 
-    fn withdrawn(&mut self, _: f64, inv: u32, out: &mut dyn Answers) {
+    fn withdrawn(&mut self, _: f64, inv: u32, out: &mut dyn Actions) {
         if self.end(inv).is_some() {
             out.cancel(inv, 0);
         }
     }
 
-    fn held(&mut self, _: f64, _: ExecutorId, _: u64, _: Ending, _: &mut dyn Answers) {}
-    fn ahead(&mut self, _: f64, wish: &Ahead, _: &mut dyn Answers) -> usize {
+    fn held(&mut self, _: f64, _: ExecutorId, _: u64, _: Ending, _: &mut dyn Actions) {}
+    fn ahead(&mut self, _: f64, wish: &Ahead, _: &mut dyn Actions) -> usize {
         wish.copies
     }
-    fn timer(&mut self, _: f64, _: &mut dyn Answers) {}
+    fn timer(&mut self, _: f64, _: &mut dyn Actions) {}
 }
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -31,7 +31,7 @@
     }
 }
 
-/// Everything but the module, so that the module can be called with it as its `Answers`.
+/// Everything but the module, so that the module can be called with it as its `Actions`.
 #[derive(Default)]
 pub(crate) struct Desk {
     pub(crate) now: f64,
@@ -80,7 +80,7 @@
     pub(crate) host: &'a mut dyn Host,
 }
 
-impl Answers for Speaker<'_> {
+impl Actions for Speaker<'_> {
     fn dispatch(&mut self, inv: u32, to: ExecutorId, time_out: f64) {
         let desk = &mut *self.desk;
         let Some(open) = desk.open.get_mut(&inv) else { return };
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -9,7 +9,7 @@
 
 use baseline::Decisions;
 use desk::{Desk, Open, Speaker};
-use orchidtally::choice::Choice;
+use orchidtally::dispatch::Dispatcher;
 use orchidtally::interface::*;
 use orchidtally::state::Ordered;
 use std::cmp::Reverse;
@@ -97,7 +97,7 @@
 
 /// One front end's decisions and what is open at it.
 pub struct Engine {
-    choice: Box<dyn Decisions>,
+    dispatcher: Box<dyn Decisions>,
     desk: Desk,
     next_id: u32,
     most_open: usize,
@@ -108,13 +108,13 @@
     /// `most_open`: invocations that may be without a final answer at a time.
     pub fn new(terms: Terms, most_open: usize, seed: u64, now: f64, host: &mut dyn Host) -> Engine {
         let mut desk = Desk { now, ..Desk::default() };
-        let choice = Choice::new(terms, seed, now, &mut Speaker { desk: &mut desk, host });
-        Engine { choice: Box::new(choice), desk, next_id: 0, most_open, leaving: false }
+        let dispatcher = Dispatcher::new(terms, seed, now, &mut Speaker { desk: &mut desk, host });
+        Engine { dispatcher: Box::new(dispatcher), desk, next_id: 0, most_open, leaving: false }
     }
 
     /// One that goes by a baseline, for comparisons.
-    pub fn with_baseline(choice: Box<dyn Decisions>, most_open: usize, now: f64) -> Engine {
-        Engine { choice, desk: Desk { now, ..Desk::default() }, next_id: 0, most_open, leaving: false }
+    pub fn with_baseline(dispatcher: Box<dyn Decisions>, most_open: usize, now: f64) -> Engine {
+        Engine { dispatcher, desk: Desk { now, ..Desk::default() }, next_id: 0, most_open, leaving: false }
     }
 
     pub fn tally(&self) -> Tally {
@@ -123,7 +123,7 @@
 
     /// Entries in the module's tables.
     pub fn kept(&self) -> Kept {
-        self.choice.kept()
+        self.dispatcher.kept()
     }
 
     /// Invocations without a final answer.
@@ -144,7 +144,7 @@
             self.desk.deadlines.extend(out.map(|(n, _)| Reverse((Ordered(at), inv, Some(n)))));
             self.desk.deadlines.push(Reverse((Ordered(at + OVERDUE), inv, None)));
         }
-        self.play(now, host, |choice, now, out| choice.end_by(now, at, out));
+        self.play(now, host, |dispatcher, now, out| dispatcher.end_by(now, at, out));
     }
 
     /// When `turn` is next to be called.
@@ -163,7 +163,7 @@
     ) {
         self.desk.now = now.max(self.desk.now);
         let now = self.desk.now;
-        input(&mut *self.choice, now, &mut Speaker { desk: &mut self.desk, host });
+        input(&mut *self.dispatcher, now, &mut Speaker { desk: &mut self.desk, host });
         while let Some((inv, dispatch)) = self.desk.ended.pop_front() {
             self.tell(inv, dispatch, NOTHING_TOLD, host);
         }
@@ -186,7 +186,7 @@
             crowd: told.crowd,
             report: told.report,
         };
-        self.choice.outcome(now, &outcome, &mut Speaker { desk: &mut self.desk, host });
+        self.dispatcher.outcome(now, &outcome, &mut Speaker { desk: &mut self.desk, host });
         self.desk.tidy(inv);
     }
 
@@ -219,19 +219,20 @@
             lanes: offer.lanes,
             load_time: offer.load_time,
         };
-        self.play(now, host, |choice, now, out| choice.invocation(now, &inv, out));
+        self.play(now, host, |dispatcher, now, out| dispatcher.invocation(now, &inv, out));
         Ok(id)
     }
 
     /// Whether a dispatch may leave now. It is asked as its bytes do, which may be long after it was decided on.
     pub fn leaves(&mut self, now: f64, inv: u32, dispatch: u8) -> bool {
         let sent = self.desk.open.get(&inv).and_then(|o| o.sent.get(usize::from(dispatch)));
-        sent.is_some_and(|s| s.ending.is_none()) && self.choice.leaves(now.max(self.desk.now), inv, dispatch)
+        sent.is_some_and(|s| s.ending.is_none())
+            && self.dispatcher.leaves(now.max(self.desk.now), inv, dispatch)
     }
 
     /// The same of an order to load that was given at a moment.
     pub fn order_leaves(&mut self, now: f64, to: ExecutorId, at: f64) -> bool {
-        self.choice.order_leaves(now.max(self.desk.now), to, at)
+        self.dispatcher.order_leaves(now.max(self.desk.now), to, at)
     }
 
     /// A dispatch has ended. What was cancelled, timed out or ended before is not heard again.
@@ -261,7 +262,7 @@
         self.desk.close(inv);
         self.desk.tally.succeeded += 1;
         host.succeeded(inv, dispatch);
-        self.play(now, host, |choice, now, out| choice.streaming(now, inv, dispatch, out));
+        self.play(now, host, |dispatcher, now, out| dispatcher.streaming(now, inv, dispatch, out));
         true
     }
 
@@ -269,28 +270,28 @@
     pub fn withdrawn(&mut self, now: f64, inv: u32, host: &mut dyn Host) {
         if self.desk.close(inv).is_some() {
             self.desk.tally.withdrawn += 1;
-            self.play(now, host, |choice, now, out| choice.withdrawn(now, inv, out));
+            self.play(now, host, |dispatcher, now, out| dispatcher.withdrawn(now, inv, out));
             self.desk.tidy(inv);
         }
     }
 
     pub fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], host: &mut dyn Host) {
-        self.play(now, host, |choice, now, out| choice.roster(now, kind, rows, out));
+        self.play(now, host, |dispatcher, now, out| dispatcher.roster(now, kind, rows, out));
     }
 
-    pub fn living(&mut self, now: f64, living: Living, host: &mut dyn Host) {
-        self.play(now, host, |choice, now, out| choice.living(now, living, out));
+    pub fn living(&mut self, now: f64, living: MembershipView, host: &mut dyn Host) {
+        self.play(now, host, |dispatcher, now, out| dispatcher.living(now, living, out));
     }
 
     /// The answer to an order to load.
     pub fn held(&mut self, now: f64, at: ExecutorId, function: u64, ending: Ending, host: &mut dyn Host) {
-        self.play(now, host, |choice, now, out| choice.held(now, at, function, ending, out));
+        self.play(now, host, |dispatcher, now, out| dispatcher.held(now, at, function, ending, out));
     }
 
     /// Copies wanted ahead of invocations; tells how many executors are known to serve the function.
     pub fn ahead(&mut self, now: f64, wish: &Ahead, host: &mut dyn Host) -> usize {
         let mut known = 0;
-        self.play(now, host, |choice, now, out| known = choice.ahead(now, wish, out));
+        self.play(now, host, |dispatcher, now, out| known = dispatcher.ahead(now, wish, out));
         known
     }
 
@@ -321,14 +322,14 @@
                     self.desk.tally.errored += 1;
                     self.desk.tally.overdue += 1;
                     host.errored(inv, Cause::TimedOut, may_have_run);
-                    self.play(now, host, |choice, now, out| choice.withdrawn(now, inv, out));
+                    self.play(now, host, |dispatcher, now, out| dispatcher.withdrawn(now, inv, out));
                     self.desk.tidy(inv);
                 }
             }
         }
         if self.desk.wake_at.is_some_and(|at| at <= now) {
             self.desk.wake_at = None;
-            self.play(now, host, |choice, now, out| choice.timer(now, out));
+            self.play(now, host, |dispatcher, now, out| dispatcher.timer(now, out));
         }
     }
 }
--- a/crates/engine/tests/fleet/mod.rs
+++ b/crates/engine/tests/fleet/mod.rs
@@ -179,7 +179,7 @@
             Side { fe, life, world: world.clone(), functions, taking: (0, 0.0), ids: ids.to_vec() };
         let now = world.borrow().now;
         let mut engine = match maker(&terms, seed, &truth) {
-            Some(choice) => Engine::with_baseline(choice, 100_000, now),
+            Some(dispatcher) => Engine::with_baseline(dispatcher, 100_000, now),
             None => Engine::new(terms, 100_000, seed, now, &mut side),
         };
         engine.roster(now, RosterKind::Full, &rows(ids), &mut side);
--- a/crates/frontend/src/hub.rs
+++ b/crates/frontend/src/hub.rs
@@ -149,8 +149,8 @@
     /// The roster and the front ends, where they come from etcd.
     pub cache: RefCell<Cache>,
     pub members: RefCell<Members>,
-    /// By how many the rota goes, and since when.
-    rota: Cell<(u32, f64)>,
+    /// Time slots of shared budgets, and since when.
+    slot_count: Cell<(u32, f64)>,
     engine: RefCell<Engine>,
     pub shares: RefCell<Shares>,
     floor: RefCell<Floor>,
@@ -233,7 +233,7 @@
                 sender: Cell::new(sender),
                 cache: RefCell::new(Cache::new(now)),
                 members: RefCell::new(Members::new(sender.count)),
-                rota: Cell::new((0, f64::INFINITY)),
+                slot_count: Cell::new((0, f64::INFINITY)),
                 engine: RefCell::new(engine),
                 floor: RefCell::new(floor),
                 clock,
@@ -453,21 +453,21 @@
         });
     }
 
-    /// Tells the module by how many front ends to share. The rota goes by a power of two, so that it changes seldom, and
+    /// Tells the module by how many front ends to share. The slots are a power of two, so that it changes seldom, and
     /// is joined once all must have seen that change.
     pub fn count_front_ends(&self) {
         let now = self.now();
         let figure = self.members.borrow().figure(now);
-        let rota = figure.count.next_power_of_two();
-        if self.rota.get().0 != rota {
-            self.rota.set((rota, now));
+        let slot_count = figure.count.next_power_of_two();
+        if self.slot_count.get().0 != slot_count {
+            self.slot_count.set((slot_count, now));
         }
-        let shares = figure.shares && now >= self.rota.get().1 + LATE;
+        let shares = figure.shares && now >= self.slot_count.get().1 + LATE;
         let index = figure.index.unwrap_or(0);
-        self.sender.set(v1::Sender { index, count: rota, ..self.sender.get() });
-        let living = Living {
+        self.sender.set(v1::Sender { index, count: slot_count, ..self.sender.get() });
+        let living = MembershipView {
             front_ends: f64::from(figure.count),
-            rota: f64::from(rota),
+            slot_count: f64::from(slot_count),
             index: f64::from(index),
             shares,
         };
--- a/crates/rollout/tests/loads.rs
+++ b/crates/rollout/tests/loads.rs
@@ -1,7 +1,7 @@
 //! Ten rollouts at once on front ends with real decision modules over simulated time: what their loads come to at
 //! the executors' store, in pace and without, and against each front end's ration.
 
-use orchidtally::choice::Choice;
+use orchidtally::dispatch::Dispatcher;
 use orchidtally::interface::*;
 use orchidtally_deployment::Deployment;
 use orchidtally_rollout::coordinator::{Command, Kept};
@@ -23,7 +23,7 @@
     open: Vec<(ExecutorId, u64)>,
 }
 
-impl Answers for Orders {
+impl Actions for Orders {
     fn hold(&mut self, to: ExecutorId, function: u64, _: u8) {
         self.given.push((self.now, to, function));
         self.open.push((to, function));
@@ -40,7 +40,7 @@
 }
 
 struct FrontEnd {
-    choice: Choice,
+    dispatcher: Dispatcher,
     orders: Orders,
     shares: Shares,
 }
@@ -103,8 +103,8 @@
         .map(|n| {
             let mut orders = Orders { now: 100.0, ..Orders::default() };
             let terms = Terms { index: n as f64, ..deployment.terms.clone() };
-            let mut choice = Choice::new(terms, n as u64, 100.0, &mut orders);
-            choice.roster(100.0, RosterKind::Full, &rows, &mut orders);
+            let mut dispatcher = Dispatcher::new(terms, n as u64, 100.0, &mut orders);
+            dispatcher.roster(100.0, RosterKind::Full, &rows, &mut orders);
             let place = Place {
                 index: n as u32,
                 count: FRONT_ENDS as u32,
@@ -114,7 +114,7 @@
             };
             let mut shares = Shares::new(place, 100.0);
             shares.adopt(100.0, coordinator.published().clone(), |name| deployment.function(name));
-            FrontEnd { choice, orders, shares }
+            FrontEnd { dispatcher, orders, shares }
         })
         .collect();
     // Copies at executors: loaded from then on.
@@ -131,7 +131,7 @@
                     now + LOAD
                 });
                 if at <= now {
-                    fe.choice.held(now, to, function, Ending::Ok, &mut fe.orders);
+                    fe.dispatcher.held(now, to, function, Ending::Ok, &mut fe.orders);
                 } else {
                     fe.orders.open.push((to, function));
                 }
@@ -144,7 +144,7 @@
                 let wish =
                     Ahead { function: v.key, lanes: v.lanes, load_time: v.load_time, copies: ahead.copies };
                 let before = fe.orders.given.len();
-                let count = fe.choice.ahead(now, &wish, &mut fe.orders);
+                let count = fe.dispatcher.ahead(now, &wish, &mut fe.orders);
                 let ordered = fe.orders.given.len() > before;
                 // Without a ration to spare the first invocations would bring it; here only orders do.
                 fe.shares.prepared(&ahead, count, ordered || count == 0);
--- a/drill/src/batch.rs
+++ b/drill/src/batch.rs
@@ -2,13 +2,13 @@
 
 use crate::frame::{Fields, Malformed};
 use crate::reply::Reply;
-use orchidtally::choice::Choice;
+use orchidtally::dispatch::Dispatcher;
 use orchidtally::interface::{Ending, Found, Invocation, Outcome, RosterKind, RosterRow, Standing};
 
 /// The instances that this process hosts and the executor lists told to it. Instances share nothing else.
 #[derive(Default)]
 pub struct Host {
-    instances: Vec<Option<Box<Choice>>>,
+    instances: Vec<Option<Box<Dispatcher>>>,
     lists: [Option<Vec<RosterRow>>; 16],
 }
 
@@ -86,21 +86,21 @@
             if self.instances.len() <= slot {
                 self.instances.resize_with(slot + 1, || None);
             }
-            self.instances[slot] = Some(Box::new(Choice::new(terms, seed, now, reply)));
+            self.instances[slot] = Some(Box::new(Dispatcher::new(terms, seed, now, reply)));
             return Ok(());
         }
-        let choice = self
+        let dispatcher = self
             .instances
             .get_mut(slot)
             .and_then(Option::as_mut)
             .ok_or_else(|| start.fault(format!("instance {who} was never started")))?;
         match code {
-            1 => choice.timer(now, f.u64()?, reply),
+            1 => dispatcher.timer(now, f.u64()?, reply),
             2 => {
                 let (inv, dispatch) = (f.u32()?, f.u8()?);
                 f.executor()?;
                 f.seconds()?;
-                choice.streaming(now, inv, dispatch, reply);
+                dispatcher.streaming(now, inv, dispatch, reply);
             }
             3 => {
                 f.executor()?;
@@ -115,7 +115,7 @@
                 let (function, timeout_at, work) = (f.u64()?, f.seconds()?, f.seconds()?);
                 let (_memory, lanes, load_ms, options) = (f.f32()?, f.f32()?, f.f32()?, f.u8()?);
                 let lanes = f64::from(lanes);
-                if !choice.has_trigger_type(trigger_type) {
+                if !dispatcher.has_trigger_type(trigger_type) {
                     return Err(start.fault(format!("no trigger type has number {trigger_type}")));
                 }
                 let work = (options & 1 != 0).then_some(work);
@@ -133,7 +133,7 @@
                     lanes,
                     load_time,
                 };
-                choice.invocation(now, &inv, reply);
+                dispatcher.invocation(now, &inv, reply);
             }
             6 => {
                 let (mode, _revision, page) = (f.u8()?, f.u32()?, usize::from(f.u16()?));
@@ -148,7 +148,7 @@
                     None if kind == RosterKind::Failed => &[],
                     None => return Err(f.fault(format!("list {page} was never given"))),
                 };
-                choice.roster(now, kind, rows, reply);
+                dispatcher.roster(now, kind, rows, reply);
             }
             7 => {
                 let (inv, dispatch, executor, code) = (f.u32()?, f.u8()?, f.executor()?, f.u8()?);
@@ -164,7 +164,7 @@
                 let crowd = info >> 3;
                 let report = &report(&mut f)?;
                 let outcome = Outcome { inv, dispatch, executor, ending, took, closed, found, crowd, report };
-                choice.outcome(now, &outcome, reply);
+                dispatcher.outcome(now, &outcome, reply);
             }
             9 => {}
             10 => {
@@ -172,9 +172,9 @@
                 let code = f.u8()?;
                 let (ending, function) = (ending(&f, code)?, f.u64()?);
                 let (executor, _copies) = (f.executor()?, f.u8()?);
-                choice.held(now, executor, function, ending, reply);
+                dispatcher.held(now, executor, function, ending, reply);
             }
-            11 => choice.withdrawn(now, f.u32()?, reply),
+            11 => dispatcher.withdrawn(now, f.u32()?, reply),
             12 => self.instances[slot] = None,
             other => return Err(start.fault(format!("no event has code {other}"))),
         }
--- a/drill/src/reply.rs
+++ b/drill/src/reply.rs
@@ -1,6 +1,6 @@
 //! The module's answers as records of a reply.
 
-use orchidtally::interface::{Answers, ExecutorId};
+use orchidtally::interface::{Actions, ExecutorId};
 use std::net::IpAddr;
 
 /// The longest interval that a timer takes.
@@ -52,7 +52,7 @@
     }
 }
 
-impl Answers for Reply {
+impl Actions for Reply {
     fn dispatch(&mut self, inv: u32, to: ExecutorId, time_out: f64) {
         // Zero would mean no time-out at all.
         let within = nanos(time_out.max(1e-9));
--- a/src/chance.rs
+++ b/src/chance.rs
@@ -24,7 +24,7 @@
 }
 
 /// One fixed number for each pair, the same at every front end: the generator seeded with the pair.
-pub fn agreed(a: u64, b: u64) -> u32 {
+pub fn rendezvous_hash(a: u64, b: u64) -> u32 {
     let mut chance =
         Chance::new(a.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ b.wrapping_mul(0xd6e8_feb8_6659_fd93));
     chance.draw()
--- a/src/choice/judge.rs
+++ b/src/dispatch/judge.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl Choice {
+impl Dispatcher {
     /// Executors that a function's part of the traffic would fill, with space for others, and one. What is
     /// seen here is a sample of what all front ends take, so one invocation alone tells nothing.
     pub(super) fn wanted(&self, f: usize) -> f64 {
@@ -54,7 +54,7 @@
         let (all, held) = (self.fleet.out_count as f64, self.fleet.inflight(x));
         let (held, limit) = if limit < 1.0 { (all, limit * ready) } else { (held, limit) };
         // A turn is less than one, so that it decides only about the last place.
-        let turn = || held < (limit + self.turn(x, (self.now / TURN) as u64)).floor();
+        let turn = || held < (limit + self.slot_share(x, (self.now / TURN) as u64)).floor();
         self.now >= self.fleet.paused[x].until && (held < limit.floor() || held < limit + 1.0 && turn())
     }
 
@@ -70,11 +70,11 @@
     /// The last executor known warm, else the less loaded of two, drawn with the function's key for a seed:
     /// all front ends draw the same and share the copy that one has loaded. It has room for what is placed.
     pub(super) fn placement_target(&mut self, f: usize, placed: Option<usize>) -> Option<usize> {
-        if self.book.functions[f].lots.0 != self.fleet.version {
+        if self.book.functions[f].ranking.0 != self.fleet.version {
             let key = self.book.functions[f].key;
-            let mut lots: Vec<usize> = self.fleet.all().filter(|&x| self.fleet.ready[x]).collect();
-            lots.sort_by_cached_key(|&x| Ordered(self.fleet.lot(x, key, self.fleet.weight[x])));
-            self.book.functions[f].lots = (self.fleet.version, lots);
+            let mut ranking: Vec<usize> = self.fleet.all().filter(|&x| self.fleet.ready[x]).collect();
+            ranking.sort_by_cached_key(|&x| Ordered(self.fleet.rendezvous_rank(x, key)));
+            self.book.functions[f].ranking = (self.fleet.version, ranking);
         }
         let function = &self.book.functions[f];
         let is_sound = |x: usize| self.is_open(x) && !self.fleet.suspect[x];
@@ -83,8 +83,8 @@
         if let Some((x, _)) = last {
             return Some(x);
         }
-        let lots = function.lots.1.iter().copied();
-        let mut fitting: Vec<usize> = lots.filter(fits).take(self.wanted(f).max(2.0) as usize).collect();
+        let ranking = function.ranking.1.iter().copied();
+        let mut fitting: Vec<usize> = ranking.filter(fits).take(self.wanted(f).max(2.0) as usize).collect();
         // Where all are at their bounds the placement waits: a copy elsewhere serves one front end only.
         let part = placed.map_or(1.0, |i| self.part(i));
         let cold = |x| placed.is_none_or(|i| self.cold_room(x, self.usual[self.book.invs[i].ty]));
@@ -114,7 +114,7 @@
                 self.fleet.all().filter(fellow).partition(|&y| self.warmth(y) >= 1.0);
             let ripe = |&y: &usize| {
                 let risen = self.fleet.since[y] + self.terms.skew + self.terms.cold;
-                risen.max(self.fleet.broke_at[y] + BROKEN_FOR) - BEAT
+                risen.max(self.fleet.broke_at[y] + BROKEN_FOR) - TICK_INTERVAL
             };
             self.fleet.warm[kind] = (warm.len(), cold.iter().map(ripe).fold(f64::INFINITY, f64::min));
         }
--- a/src/choice/mod.rs
+++ b/src/dispatch/mod.rs
@@ -1,8 +1,8 @@
-//! Every decision of orchidtally. One `Choice` serves one front end: it is started with the `Terms` of its
-//! deployment and a seed, then called once for each thing that happens (`invocation`, `outcome`, `held`,
-//! `roster`, `timer`, ...), and answers through the `Answers` given with each. All three stand in
-//! `interface.rs`. After each input the rules of `RULES` are gone through, in order, for every function
-//! that the input touched, until none fires.
+//! The dispatch policy of one front end: every decision and every tuned value. A `Dispatcher` is started with
+//! the `Terms` of its deployment and a seed, then called once for each thing that happens (`invocation`,
+//! `outcome`, `held`, `roster`, `timer`, ...), and commands through the `Actions` given with each. All three
+//! stand in `interface.rs`. After each input the rules of `RULES` are gone through, in order, for every
+//! function that the input touched, until none fires.
 
 mod judge;
 mod send;
@@ -13,7 +13,7 @@
 
 /// Interval at which whatever waits is looked at again, and after which an unused function, or an executor
 /// in no list, is forgotten: guards against ids ever new. It could harm one that comes back cold untold.
-const BEAT: f64 = 0.025;
+const TICK_INTERVAL: f64 = 0.025;
 const FORGOTTEN: f64 = 120.0;
 /// Functions kept; past that the unused give way at once: some 10 MB of the 32 that a front end may have.
 const MOST_FUNCTIONS: usize = 16_384;
@@ -75,7 +75,7 @@
 /// Backoff of a failed placement, its growth, load times that one is given; load time where none is told.
 const BACKOFF: f64 = 0.1;
 const BACKOFF_GROWTH: f64 = 1.1;
-const PATIENCE: f64 = 5.0;
+const PLACEMENT_TIMEOUT: f64 = 5.0;
 const LOAD_TIME: f64 = 1.0;
 /// Cache time, as a share of the time an idle copy stays; and where no such time is told.
 const CACHE_SHARE: f64 = 0.85;
@@ -83,28 +83,28 @@
 /// Of the ration, the part for copies ahead; time left to one that is renewed; the price of a dear order.
 const AHEAD: f64 = 0.5;
 const RENEWED: f64 = 0.6;
-const DEAR: f64 = 0.02;
+const ORDER_PRICE_THRESHOLD: f64 = 0.02;
 /// What a cold executor bears over its budget, in roots of it; time constant of the work executors carry.
 const COLD_SLACK: f64 = 2.0;
 const CARRY_TIME: f64 = 10.0;
 /// Least share of the longest stay-away advised; the rest is chance, so that clients don't return in step.
 const STAY_AWAY: f64 = 0.25;
 
-type Rule = fn(&mut Choice, usize, &mut dyn Answers) -> bool;
+type Rule = fn(&mut Dispatcher, usize, &mut dyn Actions) -> bool;
 const RULES: [Rule; 5] = [
-    Choice::give_up,
+    Dispatcher::give_up,
     |c, f, out| c.send_to_known(f, true, out),
-    Choice::place,
+    Dispatcher::place,
     |c, f, out| c.send_to_known(f, false, out), // while a placement is under way
-    Choice::move_from_slow,
+    Dispatcher::move_from_slow,
 ];
 
 #[derive(Default)]
-pub struct Choice {
+pub struct Dispatcher {
     terms: Terms,
-    /// By what the rota for cold executors goes, and whether this front end is in it.
-    rota: f64,
-    sharing: bool,
+    /// Time slots of the budgets for cold executors, and whether this front end has a share of them.
+    slot_count: f64,
+    holds_share: bool,
     blind: bool, // no list can be had
     chance: Chance,
     now: f64,
@@ -116,14 +116,14 @@
     touched: Vec<usize>, // functions
     usual: Vec<f64>,     // answer times of each trigger type, on a loaded copy
     /// When invocations were taken and orders given, over the window of the ration.
-    taken: Moments,
-    orders: Moments,
-    shares: Vec<Allowance>, // of customers
+    taken: SlidingWindow,
+    orders: SlidingWindow,
+    shares: Vec<TokenBucket>, // of customers
     mean_value: f64,
     mean_backlog: f64,
-    loads: (Faded, Faded), // told in reports, and how many told them
-    lately: Faded,         // own invocations
-    work: Faded,           // and their usual answer times
+    loads: (DecayingSum, DecayingSum), // told in reports, and how many told them
+    lately: DecayingSum,               // own invocations
+    work: DecayingSum,                 // and their usual answer times
     /// In-flight limit at an executor; the median answer, in objectives, that sets it; last cut, last set.
     limit: f64,
     typical: f64,
@@ -135,15 +135,15 @@
     judge_at: f64,
 }
 
-impl Choice {
-    pub fn new(terms: Terms, seed: u64, now: f64, out: &mut dyn Answers) -> Self {
-        let mut choice = Choice {
-            rota: terms.front_ends,
-            sharing: true,
+impl Dispatcher {
+    pub fn new(terms: Terms, seed: u64, now: f64, out: &mut dyn Actions) -> Self {
+        let mut dispatcher = Dispatcher {
+            slot_count: terms.front_ends,
+            holds_share: true,
             usual: terms.trigger_types.iter().map(|t| t.objective / 4.0).collect(),
-            shares: terms.quotas.iter().map(|_| Allowance { left: f64::INFINITY, at: now }).collect(),
+            shares: terms.quotas.iter().map(|_| TokenBucket { left: f64::INFINITY, at: now }).collect(),
             chance: Chance::new(seed),
-            beat: BEAT.max(terms.tick),
+            beat: TICK_INTERVAL.max(terms.tick),
             cache_time: if terms.keep_alive > 0.0 { CACHE_SHARE * terms.keep_alive } else { CACHE_TIME },
             limit: LIMIT_MOST,
             typical: TYPICAL_MOST / 3.0,
@@ -152,10 +152,10 @@
             now,
             watch_at: now,
             started: now,
-            ..Choice::default()
+            ..Dispatcher::default()
         };
-        choice.settle(out);
-        choice
+        dispatcher.settle(out);
+        dispatcher
     }
 
     /// What is kept of executors, functions and invocations: all three level off.
@@ -168,7 +168,7 @@
         ty < self.terms.trigger_types.len()
     }
 
-    pub fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Answers) {
+    pub fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Actions) {
         (self.now, self.blind) = (now, kind == RosterKind::Failed);
         if self.blind {
             self.watch_at = now + WATCH_PAUSE * (0.5 + self.chance.unit());
@@ -184,14 +184,14 @@
     }
 
     /// How many front ends live. What is shared strictly has to wait while one can't know that.
-    pub fn living(&mut self, now: f64, living: Living, out: &mut dyn Answers) {
+    pub fn living(&mut self, now: f64, living: MembershipView, out: &mut dyn Actions) {
         self.now = now;
         (self.terms.front_ends, self.terms.index) = (living.front_ends.max(1.0), living.index);
-        (self.rota, self.sharing) = (living.rota.max(1.0), living.shares);
+        (self.slot_count, self.holds_share) = (living.slot_count.max(1.0), living.shares);
         self.settle(out);
     }
 
-    pub fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Answers) {
+    pub fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Actions) {
         self.now = now;
         if !inv.moved {
             self.taken.add(now);
@@ -214,7 +214,7 @@
         self.settle(out);
     }
 
-    pub fn outcome(&mut self, now: f64, o: &Outcome, out: &mut dyn Answers) {
+    pub fn outcome(&mut self, now: f64, o: &Outcome, out: &mut dyn Actions) {
         self.now = now;
         let Some(&i) = self.book.inv_index.get(&o.inv) else { return };
         let Some(done) = self.book.ended(i, o.dispatch) else { return };
@@ -293,14 +293,14 @@
     }
 
     /// The front end is about to end: nothing is waited for past a moment.
-    pub fn end_by(&mut self, now: f64, at: f64, out: &mut dyn Answers) {
+    pub fn end_by(&mut self, now: f64, at: f64, out: &mut dyn Actions) {
         self.now = now;
         self.book.invs.iter_mut().for_each(|inv| inv.timeout_at = inv.timeout_at.min(at));
         self.settle(out);
     }
 
     /// The answer has begun to stream: this dispatch is the client's, any other is not wanted.
-    pub fn streaming(&mut self, now: f64, inv: u32, dispatch: u8, out: &mut dyn Answers) {
+    pub fn streaming(&mut self, now: f64, inv: u32, dispatch: u8, out: &mut dyn Actions) {
         self.now = now;
         if let Some(&i) = self.book.inv_index.get(&inv) {
             self.book.invs[i].streaming = true;
@@ -310,7 +310,7 @@
         }
     }
 
-    pub fn withdrawn(&mut self, now: f64, inv: u32, out: &mut dyn Answers) {
+    pub fn withdrawn(&mut self, now: f64, inv: u32, out: &mut dyn Actions) {
         self.now = now;
         if let Some(&i) = self.book.inv_index.get(&inv) {
             // It grants no order to load: guards against clients that take back what they just asked.
@@ -321,7 +321,7 @@
     }
 
     /// The answer to an order to load.
-    pub fn held(&mut self, now: f64, at: ExecutorId, key: u64, ending: Ending, out: &mut dyn Answers) {
+    pub fn held(&mut self, now: f64, at: ExecutorId, key: u64, ending: Ending, out: &mut dyn Actions) {
         self.now = now;
         let Some(&f) = self.book.function_index.get(&key) else { return };
         let Some(&x) = self.fleet.index.get(&at) else { return };
@@ -343,7 +343,7 @@
     /// else renews the one whose time is over first; from what the ration leaves over, one order at a time.
     /// Tells how many are known. Guards a version that traffic is about to come to against a rush of
     /// placements; it could harm where orders are scarce, so a part of them is left to those.
-    pub fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Answers) -> usize {
+    pub fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Actions) -> usize {
         self.now = now;
         let (lanes, load_time) = (wish.lanes.max(1.0).floor(), wish.load_time.unwrap_or(LOAD_TIME));
         let f = self.book.function(wish.function, lanes, load_time);
@@ -364,13 +364,13 @@
             && self.order(f, x, out)
             && count < wish.copies
         {
-            let patience_at = now + PATIENCE * load_time;
+            let patience_at = now + PLACEMENT_TIMEOUT * load_time;
             self.book.functions[f].placement = Some(Placement { x, by_order: true, patience_at });
         }
         count
     }
 
-    pub fn timer(&mut self, now: f64, _mark: u64, out: &mut dyn Answers) {
+    pub fn timer(&mut self, now: f64, _mark: u64, out: &mut dyn Actions) {
         self.now = now;
         if now + 1e-6 < self.wake_at {
             return;
--- a/src/choice/send.rs
+++ b/src/dispatch/send.rs
@@ -2,10 +2,10 @@
 
 use super::*;
 
-impl Choice {
+impl Dispatcher {
     /// Goes through the rules for what the input touched and for every function with invocations waiting, and
     /// asks to be woken for what is left: soon for what waits, later for what is out, else not at all.
-    pub(super) fn settle(&mut self, out: &mut dyn Answers) {
+    pub(super) fn settle(&mut self, out: &mut dyn Actions) {
         self.touched.extend(&self.book.pending);
         // Where most wait comes first, so that scarce room and loads serve the most.
         self.touched.sort_by_key(|&f| self.book.functions[f].waiting.len());
@@ -26,7 +26,7 @@
     }
 
     /// Nothing is held that can't be answered any more, or not in time where a throttling reply is harmless.
-    pub(super) fn give_up(&mut self, f: usize, out: &mut dyn Answers) -> bool {
+    pub(super) fn give_up(&mut self, f: usize, out: &mut dyn Actions) -> bool {
         // While a placement is under way, its answer is waited for; else what is late stays so.
         let function = &self.book.functions[f];
         let settled = function.placement.is_none() || function.known.iter().any(|k| k.until > self.now);
@@ -47,7 +47,7 @@
     }
 
     /// Newest first: it has its whole latency objective before it.
-    pub(super) fn send_to_known(&mut self, f: usize, with_room: bool, out: &mut dyn Answers) -> bool {
+    pub(super) fn send_to_known(&mut self, f: usize, with_room: bool, out: &mut dyn Actions) -> bool {
         // Where none has a place for the best of them, none of the many that may wait need be looked at.
         let (function, wanted) = (&self.book.functions[f], self.wanted(f));
         let open = |k: &Known| {
@@ -62,7 +62,7 @@
     }
 
     /// With none that has room, one further instance is placed, one placement at a time.
-    pub(super) fn place(&mut self, f: usize, out: &mut dyn Answers) -> bool {
+    pub(super) fn place(&mut self, f: usize, out: &mut dyn Actions) -> bool {
         let function = &self.book.functions[f];
         if let Some(p) = &function.placement {
             if self.fleet.ready[p.x] && !self.fleet.suspect[p.x] && self.now < p.patience_at {
@@ -87,12 +87,12 @@
         if function.known.iter().filter(stands).any(bears) {
             return false;
         }
-        let worth_it = self.terms.answers_miss || self.terms.order_price < DEAR;
+        let worth_it = self.terms.answers_miss || self.terms.order_price < ORDER_PRICE_THRESHOLD;
         let by_order = self.terms.orders && worth_it && self.order(f, x, out);
         if !by_order && (self.terms.orders && self.terms.answers_miss || !self.dispatch(i, x, true, out)) {
             return false;
         }
-        let patience_at = self.now + PATIENCE * self.book.functions[f].load_time;
+        let patience_at = self.now + PLACEMENT_TIMEOUT * self.book.functions[f].load_time;
         self.book.functions[f].placement = Some(Placement { x, by_order, patience_at });
         true
     }
@@ -112,7 +112,7 @@
 
     /// What is out at an executor long silent gets another dispatch: a copy where granted, else after a
     /// cancel if it is suspect too. Guards against hangs and lost links, not slowness: copies feed a crowd.
-    pub(super) fn move_from_slow(&mut self, f: usize, out: &mut dyn Answers) -> bool {
+    pub(super) fn move_from_slow(&mut self, f: usize, out: &mut dyn Actions) -> bool {
         for n in 0..self.book.functions[f].out.len() {
             let i = self.book.functions[f].out[n];
             let inv = &self.book.invs[i];
@@ -180,24 +180,24 @@
         }
         // Guards against front ends that see each other come and go late: their parts would exceed the whole.
         // One that started anew knows not what it sent before: it sits out the span that is under way.
-        if !self.sharing || self.now < self.started + self.terms.fall + 2.0 * BEAT {
+        if !self.holds_share || self.now < self.started + self.terms.fall + 2.0 * TICK_INTERVAL {
             return false;
         }
-        let span = self.now - self.terms.fall - 2.0 * BEAT;
+        let span = self.now - self.terms.fall - 2.0 * TICK_INTERVAL;
         let slot = (self.now / (self.terms.fall + self.terms.skew)) as u64;
-        let whole = (self.entitled(x, work) + self.turn(x, slot)).floor();
+        let whole = (self.budget_share(x, work) + self.slot_share(x, slot)).floor();
         self.fleet.sent_since(x, span) / work + 1.0 <= whole
     }
 
-    /// Its place, from 0 up to 1, in a rota for an executor that all front ends draw alike.
-    pub(super) fn turn(&self, x: usize, slot: u64) -> f64 {
-        let drawn = (self.terms.index + self.fleet.lot_number(x, slot)) as u64;
-        (drawn % self.rota as u64) as f64 / self.rota + 1e-9
+    /// Its place, from 0 up to 1, among the time slots of an executor that all front ends draw alike.
+    pub(super) fn slot_share(&self, x: usize, slot: u64) -> f64 {
+        let drawn = (self.terms.index + self.fleet.rendezvous_number(x, slot)) as u64;
+        (drawn % self.slot_count as u64) as f64 / self.slot_count + 1e-9
     }
 
     /// A front end's part of that budget, in invocations: its part of the traffic to a warm fellow, scaled to
     /// what a cold one can do. All front ends together have a turn for one at least.
-    fn entitled(&self, x: usize, work: f64) -> f64 {
+    fn budget_share(&self, x: usize, work: f64) -> f64 {
         let (now, kind) = (self.now, self.fleet.kind[x]);
         // One just started has seen a part of the time only.
         let seen = CARRY_TIME * (1.0 - (-(now - self.started) / CARRY_TIME).exp()).max(0.1);
@@ -206,10 +206,10 @@
         let budget = carried * self.warmth(x) * self.terms.overload_factor * self.terms.fall / work;
         // Turns of two slots may fall into one span: guards it against both, where they exceed what it bears.
         let all = (budget * self.terms.front_ends).max(1.0);
-        (budget * (0.5 + 0.5 * COLD_SLACK / all.sqrt()).min(1.0)).max(1.0 / self.rota)
+        (budget * (0.5 + 0.5 * COLD_SLACK / all.sqrt()).min(1.0)).max(1.0 / self.slot_count)
     }
 
-    fn dispatch(&mut self, i: usize, x: usize, places: bool, out: &mut dyn Answers) -> bool {
+    fn dispatch(&mut self, i: usize, x: usize, places: bool, out: &mut dyn Actions) -> bool {
         if !self.allows_dispatch(i, x, None) {
             return false;
         }
@@ -232,7 +232,7 @@
     }
 
     /// Drains and the ration: no order to load goes out but through here.
-    pub(super) fn order(&mut self, f: usize, x: usize, out: &mut dyn Answers) -> bool {
+    pub(super) fn order(&mut self, f: usize, x: usize, out: &mut dyn Actions) -> bool {
         if !self.is_open(x) || !self.ration_left(1.0) {
             return false;
         }
@@ -250,7 +250,7 @@
     }
 
     /// The one place of final answers other than succeeded ones.
-    fn answer(&mut self, i: usize, out: &mut dyn Answers) {
+    fn answer(&mut self, i: usize, out: &mut dyn Actions) {
         if self.may_throttle(i) {
             let share = STAY_AWAY + (1.0 - STAY_AWAY) * self.chance.unit();
             let inv = &self.book.invs[i];
@@ -286,7 +286,7 @@
         self.fleet.out[x].is_empty() && self.now >= self.fleet.trial_at[x] && self.is_idempotent(i) && !moved
     }
 
-    pub(super) fn close(&mut self, i: usize, out: &mut dyn Answers) {
+    pub(super) fn close(&mut self, i: usize, out: &mut dyn Actions) {
         self.book.unwait(i);
         self.book.invs[i].closed = true;
         if self.terms.cancel && !self.book.invs[i].streaming {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -179,7 +179,7 @@
 }
 
 /// The module's answers, in the order in which they take effect.
-pub trait Answers {
+pub trait Actions {
     fn dispatch(&mut self, inv: u32, to: ExecutorId, time_out: f64);
     /// `past_share`: for its customer's having had its share.
     fn throttle(&mut self, inv: u32, retry_after: f64, past_share: bool);
@@ -198,11 +198,11 @@
 
 /// The front ends that live, as far as this one knows.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Living {
+pub struct MembershipView {
     /// What they share by.
     pub front_ends: f64,
-    /// By what their rota goes; all that share have the same.
-    pub rota: f64,
+    /// Time slots into which a shared budget is divided; the same at all that share.
+    pub slot_count: f64,
     /// This one's place in it, which no other has.
     pub index: f64,
     /// Whether it has a part of what all of them strictly share.
--- a/src/state/book.rs
+++ b/src/state/book.rs
@@ -1,7 +1,7 @@
 //! Functions and invocations, and the dispatches that are out.
 
-use super::Faded;
-use crate::interface::Answers;
+use super::DecayingSum;
+use crate::interface::Actions;
 use std::collections::{BTreeSet, HashMap};
 
 /// A dispatch that is out.
@@ -72,9 +72,9 @@
     /// How often that was told.
     pub heard: f64,
     /// Own invocations of it lately.
-    pub taken: Faded,
-    /// All ready executors by their lots, while invocations wait, and the fleet's version that they are of.
-    pub lots: (u64, Vec<usize>),
+    pub taken: DecayingSum,
+    /// All ready executors by their ranking, while invocations wait, and the fleet's version that they are of.
+    pub ranking: (u64, Vec<usize>),
 }
 
 impl Function {
@@ -197,7 +197,7 @@
     }
 
     /// Cancels what is out of an invocation, but for one dispatch.
-    pub fn cancel(&mut self, i: usize, but: Option<u8>, out: &mut dyn Answers) {
+    pub fn cancel(&mut self, i: usize, but: Option<u8>, out: &mut dyn Actions) {
         let inv = &mut self.invs[i];
         for d in inv.out.iter_mut().filter(|d| !d.cancelled && Some(d.dispatch) != but) {
             d.cancelled = true;
@@ -223,7 +223,7 @@
         self.functions[f].waiting.retain(|&w| w != i);
         if self.functions[f].waiting.is_empty() {
             self.pending.remove(&f);
-            self.functions[f].lots = (0, vec![]);
+            self.functions[f].ranking = (0, vec![]);
         }
     }
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -2,7 +2,7 @@
 
 mod book;
 
-use crate::chance::agreed;
+use crate::chance::rendezvous_hash;
 use crate::interface::{Ending, ExecutorId, Group, RosterRow, Standing};
 pub use book::*;
 use std::collections::{HashMap, VecDeque};
@@ -20,7 +20,7 @@
     /// How many of them are.
     pub ready_count: usize,
     pub weight: Vec<f64>,
-    /// Counts lists: lots hold as long as it stays.
+    /// Counts lists: ranking hold as long as it stays.
     pub version: u64,
     pub since: Vec<f64>,
     /// Own dispatches out there: the invocation's slot and when it was sent.
@@ -43,9 +43,9 @@
     /// Times and mean work of the latest dispatches.
     pub sent: Vec<VecDeque<(f64, f64)>>,
     /// For each kind of executor, the work that was answered lately.
-    pub carried: Vec<Faded>,
+    pub carried: Vec<DecayingSum>,
     /// For each kind, how many shared that.
-    pub fellows: Vec<Faded>,
+    pub fellows: Vec<DecayingSum>,
     /// For each kind, how many ready ones are warm, until when that holds; void after a change.
     pub warm: Vec<(usize, f64)>,
     /// Since when it is in no list: infinity while it is in one, minus infinity where the index is free.
@@ -91,8 +91,8 @@
             (self.since[x], self.broke_at[x]) = (self.since[first], self.broke_at[first]);
             self.sent[x] = self.sent[first].clone();
         }
-        self.carried.resize(self.carried.len().max(self.kind[x] + 1), Faded::default());
-        self.fellows.resize(self.carried.len(), Faded::default());
+        self.carried.resize(self.carried.len().max(self.kind[x] + 1), DecayingSum::default());
+        self.fellows.resize(self.carried.len(), DecayingSum::default());
         self.warm.resize(self.carried.len(), (0, f64::NEG_INFINITY));
         x
     }
@@ -199,13 +199,13 @@
         self.out[x].len() as f64
     }
 
-    /// An executor's lot for a key, the same at every front end; the smaller comes first. On average the lots
-    /// of one twice the size are half as large.
-    pub fn lot(&self, x: usize, key: u64, size: f64) -> f64 {
-        -((self.lot_number(x, key) + 1.0) / 4_294_967_297.0).ln() / size
+    /// Weighted rendezvous hashing: an executor's rank for a key, the same at every front end; the smaller comes
+    /// first. On average the ranks of an executor of twice the weight are half as large.
+    pub fn rendezvous_rank(&self, x: usize, key: u64) -> f64 {
+        -((self.rendezvous_number(x, key) + 1.0) / 4_294_967_297.0).ln() / self.weight[x]
     }
 
-    pub fn lot_number(&self, x: usize, key: u64) -> f64 {
+    pub fn rendezvous_number(&self, x: usize, key: u64) -> f64 {
         let ExecutorId(address, port) = self.ids[x];
         let number = match address {
             IpAddr::V4(a) => u64::from(u32::from_le_bytes(a.octets())) << 16,
@@ -214,7 +214,7 @@
                 host.rotate_left(16) ^ network.rotate_left(40)
             }
         };
-        f64::from(agreed(key, number ^ u64::from(port)))
+        f64::from(rendezvous_hash(key, number ^ u64::from(port)))
     }
 
     pub fn same_group(&self, group: Group, x: usize, y: usize) -> bool {
@@ -245,12 +245,12 @@
 }
 
 /// An allowance that fills at a rate up to a most.
-pub struct Allowance {
+pub struct TokenBucket {
     pub left: f64,
     pub at: f64,
 }
 
-impl Allowance {
+impl TokenBucket {
     /// Takes a cost where so much at the least is left, and tells whether it was.
     pub fn take(&mut self, now: f64, rate: f64, most: f64, cost: f64, least: f64) -> bool {
         self.left = (self.left + (now - self.at) * rate).min(most);
@@ -263,17 +263,17 @@
 
 /// A sum that fades over time.
 #[derive(Clone, Copy, Default)]
-pub struct Faded(f64, f64);
+pub struct DecayingSum(f64, f64);
 
-impl Faded {
+impl DecayingSum {
     pub fn add(&mut self, amount: f64, now: f64, time: f64) -> f64 {
-        *self = Faded(self.at(now, time) + amount, now);
+        *self = DecayingSum(self.at(now, time) + amount, now);
         self.0
     }
 
     /// Raises it to an amount.
     pub fn peak(&mut self, amount: f64, now: f64, time: f64) {
-        *self = Faded(self.at(now, time).max(amount), now);
+        *self = DecayingSum(self.at(now, time).max(amount), now);
     }
 
     /// When it was last added to.
@@ -286,11 +286,11 @@
     }
 }
 
-/// Moments within a window of the past.
+/// SlidingWindow within a window of the past.
 #[derive(Default)]
-pub struct Moments(VecDeque<f64>);
+pub struct SlidingWindow(VecDeque<f64>);
 
-impl Moments {
+impl SlidingWindow {
     pub fn add(&mut self, now: f64) {
         self.0.push_back(now);
     }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -88,7 +88,7 @@
     let drawn = |before: u64| {
         let mut w = World::new(terms(), 6);
         for _ in 0..before {
-            w.choice.timer(100.0, 0, &mut w.plain);
+            w.dispatcher.timer(100.0, 0, &mut w.plain);
         }
         w.invoke(0, 42, 5.0);
         w.plain.said[0].clone()
@@ -128,7 +128,7 @@
             crowd: 0,
             report: &[],
         };
-        w.choice.outcome(now, &o, &mut w.plain);
+        w.dispatcher.outcome(now, &o, &mut w.plain);
     }
     let inv = w.invoke(0, 1, 5.0);
     assert!(matches!(w.plain.said.last(), Some(&Said::Dispatch(i, _)) if i == inv));
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -153,7 +153,7 @@
     }
 }
 
-/// The worst case, in which every turn that all of them have is met: two slots of the rota fall into a span, and each
+/// The worst case, in which every turn that all of them have is met: two time slots fall into a span, and each
 /// gives half of the budget and one root of it.
 #[test]
 fn where_every_turn_is_met_no_more_than_two_roots_over_the_budget_are_sent() {
@@ -190,8 +190,8 @@
     let to_cold = |shares: bool| {
         let mut w = World::new(Terms { orders: false, ..terms() }, 2);
         let began = w.plain.now;
-        let living = Living { front_ends: 3.0, rota: 4.0, index: 1.0, shares };
-        w.choice.living(w.plain.now, living, &mut w.plain);
+        let living = MembershipView { front_ends: 3.0, slot_count: 4.0, index: 1.0, shares };
+        w.dispatcher.living(w.plain.now, living, &mut w.plain);
         w.roster(0, Standing::Gone, f64::NEG_INFINITY);
         w.roster(1, Standing::Ready, w.plain.now);
         for n in 0..100 {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -7,12 +7,12 @@
 use plain::{Said, World, id, terms};
 
 fn leaves(w: &mut World, inv: u32, dispatch: u8) -> bool {
-    w.choice.leaves(w.plain.now, inv, dispatch)
+    w.dispatcher.leaves(w.plain.now, inv, dispatch)
 }
 
 /// Whether an order that is given now may leave now.
 fn order_leaves(w: &mut World, x: usize) -> bool {
-    w.choice.order_leaves(w.plain.now, id(x), w.plain.now)
+    w.dispatcher.order_leaves(w.plain.now, id(x), w.plain.now)
 }
 
 /// One dispatch that is out, and where.
@@ -97,7 +97,7 @@
         w.pass(pause);
         sent
     };
-    let list = |w: &mut World, kind| w.choice.roster(w.plain.now, kind, &[], &mut w.plain);
+    let list = |w: &mut World, kind| w.dispatcher.roster(w.plain.now, kind, &[], &mut w.plain);
     let pauses = [0.15, 0.25, 0.45, 0.85];
     let (mut w, x) = warm(Terms { orders: false, ..terms() }, 1);
     assert!(pauses.into_iter().all(|pause| turn_away(&mut w, pause)), "with a list it is asked again");
@@ -121,7 +121,7 @@
     w.invoke(0, 1, 4.0);
     let (given, x, ..) = w.plain.holds[0];
     w.pass(0.3);
-    assert!(w.choice.order_leaves(w.plain.now, id(x), given));
+    assert!(w.dispatcher.order_leaves(w.plain.now, id(x), given));
     w.pass(4.8);
     w.invoke(0, 2, 4.0);
     assert_eq!(w.plain.holds.len(), 1, "within 5 s of its leaving");
@@ -129,5 +129,5 @@
     w.invoke(0, 3, 4.0);
     assert_eq!(w.plain.holds.len(), 2, "and not after that");
     // Another that waited for a connection meanwhile finds nothing left.
-    assert!(!w.choice.order_leaves(w.plain.now, id(x), given));
+    assert!(!w.dispatcher.order_leaves(w.plain.now, id(x), given));
 }
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -2,7 +2,7 @@
 
 mod plain;
 
-use orchidtally::choice::Choice;
+use orchidtally::dispatch::Dispatcher;
 use orchidtally::interface::*;
 use plain::warm::warm;
 use plain::{Said, World, terms};
@@ -16,7 +16,7 @@
     wake_at: f64,
 }
 
-impl Answers for Heard {
+impl Actions for Heard {
     fn dispatch(&mut self, inv: u32, to: ExecutorId, _: f64) {
         self.sent.push((inv, to));
     }
@@ -152,23 +152,23 @@
 /// The most that is kept of executors, functions and invocations while each round brings ever new ones.
 fn most_kept(rounds: u32, executors: u32, invocations: u32, step: f64) -> [usize; 3] {
     let mut heard = Heard::default();
-    let mut choice = Choice::new(Terms { orders: false, ..terms() }, 7, 100.0, &mut heard);
+    let mut dispatcher = Dispatcher::new(Terms { orders: false, ..terms() }, 7, 100.0, &mut heard);
     let mut most = [0; 3];
     for round in 0..rounds {
         let now = 100.0 + step * f64::from(round);
         let executor = |n| ExecutorId(std::net::Ipv4Addr::from(0x0b00_0000 + n).into(), 7000);
         let row = |n| RosterRow { executor: executor(executors * round + n), ..plain::row(0) };
         let rows: Vec<RosterRow> = (0..executors).map(row).collect();
-        choice.roster(now, RosterKind::Full, &rows, &mut heard);
+        dispatcher.roster(now, RosterKind::Full, &rows, &mut heard);
         for id in invocations * round..invocations * (round + 1) {
             let inv = Invocation { id, function: u64::from(id), ..plain::invocation(now + 1.0) };
-            choice.invocation(now, &inv, &mut heard);
+            dispatcher.invocation(now, &inv, &mut heard);
         }
         for (inv, executor) in std::mem::take(&mut heard.sent) {
-            choice.outcome(now, &Outcome { inv, executor, ..plain::succeeded() }, &mut heard);
+            dispatcher.outcome(now, &Outcome { inv, executor, ..plain::succeeded() }, &mut heard);
         }
-        (1..=20).for_each(|n| choice.timer(now + f64::from(n) / 20.0 * step, 0, &mut heard));
-        let kept = choice.kept();
+        (1..=20).for_each(|n| dispatcher.timer(now + f64::from(n) / 20.0 * step, 0, &mut heard));
+        let kept = dispatcher.kept();
         (0..3).for_each(|n| most[n] = most[n].max([kept.executors, kept.functions, kept.invocations][n]));
     }
     most
@@ -209,12 +209,12 @@
     const FUNCTIONS: f64 = 20.0;
     let part = |j: u32| Terms { front_ends: front_ends.into(), index: j.into(), orders: false, ..terms() };
     let rows: Vec<RosterRow> = (0..36).map(plain::row).collect();
-    let mut all: Vec<(Choice, Heard, u32)> = vec![];
+    let mut all: Vec<(Dispatcher, Heard, u32)> = vec![];
     for j in 0..front_ends {
         let mut heard = Heard { now: 100.0, ..Heard::default() };
-        let mut choice = Choice::new(part(j), j.into(), 100.0, &mut heard);
-        choice.roster(100.0, RosterKind::Full, &rows, &mut heard);
-        all.push((choice, heard, 0));
+        let mut dispatcher = Dispatcher::new(part(j), j.into(), 100.0, &mut heard);
+        dispatcher.roster(100.0, RosterKind::Full, &rows, &mut heard);
+        all.push((dispatcher, heard, 0));
     }
     let mut chance = orchidtally::chance::Chance::new(5);
     let (mut copies, mut out) = (std::collections::HashMap::new(), vec![]);
@@ -225,29 +225,29 @@
         if step % 5 < 3 {
             // Popularity falls as one over the rank, of front ends as of functions.
             let j = (f64::from(front_ends).powf(chance.unit()) as usize - 1).min(all.len() - 1);
-            let (choice, heard, next) = &mut all[j];
+            let (dispatcher, heard, next) = &mut all[j];
             let function = FUNCTIONS.powf(chance.unit()) as u64;
             let (inv, load_time) = (plain::invocation(now + 5.0), Some(1.0));
             heard.now = now;
-            choice.invocation(now, &Invocation { id: *next, function, load_time, ..inv }, heard);
+            dispatcher.invocation(now, &Invocation { id: *next, function, load_time, ..inv }, heard);
             functions[j].push((function, now, 0u8));
             (*next, taken) = (*next + 1, taken + u32::from(step >= 1_000));
             touched.push(j);
         }
         let ends = out.extract_if(.., |o: &mut (f64, usize, u32, u8, ExecutorId, f64, Found)| o.0 <= now);
         for (_, j, inv, dispatch, executor, took, found) in ends.collect::<Vec<_>>() {
-            let (choice, heard, _) = &mut all[j];
+            let (dispatcher, heard, _) = &mut all[j];
             heard.now = now;
             let o = Outcome { inv, dispatch, executor, took, found, ..plain::succeeded() };
-            choice.outcome(now, &o, heard);
+            dispatcher.outcome(now, &o, heard);
             let at = functions[j][inv as usize].1;
             in_time += u32::from(at >= 110.0 && now - at <= 1.0);
             touched.push(j);
         }
-        for (j, (choice, heard, _)) in all.iter_mut().enumerate() {
+        for (j, (dispatcher, heard, _)) in all.iter_mut().enumerate() {
             if heard.wake_at > 0.0 && heard.wake_at <= now {
                 (heard.now, heard.wake_at) = (now, 0.0);
-                choice.timer(now, 0, heard);
+                dispatcher.timer(now, 0, heard);
                 touched.push(j);
             }
         }
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -6,7 +6,7 @@
 pub mod given;
 pub mod warm;
 
-use orchidtally::choice::Choice;
+use orchidtally::dispatch::Dispatcher;
 use orchidtally::interface::*;
 
 pub use given::*;
@@ -105,7 +105,7 @@
     }
 }
 
-impl Answers for Plain {
+impl Actions for Plain {
     fn dispatch(&mut self, inv: u32, to: ExecutorId, time_out: f64) {
         let x = number(to);
         self.judge_dispatch(inv, x);
@@ -164,7 +164,7 @@
 
 /// A front end with its fleet, to which things happen one by one.
 pub struct World {
-    pub choice: Choice,
+    pub dispatcher: Dispatcher,
     pub plain: Plain,
     /// What executors tell to hold of each function.
     pub crowd: u32,
@@ -193,8 +193,8 @@
             wakes: vec![],
             said: vec![],
         };
-        let choice = Choice::new(terms, 7, now, &mut plain);
-        let mut world = World { choice, plain, crowd: 0, report: vec![], took: 0.25 };
+        let dispatcher = Dispatcher::new(terms, 7, now, &mut plain);
+        let mut world = World { dispatcher, plain, crowd: 0, report: vec![], took: 0.25 };
         for x in 0..executors {
             world.roster(x, Standing::Ready, f64::NEG_INFINITY);
         }
@@ -205,7 +205,7 @@
         let e = &mut self.plain.fleet[x];
         (e.ready, e.since) = (standing == Standing::Ready, since.max(e.since));
         let row = RosterRow { cell: e.cell, standing, since, ..row(x) };
-        self.choice.roster(self.plain.now, RosterKind::Delta, &[row], &mut self.plain);
+        self.dispatcher.roster(self.plain.now, RosterKind::Delta, &[row], &mut self.plain);
     }
 
     pub fn invoke(&mut self, trigger_type: usize, function: u64, within: f64) -> u32 {
@@ -213,7 +213,7 @@
         let inv = Invocation { id, trigger_type, function, ..invocation(now + within) };
         self.plain.arrivals.push(now);
         self.plain.taken.push(Taken { inv: inv.clone(), sent: vec![], closed_at: None });
-        self.choice.invocation(now, &inv, &mut self.plain);
+        self.dispatcher.invocation(now, &inv, &mut self.plain);
         id
     }
 
@@ -222,13 +222,13 @@
         let (now, at) = (self.plain.now, self.plain.taken[inv as usize].inv.timeout_at);
         self.plain.taken[inv as usize].closed_at = Some(now.min(at));
         self.plain.arrivals.pop();
-        self.choice.withdrawn(now, inv, &mut self.plain);
+        self.dispatcher.withdrawn(now, inv, &mut self.plain);
     }
 
     /// Wishes for copies ahead of invocations; tells how many are known.
     pub fn ahead(&mut self, function: u64, copies: usize) -> usize {
         let wish = Ahead { function, lanes: 2.0, load_time: Some(1.0), copies };
-        self.choice.ahead(self.plain.now, &wish, &mut self.plain)
+        self.dispatcher.ahead(self.plain.now, &wish, &mut self.plain)
     }
 
     pub fn end(&mut self, inv: u32, dispatch: usize, ending: Ending) {
@@ -246,14 +246,14 @@
         let (dispatch, executor) = (dispatch as u8, id(x));
         let (took, crowd, report) = (self.took, self.crowd, &self.report[..]);
         let o = Outcome { inv, dispatch, executor, ending, took, closed, crowd, report, ..succeeded() };
-        self.choice.outcome(self.plain.now, &o, &mut self.plain);
+        self.dispatcher.outcome(self.plain.now, &o, &mut self.plain);
     }
 
     pub fn answer_hold(&mut self, n: usize, ending: Ending) {
         let (_, x, function, open) = self.plain.holds[n];
         if open {
             self.plain.holds[n].3 = false;
-            self.choice.held(self.plain.now, id(x), function, ending, &mut self.plain);
+            self.dispatcher.held(self.plain.now, id(x), function, ending, &mut self.plain);
         }
     }
 
@@ -279,7 +279,7 @@
                 _ if wake <= until => {
                     self.plain.now = wake;
                     self.plain.wakes.retain(|&w| w > wake);
-                    self.choice.timer(wake, 0, &mut self.plain);
+                    self.dispatcher.timer(wake, 0, &mut self.plain);
                 }
                 _ => break,
             }
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -10,14 +10,14 @@
 fn streams_and_odd_inputs_are_taken_calmly() {
     let (mut w, _) = warm(terms(), 2);
     let inv = w.invoke(0, 1, 5.0);
-    w.choice.streaming(w.plain.now, inv, 0, &mut w.plain);
+    w.dispatcher.streaming(w.plain.now, inv, 0, &mut w.plain);
     w.pass(2.0);
     assert_eq!(w.plain.taken[inv as usize].sent.len(), 1);
     w.end(inv, 0, Ending::Ok);
-    w.choice.withdrawn(w.plain.now, inv, &mut w.plain);
-    w.choice.withdrawn(w.plain.now, 999, &mut w.plain);
-    w.choice.roster(w.plain.now, RosterKind::Failed, &[], &mut w.plain);
-    w.choice.held(w.plain.now, plain::id(9), 77, Ending::Ok, &mut w.plain);
+    w.dispatcher.withdrawn(w.plain.now, inv, &mut w.plain);
+    w.dispatcher.withdrawn(w.plain.now, 999, &mut w.plain);
+    w.dispatcher.roster(w.plain.now, RosterKind::Failed, &[], &mut w.plain);
+    w.dispatcher.held(w.plain.now, plain::id(9), 77, Ending::Ok, &mut w.plain);
     let past = w.invoke(2, 1, 0.0);
     assert!(
         w.plain.taken[past as usize].closed_at.is_some(),
