--- a/crates/frontend/src/etcd.rs
+++ b/crates/frontend/src/etcd.rs
@@ -199,7 +199,7 @@
             if kind == RosterKind::Full {
                 info!(executors = rows.len(), "the roster is here");
             }
-            self.0.play(|engine, now, floor| engine.roster(now, kind, &rows, floor));
+            self.0.play(|engine, now, performer| engine.roster(now, kind, &rows, performer));
         }
     }
 }
--- /dev/null
+++ b/crates/frontend/src/hub/performer.rs
@@ -0,0 +1,281 @@
+//! Performs what the engine commands: dispatches, orders, probes and final answers.
+
+use super::invocation::{Brought, Client, Final, Work};
+use super::{Hub, number, seconds};
+use crate::pool::{Caps, Pool};
+use crate::roster;
+use async_executor::Task;
+use orchidtally::interface::*;
+use orchidtally_deployment::{Source, Version};
+use orchidtally_engine::{Cause, Engine, Host, Refused};
+use orchidtally_rollout::Arm;
+use orchidtally_rollout::frontend::{Came, may_move};
+use orchidtally_wire::v1;
+use orchidtally_wire::{PROBE, frame};
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Instant;
+use tracing::{debug, info, warn};
+
+/// An invocation with less time left than this is not moved to another version.
+const LEAST_MOVED: f64 = 0.05;
+/// Numbers that an invocation's dispatches may have had before it was moved; those after it go on from here.
+const MOST_DISPATCHES: u32 = 256;
+
+/// An invocation of a version that was taken back, on its way to the old one.
+pub(super) struct Moving {
+    client: Client,
+    to: Version,
+    dispatched: u32,
+}
+
+/// A function's version by name, for orders.
+pub(super) struct Named {
+    function: Rc<str>,
+    digest: Rc<str>,
+    pub(super) at: Instant,
+}
+
+/// Performs what the module answers.
+pub struct Performer {
+    hub: Weak<Hub>,
+    pub(super) clients: HashMap<u32, Client>,
+    /// Dispatches that are out; dropping one abandons its stream.
+    pub(super) out: HashMap<(u32, u8), Task<()>>,
+    pub(super) pools: HashMap<ExecutorId, Rc<Pool>>,
+    /// Names of functions with orders to come, by key: those that were invoked lately.
+    pub(super) names: HashMap<u64, Named>,
+    /// The client whose invocation is being taken.
+    taking: Option<Client>,
+    /// The payload of the dispatch that is being reported as ended.
+    pub(super) brought: Option<Brought>,
+    /// How long that dispatch took, and whether its copy had been loaded before.
+    pub(super) took: Option<(f64, bool)>,
+    pub(super) moving: Vec<Moving>,
+    roster: Option<Task<()>>,
+}
+
+impl Performer {
+    pub(super) fn new(hub: Weak<Hub>) -> Performer {
+        Performer {
+            hub,
+            clients: HashMap::new(),
+            out: HashMap::new(),
+            pools: HashMap::new(),
+            names: HashMap::new(),
+            taking: None,
+            brought: None,
+            took: None,
+            moving: vec![],
+            roster: None,
+        }
+    }
+
+    fn pool(&mut self, hub: &Rc<Hub>, to: ExecutorId) -> Rc<Pool> {
+        let b = &hub.deployment.bounds;
+        let caps = Caps {
+            streams_per_connection: b.streams_per_connection,
+            connections: b.connections_per_executor,
+            connect_time: seconds(b.connect_time),
+            idle_close: seconds(b.idle_close),
+            header_bytes: b.header_bytes,
+        };
+        let new = || Pool::new(SocketAddr::new(to.0, to.1), caps, hub.spawner());
+        self.pools.entry(to).or_insert_with(new).clone()
+    }
+
+    pub(super) fn name(&mut self, key: u64, function: Rc<str>, digest: Rc<str>) {
+        self.names.insert(key, Named { function, digest, at: Instant::now() });
+    }
+
+    pub(super) fn offer(&mut self, engine: &mut Engine, now: f64, client: Client) -> Result<u32, Refused> {
+        self.name(client.offer.function, client.work.function.clone(), client.work.digest.clone());
+        let offer = client.offer.clone();
+        self.taking = Some(client);
+        let taken = engine.take(now, &offer, self);
+        if taken.is_ok() {
+            self.taking = None;
+        }
+        taken
+    }
+
+    /// What waits and was never dispatched goes to the old version, whatever its effect: nothing has run.
+    pub(super) fn move_waiting(&mut self, engine: &mut Engine, now: f64, run: u64) {
+        let Some(hub) = self.hub.upgrade() else { return };
+        let Some(to) = hub.shares.borrow().goes_back_to(run) else { return };
+        let is_new = |c: &Client| c.work.invoked.is_some_and(|i| i.run == run && i.arm == Arm::New);
+        let mut waiting: Vec<u32> = self
+            .clients
+            .iter()
+            .filter(|(inv, c)| is_new(c) && engine.sent(**inv) == 0)
+            .map(|(&inv, _)| inv)
+            .collect();
+        waiting.sort_unstable();
+        for inv in waiting {
+            engine.withdrawn(now, inv, self);
+            if let Some(client) = self.clients.remove(&inv) {
+                self.moving.push(Moving { client, to: to.clone(), dispatched: 0 });
+            }
+        }
+    }
+
+    /// Takes an invocation anew, for another version. The change is in the log, and in the names of its dispatches.
+    pub(super) fn offer_again(&mut self, engine: &mut Engine, now: f64, moving: Moving) {
+        let Moving { client: Client { work, mut offer, inv, reply }, to, dispatched } = moving;
+        info!(invocation = work.name, function = %work.function, from = %work.digest, to = %to.digest, "moved to the old version");
+        (offer.function, offer.moved) = (to.key, true);
+        (offer.lanes, offer.load_time, offer.work) = (to.lanes, to.load_time, to.work);
+        let work = Rc::new(Work {
+            name: work.name.clone(),
+            function: work.function.clone(),
+            digest: to.digest.clone(),
+            invoked: None,
+            failed: Cell::new(false),
+            last: Cell::new(0),
+            dispatched: work.dispatched + dispatched,
+            trigger_type: work.trigger_type,
+            customer: work.customer.clone(),
+            token: work.token.clone(),
+            payload: work.payload.clone(),
+            payload_bytes: work.payload_bytes,
+        });
+        if self.offer(engine, now, Client { work, offer, inv, reply }).is_err()
+            && let Some(client) = self.taking.take()
+        {
+            // The front end is ending or full; asking again is harmless, or it would not have been moved.
+            let _ = client.reply.send(Final::Throttled { retry_after: 0.0, past_share: false });
+        }
+    }
+
+    /// The one place where a client gets its final answer, and where that becomes evidence.
+    fn answer(&mut self, inv: u32, answer: Final) {
+        let Some(client) = self.clients.remove(&inv) else { return };
+        let took = self.took.take();
+        if let (Some(invoked), Some(hub)) = (&client.work.invoked, self.hub.upgrade()) {
+            let mut shares = hub.shares.borrow_mut();
+            let (came, may_have_run) = match answer {
+                Final::Succeeded(_) => {
+                    let (took, warm) = took.unwrap_or((0.0, false));
+                    (Came::Succeeded { took, warm }, true)
+                }
+                Final::Throttled { .. } => (Came::Throttled, false),
+                Final::Errored { may_have_run, .. } => (Came::Errored, may_have_run),
+            };
+            if let Final::Errored { cause: Cause::TimedOut, .. } = answer
+                && client.work.last.get() != 0
+            {
+                let (last, key) = (client.work.last.get(), client.offer.function);
+                let counts = shares.dispatch_failed(hub.now(), last, key, true);
+                client.work.failed.set(client.work.failed.get() | counts);
+            }
+            shares.came(invoked, came, client.work.failed.get());
+            let failed = !matches!(came, Came::Succeeded { .. });
+            let terms = &hub.deployment.terms.trigger_types[client.work.trigger_type];
+            let may = may_move(terms.effect == Effect::Idempotent, may_have_run);
+            let to = shares.goes_back_to(invoked.run).filter(|_| failed && may && invoked.arm == Arm::New);
+            if let Some(to) = to.filter(|_| client.offer.timeout_at - hub.now() > LEAST_MOVED) {
+                self.moving.push(Moving { client, to, dispatched: MOST_DISPATCHES });
+                return;
+            }
+        }
+        // A client that went away meanwhile needs no answer.
+        let _ = client.reply.send(answer);
+    }
+
+    fn order(&mut self, to: ExecutorId, function: u64, kind: v1::OrderKind, copies: u8) {
+        let Some(hub) = self.hub.upgrade() else { return };
+        let Some(named) = self.names.get(&function) else {
+            warn!(function, "an order for a function that nobody invoked lately was left out");
+            return;
+        };
+        let order = v1::Order {
+            from: Some(hub.sender.get()),
+            kind: kind.into(),
+            function: named.function.to_string(),
+            digest: named.digest.to_string(),
+            copies: copies.into(),
+        };
+        let pool = self.pool(&hub, to);
+        if let Some(task) = hub.spawn(hub.clone().order(to, pool, order, function)) {
+            task.detach();
+        }
+    }
+}
+
+impl Host for Performer {
+    fn taken(&mut self, inv: u32) {
+        if let Some(client) = self.taking.take() {
+            client.inv.set(inv);
+            self.clients.insert(inv, client);
+        }
+    }
+
+    fn dispatch(&mut self, inv: u32, dispatch: u8, to: ExecutorId, _within: f64) {
+        let Some(hub) = self.hub.upgrade() else { return };
+        let Some(client) = self.clients.get(&inv) else { return };
+        let (work, left) =
+            ((client.work.clone(), client.offer.function), client.offer.timeout_at - hub.now());
+        client.work.last.set(number(to));
+        let pool = self.pool(&hub, to);
+        if let Some(task) = hub.spawn(hub.clone().dispatch(inv, dispatch, to, pool, work, left)) {
+            self.out.insert((inv, dispatch), task);
+        }
+    }
+
+    fn cancel(&mut self, inv: u32, dispatch: u8) {
+        // Dropping the task drops its stream, which resets it.
+        self.out.remove(&(inv, dispatch));
+    }
+
+    fn succeeded(&mut self, inv: u32, _dispatch: u8) {
+        let brought = self.brought.take().unwrap_or(Brought::Whole(vec![]));
+        self.answer(inv, Final::Succeeded(brought));
+    }
+
+    fn throttled(&mut self, inv: u32, retry_after: f64, past_share: bool) {
+        self.answer(inv, Final::Throttled { retry_after, past_share });
+    }
+
+    fn errored(&mut self, inv: u32, cause: Cause, may_have_run: bool) {
+        self.answer(inv, Final::Errored { cause, may_have_run });
+    }
+
+    fn hold(&mut self, to: ExecutorId, function: u64, copies: u8) {
+        self.order(to, function, v1::OrderKind::Hold, copies);
+    }
+
+    fn ask(&mut self, to: ExecutorId, function: u64) {
+        self.order(to, function, v1::OrderKind::Ask, 0);
+    }
+
+    fn unload(&mut self, to: ExecutorId, function: u64) {
+        self.order(to, function, v1::OrderKind::Unload, 0);
+    }
+
+    fn probe(&mut self, to: ExecutorId) {
+        let Some(hub) = self.hub.upgrade() else { return };
+        let pool = self.pool(&hub, to);
+        let probe = frame(&v1::Probe { from: Some(hub.sender.get()) });
+        let work = async move {
+            let answered = pool.exchange::<v1::ProbeAnswer>(PROBE, probe, &[]).await;
+            debug!(executor = %to.0, report = ?answered.ok().map(|a| a.0.report), "probed");
+        };
+        if let Some(task) = hub.spawn(work) {
+            task.detach();
+        }
+    }
+
+    fn watch_roster(&mut self) {
+        let Some(hub) = self.hub.upgrade() else { return };
+        if let Source::Etcd(etcd) = &hub.deployment.source {
+            info!(endpoints = ?etcd.endpoints, "following the roster in etcd");
+            crate::etcd::keep(&hub, etcd);
+            return;
+        }
+        let Source::Publisher(publisher) = hub.deployment.source else { return };
+        info!(%publisher, "asking for the roster");
+        self.roster = hub.spawn(roster::watch(hub.clone(), publisher));
+    }
+}
--- a/crates/frontend/src/roster.rs
+++ b/crates/frontend/src/roster.rs
@@ -109,8 +109,8 @@
         if std::mem::take(&mut first) {
             info!(%address, executors = rows.len(), "the roster is here");
         }
-        hub.play(|engine, now, floor| engine.roster(now, kind, &rows, floor));
+        hub.play(|engine, now, performer| engine.roster(now, kind, &rows, performer));
     }
     warn!(%address, "the roster's publisher is not there");
-    hub.play(|engine, now, floor| engine.roster(now, RosterKind::Failed, &[], floor));
+    hub.play(|engine, now, performer| engine.roster(now, RosterKind::Failed, &[], performer));
 }
