Decide in a time that hardly grows with the number of executors

CPU a call grew with the list of executors: for each placement all of them were sorted by a function's ranking, and each call looked through all known ones, all that may be judged and all with dispatches out.

Now indices that change with the list, or with what is sent and answered, stand beside the records in src/state: a prefix of a function's ranking that is selected, not sorted, and kept while the ready executors stay the same; a tree over the executors known to hold a function, searched by bounds for the least busy; lists of ready executors by group, of judged, suspect, busy, broken and cold ones.

--- /dev/null
+++ b/crates/engine/examples/decision_cost.rs
@@ -0,0 +1,350 @@
+//! CPU time of one front end's decisions by the number of executors, in simulated time, and a digest of all that
+//! was decided, by which two versions of the module are compared on the same seeds.
+//!
+//! `cargo run --release -p orchidtally-engine --example decision_cost -- [seconds] [seed] [calm|loaded|faults] [executors ...]`
+//!
+//! One of 550 front ends sees 182 calls a second of 21,000 functions whose popularity follows Zipf's law with
+//! exponent 1.6. CPU time is the thread's own (Linux only), of the second half, with the simulation's part in it.
+
+use orchidtally::chance::{Chance, rendezvous_hash};
+use orchidtally::interface::*;
+use orchidtally::state::Ordered;
+use orchidtally_engine::{Cause, Engine, Host, Offer, Told};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+const RATE: f64 = 182.0;
+const FUNCTIONS: usize = 21_000;
+const EXPONENT: f64 = 1.6;
+const FRONT_ENDS: f64 = 550.0;
+const START: f64 = 1_000.0;
+const ANSWER_TIME: f64 = 0.05;
+const LOAD_TIME: f64 = 0.3;
+const KEEP_ALIVE: f64 = 60.0;
+const ZONES: u32 = 8;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Day {
+    /// All executors alike, sound and idle.
+    Calm,
+    /// They report invocations of other front ends that wait.
+    Loaded,
+    /// They also differ in weight, drain, restart, fail and move.
+    Faults,
+}
+
+enum Event {
+    Ends { inv: u32, dispatch: u8, x: usize, function: u64, ending: Ending, found: Found },
+    Held { to: ExecutorId, function: u64, ending: Ending },
+}
+
+/// Performs what is decided, and keeps a digest of it.
+struct Simulation {
+    day: Day,
+    now: f64,
+    digest: u64,
+    decided: u64,
+    next: u64,
+    due: BinaryHeap<Reverse<(Ordered, u64)>>,
+    events: BTreeMap<u64, Event>,
+    functions: BTreeMap<u32, u64>,
+    taking: u64,
+    /// When each copy stands and was last used.
+    copies: BTreeMap<(usize, u64), (f64, f64)>,
+    chance: Chance,
+    succeeded: u64,
+    given_up: u64,
+}
+
+impl Simulation {
+    fn note(&mut self, values: &[u64]) {
+        self.decided += 1;
+        for value in values {
+            self.digest = (self.digest ^ value).wrapping_mul(0x0100_0000_01b3).rotate_left(23);
+        }
+    }
+
+    fn at(&mut self, at: f64, event: Event) {
+        self.next += 1;
+        self.due.push(Reverse((Ordered(at), self.next)));
+        self.events.insert(self.next, event);
+    }
+
+    /// When a copy stands at an executor, and whether that is now.
+    fn load(&mut self, x: usize, function: u64) -> (f64, bool) {
+        let now = self.now;
+        let copy = self.copies.entry((x, function)).or_insert((now + LOAD_TIME, now));
+        if copy.1 + KEEP_ALIVE < now {
+            *copy = (now + LOAD_TIME, now);
+        }
+        copy.1 = copy.0.max(now);
+        (copy.1, copy.0 <= now)
+    }
+}
+
+fn number(ExecutorId(address, _): ExecutorId) -> u64 {
+    match address {
+        std::net::IpAddr::V4(a) => u64::from(u32::from(a)),
+        std::net::IpAddr::V6(_) => 0,
+    }
+}
+
+fn index(id: ExecutorId) -> usize {
+    (number(id) & 0xffff) as usize
+}
+
+impl Host for Simulation {
+    fn taken(&mut self, inv: u32) {
+        self.functions.insert(inv, self.taking);
+    }
+    fn dispatch(&mut self, inv: u32, dispatch: u8, to: ExecutorId, within: f64) {
+        self.note(&[1, inv.into(), dispatch.into(), number(to), within.to_bits()]);
+        let (x, function) = (index(to), self.functions[&inv]);
+        let drawn = if self.day == Day::Faults { self.chance.unit() } else { 1.0 };
+        let ending = match drawn {
+            d if d < 0.004 => Ending::Error,
+            d if d < 0.007 => Ending::Full,
+            d if d < 0.009 => Ending::Reset,
+            d if d < 0.011 => Ending::ConnectFailed,
+            _ => Ending::Ok,
+        };
+        // Some hang.
+        if self.day == Day::Faults && rendezvous_hash(x as u64, (self.now / 20.0) as u64).is_multiple_of(97) {
+            return;
+        }
+        let (stands_at, warm) = self.load(x, function);
+        let found = if warm { Found::Warm } else { Found::Loaded };
+        let at = stands_at + ANSWER_TIME * (0.5 + self.chance.unit());
+        self.at(at, Event::Ends { inv, dispatch, x, function, ending, found });
+    }
+    fn cancel(&mut self, inv: u32, dispatch: u8) {
+        self.note(&[2, inv.into(), dispatch.into()]);
+    }
+    fn succeeded(&mut self, _: u32, _: u8) {
+        self.succeeded += 1;
+    }
+    fn throttled(&mut self, inv: u32, retry_after: f64, _: bool) {
+        self.note(&[3, inv.into(), retry_after.to_bits()]);
+        self.given_up += 1;
+    }
+    fn errored(&mut self, inv: u32, _: Cause, _: bool) {
+        self.note(&[4, inv.into()]);
+        self.given_up += 1;
+    }
+    fn hold(&mut self, to: ExecutorId, function: u64, copies: u8) {
+        self.note(&[5, number(to), function, copies.into()]);
+        let (stands_at, _) = self.load(index(to), function);
+        let failed = self.day == Day::Faults && self.chance.unit() < 0.01;
+        let ending = if failed { Ending::ConnectFailed } else { Ending::Ok };
+        self.at(stands_at, Event::Held { to, function, ending });
+    }
+    fn ask(&mut self, _: ExecutorId, _: u64) {}
+    fn unload(&mut self, _: ExecutorId, _: u64) {}
+    fn probe(&mut self, _: ExecutorId) {}
+    fn watch_roster(&mut self) {}
+}
+
+fn terms(day: Day) -> Terms {
+    let ty = |effect, group| TriggerType {
+        objective: 1.0,
+        stretch: 0.0,
+        timeout: 5.0,
+        billed_value: 1.0,
+        late_share: 0.2,
+        effect,
+        group,
+        window: 2.0,
+    };
+    Terms {
+        trigger_types: vec![
+            ty(Effect::Idempotent, Group::All),
+            ty(Effect::Tokened, Group::Zone),
+            ty(Effect::Tokened, Group::Cell),
+            ty(Effect::NonIdempotent, Group::All),
+        ],
+        front_ends: FRONT_ENDS,
+        index: 17.0,
+        crossing: 0.02,
+        tick: 0.002,
+        max_dispatches: 4,
+        cancel: true,
+        max_retry_after: 1.0,
+        cold: 10.0,
+        cold_from: 0.2,
+        overload_factor: 2.0,
+        fall: 1.0,
+        orders: day != Day::Loaded,
+        keep_alive: KEEP_ALIVE,
+        ration_floor: 20.0,
+        ration_share: 0.5,
+        ration_window: 5.0,
+        backlog_field: Some(0),
+        ..Terms::default()
+    }
+}
+
+fn row(day: Day, x: u32, life: u32, since: f64) -> RosterRow {
+    RosterRow {
+        executor: ExecutorId(std::net::Ipv4Addr::from(0x0a00_0000 + (life << 16) + x).into(), 7000),
+        zone: (x % ZONES) as u8,
+        kind: if day == Day::Faults { (x % 3) as u8 } else { 0 },
+        cell: (x / 7) as u16,
+        standing: Standing::Ready,
+        weight: if day == Day::Faults { [1.0, 0.5, 2.0][(x % 3) as usize] } else { 1.0 },
+        since,
+    }
+}
+
+/// Plays a change of the roster.
+fn change_roster(rows: &mut [RosterRow], engine: &mut Engine, simulation: &mut Simulation) {
+    let now = simulation.now;
+    let x = (simulation.chance.unit() * rows.len() as f64) as usize;
+    let drawn = simulation.chance.unit();
+    let change = match drawn {
+        d if d < 0.3 => RosterRow { since: now, ..rows[x].clone() },
+        d if d < 0.5 => RosterRow { standing: Standing::Draining, ..rows[x].clone() },
+        d if d < 0.6 => RosterRow { standing: Standing::Gone, ..rows[x].clone() },
+        d if d < 0.7 => RosterRow { cell: rows[x].cell ^ 1, ..rows[x].clone() },
+        d if d < 0.8 => row(simulation.day, x as u32, (now as u32) & 0xff, now),
+        _ => RosterRow { standing: Standing::Ready, ..rows[x].clone() },
+    };
+    rows[x] = change.clone();
+    match drawn {
+        d if d < 0.9 => engine.roster(now, RosterKind::Delta, &[change], simulation),
+        d if d < 0.98 => engine.roster(now, RosterKind::Full, rows, simulation),
+        _ => engine.roster(now, RosterKind::Failed, &[], simulation),
+    }
+}
+
+/// The thread's CPU time, in seconds.
+fn cpu() -> f64 {
+    let stat = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    stat.split(' ').next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(f64::NAN) / 1e9
+}
+
+struct Result {
+    us: f64,
+    simulation: Simulation,
+    kept: Kept,
+}
+
+fn run(day: Day, executors: u32, seconds: f64, seed: u64, shares: &[f64]) -> Result {
+    let mut simulation = Simulation {
+        day,
+        now: START,
+        digest: 0xcbf2_9ce4_8422_2325,
+        decided: 0,
+        next: 0,
+        due: BinaryHeap::new(),
+        events: BTreeMap::new(),
+        functions: BTreeMap::new(),
+        taking: 0,
+        copies: BTreeMap::new(),
+        chance: Chance::new(seed),
+        succeeded: 0,
+        given_up: 0,
+    };
+    let mut engine = Engine::new(terms(day), 100_000, seed, START, &mut simulation);
+    let mut rows: Vec<RosterRow> = (0..executors).map(|x| row(day, x, 0, f64::NEG_INFINITY)).collect();
+    engine.roster(START, RosterKind::Full, &rows, &mut simulation);
+    let mut arrivals = Chance::new(seed ^ 0x5eed);
+    let (mut arrival, mut change_at) = (START, START + 2.0);
+    let (mut started, mut calls) = (cpu(), 0u32);
+    let middle = START + seconds / 2.0;
+    loop {
+        let before = arrival;
+        arrival += -(1.0 - arrivals.unit()).ln() / RATE;
+        if arrival > START + seconds {
+            break;
+        }
+        if before < middle && arrival >= middle {
+            (started, calls) = (cpu(), 0);
+        }
+        loop {
+            let event_at = simulation.due.peek().map_or(f64::INFINITY, |Reverse((at, _))| at.0);
+            let turn_at = engine.due_at();
+            if event_at.min(turn_at) > arrival {
+                break;
+            }
+            simulation.now = simulation.now.max(event_at.min(turn_at));
+            let now = simulation.now;
+            if turn_at < event_at {
+                engine.turn(now, &mut simulation);
+                continue;
+            }
+            let Some(Reverse((_, key))) = simulation.due.pop() else { break };
+            match simulation.events.remove(&key) {
+                Some(Event::Ends { inv, dispatch, x, function, ending, found }) => {
+                    simulation.load(x, function);
+                    let busy = rendezvous_hash(x as u64, (now / 3.0) as u64) % 8;
+                    let waiting = if day == Day::Calm { 0.0 } else { busy.saturating_sub(4) as f32 };
+                    let told = Told { found, crowd: 0, report: &[waiting] };
+                    engine.ended(now, inv, dispatch, ending, told, &mut simulation);
+                }
+                Some(Event::Held { to, function, ending }) => {
+                    engine.held(now, to, function, ending, &mut simulation);
+                }
+                None => {}
+            }
+        }
+        simulation.now = simulation.now.max(arrival);
+        if day == Day::Faults && arrival >= change_at {
+            change_at = arrival + 0.5;
+            change_roster(&mut rows, &mut engine, &mut simulation);
+        }
+        let drawn = arrivals.unit();
+        let function = shares.partition_point(|&s| s <= drawn) as u64;
+        simulation.taking = function;
+        let kind = arrivals.unit();
+        let offer = Offer {
+            trigger_type: if day == Day::Calm { 0 } else { (kind * 4.0) as usize },
+            customer: 0,
+            function,
+            repeat: false,
+            moved: false,
+            timeout_at: arrival + 5.0,
+            work: None,
+            lanes: 4.0,
+            load_time: Some(LOAD_TIME),
+        };
+        if engine.take(simulation.now, &offer, &mut simulation).is_err() {
+            simulation.given_up += 1;
+        }
+        calls += 1;
+    }
+    Result { us: 1e6 * (cpu() - started) / f64::from(calls), simulation, kept: engine.kept() }
+}
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let seconds = arguments.next().and_then(|a| a.parse().ok()).unwrap_or(120.0);
+    let seed = arguments.next().and_then(|a| a.parse().ok()).unwrap_or(1);
+    let day = match arguments.next().as_deref() {
+        Some("loaded") => Day::Loaded,
+        Some("faults") => Day::Faults,
+        _ => Day::Calm,
+    };
+    let mut fleets: Vec<u32> = arguments.filter_map(|a| a.parse().ok()).collect();
+    if fleets.is_empty() {
+        fleets = vec![36, 300, 1_000, 3_000];
+    }
+    let mut sum = 0.0;
+    let mut shares: Vec<f64> = (1..=FUNCTIONS)
+        .map(|n| {
+            sum += (n as f64).powf(-EXPONENT);
+            sum
+        })
+        .collect();
+    shares.iter_mut().for_each(|share| *share /= sum);
+    println!("executors  us a call  growth  decided  digest            succeeded  given up  functions kept");
+    let mut base = None;
+    for executors in fleets {
+        let Result { us, simulation, kept } = run(day, executors, seconds, seed, &shares);
+        let growth = us / *base.get_or_insert(us);
+        let Simulation { decided, digest, succeeded, given_up, .. } = simulation;
+        let functions = kept.functions;
+        println!(
+            "{executors:>9}  {us:>9.2}  {growth:>6.2}  {decided:>7}  {digest:016x}  {succeeded:>9}  {given_up:>8}  {functions}"
+        );
+    }
+}
--- a/src/dispatch/judge.rs
+++ b/src/dispatch/judge.rs
@@ -25,7 +25,7 @@
         let quota = self.terms.quotas.get(inv.customer).map(|q| q / self.terms.front_ends);
         // A few seen tell little: the less of a share falls to one front end, the more of it may be saved up.
         let within = quota.is_none_or(|q| {
-            let most = SHARE_BURST * q + SHARE_SAMPLE * q.sqrt();
+            let most = most_saved(q);
             let (cost, least) = if inv.repeat { (REPEAT_COST, most / 2.0) } else { (1.0, 1.0) };
             self.shares[inv.customer].take(self.now, q, most, cost, least)
         });
@@ -43,7 +43,7 @@
 
     /// All front ends together have a place at each executor, however small the part: guards a trigger type
     /// that was never answered, and so is thought slow and worth little, against never being served.
-    pub(super) fn takes_more(&self, x: usize, part: f64) -> bool {
+    pub(super) fn room(&self, part: f64) -> Room {
         // An equal part is too little where traffic is several times the mean, and few answers let it grow
         // slowly: guards both after a cut. It could harm where answers are quick and executors full.
         let ready = self.fleet.ready_count.max(1) as f64;
@@ -51,8 +51,12 @@
         let limit = (self.limit.max(own) * part).max(1.0 / self.terms.front_ends);
         // Under one place at each, what is out at all of them counts: guards little traffic against waiting
         // for its turn at the few executors that it knows; it could harm one that all of it goes to.
-        let (all, held) = (self.fleet.out_count as f64, self.fleet.inflight(x));
-        let (held, limit) = if limit < 1.0 { (all, limit * ready) } else { (held, limit) };
+        let at_all = limit < 1.0;
+        Room { limit: if at_all { limit * ready } else { limit }, at_all }
+    }
+
+    pub(super) fn takes_more(&self, x: usize, Room { limit, at_all }: Room) -> bool {
+        let held = if at_all { self.fleet.out_count as f64 } else { self.fleet.inflight(x) };
         // A turn is less than one, so that it decides only about the last place.
         let turn = || held < (limit + self.slot_share(x, (self.now / TURN) as u64)).floor();
         self.now >= self.fleet.paused[x].until && (held < limit.floor() || held < limit + 1.0 && turn())
@@ -60,22 +64,27 @@
 
     /// Own in-flight and what it reported waiting; that fades to the mean, as for what was never heard.
     pub(super) fn busy(&self, x: usize) -> f64 {
-        let (waiting, at) = self.fleet.backlog[x];
-        let fresh = (-(self.now - at) / REPORT_TIME).exp();
-        let held = self.fleet.inflight(x) + self.mean_backlog + fresh * (waiting - self.mean_backlog);
-        let far = if self.fleet.zone[x] == self.terms.zone { 1.0 } else { 1.0 + FAR * self.terms.crossing };
-        far * (held + 1.0) / (self.fleet.weight[x] * self.warmth(x))
+        self.busy_by(&self.fleet.load(x), self.warmth(x))
+    }
+
+    /// The same by a load; of several executors it is the least that any of them could be.
+    pub(super) fn busy_by(&self, load: &Load, warmth: f64) -> f64 {
+        let told_at = if load.waiting > self.mean_backlog { load.earliest } else { load.latest };
+        let fresh = (-(self.now - told_at) / REPORT_TIME).exp();
+        let held = load.held + self.mean_backlog + fresh * (load.waiting - self.mean_backlog);
+        let far = if load.home { 1.0 } else { 1.0 + FAR * self.terms.crossing };
+        far * (held + 1.0) / (load.weight * warmth)
     }
 
     /// The last executor known warm, else the less loaded of two, drawn with the function's key for a seed:
     /// all front ends draw the same and share the copy that one has loaded. It has room for what is placed.
     pub(super) fn placement_target(&mut self, f: usize, placed: Option<usize>) -> Option<usize> {
-        if self.book.functions[f].ranking.0 != self.fleet.version {
-            let key = self.book.functions[f].key;
-            let mut ranking: Vec<usize> = self.fleet.all().filter(|&x| self.fleet.ready[x]).collect();
-            ranking.sort_by_cached_key(|&x| Ordered(self.fleet.rendezvous_rank(x, key)));
-            self.book.functions[f].ranking = (self.fleet.version, ranking);
-        }
+        // As many as are wanted fit among so many and those that can't.
+        let wanted = self.wanted(f).max(2.0) as usize;
+        let function = &mut self.book.functions[f];
+        let unfit = function.known.len() + 1 + self.fleet.suspect_bound();
+        let count = if self.blind { self.fleet.ready_count } else { wanted + unfit };
+        self.fleet.rank(&mut function.ranking, function.key, count);
         let function = &self.book.functions[f];
         let is_sound = |x: usize| self.is_open(x) && !self.fleet.suspect[x];
         let fits = |&x: &usize| is_sound(x) && function.failed != Some(x) && !function.knows(x, self.now);
@@ -83,18 +92,14 @@
         if let Some((x, _)) = last {
             return Some(x);
         }
-        let ranking = function.ranking.1.iter().copied();
-        let mut fitting: Vec<usize> = ranking.filter(fits).take(self.wanted(f).max(2.0) as usize).collect();
+        let mut fitting: Vec<usize> = function.ranking.iter().filter(fits).take(wanted).collect();
         // Where all are at their bounds the placement waits: a copy elsewhere serves one front end only.
-        let part = placed.map_or(1.0, |i| self.part(i));
         let cold = |x| placed.is_none_or(|i| self.cold_room(x, self.usual[self.book.invs[i].ty]));
-        fitting.retain(|&x| self.takes_more(x, part) && cold(x));
-        while fitting.len() > 2 {
-            fitting.remove((self.chance.unit() * fitting.len() as f64) as usize);
-        }
+        let room = self.room(placed.map_or(1.0, |i| self.part(i)));
+        fitting.retain(|&x| self.takes_more(x, room) && cold(x));
+        let fitting = leave_two(fitting, || self.chance.unit());
         // Front ends that a report parts each have a copy loaded: guards executors that load all they can.
-        let loads = self.loads.0.at(self.now, REPORT_TIME) / self.loads.1.at(self.now, REPORT_TIME).max(1e-6);
-        let margin = SECOND + SECOND_BY_LOADS * loads;
+        let margin = SECOND + SECOND_BY_LOADS * self.loads.at(self.now, REPORT_TIME);
         fitting.into_iter().reduce(|a, b| if margin * self.busy(b) < self.busy(a) { b } else { a })
     }
 
@@ -105,20 +110,19 @@
         if risen >= 1.0 { 1.0 } else { self.terms.cold_from + (1.0 - self.terms.cold_from) * risen }
     }
 
-    /// How many of a kind are ready and warm. Counted again after a change of the roster or a broken
-    /// connection, and before the next of them can have become warm.
+    /// How many of a kind are ready and warm. The cold ones are looked at again from when the next of them can
+    /// have become warm.
     fn warm(&mut self, kind: usize) -> usize {
-        if self.now >= self.fleet.warm[kind].1 {
-            let fellow = |&y: &usize| self.fleet.ready[y] && self.fleet.kind[y] == kind;
-            let (warm, cold): (Vec<_>, Vec<_>) =
-                self.fleet.all().filter(fellow).partition(|&y| self.warmth(y) >= 1.0);
-            let ripe = |&y: &usize| {
+        let mut count = std::mem::take(&mut self.fleet.warm[kind]);
+        if self.now >= count.due {
+            let ripe = |y: usize| {
                 let risen = self.fleet.since[y] + self.terms.skew + self.terms.cold;
                 risen.max(self.fleet.broke_at[y] + BROKEN_FOR) - TICK_INTERVAL
             };
-            self.fleet.warm[kind] = (warm.len(), cold.iter().map(ripe).fold(f64::INFINITY, f64::min));
+            count.look_again(|y| self.warmth(y) < 1.0, ripe);
         }
-        self.fleet.warm[kind].0
+        self.fleet.warm[kind] = count;
+        self.fleet.warm_count(kind)
     }
 
     pub(super) fn learn(&mut self, x: usize, (f, ty): (usize, usize), done: &Out, o: &Outcome) {
@@ -131,10 +135,8 @@
                 self.fleet.paused[x].end();
                 self.usual[ty] += NEWEST * (o.took - self.usual[ty]);
                 if self.warmth(x) >= 1.0 {
-                    let kind = self.fleet.kind[x];
-                    let warm = self.warm(kind) as f64;
-                    self.fleet.fellows[kind].peak(warm, now, CARRY_TIME);
-                    self.fleet.carried[kind].add(self.usual[ty], now, CARRY_TIME);
+                    let warm = self.warm(self.fleet.kind[x]) as f64;
+                    self.fleet.note_carried(x, warm, self.usual[ty], now, CARRY_TIME);
                 }
                 self.gauge(o.took / objective, done.at);
                 o.took / self.usual[ty].max(1e-6)
@@ -188,18 +190,9 @@
     /// An executor that broke off or took no connection is suspect at once, whatever the roster says. What
     /// answers next may have just started: guards against all front ends pushing it over untold.
     pub(super) fn distrust(&mut self, x: usize) {
-        self.fleet.broke_at[x] = self.now;
-        self.fleet.warm.fill((0, f64::NEG_INFINITY));
+        self.fleet.note_broken(x, self.now, FAILED, LEAST_JUDGED);
         // Where two in a location broke and none of it was heard since, the rest of it is as doubtful.
-        let (now, fleet) = (self.now, &mut self.fleet);
-        let fellow: Vec<usize> = fleet.all().filter(|&y| fleet.zone[y] == fleet.zone[x]).collect();
-        let broke = fellow.iter().map(|&y| fleet.broke_at[y]).filter(|&at| now < at + BROKEN_FOR);
-        let first = broke.fold(now, f64::min);
-        if first < now && fellow.iter().all(|&y| fleet.heard[y] <= first) {
-            fellow.iter().for_each(|&y| fleet.broke_at[y] = now);
-        }
-        self.fleet.answers[x].clear();
-        self.fleet.answers[x].extend([(self.now, FAILED); LEAST_JUDGED]);
+        self.fleet.note_zone_broken(x, self.now, BROKEN_FOR);
         self.fleet.trial_at[x] = self.now + DISTRUST;
         self.judge();
     }
@@ -208,20 +201,20 @@
     /// counts with its age. Guards against executors that hang, fail fast or have become slow.
     pub(super) fn judge(&mut self) {
         let now = self.now;
+        self.fleet.retain_judged(|at| now < at + JUDGED_FOR);
+        let usual = |i: usize| self.usual[self.book.invs[i].ty].max(1e-6);
         let high = |x: usize| {
-            let usual = |&(i, at): &(usize, f64)| (now - at) / self.usual[self.book.invs[i].ty].max(1e-6);
-            let unheard = self.fleet.out[x].iter().filter(|&&(_, at)| at > self.fleet.heard[x]);
-            let ages = unheard.map(usual).filter(|&age| age > SUSPECT);
-            let recent = self.fleet.answers[x].iter().filter(|a| now < a.0 + JUDGED_FOR).map(|a| a.1);
-            let times: Vec<f64> = recent.chain(ages).collect();
+            let ages =
+                self.fleet.unheard(x).map(|(i, at)| (now - at) / usual(i)).filter(|&age| age > SUSPECT);
+            let times: Vec<f64> = self.fleet.answers_after(x, now, JUDGED_FOR).chain(ages).collect();
             if times.len() < LEAST_JUDGED { None } else { quantile(times, HIGH_QUANTILE) }
         };
-        let quantiles: Vec<Option<f64>> = self.fleet.all().map(high).collect();
-        let ready: Vec<usize> = self.fleet.all().filter(|&x| self.fleet.ready[x]).collect();
-        let middle = quantile(ready.iter().filter_map(|&x| quantiles[x]).collect(), MIDDLE).unwrap_or(1.0);
-        for x in self.fleet.all() {
-            let far = quantiles[x].is_some_and(|q| q > SUSPECT * middle.max(1.0));
-            self.fleet.suspect[x] = far && ready.iter().any(|&y| y != x);
-        }
+        let judged = self.fleet.judged.iter();
+        let quantiles: Vec<(usize, f64)> = judged.filter_map(|&x| Some((x, high(x)?))).collect();
+        let of_ready = quantiles.iter().filter(|q| self.fleet.ready[q.0]).map(|q| q.1).collect();
+        let middle = quantile(of_ready, MIDDLE).unwrap_or(1.0);
+        let far = quantiles.iter().filter(|q| q.1 > SUSPECT * middle.max(1.0)).map(|q| q.0);
+        let has_fellow = |x: &usize| self.fleet.ready_count > usize::from(self.fleet.ready[*x]);
+        self.fleet.set_suspects(far.filter(has_fellow).collect());
     }
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -45,6 +45,8 @@
 /// Weight of the newest value in means over the traffic, and in what a function's crowds tell.
 const NEWEST: f64 = 0.015;
 const NEWEST_CROWD: f64 = 0.3;
+/// The usual answer time of a trigger type before any was seen, in objectives.
+const FIRST_USUAL: f64 = 0.25;
 /// Of a customer's share, the seconds and the root that may be saved up, and what a repeat takes of one.
 const SHARE_BURST: f64 = 2.0;
 const SHARE_SAMPLE: f64 = 5.0;
@@ -90,6 +92,11 @@
 /// Least share of the longest stay-away advised; the rest is chance, so that clients don't return in step.
 const STAY_AWAY: f64 = 0.25;
 
+/// The most that a customer may save up of its share at a front end, in invocations.
+fn most_saved(rate: f64) -> f64 {
+    SHARE_BURST * rate + SHARE_SAMPLE * rate.sqrt()
+}
+
 type Rule = fn(&mut Dispatcher, usize, &mut dyn Actions) -> bool;
 const RULES: [Rule; 5] = [
     Dispatcher::give_up,
@@ -121,9 +128,9 @@
     shares: Vec<TokenBucket>, // of customers
     mean_value: f64,
     mean_backlog: f64,
-    loads: (DecayingSum, DecayingSum), // told in reports, and how many told them
-    lately: DecayingSum,               // own invocations
-    work: DecayingSum,                 // and their usual answer times
+    loads: DecayingMean, // told in reports
+    lately: DecayingSum, // own invocations
+    work: DecayingSum,   // and their usual answer times
     /// In-flight limit at an executor; the median answer, in objectives, that sets it; last cut, last set.
     limit: f64,
     typical: f64,
@@ -140,14 +147,15 @@
         let mut dispatcher = Dispatcher {
             slot_count: terms.front_ends,
             holds_share: true,
-            usual: terms.trigger_types.iter().map(|t| t.objective / 4.0).collect(),
-            shares: terms.quotas.iter().map(|_| TokenBucket { left: f64::INFINITY, at: now }).collect(),
+            usual: terms.trigger_types.iter().map(|t| FIRST_USUAL * t.objective).collect(),
+            shares: terms.quotas.iter().map(|_| TokenBucket::full(now)).collect(),
             chance: Chance::new(seed),
             beat: TICK_INTERVAL.max(terms.tick),
             cache_time: if terms.keep_alive > 0.0 { CACHE_SHARE * terms.keep_alive } else { CACHE_TIME },
             limit: LIMIT_MOST,
             typical: TYPICAL_MOST / 3.0,
             wake_at: f64::INFINITY,
+            fleet: Fleet::new(terms.zone),
             terms,
             now,
             watch_at: now,
@@ -160,26 +168,41 @@
 
     /// What is kept of executors, functions and invocations: all three level off.
     pub fn kept(&self) -> Kept {
-        let (executors, functions) = (self.fleet.ids.len(), self.book.functions.len());
-        Kept { executors, functions, invocations: self.book.invs.len() }
+        self.book.kept(&self.fleet)
     }
 
     pub fn has_trigger_type(&self, ty: usize) -> bool {
         ty < self.terms.trigger_types.len()
     }
 
+    /// Appends a trigger type, or replaces one that no invocation is of any more; it begins like at a start.
+    /// What is open keeps the type that it was taken with.
+    pub fn set_trigger_type(&mut self, now: f64, index: usize, ty: TriggerType) -> Result<(), ConfigRefused> {
+        self.now = now;
+        ty.check(index, self.terms.trigger_types.len())?;
+        self.book.check_unused(index)?;
+        put(&mut self.usual, index, FIRST_USUAL * ty.objective);
+        put(&mut self.terms.trigger_types, index, ty);
+        Ok(())
+    }
+
+    /// Sets the customers' shares. Who had one keeps what is saved up, within the new bound.
+    pub fn set_quotas(&mut self, now: f64, quotas: Vec<f64>) -> Result<(), ConfigRefused> {
+        self.now = now;
+        check_quotas(&quotas)?;
+        let rates = self.terms.quotas.iter().map(|q| q / self.terms.front_ends);
+        fill_all(&mut self.shares, now, rates, most_saved);
+        self.shares.resize_with(quotas.len(), || TokenBucket::full(now));
+        self.terms.quotas = quotas;
+        Ok(())
+    }
+
     pub fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Actions) {
         (self.now, self.blind) = (now, kind == RosterKind::Failed);
         if self.blind {
             self.watch_at = now + WATCH_PAUSE * (0.5 + self.chance.unit());
         }
-        let void = self.fleet.list(now, kind == RosterKind::Full, rows);
-        self.book.evict(&void);
-        void.into_iter().for_each(|x| self.fleet.forget(x));
-        let mut gone = self.fleet.departed(now - FORGOTTEN);
-        gone.retain(|&x| !self.book.needs(x));
-        self.book.drop_executors(&gone);
-        gone.into_iter().for_each(|x| self.fleet.release(x));
+        take_list(&mut self.fleet, &mut self.book, now, (kind, rows), now - FORGOTTEN);
         self.settle(out);
     }
 
@@ -206,10 +229,9 @@
         // What counts is the lesser of the latency objective and the client timeout.
         let patience = objective.min(timeout_at - now);
         let inv = Inv { id, ty, f, value, past_share, timeout_at, patience, at, ..Inv::default() };
-        let i = self.book.add(inv);
+        self.book.take(inv);
         self.book.functions[f].taken.add(1.0, now, PART_TIME);
         self.work.add(self.usual[ty], now, PART_TIME);
-        self.book.wait(i);
         self.touched.push(f);
         self.settle(out);
     }
@@ -223,15 +245,12 @@
         if let Some(&waiting) = self.terms.backlog_field.and_then(|field| o.report.get(field)) {
             let waiting = f64::from(waiting).max(0.0);
             self.mean_backlog += NEWEST * (waiting - self.mean_backlog);
-            self.fleet.backlog[x] = (waiting, now);
+            self.fleet.note_backlog(x, waiting, now);
         }
         if let Some(&loads) = self.terms.loads_field.and_then(|field| o.report.get(field)) {
-            self.loads.0.add(f64::from(loads).max(0.0), now, REPORT_TIME);
-            self.loads.1.add(1.0, now, REPORT_TIME);
-        }
-        if !matches!(o.ending, Ending::TimedOut | Ending::Cancelled | Ending::ConnectFailed | Ending::Reset) {
-            self.fleet.heard[x] = now;
+            self.loads.add(f64::from(loads).max(0.0), now, REPORT_TIME);
         }
+        self.fleet.note_heard(x, o.ending, now);
         self.fleet.note_answer(x, o.ending);
         self.learn(x, (f, ty), &done, o);
         let (until, wanted) = (now + self.cache_time, self.wanted(f));
@@ -243,7 +262,7 @@
                     function.tell(f64::from(o.crowd) * wanted, NEWEST_CROWD);
                 }
             }
-            Ending::Full => function.known.iter_mut().filter(|k| k.x == x).for_each(|k| k.full = true),
+            Ending::Full => function.known.set_full(x),
             // A client that left early tells nothing of the copy.
             Ending::TimedOut if o.took < SILENCE * self.terms.trigger_types[ty].objective => {}
             Ending::TimedOut | Ending::ConnectFailed | Ending::Reset | Ending::Miss => function.evict(x),
@@ -262,7 +281,7 @@
             inv.ran = inv.ran.filter(|&(_, at)| at <= done.at).or(Some((x, done.at)));
         }
         if o.closed || o.ending == Ending::Ok {
-            self.close(i, out);
+            self.book.close(i, self.terms.cancel, out);
         } else if inv.out.is_empty() && !inv.closed {
             self.book.wait(i);
         }
@@ -276,8 +295,7 @@
     pub fn leaves(&mut self, now: f64, inv: u32, dispatch: u8) -> bool {
         self.now = now;
         let Some(&i) = self.book.inv_index.get(&inv) else { return false };
-        let mut all = self.book.invs[i].out.iter().filter(|d| !d.cancelled);
-        let Some(&d) = all.find(|d| d.dispatch == dispatch) else { return false };
+        let Some(d) = self.book.out_of(i, dispatch) else { return false };
         let work = self.fleet.take_sent(d.x, d.at);
         let leaves = self.allows_dispatch(i, d.x, Some(dispatch));
         self.fleet.sent[d.x].extend(work.filter(|_| leaves).map(|work| (now, work)));
@@ -315,8 +333,7 @@
         if let Some(&i) = self.book.inv_index.get(&inv) {
             // It grants no order to load: guards against clients that take back what they just asked.
             self.taken.remove(self.book.invs[i].at);
-            self.close(i, out);
-            self.book.release(i);
+            self.book.close(i, self.terms.cancel, out);
         }
     }
 
@@ -358,13 +375,10 @@
         if !spare || !self.terms.orders || function.placement.is_some() || now < function.next_at {
             return count;
         }
-        let load_time = function.load_time;
         let x = if count < wish.copies { self.placement_target(f, None) } else { renewed };
-        if let Some(x) = x
-            && self.order(f, x, out)
-            && count < wish.copies
-        {
-            let patience_at = now + PLACEMENT_TIMEOUT * load_time;
+        let ordered = x.filter(|&x| self.order(f, x, out));
+        if let Some(x) = ordered.filter(|_| count < wish.copies) {
+            let patience_at = now + PLACEMENT_TIMEOUT * self.book.functions[f].load_time;
             self.book.functions[f].placement = Some(Placement { x, by_order: true, patience_at });
         }
         count
@@ -386,7 +400,7 @@
             self.taken.after(now - self.terms.ration_window);
             let crowded = self.book.function_index.len() > MOST_FUNCTIONS;
             self.book.sweep(if crowded { now } else { now - FORGOTTEN }, now);
-            self.touched.extend(self.fleet.out.iter().flatten().map(|&(i, _)| self.book.invs[i].f));
+            self.touched.extend(self.fleet.invocations_out().map(|i| self.book.invs[i].f));
         }
         self.settle(out);
     }
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -37,23 +37,23 @@
             let late = settled && self.now + left > inv.at + inv.patience;
             inv.sent >= self.terms.max_dispatches
                 || self.now + 2.0 * self.beat >= inv.timeout_at
-                || (inv.ran.is_some() && !self.fleet.all().any(|x| self.may_repeat(i, x, None)))
+                || (inv.ran.is_some() && !self.may_repeat_where(i, |_| true))
                 || late && self.may_throttle(i)
         };
         let Some(&i) = self.book.functions[f].waiting.iter().find(hopeless) else { return false };
         self.answer(i, out);
-        self.book.release(i);
         true
     }
 
     /// Newest first: it has its whole latency objective before it.
     pub(super) fn send_to_known(&mut self, f: usize, with_room: bool, out: &mut dyn Actions) -> bool {
         // Where none has a place for the best of them, none of the many that may wait need be looked at.
-        let (function, wanted) = (&self.book.functions[f], self.wanted(f));
+        self.book.functions[f].known.refresh(&self.fleet);
+        let (function, room) = (&self.book.functions[f], self.room(1.0));
         let open = |k: &Known| {
-            k.until > self.now && self.takes_more(k.x, 1.0) && (!with_room || self.has_lane(f, k, wanted))
+            k.until > self.now && self.takes_more(k.x, room) && (!with_room || self.has_lane(f, k))
         };
-        if !function.known.iter().any(open) {
+        if with_room && !self.is_spread(f) || !function.known.iter().any(open) {
             return false;
         }
         let to = |&i: &usize| Some((i, self.least_busy_known(f, i, with_room)?));
@@ -64,12 +64,11 @@
     /// With none that has room, one further instance is placed, one placement at a time.
     pub(super) fn place(&mut self, f: usize, out: &mut dyn Actions) -> bool {
         let function = &self.book.functions[f];
-        if let Some(p) = &function.placement {
+        if let Some(p) = function.placement {
             if self.fleet.ready[p.x] && !self.fleet.suspect[p.x] && self.now < p.patience_at {
                 return false;
             }
-            let (x, by_order) = (p.x, p.by_order);
-            self.placed(f, x, by_order, false);
+            self.placed(f, p.x, p.by_order, false);
             return true;
         }
         let free = |&&i: &&usize| self.book.invs[i].ran.is_none() || self.is_idempotent(i);
@@ -79,12 +78,11 @@
         let Some(x) = self.placement_target(f, Some(i)) else { return false };
         let function = &self.book.functions[f];
         // Guards against copies for what only crowding holds up. A cold one without a turn has no room.
-        let (wanted, most, work) = (self.wanted(f), SPREAD * self.busy(x), self.usual[self.book.invs[i].ty]);
+        let (most, work) = (SPREAD * self.busy(x), self.usual[self.book.invs[i].ty]);
         // Not one whose time is over: with many functions it is long until they are swept.
-        let stands =
-            |k: &&Known| k.until > self.now && !self.fleet.suspect[k.x] && self.has_lane(f, k, wanted);
+        let stands = |k: &&Known| k.until > self.now && !self.fleet.suspect[k.x] && self.has_lane(f, k);
         let bears = |k: &Known| self.busy(k.x) < most && self.cold_room(k.x, work);
-        if function.known.iter().filter(stands).any(bears) {
+        if self.is_spread(f) && function.known.iter().filter(stands).any(bears) {
             return false;
         }
         let worth_it = self.terms.answers_miss || self.terms.order_price < ORDER_PRICE_THRESHOLD;
@@ -124,13 +122,15 @@
                 continue;
             }
             if self.terms.second_copies {
+                self.book.functions[f].known.refresh(&self.fleet);
                 if let Some(x) = self.least_busy_known(f, i, true).filter(|&x| !self.fleet.suspect[x]) {
                     return self.dispatch(i, x, false, out);
                 }
                 continue;
             }
-            let elsewhere = |x: usize| x != d.x && !self.fleet.suspect[x] && self.may_repeat(i, x, None);
-            if self.terms.cancel && inv.sent < self.terms.max_dispatches && self.fleet.all().any(elsewhere) {
+            let elsewhere = |x: usize| x != d.x && !self.fleet.suspect[x];
+            let left = self.terms.cancel && inv.sent < self.terms.max_dispatches;
+            if left && self.may_repeat_where(i, elsewhere) {
                 self.book.cancel(i, None, out);
                 return true;
             }
@@ -158,17 +158,22 @@
 
     /// Whether another dispatch there could have no second effect.
     fn may_repeat(&self, i: usize, x: usize, leaving: Option<u8>) -> bool {
-        let inv = &self.book.invs[i];
-        let ty = &self.terms.trigger_types[inv.ty];
-        let others = inv.out.iter().filter(|d| Some(d.dispatch) != leaving).map(|d| (d.x, d.at));
-        let first = others.chain(inv.ran).min_by(|a, b| a.1.total_cmp(&b.1));
+        let ty = &self.terms.trigger_types[self.book.invs[i].ty];
         let harmless = |(at, when): (usize, f64)| match ty.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => false,
             Effect::Tokened if !self.fleet.same_group(ty.group, x, at) => false,
             Effect::Tokened => self.now < when + ty.window - 2.0 * self.terms.tick,
         };
-        self.is_open(x) && first.is_none_or(harmless)
+        self.is_open(x) && self.book.first_sent(i, leaving).is_none_or(harmless)
+    }
+
+    /// The same of any executor that fits; it is looked for only where one can be.
+    fn may_repeat_where(&self, i: usize, fits: impl Fn(usize) -> bool) -> bool {
+        let ty = &self.terms.trigger_types[self.book.invs[i].ty];
+        let group = if ty.effect == Effect::Tokened { ty.group } else { Group::All };
+        let ready = self.fleet.ready_in(group, self.book.first_sent(i, None).map(|first| first.0));
+        ready.iter().any(|&x| fits(x) && self.may_repeat(i, x, None))
     }
 
     /// A cold executor's budget over the span in which it could be pushed over: this front end's part, what's
@@ -258,26 +263,28 @@
         } else {
             out.error(self.book.invs[i].id);
         }
-        self.close(i, out);
+        self.book.close(i, self.terms.cancel, out);
     }
 
     fn least_busy_known(&self, f: usize, i: usize, with_room: bool) -> Option<usize> {
-        let function = &self.book.functions[f];
-        let (part, wanted) = (self.part(i), self.wanted(f));
-        let out = &self.book.invs[i].out;
-        let stands = |k: &&Known| k.until > self.now && !out.iter().any(|d| d.x == k.x);
-        let has_room = |k: &&Known| self.takes_more(k.x, part) && (!with_room || self.has_lane(f, k, wanted));
-        let is_sound = |k: &&Known| !self.fleet.suspect[k.x] || self.may_try(i, k.x);
-        let fit = function.known.iter().filter(stands).filter(has_room).filter(is_sound);
-        let known = fit.filter(|k| self.allows_dispatch(i, k.x, None)).map(|k| (self.busy(k.x), k.x));
-        known.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, x)| x)
+        let (out, room) = (&self.book.invs[i].out, self.room(self.part(i)));
+        let stands = |k: &Known| k.until > self.now && !out.iter().any(|d| d.x == k.x);
+        let has_room = |k: &Known| self.takes_more(k.x, room) && (!with_room || self.has_lane(f, k));
+        let is_sound = |k: &Known| !self.fleet.suspect[k.x] || self.may_try(i, k.x);
+        let fits = |k: &Known| stands(k) && has_room(k) && is_sound(k) && self.allows_dispatch(i, k.x, None);
+        let value = |k: &Known| fits(k).then(|| self.busy(k.x));
+        let known = (!with_room || self.is_spread(f)).then_some(&self.book.functions[f].known)?;
+        known.least(|load| self.busy_by(load, 1.0), value)
     }
 
-    /// Room: own in-flight below the lanes, and as many executors known as the function wants.
-    fn has_lane(&self, f: usize, k: &Known, wanted: f64) -> bool {
-        let function = &self.book.functions[f];
-        let held = function.inflight(&self.book.invs, k.x);
-        !k.full && held < function.lanes && (function.known.len() as f64) + 1.0 > wanted
+    /// Whether as many executors are known as the function wants.
+    fn is_spread(&self, f: usize) -> bool {
+        self.book.functions[f].known.len() as f64 + 1.0 > self.wanted(f)
+    }
+
+    /// Room: own in-flight below the lanes.
+    fn has_lane(&self, f: usize, k: &Known) -> bool {
+        !k.full && self.book.functions[f].inflight(k.x) < self.book.functions[f].lanes
     }
 
     /// A suspect is tried with one idempotent invocation at a time, and with none that was moved from there.
@@ -285,12 +292,4 @@
         let moved = self.book.invs[i].ran.is_some_and(|(at, _)| at == x);
         self.fleet.out[x].is_empty() && self.now >= self.fleet.trial_at[x] && self.is_idempotent(i) && !moved
     }
-
-    pub(super) fn close(&mut self, i: usize, out: &mut dyn Actions) {
-        self.book.unwait(i);
-        self.book.invs[i].closed = true;
-        if self.terms.cancel && !self.book.invs[i].streaming {
-            self.book.cancel(i, None, out);
-        }
-    }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -38,6 +38,70 @@
     pub window: f64,
 }
 
+impl TriggerType {
+    /// Whether it can stand at an index, where those before `next` are taken.
+    ///
+    /// # Errors
+    /// Its times have to be positive and finite, and the index at most the next one.
+    pub fn check(&self, index: usize, next: usize) -> Result<(), ConfigRefused> {
+        let is_time = |seconds: f64| seconds > 0.0 && seconds.is_finite();
+        if index > next {
+            Err(ConfigRefused::OutOfOrder { index, next })
+        } else if !is_time(self.objective) || !is_time(self.timeout) {
+            Err(ConfigRefused::NoTime { index })
+        } else {
+            Ok(())
+        }
+    }
+}
+
+/// Checks customers' shares, in invocations a second over all front ends.
+///
+/// # Errors
+/// Each share has to be a finite number, and not negative.
+pub fn check_quotas(quotas: &[f64]) -> Result<(), ConfigRefused> {
+    match quotas.iter().position(|q| !q.is_finite() || *q < 0.0) {
+        Some(customer) => Err(ConfigRefused::NoQuota { customer }),
+        None => Ok(()),
+    }
+}
+
+/// Why a change of configuration was not taken. What was in force before stays so.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConfigRefused {
+    /// An invocation is still of the trigger type that stands at the index.
+    InUse { index: usize },
+    /// Trigger types are appended one after the other.
+    OutOfOrder { index: usize, next: usize },
+    /// The trigger type's latency objective or client timeout is no time.
+    NoTime { index: usize },
+    /// A customer's share is no rate.
+    NoQuota { customer: usize },
+}
+
+impl std::fmt::Display for ConfigRefused {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        match self {
+            ConfigRefused::InUse { index } => write!(
+                f,
+                "trigger type {index} has invocations open; append the new one, or try again when they are over"
+            ),
+            ConfigRefused::OutOfOrder { index, next } => {
+                write!(f, "trigger type {index} leaves a gap; the next one to append is {next}")
+            }
+            ConfigRefused::NoTime { index } => write!(
+                f,
+                "trigger type {index} needs a latency objective and a client timeout of more than 0 s"
+            ),
+            ConfigRefused::NoQuota { customer } => {
+                write!(f, "the share of customer {customer} has to be 0 or more invocations a second")
+            }
+        }
+    }
+}
+
+impl std::error::Error for ConfigRefused {}
+
 /// What a deployment grants and demands, decoded once when a front end starts.
 #[derive(Clone, Debug, Default)]
 pub struct Terms {
--- a/src/state/book.rs
+++ b/src/state/book.rs
@@ -1,8 +1,9 @@
 //! Functions and invocations, and the dispatches that are out.
 
-use super::DecayingSum;
-use crate::interface::Actions;
-use std::collections::{BTreeSet, HashMap};
+use super::{DecayingSum, Fleet, KnownSet, Ranking};
+use crate::interface::{Actions, ConfigRefused, Kept};
+use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// A dispatch that is out.
 #[derive(Clone, Copy)]
@@ -36,13 +37,7 @@
     pub streaming: bool,
 }
 
-/// An executor known to hold a function.
-pub struct Known {
-    pub x: usize,
-    pub until: f64,
-    pub full: bool,
-}
-
+#[derive(Clone, Copy)]
 pub struct Placement {
     pub x: usize,
     pub by_order: bool,
@@ -54,10 +49,12 @@
     pub key: u64,
     pub lanes: f64,
     pub load_time: f64,
-    pub known: Vec<Known>,
+    pub known: KnownSet,
     pub waiting: Vec<usize>,
     /// Invocations with a dispatch out.
     pub out: Vec<usize>,
+    /// How many dispatches are out at each executor.
+    held: BTreeMap<usize, u32>,
     pub placement: Option<Placement>,
     /// Where the last placement failed.
     pub failed: Option<usize>,
@@ -73,22 +70,20 @@
     pub heard: f64,
     /// Own invocations of it lately.
     pub taken: DecayingSum,
-    /// All ready executors by their ranking, while invocations wait, and the fleet's version that they are of.
-    pub ranking: (u64, Vec<usize>),
+    pub ranking: Ranking,
 }
 
 impl Function {
     /// Own dispatches of this function that are out at an executor.
-    pub fn inflight(&self, invs: &[Inv], x: usize) -> f64 {
-        self.out.iter().flat_map(|&i| &invs[i].out).filter(|d| d.x == x).count() as f64
+    pub fn inflight(&self, x: usize) -> f64 {
+        self.held.get(&x).copied().unwrap_or_default().into()
     }
 
     /// Sets or renews an entry.
     pub fn know(&mut self, x: usize, now: f64, until: f64) {
         self.last_warm = Some((x, now));
         self.served = true;
-        self.known.retain(|k| k.x != x);
-        self.known.push(Known { x, until, full: false });
+        self.known.add(x, until);
     }
 
     /// Takes what an answer tells of its crowds into the mean; the first ones weigh more.
@@ -98,12 +93,12 @@
     }
 
     pub fn evict(&mut self, x: usize) {
-        self.known.retain(|k| k.x != x);
+        self.known.remove(x);
         self.last_warm = self.last_warm.filter(|w| w.0 != x);
     }
 
     pub fn knows(&self, x: usize, now: f64) -> bool {
-        self.known.iter().any(|k| k.x == x && k.until > now)
+        self.known.get(x).is_some_and(|k| k.until > now)
     }
 }
 
@@ -150,6 +145,18 @@
         }
     }
 
+    /// Entries in the tables, with those of a fleet.
+    pub fn kept(&self, fleet: &Fleet) -> Kept {
+        let (executors, functions) = (fleet.ids.len(), self.functions.len());
+        Kept { executors, functions, invocations: self.invs.len() }
+    }
+
+    /// Whether no invocation is of a trigger type, open or with a dispatch still out.
+    pub fn check_unused(&self, index: usize) -> Result<(), ConfigRefused> {
+        let used = self.inv_index.values().any(|&i| self.invs[i].ty == index);
+        if used { Err(ConfigRefused::InUse { index }) } else { Ok(()) }
+    }
+
     /// Whether an open invocation may have run at an executor.
     pub fn needs(&self, x: usize) -> bool {
         self.invs.iter().any(|inv| !inv.closed && inv.ran.is_some_and(|r| r.0 == x))
@@ -157,7 +164,8 @@
 
     /// Drops all entries of some executors.
     pub fn evict(&mut self, void: &[usize]) {
-        for f in &mut self.functions {
+        let void: BTreeSet<&usize> = void.iter().collect();
+        for f in self.functions.iter_mut().filter(|_| !void.is_empty()) {
             f.known.retain(|k| !void.contains(&k.x));
             f.last_warm.take_if(|w| void.contains(&w.0));
         }
@@ -165,7 +173,8 @@
 
     /// Drops what functions have of executors that are no more.
     pub fn drop_executors(&mut self, gone: &[usize]) {
-        for f in &mut self.functions {
+        let gone: BTreeSet<&usize> = gone.iter().collect();
+        for f in self.functions.iter_mut().filter(|_| !gone.is_empty()) {
             f.placement.take_if(|p| gone.contains(&p.x));
             f.failed.take_if(|x| gone.contains(x));
             f.erred_at.take_if(|x| gone.contains(x));
@@ -173,7 +182,8 @@
         }
     }
 
-    pub fn add(&mut self, inv: Inv) -> usize {
+    /// Adds an invocation, which waits.
+    pub fn take(&mut self, inv: Inv) {
         let i = self.free.pop().unwrap_or(self.invs.len());
         self.inv_index.insert(inv.id, i);
         if i == self.invs.len() {
@@ -181,7 +191,22 @@
         } else {
             self.invs[i] = inv
         }
-        i
+        self.wait(i);
+    }
+
+    /// The invocation has its final answer, and is dropped if nothing is out. What is out is cancelled where that is granted, unless it streams.
+    pub fn close(&mut self, i: usize, cancel: bool, out: &mut dyn Actions) {
+        self.unwait(i);
+        self.invs[i].closed = true;
+        if cancel && !self.invs[i].streaming {
+            self.cancel(i, None, out);
+        }
+        self.release(i);
+    }
+
+    /// A dispatch that is out and not cancelled.
+    pub fn out_of(&self, i: usize, dispatch: u8) -> Option<Out> {
+        self.invs[i].out.iter().find(|d| !d.cancelled && d.dispatch == dispatch).copied()
     }
 
     /// Adds a dispatch to those that are out.
@@ -190,6 +215,7 @@
         let inv = &mut self.invs[i];
         inv.out.push(Out { dispatch: inv.sent, x, at, places, cancelled: false });
         inv.sent += 1;
+        *self.functions[inv.f].held.entry(x).or_default() += 1;
         let out = &mut self.functions[inv.f].out;
         if !out.contains(&i) {
             out.push(i);
@@ -205,10 +231,25 @@
         }
     }
 
+    /// Where and when the first dispatch was sent that may have run, but for one that is only about to leave.
+    pub fn first_sent(&self, i: usize, leaving: Option<u8>) -> Option<(usize, f64)> {
+        let inv = &self.invs[i];
+        let others = inv.out.iter().filter(|d| Some(d.dispatch) != leaving).map(|d| (d.x, d.at));
+        others.chain(inv.ran).min_by(|a, b| a.1.total_cmp(&b.1))
+    }
+
     /// Takes a dispatch that ended off those that are out.
     pub fn ended(&mut self, i: usize, dispatch: u8) -> Option<Out> {
         let at = self.invs[i].out.iter().position(|d| d.dispatch == dispatch)?;
-        Some(self.invs[i].out.remove(at))
+        let ended = self.invs[i].out.remove(at);
+        let held = &mut self.functions[self.invs[i].f].held;
+        if let Entry::Occupied(mut count) = held.entry(ended.x) {
+            *count.get_mut() -= 1;
+            if *count.get() == 0 {
+                count.remove();
+            }
+        }
+        Some(ended)
     }
 
     pub fn wait(&mut self, i: usize) {
@@ -223,7 +264,6 @@
         self.functions[f].waiting.retain(|&w| w != i);
         if self.functions[f].waiting.is_empty() {
             self.pending.remove(&f);
-            self.functions[f].ranking = (0, vec![]);
         }
     }
 
