Take changed trigger types and customers' shares while an engine runs

The trigger types and shares were read once, at the start. set_trigger_type appends one, or replaces one that no invocation is of, open or with a dispatch out; uses_trigger_type tells whether one is. set_quotas sets all shares: a kept customer keeps what it has saved up within the new bound, a new one begins like at the start. What is no valid configuration is refused with what to do, and changes nothing.

--- a/crates/engine/src/baseline.rs
+++ b/crates/engine/src/baseline.rs
@@ -9,6 +9,18 @@
 pub trait Decisions {
     /// Those that share nothing by the number of front ends need not know it.
     fn living(&mut self, _now: f64, _living: MembershipView, _out: &mut dyn Actions) {}
+    /// Those that know nothing of trigger types and shares have nothing to change.
+    ///
+    /// # Errors
+    /// As told by `ConfigRefused`; then nothing is changed.
+    fn set_trigger_type(&mut self, _now: f64, _index: usize, _ty: TriggerType) -> Result<(), ConfigRefused> {
+        Ok(())
+    }
+    /// # Errors
+    /// As told by `ConfigRefused`; then nothing is changed.
+    fn set_quotas(&mut self, _now: f64, _quotas: Vec<f64>) -> Result<(), ConfigRefused> {
+        Ok(())
+    }
     fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Actions);
     fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Actions);
     fn outcome(&mut self, now: f64, o: &Outcome, out: &mut dyn Actions);
@@ -36,6 +48,12 @@
     fn living(&mut self, now: f64, living: MembershipView, out: &mut dyn Actions) {
         Dispatcher::living(self, now, living, out);
     }
+    fn set_trigger_type(&mut self, now: f64, index: usize, ty: TriggerType) -> Result<(), ConfigRefused> {
+        Dispatcher::set_trigger_type(self, now, index, ty)
+    }
+    fn set_quotas(&mut self, now: f64, quotas: Vec<f64>) -> Result<(), ConfigRefused> {
+        Dispatcher::set_quotas(self, now, quotas)
+    }
     fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Actions) {
         Dispatcher::roster(self, now, kind, rows, out);
     }
--- a/crates/engine/src/desk.rs
+++ b/crates/engine/src/desk.rs
@@ -15,6 +15,7 @@
 
 pub(crate) struct Open {
     pub(crate) timeout_at: f64,
+    pub(crate) trigger_type: usize,
     pub(crate) sent: Vec<Sent>,
     /// The dispatch whose answer has begun to stream to the client.
     pub(crate) streaming: Option<u8>,
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -203,7 +203,8 @@
         self.next_id = id.wrapping_add(1);
         self.desk.tally.taken += 1;
         self.desk.waiting += 1;
-        let open = Open { timeout_at: offer.timeout_at, sent: vec![], streaming: None, closed: false };
+        let (timeout_at, trigger_type) = (offer.timeout_at, offer.trigger_type);
+        let open = Open { timeout_at, trigger_type, sent: vec![], streaming: None, closed: false };
         self.desk.open.insert(id, open);
         self.desk.deadlines.push(Reverse((Ordered(offer.timeout_at + OVERDUE), id, None)));
         host.taken(id);
@@ -283,6 +284,34 @@
         self.play(now, host, |dispatcher, now, out| dispatcher.living(now, living, out));
     }
 
+    /// Whether an invocation is of the trigger type at an index: open, or with a dispatch still out.
+    pub fn uses_trigger_type(&self, index: usize) -> bool {
+        self.desk.open.values().any(|open| open.trigger_type == index)
+    }
+
+    /// Appends a trigger type (at the number of those that there are), or replaces one that is not in use.
+    /// What is open keeps the type that it was taken with.
+    ///
+    /// # Errors
+    /// As told by `ConfigRefused`; then nothing is changed.
+    pub fn set_trigger_type(&mut self, now: f64, index: usize, ty: TriggerType) -> Result<(), ConfigRefused> {
+        if self.uses_trigger_type(index) {
+            return Err(ConfigRefused::InUse { index });
+        }
+        self.desk.now = now.max(self.desk.now);
+        self.dispatcher.set_trigger_type(self.desk.now, index, ty)
+    }
+
+    /// Sets the customers' shares, in invocations a second over all front ends. Customers that had one keep what
+    /// they saved up, within the new bound; new ones begin like at the start.
+    ///
+    /// # Errors
+    /// As told by `ConfigRefused`; then nothing is changed.
+    pub fn set_quotas(&mut self, now: f64, quotas: Vec<f64>) -> Result<(), ConfigRefused> {
+        self.desk.now = now.max(self.desk.now);
+        self.dispatcher.set_quotas(self.desk.now, quotas)
+    }
+
     /// The answer to an order to load.
     pub fn held(&mut self, now: f64, at: ExecutorId, function: u64, ending: Ending, host: &mut dyn Host) {
         self.play(now, host, |dispatcher, now, out| dispatcher.held(now, at, function, ending, out));
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -283,3 +283,26 @@
         assert!(clock.astray().abs() > 59.0);
     }
 }
+
+/// A change of trigger types and shares goes through to what decides; the engine tells what is in use.
+#[test]
+fn trigger_types_change_only_while_no_invocation_is_of_them() {
+    let mut ear = Ear::default();
+    let mut engine = engine(false, &mut ear);
+    let ty = terms(false).trigger_types[1].clone();
+    let inv = engine.take(100.0, &offer(0, 104.0), &mut ear).expect("there is room");
+    assert!(engine.uses_trigger_type(0) && !engine.uses_trigger_type(1));
+    assert_eq!(engine.set_trigger_type(100.0, 0, ty.clone()), Err(ConfigRefused::InUse { index: 0 }));
+    assert_eq!(engine.set_trigger_type(100.0, 2, ty.clone()), Ok(()));
+    assert_eq!(
+        engine.set_trigger_type(100.0, 4, ty.clone()),
+        Err(ConfigRefused::OutOfOrder { index: 4, next: 3 })
+    );
+    engine.withdrawn(100.1, inv, &mut ear);
+    // Its dispatch, if there was one, was cancelled and told so to the module.
+    engine.turn(110.0, &mut ear);
+    assert!(!engine.uses_trigger_type(0), "nothing is out and the client is gone");
+    assert_eq!(engine.set_trigger_type(110.0, 0, ty), Ok(()));
+    assert_eq!(engine.set_quotas(110.0, vec![-1.0]), Err(ConfigRefused::NoQuota { customer: 0 }));
+    assert_eq!(engine.set_quotas(110.0, vec![1.0]), Ok(()));
+}
