--- /dev/null
+++ b/crates/config-sync/src/keys.rs
@@ -0,0 +1,210 @@
+//! The protocol of keys: where entries, digests, the generation and front ends' reports stand in the store.
+//!
+//! ```text
+//! <prefix>entries/<bucket, 4 hex digits>/<kind>/<name>   one JSON document
+//! <prefix>digests/<group, 2 hex digits>                  digests of the group's buckets
+//! <prefix>generation                                     {"format":1,"generation":N}
+//! <prefix>reports/<front end>                            a report, under the front end's own lease
+//! ```
+//!
+//! A bucket is a contiguous range of keys, so that one range request reads it whole.
+
+use std::fmt;
+use std::sync::Arc;
+use thiserror::Error;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Buckets that entries are spread over by a hash of their key. Part of the protocol: format 1.
+pub const BUCKET_COUNT: usize = 512;
+/// Buckets whose digests share one key of the store.
+pub const BUCKETS_PER_GROUP: usize = 16;
+/// Keys that hold digests.
+pub const GROUP_COUNT: usize = BUCKET_COUNT / BUCKETS_PER_GROUP;
+/// The longest kind and name together, in bytes.
+pub const MAX_KEY_BYTES: usize = 256;
+/// The format of keys and values that this crate reads and writes.
+pub const FORMAT: u32 = 1;
+
+/// Why a text is no entry key.
+#[derive(Clone, Debug, Error, PartialEq, Eq)]
+pub enum EntryKeyError {
+    #[error("'{0}' has no kind; write it as KIND/NAME, such as functions/resize")]
+    NoKind(String),
+    #[error("'{0}' has an empty kind or name; write it as KIND/NAME, such as functions/resize")]
+    Empty(String),
+    #[error("the key has {0} bytes; at most {MAX_KEY_BYTES} are allowed, choose a shorter name")]
+    TooLong(usize),
+    #[error("the key holds a control character; use printable characters only")]
+    ControlCharacter,
+}
+
+/// The logical key of an entry, `KIND/NAME`; cheap to clone.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EntryKey(Arc<str>);
+
+impl EntryKey {
+    /// Reads `KIND/NAME`. The name may hold further slashes.
+    pub fn parse(text: &str) -> Result<EntryKey, EntryKeyError> {
+        let Some((kind, name)) = text.split_once('/') else {
+            return Err(EntryKeyError::NoKind(text.chars().take(MAX_KEY_BYTES).collect()));
+        };
+        if kind.is_empty() || name.is_empty() {
+            return Err(EntryKeyError::Empty(text.chars().take(MAX_KEY_BYTES).collect()));
+        }
+        if text.len() > MAX_KEY_BYTES {
+            return Err(EntryKeyError::TooLong(text.len()));
+        }
+        if text.chars().any(char::is_control) {
+            return Err(EntryKeyError::ControlCharacter);
+        }
+        Ok(EntryKey(text.into()))
+    }
+
+    /// The key of an entry of this kind and name.
+    pub fn new(kind: &str, name: &str) -> Result<EntryKey, EntryKeyError> {
+        EntryKey::parse(&format!("{kind}/{name}"))
+    }
+
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
+    /// What stands before the first slash.
+    pub fn kind(&self) -> &str {
+        self.0.split_once('/').map_or("", |(kind, _)| kind)
+    }
+
+    /// What stands behind the first slash.
+    pub fn name(&self) -> &str {
+        self.0.split_once('/').map_or("", |(_, name)| name)
+    }
+
+    /// The bucket that the entry stands in, below [`BUCKET_COUNT`].
+    pub fn bucket(&self) -> usize {
+        bucket_of(&self.0)
+    }
+}
+
+impl fmt::Debug for EntryKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl fmt::Display for EntryKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl std::borrow::Borrow<str> for EntryKey {
+    fn borrow(&self) -> &str {
+        &self.0
+    }
+}
+
+/// The bucket of a logical key, below [`BUCKET_COUNT`].
+pub fn bucket_of(key: &str) -> usize {
+    (xxh3_64(key.as_bytes()) % BUCKET_COUNT as u64) as usize
+}
+
+/// The digest group that a bucket belongs to, below [`GROUP_COUNT`].
+pub fn group_of(bucket: usize) -> usize {
+    bucket / BUCKETS_PER_GROUP
+}
+
+/// A half-open range of store keys, `[start, end)`, as range requests and watches take it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyRange {
+    pub start: Vec<u8>,
+    pub end: Vec<u8>,
+}
+
+impl KeyRange {
+    /// All keys that begin with a prefix; the prefix must not be empty or end in the byte 255.
+    fn of_prefix(prefix: Vec<u8>) -> KeyRange {
+        let mut end = prefix.clone();
+        if let Some(last) = end.last_mut() {
+            *last = last.saturating_add(1);
+        }
+        KeyRange { start: prefix, end }
+    }
+
+    /// The part of the range that follows a key.
+    pub fn after(&self, key: &[u8]) -> KeyRange {
+        KeyRange { start: [key, &[0]].concat(), end: self.end.clone() }
+    }
+}
+
+/// Builds and reads the store's keys under one prefix.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Keyspace {
+    prefix: String,
+}
+
+impl Keyspace {
+    /// Everything stands under this prefix, as a rule with a slash at its end.
+    pub fn new(prefix: impl Into<String>) -> Keyspace {
+        Keyspace { prefix: prefix.into() }
+    }
+
+    pub fn prefix(&self) -> &str {
+        &self.prefix
+    }
+
+    /// The key of an entry in the store.
+    pub fn entry(&self, key: &EntryKey) -> Vec<u8> {
+        format!("{}entries/{:04x}/{}", self.prefix, key.bucket(), key).into_bytes()
+    }
+
+    /// The range of all entries; it is what is watched.
+    pub fn entries(&self) -> KeyRange {
+        KeyRange::of_prefix(format!("{}entries/", self.prefix).into_bytes())
+    }
+
+    /// The range of one bucket's entries.
+    pub fn bucket(&self, bucket: usize) -> KeyRange {
+        KeyRange::of_prefix(format!("{}entries/{bucket:04x}/", self.prefix).into_bytes())
+    }
+
+    /// The key that holds the digests of a group of buckets.
+    pub fn digest(&self, group: usize) -> Vec<u8> {
+        format!("{}digests/{group:02x}", self.prefix).into_bytes()
+    }
+
+    /// The range of all digests.
+    pub fn digests(&self) -> KeyRange {
+        KeyRange::of_prefix(format!("{}digests/", self.prefix).into_bytes())
+    }
+
+    /// The key that the barrier reads.
+    pub fn generation(&self) -> Vec<u8> {
+        format!("{}generation", self.prefix).into_bytes()
+    }
+
+    /// The key of a front end's report.
+    pub fn report(&self, front_end: &str) -> Vec<u8> {
+        format!("{}reports/{front_end}", self.prefix).into_bytes()
+    }
+
+    /// The range of all reports.
+    pub fn reports(&self) -> KeyRange {
+        KeyRange::of_prefix(format!("{}reports/", self.prefix).into_bytes())
+    }
+
+    /// The logical key behind a store key, if it is an entry's and stands in its own bucket.
+    pub fn parse_entry(&self, store_key: &[u8]) -> Option<EntryKey> {
+        let text = std::str::from_utf8(store_key).ok()?;
+        let rest = text.strip_prefix(&self.prefix)?.strip_prefix("entries/")?;
+        let (bucket, logical) = rest.split_once('/')?;
+        let key = EntryKey::parse(logical).ok()?;
+        (bucket == format!("{:04x}", key.bucket())).then_some(key)
+    }
+
+    /// The group whose digests stand under a store key.
+    pub fn parse_digest(&self, store_key: &[u8]) -> Option<usize> {
+        let text = std::str::from_utf8(store_key).ok()?;
+        let group = text.strip_prefix(&self.prefix)?.strip_prefix("digests/")?;
+        usize::from_str_radix(group, 16).ok().filter(|group| *group < GROUP_COUNT)
+    }
+}
--- /dev/null
+++ b/crates/config-sync/src/schema/envelope.rs
@@ -0,0 +1,52 @@
+//! The outer form that all documents have: `{"when_stale":"serve"|"refuse","spec":{...}}`.
+
+use super::InvalidEntry;
+use crate::view::WhenStale;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+/// A document before its `spec` is read.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Envelope {
+    #[serde(default)]
+    pub when_stale: WhenStale,
+    pub spec: serde_json::Value,
+}
+
+/// The remedy for a document that isn't of the outer form.
+const ENVELOPE_REMEDY: &str = r#"write {"when_stale":"serve" or "refuse","spec":{...}}"#;
+
+impl Envelope {
+    /// Reads a document of at most so many bytes.
+    pub fn parse(document: &[u8], max_bytes: usize) -> Result<Envelope, InvalidEntry> {
+        if document.len() > max_bytes {
+            let reason = format!("the document has {} bytes, over the limit of {max_bytes}", document.len());
+            return Err(InvalidEntry::new(reason, "make it shorter, or raise max_value_bytes everywhere"));
+        }
+        serde_json::from_slice(document)
+            .map_err(|error| InvalidEntry::new(error.to_string(), ENVELOPE_REMEDY))
+    }
+}
+
+/// Reads a `spec` into its type; `shape` shows what it should look like.
+pub(super) fn read_spec<T: DeserializeOwned>(
+    spec: serde_json::Value,
+    shape: &str,
+) -> Result<T, InvalidEntry> {
+    serde_json::from_value(spec)
+        .map_err(|error| InvalidEntry::new(format!("spec: {error}"), format!("write a spec such as {shape}")))
+}
+
+/// Checks that a number lies within its bounds.
+pub(super) fn check_range(
+    field: &str,
+    value: f64,
+    range: std::ops::RangeInclusive<f64>,
+) -> Result<(), InvalidEntry> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    let remedy = format!("choose {field} between {} and {}", range.start(), range.end());
+    Err(InvalidEntry::new(format!("{field} is {value}"), remedy))
+}
--- /dev/null
+++ b/crates/config-sync/src/schema/trigger_type.rs
@@ -0,0 +1,34 @@
+//! Entries `trigger-types/<name>`: what is promised to calls of a kind.
+
+use super::InvalidEntry;
+use super::envelope::{check_range, read_spec};
+use serde::{Deserialize, Serialize};
+
+const SHAPE: &str = r#"{"objective":0.5,"timeout":10}"#;
+
+/// A trigger type.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TriggerTypeSpec {
+    /// Seconds within which an answer counts as in time.
+    pub objective: f64,
+    /// Seconds after which the client gives up; not below the objective.
+    pub timeout: f64,
+}
+
+impl TriggerTypeSpec {
+    /// Reads and checks a trigger type's `spec`.
+    pub fn parse(spec: serde_json::Value) -> Result<TriggerTypeSpec, InvalidEntry> {
+        let trigger_type: TriggerTypeSpec = read_spec(spec, SHAPE)?;
+        check_range("objective", trigger_type.objective, 0.001..=3_600.0)?;
+        check_range("timeout", trigger_type.timeout, 0.001..=3_600.0)?;
+        if trigger_type.timeout < trigger_type.objective {
+            let reason = format!(
+                "the client timeout of {} s is below the latency objective of {} s",
+                trigger_type.timeout, trigger_type.objective
+            );
+            return Err(InvalidEntry::new(reason, "raise the timeout, or lower the objective"));
+        }
+        Ok(trigger_type)
+    }
+}
--- /dev/null
+++ b/crates/config-sync/src/view.rs
@@ -0,0 +1,117 @@
+//! A view: the configuration that is in force at one revision, immutable and shared.
+
+use crate::keys::{BUCKET_COUNT, EntryKey, bucket_of};
+use serde::{Deserialize, Serialize};
+use std::sync::Arc;
+
+/// What holds for an entry while the view can't be proven current.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum WhenStale {
+    /// What is known goes on to hold.
+    #[default]
+    Serve,
+    /// The entry is refused: for what may be taken away.
+    Refuse,
+}
+
+/// An entry that is in force.
+#[derive(Debug)]
+pub struct Record<E> {
+    /// The revision of the transaction that wrote it.
+    pub mod_revision: i64,
+    pub when_stale: WhenStale,
+    /// The document as it stands in the store.
+    pub document: Arc<[u8]>,
+    pub entry: E,
+}
+
+/// The entries of one bucket, sorted by key.
+type Bucket<E> = Vec<(EntryKey, Arc<Record<E>>)>;
+
+/// The configuration at one revision. A call takes one at its admission and keeps it to its end.
+#[derive(Debug)]
+pub struct View<E> {
+    generation: u64,
+    revision: i64,
+    len: usize,
+    buckets: Vec<Arc<Bucket<E>>>,
+}
+
+impl<E> Clone for View<E> {
+    fn clone(&self) -> View<E> {
+        View {
+            generation: self.generation,
+            revision: self.revision,
+            len: self.len,
+            buckets: self.buckets.clone(),
+        }
+    }
+}
+
+impl<E> Default for View<E> {
+    fn default() -> View<E> {
+        let empty = Arc::new(vec![]);
+        View { generation: 0, revision: 0, len: 0, buckets: vec![empty; BUCKET_COUNT] }
+    }
+}
+
+impl<E> View<E> {
+    /// The generation of the store that the view was read from.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// All transactions up to this revision are applied, or rejected whole.
+    pub fn revision(&self) -> i64 {
+        self.revision
+    }
+
+    /// The number of entries.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// The entry under a logical key such as `functions/resize`.
+    pub fn get(&self, key: &str) -> Option<&Arc<Record<E>>> {
+        let bucket = &self.buckets[bucket_of(key)];
+        let place = bucket.binary_search_by(|(known, _)| known.as_str().cmp(key)).ok()?;
+        Some(&bucket[place].1)
+    }
+
+    /// All entries, by bucket and then by key: an order that is the same everywhere, but not that of keys.
+    pub fn iter(&self) -> impl Iterator<Item = (&EntryKey, &Arc<Record<E>>)> {
+        self.buckets.iter().flat_map(|bucket| bucket.iter().map(|(key, record)| (key, record)))
+    }
+
+    /// All entries of a kind, in the order of [`View::iter`]. It goes through all entries.
+    pub fn of_kind<'v>(&'v self, kind: &'v str) -> impl Iterator<Item = (&'v EntryKey, &'v Arc<Record<E>>)> {
+        self.iter().filter(move |(key, _)| key.kind() == kind)
+    }
+
+    pub(crate) fn set_position(&mut self, generation: u64, revision: i64) {
+        (self.generation, self.revision) = (generation, revision);
+    }
+
+    /// Puts or, without a record, deletes an entry. Only the entry's bucket is copied.
+    pub(crate) fn set(&mut self, key: &EntryKey, record: Option<Arc<Record<E>>>) {
+        let bucket = Arc::make_mut(&mut self.buckets[key.bucket()]);
+        let place = bucket.binary_search_by(|(known, _)| known.cmp(key));
+        match (place, record) {
+            (Ok(place), Some(record)) => bucket[place].1 = record,
+            (Ok(place), None) => {
+                bucket.remove(place);
+                self.len -= 1;
+            }
+            (Err(place), Some(record)) => {
+                bucket.insert(place, (key.clone(), record));
+                self.len += 1;
+            }
+            (Err(_), None) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/config-sync/src/writer.rs
@@ -0,0 +1,221 @@
+//! What a writer of configuration needs: transactions that change entries and their digests together, guarded so that
+//! concurrent writers can't put the digests out of step. Pure; the caller reads and commits.
+//!
+//! 1. Read [`keys_to_read`] at one revision (one transaction of range requests).
+//! 2. [`plan`] the transaction.
+//! 3. Commit it: all `compares` have to hold. If they don't, another writer was faster: begin anew at 1.
+
+use crate::digest::{Digests, entry_hash};
+use crate::keys::{EntryKey, FORMAT, GROUP_COUNT, Keyspace, group_of};
+use crate::schema::{Envelope, InvalidEntry, Schema};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use thiserror::Error;
+
+/// Operations that a store takes in one transaction as it comes (`--max-txn-ops` of etcd).
+pub const DEFAULT_MAX_OPERATIONS: usize = 128;
+
+/// The value of the generation key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Generation {
+    pub format: u32,
+    /// Raised by the operator when a store that was set back is to be followed.
+    pub generation: u64,
+}
+
+impl Generation {
+    pub fn new(generation: u64) -> Generation {
+        Generation { format: FORMAT, generation }
+    }
+
+    /// The JSON that is put into the store.
+    pub fn to_json(self) -> Vec<u8> {
+        serde_json::to_vec(&self).unwrap_or_default()
+    }
+}
+
+/// A value and the revision of its last change, as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReadValue {
+    pub value: Vec<u8>,
+    pub mod_revision: i64,
+}
+
+/// What was read at one revision, by store key; a key that isn't in it is not in the store.
+pub type ReadValues = BTreeMap<Vec<u8>, ReadValue>;
+
+/// A wanted change of one entry; without a document it is deleted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryChange {
+    pub key: EntryKey,
+    pub document: Option<Vec<u8>>,
+}
+
+/// A guard: the key's `mod_revision` has to be this one; 0 if the key must not be there.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ModRevisionGuard {
+    pub key: Vec<u8>,
+    pub mod_revision: i64,
+}
+
+/// One operation of a transaction.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Operation {
+    Put { key: Vec<u8>, value: Vec<u8> },
+    Delete { key: Vec<u8> },
+}
+
+/// A transaction for the store: `operations` are done together if all `guards` hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Transaction {
+    pub guards: Vec<ModRevisionGuard>,
+    pub operations: Vec<Operation>,
+}
+
+/// Why there is no transaction.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum WriteError {
+    #[error("'{0}' is changed twice in one transaction; keep one of the changes")]
+    ChangedTwice(EntryKey),
+    #[error("'{key}': {invalid}")]
+    Invalid { key: EntryKey, invalid: InvalidEntry },
+    #[error(
+        "the transaction has {operations} operations and the store takes {most}; split it, or raise the store's limit"
+    )]
+    TooManyOperations { operations: usize, most: usize },
+    #[error("the digests under '{0}' can't be read; repair them")]
+    BadDigest(String),
+}
+
+/// The store keys that [`plan`] needs, to be read at one revision.
+pub fn keys_to_read(keyspace: &Keyspace, changes: &[EntryChange]) -> Vec<Vec<u8>> {
+    let entries = changes.iter().map(|change| keyspace.entry(&change.key));
+    let groups: BTreeSet<usize> = changes.iter().map(|change| group_of(change.key.bucket())).collect();
+    entries.chain(groups.into_iter().map(|group| keyspace.digest(group))).collect()
+}
+
+/// Builds the transaction for some changes. Each document is read by the schema, so that nothing malformed is
+/// written; rules between entries are checked by the front ends.
+pub fn plan<S: Schema>(
+    keyspace: &Keyspace,
+    schema: &S,
+    changes: &[EntryChange],
+    read: &ReadValues,
+    max_value_bytes: usize,
+    max_operations: usize,
+) -> Result<Transaction, WriteError> {
+    check_changes(schema, changes, max_value_bytes)?;
+    let mut plan = Plan { keyspace, read, groups: BTreeMap::new(), transaction: Transaction::default() };
+    for change in changes {
+        plan.add(change)?;
+    }
+    let transaction = plan.finish();
+    let operations = transaction.operations.len();
+    if operations > max_operations {
+        return Err(WriteError::TooManyOperations { operations, most: max_operations });
+    }
+    Ok(transaction)
+}
+
+/// Builds the transaction that sets all digests to what fits the entries, where they don't. `read` holds all entries
+/// and digests of the store at one revision. Other writers must stand still: an entry that was written past
+/// [`plan`] in between isn't noticed by the guards.
+pub fn repair(keyspace: &Keyspace, read: &ReadValues) -> Transaction {
+    let mut digests = Digests::default();
+    for (store_key, value) in read {
+        if let Some(key) = keyspace.parse_entry(store_key) {
+            digests.add(key.bucket(), entry_hash(key.as_str(), &value.value));
+        }
+    }
+    let mut transaction = Transaction::default();
+    for group in 0..GROUP_COUNT {
+        let (key, value) = (keyspace.digest(group), digests.encode_group(group));
+        let known = read.get(&key);
+        let is_empty = value.iter().all(|byte| *byte == 0);
+        if known.map_or(is_empty, |known| known.value == value) {
+            continue;
+        }
+        let mod_revision = known.map_or(0, |known| known.mod_revision);
+        transaction.guards.push(ModRevisionGuard { key: key.clone(), mod_revision });
+        transaction.operations.push(Operation::Put { key, value });
+    }
+    transaction
+}
+
+fn check_changes<S: Schema>(
+    schema: &S,
+    changes: &[EntryChange],
+    max_value_bytes: usize,
+) -> Result<(), WriteError> {
+    let mut seen = BTreeSet::new();
+    for EntryChange { key, document } in changes {
+        if !seen.insert(key) {
+            return Err(WriteError::ChangedTwice(key.clone()));
+        }
+        let Some(document) = document else { continue };
+        Envelope::parse(document, max_value_bytes)
+            .and_then(|envelope| schema.parse(key, envelope.spec))
+            .map_err(|invalid| WriteError::Invalid { key: key.clone(), invalid })?;
+    }
+    Ok(())
+}
+
+/// A transaction as it grows.
+struct Plan<'p> {
+    keyspace: &'p Keyspace,
+    read: &'p ReadValues,
+    /// Digests of the touched groups, as they are to be.
+    groups: BTreeMap<usize, Digests>,
+    transaction: Transaction,
+}
+
+impl Plan<'_> {
+    fn add(&mut self, change: &EntryChange) -> Result<(), WriteError> {
+        let store_key = self.keyspace.entry(&change.key);
+        let known = self.read.get(&store_key);
+        let bucket = change.key.bucket();
+        self.load_group(group_of(bucket))?;
+        let Some(digests) = self.groups.get_mut(&group_of(bucket)) else { return Ok(()) };
+        if let Some(known) = known {
+            digests.remove(bucket, entry_hash(change.key.as_str(), &known.value));
+        }
+        if let Some(document) = &change.document {
+            digests.add(bucket, entry_hash(change.key.as_str(), document));
+        }
+        let mod_revision = known.map_or(0, |known| known.mod_revision);
+        self.transaction.guards.push(ModRevisionGuard { key: store_key.clone(), mod_revision });
+        self.transaction.operations.push(match &change.document {
+            Some(document) => Operation::Put { key: store_key, value: document.clone() },
+            None => Operation::Delete { key: store_key },
+        });
+        Ok(())
+    }
+
+    /// Takes the digests of a group in, and guards them, when it is touched for the first time.
+    fn load_group(&mut self, group: usize) -> Result<(), WriteError> {
+        if self.groups.contains_key(&group) {
+            return Ok(());
+        }
+        let key = self.keyspace.digest(group);
+        let known = self.read.get(&key);
+        let mut digests = Digests::default();
+        if let Some(known) = known
+            && !digests.decode_group(group, &known.value)
+        {
+            return Err(WriteError::BadDigest(String::from_utf8_lossy(&key).into_owned()));
+        }
+        let mod_revision = known.map_or(0, |known| known.mod_revision);
+        self.transaction.guards.push(ModRevisionGuard { key, mod_revision });
+        self.groups.insert(group, digests);
+        Ok(())
+    }
+
+    fn finish(mut self) -> Transaction {
+        for (group, digests) in &self.groups {
+            let (key, value) = (self.keyspace.digest(*group), digests.encode_group(*group));
+            self.transaction.operations.push(Operation::Put { key, value });
+        }
+        self.transaction
+    }
+}
