--- a/crates/config-sync/src/action.rs
+++ b/crates/config-sync/src/action.rs
@@ -11,7 +11,9 @@
 pub enum ReadKind {
     /// Digests of all buckets.
     Digests,
-    /// What changed since the applied revision.
+    /// All entries, when there is nothing to build on.
+    Scan,
+    /// What changed since the applied revision, where digests differ.
     Changed,
     /// One bucket whose digest differs.
     Bucket(usize),
--- /dev/null
+++ b/crates/config-sync/src/backlog.rs
@@ -0,0 +1,107 @@
+//! Changes that a watch told of and that are not applied yet, by revision.
+
+use crate::message::Change;
+use std::collections::BTreeMap;
+use thiserror::Error;
+
+/// More changes wait than there is room for. The answer is to drop them, and to read at the pace what changed.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+#[error("more changes wait than there is room for")]
+pub(crate) struct BacklogFull;
+
+/// The changes of one transaction, by store key; without a value the key was deleted.
+pub(crate) type ChangesByKey = BTreeMap<Vec<u8>, Option<Vec<u8>>>;
+
+#[derive(Clone, Debug)]
+pub(crate) struct Backlog {
+    max_changes: usize,
+    max_bytes: usize,
+    revisions: BTreeMap<i64, ChangesByKey>,
+    changes: usize,
+    bytes: usize,
+    /// Everything up to this revision was told.
+    complete_through: i64,
+}
+
+impl Backlog {
+    pub(crate) fn new(max_changes: usize, max_bytes: usize) -> Backlog {
+        Backlog {
+            max_changes,
+            max_bytes,
+            revisions: BTreeMap::new(),
+            changes: 0,
+            bytes: 0,
+            complete_through: 0,
+        }
+    }
+
+    pub(crate) fn complete_through(&self) -> i64 {
+        self.complete_through
+    }
+
+    /// Drops everything; a watch goes on behind this revision.
+    pub(crate) fn restart(&mut self, revision: i64) {
+        self.revisions.clear();
+        (self.changes, self.bytes, self.complete_through) = (0, 0, revision);
+    }
+
+    /// Drops what isn't complete: a new watch tells it again.
+    pub(crate) fn drop_incomplete(&mut self) {
+        let incomplete = self.revisions.split_off(&(self.complete_through + 1));
+        for changes in incomplete.values() {
+            self.forget(changes);
+        }
+    }
+
+    /// Takes changes in. What is not behind `complete_through` was told before and is passed over.
+    pub(crate) fn push(&mut self, changes: Vec<Change>, complete: bool) -> Result<(), BacklogFull> {
+        for change in changes {
+            self.push_one(change);
+        }
+        let newest = self.revisions.last_key_value().map_or(self.complete_through, |(newest, _)| *newest);
+        if self.changes > self.max_changes || self.bytes > self.max_bytes {
+            return Err(BacklogFull);
+        }
+        self.told_through(if complete { newest } else { newest - 1 });
+        Ok(())
+    }
+
+    /// Everything up to this revision was told.
+    pub(crate) fn told_through(&mut self, revision: i64) {
+        self.complete_through = self.complete_through.max(revision);
+    }
+
+    /// The oldest transaction that is there whole.
+    pub(crate) fn pop_complete(&mut self) -> Option<(i64, ChangesByKey)> {
+        let first = self.revisions.first_entry()?;
+        if *first.key() > self.complete_through {
+            return None;
+        }
+        let (revision, changes) = first.remove_entry();
+        self.forget(&changes);
+        Some((revision, changes))
+    }
+
+    fn push_one(&mut self, change: Change) {
+        if change.mod_revision <= self.complete_through {
+            return;
+        }
+        let bytes = bytes_of(&change.key, change.value.as_deref());
+        let changes = self.revisions.entry(change.mod_revision).or_default();
+        if changes.contains_key(&change.key) {
+            return;
+        }
+        changes.insert(change.key, change.value);
+        self.changes += 1;
+        self.bytes += bytes;
+    }
+
+    fn forget(&mut self, changes: &ChangesByKey) {
+        self.changes -= changes.len();
+        self.bytes -= changes.iter().map(|(key, value)| bytes_of(key, value.as_deref())).sum::<usize>();
+    }
+}
+
+fn bytes_of(key: &[u8], value: Option<&[u8]>) -> usize {
+    key.len() + value.map_or(0, <[u8]>::len)
+}
--- a/crates/config-sync/src/keys.rs
+++ b/crates/config-sync/src/keys.rs
@@ -15,9 +15,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Buckets that entries are spread over by a hash of their key. Part of the protocol: format 1.
-pub const BUCKET_COUNT: usize = 512;
+pub const BUCKET_COUNT: usize = 1_024;
 /// Buckets whose digests share one key of the store.
-pub const BUCKETS_PER_GROUP: usize = 16;
+pub const BUCKETS_PER_GROUP: usize = 32;
 /// Keys that hold digests.
 pub const GROUP_COUNT: usize = BUCKET_COUNT / BUCKETS_PER_GROUP;
 /// The longest kind and name together, in bytes.
@@ -130,6 +130,11 @@
         KeyRange { start: prefix, end }
     }
 
+    /// From the start of one range to the end of a later one.
+    pub fn through(self, last: KeyRange) -> KeyRange {
+        KeyRange { start: self.start, end: last.end }
+    }
+
     /// The part of the range that follows a key.
     pub fn after(&self, key: &[u8]) -> KeyRange {
         KeyRange { start: [key, &[0]].concat(), end: self.end.clone() }
--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -9,8 +9,6 @@
 //!
 //! The protocol of keys, the invariants and the arithmetic are in `docs/design/config-sync.md`.
 
-#![allow(dead_code)] // Until the core uses all of them.
-
 pub mod action;
 pub mod digest;
 pub mod in_force;
@@ -24,6 +22,10 @@
 pub mod view;
 pub mod writer;
 
+mod applier;
+mod backlog;
+mod freshness;
+mod pacing;
 mod stored;
 
 pub use action::{Action, ReadKind, ReadRequest};
@@ -36,5 +38,5 @@
 pub use schema::{GatewaySchema, InvalidEntry, Rejection, Schema};
 pub use settings::{SettingsError, SyncSettings};
 pub use snapshot::SnapshotError;
-pub use sync::{ConfigSync, Verdict};
+pub use sync::{ConfigSync, Restored, Verdict};
 pub use view::{Record, View, WhenStale};
--- a/crates/config-sync/src/settings.rs
+++ b/crates/config-sync/src/settings.rs
@@ -18,7 +18,8 @@
     pub audit_interval: f64,
     /// The pace of reads, in bytes a second.
     pub read_bytes_per_second: f64,
-    /// Bytes that may be read at once after a pause.
+    /// Bytes that may be read at once after a pause. In any one second at most this and `read_bytes_per_second` are
+    /// read, but for answers that are larger than expected.
     pub read_burst: f64,
     /// Bytes that one answer should have; the limits of reads follow it by the size of entries seen so far.
     pub page_bytes: f64,
@@ -40,6 +41,8 @@
     pub max_value_bytes: usize,
     /// Changes of one incomplete revision that are kept at most; beyond, they are dropped and read at the pace.
     pub max_pending_changes: usize,
+    /// Bytes of such changes at most.
+    pub max_pending_bytes: usize,
     /// Rejected entries that a report names at most.
     pub max_reported_rejections: usize,
 }
@@ -53,17 +56,18 @@
             barrier_interval: 3.0,
             audit_interval: 300.0,
             read_bytes_per_second: 9_000.0,
-            read_burst: 3_000.0,
-            page_bytes: 3_000.0,
+            read_burst: 2_000.0,
+            page_bytes: 2_000.0,
             spread: 3.0,
             report_interval: 2.0,
-            snapshot_interval: 60.0,
+            snapshot_interval: 300.0,
             request_timeout: 4.0,
             watch_timeout: 4.0,
             max_entries: 32_768,
             max_bytes: 32 << 20,
             max_value_bytes: 16 << 10,
             max_pending_changes: 4_096,
+            max_pending_bytes: 4 << 20,
             max_reported_rejections: 16,
         }
     }
@@ -114,7 +118,7 @@
         Ok(self)
     }
 
-    fn ranges(&self) -> [(&'static str, f64, RangeInclusive<f64>); 17] {
+    fn ranges(&self) -> [(&'static str, f64, RangeInclusive<f64>); 18] {
         [
             ("freshness_bound", self.freshness_bound, 1.0..=86_400.0),
             ("in_force_limit", self.in_force_limit, 2.0..=86_400.0),
@@ -132,6 +136,7 @@
             ("max_bytes", self.max_bytes as f64, 1_024.0..=1e10),
             ("max_value_bytes", self.max_value_bytes as f64, 16.0..=1.5e6),
             ("max_pending_changes", self.max_pending_changes as f64, 1.0..=1e6),
+            ("max_pending_bytes", self.max_pending_bytes as f64, 1_024.0..=1e9),
             ("max_reported_rejections", self.max_reported_rejections as f64, 1.0..=1_000.0),
         ]
     }
--- /dev/null
+++ b/crates/config-sync/src/sync/publishing.rs
@@ -0,0 +1,141 @@
+//! What goes out of the core besides requests: views for the host, reports for the writer, snapshots for the disk.
+
+use super::ConfigSync;
+use crate::action::Action;
+use crate::report::Report;
+use crate::schema::Schema;
+use crate::snapshot::{self, Position};
+
+/// A report that isn't acknowledged after so many report intervals is put again.
+const REPORT_TIMEOUT_INTERVALS: f64 = 3.0;
+
+/// When reports and snapshots are due.
+#[derive(Debug)]
+pub(super) struct Publishing {
+    report_due: f64,
+    reported_at: f64,
+    sequence: u64,
+    /// The report that isn't acknowledged yet, and until when that is waited for.
+    open_report: Option<(u64, f64)>,
+    snapshot_due: f64,
+    snapshot_at: f64,
+}
+
+impl Default for Publishing {
+    fn default() -> Publishing {
+        Publishing {
+            report_due: f64::INFINITY,
+            reported_at: f64::NEG_INFINITY,
+            sequence: 0,
+            open_report: None,
+            snapshot_due: f64::INFINITY,
+            snapshot_at: f64::NEG_INFINITY,
+        }
+    }
+}
+
+impl<S: Schema> ConfigSync<S> {
+    /// The report of this sequence stands in the store.
+    pub fn reported(&mut self, _now: f64, sequence: u64) {
+        if self.publishing.open_report.is_some_and(|(open, _)| open == sequence) {
+            self.publishing.open_report = None;
+        }
+    }
+
+    /// The report of this sequence could not be put, or its lease is over: it is told again.
+    pub fn report_failed(&mut self, now: f64, sequence: u64) {
+        if sequence == self.publishing.sequence {
+            self.publishing.open_report = None;
+            self.mark_report(now);
+        }
+    }
+
+    /// What a report would say now.
+    pub fn report(&self) -> Report {
+        let (rejections, uncounted) = self.applier.rejections();
+        let all = rejections.len() + self.foreign_keys.len() + uncounted;
+        let named = rejections.into_iter().chain(self.foreign_keys.values());
+        let rejected: Vec<_> = named.take(self.settings.max_reported_rejections).cloned().collect();
+        Report {
+            sequence: self.publishing.sequence,
+            applied_revision: self.applied_revision,
+            generation: self.loaded.map_or(0, |source| source.generation),
+            cluster: self.loaded.map_or(0, |source| source.cluster),
+            state: self.state(),
+            rejected_omitted: all - rejected.len(),
+            rejected,
+            digest_faults: self.digest_faults,
+        }
+    }
+
+    /// Something that a report says has changed. Reports of front ends that saw the same change are spread over an
+    /// interval.
+    pub(super) fn mark_report(&mut self, now: f64) {
+        if self.publishing.report_due < f64::INFINITY {
+            return;
+        }
+        let interval = self.settings.report_interval;
+        let drawn = now + self.draw(interval);
+        self.publishing.report_due = drawn.max(self.publishing.reported_at + interval);
+    }
+
+    /// Reports anew over a new connection, spread over an interval.
+    pub(super) fn restart_reports(&mut self, now: f64) {
+        self.publishing.open_report = None;
+        self.publishing.report_due = f64::INFINITY;
+        self.mark_report(now);
+    }
+
+    /// A view came into force, or transactions were rejected.
+    pub(super) fn publish_change(&mut self, now: f64) {
+        self.announce_view();
+        self.mark_report(now);
+        self.schedule_retry(now);
+        let due = self.publishing.snapshot_at + self.settings.snapshot_interval;
+        self.publishing.snapshot_due = self.publishing.snapshot_due.min(due.max(now));
+    }
+
+    pub(super) fn publishing_timer(&self) -> f64 {
+        self.report_timer().min(self.publishing.snapshot_due)
+    }
+
+    pub(super) fn run_publishing_timer(&mut self, now: f64) {
+        if now >= self.report_timer() {
+            self.send_report(now);
+        }
+        if now >= self.publishing.snapshot_due {
+            self.write_snapshot(now);
+        }
+    }
+
+    fn report_timer(&self) -> f64 {
+        if !self.is_connected() {
+            return f64::INFINITY;
+        }
+        let again = self.publishing.open_report.map_or(f64::INFINITY, |(_, until)| until);
+        self.publishing.report_due.min(again)
+    }
+
+    fn send_report(&mut self, now: f64) {
+        self.publishing.sequence += 1;
+        let timeout = self.settings.report_interval * REPORT_TIMEOUT_INTERVALS;
+        self.publishing.open_report = Some((self.publishing.sequence, now + timeout));
+        self.publishing.report_due = f64::INFINITY;
+        self.publishing.reported_at = now;
+        let report = self.report();
+        self.actions.retain(|action| !matches!(action, Action::Report(_)));
+        self.actions.push_back(Action::Report(report));
+    }
+
+    fn write_snapshot(&mut self, now: f64) {
+        let Some(source) = self.loaded else { return };
+        self.publishing.snapshot_due = f64::INFINITY;
+        self.publishing.snapshot_at = now;
+        let revision = self.applied_revision;
+        let position = Position { cluster: source.cluster, generation: source.generation, revision };
+        let view = self.applier.view();
+        let bytes = snapshot::encode(position, &self.stored, view, self.applier.blocked_keys());
+        self.actions.retain(|action| !matches!(action, Action::WriteSnapshot { .. }));
+        self.actions.push_back(Action::WriteSnapshot { revision, bytes });
+    }
+}
--- /dev/null
+++ b/crates/config-sync/src/sync/restoring.rs
@@ -0,0 +1,70 @@
+//! Starting from a snapshot on disk.
+
+use super::{ConfigSync, Need, Source};
+use crate::applier::{Context, read_record};
+use crate::schema::Schema;
+use crate::snapshot::{self, Snapshot, SnapshotError};
+use std::sync::Arc;
+
+/// What came of the snapshots on disk.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Restored {
+    /// The revision that the front end starts from; `None` if no snapshot could be used.
+    pub revision: Option<i64>,
+    /// Why newer snapshots were passed over, in their order.
+    pub passed_over: Vec<SnapshotError>,
+}
+
+impl<S: Schema> ConfigSync<S> {
+    /// Starts from the first snapshot that can be used; to be called before [`ConfigSync::connected`]. The newest
+    /// snapshot comes first. Nothing proves it current: entries that are refused when stale are refused until the
+    /// store has answered.
+    pub fn restore(&mut self, now: f64, newest_first: &[&[u8]]) -> Restored {
+        let mut restored = Restored::default();
+        if self.is_loaded() || self.is_connected() {
+            return restored;
+        }
+        for bytes in newest_first {
+            match snapshot::decode(bytes).and_then(|snapshot| self.check_size(snapshot)) {
+                Ok(snapshot) => {
+                    restored.revision = Some(snapshot.revision);
+                    self.start_from(now, snapshot);
+                    return restored;
+                }
+                Err(error) => restored.passed_over.push(error),
+            }
+        }
+        restored
+    }
+
+    fn check_size(&self, snapshot: Snapshot) -> Result<Snapshot, SnapshotError> {
+        let (entries, bytes) = (snapshot.stored.len(), snapshot.stored.bytes());
+        if entries > self.settings.max_entries || bytes > self.settings.max_bytes {
+            return Err(SnapshotError::TooLarge { entries, bytes });
+        }
+        Ok(snapshot)
+    }
+
+    fn start_from(&mut self, now: f64, snapshot: Snapshot) {
+        let Snapshot { cluster, generation, revision, stored, overrides } = snapshot;
+        let source = Source { cluster, generation };
+        (self.source, self.loaded) = (Some(source), Some(source));
+        self.stored = stored;
+        self.applied_revision = revision;
+        self.need = Need::Verification;
+        self.with_applier(revision, |applier, context: &Context<'_, S>| {
+            let overrides: Vec<_> = overrides
+                .into_iter()
+                .map(|last_good| {
+                    let record = last_good.document.and_then(|document| {
+                        read_record(context, &last_good.key, &document, last_good.mod_revision).ok()
+                    });
+                    (last_good.key, record.map(Arc::new))
+                })
+                .collect();
+            applier.load(context, &overrides);
+        });
+        self.announce_view();
+        self.schedule_retry(now);
+    }
+}
--- /dev/null
+++ b/crates/config-sync/tests/kit/front_end.rs
@@ -0,0 +1,311 @@
+//! A front end in simulated time: the core with a host in memory, one connection to one member at a time.
+
+use super::store::{MEMBERS, Store};
+use orchidtally_config_sync::action::ReadRequest;
+use orchidtally_config_sync::schema::GatewayEntry;
+use orchidtally_config_sync::{
+    Action, BarrierAnswer, Change, ConfigSync, GatewaySchema, Header, RangeAnswer, Report, RequestFailure,
+    RequestId, SyncSettings, View, WatchBatch,
+};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// One way between a front end and a member, in seconds.
+const LATENCY: f64 = 0.03;
+/// A request without an answer fails after this time, in seconds.
+const REQUEST_TIMEOUT: f64 = 2.0;
+/// The greatest pause between tries to connect, in seconds.
+const RECONNECT_PAUSE: f64 = 2.0;
+
+#[derive(Clone, Debug)]
+enum Message {
+    Batch { watch: u64, batch: WatchBatch },
+    Progress { watch: u64, header: Header },
+    Compacted { watch: u64, revision: i64 },
+    Range(RangeAnswer),
+    Barrier(BarrierAnswer),
+    Failed(RequestId, RequestFailure),
+    Reported(u64),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct WatchState {
+    number: u64,
+    next: i64,
+    wants_progress: bool,
+}
+
+/// What went over a front end's wires.
+#[derive(Clone, Debug, Default)]
+pub struct Traffic {
+    pub by_second: BTreeMap<u64, usize>,
+    /// Bytes of read answers, by second.
+    pub reads_by_second: BTreeMap<u64, usize>,
+    pub reads: usize,
+    pub scans: usize,
+    pub bucket_reads: usize,
+}
+
+pub struct FrontEnd {
+    pub core: ConfigSync<GatewaySchema>,
+    /// Members of the same region come first.
+    pub region: usize,
+    pub is_paused: bool,
+    /// The store's side that it reaches; `None` for none at all.
+    pub side: Option<u8>,
+    pub member: usize,
+    pub is_connected: bool,
+    pub disk: Vec<Vec<u8>>,
+    pub report: Option<Report>,
+    pub applied: Vec<Arc<View<GatewayEntry>>>,
+    pub traffic: Traffic,
+    /// Changes in one message of the watch at most.
+    pub fragment: usize,
+    reconnect_at: f64,
+    reconnects: u64,
+    watch: Option<WatchState>,
+    watches: u64,
+    inbox: VecDeque<(f64, Message)>,
+}
+
+impl FrontEnd {
+    pub fn new(settings: SyncSettings, seed: u64, region: usize, now: f64) -> FrontEnd {
+        let core =
+            ConfigSync::new(settings, GatewaySchema, seed, now).expect("the test's settings are sound");
+        FrontEnd {
+            core,
+            region,
+            is_paused: false,
+            side: Some(0),
+            member: (seed as usize) % MEMBERS,
+            is_connected: false,
+            disk: vec![],
+            report: None,
+            applied: vec![],
+            traffic: Traffic::default(),
+            fragment: usize::MAX,
+            reconnect_at: now,
+            reconnects: seed,
+            watch: None,
+            watches: 0,
+            inbox: VecDeque::new(),
+        }
+    }
+
+    /// Starts anew from what is on its disk.
+    pub fn restart(&mut self, settings: SyncSettings, seed: u64, now: f64) {
+        let fresh = FrontEnd::new(settings, seed, self.region, now);
+        let disk = std::mem::take(&mut self.disk);
+        *self = FrontEnd { disk, side: self.side, ..fresh };
+        let newest_first: Vec<&[u8]> = self.disk.iter().rev().map(Vec::as_slice).collect();
+        self.core.restore(now, &newest_first);
+    }
+
+    /// One step of its host.
+    pub fn step(&mut self, now: f64, store: &mut Store) {
+        self.push_events(now, store);
+        if self.is_paused {
+            return;
+        }
+        self.check_connection(now, store);
+        while self.inbox.front().is_some_and(|(due, _)| *due <= now) {
+            let Some((_, message)) = self.inbox.pop_front() else { break };
+            self.receive(now, message);
+        }
+        while let Some(action) = self.core.poll(now) {
+            self.perform(now, action, store);
+        }
+    }
+
+    fn reaches(&self, store: &Store, member: usize) -> bool {
+        store.members[member].is_alive && self.side == Some(store.members[member].side)
+    }
+
+    fn check_connection(&mut self, now: f64, store: &Store) {
+        if self.is_connected && !self.reaches(store, self.member) {
+            self.disconnect(now);
+        }
+        if !self.is_connected && now >= self.reconnect_at {
+            self.member = (self.member + 1) % MEMBERS;
+            if self.reaches(store, self.member) {
+                self.is_connected = true;
+                self.core.connected(now);
+            } else {
+                self.pause_connecting(now);
+            }
+        }
+    }
+
+    pub fn disconnect(&mut self, now: f64) {
+        self.is_connected = false;
+        self.inbox.clear();
+        self.watch = None;
+        self.core.disconnected(now);
+        self.pause_connecting(now);
+    }
+
+    fn pause_connecting(&mut self, now: f64) {
+        // A cheap draw that is the same in each run.
+        self.reconnects = self.reconnects.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        self.reconnect_at = now + RECONNECT_PAUSE * ((self.reconnects >> 33) as f64 / (1u64 << 31) as f64);
+    }
+
+    /// The member sends what its watch has to tell, whether the front end is paused or not.
+    fn push_events(&mut self, now: f64, store: &mut Store) {
+        if !self.is_connected || !self.reaches(store, self.member) {
+            return;
+        }
+        let Some(mut watch) = self.watch else { return };
+        let range = self.core.keyspace().entries();
+        match store.events(self.member, &range, watch.next) {
+            Err(revision) => {
+                self.send(now, 60, Message::Compacted { watch: watch.number, revision });
+                self.watch = None;
+                return;
+            }
+            Ok(batches) => {
+                for (revision, changes) in batches {
+                    watch.next = revision + 1;
+                    self.send_batch(now, watch.number, revision, changes, store.cluster);
+                }
+            }
+        }
+        if watch.wants_progress {
+            watch.wants_progress = false;
+            let header = store.header(self.member);
+            self.send(now, 60, Message::Progress { watch: watch.number, header });
+        }
+        self.watch = Some(watch);
+    }
+
+    fn send_batch(&mut self, now: f64, watch: u64, revision: i64, changes: Vec<Change>, cluster: u64) {
+        let header = Header { cluster, revision };
+        let chunks: Vec<&[Change]> = changes.chunks(self.fragment.min(changes.len())).collect();
+        for (place, chunk) in chunks.iter().enumerate() {
+            let complete = place + 1 == chunks.len();
+            let each = |c: &Change| c.key.len() + c.value.as_ref().map_or(0, Vec::len) + 24;
+            let bytes = 60 + chunk.iter().map(each).sum::<usize>();
+            let batch = WatchBatch { header, changes: chunk.to_vec(), complete };
+            let delay = 0.1 * place as f64;
+            self.send(now + delay, bytes, Message::Batch { watch, batch });
+        }
+    }
+
+    fn send(&mut self, now: f64, bytes: usize, message: Message) {
+        self.count(now, bytes);
+        let due = now + LATENCY;
+        let place = self.inbox.iter().position(|(other, _)| *other > due).unwrap_or(self.inbox.len());
+        self.inbox.insert(place, (due, message));
+    }
+
+    fn count(&mut self, now: f64, bytes: usize) {
+        *self.traffic.by_second.entry(now as u64).or_default() += bytes;
+    }
+
+    fn receive(&mut self, now: f64, message: Message) {
+        let current = self.watch.map_or(self.watches, |watch| watch.number);
+        match message {
+            Message::Batch { watch, batch } if watch == current => self.core.watch_batch(now, batch),
+            Message::Progress { watch, header } if watch == current => self.core.watch_progress(now, header),
+            Message::Compacted { watch, revision } if watch == current => {
+                self.core.watch_compacted(now, revision);
+            }
+            Message::Batch { .. } | Message::Progress { .. } | Message::Compacted { .. } => {}
+            Message::Range(answer) => self.core.range_answer(now, answer),
+            Message::Barrier(answer) => self.core.barrier_answer(now, answer),
+            Message::Failed(id, failure) => self.core.request_failed(now, id, failure),
+            Message::Reported(sequence) => self.core.reported(now, sequence),
+        }
+    }
+
+    fn perform(&mut self, now: f64, action: Action<GatewayEntry>, store: &mut Store) {
+        match action {
+            Action::Watch { from_revision } => {
+                self.watches += 1;
+                let watch = WatchState { number: self.watches, next: from_revision, wants_progress: false };
+                self.watch = Some(watch);
+            }
+            Action::CancelWatch => {
+                self.watch = None;
+                self.switch_member(store);
+            }
+            Action::RequestProgress => {
+                if let Some(watch) = &mut self.watch {
+                    watch.wants_progress = true;
+                }
+            }
+            Action::Read(request) => self.read(now, &request, store),
+            Action::Barrier { id } => self.barrier(now, id, store),
+            Action::WriteSnapshot { bytes, .. } => {
+                self.disk.push(bytes);
+                if self.disk.len() > 2 {
+                    self.disk.remove(0);
+                }
+            }
+            Action::Report(report) => self.put_report(now, report, store),
+            Action::Apply(view) => self.applied.push(view),
+        }
+    }
+
+    /// After a watch was given up, another member that is reached is asked.
+    fn switch_member(&mut self, store: &Store) {
+        let others = (1..MEMBERS).map(|offset| (self.member + offset) % MEMBERS);
+        if let Some(other) = others.into_iter().find(|member| self.reaches(store, *member)) {
+            self.member = other;
+        }
+    }
+
+    fn read(&mut self, now: f64, request: &ReadRequest, store: &mut Store) {
+        self.traffic.reads += 1;
+        match request.kind {
+            orchidtally_config_sync::action::ReadKind::Scan => self.traffic.scans += 1,
+            orchidtally_config_sync::action::ReadKind::Bucket(_) => self.traffic.bucket_reads += 1,
+            _ => {}
+        }
+        let answer = store.range(
+            self.member,
+            &request.range,
+            request.at_revision,
+            request.min_mod_revision,
+            request.limit as usize,
+        );
+        self.count(now, 120);
+        match answer {
+            Ok((header, entries, more)) => {
+                let each = |e: &orchidtally_config_sync::RangeEntry| e.key.len() + e.value.len() + 24;
+                let bytes = 60 + entries.iter().map(each).sum::<usize>();
+                *self.traffic.reads_by_second.entry(now as u64).or_default() += bytes;
+                let answer = RangeAnswer { id: request.id, header, entries, more, bytes };
+                self.send(now + LATENCY, bytes, Message::Range(answer));
+            }
+            Err(failure) => self.fail(now, request.id, failure),
+        }
+    }
+
+    fn barrier(&mut self, now: f64, id: RequestId, store: &mut Store) {
+        self.count(now, 100);
+        if !store.has_quorum(self.member) {
+            self.fail(now, id, RequestFailure::Unavailable);
+            return;
+        }
+        let header = Header { cluster: store.cluster, revision: store.revision };
+        let generation = store.get(&self.core.keyspace().generation()).map(|known| known.value);
+        self.send(now + LATENCY, 100, Message::Barrier(BarrierAnswer { id, header, generation }));
+    }
+
+    fn fail(&mut self, now: f64, id: RequestId, failure: RequestFailure) {
+        let delay = if failure == RequestFailure::Unavailable { REQUEST_TIMEOUT } else { LATENCY };
+        self.send(now + delay, 40, Message::Failed(id, failure));
+    }
+
+    fn put_report(&mut self, now: f64, report: Report, store: &mut Store) {
+        let bytes = report.to_json().len() + 100;
+        self.count(now, bytes);
+        if !store.has_quorum(self.member) {
+            return;
+        }
+        self.send(now + LATENCY, 60, Message::Reported(report.sequence));
+        self.report = Some(report);
+        store.touch();
+    }
+}
--- /dev/null
+++ b/crates/config-sync/tests/kit/mod.rs
@@ -0,0 +1,38 @@
+//! A simulated store and simulated front ends, in simulated time: every run replays from its seed.
+#![allow(dead_code)] // Each test uses a part of it.
+
+pub mod fleet;
+pub mod front_end;
+pub mod store;
+
+use orchidtally_config_sync::EntryKey;
+use orchidtally_config_sync::writer::EntryChange;
+
+pub fn key(text: &str) -> EntryKey {
+    EntryKey::parse(text).expect("the test's key is sound")
+}
+
+/// A function's document, of about 300 bytes.
+pub fn function(digest: &str, when_stale: &str, allowed: bool) -> Vec<u8> {
+    let padding = "0".repeat(150);
+    format!(
+        r#"{{"when_stale":"{when_stale}","spec":{{"allowed":{allowed},"versions":[{{"digest":"sha256:{digest}{padding}","lanes":4,"memory":256000000,"load_time":0.2,"work":0.01}}]}}}}"#
+    )
+    .into_bytes()
+}
+
+pub fn quota(calls_per_second: f64) -> Vec<u8> {
+    format!(r#"{{"spec":{{"calls_per_second":{calls_per_second}}}}}"#).into_bytes()
+}
+
+pub fn trigger_type(objective: f64, timeout: f64) -> Vec<u8> {
+    format!(r#"{{"spec":{{"objective":{objective},"timeout":{timeout}}}}}"#).into_bytes()
+}
+
+pub fn put(name: &str, document: Vec<u8>) -> EntryChange {
+    EntryChange { key: key(name), document: Some(document) }
+}
+
+pub fn delete(name: &str) -> EntryChange {
+    EntryChange { key: key(name), document: None }
+}
