--- a/crates/config-sync/src/applier.rs
+++ b/crates/config-sync/src/applier.rs
@@ -25,6 +25,16 @@
     pub(crate) keys: Vec<EntryKey>,
 }
 
+/// What is in force under a blocked key.
+#[derive(Debug)]
+pub(crate) struct LastGood<E> {
+    pub(crate) key: EntryKey,
+    /// `None` if nothing was in force.
+    pub(crate) record: Option<Arc<Record<E>>>,
+    /// The revision of the transaction that is blocked.
+    pub(crate) blocked_revision: i64,
+}
+
 /// A transaction that was rejected.
 #[derive(Debug)]
 struct Blocked {
@@ -34,6 +44,15 @@
     omitted: usize,
 }
 
+/// A key of a blocked transaction.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BlockedKey {
+    /// The revision of the transaction.
+    pub(crate) revision: i64,
+    /// What is in force under the key was certainly current as of this time.
+    pub(crate) as_of: f64,
+}
+
 /// What a transaction is judged by.
 pub(crate) struct Context<'c, S> {
     pub(crate) schema: &'c S,
@@ -49,8 +68,8 @@
 pub(crate) struct Applier<E> {
     view: Arc<View<E>>,
     blocked: Vec<Blocked>,
-    /// Keys of blocked transactions, and as of when what is in force under them was certainly current.
-    blocked_keys: BTreeMap<EntryKey, f64>,
+    /// Keys of blocked transactions.
+    blocked_keys: BTreeMap<EntryKey, BlockedKey>,
     /// Where the next retry begins.
     retry_from: usize,
     /// The view has changed since the last retry.
@@ -79,13 +98,14 @@
         self.retry_wanted && !self.blocked.is_empty()
     }
 
-    pub(crate) fn blocked_keys(&self) -> impl Iterator<Item = &EntryKey> {
-        self.blocked_keys.keys()
+    /// Blocked keys, and the revisions of their transactions.
+    pub(crate) fn blocked_keys(&self) -> impl Iterator<Item = (&EntryKey, i64)> {
+        self.blocked_keys.iter().map(|(key, blocked)| (key, blocked.revision))
     }
 
     /// As of when the entry in force under a blocked key was certainly current; `None` if the key isn't blocked.
     pub(crate) fn blocked_as_of(&self, key: &str) -> Option<f64> {
-        self.blocked_keys.get(key).copied()
+        self.blocked_keys.get(key).map(|blocked| blocked.as_of)
     }
 
     /// Rejections in the order of revisions, and how many found no place.
@@ -109,10 +129,11 @@
     }
 
     /// Brings the view to what `context.stored` holds, from a view that differs anywhere: in one step if all of it is
-    /// valid together, else transaction by transaction. Deletions have no revision and stand each for themselves.
+    /// valid together, else transaction by transaction. A deletion has no revision: unless its transaction is known
+    /// from before, it stands for itself.
     pub(crate) fn apply_all<S: Schema<Entry = E>>(&mut self, context: &Context<'_, S>) {
-        let transactions = differences(context.stored, &self.view, context.revision);
-        let as_of = std::mem::take(&mut self.blocked_keys);
+        let before = std::mem::take(&mut self.blocked_keys);
+        let transactions = differences(context, &self.view, &before);
         self.blocked.clear();
         let keys: Vec<EntryKey> = transactions.iter().flat_map(|t| t.keys.iter().cloned()).collect();
         if let Ok(view) = candidate(context, &self.view, &keys, context.revision) {
@@ -121,8 +142,8 @@
         }
         // What was blocked before is as old as it was.
         for key in &keys {
-            if let Some(as_of) = as_of.get(key) {
-                self.blocked_keys.insert(key.clone(), *as_of);
+            if let Some(blocked) = before.get(key) {
+                self.blocked_keys.insert(key.clone(), *blocked);
             }
         }
         for transaction in transactions {
@@ -165,7 +186,7 @@
     pub(crate) fn load<S: Schema<Entry = E>>(
         &mut self,
         context: &Context<'_, S>,
-        overrides: &[(EntryKey, Option<Arc<Record<E>>>)],
+        last_good: Vec<LastGood<E>>,
     ) {
         let mut view = View::default();
         view.set_position(context.generation, context.revision);
@@ -176,16 +197,15 @@
                 Err(_) => unread.push(entry.key.clone()),
             }
         }
-        for (key, record) in overrides {
-            view.set(key, record.clone());
+        let as_of = f64::NEG_INFINITY;
+        for key in unread {
+            self.blocked_keys.insert(key, BlockedKey { revision: context.revision, as_of });
+        }
+        for LastGood { key, record, blocked_revision } in last_good {
+            view.set(&key, record);
+            self.blocked_keys.insert(key, BlockedKey { revision: blocked_revision, as_of });
         }
         self.view = Arc::new(view);
-        self.blocked_keys = overrides
-            .iter()
-            .map(|(key, _)| key)
-            .chain(&unread)
-            .map(|k| (k.clone(), f64::NEG_INFINITY))
-            .collect();
         self.apply_all(context);
     }
 
@@ -241,8 +261,10 @@
         let found = rejections.len();
         rejections.truncate(MAX_REJECTIONS.saturating_sub(kept));
         let omitted = found - rejections.len();
+        let revision = transaction.revision;
         for key in &transaction.keys {
-            self.blocked_keys.entry(key.clone()).or_insert(fresh_as_of);
+            let new = BlockedKey { revision, as_of: fresh_as_of };
+            self.blocked_keys.entry(key.clone()).or_insert(new).revision = revision;
         }
         self.blocked.push(Blocked { transaction, rejections, omitted });
     }
@@ -314,8 +336,14 @@
     Rejection { key: key.to_string(), revision, reason: shorten(reason), remedy: shorten(remedy) }
 }
 
-/// Where the store differs from the view: by transaction in the order of revisions, then each deletion.
-fn differences<E>(stored: &Stored, view: &View<E>, revision: i64) -> Vec<Transaction> {
+/// Where the store differs from the view: by transaction in the order of revisions, then each deletion whose
+/// transaction isn't known.
+fn differences<S: Schema>(
+    context: &Context<'_, S>,
+    view: &View<S::Entry>,
+    blocked: &BTreeMap<EntryKey, BlockedKey>,
+) -> Vec<Transaction> {
+    let stored = context.stored;
     let mut changed: BTreeMap<i64, Vec<EntryKey>> = BTreeMap::new();
     for entry in stored.iter() {
         let known = view.get(entry.key.as_str());
@@ -326,8 +354,13 @@
             changed.entry(entry.mod_revision).or_default().push(entry.key.clone());
         }
     }
-    let deleted = view.iter().filter(|(key, _)| stored.get(key).is_none());
-    let deleted = deleted.map(|(key, _)| Transaction { revision, keys: vec![key.clone()] });
+    let mut deleted = vec![];
+    for (key, _) in view.iter().filter(|(key, _)| stored.get(key).is_none()) {
+        match blocked.get(key) {
+            Some(known) => changed.entry(known.revision).or_default().push(key.clone()),
+            None => deleted.push(Transaction { revision: context.revision, keys: vec![key.clone()] }),
+        }
+    }
     let changed = changed.into_iter().map(|(revision, keys)| Transaction { revision, keys });
     changed.chain(deleted).collect()
 }
--- a/crates/config-sync/src/backlog.rs
+++ b/crates/config-sync/src/backlog.rs
@@ -21,6 +21,8 @@
     bytes: usize,
     /// Everything up to this revision was told.
     complete_through: i64,
+    /// The transaction of which only a part was told.
+    incomplete: Option<i64>,
 }
 
 impl Backlog {
@@ -32,6 +34,7 @@
             changes: 0,
             bytes: 0,
             complete_through: 0,
+            incomplete: None,
         }
     }
 
@@ -43,10 +46,12 @@
     pub(crate) fn restart(&mut self, revision: i64) {
         self.revisions.clear();
         (self.changes, self.bytes, self.complete_through) = (0, 0, revision);
+        self.incomplete = None;
     }
 
     /// Drops what isn't complete: a new watch tells it again.
     pub(crate) fn drop_incomplete(&mut self) {
+        self.incomplete = None;
         let incomplete = self.revisions.split_off(&(self.complete_through + 1));
         for changes in incomplete.values() {
             self.forget(changes);
@@ -62,13 +67,15 @@
         if self.changes > self.max_changes || self.bytes > self.max_bytes {
             return Err(BacklogFull);
         }
-        self.told_through(if complete { newest } else { newest - 1 });
+        self.incomplete = Some(newest).filter(|newest| !complete && *newest > self.complete_through);
+        self.told_through(newest);
         Ok(())
     }
 
-    /// Everything up to this revision was told.
+    /// Everything up to this revision was told, but for what is known to be incomplete.
     pub(crate) fn told_through(&mut self, revision: i64) {
-        self.complete_through = self.complete_through.max(revision);
+        let most = self.incomplete.map_or(revision, |incomplete| revision.min(incomplete - 1));
+        self.complete_through = self.complete_through.max(most);
     }
 
     /// The oldest transaction that is there whole.
--- a/crates/config-sync/src/snapshot.rs
+++ b/crates/config-sync/src/snapshot.rs
@@ -6,7 +6,7 @@
 //! magic "OTCONFIG" | version u16 | cluster u64 | generation u64 | revision i64
 //! | entries u32 | overrides u32 | length of the body u64 | body | CRC-32 of all before it u32
 //! entry    = mod_revision i64 | key length u32 | document length u32 | key | document
-//! override = an entry, document length u32::MAX standing for "not in force"
+//! override = revision of the blocked transaction i64 | entry, document length u32::MAX standing for "not in force"
 //! ```
 //!
 //! Entries are what the store held. Overrides name keys whose last good document differs from it.
@@ -50,6 +50,8 @@
     pub(crate) mod_revision: i64,
     /// The last good document; `None` if nothing was in force.
     pub(crate) document: Option<Arc<[u8]>>,
+    /// The revision of the transaction that is rejected.
+    pub(crate) blocked_revision: i64,
 }
 
 /// A snapshot as it was read.
@@ -75,14 +77,15 @@
     position: Position,
     stored: &Stored,
     view: &View<E>,
-    blocked: impl Iterator<Item = &'k EntryKey>,
+    blocked: impl Iterator<Item = (&'k EntryKey, i64)>,
 ) -> Vec<u8> {
     let mut body = Vec::with_capacity(stored.bytes() + stored.len() * 16);
     for entry in stored.iter() {
         put_entry(&mut body, &entry.key, entry.mod_revision, Some(&entry.document));
     }
     let mut overrides = 0u32;
-    for key in blocked {
+    for (key, blocked_revision) in blocked {
+        body.extend_from_slice(&blocked_revision.to_be_bytes());
         let record = view.get(key.as_str());
         let mod_revision = record.map_or(0, |record| record.mod_revision);
         put_entry(&mut body, key, mod_revision, record.map(|record| &record.document));
@@ -162,15 +165,21 @@
 fn read_stored(reader: &mut Reader<'_>, count: u32) -> Option<Stored> {
     let mut stored = Stored::default();
     for _ in 0..count {
-        let entry = reader.entry()?;
-        let document = entry.document?;
-        stored.put(StoredEntry { key: entry.key, document, mod_revision: entry.mod_revision });
+        let RawEntry { key, mod_revision, document } = reader.entry()?;
+        stored.put(StoredEntry { key, document: document?, mod_revision });
     }
     (stored.len() == count as usize).then_some(stored)
 }
 
 fn read_overrides(reader: &mut Reader<'_>, count: u32) -> Option<Vec<Override>> {
-    (0..count).map(|_| reader.entry()).collect()
+    (0..count).map(|_| reader.blocked()).collect()
+}
+
+/// An entry as it is written; a document may be absent in an override.
+struct RawEntry {
+    key: EntryKey,
+    mod_revision: i64,
+    document: Option<Arc<[u8]>>,
 }
 
 /// Takes bytes from the front, or nothing if there are too few.
@@ -187,15 +196,21 @@
         self.take(N)?.try_into().ok()
     }
 
-    fn entry(&mut self) -> Option<Override> {
+    fn blocked(&mut self) -> Option<Override> {
+        let blocked_revision = i64::from_be_bytes(self.array()?);
+        let RawEntry { key, mod_revision, document } = self.entry()?;
+        Some(Override { key, mod_revision, document, blocked_revision })
+    }
+
+    fn entry(&mut self) -> Option<RawEntry> {
         let mod_revision = i64::from_be_bytes(self.array()?);
         let key_length = u32::from_be_bytes(self.array()?);
         let document_length = u32::from_be_bytes(self.array()?);
         let key = EntryKey::parse(std::str::from_utf8(self.take(key_length as usize)?).ok()?).ok()?;
         if document_length == ABSENT {
-            return Some(Override { key, mod_revision, document: None });
+            return Some(RawEntry { key, mod_revision, document: None });
         }
         let document = self.take(document_length as usize)?;
-        Some(Override { key, mod_revision, document: Some(document.into()) })
+        Some(RawEntry { key, mod_revision, document: Some(document.into()) })
     }
 }
--- a/crates/config-sync/src/sync/barrier.rs
+++ b/crates/config-sync/src/sync/barrier.rs
@@ -122,7 +122,10 @@
     fn same_store(&mut self, now: f64, open: &OpenBarrier, revision: i64) {
         match self.phase {
             Phase::AwaitingBarrier => self.delay(now, self.need),
-            Phase::Halted { state: ReportedState::UnknownFormat, .. } => self.resume(now),
+            Phase::Halted { state: ReportedState::UnknownFormat, .. } => {
+                self.fault = None;
+                self.resume(now);
+            }
             Phase::Halted { .. } => return,
             _ => {}
         }
@@ -137,6 +140,7 @@
         let is_first = self.loaded.is_none();
         self.source = Some(source);
         self.distrusts = false;
+        self.fault = None;
         self.close_watch();
         self.reading = None;
         self.freshness.forget_questions();
--- a/crates/config-sync/src/sync/catch_up.rs
+++ b/crates/config-sync/src/sync/catch_up.rs
@@ -197,15 +197,19 @@
 
     /// Whether a bucket can't be the known history's. What was written up to the applied revision never changes: an
     /// entry of that age is known as it is, or the history is another one. At the applied revision itself all of
-    /// the bucket has to be as it is known.
+    /// the bucket has to be as it is known. Revisions aren't compared: what was written again with the same value
+    /// during a compacted time leaves the digest as it was, and isn't read again.
     fn shows_other_history(&self, reading: &Reading, bucket: usize, read: &[StoredEntry]) -> bool {
         match reading.need {
             Need::Rebase => false,
-            Need::Verification => reading.staged.bucket(bucket) != read,
+            Need::Verification => !same_content(reading.staged.bucket(bucket), read),
             Need::CatchUp if self.loaded.is_none() => false,
             Need::CatchUp => {
-                let old = read.iter().filter(|entry| entry.mod_revision <= self.applied_revision);
-                old.into_iter().any(|entry| self.stored.get(&entry.key) != Some(entry))
+                let mut old = read.iter().filter(|entry| entry.mod_revision <= self.applied_revision);
+                let is_known = |entry: &StoredEntry| {
+                    self.stored.get(&entry.key).is_some_and(|known| known.document == entry.document)
+                };
+                !old.all(is_known)
             }
         }
     }
@@ -245,6 +249,7 @@
     fn follow(&mut self, now: f64) {
         let was_following = self.phase == Phase::Following;
         self.phase = Phase::Following;
+        self.fault = None;
         self.need = Need::Verification;
         if !self.watch_is_open && self.reopen_watch_at == f64::INFINITY {
             self.open_watch();
@@ -285,6 +290,14 @@
     Outcome::GoOn
 }
 
+/// Whether two buckets, both sorted by key, hold the same keys and documents.
+fn same_content(known: &[StoredEntry], read: &[StoredEntry]) -> bool {
+    let same = |(known, read): (&StoredEntry, &StoredEntry)| {
+        known.key == read.key && known.document == read.document
+    };
+    known.len() == read.len() && known.iter().zip(read).all(same)
+}
+
 /// All buckets that differed were read whole: where digests still differ, they are at fault.
 fn done(reading: &Reading) -> Outcome {
     Outcome::Done { digest_faults: reading.digests.differing(reading.staged.digests()).len() }
--- a/crates/config-sync/src/sync/mod.rs
+++ b/crates/config-sync/src/sync/mod.rs
@@ -91,6 +91,8 @@
     loaded: Option<Source>,
     /// The store's history was found to be another one; only digests that fit, or a higher generation, help.
     distrusts: bool,
+    /// Why it halted last; it stands until the store is followed again.
+    fault: Option<ReportedState>,
     stored: Stored,
     applied_revision: i64,
     applier: Applier<S::Entry>,
@@ -128,6 +130,7 @@
             source: None,
             loaded: None,
             distrusts: false,
+            fault: None,
             stored: Stored::default(),
             applied_revision: 0,
             applier: Applier::default(),
@@ -173,10 +176,8 @@
     /// Whether the store is followed.
     pub fn state(&self) -> ReportedState {
         match self.phase {
-            Phase::Halted { state, .. } => state,
-            _ if self.distrusts => ReportedState::StoreSetBack,
             Phase::Following => ReportedState::Following,
-            _ => ReportedState::CatchingUp,
+            _ => self.fault.unwrap_or(ReportedState::CatchingUp),
         }
     }
 
@@ -223,6 +224,7 @@
         self.close_watch();
         self.reading = None;
         self.freshness.forget_questions();
+        self.fault = Some(state);
         if state == ReportedState::StoreSetBack && self.loaded == self.source {
             self.distrusts = true;
             self.need = Need::Verification;
--- a/crates/config-sync/src/sync/restoring.rs
+++ b/crates/config-sync/src/sync/restoring.rs
@@ -1,9 +1,9 @@
 //! Starting from a snapshot on disk.
 
 use super::{ConfigSync, Need, Source};
-use crate::applier::{Context, read_record};
+use crate::applier::{Context, LastGood, read_record};
 use crate::schema::Schema;
-use crate::snapshot::{self, Snapshot, SnapshotError};
+use crate::snapshot::{self, Override, Snapshot, SnapshotError};
 use std::sync::Arc;
 
 /// What came of the snapshots on disk.
@@ -53,18 +53,17 @@
         self.applied_revision = revision;
         self.need = Need::Verification;
         self.with_applier(revision, |applier, context: &Context<'_, S>| {
-            let overrides: Vec<_> = overrides
-                .into_iter()
-                .map(|last_good| {
-                    let record = last_good.document.and_then(|document| {
-                        read_record(context, &last_good.key, &document, last_good.mod_revision).ok()
-                    });
-                    (last_good.key, record.map(Arc::new))
-                })
-                .collect();
-            applier.load(context, &overrides);
+            let last_good = overrides.into_iter().map(|known| read_override(context, known)).collect();
+            applier.load(context, last_good);
         });
         self.announce_view();
         self.schedule_retry(now);
     }
 }
+
+/// Reads a last good document; if this version of the program can't, nothing is in force under the key.
+fn read_override<S: Schema>(context: &Context<'_, S>, known: Override) -> LastGood<S::Entry> {
+    let Override { key, mod_revision, document, blocked_revision } = known;
+    let record = document.and_then(|document| read_record(context, &key, &document, mod_revision).ok());
+    LastGood { key, record: record.map(Arc::new), blocked_revision }
+}
--- a/crates/config-sync/tests/kit/fleet.rs
+++ b/crates/config-sync/tests/kit/fleet.rs
@@ -2,7 +2,9 @@
 
 use super::front_end::FrontEnd;
 use super::store::Store;
-use orchidtally_config_sync::writer::{self, DEFAULT_MAX_OPERATIONS, EntryChange, Generation, Operation};
+use orchidtally_config_sync::writer::{
+    self, DEFAULT_MAX_OPERATIONS, EntryChange, Generation, Operation, ReadValue,
+};
 use orchidtally_config_sync::{GatewaySchema, Keyspace, SyncSettings, Verdict};
 
 /// The step of simulated time, in seconds.
@@ -50,31 +52,23 @@
 
     /// Writes documents that the writer's module would refuse, with digests in step.
     pub fn write_unchecked(&mut self, changes: &[EntryChange]) -> i64 {
-        struct Anything;
-        impl orchidtally_config_sync::Schema for Anything {
-            type Entry = ();
-            fn parse(
-                &self,
-                _: &orchidtally_config_sync::EntryKey,
-                _: serde_json::Value,
-            ) -> Result<(), orchidtally_config_sync::InvalidEntry> {
-                Ok(())
-            }
-            fn check(
-                &self,
-                _: &orchidtally_config_sync::View<()>,
-                _: &[orchidtally_config_sync::EntryKey],
-            ) -> Vec<orchidtally_config_sync::schema::Violation> {
-                vec![]
-            }
-            fn is_allowed(&self, _: &()) -> bool {
-                true
+        let mut after = self.store.read_all();
+        let mut operations = vec![];
+        for EntryChange { key, document } in changes {
+            let key = self.keyspace.entry(key);
+            match document {
+                Some(value) => {
+                    after.insert(key.clone(), ReadValue { value: value.clone(), mod_revision: 0 });
+                    operations.push(Operation::Put { key, value: value.clone() });
+                }
+                None => {
+                    after.remove(&key);
+                    operations.push(Operation::Delete { key });
+                }
             }
         }
-        let read = self.store.read(&writer::keys_to_read(&self.keyspace, changes));
-        let transaction = writer::plan(&self.keyspace, &Anything, changes, &read, 1 << 20, 10_000)
-            .expect("the test's changes are sound");
-        self.store.transact(&transaction).expect("a quorum takes the write")
+        operations.extend(writer::repair(&self.keyspace, &after).operations);
+        self.store.commit(&operations).expect("a quorum takes the write")
     }
 
     /// Runs for so many seconds.
--- a/crates/config-sync/tests/kit/front_end.rs
+++ b/crates/config-sync/tests/kit/front_end.rs
@@ -12,6 +12,8 @@
 
 /// One way between a front end and a member, in seconds.
 const LATENCY: f64 = 0.03;
+/// Between fragments of one transaction, in seconds.
+const FRAGMENT_DELAY: f64 = 0.1;
 /// A request without an answer fails after this time, in seconds.
 const REQUEST_TIMEOUT: f64 = 2.0;
 /// The greatest pause between tries to connect, in seconds.
@@ -66,6 +68,8 @@
     watch: Option<WatchState>,
     watches: u64,
     inbox: VecDeque<(f64, Message)>,
+    /// When the newest message of the watch's stream arrives: the stream keeps its order.
+    stream_until: f64,
 }
 
 impl FrontEnd {
@@ -89,6 +93,7 @@
             watch: None,
             watches: 0,
             inbox: VecDeque::new(),
+            stream_until: now,
         }
     }
 
@@ -140,6 +145,7 @@
         self.is_connected = false;
         self.inbox.clear();
         self.watch = None;
+        self.stream_until = now;
         self.core.disconnected(now);
         self.pause_connecting(now);
     }
@@ -150,6 +156,11 @@
         self.reconnect_at = now + RECONNECT_PAUSE * ((self.reconnects >> 33) as f64 / (1u64 << 31) as f64);
     }
 
+    /// Whether a barrier's answer is under way.
+    pub fn waits_for_barrier(&self) -> bool {
+        self.inbox.iter().any(|(_, message)| matches!(message, Message::Barrier(_)))
+    }
+
     /// The member sends what its watch has to tell, whether the front end is paused or not.
     fn push_events(&mut self, now: f64, store: &mut Store) {
         if !self.is_connected || !self.reaches(store, self.member) {
@@ -173,7 +184,8 @@
         if watch.wants_progress {
             watch.wants_progress = false;
             let header = store.header(self.member);
-            self.send(now, 60, Message::Progress { watch: watch.number, header });
+            self.stream_until = self.stream_until.max(now);
+            self.send(self.stream_until, 60, Message::Progress { watch: watch.number, header });
         }
         self.watch = Some(watch);
     }
@@ -186,8 +198,9 @@
             let each = |c: &Change| c.key.len() + c.value.as_ref().map_or(0, Vec::len) + 24;
             let bytes = 60 + chunk.iter().map(each).sum::<usize>();
             let batch = WatchBatch { header, changes: chunk.to_vec(), complete };
-            let delay = 0.1 * place as f64;
-            self.send(now + delay, bytes, Message::Batch { watch, batch });
+            let delay = if place == 0 { 0.0 } else { FRAGMENT_DELAY };
+            self.stream_until = self.stream_until.max(now) + delay;
+            self.send(self.stream_until, bytes, Message::Batch { watch, batch });
         }
     }
 
--- /dev/null
+++ b/crates/config-sync/tests/load.rs
@@ -0,0 +1,143 @@
+//! What many front ends, or many changes, cost: paces and times in simulated time.
+
+mod kit;
+
+use kit::fleet::Fleet;
+use kit::{delete, function, put};
+use orchidtally_config_sync::{SyncSettings, Verdict};
+
+const LIMIT: f64 = 18.0;
+/// What a front end may spend on control, in bytes a second.
+const BYTES_PER_SECOND: usize = 12_000;
+
+fn loaded(count: usize, functions: usize) -> Fleet {
+    let mut fleet = Fleet::new(count, SyncSettings::default());
+    let changes: Vec<_> =
+        (0..functions).map(|n| put(&format!("functions/f{n}"), function("a", "refuse", true))).collect();
+    for some in changes.chunks(100) {
+        fleet.write(some);
+    }
+    let revision = fleet.store.revision;
+    assert!(fleet.run_until_applied(revision, 2_000.0, |_| true).is_some(), "the fleet didn't load");
+    fleet.run(10.0);
+    fleet
+}
+
+/// 180 front ends of a region come back together after three minutes, past a compaction.
+#[test]
+fn front_ends_that_reconnect_together_keep_the_pace() {
+    let mut fleet = loaded(180, 1_000);
+    for front_end in &mut fleet.front_ends {
+        front_end.side = None;
+    }
+    fleet.run(180.0);
+    fleet.write(&[put("functions/f1", function("b", "refuse", true)), delete("functions/f2")]);
+    fleet.write(&[put("functions/f3", function("c", "refuse", true))]);
+    let revision = fleet.write(&[put("functions/f4", function("d", "refuse", false))]);
+    fleet.store.touch();
+    fleet.store.compact(fleet.store.revision);
+    for front_end in &mut fleet.front_ends {
+        front_end.side = Some(0);
+    }
+    let healed_at = fleet.now.ceil();
+    let took = fleet.run_until_applied(revision, LIMIT, |_| true);
+    fleet.run(LIMIT);
+    let peak = fleet.peak_bytes(healed_at);
+    let fleet_peak = fleet.fleet_peak_bytes(healed_at, fleet.now);
+    let read = |f: &kit::front_end::FrontEnd| {
+        f.traffic.reads_by_second.range(healed_at as u64..).map(|(_, bytes)| *bytes).sum::<usize>()
+    };
+    let all: usize = fleet.front_ends.iter().map(read).sum();
+    println!(
+        "in force after {took:?} s; peak {peak} B/s of one, {fleet_peak} B/s of all, {} bytes read by one",
+        all / 180
+    );
+    assert!(took.is_some_and(|took| took <= LIMIT), "{took:?}");
+    assert!(peak <= BYTES_PER_SECOND, "{peak}");
+    // Without the spread all would read within the same second.
+    assert!(fleet_peak < 180 * BYTES_PER_SECOND / 2, "{fleet_peak}");
+    assert_eq!(fleet.front_ends.iter().filter(|f| f.traffic.scans > 400).count(), 0);
+    for front_end in &fleet.front_ends {
+        assert_eq!(front_end.core.admits(fleet.now, "functions/f2"), Verdict::Unknown);
+        assert_eq!(front_end.core.admits(fleet.now, "functions/f4"), Verdict::RefuseNotAllowed);
+        assert_eq!(front_end.core.admits(fleet.now, "functions/f5"), Verdict::Serve);
+    }
+}
+
+/// A burst of 500 changes within a second.
+#[test]
+fn a_burst_of_changes_is_in_force_in_time() {
+    let mut fleet = loaded(20, 600);
+    let written_at = fleet.now;
+    let mut revision = 0;
+    for round in 0..20 {
+        for n in 0..25 {
+            let name = format!("functions/f{}", round * 25 + n);
+            revision = fleet.write(&[put(&name, function("b", "refuse", true))]);
+        }
+        fleet.run(0.05);
+    }
+    let began = fleet.now;
+    let took = fleet.run_until_applied(revision, LIMIT, |_| true);
+    println!("in force {took:?} s after the last of {:.2} s", began - written_at);
+    assert!(took.is_some_and(|took| took < 1.0), "{took:?}");
+    let reports_before: usize =
+        fleet.front_ends.iter().map(|f| f.report.as_ref().unwrap().sequence as usize).sum();
+    fleet.run(10.0);
+    let reports_after: usize =
+        fleet.front_ends.iter().map(|f| f.report.as_ref().unwrap().sequence as usize).sum();
+    assert!(reports_after - reports_before <= 2 * 20, "reports are coalesced");
+    for front_end in &fleet.front_ends {
+        assert!(front_end.report.as_ref().unwrap().applied_revision >= revision);
+        assert_eq!(front_end.traffic.bucket_reads, 0);
+    }
+}
+
+/// More changes than a front end keeps while it compares digests: it drops them and reads at the pace.
+#[test]
+fn a_full_backlog_is_dropped_and_read_at_the_pace() {
+    let settings = SyncSettings { max_pending_changes: 50, ..SyncSettings::default() };
+    let mut fleet = Fleet::new(3, settings);
+    let changes: Vec<_> =
+        (0..300).map(|n| put(&format!("functions/f{n}"), function("a", "serve", true))).collect();
+    fleet.write(&changes);
+    fleet.run(60.0);
+    let changes: Vec<_> =
+        (0..200).map(|n| put(&format!("functions/f{n}"), function("b", "serve", true))).collect();
+    let revision = fleet.write(&changes);
+    let began = fleet.now;
+    let took = fleet.run_until_applied(revision, 60.0, |_| true);
+    println!("200 changes past a backlog of 50 took {took:?} s");
+    assert!(took.is_some());
+    assert!(fleet.peak_bytes(began + 2.0) <= BYTES_PER_SECOND);
+    fleet.run(5.0);
+    for front_end in &fleet.front_ends {
+        assert!(
+            front_end.core.view().iter().filter(|(_, record)| record.mod_revision == revision).count() == 200
+        );
+    }
+}
+
+/// A store that holds more than a front end takes: the last good view stays, and the front end says so.
+#[test]
+fn a_store_that_is_too_large_leaves_the_last_good_view() {
+    let settings = SyncSettings { max_entries: 100, ..SyncSettings::default() };
+    let mut fleet = Fleet::new(1, settings);
+    let changes: Vec<_> =
+        (0..90).map(|n| put(&format!("functions/f{n}"), function("a", "serve", true))).collect();
+    fleet.write(&changes);
+    fleet.run(60.0);
+    let more: Vec<_> =
+        (90..120).map(|n| put(&format!("functions/f{n}"), function("a", "serve", true))).collect();
+    fleet.write(&more);
+    fleet.run(100.0);
+    let core = &fleet.front_ends[0].core;
+    assert_eq!(core.view().len(), 90);
+    assert_eq!(core.state(), orchidtally_config_sync::ReportedState::StoreTooLarge);
+    let fewer: Vec<_> = (80..120).map(|n| delete(&format!("functions/f{n}"))).collect();
+    fleet.write(&fewer);
+    fleet.run(60.0);
+    let core = &fleet.front_ends[0].core;
+    assert_eq!(core.state(), orchidtally_config_sync::ReportedState::Following);
+    assert_eq!(core.view().len(), 80);
+}
