Give the etcd stand-in five members with a quorum, regions, and watches by index

Scale tests of configuration need a store whose cost does not grow with its history, and members that lose their quorum. Ranges scanned all keys, a transaction cloned the store, and each watch scanned the whole log every 5 ms; every member answered for all.

Now ranges and watches go through ordered maps and a log searched by revision, watches are notified, a transaction is checked before its first write, and limits of etcd (operations, request size, duplicate keys) hold. Members stop, start, and lose their leader when regions are cut; a stale one answers serializable ranges, watches and progress from its old view alone. RangeRequest has the bounds on revisions, keys_only and count_only do what they say. Bytes are counted at the sockets of members and of the client.

Progress is told by what a watch was sent: under a delay the header was that of the store, which could be ahead of events still under way.

--- a/crates/cli/src/rehearse/roster.rs
+++ b/crates/cli/src/rehearse/roster.rs
@@ -149,14 +149,14 @@
     pub async fn perform(self: Rc<Self>, from: f64, length: f64) {
         let until = async |share: f64| self.stage.sleep(from + share * length - self.stage.now()).await;
         until(0.15).await;
-        self.etcd.wrongs.breaks_every.set(BREAKS_EVERY);
+        self.etcd.faults.breaks_every.set(BREAKS_EVERY);
         until(0.3).await;
-        self.etcd.wrongs.stalled.set(self.stage.now() + 1.5);
+        self.etcd.faults.stalled.set(self.stage.now() + 1.5);
         until(0.45).await;
         self.etcd.store.borrow_mut().expire_all();
         until(0.55).await;
         // While all watchers are off it changes, and is compacted past what they had seen.
-        self.etcd.wrongs.stalled.set(self.stage.now() + 0.3);
+        self.etcd.faults.stalled.set(self.stage.now() + 0.3);
         self.etcd.cut_off();
         self.executors.borrow().iter().filter(|e| e.is_up()).for_each(|e| self.put(e));
         let revision = self.etcd.store.borrow().revision;
@@ -164,10 +164,10 @@
             eprintln!("nothing was compacted: {status}");
         }
         until(0.65).await;
-        self.etcd.wrongs.delay.set(0.1);
+        self.etcd.faults.delay.set(0.1);
         until(0.75).await;
-        self.etcd.wrongs.delay.set(0.0);
-        self.etcd.wrongs.breaks_every.set(0);
+        self.etcd.faults.delay.set(0.0);
+        self.etcd.faults.breaks_every.set(0);
         // Older data, as after a restore.
         let revision = self.etcd.store.borrow().revision;
         self.etcd.store.borrow_mut().restore(revision - 6);
--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -1,6 +1,7 @@
 //! A client of one endpoint at a time: unary exchanges with a deadline, and streams both ways, over HTTP/2.
 
 use crate::grpc::{CONTENT_TYPE, Malformed, Status, deframe, frame, status};
+use crate::traffic::{Counted, Traffic};
 use async_executor::{LocalExecutor, Task};
 use bytes::{Bytes, BytesMut};
 use futures_lite::future;
@@ -57,6 +58,7 @@
     pub token: RefCell<Option<String>>,
     /// What it says of itself in each exchange, for logs.
     name: RefCell<String>,
+    traffic: Rc<Traffic>,
 }
 
 /// A stream of messages both ways.
@@ -115,9 +117,15 @@
             connection: RefCell::default(),
             token: RefCell::default(),
             name: RefCell::default(),
+            traffic: Rc::default(),
         }
     }
 
+    /// Bytes sent and received over all of this client's connections so far.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
     pub fn says(&self, name: String) {
         *self.name.borrow_mut() = name;
     }
@@ -139,6 +147,7 @@
         }
         let at = self.endpoint().ok_or_else(|| broke("no endpoint is known"))?;
         let stream = orchidtally_net::connect(at, CONNECT_TIME).await.map_err(broke)?;
+        let stream = Counted::new(stream, self.traffic.clone());
         let shaken = orchidtally_net::within(CONNECT_TIME, h2::client::handshake(stream)).await;
         let (sender, driver) = shaken.ok_or(Fault::TimedOut)?.map_err(broke)?;
         let driver = self.tasks.spawn(async {
--- a/crates/etcd/src/lib.rs
+++ b/crates/etcd/src/lib.rs
@@ -3,9 +3,11 @@
 
 pub mod client;
 pub mod grpc;
+pub mod traffic;
 pub mod watch;
 
 pub use client::{Client, Fault};
+pub use traffic::{Counted, Traffic};
 pub use watch::{Told, Watch};
 
 /// The messages, as `proto/etcd.proto` gives them.
--- /dev/null
+++ b/crates/standin/src/etcd/exchange.rs
@@ -0,0 +1,295 @@
+//! One exchange of a client with a member: its token, the wait for a leader, and the answer. Streams of lease renewals
+//! are served here too; those of watches in `watch`.
+
+use super::counters::Exchanges;
+use super::faults::CrashPoint;
+use super::server::Served;
+use super::store::check_key;
+use super::{INVALID_ARGUMENT, MAX_REQUEST_BYTES, UNIMPLEMENTED, refuse};
+use bytes::{Bytes, BytesMut};
+use futures_lite::future;
+use h2::server::SendResponse;
+use orchidtally_etcd::grpc::{CONTENT_TYPE, Status, UNAUTHENTICATED, UNAVAILABLE, deframe, frame, trailers};
+use orchidtally_etcd::rpc::event::EventType;
+use orchidtally_etcd::rpc::*;
+use prost::Message;
+use std::rc::Rc;
+
+/// The longest message on a stream of lease renewals, in bytes.
+const LONGEST_RENEWAL: usize = 1024;
+/// Between looks for a leader, in seconds; changes of the cluster are heard of sooner.
+const LEADER_POLL: f64 = 0.05;
+
+/// Who asks which member.
+#[derive(Clone, Debug)]
+pub(super) struct Caller {
+    pub member: usize,
+    /// The name that the client gives itself, or nothing.
+    pub agent: String,
+}
+
+/// The connection is gone, or goes with this message.
+pub(super) struct Broken;
+
+fn read<M: Message + Default>(bytes: &mut BytesMut) -> Result<M, Status> {
+    match deframe(bytes, MAX_REQUEST_BYTES) {
+        Ok(Some(message)) => Ok(message),
+        _ => refuse(INVALID_ARGUMENT, "etcdserver: a malformed request"),
+    }
+}
+
+/// The next part of a body, with its window given back; none at its end.
+pub(super) async fn next_chunk(body: &mut h2::RecvStream) -> Option<Bytes> {
+    let chunk = body.data().await?.ok()?;
+    // Fails only where the stream has ended, which the next read tells.
+    let _ = body.flow_control().release_capacity(chunk.len());
+    Some(chunk)
+}
+
+async fn whole_body(body: &mut h2::RecvStream) -> Result<BytesMut, Status> {
+    let mut bytes = BytesMut::new();
+    while let Some(chunk) = next_chunk(body).await {
+        bytes.extend_from_slice(&chunk);
+        if bytes.len() > MAX_REQUEST_BYTES {
+            return refuse(INVALID_ARGUMENT, "etcdserver: request is too large");
+        }
+    }
+    Ok(bytes)
+}
+
+fn response_head() -> http::Response<()> {
+    let response = http::Response::builder().header(http::header::CONTENT_TYPE, CONTENT_TYPE);
+    response.body(()).expect("a response of constants")
+}
+
+fn respond_with_status(mut respond: SendResponse<Bytes>, status: &Status) {
+    if let Ok(mut out) = respond.send_response(response_head(), false) {
+        // The client may have gone.
+        let _ = out.send_trailers(trailers(status));
+    }
+}
+
+impl Served {
+    /// What a message waits for before it is answered: fails where the connections break with it.
+    pub(super) async fn wait_for_faults(&self) -> Result<(), Broken> {
+        self.stage.sleep(self.faults.delay.get()).await;
+        self.stage.sleep(self.faults.stalled.ends() - self.stage.now()).await;
+        self.messages.set(self.messages.get() + 1);
+        let every = self.faults.breaks_every.get();
+        if every > 0 && self.messages.get().is_multiple_of(every) {
+            self.cut_off();
+            return Err(Broken);
+        }
+        Ok(())
+    }
+
+    /// Waits until the member follows a leader; fails when the time for that is over.
+    async fn wait_for_leader(&self, member: usize) -> Result<(), Status> {
+        let deadline = self.stage.now() + self.timing.request_timeout.get();
+        while !self.has_leader(member) {
+            if self.stage.now() >= deadline {
+                self.count(member, |exchanges| exchanges.failures += 1);
+                return refuse(UNAVAILABLE, "etcdserver: request timed out");
+            }
+            let changed = self.store.borrow().next_change();
+            future::or(changed, self.stage.sleep(LEADER_POLL)).await;
+        }
+        Ok(())
+    }
+
+    pub(super) fn count(&self, member: usize, add: impl FnOnce(&mut Exchanges)) {
+        self.counters[member].count(add);
+    }
+
+    /// Headers of the store's answers are the member's from now on.
+    pub(super) fn answer_as(&self, member: usize) {
+        let term = self.cluster.borrow().term();
+        self.store.borrow_mut().answer_as(member as u64 + 1, term);
+    }
+
+    pub(super) fn tell(&self, agent: &str, event: &Event) {
+        let hears = self.told.borrow().clone();
+        if let Some(hears) = hears {
+            hears(agent, event);
+        }
+    }
+
+    pub(super) async fn exchange(
+        self: Rc<Self>,
+        member: usize,
+        request: http::Request<h2::RecvStream>,
+        mut respond: SendResponse<Bytes>,
+    ) {
+        let path = request.uri().path().to_owned();
+        let header = |name| request.headers().get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
+        let token = header("token");
+        let caller = Caller { member, agent: header("user-agent").unwrap_or_default() };
+        let body = request.into_body();
+        let wanted = self.faults.token.borrow().clone();
+        if wanted.is_some() && wanted != token && path != orchidtally_etcd::AUTHENTICATE {
+            let message = "etcdserver: invalid auth token".into();
+            return respond_with_status(respond, &Status { code: UNAUTHENTICATED, message });
+        }
+        match path.as_str() {
+            orchidtally_etcd::WATCH => {
+                if let Ok(out) = respond.send_response(response_head(), false) {
+                    self.serve_watches(caller, body, out).await;
+                }
+            }
+            orchidtally_etcd::LEASE_KEEP_ALIVE => {
+                if let Ok(out) = respond.send_response(response_head(), false) {
+                    self.renew_leases(member, body, out).await;
+                }
+            }
+            _ => self.answer_unary(&caller, &path, body, respond).await,
+        }
+    }
+
+    async fn answer_unary(
+        &self,
+        caller: &Caller,
+        path: &str,
+        mut body: h2::RecvStream,
+        mut respond: SendResponse<Bytes>,
+    ) {
+        let mut request = match whole_body(&mut body).await {
+            Ok(request) => request,
+            Err(status) => return respond_with_status(respond, &status),
+        };
+        if self.wait_for_faults().await.is_err() {
+            return;
+        }
+        let answered = if path == orchidtally_etcd::RANGE {
+            self.answer_range(caller, &mut request).await
+        } else if path == orchidtally_etcd::TXN {
+            match self.answer_transaction(caller, &mut request).await {
+                Ok(answered) => answered,
+                Err(Broken) => return,
+            }
+        } else {
+            self.answer_by_leader(caller, path, &mut request).await
+        };
+        let answer = match answered {
+            Ok(answer) => answer,
+            Err(status) => return respond_with_status(respond, &status),
+        };
+        let Ok(mut out) = respond.send_response(response_head(), false) else { return };
+        if out.send_data(answer, false).is_ok() {
+            // The client may have gone.
+            let _ = out.send_trailers(trailers(&Status { code: 0, message: String::new() }));
+        }
+    }
+
+    async fn answer_range(&self, caller: &Caller, request: &mut BytesMut) -> Result<Bytes, Status> {
+        let request: RangeRequest = read(request)?;
+        let member = caller.member;
+        if request.serializable {
+            self.count(member, |exchanges| exchanges.serializable_ranges += 1);
+        } else {
+            self.count(member, |exchanges| exchanges.linearizable_ranges += 1);
+            self.wait_for_leader(member).await?;
+        }
+        self.answer_as(member);
+        let response = self.store.borrow().range_in(&request, self.view(member))?;
+        for entry in &response.kvs {
+            let event = Event { r#type: EventType::Put.into(), kv: Some(entry.clone()), prev_kv: None };
+            self.tell(&caller.agent, &event);
+        }
+        Ok(frame(&response))
+    }
+
+    /// A transaction, in which members may stop if the script wants it.
+    async fn answer_transaction(
+        &self,
+        caller: &Caller,
+        request: &mut BytesMut,
+    ) -> Result<Result<Bytes, Status>, Broken> {
+        let member = caller.member;
+        self.count(member, |exchanges| exchanges.transactions += 1);
+        let request: TxnRequest = match read(request) {
+            Ok(request) => request,
+            Err(status) => return Ok(Err(status)),
+        };
+        if let Err(status) = self.wait_for_leader(member).await {
+            return Ok(Err(status));
+        }
+        let crash = self.faults.crash.take();
+        if let Some(crash) = crash.filter(|crash| crash.point == CrashPoint::BeforeCommit) {
+            self.crash(member, crash.members);
+            return Err(Broken);
+        }
+        self.answer_as(member);
+        let answered = self.store.borrow_mut().txn(&request);
+        if let Some(crash) = crash {
+            self.crash(member, crash.members);
+            return Err(Broken);
+        }
+        Ok(answered.map(|response| frame(&response)))
+    }
+
+    async fn answer_by_leader(
+        &self,
+        caller: &Caller,
+        path: &str,
+        request: &mut BytesMut,
+    ) -> Result<Bytes, Status> {
+        self.count(caller.member, |exchanges| match path {
+            orchidtally_etcd::PUT => exchanges.puts += 1,
+            orchidtally_etcd::DELETE_RANGE => exchanges.deletes += 1,
+            orchidtally_etcd::COMPACT => exchanges.compactions += 1,
+            orchidtally_etcd::LEASE_GRANT => exchanges.lease_grants += 1,
+            orchidtally_etcd::LEASE_REVOKE => exchanges.lease_revocations += 1,
+            orchidtally_etcd::AUTHENTICATE => exchanges.sign_ins += 1,
+            _ => exchanges.failures += 1,
+        });
+        self.wait_for_leader(caller.member).await?;
+        self.answer_as(caller.member);
+        let now = self.stage.now();
+        let mut store = self.store.borrow_mut();
+        Ok(match path {
+            orchidtally_etcd::PUT => frame(&store.put(&read(request)?)?),
+            orchidtally_etcd::DELETE_RANGE => {
+                let delete: DeleteRangeRequest = read(request)?;
+                check_key(&delete.key)?;
+                frame(&store.delete(&delete))
+            }
+            orchidtally_etcd::COMPACT => frame(&store.compact(read::<CompactionRequest>(request)?.revision)?),
+            orchidtally_etcd::LEASE_GRANT => {
+                frame(&store.grant(now, read::<LeaseGrantRequest>(request)?.ttl))
+            }
+            orchidtally_etcd::LEASE_REVOKE => {
+                store.revoke(read::<LeaseRevokeRequest>(request)?.id);
+                frame(&LeaseRevokeResponse { header: store.header() })
+            }
+            orchidtally_etcd::AUTHENTICATE => {
+                let token = self.faults.token.borrow().clone().unwrap_or_default();
+                frame(&AuthenticateResponse { header: store.header(), token })
+            }
+            _ => return refuse(UNIMPLEMENTED, "unknown method"),
+        })
+    }
+
+    /// Each request on the stream has its answer, for as long as the member follows a leader.
+    async fn renew_leases(&self, member: usize, mut body: h2::RecvStream, mut out: h2::SendStream<Bytes>) {
+        let mut bytes = BytesMut::new();
+        while let Some(chunk) = next_chunk(&mut body).await {
+            bytes.extend_from_slice(&chunk);
+            while let Ok(Some(request)) = deframe::<LeaseKeepAliveRequest>(&mut bytes, LONGEST_RENEWAL) {
+                if self.wait_for_faults().await.is_err() {
+                    return;
+                }
+                self.count(member, |exchanges| exchanges.lease_renewals += 1);
+                if let Err(status) = self.wait_for_leader(member).await {
+                    // The client may have gone.
+                    let _ = out.send_trailers(trailers(&status));
+                    return;
+                }
+                self.answer_as(member);
+                let answer = self.store.borrow_mut().keep_alive(self.stage.now(), request.id);
+                if out.send_data(frame(&answer), false).is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/etcd/link.rs
@@ -0,0 +1,116 @@
+//! A client's connection to a member. While the link between their regions is cut nothing passes, as over a network
+//! that loses every packet; what was under way arrives once it is healed.
+
+use super::cluster::Region;
+use orchidtally_etcd::Counted;
+use orchidtally_net::Stream;
+use std::cell::{Cell, RefCell};
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// The state of a connection, which its script holds beside the stream.
+#[derive(Debug)]
+pub(super) struct Link {
+    pub member: usize,
+    pub client_region: Region,
+    is_cut: Cell<bool>,
+    reader: RefCell<Option<Waker>>,
+    writer: RefCell<Option<Waker>>,
+    /// Closed once the connection is broken off.
+    alive: (async_channel::Sender<()>, async_channel::Receiver<()>),
+}
+
+impl Link {
+    pub fn new(member: usize, client_region: Region, is_cut: bool) -> Link {
+        Link {
+            member,
+            client_region,
+            is_cut: Cell::new(is_cut),
+            reader: RefCell::default(),
+            writer: RefCell::default(),
+            alive: async_channel::bounded(1),
+        }
+    }
+
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.set(is_cut);
+        if !is_cut {
+            for waker in [self.reader.take(), self.writer.take()].into_iter().flatten() {
+                waker.wake();
+            }
+        }
+    }
+
+    /// Ends the connection.
+    pub fn break_off(&self) {
+        self.alive.0.close();
+    }
+
+    /// Waits until the connection is broken off.
+    pub async fn broken(&self) {
+        // Nothing is ever sent: the channel closes.
+        let _ = self.alive.1.recv().await;
+    }
+
+    fn poll_passable(&self, cx: &mut Context<'_>, waiting: &RefCell<Option<Waker>>) -> Poll<()> {
+        if !self.is_cut.get() {
+            return Poll::Ready(());
+        }
+        *waiting.borrow_mut() = Some(cx.waker().clone());
+        Poll::Pending
+    }
+}
+
+/// The stream of a connection, which passes nothing while its link is cut.
+pub(super) struct LinkStream {
+    stream: Counted<Stream>,
+    link: Rc<Link>,
+}
+
+impl LinkStream {
+    pub fn new(stream: Counted<Stream>, link: Rc<Link>) -> LinkStream {
+        LinkStream { stream, link }
+    }
+}
+
+impl AsyncRead for LinkStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        std::task::ready!(self.link.poll_passable(cx, &self.link.reader));
+        Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl AsyncWrite for LinkStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        std::task::ready!(self.link.poll_passable(cx, &self.link.writer));
+        Pin::new(&mut self.stream).poll_write(cx, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        std::task::ready!(self.link.poll_passable(cx, &self.link.writer));
+        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/etcd_watch.rs
@@ -0,0 +1,159 @@
+//! Watches on the store's stand-in over sockets: compaction, progress, several on a stream, and hundreds of them.
+
+mod kit;
+
+use kit::*;
+use orchidtally_etcd::rpc::watch_request::RequestUnion;
+use orchidtally_etcd::rpc::*;
+use orchidtally_etcd::{Told, WATCH, client::Both};
+use std::cell::Cell;
+use std::rc::Rc;
+
+#[test]
+fn a_compaction_tells_watchers_that_are_behind_and_leaves_the_others() {
+    let (stage, served) = cluster(7);
+    on(&stage, async {
+        let client = client(&stage, served.addresses[0]);
+        let first = revision(put(&client, "p/a", "1").await.unwrap().header);
+        let mut synced = Watcher::begin(&client, "p/", first).await;
+        assert!(matches!(&synced.next().await[..], [Told::Events { .. }]));
+        // Both happen before any watch is served.
+        put_here(&served, "p/b");
+        served.store.borrow_mut().compact(first + 1).unwrap();
+        assert_eq!(synced.next().await, [Told::Compacted { revision: first + 2 }]);
+        let mut late = Watcher::begin(&client, "p/", first).await;
+        assert_eq!(late.next().await, [Told::Compacted { revision: first + 2 }]);
+        let mut current = Watcher::begin(&client, "p/", first + 2).await;
+        put_here(&served, "p/c");
+        assert!(matches!(&current.next().await[..], [Told::Events { .. }]));
+        served.store.borrow_mut().compact(first + 2).unwrap();
+        put_here(&served, "p/d");
+        assert!(matches!(&current.next().await[..], [Told::Events { .. }]), "it has heard of all before");
+    });
+}
+
+#[test]
+fn progress_never_tells_of_more_than_was_delivered() {
+    let (stage, served) = cluster(8);
+    on(&stage, async {
+        let client = client(&stage, served.addresses[0]);
+        served.faults.delay.set(0.03);
+        let mut watcher = Watcher::begin(&client, "p/", 2).await;
+        let last = Rc::new(Cell::new(0));
+        let (writing, written) = (served.clone(), last.clone());
+        let writer_stage = stage.clone();
+        let writer = stage.spawn(async move {
+            for n in 0..40 {
+                written.set(put_here(&writing, &format!("p/{n}")));
+                writer_stage.sleep(0.01).await;
+            }
+        });
+        let ask = RequestUnion::ProgressRequest(WatchProgressRequest {});
+        let ask = WatchRequest { request_union: Some(ask) };
+        let (mut heard, mut finished) = (1, false);
+        while !finished {
+            watcher.stream.send(&ask).unwrap();
+            for told in watcher.next().await {
+                match told {
+                    Told::Events { events, .. } => {
+                        for event in events {
+                            let modified = event.kv.unwrap().mod_revision;
+                            assert_eq!(modified, heard + 1, "none is left out");
+                            heard = modified;
+                        }
+                    }
+                    Told::Progress { header } => assert_eq!(header.revision, heard),
+                    other => panic!("{other:?}"),
+                }
+            }
+            finished = writer.is_finished() && heard == last.get();
+        }
+        assert_eq!(heard, 41);
+    });
+}
+
+#[test]
+fn several_watches_share_a_stream_and_end_singly() {
+    let (stage, served) = cluster(9);
+    on(&stage, async {
+        let client = client(&stage, served.addresses[0]);
+        let create = |prefix: &'static str| WatchRequest {
+            request_union: Some(RequestUnion::CreateRequest(WatchCreateRequest {
+                key: prefix.into(),
+                range_end: orchidtally_etcd::range_end(prefix.as_bytes()).into(),
+                ..WatchCreateRequest::default()
+            })),
+        };
+        let mut stream: Both<WatchResponse> = client.both(WATCH, &create("a/"), ANSWER_TIME).await.unwrap();
+        let first = stream.next().await.unwrap();
+        stream.send(&create("b/")).unwrap();
+        let second = stream.next().await.unwrap();
+        assert!(first.created && second.created && first.watch_id != second.watch_id);
+        assert_eq!(served.counters(0).watches_open, 2);
+        put_here(&served, "b/1");
+        assert_eq!(stream.next().await.unwrap().watch_id, second.watch_id);
+        let cancel = RequestUnion::CancelRequest(WatchCancelRequest { watch_id: second.watch_id });
+        stream.send(&WatchRequest { request_union: Some(cancel) }).unwrap();
+        assert!(stream.next().await.unwrap().canceled);
+        put_here(&served, "b/2");
+        put_here(&served, "a/1");
+        assert_eq!(stream.next().await.unwrap().watch_id, first.watch_id);
+        drop((stream, client));
+        while served.total_counters().watches_open > 0 {
+            stage.sleep(0.01).await;
+        }
+    });
+}
+
+/// The bound is generous, and of the order of what a scan of the log for each watch would need many times over.
+#[test]
+fn five_hundred_watchers_hear_a_burst_of_five_hundred_changes() {
+    const WATCHERS: usize = 500;
+    const CHANGES: usize = 500;
+    const BOUND: f64 = 40.0;
+    let (stage, served) = cluster(10);
+    on(&stage, async {
+        for n in 0..21_000 {
+            put_here(&served, &format!("other/{n}"));
+        }
+        let from = served.store.borrow().revision + 1;
+        let mut watching = vec![];
+        for n in 0..WATCHERS {
+            let client = client(&stage, served.addresses[n % REGIONS.len()]);
+            watching.push((Watcher::begin(&client, "p/", from).await, client));
+        }
+        assert_eq!(served.total_counters().watches_open, WATCHERS as u64);
+        let started = stage.now();
+        let watching: Vec<_> = watching
+            .into_iter()
+            .map(|(mut watcher, client)| {
+                stage.spawn(async move {
+                    let mut heard = 0;
+                    while heard < CHANGES {
+                        for told in watcher.next().await {
+                            if let Told::Events { events, .. } = told {
+                                heard += events.len();
+                            }
+                        }
+                    }
+                    drop(client);
+                    heard
+                })
+            })
+            .collect();
+        let writer = client(&stage, served.addresses[0]);
+        for n in 0..CHANGES {
+            put(&writer, &format!("p/{n}"), &"x".repeat(300)).await.unwrap();
+        }
+        for watcher in watching {
+            assert_eq!(watcher.await, CHANGES);
+        }
+        let took = stage.now() - started;
+        assert!(took < BOUND, "{took:.1} s");
+        let total = served.total_counters();
+        let least = (WATCHERS * CHANGES * 300) as u64;
+        assert_eq!(total.exchanges.watch_events, (WATCHERS * CHANGES) as u64);
+        assert!(total.bytes_sent > least && total.bytes_sent < 2 * least, "{total:?}");
+        assert_eq!(total.exchanges.puts, CHANGES as u64);
+    });
+}
--- /dev/null
+++ b/crates/standin/tests/kit/mod.rs
@@ -0,0 +1,100 @@
+//! What the tests of the store's members share: a cluster in three regions, clients, and watchers.
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use bytes::Bytes;
+use futures_lite::future;
+use orchidtally_etcd::grpc::UNAVAILABLE;
+use orchidtally_etcd::rpc::watch_request::RequestUnion;
+use orchidtally_etcd::rpc::*;
+use orchidtally_etcd::{Client, Fault, PUT, RANGE, Told, WATCH, Watch, client::Both};
+use orchidtally_standin::Stage;
+use orchidtally_standin::etcd::Served;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Two regions with two members and one with one.
+pub const REGIONS: [u32; 5] = [0, 0, 1, 1, 2];
+pub const ANSWER_TIME: Duration = Duration::from_secs(5);
+/// Generous: what a loaded machine may take for any one case.
+pub const CASE_TIME: f64 = 60.0;
+
+pub fn on<T>(stage: &Stage, work: impl Future<Output = T>) -> T {
+    let late = async {
+        stage.sleep(CASE_TIME).await;
+        panic!("the case did not end");
+    };
+    async_io::block_on(stage.tasks.run(future::or(work, late)))
+}
+
+pub fn cluster(seed: u64) -> (Stage, Rc<Served>) {
+    let stage = Stage::new(seed);
+    let served = Served::start_in_regions(&stage, &REGIONS).unwrap();
+    served.timing.election_time.set(0.2);
+    served.timing.request_timeout.set(0.4);
+    (stage, served)
+}
+
+pub fn client(stage: &Stage, to: SocketAddr) -> Client {
+    Client::new(vec![to], stage.tasks.clone())
+}
+
+pub async fn put(client: &Client, key: &str, value: &str) -> Result<PutResponse, Fault> {
+    let key = Bytes::from(key.to_owned());
+    let put = PutRequest { key, value: Bytes::from(value.to_owned()), ..PutRequest::default() };
+    client.unary(PUT, &put, ANSWER_TIME).await
+}
+
+pub async fn get(client: &Client, key: &str, serializable: bool) -> Result<RangeResponse, Fault> {
+    let key = Bytes::from(key.to_owned());
+    client.unary(RANGE, &RangeRequest { key, serializable, ..RangeRequest::default() }, ANSWER_TIME).await
+}
+
+pub fn value(found: &RangeResponse) -> Option<String> {
+    Some(String::from_utf8(found.kvs.first()?.value.to_vec()).unwrap())
+}
+
+pub fn is_unavailable<T>(result: &Result<T, Fault>) -> bool {
+    matches!(result, Err(Fault::Refused(status)) if status.code == UNAVAILABLE)
+}
+
+pub fn revision(header: Option<ResponseHeader>) -> i64 {
+    header.unwrap().revision
+}
+
+pub struct Watcher {
+    pub watch: Watch,
+    pub stream: Both<WatchResponse>,
+}
+
+impl Watcher {
+    pub async fn begin(client: &Client, prefix: &str, from: i64) -> Watcher {
+        let mut watch = Watch::new(prefix.as_bytes().to_vec(), from);
+        let stream = client.both(WATCH, &watch.request(), ANSWER_TIME).await.unwrap();
+        let mut watcher = Watcher { watch, stream };
+        assert_eq!(watcher.next().await, [Told::Created]);
+        watcher
+    }
+
+    pub async fn next(&mut self) -> Vec<Told> {
+        self.watch.received(self.stream.next().await.unwrap())
+    }
+
+    /// The revision that the member tells when it is asked for progress.
+    pub async fn progress(&mut self) -> i64 {
+        let ask = RequestUnion::ProgressRequest(WatchProgressRequest {});
+        self.stream.send(&WatchRequest { request_union: Some(ask) }).unwrap();
+        loop {
+            if let Some(Told::Progress { header }) = self.next().await.first() {
+                return header.revision;
+            }
+        }
+    }
+}
+
+/// Puts a key as a script does, whatever members run.
+pub fn put_here(served: &Served, key: &str) -> i64 {
+    let put = PutRequest { key: Bytes::from(key.to_owned()), value: "v".into(), ..PutRequest::default() };
+    revision(served.store.borrow_mut().put(&put).unwrap().header)
+}
