Read the deployment file again on SIGHUP, whole or not at all

SIGHUP ended 'orchidtally serve': each front end read its file once, and nothing carried a change. Functions, customers' shares and trigger types now stand in revisions of the hub. An invocation holds the revision of its admission; a changed trigger type gets an index of the engine that nobody holds. A file with faults, without content, or with changes that need a restart changes nothing, and the log names line, key and remedy.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -10,6 +10,7 @@
 mod rollout;
 mod roster;
 mod serve;
+mod signals;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use orchidtally_deployment::Deployment;
@@ -76,11 +77,20 @@
 
 /// With its triggers, where it has some.
 pub fn read_whole(file: &Path) -> Result<(Deployment, Option<Section>), u8> {
-    let text = std::fs::read_to_string(file).map_err(|e| {
+    check_text(file, &read_text(file)?)
+}
+
+/// The text of a deployment file.
+pub fn read_text(file: &Path) -> Result<String, u8> {
+    std::fs::read_to_string(file).map_err(|e| {
         eprintln!("{}: {e}", file.display());
         BAD_INPUT
-    })?;
-    orchidtally_trigger::read(&text).map_err(|faults| {
+    })
+}
+
+/// Reads a deployment file's text; faults go to standard error with the file's name.
+pub fn check_text(file: &Path, text: &str) -> Result<(Deployment, Option<Section>), u8> {
+    orchidtally_trigger::read(text).map_err(|faults| {
         for fault in &faults {
             eprintln!("{}:{fault}", file.display());
         }
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,11 +1,10 @@
 //! `orchidtally serve`.
 
-use crate::{BAD_INPUT, COULD_NOT_RUN, local, read_whole};
-use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use crate::{BAD_INPUT, COULD_NOT_RUN, check_text, local, read_text, signals};
 use orchidtally_frontend::Start;
 use orchidtally_frontend::book::Book;
 use orchidtally_frontend::mqtt::Triggers;
+use orchidtally_frontend::reload::Reloads;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -75,12 +74,25 @@
     orchidtally_platform::run(start, file, signals).map(drop).map_err(unable)
 }
 
+/// What reads the deployment file again, and what it is told by.
+fn reading_again(path: PathBuf, text: String) -> (async_channel::Sender<()>, Reloads) {
+    let (reread, rereads) = async_channel::bounded(1);
+    let (tell, read) = async_channel::bounded(1);
+    signals::read_again(path.clone(), rereads, tell);
+    (reread, Reloads { path, text, read })
+}
+
 pub fn run(arguments: Arguments) -> Result<(), u8> {
     if arguments.platform {
         return platform();
     }
-    let (mut deployment, section) = match &arguments.deployment {
-        Some(file) => read_whole(file)?,
+    let caught = signals::catch().map_err(|e| {
+        eprintln!("can't wait for signals: {e}");
+        COULD_NOT_RUN
+    })?;
+    let text = arguments.deployment.as_deref().map(read_text).transpose()?;
+    let (mut deployment, section) = match arguments.deployment.as_deref().zip(text.as_deref()) {
+        Some((file, text)) => check_text(file, text)?,
         None => local::deployment(arguments.listen).map(|d| (d, None)).map_err(|e| {
             eprintln!("no local executors: {e}");
             COULD_NOT_RUN
@@ -117,16 +129,14 @@
             stop.close();
         });
     }
-    let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| {
-        eprintln!("can't wait for signals: {e}");
-        COULD_NOT_RUN
-    })?;
-    std::thread::spawn(move || {
-        // The channel closes with this thread's end, which stops the front end as well.
-        let signal = async_io::block_on(signals.next());
-        info!(?signal, "told to end");
-        stop.close();
-    });
+    let (reread, reloads) = match arguments.deployment.clone().zip(text) {
+        Some((path, text)) => {
+            let (reread, reloads) = reading_again(path, text);
+            (Some(reread), Some(reloads))
+        }
+        None => (None, None),
+    };
+    signals::follow(caught, stop, reread);
     let mut words = format!("listening on http://{at}\n");
     if arguments.deployment.is_none() {
         words += &format!("try: curl -d 'hello' http://{at}/v1/functions/upper/invocations\n");
@@ -144,6 +154,7 @@
         random: arguments.random,
         triggers,
         book,
+        reloads,
     };
     let tally = orchidtally_frontend::run(start, listener);
     info!(?tally, "ended");
--- a/crates/coordinator/tests/sockets.rs
+++ b/crates/coordinator/tests/sockets.rs
@@ -150,6 +150,7 @@
             random: false,
             triggers: None,
             book: None,
+            reloads: None,
         };
         let tally = orchidtally_frontend::run(start, listener);
         assert_eq!(tally.overdue, 0);
--- a/crates/deployment/src/reader.rs
+++ b/crates/deployment/src/reader.rs
@@ -181,6 +181,11 @@
         if self.key.is_empty() { name.into() } else { format!("{}.{name}", self.key) }
     }
 
+    /// The value as it is written, without comments, spaces and the order of keys.
+    pub fn written(&self) -> String {
+        self.value.map_or_else(String::new, written)
+    }
+
     /// The elements of a list; none where it is left out.
     pub fn list(&self) -> Vec<Place<'a, 'd>> {
         match self.value {
@@ -306,6 +311,27 @@
     }
 }
 
+/// A value in one form whatever its spaces, comments and order of keys.
+fn written(value: &Value) -> String {
+    match value {
+        Value::StringLit(text) => format!("{:?}", text.value),
+        Value::NumberLit(number) => number.value.to_owned(),
+        Value::BooleanLit(flag) => flag.value.to_string(),
+        Value::NullKeyword(_) => "null".into(),
+        Value::Array(list) => {
+            let elements: Vec<String> = list.elements.iter().map(written).collect();
+            format!("[{}]", elements.join(","))
+        }
+        Value::Object(object) => {
+            let property =
+                |p: &jsonc_parser::ast::ObjectProp| format!("{:?}:{}", p.name.as_str(), written(&p.value));
+            let mut properties: Vec<String> = object.properties.iter().map(property).collect();
+            properties.sort_unstable();
+            format!("{{{}}}", properties.join(","))
+        }
+    }
+}
+
 /// The fields of an object.
 pub struct Fields<'a, 'd> {
     place: Place<'a, 'd>,
--- a/crates/frontend/benches/triggers.rs
+++ b/crates/frontend/benches/triggers.rs
@@ -123,6 +123,7 @@
                 random: false,
                 triggers: Some(triggers),
                 book: None,
+                reloads: None,
             };
             orchidtally_frontend::run(start, listener);
         });
--- a/crates/frontend/src/hub/exchange.rs
+++ b/crates/frontend/src/hub/exchange.rs
@@ -73,8 +73,8 @@
         (work, function): (Rc<Work>, u64),
         left: f64,
     ) {
-        let trigger_type = &self.deployment.trigger_types[work.trigger_type];
-        let effect = match self.deployment.terms.trigger_types[work.trigger_type].effect {
+        let trigger = &work.trigger_type.trigger;
+        let effect = match work.trigger_type.terms.effect {
             Effect::Idempotent => v1::Effect::Idempotent,
             Effect::Tokened => v1::Effect::Tokened,
             Effect::NonIdempotent => v1::Effect::NonIdempotent,
@@ -85,7 +85,7 @@
             number: work.dispatched + u32::from(n),
             digest: work.digest.to_string(),
             function: work.function.to_string(),
-            trigger_type: trigger_type.name.clone(),
+            trigger_type: trigger.name.clone(),
             customer: work.customer.clone(),
             effect: effect.into(),
             token: work.token.clone(),
@@ -123,7 +123,7 @@
         }
         let took = || Some((began.elapsed().as_secs_f64(), matches!(found, Found::Warm | Found::Untold)));
         let (seen, brought) = match answer.ending() {
-            v1::Ending::Ok if answer.streams && trigger_type.streams => {
+            v1::Ending::Ok if answer.streams && trigger.streams => {
                 let (parts, body) = async_channel::bounded(STREAM_PARTS);
                 let mine = self.play(|engine, now, performer| {
                     performer.brought = Some(Brought::Streamed(body));
--- a/crates/frontend/src/hub/invocation.rs
+++ b/crates/frontend/src/hub/invocation.rs
@@ -1,6 +1,7 @@
 //! Invocations: what they carry, how one is taken, and their final answers.
 
 use super::Hub;
+use super::revision::TriggerTypeInForce;
 use bytes::Bytes;
 use futures_channel::oneshot;
 use orchidtally_deployment::Function;
@@ -27,7 +28,7 @@
     pub last: Cell<u64>,
     /// Dispatches that it had before it was moved to another version.
     pub dispatched: u32,
-    pub trigger_type: usize,
+    pub trigger_type: Rc<TriggerTypeInForce>,
     pub customer: String,
     pub token: String,
     pub payload: Vec<Bytes>,
@@ -39,8 +40,8 @@
     pub name: String,
     pub function: Rc<str>,
     pub resolved: Resolved,
-    pub trigger_type: usize,
-    /// Its place among the deployment's, and its name.
+    pub trigger_type: Rc<TriggerTypeInForce>,
+    /// Its index in the engine, and its name.
     pub customer: (usize, &'a str),
     pub token: &'a str,
     pub repeat: bool,
@@ -97,7 +98,7 @@
     pub fn take_asked(&self, asked: Asked) -> Result<Taken, Refused> {
         let Resolved { version, invoked } = asked.resolved;
         let offer = Offer {
-            trigger_type: asked.trigger_type,
+            trigger_type: asked.trigger_type.index,
             customer: asked.customer.0,
             function: version.key,
             repeat: asked.repeat,
@@ -144,8 +145,9 @@
     /// What the coordinators said, and what is due by the time: runs that were taken back give up what waits.
     pub fn rollouts_turn(&self, published: Option<Published>) {
         let now = self.now();
+        let revision = self.revision();
         let mut shares = self.shares.borrow_mut();
-        let find = |name: &str| self.deployment.functions.get(name).cloned();
+        let find = |name: &str| revision.deployment.functions.get(name).cloned();
         let mut back = published.map_or_else(Vec::new, |p| shares.adopt(now, p, find));
         back.extend(shares.turn(now));
         let due = shares.ahead(now);
--- a/crates/frontend/src/hub/mod.rs
+++ b/crates/frontend/src/hub/mod.rs
@@ -4,8 +4,11 @@
 mod exchange;
 mod invocation;
 mod performer;
+mod reconfigure;
+mod revision;
 
 pub use invocation::{Asked, Brought, CutOff, Final};
+pub use reconfigure::ReconfigureError;
 
 use crate::book::Book;
 use async_executor::{LocalExecutor, Task};
@@ -20,6 +23,7 @@
 use orchidtally_rollout::Shares;
 use orchidtally_wire::v1;
 use performer::Performer;
+use reconfigure::Revisions;
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::hash::{Hash, Hasher};
@@ -32,7 +36,9 @@
 const UPKEEP: Duration = Duration::from_secs(1);
 
 pub struct Hub {
-    pub deployment: Deployment,
+    /// As the front end started with it. What may have changed since is in [`Hub::revision`].
+    pub deployment: Rc<Deployment>,
+    revisions: Revisions,
     /// Its index changes where it claims one in etcd.
     pub sender: Cell<v1::Sender>,
     /// The roster and the front ends, where they come from etcd.
@@ -54,6 +60,7 @@
     /// How triggers stand, where there are any.
     pub triggers: Cell<Option<crate::mqtt::Standing>>,
     pub book: Option<Rc<Book>>,
+    is_leaving: Cell<bool>,
     /// Where it takes invocations.
     pub at: Cell<Option<SocketAddr>>,
 }
@@ -83,6 +90,7 @@
         book: Option<Rc<Book>>,
         spawner: &Rc<LocalExecutor<'static>>,
     ) -> Rc<Hub> {
+        let deployment = Rc::new(deployment);
         let started = Instant::now();
         let clock = RefCell::new(Clock::new(0.0, wall() + ahead));
         let now = clock.borrow_mut().read(0.0);
@@ -107,6 +115,7 @@
             };
             Hub {
                 shares: RefCell::new(Shares::new(place, now)),
+                revisions: Revisions::new(deployment.clone()),
                 deployment,
                 sender: Cell::new(sender),
                 cache: RefCell::new(Cache::new(now)),
@@ -123,6 +132,7 @@
                 index_taken: Cell::new(0),
                 triggers: Cell::new(None),
                 book,
+                is_leaving: Cell::new(false),
                 at: Cell::new(None),
             }
         });
@@ -207,10 +217,16 @@
         }
     }
 
+    /// Takes nothing new from now on.
     pub fn leave(&self) {
+        self.is_leaving.set(true);
         self.engine.borrow_mut().leave();
     }
 
+    pub fn is_leaving(&self) -> bool {
+        self.is_leaving.get()
+    }
+
     pub fn open(&self) -> usize {
         self.engine.borrow().open()
     }
--- a/crates/frontend/src/hub/performer.rs
+++ b/crates/frontend/src/hub/performer.rs
@@ -135,7 +135,7 @@
             failed: Cell::new(false),
             last: Cell::new(0),
             dispatched: work.dispatched + dispatched,
-            trigger_type: work.trigger_type,
+            trigger_type: work.trigger_type.clone(),
             customer: work.customer.clone(),
             token: work.token.clone(),
             payload: work.payload.clone(),
@@ -172,8 +172,8 @@
             }
             shares.came(invoked, came, client.work.failed.get());
             let failed = !matches!(came, Came::Succeeded { .. });
-            let terms = &hub.deployment.terms.trigger_types[client.work.trigger_type];
-            let may = may_move(terms.effect == Effect::Idempotent, may_have_run);
+            let effect = client.work.trigger_type.terms.effect;
+            let may = may_move(effect == Effect::Idempotent, may_have_run);
             let to = shares.goes_back_to(invoked.run).filter(|_| failed && may && invoked.arm == Arm::New);
             if let Some(to) = to.filter(|_| client.offer.timeout_at - hub.now() > LEAST_MOVED) {
                 self.moving.push(Moving { client, to, dispatched: MOST_DISPATCHES });
--- /dev/null
+++ b/crates/frontend/src/hub/reconfigure.rs
@@ -0,0 +1,177 @@
+//! Replaces the revision in force, whole or not at all.
+
+use super::Hub;
+use super::revision::{CustomerInForce, Indices, Revision, TriggerTypeInForce};
+use orchidtally::interface::{ConfigRefused, TriggerType, check_quotas};
+use orchidtally_deployment::{Deployment, Trigger};
+use std::cell::RefCell;
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use thiserror::Error;
+
+/// Trigger types that may be in force or held by open invocations at a time.
+const MAX_TRIGGER_TYPES: usize = 1_024;
+
+/// Why a revision was not put in force. The one before goes on to hold.
+#[derive(Debug, Error)]
+pub enum ReconfigureError {
+    #[error(
+        "{MAX_TRIGGER_TYPES} trigger types are in force or held by open invocations; list fewer, or try again when \
+         older invocations have ended"
+    )]
+    TooManyTriggerTypes,
+    #[error("the engine refused it: {0}")]
+    Refused(#[from] ConfigRefused),
+}
+
+/// The revision in force, and who holds which of the engine's indices.
+pub(super) struct Revisions {
+    current: RefCell<Rc<Revision>>,
+    trigger_types: RefCell<Indices<TriggerTypeInForce>>,
+    customers: RefCell<Indices<CustomerInForce>>,
+}
+
+impl Revisions {
+    /// The first revision: that of the deployment file, with the places of its lists as indices.
+    pub(super) fn new(deployment: Rc<Deployment>) -> Revisions {
+        let trigger_types: Vec<_> = listed_trigger_types(&deployment)
+            .enumerate()
+            .map(|(index, (trigger, terms))| Rc::new(TriggerTypeInForce { trigger, terms, index }))
+            .collect();
+        let customers: Vec<_> = listed_customers(&deployment)
+            .enumerate()
+            .map(|(index, (name, share))| (name, Rc::new(CustomerInForce { index, share })))
+            .collect();
+        Revisions {
+            trigger_types: RefCell::new(Indices::new(trigger_types.iter())),
+            customers: RefCell::new(Indices::new(customers.iter().map(|(_, customer)| customer))),
+            current: RefCell::new(Rc::new(Revision {
+                number: 1,
+                deployment,
+                trigger_types,
+                customers: customers.into_iter().collect(),
+            })),
+        }
+    }
+
+    pub(super) fn current(&self) -> Rc<Revision> {
+        self.current.borrow().clone()
+    }
+
+    /// The longest client timeout among trigger types that are in force or held, in seconds.
+    pub(super) fn longest_timeout(&self) -> f64 {
+        self.trigger_types.borrow().held().map(|held| held.terms.timeout).fold(0.0, f64::max)
+    }
+
+    /// Trigger types of the next revision; one that is unchanged is that of the present revision.
+    fn next_trigger_types(
+        &self,
+        deployment: &Deployment,
+        is_used: impl Fn(usize) -> bool,
+    ) -> Result<Vec<Rc<TriggerTypeInForce>>, ReconfigureError> {
+        let (current, indices) = (self.current(), self.trigger_types.borrow());
+        let mut taken = BTreeSet::new();
+        let mut next = vec![];
+        for (trigger, terms) in listed_trigger_types(deployment) {
+            let known = current.trigger_type(&trigger.name).map(|(_, known)| known);
+            if let Some(known) = known.filter(|known| known.trigger == trigger && known.terms == terms) {
+                next.push(known.clone());
+                continue;
+            }
+            let index = indices.lowest_free(&taken, &is_used);
+            if index >= MAX_TRIGGER_TYPES {
+                return Err(ReconfigureError::TooManyTriggerTypes);
+            }
+            taken.insert(index);
+            next.push(Rc::new(TriggerTypeInForce { trigger, terms, index }));
+        }
+        Ok(next)
+    }
+
+    /// Customers of the next revision; one that was known keeps its index.
+    fn next_customers(&self, deployment: &Deployment) -> HashMap<String, Rc<CustomerInForce>> {
+        let (current, indices) = (self.current(), self.customers.borrow());
+        let mut taken = BTreeSet::new();
+        let mut next = HashMap::new();
+        for (name, share) in listed_customers(deployment) {
+            let known = current.customer(&name).cloned();
+            let customer = known.filter(|known| known.share == share).unwrap_or_else(|| {
+                let known = current.customer(&name).map(|known| known.index);
+                let index = known.unwrap_or_else(|| indices.lowest_free(&taken, |_| false));
+                taken.insert(index);
+                Rc::new(CustomerInForce { index, share })
+            });
+            next.insert(name, customer);
+        }
+        next
+    }
+
+    /// Shares by index: of customers of the next revision, and of those that are still held by an invocation's
+    /// admission. None where invocations name no customers.
+    fn shares_by_index(&self, next: &HashMap<String, Rc<CustomerInForce>>) -> Vec<f64> {
+        if next.is_empty() {
+            return vec![];
+        }
+        let held: Vec<_> = self.customers.borrow().held().collect();
+        let known = held.iter().chain(next.values());
+        let count = known.clone().map(|customer| customer.index + 1).max().unwrap_or(0);
+        let mut shares = vec![0.0; count];
+        known.for_each(|customer| shares[customer.index] = customer.share);
+        shares
+    }
+
+    fn put_in_force(&self, next: Revision) {
+        let mut trigger_types = self.trigger_types.borrow_mut();
+        next.trigger_types.iter().for_each(|known| trigger_types.hold(known.index, known));
+        let mut customers = self.customers.borrow_mut();
+        next.customers.values().for_each(|customer| customers.hold(customer.index, customer));
+        self.current.replace(Rc::new(next));
+    }
+}
+
+fn listed_trigger_types(deployment: &Deployment) -> impl Iterator<Item = (Trigger, TriggerType)> {
+    deployment.trigger_types.iter().cloned().zip(deployment.terms.trigger_types.iter().cloned())
+}
+
+fn listed_customers(deployment: &Deployment) -> impl Iterator<Item = (String, f64)> {
+    deployment.customers.iter().cloned().zip(deployment.terms.quotas.iter().copied())
+}
+
+impl Hub {
+    /// The revision in force. Whoever looks up more than one thing for an invocation takes it once.
+    pub fn revision(&self) -> Rc<Revision> {
+        self.revisions.current()
+    }
+
+    /// The longest client timeout that anything open may have, in seconds.
+    pub fn longest_timeout(&self) -> f64 {
+        self.revisions.longest_timeout()
+    }
+
+    /// Puts a deployment's functions, customers and trigger types in force. What is open keeps what it was admitted
+    /// with. All else of the deployment is passed over: it takes effect at a start only.
+    ///
+    /// # Errors
+    /// Nothing is changed then.
+    pub fn reconfigure(&self, deployment: Rc<Deployment>) -> Result<Rc<Revision>, ReconfigureError> {
+        let is_used = |index| self.engine.borrow().uses_trigger_type(index);
+        let trigger_types = self.revisions.next_trigger_types(&deployment, is_used)?;
+        let customers = self.revisions.next_customers(&deployment);
+        let shares = self.revisions.shares_by_index(&customers);
+        check_quotas(&shares)?;
+        let current = self.revision();
+        let is_new = |wanted: &&Rc<TriggerTypeInForce>| {
+            !current.trigger_types.iter().any(|known| Rc::ptr_eq(known, wanted))
+        };
+        // What the engine takes before it refuses is under indices that no invocation can name.
+        self.play(|engine, now, _| {
+            for added in trigger_types.iter().filter(is_new) {
+                engine.set_trigger_type(now, added.index, added.terms.clone())?;
+            }
+            engine.set_quotas(now, shares)
+        })?;
+        let number = current.number + 1;
+        self.revisions.put_in_force(Revision { number, deployment, trigger_types, customers });
+        Ok(self.revision())
+    }
+}
--- a/crates/frontend/src/ingress.rs
+++ b/crates/frontend/src/ingress.rs
@@ -265,6 +265,7 @@
 
 async fn invoke(hub: &Hub, request: Request<Incoming>) -> Result<Response<Answer>, Problem> {
     let arrived = hub.now();
+    let revision = hub.revision();
     let deployment = &hub.deployment;
     let (parts, incoming) = request.into_parts();
     let name = function_of(parts.uri.path())?;
@@ -273,19 +274,21 @@
         return Err(Problem::new(StatusCode::METHOD_NOT_ALLOWED, "wrong method", detail));
     }
     let headers = &parts.headers;
-    let trigger_type = match header(headers, TRIGGER_TYPE)? {
-        Some(name) => deployment.trigger_type(name).ok_or_else(|| {
-            let known: Vec<_> = deployment.trigger_types.iter().map(|t| t.name.as_str()).collect();
-            Problem::bad(format!("no trigger type '{name}'; known are {}", known.join(", ")))
+    let (trigger_place, trigger_type) = match header(headers, TRIGGER_TYPE)? {
+        Some(name) => revision.trigger_type(name).ok_or_else(|| {
+            let known = revision.trigger_type_names().join(", ");
+            Problem::bad(format!("no trigger type '{name}'; known are {known}"))
         })?,
-        None if deployment.trigger_types.len() == 1 => 0,
-        None => return Err(Problem::bad(format!("header '{TRIGGER_TYPE}' is missing"))),
+        None => match revision.only_trigger_type() {
+            Some(only) => only,
+            None => return Err(Problem::bad(format!("header '{TRIGGER_TYPE}' is missing"))),
+        },
     };
-    let terms = &deployment.terms.trigger_types[trigger_type];
-    let customer = match (header(headers, CUSTOMER)?, deployment.customers.is_empty()) {
+    let terms = &trigger_type.terms;
+    let customer = match (header(headers, CUSTOMER)?, !revision.has_customers()) {
         (given, true) => (0, given.unwrap_or_default()),
         (Some(given), false) => {
-            let known = deployment.customers.iter().position(|c| c == given);
+            let known = revision.customer(given).map(|customer| customer.index);
             let unknown =
                 || Problem::new(StatusCode::FORBIDDEN, "unknown customer", format!("no customer '{given}'"));
             (known.ok_or_else(unknown)?, given)
@@ -318,7 +321,7 @@
         None => (name.as_str(), None),
     };
     let unknown = |what: String| Problem::new(StatusCode::NOT_FOUND, "unknown function", what);
-    let function = deployment.function(name).ok_or_else(|| unknown(format!("no function '{name}'")))?;
+    let function = revision.function(name).ok_or_else(|| unknown(format!("no function '{name}'")))?;
     // What the split sticks to, where a rollout is on.
     let key = hub.shares.borrow().key(name).cloned();
     let key = match &key {
@@ -329,7 +332,7 @@
     };
     let who = Who { customer: customer.1, location: hub.location(), key: key.unwrap_or(&name_of_invocation) };
     let no_version = || unknown(format!("function '{name}' has no version '{}'", asked.unwrap_or("stable")));
-    let resolved = hub.resolve(&function, asked, trigger_type, customer.0, &who).ok_or_else(no_version)?;
+    let resolved = hub.resolve(&function, asked, trigger_place, customer.0, &who).ok_or_else(no_version)?;
     let told = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
     let (payload, payload_bytes) = body(hub, incoming, told).await?;
     let bounds = &deployment.bounds;
@@ -337,7 +340,7 @@
         name: name_of_invocation.clone(),
         function: function.name,
         resolved,
-        trigger_type,
+        trigger_type: trigger_type.clone(),
         customer,
         token: token.unwrap_or_default(),
         repeat,
@@ -346,7 +349,7 @@
         payload_bytes,
     };
     let promised = match &hub.book {
-        Some(book) if deployment.trigger_types[trigger_type].journalled => {
+        Some(book) if trigger_type.trigger.journalled => {
             if !named {
                 let detail =
                     format!("header '{INVOCATION}' is missing; this trigger type is journalled by it");
@@ -464,6 +467,7 @@
     let t = hub.tally();
     let body = json!({
         "deployment": hub.deployment.name,
+        "revision": hub.revision().number,
         "index": hub.sender.get().index,
         "frontEnds": hub.sender.get().count,
         "roster": roster(hub),
--- a/crates/frontend/src/lib.rs
+++ b/crates/frontend/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod ingress;
 pub mod mqtt;
 mod pool;
+pub mod reload;
 mod rollouts;
 pub mod roster;
 
@@ -41,6 +42,8 @@
     pub triggers: Option<mqtt::Triggers>,
     /// Promises to HTTP clients, where the deployment file has a journal.
     pub book: Option<book::Book>,
+    /// Where the deployment file may be read again.
+    pub reloads: Option<reload::Reloads>,
 }
 
 /// Binds the address that the deployment states.
@@ -59,6 +62,9 @@
     if !hub.deployment.coordinators.is_empty() {
         spawner.spawn(rollouts::keep_up(hub.clone())).detach();
     }
+    if let Some(reloads) = start.reloads {
+        spawner.spawn(reload::follow(hub.clone(), reloads)).detach();
+    }
     let (leave, leaving) = async_channel::bounded::<()>(1);
     let carried = start.triggers.and_then(|triggers| hub.spawn(mqtt::carry(hub.clone(), triggers, leaving)));
     let work = attend(hub, spawner.clone(), listener, start.stop, (carried, leave));
@@ -105,8 +111,7 @@
     }
     drop(listener);
     drop(stop_carrying);
-    let longest = hub.deployment.terms.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
-    let deadline = Instant::now() + Duration::from_secs_f64(longest) + LEAVE_MARGIN;
+    let deadline = Instant::now() + Duration::from_secs_f64(hub.longest_timeout()) + LEAVE_MARGIN;
     if let Some(carried) = carried {
         // Messages in hand may have to be dispatched yet.
         let left = orchidtally_net::within(deadline - Instant::now(), carried).await;
--- a/crates/frontend/src/mqtt.rs
+++ b/crates/frontend/src/mqtt.rs
@@ -11,6 +11,7 @@
 use futures_rustls::pki_types::pem::PemObject;
 use futures_rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 use futures_rustls::rustls::{ClientConfig, RootCertStore};
+use orchidtally_deployment::Deployment;
 use orchidtally_engine::{Cause, Refused};
 use orchidtally_journal::{Group, Journal};
 use orchidtally_mqtt::packet::Packet;
@@ -152,6 +153,8 @@
     /// When the files of TLS were changed, as of the connection that stands, and when that is looked at next.
     files: Option<SystemTime>,
     look_at: f64,
+    /// The deployment by which messages are judged, and the revision that it is of.
+    present: (u64, Rc<Deployment>),
 }
 
 fn tls(section: &Tls) -> Result<TlsConnector, Box<dyn std::error::Error>> {
@@ -248,17 +251,17 @@
 /// Invokes for a message and gives its final answer.
 async fn invoke(hub: Rc<Hub>, held: Held, ready_by: f64) -> Answer {
     let errored = |why: String| Answer::Errored { why, may_have_run: false };
-    let deployment = &hub.deployment;
+    let revision = hub.revision();
     let work = &held.work;
-    let Some(trigger_type) = deployment.trigger_type(&work.trigger_type) else {
+    let Some((trigger_place, trigger_type)) = revision.trigger_type(&work.trigger_type) else {
         return errored(format!("there is no trigger type '{}' any more", work.trigger_type));
     };
-    let customer = match deployment.customers.iter().position(|c| *c == work.customer) {
-        Some(n) => n,
-        None if deployment.customers.is_empty() => 0,
+    let customer = match revision.customer(&work.customer) {
+        Some(customer) => customer.index,
+        None if !revision.has_customers() => 0,
         None => return errored(format!("there is no customer '{}' any more", work.customer)),
     };
-    let Some(function) = deployment.function(&work.function) else {
+    let Some(function) = revision.function(&work.function) else {
         return errored(format!("there is no function '{}' any more", work.function));
     };
     if ready_by <= hub.now() {
@@ -271,14 +274,14 @@
         _ => &held.name,
     };
     let who = Who { customer: &work.customer, location: hub.location(), key };
-    let Some(resolved) = hub.resolve(&function, None, trigger_type, customer, &who) else {
+    let Some(resolved) = hub.resolve(&function, None, trigger_place, customer, &who) else {
         return errored(format!("function '{}' has no version 'stable'", work.function));
     };
     let asked = Asked {
         name: held.name.clone(),
         function: function.name.clone(),
         resolved,
-        trigger_type,
+        trigger_type: trigger_type.clone(),
         customer: (customer, &work.customer),
         token: &work.token,
         repeat: false,
@@ -353,6 +356,15 @@
         }
     }
 
+    /// The deployment as the revision in force has it, with trigger types at the places that rules know.
+    fn present_deployment(&mut self) -> Rc<Deployment> {
+        let revision = self.hub.revision();
+        if self.present.0 != revision.number {
+            self.present = (revision.number, Rc::new(revision.aligned_to(&self.hub.deployment)));
+        }
+        self.present.1.clone()
+    }
+
     fn start_connecting(&mut self) {
         self.files = self.files_changed();
         let (section, inputs) = (self.section.clone(), self.inputs.clone());
@@ -391,7 +403,8 @@
                 }
             }
             Input::Packet(number, packet) if is_this(number) => {
-                if let Err(ended) = self.desk.received(now, packet, &self.hub.deployment) {
+                let deployment = self.present_deployment();
+                if let Err(ended) = self.desk.received(now, packet, &deployment) {
                     self.lost(&ended.to_string());
                 }
             }
@@ -540,6 +553,7 @@
         journal_works: true,
         files: None,
         look_at: now,
+        present: (1, hub.deployment.clone()),
     };
     let mut left = false;
     loop {
--- a/crates/frontend/tests/etcd.rs
+++ b/crates/frontend/tests/etcd.rs
@@ -131,6 +131,7 @@
             random: false,
             triggers: None,
             book: None,
+            reloads: None,
         };
         orchidtally_frontend::run(start, listener);
     });
--- a/crates/frontend/tests/hard_cases.rs
+++ b/crates/frontend/tests/hard_cases.rs
@@ -95,6 +95,7 @@
                 random: false,
                 triggers: None,
                 book: None,
+                reloads: None,
             },
             listener,
         )
--- a/crates/frontend/tests/triggers.rs
+++ b/crates/frontend/tests/triggers.rs
@@ -109,6 +109,7 @@
             random: false,
             triggers,
             book,
+            reloads: None,
         };
         orchidtally_frontend::run(start, listener);
     });
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -21,7 +21,7 @@
     Cell,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct TriggerType {
     /// Latency objective.
     pub objective: f64,
