Split the rehearsal's play into modules: setup, processes, traffic, troubles, injection

One file of 986 lines held the deployment text, the processes, the clients and the script. Moved as they were, behind one struct that is now called Rehearsal. No change of behaviour.

--- /dev/null
+++ b/crates/cli/src/rehearse/play/mod.rs
@@ -0,0 +1,267 @@
+//! Plays a day: front ends as processes of their own, everything else on one thread beside them.
+
+mod hostile;
+mod injection;
+mod processes;
+mod setup;
+mod traffic;
+mod troubles;
+
+use super::day::Day;
+use super::messages::Messages;
+use super::rolling::{self, Rolling};
+use super::roster::Roster;
+use orchidtally_deployment::Deployment;
+use orchidtally_standin::client::Caller;
+use orchidtally_standin::executor::Executor;
+use orchidtally_standin::publisher::Publisher;
+use orchidtally_standin::store::Store;
+use orchidtally_standin::{Stage, Until};
+use orchidtally_witness::{self as witness, Record, Terms};
+use processes::standing;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::rc::Rc;
+
+/// In which a front end has to take connections after its start.
+const START_TIME: f64 = 10.0;
+/// A front layer sends nothing more to a killed front end after this.
+const NOTICE: f64 = 0.3;
+/// The traffic rises for so long before the day begins.
+const WARM_UP: f64 = 3.0;
+/// What a message may take on this machine, with front ends and stand-ins on the same cores.
+const TRANSIT: f64 = 0.35;
+/// Of the traffic, the share of each trigger type.
+const SHARES: [f64; 4] = [0.45, 0.2, 0.25, 0.1];
+
+pub struct Wish {
+    pub seed: u64,
+    pub sabotage: Option<u8>,
+    pub front_end_log: String,
+    pub rollout: Option<rolling::Wish>,
+    pub messages: bool,
+    pub etcd: bool,
+}
+
+pub struct Played {
+    pub terms: Terms,
+    pub fleet: Vec<witness::Executor>,
+    pub records: Vec<Record>,
+    pub notes: Vec<String>,
+    pub rollout: Option<rolling::Seen>,
+    pub roster: Option<Rc<Roster>>,
+    /// Lists that front ends had to ask for again.
+    pub relists: u64,
+}
+
+struct FrontEnd {
+    index: u32,
+    at: SocketAddr,
+    child: RefCell<Option<Child>>,
+    /// The front layer sends to it.
+    used: Cell<bool>,
+    callers: Vec<Rc<Caller>>,
+    ahead: f64,
+    step: f64,
+}
+
+struct Rehearsal {
+    stage: Stage,
+    day: Day,
+    wish_seed: u64,
+    log: String,
+    file: PathBuf,
+    deployment: Deployment,
+    terms: Terms,
+    store: Rc<Store>,
+    publisher: Rc<Publisher>,
+    executors: Vec<Rc<Executor>>,
+    front_ends: Vec<Rc<FrontEnd>>,
+    /// Clients wait a fraction of their time; how many of them.
+    short_patience: (Until, Cell<f64>),
+    hot: (Until, Cell<f64>),
+    one_offs: (Until, Cell<f64>),
+    shifted: (Until, Cell<f64>),
+    repeating: (Until, Cell<f64>),
+    /// The work of the day: it has to be over before the records are judged.
+    pending: Cell<usize>,
+    names: Cell<u64>,
+    /// The longest that the stand-ins' thread came late to anything.
+    lag: Cell<f64>,
+    rolling: Option<Rc<Rolling>>,
+    messages: Option<Rc<Messages>>,
+    roster: Option<Rc<Roster>>,
+    relists: Cell<u64>,
+}
+
+pub fn play(day: &Day, wish: &Wish) -> io::Result<Played> {
+    let stage = Stage::new(wish.seed);
+    let tasks = stage.tasks.clone();
+    let rehearsal = setup::set(stage, day, wish)?;
+    let played = async_io::block_on(tasks.run(rehearsal.clone().perform(wish)));
+    for fe in &rehearsal.front_ends {
+        if let Some(mut child) = fe.child.borrow_mut().take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+    if let Some(rolling) = &rehearsal.rolling {
+        rolling.end();
+    }
+    if let Some(messages) = &rehearsal.messages {
+        messages.end();
+    }
+    // It lies in the temporary folder, where nobody misses it.
+    let _ = std::fs::remove_file(&rehearsal.file);
+    let notes = played?;
+    let per_location = |n: usize| n as u32 % day.locations;
+    let fleet = (0..day.executors)
+        .map(|n| witness::Executor { location: per_location(n), cell: setup::cell(n, day) })
+        .collect();
+    let records = rehearsal.stage.records();
+    let rollout = rehearsal.rolling.as_ref().map(|r| r.seen(&records));
+    let mut terms = rehearsal.terms.clone();
+    terms.transit += rehearsal.lag.get();
+    let (roster, relists) = (rehearsal.roster.clone(), rehearsal.relists.get());
+    Ok(Played { terms, fleet, records, notes, rollout, roster, relists })
+}
+
+impl Rehearsal {
+    async fn perform(self: Rc<Self>, wish: &Wish) -> io::Result<Vec<String>> {
+        let sabotage = wish.sabotage;
+        eprintln!("starting {} front ends and {} executors", self.day.front_ends, self.day.executors);
+        if let Some(rolling) = &self.rolling {
+            rolling.start(&self.file)?;
+        }
+        if let Some(roster) = &self.roster {
+            roster.start(&self.executors);
+        }
+        for fe in &self.front_ends {
+            self.start(fe)?;
+        }
+        for fe in &self.front_ends {
+            self.until_up(fe).await?;
+        }
+        // So that the front ends have the roster.
+        self.stage.sleep(0.3).await;
+        let from = self.stage.now() + WARM_UP;
+        for trouble in self.day.troubles.clone() {
+            self.perform_later(from, trouble);
+        }
+        if let Some(rule) = sabotage {
+            let me = self.clone();
+            self.stage
+                .spawn(async move {
+                    me.stage.sleep(WARM_UP + 0.25 * me.day.length).await;
+                    if rule <= 5 {
+                        me.sabotage(rule).await;
+                    }
+                })
+                .detach();
+        }
+        if let Some(rolling) = self.rolling.clone() {
+            let (length, file) = (self.day.length, self.file.clone());
+            self.pending.set(self.pending.get() + 1);
+            let me = self.clone();
+            let work = async move {
+                rolling.perform(from, length, &file).await;
+                me.pending.set(me.pending.get() - 1);
+            };
+            self.stage.spawn(work).detach();
+        }
+        if let Some(roster) = self.roster.clone() {
+            let (length, me) = (self.day.length, self.clone());
+            self.pending.set(self.pending.get() + 1);
+            let work = async move {
+                roster.perform(from, length).await;
+                me.pending.set(me.pending.get() - 1);
+            };
+            self.stage.spawn(work).detach();
+        }
+        if let Some(messages) = self.messages.clone() {
+            let (length, rate) = (self.day.length, self.day.rate);
+            self.pending.set(self.pending.get() + 1);
+            let me = self.clone();
+            let work = async move {
+                messages.perform(from, length, rate, sabotage == Some(6)).await;
+                me.pending.set(me.pending.get() - 1);
+            };
+            self.stage.spawn(work).detach();
+        }
+        let beat = self.stage.spawn(self.clone().heartbeat());
+        let progress = self.stage.spawn(self.clone().progress(from));
+        self.clone().traffic(from).await;
+        // What is open is answered, and what was ordered to end does.
+        let longest = self.deployment.terms.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
+        let answers = if self.messages.is_some() { 20.0 } else { 0.0 };
+        let until = self.stage.now() + longest + 2.0 + answers;
+        while self.pending.get() > 0 && self.stage.now() < until {
+            self.stage.sleep(0.02).await;
+        }
+        drop((progress, beat));
+        let mut notes = self.last_words().await;
+        let lag = self.lag.get();
+        if lag > TRANSIT / 4.0 {
+            notes.push(format!(
+                "the stand-ins' thread came up to {lag:.2} s late: that is allowed for in what is checked"
+            ));
+        }
+        if self.pending.get() > 0 {
+            notes.push(format!("{} pieces of the script did not end", self.pending.get()));
+        }
+        Ok(notes)
+    }
+
+    /// What the front ends and the store say at the end of the day.
+    async fn last_words(&self) -> Vec<String> {
+        let mut notes = vec![format!(
+            "the store gave {} loads and turned {} away",
+            self.store.fetched.get(),
+            self.store.refused.get()
+        )];
+        for fe in &self.front_ends {
+            match standing(fe.at).await {
+                Ok(text) => {
+                    let v: serde_json::Value = serde_json::from_str(&text).unwrap_or_default();
+                    let relists = v.pointer("/roster/relists").and_then(serde_json::Value::as_u64);
+                    self.relists.set(self.relists.get() + relists.unwrap_or(0));
+                    let overdue = v.get("overdue").and_then(serde_json::Value::as_u64);
+                    if overdue != Some(0) {
+                        notes.push(format!(
+                            "front end {} answered {overdue:?} in the module's place",
+                            fe.index
+                        ));
+                    }
+                }
+                Err(e) => notes.push(format!("front end {} does not say how it stands: {e}", fe.index)),
+            }
+        }
+        notes
+    }
+
+    /// What the stand-ins record late can't be told from what was sent late, so their lag is measured.
+    async fn heartbeat(self: Rc<Self>) {
+        const BEAT: f64 = 0.01;
+        loop {
+            let before = self.stage.now();
+            self.stage.sleep(BEAT).await;
+            self.lag.set(self.lag.get().max(self.stage.now() - before - BEAT));
+        }
+    }
+
+    async fn progress(self: Rc<Self>, from: f64) {
+        loop {
+            self.stage.sleep(2.0).await;
+            let now = self.stage.now() - from;
+            let on: Vec<_> = (self.day.troubles.iter())
+                .filter(|t| t.at <= now && now < t.at + t.lasts)
+                .map(|t| t.kind.name())
+                .collect();
+            eprintln!("{now:>5.1} of {:.0} s: {}", self.day.length, on.join(", "));
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/rehearse/play/troubles.rs
@@ -0,0 +1,161 @@
+//! What goes wrong through a day, as its script says.
+
+use super::Rehearsal;
+use crate::rehearse::day::{Kind, Trouble};
+use orchidtally_standin::Until;
+use orchidtally_standin::executor::Executor;
+use orchidtally_witness::{Record, Standing};
+use std::cell::Cell;
+use std::rc::Rc;
+
+impl Rehearsal {
+    pub(super) fn drawn(&self, share: f64) -> bool {
+        self.stage.unit() < share
+    }
+
+    /// Some of a list, without those that the script has down already.
+    pub(super) fn some<T: Clone>(&self, of: &[T], share: f64, fits: impl Fn(&T) -> bool) -> Vec<T> {
+        let mut fitting: Vec<T> = of.iter().filter(|x| fits(x)).cloned().collect();
+        let n = ((of.len() as f64 * share).round() as usize).clamp(1, fitting.len().max(1));
+        while fitting.len() > n {
+            fitting.swap_remove((self.stage.unit() * fitting.len() as f64) as usize);
+        }
+        fitting
+    }
+
+    pub(super) fn perform_later(self: &Rc<Self>, from: f64, trouble: Trouble) {
+        self.pending.set(self.pending.get() + 1);
+        let me = self.clone();
+        self.stage
+            .spawn(async move {
+                me.stage.sleep(from + trouble.at - me.stage.now()).await;
+                me.trouble(&trouble).await;
+                me.pending.set(me.pending.get() - 1);
+            })
+            .detach();
+    }
+
+    fn switch(&self, which: &(Until, Cell<f64>), t: &Trouble) {
+        which.1.set(t.size);
+        which.0.set(self.stage.now() + t.lasts);
+    }
+
+    async fn trouble(self: &Rc<Self>, t: &Trouble) {
+        let until = self.stage.now() + t.lasts;
+        let up = |e: &Rc<Executor>| e.is_up() && !e.draining.get();
+        match t.kind {
+            Kind::Crash => {
+                for e in self.some(&self.executors, t.size, up) {
+                    self.down_and_up(e, t.lasts);
+                }
+            }
+            Kind::Hang => {
+                self.some(&self.executors, t.size, up).iter().for_each(|e| e.faults.hangs.set(until));
+            }
+            Kind::FastErrors => {
+                self.some(&self.executors, t.size, up).iter().for_each(|e| e.faults.errors.set(until));
+            }
+            Kind::HalfOpen => {
+                for e in self.some(&self.executors, t.size, up) {
+                    e.faults.deaf.set(until);
+                    let at = self.stage.now();
+                    self.stage.record(Record::Deaf { at, executor: e.make.number, until });
+                }
+            }
+            Kind::SlowHandshakes => {
+                self.some(&self.executors, t.size, up)
+                    .iter()
+                    .for_each(|e| e.faults.slow_handshakes.set(until));
+            }
+            Kind::LateReports => self.executors.iter().for_each(|e| e.faults.late_reports.set(until)),
+            Kind::Deploy => {
+                let some = self.some(&self.executors, t.size, up);
+                let each = t.lasts / some.len() as f64;
+                for e in some {
+                    self.roll(&e, each.clamp(0.3, 1.2)).await;
+                }
+            }
+            Kind::Preempt => {
+                for e in self.some(&self.executors, t.size, up) {
+                    self.tell(&e, Standing::Draining);
+                    e.draining.set(true);
+                    self.stage.sleep(0.4).await;
+                    e.crash();
+                    self.tell(&e, Standing::Gone);
+                    self.stage.sleep(t.lasts).await;
+                    self.bring_up(&e);
+                }
+            }
+            Kind::LoseLocation => {
+                let lost = (self.stage.unit() * f64::from(self.day.locations)) as usize;
+                let locations = self.day.locations as usize;
+                for e in self.executors.iter().filter(|e| e.make.number % locations == lost && up(e)) {
+                    self.down_and_up(e.clone(), t.lasts);
+                }
+            }
+            Kind::StaleRoster => self.publisher.keep_back(until),
+            Kind::RosterCut => self.publisher.cut_off(),
+            Kind::Rerelease => self.executors.iter().for_each(|e| e.drop_copies()),
+            Kind::StoreRefuses => self.store.refusing.set(until),
+            Kind::ShortPatience => self.switch(&self.short_patience, t),
+            Kind::HotFunction => self.switch(&self.hot, t),
+            Kind::OneOffs => self.switch(&self.one_offs, t),
+            Kind::Shift => self.switch(&self.shifted, t),
+            Kind::RepeatingClients => self.switch(&self.repeating, t),
+            Kind::KillFrontEnds => self.kill_front_ends(t).await,
+            Kind::RollFrontEnds => self.roll_front_ends(t).await,
+            Kind::Garbage => self.garbage(until).await,
+            Kind::StopReading => self.stop_reading(until).await,
+            Kind::SlowSenders => self.slow_senders(until).await,
+        }
+    }
+
+    pub(super) fn tell(&self, e: &Executor, standing: Standing) {
+        if let Some(roster) = &self.roster {
+            roster.change(e, standing);
+            return;
+        }
+        self.publisher.change(e.make.number, standing, e.since());
+    }
+
+    pub(super) fn bring_up(&self, e: &Executor) {
+        if e.is_up() {
+            return;
+        }
+        match e.restart() {
+            Ok(()) => self.tell(e, Standing::Ready),
+            Err(fault) => eprintln!("executor {} did not come up: {fault}", e.make.number),
+        }
+    }
+
+    /// A crash of which the publisher hears only once the executor is back.
+    fn down_and_up(self: &Rc<Self>, e: Rc<Executor>, lasts: f64) {
+        e.crash();
+        self.pending.set(self.pending.get() + 1);
+        let me = self.clone();
+        self.stage
+            .spawn(async move {
+                me.stage.sleep(lasts).await;
+                me.bring_up(&e);
+                me.pending.set(me.pending.get() - 1);
+            })
+            .detach();
+    }
+
+    /// A graceful restart, as a deploy makes it.
+    async fn roll(&self, e: &Rc<Executor>, time: f64) {
+        if !e.is_up() {
+            return;
+        }
+        self.tell(e, Standing::Draining);
+        e.draining.set(true);
+        e.say_goodbye();
+        let until = self.stage.now() + time;
+        while e.in_hand() > 0 && self.stage.now() < until {
+            self.stage.sleep(0.02).await;
+        }
+        e.crash();
+        self.stage.sleep(0.2).await;
+        self.bring_up(e);
+    }
+}
