--- a/src/dispatch/judge.rs
+++ b/src/dispatch/judge.rs
@@ -56,10 +56,11 @@
     }
 
     pub(super) fn takes_more(&self, x: usize, Room { limit, at_all }: Room) -> bool {
-        let held = if at_all { self.fleet.out_count as f64 } else { self.fleet.inflight(x) };
+        let held = || if at_all { self.fleet.out_count as f64 } else { self.fleet.inflight(x) };
         // A turn is less than one, so that it decides only about the last place.
-        let turn = || held < (limit + self.slot_share(x, (self.now / TURN) as u64)).floor();
-        self.now >= self.fleet.paused[x].until && (held < limit.floor() || held < limit + 1.0 && turn())
+        let turn = || held() < (limit + self.slot_share(x, (self.now / TURN) as u64)).floor();
+        let free = self.now >= self.fleet.paused[x].until;
+        !at_all && self.fleet.rests(x) || free && (held() < limit.floor() || held() < limit + 1.0 && turn())
     }
 
     /// Own in-flight and what it reported waiting; that fades to the mean, as for what was never heard.
@@ -92,11 +93,11 @@
         if let Some((x, _)) = last {
             return Some(x);
         }
-        let mut fitting: Vec<usize> = function.ranking.iter().filter(fits).take(wanted).collect();
         // Where all are at their bounds the placement waits: a copy elsewhere serves one front end only.
         let cold = |x| placed.is_none_or(|i| self.cold_room(x, self.usual[self.book.invs[i].ty]));
         let room = self.room(placed.map_or(1.0, |i| self.part(i)));
-        fitting.retain(|&x| self.takes_more(x, room) && cold(x));
+        let fitting = function.ranking.iter().filter(fits).take(wanted);
+        let fitting = fitting.filter(|&x| self.takes_more(x, room) && cold(x)).collect();
         let fitting = leave_two(fitting, || self.chance.unit());
         // Front ends that a report parts each have a copy loaded: guards executors that load all they can.
         let margin = SECOND + SECOND_BY_LOADS * self.loads.at(self.now, REPORT_TIME);
@@ -121,8 +122,7 @@
             };
             count.look_again(|y| self.warmth(y) < 1.0, ripe);
         }
-        self.fleet.warm[kind] = count;
-        self.fleet.warm_count(kind)
+        self.fleet.set_warm(kind, count)
     }
 
     pub(super) fn learn(&mut self, x: usize, (f, ty): (usize, usize), done: &Out, o: &Outcome) {
@@ -156,7 +156,7 @@
             }
             Ending::Error | Ending::Reset | Ending::ConnectFailed => FAILED,
             Ending::Full => {
-                self.fleet.paused[x].grow(now, FULL_PAUSE, FULL_DOUBLINGS);
+                self.fleet.pause(x, now, FULL_PAUSE, FULL_DOUBLINGS);
                 self.gauge(1.0, done.at);
                 return;
             }
@@ -201,12 +201,12 @@
     /// counts with its age. Guards against executors that hang, fail fast or have become slow.
     pub(super) fn judge(&mut self) {
         let now = self.now;
-        self.fleet.retain_judged(|at| now < at + JUDGED_FOR);
+        self.fleet.retain_judged(now);
         let usual = |i: usize| self.usual[self.book.invs[i].ty].max(1e-6);
         let high = |x: usize| {
             let ages =
                 self.fleet.unheard(x).map(|(i, at)| (now - at) / usual(i)).filter(|&age| age > SUSPECT);
-            let times: Vec<f64> = self.fleet.answers_after(x, now, JUDGED_FOR).chain(ages).collect();
+            let times: Vec<f64> = self.fleet.answers_at(x, now).chain(ages).collect();
             if times.len() < LEAST_JUDGED { None } else { quantile(times, HIGH_QUANTILE) }
         };
         let judged = self.fleet.judged.iter();
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -155,7 +155,7 @@
             limit: LIMIT_MOST,
             typical: TYPICAL_MOST / 3.0,
             wake_at: f64::INFINITY,
-            fleet: Fleet::new(terms.zone),
+            fleet: Fleet::new(terms.zone, LEAST_JUDGED, JUDGED_FOR),
             terms,
             now,
             watch_at: now,
@@ -241,7 +241,7 @@
         let Some(&i) = self.book.inv_index.get(&o.inv) else { return };
         let Some(done) = self.book.ended(i, o.dispatch) else { return };
         let (x, f, ty) = (done.x, self.book.invs[i].f, self.book.invs[i].ty);
-        self.fleet.note_ended(x, i, done.at);
+        self.fleet.note_ended(x, i, done.at, now);
         if let Some(&waiting) = self.terms.backlog_field.and_then(|field| o.report.get(field)) {
             let waiting = f64::from(waiting).max(0.0);
             self.mean_backlog += NEWEST * (waiting - self.mean_backlog);
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -180,7 +180,7 @@
     /// less than a whole invocation by turns. They last longer by what clocks may differ, so that in no such
     /// span more than two add up: guards against front ends whose clocks number them unlike.
     pub(super) fn cold_room(&self, x: usize, work: f64) -> bool {
-        if self.warmth(x) >= 1.0 {
+        if self.fleet.all_warm || self.warmth(x) >= 1.0 {
             return true;
         }
         // Guards against front ends that see each other come and go late: their parts would exceed the whole.
--- a/src/state/book.rs
+++ b/src/state/book.rs
@@ -98,7 +98,7 @@
     }
 
     pub fn knows(&self, x: usize, now: f64) -> bool {
-        self.known.get(x).is_some_and(|k| k.until > now)
+        self.known.holds_after(x, now)
     }
 }
 
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -38,6 +38,8 @@
     pub broke_at: Vec<f64>,
     /// Dispatches and orders in a row that it turned away as 'full'.
     pub turned_away: Vec<usize>,
+    /// Those with nothing out, and no pause that may be under way.
+    pub(super) resting: Vec<bool>,
     /// What answers 'full' ask for.
     pub paused: Vec<Pause>,
     /// Invocations reported waiting, and when that was told.
@@ -47,9 +49,12 @@
     pub suspect: Vec<bool>,
     /// All that are suspect, and perhaps some that no longer are.
     pub(super) suspects: Vec<usize>,
-    /// Executors with answers kept or dispatches out, and perhaps some that have none left.
+    /// Executors with enough answers that count and dispatches out to be judged, and perhaps some that no longer
+    /// have; how many are enough, and the seconds that an answer counts.
     pub judged: Vec<usize>,
     pub(super) is_judged: Vec<bool>,
+    least_judged: usize,
+    judged_for: f64,
     /// Executors that broke off lately, and perhaps some for which that is long ago.
     pub(super) broken: Vec<usize>,
     pub trial_at: Vec<f64>,
@@ -61,6 +66,8 @@
     pub fellows: Vec<DecayingSum>,
     /// For each kind, which of the ready ones may be cold.
     pub warm: Vec<WarmCount>,
+    /// Whether all ready ones were seen to be warm. Where it is not set they may be, too.
+    pub all_warm: bool,
     /// Executors whose load changed, the latest ones, and how many changes there were before.
     pub(super) changed: VecDeque<usize>,
     pub(super) forgotten_changes: u64,
@@ -98,9 +105,10 @@
 const MOST_CHANGES: usize = 4_096;
 
 impl Fleet {
-    /// None, seen from a location.
-    pub fn new(home: u8) -> Fleet {
-        Fleet { home, ..Fleet::default() }
+    /// None, seen from a location. One is judged by so many answers and dispatches at the least; answers count
+    /// for so many seconds.
+    pub fn new(home: u8, least_judged: usize, judged_for: f64) -> Fleet {
+        Fleet { home, least_judged, judged_for, ..Fleet::default() }
     }
 
     fn note_change(&mut self, x: usize) {
@@ -140,7 +148,8 @@
         self.out[x].push((i, now));
         self.note_change(x);
         self.busy.insert(x);
-        self.note_judged(x);
+        self.resting[x] = false;
+        self.note_judged(x, now);
         self.out_count += 1;
         self.sent[x].push_back((now, work));
         while self.sent[x].front().is_some_and(|s| s.0 < now - kept) {
@@ -155,13 +164,14 @@
     }
 
     /// Takes a dispatch off those that are out.
-    pub fn note_ended(&mut self, x: usize, i: usize, at: f64) {
+    pub fn note_ended(&mut self, x: usize, i: usize, at: f64, now: f64) {
         let before = self.out[x].len();
         self.out[x].retain(|&(other, since)| other != i || since != at);
         self.out_count -= before - self.out[x].len();
         self.note_change(x);
         if self.out[x].is_empty() {
             self.busy.remove(&x);
+            self.resting[x] = self.paused[x].until <= now;
         }
     }
 
@@ -173,9 +183,12 @@
         }
     }
 
-    /// How many ready executors of a kind are warm, by the last look.
-    pub fn warm_count(&self, kind: usize) -> usize {
-        self.warm[kind].ready - self.warm[kind].cold.len()
+    /// Sets what was seen of a kind; tells how many of it are warm.
+    pub fn set_warm(&mut self, kind: usize, count: WarmCount) -> usize {
+        let warm = count.ready - count.cold.len();
+        self.warm[kind] = count;
+        self.all_warm = self.warm.iter().all(|count| count.cold.is_empty());
+        warm
     }
 
     /// Notes work that a warm executor answered, and how many such there are of its kind.
@@ -199,24 +212,45 @@
         self.sent[x].iter().filter(|s| s.0 > since).map(|s| s.1).sum()
     }
 
+    /// Whether it surely has nothing out and is not paused.
+    pub fn rests(&self, x: usize) -> bool {
+        self.resting[x]
+    }
+
+    /// Pauses an executor that answered 'full'.
+    pub fn pause(&mut self, x: usize, now: f64, first: f64, doublings: i32) {
+        self.paused[x].grow(now, first, doublings);
+        self.resting[x] = false;
+    }
+
     /// The invocations with a dispatch out, in the order of the executors.
     pub fn invocations_out(&self) -> impl Iterator<Item = usize> + '_ {
         self.busy.iter().flat_map(|&x| &self.out[x]).map(|&(i, _)| i)
     }
 
-    fn note_judged(&mut self, x: usize) {
-        if !std::mem::replace(&mut self.is_judged[x], true) {
+    /// Whether there is enough to judge an executor by. Without a new dispatch or answer that can only cease.
+    fn has_enough(&self, x: usize, now: f64) -> bool {
+        let missing = self.least_judged.saturating_sub(self.out[x].len());
+        let answers = &self.answers[x];
+        // The answers are in the order in which they came: those that count are the last ones.
+        missing == 0 || answers.len() >= missing && now < answers[answers.len() - missing].0 + self.judged_for
+    }
+
+    fn note_judged(&mut self, x: usize, now: f64) {
+        if !self.is_judged[x] && self.has_enough(x, now) {
+            self.is_judged[x] = true;
             self.judged.push(x);
         }
     }
 
-    /// Leaves among the judged those with a dispatch out or an answer that counts by when it came.
-    pub fn retain_judged(&mut self, counts: impl Fn(f64) -> bool) {
-        let (answers, out, is_judged) = (&self.answers, &self.out, &mut self.is_judged);
-        self.judged.retain(|&x| {
-            is_judged[x] = !out[x].is_empty() || answers[x].back().is_some_and(|a| counts(a.0));
-            is_judged[x]
+    /// Leaves among the judged those with enough to judge them by.
+    pub fn retain_judged(&mut self, now: f64) {
+        let mut judged = std::mem::take(&mut self.judged);
+        judged.retain(|&x| {
+            self.is_judged[x] = self.has_enough(x, now);
+            self.is_judged[x]
         });
+        self.judged = judged;
     }
 
     /// Sets which executors are suspect.
@@ -237,7 +271,8 @@
         self.broken.push(x);
         self.answers[x].clear();
         self.answers[x].extend(std::iter::repeat_n((now, failed), answers));
-        self.note_judged(x);
+        self.note_judged(x, now);
+        self.all_warm = false;
         let count = &mut self.warm[self.kind[x]];
         count.due = f64::NEG_INFINITY;
         if self.ready[x] && !count.cold.contains(&x) {
@@ -265,18 +300,18 @@
         self.out[x].iter().copied().filter(move |&(_, at)| at > self.heard[x])
     }
 
-    /// The times of the answers that are kept and not older than so long.
-    pub fn answers_after(&self, x: usize, now: f64, age: f64) -> impl Iterator<Item = f64> + '_ {
-        self.answers[x].iter().filter(move |a| now < a.0 + age).map(|a| a.1)
+    /// The times of the answers that count.
+    pub fn answers_at(&self, x: usize, now: f64) -> impl Iterator<Item = f64> + '_ {
+        self.answers[x].iter().filter(move |a| now < a.0 + self.judged_for).map(|a| a.1)
     }
 
     /// Keeps an answer among the latest `most`.
     pub fn remember(&mut self, x: usize, now: f64, sample: f64, most: usize) {
-        self.note_judged(x);
         self.answers[x].push_back((now, sample));
         if self.answers[x].len() > most {
             self.answers[x].pop_front();
         }
+        self.note_judged(x, now);
     }
 
     pub fn all(&self) -> std::ops::Range<usize> {
--- a/src/state/known.rs
+++ b/src/state/known.rs
@@ -2,7 +2,6 @@
 //! with the least value among them that does not look at them all.
 
 use super::Fleet;
-use std::collections::BTreeSet;
 
 /// Sets up to this size are searched one by one.
 const SMALL: usize = 48;
@@ -19,7 +18,7 @@
 
 /// What an executor's load is judged by; of several executors, the best of each, so that none of them is less
 /// loaded than this.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, PartialEq)]
 pub struct Load {
     /// Own dispatches that are out there.
     pub held: f64,
@@ -60,8 +59,9 @@
 struct Tree {
     leaves: usize,
     nodes: Vec<Load>,
-    /// The place of each executor, by its index.
+    /// The place of each executor, by its index, and until when its entry holds.
     places: Vec<u32>,
+    until: Vec<f64>,
     /// The number of the fleet's changes that the loads have in them; `None` before the first refresh.
     seen: Option<u64>,
     /// Executors added since.
@@ -74,7 +74,10 @@
         self.nodes[node] = load;
         while node > 1 {
             node /= 2;
-            self.nodes[node] = self.nodes[2 * node].best(&self.nodes[2 * node + 1]);
+            let best = self.nodes[2 * node].best(&self.nodes[2 * node + 1]);
+            if std::mem::replace(&mut self.nodes[node], best) == best {
+                break;
+            }
         }
     }
 
@@ -82,11 +85,13 @@
         self.places.get(x).filter(|&&place| place != NOWHERE).map(|&place| place as usize)
     }
 
-    fn put(&mut self, x: usize, place: u32) {
+    fn put(&mut self, x: usize, place: u32, until: f64) {
         if self.places.len() <= x {
             self.places.resize(x + 1, NOWHERE);
+            self.until.resize(x + 1, f64::NEG_INFINITY);
         }
         self.places[x] = place;
+        self.until[x] = until;
     }
 }
 
@@ -121,8 +126,12 @@
         }
     }
 
-    pub fn get(&self, x: usize) -> Option<&Known> {
-        self.entries[self.place(x)?].as_ref()
+    /// Whether an executor has an entry that holds past a moment.
+    pub fn holds_after(&self, x: usize, now: f64) -> bool {
+        match &self.tree {
+            Some(tree) => tree.until.get(x).is_some_and(|&until| until > now),
+            None => self.iter().any(|k| k.x == x && k.until > now),
+        }
     }
 
     /// An executor answered that it has no room for the function.
@@ -140,7 +149,7 @@
         self.count += 1;
         self.tree.take_if(|tree| place >= tree.leaves);
         if let Some(tree) = &mut self.tree {
-            tree.put(x, place as u32);
+            tree.put(x, place as u32, until);
             tree.added.push(x);
         }
     }
@@ -150,7 +159,7 @@
         self.entries[place] = None;
         self.count -= 1;
         if let Some(tree) = &mut self.tree {
-            tree.put(x, NOWHERE);
+            tree.put(x, NOWHERE, f64::NEG_INFINITY);
             tree.set(place, Load::NONE);
         }
         if self.entries.len() >= 2 * self.count + SMALL {
@@ -181,8 +190,8 @@
         let tree = self.tree.get_or_insert_with(|| {
             let leaves = (entries.len() + SMALL).next_power_of_two();
             let nodes = vec![Load::NONE; 2 * leaves];
-            let mut tree = Tree { leaves, nodes, places: vec![], seen: None, added: vec![] };
-            (0..).zip(entries).for_each(|(place, k)| k.iter().for_each(|k| tree.put(k.x, place)));
+            let mut tree = Tree { leaves, nodes, places: vec![], until: vec![], seen: None, added: vec![] };
+            (0..).zip(entries).for_each(|(place, k)| k.iter().for_each(|k| tree.put(k.x, place, k.until)));
             Box::new(tree)
         });
         let changed = tree
@@ -191,8 +200,8 @@
             .filter(|changed| changed.len() < entries.len());
         match changed {
             Some(changed) => {
-                let all: BTreeSet<usize> = changed.chain(tree.added.drain(..)).collect();
-                for x in all {
+                let added = std::mem::take(&mut tree.added);
+                for x in changed.chain(added) {
                     if let Some(place) = tree.place(x) {
                         tree.set(place, fleet.load(x));
                     }
--- a/src/state/listing.rs
+++ b/src/state/listing.rs
@@ -27,6 +27,7 @@
         put(&mut self.heard, x, f64::NEG_INFINITY);
         put(&mut self.broke_at, x, f64::NEG_INFINITY);
         put(&mut self.turned_away, x, 0);
+        put(&mut self.resting, x, true);
         put(&mut self.paused, x, Pause::default());
         put(&mut self.backlog, x, (0.0, f64::NEG_INFINITY));
         put(&mut self.answers, x, VecDeque::new());
@@ -98,6 +99,7 @@
 
     /// Takes every ready executor for cold until it is looked at.
     pub(super) fn recount_cold(&mut self) {
+        self.all_warm = false;
         self.warm.fill(WarmCount { due: f64::NEG_INFINITY, ..WarmCount::default() });
         for &x in &self.ready_in_all {
             let count = &mut self.warm[self.kind[x]];
