--- a/crates/config-sync/src/settings.rs
+++ b/crates/config-sync/src/settings.rs
@@ -56,7 +56,7 @@
             barrier_interval: 3.0,
             audit_interval: 300.0,
             read_bytes_per_second: 9_000.0,
-            read_burst: 2_000.0,
+            read_burst: 2_500.0,
             page_bytes: 2_000.0,
             spread: 3.0,
             report_interval: 2.0,
--- a/crates/config-sync/src/sync/mod.rs
+++ b/crates/config-sync/src/sync/mod.rs
@@ -96,6 +96,8 @@
     stored: Stored,
     applied_revision: i64,
     applier: Applier<S::Entry>,
+    /// The view that the host was told of last.
+    announced: Arc<View<S::Entry>>,
     /// Keys in the entries' range that are no entries', with what is said of them; a bounded number.
     foreign_keys: BTreeMap<Vec<u8>, Rejection>,
     digest_faults: usize,
@@ -134,6 +136,7 @@
             stored: Stored::default(),
             applied_revision: 0,
             applier: Applier::default(),
+            announced: Arc::default(),
             foreign_keys: BTreeMap::new(),
             digest_faults: 0,
             backlog: Backlog::new(settings.max_pending_changes, settings.max_pending_bytes),
@@ -251,7 +254,11 @@
 
     /// Tells the host of the view that is in force, once for all changes that came together.
     fn announce_view(&mut self) {
+        if Arc::ptr_eq(&self.announced, self.applier.view()) {
+            return;
+        }
+        self.announced = self.applier.view().clone();
         self.actions.retain(|action| !matches!(action, Action::Apply(_)));
-        self.actions.push_back(Action::Apply(self.applier.view().clone()));
+        self.actions.push_back(Action::Apply(self.announced.clone()));
     }
 }
--- a/crates/config-sync/src/view.rs
+++ b/crates/config-sync/src/view.rs
@@ -88,9 +88,14 @@
         self.buckets.iter().flat_map(|bucket| bucket.iter().map(|(key, record)| (key, record)))
     }
 
-    /// All entries of a kind, in the order of [`View::iter`]. It goes through all entries.
+    /// All entries of a kind, in the order of [`View::iter`]. Entries of other kinds cost nothing.
     pub fn of_kind<'v>(&'v self, kind: &'v str) -> impl Iterator<Item = (&'v EntryKey, &'v Arc<Record<E>>)> {
-        self.iter().filter(move |(key, _)| key.kind() == kind)
+        // A kind's entries stand together: keys are sorted, and begin with their kind and a slash.
+        let of_bucket = move |bucket: &'v Arc<Bucket<E>>| {
+            let first = bucket.partition_point(|(key, _)| is_before_kind(key, kind));
+            bucket[first..].iter().take_while(move |(key, _)| key.kind() == kind)
+        };
+        self.buckets.iter().flat_map(of_bucket).map(|(key, record)| (key, record))
     }
 
     pub(crate) fn set_position(&mut self, generation: u64, revision: i64) {
@@ -115,3 +120,9 @@
         }
     }
 }
+
+/// Whether a key stands before all keys of a kind.
+fn is_before_kind(key: &EntryKey, kind: &str) -> bool {
+    let of_kind = kind.bytes().chain([b'/']);
+    key.as_str().bytes().lt(of_kind)
+}
--- a/crates/config-sync/tests/following.rs
+++ b/crates/config-sync/tests/following.rs
@@ -78,6 +78,59 @@
     assert_eq!(fleet.front_ends[0].traffic.bucket_reads, 0);
 }
 
+#[test]
+fn kinds_are_told_apart() {
+    let mut fleet = loaded(1);
+    let names = ["quotas/a", "quotas/b/c", "quotas/z"];
+    fleet.write(&names.map(|name| put(name, quota(1.0))));
+    fleet.run(2.0);
+    let view = fleet.front_ends[0].core.view();
+    let mut found: Vec<&str> = view.of_kind("quotas").map(|(key, _)| key.as_str()).collect();
+    found.sort_unstable();
+    assert_eq!(found, names);
+    assert_eq!(view.of_kind("functions").count(), 40);
+    assert_eq!(view.of_kind("function").count(), 0);
+    assert_eq!(view.of_kind("zzz").count(), 0);
+}
+
+#[test]
+fn a_rejected_change_makes_no_new_view() {
+    let mut fleet = loaded(1);
+    let views = fleet.front_ends[0].applied.len();
+    fleet.write_unchecked(&[put("quotas/ann", b"{}".to_vec())]);
+    fleet.run(5.0);
+    assert_eq!(fleet.front_ends[0].applied.len(), views);
+    fleet.write(&[put("quotas/ann", quota(1.0))]);
+    fleet.run(5.0);
+    assert_eq!(fleet.front_ends[0].applied.len(), views + 1);
+}
+
+#[test]
+fn a_generation_that_cannot_be_read_halts_until_it_can() {
+    use orchidtally_config_sync::writer::Operation;
+    let mut fleet = loaded(2);
+    let key = fleet.keyspace.generation();
+    let generation = |value: &str| Operation::Put { key: key.clone(), value: value.as_bytes().to_vec() };
+    for value in [r#"{"format":2,"generation":1}"#, "no json"] {
+        fleet.store.commit(&[generation(value)]);
+        let revision = fleet.write(&[put("functions/f1", function(&value.len().to_string(), "serve", true))]);
+        fleet.run(60.0);
+        for front_end in &fleet.front_ends {
+            assert_eq!(front_end.core.state(), ReportedState::UnknownFormat);
+            assert_eq!(front_end.core.admits(fleet.now, "functions/f1"), Verdict::Serve);
+            assert!(front_end.core.fresh_as_of() < fleet.now - 50.0);
+        }
+        fleet.set_generation(1);
+        assert!(fleet.run_until_applied(revision, 18.0, |_| true).is_some());
+        fleet.run(10.0);
+        assert!(fleet.front_ends.iter().all(|f| f.core.state() == ReportedState::Following));
+    }
+    // A generation that is lower than the one that is followed is no reason to go back.
+    fleet.set_generation(0);
+    fleet.run(10.0);
+    assert!(fleet.front_ends.iter().all(|f| f.core.state() == ReportedState::StoreSetBack));
+}
+
 #[test]
 fn rules_between_entries_hold() {
     let mut fleet = loaded(1);
--- a/crates/config-sync/tests/load.rs
+++ b/crates/config-sync/tests/load.rs
@@ -68,6 +68,39 @@
     }
 }
 
+/// A first load goes on through compactions and broken connections: what was read stays.
+#[test]
+fn a_first_load_is_not_begun_again() {
+    let mut fleet = Fleet::new(2, SyncSettings::default());
+    let changes: Vec<_> =
+        (0..800).map(|n| put(&format!("functions/f{n}"), function("a", "serve", true))).collect();
+    for some in changes.chunks(100) {
+        fleet.write(some);
+    }
+    let whole: usize = fleet.store.read_all().iter().map(|(key, value)| key.len() + value.value.len()).sum();
+    for round in 0..12 {
+        fleet.run(5.0);
+        fleet.write(&[put(&format!("functions/f{round}"), function("b", "serve", true))]);
+        fleet.write(&[delete(&format!("functions/f{}", 700 + round))]);
+        fleet.store.touch();
+        fleet.store.compact(fleet.store.revision);
+        if round == 6 {
+            let now = fleet.now;
+            fleet.front_ends.iter_mut().for_each(|f| f.disconnect(now));
+        }
+    }
+    let revision = fleet.store.revision;
+    assert!(fleet.run_until_applied(revision, 120.0, |_| true).is_some());
+    for front_end in &fleet.front_ends {
+        let read: usize = front_end.traffic.reads_by_second.values().sum();
+        println!("{read} bytes read of {whole}");
+        assert!(read < 2 * whole, "{read} bytes read of {whole}");
+        let view = front_end.core.view();
+        assert_eq!(view.len(), 788);
+        assert_eq!(front_end.core.admits(fleet.now, "functions/f705"), Verdict::Unknown);
+    }
+}
+
 /// A burst of 500 changes within a second.
 #[test]
 fn a_burst_of_changes_is_in_force_in_time() {
@@ -151,3 +184,50 @@
     assert_eq!(core.state(), orchidtally_config_sync::ReportedState::Following);
     assert_eq!(core.view().len(), 80);
 }
+
+/// The first load of all functions of the planned size, and what a region of front ends reads after three minutes
+/// behind a compaction: all at the pace, and the second within the limit.
+#[test]
+fn the_planned_size_heals_in_time() {
+    let mut fleet = Fleet::new(3, SyncSettings::default());
+    let changes: Vec<_> =
+        (0..21_000).map(|n| put(&format!("functions/f{n}"), function("a", "refuse", true))).collect();
+    for some in changes.chunks(100) {
+        fleet.write(some);
+    }
+    let began = fleet.now;
+    let revision = fleet.store.revision;
+    let loaded = fleet.run_until_applied(revision, 3_000.0, |_| true);
+    let loaded_bytes: usize = fleet.front_ends[0].traffic.by_second.values().sum();
+    println!("first load of 21,000 functions: {loaded:?} s, {loaded_bytes} bytes");
+    assert!(loaded.is_some());
+    assert!(fleet.peak_bytes(began) <= BYTES_PER_SECOND, "{}", fleet.peak_bytes(began));
+    for deletions in [1, 3, 8] {
+        for front_end in &mut fleet.front_ends {
+            front_end.side = None;
+        }
+        fleet.run(180.0);
+        let changed = deletions * 100;
+        let mut changes: Vec<_> =
+            (0..deletions).map(|n| delete(&format!("functions/f{}", changed + n))).collect();
+        changes.extend(
+            (10..14).map(|n| put(&format!("functions/f{}", changed + n), function("b", "refuse", false))),
+        );
+        let revision = fleet.write(&changes);
+        fleet.store.touch();
+        fleet.store.compact(fleet.store.revision);
+        for front_end in &mut fleet.front_ends {
+            front_end.side = Some(0);
+        }
+        let healed_at = fleet.now;
+        let healed = fleet.run_until_applied(revision, 60.0, |_| true);
+        let read = |f: &kit::front_end::FrontEnd| {
+            f.traffic.reads_by_second.range(healed_at as u64..).map(|(_, bytes)| *bytes).sum::<usize>()
+        };
+        let most = fleet.front_ends.iter().map(read).max();
+        println!("4 changes and {deletions} deletions: in force after {healed:?} s, {most:?} bytes read");
+        assert!(healed.is_some_and(|healed| healed <= LIMIT), "{deletions} deletions: {healed:?}");
+        assert!(fleet.peak_bytes(healed_at) <= BYTES_PER_SECOND, "{}", fleet.peak_bytes(healed_at));
+        fleet.run(20.0);
+    }
+}
