--- a/crates/config-sync/src/action.rs
+++ b/crates/config-sync/src/action.rs
@@ -22,8 +22,11 @@
 /// A **linearizable** range read (`serializable` = false), sorted by key, ascending.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReadRequest {
+    /// Has to come back with the answer.
     pub id: RequestId,
+    /// What it is for.
     pub kind: ReadKind,
+    /// The keys to read.
     pub range: KeyRange,
     /// Only keys changed at this revision or later; 0 for all.
     pub min_mod_revision: i64,
@@ -38,7 +41,10 @@
 pub enum Action<E> {
     /// Watch [`Keyspace::entries`](crate::Keyspace::entries) from this revision on, fragments allowed. After a
     /// [`Action::CancelWatch`] the host rather asks another member of the store than the one before.
-    Watch { from_revision: i64 },
+    Watch {
+        /// The first revision that is wanted.
+        from_revision: i64,
+    },
     /// End the watch; nothing of it is fed any more.
     CancelWatch,
     /// Ask the watch's stream for its progress (`WatchProgressRequest`).
@@ -46,10 +52,18 @@
     /// Read a range and feed the answer, or the failure.
     Read(ReadRequest),
     /// Read [`Keyspace::generation`](crate::Keyspace::generation) linearizably and feed the answer, or the failure.
-    Barrier { id: RequestId },
+    Barrier {
+        /// Has to come back with the answer.
+        id: RequestId,
+    },
     /// Replace the snapshot on disk by these bytes: the one before is kept under a second name, the new one is
     /// written to a third, synced and renamed.
-    WriteSnapshot { revision: i64, bytes: Vec<u8> },
+    WriteSnapshot {
+        /// The revision that the snapshot is of.
+        revision: i64,
+        /// The whole file.
+        bytes: Vec<u8>,
+    },
     /// Put the report under the front end's own lease, then call
     /// [`ConfigSync::reported`](crate::ConfigSync::reported).
     Report(Report),
--- a/crates/config-sync/src/in_force.rs
+++ b/crates/config-sync/src/in_force.rs
@@ -9,13 +9,29 @@
     /// It lives, but has reported nothing yet.
     NotReported,
     /// Its report names an older revision.
-    Behind { applied_revision: i64, state: ReportedState },
+    Behind {
+        /// How far it has come.
+        applied_revision: i64,
+        /// Whether it follows the store.
+        state: ReportedState,
+    },
     /// It follows another generation, or another store.
-    OtherStore { generation: u64, cluster: u64 },
+    OtherStore {
+        /// The generation that it follows.
+        generation: u64,
+        /// The cluster id that it follows.
+        cluster: u64,
+    },
     /// It came to the revision, but rejected the transaction; reasons as it reports them.
-    Rejected { keys: Vec<String> },
+    Rejected {
+        /// The offending keys.
+        keys: Vec<String>,
+    },
     /// It came to the revision, but names only a part of what it rejects: the transaction may be among the rest.
-    PerhapsRejected { omitted: usize },
+    PerhapsRejected {
+        /// Rejections that its report leaves out.
+        omitted: usize,
+    },
     /// It was there when the change was written, and its lease is over: it died, or is cut off.
     LeaseLost,
 }
@@ -23,7 +39,9 @@
 /// A front end that the revision is not known to be in force at.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Missing {
+    /// Its name, as in its report's key.
     pub front_end: String,
+    /// Why it is missing.
     pub reason: MissingReason,
 }
 
@@ -43,7 +61,12 @@
     /// All front ends that were there at the write or are there now have it.
     Everywhere,
     /// These are missing, sorted by name; what is taken away is treated by itself.
-    Missing { missing: Vec<Missing>, revocations: RevocationState },
+    Missing {
+        /// Who is missing, and why.
+        missing: Vec<Missing>,
+        /// Whether what is taken away can still be used.
+        revocations: RevocationState,
+    },
 }
 
 /// What is asked about.
@@ -51,7 +74,9 @@
 pub struct Written {
     /// The revision that the store answered to the write.
     pub revision: i64,
+    /// The store's generation at the write.
     pub generation: u64,
+    /// The store's cluster id.
     pub cluster: u64,
     /// When the write was answered, in seconds of the caller's clock: not before it was committed.
     pub at: f64,
--- a/crates/config-sync/src/keys.rs
+++ b/crates/config-sync/src/keys.rs
@@ -28,12 +28,16 @@
 /// Why a text is no entry key.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum EntryKeyError {
+    /// There is no slash; the text.
     #[error("'{0}' has no kind; write it as KIND/NAME, such as functions/resize")]
     NoKind(String),
+    /// Kind or name is empty; the text.
     #[error("'{0}' has an empty kind or name; write it as KIND/NAME, such as functions/resize")]
     Empty(String),
+    /// It is longer than [`MAX_KEY_BYTES`]; its bytes.
     #[error("the key has {0} bytes; at most {MAX_KEY_BYTES} are allowed, choose a shorter name")]
     TooLong(usize),
+    /// It holds a control character.
     #[error("the key holds a control character; use printable characters only")]
     ControlCharacter,
 }
@@ -65,6 +69,7 @@
         EntryKey::parse(&format!("{kind}/{name}"))
     }
 
+    /// The whole key.
     pub fn as_str(&self) -> &str {
         &self.0
     }
@@ -116,7 +121,9 @@
 /// A half-open range of store keys, `[start, end)`, as range requests and watches take it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyRange {
+    /// The first key.
     pub start: Vec<u8>,
+    /// The first key behind the range.
     pub end: Vec<u8>,
 }
 
@@ -153,6 +160,7 @@
         Keyspace { prefix: prefix.into() }
     }
 
+    /// What all keys begin with.
     pub fn prefix(&self) -> &str {
         &self.prefix
     }
--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -9,6 +9,8 @@
 //!
 //! The protocol of keys, the invariants and the arithmetic are in `docs/design/config-sync.md`.
 
+#![warn(missing_docs)]
+
 pub mod action;
 pub mod digest;
 pub mod in_force;
--- a/crates/config-sync/src/message.rs
+++ b/crates/config-sync/src/message.rs
@@ -8,7 +8,9 @@
 /// Which store answered, and how far it had come (`ResponseHeader` of the store's protocol).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Header {
+    /// The store's cluster id.
     pub cluster: u64,
+    /// The revision of the member that answered.
     pub revision: i64,
 }
 
@@ -17,14 +19,18 @@
 pub struct Change {
     /// The whole key as it stands in the store.
     pub key: Vec<u8>,
+    /// The new value; `None` if the key was deleted.
     pub value: Option<Vec<u8>>,
+    /// The revision of the change.
     pub mod_revision: i64,
 }
 
 /// One answer of the watch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WatchBatch {
+    /// The answer's header; its cluster id counts.
     pub header: Header,
+    /// The changes, in the order of revisions.
     pub changes: Vec<Change>,
     /// Whether the greatest revision among the changes is there whole. A host that puts the store's fragments
     /// together always says `true`; one that hands fragments on says `true` with the last one only.
@@ -36,15 +42,20 @@
 pub struct RangeEntry {
     /// The whole key as it stands in the store.
     pub key: Vec<u8>,
+    /// Its value.
     pub value: Vec<u8>,
+    /// The revision of its last change.
     pub mod_revision: i64,
 }
 
 /// The answer to an [`Action::Read`](crate::Action::Read).
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RangeAnswer {
+    /// The read that is answered.
     pub id: RequestId,
+    /// The store's newest revision, also where an older one was read at.
     pub header: Header,
+    /// What was found, sorted by key.
     pub entries: Vec<RangeEntry>,
     /// Whether the range holds more than the limit let through.
     pub more: bool,
@@ -55,7 +66,9 @@
 /// The answer to an [`Action::Barrier`](crate::Action::Barrier): a linearizable read of the generation key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BarrierAnswer {
+    /// The barrier that is answered.
     pub id: RequestId,
+    /// The revision up to which the store had committed.
     pub header: Header,
     /// The generation key's value, if the key is there.
     pub generation: Option<Vec<u8>>,
--- a/crates/config-sync/src/report.rs
+++ b/crates/config-sync/src/report.rs
@@ -27,8 +27,11 @@
     pub sequence: u64,
     /// Every transaction up to this revision was applied or is named, or counted, in `rejected`.
     pub applied_revision: i64,
+    /// The generation that the view is of; 0 before anything is loaded.
     pub generation: u64,
+    /// The cluster id that the view is of; 0 before anything is loaded.
     pub cluster: u64,
+    /// Whether it follows the store.
     pub state: ReportedState,
     /// Rejected entries that are still rejected, oldest first, a bounded number.
     #[serde(default)]
--- a/crates/config-sync/src/schema/envelope.rs
+++ b/crates/config-sync/src/schema/envelope.rs
@@ -9,8 +9,10 @@
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Envelope {
+    /// What holds while the view can't be proven current.
     #[serde(default)]
     pub when_stale: WhenStale,
+    /// What the schema reads.
     pub spec: serde_json::Value,
 }
 
--- a/crates/config-sync/src/schema/function.rs
+++ b/crates/config-sync/src/schema/function.rs
@@ -16,6 +16,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct VersionSpec {
+    /// The digest of its image.
     pub digest: String,
     /// Invocations that one instance takes at a time.
     #[serde(default = "one_lane")]
--- a/crates/config-sync/src/schema/gateway.rs
+++ b/crates/config-sync/src/schema/gateway.rs
@@ -5,16 +5,21 @@
 use crate::view::View;
 use std::collections::BTreeSet;
 
-/// Kinds of entries, as they begin an entry's key.
+/// The kind of functions, as it begins an entry's key.
 pub const FUNCTIONS: &str = "functions";
+/// The kind of customers' quotas.
 pub const QUOTAS: &str = "quotas";
+/// The kind of trigger types.
 pub const TRIGGER_TYPES: &str = "trigger-types";
 
 /// An entry of the gateway's configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub enum GatewayEntry {
+    /// `functions/<name>`.
     Function(FunctionSpec),
+    /// `quotas/<customer>`.
     Quota(QuotaSpec),
+    /// `trigger-types/<name>`.
     TriggerType(TriggerTypeSpec),
 }
 
--- a/crates/config-sync/src/schema/mod.rs
+++ b/crates/config-sync/src/schema/mod.rs
@@ -21,11 +21,14 @@
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 #[error("{reason}; {remedy}")]
 pub struct InvalidEntry {
+    /// What is wrong with it.
     pub reason: String,
+    /// What the writer can do about it.
     pub remedy: String,
 }
 
 impl InvalidEntry {
+    /// A reason and its remedy.
     pub fn new(reason: impl Into<String>, remedy: impl Into<String>) -> InvalidEntry {
         InvalidEntry { reason: reason.into(), remedy: remedy.into() }
     }
@@ -38,14 +41,18 @@
     pub key: String,
     /// The revision of the rejected transaction.
     pub revision: i64,
+    /// What is wrong.
     pub reason: String,
+    /// What the writer can do about it.
     pub remedy: String,
 }
 
 /// A violation of a rule between entries that [`Schema::check`] found.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Violation {
+    /// The entry that the rule is broken at.
     pub key: EntryKey,
+    /// The rule, and what to do.
     pub invalid: InvalidEntry,
 }
 
--- a/crates/config-sync/src/settings.rs
+++ b/crates/config-sync/src/settings.rs
@@ -76,20 +76,43 @@
 /// What is wrong with the settings.
 #[derive(Clone, Debug, Error, PartialEq)]
 pub enum SettingsError {
+    /// There is no prefix.
     #[error("the prefix is empty; choose one such as 'orchidtally/config/'")]
     NoPrefix,
+    /// A setting lies outside of its range.
     #[error("{name} is {value}; it has to lie between {least} and {most}")]
-    OutOfRange { name: &'static str, value: f64, least: f64, most: f64 },
+    OutOfRange {
+        /// The setting.
+        name: &'static str,
+        /// What it was set to.
+        value: f64,
+        /// The least that it may be.
+        least: f64,
+        /// The most that it may be.
+        most: f64,
+    },
+    /// The freshness bound leaves no time for calls that were admitted at it.
     #[error(
         "freshness_bound {freshness_bound} s is not at least 1 s below in_force_limit {in_force_limit} s; lower it, \
          or raise the limit"
     )]
-    NoSlack { freshness_bound: f64, in_force_limit: f64 },
+    NoSlack {
+        /// In seconds.
+        freshness_bound: f64,
+        /// In seconds.
+        in_force_limit: f64,
+    },
+    /// A lost barrier or two would have everything refused.
     #[error(
         "freshness_bound {freshness_bound} s leaves no room for three barriers of {barrier_interval} s; raise it, or \
          ask more often"
     )]
-    TooFewBarriers { freshness_bound: f64, barrier_interval: f64 },
+    TooFewBarriers {
+        /// In seconds.
+        freshness_bound: f64,
+        /// In seconds.
+        barrier_interval: f64,
+    },
 }
 
 /// The least slack between the freshness bound and the limit, in seconds: a call that was admitted at the bound
--- a/crates/config-sync/src/snapshot.rs
+++ b/crates/config-sync/src/snapshot.rs
@@ -27,20 +27,31 @@
 /// Why bytes are no snapshot that can be used.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum SnapshotError {
+    /// It ends too early; its bytes.
     #[error(
         "the snapshot was cut off after {0} bytes; it is passed over, an earlier one or the store is read"
     )]
     Truncated(usize),
+    /// It doesn't begin as a snapshot does.
     #[error("the file is no snapshot of the configuration; check the path")]
     NoSnapshot,
+    /// Another version of the program wrote it.
     #[error("the snapshot has version {0}, this program reads {VERSION}; it is passed over")]
     OtherVersion(u16),
+    /// It was damaged.
     #[error("the snapshot's checksum doesn't fit; it is passed over, an earlier one or the store is read")]
     Checksum,
+    /// Its parts don't fit each other.
     #[error("the snapshot's body is malformed; it is passed over, an earlier one or the store is read")]
     Malformed,
+    /// It holds more than the settings allow.
     #[error("the snapshot holds {entries} entries and {bytes} bytes, over the limits of this front end")]
-    TooLarge { entries: usize, bytes: usize },
+    TooLarge {
+        /// Entries that it holds.
+        entries: usize,
+        /// Bytes of their keys and documents.
+        bytes: usize,
+    },
 }
 
 /// An entry whose last good document differs from the store's.
--- a/crates/config-sync/src/sync/mod.rs
+++ b/crates/config-sync/src/sync/mod.rs
@@ -190,10 +190,12 @@
         rejections.into_iter().chain(self.foreign_keys.values()).cloned().collect()
     }
 
+    /// The settings, as they were checked.
     pub fn settings(&self) -> &SyncSettings {
         &self.settings
     }
 
+    /// The store's keys.
     pub fn keyspace(&self) -> &Keyspace {
         &self.keyspace
     }
--- a/crates/config-sync/src/sync/verdict.rs
+++ b/crates/config-sync/src/sync/verdict.rs
@@ -7,10 +7,12 @@
 /// Whether a call may use an entry now.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Verdict {
+    /// It may.
     Serve,
     /// The entry is refused when stale, and what is known of it was last certainly current `age` seconds ago;
     /// infinite if it was not yet since the start.
     RefuseStale {
+        /// In seconds.
         age: f64,
     },
     /// The entry says that it must not be used, or was deleted since the call was admitted.
--- a/crates/config-sync/src/view.rs
+++ b/crates/config-sync/src/view.rs
@@ -20,9 +20,11 @@
 pub struct Record<E> {
     /// The revision of the transaction that wrote it.
     pub mod_revision: i64,
+    /// What holds while the view can't be proven current.
     pub when_stale: WhenStale,
     /// The document as it stands in the store.
     pub document: Arc<[u8]>,
+    /// The document as the schema reads it.
     pub entry: E,
 }
 
@@ -72,6 +74,7 @@
         self.len
     }
 
+    /// Whether there are no entries.
     pub fn is_empty(&self) -> bool {
         self.len == 0
     }
--- a/crates/config-sync/src/writer.rs
+++ b/crates/config-sync/src/writer.rs
@@ -19,12 +19,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Generation {
+    /// The format of keys and values; [`FORMAT`].
     pub format: u32,
     /// Raised by the operator when a store that was set back is to be followed.
     pub generation: u64,
 }
 
 impl Generation {
+    /// A generation in this crate's format.
     pub fn new(generation: u64) -> Generation {
         Generation { format: FORMAT, generation }
     }
@@ -38,7 +40,9 @@
 /// A value and the revision of its last change, as it was read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReadValue {
+    /// The value.
     pub value: Vec<u8>,
+    /// The revision of its last change.
     pub mod_revision: i64,
 }
 
@@ -48,42 +52,72 @@
 /// A wanted change of one entry; without a document it is deleted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntryChange {
+    /// The entry.
     pub key: EntryKey,
+    /// Its new document; `None` deletes it.
     pub document: Option<Vec<u8>>,
 }
 
 /// A guard: the key's `mod_revision` has to be this one; 0 if the key must not be there.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ModRevisionGuard {
+    /// The whole key in the store.
     pub key: Vec<u8>,
+    /// What it has to be.
     pub mod_revision: i64,
 }
 
 /// One operation of a transaction.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Operation {
-    Put { key: Vec<u8>, value: Vec<u8> },
-    Delete { key: Vec<u8> },
+    /// Puts a value under a key.
+    Put {
+        /// The whole key in the store.
+        key: Vec<u8>,
+        /// The value.
+        value: Vec<u8>,
+    },
+    /// Deletes a key.
+    Delete {
+        /// The whole key in the store.
+        key: Vec<u8>,
+    },
 }
 
 /// A transaction for the store: `operations` are done together if all `guards` hold.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Transaction {
+    /// What has to hold.
     pub guards: Vec<ModRevisionGuard>,
+    /// What is done then.
     pub operations: Vec<Operation>,
 }
 
 /// Why there is no transaction.
 #[derive(Clone, Debug, Error, PartialEq)]
 pub enum WriteError {
+    /// An entry is changed twice.
     #[error("'{0}' is changed twice in one transaction; keep one of the changes")]
     ChangedTwice(EntryKey),
+    /// A document is no entry.
     #[error("'{key}': {invalid}")]
-    Invalid { key: EntryKey, invalid: InvalidEntry },
+    Invalid {
+        /// The entry.
+        key: EntryKey,
+        /// What is wrong with it.
+        invalid: InvalidEntry,
+    },
+    /// The store would refuse it.
     #[error(
         "the transaction has {operations} operations and the store takes {most}; split it, or raise the store's limit"
     )]
-    TooManyOperations { operations: usize, most: usize },
+    TooManyOperations {
+        /// Operations, those on digests among them.
+        operations: usize,
+        /// What the store takes.
+        most: usize,
+    },
+    /// Digests in the store have another length than they must have; their key.
     #[error("the digests under '{0}' can't be read; repair them")]
     BadDigest(String),
 }
