Find deletions behind a compaction by keys alone

Change: keys are read first (ReadRequest::keys_only, which hosts have to hand on; one that doesn't only spends bytes).

--- a/crates/config-sync/src/action.rs
+++ b/crates/config-sync/src/action.rs
@@ -15,7 +15,7 @@
     Scan,
     /// What changed since the applied revision, where digests differ.
     Changed,
-    /// One bucket whose digest differs.
+    /// One bucket whose digest differs: its keys, or its entries.
     Bucket(usize),
 }
 
@@ -34,6 +34,8 @@
     pub at_revision: i64,
     /// Entries in the answer at most.
     pub limit: i64,
+    /// Values aren't needed (`keys_only`); a host that reads them all the same spends bytes, nothing else.
+    pub keys_only: bool,
 }
 
 /// An action for the host. All are started at once, in the order in which they are polled.
--- a/crates/config-sync/src/sync/catch_up.rs
+++ b/crates/config-sync/src/sync/catch_up.rs
@@ -3,12 +3,12 @@
 
 use super::reading::{OpenRead, Reading, Step};
 use super::{ConfigSync, Need, Phase};
-use crate::keys::{Keyspace, group_of};
+use crate::keys::{EntryKey, Keyspace, group_of};
 use crate::message::{RangeAnswer, RangeEntry, RequestFailure, RequestId};
 use crate::report::ReportedState;
 use crate::schema::Schema;
 use crate::stored::{Stored, StoredEntry};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What is to be done after an answer.
 enum Outcome {
@@ -99,6 +99,7 @@
             Step::Digests { .. } => self.take_digests(reading, entries, is_page),
             Step::Scan => self.take_scanned(reading, entries),
             Step::Changed { .. } => self.take_changed(reading, entries, is_page),
+            Step::BucketKeys { .. } => self.take_bucket_keys(reading, entries, is_page),
             Step::Buckets { .. } => self.take_bucket(reading, entries, is_page),
         }
     }
@@ -153,7 +154,7 @@
             return Outcome::GoOn;
         }
         reading.changed_from = reading.revision + 1;
-        enter_buckets(reading)
+        enter_bucket_keys(reading)
     }
 
     /// Puts what was read to what is staged; whether that is more than the front end takes.
@@ -166,6 +167,26 @@
         self.is_too_large(&reading.staged)
     }
 
+    fn take_bucket_keys(
+        &mut self,
+        reading: &mut Reading,
+        entries: Vec<RangeEntry>,
+        is_page: bool,
+    ) -> Outcome {
+        let Step::BucketKeys { remaining, listed } = &mut reading.step else { return Outcome::GoOn };
+        listed.extend(entries.iter().filter_map(|entry| self.keyspace.parse_entry(&entry.key)));
+        if is_page {
+            return Outcome::GoOn;
+        }
+        let listed = std::mem::take(listed);
+        if let Some(bucket) = remaining.pop_front() {
+            let staged = reading.staged.bucket(bucket).iter().map(|entry| entry.key.clone());
+            let deleted: Vec<EntryKey> = staged.filter(|key| !listed.contains(key)).collect();
+            deleted.iter().for_each(|key| reading.staged.delete(key));
+        }
+        if remaining.is_empty() { enter_buckets(reading) } else { Outcome::GoOn }
+    }
+
     fn take_bucket(&mut self, reading: &mut Reading, entries: Vec<RangeEntry>, is_page: bool) -> Outcome {
         let Step::Buckets { remaining, entries: collected } = &mut reading.step else { return Outcome::GoOn };
         let Some(bucket) = remaining.front().copied() else { return Outcome::GoOn };
@@ -265,7 +286,7 @@
 /// Reads what was changed in the groups that differ, if revisions tell.
 fn enter_changed(reading: &mut Reading, keyspace: &Keyspace) -> Outcome {
     if reading.changed_from == 0 || reading.changed_from > reading.revision {
-        return enter_buckets(reading);
+        return enter_bucket_keys(reading);
     }
     let mut spans: BTreeMap<usize, (usize, usize)> = BTreeMap::new();
     for bucket in reading.digests.differing(reading.staged.digests()) {
@@ -280,6 +301,16 @@
     Outcome::GoOn
 }
 
+/// Finds what was deleted, if anything still differs. Another history's keys are known to differ in their values.
+fn enter_bucket_keys(reading: &mut Reading) -> Outcome {
+    let differing = reading.digests.differing(reading.staged.digests());
+    if differing.is_empty() || reading.need != Need::CatchUp {
+        return enter_buckets(reading);
+    }
+    reading.enter(Step::BucketKeys { remaining: differing.into(), listed: BTreeSet::new() });
+    Outcome::GoOn
+}
+
 /// Reads the buckets that differ, if any do.
 fn enter_buckets(reading: &mut Reading) -> Outcome {
     let differing = reading.digests.differing(reading.staged.digests());
--- a/crates/config-sync/src/sync/reading.rs
+++ b/crates/config-sync/src/sync/reading.rs
@@ -1,21 +1,23 @@
 //! Reads, one after another and at the pace.
 //!
 //! Digests come first. A front end that has nothing reads all entries once. One that has something reads, of the
-//! groups in which digests differ, what was changed since; then the buckets that still differ, whole: there something
-//! was deleted.
+//! groups in which digests differ, what was changed since; then the keys of buckets that still differ, where something
+//! was deleted; then what differs even so, whole.
 
 use super::{ConfigSync, Need, Phase};
 use crate::action::{Action, ReadKind, ReadRequest};
 use crate::digest::Digests;
-use crate::keys::{KeyRange, Keyspace};
+use crate::keys::{EntryKey, KeyRange, Keyspace};
 use crate::message::{RequestFailure, RequestId};
 use crate::schema::Schema;
 use crate::stored::{Stored, StoredEntry};
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 /// Bytes of an entry on the wire before any was seen, and of a digest group.
 const ENTRY_BYTES_GUESS: f64 = 400.0;
-const DIGEST_GROUP_BYTES: f64 = 200.0;
+const DIGEST_GROUP_BYTES: f64 = 330.0;
+/// Bytes of a key on the wire without its value.
+const KEY_BYTES: f64 = 100.0;
 /// The weight of the newest answer in the mean size of entries.
 const NEWEST_WEIGHT: f64 = 0.3;
 /// Entries that one read asks for at most.
@@ -35,6 +37,13 @@
     Scan,
     /// What was changed, in these ranges, the first one now.
     Changed { ranges: VecDeque<KeyRange> },
+    /// Keys of buckets; what isn't among them was deleted.
+    BucketKeys {
+        /// Buckets to be read, the first one now.
+        remaining: VecDeque<usize>,
+        /// What was read of the first.
+        listed: BTreeSet<EntryKey>,
+    },
     Buckets {
         /// Buckets to be read, the first one now.
         remaining: VecDeque<usize>,
@@ -131,7 +140,8 @@
 
     /// Learns the size of entries from an answer.
     pub(super) fn learn_size(&mut self, entries: usize, bytes: usize) {
-        if entries > 0 && !matches!(self.step, Step::Digests { .. }) {
+        let has_values = !matches!(self.step, Step::Digests { .. } | Step::BucketKeys { .. });
+        if entries > 0 && has_values {
             let size = bytes as f64 / entries as f64;
             self.entry_bytes += NEWEST_WEIGHT * (size - self.entry_bytes);
         }
@@ -142,6 +152,7 @@
     fn limit(&self, page_bytes: f64) -> i64 {
         let each = match self.step {
             Step::Digests { .. } => DIGEST_GROUP_BYTES,
+            Step::BucketKeys { .. } => KEY_BYTES,
             Step::Scan | Step::Changed { .. } | Step::Buckets { .. } => self.entry_bytes.max(1.0),
         };
         (page_bytes / each).clamp(1.0, MAX_LIMIT) as i64
@@ -154,7 +165,9 @@
             Step::Digests { .. } => keyspace.digests(),
             Step::Scan => return scanned.unwrap_or_else(|| keyspace.entries()),
             Step::Changed { ranges } => ranges.front().cloned().unwrap_or_else(|| keyspace.entries()),
-            Step::Buckets { remaining, .. } => keyspace.bucket(remaining.front().copied().unwrap_or(0)),
+            Step::BucketKeys { remaining, .. } | Step::Buckets { remaining, .. } => {
+                keyspace.bucket(remaining.front().copied().unwrap_or(0))
+            }
         };
         self.rest.clone().unwrap_or(whole)
     }
@@ -162,7 +175,7 @@
     fn min_mod_revision(&self) -> i64 {
         match self.step {
             Step::Changed { .. } => self.changed_from,
-            Step::Digests { .. } | Step::Scan | Step::Buckets { .. } => 0,
+            _ => 0,
         }
     }
 
@@ -171,7 +184,9 @@
             Step::Digests { .. } => ReadKind::Digests,
             Step::Scan => ReadKind::Scan,
             Step::Changed { .. } => ReadKind::Changed,
-            Step::Buckets { remaining, .. } => ReadKind::Bucket(remaining.front().copied().unwrap_or(0)),
+            Step::BucketKeys { remaining, .. } | Step::Buckets { remaining, .. } => {
+                ReadKind::Bucket(remaining.front().copied().unwrap_or(0))
+            }
         }
     }
 }
@@ -258,6 +273,7 @@
             min_mod_revision: reading.min_mod_revision(),
             at_revision: reading.revision,
             limit: reading.limit(self.settings.page_bytes),
+            keys_only: matches!(reading.step, Step::BucketKeys { .. }),
         };
         self.actions.push_back(Action::Read(request));
     }
--- a/crates/config-sync/tests/kit/front_end.rs
+++ b/crates/config-sync/tests/kit/front_end.rs
@@ -295,7 +295,10 @@
         );
         self.count(now, 120);
         match answer {
-            Ok((header, entries, more)) => {
+            Ok((header, mut entries, more)) => {
+                if request.keys_only {
+                    entries.iter_mut().for_each(|entry| entry.value.clear());
+                }
                 let each = |e: &orchidtally_config_sync::RangeEntry| e.key.len() + e.value.len() + 24;
                 let bytes = 60 + entries.iter().map(each).sum::<usize>();
                 *self.traffic.reads_by_second.entry(now as u64).or_default() += bytes;
--- a/crates/config-sync/tests/load.rs
+++ b/crates/config-sync/tests/load.rs
@@ -202,7 +202,7 @@
     println!("first load of 21,000 functions: {loaded:?} s, {loaded_bytes} bytes");
     assert!(loaded.is_some());
     assert!(fleet.peak_bytes(began) <= BYTES_PER_SECOND, "{}", fleet.peak_bytes(began));
-    for deletions in [1, 3, 8] {
+    for deletions in [1, 3, 8, 30] {
         for front_end in &mut fleet.front_ends {
             front_end.side = None;
         }
@@ -211,7 +211,7 @@
         let mut changes: Vec<_> =
             (0..deletions).map(|n| delete(&format!("functions/f{}", changed + n))).collect();
         changes.extend(
-            (10..14).map(|n| put(&format!("functions/f{}", changed + n), function("b", "refuse", false))),
+            (200..204).map(|n| put(&format!("functions/f{}", changed + n), function("b", "refuse", false))),
         );
         let revision = fleet.write(&changes);
         fleet.store.touch();
