Make sure that an injected violation took place, or end rehearse with exit code 3

What the checks allow grows with the lag of the rehearsal's thread: from about 1.1 s of lag on the dispatch was within the allowance, and the run ended with 0. Stopping the process for 1.8 s shows it. Exit 0 came of it too with a roster cut at the wrong moment, a deaf executor, a roster from the store (rules 3 and 4), one executor (rule 2), and more invocations than 400 orders are a share of (rule 5).

If it did not take place the exit code is 3 with what was missing; also if it took place and was not found. The injecting front end follows the roster again after a break, and from the store.

--- a/crates/cli/src/rehearse/mod.rs
+++ b/crates/cli/src/rehearse/mod.rs
@@ -2,6 +2,7 @@
 //! checked from the traffic.
 
 mod day;
+mod evidence;
 mod messages;
 mod play;
 mod rolling;
@@ -9,6 +10,7 @@
 
 use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO};
 use day::Day;
+use evidence::Missing;
 use orchidtally_witness::{Answer, Messages, Record, Verdict, judge, messages as judge_messages};
 use serde::Serialize;
 use std::collections::HashMap;
@@ -26,9 +28,9 @@
     /// Length of the built-in day, in seconds.
     #[arg(long, default_value_t = 20.0)]
     length: f64,
-    /// Plants a breach of this rule in the traffic; it has to be found. 6, with --mqtt: messages given twice.
-    #[arg(long, value_name = "RULE", value_parser = clap::value_parser!(u8).range(1..=6))]
-    sabotage: Option<u8>,
+    /// Injects a violation of this rule into the traffic; it has to be found. 6, with --mqtt: messages given twice.
+    #[arg(long = "sabotage", value_name = "RULE", value_parser = clap::value_parser!(u8).range(1..=6))]
+    inject_violation: Option<u8>,
     /// A day as the users' bench prints it, scaled down to this machine.
     #[arg(long, value_name = "FILE", conflicts_with = "day")]
     bench_day: Option<PathBuf>,
@@ -86,14 +88,14 @@
 }
 
 pub fn run(arguments: Arguments) -> Result<(), u8> {
-    if arguments.sabotage == Some(6) && !arguments.mqtt {
+    if arguments.inject_violation == Some(6) && !arguments.mqtt {
         eprintln!("--sabotage 6 is a broker's fault: --mqtt is wanted with it");
         return Err(BAD_INPUT);
     }
     let day = day(&arguments)?;
     let wish = play::Wish {
         seed: arguments.seed,
-        sabotage: arguments.sabotage,
+        inject_violation: arguments.inject_violation,
         front_end_log: arguments.front_end_log.clone(),
         messages: arguments.mqtt,
         etcd: arguments.etcd,
@@ -119,12 +121,41 @@
     }
     let verdict = judge(&played.terms, &played.fleet, &played.records);
     let messages = arguments.mqtt.then(|| judge_messages(&played.terms, &played.records));
-    report(&day, &played, &verdict, messages.as_ref());
+    let injected =
+        arguments.inject_violation.map(|rule| evidence::of_violation(rule, &played.terms, &played.records));
+    report(&day, &played, &verdict, messages.as_ref(), injected.map(|found| found.is_ok()));
+    if let (Some(rule), Some(injected)) = (arguments.inject_violation, injected) {
+        check_injection(rule, injected, &verdict, messages.as_ref())?;
+    }
     let rolled_well = played.rollout.as_ref().is_none_or(rolling::Seen::is_well);
     let carried_well = messages.as_ref().is_none_or(Messages::kept);
     if verdict.kept() && rolled_well && carried_well { Ok(()) } else { Err(NOT_SO) }
 }
 
+/// A violation that was asked for has to have taken place and to be found; else nothing is proved either way.
+fn check_injection(
+    rule: u8,
+    injected: Result<(), Missing>,
+    verdict: &Verdict,
+    messages: Option<&Messages>,
+) -> Result<(), u8> {
+    if let Err(missing) = injected {
+        eprintln!("no violation of rule {rule} could be injected: {missing}");
+        eprintln!("give it more room: a longer day (--length), fewer troubles, or a less busy machine");
+        return Err(COULD_NOT_RUN);
+    }
+    let is_found = match messages {
+        Some(messages) if rule == 6 => messages.effects_twice > 0,
+        _ => verdict.rules.iter().any(|r| r.rule == rule && r.broken > 0),
+    };
+    if !is_found {
+        eprintln!("a violation of rule {rule} was injected and not found: the check is at fault");
+        eprintln!("play it again with --records FILE and report the file");
+        return Err(COULD_NOT_RUN);
+    }
+    Ok(())
+}
+
 /// The last line of the output.
 #[derive(Serialize)]
 struct Line<'a> {
@@ -137,6 +168,9 @@
     mqtt: Option<&'a Messages>,
     #[serde(skip_serializing_if = "Option::is_none")]
     roster: Option<roster::Seen>,
+    /// Whether the violation that was asked for took place.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    injected: Option<bool>,
 }
 
 #[derive(Serialize)]
@@ -152,7 +186,13 @@
     sorted.get(rank.min(sorted.len().saturating_sub(1))).copied().unwrap_or(f64::NAN)
 }
 
-fn report(day: &Day, played: &play::Played, verdict: &Verdict, messages: Option<&Messages>) {
+fn report(
+    day: &Day,
+    played: &play::Played,
+    verdict: &Verdict,
+    messages: Option<&Messages>,
+    injected: Option<bool>,
+) {
     println!("troubles:");
     for t in &day.troubles {
         println!("  {:>5.1} s  {:<16} for {:>4.1} s, size {:.2}", t.at, t.kind.name(), t.lasts, t.size);
@@ -197,6 +237,7 @@
         rollout,
         mqtt: messages,
         roster,
+        injected,
     };
     let line = serde_json::to_string(&line).unwrap_or_default();
     println!("{line}");
--- a/crates/cli/src/rehearse/play/injection.rs
+++ b/crates/cli/src/rehearse/play/injection.rs
@@ -1,6 +1,8 @@
-//! Violations of the rules, injected into the traffic so that the checks can be seen to find them.
+//! Violations of the rules, injected into the traffic so that the checks can be seen to find them. An attempt may come
+//! to nothing on a bad day or a busy machine: it is made again until the records show the violation, or time is up.
 
-use super::Rehearsal;
+use super::{Rehearsal, TRANSIT};
+use crate::rehearse::evidence::{self, INVOCATION_PREFIX, UNANSWERED_CLIENT};
 use orchidtally_standin::any_port;
 use orchidtally_standin::client::{Ask, Caller};
 use orchidtally_standin::executor::Executor;
@@ -8,84 +10,177 @@
 use orchidtally_witness::Standing;
 use std::rc::Rc;
 
+/// Attempts end so long after the day at the latest, in seconds: sooner than the rehearsal waits for what is open.
+const TIME_AFTER_DAY: f64 = 3.0;
+/// Between looks at the records, in seconds.
+const LOOK_INTERVAL: f64 = 0.1;
+/// A dispatch to a draining executor comes so much later than any allowance, in seconds.
+const DRAIN_MARGIN: f64 = 1.0;
+/// In which a dispatch has to be answered, in seconds.
+const DISPATCH_TIME: f64 = 1.0;
+/// In which a front end has to be told of an executor that started, in seconds; it is cold no longer than 4 s.
+const TELL_TIME: f64 = 2.0;
+/// Dispatches that push a cold executor over, and orders to load, of one attempt.
+const BURST: usize = 400;
+/// Between dispatches of one invocation, in seconds, and how many of those are made before the records are looked at.
+const PAIR_INTERVAL: f64 = 0.05;
+const PAIRS: usize = 10;
+
 impl Rehearsal {
-    /// Plants a breach of a rule in the traffic.
-    pub(super) async fn sabotage(self: Rc<Self>, rule: u8) {
+    /// Injects a violation of a rule from 1 to 5. Whether it took place is told by `evidence`.
+    pub(super) async fn inject_violation(self: Rc<Self>, rule: u8, day_begins: f64) {
+        let until = day_begins + self.day.length + TIME_AFTER_DAY;
         let rogue = Rogue::new(&self.stage, 0, self.day.front_ends);
-        let quiet = |e: &&Rc<Executor>| e.is_up() && !e.draining.get() && e.since() == f64::NEG_INFINITY;
-        match rule {
-            1 => {
-                let Ok(silent) = orchidtally_net::listen(any_port()) else {
-                    return;
-                };
-                let Ok(at) = silent.get_ref().local_addr() else { return };
-                let hold = self.stage.spawn(async move {
-                    let mut taken = vec![];
-                    loop {
-                        taken.push(orchidtally_net::accept(&silent).await);
-                    }
-                });
-                let ask = Ask {
-                    invocation: self.name(),
-                    function: "fn-1".into(),
-                    trigger_type: (0, self.terms.trigger_types[0].name.clone()),
-                    time_left: 1.0,
-                    ..Ask::default()
-                };
-                // As if it were front end 1, which was not killed then unless the script says so.
-                let index = self.front_ends.len() as u32;
-                Caller::new(&self.stage, 9_999, index, at, true).invoke(&ask).await;
-                drop(hold);
+        let watching = (rule == 3 || rule == 4).then(|| self.follow_roster(&rogue));
+        let mut attempt = 0;
+        while self.stage.now() < until && !self.is_violated(rule) {
+            match rule {
+                1 => self.leave_unanswered().await,
+                2 => self.dispatch_twice(&rogue, attempt).await,
+                3 => self.dispatch_after_drain(&rogue, attempt, until).await,
+                4 => self.push_over_cold(&rogue, attempt).await,
+                _ => self.order_over_ration(&rogue).await,
             }
-            2 => {
-                // Over and over, at other ones each time: on a bad day one of the two may be full, hang or be gone.
-                for again in 0..60 {
-                    let (rogue, name) = (rogue.clone(), format!("rogue-2-{again}"));
-                    let all = self.executors.iter().cycle().skip(again).take(self.executors.len());
-                    let two: Vec<_> = all.filter(quiet).take(2).map(|e| e.address).collect();
-                    let both = async move {
-                        for (n, at) in two.into_iter().enumerate() {
-                            rogue.dispatch(at, &name, n as u32, "fn-1", "act").await;
-                        }
-                    };
-                    self.stage.spawn(both).detach();
-                    self.stage.sleep(0.05).await;
-                }
+            attempt += 1;
+            self.stage.sleep(LOOK_INTERVAL).await;
+        }
+        drop(watching);
+    }
+
+    fn is_violated(&self, rule: u8) -> bool {
+        let mut terms = self.terms.clone();
+        terms.transit += self.lag.get();
+        evidence::of_violation(rule, &terms, &self.stage.records()).is_ok()
+    }
+
+    /// The injecting front end hears of the roster as the others do.
+    fn follow_roster(&self, rogue: &Rc<Rogue>) -> async_executor::Task<()> {
+        match &self.roster {
+            Some(roster) => self.stage.spawn(rogue.clone().follow_store(roster.endpoints(), roster.prefix())),
+            None => self.stage.spawn(rogue.clone().follow(self.publisher.address)),
+        }
+    }
+
+    /// Executors that take work, those first that no script has touched yet.
+    fn usable_executors(&self) -> Vec<Rc<Executor>> {
+        let usable = |e: &&Rc<Executor>| e.is_up() && !e.draining.get();
+        let (untouched, restarted): (Vec<_>, Vec<_>) =
+            self.executors.iter().filter(usable).cloned().partition(|e| e.since() == f64::NEG_INFINITY);
+        [untouched, restarted].concat()
+    }
+
+    /// Rule 1: an invocation at a front end that never answers.
+    async fn leave_unanswered(&self) {
+        let Ok(silent) = orchidtally_net::listen(any_port()) else { return };
+        let Ok(at) = silent.get_ref().local_addr() else { return };
+        let hold = self.stage.spawn(async move {
+            let mut taken = vec![];
+            loop {
+                taken.push(orchidtally_net::accept(&silent).await);
             }
-            3 => {
-                self.stage.spawn(rogue.clone().watch(self.publisher.address)).detach();
-                self.stage.sleep(0.3).await;
-                let Some(e) = self.executors.iter().find(quiet) else { return };
-                self.tell(e, Standing::Draining);
-                self.stage.sleep(2.5 + self.publisher.delay.get()).await;
-                rogue.dispatch(e.address, "rogue-3", 0, "fn-1", "look").await;
-                self.tell(e, Standing::Ready);
+        });
+        let ask = Ask {
+            invocation: self.name(),
+            function: "fn-1".into(),
+            trigger_type: (0, self.terms.trigger_types[0].name.clone()),
+            time_left: 1.0,
+            ..Ask::default()
+        };
+        // A front end that the script knows nothing of, so that it never kills it.
+        let index = self.front_ends.len() as u32;
+        Caller::new(&self.stage, UNANSWERED_CLIENT, index, at, true).invoke(&ask).await;
+        drop(hold);
+    }
+
+    /// Rule 2: one invocation that must not run twice, at two executors. Which ones changes each time: on a bad day
+    /// one of the two may be full, hang or be gone.
+    async fn dispatch_twice(&self, rogue: &Rc<Rogue>, attempt: usize) {
+        for pair in 0..PAIRS {
+            let number = attempt * PAIRS + pair;
+            let usable = self.usable_executors();
+            if usable.len() < 2 {
+                return;
             }
-            4 => {
-                self.stage.spawn(rogue.clone().watch(self.publisher.address)).detach();
-                let Some(e) = self.executors.iter().find(quiet) else { return };
-                e.crash();
-                self.stage.sleep(0.1).await;
-                self.bring_up(e);
-                self.stage.sleep(0.5).await;
-                for n in 0..400 {
-                    let (rogue, at) = (rogue.clone(), e.address);
-                    let name = format!("rogue-4-{n}");
-                    self.stage
-                        .spawn(async move { rogue.dispatch(at, &name, 0, "fn-1", "look").await })
-                        .detach();
+            let two = [usable[number % usable.len()].address, usable[(number + 1) % usable.len()].address];
+            let (rogue, name) = (rogue.clone(), format!("{INVOCATION_PREFIX}2-{number}"));
+            let both = async move {
+                for (dispatch, at) in two.into_iter().enumerate() {
+                    rogue.dispatch(at, &name, dispatch as u32, "fn-1", "act").await;
                 }
+            };
+            self.stage.spawn(both).detach();
+            self.stage.sleep(PAIR_INTERVAL).await;
+        }
+    }
+
+    /// Rule 3: a dispatch to an executor long after its drain was told.
+    async fn dispatch_after_drain(&self, rogue: &Rc<Rogue>, attempt: usize, until: f64) {
+        let usable = self.usable_executors();
+        let Some(executor) = usable.get(attempt % usable.len().max(1)) else { return };
+        let began = self.stage.now();
+        self.tell(executor, Standing::Draining);
+        let mut was_told = false;
+        while self.stage.now() < until && executor.is_up() && !executor.draining.get() {
+            self.stage.sleep(LOOK_INTERVAL).await;
+            let told_at = evidence::drain_told_at(&self.stage.records(), executor.make.number);
+            if was_told && told_at.is_none() {
+                // The script has given it back.
+                return;
             }
-            _ => {
-                for n in 0..400 {
-                    let e = &self.executors[n % self.executors.len()];
-                    let (rogue, at) = (rogue.clone(), e.address);
-                    self.stage.spawn(async move { rogue.hold(at, "fn-1").await }).detach();
-                    if n % 20 == 0 {
-                        self.stage.sleep(0.01).await;
-                    }
-                }
+            was_told |= told_at.is_some();
+            let allowed = self.terms.drain_grace + TRANSIT + self.lag.get() + DRAIN_MARGIN;
+            let Some(told_at) = told_at.filter(|at| self.stage.now() > at + allowed) else { continue };
+            let name = format!("{INVOCATION_PREFIX}3-{attempt}-{:.0}", 1e3 * (told_at - began));
+            self.dispatch_in_time(rogue, executor, &name).await;
+            break;
+        }
+        // Where a script has drained or ended it meanwhile, that is what counts.
+        if executor.is_up() && !executor.draining.get() {
+            self.tell(executor, Standing::Ready);
+        }
+    }
+
+    /// Rule 4: more work than a cold executor can take, from a front end that was told of its start.
+    async fn push_over_cold(&self, rogue: &Rc<Rogue>, attempt: usize) {
+        let usable = self.usable_executors();
+        let Some(executor) = usable.get(attempt % usable.len().max(1)) else { return };
+        executor.crash();
+        self.stage.sleep(0.1).await;
+        self.bring_up(executor);
+        let since = executor.since();
+        let patience = self.stage.now() + TELL_TIME;
+        while !evidence::start_was_told(&self.stage.records(), executor.make.number, since) {
+            if self.stage.now() > patience {
+                return;
             }
+            self.stage.sleep(LOOK_INTERVAL).await;
         }
+        // The first one opens the connection, so that the rest comes all at once.
+        self.dispatch_in_time(rogue, executor, &format!("{INVOCATION_PREFIX}4-{attempt}-first")).await;
+        for number in 0..BURST {
+            let (rogue, at) = (rogue.clone(), executor.address);
+            let name = format!("{INVOCATION_PREFIX}4-{attempt}-{number}");
+            let dispatch = async move { rogue.dispatch(at, &name, 0, "fn-1", "look").await };
+            self.stage.spawn(dispatch).detach();
+        }
+        self.stage.sleep(self.terms.fall).await;
+    }
+
+    /// Rule 5: more orders to load than any share of the day's invocations grants.
+    async fn order_over_ration(&self, rogue: &Rc<Rogue>) {
+        for number in 0..BURST {
+            let executor = &self.executors[number % self.executors.len()];
+            let (rogue, at) = (rogue.clone(), executor.address);
+            self.stage.spawn(async move { rogue.hold(at, "fn-1").await }).detach();
+            if number % 20 == 0 {
+                self.stage.sleep(0.01).await;
+            }
+        }
+    }
+
+    async fn dispatch_in_time(&self, rogue: &Rogue, executor: &Executor, name: &str) {
+        let dispatch = rogue.dispatch(executor.address, name, 0, "fn-1", "look");
+        // What became of it is on record at the executor, or is not.
+        futures_lite::future::or(dispatch, self.stage.sleep(DISPATCH_TIME)).await;
     }
 }
--- a/crates/cli/src/rehearse/play/mod.rs
+++ b/crates/cli/src/rehearse/play/mod.rs
@@ -39,7 +39,8 @@
 
 pub struct Wish {
     pub seed: u64,
-    pub sabotage: Option<u8>,
+    /// A violation of this rule is injected.
+    pub inject_violation: Option<u8>,
     pub front_end_log: String,
     pub rollout: Option<rolling::Wish>,
     pub messages: bool,
@@ -132,7 +133,7 @@
 
 impl Rehearsal {
     async fn perform(self: Rc<Self>, wish: &Wish) -> io::Result<Vec<String>> {
-        let sabotage = wish.sabotage;
+        let violation = wish.inject_violation;
         eprintln!("starting {} front ends and {} executors", self.day.front_ends, self.day.executors);
         if let Some(rolling) = &self.rolling {
             rolling.start(&self.file)?;
@@ -152,16 +153,15 @@
         for trouble in self.day.troubles.clone() {
             self.perform_later(from, trouble);
         }
-        if let Some(rule) = sabotage {
+        if let Some(rule) = violation.filter(|rule| *rule <= 5) {
+            self.pending.set(self.pending.get() + 1);
             let me = self.clone();
-            self.stage
-                .spawn(async move {
-                    me.stage.sleep(WARM_UP + 0.25 * me.day.length).await;
-                    if rule <= 5 {
-                        me.sabotage(rule).await;
-                    }
-                })
-                .detach();
+            let work = async move {
+                me.stage.sleep(WARM_UP + 0.25 * me.day.length).await;
+                me.clone().inject_violation(rule, from).await;
+                me.pending.set(me.pending.get() - 1);
+            };
+            self.stage.spawn(work).detach();
         }
         if let Some(rolling) = self.rolling.clone() {
             let (length, file) = (self.day.length, self.file.clone());
@@ -187,7 +187,7 @@
             self.pending.set(self.pending.get() + 1);
             let me = self.clone();
             let work = async move {
-                messages.perform(from, length, rate, sabotage == Some(6)).await;
+                messages.perform(from, length, rate, violation == Some(6)).await;
                 me.pending.set(me.pending.get() - 1);
             };
             self.stage.spawn(work).detach();
--- a/crates/cli/src/rehearse/roster.rs
+++ b/crates/cli/src/rehearse/roster.rs
@@ -12,6 +12,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 const PREFIX: &str = "/orchidtally/executors/";
@@ -55,6 +56,16 @@
         format!("etcd: {{ endpoints: [{}], lease: \"3s\" }}", endpoints.join(", "))
     }
 
+    /// The store's members.
+    pub fn endpoints(&self) -> Vec<SocketAddr> {
+        self.etcd.addresses.clone()
+    }
+
+    /// What the keys of executors begin with.
+    pub fn prefix(&self) -> &'static str {
+        PREFIX
+    }
+
     fn value(&self, e: &Executor) -> String {
         let (location, cell) = (self.place)(e.make.number);
         let standing = match self.entries.borrow()[e.make.number].1 {
--- a/crates/standin/src/rogue.rs
+++ b/crates/standin/src/rogue.rs
@@ -3,6 +3,8 @@
 
 use crate::Stage;
 use bytes::Bytes;
+use orchidtally_etcd::rpc::{RangeRequest, RangeResponse, WatchResponse};
+use orchidtally_etcd::{Client, Fault, Watch, range_end};
 use orchidtally_wire::{CONTENT_TYPE, DISPATCH, ORDER, ROSTER, frame, v1};
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -10,6 +12,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// The life under which it is known in records.
+pub const INCARNATION: u64 = 0x0bad_0bad;
+/// Between tries to follow a roster whose source broke the connection off, in seconds.
+const RETRY_INTERVAL: f64 = 0.1;
+const STORE_TIME: Duration = Duration::from_secs(2);
+
+/// A front end that breaks the rules.
 pub struct Rogue {
     stage: Stage,
     sender: v1::Sender,
@@ -18,7 +27,7 @@
 
 impl Rogue {
     pub fn new(stage: &Stage, index: u32, count: u32) -> Rc<Rogue> {
-        let sender = v1::Sender { index, count, incarnation: 0x0bad_0bad };
+        let sender = v1::Sender { index, count, incarnation: INCARNATION };
         Rc::new(Rogue { stage: stage.clone(), sender, connections: RefCell::default() })
     }
 
@@ -58,13 +67,47 @@
         Ok(response.await?.into_body())
     }
 
-    /// Asks for the roster as a front end does, and keeps the stream open.
-    pub async fn watch(self: Rc<Self>, publisher: SocketAddr) {
-        let ask = frame(&v1::RosterWatch { from: Some(self.sender) });
-        if let Ok(mut told) = self.send(publisher, ROSTER, ask).await {
-            while let Some(Ok(chunk)) = told.data().await {
-                // The window is the rogue's own affair.
-                let _ = told.flow_control().release_capacity(chunk.len());
+    /// Follows the roster as a front end does, and asks for it again when the publisher breaks off.
+    pub async fn follow(self: Rc<Self>, publisher: SocketAddr) {
+        loop {
+            let ask = frame(&v1::RosterWatch { from: Some(self.sender) });
+            if let Ok(mut told) = self.send(publisher, ROSTER, ask).await {
+                while let Some(Ok(chunk)) = told.data().await {
+                    // Fails only where the stream has ended, which the next read tells.
+                    let _ = told.flow_control().release_capacity(chunk.len());
+                }
+            }
+            self.connections.borrow_mut().remove(&publisher);
+            self.stage.sleep(RETRY_INTERVAL).await;
+        }
+    }
+
+    /// Follows the roster from a store, and lists it again when the store breaks off.
+    pub async fn follow_store(self: Rc<Self>, endpoints: Vec<SocketAddr>, prefix: &'static str) {
+        let client = Client::new(endpoints, self.stage.tasks.clone());
+        client.says(format!("{}.{}", self.sender.index, self.sender.incarnation));
+        loop {
+            // Whatever ends it, the next endpoint is asked.
+            let _ = self.follow_store_once(&client, prefix).await;
+            client.fail_over();
+            self.stage.sleep(RETRY_INTERVAL).await;
+        }
+    }
+
+    async fn follow_store_once(&self, client: &Client, prefix: &str) -> Result<(), Fault> {
+        let list = RangeRequest {
+            key: Bytes::copy_from_slice(prefix.as_bytes()),
+            range_end: range_end(prefix.as_bytes()).into(),
+            ..RangeRequest::default()
+        };
+        let listed: RangeResponse = client.unary(orchidtally_etcd::RANGE, &list, STORE_TIME).await?;
+        let next = listed.header.map_or(0, |header| header.revision) + 1;
+        let mut watch = Watch::new(prefix.as_bytes().to_vec(), next);
+        let mut told =
+            client.both::<WatchResponse>(orchidtally_etcd::WATCH, &watch.request(), STORE_TIME).await?;
+        loop {
+            if told.next().await?.canceled {
+                return Ok(());
             }
         }
     }
