--- /dev/null
+++ b/crates/standin/src/executor/cold.rs
@@ -0,0 +1,49 @@
+//! A cold start: how warm an executor is by now, and the load that pushes it over.
+
+use super::Executor;
+use orchidtally_witness::Record;
+use tracing::warn;
+
+impl Executor {
+    pub(super) fn warmth(&self) -> f64 {
+        let age = (self.stage.now() - self.since.get()) / self.make.cold;
+        (self.make.cold_from + (1.0 - self.make.cold_from) * age).min(1.0)
+    }
+
+    /// Counts work that comes while it is cold; tells whether that was too much.
+    pub(super) fn is_pushed_over(&self, work: f64) -> bool {
+        let (now, warmth) = (self.stage.now(), self.warmth());
+        if warmth >= 1.0 {
+            return false;
+        }
+        let mut arrived = self.arrived.borrow_mut();
+        arrived.push_back((now, work));
+        while arrived.front().is_some_and(|a| a.0 < now - self.make.fall) {
+            arrived.pop_front();
+        }
+        let sum: f64 = arrived.iter().map(|a| a.1).sum();
+        // One invocation alone pushes nothing over, however long it runs.
+        let most = self.make.overload_factor * warmth * self.make.cores as f64 * self.make.fall;
+        arrived.len() > 2 && sum > most
+    }
+
+    pub(super) fn fall(&self) {
+        if self.falling.replace(true) {
+            return;
+        }
+        self.fell.set(self.fell.get() + 1);
+        let (at, since) = (self.stage.now(), self.since.get());
+        self.stage.record(Record::Fell { at, executor: self.make.number, since });
+        let Some(me) = self.me.upgrade() else { return };
+        self.stage
+            .spawn(async move {
+                me.crash();
+                me.stage.sleep(me.make.down).await;
+                me.falling.set(false);
+                if let Err(e) = me.restart() {
+                    warn!(executor = %me.address, fault = %e, "did not come up again");
+                }
+            })
+            .detach();
+    }
+}
--- /dev/null
+++ b/crates/standin/src/executor/connection.rs
@@ -0,0 +1,200 @@
+//! Connections of front ends: their streams, what is asked over them, and answers in one piece or in parts.
+
+use super::Executor;
+use async_channel::Receiver;
+use bytes::Bytes;
+use futures_lite::future;
+use h2::server::SendResponse;
+use orchidtally_net::Stream;
+use orchidtally_wire::{CONTENT_TYPE, DISPATCH, Deframer, LONGEST_HEAD, ORDER, PROBE, frame, v1};
+use orchidtally_witness::Ending;
+use prost::Message;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{debug, warn};
+
+impl Executor {
+    pub(super) async fn connection(self: Rc<Self>, stream: Stream, leaving: Receiver<()>) {
+        let now = self.stage.now();
+        if self.faults.slow_handshakes.is_on(now) {
+            self.stage.sleep(self.faults.slow_handshakes.ends() - now).await;
+        }
+        let mut builder = h2::server::Builder::new();
+        builder
+            .max_concurrent_streams(1_000)
+            .initial_window_size(1 << 20)
+            .initial_connection_window_size(4 << 20);
+        let Some(Ok(mut connection)) =
+            orchidtally_net::within(Duration::from_secs(5), builder.handshake::<_, Bytes>(stream)).await
+        else {
+            return;
+        };
+        // Streams end with their connection.
+        let streams = async_executor::LocalExecutor::new();
+        let mut said_goodbye = false;
+        let serve = async {
+            loop {
+                while self.faults.deaf.is_on(self.stage.now()) {
+                    self.stage.sleep(0.05).await;
+                }
+                let goodbye = async {
+                    if said_goodbye {
+                        future::pending::<()>().await;
+                    }
+                    let _ = leaving.recv().await;
+                    None
+                };
+                match future::or(async { Some(connection.accept().await) }, goodbye).await {
+                    None => {
+                        said_goodbye = true;
+                        connection.graceful_shutdown();
+                    }
+                    Some(None) => return,
+                    Some(Some(Err(fault))) => {
+                        if !fault.is_io() {
+                            warn!(executor = %self.address, %fault, "closed a connection for what came over it");
+                        }
+                        return;
+                    }
+                    Some(Some(Ok((request, respond)))) => {
+                        streams.spawn(self.clone().stream(request, respond)).detach();
+                    }
+                }
+            }
+        };
+        streams.run(serve).await;
+    }
+
+    async fn stream(
+        self: Rc<Self>,
+        request: http::Request<h2::RecvStream>,
+        mut respond: SendResponse<Bytes>,
+    ) {
+        let typed = request.headers().get(http::header::CONTENT_TYPE).is_some_and(|t| t == CONTENT_TYPE);
+        let path = request.uri().path().to_owned();
+        let mut body = Body { stream: request.into_body(), deframer: Deframer::default() };
+        if !typed {
+            refuse(&mut respond, http::StatusCode::UNSUPPORTED_MEDIA_TYPE);
+            return;
+        }
+        // A peer that resets its stream ends the work.
+        let done = match path.as_str() {
+            DISPATCH => {
+                let Some(dispatch) = body.message::<v1::Dispatch>().await else {
+                    return refuse(&mut respond, http::StatusCode::BAD_REQUEST);
+                };
+                let work = self.clone().dispatch(dispatch, &mut body);
+                let worked = {
+                    let reset = async {
+                        future::poll_fn(|cx| respond.poll_reset(cx)).await.ok();
+                        None
+                    };
+                    future::or(async { Some(work.await) }, reset).await
+                };
+                match worked {
+                    Some((answer, payload, mut in_hand, ending, streams)) => {
+                        let sent = if streams > 0 {
+                            self.stream_out(&mut respond, &answer, payload, streams).await
+                        } else {
+                            answer_with(&mut respond, &answer, payload)
+                        };
+                        in_hand.end(if sent.is_ok() { ending } else { Ending::Abandoned });
+                        sent
+                    }
+                    None => return,
+                }
+            }
+            ORDER => {
+                let Some(order) = body.message::<v1::Order>().await else {
+                    return refuse(&mut respond, http::StatusCode::BAD_REQUEST);
+                };
+                let answer = self.clone().order(order).await;
+                answer_with(&mut respond, &answer, vec![])
+            }
+            PROBE => answer_with(&mut respond, &v1::ProbeAnswer { report: self.report() }, vec![]),
+            _ => return refuse(&mut respond, http::StatusCode::NOT_FOUND),
+        };
+        if let Err(fault) = done {
+            debug!(executor = %self.address, %fault, "an answer did not go out");
+        }
+    }
+
+    async fn stream_out(
+        &self,
+        respond: &mut SendResponse<Bytes>,
+        answer: &v1::Answer,
+        payload: Vec<Bytes>,
+        parts: usize,
+    ) -> Result<(), h2::Error> {
+        let mut out = respond.send_response(http::Response::new(()), false)?;
+        out.send_data(frame(answer), false)?;
+        for n in 0..parts {
+            self.stage.sleep(0.02).await;
+            for chunk in &payload {
+                out.send_data(chunk.clone(), false)?;
+            }
+            if n + 1 == parts {
+                out.send_data(Bytes::new(), true)?;
+            }
+        }
+        Ok(())
+    }
+}
+
+pub(super) struct Body {
+    stream: h2::RecvStream,
+    deframer: Deframer,
+}
+
+impl Body {
+    async fn more(&mut self) -> bool {
+        match self.stream.data().await {
+            Some(Ok(chunk)) => {
+                let _ = self.stream.flow_control().release_capacity(chunk.len());
+                self.deframer.push(chunk);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    async fn message<M: Message + Default>(&mut self) -> Option<M> {
+        loop {
+            match self.deframer.message(LONGEST_HEAD) {
+                Ok(Some(message)) => return Some(message),
+                Ok(None) if self.more().await => {}
+                Ok(None) => return None,
+                Err(fault) => {
+                    warn!(%fault, "a message could not be read");
+                    return None;
+                }
+            }
+        }
+    }
+
+    pub(super) async fn rest(&mut self) -> Vec<Bytes> {
+        while self.more().await {}
+        std::iter::from_fn(|| self.deframer.payload()).collect()
+    }
+}
+
+fn refuse(respond: &mut SendResponse<Bytes>, status: http::StatusCode) {
+    let mut response = http::Response::new(());
+    *response.status_mut() = status;
+    // The peer may be gone already.
+    let _ = respond.send_response(response, true);
+}
+
+fn answer_with(
+    respond: &mut SendResponse<Bytes>,
+    head: &impl Message,
+    payload: Vec<Bytes>,
+) -> Result<(), h2::Error> {
+    let mut out = respond.send_response(http::Response::new(()), false)?;
+    out.send_data(frame(head), payload.is_empty())?;
+    let last = payload.len();
+    for (n, chunk) in payload.into_iter().enumerate() {
+        out.send_data(chunk, n + 1 == last)?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/standin/src/executor/guards.rs
@@ -0,0 +1,80 @@
+//! What a dispatch holds while it is in hand, given back when it is dropped: however it ends, nothing stays taken.
+
+use super::Executor;
+use async_channel::Sender;
+use orchidtally_witness::{Ending, Record};
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// A dispatch in hand; dropped before its end it was abandoned, or crashed with the executor.
+pub(super) struct InHand {
+    pub(super) executor: Rc<Executor>,
+    pub(super) invocation: String,
+    pub(super) number: u32,
+    pub(super) ended: bool,
+}
+
+impl InHand {
+    pub(super) fn end(&mut self, ending: Ending) {
+        if !std::mem::replace(&mut self.ended, true) {
+            self.executor.in_hand.set(self.executor.in_hand.get() - 1);
+            self.executor.stage.record(Record::Ended {
+                at: self.executor.stage.now(),
+                executor: self.executor.make.number,
+                invocation: self.invocation.clone(),
+                number: self.number,
+                ending,
+            });
+        }
+    }
+}
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        let crashed = self.executor.serving.try_borrow().is_ok_and(|s| s.is_none());
+        self.end(if crashed { Ending::Crashed } else { Ending::Abandoned });
+    }
+}
+
+/// A place on a core, given back when dropped.
+pub(super) struct Running<'a>(pub(super) &'a Cell<usize>);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A lane of a copy, given back when dropped.
+pub(super) struct Lane {
+    pub(super) executor: Rc<Executor>,
+    pub(super) function: String,
+    pub(super) back: Sender<()>,
+    /// Of the copy's bytes. It stays the same where the copy is unloaded while it runs.
+    pub(super) digest: String,
+}
+
+impl Drop for Lane {
+    fn drop(&mut self) {
+        // The copy may be gone with its lanes.
+        let _ = self.back.try_send(());
+        if let Some(copy) = self.executor.copies.borrow_mut().get_mut(&self.function) {
+            copy.running = copy.running.saturating_sub(1);
+            copy.used_at = self.executor.stage.now();
+        }
+    }
+}
+
+/// One of those that wait for a copy.
+pub(super) struct Held {
+    pub(super) executor: Rc<Executor>,
+    pub(super) function: String,
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        if let Some(copy) = self.executor.copies.borrow_mut().get_mut(&self.function) {
+            copy.held = copy.held.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/executor/make.rs
@@ -0,0 +1,99 @@
+//! What an executor is like, what surrounds it, and the faults that a script puts on it.
+
+use super::program::Catalogue;
+use crate::Until;
+use crate::store::Store;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+/// What an executor is like. Times are in seconds.
+#[derive(Clone)]
+pub struct Make {
+    /// Its place in the fleet.
+    pub number: usize,
+    pub cores: usize,
+    pub memory: f64,
+    /// Invocations that wait here at the most.
+    pub queue: usize,
+    /// An idle copy is unloaded after this.
+    pub keep_alive: f64,
+    pub answers_miss: bool,
+    /// What waits for a load that fails ends in 'miss', which proves that it never ran, else in an error.
+    pub fail_is_miss: bool,
+    /// A cold start: how long, from which part of its capacity on, and the load that pushes it over.
+    pub cold: f64,
+    pub cold_from: f64,
+    pub overload_factor: f64,
+    pub fall: f64,
+    /// Down for so long after it was pushed over.
+    pub down: f64,
+    /// Reports are as old as this, and off by this part.
+    pub report_delay: f64,
+    pub report_noise: f64,
+    pub report_fields: Vec<String>,
+}
+
+impl Make {
+    /// One with room that is warm at once and tells no reports.
+    pub fn roomy(number: usize) -> Make {
+        Make {
+            number,
+            cores: 8,
+            memory: 100.0,
+            queue: 100,
+            keep_alive: 10.0,
+            answers_miss: false,
+            fail_is_miss: true,
+            cold: 0.01,
+            cold_from: 1.0,
+            overload_factor: 100.0,
+            fall: 1.0,
+            down: 1.0,
+            report_delay: 0.0,
+            report_noise: 0.0,
+            report_fields: vec![],
+        }
+    }
+}
+
+/// Tokens that the executors of a group have seen, and when.
+#[derive(Default)]
+pub struct Tokens(RefCell<HashMap<String, f64>>);
+
+impl Tokens {
+    /// Whether it is new within the window; it is remembered either way.
+    pub(super) fn is_new(&self, token: &str, now: f64, window: f64) -> bool {
+        let mut seen = self.0.borrow_mut();
+        seen.retain(|_, at| now < *at + window);
+        if seen.contains_key(token) {
+            return false;
+        }
+        seen.insert(token.to_owned(), now);
+        true
+    }
+}
+
+/// What a script may put on an executor.
+#[derive(Default)]
+pub struct Faults {
+    /// Nothing is answered, and nothing run.
+    pub hangs: Until,
+    /// Every dispatch errors at once.
+    pub errors: Until,
+    /// Connections are accepted, and their handshake waits.
+    pub slow_handshakes: Until,
+    /// Nothing is read from any socket.
+    pub deaf: Until,
+    /// Reports come so much later.
+    pub late_reports: Until,
+}
+
+/// What an executor shares with others.
+pub struct Surroundings {
+    pub store: Rc<Store>,
+    pub catalogue: Catalogue,
+    /// Shared by the executors of its group.
+    pub tokens: Rc<Tokens>,
+    pub token_window: f64,
+}
--- /dev/null
+++ b/crates/standin/src/executor/mod.rs
@@ -0,0 +1,199 @@
+//! An executor: cores, memory, copies with lanes, loads from the store, a bounded queue, tokens it remembers
+//! with its group, a cold start in which it can be pushed over, reports that come late and noisy; and the
+//! faults that a script puts on it.
+
+mod cold;
+mod connection;
+mod copies;
+mod dispatch;
+mod guards;
+mod make;
+mod orders;
+mod program;
+
+pub use make::{Faults, Make, Surroundings, Tokens};
+pub use program::{Catalogue, Program, digest, echo, package};
+
+use crate::Stage;
+use crate::store::Store;
+use async_channel::Sender;
+use async_executor::Task;
+use copies::Copy;
+use futures_lite::future;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet, VecDeque};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::{Rc, Weak};
+
+/// An executor on a socket, with what it holds.
+pub struct Executor {
+    pub make: Make,
+    pub faults: Faults,
+    pub address: SocketAddr,
+    stage: Stage,
+    pub store: Rc<Store>,
+    catalogue: Catalogue,
+    tokens: Rc<Tokens>,
+    token_window: f64,
+    copies: RefCell<HashMap<String, Copy>>,
+    /// Packages that were found to be others than their digests name.
+    other_bytes: RefCell<HashSet<String>>,
+    in_hand: Cell<usize>,
+    running: Cell<usize>,
+    pub draining: Cell<bool>,
+    /// When it started; minus infinity for long ago.
+    since: Cell<f64>,
+    /// When work came lately and how much, while it is cold.
+    arrived: RefCell<VecDeque<(f64, f64)>>,
+    /// Backlogs by time, for reports that are late.
+    backlogs: RefCell<VecDeque<(f64, f32, f32)>>,
+    /// Incarnations heard under each index, and when.
+    heard: RefCell<HashMap<u32, HashMap<u64, f64>>>,
+    serving: RefCell<Option<Task<()>>>,
+    open: RefCell<Vec<TcpStream>>,
+    goodbye: RefCell<Option<Sender<()>>>,
+    me: Weak<Executor>,
+    pub fell: Cell<u32>,
+    falling: Cell<bool>,
+}
+
+impl Executor {
+    /// Starts one; port 0 takes any free one.
+    pub fn start(
+        stage: &Stage,
+        make: Make,
+        at: SocketAddr,
+        around: Surroundings,
+    ) -> std::io::Result<Rc<Executor>> {
+        let listener = orchidtally_net::listen(at)?;
+        let address = listener.get_ref().local_addr()?;
+        let executor = Rc::new_cyclic(|me| Executor {
+            make,
+            faults: Faults::default(),
+            address,
+            stage: stage.clone(),
+            store: around.store,
+            catalogue: around.catalogue,
+            tokens: around.tokens,
+            token_window: around.token_window,
+            copies: RefCell::default(),
+            other_bytes: RefCell::default(),
+            in_hand: Cell::new(0),
+            running: Cell::new(0),
+            draining: Cell::new(false),
+            since: Cell::new(f64::NEG_INFINITY),
+            arrived: RefCell::default(),
+            backlogs: RefCell::default(),
+            heard: RefCell::default(),
+            serving: RefCell::default(),
+            open: RefCell::default(),
+            goodbye: RefCell::default(),
+            me: me.clone(),
+            fell: Cell::new(0),
+            falling: Cell::new(false),
+        });
+        executor.serve(listener);
+        Ok(executor)
+    }
+
+    pub fn since(&self) -> f64 {
+        self.since.get()
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.serving.borrow().is_some()
+    }
+
+    pub fn in_hand(&self) -> usize {
+        self.in_hand.get()
+    }
+
+    fn serve(&self, listener: async_io::Async<std::net::TcpListener>) {
+        let Some(me) = self.me.upgrade() else { return };
+        let (goodbye, leaving) = async_channel::bounded(1);
+        *self.goodbye.borrow_mut() = Some(goodbye);
+        let work = async move {
+            // Connections live and die with this task.
+            let connections = async_executor::LocalExecutor::new();
+            let accepting = async {
+                loop {
+                    let stream = orchidtally_net::accept(&listener).await;
+                    let mut open = me.open.borrow_mut();
+                    open.retain(|s| s.peer_addr().is_ok());
+                    open.extend(stream.breaker());
+                    drop(open);
+                    connections.spawn(me.clone().connection(stream, leaving.clone())).detach();
+                }
+            };
+            connections.run(future::or(accepting, me.clone().keep_house())).await
+        };
+        *self.serving.borrow_mut() = Some(self.stage.spawn(work));
+    }
+
+    /// Ends at once: connections are reset, and what is in hand is lost.
+    pub fn crash(&self) {
+        let serving = self.serving.borrow_mut().take();
+        for stream in self.open.borrow_mut().drain(..) {
+            orchidtally_net::break_on_close(&stream);
+        }
+        drop(serving);
+        self.copies.borrow_mut().clear();
+        self.arrived.borrow_mut().clear();
+        self.backlogs.borrow_mut().clear();
+    }
+
+    /// Starts again at its address, cold.
+    pub fn restart(&self) -> std::io::Result<()> {
+        self.draining.set(false);
+        self.since.set(self.stage.now());
+        self.serve(orchidtally_net::listen(self.address)?);
+        Ok(())
+    }
+
+    /// Drops every copy, as a new release of all functions does. What runs goes on.
+    pub fn drop_copies(&self) {
+        self.copies.borrow_mut().retain(|_, c| !c.loaded);
+    }
+
+    /// Tells all peers that it goes: what is in hand is finished, nothing new is taken.
+    pub fn say_goodbye(&self) {
+        self.goodbye.borrow_mut().take();
+    }
+
+    async fn keep_house(self: Rc<Self>) {
+        loop {
+            self.stage.sleep(0.1).await;
+            let now = self.stage.now();
+            let waiting = self.in_hand.get().saturating_sub(self.running.get()) as f32;
+            let memory = self.memory_used() / self.make.memory;
+            let mut backlogs = self.backlogs.borrow_mut();
+            backlogs.push_back((now, waiting, memory as f32));
+            while backlogs.front().is_some_and(|b| b.0 < now - 10.0) {
+                backlogs.pop_front();
+            }
+            let keep = self.make.keep_alive;
+            let idle = |c: &Copy| c.loaded && c.running == 0 && c.held == 0 && now > c.used_at + keep;
+            self.copies.borrow_mut().retain(|_, c| !idle(c));
+        }
+    }
+
+    fn memory_used(&self) -> f64 {
+        self.copies.borrow().values().map(|c| c.memory).sum()
+    }
+
+    fn report(&self) -> Vec<f32> {
+        let now = self.stage.now();
+        let late = if self.faults.late_reports.is_on(now) { 8.0 } else { self.make.report_delay };
+        let backlogs = self.backlogs.borrow();
+        let told = backlogs.iter().rev().find(|b| b.0 <= now - late).or(backlogs.front()).copied();
+        let (_, waiting, memory) = told.unwrap_or_default();
+        let noise = 1.0 + self.make.report_noise * (2.0 * self.stage.unit() - 1.0);
+        let value = |field: &String| match field.as_str() {
+            "backlog" => waiting * noise as f32,
+            "memory" => memory,
+            "outstanding" => self.in_hand.get() as f32,
+            _ => 0.0,
+        };
+        self.make.report_fields.iter().map(value).collect()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/executor/program.rs
@@ -0,0 +1,64 @@
+//! Functions as executors know them: what they need and do, and the packages that the store has of them.
+
+use bytes::Bytes;
+use sha2::{Digest, Sha256};
+use std::rc::Rc;
+
+/// What a function needs and does.
+#[derive(Clone)]
+pub struct Program {
+    /// Invocations that a copy runs at a time.
+    pub lanes: usize,
+    /// Of a copy, in the unit of `Make::memory`.
+    pub memory: f64,
+    /// In seconds, where nobody else loads.
+    pub load_time: f64,
+    /// Work of an invocation on a free core, in seconds.
+    pub work: f64,
+    /// What it answers.
+    pub run: fn(&[Bytes]) -> Result<Vec<Bytes>, String>,
+    /// Parts in which the answer is streamed; none for a whole one.
+    pub streams: usize,
+    /// What the store gives for it; its digest is that of the version.
+    pub package: Bytes,
+    /// The chance that it fails, of this trigger type alone where one is named.
+    pub fails: f64,
+    pub fails_for: Option<String>,
+    /// Of its runs, those that take so many times longer.
+    pub slow: (f64, f64),
+}
+
+impl Default for Program {
+    fn default() -> Program {
+        Program {
+            lanes: 1,
+            memory: 1.0,
+            load_time: 0.01,
+            work: 0.001,
+            run: echo,
+            streams: 0,
+            package: Bytes::new(),
+            fails: 0.0,
+            fails_for: None,
+            slow: (0.0, 1.0),
+        }
+    }
+}
+
+/// The name under which the store has a version.
+pub fn package(function: &str, digest: &str) -> String {
+    if digest.is_empty() { function.to_owned() } else { format!("{function}@{digest}") }
+}
+
+/// SHA-256 in hexadecimal digits.
+pub fn digest(package: &[u8]) -> String {
+    Sha256::digest(package).iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// Answers with what it was asked.
+pub fn echo(payload: &[Bytes]) -> Result<Vec<Bytes>, String> {
+    Ok(payload.to_vec())
+}
+
+/// Tells of each function what it is, or that there is none.
+pub type Catalogue = Rc<dyn Fn(&str) -> Option<Program>>;
