--- a/crates/standin/tests/etcd_watch.rs
+++ b/crates/standin/tests/etcd_watch.rs
@@ -2,6 +2,7 @@
 
 mod kit;
 
+use bytes::Bytes;
 use kit::*;
 use orchidtally_etcd::rpc::watch_request::RequestUnion;
 use orchidtally_etcd::rpc::*;
@@ -128,14 +129,7 @@
             .into_iter()
             .map(|(mut watcher, client)| {
                 stage.spawn(async move {
-                    let mut heard = 0;
-                    while heard < CHANGES {
-                        for told in watcher.next().await {
-                            if let Told::Events { events, .. } = told {
-                                heard += events.len();
-                            }
-                        }
-                    }
+                    let heard = watcher.events(CHANGES).await;
                     drop(client);
                     heard
                 })
@@ -157,3 +151,24 @@
         assert_eq!(total.exchanges.puts, CHANGES as u64);
     });
 }
+
+/// The store sends as the client's window allows it, and keeps what is due in its log alone.
+#[test]
+fn a_watcher_that_does_not_read_holds_back_its_own_stream_alone() {
+    const CHANGES: usize = 3_000;
+    let (stage, served) = cluster(12);
+    on(&stage, async {
+        let (idle, busy) = (client(&stage, served.addresses[0]), client(&stage, served.addresses[1]));
+        let mut waiting = Watcher::begin(&idle, "p/", 2).await;
+        let mut reading = Watcher::begin(&busy, "p/", 2).await;
+        for n in 0..CHANGES {
+            let value = Bytes::from(vec![b'x'; 1_000]);
+            let put = PutRequest { key: format!("p/{n}").into(), value, ..PutRequest::default() };
+            served.store.borrow_mut().put(&put).unwrap();
+        }
+        assert_eq!(reading.events(CHANGES).await, CHANGES);
+        let held_back = served.counters(0).bytes_sent;
+        assert!(held_back < 200_000, "{held_back} bytes went to a client that reads nothing");
+        assert_eq!(waiting.events(CHANGES).await, CHANGES, "all of it comes once it reads");
+    });
+}
--- a/crates/standin/tests/kit/mod.rs
+++ b/crates/standin/tests/kit/mod.rs
@@ -81,6 +81,19 @@
         self.watch.received(self.stream.next().await.unwrap())
     }
 
+    /// Waits until so many events have come, and counts them.
+    pub async fn events(&mut self, wanted: usize) -> usize {
+        let mut heard = 0;
+        while heard < wanted {
+            for told in self.next().await {
+                if let Told::Events { events, .. } = told {
+                    heard += events.len();
+                }
+            }
+        }
+        heard
+    }
+
     /// The revision that the member tells when it is asked for progress.
     pub async fn progress(&mut self) -> i64 {
         let ask = RequestUnion::ProgressRequest(WatchProgressRequest {});
