Rank and place with less work where there are many executors

A function's ranking was selected from the ranks of all ready executors; now a bound spares nearly all of their logarithms, weights or not, and a placement passes over executors at rest without looking further. Executors by group are kept sorted, so that a changed list is taken in sooner. examples/decision_cost.rs takes NAME=VALUE arguments and also tells the time of a list and the loads.

--- a/crates/engine/examples/decision_cost.rs
+++ b/crates/engine/examples/decision_cost.rs
@@ -1,10 +1,11 @@
 //! CPU time of one front end's decisions by the number of executors, in simulated time, and a digest of all that
 //! was decided, by which two versions of the module are compared on the same seeds.
 //!
-//! `cargo run --release -p orchidtally-engine --example decision_cost -- [seconds] [seed] [calm|loaded|faults] [executors ...]`
+//! `cargo run --release -p orchidtally-engine --example decision_cost -- [NAME=VALUE ...]`
 //!
-//! One of 550 front ends sees 182 calls a second of 21,000 functions whose popularity follows Zipf's law with
-//! exponent 1.6. CPU time is the thread's own (Linux only), of the second half, with the simulation's part in it.
+//! Names are `seconds` (120), `seed` (1), `day` (`calm`, `loaded` or `faults`), `executors` (36,300,1000,3000),
+//! `rate` (182 calls a second) and `exponent` (1.6, of Zipf's law over 21,000 functions). The front end is one of
+//! 550. CPU time is the thread's own (Linux only), of the second half, with the simulation's part in it.
 
 use orchidtally::chance::{Chance, rendezvous_hash};
 use orchidtally::interface::*;
@@ -13,9 +14,7 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-const RATE: f64 = 182.0;
 const FUNCTIONS: usize = 21_000;
-const EXPONENT: f64 = 1.6;
 const FRONT_ENDS: f64 = 550.0;
 const START: f64 = 1_000.0;
 const ANSWER_TIME: f64 = 0.05;
@@ -52,6 +51,7 @@
     /// When each copy stands and was last used.
     copies: BTreeMap<(usize, u64), (f64, f64)>,
     chance: Chance,
+    loads: u64,
     succeeded: u64,
     given_up: u64,
 }
@@ -73,9 +73,10 @@
     /// When a copy stands at an executor, and whether that is now.
     fn load(&mut self, x: usize, function: u64) -> (f64, bool) {
         let now = self.now;
-        let copy = self.copies.entry((x, function)).or_insert((now + LOAD_TIME, now));
+        let copy = self.copies.entry((x, function)).or_insert((0.0, f64::NEG_INFINITY));
         if copy.1 + KEEP_ALIVE < now {
             *copy = (now + LOAD_TIME, now);
+            self.loads += 1;
         }
         copy.1 = copy.0.max(now);
         (copy.1, copy.0 <= now)
@@ -222,13 +223,79 @@
     stat.split(' ').next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(f64::NAN) / 1e9
 }
 
-struct Result {
-    us: f64,
+/// What is played.
+struct Play {
+    seconds: f64,
+    seed: u64,
+    day: Day,
+    executors: Vec<u32>,
+    rate: f64,
+    exponent: f64,
+}
+
+impl Play {
+    fn from_arguments(arguments: impl Iterator<Item = String>) -> Result<Play, String> {
+        let executors = vec![36, 300, 1_000, 3_000];
+        let mut play =
+            Play { seconds: 120.0, seed: 1, day: Day::Calm, executors, rate: 182.0, exponent: 1.6 };
+        for argument in arguments {
+            let (name, value) =
+                argument.split_once('=').ok_or(format!("{argument}: NAME=VALUE is wanted"))?;
+            let number = || value.parse::<f64>().map_err(|e| format!("{argument}: {e}"));
+            match (name, value) {
+                ("seconds", _) => play.seconds = number()?,
+                ("seed", _) => play.seed = number()? as u64,
+                ("rate", _) => play.rate = number()?,
+                ("exponent", _) => play.exponent = number()?,
+                ("day", "calm") => play.day = Day::Calm,
+                ("day", "loaded") => play.day = Day::Loaded,
+                ("day", "faults") => play.day = Day::Faults,
+                ("executors", _) => {
+                    let all = value.split(',').map(|n| n.parse().map_err(|e| format!("{argument}: {e}")));
+                    play.executors = all.collect::<Result<_, _>>()?;
+                }
+                _ => return Err(format!("{argument}: there is no such name or value")),
+            }
+        }
+        Ok(play)
+    }
+
+    /// The share of the first so many functions in all calls.
+    fn shares(&self) -> Vec<f64> {
+        let weights = (1..=FUNCTIONS).map(|n| (n as f64).powf(-self.exponent));
+        let mut shares: Vec<f64> = weights
+            .scan(0.0, |sum, weight| {
+                *sum += weight;
+                Some(*sum)
+            })
+            .collect();
+        let all = shares[FUNCTIONS - 1];
+        shares.iter_mut().for_each(|share| *share /= all);
+        shares
+    }
+}
+
+struct Seen {
+    us_a_call: f64,
+    ms_a_list: f64,
     simulation: Simulation,
-    kept: Kept,
+    most_functions: usize,
+}
+
+/// Milliseconds for a whole list in which one executor differs from the last.
+fn ms_a_list(rows: &mut [RosterRow], engine: &mut Engine, simulation: &mut Simulation) -> f64 {
+    const LISTS: u32 = 40;
+    let started = cpu();
+    for n in 0..LISTS {
+        let ready = n % 2 == 1;
+        rows[0].standing = if ready { Standing::Ready } else { Standing::Draining };
+        engine.roster(simulation.now, RosterKind::Full, rows, simulation);
+    }
+    1e3 * (cpu() - started) / f64::from(LISTS)
 }
 
-fn run(day: Day, executors: u32, seconds: f64, seed: u64, shares: &[f64]) -> Result {
+fn run(play: &Play, executors: u32, shares: &[f64]) -> Seen {
+    let &Play { seconds, seed, day, rate, .. } = play;
     let mut simulation = Simulation {
         day,
         now: START,
@@ -241,6 +308,7 @@
         taking: 0,
         copies: BTreeMap::new(),
         chance: Chance::new(seed),
+        loads: 0,
         succeeded: 0,
         given_up: 0,
     };
@@ -250,10 +318,10 @@
     let mut arrivals = Chance::new(seed ^ 0x5eed);
     let (mut arrival, mut change_at) = (START, START + 2.0);
     let (mut started, mut calls) = (cpu(), 0u32);
-    let middle = START + seconds / 2.0;
+    let (middle, mut most_functions) = (START + seconds / 2.0, 0);
     loop {
         let before = arrival;
-        arrival += -(1.0 - arrivals.unit()).ln() / RATE;
+        arrival += -(1.0 - arrivals.unit()).ln() / rate;
         if arrival > START + seconds {
             break;
         }
@@ -311,40 +379,29 @@
             simulation.given_up += 1;
         }
         calls += 1;
+        most_functions = most_functions.max(engine.kept().functions);
     }
-    Result { us: 1e6 * (cpu() - started) / f64::from(calls), simulation, kept: engine.kept() }
+    let us_a_call = 1e6 * (cpu() - started) / f64::from(calls);
+    let ms_a_list = ms_a_list(&mut rows, &mut engine, &mut simulation);
+    Seen { us_a_call, ms_a_list, simulation, most_functions }
 }
 
 fn main() {
-    let mut arguments = std::env::args().skip(1);
-    let seconds = arguments.next().and_then(|a| a.parse().ok()).unwrap_or(120.0);
-    let seed = arguments.next().and_then(|a| a.parse().ok()).unwrap_or(1);
-    let day = match arguments.next().as_deref() {
-        Some("loaded") => Day::Loaded,
-        Some("faults") => Day::Faults,
-        _ => Day::Calm,
-    };
-    let mut fleets: Vec<u32> = arguments.filter_map(|a| a.parse().ok()).collect();
-    if fleets.is_empty() {
-        fleets = vec![36, 300, 1_000, 3_000];
-    }
-    let mut sum = 0.0;
-    let mut shares: Vec<f64> = (1..=FUNCTIONS)
-        .map(|n| {
-            sum += (n as f64).powf(-EXPONENT);
-            sum
-        })
-        .collect();
-    shares.iter_mut().for_each(|share| *share /= sum);
-    println!("executors  us a call  growth  decided  digest            succeeded  given up  functions kept");
+    let play = Play::from_arguments(std::env::args().skip(1)).unwrap_or_else(|fault| {
+        eprintln!("{fault}");
+        std::process::exit(2);
+    });
+    let shares = play.shares();
+    println!(
+        "executors  us a call  growth  ms a list  decided  digest            succeeded  given up  loads  functions"
+    );
     let mut base = None;
-    for executors in fleets {
-        let Result { us, simulation, kept } = run(day, executors, seconds, seed, &shares);
-        let growth = us / *base.get_or_insert(us);
-        let Simulation { decided, digest, succeeded, given_up, .. } = simulation;
-        let functions = kept.functions;
+    for &executors in &play.executors {
+        let Seen { us_a_call, ms_a_list, simulation, most_functions } = run(&play, executors, &shares);
+        let growth = us_a_call / *base.get_or_insert(us_a_call);
+        let Simulation { decided, digest, succeeded, given_up, loads, .. } = simulation;
         println!(
-            "{executors:>9}  {us:>9.2}  {growth:>6.2}  {decided:>7}  {digest:016x}  {succeeded:>9}  {given_up:>8}  {functions}"
+            "{executors:>9}  {us_a_call:>9.2}  {growth:>6.2}  {ms_a_list:>9.2}  {decided:>7}  {digest:016x}  {succeeded:>9}  {given_up:>8}  {loads:>5}  {most_functions:>9}"
         );
     }
 }
--- a/src/dispatch/judge.rs
+++ b/src/dispatch/judge.rs
@@ -56,11 +56,11 @@
     }
 
     pub(super) fn takes_more(&self, x: usize, Room { limit, at_all }: Room) -> bool {
-        let held = || if at_all { self.fleet.out_count as f64 } else { self.fleet.inflight(x) };
+        let held = if at_all { self.fleet.out_count as f64 } else { self.fleet.inflight(x) };
         // A turn is less than one, so that it decides only about the last place.
-        let turn = || held() < (limit + self.slot_share(x, (self.now / TURN) as u64)).floor();
+        let turn = || held < (limit + self.slot_share(x, (self.now / TURN) as u64)).floor();
         let free = self.now >= self.fleet.paused[x].until;
-        !at_all && self.fleet.rests(x) || free && (held() < limit.floor() || held() < limit + 1.0 && turn())
+        free && (held < limit.floor() || held < limit + 1.0 && turn())
     }
 
     /// Own in-flight and what it reported waiting; that fades to the mean, as for what was never heard.
@@ -83,9 +83,8 @@
         // As many as are wanted fit among so many and those that can't.
         let wanted = self.wanted(f).max(2.0) as usize;
         let function = &mut self.book.functions[f];
-        let unfit = function.known.len() + 1 + self.fleet.suspect_bound();
-        let count = if self.blind { self.fleet.ready_count } else { wanted + unfit };
-        self.fleet.rank(&mut function.ranking, function.key, count);
+        let unfit = function.known.len() + 1 + self.fleet.unsound_bound(self.blind);
+        self.fleet.rank(&mut function.ranking, function.key, wanted + unfit);
         let function = &self.book.functions[f];
         let is_sound = |x: usize| self.is_open(x) && !self.fleet.suspect[x];
         let fits = |&x: &usize| is_sound(x) && function.failed != Some(x) && !function.knows(x, self.now);
@@ -97,7 +96,8 @@
         let cold = |x| placed.is_none_or(|i| self.cold_room(x, self.usual[self.book.invs[i].ty]));
         let room = self.room(placed.map_or(1.0, |i| self.part(i)));
         let fitting = function.ranking.iter().filter(fits).take(wanted);
-        let fitting = fitting.filter(|&x| self.takes_more(x, room) && cold(x)).collect();
+        let rest = |x| !room.at_all && self.fleet.all_warm && self.fleet.rests(x);
+        let fitting = fitting.filter(|&x| rest(x) || self.takes_more(x, room) && cold(x)).collect();
         let fitting = leave_two(fitting, || self.chance.unit());
         // Front ends that a report parts each have a copy loaded: guards executors that load all they can.
         let margin = SECOND + SECOND_BY_LOADS * self.loads.at(self.now, REPORT_TIME);
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -1,9 +1,10 @@
 //! Executors: what the roster tells of each, and what was sent there and heard.
 
+use super::groups::Groups;
 use super::ranking::Ranked;
 use super::{DecayingSum, Load, Pause};
 use crate::interface::{Ending, ExecutorId, Group};
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 
 /// Executors, as parallel arrays under a dense index.
 #[derive(Default)]
@@ -20,12 +21,12 @@
     /// Counts changes of the ready ones and of their weights: rankings hold as long as it stays.
     pub(super) version: u64,
     pub(super) ranked: Vec<Ranked>,
-    /// Whether all of these weigh 1.
-    pub(super) is_uniform: bool,
+    /// What these weigh together.
+    pub(super) ranked_weight: f64,
     /// The ready ones in the order of their indices, in all and by group.
     pub(super) ready_in_all: Vec<usize>,
-    pub(super) ready_in_zone: BTreeMap<u8, Vec<usize>>,
-    pub(super) ready_in_cell: BTreeMap<u16, Vec<usize>>,
+    pub(super) ready_in_zone: Groups,
+    pub(super) ready_in_cell: Groups,
     pub since: Vec<f64>,
     /// Own dispatches out there: the invocation's slot and when it was sent.
     pub out: Vec<Vec<(usize, f64)>>,
@@ -212,7 +213,7 @@
         self.sent[x].iter().filter(|s| s.0 > since).map(|s| s.1).sum()
     }
 
-    /// Whether it surely has nothing out and is not paused.
+    /// Whether it surely has nothing out and is not paused: it takes more wherever it may have one at a time.
     pub fn rests(&self, x: usize) -> bool {
         self.resting[x]
     }
@@ -260,9 +261,9 @@
         self.suspects = suspects;
     }
 
-    /// At least as many as there are suspects.
-    pub fn suspect_bound(&self) -> usize {
-        self.suspects.len()
+    /// At least as many ready ones as are suspect, or turn away what they are sent where that counts.
+    pub fn unsound_bound(&self, turned_away_counts: bool) -> usize {
+        if turned_away_counts { self.ready_count } else { self.suspects.len() }
     }
 
     /// Notes that an executor broke off or took no connection, as so many failed answers.
--- a/src/state/known.rs
+++ b/src/state/known.rs
@@ -4,7 +4,7 @@
 use super::Fleet;
 
 /// Sets up to this size are searched one by one.
-const SMALL: usize = 48;
+const SMALL: usize = 16;
 /// No entry has this place.
 const NOWHERE: u32 = u32::MAX;
 
--- a/src/state/listing.rs
+++ b/src/state/listing.rs
@@ -1,6 +1,7 @@
 //! What a list of executors changes in the fleet.
 
 use super::fleet::{WarmCount, put};
+use super::groups::Groups;
 use super::{DecayingSum, Fleet, Pause};
 use crate::interface::{Group, RosterRow, Standing};
 use std::collections::VecDeque;
@@ -89,12 +90,8 @@
     fn update_ready(&mut self) {
         self.ready_in_all = self.all().filter(|&x| self.ready[x]).collect();
         self.ready_count = self.ready_in_all.len();
-        self.ready_in_zone.clear();
-        self.ready_in_cell.clear();
-        for &x in &self.ready_in_all {
-            self.ready_in_zone.entry(self.zone[x]).or_default().push(x);
-            self.ready_in_cell.entry(self.cell[x]).or_default().push(x);
-        }
+        self.ready_in_zone = Groups::new(&self.ready_in_all, |x| usize::from(self.zone[x]));
+        self.ready_in_cell = Groups::new(&self.ready_in_all, |x| usize::from(self.cell[x]));
     }
 
     /// Takes every ready executor for cold until it is looked at.
@@ -112,8 +109,8 @@
     pub fn ready_in(&self, group: Group, member: Option<usize>) -> &[usize] {
         match (group, member) {
             (Group::All, _) | (_, None) => &self.ready_in_all,
-            (Group::Zone, Some(x)) => self.ready_in_zone.get(&self.zone[x]).map_or(&[], Vec::as_slice),
-            (Group::Cell, Some(x)) => self.ready_in_cell.get(&self.cell[x]).map_or(&[], Vec::as_slice),
+            (Group::Zone, Some(x)) => self.ready_in_zone.members(self.zone[x].into()),
+            (Group::Cell, Some(x)) => self.ready_in_cell.members(self.cell[x].into()),
         }
     }
 
--- a/src/state/ranking.rs
+++ b/src/state/ranking.rs
@@ -8,6 +8,9 @@
 /// The fewest ranks that are worked out at a time: most functions never need more.
 const LEAST_RANKED: usize = 16;
 
+/// One more than there are hashes.
+const HASHES: f64 = 4_294_967_297.0;
+
 /// The executors that come first for one function, as far as they were asked for.
 #[derive(Default)]
 pub struct Ranking {
@@ -46,20 +49,20 @@
 /// The rank that a hash gives to an executor of a weight; the smaller comes first. On average the ranks of an
 /// executor of twice the weight are half as large.
 fn rank(hash: u32, weight: f64) -> f64 {
-    -((f64::from(hash) + 1.0) / 4_294_967_297.0).ln() / weight
+    -((f64::from(hash) + 1.0) / HASHES).ln() / weight
 }
 
 impl Fleet {
     /// Collects what ranking needs, after a change of the ready executors or of their weights.
     pub(super) fn update_ranked(&mut self) {
-        let ready = self.all().filter(|&x| self.ready[x]);
-        let ranked = ready.map(|x| Ranked {
+        let ready = self.ready_in_all.iter();
+        let ranked = ready.map(|&x| Ranked {
             x: x as u32,
             number: executor_number(self.ids[x]),
             weight: self.weight[x],
         });
         self.ranked = ranked.collect();
-        self.is_uniform = self.ranked.iter().all(|r| r.weight == 1.0);
+        self.ranked_weight = self.ranked.iter().map(|r| r.weight).sum();
         self.version += 1;
     }
 
@@ -73,21 +76,30 @@
         }
         // Asked for more again and again, it has all after a few times.
         let grown = if is_current { 2 * ranking.first.len() } else { 0 };
-        let mut ranks: Vec<(u64, u32)> = self.ranked.iter().map(|r| (self.order(key, r), r.x)).collect();
-        let count = count.max(grown).min(ranks.len());
-        if count < ranks.len() {
-            ranks.select_nth_unstable(count);
-            ranks.truncate(count);
+        let count = count.max(grown).min(self.ranked.len());
+        // About twice as many as are wanted have a rank below this one; where it was too few, all are looked at.
+        let enough = (2 * count + LEAST_RANKED) as f64;
+        let limit =
+            if enough < self.ranked.len() as f64 { enough / self.ranked_weight } else { f64::INFINITY };
+        let mut ranks = self.ranks_below(key, limit);
+        if ranks.len() < count {
+            ranks = self.ranks_below(key, f64::INFINITY);
         }
-        ranks.sort_unstable();
-        *ranking = Ranking { version: self.version, first: ranks.iter().map(|&(_, x)| x).collect() };
+        ranks.sort_unstable_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        let first = ranks.iter().take(count).map(|&(_, x)| x).collect();
+        *ranking = Ranking { version: self.version, first };
     }
 
-    /// A number that orders executors as their ranks do. With equal weights the hash itself does, the greatest
-    /// first, which spares the logarithm; else the bits of the rank, which is not negative.
-    fn order(&self, key: u64, ranked: &Ranked) -> u64 {
-        let hash = rendezvous_hash(key, ranked.number);
-        if self.is_uniform { u64::from(u32::MAX - hash) } else { rank(hash, ranked.weight).to_bits() }
+    /// The executors whose ranks are at most a limit, with these.
+    fn ranks_below(&self, key: u64, limit: f64) -> Vec<(f64, u32)> {
+        let ranks = self.ranked.iter().filter_map(|r| {
+            let hash = rendezvous_hash(key, r.number);
+            // Most are told by this bound, without a logarithm: e^-t is never less than 1 - t.
+            let least = HASHES * (1.0 - limit * r.weight) - 2.0;
+            let rank = (f64::from(hash) >= least).then(|| rank(hash, r.weight))?;
+            (rank <= limit).then_some((rank, r.x))
+        });
+        ranks.collect()
     }
 
     /// An executor's hash for a key, as a number from 0 up to 2^32.
