--- a/crates/deployment/src/functions.rs
+++ b/crates/deployment/src/functions.rs
@@ -5,6 +5,8 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
+/// The longest name of a function.
+const MAX_NAME_BYTES: usize = 256;
 const VERSION: [&str; 4] = ["lanes", "memory", "loadTime", "work"];
 
 /// What a version has; what its function has where it says nothing itself.
@@ -25,11 +27,31 @@
     }
 }
 
-fn digest(text: &str) -> Result<Rc<str>, &'static str> {
+/// Checks a version's digest as it is written in configuration, and gives its digits.
+///
+/// # Errors
+/// Tells what is wanted.
+pub fn check_digest(text: &str) -> Result<&str, &'static str> {
     let digits = text.strip_prefix("sha256:").ok_or("'sha256:' and 64 hexadecimal digits are wanted")?;
     let is_digest =
         digits.len() == 64 && digits.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b));
-    if is_digest { Ok(digits.into()) } else { Err("64 hexadecimal digits in small letters are wanted") }
+    if is_digest { Ok(digits) } else { Err("64 hexadecimal digits in small letters are wanted") }
+}
+
+/// Checks a function's name.
+///
+/// # Errors
+/// Tells what is wanted.
+pub fn check_function_name(name: &str) -> Result<(), &'static str> {
+    let is_odd = |c: char| c == '/' || c == '@' || c.is_whitespace() || c.is_control();
+    if name.is_empty() || name.len() > MAX_NAME_BYTES || name.contains(is_odd) {
+        return Err("1 to 256 bytes, without '/', '@' and spaces");
+    }
+    Ok(())
+}
+
+fn digest(text: &str) -> Result<Rc<str>, &'static str> {
+    check_digest(text).map(Rc::from)
 }
 
 pub(crate) fn function(place: &Place, named: bool) -> Option<Function> {
@@ -40,7 +62,7 @@
     let fields = place.object(&keys);
     let name = if named { fields.at("name").text()? } else { String::new() };
     let odd = |c: char| c == '/' || c == '@' || c.is_whitespace() || c.is_control();
-    if name.len() > 256 || name.chars().any(odd) {
+    if name.len() > MAX_NAME_BYTES || name.chars().any(odd) {
         fields.at("name").fault("256 bytes at most, without '/', '@' and spaces, are wanted");
     }
     let whole = version(&fields, key(&name), "".into(), None);
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -12,6 +12,7 @@
 
 pub use changes::restart_needed;
 pub use configuration::{Configuration, WithoutView};
+pub use functions::{check_digest, check_function_name};
 use ipnet::IpNet;
 use orchidtally::interface::*;
 pub use reader::Fault;
--- /dev/null
+++ b/crates/frontend/src/config/exchange.rs
@@ -0,0 +1,84 @@
+//! Requests to the store, and what their failures mean to the core.
+
+use super::ConfigTarget;
+use super::host::ConfigHost;
+use bytes::Bytes;
+use orchidtally_config_sync::{
+    BarrierAnswer, Header, RangeAnswer, RangeEntry, ReadRequest, RequestFailure, RequestId, Schema,
+};
+use orchidtally_etcd::rpc::{KeyValue, RangeRequest, RangeResponse, ResponseHeader};
+use orchidtally_etcd::{Fault, RANGE, grpc};
+
+pub(super) fn header(header: Option<&ResponseHeader>) -> Header {
+    let told = header.copied().unwrap_or_default();
+    Header { cluster: told.cluster_id, revision: told.revision }
+}
+
+/// What a refusal means to the core; `None` if the connection, or the member, is of no use.
+fn refused(fault: &Fault) -> Option<RequestFailure> {
+    let Fault::Refused(status) = fault else { return None };
+    match status.code {
+        grpc::OUT_OF_RANGE if status.message.contains("compacted") => Some(RequestFailure::Compacted),
+        grpc::OUT_OF_RANGE => Some(RequestFailure::FutureRevision),
+        _ => None,
+    }
+}
+
+fn entry(pair: KeyValue) -> RangeEntry {
+    RangeEntry { key: pair.key.to_vec(), value: pair.value.to_vec(), mod_revision: pair.mod_revision }
+}
+
+impl<S: Schema, T: ConfigTarget<S::Entry>> ConfigHost<S, T> {
+    /// Performs a read of the core.
+    pub(super) async fn read(&self, session: u64, request: ReadRequest) {
+        let question = RangeRequest {
+            key: request.range.start.into(),
+            range_end: request.range.end.into(),
+            limit: request.limit,
+            revision: request.at_revision,
+            min_mod_revision: request.min_mod_revision,
+            ..RangeRequest::default()
+        };
+        let before = self.client.traffic().received();
+        let answered = self.client.unary::<RangeResponse>(RANGE, &question, self.settings.patience).await;
+        if !self.is_in_session(session) {
+            return;
+        }
+        match answered {
+            Ok(answer) => {
+                let bytes = (self.client.traffic().received() - before) as usize;
+                let header = header(answer.header.as_ref());
+                let entries = answer.kvs.into_iter().map(entry).collect();
+                let answer = RangeAnswer { id: request.id, header, entries, more: answer.more, bytes };
+                self.feed(|core, now| core.range_answer(now, answer));
+            }
+            Err(fault) => self.request_failed(session, request.id, &fault),
+        }
+    }
+
+    /// Performs a barrier of the core.
+    pub(super) async fn barrier(&self, session: u64, id: RequestId) {
+        let key = Bytes::from(self.core.borrow().keyspace().generation());
+        let question = RangeRequest { key, ..RangeRequest::default() };
+        let answered = self.client.unary::<RangeResponse>(RANGE, &question, self.settings.patience).await;
+        if !self.is_in_session(session) {
+            return;
+        }
+        match answered {
+            Ok(answer) => {
+                self.store_answered();
+                let header = header(answer.header.as_ref());
+                let generation = answer.kvs.into_iter().next().map(|pair| pair.value.to_vec());
+                self.feed(|core, now| core.barrier_answer(now, BarrierAnswer { id, header, generation }));
+            }
+            Err(fault) => self.request_failed(session, id, &fault),
+        }
+    }
+
+    fn request_failed(&self, session: u64, id: RequestId, fault: &Fault) {
+        match refused(fault) {
+            Some(failure) => self.feed(|core, now| core.request_failed(now, id, failure)),
+            None => self.session_failed(session, fault),
+        }
+    }
+}
--- /dev/null
+++ b/crates/frontend/src/config/hub_target.rs
@@ -0,0 +1,143 @@
+//! Ties a host to a front end's hub.
+
+use super::admission::Admission;
+use super::host::ConfigHost;
+use super::overlay::{ConfigView, FUNCTIONS};
+use super::{ApplyError, ConfigTarget, HostSettings, SnapshotFile};
+use crate::hub::Hub;
+use async_executor::LocalExecutor;
+use orchidtally_config_sync::schema::{FunctionSpec, GatewayEntry, InvalidEntry, TriggerTypeSpec, Violation};
+use orchidtally_config_sync::{EntryKey, GatewaySchema, Schema, SettingsError, SyncSettings, View};
+use orchidtally_deployment::{Configuration, check_digest, check_function_name};
+use orchidtally_etcd::Client;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+
+/// The host of a front end.
+pub type HubConfig = ConfigHost<DeploymentSchema, Weak<Hub>>;
+
+/// The gateway's schema with what the deployment file asks of the same values.
+#[derive(Clone, Copy, Debug)]
+pub struct DeploymentSchema {
+    /// By so much earlier than the client timeout an answer leaves, in seconds.
+    pub answer_margin: f64,
+}
+
+impl Schema for DeploymentSchema {
+    type Entry = GatewayEntry;
+
+    fn parse(&self, key: &EntryKey, spec: serde_json::Value) -> Result<GatewayEntry, InvalidEntry> {
+        let entry = GatewaySchema.parse(key, spec)?;
+        match &entry {
+            GatewayEntry::Function(function) => check_function(key, function)?,
+            GatewayEntry::TriggerType(trigger_type) => self.check_trigger_type(trigger_type)?,
+            GatewayEntry::Quota(_) => {}
+        }
+        Ok(entry)
+    }
+
+    fn check(&self, candidate: &View<GatewayEntry>, changed: &[EntryKey]) -> Vec<Violation> {
+        GatewaySchema.check(candidate, changed)
+    }
+
+    fn is_allowed(&self, entry: &GatewayEntry) -> bool {
+        GatewaySchema.is_allowed(entry)
+    }
+}
+
+impl DeploymentSchema {
+    fn check_trigger_type(&self, spec: &TriggerTypeSpec) -> Result<(), InvalidEntry> {
+        let least = 2.0 * self.answer_margin;
+        if spec.timeout > least {
+            return Ok(());
+        }
+        let reason =
+            format!("the timeout of {} s leaves no time: answers leave {least} s earlier", spec.timeout);
+        Err(InvalidEntry::new(
+            reason,
+            "raise the timeout, or lower 'limits.answerMargin' in the deployment file",
+        ))
+    }
+}
+
+fn check_function(key: &EntryKey, spec: &FunctionSpec) -> Result<(), InvalidEntry> {
+    let name = key.name();
+    check_function_name(name).map_err(|wanted| {
+        InvalidEntry::new(
+            format!("'{name}' is no name of a function"),
+            format!("write it under {FUNCTIONS}/ with {wanted}"),
+        )
+    })?;
+    for version in &spec.versions {
+        check_digest(&version.digest).map_err(|wanted| {
+            InvalidEntry::new(
+                format!("'{}' is no digest", version.digest),
+                format!("give 'sha256:...': {wanted}"),
+            )
+        })?;
+    }
+    Ok(())
+}
+
+impl ConfigTarget<GatewayEntry> for Weak<Hub> {
+    fn apply(&self, view: &Arc<ConfigView>) -> Result<(), ApplyError> {
+        if let Some(hub) = self.upgrade() {
+            hub.put_view_in_force(view.clone())?;
+        }
+        Ok(())
+    }
+}
+
+fn sync_settings(configuration: &Configuration) -> SyncSettings {
+    let usual = SyncSettings::default();
+    SyncSettings {
+        prefix: configuration.prefix.clone(),
+        freshness_bound: configuration.freshness,
+        in_force_limit: configuration.in_force_within,
+        barrier_interval: configuration.prove_every,
+        audit_interval: configuration.compare_every,
+        read_bytes_per_second: configuration.bytes_per_second,
+        read_burst: configuration.burst,
+        page_bytes: usual.page_bytes.min(configuration.burst),
+        spread: configuration.spread,
+        report_interval: configuration.report_every,
+        snapshot_interval: configuration.snapshot_every,
+        ..usual
+    }
+}
+
+/// Has a hub follow the store of configuration: from its snapshot at once, from the store as soon as that answers.
+///
+/// # Errors
+/// The settings are out of the core's ranges.
+pub fn attach(
+    hub: &Rc<Hub>,
+    configuration: &Configuration,
+    tasks: &Rc<LocalExecutor<'static>>,
+) -> Result<(), SettingsError> {
+    let (index, life) = (hub.deployment.terms.index as u32, hub.sender.get().incarnation);
+    // Two processes with one index, or one after the other, are two front ends to the store.
+    let mut settings = HostSettings::new(format!("{index}-{life:016x}"));
+    settings.snapshot = Some(SnapshotFile::new(configuration.snapshot(index)));
+    settings.lease = std::time::Duration::from_secs_f64(configuration.lease);
+    let client = Client::new(configuration.endpoints.clone(), tasks.clone());
+    client.says(settings.front_end.clone());
+    // Front ends spread over the members.
+    (0..life % configuration.endpoints.len().max(1) as u64).for_each(|_| client.fail_over());
+    let schema = DeploymentSchema { answer_margin: hub.deployment.bounds.answer_margin };
+    let target = Rc::downgrade(hub);
+    let sync = sync_settings(configuration);
+    let host = ConfigHost::new(sync, schema, life, settings, client, tasks, target)?;
+    let admission = Admission {
+        host: host.clone(),
+        without_view: configuration.without_view,
+        retry_after: configuration.prove_every,
+    };
+    if hub.admission.set(admission).is_err() {
+        // It is tied to a host already.
+        return Ok(());
+    }
+    host.restore();
+    tasks.spawn(host.run()).detach();
+    Ok(())
+}
--- /dev/null
+++ b/crates/frontend/src/config/lease.rs
@@ -0,0 +1,89 @@
+//! The front end's own lease in the store: its report goes when the front end does.
+
+use super::ConfigTarget;
+use super::host::ConfigHost;
+use async_io::Timer;
+use orchidtally_config_sync::Schema;
+use orchidtally_etcd::client::Both;
+use orchidtally_etcd::rpc::{
+    LeaseGrantRequest, LeaseGrantResponse, LeaseKeepAliveRequest, LeaseKeepAliveResponse,
+};
+use orchidtally_etcd::{Fault, LEASE_GRANT, LEASE_KEEP_ALIVE};
+use tracing::warn;
+
+/// Renewals within the time to live of a lease.
+const RENEWALS: u32 = 3;
+
+/// A lease that the store granted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Lease {
+    pub(super) id: i64,
+    /// The store keeps it until then at least, by this machine's clock.
+    pub(super) until: f64,
+}
+
+impl<S: Schema, T: ConfigTarget<S::Entry>> ConfigHost<S, T> {
+    /// The lease that stands, or a new one.
+    pub(super) async fn lease(&self) -> Result<Lease, Fault> {
+        if let Some(lease) = self.lease.get().filter(|lease| self.now() < lease.until) {
+            return Ok(lease);
+        }
+        let asked_at = self.now();
+        let question = LeaseGrantRequest { ttl: self.settings.lease.as_secs().max(1) as i64, id: 0 };
+        let granted: LeaseGrantResponse =
+            self.client.unary(LEASE_GRANT, &question, self.settings.patience).await?;
+        let lease = Lease { id: granted.id, until: asked_at + granted.ttl as f64 };
+        self.lease.set(Some(lease));
+        Ok(lease)
+    }
+
+    /// Renews the lease for as long as the session lasts.
+    pub(super) async fn keep_lease(&self, session: u64) {
+        let mut renewing: Option<Both<LeaseKeepAliveResponse>> = None;
+        while self.is_in_session(session) {
+            Timer::after(self.settings.lease / RENEWALS).await;
+            let Some(lease) = self.lease.get().filter(|_| self.is_in_session(session)) else { continue };
+            match self.renew(lease, &mut renewing).await {
+                Ok(Some(renewed)) => self.lease.set(Some(renewed)),
+                Ok(None) => self.lease_lost(),
+                Err(fault) => {
+                    self.session_failed(session, &fault);
+                    return;
+                }
+            }
+        }
+    }
+
+    /// Renews a lease over the stream that is open, or a new one; `None` if the lease is over.
+    async fn renew(
+        &self,
+        lease: Lease,
+        renewing: &mut Option<Both<LeaseKeepAliveResponse>>,
+    ) -> Result<Option<Lease>, Fault> {
+        let asked_at = self.now();
+        let question = LeaseKeepAliveRequest { id: lease.id };
+        let stream = match renewing {
+            Some(stream) => {
+                stream.send(&question)?;
+                stream
+            }
+            None => {
+                renewing.insert(self.client.both(LEASE_KEEP_ALIVE, &question, self.settings.patience).await?)
+            }
+        };
+        let answer = orchidtally_net::within(self.settings.patience, stream.next()).await;
+        let answer = answer.unwrap_or(Err(Fault::TimedOut))?;
+        let renewed = Lease { id: lease.id, until: asked_at + answer.ttl as f64 };
+        Ok((answer.ttl > 0).then_some(renewed))
+    }
+
+    /// The store has ended the lease, and the report with it: it is told again under a new one.
+    fn lease_lost(&self) {
+        warn!(
+            "this front end's lease for its configuration report was over though it lives: it reports anew"
+        );
+        self.lease.set(None);
+        let sequence = self.core.borrow().report().sequence;
+        self.feed(|core, now| core.report_failed(now, sequence));
+    }
+}
--- /dev/null
+++ b/crates/frontend/src/config/mod.rs
@@ -0,0 +1,45 @@
+//! Hosts the core of configuration distribution (`orchidtally-config-sync`): performs its actions over the store's
+//! protocol, keeps its snapshot on disk, and puts its views in force at a [`ConfigTarget`].
+//!
+//! [`ConfigHost`] needs no front end: whoever has an executor, a client of the store and a target can run one.
+//! [`attach`] ties one to a front end's hub.
+
+mod admission;
+mod backoff;
+mod clock;
+mod exchange;
+mod host;
+mod hub_target;
+mod lease;
+mod overlay;
+mod report;
+mod settings;
+mod snapshot_file;
+mod status;
+mod watch;
+
+pub use admission::{Admission, Refusal, Subject};
+pub use clock::boot_time;
+pub use host::ConfigHost;
+pub use hub_target::{DeploymentSchema, HubConfig, attach};
+pub use overlay::{ConfigView, Overlay};
+pub use settings::HostSettings;
+pub use snapshot_file::SnapshotFile;
+pub use status::{ConfigStatus, PublishedReport};
+
+use orchidtally_config_sync::View;
+use std::error::Error;
+use std::sync::Arc;
+
+/// Why a target didn't take a view; it is offered again.
+pub type ApplyError = Box<dyn Error>;
+
+/// What views are put in force at.
+pub trait ConfigTarget<E> {
+    /// Puts a view in force, whole or not at all.
+    ///
+    /// # Errors
+    /// Nothing has changed then. The host offers the newest view again every second, and reports nothing until it is
+    /// taken.
+    fn apply(&self, view: &Arc<View<E>>) -> Result<(), ApplyError>;
+}
--- /dev/null
+++ b/crates/frontend/src/config/overlay.rs
@@ -0,0 +1,128 @@
+//! What is in force: the deployment file, and over it the entries of the store. An entry replaces what the file has
+//! under its name; where the entry is deleted, the file counts again.
+
+use orchidtally::interface::{Effect, Group, TriggerType};
+use orchidtally_config_sync::View;
+use orchidtally_config_sync::schema::{FunctionSpec, GatewayEntry, TriggerTypeSpec, VersionSpec};
+use orchidtally_deployment::{Deployment, Function, Trigger, Version, key};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// Kinds of entries, as they begin an entry's key.
+pub(super) const FUNCTIONS: &str = "functions";
+pub(super) const QUOTAS: &str = "quotas";
+pub(super) const TRIGGER_TYPES: &str = "trigger-types";
+/// The alias that plain invocations go by.
+const STABLE: &str = "stable";
+
+/// A view of the gateway's configuration.
+pub type ConfigView = View<GatewayEntry>;
+
+/// A deployment file with the entries of a view over it.
+#[derive(Clone, Copy)]
+pub struct Overlay<'o> {
+    pub deployment: &'o Deployment,
+    pub view: Option<&'o ConfigView>,
+}
+
+impl Overlay<'_> {
+    /// All trigger types: those of the file in its order, then those that only the store has, by name.
+    pub fn trigger_types(&self) -> Vec<(Trigger, TriggerType)> {
+        let listed = self.deployment.trigger_types.iter().zip(&self.deployment.terms.trigger_types);
+        let mut all: Vec<(Trigger, TriggerType)> =
+            listed.map(|(trigger, terms)| (trigger.clone(), terms.clone())).collect();
+        for (name, spec) in self.stored_trigger_types() {
+            match all.iter_mut().find(|(trigger, _)| trigger.name == name) {
+                Some((_, terms)) => (terms.objective, terms.timeout) = (spec.objective, spec.timeout),
+                None => all.push(new_trigger_type(name, spec)),
+            }
+        }
+        all
+    }
+
+    /// All customers with their shares: those of the file in its order, then those that only the store has, by name.
+    pub fn customers(&self) -> Vec<(String, f64)> {
+        let listed = self.deployment.customers.iter().cloned();
+        let mut all: Vec<(String, f64)> = listed.zip(self.deployment.terms.quotas.iter().copied()).collect();
+        for (name, share) in self.stored_quotas() {
+            match all.iter_mut().find(|(known, _)| known == name) {
+                Some((_, known)) => *known = share,
+                None => all.push((name.into(), share)),
+            }
+        }
+        all
+    }
+
+    /// A function by its name.
+    pub fn function(&self, name: &str) -> Option<Function> {
+        let stored = self.view.and_then(|view| view.get(&format!("{FUNCTIONS}/{name}")));
+        match stored.map(|record| &record.entry) {
+            Some(GatewayEntry::Function(spec)) => Some(function(name, spec)),
+            _ => self.deployment.function(name),
+        }
+    }
+
+    /// All functions that the store has.
+    pub fn stored_functions(&self) -> impl Iterator<Item = Function> {
+        let of_kind = self.view.into_iter().flat_map(|view| view.of_kind(FUNCTIONS));
+        of_kind.filter_map(|(key, record)| match &record.entry {
+            GatewayEntry::Function(spec) => Some(function(key.name(), spec)),
+            GatewayEntry::Quota(_) | GatewayEntry::TriggerType(_) => None,
+        })
+    }
+
+    fn stored_trigger_types(&self) -> BTreeMap<&str, &TriggerTypeSpec> {
+        let of_kind = self.view.into_iter().flat_map(|view| view.of_kind(TRIGGER_TYPES));
+        let specs = of_kind.filter_map(|(key, record)| match &record.entry {
+            GatewayEntry::TriggerType(spec) => Some((key.name(), spec)),
+            GatewayEntry::Quota(_) | GatewayEntry::Function(_) => None,
+        });
+        specs.collect()
+    }
+
+    fn stored_quotas(&self) -> BTreeMap<&str, f64> {
+        let of_kind = self.view.into_iter().flat_map(|view| view.of_kind(QUOTAS));
+        let shares = of_kind.filter_map(|(key, record)| match &record.entry {
+            GatewayEntry::Quota(spec) => Some((key.name(), spec.calls_per_second)),
+            GatewayEntry::TriggerType(_) | GatewayEntry::Function(_) => None,
+        });
+        shares.collect()
+    }
+}
+
+/// A trigger type that the file doesn't have. Nothing says that running twice is harmless, so it never does.
+fn new_trigger_type(name: &str, spec: &TriggerTypeSpec) -> (Trigger, TriggerType) {
+    let trigger = Trigger { name: name.into(), streams: false, journalled: false };
+    let terms = TriggerType {
+        objective: spec.objective,
+        stretch: 0.0,
+        timeout: spec.timeout,
+        billed_value: 1.0,
+        late_share: 0.0,
+        effect: Effect::NonIdempotent,
+        group: Group::All,
+        window: 0.0,
+    };
+    (trigger, terms)
+}
+
+fn function(name: &str, spec: &FunctionSpec) -> Function {
+    let versions: Vec<Version> = spec.versions.iter().map(|version| self::version(name, version)).collect();
+    let place = |digest: &String| spec.versions.iter().position(|version| version.digest == *digest);
+    let named = spec.aliases.iter().filter_map(|(alias, digest)| Some((alias.clone(), place(digest)?)));
+    let mut aliases: BTreeMap<String, usize> = named.collect();
+    aliases.entry(STABLE.into()).or_insert(0);
+    Function { name: name.into(), versions: versions.into(), aliases: Rc::new(aliases) }
+}
+
+fn version(function: &str, spec: &VersionSpec) -> Version {
+    let digest = spec.digest.strip_prefix("sha256:").unwrap_or(&spec.digest);
+    Version {
+        key: key(&format!("{function}@{digest}")),
+        digest: digest.into(),
+        lanes: f64::from(spec.lanes),
+        memory: spec.memory,
+        load_time: spec.load_time.filter(|seconds| *seconds > 0.0),
+        work: spec.work,
+    }
+}
--- /dev/null
+++ b/crates/frontend/src/config/report.rs
@@ -0,0 +1,43 @@
+//! The front end's report in the store, under its own lease.
+
+use super::ConfigTarget;
+use super::host::ConfigHost;
+use super::status::PublishedReport;
+use orchidtally_config_sync::{Report, Schema};
+use orchidtally_etcd::rpc::{PutRequest, PutResponse};
+use orchidtally_etcd::{Fault, PUT};
+use tracing::debug;
+
+/// The store's status for a lease that isn't there.
+const NOT_FOUND: u32 = 5;
+
+impl<S: Schema, T: ConfigTarget<S::Entry>> ConfigHost<S, T> {
+    /// Puts a report into the store and tells the core whether it stands there.
+    pub(super) async fn put_report(&self, session: u64, report: Report) {
+        let sequence = report.sequence;
+        let put = self.try_put_report(report).await;
+        if !self.is_in_session(session) {
+            return;
+        }
+        match put {
+            Ok(()) => self.feed(|core, now| core.reported(now, sequence)),
+            Err(Fault::Refused(status)) => {
+                debug!(%status, "the store refused the report of the configuration");
+                if status.code == NOT_FOUND {
+                    self.lease.set(None);
+                }
+                self.feed(|core, now| core.report_failed(now, sequence));
+            }
+            Err(fault) => self.session_failed(session, &fault),
+        }
+    }
+
+    async fn try_put_report(&self, report: Report) -> Result<(), Fault> {
+        let lease = self.lease().await?.id;
+        let key = self.core.borrow().keyspace().report(&self.settings.front_end);
+        let published = PublishedReport { report, snapshot_fault: self.snapshot_fault.borrow().clone() };
+        let value = serde_json::to_vec(&published).unwrap_or_default();
+        let put = PutRequest { key: key.into(), value: value.into(), lease, prev_kv: false };
+        self.client.unary::<PutResponse>(PUT, &put, self.settings.patience).await.map(drop)
+    }
+}
--- /dev/null
+++ b/crates/frontend/src/config/snapshot_file.rs
@@ -0,0 +1,78 @@
+//! The snapshot on disk: replaced by a rename, with the one before beside it.
+
+use std::ffi::OsString;
+use std::fs::{self, File};
+use std::io::{self, Read, Write};
+use std::path::{Path, PathBuf};
+
+/// The longest file that is read as a snapshot, in bytes.
+const MAX_BYTES: u64 = 128 << 20;
+
+/// Where a front end's snapshot stands. `PATH.previous` is the one before, `PATH.new` is being written.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SnapshotFile {
+    path: PathBuf,
+}
+
+impl SnapshotFile {
+    pub fn new(path: impl Into<PathBuf>) -> SnapshotFile {
+        SnapshotFile { path: path.into() }
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// What stands on disk, the newest first. A file that can't be read is told and passed over; one that isn't
+    /// there is passed over.
+    pub fn read(&self) -> (Vec<Vec<u8>>, Vec<io::Error>) {
+        let (mut found, mut errors) = (vec![], vec![]);
+        for path in [self.path.clone(), self.beside("previous")] {
+            match read_bounded(&path) {
+                Ok(bytes) => found.push(bytes),
+                Err(error) if error.kind() == io::ErrorKind::NotFound => {}
+                Err(error) => errors.push(named(&path, &error)),
+            }
+        }
+        (found, errors)
+    }
+
+    /// Replaces the snapshot: whatever happens meanwhile, a whole one stands under one of the two names.
+    ///
+    /// # Errors
+    /// The one before still stands then, under one of the two names.
+    pub fn replace(&self, bytes: &[u8]) -> io::Result<()> {
+        self.try_replace(bytes).map_err(|error| named(&self.path, &error))
+    }
+
+    fn try_replace(&self, bytes: &[u8]) -> io::Result<()> {
+        let new = self.beside("new");
+        let mut file = File::create(&new)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        match fs::rename(&self.path, self.beside("previous")) {
+            Err(error) if error.kind() != io::ErrorKind::NotFound => return Err(error),
+            _ => {}
+        }
+        fs::rename(&new, &self.path)?;
+        let folder = self.path.parent().filter(|folder| !folder.as_os_str().is_empty());
+        File::open(folder.unwrap_or(Path::new(".")))?.sync_all()
+    }
+
+    fn beside(&self, suffix: &str) -> PathBuf {
+        let mut name = OsString::from(self.path.as_os_str());
+        name.push(".");
+        name.push(suffix);
+        name.into()
+    }
+}
+
+fn read_bounded(path: &Path) -> io::Result<Vec<u8>> {
+    let mut bytes = vec![];
+    File::open(path)?.take(MAX_BYTES).read_to_end(&mut bytes)?;
+    Ok(bytes)
+}
+
+fn named(path: &Path, error: &io::Error) -> io::Error {
+    io::Error::new(error.kind(), format!("{}: {error}", path.display()))
+}
--- /dev/null
+++ b/crates/frontend/src/config/watch.rs
@@ -0,0 +1,102 @@
+//! The watch of all entries, and whether the store still says anything.
+
+use super::ConfigTarget;
+use super::exchange::header;
+use super::host::ConfigHost;
+use orchidtally_config_sync::{Change, Schema, WatchBatch};
+use orchidtally_etcd::client::Both;
+use orchidtally_etcd::rpc::watch_request::RequestUnion;
+use orchidtally_etcd::rpc::{Event, WatchProgressRequest, WatchRequest, WatchResponse, event};
+use orchidtally_etcd::{Fault, Told, WATCH, Watch};
+
+fn progress_request() -> WatchRequest {
+    WatchRequest { request_union: Some(RequestUnion::ProgressRequest(WatchProgressRequest {})) }
+}
+
+fn change(event: Event) -> Option<Change> {
+    let is_deleted = event.r#type() == event::EventType::Delete;
+    let pair = event.kv?;
+    let value = (!is_deleted).then(|| pair.value.to_vec());
+    Some(Change { key: pair.key.to_vec(), value, mod_revision: pair.mod_revision })
+}
+
+impl<S: Schema, T: ConfigTarget<S::Entry>> ConfigHost<S, T> {
+    /// Follows a watch from a revision on until it ends; `asks` tells when its progress is to be asked for.
+    pub(super) async fn follow_watch(&self, session: u64, from: i64, asks: async_channel::Receiver<()>) {
+        if let Err(fault) = self.try_follow(session, from, &asks).await
+            && self.is_in_session(session)
+        {
+            self.session_failed(session, &fault);
+        }
+    }
+
+    async fn try_follow(
+        &self,
+        session: u64,
+        from: i64,
+        asks: &async_channel::Receiver<()>,
+    ) -> Result<(), Fault> {
+        let prefix = self.core.borrow().keyspace().entries().start;
+        let mut watch = Watch::new(prefix, from);
+        let mut both: Both<WatchResponse> =
+            self.client.both(WATCH, &watch.request(), self.settings.patience).await?;
+        let mut is_quiet = false;
+        loop {
+            let received = self.client.traffic().received();
+            let next = async { Some(both.next().await) };
+            let asked = async {
+                // The channel stays open as long as the watch is wanted.
+                let _ = asks.recv().await;
+                None
+            };
+            let half = self.settings.patience / 2;
+            let next = orchidtally_net::within(half, futures_lite::future::or(next, asked)).await;
+            if !self.is_in_session(session) {
+                return Ok(());
+            }
+            match next {
+                Some(Some(response)) => {
+                    is_quiet = false;
+                    if !self.told(watch.received(response?)) {
+                        return Ok(());
+                    }
+                }
+                Some(None) => both.send(&progress_request())?,
+                // Other answers over the connection show that the store is there as well.
+                None if self.client.traffic().received() > received => is_quiet = false,
+                None if is_quiet => return Err(Fault::TimedOut),
+                None => {
+                    is_quiet = true;
+                    both.send(&progress_request())?;
+                }
+            }
+        }
+    }
+
+    /// Hands what the watch told to the core; `false` if the watch has ended.
+    fn told(&self, told: Vec<Told>) -> bool {
+        for part in told {
+            match part {
+                Told::Created => {}
+                Told::Events { header: of, events } => {
+                    let changes = events.into_iter().filter_map(change).collect();
+                    let batch = WatchBatch { header: header(Some(&of)), changes, complete: true };
+                    self.feed(|core, now| core.watch_batch(now, batch));
+                }
+                Told::Progress { header: of } => {
+                    self.feed(|core, now| core.watch_progress(now, header(Some(&of))));
+                }
+                Told::Compacted { revision } => {
+                    self.feed(|core, now| core.watch_compacted(now, revision));
+                    return false;
+                }
+                Told::Cancelled { reason } => {
+                    tracing::debug!(reason, "the store ended the watch of the configuration");
+                    self.feed(|core, now| core.watch_cancelled(now));
+                    return false;
+                }
+            }
+        }
+        true
+    }
+}
--- a/crates/frontend/src/hub/exchange.rs
+++ b/crates/frontend/src/hub/exchange.rs
@@ -10,6 +10,7 @@
 use orchidtally_engine::{NOTHING_TOLD, Told};
 use orchidtally_wire::v1;
 use orchidtally_wire::{DISPATCH, ORDER, frame};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tracing::{debug, error};
@@ -93,7 +94,18 @@
             payload_bytes: work.payload_bytes,
         });
         let began = Instant::now();
-        let exchanged = pool.exchange::<v1::Answer>(DISPATCH, head, &work.payload).await;
+        let refusal = Cell::new(None);
+        let may_leave = || {
+            refusal.set(self.dispatch_refusal(&work));
+            let refused = refusal.take();
+            let may_leave = refused.is_none();
+            refusal.set(refused);
+            may_leave
+        };
+        let exchanged = pool.exchange_if::<v1::Answer>(DISPATCH, head, &work.payload, may_leave).await;
+        if let Some(refusal) = refusal.take() {
+            return self.refused((inv, n), refusal);
+        }
         self.heard_of(to, exchanged.as_ref().err().copied());
         let (answer, mut incoming) = match exchanged {
             Ok(exchanged) => exchanged,
--- a/crates/frontend/src/hub/invocation.rs
+++ b/crates/frontend/src/hub/invocation.rs
@@ -1,7 +1,8 @@
 //! Invocations: what they carry, how one is taken, and their final answers.
 
 use super::Hub;
-use super::revision::TriggerTypeInForce;
+use super::revision::{Revision, TriggerTypeInForce};
+use crate::config::{Refusal, Subject};
 use bytes::Bytes;
 use futures_channel::oneshot;
 use orchidtally_deployment::Function;
@@ -28,6 +29,8 @@
     pub last: Cell<u64>,
     /// Dispatches that it had before it was moved to another version.
     pub dispatched: u32,
+    /// The revision that it was admitted under.
+    pub revision: Rc<Revision>,
     pub trigger_type: Rc<TriggerTypeInForce>,
     pub customer: String,
     pub token: String,
@@ -40,6 +43,7 @@
     pub name: String,
     pub function: Rc<str>,
     pub resolved: Resolved,
+    pub revision: Rc<Revision>,
     pub trigger_type: Rc<TriggerTypeInForce>,
     /// Its index in the engine, and its name.
     pub customer: (usize, &'a str),
@@ -51,6 +55,34 @@
     pub payload_bytes: u64,
 }
 
+impl Asked<'_> {
+    /// What it uses, by name.
+    pub fn subject(&self) -> Subject<'_> {
+        let trigger_type = &self.trigger_type.trigger.name;
+        Subject { function: &self.function, trigger_type, customer: self.customer.1 }
+    }
+}
+
+/// Why an invocation was not taken; nothing of it was dispatched.
+#[derive(Clone, Debug, PartialEq)]
+pub enum NotTaken {
+    /// As many invocations are open as may be.
+    Full,
+    /// The front end is ending.
+    Leaving,
+    /// The configuration doesn't let it through.
+    Refused(Refusal),
+}
+
+impl From<Refused> for NotTaken {
+    fn from(refused: Refused) -> NotTaken {
+        match refused {
+            Refused::Full => NotTaken::Full,
+            Refused::Leaving => NotTaken::Leaving,
+        }
+    }
+}
+
 /// A streamed answer was cut off by its executor.
 #[derive(Debug)]
 pub struct CutOff;
@@ -71,8 +103,19 @@
 /// The final answer, on its way to the client.
 pub enum Final {
     Succeeded(Brought),
-    Throttled { retry_after: f64, past_share: bool },
-    Errored { cause: Cause, may_have_run: bool },
+    Throttled {
+        retry_after: f64,
+        past_share: bool,
+    },
+    Errored {
+        cause: Cause,
+        may_have_run: bool,
+    },
+    /// The configuration doesn't let it through any more.
+    Refused {
+        refusal: Refusal,
+        may_have_run: bool,
+    },
 }
 
 /// Whoever waits for the final answer of an invocation.
@@ -95,7 +138,8 @@
     }
 
     /// Takes what an ingress was asked.
-    pub fn take_asked(&self, asked: Asked) -> Result<Taken, Refused> {
+    pub fn take_asked(&self, asked: Asked) -> Result<Taken, NotTaken> {
+        self.check_admission(&asked.revision, &asked.subject())?;
         let Resolved { version, invoked } = asked.resolved;
         let offer = Offer {
             trigger_type: asked.trigger_type.index,
@@ -116,13 +160,14 @@
             failed: Cell::new(false),
             last: Cell::new(0),
             dispatched: 0,
+            revision: asked.revision,
             trigger_type: asked.trigger_type,
             customer: asked.customer.1.to_owned(),
             token: asked.token.to_owned(),
             payload: asked.payload,
             payload_bytes: asked.payload_bytes,
         };
-        self.take(offer, work)
+        Ok(self.take(offer, work)?)
     }
 
     /// The name of the front end's own location.
--- a/crates/frontend/src/hub/mod.rs
+++ b/crates/frontend/src/hub/mod.rs
@@ -5,12 +5,14 @@
 mod invocation;
 mod performer;
 mod reconfigure;
+mod refusing;
 mod revision;
 
-pub use invocation::{Asked, Brought, CutOff, Final};
+pub use invocation::{Asked, Brought, CutOff, Final, NotTaken};
 pub use reconfigure::ReconfigureError;
 
 use crate::book::Book;
+use crate::config::Admission;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use orchidtally::interface::*;
@@ -24,7 +26,7 @@
 use orchidtally_wire::v1;
 use performer::Performer;
 use reconfigure::Revisions;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::future::Future;
 use std::hash::{Hash, Hasher};
 use std::net::SocketAddr;
@@ -60,6 +62,8 @@
     /// How triggers stand, where there are any.
     pub triggers: Cell<Option<crate::mqtt::Standing>>,
     pub book: Option<Rc<Book>>,
+    /// Whether the configuration in force lets invocations through, where it comes from a store.
+    pub admission: OnceCell<Admission>,
     is_leaving: Cell<bool>,
     /// Where it takes invocations.
     pub at: Cell<Option<SocketAddr>>,
@@ -132,6 +136,7 @@
                 index_taken: Cell::new(0),
                 triggers: Cell::new(None),
                 book,
+                admission: OnceCell::new(),
                 is_leaving: Cell::new(false),
                 at: Cell::new(None),
             }
--- a/crates/frontend/src/hub/performer.rs
+++ b/crates/frontend/src/hub/performer.rs
@@ -135,6 +135,7 @@
             failed: Cell::new(false),
             last: Cell::new(0),
             dispatched: work.dispatched + dispatched,
+            revision: work.revision.clone(),
             trigger_type: work.trigger_type.clone(),
             customer: work.customer.clone(),
             token: work.token.clone(),
@@ -161,6 +162,7 @@
                     (Came::Succeeded { took, warm }, true)
                 }
                 Final::Throttled { .. } => (Came::Throttled, false),
+                Final::Refused { may_have_run, .. } => (Came::Throttled, may_have_run),
                 Final::Errored { may_have_run, .. } => (Came::Errored, may_have_run),
             };
             if let Final::Errored { cause: Cause::TimedOut, .. } = answer
--- a/crates/frontend/src/hub/reconfigure.rs
+++ b/crates/frontend/src/hub/reconfigure.rs
@@ -2,11 +2,13 @@
 
 use super::Hub;
 use super::revision::{CustomerInForce, Indices, Revision, TriggerTypeInForce};
-use orchidtally::interface::{ConfigRefused, TriggerType, check_quotas};
-use orchidtally_deployment::{Deployment, Trigger};
+use crate::config::{ConfigView, Overlay};
+use orchidtally::interface::{ConfigRefused, check_quotas};
+use orchidtally_deployment::Deployment;
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
+use std::sync::Arc;
 use thiserror::Error;
 
 /// Trigger types that may be in force or held by open invocations at a time.
@@ -34,11 +36,16 @@
 impl Revisions {
     /// The first revision: that of the deployment file, with the places of its lists as indices.
     pub(super) fn new(deployment: Rc<Deployment>) -> Revisions {
-        let trigger_types: Vec<_> = listed_trigger_types(&deployment)
+        let overlay = Overlay { deployment: &deployment, view: None };
+        let trigger_types: Vec<_> = overlay
+            .trigger_types()
+            .into_iter()
             .enumerate()
             .map(|(index, (trigger, terms))| Rc::new(TriggerTypeInForce { trigger, terms, index }))
             .collect();
-        let customers: Vec<_> = listed_customers(&deployment)
+        let customers: Vec<_> = overlay
+            .customers()
+            .into_iter()
             .enumerate()
             .map(|(index, (name, share))| (name, Rc::new(CustomerInForce { index, share })))
             .collect();
@@ -47,6 +54,7 @@
             customers: RefCell::new(Indices::new(customers.iter().map(|(_, customer)| customer))),
             current: RefCell::new(Rc::new(Revision {
                 number: 1,
+                view: None,
                 deployment,
                 trigger_types,
                 customers: customers.into_iter().collect(),
@@ -66,13 +74,13 @@
     /// Trigger types of the next revision; one that is unchanged is that of the present revision.
     fn next_trigger_types(
         &self,
-        deployment: &Deployment,
+        overlay: &Overlay,
         is_used: impl Fn(usize) -> bool,
     ) -> Result<Vec<Rc<TriggerTypeInForce>>, ReconfigureError> {
         let (current, indices) = (self.current(), self.trigger_types.borrow());
         let mut taken = BTreeSet::new();
         let mut next = vec![];
-        for (trigger, terms) in listed_trigger_types(deployment) {
+        for (trigger, terms) in overlay.trigger_types() {
             let known = current.trigger_type(&trigger.name).map(|(_, known)| known);
             if let Some(known) = known.filter(|known| known.trigger == trigger && known.terms == terms) {
                 next.push(known.clone());
@@ -89,11 +97,11 @@
     }
 
     /// Customers of the next revision; one that was known keeps its index.
-    fn next_customers(&self, deployment: &Deployment) -> HashMap<String, Rc<CustomerInForce>> {
+    fn next_customers(&self, overlay: &Overlay) -> HashMap<String, Rc<CustomerInForce>> {
         let (current, indices) = (self.current(), self.customers.borrow());
         let mut taken = BTreeSet::new();
         let mut next = HashMap::new();
-        for (name, share) in listed_customers(deployment) {
+        for (name, share) in overlay.customers() {
             let known = current.customer(&name).cloned();
             let customer = known.filter(|known| known.share == share).unwrap_or_else(|| {
                 let known = current.customer(&name).map(|known| known.index);
@@ -129,14 +137,6 @@
     }
 }
 
-fn listed_trigger_types(deployment: &Deployment) -> impl Iterator<Item = (Trigger, TriggerType)> {
-    deployment.trigger_types.iter().cloned().zip(deployment.terms.trigger_types.iter().cloned())
-}
-
-fn listed_customers(deployment: &Deployment) -> impl Iterator<Item = (String, f64)> {
-    deployment.customers.iter().cloned().zip(deployment.terms.quotas.iter().copied())
-}
-
 impl Hub {
     /// The revision in force. Whoever looks up more than one thing for an invocation takes it once.
     pub fn revision(&self) -> Rc<Revision> {
@@ -154,9 +154,28 @@
     /// # Errors
     /// Nothing is changed then.
     pub fn reconfigure(&self, deployment: Rc<Deployment>) -> Result<Rc<Revision>, ReconfigureError> {
+        let view = self.revision().view.clone();
+        self.replace_revision(deployment, view)
+    }
+
+    /// Puts a view of the store of configuration in force, over the deployment file.
+    ///
+    /// # Errors
+    /// Nothing is changed then.
+    pub fn put_view_in_force(&self, view: Arc<ConfigView>) -> Result<Rc<Revision>, ReconfigureError> {
+        let deployment = self.revision().deployment.clone();
+        self.replace_revision(deployment, Some(view))
+    }
+
+    fn replace_revision(
+        &self,
+        deployment: Rc<Deployment>,
+        view: Option<Arc<ConfigView>>,
+    ) -> Result<Rc<Revision>, ReconfigureError> {
+        let overlay = Overlay { deployment: &deployment, view: view.as_deref() };
         let is_used = |index| self.engine.borrow().uses_trigger_type(index);
-        let trigger_types = self.revisions.next_trigger_types(&deployment, is_used)?;
-        let customers = self.revisions.next_customers(&deployment);
+        let trigger_types = self.revisions.next_trigger_types(&overlay, is_used)?;
+        let customers = self.revisions.next_customers(&overlay);
         let shares = self.revisions.shares_by_index(&customers);
         check_quotas(&shares)?;
         let current = self.revision();
@@ -171,7 +190,7 @@
             engine.set_quotas(now, shares)
         })?;
         let number = current.number + 1;
-        self.revisions.put_in_force(Revision { number, deployment, trigger_types, customers });
+        self.revisions.put_in_force(Revision { number, deployment, view, trigger_types, customers });
         Ok(self.revision())
     }
 }
--- /dev/null
+++ b/crates/frontend/src/hub/refusing.rs
@@ -0,0 +1,50 @@
+//! Asks whether the configuration in force lets an invocation through, when it is taken and right before the bytes of
+//! a dispatch go out.
+
+use super::Hub;
+use super::invocation::{Final, NotTaken, Work};
+use super::revision::Revision;
+use crate::config::{Refusal, Subject};
+use orchidtally::interface::Ending;
+use orchidtally_engine::NOTHING_TOLD;
+
+impl Hub {
+    /// Whether an invocation under a revision may be taken now.
+    ///
+    /// # Errors
+    /// The configuration doesn't let it through.
+    pub fn check_admission(&self, revision: &Revision, subject: &Subject) -> Result<(), NotTaken> {
+        let refusal =
+            self.admission.get().and_then(|admission| admission.refusal(revision.view.as_deref(), subject));
+        refusal.map_or(Ok(()), |refusal| Err(NotTaken::Refused(refusal)))
+    }
+
+    /// Why the bytes of a dispatch may not go out now.
+    pub(super) fn dispatch_refusal(&self, work: &Work) -> Option<Refusal> {
+        let trigger_type = &work.trigger_type.trigger.name;
+        let subject = Subject { function: &work.function, trigger_type, customer: &work.customer };
+        self.admission.get()?.refusal(work.revision.view.as_deref(), &subject)
+    }
+
+    /// A dispatch was withheld: its invocation is answered at once, unless another dispatch of it is out, whose answer
+    /// is the client's.
+    pub(super) fn refused(&self, (inv, n): (u32, u8), refusal: Refusal) {
+        self.play(|engine, now, performer| {
+            if let Some(task) = performer.out.remove(&(inv, n)) {
+                task.detach();
+            }
+            let sent = engine.sent(inv);
+            let another_is_out = (0..sent).any(|m| performer.out.contains_key(&(inv, m as u8)));
+            if !another_is_out {
+                // An earlier one may have run; it isn't known here how it ended.
+                let may_have_run = sent > 1;
+                engine.withdrawn(now, inv, performer);
+                if let Some(client) = performer.clients.remove(&inv) {
+                    // A client that went away meanwhile needs no answer.
+                    let _ = client.reply.send(Final::Refused { refusal, may_have_run });
+                }
+            }
+            engine.ended(now, inv, n, Ending::NeverSent, NOTHING_TOLD, performer);
+        });
+    }
+}
--- a/crates/frontend/src/hub/revision.rs
+++ b/crates/frontend/src/hub/revision.rs
@@ -4,10 +4,12 @@
 //! [`Revision`], and what is taken holds its [`TriggerTypeInForce`]; the engine's index of a trigger type or a
 //! customer is given to another one only when nobody holds the old one any more.
 
+use crate::config::{ConfigView, Overlay};
 use orchidtally::interface::TriggerType;
 use orchidtally_deployment::{Deployment, Function, Trigger};
 use std::collections::{BTreeSet, HashMap};
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 
 /// A trigger type as one revision has it.
 #[derive(Debug)]
@@ -34,6 +36,8 @@
     pub number: u64,
     /// The deployment file that it comes from.
     pub deployment: Rc<Deployment>,
+    /// What the store of configuration has over it, where there is one.
+    pub view: Option<Arc<ConfigView>>,
     pub(super) trigger_types: Vec<Rc<TriggerTypeInForce>>,
     pub(super) customers: HashMap<String, Rc<CustomerInForce>>,
 }
@@ -65,7 +69,12 @@
 
     /// A function by its name, listed or not.
     pub fn function(&self, name: &str) -> Option<Function> {
-        self.deployment.function(name)
+        self.overlay().function(name)
+    }
+
+    /// The deployment file with the store's entries over it.
+    pub(super) fn overlay(&self) -> Overlay<'_> {
+        Overlay { deployment: &self.deployment, view: self.view.as_deref() }
     }
 
     /// This revision as a deployment in which the trigger types of `start` keep their places; one that was taken
@@ -73,6 +82,10 @@
     pub fn aligned_to(&self, start: &Deployment) -> Deployment {
         let mut aligned = Deployment { terms: start.terms.clone(), ..(*self.deployment).clone() };
         aligned.trigger_types = start.trigger_types.clone();
+        aligned.customers = self.customers.keys().cloned().collect();
+        let overlay = self.overlay();
+        let stored = overlay.stored_functions().map(|function| (function.name.clone(), function));
+        aligned.functions.extend(stored);
         for (place, trigger) in start.trigger_types.iter().enumerate() {
             if let Some((_, known)) = self.trigger_type(&trigger.name) {
                 aligned.terms.trigger_types[place] = known.terms.clone();
--- a/crates/frontend/src/ingress.rs
+++ b/crates/frontend/src/ingress.rs
@@ -3,7 +3,8 @@
 //! the invocation, so that a slow sender holds neither a stream nor a decision.
 
 use crate::book::{Book, NotKept, Promised};
-use crate::hub::{Asked, Brought, CutOff, Final, Hub};
+use crate::config::Refusal;
+use crate::hub::{Asked, Brought, CutOff, Final, Hub, NotTaken};
 use async_executor::LocalExecutor;
 use bytes::Bytes;
 use futures_lite::future;
@@ -15,7 +16,7 @@
 use hyper::body::Incoming;
 use hyper_util::server::conn::auto;
 use orchidtally::interface::Effect;
-use orchidtally_engine::{Cause, Refused};
+use orchidtally_engine::Cause;
 use orchidtally_net::{Stream, within};
 use orchidtally_rollout::plan::Key;
 use orchidtally_rollout::split::Who;
@@ -263,6 +264,34 @@
     }
 }
 
+/// The status and title of what the configuration doesn't let through.
+fn refused_as(refusal: &Refusal) -> (StatusCode, &'static str) {
+    match refusal {
+        Refusal::NotAllowed { .. } => (StatusCode::FORBIDDEN, "not allowed"),
+        Refusal::Stale { .. } | Refusal::NotLoaded { .. } => (StatusCode::SERVICE_UNAVAILABLE, "throttled"),
+    }
+}
+
+fn not_taken(hub: &Hub, why: NotTaken) -> Problem {
+    let throttled = |detail: &str, time: f64| {
+        let mut problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, "throttled", detail);
+        problem.retry_after = Some(time);
+        problem
+    };
+    match why {
+        NotTaken::Full => {
+            throttled("as many invocations are open as may be", hub.deployment.terms.max_retry_after)
+        }
+        NotTaken::Leaving => throttled("this front end is ending; ask another", 0.0),
+        NotTaken::Refused(refusal) => {
+            let (status, title) = refused_as(&refusal);
+            let mut problem = Problem::new(status, title, refusal.to_string());
+            problem.retry_after = refusal.retry_after();
+            problem
+        }
+    }
+}
+
 async fn invoke(hub: &Hub, request: Request<Incoming>) -> Result<Response<Answer>, Problem> {
     let arrived = hub.now();
     let revision = hub.revision();
@@ -340,6 +369,7 @@
         name: name_of_invocation.clone(),
         function: function.name,
         resolved,
+        revision: revision.clone(),
         trigger_type: trigger_type.clone(),
         customer,
         token: token.unwrap_or_default(),
@@ -348,6 +378,8 @@
         payload,
         payload_bytes,
     };
+    // Before it is promised: what is refused leaves no record.
+    hub.check_admission(&revision, &asked.subject()).map_err(|why| not_taken(hub, why))?;
     let promised = match &hub.book {
         Some(book) if trigger_type.trigger.journalled => {
             if !named {
@@ -362,15 +394,7 @@
         }
         _ => None,
     };
-    let (inv, answer) = hub.take_asked(asked).map_err(|refused| {
-        let (detail, time) = match refused {
-            Refused::Full => ("as many invocations are open as may be", deployment.terms.max_retry_after),
-            Refused::Leaving => ("this front end is ending; ask another", 0.0),
-        };
-        let mut problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, "throttled", detail);
-        problem.retry_after = Some(time);
-        problem
-    })?;
+    let (inv, answer) = hub.take_asked(asked).map_err(|refused| not_taken(hub, refused))?;
     let mut guard = Guard { hub, inv, answered: false };
     let answer = answer.await;
     guard.answered = true;
@@ -400,6 +424,15 @@
             may_have_run = ran;
             problem(status, "errored", detail, ran)
         }
+        Ok(Final::Refused { refusal, may_have_run: ran }) => {
+            may_have_run = ran;
+            let (status, title) = refused_as(&refusal);
+            let mut response = problem(status, title, &refusal.to_string(), ran);
+            if let Some(time) = refusal.retry_after() {
+                stay_away(response.headers_mut(), time);
+            }
+            response
+        }
         Err(_) => {
             let detail = "the front end lost track of it; it may have run";
             problem(StatusCode::INTERNAL_SERVER_ERROR, "errored", detail, true)
@@ -470,6 +503,7 @@
         "revision": hub.revision().number,
         "index": hub.sender.get().index,
         "frontEnds": hub.sender.get().count,
+        "configuration": hub.admission.get().map(|admission| admission.host().status()),
         "roster": roster(hub),
         "open": hub.open(),
         "taken": t.taken,
--- a/crates/frontend/src/lib.rs
+++ b/crates/frontend/src/lib.rs
@@ -2,6 +2,7 @@
 //! with other front ends.
 
 pub mod book;
+pub mod config;
 pub mod etcd;
 mod hub;
 pub mod ingress;
@@ -22,7 +23,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 /// An ending front end waits for so long past the longest client timeout, then ends anyway.
 const LEAVE_MARGIN: Duration = Duration::from_secs(1);
@@ -62,6 +63,12 @@
     if !hub.deployment.coordinators.is_empty() {
         spawner.spawn(rollouts::keep_up(hub.clone())).detach();
     }
+    if let Some(configuration) = &hub.deployment.configuration
+        && let Err(fault) = config::attach(&hub, configuration, &spawner)
+    {
+        error!(%fault, "the configuration's settings can't be used; mend the section 'configuration'");
+        return hub.tally();
+    }
     if let Some(reloads) = start.reloads {
         spawner.spawn(reload::follow(hub.clone(), reloads)).detach();
     }
--- a/crates/frontend/src/mqtt.rs
+++ b/crates/frontend/src/mqtt.rs
@@ -1,7 +1,8 @@
 //! Carries messages: the connection to the broker, the journal's thread and the invocations round a `Desk`, which
 //! decides.
 
-use crate::hub::{Asked, Brought, Final, Hub};
+use crate::config::Refusal;
+use crate::hub::{Asked, Brought, Final, Hub, NotTaken};
 use crate::ingress::Guard;
 use async_executor::Task;
 use bytes::{Bytes, BytesMut};
@@ -12,7 +13,7 @@
 use futures_rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 use futures_rustls::rustls::{ClientConfig, RootCertStore};
 use orchidtally_deployment::Deployment;
-use orchidtally_engine::{Cause, Refused};
+use orchidtally_engine::Cause;
 use orchidtally_journal::{Group, Journal};
 use orchidtally_mqtt::packet::Packet;
 use orchidtally_mqtt::{decode, encode};
@@ -248,6 +249,15 @@
     }
 }
 
+/// What comes of a message that the configuration doesn't let through: one that may be let through later is tried
+/// again, unless it may have run.
+fn refused(refusal: &Refusal, may_have_run: bool) -> Answer {
+    if refusal.retry_after().is_some() && !may_have_run {
+        return Answer::Throttled;
+    }
+    Answer::Errored { why: refusal.to_string(), may_have_run }
+}
+
 /// Invokes for a message and gives its final answer.
 async fn invoke(hub: Rc<Hub>, held: Held, ready_by: f64) -> Answer {
     let errored = |why: String| Answer::Errored { why, may_have_run: false };
@@ -281,6 +291,7 @@
         name: held.name.clone(),
         function: function.name.clone(),
         resolved,
+        revision: revision.clone(),
         trigger_type: trigger_type.clone(),
         customer: (customer, &work.customer),
         token: &work.token,
@@ -291,7 +302,8 @@
     };
     let (inv, answer) = match hub.take_asked(asked) {
         Ok(taken) => taken,
-        Err(Refused::Full | Refused::Leaving) => return Answer::Throttled,
+        Err(NotTaken::Full | NotTaken::Leaving) => return Answer::Throttled,
+        Err(NotTaken::Refused(refusal)) => return refused(&refusal, false),
     };
     let mut guard = Guard { hub: &hub, inv, answered: false };
     let answer = answer.await;
@@ -308,6 +320,7 @@
             may_have_run: true,
         },
         Ok(Final::Throttled { .. }) => Answer::Throttled,
+        Ok(Final::Refused { refusal, may_have_run }) => refused(&refusal, may_have_run),
         Ok(Final::Errored { cause, may_have_run }) => {
             let why = match cause {
                 Cause::TimedOut => "no answer came in time",
--- a/crates/frontend/src/pool.rs
+++ b/crates/frontend/src/pool.rs
@@ -209,8 +209,22 @@
         path: &str,
         head: Bytes,
         payload: &[Bytes],
+    ) -> Result<(M, Incoming), Transport> {
+        self.exchange_if(path, head, payload, || true).await
+    }
+
+    /// The same, unless `may_leave` says no right before the bytes go out.
+    pub async fn exchange_if<M: Message + Default>(
+        self: &Rc<Self>,
+        path: &str,
+        head: Bytes,
+        payload: &[Bytes],
+        may_leave: impl FnOnce() -> bool,
     ) -> Result<(M, Incoming), Transport> {
         let lease = self.lease().await?;
+        if !may_leave() {
+            return Err(Transport::Withheld);
+        }
         let sent_from = lease.connection.written.get();
         let classify = |e: &h2::Error| seen(e, sent_from, &lease.connection);
         let request = http::Request::post(format!("http://{}{path}", self.to))
--- /dev/null
+++ b/crates/frontend/tests/config_kit/mod.rs
@@ -0,0 +1,259 @@
+//! A store of configuration on loopback sockets, its writer, and front ends that follow it.
+
+#![allow(dead_code)] // Each test file uses a part of it.
+
+use http::{Method, StatusCode};
+use orchidtally_config_sync::writer::{self, EntryChange, Operation, ReadValue, ReadValues};
+use orchidtally_config_sync::{EntryKey, GatewaySchema, Keyspace, Report};
+use orchidtally_deployment::Deployment;
+use orchidtally_etcd::rpc::compare::{CompareResult, CompareTarget, TargetUnion};
+use orchidtally_etcd::rpc::request_op::Request;
+use orchidtally_etcd::rpc::{
+    Compare, DeleteRangeRequest, PutRequest, RangeRequest, RangeResponse, RequestOp, TxnRequest, TxnResponse,
+};
+use orchidtally_etcd::{Client, Fault, RANGE, TXN};
+use orchidtally_frontend::Start;
+use orchidtally_standin::etcd::Served;
+use orchidtally_standin::executor::{Executor, Make, Program, Surroundings, digest, echo};
+use orchidtally_standin::store::Store;
+use orchidtally_standin::{Stage, any_port};
+use serde_json::{Value, json};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+pub const PREFIX: &str = "orchidtally/config/";
+/// What nothing here takes longer than, in seconds.
+const PATIENCE: f64 = 20.0;
+const EXCHANGE_TIME: Duration = Duration::from_millis(700);
+
+/// Runs a case to its end.
+pub fn on<T>(stage: &Stage, work: impl Future<Output = T>) -> T {
+    let late = async {
+        stage.sleep(60.0).await;
+        panic!("the case did not end");
+    };
+    async_io::block_on(stage.tasks.run(futures_lite::future::or(work, late)))
+}
+
+/// An executor that serves any function.
+pub fn executor(stage: &Stage) -> SocketAddr {
+    let around = Surroundings {
+        store: Store::new(stage, 8.0, 8),
+        catalogue: Rc::new(|_| Some(Program { lanes: 32, load_time: 0.01, run: echo, ..Program::default() })),
+        tokens: Rc::default(),
+        token_window: 5.0,
+    };
+    Executor::start(stage, Make::roomy(1), any_port(), around).unwrap().address
+}
+
+/// A folder of the test's own, empty.
+pub fn folder(name: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let _ = std::fs::remove_dir_all(&path);
+    std::fs::create_dir_all(&path).unwrap();
+    path
+}
+
+/// A function as the store has it, in the one version that executors of the kit load.
+pub fn function(allowed: bool, when_stale: &str) -> Value {
+    let version = format!("sha256:{}", digest(b""));
+    json!({ "when_stale": when_stale, "spec": { "allowed": allowed, "versions": [{ "digest": version, "lanes": 32 }] } })
+}
+
+/// A deployment that follows a store, with times short enough for a test.
+pub fn deployment(executor: SocketAddr, endpoints: &[SocketAddr], snapshot: &Path) -> String {
+    let endpoints: Vec<String> = endpoints.iter().map(|at| format!("\"{at}\"")).collect();
+    format!(
+        r#"{{
+            name: "config",
+            triggerTypes: [{{ name: "http", effect: "idempotent", objective: "1s", timeout: "5s" }}],
+            functions: [{{ name: "listed", lanes: 32 }}],
+            executors: {{ list: [{{ address: "{executor}" }}] }},
+            configuration: {{
+                store: {{ endpoints: [{}] }},
+                snapshot: "{}",
+                freshness: "1500ms", inForceWithin: "3s", proveEvery: "300ms", spread: "0s",
+                reportEvery: "200ms", snapshotEvery: "100ms", bytesPerSecond: "1MB", burst: "100KB", lease: "3s",
+            }},
+        }}"#,
+        endpoints.join(", "),
+        snapshot.display()
+    )
+}
+
+/// A front end on a thread of its own; dropping it ends it.
+pub struct FrontEnd {
+    pub at: SocketAddr,
+    stop: Option<async_channel::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl FrontEnd {
+    pub fn start(text: String, seed: u64) -> FrontEnd {
+        let listener = orchidtally_frontend::listen(any_port()).unwrap();
+        let at = listener.get_ref().local_addr().unwrap();
+        let (stop, stopped) = async_channel::bounded(1);
+        let thread = std::thread::spawn(move || {
+            let deployment = Deployment::read(&text).unwrap_or_else(|faults| panic!("{faults:?}"));
+            let start = Start {
+                deployment,
+                seed,
+                ahead: 0.0,
+                step: None,
+                stop: stopped,
+                random: false,
+                triggers: None,
+                book: None,
+                reloads: None,
+            };
+            orchidtally_frontend::run(start, listener);
+        });
+        FrontEnd { at, stop: Some(stop), thread: Some(thread) }
+    }
+
+    /// Invokes a function: the status and the answer's body.
+    pub async fn invoke(&self, function: &str) -> (u16, String) {
+        let path = format!("/v1/functions/{function}/invocations");
+        let asked = orchidtally_net::http::ask(self.at, Method::POST, &path, "hi", Duration::from_secs(5));
+        let (status, body) = asked.await.unwrap();
+        (status.as_u16(), String::from_utf8_lossy(&body).into_owned())
+    }
+
+    pub async fn status(&self, function: &str) -> u16 {
+        self.invoke(function).await.0
+    }
+
+    /// What it says of its configuration.
+    pub async fn configuration(&self) -> Value {
+        let asked =
+            orchidtally_net::http::ask(self.at, Method::GET, "/v1/front-end", "", Duration::from_secs(5));
+        let (status, body) = asked.await.unwrap();
+        assert_eq!(status, StatusCode::OK);
+        serde_json::from_slice::<Value>(&body).unwrap()["configuration"].clone()
+    }
+}
+
+impl Drop for FrontEnd {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        if let Some(thread) = self.thread.take() {
+            // Whoever panicked in it has said so.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Waits until something is so.
+pub async fn until(stage: &Stage, what: &str, mut is_so: impl AsyncFnMut() -> bool) {
+    let end = stage.now() + PATIENCE;
+    while !is_so().await {
+        assert!(stage.now() < end, "not within {PATIENCE} s: {what}");
+        stage.sleep(0.02).await;
+    }
+}
+
+/// Writes configuration as an operator's tool does.
+pub struct Writer {
+    client: Client,
+    keyspace: Keyspace,
+    tries: Cell<u32>,
+}
+
+impl Writer {
+    pub fn new(stage: &Stage, etcd: &Served) -> Writer {
+        let client = Client::new(etcd.addresses.clone(), stage.tasks.clone());
+        Writer { client, keyspace: Keyspace::new(PREFIX), tries: Cell::new(0) }
+    }
+
+    /// Writes entries together; without a document an entry is deleted. Gives the revision.
+    pub async fn write(&self, entries: &[(&str, Option<Value>)]) -> i64 {
+        let changes: Vec<EntryChange> = entries
+            .iter()
+            .map(|(key, document)| EntryChange {
+                key: EntryKey::parse(key).unwrap(),
+                document: document.as_ref().map(|document| document.to_string().into_bytes()),
+            })
+            .collect();
+        loop {
+            match self.try_write(&changes).await {
+                Ok(Some(revision)) => return revision,
+                Ok(None) => {}
+                Err(fault) => {
+                    self.tries.set(self.tries.get() + 1);
+                    assert!(self.tries.get() < 50, "the writer reaches no member: {fault}");
+                    self.client.fail_over();
+                    async_io::Timer::after(Duration::from_millis(100)).await;
+                }
+            }
+        }
+    }
+
+    /// The revision, or `None` if another writer was faster.
+    async fn try_write(&self, changes: &[EntryChange]) -> Result<Option<i64>, Fault> {
+        let mut read = ReadValues::new();
+        for key in writer::keys_to_read(&self.keyspace, changes) {
+            let question = RangeRequest { key: key.clone().into(), ..RangeRequest::default() };
+            let answer: RangeResponse = self.client.unary(RANGE, &question, EXCHANGE_TIME).await?;
+            if let Some(pair) = answer.kvs.into_iter().next() {
+                read.insert(key, ReadValue { value: pair.value.to_vec(), mod_revision: pair.mod_revision });
+            }
+        }
+        let plan = writer::plan(&self.keyspace, &GatewaySchema, changes, &read, 16_384, 128).unwrap();
+        let compare = plan.guards.into_iter().map(|guard| Compare {
+            result: CompareResult::Equal.into(),
+            target: CompareTarget::Mod.into(),
+            key: guard.key.into(),
+            target_union: Some(TargetUnion::ModRevision(guard.mod_revision)),
+        });
+        let success = plan.operations.into_iter().map(|operation| RequestOp {
+            request: Some(match operation {
+                Operation::Put { key, value } => Request::RequestPut(PutRequest {
+                    key: key.into(),
+                    value: value.into(),
+                    ..PutRequest::default()
+                }),
+                Operation::Delete { key } => Request::RequestDeleteRange(DeleteRangeRequest {
+                    key: key.into(),
+                    ..DeleteRangeRequest::default()
+                }),
+            }),
+        });
+        let transaction =
+            TxnRequest { compare: compare.collect(), success: success.collect(), failure: vec![] };
+        let answer: TxnResponse = self.client.unary(TXN, &transaction, EXCHANGE_TIME).await?;
+        Ok(answer.succeeded.then(|| answer.header.unwrap_or_default().revision))
+    }
+
+    /// All reports that stand in the store, by front end, as JSON.
+    pub async fn raw_reports(&self) -> BTreeMap<String, Value> {
+        let range = self.keyspace.reports();
+        let question = RangeRequest {
+            key: range.start.clone().into(),
+            range_end: range.end.into(),
+            ..RangeRequest::default()
+        };
+        let answer = self.client.unary::<RangeResponse>(RANGE, &question, EXCHANGE_TIME).await;
+        let Ok(answer) = answer else {
+            self.client.fail_over();
+            return BTreeMap::new();
+        };
+        let name = |key: &[u8]| String::from_utf8_lossy(&key[range.start.len()..]).into_owned();
+        answer
+            .kvs
+            .iter()
+            .map(|pair| (name(&pair.key), serde_json::from_slice(&pair.value).unwrap()))
+            .collect()
+    }
+
+    /// The same, as the core's writer takes them.
+    pub async fn reports(&self) -> BTreeMap<String, Report> {
+        let raw = self.raw_reports().await;
+        raw.into_iter().map(|(name, value)| (name, serde_json::from_value(value).unwrap())).collect()
+    }
+}
