--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -98,6 +98,12 @@
     })
 }
 
+/// What `check` says of the store of configuration; nothing where there is none.
+fn store_of(deployment: &Deployment) -> String {
+    let count = deployment.configuration.as_ref().map(|store| store.endpoints.len());
+    count.map_or_else(String::new, |count| format!(", configuration from a store of {count} members"))
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let filter = match EnvFilter::try_new(&arguments.log) {
@@ -118,12 +124,13 @@
         Command::Serve(a) => serve::run(a),
         Command::Check { file } => read_whole(&file).map(|(d, mqtt)| {
             println!(
-                "{}: sound; '{}', {} trigger types, {} functions listed, {} triggers by messages",
+                "{}: sound; '{}', {} trigger types, {} functions listed, {} triggers by messages{}",
                 file.display(),
                 d.name,
                 d.trigger_types.len(),
                 d.functions.len(),
-                mqtt.map_or(0, |m| m.rules.list.len())
+                mqtt.map_or(0, |m| m.rules.list.len()),
+                store_of(&d)
             );
         }),
         Command::Invoke(a) => invoke::run(a),
--- /dev/null
+++ b/crates/cli/tests/config_pause.rs
@@ -0,0 +1,74 @@
+//! A real `orchidtally serve` that is paused for longer than its freshness bound wakes with an old view of the
+//! configuration: what was taken away meanwhile is refused.
+
+#[path = "../../frontend/tests/config_kit/mod.rs"]
+mod config_kit;
+mod serve_kit;
+
+use config_kit::{Writer, deployment_with, executor, folder, function, on, until};
+use orchidtally_standin::Stage;
+use orchidtally_standin::etcd::Served;
+use orchidtally_witness::Record;
+use serve_kit::{Serve, answer, file};
+use std::net::TcpStream;
+
+/// Seconds that it is paused for; the kit's freshness bound is 1.5 s.
+const PAUSE: f64 = 2.5;
+
+/// Does what blocks on a thread of its own, so that store and executor go on.
+async fn unblock<T: Send + 'static>(work: impl FnOnce() -> T + Send + 'static) -> T {
+    let (tell, told) = async_channel::bounded(1);
+    std::thread::spawn(move || tell.send_blocking(work()));
+    told.recv().await.unwrap()
+}
+
+async fn answered(stream: TcpStream) -> (u16, String) {
+    unblock(move || answer(stream)).await
+}
+
+fn ran(stage: &Stage, wanted: &str) -> usize {
+    let is_it = |record: &&Record| matches!(record, Record::Ran { invocation, .. } if invocation == wanted);
+    stage.records().iter().filter(is_it).count()
+}
+
+fn named(name: &str) -> [(&str, &str); 1] {
+    [("orchidtally-invocation", name)]
+}
+
+#[test]
+fn what_was_taken_away_during_a_pause_is_refused_on_waking() {
+    let stage = Stage::new(1);
+    let etcd = Served::start(&stage, 3).unwrap();
+    let snapshot = folder("pause").join("s");
+    // One stream at a time, so that an invocation waits behind another one for its bytes to go out.
+    let limits = r#"limits: { streamsPerConnection: 1, connectionsPerExecutor: 1, connectTime: "10s" },"#;
+    let text = deployment_with(executor(&stage), &etcd.addresses, &snapshot, limits);
+    let path = file("pause.json5", &text);
+    let serve = Serve::start(&["--deployment", path.to_str().unwrap()]);
+    let writer = Writer::new(&stage, &etcd);
+    on(&stage, async {
+        writer.write(&[("functions/secret", Some(function(true, "refuse")))]).await;
+        until(&stage, "it may be called", async || answered(serve.send("secret", &[])).await.0 == 200).await;
+        let before = serve.send("slow", &named("before"));
+        until(&stage, "it is out", async || ran(&stage, "before") == 1).await;
+        let waiting = serve.send("secret", &named("waiting"));
+        stage.sleep(0.3).await;
+        serve.signal("STOP");
+        writer.write(&[("functions/secret", Some(function(false, "refuse")))]).await;
+        let late = serve.send("secret", &named("late"));
+        stage.sleep(PAUSE).await;
+        serve.signal("CONT");
+        for (name, stream) in [("waiting", waiting), ("late", late)] {
+            let (status, body) = answered(stream).await;
+            assert!(matches!(status, 403 | 503), "{name}: {body}");
+            assert!(body.contains("functions/secret"), "{name} was refused for what was taken away: {body}");
+            assert!(body.contains("\"mayHaveRun\":false"), "{name}: {body}");
+            assert_eq!(ran(&stage, name), 0, "{name}");
+        }
+        assert_eq!(answered(before).await.0, 200, "what was out before is answered");
+        until(&stage, "it has read what changed", async || {
+            answered(serve.send("secret", &[])).await.0 == 403
+        })
+        .await;
+    });
+}
--- a/crates/deployment/src/configuration.rs
+++ b/crates/deployment/src/configuration.rs
@@ -91,7 +91,7 @@
     let read = Configuration {
         endpoints: endpoints(&store.at("endpoints")),
         prefix: prefix(&store),
-        snapshot: snapshot(&fields.at("snapshot"), front_ends)?,
+        snapshot: snapshot(&fields.at("snapshot"), front_ends).unwrap_or_default(),
         freshness: time("freshness", 1.0..=3_600.0, 15.0),
         in_force_within: time("inForceWithin", 2.0..=3_600.0, 18.0),
         prove_every: time("proveEvery", 0.1..=600.0, 3.0),
--- /dev/null
+++ b/crates/deployment/tests/configuration.rs
@@ -0,0 +1,71 @@
+//! The section of the store that configuration comes from.
+
+use orchidtally_deployment::{Deployment, WithoutView};
+use std::path::PathBuf;
+
+const EXAMPLE: &str = include_str!("../../../examples/deployments/ferry-lines.json5");
+
+fn with_section(section: &str) -> String {
+    let base = r#"{
+  triggerTypes: [{ name: "a", effect: "idempotent", objective: "1s", timeout: "1s" }],
+  otherFunctions: {},
+  frontEnds: { count: 2 },
+  executors: { list: [{ address: "127.0.0.1:1" }] },
+"#;
+    format!("{base}  configuration: {section},\n}}")
+}
+
+fn faults(section: &str) -> Vec<String> {
+    let faults = Deployment::read(&with_section(section)).expect_err(section);
+    faults.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn the_example_is_sound_and_without_the_section_there_is_no_store() {
+    let deployment = Deployment::read(EXAMPLE).expect("the example is sound");
+    let read = deployment.configuration.expect("it has the section");
+    assert_eq!((read.endpoints.len(), read.prefix.as_str()), (5, "ferry-lines/config/"));
+    assert_eq!(read.snapshot(2), PathBuf::from("/var/lib/orchidtally/config-2.snapshot"));
+    assert_eq!((read.freshness, read.in_force_within, read.prove_every), (15.0, 18.0, 3.0));
+    assert_eq!((read.bytes_per_second, read.burst, read.lease), (9_000.0, 2_000.0, 10.0));
+    assert_eq!(read.without_view, WithoutView::Refuse);
+    let without = include_str!("../../../examples/deployments/one-machine.json5");
+    assert!(Deployment::read(without).expect("sound").configuration.is_none());
+}
+
+#[test]
+fn every_fault_of_it_is_told_with_its_place_and_remedy() {
+    let told = faults(
+        r#"{
+    store: { endpoints: ["nowhere"], prefix: "config", member: 3 },
+    snapshot: "one-for-all", freshness: "5s", inForceWithin: "5500ms", proveEvery: "2s",
+    bytesPerSecond: 9000, withoutView: "guess",
+  }"#,
+    );
+    let expected = [
+        "7:26: configuration.store.endpoints[0]: 'nowhere' is not an address and port",
+        "7:46: configuration.store.prefix: has to end with '/'",
+        "7:56: configuration.store.member: unknown key",
+        "8:15: configuration.snapshot: there are several front ends; '{index}' has to stand in it",
+        "8:41: configuration.freshness: 5 s is not 1 s below 'inForceWithin' of 5.5 s; lower it, or raise that",
+        "8:84: configuration.proveEvery: 3 proofs every 2 s don't fit into 'freshness' of 5 s; ask more often",
+        "9:21: configuration.bytesPerSecond: a size such as '64KiB', '1.5GB' is wanted, not a number",
+        "9:40: configuration.withoutView: 'guess' is none of 'refuse', 'serve'",
+    ];
+    for fault in expected {
+        assert!(told.iter().any(|t| t.starts_with(fault)), "'{fault}' is missing from {told:#?}");
+    }
+    assert_eq!(told.len(), expected.len(), "{told:#?}");
+}
+
+#[test]
+fn store_and_snapshot_are_wanted() {
+    let told = faults("{}");
+    assert!(told.iter().any(|t| t.contains("configuration.store: is missing")), "{told:#?}");
+    assert!(told.iter().any(|t| t.contains("configuration.snapshot: is missing")), "{told:#?}");
+    let told = faults(r#"{ store: { endpoints: [] }, snapshot: "{index}" }"#);
+    assert!(
+        told.iter().any(|t| t.contains("configuration.store.endpoints: at least one is wanted")),
+        "{told:#?}"
+    );
+}
--- a/crates/frontend/src/config/host.rs
+++ b/crates/frontend/src/config/host.rs
@@ -4,6 +4,7 @@
 use super::clock::boot_time;
 use super::lease::Lease;
 use super::settings::HostSettings;
+use super::snapshot_writes::SnapshotWrites;
 use super::status::ConfigStatus;
 use super::{ConfigTarget, SnapshotFile};
 use async_executor::{LocalExecutor, Task};
@@ -13,7 +14,6 @@
 use orchidtally_etcd::{Client, Fault};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
-use std::io;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
 use std::time::Duration;
@@ -21,8 +21,6 @@
 
 /// A view that the target didn't take is offered again after this time, in seconds.
 const APPLY_RETRY: f64 = 1.0;
-/// A snapshot that could not be written is tried again after this time, in seconds.
-const SNAPSHOT_RETRY: f64 = 30.0;
 /// The host looks at its timers at least this often, in seconds.
 const LONGEST_WAIT: f64 = 60.0;
 
@@ -48,7 +46,7 @@
     pub(super) lease: Cell<Option<Lease>>,
     pending_view: RefCell<Option<PendingView<S::Entry>>>,
     apply_fault: RefCell<Option<String>>,
-    snapshots: RefCell<SnapshotWrites>,
+    pub(super) snapshots: RefCell<SnapshotWrites>,
     pub(super) snapshot_fault: RefCell<Option<String>>,
     logged_rejections: RefCell<Vec<Rejection>>,
     wake: (async_channel::Sender<()>, async_channel::Receiver<()>),
@@ -60,14 +58,6 @@
     asks: async_channel::Sender<()>,
 }
 
-/// Snapshots are written one at a time; of those that wait only the newest is kept.
-#[derive(Default)]
-struct SnapshotWrites {
-    is_writing: bool,
-    next: Option<Vec<u8>>,
-    retry_at: f64,
-}
-
 impl<S: Schema + 'static, T: ConfigTarget<S::Entry> + 'static> ConfigHost<S, T>
 where
     S::Entry: 'static,
@@ -241,74 +231,7 @@
         }
     }
 
-    /// Writes a snapshot on a thread of its own: a slow disk holds up nothing else.
-    fn write_snapshot(self: &Rc<Self>, bytes: Vec<u8>) {
-        let Some(file) = self.settings.snapshot.clone() else { return };
-        if self.snapshots.borrow().is_writing {
-            self.snapshots.borrow_mut().next = Some(bytes);
-            return;
-        }
-        self.snapshots.replace(SnapshotWrites { is_writing: true, ..SnapshotWrites::default() });
-        let (tell, told) = async_channel::bounded(1);
-        let bytes = Arc::new(bytes);
-        let written = bytes.clone();
-        let started = std::thread::Builder::new().name("snapshot".into()).spawn(move || {
-            // The host may be gone by then.
-            let _ = tell.send_blocking(file.replace(&written));
-        });
-        let host = self.clone();
-        self.spawn(async move {
-            let written = match started {
-                Ok(_) => told.recv().await.unwrap_or_else(|_| Err(io::Error::other("its thread ended"))),
-                Err(error) => Err(error),
-            };
-            host.snapshot_written(written, bytes);
-        });
-    }
-
-    /// What could not be written is tried again after a while, unless there is a newer one.
-    fn snapshot_written(self: &Rc<Self>, written: io::Result<()>, bytes: Arc<Vec<u8>>) {
-        let fault = written.err().map(|error| error.to_string());
-        if let Some(fault) = &fault {
-            error!(
-                fault,
-                "the snapshot of the configuration can't be written; make room, or its folder writable"
-            );
-        }
-        let (has_failed, has_changed) = (fault.is_some(), *self.snapshot_fault.borrow() != fault);
-        self.snapshot_fault.replace(fault);
-        if has_changed {
-            let sequence = self.core.borrow().report().sequence;
-            self.feed(|core, now| core.report_failed(now, sequence));
-        }
-        let mut snapshots = self.snapshots.borrow_mut();
-        snapshots.is_writing = false;
-        if has_failed && snapshots.next.is_none() {
-            snapshots.next = Arc::try_unwrap(bytes).ok();
-            snapshots.retry_at = self.now() + SNAPSHOT_RETRY;
-        }
-        drop(snapshots);
-        // The main loop writes what waits.
-        self.feed(|_, _| {});
-    }
-
-    fn write_next_snapshot(self: &Rc<Self>) {
-        if self.now() < self.snapshot_timer() {
-            return;
-        }
-        let next = self.snapshots.borrow_mut().next.take();
-        if let Some(bytes) = next {
-            self.write_snapshot(bytes);
-        }
-    }
-
-    fn snapshot_timer(&self) -> f64 {
-        let snapshots = self.snapshots.borrow();
-        let waits = snapshots.next.is_some() && !snapshots.is_writing;
-        if waits { snapshots.retry_at } else { f64::INFINITY }
-    }
-
-    fn spawn(&self, work: impl Future<Output = ()> + 'static) {
+    pub(super) fn spawn(&self, work: impl Future<Output = ()> + 'static) {
         if let Some(tasks) = self.tasks.upgrade() {
             tasks.spawn(work).detach();
         }
--- a/crates/frontend/src/config/mod.rs
+++ b/crates/frontend/src/config/mod.rs
@@ -15,6 +15,7 @@
 mod report;
 mod settings;
 mod snapshot_file;
+mod snapshot_writes;
 mod status;
 mod watch;
 
--- /dev/null
+++ b/crates/frontend/src/config/snapshot_writes.rs
@@ -0,0 +1,93 @@
+//! Writes snapshots, one at a time.
+
+use super::ConfigTarget;
+use super::host::ConfigHost;
+use orchidtally_config_sync::Schema;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use tracing::error;
+
+/// A snapshot that could not be written is tried again after this time, in seconds.
+const SNAPSHOT_RETRY: f64 = 30.0;
+
+/// Snapshots are written one at a time; of those that wait only the newest is kept.
+#[derive(Default)]
+pub(super) struct SnapshotWrites {
+    is_writing: bool,
+    next: Option<Vec<u8>>,
+    /// Not before this time, after one that could not be written.
+    retry_at: f64,
+}
+
+impl<S: Schema + 'static, T: ConfigTarget<S::Entry> + 'static> ConfigHost<S, T>
+where
+    S::Entry: 'static,
+{
+    /// Writes a snapshot on a thread of its own: a slow disk holds up nothing else.
+    pub(super) fn write_snapshot(self: &Rc<Self>, bytes: Vec<u8>) {
+        let Some(file) = self.settings.snapshot.clone() else { return };
+        if self.snapshots.borrow().is_writing {
+            self.snapshots.borrow_mut().next = Some(bytes);
+            return;
+        }
+        self.snapshots.replace(SnapshotWrites { is_writing: true, ..SnapshotWrites::default() });
+        let (tell, told) = async_channel::bounded(1);
+        let bytes = Arc::new(bytes);
+        let written = bytes.clone();
+        let started = std::thread::Builder::new().name("snapshot".into()).spawn(move || {
+            // The host may be gone by then.
+            let _ = tell.send_blocking(file.replace(&written));
+        });
+        let host = self.clone();
+        self.spawn(async move {
+            let written = match started {
+                Ok(_) => told.recv().await.unwrap_or_else(|_| Err(io::Error::other("its thread ended"))),
+                Err(error) => Err(error),
+            };
+            host.snapshot_written(written, bytes);
+        });
+    }
+
+    /// What could not be written is tried again after a while, unless there is a newer one.
+    fn snapshot_written(self: &Rc<Self>, written: io::Result<()>, bytes: Arc<Vec<u8>>) {
+        let fault = written.err().map(|error| error.to_string());
+        if let Some(fault) = &fault {
+            error!(
+                fault,
+                "the snapshot of the configuration can't be written; make room, or its folder writable"
+            );
+        }
+        let (has_failed, has_changed) = (fault.is_some(), *self.snapshot_fault.borrow() != fault);
+        self.snapshot_fault.replace(fault);
+        if has_changed {
+            let sequence = self.core.borrow().report().sequence;
+            self.feed(|core, now| core.report_failed(now, sequence));
+        }
+        let mut snapshots = self.snapshots.borrow_mut();
+        snapshots.is_writing = false;
+        if has_failed && snapshots.next.is_none() {
+            snapshots.next = Arc::try_unwrap(bytes).ok();
+            snapshots.retry_at = self.now() + SNAPSHOT_RETRY;
+        }
+        drop(snapshots);
+        // The main loop writes what waits.
+        self.feed(|_, _| {});
+    }
+
+    pub(super) fn write_next_snapshot(self: &Rc<Self>) {
+        if self.now() < self.snapshot_timer() {
+            return;
+        }
+        let next = self.snapshots.borrow_mut().next.take();
+        if let Some(bytes) = next {
+            self.write_snapshot(bytes);
+        }
+    }
+
+    pub(super) fn snapshot_timer(&self) -> f64 {
+        let snapshots = self.snapshots.borrow();
+        let waits = snapshots.next.is_some() && !snapshots.is_writing;
+        if waits { snapshots.retry_at } else { f64::INFINITY }
+    }
+}
