--- /dev/null
+++ b/crates/frontend/src/ingress/answer.rs
@@ -0,0 +1,88 @@
+//! Bodies of responses, and what is said of faults.
+
+use super::STAY_AWAY;
+use crate::hub::CutOff;
+use bytes::Bytes;
+use http::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use http::{HeaderMap, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+use serde_json::json;
+use std::collections::VecDeque;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+/// The body of a response.
+pub enum Answer {
+    Chunks(VecDeque<Bytes>),
+    Streamed(Pin<Box<async_channel::Receiver<Result<Bytes, CutOff>>>>),
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = CutOff;
+
+    fn poll_frame(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, CutOff>>> {
+        use futures_lite::stream::Stream;
+        Poll::Ready(match self.get_mut() {
+            Answer::Chunks(chunks) => chunks.pop_front().map(|c| Ok(Frame::data(c))),
+            Answer::Streamed(parts) => ready!(parts.as_mut().poll_next(cx)).map(|part| part.map(Frame::data)),
+        })
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Answer::Chunks(chunks) if chunks.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Answer::Chunks(chunks) => SizeHint::with_exact(chunks.iter().map(|c| c.len() as u64).sum()),
+            Answer::Streamed(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// A fault in what a client sent, or the reason why it can't be taken.
+pub(super) struct Problem {
+    status: StatusCode,
+    title: &'static str,
+    detail: String,
+    pub(super) retry_after: Option<f64>,
+}
+
+impl Problem {
+    pub(super) fn new(status: StatusCode, title: &'static str, detail: impl Into<String>) -> Problem {
+        Problem { status, title, detail: detail.into(), retry_after: None }
+    }
+
+    pub(super) fn bad(detail: impl Into<String>) -> Problem {
+        Problem::new(StatusCode::BAD_REQUEST, "the invocation is malformed", detail)
+    }
+
+    /// Nothing of what is refused here was ever dispatched.
+    pub(super) fn response(self) -> Response<Answer> {
+        let mut response = problem(self.status, self.title, &self.detail, false);
+        if let Some(time) = self.retry_after {
+            stay_away(response.headers_mut(), time);
+        }
+        response
+    }
+}
+
+pub(super) fn problem(status: StatusCode, title: &str, detail: &str, may_have_run: bool) -> Response<Answer> {
+    let body = json!({
+        "type": "about:blank",
+        "title": title,
+        "status": status.as_u16(),
+        "detail": detail,
+        "mayHaveRun": may_have_run,
+    });
+    let mut response = Response::new(Answer::Chunks([Bytes::from(body.to_string())].into()));
+    *response.status_mut() = status;
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    response
+}
+
+pub(super) fn stay_away(headers: &mut HeaderMap, time: f64) {
+    headers.insert(RETRY_AFTER, HeaderValue::from(time.ceil().max(1.0) as u64));
+    headers.insert(HeaderName::from_static(STAY_AWAY), HeaderValue::from((time * 1e3).ceil() as u64));
+}
--- /dev/null
+++ b/crates/frontend/src/ingress/mod.rs
@@ -0,0 +1,166 @@
+//! HTTP/1.1 and HTTP/2 on one port: what clients send becomes an invocation, its final answer a response.
+//! A body is taken in whole chunks, which are handed on as they are; it is here before the module hears of
+//! the invocation, so that a slow sender holds neither a stream nor a decision.
+
+mod answer;
+mod invoke;
+mod request;
+mod status;
+
+pub use answer::Answer;
+pub(crate) use request::Guard;
+
+use crate::hub::Hub;
+use answer::{Problem, problem};
+use async_executor::LocalExecutor;
+use futures_lite::future;
+use futures_lite::io::AsyncWriteExt;
+use http::{Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper_util::server::conn::auto;
+use invoke::{invoke, recorded};
+use orchidtally_net::{Stream, within};
+use smol_hyper::rt::SmolTimer;
+use status::standing;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::Future;
+use std::pin::pin;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+use tracing::{debug, warn};
+
+pub const TRIGGER_TYPE: &str = "orchidtally-trigger-type";
+pub const CUSTOMER: &str = "orchidtally-customer";
+/// Milliseconds that the client goes on waiting.
+pub const TIME_LEFT: &str = "orchidtally-time-left";
+/// `1` where the client asks again.
+pub const REPEAT: &str = "orchidtally-repeat";
+/// The invocation's name in logs and traces; one is drawn where the client gives none.
+pub const INVOCATION: &str = "orchidtally-invocation";
+/// `1` where an answer was given before, or would have been.
+pub const RECORDED: &str = "orchidtally-recorded";
+/// `1` where its body was too long to be kept.
+pub const BODY_LEFT_OUT: &str = "orchidtally-body-left-out";
+pub const TOKEN: &str = "idempotency-key";
+/// Milliseconds to stay away; `Retry-After` has whole seconds only.
+pub const STAY_AWAY: &str = "orchidtally-stay-away";
+
+async fn respond(hub: Rc<Hub>, request: Request<Incoming>) -> Result<Response<Answer>, Infallible> {
+    if request.method() == Method::GET && request.uri().path() == "/v1/front-end" {
+        return Ok(standing(&hub));
+    }
+    let asked =
+        request.uri().path().strip_prefix("/v1/invocations/").filter(|_| request.method() == Method::GET);
+    if let (Some(name), Some(book)) = (asked, &hub.book) {
+        let unknown =
+            || problem(StatusCode::NOT_FOUND, "unknown invocation", "none of this name is kept here", false);
+        return Ok(book.standing(name).map_or_else(unknown, recorded));
+    }
+    Ok(invoke(&hub, request).await.unwrap_or_else(Problem::response))
+}
+
+/// Spawns what the HTTP library wants spawned on this thread.
+#[derive(Clone)]
+struct Spawner(Weak<LocalExecutor<'static>>);
+
+impl<F: Future<Output: 'static> + 'static> hyper::rt::Executor<F> for Spawner {
+    fn execute(&self, work: F) {
+        if let Some(spawner) = self.0.upgrade() {
+            spawner.spawn(work).detach();
+        }
+    }
+}
+
+/// Counts open connections.
+pub struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    pub fn new(open: &Rc<Cell<usize>>) -> Counted {
+        open.set(open.get() + 1);
+        Counted(open.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Says on a connection over the bound that it is one, and closes it.
+pub async fn turn_away(mut stream: Stream) {
+    const FULL: &[u8] =
+        b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+    let say = async {
+        let socket = stream.socket();
+        socket.write_all(FULL).await?;
+        socket.close().await
+    };
+    // It was told why, or went away before.
+    let _ = within(Duration::from_secs(1), say).await;
+}
+
+/// Serves one connection until it ends, or until `leaving` closes and what is open on it is answered.
+pub async fn serve(hub: Rc<Hub>, stream: Stream, leaving: async_channel::Receiver<()>, _open: Counted) {
+    let bounds = hub.deployment.bounds.clone();
+    let time = Duration::from_secs_f64(bounds.sender_time);
+    let peer = stream.peer();
+    if within(time, stream.readable()).await.is_none() {
+        debug!(?peer, "closed a connection over which nothing came");
+        return;
+    }
+    let mut builder = auto::Builder::new(Spawner(hub.spawner()));
+    builder
+        .http1()
+        .timer(SmolTimer::new())
+        .header_read_timeout(time)
+        .max_buf_size(bounds.header_bytes as usize);
+    builder
+        .http2()
+        .timer(SmolTimer::new())
+        .max_header_list_size(bounds.header_bytes)
+        .max_concurrent_streams(1_000)
+        .keep_alive_interval(Some(time))
+        .keep_alive_timeout(time);
+    let spoke = Rc::new(Cell::new(false));
+    let service = {
+        let (hub, spoke) = (hub.clone(), spoke.clone());
+        hyper::service::service_fn(move |request| {
+            spoke.set(true);
+            respond(hub.clone(), request)
+        })
+    };
+    let mut connection = pin!(builder.serve_connection(stream, service));
+    let slow = async {
+        async_io::Timer::after(2 * time).await;
+        if spoke.get() { future::pending().await } else { None }
+    };
+    let left = async {
+        // Nothing is ever sent: the channel closes.
+        let _ = leaving.recv().await;
+        None
+    };
+    let ended = future::or(async { Some(connection.as_mut().await) }, future::or(slow, left)).await;
+    let ended = match ended {
+        Some(ended) => ended,
+        None if leaving.is_closed() => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+        None => {
+            warn!(?peer, "closed a connection whose first headers came too slowly");
+            return;
+        }
+    };
+    if let Err(fault) = ended {
+        let plain = fault
+            .downcast_ref::<hyper::Error>()
+            .is_some_and(|e| e.is_incomplete_message() || e.is_canceled());
+        if plain {
+            debug!(?peer, %fault, "a client broke off")
+        } else {
+            warn!(?peer, %fault, "closed a connection")
+        }
+    }
+}
--- /dev/null
+++ b/crates/frontend/src/ingress/status.rs
@@ -0,0 +1,84 @@
+//! `GET /v1/front-end`: what the front end says of itself.
+
+use super::answer::Answer;
+use crate::hub::Hub;
+use bytes::Bytes;
+use http::Response;
+use http::header::{CONTENT_TYPE, HeaderValue};
+use serde_json::json;
+
+/// The rollouts as this front end has them.
+fn rollouts(hub: &Hub) -> serde_json::Value {
+    let shares = hub.shares.borrow();
+    let published = shares.published();
+    let on = |(name, r): (&String, &orchidtally_rollout::Rollout)| {
+        let state = json!({ "phase": r.phase, "step": r.step, "number": r.number, "reason": r.reason });
+        (name.clone(), state)
+    };
+    let rollouts: serde_json::Map<_, _> = published.rollouts.iter().map(on).collect();
+    json!({ "term": published.epoch.term, "number": published.number, "rollouts": rollouts })
+}
+
+/// The roster and the front ends, where they come from etcd.
+fn roster(hub: &Hub) -> serde_json::Value {
+    if !matches!(hub.deployment.source, orchidtally_deployment::Source::Etcd(_)) {
+        return serde_json::Value::Null;
+    }
+    let (cache, now) = (hub.cache.borrow(), hub.now());
+    let (known, held) = cache.known();
+    let figure = hub.members.borrow().figure(now);
+    let faults: serde_json::Map<_, _> =
+        cache.faults().map(|(key, why)| (String::from_utf8_lossy(key).into_owned(), why.into())).collect();
+    json!({
+        "age": cache.age(now),
+        "revision": cache.revision(),
+        "executors": known,
+        "held": held,
+        "relists": cache.relists,
+        "wentBack": cache.went_back,
+        "faults": faults,
+        "frontEnds": figure.count,
+        "shares": figure.shares,
+    })
+}
+
+/// How triggers stand.
+fn triggers(hub: &Hub) -> serde_json::Value {
+    let Some(standing) = hub.triggers.get() else { return serde_json::Value::Null };
+    json!({
+        "connected": standing.connected,
+        "inHand": standing.in_hand,
+        "waiting": standing.waiting,
+        "journalWorks": standing.journal_works,
+        "messages": standing.tally,
+    })
+}
+
+/// What the front end says of itself.
+pub(super) fn standing(hub: &Hub) -> Response<Answer> {
+    let t = hub.tally();
+    let body = json!({
+        "deployment": hub.deployment.name,
+        "revision": hub.revision().number,
+        "index": hub.sender.get().index,
+        "frontEnds": hub.sender.get().count,
+        "configuration": hub.admission.get().map(|admission| admission.host().status()),
+        "roster": roster(hub),
+        "open": hub.open(),
+        "taken": t.taken,
+        "refused": t.refused,
+        "succeeded": t.succeeded,
+        "throttled": t.throttled,
+        "errored": t.errored,
+        "withdrawn": t.withdrawn,
+        "dispatches": t.dispatches,
+        "orders": t.orders,
+        "overdue": t.overdue,
+        "indexTaken": hub.index_taken.get(),
+        "rollouts": rollouts(hub),
+        "mqtt": triggers(hub),
+    });
+    let mut response = Response::new(Answer::Chunks([Bytes::from(body.to_string())].into()));
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    response
+}
--- /dev/null
+++ b/crates/frontend/src/mqtt/connection.rs
@@ -0,0 +1,143 @@
+//! The connection to the broker: plain or by TLS, read and written by a task each.
+
+use async_executor::Task;
+use bytes::BytesMut;
+use futures_lite::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use futures_rustls::TlsConnector;
+use futures_rustls::pki_types::pem::PemObject;
+use futures_rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use futures_rustls::rustls::{ClientConfig, RootCertStore};
+use orchidtally_mqtt::decode;
+use orchidtally_mqtt::packet::Packet;
+use orchidtally_trigger::Section;
+use orchidtally_trigger::ledger::Answer;
+use orchidtally_trigger::section::Tls;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Bytes that wait to be written to the broker.
+pub(super) const MOST_OUT: usize = 512 * 1024;
+/// For a connection, with its TLS.
+const CONNECT_TIME: Duration = Duration::from_secs(5);
+
+/// A stream to the broker, plain or encrypted.
+pub(super) trait Wire: AsyncRead + AsyncWrite + Unpin {}
+impl<T: AsyncRead + AsyncWrite + Unpin> Wire for T {}
+
+pub(super) enum Input {
+    Connected(io::Result<Box<dyn Wire>>),
+    /// Of a connection, by number.
+    Packet(u64, Packet),
+    Lost(u64, String),
+    /// What waits to be written has been, or a part of it.
+    Room,
+    Came(u64, Answer),
+}
+
+/// What waits to be written to the broker.
+#[derive(Default)]
+pub(super) struct Outbox {
+    pub(super) bytes: RefCell<BytesMut>,
+    pub(super) ended: Cell<bool>,
+}
+
+pub(super) struct Connection {
+    pub(super) number: u64,
+    pub(super) outbox: Rc<Outbox>,
+    pub(super) wake: async_channel::Sender<()>,
+    pub(super) _tasks: [Option<Task<()>>; 2],
+}
+
+fn tls(section: &Tls) -> Result<TlsConnector, Box<dyn std::error::Error>> {
+    let mut roots = RootCertStore::empty();
+    for certificate in CertificateDer::pem_file_iter(&section.authorities)? {
+        roots.add(certificate?)?;
+    }
+    let config = ClientConfig::builder().with_root_certificates(roots);
+    let config = match &section.identity {
+        Some((certificates, key)) => {
+            let chain: Result<Vec<_>, _> = CertificateDer::pem_file_iter(certificates)?.collect();
+            config.with_client_auth_cert(chain?, PrivateKeyDer::from_pem_file(key)?)?
+        }
+        None => config.with_no_client_auth(),
+    };
+    Ok(TlsConnector::from(Arc::new(config)))
+}
+
+pub(super) async fn connect(section: &Section) -> io::Result<Box<dyn Wire>> {
+    let stream = orchidtally_net::connect(section.broker, CONNECT_TIME).await?;
+    let Some(wanted) = &section.tls else { return Ok(Box::new(stream)) };
+    // The files are read for each connection, so that those that were replaced count from the next on.
+    let connector = tls(wanted).map_err(|e| io::Error::other(format!("TLS: {e}")))?;
+    let name = ServerName::try_from(wanted.name.clone()).map_err(io::Error::other)?;
+    let shaken = orchidtally_net::within(CONNECT_TIME, connector.connect(name, stream)).await;
+    Ok(Box::new(shaken.ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??))
+}
+
+/// Reads packets until the connection ends.
+pub(super) async fn read(
+    mut stream: impl AsyncRead + Unpin,
+    number: u64,
+    section: Rc<Section>,
+    inputs: async_channel::Sender<Input>,
+) {
+    let (mut buffer, mut bytes) = (BytesMut::new(), vec![0; 16 * 1024]);
+    let ended = 'all: loop {
+        match stream.read(&mut bytes).await {
+            Ok(0) => break "the broker closed the connection".into(),
+            Err(e) => break e.to_string(),
+            Ok(n) => buffer.extend_from_slice(&bytes[..n]),
+        }
+        loop {
+            match decode(&mut buffer, section.version, section.largest_packet as usize) {
+                Ok(Some((_, packet))) => {
+                    if inputs.send(Input::Packet(number, packet)).await.is_err() {
+                        return;
+                    }
+                }
+                Ok(None) => break,
+                Err(fault) => break 'all fault.to_string(),
+            }
+        }
+    };
+    // Nobody listens where the front end has ended.
+    let _ = inputs.send(Input::Lost(number, ended)).await;
+}
+
+/// Writes what waits, until the connection ends.
+pub(super) async fn write(
+    mut stream: impl AsyncWrite + Unpin,
+    number: u64,
+    outbox: Rc<Outbox>,
+    woken: async_channel::Receiver<()>,
+    inputs: async_channel::Sender<Input>,
+) {
+    while woken.recv().await.is_ok() {
+        loop {
+            let bytes = outbox.bytes.borrow_mut().split().freeze();
+            if bytes.is_empty() {
+                break;
+            }
+            let full = bytes.len() >= MOST_OUT;
+            let written = async {
+                stream.write_all(&bytes).await?;
+                stream.flush().await
+            };
+            if let Err(e) = written.await {
+                let _ = inputs.send(Input::Lost(number, e.to_string())).await;
+                return;
+            }
+            if full && inputs.send(Input::Room).await.is_err() {
+                return;
+            }
+        }
+        if outbox.ended.get() {
+            // It was said goodbye to in order; that it is gone before matters to nobody.
+            let _ = stream.close().await;
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/frontend/src/mqtt/invoke.rs
@@ -0,0 +1,94 @@
+//! Invokes for a message.
+
+use crate::config::Refusal;
+use crate::hub::{Asked, Brought, Final, Hub, NotTaken};
+use crate::ingress::Guard;
+use bytes::Bytes;
+use orchidtally_engine::Cause;
+use orchidtally_rollout::plan::Key;
+use orchidtally_rollout::split::Who;
+use orchidtally_trigger::ledger::{Answer, Held};
+use std::rc::Rc;
+
+/// What comes of a message that the configuration doesn't let through: one that may be let through later is tried
+/// again, unless it may have run.
+fn refused(refusal: &Refusal, may_have_run: bool) -> Answer {
+    if refusal.retry_after().is_some() && !may_have_run {
+        return Answer::Throttled;
+    }
+    Answer::Errored { why: refusal.to_string(), may_have_run }
+}
+
+/// Invokes for a message and gives its final answer.
+pub(super) async fn invoke(hub: Rc<Hub>, held: Held, ready_by: f64) -> Answer {
+    let errored = |why: String| Answer::Errored { why, may_have_run: false };
+    let revision = hub.revision();
+    let work = &held.work;
+    let Some((trigger_place, trigger_type)) = revision.trigger_type(&work.trigger_type) else {
+        return errored(format!("there is no trigger type '{}' any more", work.trigger_type));
+    };
+    let customer = match revision.customer(&work.customer) {
+        Some(customer) => customer.index,
+        None if !revision.has_customers() => 0,
+        None => return errored(format!("there is no customer '{}' any more", work.customer)),
+    };
+    let Some(function) = revision.function(&work.function) else {
+        return errored(format!("there is no function '{}' any more", work.function));
+    };
+    if ready_by <= hub.now() {
+        return Answer::Throttled;
+    }
+    let key = hub.shares.borrow().key(&work.function).cloned();
+    let key = match &key {
+        Some(Key::Customer) => &work.customer,
+        Some(Key::Token) if !work.token.is_empty() => &work.token,
+        _ => &held.name,
+    };
+    let who = Who { customer: &work.customer, location: hub.location(), key };
+    let Some(resolved) = hub.resolve(&function, None, trigger_place, customer, &who) else {
+        return errored(format!("function '{}' has no version 'stable'", work.function));
+    };
+    let asked = Asked {
+        name: held.name.clone(),
+        function: function.name.clone(),
+        resolved,
+        revision: revision.clone(),
+        trigger_type: trigger_type.clone(),
+        customer: (customer, &work.customer),
+        token: &work.token,
+        repeat: false,
+        timeout_at: ready_by,
+        payload_bytes: held.payload.len() as u64,
+        payload: vec![held.payload.clone()],
+    };
+    let (inv, answer) = match hub.take_asked(asked) {
+        Ok(taken) => taken,
+        Err(NotTaken::Full | NotTaken::Leaving) => return Answer::Throttled,
+        Err(NotTaken::Refused(refusal)) => return refused(&refusal, false),
+    };
+    let mut guard = Guard { hub: &hub, inv, answered: false };
+    let answer = answer.await;
+    guard.answered = true;
+    match answer {
+        Ok(Final::Succeeded(Brought::Whole(chunks))) => Answer::Succeeded {
+            payload: match chunks.as_slice() {
+                [one] => one.clone(),
+                many => Bytes::from(many.concat()),
+            },
+        },
+        Ok(Final::Succeeded(Brought::Streamed(_))) => Answer::Errored {
+            why: "its answer was streamed, which a message can't be".into(),
+            may_have_run: true,
+        },
+        Ok(Final::Throttled { .. }) => Answer::Throttled,
+        Ok(Final::Refused { refusal, may_have_run }) => refused(&refusal, may_have_run),
+        Ok(Final::Errored { cause, may_have_run }) => {
+            let why = match cause {
+                Cause::TimedOut => "no answer came in time",
+                Cause::Failed => "the executor failed",
+            };
+            Answer::Errored { why: why.into(), may_have_run }
+        }
+        Err(_) => Answer::Errored { why: "the front end lost track of it".into(), may_have_run: true },
+    }
+}
--- a/crates/frontend/src/mqtt.rs
+++ b/crates/frontend/src/mqtt/mod.rs
@@ -1,132 +1,43 @@
 //! Carries messages: the connection to the broker, the journal's thread and the invocations round a `Desk`, which
 //! decides.
 
-use crate::config::Refusal;
-use crate::hub::{Asked, Brought, Final, Hub, NotTaken};
-use crate::ingress::Guard;
+mod connection;
+mod invoke;
+mod triggers;
+
+pub use triggers::{Triggers, records};
+
+use crate::hub::Hub;
 use async_executor::Task;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use connection::{Connection, Input, MOST_OUT, Outbox, Wire, connect, read, write};
 use futures_lite::future;
-use futures_lite::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
-use futures_rustls::TlsConnector;
-use futures_rustls::pki_types::pem::PemObject;
-use futures_rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
-use futures_rustls::rustls::{ClientConfig, RootCertStore};
+use invoke::invoke;
 use orchidtally_deployment::Deployment;
-use orchidtally_engine::Cause;
-use orchidtally_journal::{Group, Journal};
-use orchidtally_mqtt::packet::Packet;
-use orchidtally_mqtt::{decode, encode};
-use orchidtally_rollout::plan::Key;
-use orchidtally_rollout::split::Who;
+use orchidtally_journal::Group;
+use orchidtally_mqtt::encode;
 use orchidtally_trigger::Section;
 use orchidtally_trigger::desk::{Desk, Notice, Tally, Todo};
-use orchidtally_trigger::ledger::{Answer, Held, Record};
-use orchidtally_trigger::section::Tls;
-use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tracing::{debug, error, info, warn};
 
 /// Inputs that wait to be gone through; the socket is not read meanwhile.
 const INPUTS: usize = 1_024;
-/// Bytes that wait to be written to the broker.
-const MOST_OUT: usize = 512 * 1024;
-/// Entries that share a sync.
-const SHARING: usize = 1_024;
-/// For a connection, with its TLS.
-const CONNECT_TIME: Duration = Duration::from_secs(5);
 /// The files of TLS are looked at so often, in seconds.
 const FILES_LOOKED_AT: f64 = 3.0;
 /// Between tries to connect, from the first to the longest, in seconds; each varies by half.
 const PAUSE: (f64, f64) = (0.1, 5.0);
 
-/// What a front end needs to serve triggers: the section, and its journal with what stood in it.
-pub struct Triggers {
-    pub section: Section,
-    journal: Journal,
-    records: Vec<Record>,
-    cut: u64,
-    /// Entries that share a sync at the most.
-    sharing: usize,
-}
-
-fn bad(folder: &Path, what: impl std::fmt::Display) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, format!("{}: {what}", folder.display()))
-}
-
-/// The records that a journal holds, in their order.
-pub fn records(snapshot: Option<&[u8]>, entries: &[Vec<u8>]) -> Result<Vec<Record>, serde_json::Error> {
-    let mut records: Vec<Record> = match snapshot {
-        Some(state) => serde_json::from_slice(state)?,
-        None => vec![],
-    };
-    for entry in entries {
-        records.push(serde_json::from_slice(entry)?);
-    }
-    Ok(records)
-}
-
-impl Triggers {
-    /// Opens the journal of a front end.
-    pub fn open(section: Section, index: u32) -> io::Result<Triggers> {
-        let folder = section.folder(index);
-        let (journal, found) = Journal::open(&folder)?;
-        let records = records(found.snapshot.as_deref(), &found.entries)
-            .map_err(|e| bad(&folder, format!("an entry can't be read, so that nothing is served: {e}")))?;
-        Ok(Triggers { section, journal, records, cut: found.cut, sharing: SHARING })
-    }
-
-    /// What a life before had in hand.
-    pub fn records(&self) -> &[Record] {
-        &self.records
-    }
-
-    /// With the journal as measurements want it: without syncs, or with one for each entry.
-    pub fn measured(self, synced: bool, sharing: usize) -> Triggers {
-        let journal = if synced { self.journal } else { self.journal.without_syncs() };
-        Triggers { journal, sharing, ..self }
-    }
-}
-
-/// A stream to the broker, plain or encrypted.
-trait Wire: AsyncRead + AsyncWrite + Unpin {}
-impl<T: AsyncRead + AsyncWrite + Unpin> Wire for T {}
-
-enum Input {
-    Connected(io::Result<Box<dyn Wire>>),
-    /// Of a connection, by number.
-    Packet(u64, Packet),
-    Lost(u64, String),
-    /// What waits to be written has been, or a part of it.
-    Room,
-    Came(u64, Answer),
-}
-
 /// From the journal's thread.
 enum Word {
     Kept(bool),
     Replaced(bool),
 }
 
-/// What waits to be written to the broker.
-#[derive(Default)]
-struct Outbox {
-    bytes: RefCell<BytesMut>,
-    ended: Cell<bool>,
-}
-
-struct Connection {
-    number: u64,
-    outbox: Rc<Outbox>,
-    wake: async_channel::Sender<()>,
-    _tasks: [Option<Task<()>>; 2],
-}
-
 /// What a front end says of its triggers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Standing {
@@ -158,180 +69,6 @@
     present: (u64, Rc<Deployment>),
 }
 
-fn tls(section: &Tls) -> Result<TlsConnector, Box<dyn std::error::Error>> {
-    let mut roots = RootCertStore::empty();
-    for certificate in CertificateDer::pem_file_iter(&section.authorities)? {
-        roots.add(certificate?)?;
-    }
-    let config = ClientConfig::builder().with_root_certificates(roots);
-    let config = match &section.identity {
-        Some((certificates, key)) => {
-            let chain: Result<Vec<_>, _> = CertificateDer::pem_file_iter(certificates)?.collect();
-            config.with_client_auth_cert(chain?, PrivateKeyDer::from_pem_file(key)?)?
-        }
-        None => config.with_no_client_auth(),
-    };
-    Ok(TlsConnector::from(Arc::new(config)))
-}
-
-async fn connect(section: &Section) -> io::Result<Box<dyn Wire>> {
-    let stream = orchidtally_net::connect(section.broker, CONNECT_TIME).await?;
-    let Some(wanted) = &section.tls else { return Ok(Box::new(stream)) };
-    // The files are read for each connection, so that those that were replaced count from the next on.
-    let connector = tls(wanted).map_err(|e| io::Error::other(format!("TLS: {e}")))?;
-    let name = ServerName::try_from(wanted.name.clone()).map_err(io::Error::other)?;
-    let shaken = orchidtally_net::within(CONNECT_TIME, connector.connect(name, stream)).await;
-    Ok(Box::new(shaken.ok_or_else(|| io::Error::from(io::ErrorKind::TimedOut))??))
-}
-
-/// Reads packets until the connection ends.
-async fn read(
-    mut stream: impl AsyncRead + Unpin,
-    number: u64,
-    section: Rc<Section>,
-    inputs: async_channel::Sender<Input>,
-) {
-    let (mut buffer, mut bytes) = (BytesMut::new(), vec![0; 16 * 1024]);
-    let ended = 'all: loop {
-        match stream.read(&mut bytes).await {
-            Ok(0) => break "the broker closed the connection".into(),
-            Err(e) => break e.to_string(),
-            Ok(n) => buffer.extend_from_slice(&bytes[..n]),
-        }
-        loop {
-            match decode(&mut buffer, section.version, section.largest_packet as usize) {
-                Ok(Some((_, packet))) => {
-                    if inputs.send(Input::Packet(number, packet)).await.is_err() {
-                        return;
-                    }
-                }
-                Ok(None) => break,
-                Err(fault) => break 'all fault.to_string(),
-            }
-        }
-    };
-    // Nobody listens where the front end has ended.
-    let _ = inputs.send(Input::Lost(number, ended)).await;
-}
-
-/// Writes what waits, until the connection ends.
-async fn write(
-    mut stream: impl AsyncWrite + Unpin,
-    number: u64,
-    outbox: Rc<Outbox>,
-    woken: async_channel::Receiver<()>,
-    inputs: async_channel::Sender<Input>,
-) {
-    while woken.recv().await.is_ok() {
-        loop {
-            let bytes = outbox.bytes.borrow_mut().split().freeze();
-            if bytes.is_empty() {
-                break;
-            }
-            let full = bytes.len() >= MOST_OUT;
-            let written = async {
-                stream.write_all(&bytes).await?;
-                stream.flush().await
-            };
-            if let Err(e) = written.await {
-                let _ = inputs.send(Input::Lost(number, e.to_string())).await;
-                return;
-            }
-            if full && inputs.send(Input::Room).await.is_err() {
-                return;
-            }
-        }
-        if outbox.ended.get() {
-            // It was said goodbye to in order; that it is gone before matters to nobody.
-            let _ = stream.close().await;
-            return;
-        }
-    }
-}
-
-/// What comes of a message that the configuration doesn't let through: one that may be let through later is tried
-/// again, unless it may have run.
-fn refused(refusal: &Refusal, may_have_run: bool) -> Answer {
-    if refusal.retry_after().is_some() && !may_have_run {
-        return Answer::Throttled;
-    }
-    Answer::Errored { why: refusal.to_string(), may_have_run }
-}
-
-/// Invokes for a message and gives its final answer.
-async fn invoke(hub: Rc<Hub>, held: Held, ready_by: f64) -> Answer {
-    let errored = |why: String| Answer::Errored { why, may_have_run: false };
-    let revision = hub.revision();
-    let work = &held.work;
-    let Some((trigger_place, trigger_type)) = revision.trigger_type(&work.trigger_type) else {
-        return errored(format!("there is no trigger type '{}' any more", work.trigger_type));
-    };
-    let customer = match revision.customer(&work.customer) {
-        Some(customer) => customer.index,
-        None if !revision.has_customers() => 0,
-        None => return errored(format!("there is no customer '{}' any more", work.customer)),
-    };
-    let Some(function) = revision.function(&work.function) else {
-        return errored(format!("there is no function '{}' any more", work.function));
-    };
-    if ready_by <= hub.now() {
-        return Answer::Throttled;
-    }
-    let key = hub.shares.borrow().key(&work.function).cloned();
-    let key = match &key {
-        Some(Key::Customer) => &work.customer,
-        Some(Key::Token) if !work.token.is_empty() => &work.token,
-        _ => &held.name,
-    };
-    let who = Who { customer: &work.customer, location: hub.location(), key };
-    let Some(resolved) = hub.resolve(&function, None, trigger_place, customer, &who) else {
-        return errored(format!("function '{}' has no version 'stable'", work.function));
-    };
-    let asked = Asked {
-        name: held.name.clone(),
-        function: function.name.clone(),
-        resolved,
-        revision: revision.clone(),
-        trigger_type: trigger_type.clone(),
-        customer: (customer, &work.customer),
-        token: &work.token,
-        repeat: false,
-        timeout_at: ready_by,
-        payload_bytes: held.payload.len() as u64,
-        payload: vec![held.payload.clone()],
-    };
-    let (inv, answer) = match hub.take_asked(asked) {
-        Ok(taken) => taken,
-        Err(NotTaken::Full | NotTaken::Leaving) => return Answer::Throttled,
-        Err(NotTaken::Refused(refusal)) => return refused(&refusal, false),
-    };
-    let mut guard = Guard { hub: &hub, inv, answered: false };
-    let answer = answer.await;
-    guard.answered = true;
-    match answer {
-        Ok(Final::Succeeded(Brought::Whole(chunks))) => Answer::Succeeded {
-            payload: match chunks.as_slice() {
-                [one] => one.clone(),
-                many => Bytes::from(many.concat()),
-            },
-        },
-        Ok(Final::Succeeded(Brought::Streamed(_))) => Answer::Errored {
-            why: "its answer was streamed, which a message can't be".into(),
-            may_have_run: true,
-        },
-        Ok(Final::Throttled { .. }) => Answer::Throttled,
-        Ok(Final::Refused { refusal, may_have_run }) => refused(&refusal, may_have_run),
-        Ok(Final::Errored { cause, may_have_run }) => {
-            let why = match cause {
-                Cause::TimedOut => "no answer came in time",
-                Cause::Failed => "the executor failed",
-            };
-            Answer::Errored { why: why.into(), may_have_run }
-        }
-        Err(_) => Answer::Errored { why: "the front end lost track of it".into(), may_have_run: true },
-    }
-}
-
 impl Carrier {
     fn lost(&mut self, why: &str) {
         let Some(_) = self.connection.take() else { return };
