--- a/crates/frontend/src/config/host.rs
+++ b/crates/frontend/src/config/host.rs
@@ -19,12 +19,15 @@
 use std::time::Duration;
 use tracing::{debug, error, info, warn};
 
+/// Views that come sooner one after the other are put in force together, in seconds. What a newer view takes away
+/// counts at once: the core is asked for it.
+const APPLY_INTERVAL: f64 = 0.05;
 /// A view that the target didn't take is offered again after this time, in seconds.
 const APPLY_RETRY: f64 = 1.0;
 /// The host looks at its timers at least this often, in seconds.
 const LONGEST_WAIT: f64 = 60.0;
 
-/// A view that the target hasn't taken yet.
+/// A view that the target hasn't got yet, or didn't take.
 struct PendingView<E> {
     view: Arc<View<E>>,
     retry_at: f64,
@@ -45,6 +48,7 @@
     watch: RefCell<Option<Watching>>,
     pub(super) lease: Cell<Option<Lease>>,
     pending_view: RefCell<Option<PendingView<S::Entry>>>,
+    applied_at: Cell<f64>,
     apply_fault: RefCell<Option<String>>,
     pub(super) snapshots: RefCell<SnapshotWrites>,
     pub(super) snapshot_fault: RefCell<Option<String>>,
@@ -89,6 +93,7 @@
             watch: RefCell::default(),
             lease: Cell::new(None),
             pending_view: RefCell::new(None),
+            applied_at: Cell::new(f64::NEG_INFINITY),
             apply_fault: RefCell::default(),
             snapshots: RefCell::default(),
             snapshot_fault: RefCell::default(),
@@ -176,7 +181,7 @@
             Action::Barrier { id } => self.spawn(async move { host.barrier(session, id).await }),
             Action::WriteSnapshot { bytes, .. } => self.write_snapshot(bytes),
             Action::Report(report) => self.report(report),
-            Action::Apply(view) => self.apply(view),
+            Action::Apply(view) => self.schedule(view),
         }
     }
 
@@ -192,6 +197,9 @@
 
     fn report(self: &Rc<Self>, report: Report) {
         self.log_rejections(&report);
+        if let Some(pending) = self.pending_view.take() {
+            self.apply(pending.view);
+        }
         if self.pending_view.borrow().is_some() {
             // The report would name a revision that isn't in force here.
             self.core.borrow_mut().report_failed(self.now(), report.sequence);
@@ -201,7 +209,18 @@
         self.spawn(async move { host.put_report(session, report).await });
     }
 
+    /// Puts a view in force, at once or together with those that follow it closely.
+    fn schedule(&self, view: Arc<View<S::Entry>>) {
+        let due = self.applied_at.get() + APPLY_INTERVAL;
+        if self.now() >= due {
+            self.apply(view);
+        } else {
+            self.pending_view.replace(Some(PendingView { view, retry_at: due }));
+        }
+    }
+
     fn apply(&self, view: Arc<View<S::Entry>>) {
+        self.applied_at.set(self.now());
         match self.target.apply(&view) {
             Ok(()) => {
                 debug!(revision = view.revision(), "a revision of the configuration is in force");
