--- /dev/null
+++ b/crates/scale/src/main.rs
@@ -0,0 +1,108 @@
+//! `orchidtally-scale`: runs the scale tests and prints their report.
+//!
+//! Progress goes to standard error; the last line on standard output is the report as JSON. Exit codes: 0 all rows
+//! are held, 1 one is missed, 2 bad arguments.
+
+use clap::{Parser, ValueEnum};
+use orchidtally_scale::report::Report;
+use orchidtally_scale::size::{Injection, Size};
+use orchidtally_scale::{config, fleet, slopes};
+use std::process::ExitCode;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+enum Run {
+    /// What one more of each dimension costs.
+    Slopes,
+    /// The fleet in simulated time, through failures.
+    Fleet,
+    /// Distribution of configuration, through failures.
+    Config,
+    /// All of them.
+    All,
+}
+
+/// Scale tests of orchidtally's own parts, for maintainers.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Arguments {
+    run: Run,
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    #[arg(long, default_value_t = 550, value_parser = clap::value_parser!(u32).range(1..=5_000))]
+    front_ends: u32,
+    #[arg(long, default_value_t = 1_000, value_parser = clap::value_parser!(u32).range(3..=20_000))]
+    executors: u32,
+    #[arg(long, default_value_t = 21_000, value_parser = clap::value_parser!(u32).range(1..=1_000_000))]
+    functions: u32,
+    /// Simulated seconds of the fleet and real seconds of the configuration run; by default as long as fits.
+    #[arg(long, value_parser = seconds)]
+    seconds: Option<f64>,
+    /// Plants a fault that the run has to find.
+    #[arg(long)]
+    inject: Option<Injection>,
+    /// Few and small measurements: seconds in all, to check the program and not the design.
+    #[arg(long)]
+    short: bool,
+}
+
+fn seconds(text: &str) -> Result<f64, String> {
+    let seconds: f64 = text.parse().map_err(|_| format!("'{text}' is no number of seconds"))?;
+    match seconds.is_finite() && seconds > 0.0 && seconds <= 86_400.0 {
+        true => Ok(seconds),
+        false => Err("seconds lie above 0 and at most at 86400".into()),
+    }
+}
+
+impl Arguments {
+    fn size(&self) -> Size {
+        Size {
+            front_ends: self.front_ends as usize,
+            executors: self.executors as usize,
+            functions: self.functions as usize,
+            ..Size::default()
+        }
+    }
+
+    fn runs(&self, run: Run) -> bool {
+        self.run == run || self.run == Run::All
+    }
+
+    /// How long a part plays: as asked, or its default.
+    fn seconds_or(&self, full: f64, short: f64) -> f64 {
+        self.seconds.unwrap_or(if self.short { short } else { full })
+    }
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    if arguments.inject.is_some() && !arguments.runs(Run::Config) {
+        eprintln!("error: --inject plants a fault of 'config': run that, or 'all'");
+        return ExitCode::from(2);
+    }
+    let size = arguments.size();
+    let (mut rows, mut fits) = (vec![], vec![]);
+    if arguments.runs(Run::Slopes) {
+        eprintln!("slopes: several sizes of each dimension");
+        let found = slopes::run(&size, arguments.seed, arguments.short);
+        rows.extend(found.rows);
+        fits.extend(found.slopes);
+    }
+    if arguments.runs(Run::Fleet) {
+        eprintln!("fleet: {} front ends, {} executors", size.front_ends, size.executors);
+        rows.extend(fleet::run(&size, arguments.seed, arguments.seconds_or(60.0, 2.0)));
+    }
+    if arguments.runs(Run::Config) {
+        eprintln!("config: {} front ends, {} functions", size.front_ends, size.functions);
+        let seconds = arguments.seconds_or(60.0, 3.0);
+        rows.extend(config::run(&size, arguments.seed, seconds, arguments.inject));
+    }
+    let report = Report::new(size, arguments.seed, arguments.inject, rows, fits);
+    match serde_json::to_string(&report) {
+        Ok(line) => println!("{line}"),
+        Err(why) => {
+            eprintln!("error: the report can't be written as JSON: {why}");
+            return ExitCode::from(3);
+        }
+    }
+    ExitCode::from(report.exit_code())
+}
--- /dev/null
+++ b/crates/scale/src/report.rs
@@ -0,0 +1,168 @@
+//! What a run found: one row for each limit of the design, and the verdict over all of them.
+
+use crate::size::{Injection, Size};
+use serde::{Deserialize, Serialize};
+
+/// Whose cost or service a row tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Role {
+    FrontEnd,
+    StoreMember,
+    Fleet,
+    Region,
+}
+
+impl Role {
+    /// The role in words, for tables.
+    pub fn label(self) -> &'static str {
+        match self {
+            Role::FrontEnd => "front end",
+            Role::StoreMember => "store member",
+            Role::Fleet => "fleet",
+            Role::Region => "region",
+        }
+    }
+}
+
+/// How a row's figure came about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Basis {
+    /// Measured at the stated size.
+    Measured,
+    /// Calculated from a fit over smaller sizes, at most ten-fold.
+    Extrapolated,
+}
+
+/// On which side of its limit a figure has to stay.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Bound {
+    #[default]
+    AtMost,
+    AtLeast,
+}
+
+/// One limit of the design and what was measured against it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    pub name: String,
+    pub role: Role,
+    pub unit: String,
+    pub limit: f64,
+    #[serde(default)]
+    pub bound: Bound,
+    /// `None` where it could not be measured, which counts as missed.
+    pub measured: Option<f64>,
+    pub held: bool,
+    pub basis: Basis,
+    /// Measured over limit, or limit over measured for [`Bound::AtLeast`]: above 1 is missed.
+    pub factor: Option<f64>,
+    /// How it was measured, or why it was not.
+    pub note: String,
+}
+
+impl Row {
+    /// A row that has a limit and no figure yet: missed.
+    pub fn unmeasured(name: &str, role: Role, unit: &str, bound: Bound, limit: f64, note: &str) -> Row {
+        Row {
+            name: name.into(),
+            role,
+            unit: unit.into(),
+            limit,
+            bound,
+            measured: None,
+            held: false,
+            basis: Basis::Measured,
+            factor: None,
+            note: note.into(),
+        }
+    }
+
+    /// The row with its figure. A figure that is no finite number counts as not measured.
+    pub fn with(self, measured: f64, basis: Basis) -> Row {
+        if !measured.is_finite() {
+            return self;
+        }
+        let (held, factor) = match self.bound {
+            Bound::AtMost => (measured <= self.limit, measured / self.limit),
+            Bound::AtLeast => (measured >= self.limit, self.limit / measured),
+        };
+        let factor = factor.is_finite().then_some(factor);
+        Row { measured: Some(measured), held, factor, basis, ..self }
+    }
+
+    /// A figure that has to stay at or below its limit.
+    pub fn at_most(name: &str, role: Role, unit: &str, limit: f64, note: &str) -> Row {
+        Row::unmeasured(name, role, unit, Bound::AtMost, limit, note)
+    }
+
+    /// A figure that has to stay at or above its limit.
+    pub fn at_least(name: &str, role: Role, unit: &str, limit: f64, note: &str) -> Row {
+        Row::unmeasured(name, role, unit, Bound::AtLeast, limit, note)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    Held,
+    Missed,
+}
+
+/// The last line on standard output.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    pub verdict: Verdict,
+    pub size: Size,
+    pub seed: u64,
+    /// The fault that was planted, if any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub injected: Option<Injection>,
+    pub rows: Vec<Row>,
+    /// The fits behind extrapolated rows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub slopes: Vec<Slope>,
+}
+
+impl Report {
+    pub fn new(
+        size: Size,
+        seed: u64,
+        injected: Option<Injection>,
+        rows: Vec<Row>,
+        slopes: Vec<Slope>,
+    ) -> Report {
+        let held = !rows.is_empty() && rows.iter().all(|row| row.held);
+        let verdict = if held { Verdict::Held } else { Verdict::Missed };
+        Report { verdict, size, seed, injected, rows, slopes }
+    }
+
+    /// The exit code of the program: 0 if all rows are held, 1 if one is missed.
+    pub fn exit_code(&self) -> u8 {
+        match self.verdict {
+            Verdict::Held => 0,
+            Verdict::Missed => 1,
+        }
+    }
+}
+
+/// A line through the figures of several sizes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Slope {
+    /// What was measured.
+    pub figure: String,
+    pub unit: String,
+    /// What was varied.
+    pub dimension: String,
+    /// Size and figure of each measurement.
+    pub points: Vec<(f64, f64)>,
+    pub intercept: f64,
+    /// Change of the figure for one more of the dimension.
+    pub slope: f64,
+    /// Standard error of the slope.
+    pub slope_error: f64,
+    /// Standard error of the regression: what a figure lies off the line, in its own unit.
+    pub residual_error: f64,
+}
