--- /dev/null
+++ b/crates/scale/src/hollow.rs
@@ -0,0 +1,305 @@
+//! A hollow front end's decisions: the true engine with the dispatch policy, hosted in simulated time, with executors
+//! that answer from memory.
+
+use crate::zipf::Popularity;
+use orchidtally::interface::*;
+use orchidtally_engine::{Cause, Engine, Host, Offer, Refused, Told};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::Ipv4Addr;
+
+/// How long a load of a copy takes, in seconds.
+const LOAD_TIME: f64 = 0.25;
+/// An idle copy stays loaded so long, in seconds.
+pub const KEEP_ALIVE: f64 = 60.0;
+/// Invocations that may be open at a time at one front end.
+const MOST_OPEN: usize = 100_000;
+const CLIENT_TIMEOUT: f64 = 6.0;
+/// The simulated moment at which a front end starts, in seconds.
+const START: f64 = 1_000.0;
+
+/// What one hollow front end sees.
+#[derive(Clone, Debug)]
+pub struct Traffic {
+    pub front_ends: usize,
+    pub executors: usize,
+    pub functions: usize,
+    /// Calls a second at this front end.
+    pub calls_per_s: f64,
+    /// Mean time that an executor takes to answer a warm call, in seconds.
+    pub answer_time: f64,
+    pub seed: u64,
+}
+
+/// The limits of a deployment of that size.
+pub fn terms(front_ends: usize, index: usize) -> Terms {
+    let trigger_type = TriggerType {
+        objective: 1.5,
+        stretch: 0.0,
+        timeout: CLIENT_TIMEOUT,
+        billed_value: 1.0,
+        late_share: 0.2,
+        effect: Effect::Idempotent,
+        group: Group::All,
+        window: 0.0,
+    };
+    Terms {
+        trigger_types: vec![trigger_type],
+        front_ends: front_ends as f64,
+        index: index as f64,
+        tick: 0.002,
+        max_dispatches: 4,
+        cancel: true,
+        max_retry_after: 1.0,
+        cold: 15.0,
+        cold_from: 0.2,
+        overload_factor: 2.0,
+        fall: 1.0,
+        orders: true,
+        tells_crowd: true,
+        keep_alive: KEEP_ALIVE,
+        ration_floor: 2.0,
+        ration_share: 0.2,
+        ration_window: 5.0,
+        backlog_field: Some(0),
+        ..Terms::default()
+    }
+}
+
+/// The roster's row of an executor by its number.
+pub fn roster_row(executor: usize, zones: usize) -> RosterRow {
+    RosterRow {
+        executor: ExecutorId(Ipv4Addr::from(0x0a00_0000 + executor as u32).into(), 7_000),
+        zone: (executor % zones.max(1)) as u8,
+        kind: 0,
+        cell: 0,
+        standing: Standing::Ready,
+        weight: 1.0,
+        since: f64::NEG_INFINITY,
+    }
+}
+
+/// What comes back to the front end, and when.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Arrival {
+    Answered { inv: u32, dispatch: u8, warm: bool },
+    Held { to: ExecutorId, function: u64 },
+}
+
+/// Executors as one front end meets them. A copy stands where this front end's calls or orders put it within the
+/// keep-alive, and everywhere for functions that the fleet as a whole calls more often than that.
+struct Executors {
+    now: f64,
+    random: SmallRng,
+    answer_time: f64,
+    common_functions: u64,
+    arrivals: BinaryHeap<Reverse<(u64, Arrival)>>,
+    taking: u64,
+    functions: BTreeMap<u32, u64>,
+    copies: BTreeMap<(ExecutorId, u64), f64>,
+    finished: Finished,
+}
+
+/// Final answers that the clients had.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Finished {
+    pub succeeded: u64,
+    pub failed: u64,
+}
+
+fn microseconds(at: f64) -> u64 {
+    ((at - START).max(0.0) * 1e6) as u64
+}
+
+fn moment(microseconds: u64) -> f64 {
+    START + microseconds as f64 / 1e6
+}
+
+impl Executors {
+    fn arrives(&mut self, after: f64, arrival: Arrival) {
+        self.arrivals.push(Reverse((microseconds(self.now + after), arrival)));
+    }
+
+    /// Whether a copy stands there; it does from now on.
+    fn touch(&mut self, to: ExecutorId, function: u64) -> bool {
+        let until = self.now + KEEP_ALIVE;
+        let before = self.copies.insert((to, function), until);
+        function < self.common_functions || before.is_some_and(|until| until >= self.now)
+    }
+
+    fn forget_idle(&mut self) {
+        let now = self.now;
+        self.copies.retain(|_, until| *until >= now);
+    }
+}
+
+impl Host for Executors {
+    fn taken(&mut self, inv: u32) {
+        self.functions.insert(inv, self.taking);
+    }
+    fn dispatch(&mut self, inv: u32, dispatch: u8, to: ExecutorId, _within: f64) {
+        let Some(&function) = self.functions.get(&inv) else { return };
+        let warm = self.touch(to, function);
+        let work = -(1.0 - self.random.random::<f64>()).ln() * self.answer_time;
+        let load = if warm { 0.0 } else { LOAD_TIME };
+        self.arrives(work + load, Arrival::Answered { inv, dispatch, warm });
+    }
+    fn cancel(&mut self, _inv: u32, _dispatch: u8) {}
+    fn succeeded(&mut self, inv: u32, _dispatch: u8) {
+        self.functions.remove(&inv);
+        self.finished.succeeded += 1;
+    }
+    fn throttled(&mut self, inv: u32, _retry_after: f64, _past_share: bool) {
+        self.functions.remove(&inv);
+        self.finished.failed += 1;
+    }
+    fn errored(&mut self, inv: u32, _cause: Cause, _may_have_run: bool) {
+        self.functions.remove(&inv);
+        self.finished.failed += 1;
+    }
+    fn hold(&mut self, to: ExecutorId, function: u64, copies: u8) {
+        if copies > 0 {
+            let warm = self.touch(to, function);
+            let after = if warm { 0.001 } else { LOAD_TIME };
+            self.arrives(after, Arrival::Held { to, function });
+        }
+    }
+    fn ask(&mut self, _to: ExecutorId, _function: u64) {}
+    fn unload(&mut self, to: ExecutorId, function: u64) {
+        self.copies.remove(&(to, function));
+    }
+    fn probe(&mut self, _to: ExecutorId) {}
+    fn watch_roster(&mut self) {}
+}
+
+/// One front end's engine with the executors that it meets.
+pub struct FrontEnd {
+    engine: Engine,
+    executors: Executors,
+    popularity: Popularity,
+    random: SmallRng,
+    step: f64,
+    next_call: f64,
+}
+
+impl FrontEnd {
+    /// A front end that has its roster and has taken no call yet.
+    pub fn new(traffic: &Traffic) -> FrontEnd {
+        let fleet_calls = traffic.calls_per_s * traffic.front_ends as f64;
+        let popularity = Popularity::new(traffic.functions);
+        let mut executors = Executors {
+            now: START,
+            random: SmallRng::seed_from_u64(traffic.seed),
+            answer_time: traffic.answer_time,
+            common_functions: popularity.called_at_least(1.0 / (fleet_calls * KEEP_ALIVE)) as u64,
+            arrivals: BinaryHeap::new(),
+            taking: 0,
+            functions: BTreeMap::new(),
+            copies: BTreeMap::new(),
+            finished: Finished::default(),
+        };
+        let mut engine =
+            Engine::new(terms(traffic.front_ends, 0), MOST_OPEN, traffic.seed, START, &mut executors);
+        let rows: Vec<RosterRow> = (0..traffic.executors).map(|x| roster_row(x, 8)).collect();
+        engine.roster(START, RosterKind::Full, &rows, &mut executors);
+        FrontEnd {
+            engine,
+            executors,
+            popularity,
+            random: SmallRng::seed_from_u64(traffic.seed ^ 0x5eed),
+            step: 1.0 / traffic.calls_per_s,
+            next_call: START,
+        }
+    }
+
+    /// Takes calls for so long, in simulated seconds, and tells how many.
+    pub fn play(&mut self, seconds: f64) -> u64 {
+        let until = self.next_call + seconds;
+        let mut calls = 0;
+        while self.next_call < until {
+            let at = self.next_call;
+            self.catch_up(at);
+            self.call(at);
+            calls += 1;
+            self.next_call += self.step * 2.0 * self.random.random::<f64>();
+        }
+        self.executors.forget_idle();
+        calls
+    }
+
+    /// Answers and timers up to a moment, in their order.
+    fn catch_up(&mut self, until: f64) {
+        loop {
+            let arrival = self.executors.arrivals.peek().map(|Reverse((at, _))| moment(*at));
+            let arrival = arrival.unwrap_or(f64::INFINITY);
+            let due = self.engine.due_at();
+            if arrival.min(due) > until {
+                return;
+            }
+            if due <= arrival {
+                self.executors.now = self.executors.now.max(due);
+                self.engine.turn(self.executors.now, &mut self.executors);
+                continue;
+            }
+            let Some(Reverse((_, arrival_kind))) = self.executors.arrivals.pop() else { return };
+            self.executors.now = self.executors.now.max(arrival);
+            self.arrived(arrival_kind);
+        }
+    }
+
+    fn arrived(&mut self, arrival: Arrival) {
+        let now = self.executors.now;
+        match arrival {
+            Arrival::Answered { inv, dispatch, warm } => {
+                let found = if warm { Found::Warm } else { Found::Loaded };
+                let told = Told { found, crowd: 1, report: &[0.5] };
+                self.engine.ended(now, inv, dispatch, Ending::Ok, told, &mut self.executors);
+            }
+            Arrival::Held { to, function } => {
+                self.engine.held(now, to, function, Ending::Ok, &mut self.executors);
+            }
+        }
+    }
+
+    fn call(&mut self, now: f64) {
+        self.executors.now = now;
+        let function = self.popularity.draw(&mut self.random) as u64;
+        self.executors.taking = function;
+        let offer = Offer {
+            trigger_type: 0,
+            customer: 0,
+            function,
+            repeat: false,
+            moved: false,
+            timeout_at: now + CLIENT_TIMEOUT,
+            work: None,
+            lanes: 4.0,
+            load_time: Some(LOAD_TIME),
+        };
+        match self.engine.take(now, &offer, &mut self.executors) {
+            Ok(_) => {}
+            Err(Refused::Full | Refused::Leaving) => self.executors.finished.failed += 1,
+        }
+    }
+
+    /// Takes one call at the moment of the last thing that happened.
+    pub fn call_now(&mut self) {
+        self.call(self.executors.now);
+    }
+
+    /// Takes in rows of a roster now.
+    pub fn roster(&mut self, kind: RosterKind, rows: &[RosterRow]) {
+        self.engine.roster(self.executors.now, kind, rows, &mut self.executors);
+    }
+
+    pub fn finished(&self) -> Finished {
+        self.executors.finished
+    }
+
+    /// Entries in the policy's tables.
+    pub fn kept(&self) -> Kept {
+        self.engine.kept()
+    }
+}
--- a/crates/scale/src/zipf.rs
+++ b/crates/scale/src/zipf.rs
@@ -13,18 +13,34 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Popularity {
     ranks: Zipf<f64>,
+    functions: usize,
+    /// The sum of all ranks' weights.
+    weights: f64,
 }
 
 impl Popularity {
     /// `functions` at least 1; fewer count as 1.
     pub fn new(functions: usize) -> Popularity {
-        let functions = functions.max(1) as f64;
-        let ranks = Zipf::new(functions, EXPONENT).expect("a count of at least 1 and an exponent above 0");
-        Popularity { ranks }
+        let functions = functions.max(1);
+        let ranks =
+            Zipf::new(functions as f64, EXPONENT).expect("a count of at least 1 and an exponent above 0");
+        let weights = (1..=functions).map(|rank| (rank as f64).powf(-EXPONENT)).sum();
+        Popularity { ranks, functions, weights }
     }
 
     /// The rank of the function that is called next.
     pub fn draw(&self, random: &mut impl Rng) -> usize {
         self.ranks.sample(random) as usize - 1
     }
+
+    /// The part of all calls that goes to the function of a rank.
+    pub fn share(&self, rank: usize) -> f64 {
+        ((rank + 1) as f64).powf(-EXPONENT) / self.weights
+    }
+
+    /// How many functions have at least such a part of all calls.
+    pub fn called_at_least(&self, share: f64) -> usize {
+        let ranks = (1.0 / (share * self.weights)).powf(1.0 / EXPONENT);
+        (ranks as usize).min(self.functions)
+    }
 }
