Play the fleet in simulated time with the true engine and hollow executors

The scale program had no fleet run. Front ends run the engine with the dispatch policy; executors keep copies, lanes and loads in bounded memory; scenarios lose a rack, a zone, a region's links, and restart machines.

--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -1,14 +1,137 @@
-//! The fleet in simulated time: cold starts, herds and what is served through failures.
+//! The fleet in simulated time: cold starts, herds, crossings and what is served, calm and through failures.
+//!
+//! Hollow front ends run the true engine with the dispatch policy; hollow executors keep copies, lanes and loads.
+//! A run is played by one thread and is the same for the same plan; several runs go side by side. What the size of
+//! the design leaves open is stated in [`assumptions`].
 
-use crate::report::{Role, Row};
+mod arrivals;
+pub mod assumptions;
+mod cpu;
+mod event;
+mod executor;
+mod front_end;
+mod measure;
+mod request;
+mod rows;
+mod scenario;
+mod simulation;
+mod topology;
+
+pub use measure::Tally;
+pub use scenario::Scenario;
+pub use simulation::{Counts, Finding, Plan, Simulation};
+
+use crate::clock::resident_bytes;
+use crate::report::Row;
 use crate::size::Size;
+use assumptions::{NON_IDEMPOTENT_EVERY, WARM_UP, WARM_UP_THINNED};
+use std::sync::Mutex;
+use std::thread;
+use std::time::Instant;
+
+/// Runs that go side by side at the most: each takes a thread and about a gigabyte.
+const MOST_AT_ONCE: usize = 4;
+/// The second size has so many times the executors, each with as much less memory and as many fewer lanes.
+const MORE_EXECUTORS: usize = 3;
+
+/// Who decides at the front ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// The dispatch policy of the program.
+    Dispatcher,
+    /// Any executor: a reference.
+    Random,
+    /// The less loaded of two by their true load, which no front end can know: a reference.
+    TwoByTrueLoad,
+}
+
+impl Policy {
+    fn name(self) -> &'static str {
+        match self {
+            Policy::Dispatcher => "dispatcher",
+            Policy::Random => "random",
+            Policy::TwoByTrueLoad => "two by true load",
+        }
+    }
+}
+
+/// A fault injected into the hollow machines, which the counts have to show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// The network delivers a dispatch twice.
+    DuplicateDispatch,
+    /// A front end loses a final answer.
+    LostAnswer,
+}
 
-const NOT_BUILT: &str = "the fleet run is not built yet";
+/// Whether a function may run more than once for a call.
+fn is_idempotent(function: u32) -> bool {
+    function % NON_IDEMPOTENT_EVERY != NON_IDEMPOTENT_EVERY - 1
+}
+
+/// A run and what it found.
+#[derive(Clone, Debug)]
+pub struct Played {
+    pub plan: Plan,
+    pub finding: Finding,
+}
+
+/// Plays the fleet at two numbers of executors through all scenarios, with `seconds` of simulated time measured in
+/// each, and tells its rows. The warm-up shrinks with a `seconds` below its own length.
+pub fn run(size: &Size, seed: u64, seconds: f64) -> Vec<Row> {
+    let before = resident_bytes();
+    let played = play(plans(size, seed, seconds));
+    rows::of(&played, rows::memory_bound(before, size.front_ends))
+}
+
+fn plans(size: &Size, seed: u64, seconds: f64) -> Vec<Plan> {
+    let more = Size { executors: size.executors * MORE_EXECUTORS, ..size.clone() };
+    let warm_up = WARM_UP.min(4.0 * seconds);
+    let plan = |size: &Size, scenario, policy| Plan {
+        size: size.clone(),
+        scenario,
+        policy,
+        warm_up_thinned: warm_up * WARM_UP_THINNED / WARM_UP,
+        warm_up,
+        seconds,
+        seed,
+        fault: None,
+    };
+    // The longest runs begin first.
+    let mut plans = vec![];
+    for size in [&more, size] {
+        plans.extend(Scenario::ALL.map(|scenario| plan(size, scenario, Policy::Dispatcher)));
+    }
+    plans.extend([Policy::Random, Policy::TwoByTrueLoad].map(|policy| plan(size, Scenario::Calm, policy)));
+    plans
+}
+
+/// Plays each plan, some side by side, and tells of them in their order. Progress goes to standard error.
+pub fn play(plans: Vec<Plan>) -> Vec<Played> {
+    let most = thread::available_parallelism().map_or(1, |n| n.get().div_ceil(2)).min(MOST_AT_ONCE);
+    let waiting = Mutex::new(plans.into_iter().enumerate());
+    let next = || waiting.lock().ok()?.next();
+    let worker = || {
+        let mut played = vec![];
+        while let Some((number, plan)) = next() {
+            played.push((number, play_one(plan)));
+        }
+        played
+    };
+    let mut played: Vec<(usize, Played)> = thread::scope(|scope| {
+        let workers: Vec<_> = (0..most).map(|_| scope.spawn(worker)).collect();
+        workers.into_iter().flat_map(|worker| worker.join().expect("a run does not panic")).collect()
+    });
+    played.sort_by_key(|(number, _)| *number);
+    played.into_iter().map(|(_, played)| played).collect()
+}
 
-/// Plays the fleet for `seconds` of simulated time and tells its rows.
-pub fn run(_size: &Size, _seed: u64, _seconds: f64) -> Vec<Row> {
-    vec![
-        Row::at_most("cold_start_p99_s", Role::Fleet, "s", 0.37, NOT_BUILT),
-        Row::at_least("region_cut_served_share", Role::Region, "share", 0.99, NOT_BUILT),
-    ]
+fn play_one(plan: Plan) -> Played {
+    let began = Instant::now();
+    let finding = Simulation::new(plan.clone()).run();
+    let (name, policy, executors) = (plan.scenario.name(), plan.policy.name(), plan.size.executors);
+    let took = began.elapsed().as_secs_f64();
+    eprintln!("fleet: {name}, {executors} executors, {policy}: took {took:.0} s");
+    eprintln!("fleet:   {finding:?}");
+    Played { plan, finding }
 }
--- /dev/null
+++ b/crates/scale/src/fleet/simulation.rs
@@ -0,0 +1,379 @@
+//! One run: front ends, executors and the store's notices in simulated time, played by one thread.
+
+mod changes;
+mod executor_events;
+
+use super::arrivals::{Arrival, Arrivals};
+use super::assumptions::*;
+use super::cpu::SampledCpu;
+use super::event::{Event, Queue};
+use super::executor::{Capacity, Executor, State};
+use super::front_end::*;
+use super::measure::{CutWindow, FinalAnswer, Ledger, Tally};
+use super::request::{Purpose, Request};
+use super::scenario::{Change, Down, Listed, Machine, Scenario, Step, cut_region};
+use super::topology::{Topology, executor_id, executor_number};
+use super::{Fault, Policy, is_idempotent};
+use crate::size::Size;
+use executor_events::Load;
+use orchidtally::interface::*;
+use orchidtally_engine::baseline::{Pick, Plain};
+use orchidtally_engine::{Engine, Offer};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use slab::Slab;
+use std::cell::Cell;
+use std::ops::Range;
+use std::rc::Rc;
+
+/// Simulated time begins here, so that the policy's clock is far from zero.
+const START: f64 = 1_000.0;
+
+/// What is run.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub size: Size,
+    pub scenario: Scenario,
+    pub policy: Policy,
+    /// Simulated seconds before the measurement: with popular functions thinned, and in all.
+    pub warm_up_thinned: f64,
+    pub warm_up: f64,
+    /// Simulated seconds that are measured.
+    pub seconds: f64,
+    pub seed: u64,
+    pub fault: Option<Fault>,
+}
+
+impl Plan {
+    fn window(&self) -> Range<f64> {
+        let start = START + self.warm_up;
+        start..start + self.seconds
+    }
+
+    /// What each executor can hold and run.
+    pub fn capacity(&self) -> Capacity {
+        let executors = self.size.executors as f64;
+        let lanes = (LANES_PER_CALL_RATE * self.size.calls_per_s / executors).ceil().max(1.0) as usize;
+        let copies = (self.size.instances as f64 / executors).ceil().max(1.0) as usize;
+        Capacity { lanes, waiting: WAITING_PER_LANE * lanes, copies }
+    }
+}
+
+/// What the store tells one front end.
+struct Notice {
+    front_end: usize,
+    life: u8,
+    told: Told,
+}
+
+enum Told {
+    Rows(Rc<[RosterRow]>),
+    /// It has its part of what is strictly shared.
+    Share,
+}
+
+pub struct Simulation {
+    plan: Plan,
+    capacity: Capacity,
+    front_ends: Vec<FrontEnd>,
+    executors: Vec<Executor>,
+    executors_up: usize,
+    /// The executors that hold or load a copy of each function.
+    holders: Vec<Vec<u16>>,
+    loads: Slab<Load>,
+    shared: Shared,
+    /// Calls in hand at each executor, as a reference that knows the true state sees them.
+    in_hand: Rc<[Cell<u32>]>,
+    random: StdRng,
+    cut: Option<u8>,
+    steps: Vec<Step>,
+    notices: Slab<Notice>,
+    cpu: SampledCpu,
+}
+
+/// What a run found; the same for the same plan but for `decision_cpu_us`.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Finding {
+    pub counts: Counts,
+    /// Processor time of the engine and the policy a call, in microseconds.
+    pub decision_cpu_us: f64,
+    /// Functions that the tables of a front end hold at the end, in the mean.
+    pub functions_kept: f64,
+}
+
+/// What is counted in a run.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Counts {
+    pub seconds: f64,
+    pub all: Tally,
+    pub cut_off: Tally,
+    pub not_cut_off: Tally,
+    pub unanswered: u64,
+    pub ran_twice: u64,
+    pub answered_twice: u64,
+    pub calls_begun: u64,
+    pub cold_starts: u64,
+    /// From arrival to beginning of cold starts: the median and 99 in 100; not a number where there were none.
+    pub cold_start_p50_s: f64,
+    pub cold_start_p99_s: f64,
+    pub dispatches: u64,
+    pub crossing: u64,
+    pub turned_away: u64,
+    pub loads: u64,
+    pub loads_beyond_need: u64,
+    pub call_herds: u64,
+    pub load_herds: u64,
+    /// Copies in all executors at the end.
+    pub copies: u64,
+    pub events: u64,
+}
+
+impl Simulation {
+    pub fn new(plan: Plan) -> Simulation {
+        let size = &plan.size;
+        let topology = Topology::new(size.front_ends, size.executors, size.regions, size.zones);
+        let window = plan.window();
+        let region = cut_region(plan.scenario);
+        let cut = region.map(|region| CutWindow { region, during: plan.scenario.outage(&window) });
+        let steps = plan.scenario.steps(&topology, &window, plan.seed);
+        let ledger = Ledger::new(window, cut, size.executors, size.functions);
+        let mut queue = Queue::default();
+        (0..).zip(&steps).for_each(|(number, step)| queue.push(step.at, Event::Step(number)));
+        let shared = Shared {
+            now: START,
+            queue,
+            requests: Slab::new(),
+            topology,
+            ledger,
+            executor_lives: vec![0; size.executors],
+            fault: plan.fault,
+            faults: 0,
+        };
+        let mut simulation = Simulation {
+            capacity: plan.capacity(),
+            front_ends: Vec::with_capacity(size.front_ends),
+            executors: (0..size.executors).map(|_| Executor::new()).collect(),
+            executors_up: size.executors,
+            holders: vec![vec![]; size.functions],
+            loads: Slab::new(),
+            in_hand: (0..size.executors).map(|_| Cell::new(0)).collect(),
+            random: StdRng::seed_from_u64(plan.seed ^ 0x0065_7865_6375_746f),
+            cut: None,
+            steps,
+            notices: Slab::new(),
+            cpu: SampledCpu::default(),
+            shared,
+            plan,
+        };
+        for number in 0..simulation.plan.size.front_ends {
+            let front_end = simulation.front_end(number, 0);
+            simulation.front_ends.push(front_end);
+            simulation.list_all(number);
+        }
+        simulation
+    }
+
+    /// A front end that has just started and knows nothing.
+    fn front_end(&mut self, number: usize, life: u8) -> FrontEnd {
+        let place = self.shared.topology.front_ends[number];
+        let terms = terms(self.plan.size.front_ends, number, place);
+        let seed = self.plan.seed.wrapping_mul(1_000_003) + (number * 256 + usize::from(life)) as u64;
+        let mut state = HostState::new(number as u16, life, place, self.plan.size.executors);
+        let now = self.shared.now;
+        let engine = match self.plan.policy {
+            Policy::Dispatcher => {
+                let mut host = HollowHost { state: &mut state, shared: &mut self.shared };
+                Engine::new(terms, MOST_OPEN, seed, now, &mut host)
+            }
+            Policy::Random => Engine::with_baseline(Box::new(Plain::new(seed)), MOST_OPEN, now),
+            Policy::TwoByTrueLoad => {
+                let in_hand = self.in_hand.clone();
+                let load = move |id| executor_number(id).map_or(u32::MAX, |x| in_hand[x].get());
+                let policy = Plain::by(Pick::TwoByTruth(Box::new(load)), seed);
+                Engine::with_baseline(Box::new(policy), MOST_OPEN, now)
+            }
+        };
+        FrontEnd { engine, state }
+    }
+
+    /// Plays it to its end, until each call must have its final answer.
+    pub fn run(mut self) -> Finding {
+        let window = self.plan.window();
+        let size = &self.plan.size;
+        let thinned_until = START + self.plan.warm_up_thinned;
+        let mut arrivals =
+            Arrivals::new(self.plan.seed, size.calls_per_s, size.functions, START, thinned_until);
+        let mut next = arrivals.draw();
+        let ends_at = window.end + CLIENT_TIMEOUT + 1.0;
+        loop {
+            let event_at = self.shared.queue.next_at();
+            if next.at < window.end && next.at <= event_at {
+                self.shared.now = next.at;
+                self.arrives(&next);
+                next = arrivals.draw();
+            } else if event_at > ends_at {
+                return self.found();
+            } else if let Some((at, event)) = self.shared.queue.pop() {
+                self.shared.now = at;
+                self.happens(event);
+            }
+        }
+    }
+
+    fn happens(&mut self, event: Event) {
+        match event {
+            Event::Reaches(key) => self.reaches(key),
+            Event::Loaded(key) => self.loaded(key),
+            Event::Ends(key) => self.ends(key),
+            Event::Answers(key) => self.answers(key),
+            Event::Wakes(front_end) => self.wakes(front_end as usize),
+            Event::Notice(key) => self.notice(key),
+            Event::Step(number) => {
+                let change = self.steps[number as usize].change.clone();
+                self.changes(&change);
+            }
+        }
+    }
+
+    /// Calls the engine of a front end, and sets its timer anew.
+    fn play<T>(&mut self, front_end: usize, input: impl FnOnce(&mut Engine, f64, &mut HollowHost) -> T) -> T {
+        let now = self.shared.now;
+        let FrontEnd { engine, state } = &mut self.front_ends[front_end];
+        let mut host = HollowHost { state, shared: &mut self.shared };
+        let result = self.cpu.measure(|| input(engine, now, &mut host));
+        let due_at = engine.due_at().max(now);
+        if due_at < state.wakes_at {
+            state.wakes_at = due_at;
+            self.shared.queue.push(due_at, Event::Wakes(front_end as u32));
+        }
+        result
+    }
+
+    fn wakes(&mut self, front_end: usize) {
+        let state = &mut self.front_ends[front_end].state;
+        // An earlier timer may have taken this one's place.
+        if state.is_up && state.wakes_at == self.shared.now {
+            state.wakes_at = f64::INFINITY;
+            self.play(front_end, |engine, now, host| engine.turn(now, host));
+        }
+    }
+
+    fn arrives(&mut self, arrival: &Arrival) {
+        let Some(front_end) = self.live_front_end(arrival.draw) else { return };
+        let Arrival { at: came, function, .. } = *arrival;
+        let state = &mut self.front_ends[front_end].state;
+        let region = state.place.region;
+        let call = self.shared.ledger.offered(came, region);
+        state.taking = OpenCall { call, function, came };
+        let offer = Offer {
+            trigger_type: if is_idempotent(function) { IDEMPOTENT } else { NON_IDEMPOTENT },
+            customer: 0,
+            function: u64::from(function),
+            repeat: false,
+            moved: false,
+            timeout_at: came + CLIENT_TIMEOUT,
+            work: None,
+            lanes: FUNCTION_LANES,
+            load_time: Some(LOAD_TIME),
+        };
+        let taken = self.play(front_end, |engine, now, host| engine.take(now, &offer, host));
+        self.cpu.calls += 1;
+        if taken.is_err() {
+            self.shared.ledger.answered(came, came, region, FinalAnswer::Refused);
+        }
+    }
+
+    /// The front end that a client's balancer chooses by a draw; the next one that is up. `None`: none is.
+    fn live_front_end(&self, draw: f64) -> Option<usize> {
+        let count = self.front_ends.len();
+        let first = (draw * count as f64) as usize;
+        (first..first + count).map(|n| n % count).find(|&n| self.front_ends[n].state.is_up)
+    }
+
+    /// Whether a cut parts a front end from an executor.
+    fn is_cut_off(&self, front_end: u16, executor: u16) -> bool {
+        let Some(region) = self.cut else { return false };
+        let topology = &self.shared.topology;
+        let one = topology.front_ends[usize::from(front_end)].region == region;
+        let other = topology.executors[usize::from(executor)].region == region;
+        one != other
+    }
+
+    /// An answer reaches its front end.
+    fn answers(&mut self, key: u32) {
+        let request = self.shared.requests.remove(key as usize);
+        let Request { front_end, executor, ending, function, .. } = request;
+        let state = &mut self.front_ends[usize::from(front_end)].state;
+        if !state.is_up || state.life != request.front_end_life {
+            return;
+        }
+        if matches!(ending, Ending::ConnectFailed | Ending::Reset) {
+            state.disconnect(usize::from(executor));
+        }
+        match request.purpose {
+            Purpose::Call { invocation, dispatch, .. } => {
+                // A second answer to one dispatch is none of its key's.
+                if state.sent.get(&(invocation, dispatch)) == Some(&key) {
+                    state.sent.remove(&(invocation, dispatch));
+                }
+                let report = request.report;
+                self.play(usize::from(front_end), |engine, now, host| {
+                    let told = orchidtally_engine::Told {
+                        found: request.found,
+                        crowd: request.crowd,
+                        report: &report,
+                    };
+                    engine.ended(now, invocation, dispatch, ending, told, host);
+                });
+            }
+            Purpose::Order => {
+                let id = executor_id(usize::from(executor));
+                self.play(usize::from(front_end), |engine, now, host| {
+                    engine.held(now, id, u64::from(function), ending, host);
+                });
+            }
+        }
+    }
+
+    fn found(self) -> Finding {
+        let Simulation { shared, cpu, executors, front_ends, .. } = self;
+        let kept: usize = front_ends.iter().map(|f| f.engine.kept().functions).sum();
+        let functions_kept = kept as f64 / front_ends.len() as f64;
+        let copies = executors.iter().map(|executor| executor.copies.len() as u64).sum();
+        let counts = Counts::of(shared.ledger, copies, shared.queue.entered());
+        Finding { counts, decision_cpu_us: cpu.us_a_call(), functions_kept }
+    }
+}
+
+impl Counts {
+    fn of(mut ledger: Ledger, copies: u64, events: u64) -> Counts {
+        ledger.cold_starts.sort_by(f64::total_cmp);
+        let cold = &ledger.cold_starts;
+        let quantile = |share: f64| {
+            let rank = (cold.len() as f64 * share) as usize;
+            cold.get(rank.min(cold.len().saturating_sub(1))).copied().unwrap_or(f64::NAN)
+        };
+        Counts {
+            seconds: ledger.length(),
+            all: ledger.all,
+            cut_off: ledger.cut_off,
+            not_cut_off: ledger.not_cut_off,
+            unanswered: ledger.all.offered.abs_diff(ledger.all.answered()),
+            ran_twice: ledger.ran_twice,
+            answered_twice: ledger.answered_twice,
+            calls_begun: ledger.calls_begun,
+            cold_starts: cold.len() as u64,
+            cold_start_p50_s: quantile(0.5),
+            cold_start_p99_s: quantile(0.99),
+            dispatches: ledger.dispatches,
+            crossing: ledger.crossing,
+            turned_away: ledger.turned_away,
+            loads: ledger.loads,
+            loads_beyond_need: ledger.loads_beyond_need,
+            call_herds: ledger.call_herd_count,
+            load_herds: ledger.load_herd_count,
+            copies,
+            events,
+        }
+    }
+}
