Measure membership and roster with hollow front ends over loopback sockets

The store's stand-in runs in a process of its own, so that its processor time and memory are told apart; hollow front ends run the true membership core and etcd client, with bytes counted at their sockets.

--- /dev/null
+++ b/crates/scale/src/hollow/mod.rs
@@ -0,0 +1,5 @@
+//! Hollow front ends: the true cores and clients, hundreds in one process, without callers or executors on sockets.
+
+pub mod control;
+pub mod decisions;
+mod follow;
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -4,11 +4,12 @@
 //! against the project's own stand-in of the control store. Each run ends in a [`report::Report`] with one
 //! [`report::Row`] for each limit of the design.
 
+pub mod clock;
 pub mod config;
 pub mod fleet;
 pub mod hollow;
 pub mod report;
 pub mod size;
 pub mod slopes;
-pub mod usage;
+pub mod store;
 pub mod zipf;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -6,9 +6,12 @@
 use clap::{Parser, ValueEnum};
 use orchidtally_scale::report::Report;
 use orchidtally_scale::size::{Injection, Size};
-use orchidtally_scale::{config, fleet, slopes};
+use orchidtally_scale::{config, fleet, slopes, store};
 use std::process::ExitCode;
 
+const BAD_ARGUMENTS: u8 = 2;
+const COULD_NOT_RUN: u8 = 3;
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 enum Run {
     /// What one more of each dimension costs.
@@ -19,6 +22,9 @@
     Config,
     /// All of them.
     All,
+    /// The control store of a run, as a process of its own.
+    #[value(hide = true)]
+    Store,
 }
 
 /// Scale tests of orchidtally's own parts, for maintainers.
@@ -77,7 +83,16 @@
     let arguments = Arguments::parse();
     if arguments.inject.is_some() && !arguments.runs(Run::Config) {
         eprintln!("error: --inject plants a fault of 'config': run that, or 'all'");
-        return ExitCode::from(2);
+        return ExitCode::from(BAD_ARGUMENTS);
+    }
+    if arguments.run == Run::Store {
+        return match store::serve(arguments.seed) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(why) => {
+                eprintln!("error: the store could not serve: {why}");
+                ExitCode::from(COULD_NOT_RUN)
+            }
+        };
     }
     let size = arguments.size();
     let (mut rows, mut fits) = (vec![], vec![]);
@@ -101,7 +116,7 @@
         Ok(line) => println!("{line}"),
         Err(why) => {
             eprintln!("error: the report can't be written as JSON: {why}");
-            return ExitCode::from(3);
+            return ExitCode::from(COULD_NOT_RUN);
         }
     }
     ExitCode::from(report.exit_code())
--- a/crates/scale/src/slopes/decision.rs
+++ b/crates/scale/src/slopes/decision.rs
@@ -1,10 +1,10 @@
 //! Processor time and memory of decisions at one front end, in simulated time.
 
 use super::fit::{self, Axes};
-use crate::hollow::{FrontEnd, Traffic, roster_row};
+use crate::clock;
+use crate::hollow::decisions::{FrontEnd, Traffic, roster_row};
 use crate::report::{Basis, Role, Row, Slope};
 use crate::size::Size;
-use crate::usage;
 use orchidtally::interface::{RosterKind, Standing};
 
 /// Executors of the small fleet and of the large one that the growth is told over.
@@ -43,17 +43,17 @@
 }
 
 fn measure(traffic: &Traffic, duration: Duration) -> Cost {
-    let heap_before = usage::heap_bytes();
+    let heap_before = clock::heap_bytes();
     let mut front_end = FrontEnd::new(traffic);
     front_end.play(duration.warm_up);
     let before = front_end.finished();
-    let started = usage::thread_cpu_s();
+    let started = clock::thread_cpu_s();
     let calls = front_end.play(duration.measured).max(1) as f64;
-    let cpu = usage::thread_cpu_s() - started;
+    let cpu = clock::thread_cpu_s() - started;
     let after = front_end.finished();
     let succeeded = (after.succeeded - before.succeeded) as f64;
     let failed = (after.failed - before.failed) as f64;
-    let heap_bytes = usage::heap_bytes() - heap_before;
+    let heap_bytes = clock::heap_bytes() - heap_before;
     let functions_kept = front_end.kept().functions;
     Cost {
         cpu_us_per_call: 1e6 * cpu / calls,
@@ -68,12 +68,12 @@
 /// The time that a whole list takes, as at a relist where nothing is new, with the call after it.
 fn list_us(front_end: &mut FrontEnd, executors: usize) -> f64 {
     let rows: Vec<_> = (0..executors).map(|x| roster_row(x, 8)).collect();
-    let started = usage::thread_cpu_s();
+    let started = clock::thread_cpu_s();
     for _ in 0..LISTS {
         front_end.roster(RosterKind::Full, &rows);
         front_end.call_now();
     }
-    1e6 * (usage::thread_cpu_s() - started) / LISTS as f64
+    1e6 * (clock::thread_cpu_s() - started) / LISTS as f64
 }
 
 /// The time that a change of one executor takes, with the call after it.
@@ -82,10 +82,10 @@
     for n in 0..LISTS {
         let mut row = roster_row(n % executors, 8);
         row.standing = if n % 2 == 0 { Standing::Draining } else { Standing::Ready };
-        let started = usage::thread_cpu_s();
+        let started = clock::thread_cpu_s();
         front_end.roster(RosterKind::Delta, &[row]);
         front_end.call_now();
-        cpu += usage::thread_cpu_s() - started;
+        cpu += clock::thread_cpu_s() - started;
     }
     1e6 * cpu / LISTS as f64
 }
--- a/crates/scale/src/slopes/mod.rs
+++ b/crates/scale/src/slopes/mod.rs
@@ -1,13 +1,13 @@
 //! What one more front end, executor, function, instance or change costs: figures at several sizes and the line
 //! through them.
 
+mod control;
 mod decision;
 pub mod fit;
 
-use crate::report::{Role, Row, Slope};
+use crate::report::{Basis, Role, Row, Slope};
 use crate::size::Size;
-
-const NOT_BUILT: &str = "the control part of the slopes is not built yet";
+use crate::store::StoreError;
 
 /// What the slopes tell.
 pub struct Slopes {
@@ -18,12 +18,44 @@
 /// Measures each dimension at several sizes.
 pub fn run(size: &Size, seed: u64, short: bool) -> Slopes {
     let mut found = decision::run(size, seed, short);
-    found.rows.extend([
-        Row::at_most("control_cpu_share", Role::FrontEnd, "cores", 0.048, NOT_BUILT),
-        Row::at_most("control_memory_mb", Role::FrontEnd, "MB", 64.0, NOT_BUILT),
-        Row::at_most("control_bytes_per_s", Role::FrontEnd, "bytes/s", 12_000.0, NOT_BUILT),
-        Row::at_most("store_cpu_share", Role::StoreMember, "cores", 0.5, NOT_BUILT),
-        Row::at_most("store_memory_mb", Role::StoreMember, "MB", 2_048.0, NOT_BUILT),
-    ]);
+    let control = control::run(size, seed, short);
+    if let Err(why) = &control {
+        eprintln!("slopes: control could not be measured: {why}");
+    }
+    found.rows.extend(control_rows(size, &control));
+    found.slopes.extend(control.map_or(vec![], |control| control.slopes));
     found
 }
+
+/// The rows of control, from the largest number of front ends that was measured.
+fn control_rows(size: &Size, control: &Result<control::Control, StoreError>) -> Vec<Row> {
+    let note = match control {
+        Ok(control) => format!(
+            "membership and roster of {} hollow front ends over loopback sockets, five members of the stand-in in one \
+             process; configuration not included",
+            control.largest.0
+        ),
+        Err(why) => why.to_string(),
+    };
+    let rows = [
+        Row::at_most("control_cpu_share", Role::FrontEnd, "cores", 0.048, &note),
+        Row::at_most("control_memory_mb", Role::FrontEnd, "MB", 64.0, &note),
+        Row::at_most("control_bytes_per_s", Role::FrontEnd, "bytes/s", 12_000.0, &note),
+        Row::at_most("store_cpu_share", Role::StoreMember, "cores", 0.5, &note),
+        Row::at_most("store_memory_mb", Role::StoreMember, "MB", 2_048.0, &note),
+    ];
+    let Ok(control) = control else { return rows.into() };
+    let (front_ends, cost) = &control.largest;
+    // Smaller runs, such as the short form, can't tell of the whole size.
+    if *front_ends < size.front_ends {
+        return rows.into();
+    }
+    let figures = [
+        cost.cpu_share,
+        cost.heap_bytes / 1e6,
+        cost.bytes_per_s(),
+        cost.store_cpu_share,
+        cost.store_heap_bytes / 1e6,
+    ];
+    rows.into_iter().zip(figures).map(|(row, figure)| row.with(figure, Basis::Measured)).collect()
+}
--- /dev/null
+++ b/crates/scale/src/store/command.rs
@@ -0,0 +1,63 @@
+//! What a run asks of its store's process: one JSON line each way.
+
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// A command to the store's process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "command", rename_all = "kebab-case")]
+pub enum Command {
+    /// The members' addresses for clients of each region.
+    Addresses,
+    /// What the process and its members have used so far.
+    Usage,
+    /// Puts entries of so many executors in.
+    PutExecutors { count: usize },
+    /// Changes the standing of so many executors, from this one on, each in a transaction of its own.
+    ChangeExecutors { from: usize, count: usize },
+    /// Puts some keys in without a lease, as a script and not as a client.
+    Put { entries: Vec<(String, String)> },
+    /// Stops a member at once.
+    StopMember { member: usize },
+    /// Starts it again.
+    RestartMember { member: usize },
+    /// With the next transaction so many members stop.
+    CrashInNextTransaction { members: usize, committed: bool },
+    /// Cuts a region off from the others.
+    CutRegion { region: u32 },
+    /// Reconnects all regions.
+    Heal,
+    /// Drops all history before the newest revision.
+    Compact,
+    /// Delays each answer by so much, in seconds.
+    Delay { seconds: f64 },
+}
+
+/// What one member counted.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct MemberUsage {
+    pub bytes_received: u64,
+    pub bytes_sent: u64,
+    pub connections: u64,
+    pub watches: u64,
+}
+
+/// What the store's process used.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Processor time of the process, all members together, in seconds.
+    pub cpu_s: f64,
+    pub heap_bytes: f64,
+    pub revision: i64,
+    pub members: Vec<MemberUsage>,
+}
+
+/// The store's answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "answer", rename_all = "kebab-case")]
+pub enum Answer {
+    Done,
+    Addresses { by_region: Vec<Vec<SocketAddr>> },
+    Usage(Usage),
+    Failed { reason: String },
+}
--- /dev/null
+++ b/crates/scale/src/store/serve.rs
@@ -0,0 +1,139 @@
+//! The store's process: the stand-in on loopback sockets, and commands from standard input.
+
+use super::command::{Answer, Command, MemberUsage, Usage};
+use super::{MEMBER_REGIONS, PREFIX};
+use crate::clock;
+use orchidtally_etcd::rpc::{CompactionRequest, PutRequest};
+use orchidtally_standin::Stage;
+use orchidtally_standin::etcd::{CrashPoint, Served};
+use std::collections::BTreeSet;
+use std::io::{BufRead, Write};
+use std::rc::Rc;
+
+/// Commands that wait at most; the run waits for each answer, so that one is enough.
+const COMMANDS: usize = 1;
+/// A member tells a watch of progress by itself only so seldom, as etcd does, in seconds.
+const PROGRESS_INTERVAL: f64 = 600.0;
+
+/// Serves until standard input ends.
+pub fn serve(seed: u64) -> std::io::Result<()> {
+    let stage = Stage::new(seed);
+    let served = Served::start_in_regions(&stage, &MEMBER_REGIONS)?;
+    served.timing.progress_interval.set(PROGRESS_INTERVAL);
+    let (sender, commands) = async_channel::bounded::<String>(COMMANDS);
+    std::thread::spawn(move || {
+        let lines = std::io::stdin().lock().lines();
+        for line in lines.map_while(Result::ok) {
+            if sender.send_blocking(line).is_err() {
+                return;
+            }
+        }
+    });
+    let work = async {
+        while let Ok(line) = commands.recv().await {
+            let answer = match serde_json::from_str(&line) {
+                Ok(command) => perform(&served, &command),
+                Err(why) => Answer::Failed { reason: format!("no command of ours: {why}") },
+            };
+            let mut text = serde_json::to_string(&answer)?;
+            text.push('\n');
+            let mut out = std::io::stdout().lock();
+            out.write_all(text.as_bytes())?;
+            out.flush()?;
+        }
+        Ok(())
+    };
+    async_io::block_on(stage.tasks.run(work))
+}
+
+fn perform(served: &Rc<Served>, command: &Command) -> Answer {
+    match command {
+        Command::Addresses => return Answer::Addresses { by_region: addresses(served) },
+        Command::Usage => return Answer::Usage(usage_of(served)),
+        Command::PutExecutors { count } => {
+            return put(served, (0..*count).map(|n| (executor_key(n), executor_value(n, true))));
+        }
+        Command::ChangeExecutors { from, count } => return change_executors(served, *from, *count),
+        Command::Put { entries } => return put(served, entries.iter().cloned()),
+        Command::StopMember { member } => served.stop(*member),
+        Command::RestartMember { member } => served.restart(*member),
+        Command::CrashInNextTransaction { members, committed } => {
+            let point = if *committed { CrashPoint::AfterCommit } else { CrashPoint::BeforeCommit };
+            served.crash_in_next_transaction(point, *members);
+        }
+        Command::CutRegion { region } => served.cut(*region),
+        Command::Heal => served.heal(),
+        Command::Compact => return compact(served),
+        Command::Delay { seconds } => served.faults.delay.set(*seconds),
+    }
+    Answer::Done
+}
+
+fn addresses(served: &Served) -> Vec<Vec<std::net::SocketAddr>> {
+    let regions: BTreeSet<u32> = MEMBER_REGIONS.iter().copied().collect();
+    let of = |&region: &u32| {
+        let all = served.addresses_from(region);
+        let mut members: Vec<_> = all.into_iter().zip(MEMBER_REGIONS).collect();
+        members.sort_by_key(|(_, of_member)| *of_member != region);
+        members.into_iter().map(|(address, _)| address).collect()
+    };
+    regions.iter().map(of).collect()
+}
+
+fn usage_of(served: &Served) -> Usage {
+    let member = |member| {
+        let counters = served.counters(member);
+        MemberUsage {
+            bytes_received: counters.bytes_received,
+            bytes_sent: counters.bytes_sent,
+            connections: counters.connections_open,
+            watches: counters.watches_open,
+        }
+    };
+    Usage {
+        cpu_s: clock::process_cpu_s(),
+        heap_bytes: clock::heap_bytes(),
+        revision: served.store.borrow().revision,
+        members: (0..MEMBER_REGIONS.len()).map(member).collect(),
+    }
+}
+
+fn put(served: &Served, entries: impl Iterator<Item = (String, String)>) -> Answer {
+    for (key, value) in entries {
+        let request = PutRequest { key: key.into(), value: value.into(), ..PutRequest::default() };
+        if let Err(status) = served.store.borrow_mut().put(&request) {
+            return Answer::Failed { reason: status.to_string() };
+        }
+    }
+    Answer::Done
+}
+
+fn change_executors(served: &Served, from: usize, count: usize) -> Answer {
+    // One that drains is ready after its next change.
+    let is_ready = served.store.borrow().revision % 2 == 0;
+    put(served, (from..from + count).map(|n| (executor_key(n), executor_value(n, is_ready))))
+}
+
+fn compact(served: &Served) -> Answer {
+    let mut store = served.store.borrow_mut();
+    let request = CompactionRequest { revision: store.revision, ..CompactionRequest::default() };
+    match store.compact(request.revision) {
+        Ok(_) => Answer::Done,
+        Err(status) => Answer::Failed { reason: status.to_string() },
+    }
+}
+
+/// An executor's entry has the address as its key, as `docs/operate/etcd.md` says.
+fn executor_key(number: usize) -> String {
+    let address = std::net::Ipv4Addr::from(0x0a00_0000 + number as u32);
+    format!("{PREFIX}executors/{address}:7000")
+}
+
+fn executor_value(number: usize, is_ready: bool) -> String {
+    let standing = if is_ready { "ready" } else { "draining" };
+    serde_json::json!({
+        "location": format!("zone-{}", number % 8), "kind": "standard", "cell": number % 64,
+        "standing": standing, "weight": 1.0, "since": 1_790_000_000.0 + number as f64,
+    })
+    .to_string()
+}
