Measure distribution of configuration with hollow front ends over loopback sockets

The core of crates/config-sync behind the true etcd client, hundreds in one process, against five members of the stand-in: single changes, a burst, two members lost, a region cut off, a compaction past all watches, front ends back at once. A change counts as in force where calls see it, whatever is reported.

--- /dev/null
+++ b/crates/scale/src/config/front_ends.rs
@@ -0,0 +1,234 @@
+//! The front ends of a configuration run: membership, roster and configuration of each, in one thread.
+
+use super::entries;
+use super::tracker::Tracker;
+use crate::hollow::config_host::{ConfigHost, HostOptions, OnApply, Reads};
+use crate::hollow::control::{Bytes, ControlFrontEnd};
+use crate::store::{self, StoreError};
+use async_executor::{LocalExecutor, Task};
+use async_io::Timer;
+use orchidtally_config_sync::{SettingsError, SyncSettings};
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use thiserror::Error;
+
+/// Front ends that start together, and the pause after them.
+const STARTED_TOGETHER: usize = 25;
+const START_INTERVAL: Duration = Duration::from_millis(100);
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Why a run could not go on.
+#[derive(Debug, Error)]
+pub enum RunError {
+    #[error(transparent)]
+    Store(#[from] StoreError),
+    #[error(transparent)]
+    Settings(#[from] SettingsError),
+    #[error(transparent)]
+    Change(#[from] super::writer::ChangeError),
+    #[error("{ready} of {of} front ends were ready within {seconds} s")]
+    NotReady { ready: usize, of: usize, seconds: f64 },
+    #[error("the first front end read no snapshot within {0} s")]
+    NoSnapshot(f64),
+}
+
+/// One front end with its tasks, which end when it is dropped.
+struct FrontEnd {
+    control: Rc<ControlFrontEnd>,
+    host: Rc<ConfigHost>,
+    _control_tasks: Vec<Task<()>>,
+    host_task: Option<Task<()>>,
+}
+
+impl Drop for FrontEnd {
+    fn drop(&mut self) {
+        self.host_task = None;
+        self.host.stop();
+    }
+}
+
+/// All of them.
+pub struct FrontEnds {
+    all: Vec<FrontEnd>,
+    by_region: Vec<Vec<SocketAddr>>,
+    snapshot: Vec<u8>,
+    seed: u64,
+    tasks: Rc<LocalExecutor<'static>>,
+    pub tracker: Rc<RefCell<Tracker>>,
+}
+
+/// Reads the configuration whole, at no pace, and gives the snapshot that front ends start from.
+pub async fn read_snapshot(
+    endpoints: &[SocketAddr],
+    tasks: &Rc<LocalExecutor<'static>>,
+    patience: f64,
+) -> Result<Vec<u8>, RunError> {
+    let settings = SyncSettings {
+        read_bytes_per_second: 1e9,
+        read_burst: 1e9,
+        page_bytes: 1e6,
+        spread: 0.0,
+        snapshot_interval: 0.1,
+        ..entries::settings()
+    };
+    let options = HostOptions {
+        number: usize::MAX,
+        endpoints,
+        settings,
+        snapshot: None,
+        keeps_snapshot: true,
+        seed: 0,
+        on_apply: Rc::new(|_, _| {}),
+    };
+    let host = ConfigHost::new(options, tasks)?;
+    let task = tasks.spawn(host.clone().run());
+    let began = Instant::now();
+    while began.elapsed().as_secs_f64() < patience {
+        if let Some(snapshot) = host.take_snapshot() {
+            drop(task);
+            host.stop();
+            return Ok(snapshot);
+        }
+        Timer::after(LOOK_INTERVAL).await;
+    }
+    host.stop();
+    Err(RunError::NoSnapshot(patience))
+}
+
+impl FrontEnds {
+    /// Starts so many front ends from a snapshot.
+    pub async fn start(
+        count: usize,
+        by_region: Vec<Vec<SocketAddr>>,
+        snapshot: Vec<u8>,
+        seed: u64,
+        tasks: &Rc<LocalExecutor<'static>>,
+    ) -> Result<FrontEnds, RunError> {
+        let tracker = Rc::new(RefCell::new(Tracker::new(count)));
+        let mut front_ends =
+            FrontEnds { all: vec![], by_region, snapshot, seed, tasks: tasks.clone(), tracker };
+        for number in 0..count {
+            let front_end = front_ends.start_one(number, count)?;
+            front_ends.all.push(front_end);
+            if number % STARTED_TOGETHER == STARTED_TOGETHER - 1 {
+                Timer::after(START_INTERVAL).await;
+            }
+        }
+        Ok(front_ends)
+    }
+
+    /// One front end's configuration alone, not connected, as it stands after its snapshot was read.
+    pub fn configuration_only(
+        endpoints: &[SocketAddr],
+        snapshot: Vec<u8>,
+        tasks: &Rc<LocalExecutor<'static>>,
+    ) -> Result<Rc<ConfigHost>, RunError> {
+        let options = HostOptions {
+            number: 0,
+            endpoints,
+            settings: entries::settings(),
+            snapshot: Some(&snapshot),
+            keeps_snapshot: false,
+            seed: 0,
+            on_apply: Rc::new(|_, _| {}),
+        };
+        Ok(ConfigHost::new(options, tasks)?)
+    }
+
+    fn start_one(&self, number: usize, count: usize) -> Result<FrontEnd, RunError> {
+        let endpoints = store::endpoints_of(number, &self.by_region);
+        let control = ControlFrontEnd::new(&endpoints, count, self.seed + number as u64, &self.tasks);
+        let host = self.new_host(number)?;
+        let _control_tasks = control.start(&self.tasks);
+        let host_task = Some(self.tasks.spawn(host.clone().run()));
+        Ok(FrontEnd { control, host, _control_tasks, host_task })
+    }
+
+    fn new_host(&self, number: usize) -> Result<Rc<ConfigHost>, SettingsError> {
+        let tracker = self.tracker.clone();
+        let on_apply: OnApply = Rc::new(move |front_end, view| tracker.borrow_mut().applied(front_end, view));
+        let endpoints = store::endpoints_of(number, &self.by_region);
+        let options = HostOptions {
+            number,
+            endpoints: &endpoints,
+            settings: entries::settings(),
+            snapshot: Some(&self.snapshot),
+            keeps_snapshot: false,
+            seed: self.seed.wrapping_mul(1_000_003) + number as u64,
+            on_apply,
+        };
+        ConfigHost::new(options, &self.tasks)
+    }
+
+    /// Restarts a front end's configuration from the snapshot that all started from: its disk was not written since.
+    pub fn restart(&mut self, number: usize) -> Result<(), RunError> {
+        let host = self.new_host(number)?;
+        self.tracker.borrow_mut().forget(number);
+        let front_end = &mut self.all[number];
+        front_end.host_task = None;
+        front_end.host.stop();
+        host.lease.set(front_end.control.lease());
+        front_end.host = host.clone();
+        front_end.host_task = Some(self.tasks.spawn(host.run()));
+        Ok(())
+    }
+
+    pub fn count(&self) -> usize {
+        self.all.len()
+    }
+
+    pub fn host(&self, number: usize) -> &Rc<ConfigHost> {
+        &self.all[number].host
+    }
+
+    pub fn hosts(&self) -> impl Iterator<Item = &Rc<ConfigHost>> {
+        self.all.iter().map(|front_end| &front_end.host)
+    }
+
+    /// Waits until all follow the store and have their entries; gives their reports the lease of these.
+    pub async fn until_ready(&self, patience: f64) -> Result<(), RunError> {
+        let began = Instant::now();
+        let is_ready = |front_end: &&FrontEnd| front_end.control.is_ready() && front_end.host.follows();
+        while !self.all.iter().all(|front_end| is_ready(&front_end)) {
+            if began.elapsed().as_secs_f64() > patience {
+                let ready = self.all.iter().filter(is_ready).count();
+                return Err(RunError::NotReady { ready, of: self.all.len(), seconds: patience });
+            }
+            Timer::after(LOOK_INTERVAL).await;
+        }
+        self.all.iter().for_each(|front_end| front_end.host.lease.set(front_end.control.lease()));
+        Ok(())
+    }
+
+    /// Waits until some front ends have all changes; the seconds that it took, or `None` after `patience`.
+    pub async fn until_in_force(&self, patience: f64, of: impl Fn(usize) -> bool) -> Option<f64> {
+        let began = Instant::now();
+        loop {
+            let took = began.elapsed().as_secs_f64();
+            if self.tracker.borrow().is_in_force(&of) {
+                return Some(took);
+            }
+            if took > patience {
+                return None;
+            }
+            Timer::after(LOOK_INTERVAL).await;
+        }
+    }
+
+    /// Bytes over all connections of all front ends so far.
+    pub fn bytes(&self) -> Bytes {
+        self.all.iter().flat_map(|front_end| [front_end.control.bytes(), front_end.host.bytes()]).sum()
+    }
+
+    /// Bytes for configuration that each front end received so far.
+    pub fn received_for_configuration(&self) -> Vec<u64> {
+        self.hosts().map(|host| host.bytes().received).collect()
+    }
+
+    /// Whole reads of the configuration by any front end.
+    pub fn scans(&self) -> u64 {
+        self.hosts().map(|host| host.reads.get()).map(|reads: Reads| reads.scans).sum()
+    }
+}
--- a/crates/scale/src/config/mod.rs
+++ b/crates/scale/src/config/mod.rs
@@ -1,16 +1,100 @@
-//! Distribution of configuration: time until a change is in force, through faults of the store and of the network.
+//! Distribution of configuration: time until a change is in force, through faults of the store and of the network, and
+//! what all of control costs a front end and the store meanwhile.
 
-use crate::report::{Role, Row};
-use crate::size::{Injection, Size};
+pub mod entries;
+mod front_ends;
+mod phases;
+mod plan;
+mod rows;
+mod tracker;
+mod writer;
 
-const NOT_BUILT: &str = "nothing carries a change of configuration yet";
-/// Within what time a change has to be in force everywhere, in seconds.
-pub const IN_FORCE_S: f64 = 18.0;
+pub use plan::Plan;
+pub use tracker::{Missing, Tracker};
 
-/// Runs the distribution of configuration and tells its rows.
-pub fn run(_size: &Size, _seed: u64, _seconds: f64, _injection: Option<Injection>) -> Vec<Row> {
-    vec![
-        Row::at_most("config_in_force_s", Role::Fleet, "s", IN_FORCE_S, NOT_BUILT),
-        Row::at_most("config_heal_s", Role::Region, "s", IN_FORCE_S, NOT_BUILT),
-    ]
+use crate::clock;
+use crate::report::Row;
+use crate::store::{Command, StoreProcess};
+use async_executor::LocalExecutor;
+use front_ends::{FrontEnds, RunError, read_snapshot};
+use orchidtally_etcd::Client;
+use phases::{Findings, Run};
+use std::rc::Rc;
+use writer::ChangeWriter;
+
+/// What a run measured besides its [`Findings`].
+#[derive(Clone, Debug, Default)]
+struct Memory {
+    /// Bytes of one front end's control without configuration, and of the configuration with all functions.
+    control_bytes: f64,
+    configuration_bytes: f64,
+    /// Front ends that claim a revision whose changes their calls don't see.
+    false_claims: usize,
+}
+
+/// Plays the plan and tells its rows.
+pub fn run(plan: &Plan) -> Vec<Row> {
+    let (mut findings, mut memory) = (Findings::default(), Memory::default());
+    let played = play(plan, &mut findings, &mut memory);
+    if let Err(why) = &played {
+        eprintln!("config: the run ended early: {why}");
+        findings.missing.push(why.to_string());
+    }
+    rows::rows(plan, &findings, &memory)
+}
+
+fn play(plan: &Plan, findings: &mut Findings, memory: &mut Memory) -> Result<(), RunError> {
+    memory.configuration_bytes = configuration_bytes(plan)?;
+    let mut store = StoreProcess::start()?;
+    store.run(&Command::PutExecutors { count: plan.executors })?;
+    store.run(&Command::PutConfiguration { functions: plan.functions_held })?;
+    let by_region = store.addresses()?;
+    let tasks = Rc::new(LocalExecutor::new());
+    let work = async {
+        let snapshot = read_snapshot(&by_region[0], &tasks, plan.start_patience_s).await?;
+        eprintln!("config: {} front ends start with {} functions", plan.front_ends, plan.functions_held);
+        let heap = clock::heap_bytes();
+        let front_ends =
+            FrontEnds::start(plan.front_ends, by_region.clone(), snapshot, plan.seed, &tasks).await?;
+        front_ends.until_ready(plan.start_patience_s).await?;
+        let each = (clock::heap_bytes() - heap) / plan.front_ends as f64;
+        let held = memory.configuration_bytes * plan.functions_held as f64 / plan.functions as f64;
+        memory.control_bytes = (each - held).max(0.0);
+        let client = Client::new(by_region[0].clone(), tasks.clone());
+        let writer = ChangeWriter::new(client, plan.patience_s);
+        let mut run = Run::new(plan, &mut store, front_ends, writer);
+        let played = run.play(findings).await;
+        memory.false_claims = false_claims(&run.front_ends);
+        played
+    };
+    async_io::block_on(tasks.run(work))
+}
+
+/// The memory of one front end's configuration with all functions of the design.
+fn configuration_bytes(plan: &Plan) -> Result<f64, RunError> {
+    let mut store = StoreProcess::start()?;
+    store.run(&Command::PutConfiguration { functions: plan.functions })?;
+    let endpoints = store.addresses()?.swap_remove(0);
+    let tasks = Rc::new(LocalExecutor::new());
+    let work = async {
+        let snapshot = read_snapshot(&endpoints, &tasks, plan.start_patience_s).await?;
+        let heap = clock::heap_bytes();
+        let front_end = FrontEnds::configuration_only(&endpoints, snapshot, &tasks)?;
+        let bytes = clock::heap_bytes() - heap;
+        drop(front_end);
+        Ok(bytes)
+    };
+    async_io::block_on(tasks.run(work))
+}
+
+/// Front ends that report a revision and whose calls don't see what was changed at it.
+fn false_claims(front_ends: &FrontEnds) -> usize {
+    let tracker = front_ends.tracker.borrow();
+    let claims =
+        |missing: &Missing| front_ends.host(missing.front_end).claimed_revision() >= missing.revision;
+    let mut liars: Vec<usize> =
+        tracker.missing(usize::MAX).iter().filter(|m| claims(m)).map(|m| m.front_end).collect();
+    liars.sort_unstable();
+    liars.dedup();
+    liars.len()
 }
--- /dev/null
+++ b/crates/scale/src/config/phases.rs
@@ -0,0 +1,339 @@
+//! The parts of a configuration run, one after the other.
+
+use super::entries::{self, Function};
+use super::front_ends::{FrontEnds, RunError};
+use super::plan::Plan;
+use super::writer::ChangeWriter;
+use crate::clock;
+use crate::hollow::config_host::Misbehaviour;
+use crate::hollow::control::Bytes;
+use crate::size::Injection;
+use crate::store::{Command, StoreProcess, Usage, region_of};
+use async_io::Timer;
+use orchidtally_config_sync::writer::EntryChange;
+use std::time::{Duration, Instant};
+
+/// The region that is cut off: the one with a single member.
+const CUT_REGION: u32 = 2;
+/// The front end that an injection plants its fault at.
+const FAULTY: usize = 1;
+/// The delay of each answer of a slow store, in seconds: above the limit itself.
+const SLOW_STORE_DELAY: f64 = 20.0;
+/// Between looks at what calls would be admitted, in seconds.
+const ADMISSION_LOOK: f64 = 0.25;
+/// How long front ends are kept from the store while it is compacted, in seconds.
+const PAUSE_S: f64 = 2.0;
+/// Over so long the bytes of reads are averaged, in seconds.
+pub const READ_WINDOW_S: f64 = 5.0;
+
+/// What one front end and the store spent in some seconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spent {
+    /// Of one front end, in cores.
+    pub cpu_share: f64,
+    /// Both ways, of one front end.
+    pub bytes_per_s: f64,
+    /// Of one member of the store, in cores.
+    pub store_cpu_share: f64,
+}
+
+/// What a run found. Times that stayed `None` were waited for in vain, or their part was not played.
+#[derive(Clone, Debug, Default)]
+pub struct Findings {
+    pub idle: Spent,
+    pub daily: Spent,
+    pub daily_in_force_s: Option<f64>,
+    pub burst_in_force_s: Option<f64>,
+    pub member_failure_in_force_s: Option<f64>,
+    pub cut_in_force_s: Option<f64>,
+    pub cut_heal_s: Option<f64>,
+    pub compaction_heal_s: Option<f64>,
+    pub return_heal_s: Option<f64>,
+    /// Until when after the write a call was admitted somewhere that the change forbids.
+    pub revoked_used_s: Option<f64>,
+    /// Highest mean bytes a second that any front end read while it caught up.
+    pub read_bytes_per_s: f64,
+    pub scans: u64,
+    pub store_heap_bytes: f64,
+    /// What was missing where when a part gave up.
+    pub missing: Vec<String>,
+}
+
+/// The run as it goes on.
+pub struct Run<'a> {
+    pub plan: &'a Plan,
+    pub store: &'a mut StoreProcess,
+    pub front_ends: FrontEnds,
+    pub writer: ChangeWriter,
+    next_function: usize,
+    version: u64,
+}
+
+impl<'a> Run<'a> {
+    pub fn new(
+        plan: &'a Plan,
+        store: &'a mut StoreProcess,
+        front_ends: FrontEnds,
+        writer: ChangeWriter,
+    ) -> Run<'a> {
+        Run { plan, store, front_ends, writer, next_function: 0, version: 0 }
+    }
+
+    /// Plays all parts, or those until one in which changes did not come into force.
+    pub async fn play(&mut self, findings: &mut Findings) -> Result<(), RunError> {
+        self.plant()?;
+        findings.idle = self.spend_idle().await?;
+        findings.daily_in_force_s = self.daily(findings).await?;
+        if self.stops(findings.daily_in_force_s, "single changes", findings) {
+            return Ok(());
+        }
+        findings.burst_in_force_s = self.burst().await?;
+        if self.stops(findings.burst_in_force_s, "a burst", findings) {
+            return Ok(());
+        }
+        findings.member_failure_in_force_s = self.lose_members().await?;
+        if self.stops(findings.member_failure_in_force_s, "two members lost", findings) {
+            return Ok(());
+        }
+        self.cut_region(findings).await?;
+        if self.stops(findings.cut_heal_s, "a region cut off and healed", findings) {
+            return Ok(());
+        }
+        findings.compaction_heal_s = self.compact(findings).await?;
+        if self.stops(findings.compaction_heal_s, "a compaction past all watches", findings) {
+            return Ok(());
+        }
+        findings.return_heal_s = self.come_back(findings).await?;
+        self.stops(findings.return_heal_s, "front ends back at once", findings);
+        findings.scans = self.front_ends.scans();
+        findings.store_heap_bytes = self.store.usage()?.heap_bytes;
+        Ok(())
+    }
+
+    fn plant(&mut self) -> Result<(), RunError> {
+        let faulty = self.front_ends.host(FAULTY % self.front_ends.count());
+        match self.plan.injection {
+            None => {}
+            Some(Injection::LostChange) => faulty.misbehaviour.set(Misbehaviour::LosesNextBatch),
+            Some(Injection::StaleView) => faulty.misbehaviour.set(Misbehaviour::KeepsOldView),
+            Some(Injection::SlowStore) => self.store.run(&Command::Delay { seconds: SLOW_STORE_DELAY })?,
+        }
+        Ok(())
+    }
+
+    /// Tells of a part on standard error, and whether the run ends with it.
+    fn stops(&self, took: Option<f64>, part: &str, findings: &mut Findings) -> bool {
+        match took {
+            Some(took) => {
+                eprintln!("config: {part}: in force after {took:.2} s");
+                false
+            }
+            None => {
+                let tracker = self.front_ends.tracker.borrow();
+                let missing = tracker.missing(3);
+                let count = tracker.missing_front_ends();
+                let names: Vec<String> = missing
+                    .iter()
+                    .map(|m| format!("front end {} lacks {} of revision {}", m.front_end, m.key, m.revision))
+                    .collect();
+                let text = format!("{part}: {count} front ends lack changes: {}", names.join(", "));
+                eprintln!("config: {text}");
+                findings.missing.push(text);
+                true
+            }
+        }
+    }
+
+    async fn sleep(&self, seconds: f64) {
+        Timer::after(Duration::from_secs_f64(seconds)).await;
+    }
+
+    /// Writes a change of each of the next functions in one transaction, and tracks it.
+    async fn change(&mut self, count: usize) -> Result<(), RunError> {
+        self.version += 1;
+        let version = self.version;
+        let functions = self.plan.functions_held;
+        let changes: Vec<EntryChange> = (0..count.min(functions))
+            .map(|n| EntryChange {
+                key: entries::function_key((self.next_function + n) % functions),
+                document: Some(Function::version(version).document()),
+            })
+            .collect();
+        self.next_function = (self.next_function + count) % functions;
+        self.write(&changes).await
+    }
+
+    async fn write(&mut self, changes: &[EntryChange]) -> Result<(), RunError> {
+        let began = Instant::now();
+        let revision = self.writer.write(changes).await?;
+        let mut tracker = self.front_ends.tracker.borrow_mut();
+        for change in changes {
+            let Some(document) = &change.document else { continue };
+            tracker.written(change.key.as_str(), document, revision, began);
+        }
+        // Some may have had it before the writer had its answer.
+        self.front_ends.hosts().for_each(|host| tracker.applied(host.number(), &host.view()));
+        Ok(())
+    }
+
+    /// Waits for all changes at all front ends; the slowest front end's time from before the write.
+    async fn slowest(&self) -> Option<f64> {
+        self.front_ends.until_in_force(self.plan.patience_s, |_| true).await?;
+        Some(self.front_ends.tracker.borrow_mut().take_slowest())
+    }
+
+    async fn spend_idle(&mut self) -> Result<Spent, RunError> {
+        let meter = Meter::start(self)?;
+        self.sleep(self.plan.idle_s).await;
+        meter.stop(self)
+    }
+
+    async fn daily(&mut self, findings: &mut Findings) -> Result<Option<f64>, RunError> {
+        let meter = Meter::start(self)?;
+        let count = (self.plan.daily_s * self.plan.daily_rate).ceil() as usize;
+        for _ in 0..count {
+            self.change(1).await?;
+            self.sleep(1.0 / self.plan.daily_rate).await;
+        }
+        findings.daily = meter.stop(self)?;
+        Ok(self.slowest().await)
+    }
+
+    async fn burst(&mut self) -> Result<Option<f64>, RunError> {
+        let began = Instant::now();
+        let mut left = self.plan.burst;
+        while left > 0 {
+            let count = left.min(self.plan.burst_transaction);
+            self.change(count).await?;
+            left -= count;
+        }
+        let took = began.elapsed().as_secs_f64();
+        eprintln!("config: {} changes written within {took:.2} s", self.plan.burst);
+        Ok(self.slowest().await)
+    }
+
+    /// Two members stop in the middle of a change; the writer tries again until it stands.
+    async fn lose_members(&mut self) -> Result<Option<f64>, RunError> {
+        self.store.run(&Command::CrashInNextTransaction { members: 2, committed: false })?;
+        self.change(1).await?;
+        let slowest = self.slowest().await;
+        for member in 0..crate::store::MEMBER_REGIONS.len() {
+            self.store.run(&Command::RestartMember { member })?;
+        }
+        Ok(slowest)
+    }
+
+    /// A region is cut off while a permission is taken away and other changes are written; then it heals.
+    async fn cut_region(&mut self, findings: &mut Findings) -> Result<(), RunError> {
+        let number = self.next_function;
+        let key = entries::function_key(number);
+        let guarded = Function { refused_when_stale: true, ..Function::version(self.version) };
+        self.write(&[EntryChange { key: key.clone(), document: Some(guarded.document()) }]).await?;
+        if self.slowest().await.is_none() {
+            return Ok(());
+        }
+        self.next_function = (number + 1) % self.plan.functions_held;
+        self.store.run(&Command::CutRegion { region: CUT_REGION })?;
+        let revoked = Function { allowed: false, ..guarded };
+        let written_at = Instant::now();
+        self.write(&[EntryChange { key: key.clone(), document: Some(revoked.document()) }]).await?;
+        self.change(1).await?;
+        let mut used = 0.0_f64;
+        while written_at.elapsed().as_secs_f64() < self.plan.cut_s {
+            self.sleep(ADMISSION_LOOK).await;
+            if self.front_ends.hosts().any(|host| host.admits(key.as_str())) {
+                used = written_at.elapsed().as_secs_f64();
+            }
+        }
+        findings.revoked_used_s = Some(used);
+        let reachable = |front_end| region_of(front_end) != CUT_REGION;
+        if self.front_ends.tracker.borrow().is_in_force(reachable) {
+            findings.cut_in_force_s = Some(self.front_ends.tracker.borrow_mut().take_slowest());
+        }
+        self.store.run(&Command::Heal)?;
+        let (healed, peak) = self.catch_up().await;
+        findings.read_bytes_per_s = findings.read_bytes_per_s.max(peak);
+        findings.cut_heal_s = healed;
+        self.front_ends.tracker.borrow_mut().take_slowest();
+        Ok(())
+    }
+
+    /// All front ends lose the store while changes are written and the history is dropped.
+    async fn compact(&mut self, findings: &mut Findings) -> Result<Option<f64>, RunError> {
+        self.front_ends.hosts().for_each(|host| host.is_paused.set(true));
+        self.sleep(PAUSE_S).await;
+        self.change(5.min(self.plan.functions_held)).await?;
+        self.store.run(&Command::Compact)?;
+        self.front_ends.hosts().for_each(|host| host.is_paused.set(false));
+        let (healed, peak) = self.catch_up().await;
+        findings.read_bytes_per_s = findings.read_bytes_per_s.max(peak);
+        self.front_ends.tracker.borrow_mut().take_slowest();
+        Ok(healed)
+    }
+
+    /// Many front ends start anew from their old snapshots at once, whose history is compacted away.
+    async fn come_back(&mut self, findings: &mut Findings) -> Result<Option<f64>, RunError> {
+        for number in 0..self.plan.returning {
+            self.front_ends.restart(number)?;
+        }
+        let (healed, peak) = self.catch_up().await;
+        findings.read_bytes_per_s = findings.read_bytes_per_s.max(peak);
+        Ok(healed)
+    }
+
+    /// Waits until all front ends have all changes: the seconds that it took, and the highest mean bytes a second that
+    /// any front end received meanwhile.
+    async fn catch_up(&self) -> (Option<f64>, f64) {
+        let began = Instant::now();
+        let mut peak = 0.0_f64;
+        let mut before = self.front_ends.received_for_configuration();
+        loop {
+            let window = Instant::now();
+            let waited = self.front_ends.until_in_force(READ_WINDOW_S, |_| true).await;
+            // What was not read for a whole window is averaged over one all the same.
+            let seconds = window.elapsed().as_secs_f64().max(READ_WINDOW_S);
+            let received = self.front_ends.received_for_configuration();
+            let highest = received.iter().zip(&before).map(|(now, then)| now.saturating_sub(*then)).max();
+            peak = peak.max(highest.unwrap_or(0) as f64 / seconds);
+            before = received;
+            let took = began.elapsed().as_secs_f64();
+            if waited.is_some() {
+                return (Some(took), peak);
+            }
+            if took > self.plan.patience_s {
+                return (None, peak);
+            }
+        }
+    }
+}
+
+/// Measures what is spent from its start to its stop.
+struct Meter {
+    began: Instant,
+    cpu_s: f64,
+    bytes: Bytes,
+    store: Usage,
+}
+
+impl Meter {
+    fn start(run: &mut Run) -> Result<Meter, RunError> {
+        let store = run.store.usage()?;
+        let bytes = run.front_ends.bytes();
+        Ok(Meter { began: Instant::now(), cpu_s: clock::process_cpu_s(), bytes, store })
+    }
+
+    fn stop(self, run: &mut Run) -> Result<Spent, RunError> {
+        let cpu_s = clock::process_cpu_s() - self.cpu_s;
+        let seconds = self.began.elapsed().as_secs_f64();
+        let bytes = run.front_ends.bytes();
+        let store = run.store.usage()?;
+        let count = run.front_ends.count() as f64;
+        let both_ways = (bytes.sent - self.bytes.sent) + (bytes.received - self.bytes.received);
+        let members = store.members.len().max(1) as f64;
+        Ok(Spent {
+            cpu_share: cpu_s / seconds / count,
+            bytes_per_s: both_ways as f64 / seconds / count,
+            store_cpu_share: (store.cpu_s - self.store.cpu_s) / seconds / members,
+        })
+    }
+}
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -4,13 +4,17 @@
 //! are held, 1 one is missed, 2 bad arguments.
 
 use clap::{Parser, ValueEnum};
-use orchidtally_scale::report::Report;
+use orchidtally_scale::report::{self, Report};
 use orchidtally_scale::size::{Injection, Size};
 use orchidtally_scale::{config, fleet, slopes, store};
 use std::process::ExitCode;
 
 const BAD_ARGUMENTS: u8 = 2;
 const COULD_NOT_RUN: u8 = 3;
+/// The size of a short run at the most.
+const SHORT_FRONT_ENDS: u32 = 12;
+const SHORT_EXECUTORS: u32 = 36;
+const SHORT_FUNCTIONS: u32 = 300;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 enum Run {
@@ -61,10 +65,12 @@
 
 impl Arguments {
     fn size(&self) -> Size {
+        // A short run is a small one, and says so.
+        let most = |wanted: u32, short: u32| if self.short { wanted.min(short) } else { wanted };
         Size {
-            front_ends: self.front_ends as usize,
-            executors: self.executors as usize,
-            functions: self.functions as usize,
+            front_ends: most(self.front_ends, SHORT_FRONT_ENDS) as usize,
+            executors: most(self.executors, SHORT_EXECUTORS) as usize,
+            functions: most(self.functions, SHORT_FUNCTIONS) as usize,
             ..Size::default()
         }
     }
@@ -108,8 +114,9 @@
     }
     if arguments.runs(Run::Config) {
         eprintln!("config: {} front ends, {} functions", size.front_ends, size.functions);
-        let seconds = arguments.seconds_or(60.0, 3.0);
-        rows.extend(config::run(&size, arguments.seed, seconds, arguments.inject));
+        let mut plan = config::Plan::new(&size, arguments.seed, arguments.inject, arguments.short);
+        plan.daily_s = arguments.seconds.unwrap_or(plan.daily_s);
+        report::merge(&mut rows, config::run(&plan));
     }
     let report = Report::new(size, arguments.seed, arguments.inject, rows, fits);
     match serde_json::to_string(&report) {
--- a/crates/scale/src/report.rs
+++ b/crates/scale/src/report.rs
@@ -148,6 +148,16 @@
     }
 }
 
+/// Adds rows; one of the same name as a former row takes its place.
+pub fn merge(rows: &mut Vec<Row>, more: Vec<Row>) {
+    for row in more {
+        match rows.iter_mut().find(|known| known.name == row.name) {
+            Some(known) => *known = row,
+            None => rows.push(row),
+        }
+    }
+}
+
 /// A line through the figures of several sizes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Slope {
--- a/crates/scale/src/slopes/control.rs
+++ b/crates/scale/src/slopes/control.rs
@@ -5,7 +5,7 @@
 use crate::hollow::control::{Bytes, ControlFrontEnd};
 use crate::report::Slope;
 use crate::size::Size;
-use crate::store::{Command, MEMBER_REGIONS, StoreError, StoreProcess, Usage};
+use crate::store::{self, Command, MEMBER_REGIONS, StoreError, StoreProcess, Usage};
 use async_executor::{LocalExecutor, Task};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -67,18 +67,14 @@
 
 async fn start(
     setting: Setting,
-    store: &mut StoreProcess,
+    process: &mut StoreProcess,
     seed: u64,
     executor: &Rc<LocalExecutor<'static>>,
 ) -> Result<FrontEnds, StoreError> {
-    let by_region = store.addresses()?;
+    let by_region = process.addresses()?;
     let mut front_ends = FrontEnds { all: vec![], tasks: vec![] };
     for number in 0..setting.front_ends {
-        let mut endpoints = by_region[number % by_region.len()].clone();
-        // Front ends of a region share its members.
-        let region = (number % by_region.len()) as u32;
-        let own_members = MEMBER_REGIONS.iter().filter(|of| **of == region).count().max(1);
-        endpoints[..own_members].rotate_left(number / by_region.len() % own_members);
+        let endpoints = store::endpoints_of(number, &by_region);
         let front_end = ControlFrontEnd::new(&endpoints, setting.front_ends, seed + number as u64, executor);
         front_ends.tasks.extend(front_end.start(executor));
         front_ends.all.push(front_end);
--- a/crates/scale/src/store/command.rs
+++ b/crates/scale/src/store/command.rs
@@ -15,8 +15,8 @@
     PutExecutors { count: usize },
     /// Changes the standing of so many executors, from this one on, each in a transaction of its own.
     ChangeExecutors { from: usize, count: usize },
-    /// Puts some keys in without a lease, as a script and not as a client.
-    Put { entries: Vec<(String, String)> },
+    /// Puts in the configuration of so many functions, with its digests and generation.
+    PutConfiguration { functions: usize },
     /// Stops a member at once.
     StopMember { member: usize },
     /// Starts it again.
--- a/crates/scale/src/store/serve.rs
+++ b/crates/scale/src/store/serve.rs
@@ -3,6 +3,7 @@
 use super::command::{Answer, Command, MemberUsage, Usage};
 use super::{MEMBER_REGIONS, PREFIX};
 use crate::clock;
+use crate::config::entries;
 use orchidtally_etcd::rpc::{CompactionRequest, PutRequest};
 use orchidtally_standin::Stage;
 use orchidtally_standin::etcd::{CrashPoint, Served};
@@ -51,10 +52,10 @@
         Command::Addresses => return Answer::Addresses { by_region: addresses(served) },
         Command::Usage => return Answer::Usage(usage_of(served)),
         Command::PutExecutors { count } => {
-            return put(served, (0..*count).map(|n| (executor_key(n), executor_value(n, true))));
+            return put(served, (0..*count).map(|n| executor_entry(n, true)));
         }
         Command::ChangeExecutors { from, count } => return change_executors(served, *from, *count),
-        Command::Put { entries } => return put(served, entries.iter().cloned()),
+        Command::PutConfiguration { functions } => return put(served, entries::all(*functions)),
         Command::StopMember { member } => served.stop(*member),
         Command::RestartMember { member } => served.restart(*member),
         Command::CrashInNextTransaction { members, committed } => {
@@ -98,7 +99,7 @@
     }
 }
 
-fn put(served: &Served, entries: impl Iterator<Item = (String, String)>) -> Answer {
+fn put(served: &Served, entries: impl IntoIterator<Item = (Vec<u8>, Vec<u8>)>) -> Answer {
     for (key, value) in entries {
         let request = PutRequest { key: key.into(), value: value.into(), ..PutRequest::default() };
         if let Err(status) = served.store.borrow_mut().put(&request) {
@@ -111,7 +112,7 @@
 fn change_executors(served: &Served, from: usize, count: usize) -> Answer {
     // One that drains is ready after its next change.
     let is_ready = served.store.borrow().revision % 2 == 0;
-    put(served, (from..from + count).map(|n| (executor_key(n), executor_value(n, is_ready))))
+    put(served, (from..from + count).map(|n| executor_entry(n, is_ready)))
 }
 
 fn compact(served: &Served) -> Answer {
@@ -123,17 +124,13 @@
     }
 }
 
-/// An executor's entry has the address as its key, as `docs/operate/etcd.md` says.
-fn executor_key(number: usize) -> String {
+/// An executor's key and value, as `docs/operate/etcd.md` says.
+fn executor_entry(number: usize, is_ready: bool) -> (Vec<u8>, Vec<u8>) {
     let address = std::net::Ipv4Addr::from(0x0a00_0000 + number as u32);
-    format!("{PREFIX}executors/{address}:7000")
-}
-
-fn executor_value(number: usize, is_ready: bool) -> String {
     let standing = if is_ready { "ready" } else { "draining" };
-    serde_json::json!({
+    let value = serde_json::json!({
         "location": format!("zone-{}", number % 8), "kind": "standard", "cell": number % 64,
         "standing": standing, "weight": 1.0, "since": 1_790_000_000.0 + number as f64,
-    })
-    .to_string()
+    });
+    (format!("{PREFIX}executors/{address}:7000").into_bytes(), value.to_string().into_bytes())
 }
