--- a/crates/scale/src/config/mod.rs
+++ b/crates/scale/src/config/mod.rs
@@ -17,10 +17,9 @@
 use crate::store::{Command, StoreProcess};
 use async_executor::LocalExecutor;
 use front_ends::{FrontEnds, RunError, read_snapshot};
-use orchidtally_etcd::Client;
 use phases::{Findings, Run};
 use std::rc::Rc;
-use writer::ChangeWriter;
+use writer::WriterThread;
 
 /// What a run measured besides its [`Findings`].
 #[derive(Clone, Debug, Default)]
@@ -60,8 +59,7 @@
         let each = (clock::heap_bytes() - heap) / plan.front_ends as f64;
         let held = memory.configuration_bytes * plan.functions_held as f64 / plan.functions as f64;
         memory.control_bytes = (each - held).max(0.0);
-        let client = Client::new(by_region[0].clone(), tasks.clone());
-        let writer = ChangeWriter::new(client, plan.patience_s);
+        let writer = WriterThread::start(by_region[0].clone(), plan.patience_s);
         let mut run = Run::new(plan, &mut store, front_ends, writer);
         let played = run.play(findings).await;
         memory.false_claims = false_claims(&run.front_ends);
--- a/crates/scale/src/config/phases.rs
+++ b/crates/scale/src/config/phases.rs
@@ -3,7 +3,7 @@
 use super::entries::{self, Function};
 use super::front_ends::{FrontEnds, RunError};
 use super::plan::Plan;
-use super::writer::ChangeWriter;
+use super::writer::{WriterThread, Written};
 use crate::clock;
 use crate::hollow::config_host::Misbehaviour;
 use crate::hollow::control::Bytes;
@@ -43,6 +43,8 @@
     pub idle: Spent,
     pub daily: Spent,
     pub daily_in_force_s: Option<f64>,
+    /// How long the writer took for the burst.
+    pub burst_write_s: f64,
     pub burst_in_force_s: Option<f64>,
     pub member_failure_in_force_s: Option<f64>,
     pub cut_in_force_s: Option<f64>,
@@ -64,7 +66,7 @@
     pub plan: &'a Plan,
     pub store: &'a mut StoreProcess,
     pub front_ends: FrontEnds,
-    pub writer: ChangeWriter,
+    pub writer: WriterThread,
     next_function: usize,
     version: u64,
 }
@@ -74,7 +76,7 @@
         plan: &'a Plan,
         store: &'a mut StoreProcess,
         front_ends: FrontEnds,
-        writer: ChangeWriter,
+        writer: WriterThread,
     ) -> Run<'a> {
         Run { plan, store, front_ends, writer, next_function: 0, version: 0 }
     }
@@ -87,7 +89,7 @@
         if self.stops(findings.daily_in_force_s, "single changes", findings) {
             return Ok(());
         }
-        findings.burst_in_force_s = self.burst().await?;
+        findings.burst_in_force_s = self.burst(findings).await?;
         if self.stops(findings.burst_in_force_s, "a burst", findings) {
             return Ok(());
         }
@@ -148,32 +150,42 @@
         Timer::after(Duration::from_secs_f64(seconds)).await;
     }
 
+    /// Changes of the next functions.
+    fn next_changes(&mut self, count: usize) -> Vec<EntryChange> {
+        self.version += 1;
+        let (version, functions) = (self.version, self.plan.functions_held);
+        let first = self.next_function;
+        self.next_function = (first + count) % functions;
+        let change = |n| EntryChange {
+            key: entries::function_key((first + n) % functions),
+            document: Some(Function::version(version).document()),
+        };
+        (0..count.min(functions)).map(change).collect()
+    }
+
     /// Writes a change of each of the next functions in one transaction, and tracks it.
     async fn change(&mut self, count: usize) -> Result<(), RunError> {
-        self.version += 1;
-        let version = self.version;
-        let functions = self.plan.functions_held;
-        let changes: Vec<EntryChange> = (0..count.min(functions))
-            .map(|n| EntryChange {
-                key: entries::function_key((self.next_function + n) % functions),
-                document: Some(Function::version(version).document()),
-            })
-            .collect();
-        self.next_function = (self.next_function + count) % functions;
-        self.write(&changes).await
+        let changes = self.next_changes(count);
+        self.write(changes).await
     }
 
-    async fn write(&mut self, changes: &[EntryChange]) -> Result<(), RunError> {
-        let began = Instant::now();
-        let revision = self.writer.write(changes).await?;
+    async fn write(&mut self, changes: Vec<EntryChange>) -> Result<(), RunError> {
+        let written = self.writer.submit(changes.clone()).await?.written().await?;
+        self.track(&changes, written);
+        Ok(())
+    }
+
+    fn track(&self, changes: &[EntryChange], written: Written) {
         let mut tracker = self.front_ends.tracker.borrow_mut();
+        let mut first = None;
         for change in changes {
             let Some(document) = &change.document else { continue };
-            tracker.written(change.key.as_str(), document, revision, began);
+            let number = tracker.written(change.key.as_str(), document, written.revision, written.began);
+            first.get_or_insert(number);
         }
         // Some may have had it before the writer had its answer.
-        self.front_ends.hosts().for_each(|host| tracker.applied(host.number(), &host.view()));
-        Ok(())
+        let first = first.unwrap_or(0);
+        self.front_ends.hosts().for_each(|host| tracker.applied_since(first, host.number(), &host.view()));
     }
 
     /// Waits for all changes at all front ends; the slowest front end's time from before the write.
@@ -199,16 +211,26 @@
         Ok(self.slowest().await)
     }
 
-    async fn burst(&mut self) -> Result<Option<f64>, RunError> {
+    /// Many changes, as a release makes them, as fast as the store takes them.
+    async fn burst(&mut self, findings: &mut Findings) -> Result<Option<f64>, RunError> {
         let began = Instant::now();
-        let mut left = self.plan.burst;
-        while left > 0 {
-            let count = left.min(self.plan.burst_transaction);
-            self.change(count).await?;
-            left -= count;
+        let per_transaction = self.plan.burst_transaction;
+        let transactions = self.plan.burst.div_ceil(per_transaction);
+        let batches: Vec<Vec<EntryChange>> =
+            (0..transactions).map(|_| self.next_changes(per_transaction)).collect();
+        let mut pending = vec![];
+        for batch in &batches {
+            pending.push(self.writer.submit(batch.clone()).await?);
+        }
+        let mut last = began;
+        for (batch, write) in batches.iter().zip(pending) {
+            let written = write.written().await?;
+            last = last.max(written.answered);
+            self.track(batch, written);
         }
-        let took = began.elapsed().as_secs_f64();
+        let took = last.duration_since(began).as_secs_f64();
         eprintln!("config: {} changes written within {took:.2} s", self.plan.burst);
+        findings.burst_write_s = took;
         Ok(self.slowest().await)
     }
 
@@ -228,7 +250,7 @@
         let number = self.next_function;
         let key = entries::function_key(number);
         let guarded = Function { refused_when_stale: true, ..Function::version(self.version) };
-        self.write(&[EntryChange { key: key.clone(), document: Some(guarded.document()) }]).await?;
+        self.write(vec![EntryChange { key: key.clone(), document: Some(guarded.document()) }]).await?;
         if self.slowest().await.is_none() {
             return Ok(());
         }
@@ -236,7 +258,7 @@
         self.store.run(&Command::CutRegion { region: CUT_REGION })?;
         let revoked = Function { allowed: false, ..guarded };
         let written_at = Instant::now();
-        self.write(&[EntryChange { key: key.clone(), document: Some(revoked.document()) }]).await?;
+        self.write(vec![EntryChange { key: key.clone(), document: Some(revoked.document()) }]).await?;
         self.change(1).await?;
         let mut used = 0.0_f64;
         while written_at.elapsed().as_secs_f64() < self.plan.cut_s {
--- a/crates/scale/src/config/rows.rs
+++ b/crates/scale/src/config/rows.rs
@@ -46,13 +46,14 @@
     };
     let note = format!(
         "{} hollow front ends with {} functions over loopback sockets, by what calls see: {} single changes {}, {} \
-         changes in a burst {}, two of five members stopped in the middle of a change {}, at reachable front ends \
+         changes written within {:.2} s {}, two of five members stopped in the middle of a change {}, at reachable front ends \
          while a region is cut off for {} s {}{missing}",
         plan.front_ends,
         plan.functions_held,
         (plan.daily_s * plan.daily_rate).ceil(),
         seconds(findings.daily_in_force_s),
         plan.burst,
+        findings.burst_write_s,
         seconds(findings.burst_in_force_s),
         seconds(findings.member_failure_in_force_s),
         plan.cut_s,
--- a/crates/scale/src/config/tracker.rs
+++ b/crates/scale/src/config/tracker.rs
@@ -70,10 +70,17 @@
         number
     }
 
-    /// A front end's calls see this view now. Tells nothing of changes that it does not hold.
+    /// A front end's calls see this view now.
     pub fn applied(&mut self, front_end: usize, view: &View<GatewayEntry>) {
+        self.applied_since(0, front_end, view);
+    }
+
+    /// The same for changes from this number on.
+    pub fn applied_since(&mut self, first: u64, front_end: usize, view: &View<GatewayEntry>) {
         let mut finished = vec![];
-        for (&number, change) in self.open.iter_mut().filter(|(_, change)| change.missing[front_end]) {
+        let revision = view.revision();
+        let is_due = |change: &Change| change.missing[front_end] && change.revision <= revision;
+        for (&number, change) in self.open.range_mut(first..).filter(|(_, change)| is_due(change)) {
             let known = view.get(&change.key);
             if known.is_none_or(|record| record.document[..] != change.document[..]) {
                 continue;
--- a/crates/scale/src/config/writer.rs
+++ b/crates/scale/src/config/writer.rs
@@ -1,6 +1,7 @@
 //! The writer of changes: the core's transactions over the true client.
 
 use super::entries;
+use async_executor::LocalExecutor;
 use orchidtally_config_sync::writer::{
     self, DEFAULT_MAX_OPERATIONS, EntryChange, ModRevisionGuard, Operation, ReadValue, ReadValues,
     Transaction, WriteError,
@@ -11,10 +12,14 @@
 use orchidtally_etcd::rpc::response_op::Response;
 use orchidtally_etcd::rpc::*;
 use orchidtally_etcd::{Client, Fault, TXN};
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+/// Writes that wait for the writer at most; who asks for more waits.
+const MAX_JOBS: usize = 64;
 /// Between tries of a write, in seconds.
 const RETRY_DELAY: f64 = 0.1;
 
@@ -25,10 +30,71 @@
     Unplanned(#[from] WriteError),
     #[error("the store did not take the change within {seconds} s; the last try: {last}")]
     NotTaken { seconds: f64, last: String },
+    #[error("the writer's thread has ended; see its messages above")]
+    NoWriter,
+}
+
+/// Changes to write and where the answer goes.
+struct Job {
+    changes: Vec<EntryChange>,
+    answer: async_channel::Sender<Result<Written, ChangeError>>,
+}
+
+/// What the store answered to a write.
+#[derive(Clone, Copy, Debug)]
+pub struct Written {
+    pub revision: i64,
+    /// When the first try began.
+    pub began: Instant,
+    /// When the store had answered.
+    pub answered: Instant,
+}
+
+/// A writer on a thread of its own, as it is a process of its own beside front ends. It ends when this is dropped.
+pub struct WriterThread {
+    jobs: async_channel::Sender<Job>,
+}
+
+impl WriterThread {
+    /// Writes through these members; a write is given up after so many seconds.
+    pub fn start(endpoints: Vec<SocketAddr>, patience: f64) -> WriterThread {
+        let (jobs, taken) = async_channel::bounded::<Job>(MAX_JOBS);
+        std::thread::spawn(move || {
+            let tasks = Rc::new(LocalExecutor::new());
+            let writer = ChangeWriter::new(Client::new(endpoints, tasks.clone()), patience);
+            let work = async {
+                while let Ok(job) = taken.recv().await {
+                    // The run may have given up waiting.
+                    let _ = job.answer.send(writer.write(&job.changes).await).await;
+                }
+            };
+            async_io::block_on(tasks.run(work));
+        });
+        WriterThread { jobs }
+    }
+
+    /// Has some changes written in one transaction, after those that were asked for before.
+    pub async fn submit(&self, changes: Vec<EntryChange>) -> Result<PendingWrite, ChangeError> {
+        let (answer, answered) = async_channel::bounded(1);
+        self.jobs.send(Job { changes, answer }).await.map_err(|_| ChangeError::NoWriter)?;
+        Ok(PendingWrite { answered })
+    }
+}
+
+/// A write that was asked for.
+pub struct PendingWrite {
+    answered: async_channel::Receiver<Result<Written, ChangeError>>,
+}
+
+impl PendingWrite {
+    /// Waits until it is written.
+    pub async fn written(self) -> Result<Written, ChangeError> {
+        self.answered.recv().await.map_err(|_| ChangeError::NoWriter)?
+    }
 }
 
 /// Writes changes, again until the store has taken them.
-pub struct ChangeWriter {
+struct ChangeWriter {
     client: Client,
     keyspace: Keyspace,
     max_value_bytes: usize,
@@ -37,18 +103,18 @@
 }
 
 impl ChangeWriter {
-    pub fn new(client: Client, patience: f64) -> ChangeWriter {
+    fn new(client: Client, patience: f64) -> ChangeWriter {
         let max_value_bytes = entries::settings().max_value_bytes;
         ChangeWriter { client, keyspace: entries::keyspace(), max_value_bytes, patience }
     }
 
-    /// Writes some changes in one transaction and tells its revision.
-    pub async fn write(&self, changes: &[EntryChange]) -> Result<i64, ChangeError> {
+    /// Writes some changes in one transaction.
+    async fn write(&self, changes: &[EntryChange]) -> Result<Written, ChangeError> {
         let mut last = String::new();
         let began = Instant::now();
         while began.elapsed().as_secs_f64() < self.patience {
             match self.try_write(changes).await {
-                Ok(Ok(Some(revision))) => return Ok(revision),
+                Ok(Ok(Some(revision))) => return Ok(Written { revision, began, answered: Instant::now() }),
                 Ok(Ok(None)) => last = "another writer was faster".into(),
                 Ok(Err(unplanned)) => return Err(unplanned.into()),
                 Err(fault) => {
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -1,12 +1,14 @@
 //! `orchidtally-scale`: runs the scale tests and prints their report.
 //!
 //! Progress goes to standard error; the last line on standard output is the report as JSON. Exit codes: 0 all rows
-//! are held, 1 one is missed, 2 bad arguments.
+//! are held, 1 one is missed, 2 bad arguments, 3 could not run.
 
 use clap::{Parser, ValueEnum};
+use orchidtally_scale::parts::{Part, PartError};
 use orchidtally_scale::report::{self, Report};
 use orchidtally_scale::size::{Injection, Size};
-use orchidtally_scale::{config, fleet, slopes, store};
+use orchidtally_scale::{config, fleet, slopes, store, tables};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 const BAD_ARGUMENTS: u8 = 2;
@@ -15,6 +17,9 @@
 const SHORT_FRONT_ENDS: u32 = 12;
 const SHORT_EXECUTORS: u32 = 36;
 const SHORT_FUNCTIONS: u32 = 300;
+/// Simulated seconds of the fleet, in full and in short.
+const FLEET_SECONDS: f64 = 60.0;
+const SHORT_FLEET_SECONDS: f64 = 2.0;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 enum Run {
@@ -24,7 +29,7 @@
     Fleet,
     /// Distribution of configuration, through failures.
     Config,
-    /// All of them.
+    /// All of them, side by side.
     All,
     /// The control store of a run, as a process of its own.
     #[value(hide = true)]
@@ -44,7 +49,7 @@
     executors: u32,
     #[arg(long, default_value_t = 21_000, value_parser = clap::value_parser!(u32).range(1..=1_000_000))]
     functions: u32,
-    /// Simulated seconds of the fleet and real seconds of the configuration run; by default as long as fits.
+    /// Simulated seconds of the fleet and real seconds of single changes of configuration; by default as long as fits.
     #[arg(long, value_parser = seconds)]
     seconds: Option<f64>,
     /// Plants a fault that the run has to find.
@@ -53,6 +58,9 @@
     /// Few and small measurements: seconds in all, to check the program and not the design.
     #[arg(long)]
     short: bool,
+    /// Writes the tables of the report between their marks in this Markdown file.
+    #[arg(long, value_name = "FILE")]
+    tables: Option<PathBuf>,
 }
 
 fn seconds(text: &str) -> Result<f64, String> {
@@ -75,56 +83,94 @@
         }
     }
 
-    fn runs(&self, run: Run) -> bool {
-        self.run == run || self.run == Run::All
+    /// The arguments of a part of this run.
+    fn of_part(&self, part: &str) -> Vec<String> {
+        let mut arguments = vec![part.to_owned()];
+        let mut add = |name: &str, value: String| arguments.extend([format!("--{name}"), value]);
+        add("seed", self.seed.to_string());
+        add("front-ends", self.front_ends.to_string());
+        add("executors", self.executors.to_string());
+        add("functions", self.functions.to_string());
+        if let Some(seconds) = self.seconds {
+            add("seconds", seconds.to_string());
+        }
+        if let Some(value) = self.inject.filter(|_| part == "config").and_then(|i| i.to_possible_value()) {
+            add("inject", value.get_name().to_owned());
+        }
+        if self.short {
+            arguments.push("--short".into());
+        }
+        arguments
     }
+}
+
+fn run_slopes(arguments: &Arguments, size: Size) -> Report {
+    let found = slopes::run(&size, arguments.seed, arguments.short);
+    Report::new(size, arguments.seed, None, found.rows, found.slopes)
+}
+
+fn run_fleet(arguments: &Arguments, size: Size) -> Report {
+    let default = if arguments.short { SHORT_FLEET_SECONDS } else { FLEET_SECONDS };
+    let rows = fleet::run(&size, arguments.seed, arguments.seconds.unwrap_or(default));
+    Report::new(size, arguments.seed, None, rows, vec![])
+}
+
+fn run_config(arguments: &Arguments, size: Size) -> Report {
+    let mut plan = config::Plan::new(&size, arguments.seed, arguments.inject, arguments.short);
+    plan.daily_s = arguments.seconds.unwrap_or(plan.daily_s);
+    Report::new(size, arguments.seed, arguments.inject, config::run(&plan), vec![])
+}
 
-    /// How long a part plays: as asked, or its default.
-    fn seconds_or(&self, full: f64, short: f64) -> f64 {
-        self.seconds.unwrap_or(if self.short { short } else { full })
+/// Rows of configuration, which measure all of control together, take the place of those of the slopes.
+fn run_all(arguments: &Arguments, size: Size) -> Result<Report, PartError> {
+    let parts: Result<Vec<Part>, PartError> =
+        ["slopes", "fleet", "config"].iter().map(|part| Part::start(&arguments.of_part(part))).collect();
+    let reports: Vec<Result<Report, PartError>> = parts?.into_iter().map(Part::report).collect();
+    let (mut rows, mut fits) = (vec![], vec![]);
+    for report in reports {
+        let report = report?;
+        report::merge(&mut rows, report.rows);
+        fits.extend(report.slopes);
     }
+    Ok(Report::new(size, arguments.seed, arguments.inject, rows, fits))
+}
+
+/// An error message and the exit code for it.
+fn failed(why: &dyn std::fmt::Display) -> ExitCode {
+    eprintln!("error: {why}");
+    ExitCode::from(COULD_NOT_RUN)
 }
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    if arguments.inject.is_some() && !arguments.runs(Run::Config) {
+    if arguments.inject.is_some() && !matches!(arguments.run, Run::Config | Run::All) {
         eprintln!("error: --inject plants a fault of 'config': run that, or 'all'");
         return ExitCode::from(BAD_ARGUMENTS);
     }
-    if arguments.run == Run::Store {
-        return match store::serve(arguments.seed) {
-            Ok(()) => ExitCode::SUCCESS,
-            Err(why) => {
-                eprintln!("error: the store could not serve: {why}");
-                ExitCode::from(COULD_NOT_RUN)
-            }
-        };
-    }
     let size = arguments.size();
-    let (mut rows, mut fits) = (vec![], vec![]);
-    if arguments.runs(Run::Slopes) {
-        eprintln!("slopes: several sizes of each dimension");
-        let found = slopes::run(&size, arguments.seed, arguments.short);
-        rows.extend(found.rows);
-        fits.extend(found.slopes);
-    }
-    if arguments.runs(Run::Fleet) {
-        eprintln!("fleet: {} front ends, {} executors", size.front_ends, size.executors);
-        rows.extend(fleet::run(&size, arguments.seed, arguments.seconds_or(60.0, 2.0)));
-    }
-    if arguments.runs(Run::Config) {
-        eprintln!("config: {} front ends, {} functions", size.front_ends, size.functions);
-        let mut plan = config::Plan::new(&size, arguments.seed, arguments.inject, arguments.short);
-        plan.daily_s = arguments.seconds.unwrap_or(plan.daily_s);
-        report::merge(&mut rows, config::run(&plan));
+    let report = match arguments.run {
+        Run::Store => {
+            return match store::serve(arguments.seed) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(why) => failed(&format!("the store could not serve: {why}")),
+            };
+        }
+        Run::Slopes => run_slopes(&arguments, size),
+        Run::Fleet => run_fleet(&arguments, size),
+        Run::Config => run_config(&arguments, size),
+        Run::All => match run_all(&arguments, size) {
+            Ok(report) => report,
+            Err(why) => return failed(&why),
+        },
+    };
+    if let Some(file) = &arguments.tables
+        && let Err(why) = tables::write(file, &report)
+    {
+        return failed(&why);
     }
-    let report = Report::new(size, arguments.seed, arguments.inject, rows, fits);
     match serde_json::to_string(&report) {
         Ok(line) => println!("{line}"),
-        Err(why) => {
-            eprintln!("error: the report can't be written as JSON: {why}");
-            return ExitCode::from(COULD_NOT_RUN);
-        }
+        Err(why) => return failed(&format!("the report can't be written as JSON: {why}")),
     }
     ExitCode::from(report.exit_code())
 }
