--- a/crates/scale/src/fleet/assumptions.rs
+++ b/crates/scale/src/fleet/assumptions.rs
@@ -59,9 +59,9 @@
 pub const RESTARTS: usize = 48;
 
 /// Simulated time before the measurement, of which in the first part calls of popular functions are thinned: what
-/// has to be settled there is which copies of rare functions stand, and these are called less than once a minute.
-pub const WARM_UP_THINNED: f64 = 40.0;
-pub const WARM_UP: f64 = 52.0;
+/// has to settle there is which copies of rare functions stand, and these are called less than once a minute.
+pub const WARM_UP_THINNED: f64 = 50.0;
+pub const WARM_UP: f64 = 58.0;
 /// The functions that are thinned, by rank, and the part of their calls that is kept.
 pub const THINNED_RANKS: usize = 100;
-pub const THINNED_PART: f64 = 0.1;
+pub const THINNED_PART: f64 = 0.05;
--- a/crates/scale/src/fleet/measure.rs
+++ b/crates/scale/src/fleet/measure.rs
@@ -127,6 +127,8 @@
     pub all: Tally,
     /// Calls at the front ends of the region that is cut off, while it is.
     pub cut_off: Tally,
+    /// Of these the ones in its second half, when what the front ends know has settled.
+    pub cut_off_settled: Tally,
     /// Calls at all others meanwhile.
     pub not_cut_off: Tally,
     /// How often each call was begun, by its number.
@@ -161,6 +163,7 @@
             cut,
             all: Tally::default(),
             cut_off: Tally::default(),
+            cut_off_settled: Tally::default(),
             not_cut_off: Tally::default(),
             begun: vec![],
             ran_twice: 0,
@@ -189,16 +192,17 @@
     }
 
     fn tallies(&mut self, came: f64, region: u8) -> impl Iterator<Item = &mut Tally> {
-        let measured = self.window.contains(&came);
+        let is_measured = self.window.contains(&came);
         let cut = self.cut.as_ref().filter(|cut| cut.during.contains(&came));
-        let cut_off = cut.map(|cut| cut.region == region);
-        let all = Some(&mut self.all).filter(|_| measured);
-        let apart = match cut_off {
-            Some(true) => Some(&mut self.cut_off),
-            Some(false) => Some(&mut self.not_cut_off),
-            None => None,
-        };
-        all.into_iter().chain(apart)
+        let is_cut_off = cut.is_some_and(|cut| cut.region == region);
+        let is_settled = cut.is_some_and(|cut| came - cut.during.start >= cut.during.end - came);
+        let tallies = [
+            (is_measured, &mut self.all),
+            (is_cut_off, &mut self.cut_off),
+            (is_cut_off && is_settled, &mut self.cut_off_settled),
+            (cut.is_some() && !is_cut_off, &mut self.not_cut_off),
+        ];
+        tallies.into_iter().filter_map(|(counts, tally)| counts.then_some(tally))
     }
 
     /// A call has come; tells its number.
--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -25,15 +25,18 @@
 use crate::report::Row;
 use crate::size::Size;
 use assumptions::{NON_IDEMPOTENT_EVERY, WARM_UP, WARM_UP_THINNED};
-use std::sync::Mutex;
+use std::sync::{Mutex, OnceLock};
 use std::thread;
 use std::time::Instant;
 
-/// Runs that go side by side at the most: each takes a thread and about a gigabyte.
+/// Runs that go side by side at the most: each takes a thread and up to a gigabyte.
 const MOST_AT_ONCE: usize = 4;
 /// The second size has so many times the executors, each with as much less memory and as many fewer lanes.
 const MORE_EXECUTORS: usize = 3;
 
+/// The warm-up of short runs, in times of what is measured.
+const WARM_UP_BY_SECONDS: f64 = 8.0;
+
 /// Who decides at the front ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Policy {
@@ -76,24 +79,23 @@
     pub finding: Finding,
 }
 
-/// Plays the fleet at two numbers of executors through all scenarios, with `seconds` of simulated time measured in
-/// each, and tells its rows. The warm-up shrinks with a `seconds` below its own length.
+/// Plays the fleet at two numbers of executors through all scenarios, with `seconds` of simulated time measured in the
+/// calm, and tells its rows. Short ones have a short warm-up.
 pub fn run(size: &Size, seed: u64, seconds: f64) -> Vec<Row> {
-    let before = resident_bytes();
-    let played = play(plans(size, seed, seconds));
-    rows::of(&played, rows::memory_bound(before, size.front_ends))
+    let outcome = play(plans(size, seed, seconds));
+    rows::of(&outcome)
 }
 
 fn plans(size: &Size, seed: u64, seconds: f64) -> Vec<Plan> {
     let more = Size { executors: size.executors * MORE_EXECUTORS, ..size.clone() };
-    let warm_up = WARM_UP.min(4.0 * seconds);
+    let warm_up = WARM_UP.min(WARM_UP_BY_SECONDS * seconds);
     let plan = |size: &Size, scenario, policy| Plan {
         size: size.clone(),
         scenario,
         policy,
         warm_up_thinned: warm_up * WARM_UP_THINNED / WARM_UP,
         warm_up,
-        seconds,
+        seconds: seconds * scenario.length(),
         seed,
         fault: None,
     };
@@ -106,24 +108,45 @@
     plans
 }
 
-/// Plays each plan, some side by side, and tells of them in their order. Progress goes to standard error.
-pub fn play(plans: Vec<Plan>) -> Vec<Played> {
-    let most = thread::available_parallelism().map_or(1, |n| n.get().div_ceil(2)).min(MOST_AT_ONCE);
+/// What several runs found.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// In the order of their plans.
+    pub played: Vec<Played>,
+    /// Megabytes of memory that each front end takes at the most, taken when the first run ends and as many as go
+    /// side by side are still there.
+    pub memory_mb: Option<f64>,
+}
+
+/// Plays each plan, some side by side. Progress goes to standard error.
+pub fn play(plans: Vec<Plan>) -> Outcome {
+    let cores = thread::available_parallelism().map_or(1, |cores| cores.get());
+    let at_once = cores.min(MOST_AT_ONCE).min(plans.len());
+    let front_ends: usize = plans.iter().take(at_once).map(|plan| plan.size.front_ends).sum();
+    let before = resident_bytes();
     let waiting = Mutex::new(plans.into_iter().enumerate());
     let next = || waiting.lock().ok()?.next();
+    let first_memory = OnceLock::new();
     let worker = || {
         let mut played = vec![];
         while let Some((number, plan)) = next() {
-            played.push((number, play_one(plan)));
+            let one = play_one(plan);
+            first_memory.get_or_init(|| one.finding.resident_bytes);
+            played.push((number, one));
         }
         played
     };
     let mut played: Vec<(usize, Played)> = thread::scope(|scope| {
-        let workers: Vec<_> = (0..most).map(|_| scope.spawn(worker)).collect();
+        let workers: Vec<_> = (0..at_once).map(|_| scope.spawn(worker)).collect();
         workers.into_iter().flat_map(|worker| worker.join().expect("a run does not panic")).collect()
     });
     played.sort_by_key(|(number, _)| *number);
-    played.into_iter().map(|(_, played)| played).collect()
+    let added =
+        first_memory.into_inner().flatten().zip(before).map(|(after, before)| after.saturating_sub(before));
+    Outcome {
+        played: played.into_iter().map(|(_, played)| played).collect(),
+        memory_mb: added.map(|bytes| bytes as f64 / 1e6 / front_ends as f64),
+    }
 }
 
 fn play_one(plan: Plan) -> Played {
--- a/crates/scale/src/fleet/rows.rs
+++ b/crates/scale/src/fleet/rows.rs
@@ -1,8 +1,7 @@
 //! The figures of the runs beside their limits.
 
-use super::assumptions::{CLIENT_TIMEOUT, LOAD_TIME};
-use super::{Counts, Finding, Played, Policy, Scenario};
-use crate::clock::resident_bytes;
+use super::assumptions::LOAD_TIME;
+use super::{Counts, Finding, Outcome, Played, Policy, Scenario, Tally};
 use crate::report::{Basis, Role, Row};
 
 /// Given with the size: 99 in 100 cold starts within this time, and what control may take of a front end.
@@ -30,27 +29,21 @@
 const CUT_OFF_SERVED_SHARE: f64 = 0.99;
 
 /// The rows of all runs of the dispatch policy; the references are told on standard error alone.
-pub fn of(played: &[Played], memory_mb: Option<f64>) -> Vec<Row> {
-    let fewest = played.iter().map(|run| run.plan.size.executors).min();
+pub fn of(outcome: &Outcome) -> Vec<Row> {
+    let fewest = outcome.played.iter().map(|run| run.plan.size.executors).min();
     let mut rows = vec![];
-    for run in played.iter().filter(|run| run.plan.policy == Policy::Dispatcher) {
+    for run in outcome.played.iter().filter(|run| run.plan.policy == Policy::Dispatcher) {
         let executors = run.plan.size.executors;
         let suffix = if Some(executors) == fewest { String::new() } else { format!("_{executors}") };
         rows.extend(of_run(run, &suffix));
     }
     let note =
-        "resident memory that the runs added, over all front ends of all runs: at the most, with executors";
+        "resident memory of the first runs for each of their front ends, executors included: at the most";
     let row = Row::at_most("fleet_memory_mb", Role::FrontEnd, "MB", CONTROL_MEMORY_MB, note);
-    rows.push(memory_mb.map_or(row.clone(), |mb| row.with(mb, Basis::Measured)));
+    rows.push(row.with(outcome.memory_mb.unwrap_or(f64::NAN), Basis::Measured));
     rows
 }
 
-/// Megabytes that each front end takes at the most, from what the process has more than before.
-pub fn memory_bound(before: Option<u64>, front_ends: usize) -> Option<f64> {
-    let added = resident_bytes()?.saturating_sub(before?);
-    Some(added as f64 / 1e6 / front_ends as f64)
-}
-
 fn of_run(run: &Played, suffix: &str) -> Vec<Row> {
     let Finding { counts, decision_cpu_us, .. } = &run.finding;
     let scenario = run.plan.scenario;
@@ -66,22 +59,15 @@
         Scenario::Calm => {
             rows.extend(build.calm(counts));
             let limit_us = 1e6 * CONTROL_CPU_SHARE / run.plan.size.calls_per_front_end();
-            let note =
-                "processor time of engine and policy a call; limit: 4.8 % of a core at its calls a second";
+            let note = "processor time of engine and policy a call, while hundreds of engines share the caches \
+                        of a core: at the most; limit: 4.8 % of a core at its calls a second";
             rows.push(build.at_most("fleet_decision_cpu_us", "us", limit_us, *decision_cpu_us, note));
         }
         Scenario::RegionCut => {
-            let served = counts.cut_off.share(counts.cut_off.succeeded);
-            let note =
-                "calls at the region that is cut off, answered before the client timeout; limit assumed";
-            let row = Row::at_least(
-                &format!("region_cut_served_share{suffix}"),
-                Role::Region,
-                "share",
-                CUT_OFF_SERVED_SHARE,
-                &format!("{about}: {note} of {CLIENT_TIMEOUT} s"),
-            );
-            rows.push(row.with(served, Basis::Measured));
+            let note = "calls at the region that is cut off, served before the client timeout; limit assumed";
+            rows.push(build.cut_off("region_cut_served_share", &counts.cut_off, note));
+            let note = "the same in the second half of the cut, when what its front ends know has settled";
+            rows.push(build.cut_off("region_cut_settled_served_share", &counts.cut_off_settled, note));
         }
         Scenario::RackLost | Scenario::ZoneLost | Scenario::Restarts => {}
     }
@@ -113,6 +99,13 @@
         Row::at_least(&self.name(figure), Role::Fleet, unit, limit, &note).with(measured, Basis::Measured)
     }
 
+    fn cut_off(&self, figure: &str, tally: &Tally, note: &str) -> Row {
+        let name = format!("{figure}{}", self.suffix);
+        let note = format!("{}: {note}", self.about);
+        let served = tally.share(tally.succeeded);
+        Row::at_least(&name, Role::Region, "share", CUT_OFF_SERVED_SHARE, &note).with(served, Basis::Measured)
+    }
+
     fn for_each_scenario(&self, counts: &Counts) -> Vec<Row> {
         let (in_time, refused) = match self.scenario {
             Scenario::Calm => (IN_TIME_SHARE, REFUSED_SHARE),
--- a/crates/scale/src/fleet/scenario.rs
+++ b/crates/scale/src/fleet/scenario.rs
@@ -39,6 +39,15 @@
         }
     }
 
+    /// How many times as long as the calm run it is measured. Outages that end have to outlast the leases of
+    /// executors, and what comes after them has to be seen too.
+    pub fn length(self) -> f64 {
+        match self {
+            Scenario::Calm | Scenario::RackLost | Scenario::Restarts => 1.0,
+            Scenario::ZoneLost | Scenario::RegionCut => 2.5,
+        }
+    }
+
     /// When what is lost or cut off is so, within the measured window.
     pub fn outage(self, window: &Range<f64>) -> Range<f64> {
         let length = window.end - window.start;
@@ -46,8 +55,8 @@
         match self {
             Scenario::Calm | Scenario::Restarts => window.end..window.end,
             Scenario::RackLost => at(0.1)..f64::INFINITY,
-            Scenario::ZoneLost => at(0.1)..at(0.5),
-            Scenario::RegionCut => at(0.1)..at(0.8),
+            Scenario::ZoneLost => at(0.05)..at(0.65),
+            Scenario::RegionCut => at(0.05)..at(0.85),
         }
     }
 
--- a/crates/scale/src/fleet/simulation.rs
+++ b/crates/scale/src/fleet/simulation.rs
@@ -14,6 +14,7 @@
 use super::scenario::{Change, Down, Listed, Machine, Scenario, Step, cut_region};
 use super::topology::{Topology, executor_id, executor_number};
 use super::{Fault, Policy, is_idempotent};
+use crate::clock::resident_bytes;
 use crate::size::Size;
 use executor_events::Load;
 use orchidtally::interface::*;
@@ -91,7 +92,7 @@
     cpu: SampledCpu,
 }
 
-/// What a run found; the same for the same plan but for `decision_cpu_us`.
+/// What a run found; of which `counts` are the same for the same plan.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Finding {
     pub counts: Counts,
@@ -99,6 +100,8 @@
     pub decision_cpu_us: f64,
     /// Functions that the tables of a front end hold at the end, in the mean.
     pub functions_kept: f64,
+    /// Resident memory of the process at the end of the run.
+    pub resident_bytes: Option<u64>,
 }
 
 /// What is counted in a run.
@@ -107,6 +110,7 @@
     pub seconds: f64,
     pub all: Tally,
     pub cut_off: Tally,
+    pub cut_off_settled: Tally,
     pub not_cut_off: Tally,
     pub unanswered: u64,
     pub ran_twice: u64,
@@ -336,12 +340,13 @@
     }
 
     fn found(self) -> Finding {
+        let resident_bytes = resident_bytes();
         let Simulation { shared, cpu, executors, front_ends, .. } = self;
         let kept: usize = front_ends.iter().map(|f| f.engine.kept().functions).sum();
         let functions_kept = kept as f64 / front_ends.len() as f64;
         let copies = executors.iter().map(|executor| executor.copies.len() as u64).sum();
         let counts = Counts::of(shared.ledger, copies, shared.queue.entered());
-        Finding { counts, decision_cpu_us: cpu.us_a_call(), functions_kept }
+        Finding { counts, decision_cpu_us: cpu.us_a_call(), functions_kept, resident_bytes }
     }
 }
 
@@ -357,6 +362,7 @@
             seconds: ledger.length(),
             all: ledger.all,
             cut_off: ledger.cut_off,
+            cut_off_settled: ledger.cut_off_settled,
             not_cut_off: ledger.not_cut_off,
             unanswered: ledger.all.offered.abs_diff(ledger.all.answered()),
             ran_twice: ledger.ran_twice,
--- a/crates/scale/tests/fleet.rs
+++ b/crates/scale/tests/fleet.rs
@@ -59,6 +59,8 @@
     assert!(zone.all.front_end_lost > 0, "{zone:?}");
     let cut = counts(&plan(Scenario::RegionCut, None));
     assert!(cut.cut_off.offered > 2_000 && cut.not_cut_off.offered > cut.cut_off.offered, "{cut:?}");
+    let settled = cut.cut_off_settled.offered * 2;
+    assert!(settled.abs_diff(cut.cut_off.offered) * 10 < cut.cut_off.offered, "{cut:?}");
     let calm = counts(&plan(Scenario::Calm, None));
     assert_eq!((calm.cut_off.offered, calm.not_cut_off.offered), (0, 0));
     assert!(cut.all.errored + cut.all.throttled > calm.all.errored + calm.all.throttled, "{cut:?}, {calm:?}");
@@ -68,7 +70,8 @@
 fn the_same_seed_gives_the_same_counts_also_side_by_side() {
     let plans = [Scenario::Calm, Scenario::Restarts, Scenario::RegionCut].map(|s| plan(s, None));
     let side_by_side = play(plans.to_vec());
-    for (plan, played) in plans.iter().zip(&side_by_side) {
+    assert_eq!(side_by_side.played.len(), plans.len());
+    for (plan, played) in plans.iter().zip(&side_by_side.played) {
         assert_eq!(played.plan.scenario, plan.scenario);
         assert_eq!(text(&counts(plan)), text(&played.finding.counts));
     }
