--- a/crates/scale/src/config/front_ends.rs
+++ b/crates/scale/src/config/front_ends.rs
@@ -53,7 +53,8 @@
 pub struct FrontEnds {
     all: Vec<FrontEnd>,
     by_region: Vec<Vec<SocketAddr>>,
-    snapshot: Vec<u8>,
+    /// What a front end that starts anew has on its disk.
+    pub snapshot: Vec<u8>,
     seed: u64,
     tasks: Rc<LocalExecutor<'static>>,
     pub tracker: Rc<RefCell<Tracker>>,
@@ -162,7 +163,12 @@
         ConfigHost::new(options, &self.tasks)
     }
 
-    /// Restarts a front end's configuration from the snapshot that all started from: its disk was not written since.
+    /// A snapshot of what the store holds now.
+    pub async fn read_snapshot(&self, patience: f64) -> Result<Vec<u8>, RunError> {
+        read_snapshot(&self.by_region[0], &self.tasks, patience).await
+    }
+
+    /// Restarts a front end's configuration from [`FrontEnds::snapshot`].
     pub fn restart(&mut self, number: usize) -> Result<(), RunError> {
         let host = self.new_host(number)?;
         self.tracker.borrow_mut().forget(number);
--- a/crates/scale/src/config/phases.rs
+++ b/crates/scale/src/config/phases.rs
@@ -51,6 +51,8 @@
     pub cut_heal_s: Option<f64>,
     pub compaction_heal_s: Option<f64>,
     pub return_heal_s: Option<f64>,
+    /// The same where their snapshots are older than the burst.
+    pub return_after_burst_s: Option<f64>,
     /// Until when after the write a call was admitted somewhere that the change forbids.
     pub revoked_used_s: Option<f64>,
     /// Highest mean bytes a second that any front end read while it caught up.
@@ -93,6 +95,8 @@
         if self.stops(findings.burst_in_force_s, "a burst", findings) {
             return Ok(());
         }
+        let after_burst = self.front_ends.read_snapshot(self.plan.start_patience_s).await?;
+        let before_burst = std::mem::replace(&mut self.front_ends.snapshot, after_burst);
         findings.member_failure_in_force_s = self.lose_members().await?;
         if self.stops(findings.member_failure_in_force_s, "two members lost", findings) {
             return Ok(());
@@ -106,7 +110,12 @@
             return Ok(());
         }
         findings.return_heal_s = self.come_back(findings).await?;
-        self.stops(findings.return_heal_s, "front ends back at once", findings);
+        if self.stops(findings.return_heal_s, "front ends back at once", findings) {
+            return Ok(());
+        }
+        self.front_ends.snapshot = before_burst;
+        findings.return_after_burst_s = self.come_back(findings).await?;
+        self.stops(findings.return_after_burst_s, "front ends back at once without the burst", findings);
         findings.scans = self.front_ends.scans();
         findings.store_heap_bytes = self.store.usage()?.heap_bytes;
         Ok(())
--- a/crates/scale/src/config/plan.rs
+++ b/crates/scale/src/config/plan.rs
@@ -56,7 +56,7 @@
             burst_transaction: 50,
             cut_s: 30.0,
             returning: RETURNING.min(size.front_ends),
-            patience_s: 30.0,
+            patience_s: 45.0,
             start_patience_s: 60.0,
             injection,
             seed,
--- a/crates/scale/src/config/rows.rs
+++ b/crates/scale/src/config/rows.rs
@@ -68,6 +68,12 @@
         plan.returning,
         seconds(findings.return_heal_s),
     );
+    let return_note = format!(
+        "{} front ends back at once whose snapshots lack the burst of {} changes: read at the pace of {:.0} bytes/s",
+        plan.returning,
+        plan.burst,
+        super::entries::settings().read_bytes_per_second,
+    );
     let whole = findings.store_heap_bytes > 0.0;
     let claims_note = "front ends that report a revision whose change their calls don't see";
     let scans_note = "whole reads of the configuration through all of the run";
@@ -85,6 +91,10 @@
             Row::at_most("config_heal_s", Role::Region, "s", IN_FORCE_S, &heal_note),
             greatest(&[findings.cut_heal_s, findings.compaction_heal_s, findings.return_heal_s]),
         ),
+        filled(
+            Row::at_most("config_return_after_burst_s", Role::Region, "s", IN_FORCE_S, &return_note),
+            findings.return_after_burst_s,
+        ),
         filled(
             Row::at_most(
                 "config_revoked_used_s",
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -14,9 +14,9 @@
 const BAD_ARGUMENTS: u8 = 2;
 const COULD_NOT_RUN: u8 = 3;
 /// The size of a short run at the most.
-const SHORT_FRONT_ENDS: u32 = 12;
-const SHORT_EXECUTORS: u32 = 36;
-const SHORT_FUNCTIONS: u32 = 300;
+const SHORT_FRONT_ENDS: usize = 12;
+const SHORT_EXECUTORS: usize = 36;
+const SHORT_FUNCTIONS: usize = 300;
 /// Simulated seconds of the fleet, in full and in short.
 const FLEET_SECONDS: f64 = 60.0;
 const SHORT_FLEET_SECONDS: f64 = 2.0;
@@ -71,16 +71,29 @@
     }
 }
 
+/// The size of a short run: a small one with the same calls at a front end and instances at an executor.
+fn shortened(whole: Size) -> Size {
+    let front_ends = whole.front_ends.min(SHORT_FRONT_ENDS);
+    let executors = whole.executors.min(SHORT_EXECUTORS);
+    Size {
+        front_ends,
+        executors,
+        functions: whole.functions.min(SHORT_FUNCTIONS),
+        calls_per_s: whole.calls_per_front_end() * front_ends as f64,
+        instances: whole.instances * executors / whole.executors,
+        ..whole
+    }
+}
+
 impl Arguments {
     fn size(&self) -> Size {
-        // A short run is a small one, and says so.
-        let most = |wanted: u32, short: u32| if self.short { wanted.min(short) } else { wanted };
-        Size {
-            front_ends: most(self.front_ends, SHORT_FRONT_ENDS) as usize,
-            executors: most(self.executors, SHORT_EXECUTORS) as usize,
-            functions: most(self.functions, SHORT_FUNCTIONS) as usize,
+        let whole = Size {
+            front_ends: self.front_ends as usize,
+            executors: self.executors as usize,
+            functions: self.functions as usize,
             ..Size::default()
-        }
+        };
+        if self.short { shortened(whole) } else { whole }
     }
 
     /// The arguments of a part of this run.
--- a/crates/scale/src/slopes/control.rs
+++ b/crates/scale/src/slopes/control.rs
@@ -197,7 +197,7 @@
 
 /// Measures membership and roster by front ends, executors and changes of the roster.
 pub fn run(size: &Size, seed: u64, short: bool) -> Result<Control, StoreError> {
-    let seconds = if short { 2 } else { 8 };
+    let seconds = if short { 1 } else { 8 };
     let share = |part: usize| (size.front_ends * part / 100).max(1);
     let (front_ends, executors, changes): (Vec<usize>, &[usize], &[usize]) = match short {
         true => (vec![4, 8, 12], &[36, 100, 300], &[0, 2, 4]),
