--- a/crates/frontend/src/lib.rs
+++ b/crates/frontend/src/lib.rs
@@ -2,11 +2,13 @@
 //! with other front ends.
 
 pub mod book;
+pub mod config;
 pub mod etcd;
 mod hub;
 pub mod ingress;
 pub mod mqtt;
 mod pool;
+pub mod reload;
 mod rollouts;
 pub mod roster;
 
@@ -21,7 +23,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tracing::{info, warn};
+use tracing::{error, info, warn};
 
 /// An ending front end waits for so long past the longest client timeout, then ends anyway.
 const LEAVE_MARGIN: Duration = Duration::from_secs(1);
@@ -41,6 +43,8 @@
     pub triggers: Option<mqtt::Triggers>,
     /// Promises to HTTP clients, where the deployment file has a journal.
     pub book: Option<book::Book>,
+    /// Where the deployment file may be read again.
+    pub reloads: Option<reload::Reloads>,
 }
 
 /// Binds the address that the deployment states.
@@ -59,6 +63,15 @@
     if !hub.deployment.coordinators.is_empty() {
         spawner.spawn(rollouts::keep_up(hub.clone())).detach();
     }
+    if let Some(configuration) = &hub.deployment.configuration
+        && let Err(fault) = config::attach(&hub, configuration, &spawner)
+    {
+        error!(%fault, "the configuration's settings can't be used; mend the section 'configuration'");
+        return hub.tally();
+    }
+    if let Some(reloads) = start.reloads {
+        spawner.spawn(reload::follow(hub.clone(), reloads)).detach();
+    }
     let (leave, leaving) = async_channel::bounded::<()>(1);
     let carried = start.triggers.and_then(|triggers| hub.spawn(mqtt::carry(hub.clone(), triggers, leaving)));
     let work = attend(hub, spawner.clone(), listener, start.stop, (carried, leave));
@@ -105,8 +118,7 @@
     }
     drop(listener);
     drop(stop_carrying);
-    let longest = hub.deployment.terms.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
-    let deadline = Instant::now() + Duration::from_secs_f64(longest) + LEAVE_MARGIN;
+    let deadline = Instant::now() + Duration::from_secs_f64(hub.longest_timeout()) + LEAVE_MARGIN;
     if let Some(carried) = carried {
         // Messages in hand may have to be dispatched yet.
         let left = orchidtally_net::within(deadline - Instant::now(), carried).await;
