--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -10,6 +10,7 @@
 mod rollout;
 mod roster;
 mod serve;
+mod signals;
 
 use clap::{Parser, Subcommand, ValueEnum};
 use orchidtally_deployment::Deployment;
@@ -76,11 +77,20 @@
 
 /// With its triggers, where it has some.
 pub fn read_whole(file: &Path) -> Result<(Deployment, Option<Section>), u8> {
-    let text = std::fs::read_to_string(file).map_err(|e| {
+    check_text(file, &read_text(file)?)
+}
+
+/// The text of a deployment file.
+pub fn read_text(file: &Path) -> Result<String, u8> {
+    std::fs::read_to_string(file).map_err(|e| {
         eprintln!("{}: {e}", file.display());
         BAD_INPUT
-    })?;
-    orchidtally_trigger::read(&text).map_err(|faults| {
+    })
+}
+
+/// Reads a deployment file's text; faults go to standard error with the file's name.
+pub fn check_text(file: &Path, text: &str) -> Result<(Deployment, Option<Section>), u8> {
+    orchidtally_trigger::read(text).map_err(|faults| {
         for fault in &faults {
             eprintln!("{}:{fault}", file.display());
         }
@@ -88,6 +98,12 @@
     })
 }
 
+/// What `check` says of the store of configuration; nothing where there is none.
+fn store_of(deployment: &Deployment) -> String {
+    let count = deployment.configuration.as_ref().map(|store| store.endpoints.len());
+    count.map_or_else(String::new, |count| format!(", configuration from a store of {count} members"))
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
     let filter = match EnvFilter::try_new(&arguments.log) {
@@ -108,12 +124,13 @@
         Command::Serve(a) => serve::run(a),
         Command::Check { file } => read_whole(&file).map(|(d, mqtt)| {
             println!(
-                "{}: sound; '{}', {} trigger types, {} functions listed, {} triggers by messages",
+                "{}: sound; '{}', {} trigger types, {} functions listed, {} triggers by messages{}",
                 file.display(),
                 d.name,
                 d.trigger_types.len(),
                 d.functions.len(),
-                mqtt.map_or(0, |m| m.rules.list.len())
+                mqtt.map_or(0, |m| m.rules.list.len()),
+                store_of(&d)
             );
         }),
         Command::Invoke(a) => invoke::run(a),
--- a/crates/frontend/src/ingress.rs
+++ b/crates/frontend/src/ingress.rs
@@ -3,7 +3,8 @@
 //! the invocation, so that a slow sender holds neither a stream nor a decision.
 
 use crate::book::{Book, NotKept, Promised};
-use crate::hub::{Asked, Brought, CutOff, Final, Hub};
+use crate::config::Refusal;
+use crate::hub::{Asked, Brought, CutOff, Final, Hub, NotTaken};
 use async_executor::LocalExecutor;
 use bytes::Bytes;
 use futures_lite::future;
@@ -15,7 +16,7 @@
 use hyper::body::Incoming;
 use hyper_util::server::conn::auto;
 use orchidtally::interface::Effect;
-use orchidtally_engine::{Cause, Refused};
+use orchidtally_engine::Cause;
 use orchidtally_net::{Stream, within};
 use orchidtally_rollout::plan::Key;
 use orchidtally_rollout::split::Who;
@@ -263,8 +264,37 @@
     }
 }
 
+/// The status and title of what the configuration doesn't let through.
+fn refused_as(refusal: &Refusal) -> (StatusCode, &'static str) {
+    match refusal {
+        Refusal::NotAllowed { .. } => (StatusCode::FORBIDDEN, "not allowed"),
+        Refusal::Stale { .. } | Refusal::NotLoaded { .. } => (StatusCode::SERVICE_UNAVAILABLE, "throttled"),
+    }
+}
+
+fn not_taken(hub: &Hub, why: NotTaken) -> Problem {
+    let throttled = |detail: &str, time: f64| {
+        let mut problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, "throttled", detail);
+        problem.retry_after = Some(time);
+        problem
+    };
+    match why {
+        NotTaken::Full => {
+            throttled("as many invocations are open as may be", hub.deployment.terms.max_retry_after)
+        }
+        NotTaken::Leaving => throttled("this front end is ending; ask another", 0.0),
+        NotTaken::Refused(refusal) => {
+            let (status, title) = refused_as(&refusal);
+            let mut problem = Problem::new(status, title, refusal.to_string());
+            problem.retry_after = refusal.retry_after();
+            problem
+        }
+    }
+}
+
 async fn invoke(hub: &Hub, request: Request<Incoming>) -> Result<Response<Answer>, Problem> {
     let arrived = hub.now();
+    let revision = hub.revision();
     let deployment = &hub.deployment;
     let (parts, incoming) = request.into_parts();
     let name = function_of(parts.uri.path())?;
@@ -273,19 +303,21 @@
         return Err(Problem::new(StatusCode::METHOD_NOT_ALLOWED, "wrong method", detail));
     }
     let headers = &parts.headers;
-    let trigger_type = match header(headers, TRIGGER_TYPE)? {
-        Some(name) => deployment.trigger_type(name).ok_or_else(|| {
-            let known: Vec<_> = deployment.trigger_types.iter().map(|t| t.name.as_str()).collect();
-            Problem::bad(format!("no trigger type '{name}'; known are {}", known.join(", ")))
+    let (trigger_place, trigger_type) = match header(headers, TRIGGER_TYPE)? {
+        Some(name) => revision.trigger_type(name).ok_or_else(|| {
+            let known = revision.trigger_type_names().join(", ");
+            Problem::bad(format!("no trigger type '{name}'; known are {known}"))
         })?,
-        None if deployment.trigger_types.len() == 1 => 0,
-        None => return Err(Problem::bad(format!("header '{TRIGGER_TYPE}' is missing"))),
+        None => match revision.only_trigger_type() {
+            Some(only) => only,
+            None => return Err(Problem::bad(format!("header '{TRIGGER_TYPE}' is missing"))),
+        },
     };
-    let terms = &deployment.terms.trigger_types[trigger_type];
-    let customer = match (header(headers, CUSTOMER)?, deployment.customers.is_empty()) {
+    let terms = &trigger_type.terms;
+    let customer = match (header(headers, CUSTOMER)?, !revision.has_customers()) {
         (given, true) => (0, given.unwrap_or_default()),
         (Some(given), false) => {
-            let known = deployment.customers.iter().position(|c| c == given);
+            let known = revision.customer(given).map(|customer| customer.index);
             let unknown =
                 || Problem::new(StatusCode::FORBIDDEN, "unknown customer", format!("no customer '{given}'"));
             (known.ok_or_else(unknown)?, given)
@@ -318,7 +350,7 @@
         None => (name.as_str(), None),
     };
     let unknown = |what: String| Problem::new(StatusCode::NOT_FOUND, "unknown function", what);
-    let function = deployment.function(name).ok_or_else(|| unknown(format!("no function '{name}'")))?;
+    let function = revision.function(name).ok_or_else(|| unknown(format!("no function '{name}'")))?;
     // What the split sticks to, where a rollout is on.
     let key = hub.shares.borrow().key(name).cloned();
     let key = match &key {
@@ -329,7 +361,7 @@
     };
     let who = Who { customer: customer.1, location: hub.location(), key: key.unwrap_or(&name_of_invocation) };
     let no_version = || unknown(format!("function '{name}' has no version '{}'", asked.unwrap_or("stable")));
-    let resolved = hub.resolve(&function, asked, trigger_type, customer.0, &who).ok_or_else(no_version)?;
+    let resolved = hub.resolve(&function, asked, trigger_place, customer.0, &who).ok_or_else(no_version)?;
     let told = headers.get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
     let (payload, payload_bytes) = body(hub, incoming, told).await?;
     let bounds = &deployment.bounds;
@@ -337,7 +369,8 @@
         name: name_of_invocation.clone(),
         function: function.name,
         resolved,
-        trigger_type,
+        revision: revision.clone(),
+        trigger_type: trigger_type.clone(),
         customer,
         token: token.unwrap_or_default(),
         repeat,
@@ -345,8 +378,10 @@
         payload,
         payload_bytes,
     };
+    // Before it is promised: what is refused leaves no record.
+    hub.check_admission(&revision, &asked.subject()).map_err(|why| not_taken(hub, why))?;
     let promised = match &hub.book {
-        Some(book) if deployment.trigger_types[trigger_type].journalled => {
+        Some(book) if trigger_type.trigger.journalled => {
             if !named {
                 let detail =
                     format!("header '{INVOCATION}' is missing; this trigger type is journalled by it");
@@ -359,15 +394,7 @@
         }
         _ => None,
     };
-    let (inv, answer) = hub.take_asked(asked).map_err(|refused| {
-        let (detail, time) = match refused {
-            Refused::Full => ("as many invocations are open as may be", deployment.terms.max_retry_after),
-            Refused::Leaving => ("this front end is ending; ask another", 0.0),
-        };
-        let mut problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, "throttled", detail);
-        problem.retry_after = Some(time);
-        problem
-    })?;
+    let (inv, answer) = hub.take_asked(asked).map_err(|refused| not_taken(hub, refused))?;
     let mut guard = Guard { hub, inv, answered: false };
     let answer = answer.await;
     guard.answered = true;
@@ -397,6 +424,15 @@
             may_have_run = ran;
             problem(status, "errored", detail, ran)
         }
+        Ok(Final::Refused { refusal, may_have_run: ran }) => {
+            may_have_run = ran;
+            let (status, title) = refused_as(&refusal);
+            let mut response = problem(status, title, &refusal.to_string(), ran);
+            if let Some(time) = refusal.retry_after() {
+                stay_away(response.headers_mut(), time);
+            }
+            response
+        }
         Err(_) => {
             let detail = "the front end lost track of it; it may have run";
             problem(StatusCode::INTERNAL_SERVER_ERROR, "errored", detail, true)
@@ -464,8 +500,10 @@
     let t = hub.tally();
     let body = json!({
         "deployment": hub.deployment.name,
+        "revision": hub.revision().number,
         "index": hub.sender.get().index,
         "frontEnds": hub.sender.get().count,
+        "configuration": hub.admission.get().map(|admission| admission.host().status()),
         "roster": roster(hub),
         "open": hub.open(),
         "taken": t.taken,
--- a/crates/frontend/src/mqtt.rs
+++ b/crates/frontend/src/mqtt.rs
@@ -1,7 +1,8 @@
 //! Carries messages: the connection to the broker, the journal's thread and the invocations round a `Desk`, which
 //! decides.
 
-use crate::hub::{Asked, Brought, Final, Hub};
+use crate::config::Refusal;
+use crate::hub::{Asked, Brought, Final, Hub, NotTaken};
 use crate::ingress::Guard;
 use async_executor::Task;
 use bytes::{Bytes, BytesMut};
@@ -11,7 +12,8 @@
 use futures_rustls::pki_types::pem::PemObject;
 use futures_rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
 use futures_rustls::rustls::{ClientConfig, RootCertStore};
-use orchidtally_engine::{Cause, Refused};
+use orchidtally_deployment::Deployment;
+use orchidtally_engine::Cause;
 use orchidtally_journal::{Group, Journal};
 use orchidtally_mqtt::packet::Packet;
 use orchidtally_mqtt::{decode, encode};
@@ -152,6 +154,8 @@
     /// When the files of TLS were changed, as of the connection that stands, and when that is looked at next.
     files: Option<SystemTime>,
     look_at: f64,
+    /// The deployment by which messages are judged, and the revision that it is of.
+    present: (u64, Rc<Deployment>),
 }
 
 fn tls(section: &Tls) -> Result<TlsConnector, Box<dyn std::error::Error>> {
@@ -245,20 +249,29 @@
     }
 }
 
+/// What comes of a message that the configuration doesn't let through: one that may be let through later is tried
+/// again, unless it may have run.
+fn refused(refusal: &Refusal, may_have_run: bool) -> Answer {
+    if refusal.retry_after().is_some() && !may_have_run {
+        return Answer::Throttled;
+    }
+    Answer::Errored { why: refusal.to_string(), may_have_run }
+}
+
 /// Invokes for a message and gives its final answer.
 async fn invoke(hub: Rc<Hub>, held: Held, ready_by: f64) -> Answer {
     let errored = |why: String| Answer::Errored { why, may_have_run: false };
-    let deployment = &hub.deployment;
+    let revision = hub.revision();
     let work = &held.work;
-    let Some(trigger_type) = deployment.trigger_type(&work.trigger_type) else {
+    let Some((trigger_place, trigger_type)) = revision.trigger_type(&work.trigger_type) else {
         return errored(format!("there is no trigger type '{}' any more", work.trigger_type));
     };
-    let customer = match deployment.customers.iter().position(|c| *c == work.customer) {
-        Some(n) => n,
-        None if deployment.customers.is_empty() => 0,
+    let customer = match revision.customer(&work.customer) {
+        Some(customer) => customer.index,
+        None if !revision.has_customers() => 0,
         None => return errored(format!("there is no customer '{}' any more", work.customer)),
     };
-    let Some(function) = deployment.function(&work.function) else {
+    let Some(function) = revision.function(&work.function) else {
         return errored(format!("there is no function '{}' any more", work.function));
     };
     if ready_by <= hub.now() {
@@ -271,14 +284,15 @@
         _ => &held.name,
     };
     let who = Who { customer: &work.customer, location: hub.location(), key };
-    let Some(resolved) = hub.resolve(&function, None, trigger_type, customer, &who) else {
+    let Some(resolved) = hub.resolve(&function, None, trigger_place, customer, &who) else {
         return errored(format!("function '{}' has no version 'stable'", work.function));
     };
     let asked = Asked {
         name: held.name.clone(),
         function: function.name.clone(),
         resolved,
-        trigger_type,
+        revision: revision.clone(),
+        trigger_type: trigger_type.clone(),
         customer: (customer, &work.customer),
         token: &work.token,
         repeat: false,
@@ -288,7 +302,8 @@
     };
     let (inv, answer) = match hub.take_asked(asked) {
         Ok(taken) => taken,
-        Err(Refused::Full | Refused::Leaving) => return Answer::Throttled,
+        Err(NotTaken::Full | NotTaken::Leaving) => return Answer::Throttled,
+        Err(NotTaken::Refused(refusal)) => return refused(&refusal, false),
     };
     let mut guard = Guard { hub: &hub, inv, answered: false };
     let answer = answer.await;
@@ -305,6 +320,7 @@
             may_have_run: true,
         },
         Ok(Final::Throttled { .. }) => Answer::Throttled,
+        Ok(Final::Refused { refusal, may_have_run }) => refused(&refusal, may_have_run),
         Ok(Final::Errored { cause, may_have_run }) => {
             let why = match cause {
                 Cause::TimedOut => "no answer came in time",
@@ -353,6 +369,15 @@
         }
     }
 
+    /// The deployment as the revision in force has it, with trigger types at the places that rules know.
+    fn present_deployment(&mut self) -> Rc<Deployment> {
+        let revision = self.hub.revision();
+        if self.present.0 != revision.number {
+            self.present = (revision.number, Rc::new(revision.aligned_to(&self.hub.deployment)));
+        }
+        self.present.1.clone()
+    }
+
     fn start_connecting(&mut self) {
         self.files = self.files_changed();
         let (section, inputs) = (self.section.clone(), self.inputs.clone());
@@ -391,7 +416,8 @@
                 }
             }
             Input::Packet(number, packet) if is_this(number) => {
-                if let Err(ended) = self.desk.received(now, packet, &self.hub.deployment) {
+                let deployment = self.present_deployment();
+                if let Err(ended) = self.desk.received(now, packet, &deployment) {
                     self.lost(&ended.to_string());
                 }
             }
@@ -540,6 +566,7 @@
         journal_works: true,
         files: None,
         look_at: now,
+        present: (1, hub.deployment.clone()),
     };
     let mut left = false;
     loop {
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -7,7 +7,11 @@
 pub mod clock;
 pub mod config;
 pub mod fleet;
+pub mod hollow;
+pub mod parts;
 pub mod report;
 pub mod size;
 pub mod slopes;
+pub mod store;
+pub mod tables;
 pub mod zipf;
