--- a/crates/scale/src/fleet/assumptions.rs
+++ b/crates/scale/src/fleet/assumptions.rs
@@ -60,8 +60,8 @@
 
 /// Simulated time before the measurement, of which in the first part calls of popular functions are thinned: what
 /// has to settle there is which copies of rare functions stand, and these are called less than once a minute.
-pub const WARM_UP_THINNED: f64 = 50.0;
-pub const WARM_UP: f64 = 58.0;
+pub const WARM_UP_THINNED: f64 = 30.0;
+pub const WARM_UP: f64 = 36.0;
 /// The functions that are thinned, by rank, and the part of their calls that is kept.
 pub const THINNED_RANKS: usize = 100;
 pub const THINNED_PART: f64 = 0.05;
--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -29,7 +29,8 @@
 use std::thread;
 use std::time::Instant;
 
-/// Runs that go side by side at the most: each takes a thread and up to a gigabyte.
+/// Runs that go side by side at the most: each takes a thread and up to a gigabyte, and more of them slow each other
+/// down by the caches that they share.
 const MOST_AT_ONCE: usize = 4;
 /// The second size has so many times the executors, each with as much less memory and as many fewer lanes.
 const MORE_EXECUTORS: usize = 3;
@@ -79,7 +80,10 @@
     pub finding: Finding,
 }
 
-/// Plays the fleet at two numbers of executors through all scenarios, with `seconds` of simulated time measured in the
+/// Simulated seconds measured in the calm by default: as many as end within three minutes on eight cores.
+pub const SECONDS: f64 = 4.0;
+
+/// Plays the fleet at two numbers of executors through the scenarios, with `seconds` of simulated time measured in the
 /// calm, and tells its rows. Short ones have a short warm-up.
 pub fn run(size: &Size, seed: u64, seconds: f64) -> Vec<Row> {
     let outcome = play(plans(size, seed, seconds));
@@ -99,11 +103,12 @@
         seed,
         fault: None,
     };
-    // The longest runs begin first.
-    let mut plans = vec![];
-    for size in [&more, size] {
-        plans.extend(Scenario::ALL.map(|scenario| plan(size, scenario, Policy::Dispatcher)));
-    }
+    // The longest runs begin first. A rack and the day's restarts are as many machines of more executors too.
+    let of_more = [Scenario::RegionCut, Scenario::ZoneLost, Scenario::Calm];
+    let of_fewer =
+        [Scenario::RegionCut, Scenario::ZoneLost, Scenario::Calm, Scenario::RackLost, Scenario::Restarts];
+    let mut plans: Vec<Plan> = of_more.map(|scenario| plan(&more, scenario, Policy::Dispatcher)).into();
+    plans.extend(of_fewer.map(|scenario| plan(size, scenario, Policy::Dispatcher)));
     plans.extend([Policy::Random, Policy::TwoByTrueLoad].map(|policy| plan(size, Scenario::Calm, policy)));
     plans
 }
--- a/crates/scale/src/fleet/rows.rs
+++ b/crates/scale/src/fleet/rows.rs
@@ -47,9 +47,15 @@
 fn of_run(run: &Played, suffix: &str) -> Vec<Row> {
     let Finding { counts, decision_cpu_us, .. } = &run.finding;
     let scenario = run.plan.scenario;
+    let outage = scenario.outage(&(0.0..counts.seconds));
     let about = format!(
-        "{} with {} executors, {} s measured in simulated time",
+        "{}{} with {} executors, {} s measured in simulated time",
         scenario.name(),
+        if outage.is_empty() {
+            String::new()
+        } else {
+            format!(" for {:.1} s", outage.end.min(counts.seconds) - outage.start)
+        },
         run.plan.size.executors,
         counts.seconds
     );
--- a/crates/scale/src/fleet/scenario.rs
+++ b/crates/scale/src/fleet/scenario.rs
@@ -39,8 +39,8 @@
         }
     }
 
-    /// How many times as long as the calm run it is measured. Outages that end have to outlast the leases of
-    /// executors, and what comes after them has to be seen too.
+    /// How many times as long as the calm run it is measured: of outages that end, what comes after them is seen too.
+    /// From 9 seconds of a calm run on, a lost zone outlasts the leases of its executors.
     pub fn length(self) -> f64 {
         match self {
             Scenario::Calm | Scenario::RackLost | Scenario::Restarts => 1.0,
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -17,8 +17,7 @@
 const SHORT_FRONT_ENDS: usize = 12;
 const SHORT_EXECUTORS: usize = 36;
 const SHORT_FUNCTIONS: usize = 300;
-/// Simulated seconds of the fleet, in full and in short.
-const FLEET_SECONDS: f64 = 60.0;
+/// Simulated seconds of the fleet in a short run.
 const SHORT_FLEET_SECONDS: f64 = 2.0;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
@@ -123,7 +122,7 @@
 }
 
 fn run_fleet(arguments: &Arguments, size: Size) -> Report {
-    let default = if arguments.short { SHORT_FLEET_SECONDS } else { FLEET_SECONDS };
+    let default = if arguments.short { SHORT_FLEET_SECONDS } else { fleet::SECONDS };
     let rows = fleet::run(&size, arguments.seed, arguments.seconds.unwrap_or(default));
     Report::new(size, arguments.seed, None, rows, vec![])
 }
