--- a/crates/scale/tests/short.rs
+++ b/crates/scale/tests/short.rs
@@ -7,7 +7,10 @@
 const IN_FORCE: &str = "config_in_force_s";
 
 fn run(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_orchidtally-scale")).args(arguments).output().expect("the program starts")
+    Command::new(env!("CARGO_BIN_EXE_orchidtally-scale"))
+        .args(arguments)
+        .output()
+        .expect("the program starts")
 }
 
 /// The report in the last line, and the exit code that fits it.
