--- a/crates/engine/examples/decision_cost.rs
+++ b/crates/engine/examples/decision_cost.rs
@@ -1,11 +1,12 @@
-//! CPU time of one front end's decisions by the number of executors, in simulated time, and a digest of all that
-//! was decided, by which two versions of the module are compared on the same seeds.
+//! CPU time of one front end's decisions by the number of executors, in simulated time, and a digest of all
+//! that was decided, by which two versions of the module are compared on the same seeds.
 //!
 //! `cargo run --release -p orchidtally-engine --example decision_cost -- [NAME=VALUE ...]`
 //!
-//! Names are `seconds` (120), `seed` (1), `day` (`calm`, `loaded` or `faults`), `executors` (36,300,1000,3000),
-//! `rate` (182 calls a second) and `exponent` (1.6, of Zipf's law over 21,000 functions). The front end is one of
-//! 550. CPU time is the thread's own (Linux only), of the second half, with the simulation's part in it.
+//! Names are `seconds` (120), `seed` (1), `day` (`calm`, `loaded` or `faults`), `executors`
+//! (36,300,1000,3000), `rate` (182 calls a second) and `exponent` (1.6, of Zipf's law over 21,000 functions).
+//! The front end is one of 550. CPU time is the thread's own (Linux only), of the second half, with the
+//! simulation's part in it.
 
 use orchidtally::chance::{Chance, rendezvous_hash};
 use orchidtally::interface::*;
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -224,7 +224,8 @@
         Ok(id)
     }
 
-    /// Whether a dispatch may leave now. It is asked as its bytes do, which may be long after it was decided on.
+    /// Whether a dispatch may leave now. It is asked as its bytes do, which may be long after it was decided
+    /// on.
     pub fn leaves(&mut self, now: f64, inv: u32, dispatch: u8) -> bool {
         let sent = self.desk.open.get(&inv).and_then(|o| o.sent.get(usize::from(dispatch)));
         sent.is_some_and(|s| s.ending.is_none())
@@ -302,8 +303,8 @@
         self.dispatcher.set_trigger_type(self.desk.now, index, ty)
     }
 
-    /// Sets the customers' shares, in invocations a second over all front ends. Customers that had one keep what
-    /// they saved up, within the new bound; new ones begin like at the start.
+    /// Sets the customers' shares, in invocations a second over all front ends. Customers that had one keep
+    /// what they saved up, within the new bound; new ones begin like at the start.
     ///
     /// # Errors
     /// As told by `ConfigRefused`; then nothing is changed.
--- a/src/dispatch/judge.rs
+++ b/src/dispatch/judge.rs
@@ -111,8 +111,8 @@
         if risen >= 1.0 { 1.0 } else { self.terms.cold_from + (1.0 - self.terms.cold_from) * risen }
     }
 
-    /// How many of a kind are ready and warm. The cold ones are looked at again from when the next of them can
-    /// have become warm.
+    /// How many of a kind are ready and warm. The cold ones are looked at again from when the next of them
+    /// can have become warm.
     fn warm(&mut self, kind: usize) -> usize {
         let mut count = std::mem::take(&mut self.fleet.warm[kind]);
         if self.now >= count.due {
--- a/src/state/book.rs
+++ b/src/state/book.rs
@@ -194,7 +194,8 @@
         self.wait(i);
     }
 
-    /// The invocation has its final answer, and is dropped if nothing is out. What is out is cancelled where that is granted, unless it streams.
+    /// The invocation has its final answer, and is dropped if nothing is out. What is out is cancelled where
+    /// that is granted, unless it streams.
     pub fn close(&mut self, i: usize, cancel: bool, out: &mut dyn Actions) {
         self.unwait(i);
         self.invs[i].closed = true;
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -50,8 +50,8 @@
     pub suspect: Vec<bool>,
     /// All that are suspect, and perhaps some that no longer are.
     pub(super) suspects: Vec<usize>,
-    /// Executors with enough answers that count and dispatches out to be judged, and perhaps some that no longer
-    /// have; how many are enough, and the seconds that an answer counts.
+    /// Executors with enough answers that count and dispatches out to be judged, and perhaps some that no
+    /// longer have; how many are enough, and the seconds that an answer counts.
     pub judged: Vec<usize>,
     pub(super) is_judged: Vec<bool>,
     least_judged: usize,
@@ -82,6 +82,7 @@
 /// The ready executors of a kind, split into those that are warm and those that may not be yet.
 #[derive(Clone, Default)]
 pub struct WarmCount {
+    /// How many there are.
     pub ready: usize,
     /// Those not seen to be warm, each once.
     pub cold: Vec<usize>,
@@ -106,8 +107,8 @@
 const MOST_CHANGES: usize = 4_096;
 
 impl Fleet {
-    /// None, seen from a location. One is judged by so many answers and dispatches at the least; answers count
-    /// for so many seconds.
+    /// None, seen from a location. One is judged by so many answers and dispatches at the least; answers
+    /// count for so many seconds.
     pub fn new(home: u8, least_judged: usize, judged_for: f64) -> Fleet {
         Fleet { home, least_judged, judged_for, ..Fleet::default() }
     }
@@ -281,7 +282,8 @@
         }
     }
 
-    /// Takes all in an executor's zone for broken, if another one broke there lately and none was heard since.
+    /// Takes all in an executor's zone for broken, if another one broke there lately and none was heard
+    /// since.
     pub fn note_zone_broken(&mut self, x: usize, now: f64, lately: f64) {
         let (broke_at, zone) = (&self.broke_at, &self.zone);
         self.broken.retain(|&y| now < broke_at[y] + lately);
--- a/src/state/known.rs
+++ b/src/state/known.rs
@@ -1,5 +1,5 @@
-//! The executors known to hold a function, in the order in which they were last seen to, and a search for the one
-//! with the least value among them that does not look at them all.
+//! The executors known to hold a function, in the order in which they were last seen to, and a search for the
+//! one with the least value among them that does not look at them all.
 
 use super::Fleet;
 
@@ -12,7 +12,9 @@
 #[derive(Clone, Copy)]
 pub struct Known {
     pub x: usize,
+    /// The moment from which on it is not relied on.
     pub until: f64,
+    /// It answered that it has no room for the function.
     pub full: bool,
 }
 
@@ -54,8 +56,8 @@
     }
 }
 
-/// A binary tree over the places of a large set: each node has the best load below it. The root is node 1, the
-/// leaf of a place is node `leaves + place`.
+/// A binary tree over the places of a large set: each node has the best load below it. The root is node 1,
+/// the leaf of a place is node `leaves + place`.
 struct Tree {
     leaves: usize,
     nodes: Vec<Load>,
@@ -106,10 +108,12 @@
 }
 
 impl KnownSet {
+    /// Entries, those past their time included.
     pub fn len(&self) -> usize {
         self.count
     }
 
+    /// Whether there is no entry.
     pub fn is_empty(&self) -> bool {
         self.count == 0
     }
@@ -154,6 +158,7 @@
         }
     }
 
+    /// Drops the entry of an executor, if it has one.
     pub fn remove(&mut self, x: usize) {
         let Some(place) = self.place(x) else { return };
         self.entries[place] = None;
@@ -167,6 +172,7 @@
         }
     }
 
+    /// Drops all entries but those that stay.
     pub fn retain(&mut self, stays: impl Fn(&Known) -> bool) {
         if !self.iter().all(&stays) {
             self.entries.iter_mut().for_each(|k| *k = k.filter(&stays));
@@ -221,7 +227,8 @@
     }
 
     /// The executor with the least value, the first of equal ones; entries without a value are passed over.
-    /// `bound` is never above the value of an executor with that load, or of any with loads that it is the best of.
+    /// `bound` is never above the value of an executor with that load, or of any with loads that it is the
+    /// best of.
     pub fn least(
         &self,
         bound: impl Fn(&Load) -> f64,
--- a/src/state/meters.rs
+++ b/src/state/meters.rs
@@ -23,7 +23,9 @@
 /// In-flight that an executor may have, and whether what is out at all of them counts.
 #[derive(Clone, Copy)]
 pub struct Room {
+    /// In invocations; at all executors together if `at_all`, else at each.
     pub limit: f64,
+    /// Whether it bounds what is out at all of them.
     pub at_all: bool,
 }
 
@@ -97,11 +99,13 @@
 }
 
 impl DecayingMean {
+    /// Adds a value; older ones fade with a time constant in seconds.
     pub fn add(&mut self, value: f64, now: f64, time: f64) {
         self.sum.add(value, now, time);
         self.count.add(1.0, now, time);
     }
 
+    /// The mean now; 0 where nothing was added.
     pub fn at(&self, now: f64, time: f64) -> f64 {
         self.sum.at(now, time) / self.count.at(now, time).max(1e-6)
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -15,8 +15,8 @@
 pub use meters::*;
 pub use ranking::Ranking;
 
-/// Enters a list and voids what was known of executors that restarted, drain or are gone. Executors that are in
-/// no list since `forgotten` and that nothing refers to any more are dropped.
+/// Enters a list and voids what was known of executors that restarted, drain or are gone. Executors that are
+/// in no list since `forgotten` and that nothing refers to any more are dropped.
 pub fn take_list(
     fleet: &mut Fleet,
     book: &mut Book,
--- a/src/state/ranking.rs
+++ b/src/state/ranking.rs
@@ -77,7 +77,8 @@
         // Asked for more again and again, it has all after a few times.
         let grown = if is_current { 2 * ranking.first.len() } else { 0 };
         let count = count.max(grown).min(self.ranked.len());
-        // About twice as many as are wanted have a rank below this one; where it was too few, all are looked at.
+        // About twice as many as are wanted have a rank below this one; where it was too few, all are looked
+        // at.
         let enough = (2 * count + LEAST_RANKED) as f64;
         let limit =
             if enough < self.ranked.len() as f64 { enough / self.ranked_weight } else { f64::INFINITY };
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -59,8 +59,8 @@
     assert!(said.contains("the next one to append is 3"), "{said}");
 }
 
-/// How many of some invocations at one moment are past their customer's share; all are refused, as there is no
-/// executor.
+/// How many of some invocations at one moment are past their customer's share; all are refused, as there is
+/// no executor.
 fn past_share(dispatcher: &mut orchidtally::dispatch::Dispatcher, now: f64, customer: usize) -> usize {
     #[derive(Default)]
     struct Throttled(usize);
--- a/tests/indices.rs
+++ b/tests/indices.rs
@@ -1,5 +1,5 @@
-//! The indices beside the records, each against the plain scan that it stands for, over random changes; and how
-//! much of a large fleet they look at.
+//! The indices beside the records, each against the plain scan that it stands for, over random changes; and
+//! how much of a large fleet they look at.
 
 use orchidtally::interface::*;
 use orchidtally::state::*;
@@ -208,8 +208,8 @@
     }
 }
 
-/// A search among 3,000 known executors looks at no more of them than among 60, whether all are alike, all differ
-/// in when they reported, or some are in use.
+/// A search among 3,000 known executors looks at no more of them than among 60, whether all are alike, all
+/// differ in when they reported, or some are in use.
 #[test]
 fn a_search_looks_at_few_however_many_are_known() {
     for (mean, busy_part) in [(0.0, 0), (0.0, 3), (0.2, 0), (0.2, 3), (0.2, 50)] {
