--- a/crates/cli/tests/config_store.rs
+++ b/crates/cli/tests/config_store.rs
@@ -1,4 +1,4 @@
-//! A real `orchidtally serve` that is paused for longer than its freshness bound wakes with an old view of the
+//! A real `orchidtally serve` that follows a store of configuration: one that is paused for longer than its freshness bound wakes with an old view of the
 //! configuration: what was taken away meanwhile is refused.
 
 #[path = "../../frontend/tests/config_kit/mod.rs"]
@@ -9,7 +9,7 @@
 use orchidtally_standin::Stage;
 use orchidtally_standin::etcd::Served;
 use orchidtally_witness::Record;
-use serve_kit::{Serve, answer, file};
+use serve_kit::{Serve, answer, file, replace};
 use std::net::TcpStream;
 
 /// Seconds that it is paused for; the kit's freshness bound is 1.5 s.
@@ -72,3 +72,30 @@
         .await;
     });
 }
+
+#[test]
+fn a_file_that_is_read_again_stands_under_what_the_store_has() {
+    let stage = Stage::new(2);
+    let etcd = Served::start(&stage, 3).unwrap();
+    let executor = executor(&stage);
+    let snapshot = folder("reload-store").join("s");
+    let text = deployment_with(executor, &etcd.addresses, &snapshot, "");
+    let path = file("reload-store.json5", &text);
+    let serve = Serve::start(&["--deployment", path.to_str().unwrap()]);
+    let writer = Writer::new(&stage, &etcd);
+    on(&stage, async {
+        let stored = [
+            ("functions/listed", Some(function(false, "serve"))),
+            ("functions/stored", Some(function(true, "serve"))),
+        ];
+        writer.write(&stored).await;
+        until(&stage, "it is there", async || answered(serve.send("stored", &[])).await.0 == 200).await;
+        replace(&path, &text.replace(r#"{ name: "slow", lanes: 32 }"#, r#"{ name: "other", lanes: 32 }"#));
+        serve.signal("HUP");
+        until(&stage, "the file's is there", async || answered(serve.send("other", &[])).await.0 == 200)
+            .await;
+        for (function, status) in [("stored", 200), ("listed", 403), ("slow", 404)] {
+            assert_eq!(answered(serve.send(function, &[])).await.0, status, "{function}");
+        }
+    });
+}
--- a/crates/cli/tests/reload.rs
+++ b/crates/cli/tests/reload.rs
@@ -3,8 +3,10 @@
 
 mod serve_kit;
 
-use serve_kit::{SLOW, Serve, answer, executor, file, replace};
+use serve_kit::{SLOW, Serve, answer, executor, file, replace, signal};
+use std::io::Write;
 use std::net::SocketAddr;
+use std::process::Command;
 use std::time::Duration;
 
 /// A deployment with some functions, one trigger type with a client timeout, and further sections.
@@ -154,3 +156,24 @@
     serve.signal("TERM");
     assert_eq!(serve.ended().code(), Some(0));
 }
+
+/// The handler is there before anything else: a signal that comes sooner would end the process.
+#[test]
+fn a_signal_before_it_listens_has_the_file_read_again_once_it_does() {
+    let executor = executor();
+    let path = file("reload-early.json5", "");
+    std::fs::remove_file(&path).unwrap();
+    // A file that takes as long to be read as this test wants.
+    assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
+    let first = deployment(executor, &["first"], "5s", "");
+    let second = deployment(executor, &["second"], "5s", "");
+    let mut serve = Serve::start_with(&["--deployment", path.to_str().unwrap()], |process| {
+        let mut slow = std::fs::OpenOptions::new().write(true).open(&path).unwrap();
+        signal(process, "HUP");
+        replace(&path, &second);
+        slow.write_all(first.as_bytes()).unwrap();
+    });
+    serve.logs(IN_FORCE, 1);
+    assert_eq!((serve.status("first"), serve.status("second")), (404, 200));
+    assert!(serve.is_alive());
+}
--- a/crates/cli/tests/serve_kit/mod.rs
+++ b/crates/cli/tests/serve_kit/mod.rs
@@ -74,6 +74,11 @@
 impl Serve {
     /// Starts `orchidtally serve` with some arguments and waits until it listens.
     pub fn start(arguments: &[&str]) -> Serve {
+        Serve::start_with(arguments, |_| {})
+    }
+
+    /// The same; `meanwhile` gets the process before it listens.
+    pub fn start_with(arguments: &[&str], meanwhile: impl FnOnce(&Child)) -> Serve {
         let mut process = Command::new(PROGRAM)
             .args(["serve", "--listen", "127.0.0.1:0"])
             .args(arguments)
@@ -91,6 +96,7 @@
                 line.clear();
             }
         });
+        meanwhile(&process);
         let mut told = String::new();
         BufReader::new(process.stdout.take().unwrap()).read_line(&mut told).unwrap();
         let at = told.trim().strip_prefix("listening on http://").and_then(|at| at.parse().ok());
@@ -100,8 +106,7 @@
 
     /// Sends it a signal, such as `HUP`.
     pub fn signal(&self, name: &str) {
-        let id = self.process.id().to_string();
-        assert!(Command::new("kill").args([&format!("-{name}"), &id]).status().unwrap().success());
+        signal(&self.process, name);
     }
 
     pub fn log(&self) -> String {
@@ -157,6 +162,12 @@
     }
 }
 
+/// Sends a process a signal, such as `HUP`.
+pub fn signal(process: &Child, name: &str) {
+    let id = process.id().to_string();
+    assert!(Command::new("kill").args([&format!("-{name}"), &id]).status().unwrap().success());
+}
+
 /// Reads the answer to an invocation.
 pub fn answer(mut stream: TcpStream) -> (u16, String) {
     let mut text = String::new();
--- a/crates/frontend/src/config/host.rs
+++ b/crates/frontend/src/config/host.rs
@@ -44,6 +44,8 @@
     session: Cell<u64>,
     is_connected: Cell<bool>,
     connect_at: Cell<f64>,
+    /// No member has answered since the connection to one failed.
+    is_away: Cell<bool>,
     backoff: Backoff,
     watch: RefCell<Option<Watching>>,
     pub(super) lease: Cell<Option<Lease>>,
@@ -89,6 +91,7 @@
             session: Cell::new(0),
             is_connected: Cell::new(false),
             connect_at: Cell::new(f64::NEG_INFINITY),
+            is_away: Cell::new(false),
             backoff: Backoff::default(),
             watch: RefCell::default(),
             lease: Cell::new(None),
@@ -277,6 +280,9 @@
     /// The store has answered a question that needs its majority.
     pub(super) fn store_answered(&self) {
         self.backoff.reset();
+        if self.is_away.replace(false) {
+            info!(endpoint = ?self.client.endpoint(), "the store of the configuration answers again");
+        }
     }
 
     /// The connection is of no use any more: the next member is asked after a pause.
@@ -285,7 +291,11 @@
             return;
         }
         let endpoint = self.client.endpoint();
-        warn!(?endpoint, %fault, "the store of the configuration is not to be reached; the next member is asked");
+        if !self.is_away.replace(true) {
+            warn!(?endpoint, %fault, "the store of the configuration is not to be reached; the next member is asked");
+        } else {
+            debug!(?endpoint, %fault, "the store of the configuration is still not to be reached");
+        }
         self.is_connected.set(false);
         self.client.fail_over();
         self.connect_at.set(self.now() + self.backoff.pause(rand::random()));
