--- a/crates/deployment/src/configuration.rs
+++ b/crates/deployment/src/configuration.rs
@@ -100,7 +100,7 @@
         snapshot_every: time("snapshotEvery", 0.1..=86_400.0, 300.0),
         spread: time("spread", 0.0..=600.0, 3.0),
         bytes_per_second: fields.maybe("bytesPerSecond", |p| p.bytes(1_000.0..=1e9)).unwrap_or(9_000.0),
-        burst: fields.maybe("burst", |p| p.bytes(1_000.0..=1e9)).unwrap_or(2_000.0),
+        burst: fields.maybe("burst", |p| p.bytes(1_000.0..=1e9)).unwrap_or(2_500.0),
         lease: time("lease", 2.0..=3_600.0, 10.0),
         without_view: fields.maybe("withoutView", |p| p.one_of(&without_view)).unwrap_or(WithoutView::Refuse),
     };
--- a/crates/deployment/tests/configuration.rs
+++ b/crates/deployment/tests/configuration.rs
@@ -27,7 +27,7 @@
     assert_eq!((read.endpoints.len(), read.prefix.as_str()), (5, "ferry-lines/config/"));
     assert_eq!(read.snapshot(2), PathBuf::from("/var/lib/orchidtally/config-2.snapshot"));
     assert_eq!((read.freshness, read.in_force_within, read.prove_every), (15.0, 18.0, 3.0));
-    assert_eq!((read.bytes_per_second, read.burst, read.lease), (9_000.0, 2_000.0, 10.0));
+    assert_eq!((read.bytes_per_second, read.burst, read.lease), (9_000.0, 2_500.0, 10.0));
     assert_eq!(read.without_view, WithoutView::Refuse);
     let without = include_str!("../../../examples/deployments/one-machine.json5");
     assert!(Deployment::read(without).expect("sound").configuration.is_none());
--- a/crates/frontend/src/config/exchange.rs
+++ b/crates/frontend/src/config/exchange.rs
@@ -37,6 +37,7 @@
             limit: request.limit,
             revision: request.at_revision,
             min_mod_revision: request.min_mod_revision,
+            keys_only: request.keys_only,
             ..RangeRequest::default()
         };
         let before = self.client.traffic().received();
--- a/crates/frontend/src/config/hub_target.rs
+++ b/crates/frontend/src/config/hub_target.rs
@@ -88,7 +88,8 @@
     }
 }
 
-fn sync_settings(configuration: &Configuration) -> SyncSettings {
+/// The core's settings as a deployment file's section gives them.
+pub fn sync_settings(configuration: &Configuration) -> SyncSettings {
     let usual = SyncSettings::default();
     SyncSettings {
         prefix: configuration.prefix.clone(),
--- a/crates/frontend/src/config/mod.rs
+++ b/crates/frontend/src/config/mod.rs
@@ -22,7 +22,7 @@
 pub use admission::{Admission, Refusal, Subject};
 pub use clock::boot_time;
 pub use host::ConfigHost;
-pub use hub_target::{DeploymentSchema, HubConfig, attach};
+pub use hub_target::{DeploymentSchema, HubConfig, attach, sync_settings};
 pub use overlay::{ConfigView, Overlay};
 pub use settings::HostSettings;
 pub use snapshot_file::SnapshotFile;
--- a/crates/frontend/tests/config_hosts.rs
+++ b/crates/frontend/tests/config_hosts.rs
@@ -5,8 +5,9 @@
 use config_kit::{Writer, function, on, until};
 use orchidtally_config_sync::schema::GatewayEntry;
 use orchidtally_config_sync::{GatewaySchema, SyncSettings, View};
+use orchidtally_deployment::Deployment;
 use orchidtally_etcd::Client;
-use orchidtally_frontend::config::{ApplyError, ConfigHost, ConfigTarget, HostSettings};
+use orchidtally_frontend::config::{ApplyError, ConfigHost, ConfigTarget, HostSettings, sync_settings};
 use orchidtally_standin::Stage;
 use orchidtally_standin::etcd::Served;
 use std::cell::Cell;
@@ -107,3 +108,16 @@
         assert!(host.status().apply_fault.is_none());
     });
 }
+
+#[test]
+fn a_section_that_says_nothing_more_gives_the_usual_settings() {
+    let text = r#"{
+        triggerTypes: [{ name: "a", effect: "idempotent", objective: "1s", timeout: "1s" }],
+        otherFunctions: {},
+        executors: { list: [{ address: "127.0.0.1:1" }] },
+        configuration: { store: { endpoints: ["127.0.0.1:2"] }, snapshot: "s" },
+    }"#;
+    let deployment = Deployment::read(text).unwrap_or_else(|faults| panic!("{faults:?}"));
+    let configuration = deployment.configuration.expect("it has the section");
+    assert_eq!(sync_settings(&configuration), SyncSettings::default());
+}
