--- a/crates/frontend/src/config/host.rs
+++ b/crates/frontend/src/config/host.rs
@@ -105,9 +105,15 @@
             error!(%error, "a snapshot of the configuration can't be read; make it readable for this user");
         }
         let newest_first: Vec<&[u8]> = found.iter().map(Vec::as_slice).collect();
-        let restored = self.core.borrow_mut().restore(self.now(), &newest_first);
+        self.restore_from(&newest_first);
+    }
+
+    /// Starts from the first of some snapshots that can be used; to be called before [`ConfigHost::run`].
+    pub fn restore_from(self: &Rc<Self>, newest_first: &[&[u8]]) {
+        let restored = self.core.borrow_mut().restore(self.now(), newest_first);
         for error in &restored.passed_over {
-            error!(path = %file.path().display(), %error, "a snapshot of the configuration was passed over");
+            let path = self.settings.snapshot.as_ref().map(SnapshotFile::path);
+            error!(?path, %error, "a snapshot of the configuration was passed over");
         }
         if let Some(revision) = restored.revision {
             info!(revision, "the configuration begins from its snapshot");
@@ -133,6 +139,12 @@
         }
     }
 
+    /// Gives its connection up; to be called once the task of [`ConfigHost::run`] was dropped. The store ends its lease.
+    pub fn stop(&self) {
+        self.is_connected.set(false);
+        drop(self.watch.take());
+    }
+
     fn next_timer(&self) -> f64 {
         let connect = if self.is_connected.get() { f64::INFINITY } else { self.connect_at.get() };
         let retry = self.pending_view.borrow().as_ref().map_or(f64::INFINITY, |pending| pending.retry_at);
--- a/crates/scale/src/config/entries.rs
+++ b/crates/scale/src/config/entries.rs
@@ -1,7 +1,7 @@
 //! The configuration of a run: functions of about 300 bytes each.
 
 use crate::store::PREFIX;
-use orchidtally_config_sync::writer::{self, Generation, Operation, ReadValue, ReadValues};
+use orchidtally_config_sync::writer::{self, EntryChange, Generation, Operation, ReadValue, ReadValues};
 use orchidtally_config_sync::{EntryKey, Keyspace, SyncSettings};
 
 /// The generation of the store's configuration.
@@ -56,6 +56,15 @@
     }
 }
 
+/// A new version of each of some functions.
+pub fn changes(functions: impl Iterator<Item = usize>, version: u64) -> Vec<EntryChange> {
+    let change = |number| EntryChange {
+        key: function_key(number),
+        document: Some(Function::version(version).document()),
+    };
+    functions.map(change).collect()
+}
+
 /// Keys and values of the whole configuration: entries, digests and generation.
 pub fn all(functions: usize) -> Vec<(Vec<u8>, Vec<u8>)> {
     let keyspace = keyspace();
--- a/crates/scale/src/config/front_ends.rs
+++ b/crates/scale/src/config/front_ends.rs
@@ -2,15 +2,18 @@
 
 use super::entries;
 use super::tracker::Tracker;
-use crate::hollow::config_host::{ConfigHost, HostOptions, OnApply, Reads};
+use crate::hollow::configuration::{Configuration, OnApply, Options};
 use crate::hollow::control::{Bytes, ControlFrontEnd};
 use crate::store::{self, StoreError};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use orchidtally_config_sync::{SettingsError, SyncSettings};
+use orchidtally_frontend::config::SnapshotFile;
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
@@ -37,7 +40,7 @@
 /// One front end with its tasks, which end when it is dropped.
 struct FrontEnd {
     control: Rc<ControlFrontEnd>,
-    host: Rc<ConfigHost>,
+    host: Rc<Configuration>,
     _control_tasks: Vec<Task<()>>,
     host_task: Option<Task<()>>,
 }
@@ -74,28 +77,38 @@
         snapshot_interval: 0.1,
         ..entries::settings()
     };
-    let options = HostOptions {
+    let file = SnapshotFile::new(snapshot_path());
+    let options = Options {
         number: usize::MAX,
         endpoints,
         settings,
-        snapshot: None,
-        keeps_snapshot: true,
+        start_from: None,
+        snapshot: Some(file.clone()),
         seed: 0,
         on_apply: Rc::new(|_, _| {}),
     };
-    let host = ConfigHost::new(options, tasks)?;
-    let task = tasks.spawn(host.clone().run());
+    let reader = Configuration::new(options, tasks)?;
+    let task = reader.start(tasks);
     let began = Instant::now();
-    while began.elapsed().as_secs_f64() < patience {
-        if let Some(snapshot) = host.take_snapshot() {
-            drop(task);
-            host.stop();
-            return Ok(snapshot);
-        }
+    let mut found = None;
+    while found.is_none() && began.elapsed().as_secs_f64() < patience {
         Timer::after(LOOK_INTERVAL).await;
+        // Only a whole file stands under its name.
+        found = file.read().0.into_iter().next();
+    }
+    drop(task);
+    reader.stop();
+    for name in ["", ".previous", ".new"] {
+        let _ = std::fs::remove_file(format!("{}{name}", file.path().display()));
     }
-    host.stop();
-    Err(RunError::NoSnapshot(patience))
+    found.ok_or(RunError::NoSnapshot(patience))
+}
+
+/// A path that no other run uses.
+fn snapshot_path() -> PathBuf {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    std::env::temp_dir().join(format!("orchidtally-scale-{}-{number}.snapshot", std::process::id()))
 }
 
 impl FrontEnds {
@@ -125,17 +138,17 @@
         endpoints: &[SocketAddr],
         snapshot: Vec<u8>,
         tasks: &Rc<LocalExecutor<'static>>,
-    ) -> Result<Rc<ConfigHost>, RunError> {
-        let options = HostOptions {
+    ) -> Result<Rc<Configuration>, RunError> {
+        let options = Options {
             number: 0,
             endpoints,
             settings: entries::settings(),
-            snapshot: Some(&snapshot),
-            keeps_snapshot: false,
+            start_from: Some(&snapshot),
+            snapshot: None,
             seed: 0,
             on_apply: Rc::new(|_, _| {}),
         };
-        Ok(ConfigHost::new(options, tasks)?)
+        Ok(Configuration::new(options, tasks)?)
     }
 
     fn start_one(&self, number: usize, count: usize) -> Result<FrontEnd, RunError> {
@@ -143,24 +156,24 @@
         let control = ControlFrontEnd::new(&endpoints, count, self.seed + number as u64, &self.tasks);
         let host = self.new_host(number)?;
         let _control_tasks = control.start(&self.tasks);
-        let host_task = Some(self.tasks.spawn(host.clone().run()));
+        let host_task = Some(host.start(&self.tasks));
         Ok(FrontEnd { control, host, _control_tasks, host_task })
     }
 
-    fn new_host(&self, number: usize) -> Result<Rc<ConfigHost>, SettingsError> {
+    fn new_host(&self, number: usize) -> Result<Rc<Configuration>, SettingsError> {
         let tracker = self.tracker.clone();
         let on_apply: OnApply = Rc::new(move |front_end, view| tracker.borrow_mut().applied(front_end, view));
         let endpoints = store::endpoints_of(number, &self.by_region);
-        let options = HostOptions {
+        let options = Options {
             number,
             endpoints: &endpoints,
             settings: entries::settings(),
-            snapshot: Some(&self.snapshot),
-            keeps_snapshot: false,
+            start_from: Some(&self.snapshot),
+            snapshot: None,
             seed: self.seed.wrapping_mul(1_000_003) + number as u64,
             on_apply,
         };
-        ConfigHost::new(options, &self.tasks)
+        Configuration::new(options, &self.tasks)
     }
 
     /// A snapshot of what the store holds now.
@@ -175,9 +188,8 @@
         let front_end = &mut self.all[number];
         front_end.host_task = None;
         front_end.host.stop();
-        host.lease.set(front_end.control.lease());
-        front_end.host = host.clone();
-        front_end.host_task = Some(self.tasks.spawn(host.run()));
+        front_end.host_task = Some(host.start(&self.tasks));
+        front_end.host = host;
         Ok(())
     }
 
@@ -185,15 +197,15 @@
         self.all.len()
     }
 
-    pub fn host(&self, number: usize) -> &Rc<ConfigHost> {
+    pub fn host(&self, number: usize) -> &Rc<Configuration> {
         &self.all[number].host
     }
 
-    pub fn hosts(&self) -> impl Iterator<Item = &Rc<ConfigHost>> {
+    pub fn hosts(&self) -> impl Iterator<Item = &Rc<Configuration>> {
         self.all.iter().map(|front_end| &front_end.host)
     }
 
-    /// Waits until all follow the store and have their entries; gives their reports the lease of these.
+    /// Waits until all follow the store and have their entries.
     pub async fn until_ready(&self, patience: f64) -> Result<(), RunError> {
         let began = Instant::now();
         let is_ready = |front_end: &&FrontEnd| front_end.control.is_ready() && front_end.host.follows();
@@ -204,7 +216,6 @@
             }
             Timer::after(LOOK_INTERVAL).await;
         }
-        self.all.iter().for_each(|front_end| front_end.host.lease.set(front_end.control.lease()));
         Ok(())
     }
 
@@ -232,9 +243,4 @@
     pub fn received_for_configuration(&self) -> Vec<u64> {
         self.hosts().map(|host| host.bytes().received).collect()
     }
-
-    /// Whole reads of the configuration by any front end.
-    pub fn scans(&self) -> u64 {
-        self.hosts().map(|host| host.reads.get()).map(|reads: Reads| reads.scans).sum()
-    }
 }
--- a/crates/scale/src/config/mod.rs
+++ b/crates/scale/src/config/mod.rs
@@ -11,6 +11,7 @@
 
 pub use plan::Plan;
 pub use tracker::{Missing, Tracker};
+pub(crate) use writer::request;
 
 use crate::clock;
 use crate::report::Row;
--- a/crates/scale/src/config/phases.rs
+++ b/crates/scale/src/config/phases.rs
@@ -5,10 +5,10 @@
 use super::plan::Plan;
 use super::writer::{WriterThread, Written};
 use crate::clock;
-use crate::hollow::config_host::Misbehaviour;
+use crate::hollow::configuration::client_name;
 use crate::hollow::control::Bytes;
 use crate::size::Injection;
-use crate::store::{Command, StoreProcess, Usage, region_of};
+use crate::store::{Answer, Command, MEMBER_REGIONS, StoreError, StoreProcess, Usage, region_of};
 use async_io::Timer;
 use orchidtally_config_sync::writer::EntryChange;
 use std::time::{Duration, Instant};
@@ -21,8 +21,9 @@
 const SLOW_STORE_DELAY: f64 = 20.0;
 /// Between looks at what calls would be admitted, in seconds.
 const ADMISSION_LOOK: f64 = 0.25;
-/// How long front ends are kept from the store while it is compacted, in seconds.
-const PAUSE_S: f64 = 2.0;
+/// How long all members are away while the history is dropped, in seconds, and what is changed meanwhile.
+const AWAY_S: f64 = 2.0;
+const CHANGES_AWAY: usize = 5;
 /// Over so long the bytes of reads are averaged, in seconds.
 pub const READ_WINDOW_S: f64 = 5.0;
 
@@ -57,7 +58,8 @@
     pub revoked_used_s: Option<f64>,
     /// Highest mean bytes a second that any front end read while it caught up.
     pub read_bytes_per_s: f64,
-    pub scans: u64,
+    /// Most bytes that any front end received in one catch-up.
+    pub most_caught_up_bytes: u64,
     pub store_heap_bytes: f64,
     /// What was missing where when a part gave up.
     pub missing: Vec<String>,
@@ -116,17 +118,18 @@
         self.front_ends.snapshot = before_burst;
         findings.return_after_burst_s = self.come_back(findings).await?;
         self.stops(findings.return_after_burst_s, "front ends back at once without the burst", findings);
-        findings.scans = self.front_ends.scans();
         findings.store_heap_bytes = self.store.usage()?.heap_bytes;
         Ok(())
     }
 
     fn plant(&mut self) -> Result<(), RunError> {
-        let faulty = self.front_ends.host(FAULTY % self.front_ends.count());
+        let faulty = FAULTY % self.front_ends.count();
         match self.plan.injection {
             None => {}
-            Some(Injection::LostChange) => faulty.misbehaviour.set(Misbehaviour::LosesNextBatch),
-            Some(Injection::StaleView) => faulty.misbehaviour.set(Misbehaviour::KeepsOldView),
+            Some(Injection::LostChange) => {
+                self.store.run(&Command::LoseEvents { client: client_name(faulty) })?;
+            }
+            Some(Injection::StaleView) => self.front_ends.host(faulty).keep_old_view(),
             Some(Injection::SlowStore) => self.store.run(&Command::Delay { seconds: SLOW_STORE_DELAY })?,
         }
         Ok(())
@@ -161,15 +164,14 @@
 
     /// Changes of the next functions.
     fn next_changes(&mut self, count: usize) -> Vec<EntryChange> {
+        self.next_changes_from(self.next_function, count)
+    }
+
+    fn next_changes_from(&mut self, first: usize, count: usize) -> Vec<EntryChange> {
         self.version += 1;
         let (version, functions) = (self.version, self.plan.functions_held);
-        let first = self.next_function;
         self.next_function = (first + count) % functions;
-        let change = |n| EntryChange {
-            key: entries::function_key((first + n) % functions),
-            document: Some(Function::version(version).document()),
-        };
-        (0..count.min(functions)).map(change).collect()
+        entries::changes((first..first + count.min(functions)).map(|n| n % functions), version)
     }
 
     /// Writes a change of each of the next functions in one transaction, and tracks it.
@@ -282,21 +284,34 @@
             findings.cut_in_force_s = Some(self.front_ends.tracker.borrow_mut().take_slowest());
         }
         self.store.run(&Command::Heal)?;
-        let (healed, peak) = self.catch_up().await;
+        let (healed, peak) = self.catch_up(findings).await;
         findings.read_bytes_per_s = findings.read_bytes_per_s.max(peak);
         findings.cut_heal_s = healed;
         self.front_ends.tracker.borrow_mut().take_slowest();
         Ok(())
     }
 
-    /// All front ends lose the store while changes are written and the history is dropped.
+    /// All members are away while changes are committed and the history is dropped: all watches are overtaken.
     async fn compact(&mut self, findings: &mut Findings) -> Result<Option<f64>, RunError> {
-        self.front_ends.hosts().for_each(|host| host.is_paused.set(true));
-        self.sleep(PAUSE_S).await;
-        self.change(5.min(self.plan.functions_held)).await?;
+        for member in 0..MEMBER_REGIONS.len() {
+            self.store.run(&Command::StopMember { member })?;
+        }
+        let began = Instant::now();
+        let from = self.next_function.min(self.plan.functions_held.saturating_sub(CHANGES_AWAY));
+        let changes = self.next_changes_from(from, CHANGES_AWAY);
+        let version = self.version;
+        let count = changes.len();
+        let answer = self.store.ask(&Command::ChangeFunctions { from, count, version })?;
+        let Answer::Changed { revision } = answer else {
+            return Err(StoreError::Failed(format!("{answer:?} instead of a revision")).into());
+        };
+        self.track(&changes, Written { revision, began, answered: Instant::now() });
         self.store.run(&Command::Compact)?;
-        self.front_ends.hosts().for_each(|host| host.is_paused.set(false));
-        let (healed, peak) = self.catch_up().await;
+        self.sleep(AWAY_S).await;
+        for member in 0..MEMBER_REGIONS.len() {
+            self.store.run(&Command::RestartMember { member })?;
+        }
+        let (healed, peak) = self.catch_up(findings).await;
         findings.read_bytes_per_s = findings.read_bytes_per_s.max(peak);
         self.front_ends.tracker.borrow_mut().take_slowest();
         Ok(healed)
@@ -307,17 +322,18 @@
         for number in 0..self.plan.returning {
             self.front_ends.restart(number)?;
         }
-        let (healed, peak) = self.catch_up().await;
+        let (healed, peak) = self.catch_up(findings).await;
         findings.read_bytes_per_s = findings.read_bytes_per_s.max(peak);
         Ok(healed)
     }
 
     /// Waits until all front ends have all changes: the seconds that it took, and the highest mean bytes a second that
     /// any front end received meanwhile.
-    async fn catch_up(&self) -> (Option<f64>, f64) {
+    async fn catch_up(&self, findings: &mut Findings) -> (Option<f64>, f64) {
         let began = Instant::now();
         let mut peak = 0.0_f64;
-        let mut before = self.front_ends.received_for_configuration();
+        let at_start = self.front_ends.received_for_configuration();
+        let mut before = at_start.clone();
         loop {
             let window = Instant::now();
             let waited = self.front_ends.until_in_force(READ_WINDOW_S, |_| true).await;
@@ -326,6 +342,8 @@
             let received = self.front_ends.received_for_configuration();
             let highest = received.iter().zip(&before).map(|(now, then)| now.saturating_sub(*then)).max();
             peak = peak.max(highest.unwrap_or(0) as f64 / seconds);
+            let most = received.iter().zip(&at_start).map(|(now, then)| now.saturating_sub(*then)).max();
+            findings.most_caught_up_bytes = findings.most_caught_up_bytes.max(most.unwrap_or(0));
             before = received;
             let took = began.elapsed().as_secs_f64();
             if waited.is_some() {
--- a/crates/scale/src/config/rows.rs
+++ b/crates/scale/src/config/rows.rs
@@ -1,5 +1,6 @@
 //! The rows of a configuration run.
 
+use super::entries::Function;
 use super::phases::{Findings, READ_WINDOW_S, Spent};
 use super::{Memory, Plan};
 use crate::report::{Basis, Role, Row};
@@ -60,7 +61,7 @@
         seconds(findings.cut_in_force_s),
     );
     let heal_note = format!(
-        "after a region was cut off for {} s {}, after all front ends lost the store and its history was compacted \
+        "after a region was cut off for {} s {}, after all members were away and the history was compacted past all watches \
          {}, {} front ends back at once from old snapshots {}{missing}",
         plan.cut_s,
         seconds(findings.cut_heal_s),
@@ -74,9 +75,13 @@
         plan.burst,
         super::entries::settings().read_bytes_per_second,
     );
+    let whole_bytes = (plan.functions_held * Function::version(0).document().len()) as f64;
     let whole = findings.store_heap_bytes > 0.0;
     let claims_note = "front ends that report a revision whose change their calls don't see";
-    let scans_note = "whole reads of the configuration through all of the run";
+    let reads_note = format!(
+        "the most that any front end received in one catch-up, over the documents of all {} functions: a whole read is 1",
+        plan.functions_held
+    );
     vec![
         filled(
             Row::at_most("config_in_force_s", Role::Fleet, "s", IN_FORCE_S, &note),
@@ -111,8 +116,8 @@
             Some(memory.false_claims as f64),
         ),
         filled(
-            Row::at_most("config_whole_reads", Role::Fleet, "reads", 0.0, scans_note),
-            whole.then_some(findings.scans as f64),
+            Row::at_most("config_reread_share", Role::FrontEnd, "share", 0.5, &reads_note),
+            whole.then_some(findings.most_caught_up_bytes as f64 / whole_bytes),
         ),
     ]
 }
--- a/crates/scale/src/config/writer.rs
+++ b/crates/scale/src/config/writer.rs
@@ -170,17 +170,21 @@
 
     /// Commits; `None` if a guard did not hold.
     async fn commit(&self, transaction: &Transaction) -> Result<Option<i64>, Fault> {
-        let request = TxnRequest {
-            compare: transaction.guards.iter().map(compare).collect(),
-            success: transaction.operations.iter().map(operation).collect(),
-            failure: vec![],
-        };
-        let answer: TxnResponse = self.client.unary(TXN, &request, REQUEST_TIMEOUT).await?;
+        let answer: TxnResponse = self.client.unary(TXN, &request(transaction), REQUEST_TIMEOUT).await?;
         let revision = answer.header.map_or(0, |header| header.revision);
         Ok(answer.succeeded.then_some(revision))
     }
 }
 
+/// A transaction in the store's terms.
+pub fn request(transaction: &Transaction) -> TxnRequest {
+    TxnRequest {
+        compare: transaction.guards.iter().map(compare).collect(),
+        success: transaction.operations.iter().map(operation).collect(),
+        failure: vec![],
+    }
+}
+
 fn compare(guard: &ModRevisionGuard) -> Compare {
     Compare {
         result: CompareResult::Equal.into(),
--- a/crates/scale/src/hollow/control.rs
+++ b/crates/scale/src/hollow/control.rs
@@ -50,7 +50,6 @@
     members: RefCell<Members>,
     engine: RefCell<Engine>,
     is_registered: Cell<bool>,
-    lease: Cell<i64>,
     /// Bytes received by the roster's connection when its first list was there.
     list_bytes: Cell<u64>,
     clients: [Client; 3],
@@ -85,7 +84,6 @@
             members: RefCell::new(Members::new(front_ends as u32)),
             engine: RefCell::new(engine),
             is_registered: Cell::new(false),
-            lease: Cell::new(0),
             list_bytes: Cell::new(0),
             clients: [client(), client(), client()],
         })
@@ -112,11 +110,6 @@
         self.is_registered.get() && self.cache.borrow().known().0 > 0
     }
 
-    /// The lease of its entry; 0 before it has one.
-    pub fn lease(&self) -> i64 {
-        self.lease.get()
-    }
-
     /// Bytes of its first list of executors; 0 before it came.
     pub fn list_bytes(&self) -> u64 {
         self.list_bytes.get()
@@ -190,7 +183,6 @@
             members.owns(self.now(), wanted, 0.0);
             members.renewed(began, lease.ttl as f64);
         }
-        self.lease.set(lease.id);
         self.is_registered.set(true);
         self.keep_lease(lease.id, began + lease.ttl as f64, lease.ttl as f64).await
     }
--- a/crates/scale/src/hollow/mod.rs
+++ b/crates/scale/src/hollow/mod.rs
@@ -1,7 +1,6 @@
 //! Hollow front ends: the true cores and clients, hundreds in one process, without callers or executors on sockets.
 
-pub mod config_host;
-mod config_io;
+pub mod configuration;
 pub mod control;
 pub mod decisions;
 mod follow;
--- a/crates/scale/src/store/command.rs
+++ b/crates/scale/src/store/command.rs
@@ -29,6 +29,11 @@
     Heal,
     /// Drops all history before the newest revision.
     Compact,
+    /// Changes so many functions, from this one on, to this version: committed whatever members run, as what a front end
+    /// misses while it can reach none.
+    ChangeFunctions { from: usize, count: usize, version: u64 },
+    /// The next events for the watch of a client of this name are lost.
+    LoseEvents { client: String },
     /// Delays each answer by so much, in seconds.
     Delay { seconds: f64 },
 }
@@ -57,7 +62,15 @@
 #[serde(tag = "answer", rename_all = "kebab-case")]
 pub enum Answer {
     Done,
-    Addresses { by_region: Vec<Vec<SocketAddr>> },
+    /// The revision of a change.
+    Changed {
+        revision: i64,
+    },
+    Addresses {
+        by_region: Vec<Vec<SocketAddr>>,
+    },
     Usage(Usage),
-    Failed { reason: String },
+    Failed {
+        reason: String,
+    },
 }
--- a/crates/scale/src/store/serve.rs
+++ b/crates/scale/src/store/serve.rs
@@ -3,8 +3,10 @@
 use super::command::{Answer, Command, MemberUsage, Usage};
 use super::{MEMBER_REGIONS, PREFIX};
 use crate::clock;
-use crate::config::entries;
-use orchidtally_etcd::rpc::{CompactionRequest, PutRequest};
+use crate::config::{entries, request};
+use orchidtally_config_sync::GatewaySchema;
+use orchidtally_config_sync::writer::{self, DEFAULT_MAX_OPERATIONS, ReadValue, ReadValues};
+use orchidtally_etcd::rpc::{CompactionRequest, PutRequest, RangeRequest};
 use orchidtally_standin::Stage;
 use orchidtally_standin::etcd::{CrashPoint, Served};
 use std::collections::BTreeSet;
@@ -65,6 +67,12 @@
         Command::CutRegion { region } => served.cut(*region),
         Command::Heal => served.heal(),
         Command::Compact => return compact(served),
+        Command::ChangeFunctions { from, count, version } => {
+            return change_functions(served, *from, *count, *version);
+        }
+        Command::LoseEvents { client } => {
+            *served.faults.loses_events_of.borrow_mut() = Some(client.clone());
+        }
         Command::Delay { seconds } => served.faults.delay.set(*seconds),
     }
     Answer::Done
@@ -115,6 +123,35 @@
     put(served, (from..from + count).map(|n| executor_entry(n, is_ready)))
 }
 
+fn change_functions(served: &Served, from: usize, count: usize, version: u64) -> Answer {
+    let changes = entries::changes(from..from + count, version);
+    let keyspace = entries::keyspace();
+    let read = read_values(served, &writer::keys_to_read(&keyspace, &changes));
+    let (most_bytes, most) = (entries::settings().max_value_bytes, DEFAULT_MAX_OPERATIONS);
+    let planned = writer::plan(&keyspace, &GatewaySchema, &changes, &read, most_bytes, most);
+    let request = match planned {
+        Ok(transaction) => request(&transaction),
+        Err(why) => return Answer::Failed { reason: why.to_string() },
+    };
+    let mut store = served.store.borrow_mut();
+    match store.txn(&request) {
+        Ok(answer) if answer.succeeded => Answer::Changed { revision: store.revision },
+        Ok(_) => Answer::Failed { reason: "a guard of the change did not hold".into() },
+        Err(status) => Answer::Failed { reason: status.to_string() },
+    }
+}
+
+fn read_values(served: &Served, keys: &[Vec<u8>]) -> ReadValues {
+    let store = served.store.borrow();
+    let read = |key: &Vec<u8>| {
+        let request = RangeRequest { key: key.clone().into(), ..RangeRequest::default() };
+        let entry = store.range(&request).ok()?.kvs.into_iter().next()?;
+        let value = ReadValue { value: entry.value.to_vec(), mod_revision: entry.mod_revision };
+        Some((key.clone(), value))
+    };
+    keys.iter().filter_map(read).collect()
+}
+
 fn compact(served: &Served) -> Answer {
     let mut store = served.store.borrow_mut();
     let request = CompactionRequest { revision: store.revision, ..CompactionRequest::default() };
--- a/crates/standin/src/etcd/faults.rs
+++ b/crates/standin/src/etcd/faults.rs
@@ -14,6 +14,8 @@
     pub breaks_every: Cell<u64>,
     /// Exchanges without this token are refused.
     pub token: RefCell<Option<String>>,
+    /// The next events for the watch of a client of this name are lost, and the watch goes on behind them.
+    pub loses_events_of: RefCell<Option<String>>,
     pub(super) crash: Cell<Option<PlannedCrash>>,
 }
 
--- a/crates/standin/src/etcd/watch.rs
+++ b/crates/standin/src/etcd/watch.rs
@@ -202,10 +202,23 @@
                 return Ok(true);
             };
             self.watches[at].next = last + 1;
+            if self.loses_events() {
+                continue;
+            }
             self.send_events(at, events, view).await?;
         }
     }
 
+    /// Whether a script wants the events that are due for this client to be lost, once.
+    fn loses_events(&self) -> bool {
+        let mut unlucky = self.server.faults.loses_events_of.borrow_mut();
+        let is_unlucky = unlucky.as_ref() == Some(&self.caller.agent);
+        if is_unlucky {
+            *unlucky = None;
+        }
+        is_unlucky
+    }
+
     /// The next events of a watch, with whole revisions.
     fn due_events(&self, watch: &Watch, view: View) -> Vec<Event> {
         let store = self.server.store.borrow();
