Decide in the module when a whole zone counts as broken

Cause: the move of upkeep to src/state had taken the condition along (two broke, none was heard since); decisions belong into the policy files.

--- a/src/dispatch/judge.rs
+++ b/src/dispatch/judge.rs
@@ -192,7 +192,10 @@
     pub(super) fn distrust(&mut self, x: usize) {
         self.fleet.note_broken(x, self.now, FAILED, LEAST_JUDGED);
         // Where two in a location broke and none of it was heard since, the rest of it is as doubtful.
-        self.fleet.note_zone_broken(x, self.now, BROKEN_FOR);
+        let first = self.fleet.first_broken_in_zone(x, self.now, BROKEN_FOR);
+        if first < self.now && !self.fleet.zone_heard_after(x, first) {
+            self.fleet.note_zone_broken(x, self.now);
+        }
         self.fleet.trial_at[x] = self.now + DISTRUST;
         self.judge();
     }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -1,8 +1,5 @@
-//! The dispatch policy of one front end: every decision and every tuned value. A `Dispatcher` is started with
-//! the `Terms` of its deployment and a seed, then called once for each thing that happens (`invocation`,
-//! `outcome`, `held`, `roster`, `timer`, ...), and commands through the `Actions` given with each. All three
-//! stand in `interface.rs`. After each input the rules of `RULES` are gone through, in order, for every
-//! function that the input touched, until none fires.
+//! The dispatch policy of one front end: every decision and every tuned value. After each input the `RULES`
+//! are gone through, in order, for every function that it touched; what they decide goes to `Actions`.
 
 mod judge;
 mod send;
@@ -45,7 +42,7 @@
 /// Weight of the newest value in means over the traffic, and in what a function's crowds tell.
 const NEWEST: f64 = 0.015;
 const NEWEST_CROWD: f64 = 0.3;
-/// The usual answer time of a trigger type before any was seen, in objectives.
+/// Usual answer time of a trigger type that was never answered, in objectives.
 const FIRST_USUAL: f64 = 0.25;
 /// Of a customer's share, the seconds and the root that may be saved up, and what a repeat takes of one.
 const SHARE_BURST: f64 = 2.0;
@@ -356,34 +353,6 @@
         self.settle(out);
     }
 
-    /// Has a copy loaded ahead of invocations where fewer executors than wanted are known to serve it,
-    /// else renews the one whose time is over first; from what the ration leaves over, one order at a time.
-    /// Tells how many are known. Guards a version that traffic is about to come to against a rush of
-    /// placements; it could harm where orders are scarce, so a part of them is left to those.
-    pub fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Actions) -> usize {
-        self.now = now;
-        let (lanes, load_time) = (wish.lanes.max(1.0).floor(), wish.load_time.unwrap_or(LOAD_TIME));
-        let f = self.book.function(wish.function, lanes, load_time);
-        self.touched.push(f);
-        self.settle(out); // ends a placement past its patience
-        let spare = self.ration_left(AHEAD);
-        let function = &self.book.functions[f];
-        let known = function.known.iter().filter(|k| k.until > now && self.fleet.ready[k.x]);
-        let (count, oldest) = (known.clone().count(), known.min_by(|a, b| a.until.total_cmp(&b.until)));
-        let due = |k: &&Known| wish.copies > 0 && k.until < now + RENEWED * self.cache_time;
-        let renewed = oldest.filter(due).map(|k| k.x);
-        if !spare || !self.terms.orders || function.placement.is_some() || now < function.next_at {
-            return count;
-        }
-        let x = if count < wish.copies { self.placement_target(f, None) } else { renewed };
-        let ordered = x.filter(|&x| self.order(f, x, out));
-        if let Some(x) = ordered.filter(|_| count < wish.copies) {
-            let patience_at = now + PLACEMENT_TIMEOUT * self.book.functions[f].load_time;
-            self.book.functions[f].placement = Some(Placement { x, by_order: true, patience_at });
-        }
-        count
-    }
-
     pub fn timer(&mut self, now: f64, _mark: u64, out: &mut dyn Actions) {
         self.now = now;
         if now + 1e-6 < self.wake_at {
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -95,6 +95,34 @@
         true
     }
 
+    /// Has a copy loaded ahead of invocations where fewer executors than wanted are known to serve it,
+    /// else renews the one whose time is over first; from what the ration leaves over, one order at a time.
+    /// Tells how many are known. Guards a version that traffic is about to come to against a rush of
+    /// placements; it could harm where orders are scarce, so a part of them is left to those.
+    pub fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Actions) -> usize {
+        self.now = now;
+        let (lanes, load_time) = (wish.lanes.max(1.0).floor(), wish.load_time.unwrap_or(LOAD_TIME));
+        let f = self.book.function(wish.function, lanes, load_time);
+        self.touched.push(f);
+        self.settle(out); // ends a placement past its patience
+        let spare = self.ration_left(AHEAD);
+        let function = &self.book.functions[f];
+        let known = function.known.iter().filter(|k| k.until > now && self.fleet.ready[k.x]);
+        let (count, oldest) = (known.clone().count(), known.min_by(|a, b| a.until.total_cmp(&b.until)));
+        let due = |k: &&Known| wish.copies > 0 && k.until < now + RENEWED * self.cache_time;
+        let renewed = oldest.filter(due).map(|k| k.x);
+        if !spare || !self.terms.orders || function.placement.is_some() || now < function.next_at {
+            return count;
+        }
+        let x = if count < wish.copies { self.placement_target(f, None) } else { renewed };
+        let ordered = x.filter(|&x| self.order(f, x, out));
+        if let Some(x) = ordered.filter(|_| count < wish.copies) {
+            let patience_at = now + PLACEMENT_TIMEOUT * self.book.functions[f].load_time;
+            self.book.functions[f].placement = Some(Placement { x, by_order: true, patience_at });
+        }
+        count
+    }
+
     /// A placement has come to its end; a failed one alone is tried again, after a growing pause.
     pub(super) fn placed(&mut self, f: usize, x: usize, by_order: bool, well: bool) {
         let function = &mut self.book.functions[f];
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -282,20 +282,26 @@
         }
     }
 
-    /// Takes all in an executor's zone for broken, if another one broke there lately and none was heard
-    /// since.
-    pub fn note_zone_broken(&mut self, x: usize, now: f64, lately: f64) {
+    /// When the first of the executors in an executor's zone broke that did so within the last `lately` seconds; now
+    /// if none did.
+    pub fn first_broken_in_zone(&mut self, x: usize, now: f64, lately: f64) -> f64 {
         let (broke_at, zone) = (&self.broke_at, &self.zone);
         self.broken.retain(|&y| now < broke_at[y] + lately);
         let broken = self.broken.iter().filter(|&&y| zone[y] == zone[x]);
-        let first = broken.fold(now, |first, &y| first.min(broke_at[y]));
-        let fellows = |y: &usize| zone[*y] == zone[x];
-        if first < now && self.all().filter(fellows).all(|y| self.heard[y] <= first) {
-            let fellows: Vec<usize> = self.all().filter(fellows).collect();
-            fellows.iter().for_each(|&y| self.broke_at[y] = now);
-            self.broken.extend(fellows);
-            self.recount_cold();
-        }
+        broken.fold(now, |first, &y| first.min(broke_at[y]))
+    }
+
+    /// Whether any executor in an executor's zone was heard after a moment.
+    pub fn zone_heard_after(&self, x: usize, moment: f64) -> bool {
+        self.all().any(|y| self.zone[y] == self.zone[x] && self.heard[y] > moment)
+    }
+
+    /// Notes that all executors in an executor's zone broke now.
+    pub fn note_zone_broken(&mut self, x: usize, now: f64) {
+        let fellows: Vec<usize> = self.all().filter(|&y| self.zone[y] == self.zone[x]).collect();
+        fellows.iter().for_each(|&y| self.broke_at[y] = now);
+        self.broken.extend(fellows);
+        self.recount_cold();
     }
 
     /// Invocations with a dispatch out at an executor that was not heard since, and when it was sent.
