--- a/crates/scale/src/fleet/mod.rs
+++ b/crates/scale/src/fleet/mod.rs
@@ -29,8 +29,7 @@
 use std::thread;
 use std::time::Instant;
 
-/// Runs that go side by side at the most: each takes a thread and up to a gigabyte, and more of them slow each other
-/// down by the caches that they share.
+/// Runs that go side by side at the most: each takes a thread and up to 1.3 GB of memory.
 const MOST_AT_ONCE: usize = 4;
 /// The second size has so many times the executors, each with as much less memory and as many fewer lanes.
 const MORE_EXECUTORS: usize = 3;
@@ -80,7 +79,8 @@
     pub finding: Finding,
 }
 
-/// Simulated seconds measured in the calm by default: as many as end within three minutes on eight cores.
+/// Simulated seconds measured in the calm by default. All runs together then take some 750 seconds of processor time
+/// on a busy machine of eight cores, shared by the threads that go side by side.
 pub const SECONDS: f64 = 4.0;
 
 /// Plays the fleet at two numbers of executors through the scenarios, with `seconds` of simulated time measured in the
--- a/crates/scale/src/fleet/rows.rs
+++ b/crates/scale/src/fleet/rows.rs
@@ -59,14 +59,18 @@
         run.plan.size.executors,
         counts.seconds
     );
+    let about = match scenario {
+        Scenario::Restarts => format!("a day's {about}, thousands of times denser than on the day"),
+        _ => about,
+    };
     let build = Builder { scenario, suffix, about: &about };
     let mut rows = build.for_each_scenario(counts);
     match scenario {
         Scenario::Calm => {
             rows.extend(build.calm(counts));
             let limit_us = 1e6 * CONTROL_CPU_SHARE / run.plan.size.calls_per_front_end();
-            let note = "processor time of engine and policy a call, while hundreds of engines share the caches \
-                        of a core: at the most; limit: 4.8 % of a core at its calls a second";
+            let note = "processor time of engine and policy a call, with all engines of the fleet in one \
+                        process; limit: 4.8 % of a core at its calls a second";
             rows.push(build.at_most("fleet_decision_cpu_us", "us", limit_us, *decision_cpu_us, note));
         }
         Scenario::RegionCut => {
