--- a/crates/scale/src/config/rows.rs
+++ b/crates/scale/src/config/rows.rs
@@ -46,9 +46,9 @@
         false => format!("; {}", findings.missing.join("; ")),
     };
     let note = format!(
-        "{} hollow front ends with {} functions over loopback sockets, by what calls see: {} single changes {}, {} \
-         changes written within {:.2} s {}, two of five members stopped in the middle of a change {}, at reachable front ends \
-         while a region is cut off for {} s {}{missing}",
+        "{} hollow front ends with {} functions on one core over loopback sockets, by what calls see: {} single \
+         changes {}, {} changes written within {:.2} s {}, two of five members stopped in the middle of a change {}, at \
+         reachable front ends while a region is cut off for {} s {}{missing}",
         plan.front_ends,
         plan.functions_held,
         (plan.daily_s * plan.daily_rate).ceil(),
@@ -61,8 +61,8 @@
         seconds(findings.cut_in_force_s),
     );
     let heal_note = format!(
-        "after a region was cut off for {} s {}, after all members were away and the history was compacted past all watches \
-         {}, {} front ends back at once from old snapshots {}{missing}",
+        "after a region was cut off for {} s {}, after all members were away and the history was compacted past all \
+         watches {}, {} front ends back at once from old snapshots {}{missing}",
         plan.cut_s,
         seconds(findings.cut_heal_s),
         seconds(findings.compaction_heal_s),
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -30,6 +30,8 @@
     Config,
     /// All of them, side by side.
     All,
+    /// No run: the report on standard input is told again, for its tables.
+    Stored,
     /// The control store of a run, as a process of its own.
     #[value(hide = true)]
     Store,
@@ -167,6 +169,13 @@
                 Err(why) => failed(&format!("the store could not serve: {why}")),
             };
         }
+        Run::Stored => match serde_json::from_reader(std::io::stdin().lock()) {
+            Ok(report) => report,
+            Err(why) => {
+                eprintln!("error: standard input holds no report: {why}; give it a last line of a run");
+                return ExitCode::from(BAD_ARGUMENTS);
+            }
+        },
         Run::Slopes => run_slopes(&arguments, size),
         Run::Fleet => run_fleet(&arguments, size),
         Run::Config => run_config(&arguments, size),
