Take the pace of the watch out again: one of 550 front ends never caught up

Read off the code, not traced: at 2 KB a second a message of 50 changes (21 KB) takes longer than watch_timeout (4 s), the core opens the watch anew and the message begins from its start.

--- a/crates/config-sync/src/sync/mod.rs
+++ b/crates/config-sync/src/sync/mod.rs
@@ -104,8 +104,6 @@
     backlog: Backlog,
     watch_is_open: bool,
     reopen_watch_at: f64,
-    /// When the watch last came to a newer revision.
-    watch_advanced_at: f64,
     freshness: Freshness,
     barriers: Barriers,
     reading: Option<Reading>,
@@ -144,7 +142,6 @@
             backlog: Backlog::new(settings.max_pending_changes, settings.max_pending_bytes),
             watch_is_open: false,
             reopen_watch_at: f64::INFINITY,
-            watch_advanced_at: f64::NEG_INFINITY,
             freshness: Freshness::default(),
             barriers: Barriers::default(),
             reading: None,
--- a/crates/config-sync/src/sync/timers.rs
+++ b/crates/config-sync/src/sync/timers.rs
@@ -80,14 +80,12 @@
         }
     }
 
-    /// A watch that lags behind what a barrier named, and comes no further, is opened anew, at another member. One that
-    /// still comes further is only slow: a burst of changes arrives at the pace of the host's connection.
+    /// A watch that lags behind what a barrier named is opened anew, at another member.
     fn watch_timer(&self) -> f64 {
         if !self.watch_is_open {
             return self.reopen_watch_at;
         }
-        let waiting_since = self.freshness.waiting_since(self.backlog.complete_through());
-        waiting_since.max(self.watch_advanced_at) + self.settings.watch_timeout
+        self.freshness.waiting_since(self.backlog.complete_through()) + self.settings.watch_timeout
     }
 
     fn run_watch_timer(&mut self, now: f64) {
--- a/crates/config-sync/src/sync/watching.rs
+++ b/crates/config-sync/src/sync/watching.rs
@@ -47,16 +47,12 @@
         if !self.watch_is_open || !self.is_followed(now, &batch.header) {
             return;
         }
-        let known = self.backlog.complete_through();
         if self.backlog.push(batch.changes, batch.complete).is_err() {
             self.close_watch();
             self.reading = None;
             self.delay(now, Need::CatchUp);
             return;
         }
-        if self.backlog.complete_through() > known {
-            self.watch_advanced_at = now;
-        }
         self.apply_backlog(now);
     }
 
--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -1,7 +1,6 @@
 //! A client of one endpoint at a time: unary exchanges with a deadline, and streams both ways, over HTTP/2.
 
 use crate::grpc::{CONTENT_TYPE, Malformed, Status, deframe, frame, status};
-use crate::pace::ReceivePace;
 use crate::traffic::{Counted, Traffic};
 use async_executor::{LocalExecutor, Task};
 use bytes::{Bytes, BytesMut};
@@ -60,7 +59,6 @@
     /// What it says of itself in each exchange, for logs.
     name: RefCell<String>,
     traffic: Rc<Traffic>,
-    handshake: h2::client::Builder,
 }
 
 /// A stream of messages both ways.
@@ -68,47 +66,22 @@
     out: h2::SendStream<Bytes>,
     body: h2::RecvStream,
     bytes: BytesMut,
-    window: Window,
     _of: std::marker::PhantomData<M>,
     _connection: Rc<Connection>,
 }
 
-/// What a stream brought and what was given back of it to the sender's window.
-#[derive(Default)]
-struct Window {
-    /// How fast it is given back; at once without one.
-    pace: Option<ReceivePace>,
-    /// Bytes that came and were not given back yet.
-    held: usize,
-}
-
-impl Window {
-    /// How long to wait until more can be given back; `None` if nothing is held.
-    fn wait(&self) -> Option<Duration> {
-        self.pace.as_ref()?.wait(self.held)
-    }
-
-    /// Takes what may be given back now.
-    fn release(&mut self) -> usize {
-        let released = self.pace.as_ref().map_or(self.held, |pace| pace.release(self.held));
-        self.held -= released;
-        released
-    }
-}
-
 async fn next<M: Message + Default>(
     body: &mut h2::RecvStream,
     bytes: &mut BytesMut,
-    window: &mut Window,
 ) -> Result<Option<M>, Fault> {
     loop {
         if let Some(message) = deframe(bytes, LONGEST).map_err(Fault::Malformed)? {
             return Ok(Some(message));
         }
-        match data(body, window).await {
+        match body.data().await {
             Some(Ok(chunk)) => {
-                window.held += chunk.len();
-                give_back(body, window);
+                // The window is given back as it is read; that the stream has ended is seen next.
+                let _ = body.flow_control().release_capacity(chunk.len());
                 bytes.extend_from_slice(&chunk);
             }
             Some(Err(e)) => return Err(broke(e)),
@@ -117,39 +90,14 @@
     }
 }
 
-/// The next bytes. While they are waited for, what the pace allows is given back to the window.
-async fn data(body: &mut h2::RecvStream, window: &mut Window) -> Option<Result<Bytes, h2::Error>> {
-    while let Some(wait) = window.wait() {
-        if let Some(data) = orchidtally_net::within(wait, body.data()).await {
-            return data;
-        }
-        give_back(body, window);
-    }
-    body.data().await
-}
-
-/// Gives back to the window what may be; that the stream has ended is seen next.
-fn give_back(body: &mut h2::RecvStream, window: &mut Window) {
-    let released = window.release();
-    if released > 0 {
-        let _ = body.flow_control().release_capacity(released);
-    }
-}
-
 impl<M: Message + Default> Both<M> {
-    /// From now on the store sends no faster than the pace allows; messages come late instead. While nobody waits in
-    /// [`Both::next`] nothing is given back.
-    pub fn limit_pace(&mut self, pace: ReceivePace) {
-        self.window.pace = Some(pace);
-    }
-
     pub fn send(&mut self, message: &impl Message) -> Result<(), Fault> {
         self.out.send_data(frame(message), false).map_err(broke)
     }
 
     /// The next message; an end of the stream is a fault, with its status where it has one.
     pub async fn next(&mut self) -> Result<M, Fault> {
-        match next(&mut self.body, &mut self.bytes, &mut self.window).await? {
+        match next(&mut self.body, &mut self.bytes).await? {
             Some(message) => Ok(message),
             None => {
                 let trailers = self.body.trailers().await.map_err(broke)?;
@@ -170,17 +118,9 @@
             token: RefCell::default(),
             name: RefCell::default(),
             traffic: Rc::default(),
-            handshake: h2::client::Builder::new(),
         }
     }
 
-    /// The bytes that the store may send on a stream before it waits for the window to be given back; HTTP/2's 65,535
-    /// otherwise. For connections that are made from now on.
-    pub fn with_stream_window(mut self, bytes: u32) -> Client {
-        self.handshake.initial_window_size(bytes);
-        self
-    }
-
     /// Bytes sent and received over all of this client's connections so far.
     pub fn traffic(&self) -> &Traffic {
         &self.traffic
@@ -208,7 +148,7 @@
         let at = self.endpoint().ok_or_else(|| broke("no endpoint is known"))?;
         let stream = orchidtally_net::connect(at, CONNECT_TIME).await.map_err(broke)?;
         let stream = Counted::new(stream, self.traffic.clone());
-        let shaken = orchidtally_net::within(CONNECT_TIME, self.handshake.handshake(stream)).await;
+        let shaken = orchidtally_net::within(CONNECT_TIME, h2::client::handshake(stream)).await;
         let (sender, driver) = shaken.ok_or(Fault::TimedOut)?.map_err(broke)?;
         let driver = self.tasks.spawn(async {
             // What breaks it is seen by its streams.
@@ -254,7 +194,7 @@
                 return Err(Fault::Refused(refused));
             }
             let mut bytes = BytesMut::new();
-            let answer = next(&mut body, &mut bytes, &mut Window::default()).await?;
+            let answer = next(&mut body, &mut bytes).await?;
             let trailers = body.trailers().await.map_err(broke)?;
             if let Some(refused) = trailers.as_ref().and_then(status).filter(|s| s.code != 0) {
                 return Err(Fault::Refused(refused));
@@ -282,14 +222,7 @@
                 return Err(Fault::Refused(refused));
             }
             let _of = std::marker::PhantomData;
-            Ok(Both {
-                out,
-                body,
-                bytes: BytesMut::new(),
-                window: Window::default(),
-                _of,
-                _connection: connection,
-            })
+            Ok(Both { out, body, bytes: BytesMut::new(), _of, _connection: connection })
         };
         let done = orchidtally_net::within(time, work).await.unwrap_or(Err(Fault::TimedOut));
         if done.is_err() {
--- a/crates/etcd/src/lib.rs
+++ b/crates/etcd/src/lib.rs
@@ -3,12 +3,10 @@
 
 pub mod client;
 pub mod grpc;
-pub mod pace;
 pub mod traffic;
 pub mod watch;
 
 pub use client::{Client, Fault};
-pub use pace::ReceivePace;
 pub use traffic::{Counted, Traffic};
 pub use watch::{Told, Watch};
 
--- a/crates/frontend/src/config/host.rs
+++ b/crates/frontend/src/config/host.rs
@@ -11,7 +11,7 @@
 use orchidtally_config_sync::{
     Action, ConfigSync, Rejection, Report, Schema, SettingsError, SyncSettings, Verdict, View,
 };
-use orchidtally_etcd::{Client, Fault, ReceivePace};
+use orchidtally_etcd::{Client, Fault};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::rc::{Rc, Weak};
@@ -24,10 +24,6 @@
 const APPLY_INTERVAL: f64 = 0.05;
 /// A view that the target didn't take is offered again after this time, in seconds.
 const APPLY_RETRY: f64 = 1.0;
-/// The pace of the watch, in bytes a second, and what it may bring at once, in bytes. In any 18 s, in which a change has
-/// to be in force, that is 216 KB, or 12 KB a second: over 400 changes at once, 500 of 400 bytes after 10 s.
-const WATCH_BYTES_PER_SECOND: f64 = 2_000.0;
-const WATCH_BURST: f64 = 180_000.0;
 /// The host looks at its timers at least this often, in seconds.
 const LONGEST_WAIT: f64 = 60.0;
 
@@ -52,7 +48,6 @@
     is_away: Cell<bool>,
     backoff: Backoff,
     watch: RefCell<Option<Watching>>,
-    pub(super) watch_pace: ReceivePace,
     pub(super) lease: Cell<Option<Lease>>,
     pending_view: RefCell<Option<PendingView<S::Entry>>>,
     applied_at: Cell<f64>,
@@ -99,7 +94,6 @@
             is_away: Cell::new(false),
             backoff: Backoff::default(),
             watch: RefCell::default(),
-            watch_pace: ReceivePace::new(WATCH_BYTES_PER_SECOND, WATCH_BURST),
             lease: Cell::new(None),
             pending_view: RefCell::new(None),
             applied_at: Cell::new(f64::NEG_INFINITY),
--- a/crates/frontend/src/config/watch.rs
+++ b/crates/frontend/src/config/watch.rs
@@ -40,8 +40,6 @@
         let mut watch = Watch::new(prefix, from);
         let mut both: Both<WatchResponse> =
             self.client.both(WATCH, &watch.request(), self.settings.patience).await?;
-        // A burst of changes comes late rather than over the front end's share of bytes.
-        both.limit_pace(self.watch_pace.clone());
         let mut is_quiet = false;
         loop {
             let received = self.client.traffic().received();
