--- a/crates/cli/src/rehearse/play/mod.rs
+++ b/crates/cli/src/rehearse/play/mod.rs
@@ -37,6 +37,7 @@
 /// Of the traffic, the share of each trigger type.
 const SHARES: [f64; 4] = [0.45, 0.2, 0.25, 0.1];
 
+/// What of a rehearsal can be chosen.
 pub struct Wish {
     pub seed: u64,
     /// A violation of this rule is injected.
@@ -47,6 +48,7 @@
     pub etcd: bool,
 }
 
+/// What a rehearsal left to be judged.
 pub struct Played {
     pub terms: Terms,
     pub fleet: Vec<witness::Executor>,
@@ -98,6 +100,10 @@
     relists: Cell<u64>,
 }
 
+/// Plays a day with real front ends on loopback.
+///
+/// # Errors
+/// A front end or a test server could not be started.
 pub fn play(day: &Day, wish: &Wish) -> io::Result<Played> {
     let stage = Stage::new(wish.seed);
     let tasks = stage.tasks.clone();
