--- a/crates/cli/src/local.rs
+++ b/crates/cli/src/local.rs
@@ -2,9 +2,9 @@
 
 use bytes::Bytes;
 use orchidtally_deployment::Deployment;
-use orchidtally_standin::Stage;
-use orchidtally_standin::executor::{Catalogue, Executor, Make, Program, Surroundings, echo};
-use orchidtally_standin::store::Store;
+use orchidtally_test_servers::Stage;
+use orchidtally_test_servers::executor::{Catalogue, Executor, Make, Program, Surroundings, echo};
+use orchidtally_test_servers::store::Store;
 use sha2::{Digest, Sha256};
 use std::io;
 use std::net::SocketAddr;
@@ -103,7 +103,7 @@
             tokens: Rc::default(),
             token_window: 60.0,
         };
-        Executor::start(stage, make, orchidtally_standin::any_port(), around)
+        Executor::start(stage, make, orchidtally_test_servers::any_port(), around)
     };
     (0..EXECUTORS).map(one).collect()
 }
--- a/crates/cli/src/measure.rs
+++ b/crates/cli/src/measure.rs
@@ -3,8 +3,8 @@
 
 use crate::{BAD_INPUT, COULD_NOT_RUN};
 use clap::ValueEnum;
-use orchidtally_standin::Stage;
-use orchidtally_standin::bare::{self, Ask, Seen};
+use orchidtally_test_servers::Stage;
+use orchidtally_test_servers::bare::{self, Ask, Seen};
 use serde::Serialize;
 use std::io::{self, BufRead, BufReader};
 use std::net::SocketAddr;
@@ -144,7 +144,7 @@
 
 /// Plays a part until it is ended.
 fn play(part: &str) -> Result<(), u8> {
-    let listen = || orchidtally_net::listen(orchidtally_standin::any_port());
+    let listen = || orchidtally_net::listen(orchidtally_test_servers::any_port());
     let (kind, value) = part.split_once('=').ok_or(BAD_INPUT)?;
     // The module keeps to a limit at each executor, so that one alone would hold back a busy client.
     let (value, ports) = value.split_once('x').unwrap_or((value, "1"));
--- a/crates/cli/src/rehearse/day.rs
+++ b/crates/cli/src/rehearse/day.rs
@@ -104,12 +104,12 @@
 impl Day {
     /// The built-in bad day: every kind of trouble, overlapping, drawn by the seed.
     pub fn bad(seed: u64, length: f64) -> Day {
-        let mut chance = SmallRng::seed_from_u64(seed);
+        let mut random = SmallRng::seed_from_u64(seed);
         let mut troubles = vec![];
         for (kind, _, size, _) in KINDS {
             // Nothing in the first tenth, so that there is a day to spoil; the last fifth sees recovery.
-            let at = length * chance.random_range(0.1..0.6);
-            let lasts = length * chance.random_range(0.1..0.22);
+            let at = length * random.random_range(0.1..0.6);
+            let lasts = length * random.random_range(0.1..0.22);
             troubles.push(Trouble { kind, at, lasts, size });
         }
         troubles.sort_by(|a, b| a.at.total_cmp(&b.at));
--- a/crates/cli/src/rehearse/evidence.rs
+++ b/crates/cli/src/rehearse/evidence.rs
@@ -1,8 +1,8 @@
 //! Whether a violation that was injected took place, told from the records alone and more strictly than the checks
 //! judge it: what holds here has to be found by them.
 
-use orchidtally_standin::rogue;
-use orchidtally_witness::{Effect, Record, Standing, Terms};
+use orchidtally_invariants::{Effect, Limits, Record, Standing};
+use orchidtally_test_servers::rogue;
 use std::collections::{HashMap, HashSet};
 
 /// The client whose invocations nobody answers.
@@ -32,16 +32,16 @@
 }
 
 /// The evidence of a rule's injected violation, or what is missing for it.
-pub fn of_violation(rule: u8, terms: &Terms, records: &[Record]) -> Result<(), Missing> {
+pub fn of_violation(rule: u8, limits: &Limits, records: &[Record]) -> Result<(), Missing> {
     let mut records: Vec<&Record> = records.iter().collect();
     records.sort_by(|a, b| a.at().total_cmp(&b.at()));
     match rule {
         1 => unanswered(&records),
         2 => ran_twice(&records),
-        3 => dispatched_after_drain(terms, &records),
-        4 => pushed_over(terms, &records),
-        5 => over_ration(terms, &records),
-        _ => message_ran_twice(terms, &records),
+        3 => dispatched_after_drain(limits, &records),
+        4 => pushed_over(limits, &records),
+        5 => over_ration(limits, &records),
+        _ => message_ran_twice(limits, &records),
     }
 }
 
@@ -96,7 +96,7 @@
     }
 }
 
-fn dispatched_after_drain(terms: &Terms, records: &[&Record]) -> Result<(), Missing> {
+fn dispatched_after_drain(limits: &Limits, records: &[&Record]) -> Result<(), Missing> {
     let mut told_since: HashMap<usize, f64> = HashMap::new();
     let mut was_told = false;
     for record in records {
@@ -110,7 +110,7 @@
                 }
             }
             Record::Reached { at, life, executor, .. } if *life == rogue::INCARNATION => {
-                let allowed = terms.drain_grace + terms.transit;
+                let allowed = limits.drain_grace + limits.transit;
                 if told_since.get(executor).is_some_and(|since| *at > since + allowed) {
                     return Ok(());
                 }
@@ -131,7 +131,7 @@
     })
 }
 
-fn pushed_over(terms: &Terms, records: &[&Record]) -> Result<(), Missing> {
+fn pushed_over(limits: &Limits, records: &[&Record]) -> Result<(), Missing> {
     let mut told_start: HashMap<usize, f64> = HashMap::new();
     let mut reached: HashMap<usize, Vec<(f64, bool)>> = HashMap::new();
     for record in records {
@@ -143,7 +143,7 @@
                 reached.entry(*executor).or_default().push((*at, *life == rogue::INCARNATION));
             }
             Record::Fell { at, executor, since } if told_start.get(executor).is_some_and(|t| t >= since) => {
-                let began = since.max(at - terms.fall);
+                let began = since.max(at - limits.fall);
                 let lately = || reached.get(executor).into_iter().flatten().filter(|r| r.0 >= began);
                 let injected = lately().filter(|r| r.1).count();
                 if 3 * injected > 2 * lately().count() {
@@ -158,7 +158,7 @@
 }
 
 /// Counts what all front ends were offered in place of one, and leaves out executors that were deaf at any time.
-fn over_ration(terms: &Terms, records: &[&Record]) -> Result<(), Missing> {
+fn over_ration(limits: &Limits, records: &[&Record]) -> Result<(), Missing> {
     let deaf = |r: &&Record| if let Record::Deaf { executor, .. } = r { Some(*executor) } else { None };
     let deaf: HashSet<usize> = records.iter().filter_map(deaf).collect();
     let mut orders: Vec<f64> = vec![];
@@ -172,10 +172,10 @@
                 if *life == rogue::INCARNATION && *copies > 0 && !deaf.contains(executor) =>
             {
                 orders.push(*at);
-                let from = at - terms.ration_window;
-                let given = orders.iter().filter(|&&t| t > from + terms.transit).count();
-                let taken = offers.iter().filter(|&&t| t > from - terms.transit).count() + published;
-                if given as f64 > terms.ration_floor + terms.ration_share * taken as f64 {
+                let from = at - limits.ration_window;
+                let given = orders.iter().filter(|&&t| t > from + limits.transit).count();
+                let taken = offers.iter().filter(|&&t| t > from - limits.transit).count() + published;
+                if given as f64 > limits.ration_floor + limits.ration_share * taken as f64 {
                     return Ok(());
                 }
             }
@@ -185,9 +185,9 @@
     Err(Missing::OrdersOverRation)
 }
 
-fn message_ran_twice(terms: &Terms, records: &[&Record]) -> Result<(), Missing> {
+fn message_ran_twice(limits: &Limits, records: &[&Record]) -> Result<(), Missing> {
     let has_effect_once =
-        |name: &str| terms.trigger_types.iter().any(|t| t.name == name && t.effect == Effect::NonIdempotent);
+        |name: &str| limits.trigger_types.iter().any(|t| t.name == name && t.effect == Effect::NonIdempotent);
     let message = |r: &&Record| match r {
         Record::Published { invocation, trigger_type, .. } if has_effect_once(trigger_type) => {
             Some(invocation.clone())
--- a/crates/cli/src/rehearse/messages.rs
+++ b/crates/cli/src/rehearse/messages.rs
@@ -2,10 +2,10 @@
 //! connections that break, by way of a broker that goes down.
 
 use bytes::Bytes;
+use orchidtally_invariants::Record;
 use orchidtally_mqtt::packet::{Property, Qos};
-use orchidtally_standin::broker::{Message, Served};
-use orchidtally_standin::{Stage, any_port};
-use orchidtally_witness::Record;
+use orchidtally_test_servers::broker::{Message, Served};
+use orchidtally_test_servers::{Stage, any_port};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::io;
--- a/crates/cli/src/rehearse/mod.rs
+++ b/crates/cli/src/rehearse/mod.rs
@@ -11,7 +11,7 @@
 use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO};
 use day::Day;
 use evidence::Missing;
-use orchidtally_witness::{Answer, Messages, Record, Verdict, judge, messages as judge_messages};
+use orchidtally_invariants::{Answer, Messages, Record, Verdict, judge, messages as judge_messages};
 use serde::Serialize;
 use std::collections::HashMap;
 use std::path::PathBuf;
@@ -29,7 +29,7 @@
     #[arg(long, default_value_t = 20.0)]
     length: f64,
     /// Injects a violation of this rule into the traffic; it has to be found. 6, with --mqtt: messages given twice.
-    #[arg(long = "sabotage", value_name = "RULE", value_parser = clap::value_parser!(u8).range(1..=6))]
+    #[arg(long, alias = "sabotage", value_name = "RULE", value_parser = clap::value_parser!(u8).range(1..=6))]
     inject_violation: Option<u8>,
     /// A day as the users' bench prints it, scaled down to this machine.
     #[arg(long, value_name = "FILE", conflicts_with = "day")]
@@ -89,7 +89,7 @@
 
 pub fn run(arguments: Arguments) -> Result<(), u8> {
     if arguments.inject_violation == Some(6) && !arguments.mqtt {
-        eprintln!("--sabotage 6 is a broker's fault: --mqtt is wanted with it");
+        eprintln!("--inject-violation 6 is a broker's fault: --mqtt is wanted with it");
         return Err(BAD_INPUT);
     }
     let day = day(&arguments)?;
@@ -119,10 +119,10 @@
             COULD_NOT_RUN
         })?;
     }
-    let verdict = judge(&played.terms, &played.fleet, &played.records);
-    let messages = arguments.mqtt.then(|| judge_messages(&played.terms, &played.records));
+    let verdict = judge(&played.limits, &played.fleet, &played.records);
+    let messages = arguments.mqtt.then(|| judge_messages(&played.limits, &played.records));
     let injected =
-        arguments.inject_violation.map(|rule| evidence::of_violation(rule, &played.terms, &played.records));
+        arguments.inject_violation.map(|rule| evidence::of_violation(rule, &played.limits, &played.records));
     report(&day, &played, &verdict, messages.as_ref(), injected.map(|found| found.is_ok()));
     if let (Some(rule), Some(injected)) = (arguments.inject_violation, injected) {
         check_injection(rule, injected, &verdict, messages.as_ref())?;
@@ -252,7 +252,7 @@
             _ => None,
         })
         .collect();
-    for (n, ty) in played.terms.trigger_types.iter().enumerate() {
+    for (n, ty) in played.limits.trigger_types.iter().enumerate() {
         let (mut offered, mut in_time, mut counts, mut times) = (0, 0, [0u64; 3], vec![]);
         for r in &played.records {
             let Record::Offered { at, invocation, trigger_type, .. } = r else { continue };
--- a/crates/cli/src/rehearse/play/injection.rs
+++ b/crates/cli/src/rehearse/play/injection.rs
@@ -3,11 +3,11 @@
 
 use super::{Rehearsal, TRANSIT};
 use crate::rehearse::evidence::{self, INVOCATION_PREFIX, UNANSWERED_CLIENT};
-use orchidtally_standin::any_port;
-use orchidtally_standin::client::{Ask, Caller};
-use orchidtally_standin::executor::Executor;
-use orchidtally_standin::rogue::Rogue;
-use orchidtally_witness::Standing;
+use orchidtally_invariants::Standing;
+use orchidtally_test_servers::any_port;
+use orchidtally_test_servers::client::{Ask, Caller};
+use orchidtally_test_servers::executor::Executor;
+use orchidtally_test_servers::rogue::Rogue;
 use std::rc::Rc;
 
 /// Attempts end so long after the day at the latest, in seconds: sooner than the rehearsal waits for what is open.
@@ -48,9 +48,9 @@
     }
 
     fn is_violated(&self, rule: u8) -> bool {
-        let mut terms = self.terms.clone();
-        terms.transit += self.lag.get();
-        evidence::of_violation(rule, &terms, &self.stage.records()).is_ok()
+        let mut limits = self.limits.clone();
+        limits.transit += self.lag.get();
+        evidence::of_violation(rule, &limits, &self.stage.records()).is_ok()
     }
 
     /// The injecting front end hears of the roster as the others do.
@@ -82,7 +82,7 @@
         let ask = Ask {
             invocation: self.name(),
             function: "fn-1".into(),
-            trigger_type: (0, self.terms.trigger_types[0].name.clone()),
+            trigger_type: (0, self.limits.trigger_types[0].name.clone()),
             time_left: 1.0,
             ..Ask::default()
         };
@@ -128,7 +128,7 @@
                 return;
             }
             was_told |= told_at.is_some();
-            let allowed = self.terms.drain_grace + TRANSIT + self.lag.get() + DRAIN_MARGIN;
+            let allowed = self.limits.drain_grace + TRANSIT + self.lag.get() + DRAIN_MARGIN;
             let Some(told_at) = told_at.filter(|at| self.stage.now() > at + allowed) else { continue };
             let name = format!("{INVOCATION_PREFIX}3-{attempt}-{:.0}", 1e3 * (told_at - began));
             self.dispatch_in_time(rogue, executor, &name).await;
@@ -163,7 +163,7 @@
             let dispatch = async move { rogue.dispatch(at, &name, 0, "fn-1", "look").await };
             self.stage.spawn(dispatch).detach();
         }
-        self.stage.sleep(self.terms.fall).await;
+        self.stage.sleep(self.limits.fall).await;
     }
 
     /// Rule 5: more orders to load than any share of the day's invocations grants.
--- a/crates/cli/src/rehearse/play/mod.rs
+++ b/crates/cli/src/rehearse/play/mod.rs
@@ -12,12 +12,12 @@
 use super::rolling::{self, Rolling};
 use super::roster::Roster;
 use orchidtally_deployment::Deployment;
-use orchidtally_standin::client::Caller;
-use orchidtally_standin::executor::Executor;
-use orchidtally_standin::publisher::Publisher;
-use orchidtally_standin::store::Store;
-use orchidtally_standin::{Stage, Until};
-use orchidtally_witness::{self as witness, Record, Terms};
+use orchidtally_invariants::{self as invariants, Limits, Record};
+use orchidtally_test_servers::client::Caller;
+use orchidtally_test_servers::executor::Executor;
+use orchidtally_test_servers::publisher::Publisher;
+use orchidtally_test_servers::store::Store;
+use orchidtally_test_servers::{Stage, Until};
 use processes::standing;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -50,8 +50,8 @@
 
 /// What a rehearsal left to be judged.
 pub struct Played {
-    pub terms: Terms,
-    pub fleet: Vec<witness::Executor>,
+    pub limits: Limits,
+    pub fleet: Vec<invariants::Executor>,
     pub records: Vec<Record>,
     pub notes: Vec<String>,
     pub rollout: Option<rolling::Seen>,
@@ -78,7 +78,7 @@
     log: String,
     file: PathBuf,
     deployment: Deployment,
-    terms: Terms,
+    limits: Limits,
     store: Rc<Store>,
     publisher: Rc<Publisher>,
     executors: Vec<Rc<Executor>>,
@@ -127,14 +127,14 @@
     let notes = played?;
     let per_location = |n: usize| n as u32 % day.locations;
     let fleet = (0..day.executors)
-        .map(|n| witness::Executor { location: per_location(n), cell: setup::cell(n, day) })
+        .map(|n| invariants::Executor { location: per_location(n), cell: setup::cell(n, day) })
         .collect();
     let records = rehearsal.stage.records();
     let rollout = rehearsal.rolling.as_ref().map(|r| r.seen(&records));
-    let mut terms = rehearsal.terms.clone();
-    terms.transit += rehearsal.lag.get();
+    let mut limits = rehearsal.limits.clone();
+    limits.transit += rehearsal.lag.get();
     let (roster, relists) = (rehearsal.roster.clone(), rehearsal.relists.get());
-    Ok(Played { terms, fleet, records, notes, rollout, roster, relists })
+    Ok(Played { limits, fleet, records, notes, rollout, roster, relists })
 }
 
 impl Rehearsal {
@@ -202,7 +202,7 @@
         let progress = self.stage.spawn(self.clone().progress(from));
         self.clone().traffic(from).await;
         // What is open is answered, and what was ordered to end does.
-        let longest = self.deployment.terms.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
+        let longest = self.deployment.policy.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
         let answers = if self.messages.is_some() { 20.0 } else { 0.0 };
         let until = self.stage.now() + longest + 2.0 + answers;
         while self.pending.get() > 0 && self.stage.now() < until {
--- a/crates/cli/src/rehearse/play/processes.rs
+++ b/crates/cli/src/rehearse/play/processes.rs
@@ -4,7 +4,7 @@
 use crate::rehearse::day::Trouble;
 use bytes::Bytes;
 use futures_lite::future;
-use orchidtally_witness::Record;
+use orchidtally_invariants::Record;
 use std::io;
 use std::net::SocketAddr;
 use std::process::{Command, Stdio};
--- a/crates/cli/src/rehearse/play/setup.rs
+++ b/crates/cli/src/rehearse/play/setup.rs
@@ -6,12 +6,12 @@
 use crate::rehearse::rolling::Rolling;
 use crate::rehearse::roster::Roster;
 use orchidtally_deployment::Deployment;
-use orchidtally_standin::client::Caller;
-use orchidtally_standin::executor::{Catalogue, Executor, Make, Program, Surroundings, Tokens, echo};
-use orchidtally_standin::publisher::{Publisher, Row};
-use orchidtally_standin::store::Store;
-use orchidtally_standin::{Stage, any_port, port_for_later};
-use orchidtally_witness::{Effect, Group, Standing, Terms, TriggerType};
+use orchidtally_invariants::{Effect, Group, Limits, Standing, TriggerType};
+use orchidtally_test_servers::client::Caller;
+use orchidtally_test_servers::executor::{Catalogue, Executor, Make, Program, Surroundings, Tokens, echo};
+use orchidtally_test_servers::publisher::{Publisher, Row};
+use orchidtally_test_servers::store::Store;
+use orchidtally_test_servers::{Stage, any_port, port_for_later};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -55,8 +55,8 @@
 }
 
 /// What the rules are checked against, from the same description that the front ends read.
-fn terms(deployment: &Deployment) -> Terms {
-    let t = &deployment.terms;
+fn limits(deployment: &Deployment) -> Limits {
+    let t = &deployment.policy;
     let ty = |(trigger, ty): (&orchidtally_deployment::Trigger, &orchidtally::interface::TriggerType)| {
         TriggerType {
             name: trigger.name.clone(),
@@ -74,7 +74,7 @@
             objective: ty.objective,
         }
     };
-    Terms {
+    Limits {
         trigger_types: deployment.trigger_types.iter().zip(&t.trigger_types).map(ty).collect(),
         second_copies: t.second_copies,
         drain_grace: 1.0,
@@ -188,7 +188,7 @@
             step: if n == 0 { day.clock_step } else { 0.0 },
         }));
     }
-    let terms = terms(&deployment);
+    let limits = limits(&deployment);
     Ok(Rc::new(Rehearsal {
         stage,
         day: day.clone(),
@@ -196,7 +196,7 @@
         log: wish.front_end_log.clone(),
         file,
         deployment,
-        terms,
+        limits,
         store,
         publisher,
         executors,
--- a/crates/cli/src/rehearse/play/traffic.rs
+++ b/crates/cli/src/rehearse/play/traffic.rs
@@ -3,8 +3,8 @@
 use super::{Rehearsal, SHARES, WARM_UP};
 use crate::rehearse::rolling;
 use bytes::Bytes;
-use orchidtally_standin::client::{Ask, Caller, Heard};
-use orchidtally_witness::{Answer, Effect};
+use orchidtally_invariants::{Answer, Effect};
+use orchidtally_test_servers::client::{Ask, Caller, Heard};
 use std::rc::Rc;
 
 impl Rehearsal {
@@ -46,8 +46,8 @@
             drawn < 0.0
         });
         let ty = ty.unwrap_or(0);
-        let kind = &self.terms.trigger_types[ty];
-        let timeout = self.deployment.terms.trigger_types[ty].timeout;
+        let kind = &self.limits.trigger_types[ty];
+        let timeout = self.deployment.policy.trigger_types[ty].timeout;
         let short = self.short_patience.0.is_on(now) && self.drawn(self.short_patience.1.get());
         let time_left = if short { 0.35 + 0.5 * self.stage.unit() } else { timeout };
         let leaves_after = (short && self.drawn(0.3)).then(|| 0.05 + 0.3 * self.stage.unit());
--- a/crates/cli/src/rehearse/play/troubles.rs
+++ b/crates/cli/src/rehearse/play/troubles.rs
@@ -2,9 +2,9 @@
 
 use super::Rehearsal;
 use crate::rehearse::day::{Kind, Trouble};
-use orchidtally_standin::Until;
-use orchidtally_standin::executor::Executor;
-use orchidtally_witness::{Record, Standing};
+use orchidtally_invariants::{Record, Standing};
+use orchidtally_test_servers::Until;
+use orchidtally_test_servers::executor::Executor;
 use std::cell::Cell;
 use std::rc::Rc;
 
--- a/crates/cli/src/rehearse/roster.rs
+++ b/crates/cli/src/rehearse/roster.rs
@@ -3,10 +3,10 @@
 
 use orchidtally_etcd::rpc::event::EventType;
 use orchidtally_etcd::rpc::{Event, PutRequest, RangeRequest};
-use orchidtally_standin::Stage;
-use orchidtally_standin::etcd::Served;
-use orchidtally_standin::executor::Executor;
-use orchidtally_witness::{Record, Standing};
+use orchidtally_invariants::{Record, Standing};
+use orchidtally_test_servers::Stage;
+use orchidtally_test_servers::etcd::Served;
+use orchidtally_test_servers::executor::Executor;
 use serde::Serialize;
 use serde_json::json;
 use std::cell::RefCell;
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -2,8 +2,8 @@
 
 use crate::{BAD_INPUT, COULD_NOT_RUN, check_text, local, read_text, signals};
 use orchidtally_frontend::Start;
-use orchidtally_frontend::book::Book;
 use orchidtally_frontend::mqtt::Triggers;
+use orchidtally_frontend::promise_store::PromiseStore;
 use orchidtally_frontend::reload::Reloads;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -24,7 +24,7 @@
     /// Which of the deployment's front ends this is, from 0, whatever the file says.
     #[arg(long)]
     index: Option<u32>,
-    /// Seed of the front end's chance; drawn where none is given.
+    /// seed of the front end's random numbers; drawn where none is given.
     #[arg(long)]
     seed: Option<u64>,
     /// Take the wall clock to be ahead by so many seconds.
@@ -99,20 +99,20 @@
         })?,
     };
     if let Some(index) = arguments.index {
-        if f64::from(index) >= deployment.terms.front_ends {
-            eprintln!("--index {index} is no index among {} front ends", deployment.terms.front_ends);
+        if f64::from(index) >= deployment.policy.front_ends {
+            eprintln!("--index {index} is no index among {} front ends", deployment.policy.front_ends);
             return Err(BAD_INPUT);
         }
-        deployment.terms.index = f64::from(index);
+        deployment.policy.index = f64::from(index);
     }
-    let index = deployment.terms.index as u32;
+    let index = deployment.policy.index as u32;
     let triggers = section.map(|s| Triggers::open(s, index)).transpose().map_err(|e| {
         eprintln!("the journal of triggers can't be used: {e}");
         COULD_NOT_RUN
     })?;
     let now =
         std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
-    let book = Book::open(&deployment, now).map_err(|e| {
+    let promise_store = PromiseStore::open(&deployment, now).map_err(|e| {
         eprintln!("the journal of promises can't be used: {e}");
         COULD_NOT_RUN
     })?;
@@ -153,7 +153,7 @@
         stop: stopped,
         random: arguments.random,
         triggers,
-        book,
+        promise_store,
         reloads,
     };
     let tally = orchidtally_frontend::run(start, listener);
--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -106,7 +106,7 @@
     let children: Vec<(u64, Child)> = (1..=5)
         .map(|rule| {
             let mut command = Command::new(PROGRAM);
-            command.arg("rehearse").arg(&day).args(["--sabotage", &rule.to_string()]);
+            command.arg("rehearse").arg(&day).args(["--inject-violation", &rule.to_string()]);
             (rule, command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn().unwrap())
         })
         .collect();
@@ -132,7 +132,7 @@
         command.arg("rehearse").arg(&day).arg("--mqtt").args(more);
         command.stdout(Stdio::piped()).stderr(Stdio::null()).spawn().unwrap()
     };
-    let (well, planted) = (play(&[]), play(&["--sabotage", "6"]));
+    let (well, planted) = (play(&[]), play(&["--inject-violation", "6"]));
     let output = well.wait_with_output().unwrap();
     assert_eq!(output.status.code(), Some(0), "{}", text(&output.stdout));
     let mqtt = verdict(&output)["mqtt"].clone();
@@ -157,7 +157,7 @@
         "{roster}"
     );
     assert!(roster["relists"].as_u64().unwrap() > 0, "{roster}");
-    let planted = run(&["rehearse", "--etcd", "--length", "8", "--sabotage", "2"]);
+    let planted = run(&["rehearse", "--etcd", "--length", "8", "--inject-violation", "2"]);
     assert_eq!(planted.status.code(), Some(1), "{}", text(&planted.stdout));
 }
 
@@ -281,7 +281,7 @@
         assert!(text(&output.stderr).contains("bad.json5:1:"), "{}", text(&output.stderr));
     }
     assert_eq!(run(&["check", "/nowhere/at/all.json5"]).status.code(), Some(2));
-    assert_eq!(run(&["rehearse", "--sabotage", "6"]).status.code(), Some(2));
+    assert_eq!(run(&["rehearse", "--inject-violation", "6"]).status.code(), Some(2));
     let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/deployments/harbour-cranes.json5");
     assert_eq!(run(&["check", example]).status.code(), Some(0));
 }
--- a/crates/cli/tests/config_store.rs
+++ b/crates/cli/tests/config_store.rs
@@ -6,9 +6,9 @@
 mod serve_kit;
 
 use config_kit::{Writer, deployment_with, executor, folder, function, on, until};
-use orchidtally_standin::Stage;
-use orchidtally_standin::etcd::Served;
-use orchidtally_witness::Record;
+use orchidtally_invariants::Record;
+use orchidtally_test_servers::Stage;
+use orchidtally_test_servers::etcd::Served;
 use serve_kit::{Serve, answer, file, replace};
 use std::net::TcpStream;
 
--- a/crates/cli/tests/day/mod.rs
+++ b/crates/cli/tests/day/mod.rs
@@ -4,9 +4,9 @@
 #![allow(dead_code)]
 
 use futures_lite::future;
-use orchidtally_standin::Stage;
-use orchidtally_standin::platform::{Ask, Client, Executor, Lives, Resolver, Row, executors};
-use orchidtally_witness::{Answer, Effect, Group, Standing, Terms, TriggerType, Verdict, judge};
+use orchidtally_invariants::{Answer, Effect, Group, Limits, Standing, TriggerType, Verdict, judge};
+use orchidtally_test_servers::Stage;
+use orchidtally_test_servers::platform::{Ask, Client, Executor, Lives, Resolver, Row, executors};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpStream};
@@ -37,7 +37,7 @@
     })
 }
 
-fn terms() -> Terms {
+fn limits() -> Limits {
     let effects = [Effect::Idempotent, Effect::Tokened, Effect::NonIdempotent];
     let types = TYPES.iter().zip(effects).map(|(name, effect)| TriggerType {
         name: (*name).to_owned(),
@@ -46,7 +46,7 @@
         window: WINDOW,
         objective: 1.0,
     });
-    Terms {
+    Limits {
         trigger_types: types.collect(),
         second_copies: false,
         drain_grace: GRACE,
@@ -90,7 +90,7 @@
         let executors = executors(&stage, &lives, 6, front_ends, WINDOW).unwrap();
         let resolver = Resolver::new(&stage, &lives, &executors);
         let at: Vec<SocketAddr> =
-            (0..front_ends).map(|_| orchidtally_standin::port_for_later().unwrap()).collect();
+            (0..front_ends).map(|_| orchidtally_test_servers::port_for_later().unwrap()).collect();
         let dns = (0..front_ends).map(|j| resolver.open(j).unwrap()).collect();
         let clients = (0..front_ends).map(|j| Client::new(&stage, j, at[j as usize])).collect();
         Rc::new(Day {
@@ -180,8 +180,8 @@
     }
 
     pub fn verdict(&self) -> Verdict {
-        let stands = |e: &Rc<Executor>| orchidtally_witness::Executor { location: 0, cell: e.cell.into() };
-        judge(&terms(), &self.executors.iter().map(stands).collect::<Vec<_>>(), &self.stage.records())
+        let stands = |e: &Rc<Executor>| orchidtally_invariants::Executor { location: 0, cell: e.cell.into() };
+        judge(&limits(), &self.executors.iter().map(stands).collect::<Vec<_>>(), &self.stage.records())
     }
 
     pub fn change(&self, executor: usize, standing: Standing) {
--- a/crates/cli/tests/kit/mod.rs
+++ b/crates/cli/tests/kit/mod.rs
@@ -111,7 +111,7 @@
 /// What a front end is told, and where it is to listen.
 pub fn told(hosts: &[Value], sockets: usize) -> (String, SocketAddr) {
     let resolver = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-    let at = orchidtally_standin::port_for_later().unwrap();
+    let at = orchidtally_test_servers::port_for_later().unwrap();
     let told = json!({
         "name": "n0", "listen": at, "seed": "8c1f30d27a5be964", "dns": resolver,
         "limits": {"cores": 1.0, "memory_mb": 32, "sockets": sockets}, "settings": settings(),
--- a/crates/cli/tests/platform_days.rs
+++ b/crates/cli/tests/platform_days.rs
@@ -1,5 +1,5 @@
 //! Days of the platform's front end: the real program between executors, a resolver and clients of the project's
-//! own, with faults by script; the five rules are judged by the witness from what went over the sockets.
+//! own, with faults by script; the five rules are judged by the invariant checker from what went over the sockets.
 
 mod day;
 
@@ -7,8 +7,8 @@
 use day::*;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use orchidtally_frames as frames;
-use orchidtally_standin::platform::{Ask, Spoil};
-use orchidtally_witness::{Record, Standing};
+use orchidtally_invariants::{Record, Standing};
+use orchidtally_test_servers::platform::{Ask, Spoil};
 use serde_json::{Value, json};
 use std::net::{TcpListener, TcpStream};
 use std::rc::Rc;
@@ -93,7 +93,7 @@
     future::pending().await
 }
 
-/// What the witness finds of a script without a front end: the rules that are broken.
+/// What the invariant checker finds of a script without a front end: the rules that are broken.
 fn broken<F: Future<Output = ()>>(script: impl FnOnce(Rc<Day>) -> F) -> Vec<u8> {
     let day = Day::new("planted", 1, 5);
     day.lives.begin(0);
--- a/crates/cli/tests/platform_lists.rs
+++ b/crates/cli/tests/platform_lists.rs
@@ -4,8 +4,8 @@
 mod day;
 
 use day::*;
-use orchidtally_standin::platform::Odd;
-use orchidtally_witness::Standing;
+use orchidtally_invariants::Standing;
+use orchidtally_test_servers::platform::Odd;
 
 #[test]
 fn executors_drained_gone_and_started_anew_keep_the_rules() {
--- a/crates/cli/tests/rehearse_injection.rs
+++ b/crates/cli/tests/rehearse_injection.rs
@@ -1,4 +1,4 @@
-//! `orchidtally rehearse --sabotage`: a violation that was asked for is injected and found, or the rehearsal says that
+//! `orchidtally rehearse --inject-violation`: a violation that was asked for is injected and found, or the rehearsal says that
 //! it could not inject it. Each case here ended with exit code 0 where one attempt was made and nobody looked at it.
 
 use std::path::PathBuf;
@@ -42,7 +42,7 @@
 #[test]
 fn an_invocation_cannot_run_twice_where_there_is_one_executor() {
     let day = r#"{ length: "4s", frontEnds: 1, executors: 1, locations: 1, rate: 20, functions: 5 }"#;
-    let output = rehearse("one-executor.json5", day, &["--sabotage", "2"]);
+    let output = rehearse("one-executor.json5", day, &["--inject-violation", "2"]);
     could_not_be_injected(&output, 2, "no invocation of a non-idempotent type ran at two executors");
 }
 
@@ -53,7 +53,7 @@
         { kind: "staleRoster", at: "0.1s", for: "4s" },
         { kind: "staleRoster", at: "4s", for: "4s" },
     ] }"#;
-    let output = rehearse("untold-drain.json5", day, &["--sabotage", "3"]);
+    let output = rehearse("untold-drain.json5", day, &["--inject-violation", "3"]);
     could_not_be_injected(&output, 3, "the injecting front end was never told that an executor drains");
 }
 
@@ -63,7 +63,7 @@
     let day = r#"{ length: "6s", frontEnds: 2, executors: 6, locations: 2, rate: 30, functions: 5, troubles: [
         { kind: "rosterCut", at: "1.6s", for: "0.1s" },
     ] }"#;
-    is_found(&rehearse("roster-cut.json5", day, &["--sabotage", "3"]), 3);
+    is_found(&rehearse("roster-cut.json5", day, &["--inject-violation", "3"]), 3);
 }
 
 /// The executor that was chosen first hangs, is deaf or crashes while it drains, as all others do in their turn.
@@ -73,21 +73,21 @@
         { kind: "halfOpen", at: "2.5s", for: "3.5s", size: 1 },
         { kind: "crash", at: "2.6s", for: "1s", size: 0.9 },
     ] }"#;
-    is_found(&rehearse("late-dispatch.json5", day, &["--sabotage", "3"]), 3);
+    is_found(&rehearse("late-dispatch.json5", day, &["--inject-violation", "3"]), 3);
 }
 
 #[test]
 fn violations_are_injected_where_the_roster_comes_from_a_store() {
     let day = r#"{ length: "8s", frontEnds: 2, executors: 6, locations: 2, rate: 30, functions: 5 }"#;
-    is_found(&rehearse("store-3.json5", day, &["--etcd", "--sabotage", "3"]), 3);
-    is_found(&rehearse("store-4.json5", day, &["--etcd", "--sabotage", "4"]), 4);
+    is_found(&rehearse("store-3.json5", day, &["--etcd", "--inject-violation", "3"]), 3);
+    is_found(&rehearse("store-4.json5", day, &["--etcd", "--inject-violation", "4"]), 4);
 }
 
 /// Enough invocations that the first four hundred orders are within the ration.
 #[test]
 fn orders_are_given_until_they_are_over_the_ration() {
     let day = r#"{ length: "10s", frontEnds: 1, executors: 8, locations: 2, rate: 600, functions: 5 }"#;
-    is_found(&rehearse("orders.json5", day, &["--sabotage", "5"]), 5);
+    is_found(&rehearse("orders.json5", day, &["--inject-violation", "5"]), 5);
 }
 
 /// What the checks allow for messages on their way grows with what the rehearsal's thread came late: a drain is
@@ -98,7 +98,7 @@
     let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("stood-still.json5");
     std::fs::write(&file, day).unwrap();
     let mut command = Command::new(PROGRAM);
-    command.arg("rehearse").arg(&file).args(["--sabotage", "3"]);
+    command.arg("rehearse").arg(&file).args(["--inject-violation", "3"]);
     let rehearsal = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn().unwrap();
     let signal = |name: &str| {
         let told = Command::new("kill").args([name, &rehearsal.id().to_string()]).status().unwrap();
--- a/crates/cli/tests/roster.rs
+++ b/crates/cli/tests/roster.rs
@@ -1,8 +1,8 @@
 //! `orchidtally roster` against the store's stand-in.
 
 use orchidtally_etcd::rpc::PutRequest;
-use orchidtally_standin::Stage;
-use orchidtally_standin::etcd::Served;
+use orchidtally_test_servers::Stage;
+use orchidtally_test_servers::etcd::Served;
 use std::path::PathBuf;
 use std::process::{Command, Output};
 
--- a/crates/cli/tests/serve_kit/mod.rs
+++ b/crates/cli/tests/serve_kit/mod.rs
@@ -2,9 +2,9 @@
 
 #![allow(dead_code)] // Each test file uses a part of it.
 
-use orchidtally_standin::Stage;
-use orchidtally_standin::executor::{Executor, Make, Program, Surroundings, echo};
-use orchidtally_standin::store::Store;
+use orchidtally_test_servers::Stage;
+use orchidtally_test_servers::executor::{Executor, Make, Program, Surroundings, echo};
+use orchidtally_test_servers::store::Store;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
@@ -35,7 +35,7 @@
             token_window: 5.0,
         };
         let executor =
-            Executor::start(&stage, Make::roomy(1), orchidtally_standin::any_port(), around).unwrap();
+            Executor::start(&stage, Make::roomy(1), orchidtally_test_servers::any_port(), around).unwrap();
         tell.send(executor.address).unwrap();
         async_io::block_on(stage.tasks.run(std::future::pending::<()>()));
     });
--- a/crates/coordinator/tests/sockets.rs
+++ b/crates/coordinator/tests/sockets.rs
@@ -6,13 +6,13 @@
 use orchidtally_coordinator::{Ended, Order, recover};
 use orchidtally_deployment::Deployment;
 use orchidtally_frontend::Start;
+use orchidtally_invariants::Record;
 use orchidtally_net::http::ask as http_ask;
 use orchidtally_rollout::Phase;
-use orchidtally_standin::client::{Ask, Caller, Heard};
-use orchidtally_standin::executor::{Executor, Make, Program, Surroundings, digest};
-use orchidtally_standin::store::Store;
-use orchidtally_standin::{Stage, any_port, port_for_later};
-use orchidtally_witness::Record;
+use orchidtally_test_servers::client::{Ask, Caller, Heard};
+use orchidtally_test_servers::executor::{Executor, Make, Program, Surroundings, digest};
+use orchidtally_test_servers::store::Store;
+use orchidtally_test_servers::{Stage, any_port, port_for_later};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -149,7 +149,7 @@
             stop: stopped,
             random: false,
             triggers: None,
-            book: None,
+            promise_store: None,
             reloads: None,
         };
         let tally = orchidtally_frontend::run(start, listener);
--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -1,5 +1,5 @@
 //! The description of a deployment, in JSON5. It is checked as a whole: every fault is told in one pass, with
-//! line, column, key and what would be right. What is sound is decoded once, into the module's `Terms` and
+//! line, column, key and what would be right. What is sound is decoded once, into the module's `PolicyConfig` and
 //! into what the program needs besides.
 
 mod changes;
@@ -127,7 +127,7 @@
 pub struct Deployment {
     pub name: String,
     pub listen: SocketAddr,
-    pub terms: Terms,
+    pub policy: PolicyConfig,
     pub trigger_types: Vec<Trigger>,
     pub customers: Vec<String>,
     pub functions: HashMap<Rc<str>, Function>,
--- a/crates/deployment/src/sections.rs
+++ b/crates/deployment/src/sections.rs
@@ -51,12 +51,12 @@
     }
     let mut seen = HashMap::new();
     for place in &list {
-        let Some((trigger, terms)) = trigger_type(place) else { continue };
+        let Some((trigger, policy)) = trigger_type(place) else { continue };
         if seen.insert(trigger.name.clone(), ()).is_some() {
             place.fault(format!("there are two trigger types '{}'", trigger.name));
         }
         triggers.push(trigger);
-        trigger_types.push(terms);
+        trigger_types.push(policy);
     }
     let triggers_journalled: Vec<String> =
         triggers.iter().filter(|t| t.journalled).map(|t| t.name.clone()).collect();
@@ -176,7 +176,7 @@
         loading.at("answersMiss").fault("executors that answer 'miss' load by orders alone; orders are off");
     }
     let reports: Vec<_> = top.at("reports").list().iter().filter_map(Place::text).collect();
-    let terms = Terms {
+    let policy = PolicyConfig {
         trigger_types,
         quotas,
         over_share_value: top.maybe("overShareValue", |p| p.number(0.0..=1.0)).unwrap_or(0.1),
@@ -210,7 +210,7 @@
     let deployment = Deployment {
         name,
         listen: listen.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 7300))),
-        terms,
+        policy,
         trigger_types: triggers,
         customers,
         functions,
--- a/crates/deployment/src/trigger_types.rs
+++ b/crates/deployment/src/trigger_types.rs
@@ -57,7 +57,7 @@
         fields.at("journalled").fault("a streamed answer can't be kept");
     }
     let trigger = Trigger { name: name?, streams, journalled };
-    let terms = TriggerType {
+    let policy = TriggerType {
         objective: objective?,
         stretch,
         timeout: timeout?,
@@ -67,5 +67,5 @@
         group: group?,
         window: window?,
     };
-    Some((trigger, terms))
+    Some((trigger, policy))
 }
--- a/crates/deployment/tests/read.rs
+++ b/crates/deployment/tests/read.rs
@@ -17,13 +17,13 @@
     let Source::Listed(rows) = &one.source else { panic!("its executors are listed") };
     assert!(rows[0].executor.0.is_ipv4() && rows[1].executor.0.is_ipv6());
     assert_eq!(one.function("any").unwrap().versions[0].key, key("any"));
-    assert_eq!((cranes.terms.front_ends, cranes.terms.roster_asked), (6.0, true));
-    let plan = &cranes.terms.trigger_types[cranes.trigger_type("berth-plan").unwrap()];
+    assert_eq!((cranes.policy.front_ends, cranes.policy.roster_asked), (6.0, true));
+    let plan = &cranes.policy.trigger_types[cranes.trigger_type("berth-plan").unwrap()];
     assert_eq!((plan.effect, plan.group, plan.window), (Effect::Tokened, Group::Cell, 6.0));
     assert!(cranes.function("unlisted").is_none());
     assert_eq!(cranes.function("hook-find").unwrap().versions[0].memory, 1.2e9);
-    assert_eq!((print.terms.quotas.as_slice(), print.terms.index), ([80.0, 40.0, 15.0].as_slice(), 1.0));
-    assert!(print.trigger_types[0].streams && print.terms.answers_miss && print.terms.second_copies);
+    assert_eq!((print.policy.quotas.as_slice(), print.policy.index), ([80.0, 40.0, 15.0].as_slice(), 1.0));
+    assert!(print.trigger_types[0].streams && print.policy.answers_miss && print.policy.second_copies);
 }
 
 #[test]
--- a/crates/engine/benches/scale.rs
+++ b/crates/engine/benches/scale.rs
@@ -3,8 +3,8 @@
 //!
 //! `cargo bench -p orchidtally-engine --bench scale`
 
-use orchidtally::chance::Chance;
 use orchidtally::interface::*;
+use orchidtally::random::SeededRandom;
 use orchidtally_engine::{Engine, Host, Offer, Told};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -49,7 +49,7 @@
     fn watch_roster(&mut self) {}
 }
 
-fn terms() -> Terms {
+fn policy() -> PolicyConfig {
     let ty = TriggerType {
         objective: 0.5,
         stretch: 0.0,
@@ -60,7 +60,7 @@
         group: Group::All,
         window: 0.0,
     };
-    Terms {
+    PolicyConfig {
         trigger_types: vec![ty],
         front_ends: 4.0,
         tick: 0.002,
@@ -79,7 +79,7 @@
         ration_window: 5.0,
         backlog_field: Some(0),
         loads_field: None,
-        ..Terms::default()
+        ..PolicyConfig::default()
     }
 }
 
@@ -92,7 +92,7 @@
 /// Microseconds for one invocation, and the share that succeeded.
 fn run(rate: f64, executors: u32, functions: u64, invocations: u32) -> (f64, f64) {
     let mut host = Bench::default();
-    let mut engine = Engine::new(terms(), 100_000, 1, 1_000.0, &mut host);
+    let mut engine = Engine::new(policy(), 100_000, 1, 1_000.0, &mut host);
     let rows: Vec<RosterRow> = (0..executors)
         .map(|x| RosterRow {
             executor: ExecutorId(std::net::Ipv4Addr::from(0x0a00_0000 + x).into(), 7000),
@@ -105,7 +105,7 @@
         })
         .collect();
     engine.roster(1_000.0, RosterKind::Full, &rows, &mut host);
-    let mut chance = Chance::new(3);
+    let mut random = SeededRandom::new(3);
     let (mut started, mut counted) = (0.0, 0);
     let now_at = |us: u64| 1_000.0 + us as f64 / 1e6;
     let step = (1e6 / rate) as u64;
@@ -139,7 +139,7 @@
         }
         host.now_us = arrival;
         // Popularity falls as one over the rank.
-        let function = (functions as f64).powf(chance.unit()) as u64;
+        let function = (functions as f64).powf(random.unit()) as u64;
         let now = now_at(arrival);
         let offer = Offer {
             trigger_type: 0,
--- a/crates/engine/benches/spread.rs
+++ b/crates/engine/benches/spread.rs
@@ -6,15 +6,15 @@
 mod fleet;
 
 use fleet::{Maker, Play, Truth};
-use orchidtally::interface::{ExecutorId, Terms};
+use orchidtally::interface::{ExecutorId, PolicyConfig};
 use orchidtally_engine::baseline::{Decisions, Pick, Plain};
-use orchidtally_witness::spread;
+use orchidtally_invariants::spread;
 
 fn plain(pick: Pick, seed: u64) -> Option<Box<dyn Decisions>> {
     Some(Box::new(Plain::by(pick, seed)))
 }
 
-fn by_truth(_: &Terms, seed: u64, truth: &Truth) -> Option<Box<dyn Decisions>> {
+fn by_truth(_: &PolicyConfig, seed: u64, truth: &Truth) -> Option<Box<dyn Decisions>> {
     let truth = truth.clone();
     let load = move |id: ExecutorId| fleet::number(id).map_or(u32::MAX, |x| truth.borrow()[x]);
     plain(Pick::TwoByTruth(Box::new(load)), seed)
--- a/crates/engine/examples/decision_cost.rs
+++ b/crates/engine/examples/decision_cost.rs
@@ -8,8 +8,8 @@
 //! The front end is one of 550. CPU time is the thread's own (Linux only), of the second half, with the
 //! simulation's part in it.
 
-use orchidtally::chance::{Chance, rendezvous_hash};
 use orchidtally::interface::*;
+use orchidtally::random::{SeededRandom, rendezvous_hash};
 use orchidtally::state::Ordered;
 use orchidtally_engine::{Cause, Engine, Host, Offer, Told};
 use std::cmp::Reverse;
@@ -51,7 +51,7 @@
     taking: u64,
     /// When each copy stands and was last used.
     copies: BTreeMap<(usize, u64), (f64, f64)>,
-    chance: Chance,
+    random: SeededRandom,
     loads: u64,
     succeeded: u64,
     given_up: u64,
@@ -102,7 +102,7 @@
     fn dispatch(&mut self, inv: u32, dispatch: u8, to: ExecutorId, within: f64) {
         self.note(&[1, inv.into(), dispatch.into(), number(to), within.to_bits()]);
         let (x, function) = (index(to), self.functions[&inv]);
-        let drawn = if self.day == Day::Faults { self.chance.unit() } else { 1.0 };
+        let drawn = if self.day == Day::Faults { self.random.unit() } else { 1.0 };
         let ending = match drawn {
             d if d < 0.004 => Ending::Error,
             d if d < 0.007 => Ending::Full,
@@ -116,7 +116,7 @@
         }
         let (stands_at, warm) = self.load(x, function);
         let found = if warm { Found::Warm } else { Found::Loaded };
-        let at = stands_at + ANSWER_TIME * (0.5 + self.chance.unit());
+        let at = stands_at + ANSWER_TIME * (0.5 + self.random.unit());
         self.at(at, Event::Ends { inv, dispatch, x, function, ending, found });
     }
     fn cancel(&mut self, inv: u32, dispatch: u8) {
@@ -136,7 +136,7 @@
     fn hold(&mut self, to: ExecutorId, function: u64, copies: u8) {
         self.note(&[5, number(to), function, copies.into()]);
         let (stands_at, _) = self.load(index(to), function);
-        let failed = self.day == Day::Faults && self.chance.unit() < 0.01;
+        let failed = self.day == Day::Faults && self.random.unit() < 0.01;
         let ending = if failed { Ending::ConnectFailed } else { Ending::Ok };
         self.at(stands_at, Event::Held { to, function, ending });
     }
@@ -146,7 +146,7 @@
     fn watch_roster(&mut self) {}
 }
 
-fn terms(day: Day) -> Terms {
+fn policy(day: Day) -> PolicyConfig {
     let ty = |effect, group| TriggerType {
         objective: 1.0,
         stretch: 0.0,
@@ -157,7 +157,7 @@
         group,
         window: 2.0,
     };
-    Terms {
+    PolicyConfig {
         trigger_types: vec![
             ty(Effect::Idempotent, Group::All),
             ty(Effect::Tokened, Group::Zone),
@@ -181,7 +181,7 @@
         ration_share: 0.5,
         ration_window: 5.0,
         backlog_field: Some(0),
-        ..Terms::default()
+        ..PolicyConfig::default()
     }
 }
 
@@ -200,8 +200,8 @@
 /// Plays a change of the roster.
 fn change_roster(rows: &mut [RosterRow], engine: &mut Engine, simulation: &mut Simulation) {
     let now = simulation.now;
-    let x = (simulation.chance.unit() * rows.len() as f64) as usize;
-    let drawn = simulation.chance.unit();
+    let x = (simulation.random.unit() * rows.len() as f64) as usize;
+    let drawn = simulation.random.unit();
     let change = match drawn {
         d if d < 0.3 => RosterRow { since: now, ..rows[x].clone() },
         d if d < 0.5 => RosterRow { standing: Standing::Draining, ..rows[x].clone() },
@@ -308,15 +308,15 @@
         functions: BTreeMap::new(),
         taking: 0,
         copies: BTreeMap::new(),
-        chance: Chance::new(seed),
+        random: SeededRandom::new(seed),
         loads: 0,
         succeeded: 0,
         given_up: 0,
     };
-    let mut engine = Engine::new(terms(day), 100_000, seed, START, &mut simulation);
+    let mut engine = Engine::new(policy(day), 100_000, seed, START, &mut simulation);
     let mut rows: Vec<RosterRow> = (0..executors).map(|x| row(day, x, 0, f64::NEG_INFINITY)).collect();
     engine.roster(START, RosterKind::Full, &rows, &mut simulation);
-    let mut arrivals = Chance::new(seed ^ 0x5eed);
+    let mut arrivals = SeededRandom::new(seed ^ 0x5eed);
     let (mut arrival, mut change_at) = (START, START + 2.0);
     let (mut started, mut calls) = (cpu(), 0u32);
     let (middle, mut most_functions) = (START + seconds / 2.0, 0);
--- a/crates/engine/src/baseline.rs
+++ b/crates/engine/src/baseline.rs
@@ -1,8 +1,8 @@
 //! Who decides: the module, or a baseline to measure it against. Baselines serve comparisons alone.
 
-use orchidtally::chance::Chance;
 use orchidtally::dispatch::Dispatcher;
 use orchidtally::interface::*;
+use orchidtally::random::SeededRandom;
 use std::collections::HashMap;
 
 /// What the engine tells to whatever decides.
@@ -105,7 +105,7 @@
 /// Sends each invocation once.
 pub struct Plain {
     pick: Pick,
-    chance: Chance,
+    random: SeededRandom,
     ready: Vec<ExecutorId>,
     open: HashMap<u32, ExecutorId>,
     /// How many of its own are out at each.
@@ -123,11 +123,11 @@
 
     pub fn by(pick: Pick, seed: u64) -> Plain {
         let (ready, open, out) = (vec![], HashMap::new(), HashMap::new());
-        Plain { pick, chance: Chance::new(seed), ready, open, out }
+        Plain { pick, random: SeededRandom::new(seed), ready, open, out }
     }
 
     fn draw(&mut self) -> usize {
-        (self.chance.unit() * self.ready.len() as f64) as usize
+        (self.random.unit() * self.ready.len() as f64) as usize
     }
 
     fn choose(&mut self) -> Option<ExecutorId> {
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -106,9 +106,9 @@
 
 impl Engine {
     /// `most_open`: invocations that may be without a final answer at a time.
-    pub fn new(terms: Terms, most_open: usize, seed: u64, now: f64, host: &mut dyn Host) -> Engine {
+    pub fn new(policy: PolicyConfig, most_open: usize, seed: u64, now: f64, host: &mut dyn Host) -> Engine {
         let mut desk = Desk { now, ..Desk::default() };
-        let dispatcher = Dispatcher::new(terms, seed, now, &mut Speaker { desk: &mut desk, host });
+        let dispatcher = Dispatcher::new(policy, seed, now, &mut Speaker { desk: &mut desk, host });
         Engine { dispatcher: Box::new(dispatcher), desk, next_id: 0, most_open, leaving: false }
     }
 
--- a/crates/engine/tests/engine.rs
+++ b/crates/engine/tests/engine.rs
@@ -55,7 +55,7 @@
     fn watch_roster(&mut self) {}
 }
 
-fn terms(second_copies: bool) -> Terms {
+fn policy(second_copies: bool) -> PolicyConfig {
     let ty = |effect| TriggerType {
         objective: 1.0,
         stretch: 0.0,
@@ -66,7 +66,7 @@
         group: Group::All,
         window: 2.0,
     };
-    Terms {
+    PolicyConfig {
         trigger_types: vec![ty(Effect::Idempotent), ty(Effect::NonIdempotent)],
         front_ends: 1.0,
         max_dispatches: 4,
@@ -77,7 +77,7 @@
         cold_from: 0.2,
         overload_factor: 2.0,
         fall: 1.0,
-        ..Terms::default()
+        ..PolicyConfig::default()
     }
 }
 
@@ -86,7 +86,7 @@
 }
 
 fn engine(second_copies: bool, ear: &mut Ear) -> Engine {
-    let mut engine = Engine::new(terms(second_copies), 1_000, 5, 10.0, ear);
+    let mut engine = Engine::new(policy(second_copies), 1_000, 5, 10.0, ear);
     let row = |x| RosterRow {
         executor: executor(x),
         zone: 0,
@@ -289,7 +289,7 @@
 fn trigger_types_change_only_while_no_invocation_is_of_them() {
     let mut ear = Ear::default();
     let mut engine = engine(false, &mut ear);
-    let ty = terms(false).trigger_types[1].clone();
+    let ty = policy(false).trigger_types[1].clone();
     let inv = engine.take(100.0, &offer(0, 104.0), &mut ear).expect("there is room");
     assert!(engine.uses_trigger_type(0) && !engine.uses_trigger_type(1));
     assert_eq!(engine.set_trigger_type(100.0, 0, ty.clone()), Err(ConfigRefused::InUse { index: 0 }));
--- a/crates/engine/tests/fleet/mod.rs
+++ b/crates/engine/tests/fleet/mod.rs
@@ -1,16 +1,16 @@
 //! A fleet in simulated time: many engines, each with its own part of one stream of arrivals, and executors that
-//! load copies, run so many at a time and queue the rest. What the executors see is noted for the witness.
+//! load copies, run so many at a time and queue the rest. What the executors see is noted for the invariant checker.
 
 // Each program that plays it uses a part.
 #![allow(dead_code)]
 
 mod world;
 
-use orchidtally::chance::Chance;
 use orchidtally::interface::*;
+use orchidtally::random::SeededRandom;
 use orchidtally_engine::baseline::Decisions;
 use orchidtally_engine::{Cause, Engine, Host, Offer, Told};
-use orchidtally_witness as witness;
+use orchidtally_invariants as invariants;
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -43,7 +43,7 @@
 /// In hand at each executor, as it truly is: for references that see it.
 pub type Truth = Rc<RefCell<Vec<u32>>>;
 /// Makes what decides at a front end, by its terms, its seed and the true state; `None`: the module.
-pub type Maker = dyn Fn(&Terms, u64, &Truth) -> Option<Box<dyn Decisions>>;
+pub type Maker = dyn Fn(&PolicyConfig, u64, &Truth) -> Option<Box<dyn Decisions>>;
 
 /// One front end's side of the world.
 struct Side {
@@ -99,7 +99,7 @@
 
 const OBJECTIVE: f64 = 1.5;
 
-fn terms(front_ends: usize, index: usize) -> Terms {
+fn policy(front_ends: usize, index: usize) -> PolicyConfig {
     let ty = TriggerType {
         objective: OBJECTIVE,
         stretch: 0.0,
@@ -110,7 +110,7 @@
         group: Group::All,
         window: 0.0,
     };
-    Terms {
+    PolicyConfig {
         trigger_types: vec![ty],
         front_ends: front_ends as f64,
         index: index as f64,
@@ -129,7 +129,7 @@
         ration_share: 0.2,
         ration_window: 5.0,
         backlog_field: Some(0),
-        ..Terms::default()
+        ..PolicyConfig::default()
     }
 }
 
@@ -154,7 +154,7 @@
         what: BTreeMap::new(),
         executors: (0..play.executors).map(|_| Executor::default()).collect(),
         truth: truth.clone(),
-        chance: Chance::new(play.seed),
+        random: SeededRandom::new(play.seed),
         records: vec![],
         succeeded: 0,
         in_time: 0,
@@ -162,7 +162,7 @@
     }));
     (0..play.executors).for_each(|x| world.borrow_mut().stands(x));
     let rate = play.load * play.executors as f64 * f64::from(LANES) / WORK;
-    let mut arrivals = Chance::new(play.seed ^ 0x5eed);
+    let mut arrivals = SeededRandom::new(play.seed ^ 0x5eed);
     let mut at = 0.0;
     while at < play.length {
         at += -(1.0 - arrivals.unit()).ln() / rate;
@@ -172,15 +172,15 @@
     }
     let mut ids: Vec<ExecutorId> = (0..play.executors).map(|x| id(x, 0)).collect();
     let make = |fe: usize, life: u32, ids: &[ExecutorId]| {
-        let terms = terms(play.front_ends, fe);
+        let policy = policy(play.front_ends, fe);
         let seed = play.seed.wrapping_mul(1_000_003) + fe as u64 * 64 + u64::from(life);
         let functions = BTreeMap::new();
         let mut side =
             Side { fe, life, world: world.clone(), functions, taking: (0, 0.0), ids: ids.to_vec() };
         let now = world.borrow().now;
-        let mut engine = match maker(&terms, seed, &truth) {
+        let mut engine = match maker(&policy, seed, &truth) {
             Some(dispatcher) => Engine::with_baseline(dispatcher, 100_000, now),
-            None => Engine::new(terms, 100_000, seed, now, &mut side),
+            None => Engine::new(policy, 100_000, seed, now, &mut side),
         };
         engine.roster(now, RosterKind::Full, &rows(ids), &mut side);
         (engine, side, 0.0_f64)
@@ -257,10 +257,10 @@
                         copy.1 = now;
                     }
                     world.truth.borrow_mut()[x] -= 1;
-                    let (executor, ending) = (x, witness::Ending::Succeeded);
+                    let (executor, ending) = (x, invariants::Ending::Succeeded);
                     let invocation = format!("{}-{}", job.fe, job.inv);
                     let number = job.n.into();
-                    let ended = witness::Record::Ended { at: now, executor, invocation, number, ending };
+                    let ended = invariants::Record::Ended { at: now, executor, invocation, number, ending };
                     world.records.push(ended);
                     world.answer(x, &job, Ending::Ok);
                     world.start(x);
--- a/crates/engine/tests/fleet/world.rs
+++ b/crates/engine/tests/fleet/world.rs
@@ -1,10 +1,10 @@
 //! Executors in simulated time, and what happens when.
 
 use super::{KEEP, LANES, LOAD_TIME, ROOM, TRANSIT, Truth, WORK};
-use orchidtally::chance::Chance;
 use orchidtally::interface::{Ending, Found};
+use orchidtally::random::SeededRandom;
 use orchidtally::state::Ordered;
-use orchidtally_witness as witness;
+use orchidtally_invariants as invariants;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 
@@ -44,8 +44,8 @@
     pub what: BTreeMap<u64, What>,
     pub executors: Vec<Executor>,
     pub truth: Truth,
-    pub chance: Chance,
-    pub records: Vec<witness::Record>,
+    pub random: SeededRandom,
+    pub records: Vec<invariants::Record>,
     pub succeeded: u64,
     pub in_time: u64,
     pub given_up: u64,
@@ -59,7 +59,7 @@
     }
 
     fn exponential(&mut self, mean: f64) -> f64 {
-        -(1.0 - self.chance.unit()).ln() * mean
+        -(1.0 - self.random.unit()).ln() * mean
     }
 
     /// Starts an executor, cold; what the one before had in hand is reset.
@@ -70,7 +70,7 @@
         let life = self.executors[x].life + 1;
         self.executors[x] = Executor { life, ..Executor::default() };
         self.truth.borrow_mut()[x] = 0;
-        self.records.push(witness::Record::Stands { at: self.now, executor: x, lanes: LANES });
+        self.records.push(invariants::Record::Stands { at: self.now, executor: x, lanes: LANES });
     }
 
     pub fn reaches(&mut self, x: usize, job: Job) {
@@ -79,7 +79,7 @@
         if e.waiting.len() >= ROOM {
             return self.answer(x, &job, Ending::Full);
         }
-        self.records.push(witness::Record::Reached {
+        self.records.push(invariants::Record::Reached {
             at,
             executor: x,
             front_end: job.fe as u32,
@@ -110,9 +110,9 @@
         if found == Found::Loaded {
             let name = format!("{}", job.function);
             if stale {
-                self.records.push(witness::Record::Unloads { at, executor: x, function: name.clone() });
+                self.records.push(invariants::Record::Unloads { at, executor: x, function: name.clone() });
             }
-            self.records.push(witness::Record::Loads { at, executor: x, function: name });
+            self.records.push(invariants::Record::Loads { at, executor: x, function: name });
             self.at(stands_at, What::Loaded { x, life });
         }
         self.start(x);
--- a/crates/frontend/benches/triggers.rs
+++ b/crates/frontend/benches/triggers.rs
@@ -8,10 +8,10 @@
 use orchidtally_frontend::mqtt::Triggers;
 use orchidtally_journal::Journal;
 use orchidtally_mqtt::packet::{Property, Qos};
-use orchidtally_standin::broker::{Message, Served};
-use orchidtally_standin::executor::{Executor, Make, Program, Surroundings, echo};
-use orchidtally_standin::store::Store;
-use orchidtally_standin::{Stage, any_port};
+use orchidtally_test_servers::broker::{Message, Served};
+use orchidtally_test_servers::executor::{Executor, Make, Program, Surroundings, echo};
+use orchidtally_test_servers::store::Store;
+use orchidtally_test_servers::{Stage, any_port};
 use orchidtally_trigger::desk::Desk;
 use orchidtally_trigger::ledger::{Effect, Held, Record, Reply, Work};
 use std::collections::HashMap;
@@ -122,7 +122,7 @@
                 stop: stopped,
                 random: false,
                 triggers: Some(triggers),
-                book: None,
+                promise_store: None,
                 reloads: None,
             };
             orchidtally_frontend::run(start, listener);
--- a/crates/frontend/src/config/hub_target.rs
+++ b/crates/frontend/src/config/hub_target.rs
@@ -116,7 +116,7 @@
     configuration: &Configuration,
     tasks: &Rc<LocalExecutor<'static>>,
 ) -> Result<(), SettingsError> {
-    let (index, life) = (hub.deployment.terms.index as u32, hub.sender.get().incarnation);
+    let (index, life) = (hub.deployment.policy.index as u32, hub.sender.get().incarnation);
     // Two processes with one index, or one after the other, are two front ends to the store.
     let mut settings = HostSettings::new(format!("{index}-{life:016x}"));
     settings.snapshot = Some(SnapshotFile::new(configuration.snapshot(index)));
--- a/crates/frontend/src/config/overlay.rs
+++ b/crates/frontend/src/config/overlay.rs
@@ -28,12 +28,12 @@
 impl Overlay<'_> {
     /// All trigger types: those of the file in its order, then those that only the store has, by name.
     pub fn trigger_types(&self) -> Vec<(Trigger, TriggerType)> {
-        let listed = self.deployment.trigger_types.iter().zip(&self.deployment.terms.trigger_types);
+        let listed = self.deployment.trigger_types.iter().zip(&self.deployment.policy.trigger_types);
         let mut all: Vec<(Trigger, TriggerType)> =
-            listed.map(|(trigger, terms)| (trigger.clone(), terms.clone())).collect();
+            listed.map(|(trigger, policy)| (trigger.clone(), policy.clone())).collect();
         for (name, spec) in self.stored_trigger_types() {
             match all.iter_mut().find(|(trigger, _)| trigger.name == name) {
-                Some((_, terms)) => (terms.objective, terms.timeout) = (spec.objective, spec.timeout),
+                Some((_, policy)) => (policy.objective, policy.timeout) = (spec.objective, spec.timeout),
                 None => all.push(new_trigger_type(name, spec)),
             }
         }
@@ -43,7 +43,7 @@
     /// All customers with their shares: those of the file in its order, then those that only the store has, by name.
     pub fn customers(&self) -> Vec<(String, f64)> {
         let listed = self.deployment.customers.iter().cloned();
-        let mut all: Vec<(String, f64)> = listed.zip(self.deployment.terms.quotas.iter().copied()).collect();
+        let mut all: Vec<(String, f64)> = listed.zip(self.deployment.policy.quotas.iter().copied()).collect();
         for (name, share) in self.stored_quotas() {
             match all.iter_mut().find(|(known, _)| known == name) {
                 Some((_, known)) => *known = share,
@@ -93,7 +93,7 @@
 /// A trigger type that the file doesn't have. Nothing says that running twice is harmless, so it never does.
 fn new_trigger_type(name: &str, spec: &TriggerTypeSpec) -> (Trigger, TriggerType) {
     let trigger = Trigger { name: name.into(), streams: false, journalled: false };
-    let terms = TriggerType {
+    let policy = TriggerType {
         objective: spec.objective,
         stretch: 0.0,
         timeout: spec.timeout,
@@ -103,7 +103,7 @@
         group: Group::All,
         window: 0.0,
     };
-    (trigger, terms)
+    (trigger, policy)
 }
 
 fn function(name: &str, spec: &FunctionSpec) -> Function {
--- a/crates/frontend/src/etcd.rs
+++ b/crates/frontend/src/etcd.rs
@@ -309,10 +309,10 @@
 }
 
 /// Puts this front end's entry into the store, under an index that no other has, and keeps its lease.
-async fn register(hub: Rc<Hub>, client: Client, terms: Etcd) {
+async fn register(hub: Rc<Hub>, client: Client, policy: Etcd) {
     let mut lost = 0;
     loop {
-        if let Err(fault) = hold(&hub, &client, &terms, &mut lost).await {
+        if let Err(fault) = hold(&hub, &client, &policy, &mut lost).await {
             warn!(endpoint = ?client.endpoint(), %fault, "this front end's lease can't be kept");
             client.fail_over();
         }
@@ -321,13 +321,13 @@
     }
 }
 
-async fn hold(hub: &Hub, client: &Client, terms: &Etcd, lost: &mut u32) -> Result<(), Fault> {
-    let prefix = format!("{}{FRONT_ENDS}", terms.prefix);
+async fn hold(hub: &Hub, client: &Client, policy: &Etcd, lost: &mut u32) -> Result<(), Fault> {
+    let prefix = format!("{}{FRONT_ENDS}", policy.prefix);
     let (_, entries) = list(client, &prefix).await?;
     let taken: BTreeSet<u32> = entries.iter().filter_map(|kv| index(&kv.key)).collect();
     let wanted = Members::wanted(&taken, rand::random(), *lost);
     let began = hub.now();
-    let grant = LeaseGrantRequest { ttl: terms.lease.ceil() as i64, id: 0 };
+    let grant = LeaseGrantRequest { ttl: policy.lease.ceil() as i64, id: 0 };
     let lease: LeaseGrantResponse = client.unary(LEASE_GRANT, &grant, PATIENCE).await?;
     let key = Bytes::from(format!("{prefix}{wanted}"));
     let at = hub.at.get().map(|at| at.to_string());
@@ -393,15 +393,15 @@
 }
 
 /// Keeps the roster and the membership for as long as the front end lives.
-pub fn keep(hub: &Rc<Hub>, terms: &Etcd) {
+pub fn keep(hub: &Rc<Hub>, policy: &Etcd) {
     let Some(tasks) = hub.spawner().upgrade() else { return };
     let client = || {
-        let client = Client::new(terms.endpoints.clone(), tasks.clone());
+        let client = Client::new(policy.endpoints.clone(), tasks.clone());
         let sender = hub.sender.get();
-        client.says(format!("{}.{}", hub.deployment.terms.index as u32, sender.incarnation));
+        client.says(format!("{}.{}", hub.deployment.policy.index as u32, sender.incarnation));
         client
     };
-    let executors = format!("{}{EXECUTORS}", terms.prefix);
+    let executors = format!("{}{EXECUTORS}", policy.prefix);
     tasks.spawn(follow(hub.clone(), client(), executors, Roster(hub.clone()))).detach();
     let others = Others {
         hub: hub.clone(),
@@ -410,6 +410,6 @@
         indices: RefCell::default(),
         told_at: Cell::new(f64::NEG_INFINITY),
     };
-    tasks.spawn(follow(hub.clone(), client(), format!("{}{FRONT_ENDS}", terms.prefix), others)).detach();
-    tasks.spawn(register(hub.clone(), client(), terms.clone())).detach();
+    tasks.spawn(follow(hub.clone(), client(), format!("{}{FRONT_ENDS}", policy.prefix), others)).detach();
+    tasks.spawn(register(hub.clone(), client(), policy.clone())).detach();
 }
--- a/crates/frontend/src/hub/exchange.rs
+++ b/crates/frontend/src/hub/exchange.rs
@@ -75,7 +75,7 @@
         left: f64,
     ) {
         let trigger = &work.trigger_type.trigger;
-        let effect = match work.trigger_type.terms.effect {
+        let effect = match work.trigger_type.policy.effect {
             Effect::Idempotent => v1::Effect::Idempotent,
             Effect::Tokened => v1::Effect::Tokened,
             Effect::NonIdempotent => v1::Effect::NonIdempotent,
--- a/crates/frontend/src/hub/invocation.rs
+++ b/crates/frontend/src/hub/invocation.rs
@@ -172,7 +172,7 @@
 
     /// The name of the front end's own location.
     pub fn location(&self) -> &str {
-        self.deployment.locations.get(usize::from(self.deployment.terms.zone)).map_or("", String::as_str)
+        self.deployment.locations.get(usize::from(self.deployment.policy.zone)).map_or("", String::as_str)
     }
 
     /// The version that an invocation gets, and whether it counts as evidence.
--- a/crates/frontend/src/hub/mod.rs
+++ b/crates/frontend/src/hub/mod.rs
@@ -11,8 +11,8 @@
 pub use invocation::{Asked, Brought, CutOff, Final, NotTaken};
 pub use reconfigure::ReconfigureError;
 
-use crate::book::Book;
 use crate::config::Admission;
+use crate::promise_store::PromiseStore;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use orchidtally::interface::*;
@@ -61,7 +61,7 @@
     pub index_taken: Cell<u64>,
     /// How triggers stand, where there are any.
     pub triggers: Cell<Option<crate::mqtt::Standing>>,
-    pub book: Option<Rc<Book>>,
+    pub promise_store: Option<Rc<PromiseStore>>,
     /// Whether the configuration in force lets invocations through, where it comes from a store.
     pub admission: OnceCell<Admission>,
     is_leaving: Cell<bool>,
@@ -91,7 +91,7 @@
         seed: u64,
         ahead: f64,
         random: bool,
-        book: Option<Rc<Book>>,
+        promise_store: Option<Rc<PromiseStore>>,
         spawner: &Rc<LocalExecutor<'static>>,
     ) -> Rc<Hub> {
         let deployment = Rc::new(deployment);
@@ -99,23 +99,23 @@
         let clock = RefCell::new(Clock::new(0.0, wall() + ahead));
         let now = clock.borrow_mut().read(0.0);
         let sender = v1::Sender {
-            index: deployment.terms.index as u32,
-            count: deployment.terms.front_ends as u32,
+            index: deployment.policy.index as u32,
+            count: deployment.policy.front_ends as u32,
             incarnation: seed,
         };
         let hub = Rc::new_cyclic(|hub: &Weak<Hub>| {
             let mut performer = Performer::new(hub.clone());
-            let (terms, most) = (deployment.terms.clone(), deployment.bounds.open_invocations);
+            let (policy, most) = (deployment.policy.clone(), deployment.bounds.open_invocations);
             let engine = match random {
                 true => Engine::with_baseline(Box::new(Random::new(seed)), most, now),
-                false => Engine::new(terms, most, seed, now, &mut performer),
+                false => Engine::new(policy, most, seed, now, &mut performer),
             };
             let place = orchidtally_rollout::frontend::Place {
                 index: sender.index,
                 count: sender.count,
-                location: deployment.terms.zone.into(),
-                orders: deployment.terms.orders && !random,
-                keep_alive: deployment.terms.keep_alive,
+                location: deployment.policy.zone.into(),
+                orders: deployment.policy.orders && !random,
+                keep_alive: deployment.policy.keep_alive,
             };
             Hub {
                 shares: RefCell::new(Shares::new(place, now)),
@@ -135,7 +135,7 @@
                 warned_of_index: Cell::new(None),
                 index_taken: Cell::new(0),
                 triggers: Cell::new(None),
-                book,
+                promise_store,
                 admission: OnceCell::new(),
                 is_leaving: Cell::new(false),
                 at: Cell::new(None),
@@ -210,7 +210,7 @@
             clock.anchor(monotonic, wall() + ahead + stepped);
             let astray = clock.astray();
             drop(clock);
-            let far = astray.abs() > self.deployment.terms.skew / 2.0;
+            let far = astray.abs() > self.deployment.policy.skew / 2.0;
             if far && !warned {
                 warn!(astray, "the wall clock was stepped; the time is put right by half a thousandth");
             }
--- a/crates/frontend/src/hub/performer.rs
+++ b/crates/frontend/src/hub/performer.rs
@@ -174,7 +174,7 @@
             }
             shares.came(invoked, came, client.work.failed.get());
             let failed = !matches!(came, Came::Succeeded { .. });
-            let effect = client.work.trigger_type.terms.effect;
+            let effect = client.work.trigger_type.policy.effect;
             let may = may_move(effect == Effect::Idempotent, may_have_run);
             let to = shares.goes_back_to(invoked.run).filter(|_| failed && may && invoked.arm == Arm::New);
             if let Some(to) = to.filter(|_| client.offer.timeout_at - hub.now() > LEAST_MOVED) {
--- a/crates/frontend/src/hub/reconfigure.rs
+++ b/crates/frontend/src/hub/reconfigure.rs
@@ -41,7 +41,7 @@
             .trigger_types()
             .into_iter()
             .enumerate()
-            .map(|(index, (trigger, terms))| Rc::new(TriggerTypeInForce { trigger, terms, index }))
+            .map(|(index, (trigger, policy))| Rc::new(TriggerTypeInForce { trigger, policy, index }))
             .collect();
         let customers: Vec<_> = overlay
             .customers()
@@ -68,7 +68,7 @@
 
     /// The longest client timeout among trigger types that are in force or held, in seconds.
     pub(super) fn longest_timeout(&self) -> f64 {
-        self.trigger_types.borrow().held().map(|held| held.terms.timeout).fold(0.0, f64::max)
+        self.trigger_types.borrow().held().map(|held| held.policy.timeout).fold(0.0, f64::max)
     }
 
     /// Trigger types of the next revision; one that is unchanged is that of the present revision.
@@ -80,9 +80,9 @@
         let (current, indices) = (self.current(), self.trigger_types.borrow());
         let mut taken = BTreeSet::new();
         let mut next = vec![];
-        for (trigger, terms) in overlay.trigger_types() {
+        for (trigger, policy) in overlay.trigger_types() {
             let known = current.trigger_type(&trigger.name).map(|(_, known)| known);
-            if let Some(known) = known.filter(|known| known.trigger == trigger && known.terms == terms) {
+            if let Some(known) = known.filter(|known| known.trigger == trigger && known.policy == policy) {
                 next.push(known.clone());
                 continue;
             }
@@ -91,7 +91,7 @@
                 return Err(ReconfigureError::TooManyTriggerTypes);
             }
             taken.insert(index);
-            next.push(Rc::new(TriggerTypeInForce { trigger, terms, index }));
+            next.push(Rc::new(TriggerTypeInForce { trigger, policy, index }));
         }
         Ok(next)
     }
@@ -185,7 +185,7 @@
         // What the engine takes before it refuses is under indices that no invocation can name.
         self.play(|engine, now, _| {
             for added in trigger_types.iter().filter(is_new) {
-                engine.set_trigger_type(now, added.index, added.terms.clone())?;
+                engine.set_trigger_type(now, added.index, added.policy.clone())?;
             }
             engine.set_quotas(now, shares)
         })?;
--- a/crates/frontend/src/hub/revision.rs
+++ b/crates/frontend/src/hub/revision.rs
@@ -15,7 +15,7 @@
 #[derive(Debug)]
 pub struct TriggerTypeInForce {
     pub trigger: Trigger,
-    pub terms: TriggerType,
+    pub policy: TriggerType,
     /// Its index in the engine.
     pub index: usize,
 }
@@ -80,7 +80,7 @@
     /// This revision as a deployment in which the trigger types of `start` keep their places; one that was taken
     /// away stands there as it was. Rules of triggers by messages name trigger types by these places.
     pub fn aligned_to(&self, start: &Deployment) -> Deployment {
-        let mut aligned = Deployment { terms: start.terms.clone(), ..(*self.deployment).clone() };
+        let mut aligned = Deployment { policy: start.policy.clone(), ..(*self.deployment).clone() };
         aligned.trigger_types = start.trigger_types.clone();
         aligned.customers = self.customers.keys().cloned().collect();
         let overlay = self.overlay();
@@ -88,7 +88,7 @@
         aligned.functions.extend(stored);
         for (place, trigger) in start.trigger_types.iter().enumerate() {
             if let Some((_, known)) = self.trigger_type(&trigger.name) {
-                aligned.terms.trigger_types[place] = known.terms.clone();
+                aligned.policy.trigger_types[place] = known.policy.clone();
                 aligned.trigger_types[place] = known.trigger.clone();
             }
         }
--- a/crates/frontend/src/ingress/invoke.rs
+++ b/crates/frontend/src/ingress/invoke.rs
@@ -3,9 +3,9 @@
 use super::answer::{Answer, Problem, problem, stay_away};
 use super::request::{Guard, body, function_of, header};
 use super::{BODY_LEFT_OUT, CUSTOMER, INVOCATION, RECORDED, REPEAT, TIME_LEFT, TOKEN, TRIGGER_TYPE};
-use crate::book::{Book, NotKept, Promised};
 use crate::config::Refusal;
 use crate::hub::{Asked, Brought, Final, Hub, NotTaken};
+use crate::promise_store::{NotKept, PromiseStore, Promised};
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderName, HeaderValue};
 use http::{Method, Request, Response, StatusCode};
@@ -58,16 +58,16 @@
 /// A promise under a name, or what to answer where there was one.
 async fn promise(
     hub: &Hub,
-    book: &Rc<Book>,
+    promise_store: &Rc<PromiseStore>,
     name: &str,
 ) -> Result<Result<Promised, Response<Answer>>, Problem> {
-    match book.offered(hub.now(), name).await {
+    match promise_store.offered(hub.now(), name).await {
         Ok((Standing::New(_), Some(promised))) => Ok(Ok(promised)),
         Ok((standing, _)) => Ok(Err(recorded(standing))),
         Err(NotKept) => {
             let detail = "the journal can't be written; nothing has run";
             let mut problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, "throttled", detail);
-            problem.retry_after = Some(hub.deployment.terms.max_retry_after);
+            problem.retry_after = Some(hub.deployment.policy.max_retry_after);
             Err(problem)
         }
     }
@@ -89,7 +89,7 @@
     };
     match why {
         NotTaken::Full => {
-            throttled("as many invocations are open as may be", hub.deployment.terms.max_retry_after)
+            throttled("as many invocations are open as may be", hub.deployment.policy.max_retry_after)
         }
         NotTaken::Leaving => throttled("this front end is ending; ask another", 0.0),
         NotTaken::Refused(refusal) => {
@@ -122,7 +122,7 @@
             None => return Err(Problem::bad(format!("header '{TRIGGER_TYPE}' is missing"))),
         },
     };
-    let terms = &trigger_type.terms;
+    let policy = &trigger_type.policy;
     let customer = match (header(headers, CUSTOMER)?, !revision.has_customers()) {
         (given, true) => (0, given.unwrap_or_default()),
         (Some(given), false) => {
@@ -134,16 +134,16 @@
         (None, false) => return Err(Problem::bad(format!("header '{CUSTOMER}' is missing"))),
     };
     let token = header(headers, TOKEN)?;
-    if terms.effect == Effect::Tokened && token.is_none() {
+    if policy.effect == Effect::Tokened && token.is_none() {
         return Err(Problem::bad(format!("header '{TOKEN}' is missing; this trigger type is tokened")));
     }
     let left = match header(headers, TIME_LEFT)? {
-        None => terms.timeout,
+        None => policy.timeout,
         Some(text) => {
             let milliseconds: u32 = text.parse().map_err(|_| {
                 Problem::bad(format!("header '{TIME_LEFT}': '{text}' is no whole number of ms"))
             })?;
-            (f64::from(milliseconds) / 1e3).min(terms.timeout)
+            (f64::from(milliseconds) / 1e3).min(policy.timeout)
         }
     };
     let repeat = match header(headers, REPEAT)? {
@@ -189,14 +189,14 @@
     };
     // Before it is promised: what is refused leaves no record.
     hub.check_admission(&revision, &asked.subject()).map_err(|why| not_taken(hub, why))?;
-    let promised = match &hub.book {
-        Some(book) if trigger_type.trigger.journalled => {
+    let promised = match &hub.promise_store {
+        Some(promise_store) if trigger_type.trigger.journalled => {
             if !named {
                 let detail =
                     format!("header '{INVOCATION}' is missing; this trigger type is journalled by it");
                 return Err(Problem::bad(detail));
             }
-            match promise(hub, book, &name_of_invocation).await? {
+            match promise(hub, promise_store, &name_of_invocation).await? {
                 Ok(promised) => Some(promised),
                 Err(before) => return Ok(before),
             }
--- a/crates/frontend/src/ingress/mod.rs
+++ b/crates/frontend/src/ingress/mod.rs
@@ -52,10 +52,10 @@
     }
     let asked =
         request.uri().path().strip_prefix("/v1/invocations/").filter(|_| request.method() == Method::GET);
-    if let (Some(name), Some(book)) = (asked, &hub.book) {
+    if let (Some(name), Some(promise_store)) = (asked, &hub.promise_store) {
         let unknown =
             || problem(StatusCode::NOT_FOUND, "unknown invocation", "none of this name is kept here", false);
-        return Ok(book.standing(name).map_or_else(unknown, recorded));
+        return Ok(promise_store.standing(name).map_or_else(unknown, recorded));
     }
     Ok(invoke(&hub, request).await.unwrap_or_else(Problem::response))
 }
--- a/crates/frontend/src/lib.rs
+++ b/crates/frontend/src/lib.rs
@@ -1,13 +1,13 @@
 //! One front end on sockets: a thread that owns one engine, with it one decision module, and shares nothing
 //! with other front ends.
 
-pub mod book;
 pub mod config;
 pub mod etcd;
 mod hub;
 pub mod ingress;
 pub mod mqtt;
 mod pool;
+pub mod promise_store;
 pub mod reload;
 mod rollouts;
 pub mod roster;
@@ -42,7 +42,7 @@
     /// What comes by messages, where the deployment file has a broker.
     pub triggers: Option<mqtt::Triggers>,
     /// Promises to HTTP clients, where the deployment file has a journal.
-    pub book: Option<book::Book>,
+    pub promise_store: Option<promise_store::PromiseStore>,
     /// Where the deployment file may be read again.
     pub reloads: Option<reload::Reloads>,
 }
@@ -55,8 +55,8 @@
 /// Runs a front end on this thread until it is stopped and what was open is answered.
 pub fn run(start: Start, listener: Async<TcpListener>) -> Tally {
     let spawner = Rc::new(LocalExecutor::new());
-    let book = start.book.map(Rc::new);
-    let hub = Hub::new(start.deployment, start.seed, start.ahead, start.random, book, &spawner);
+    let promise_store = start.promise_store.map(Rc::new);
+    let hub = Hub::new(start.deployment, start.seed, start.ahead, start.random, promise_store, &spawner);
     hub.at.set(listener.get_ref().local_addr().ok());
     spawner.spawn(hub.clone().keep_time()).detach();
     spawner.spawn(hub.clone().keep_house(start.ahead, start.step)).detach();
--- a/crates/frontend/src/mqtt/mod.rs
+++ b/crates/frontend/src/mqtt/mod.rs
@@ -283,7 +283,7 @@
         None => None,
     };
     let desk =
-        Desk::new(&section, &hub.deployment, hub.deployment.terms.index as u32, password, &records, now);
+        Desk::new(&section, &hub.deployment, hub.deployment.policy.index as u32, password, &records, now);
     let (inputs, incoming) = async_channel::bounded(INPUTS);
     let most_entries = 8 * section.most_held() + 1_024;
     let (words, told) = async_channel::bounded(2 * most_entries);
--- a/crates/frontend/src/book.rs
+++ b/crates/frontend/src/promise_store.rs
@@ -17,7 +17,7 @@
 /// Of the journal's bound, the part that entries may have before they are folded.
 const FOLDED_AT: f64 = 0.5;
 
-pub struct Book {
+pub struct PromiseStore {
     promises: RefCell<Promises>,
     journal: Group,
     /// Bytes of entries since they were folded.
@@ -30,12 +30,12 @@
 #[derive(Debug)]
 pub struct NotKept;
 
-impl Book {
+impl PromiseStore {
     /// Opens the journal of a front end, where its deployment has one. What stood in it is kept for as long as
     /// it says.
-    pub fn open(deployment: &Deployment, now: f64) -> io::Result<Option<Book>> {
+    pub fn open(deployment: &Deployment, now: f64) -> io::Result<Option<PromiseStore>> {
         let Some(terms) = &deployment.journal else { return Ok(None) };
-        let folder = terms.folder(deployment.terms.index as u32);
+        let folder = terms.folder(deployment.policy.index as u32);
         let (journal, found) = Journal::open(&folder)?;
         let mut records: Vec<Record> = match &found.snapshot {
             Some(state) => serde_json::from_slice(state).map_err(io::Error::from)?,
@@ -54,7 +54,7 @@
         if !promises.is_empty() {
             info!(names = promises.len(), "promises of a life before were read");
         }
-        Ok(Some(Book {
+        Ok(Some(PromiseStore {
             promises: RefCell::new(promises),
             journal: Group::new(journal, MOST_WAITING),
             entries: Cell::new(entries),
@@ -116,7 +116,7 @@
         }
         let standing = self.promises.borrow_mut().offered(now, name);
         let Standing::New(record) = &standing else { return Ok((standing, None)) };
-        let promised = Promised { book: self.clone(), name: name.to_owned(), now, open: true };
+        let promised = Promised { promise_store: self.clone(), name: name.to_owned(), now, open: true };
         if !self.write(record).await {
             let mut promised = promised;
             promised.open = false;
@@ -129,7 +129,7 @@
 
 /// An invocation that was promised. Dropped before it is answered, its client has left.
 pub struct Promised {
-    book: Rc<Book>,
+    promise_store: Rc<PromiseStore>,
     name: String,
     now: f64,
     open: bool,
@@ -139,8 +139,8 @@
     /// Its final answer, on the disk when this returns, if the disk takes it: it is known all the same.
     pub async fn answered(mut self, now: f64, ran: bool, status: u16, body: &Bytes) {
         self.open = false;
-        let record = self.book.promises.borrow_mut().answered(now, &self.name, ran, status, body);
-        self.book.write(&record).await;
+        let record = self.promise_store.promises.borrow_mut().answered(now, &self.name, ran, status, body);
+        self.promise_store.write(&record).await;
     }
 }
 
@@ -149,11 +149,11 @@
         if !self.open {
             return;
         }
-        let left = self.book.promises.borrow_mut().left(self.now, &self.name);
+        let left = self.promise_store.promises.borrow_mut().left(self.now, &self.name);
         // After a death it is of unknown outcome without this as well.
         let entry = left.and_then(|record| serde_json::to_vec(&record).ok());
         if let Some(entry) = entry {
-            let _ = self.book.journal.append(entry, |_| {});
+            let _ = self.promise_store.journal.append(entry, |_| {});
         }
     }
 }
--- a/crates/frontend/tests/config_faults.rs
+++ b/crates/frontend/tests/config_faults.rs
@@ -3,8 +3,8 @@
 mod config_kit;
 
 use config_kit::{FrontEnd, Writer, deployment, executor, folder, function, on, until};
-use orchidtally_standin::Stage;
-use orchidtally_standin::etcd::Served;
+use orchidtally_test_servers::Stage;
+use orchidtally_test_servers::etcd::Served;
 
 /// A silent store has to be noticed within this time, in seconds.
 const NOTICED_WITHIN: f64 = 3.0;
--- a/crates/frontend/tests/config_kit/mod.rs
+++ b/crates/frontend/tests/config_kit/mod.rs
@@ -13,10 +13,10 @@
 };
 use orchidtally_etcd::{Client, Fault, RANGE, TXN};
 use orchidtally_frontend::Start;
-use orchidtally_standin::etcd::Served;
-use orchidtally_standin::executor::{Executor, Make, Program, Surroundings, digest, echo};
-use orchidtally_standin::store::Store;
-use orchidtally_standin::{Stage, any_port};
+use orchidtally_test_servers::etcd::Served;
+use orchidtally_test_servers::executor::{Executor, Make, Program, Surroundings, digest, echo};
+use orchidtally_test_servers::store::Store;
+use orchidtally_test_servers::{Stage, any_port};
 use serde_json::{Value, json};
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -125,7 +125,7 @@
                 stop: stopped,
                 random: false,
                 triggers: None,
-                book: None,
+                promise_store: None,
                 reloads: None,
             };
             orchidtally_frontend::run(start, listener);
--- a/crates/frontend/tests/etcd.rs
+++ b/crates/frontend/tests/etcd.rs
@@ -4,12 +4,12 @@
 use orchidtally_deployment::Deployment;
 use orchidtally_etcd::rpc::{DeleteRangeRequest, PutRequest};
 use orchidtally_frontend::Start;
-use orchidtally_standin::client::{Ask, Caller, Heard};
-use orchidtally_standin::etcd::Served;
-use orchidtally_standin::executor::{Executor, Make, Program, Surroundings, echo};
-use orchidtally_standin::store::Store;
-use orchidtally_standin::{Stage, any_port};
-use orchidtally_witness::Record;
+use orchidtally_invariants::Record;
+use orchidtally_test_servers::client::{Ask, Caller, Heard};
+use orchidtally_test_servers::etcd::Served;
+use orchidtally_test_servers::executor::{Executor, Make, Program, Surroundings, echo};
+use orchidtally_test_servers::store::Store;
+use orchidtally_test_servers::{Stage, any_port};
 use serde_json::Value;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -130,7 +130,7 @@
             stop: stopped,
             random: false,
             triggers: None,
-            book: None,
+            promise_store: None,
             reloads: None,
         };
         orchidtally_frontend::run(start, listener);
--- a/crates/frontend/tests/hard_cases.rs
+++ b/crates/frontend/tests/hard_cases.rs
@@ -7,14 +7,14 @@
 use orchidtally_deployment::Deployment;
 use orchidtally_engine::Tally;
 use orchidtally_frontend::Start;
-use orchidtally_standin::client::{Ask, Caller, Heard};
-use orchidtally_standin::executor::{Executor, Make, Program, Surroundings, echo};
-use orchidtally_standin::publisher::{Publisher, Row};
-use orchidtally_standin::raw::{self, Kind, Next};
-use orchidtally_standin::store::Store;
-use orchidtally_standin::{Stage, any_port};
+use orchidtally_invariants::{Answer, Record, Standing};
+use orchidtally_test_servers::client::{Ask, Caller, Heard};
+use orchidtally_test_servers::executor::{Executor, Make, Program, Surroundings, echo};
+use orchidtally_test_servers::publisher::{Publisher, Row};
+use orchidtally_test_servers::raw::{self, Kind, Next};
+use orchidtally_test_servers::store::Store;
+use orchidtally_test_servers::{Stage, any_port};
 use orchidtally_wire::{frame, v1};
-use orchidtally_witness::{Answer, Record, Standing};
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -94,7 +94,7 @@
                 stop: stopped,
                 random: false,
                 triggers: None,
-                book: None,
+                promise_store: None,
                 reloads: None,
             },
             listener,
--- a/crates/frontend/tests/triggers.rs
+++ b/crates/frontend/tests/triggers.rs
@@ -6,15 +6,15 @@
 use futures_rustls::pki_types::PrivateKeyDer;
 use futures_rustls::rustls::ServerConfig;
 use orchidtally_frontend::Start;
-use orchidtally_frontend::book::Book;
 use orchidtally_frontend::mqtt::Triggers;
+use orchidtally_frontend::promise_store::PromiseStore;
+use orchidtally_invariants::Record;
 use orchidtally_mqtt::packet::{Property, Qos};
-use orchidtally_standin::broker::{Message, Served, Wire, Wrap};
-use orchidtally_standin::client::{Ask, Caller, Heard};
-use orchidtally_standin::executor::{Executor, Make, Program, Surroundings, echo};
-use orchidtally_standin::store::Store;
-use orchidtally_standin::{Stage, any_port};
-use orchidtally_witness::Record;
+use orchidtally_test_servers::broker::{Message, Served, Wire, Wrap};
+use orchidtally_test_servers::client::{Ask, Caller, Heard};
+use orchidtally_test_servers::executor::{Executor, Make, Program, Surroundings, echo};
+use orchidtally_test_servers::store::Store;
+use orchidtally_test_servers::{Stage, any_port};
 use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -99,7 +99,7 @@
         let (deployment, section) = orchidtally_trigger::read(&text).unwrap_or_else(|f| panic!("{f:?}"));
         let triggers = Some(Triggers::open(section.unwrap(), 0).unwrap());
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs_f64();
-        let book = Book::open(&deployment, now).unwrap();
+        let promise_store = PromiseStore::open(&deployment, now).unwrap();
         let start = Start {
             deployment,
             seed: 7,
@@ -108,7 +108,7 @@
             stop: stopped,
             random: false,
             triggers,
-            book,
+            promise_store,
             reloads: None,
         };
         orchidtally_frontend::run(start, listener);
--- a/crates/witness/src/lib.rs
+++ b/crates/invariants/src/lib.rs
@@ -30,7 +30,7 @@
 /// What the rules are checked against.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
-pub struct Terms {
+pub struct Limits {
     pub trigger_types: Vec<TriggerType>,
     pub second_copies: bool,
     pub drain_grace: f64,
--- a/crates/witness/src/messages.rs
+++ b/crates/invariants/src/messages.rs
@@ -1,6 +1,6 @@
 //! What became of messages: one answer each, what it says being so, and no effect twice that must not be.
 
-use crate::{Effect, Record, Terms};
+use crate::{Effect, Limits, Record};
 use serde::Serialize;
 use std::collections::HashMap;
 
@@ -32,7 +32,7 @@
 }
 
 /// Judges the messages among some records.
-pub fn messages(terms: &Terms, records: &[Record]) -> Messages {
+pub fn messages(limits: &Limits, records: &[Record]) -> Messages {
     let mut found = Messages::default();
     let mut answers: HashMap<&str, Vec<&str>> = HashMap::new();
     let mut runs: HashMap<&str, u64> = HashMap::new();
@@ -48,7 +48,7 @@
     for r in records {
         let Record::Published { invocation, trigger_type, .. } = r else { continue };
         found.messages += 1;
-        let effect = terms.trigger_types.iter().find(|t| t.name == *trigger_type).map(|t| t.effect);
+        let effect = limits.trigger_types.iter().find(|t| t.name == *trigger_type).map(|t| t.effect);
         let runs = runs.get(invocation.as_str()).copied().unwrap_or(0);
         if effect == Some(Effect::NonIdempotent) && runs > 1 {
             found.effects_twice += 1;
--- a/crates/witness/src/rules.rs
+++ b/crates/invariants/src/rules.rs
@@ -51,17 +51,17 @@
 }
 
 /// Judges a day from its records, in whatever order they were noted.
-pub fn judge(terms: &Terms, fleet: &[Executor], records: &[Record]) -> Verdict {
+pub fn judge(limits: &Limits, fleet: &[Executor], records: &[Record]) -> Verdict {
     let mut records: Vec<&Record> = records.iter().collect();
     records.sort_by(|a, b| a.at().total_cmp(&b.at()));
     let mut verdict = Verdict::default();
     let answers = final_answers(&records, &mut verdict);
     verdict.rules = vec![
         answers,
-        effects(terms, fleet, &records),
-        drains(terms, &records),
-        cold(terms, &records),
-        orders(terms, &records),
+        effects(limits, fleet, &records),
+        drains(limits, &records),
+        cold(limits, &records),
+        orders(limits, &records),
     ];
     verdict
 }
@@ -143,7 +143,7 @@
 }
 
 /// Rule 2: no effect twice, and what tells a client that asking again is harmless is true.
-fn effects(terms: &Terms, fleet: &[Executor], records: &[&Record]) -> Rule {
+fn effects(limits: &Limits, fleet: &[Executor], records: &[&Record]) -> Rule {
     let mut rule = Rule::new(2);
     let mut dispatches: HashMap<&str, Vec<Dispatched>> = HashMap::new();
     let mut types: HashMap<&str, &TriggerType> = HashMap::new();
@@ -155,7 +155,7 @@
     for &r in records {
         match r {
             Record::Reached { at, executor, invocation, number, token, trigger_type, .. } => {
-                if let Some(ty) = terms.trigger_types.iter().find(|t| t.name == *trigger_type) {
+                if let Some(ty) = limits.trigger_types.iter().find(|t| t.name == *trigger_type) {
                     types.insert(invocation, ty);
                 }
                 if !token.is_empty() {
@@ -204,7 +204,7 @@
                 (Effect::Idempotent, _) | (_, None) => true,
                 (Effect::NonIdempotent, Some(_)) => false,
                 (Effect::Tokened, Some(e)) => {
-                    same_group(ty.group, e.executor, d.executor) && d.at <= e.at + ty.window + terms.transit
+                    same_group(ty.group, e.executor, d.executor) && d.at <= e.at + ty.window + limits.transit
                 }
             };
             rule.check(kept, || {
@@ -216,13 +216,13 @@
             // What was abandoned is seen to end a little later than it was.
             let out = |e: &&Dispatched| {
                 let until = e.ended.map_or(f64::INFINITY, |e| e.0);
-                let heard = !is_deaf(&deaf, e.executor, d.at, terms.transit);
-                e.executor != d.executor && until > d.at + terms.transit && heard
+                let heard = !is_deaf(&deaf, e.executor, d.at, limits.transit);
+                e.executor != d.executor && until > d.at + limits.transit && heard
             };
             // Nor is it known when that was sent which an executor reads once it is deaf no more.
-            let late = is_deaf(&deaf, d.executor, d.at, terms.transit);
+            let late = is_deaf(&deaf, d.executor, d.at, limits.transit);
             let both = !late && earlier.iter().any(|e| out(&e));
-            rule.check(terms.second_copies || !both, || {
+            rule.check(limits.second_copies || !both, || {
                 format!("{invocation}: two dispatches out at {:.3}", d.at)
             });
         }
@@ -240,7 +240,7 @@
         for (n, later) in effects.iter().enumerate() {
             let twice = effects[..n]
                 .iter()
-                .any(|e| same_group(ty.group, e.1, later.1) && later.0 < e.0 + ty.window - terms.transit);
+                .any(|e| same_group(ty.group, e.1, later.1) && later.0 < e.0 + ty.window - limits.transit);
             rule.check(!twice, || format!("token {token} had its effect twice within one group"));
         }
     }
@@ -257,7 +257,7 @@
 }
 
 /// Rule 3: nothing new to an executor told draining or gone, past the grace.
-fn drains(terms: &Terms, records: &[&Record]) -> Rule {
+fn drains(limits: &Limits, records: &[&Record]) -> Rule {
     let mut rule = Rule::new(3);
     let mut told: HashMap<(u64, usize), (f64, Standing)> = HashMap::new();
     for &r in records {
@@ -280,7 +280,7 @@
             _ => continue,
         };
         if let Some((since, standing)) = told.get(&(life, executor)) {
-            let kept = *standing == Standing::Ready || at <= since + terms.drain_grace + terms.transit;
+            let kept = *standing == Standing::Ready || at <= since + limits.drain_grace + limits.transit;
             rule.check(kept, || {
                 format!(
                     "{what} came to executor {executor} {:.3} s after it was told {standing:?}",
@@ -293,7 +293,7 @@
 }
 
 /// Rule 4: a cold executor is never pushed over by those who were told that it is cold.
-fn cold(terms: &Terms, records: &[&Record]) -> Rule {
+fn cold(limits: &Limits, records: &[&Record]) -> Rule {
     let mut rule = Rule::new(4);
     let mut told: HashMap<(u64, usize), f64> = HashMap::new();
     let mut reached: HashMap<usize, Vec<(f64, u64, bool)>> = HashMap::new();
@@ -314,9 +314,9 @@
             Record::Fell { at, executor, since } => {
                 let work = reached.get(executor).map(Vec::as_slice).unwrap_or_default();
                 let lately: Vec<_> =
-                    work.iter().filter(|w| w.0 >= at - terms.fall && w.0 >= *since).collect();
+                    work.iter().filter(|w| w.0 >= at - limits.fall && w.0 >= *since).collect();
                 let knew = |w: &&&(f64, u64, bool)| {
-                    told.get(&(w.1, *executor)).is_some_and(|t| *t >= since - terms.transit)
+                    told.get(&(w.1, *executor)).is_some_and(|t| *t >= since - limits.transit)
                 };
                 let by_told = lately.iter().filter(|w| knew(w)).count();
                 let kept = 3 * by_told < 2 * lately.len();
@@ -365,9 +365,9 @@
 }
 
 /// Rule 5: orders to load stay within the ration.
-fn orders(terms: &Terms, records: &[&Record]) -> Rule {
+fn orders(limits: &Limits, records: &[&Record]) -> Rule {
     let mut rule = Rule::new(5);
-    if terms.ration_window <= 0.0 {
+    if limits.ration_window <= 0.0 {
         return rule;
     }
     let mut taken: HashMap<u32, Vec<f64>> = HashMap::new();
@@ -385,20 +385,20 @@
         match r {
             Record::Offered { at, front_end, .. } => taken.entry(*front_end).or_default().push(*at),
             // When an order was given that a deaf executor read late is not known.
-            Record::Ordered { at, executor, .. } if is_deaf(&deaf, *executor, *at, terms.transit) => {}
+            Record::Ordered { at, executor, .. } if is_deaf(&deaf, *executor, *at, limits.transit) => {}
             Record::Ordered { at, front_end, life, copies, .. } if *copies > 0 => {
                 let mine = ordered.entry(*life).or_default();
                 mine.push(*at);
                 // Orders may have come closer together on their way, and invocations be counted late.
-                let from = at - terms.ration_window;
-                let orders = mine.iter().filter(|&&t| t > from + terms.transit).count() as f64;
+                let from = at - limits.ration_window;
+                let orders = mine.iter().filter(|&&t| t > from + limits.transit).count() as f64;
                 let front_end = of_life.get(life).unwrap_or(front_end);
                 let offers = taken.get(front_end).map(Vec::as_slice).unwrap_or_default();
-                let offers = offers.iter().filter(|&&t| t > from - terms.transit).count();
+                let offers = offers.iter().filter(|&&t| t > from - limits.transit).count();
                 let mine = |m: &&(Option<u32>, f64, f64)| m.0.is_none_or(|f| f == *front_end);
-                let lately = |m: &&(Option<u32>, f64, f64)| m.2 > from - terms.transit && m.1 <= *at;
+                let lately = |m: &&(Option<u32>, f64, f64)| m.2 > from - limits.transit && m.1 <= *at;
                 let offers = (offers + messages.iter().filter(mine).filter(lately).count()) as f64;
-                let most = terms.ration_floor + terms.ration_share * offers;
+                let most = limits.ration_floor + limits.ration_share * offers;
                 rule.check(orders <= most, || {
                     format!("front end {front_end} gave {orders} orders by {at:.3}, {most:.1} granted")
                 });
--- a/crates/witness/tests/rules.rs
+++ b/crates/invariants/tests/rules.rs
@@ -1,8 +1,8 @@
 //! Each rule finds the breach that is planted, and nothing in a clean day.
 
-use orchidtally_witness::*;
+use orchidtally_invariants::*;
 
-fn terms() -> Terms {
+fn limits() -> Limits {
     let ty = |name: &str, effect, group| TriggerType {
         name: name.into(),
         effect,
@@ -10,7 +10,7 @@
         window: 5.0,
         objective: 1.0,
     };
-    Terms {
+    Limits {
         trigger_types: vec![
             ty("look", Effect::Idempotent, Group::All),
             ty("plan", Effect::Tokened, Group::Cell),
@@ -79,7 +79,7 @@
 fn broken(added: Vec<Record>) -> Vec<u8> {
     let fleet = [0, 0, 1].map(|cell| Executor { location: 0, cell });
     let records: Vec<Record> = clean().into_iter().chain(added).collect();
-    let verdict = judge(&terms(), &fleet, &records);
+    let verdict = judge(&limits(), &fleet, &records);
     assert_eq!(verdict.rules.iter().map(|r| r.broken as usize).sum::<usize>() == 0, verdict.kept());
     verdict.rules.iter().filter(|r| r.broken > 0).map(|r| r.rule).collect()
 }
@@ -87,7 +87,7 @@
 #[test]
 fn a_clean_day_is_kept_and_was_looked_at() {
     let fleet = [0, 0, 1].map(|cell| Executor { location: 0, cell });
-    let verdict = judge(&terms(), &fleet, &clean());
+    let verdict = judge(&limits(), &fleet, &clean());
     assert!(verdict.kept(), "{:?}", verdict.rules);
     assert_eq!((verdict.invocations, verdict.succeeded), (1, 1));
     let checked: Vec<u64> = verdict.rules.iter().map(|r| r.checked).collect();
--- a/crates/witness/tests/spread.rs
+++ b/crates/invariants/tests/spread.rs
@@ -1,6 +1,6 @@
 //! The measures of spread on records written by hand: each finds what it is for, and nothing where that is not.
 
-use orchidtally_witness::{Ending, Record, Spread, spread};
+use orchidtally_invariants::{Ending, Record, Spread, spread};
 
 fn stands(executor: usize, lanes: u32) -> Record {
     Record::Stands { at: 0.0, executor, lanes }
--- a/crates/membership/tests/cache.rs
+++ b/crates/membership/tests/cache.rs
@@ -6,7 +6,7 @@
 use orchidtally_etcd::rpc::{DeleteRangeRequest, Event, KeyValue, PutRequest, RangeRequest, WatchResponse};
 use orchidtally_etcd::{Told, Watch, range_end};
 use orchidtally_membership::{Cache, Change, Next, Stamp};
-use orchidtally_standin::etcd::Store;
+use orchidtally_test_servers::etcd::Store;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -40,7 +40,7 @@
 }
 
 struct World {
-    chance: SmallRng,
+    random: SmallRng,
     now: f64,
     store: Store,
     cache: Cache,
@@ -60,7 +60,7 @@
 impl World {
     fn new(seed: u64) -> World {
         World {
-            chance: SmallRng::seed_from_u64(seed),
+            random: SmallRng::seed_from_u64(seed),
             now: 0.0,
             store: Store::new(1),
             cache: Cache::new(0.0),
@@ -76,7 +76,7 @@
     }
 
     fn key(&mut self) -> Bytes {
-        let n = self.chance.random_range(0..EXECUTORS);
+        let n = self.random.random_range(0..EXECUTORS);
         [PREFIX, n.to_string().as_bytes()].concat().into()
     }
 
@@ -186,15 +186,15 @@
 
     fn step(&mut self, restores: bool) {
         self.now += 0.05;
-        match self.chance.random_range(0..100) {
+        match self.random.random_range(0..100) {
             0..=24 => {
                 let key = self.key();
                 // Now and then it is another start of the executor.
-                let again = u32::from(self.chance.random_range(0..5) == 0);
+                let again = u32::from(self.random.random_range(0..5) == 0);
                 let since = self.starts.entry(key.clone()).or_default();
                 *since += 100 * again;
                 let since = *since;
-                let value = match self.chance.random_range(0..10) {
+                let value = match self.random.random_range(0..10) {
                     0 => "half".into(),
                     1..=2 => format!("draining {since}"),
                     _ => format!("ready {since}"),
@@ -208,7 +208,7 @@
             35..=38 => {
                 // An operator drains one, or withdraws that.
                 let key: Bytes = [&self.key()[..], b"/drain"].concat().into();
-                if self.chance.random() {
+                if self.random.random() {
                     self.store.put(&PutRequest { key, value: "{}".into(), ..PutRequest::default() }).unwrap();
                 } else {
                     self.store.delete(&DeleteRangeRequest { key, ..DeleteRangeRequest::default() });
@@ -219,7 +219,7 @@
             80..=84 => self.cut(),
             85..=92 => self.connect(),
             93 => {
-                let to = self.store.revision - self.chance.random_range(0..3);
+                let to = self.store.revision - self.random.random_range(0..3);
                 // Nothing may be there to compact.
                 let _ = self.store.compact(to);
             }
--- a/crates/membership/tests/members.rs
+++ b/crates/membership/tests/members.rs
@@ -37,7 +37,7 @@
 }
 
 fn course(seed: u64, planted: Planted) -> Seen {
-    let mut chance = SmallRng::seed_from_u64(seed);
+    let mut random = SmallRng::seed_from_u64(seed);
     let mut store: BTreeMap<u32, (u64, f64)> = BTreeMap::new();
     let mut all: Vec<Member> = vec![];
     let mut seen = Seen { worst: 0.0, same_index: 0, most: 0, used: 0.0 };
@@ -57,17 +57,17 @@
         while all.len() < wanted {
             id += 1;
             let members = Members::new(3);
-            let lives = if chance.random_range(0..4) == 0 { chance.random_range(1.0..8.0) } else { 1e9 };
+            let lives = if random.random_range(0..4) == 0 { random.random_range(1.0..8.0) } else { 1e9 };
             let (looking, renewing) = (None, None);
             all.push(Member { members, id, dies_at: now + lives, looking, renewing, cut_off_until: 0.0 });
         }
         while all.len() > wanted {
             // Without notice: its entry stays until its lease is over.
-            all.swap_remove(chance.random_range(0..all.len()));
+            all.swap_remove(random.random_range(0..all.len()));
         }
         // A part is cut off from the store for a while; its views are not renewed, nor its leases.
-        if chance.random_range(0..600) == 0 {
-            let until = now + chance.random_range(0.5..8.0);
+        if random.random_range(0..600) == 0 {
+            let until = now + random.random_range(0.5..8.0);
             all.iter_mut().filter(|m| m.id % 2 == 0).for_each(|m| m.cut_off_until = until);
         }
         for m in &mut all {
@@ -88,21 +88,21 @@
                 match own.and_then(|i| store.get_mut(&i)).filter(|e| e.0 == m.id) {
                     Some(entry) => {
                         // The store renews somewhere in between.
-                        entry.1 = entry.1.max(began + LEASE + chance.random_range(0.0..=(ends - began)));
+                        entry.1 = entry.1.max(began + LEASE + random.random_range(0.0..=(ends - began)));
                         m.members.renewed(began, LEASE);
                     }
                     None => {
                         m.members.disowned();
                         let taken: BTreeSet<u32> = store.keys().copied().collect();
-                        let index = Members::wanted(&taken, chance.random(), 0);
+                        let index = Members::wanted(&taken, random.random(), 0);
                         store.insert(index, (m.id, now + LEASE));
                         m.members.owns(now, index, LEASE);
                     }
                 }
             }
             // A view begins after the last one, each as late as it may be.
-            m.looking.get_or_insert((now, now + chance.random_range(0.05..1.5)));
-            m.renewing.get_or_insert((now, now + chance.random_range(0.05..0.8)));
+            m.looking.get_or_insert((now, now + random.random_range(0.05..1.5)));
+            m.renewing.get_or_insert((now, now + random.random_range(0.05..0.8)));
         }
         let mut indices = BTreeSet::new();
         let mut sum = 0.0;
--- a/crates/terms/src/lib.rs
+++ b/crates/platform-config/src/lib.rs
@@ -1,10 +1,10 @@
-//! The platform's settings object, walked straight into the terms that the module keeps. The simulator's
+//! The platform's settings object, read straight into the `PolicyConfig` that the module keeps. The simulator's
 //! adapter and the front end on sockets read it here.
 
 mod fault;
 
 pub use fault::Fault;
-use orchidtally::interface::{Effect, Group, Terms, TriggerType};
+use orchidtally::interface::{Effect, Group, PolicyConfig, TriggerType};
 use serde_json::Value;
 
 fn need<'a>(value: &'a Value, key: &str) -> Result<&'a Value, Fault> {
@@ -107,7 +107,7 @@
     })
 }
 
-pub fn read(bytes: &[u8]) -> Result<Terms, Fault> {
+pub fn read(bytes: &[u8]) -> Result<PolicyConfig, Fault> {
     decode(&serde_json::from_slice(bytes).map_err(|e| Fault::NotJson(e.to_string()))?)
 }
 
@@ -115,9 +115,9 @@
     if need(v, "customers").is_ok() { list(v, "customers") } else { Ok(&[]) }
 }
 
-fn decode(v: &Value) -> Result<Terms, Fault> {
+fn decode(v: &Value) -> Result<PolicyConfig, Fault> {
     let customers = customers(v)?;
-    Ok(Terms {
+    Ok(PolicyConfig {
         trigger_types: list(v, "classes")?.iter().map(trigger_type).collect::<Result<_, _>>()?,
         quotas: customers.iter().map(|c| amount(c, "quotaRps")).collect::<Result<_, _>>()?,
         over_share_value: amount_or(v, "overShareWorth", 1.0)?,
@@ -154,10 +154,10 @@
     })
 }
 
-/// What the platform's front end needs of the settings besides the terms.
+/// What the platform's front end needs of the settings besides the policy configuration.
 #[derive(Clone, Debug)]
 pub struct Grounds {
-    pub terms: Terms,
+    pub policy: PolicyConfig,
     /// Names, each list by the index that the module knows.
     pub trigger_types: Vec<String>,
     /// Those that have shares; none on some deployments.
@@ -184,7 +184,7 @@
 pub fn grounds(v: &Value) -> Result<Grounds, Fault> {
     let trigger_types = list(v, "classes")?.iter().map(|c| text(c, "name").map(str::to_owned));
     Ok(Grounds {
-        terms: decode(v)?,
+        policy: decode(v)?,
         trigger_types: trigger_types.collect::<Result<_, _>>()?,
         customers: customers(v)?
             .iter()
--- a/crates/terms/tests/settings.rs
+++ b/crates/platform-config/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Each setting at its edges, absent and malformed: read, or named in what is told.
 
-use orchidtally::interface::Terms;
-use orchidtally_terms::{grounds, read};
+use orchidtally::interface::PolicyConfig;
+use orchidtally_platform_config::{grounds, read};
 use serde_json::{Value, json};
 
 fn settings() -> Value {
@@ -32,7 +32,7 @@
     all
 }
 
-fn terms(settings: &Value) -> Result<Terms, String> {
+fn policy(settings: &Value) -> Result<PolicyConfig, String> {
     read(settings.to_string().as_bytes()).map_err(|fault| fault.to_string())
 }
 
@@ -66,15 +66,15 @@
     let under = amounts.iter().chain(bounded.iter().map(|b| &b.0)).map(|&pointer| (pointer, json!(-1e-9)));
     let odd = amounts.iter().map(|&pointer| (pointer, json!("5")));
     for (pointer, value) in far.into_iter().chain(under).chain(odd) {
-        let fault = terms(&with(pointer, Some(value.clone()))).expect_err(pointer);
+        let fault = policy(&with(pointer, Some(value.clone()))).expect_err(pointer);
         let key = pointer.rsplit('/').next().expect("a key");
         assert!(fault.contains(key), "{pointer} as {value}: {fault}");
     }
     for pointer in amounts {
-        terms(&with(pointer, Some(json!(0)))).expect(pointer);
+        policy(&with(pointer, Some(json!(0)))).expect(pointer);
     }
     for (pointer, value) in [("/zone", 255), ("/limits/maxAttempts", 1), ("/limits/maxAttempts", 1_000)] {
-        terms(&with(pointer, Some(json!(value)))).expect(pointer);
+        policy(&with(pointer, Some(json!(value)))).expect(pointer);
     }
     for pointer in
         ["/limits/maxOpen", "/limits/streamsPerConn", "/limits/connectTimeout", "/limits/idleClose"]
@@ -93,17 +93,17 @@
     ];
     for (pointer, first, second) in kinds {
         for value in [json!("other"), json!(7), json!(null)] {
-            let fault = terms(&with(pointer, Some(value))).expect_err(pointer);
+            let fault = policy(&with(pointer, Some(value))).expect_err(pointer);
             assert!(fault.contains(pointer.rsplit('/').next().expect("a key")), "{fault}");
         }
         let of = |value: Option<Value>| {
-            let terms = terms(&with(pointer, value)).expect(pointer);
-            [terms.roster_asked, terms.value_by_work, terms.answers_miss].contains(&true)
+            let policy = policy(&with(pointer, value)).expect(pointer);
+            [policy.roster_asked, policy.value_by_work, policy.answers_miss].contains(&true)
         };
         assert!(!of(Some(first.into())) && of(Some(second.into())) && !of(None), "{pointer}");
     }
     for (pointer, value) in [("/classes/0/semantics", "other"), ("/classes/0/dedupScope", "other")] {
-        assert!(terms(&with(pointer, Some(value.into()))).expect_err(pointer).contains("unknown value"));
+        assert!(policy(&with(pointer, Some(value.into()))).expect_err(pointer).contains("unknown value"));
     }
 }
 
@@ -126,7 +126,7 @@
         "/specifics",
     ];
     for pointer in optional {
-        terms(&with(pointer, None)).expect(pointer);
+        policy(&with(pointer, None)).expect(pointer);
     }
     for pointer in [
         "/tick",
@@ -136,12 +136,15 @@
         "/safety/cold",
         "/limits/maxAttempts",
     ] {
-        let fault = terms(&with(pointer, None)).expect_err(pointer);
+        let fault = policy(&with(pointer, None)).expect_err(pointer);
         assert!(fault.contains(pointer.rsplit('/').next().expect("a key")), "{fault}");
     }
     for pointer in ["/surprise", "/classes/0/surprise", "/specifics/surprise"] {
-        let terms = terms(&with(pointer, Some(json!({"a": []})))).expect(pointer);
-        assert_eq!((terms.front_ends, terms.index, terms.zone, terms.trigger_types.len()), (3.0, 2.0, 1, 1));
+        let policy = policy(&with(pointer, Some(json!({"a": []})))).expect(pointer);
+        assert_eq!(
+            (policy.front_ends, policy.index, policy.zone, policy.trigger_types.len()),
+            (3.0, 2.0, 1, 1)
+        );
     }
     for text in ["", "[]", "{", "7"] {
         read(text.as_bytes()).expect_err(text);
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/floor.rs
@@ -8,7 +8,7 @@
 use orchidtally::interface::ExecutorId;
 use orchidtally_engine::Engine;
 use orchidtally_engine::evidence::Transport;
-use orchidtally_terms::Grounds;
+use orchidtally_platform_config::Grounds;
 use slab::Slab;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
@@ -107,9 +107,9 @@
             trigger_types: grounds.trigger_types.clone(),
             streams: grounds.streams,
             connect_time: grounds.connect_time,
-            tick: grounds.terms.tick,
+            tick: grounds.policy.tick,
             idle_close: grounds.idle_close,
-            cancels: grounds.terms.cancel,
+            cancels: grounds.policy.cancel,
             most_connections,
             clients: Slab::new(),
             connections: Slab::new(),
@@ -130,7 +130,7 @@
             cut: vec![],
             taking: None,
             brought: vec![],
-            longest_stay_away: grounds.terms.max_retry_after,
+            longest_stay_away: grounds.policy.max_retry_after,
         }
     }
 
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -11,8 +11,8 @@
 use orchidtally_engine::evidence::{self, Transport};
 use orchidtally_engine::{Engine, Tally};
 use orchidtally_frames as frames;
+use orchidtally_platform_config::Grounds;
 use orchidtally_resolver::Places;
-use orchidtally_terms::Grounds;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
 use std::collections::VecDeque;
@@ -122,7 +122,7 @@
         let most_clients = start.sockets / 2;
         let most_connections = start.sockets - most_clients - OWN_SOCKETS;
         let mut floor = Floor::new(now, poll.registry().try_clone()?, &grounds, most_connections);
-        let engine = Engine::new(grounds.terms.clone(), grounds.most_open, start.seed, now, &mut floor);
+        let engine = Engine::new(grounds.policy.clone(), grounds.most_open, start.seed, now, &mut floor);
         let mut front = Front {
             poll,
             listener: Some(listener),
@@ -195,7 +195,7 @@
     fn wait(&mut self, events: &mut Events) -> io::Result<()> {
         let now = self.now();
         let severed = self.severed.front().map_or(f64::INFINITY, |s| s.0 + connections::ALL_RESET);
-        let held = if self.floor.held.is_empty() { f64::INFINITY } else { now + self.grounds.terms.tick };
+        let held = if self.floor.held.is_empty() { f64::INFINITY } else { now + self.grounds.policy.tick };
         let due = self.engine.due_at().min(self.resolver.due_at()).min(self.sweep_at).min(severed).min(held);
         let left = if self.again.is_empty() { (due - now).clamp(0.0, SWEEP) } else { 0.0 };
         match self.poll.poll(events, Some(Duration::from_secs_f64(left))) {
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -177,7 +177,7 @@
         let service = field("service").ok_or("no 'service'")?;
         let trigger_type = self.grounds.trigger_types.iter().position(|t| t == service);
         let trigger_type = trigger_type.ok_or("'service' names nothing that is served")?;
-        let ty = &self.grounds.terms.trigger_types[trigger_type];
+        let ty = &self.grounds.policy.trigger_types[trigger_type];
         let id = field("ref").filter(|id| hex(id).is_some()).ok_or("'ref' is not 16 hex digits")?;
         if self.floor.ids.contains(id) {
             return Err("'ref' is that of an open invocation");
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -1,7 +1,7 @@
 //! What a front end is told at its start, and again when its file is replaced.
 
+use orchidtally_platform_config::Grounds;
 use orchidtally_resolver::{Entry, Places};
-use orchidtally_terms::Grounds;
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -45,7 +45,7 @@
     #[error("{file}: {why}; write it whole, as one JSON object")]
     NotJson { file: String, why: String },
     #[error("{file}: key 'settings': {source}")]
-    Settings { file: String, source: orchidtally_terms::Fault },
+    Settings { file: String, source: orchidtally_platform_config::Fault },
     #[error("{file}: key 'known': {why}; write the updates as the resolver told them")]
     Known { file: String, why: String },
     #[error("{file}: key 'seed': {why}; write hex digits, 16 at the most")]
@@ -69,7 +69,7 @@
     let file = || file.to_owned();
     let told: Told =
         serde_json::from_slice(text).map_err(|e| Fault::NotJson { file: file(), why: e.to_string() })?;
-    let grounds = orchidtally_terms::grounds(&told.settings)
+    let grounds = orchidtally_platform_config::grounds(&told.settings)
         .map_err(|source| Fault::Settings { file: file(), source })?;
     let mut places = Places::new(grounds.zones.clone(), grounds.kinds.clone());
     let (serial, known) = orchidtally_resolver::known(&told.known, &mut places)
--- a/crates/platform/src/tests/floor.rs
+++ b/crates/platform/src/tests/floor.rs
@@ -18,7 +18,7 @@
 /// A floor with some executors, each reached over one connection that stands, and the executors' ends of these.
 fn set(executors: usize) -> (Floor, Vec<ExecutorId>, Vec<std::net::TcpStream>) {
     let settings = serde_json::from_str(SETTINGS).expect("it is JSON");
-    let grounds = orchidtally_terms::grounds(&settings).expect("they are sound");
+    let grounds = orchidtally_platform_config::grounds(&settings).expect("they are sound");
     let poll = mio::Poll::new().expect("a poll");
     let mut floor = Floor::new(0.0, poll.registry().try_clone().expect("it can be"), &grounds, executors);
     let mut ends = vec![];
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -114,7 +114,7 @@
     pub key: Key,
     pub steps: Vec<Step>,
     pub gates: Vec<Hold>,
-    /// Chance that a harmless rollout is taken back, over its whole life and all gates.
+    /// SeededRandom that a harmless rollout is taken back, over its whole life and all gates.
     pub false_alarm: f64,
     pub unjudged: Unjudged,
     /// Loads of the new version a second, over all front ends.
--- a/crates/rollout/src/reckoning.rs
+++ b/crates/rollout/src/reckoning.rs
@@ -33,7 +33,7 @@
 
 /// Orders a second that all front ends together may give for rollouts.
 pub fn orders_granted(deployment: &Deployment) -> f64 {
-    let t = &deployment.terms;
+    let t = &deployment.policy;
     if !t.orders || t.ration_window <= 0.0 {
         return f64::INFINITY;
     }
@@ -70,7 +70,7 @@
 }
 
 pub fn reckon(plan: &Plan, deployment: &Deployment) -> Vec<Reckoned> {
-    let front_ends = deployment.terms.front_ends as u64;
+    let front_ends = deployment.policy.front_ends as u64;
     let mut before = 0;
     let mut steps = vec![];
     for (n, step) in plan.steps.iter().enumerate() {
@@ -97,7 +97,7 @@
 /// Tells what can't be kept; `None` names the pace of loads, `Some` a step.
 pub fn check(plan: &Plan, deployment: &Deployment, fault: &dyn Fn(Option<usize>, String)) {
     let granted = orders_granted(deployment);
-    let t = &deployment.terms;
+    let t = &deployment.policy;
     if plan.loads_per_second > granted {
         let what = format!(
             "{} a second can't be kept: the ration grants each of {} front ends {} orders in {} s without traffic, \
--- a/crates/rollout/tests/decisions.rs
+++ b/crates/rollout/tests/decisions.rs
@@ -121,7 +121,7 @@
     assert!((on(1, 0) - 0.1).abs() < 0.01 && (on(1, 1) - 0.5).abs() < 0.015);
     assert_eq!(on(1, 2), 1.0);
     let both = keys.iter().filter(|k| is_new(&plan, 1, 0, &who(k)) && is_new(&plan, 2, 0, &who(k))).count();
-    assert!((100..300).contains(&both), "{both} of 20000 are first in both runs, 200 by chance");
+    assert!((100..300).contains(&both), "{both} of 20000 are first in both runs, 200 by random");
 }
 
 #[test]
@@ -131,16 +131,16 @@
         let mut mean = 0.0;
         for outcome in 0..1u32 << 8 {
             let mut stakes = Stakes::default();
-            let mut chance = 1.0;
+            let mut random = 1.0;
             for n in 0..8 {
                 if n % 3 == 0 {
                     stakes.begin();
                 }
                 let new = outcome >> n & 1;
-                chance *= if new == 1 { p } else { 1.0 - p };
+                random *= if new == 1 { p } else { 1.0 - p };
                 stakes.note(Events { p, new: u64::from(new), all: 1 });
             }
-            mean += chance * stakes.evidence();
+            mean += random * stakes.evidence();
         }
         assert!((mean - 1.0).abs() < 1e-9, "{mean} at a share of {p}");
     }
@@ -257,10 +257,10 @@
             let arm = usize::from(invoked.arm == Arm::New);
             let (error, spread) = (self.unit(), 0.5 + self.unit());
             let meant = (self.only)(ty, customer, fe);
-            let chance = if meant { self.errors[arm] } else { self.errors[0] };
+            let random = if meant { self.errors[arm] } else { self.errors[0] };
             let slow = if arm == 1 && self.unit() < self.tail { 10.0 } else { 1.0 };
             let took = self.latency[arm] * spread * slow;
-            let came = if error < chance { Came::Errored } else { Came::Succeeded { took, warm: true } };
+            let came = if error < random { Came::Errored } else { Came::Succeeded { took, warm: true } };
             self.shares[fe].came(&invoked, came, came == Came::Errored);
         }
         self.now += 1.0;
--- a/crates/rollout/tests/loads.rs
+++ b/crates/rollout/tests/loads.rs
@@ -102,8 +102,8 @@
     let mut front_ends: Vec<FrontEnd> = (0..FRONT_ENDS)
         .map(|n| {
             let mut orders = Orders { now: 100.0, ..Orders::default() };
-            let terms = Terms { index: n as f64, ..deployment.terms.clone() };
-            let mut dispatcher = Dispatcher::new(terms, n as u64, 100.0, &mut orders);
+            let policy = PolicyConfig { index: n as f64, ..deployment.policy.clone() };
+            let mut dispatcher = Dispatcher::new(policy, n as u64, 100.0, &mut orders);
             dispatcher.roster(100.0, RosterKind::Full, &rows, &mut orders);
             let place = Place {
                 index: n as u32,
--- a/crates/scale/src/fleet/front_end.rs
+++ b/crates/scale/src/fleet/front_end.rs
@@ -213,7 +213,7 @@
 pub const NON_IDEMPOTENT: usize = 1;
 
 /// The terms of a deployment file with the assumptions of this run, and its defaults otherwise.
-pub fn terms(front_ends: usize, index: usize, place: Place) -> Terms {
+pub fn policy(front_ends: usize, index: usize, place: Place) -> PolicyConfig {
     let trigger_type = |effect| TriggerType {
         objective: OBJECTIVE,
         stretch: 0.0,
@@ -224,7 +224,7 @@
         group: Group::All,
         window: 0.0,
     };
-    Terms {
+    PolicyConfig {
         trigger_types: vec![trigger_type(Effect::Idempotent), trigger_type(Effect::NonIdempotent)],
         over_share_value: 0.1,
         front_ends: front_ends as f64,
@@ -247,6 +247,6 @@
         ration_window: 5.0,
         backlog_field: Some(0),
         loads_field: Some(1),
-        ..Terms::default()
+        ..PolicyConfig::default()
     }
 }
--- a/crates/scale/src/fleet/measure.rs
+++ b/crates/scale/src/fleet/measure.rs
@@ -4,7 +4,7 @@
 use std::collections::VecDeque;
 use std::ops::Range;
 
-/// Span over which requests and loads count together as a herd, in seconds: as in `orchidtally_witness::spread`.
+/// Span over which requests and loads count together as a herd, in seconds: as in `orchidtally_invariants::spread`.
 const HERD_TIME: f64 = 0.25;
 /// A herd of calls is over the fair part by so many roots of it, and by as many more: likewise.
 const HERD_OVER: f64 = 4.0;
--- a/crates/scale/src/fleet/simulation.rs
+++ b/crates/scale/src/fleet/simulation.rs
@@ -180,14 +180,14 @@
     /// A front end that has just started and knows nothing.
     fn front_end(&mut self, number: usize, life: u8) -> FrontEnd {
         let place = self.shared.topology.front_ends[number];
-        let terms = terms(self.plan.size.front_ends, number, place);
+        let policy = policy(self.plan.size.front_ends, number, place);
         let seed = self.plan.seed.wrapping_mul(1_000_003) + (number * 256 + usize::from(life)) as u64;
         let mut state = HostState::new(number as u16, life, place, self.plan.size.executors);
         let now = self.shared.now;
         let engine = match self.plan.policy {
             Policy::Dispatcher => {
                 let mut host = HollowHost { state: &mut state, shared: &mut self.shared };
-                Engine::new(terms, MOST_OPEN, seed, now, &mut host)
+                Engine::new(policy, MOST_OPEN, seed, now, &mut host)
             }
             Policy::Random => Engine::with_baseline(Box::new(Plain::new(seed)), MOST_OPEN, now),
             Policy::TwoByTrueLoad => {
--- a/crates/scale/src/hollow/control.rs
+++ b/crates/scale/src/hollow/control.rs
@@ -1,7 +1,7 @@
 //! A hollow front end's membership and roster: the true membership core over the true etcd client on loopback sockets,
 //! with an engine that takes in what they tell.
 
-use super::decisions::terms;
+use super::decisions::policy;
 use super::follow::{self, Follower};
 use crate::store::PREFIX;
 use async_executor::{LocalExecutor, Task};
@@ -79,7 +79,7 @@
         tasks: &Rc<LocalExecutor<'static>>,
     ) -> Rc<ControlFrontEnd> {
         let client = || Client::new(endpoints.to_vec(), tasks.clone());
-        let engine = Engine::new(terms(front_ends, 0), 1, seed, 0.0, &mut NoCalls);
+        let engine = Engine::new(policy(front_ends, 0), 1, seed, 0.0, &mut NoCalls);
         Rc::new(ControlFrontEnd {
             started: Instant::now(),
             cache: RefCell::new(Cache::new(0.0)),
--- a/crates/scale/src/hollow/decisions.rs
+++ b/crates/scale/src/hollow/decisions.rs
@@ -34,7 +34,7 @@
 }
 
 /// The limits of a deployment of that size.
-pub fn terms(front_ends: usize, index: usize) -> Terms {
+pub fn policy(front_ends: usize, index: usize) -> PolicyConfig {
     let trigger_type = TriggerType {
         objective: 1.5,
         stretch: 0.0,
@@ -45,7 +45,7 @@
         group: Group::All,
         window: 0.0,
     };
-    Terms {
+    PolicyConfig {
         trigger_types: vec![trigger_type],
         front_ends: front_ends as f64,
         index: index as f64,
@@ -64,7 +64,7 @@
         ration_share: 0.2,
         ration_window: 5.0,
         backlog_field: Some(0),
-        ..Terms::default()
+        ..PolicyConfig::default()
     }
 }
 
@@ -201,7 +201,7 @@
             finished: Finished::default(),
         };
         let mut engine =
-            Engine::new(terms(traffic.front_ends, 0), MOST_OPEN, traffic.seed, START, &mut executors);
+            Engine::new(policy(traffic.front_ends, 0), MOST_OPEN, traffic.seed, START, &mut executors);
         let rows: Vec<RosterRow> = (0..traffic.executors).map(|x| roster_row(x, 8)).collect();
         engine.roster(START, RosterKind::Full, &rows, &mut executors);
         FrontEnd {
--- a/crates/standin/src/executor/cold.rs
+++ b/crates/test-servers/src/executor/cold.rs
@@ -1,7 +1,7 @@
 //! A cold start: how warm an executor is by now, and the load that pushes it over.
 
 use super::Executor;
-use orchidtally_witness::Record;
+use orchidtally_invariants::Record;
 use tracing::warn;
 
 impl Executor {
--- a/crates/standin/src/executor/dispatch.rs
+++ b/crates/test-servers/src/executor/dispatch.rs
@@ -7,8 +7,8 @@
 use super::program::package;
 use bytes::Bytes;
 use futures_lite::future;
+use orchidtally_invariants::{Ending, Record};
 use orchidtally_wire::v1;
-use orchidtally_witness::{Ending, Record};
 use std::rc::Rc;
 
 impl Executor {
--- a/crates/standin/src/executor/guards.rs
+++ b/crates/test-servers/src/executor/guards.rs
@@ -2,7 +2,7 @@
 
 use super::Executor;
 use async_channel::Sender;
-use orchidtally_witness::{Ending, Record};
+use orchidtally_invariants::{Ending, Record};
 use std::cell::Cell;
 use std::rc::Rc;
 
--- a/crates/standin/src/lib.rs
+++ b/crates/test-servers/src/lib.rs
@@ -14,7 +14,7 @@
 
 use async_executor::LocalExecutor;
 use async_io::Timer;
-use orchidtally_witness::Record;
+use orchidtally_invariants::Record;
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 use std::cell::{Cell, RefCell};
@@ -31,7 +31,7 @@
     started: Instant,
     started_wall: f64,
     records: Rc<RefCell<Vec<Record>>>,
-    chance: Rc<RefCell<SmallRng>>,
+    random: Rc<RefCell<SmallRng>>,
 }
 
 impl Stage {
@@ -41,7 +41,7 @@
             started: Instant::now(),
             started_wall: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64()),
             records: Rc::default(),
-            chance: Rc::new(RefCell::new(SmallRng::seed_from_u64(seed))),
+            random: Rc::new(RefCell::new(SmallRng::seed_from_u64(seed))),
         }
     }
 
@@ -65,7 +65,7 @@
 
     /// A number from 0 up to, but not including, 1.
     pub fn unit(&self) -> f64 {
-        self.chance.borrow_mut().random()
+        self.random.borrow_mut().random()
     }
 
     pub fn spawn<T: 'static>(&self, work: impl Future<Output = T> + 'static) -> async_executor::Task<T> {
--- a/crates/standin/src/platform/client.rs
+++ b/crates/test-servers/src/platform/client.rs
@@ -5,7 +5,7 @@
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
 use orchidtally_frames as frames;
-use orchidtally_witness::{Answer, Record};
+use orchidtally_invariants::{Answer, Record};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpStream};
--- a/crates/standin/src/platform/executor.rs
+++ b/crates/test-servers/src/platform/executor.rs
@@ -7,7 +7,7 @@
 use async_io::Async;
 use futures_lite::io::BufReader;
 use futures_lite::{AsyncBufReadExt, AsyncWriteExt, StreamExt, future};
-use orchidtally_witness::{Ending, Record};
+use orchidtally_invariants::{Ending, Record};
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/standin/src/platform/mod.rs
+++ b/crates/test-servers/src/platform/mod.rs
@@ -1,6 +1,6 @@
 //! The operators' platform: executors that speak its lines, a resolver that answers over DNS, clients that send
 //! its frames; with faults by script. Each executor and the resolver have an address for each front end, so that
-//! what came is known to be whose. What they see is noted for the witness.
+//! what came is known to be whose. What they see is noted for the invariant checker.
 
 mod client;
 mod executor;
--- a/crates/standin/src/platform/resolver.rs
+++ b/crates/test-servers/src/platform/resolver.rs
@@ -4,7 +4,7 @@
 use super::executor::Executor;
 use crate::{Stage, Until, any_port};
 use async_io::Async;
-use orchidtally_witness::{Record, Standing};
+use orchidtally_invariants::{Record, Standing};
 use serde_json::{Value, json};
 use simple_dns::rdata::{A, RData, SOA, SRV, TXT};
 use simple_dns::{CLASS, Name, Packet, PacketFlag, ResourceRecord};
--- a/crates/standin/tests/etcd_cluster.rs
+++ b/crates/test-servers/tests/etcd_cluster.rs
@@ -9,7 +9,7 @@
 use orchidtally_etcd::rpc::request_op::Request;
 use orchidtally_etcd::rpc::*;
 use orchidtally_etcd::{Client, Fault, LEASE_GRANT, PUT, TXN, Told};
-use orchidtally_standin::etcd::CrashPoint;
+use orchidtally_test_servers::etcd::CrashPoint;
 use std::time::Duration;
 
 #[test]
--- a/crates/standin/tests/etcd_store.rs
+++ b/crates/test-servers/tests/etcd_store.rs
@@ -7,7 +7,7 @@
 use orchidtally_etcd::rpc::request_op::Request;
 use orchidtally_etcd::rpc::response_op::Response;
 use orchidtally_etcd::rpc::*;
-use orchidtally_standin::etcd::{MAX_OPERATIONS, Store};
+use orchidtally_test_servers::etcd::{MAX_OPERATIONS, Store};
 
 const INVALID_ARGUMENT: u32 = 3;
 const NOT_FOUND: u32 = 5;
--- a/crates/trigger/src/desk.rs
+++ b/crates/trigger/src/desk.rs
@@ -378,7 +378,7 @@
         packet: (Option<u16>, bool),
         deployment: &Deployment,
     ) -> Result<(), Ended> {
-        let terms = &deployment.terms.trigger_types[call.trigger_type];
+        let terms = &deployment.policy.trigger_types[call.trigger_type];
         let effect = match (terms.effect, terms.group) {
             (interface::Effect::Idempotent, _) => Effect::Idempotent,
             (interface::Effect::Tokened, interface::Group::All) => {
--- a/crates/trigger/src/rules.rs
+++ b/crates/trigger/src/rules.rs
@@ -356,7 +356,7 @@
         }
     };
     let key = f.maybe("key", |p| value(p, topic.as_ref(), &|_| true, "key"));
-    let timeout = trigger_type.map_or(3_600.0, |t| deployment.terms.trigger_types[t].timeout);
+    let timeout = trigger_type.map_or(3_600.0, |t| deployment.policy.trigger_types[t].timeout);
     let time_left = f.maybe("timeLeft", |p| p.seconds(0.001..=timeout)).unwrap_or(timeout);
     let forms = [("bytes", Form::Bytes), ("text", Form::Text), ("json", Form::Json)];
     let form = f.maybe("payload", |p| p.one_of(&forms)).unwrap_or(Form::Bytes);
--- a/crates/trigger/src/section.rs
+++ b/crates/trigger/src/section.rs
@@ -84,7 +84,7 @@
     let version = top.maybe("version", |p| p.one_of(&versions)).unwrap_or(Version::V5);
     // Each front end has a session and a journal of its own.
     let own = |place: &Place, text: String| {
-        if deployment.terms.front_ends > 1.0 && !text.contains(INDEX) {
+        if deployment.policy.front_ends > 1.0 && !text.contains(INDEX) {
             place.fault(format!(
                 "there are several front ends; '{INDEX}' has to stand in it for each one's own"
             ));
--- a/crates/trigger/tests/simulated.rs
+++ b/crates/trigger/tests/simulated.rs
@@ -5,7 +5,7 @@
 use orchidtally_deployment::Deployment;
 use orchidtally_mqtt::packet::{Packet, Property, Qos, Version};
 use orchidtally_mqtt::{decode, encode};
-use orchidtally_standin::broker::{Broker, Message, Out};
+use orchidtally_test_servers::broker::{Broker, Message, Out};
 use orchidtally_trigger::desk::{Desk, Todo};
 use orchidtally_trigger::ledger::{Answer, Record};
 use orchidtally_trigger::section::{Section, read};
@@ -71,7 +71,7 @@
 }
 
 struct World {
-    chance: SmallRng,
+    random: SmallRng,
     now: f64,
     version: Version,
     deployment: Deployment,
@@ -100,7 +100,7 @@
         broker.wrongs.reorders = seed.is_multiple_of(2);
         broker.wrongs.gives_twice = (planted == Planted::GivesTwice).then_some(5);
         let mut world = World {
-            chance: SmallRng::seed_from_u64(seed),
+            random: SmallRng::seed_from_u64(seed),
             now: 1_000.0,
             version: section.version,
             deployment,
@@ -155,7 +155,7 @@
     fn kill(&mut self, n: usize) {
         self.kills += 1;
         let fe = &mut self.front_ends[n];
-        let kept = if fe.failed { 0 } else { self.chance.random_range(0..=fe.unsynced.len()) };
+        let kept = if fe.failed { 0 } else { self.random.random_range(0..=fe.unsynced.len()) };
         let lies = self.planted == Planted::LyingDisk;
         for (replaces, bytes) in
             std::mem::take(&mut fe.unsynced).into_iter().take(if lies { 0 } else { kept })
@@ -167,7 +167,7 @@
         }
         (fe.desk, fe.failed) = (None, false);
         for (name, ran) in std::mem::take(&mut fe.out).into_values() {
-            if !ran && self.chance.random() {
+            if !ran && self.random.random() {
                 *self.effects.entry(name).or_default() += 1;
             }
         }
@@ -223,7 +223,7 @@
                 }
                 Todo::Withdraw(m) => {
                     if let Some((name, false)) = fe.out.remove(&m)
-                        && self.chance.random()
+                        && self.random.random()
                     {
                         *self.effects.entry(name).or_default() += 1;
                     }
@@ -258,7 +258,7 @@
 
     /// The disk comes to its next entry, or fails.
     fn sync(&mut self, n: usize, may_fail: bool) {
-        let fails = may_fail && self.chance.random_range(0..12) == 0;
+        let fails = may_fail && self.random.random_range(0..12) == 0;
         let lies = self.planted == Planted::LyingDisk;
         let fe = &mut self.front_ends[n];
         let (Some(desk), Some((replaces, bytes))) = (&mut fe.desk, fe.unsynced.pop_front()) else { return };
@@ -326,9 +326,9 @@
     }
 
     fn step(&mut self, may_fail: bool) {
-        let n = self.chance.random_range(0..FRONT_ENDS);
+        let n = self.random.random_range(0..FRONT_ENDS);
         self.now += 0.01;
-        match self.chance.random_range(0..100) {
+        match self.random.random_range(0..100) {
             0..=27 => self.up(n),
             28..=55 => self.down(n),
             56..=75 => self.sync(n, may_fail),
--- a/drill/src/batch.rs
+++ b/sim-adapter/src/batch.rs
@@ -82,11 +82,11 @@
             let length = f.u32()? as usize;
             let at_text = f.clone();
             let text = f.take(length)?;
-            let terms = orchidtally_terms::read(text).map_err(|e| at_text.fault(e.to_string()))?;
+            let policy = orchidtally_platform_config::read(text).map_err(|e| at_text.fault(e.to_string()))?;
             if self.instances.len() <= slot {
                 self.instances.resize_with(slot + 1, || None);
             }
-            self.instances[slot] = Some(Box::new(Dispatcher::new(terms, seed, now, reply)));
+            self.instances[slot] = Some(Box::new(Dispatcher::new(policy, seed, now, reply)));
             return Ok(());
         }
         let dispatcher = self
--- a/drill/src/main.rs
+++ b/sim-adapter/src/main.rs
@@ -1,8 +1,8 @@
-use orchidtally_drill::run;
+use orchidtally_sim_adapter::run;
 use std::io::{stdin, stdout};
 use std::process::ExitCode;
 
-const USAGE: &str = "Usage: orchidtally-drill [--help | --version]
+const USAGE: &str = "Usage: orchidtally-sim-adapter [--help | --version]
 Reads batches of events on standard input and writes a reply to each on standard output.";
 
 fn main() -> ExitCode {
@@ -14,7 +14,7 @@
             return ExitCode::SUCCESS;
         }
         Ok(Some(lexopt::Arg::Long("version") | lexopt::Arg::Short('V'))) => {
-            println!("orchidtally-drill {}", env!("CARGO_PKG_VERSION"));
+            println!("orchidtally-sim-adapter {}", env!("CARGO_PKG_VERSION"));
             return ExitCode::SUCCESS;
         }
         _ => {
@@ -25,7 +25,7 @@
     match run(&mut stdin().lock(), &mut stdout().lock()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
-            eprintln!("orchidtally-drill: {fault}");
+            eprintln!("orchidtally-sim-adapter: {fault}");
             ExitCode::FAILURE
         }
     }
--- a/drill/tests/frames.rs
+++ b/sim-adapter/tests/frames.rs
@@ -1,6 +1,6 @@
 //! Frames: answered whole, or refused with one line that names the record and the byte.
 
-use orchidtally_drill::run;
+use orchidtally_sim_adapter::run;
 
 const TERMS: &str = r#"{"balancers": 1, "classes": [{"aim": 1000000000, "deadline": 5000000000, "semantics": "pure",
  "surprise": 1}], "limits": {"cancel": true, "maxAttempts": 3, "secondCopies": false, "retryAfter": true,
@@ -17,8 +17,8 @@
     [&head[..], &now.to_le_bytes(), &body].concat()
 }
 
-fn boot(terms: &str) -> Vec<u8> {
-    let text = [&(terms.len() as u32).to_le_bytes()[..], terms.as_bytes()].concat();
+fn boot(policy: &str) -> Vec<u8> {
+    let text = [&(policy.len() as u32).to_le_bytes()[..], policy.as_bytes()].concat();
     record(4, &[&0u16.to_le_bytes()[..], &9u64.to_le_bytes(), &text].concat())
 }
 
--- a/src/dispatch/judge.rs
+++ b/src/dispatch/judge.rs
@@ -13,30 +13,30 @@
     }
 
     pub(super) fn is_idempotent(&self, i: usize) -> bool {
-        self.terms.trigger_types[self.book.invs[i].ty].effect == Effect::Idempotent
+        self.policy.trigger_types[self.book.invs[i].ty].effect == Effect::Idempotent
     }
 
     /// What an invocation is billed for a unit of work; little where its customer is past its share. A repeat
     /// takes a part of one, and only of what first tries leave: guards other customers, and its own first
     /// tries, against clients that repeat without end. Told too: whether it is past the share.
     pub(super) fn value(&mut self, inv: &Invocation) -> (f64, bool) {
-        let ty = &self.terms.trigger_types[inv.trigger_type];
-        let work = if self.terms.value_by_work { 1.0 } else { self.usual[inv.trigger_type].max(1e-6) };
-        let quota = self.terms.quotas.get(inv.customer).map(|q| q / self.terms.front_ends);
+        let ty = &self.policy.trigger_types[inv.trigger_type];
+        let work = if self.policy.value_by_work { 1.0 } else { self.usual[inv.trigger_type].max(1e-6) };
+        let quota = self.policy.quotas.get(inv.customer).map(|q| q / self.policy.front_ends);
         // A few seen tell little: the less of a share falls to one front end, the more of it may be saved up.
         let within = quota.is_none_or(|q| {
             let most = most_saved(q);
             let (cost, least) = if inv.repeat { (REPEAT_COST, most / 2.0) } else { (1.0, 1.0) };
             self.shares[inv.customer].take(self.now, q, most, cost, least)
         });
-        (ty.billed_value / work * if within { 1.0 } else { self.terms.over_share_value }, !within)
+        (ty.billed_value / work * if within { 1.0 } else { self.policy.over_share_value }, !within)
     }
 
     /// The part of an executor's limit that an invocation may fill: that of its billed value now in the mean.
     /// Guards the room against what earns little, late or past a customer's share, when room is short.
     pub(super) fn part(&self, i: usize) -> f64 {
         let inv = &self.book.invs[i];
-        let late = self.terms.trigger_types[inv.ty].late_share;
+        let late = self.policy.trigger_types[inv.ty].late_share;
         let left = if self.now > inv.at + inv.patience { late } else { 1.0 };
         (inv.value * left / self.mean_value).min(1.0)
     }
@@ -48,7 +48,7 @@
         // slowly: guards both after a cut. It could harm where answers are quick and executors full.
         let ready = self.fleet.ready_count.max(1) as f64;
         let own = OWN_WORK * self.work.at(self.now, PART_TIME) / PART_TIME / ready;
-        let limit = (self.limit.max(own) * part).max(1.0 / self.terms.front_ends);
+        let limit = (self.limit.max(own) * part).max(1.0 / self.policy.front_ends);
         // Under one place at each, what is out at all of them counts: guards little traffic against waiting
         // for its turn at the few executors that it knows; it could harm one that all of it goes to.
         let at_all = limit < 1.0;
@@ -73,7 +73,7 @@
         let told_at = if load.waiting > self.mean_backlog { load.earliest } else { load.latest };
         let fresh = (-(self.now - told_at) / REPORT_TIME).exp();
         let held = load.held + self.mean_backlog + fresh * (load.waiting - self.mean_backlog);
-        let far = if load.home { 1.0 } else { 1.0 + FAR * self.terms.crossing };
+        let far = if load.home { 1.0 } else { 1.0 + FAR * self.policy.crossing };
         far * (held + 1.0) / (load.weight * warmth)
     }
 
@@ -88,7 +88,7 @@
         let function = &self.book.functions[f];
         let is_sound = |x: usize| self.is_open(x) && !self.fleet.suspect[x];
         let fits = |&x: &usize| is_sound(x) && function.failed != Some(x) && !function.knows(x, self.now);
-        let last = function.last_warm.filter(|&(x, at)| self.now < at + self.terms.keep_alive && fits(&x));
+        let last = function.last_warm.filter(|&(x, at)| self.now < at + self.policy.keep_alive && fits(&x));
         if let Some((x, _)) = last {
             return Some(x);
         }
@@ -98,17 +98,17 @@
         let fitting = function.ranking.iter().filter(fits).take(wanted);
         let rest = |x| !room.at_all && self.fleet.all_warm && self.fleet.rests(x);
         let fitting = fitting.filter(|&x| rest(x) || self.takes_more(x, room) && cold(x)).collect();
-        let fitting = leave_two(fitting, || self.chance.unit());
+        let fitting = leave_two(fitting, || self.random.unit());
         // Front ends that a report parts each have a copy loaded: guards executors that load all they can.
         let margin = SECOND + SECOND_BY_LOADS * self.loads.at(self.now, REPORT_TIME);
         fitting.into_iter().reduce(|a, b| if margin * self.busy(b) < self.busy(a) { b } else { a })
     }
 
     pub(super) fn warmth(&self, x: usize) -> f64 {
-        let age = self.now - self.terms.skew - self.fleet.since[x];
-        let risen = if age >= self.terms.cold { 1.0 } else { (age / self.terms.cold).max(0.0) };
+        let age = self.now - self.policy.skew - self.fleet.since[x];
+        let risen = if age >= self.policy.cold { 1.0 } else { (age / self.policy.cold).max(0.0) };
         let risen = if self.now < self.fleet.broke_at[x] + BROKEN_FOR { 0.0 } else { risen };
-        if risen >= 1.0 { 1.0 } else { self.terms.cold_from + (1.0 - self.terms.cold_from) * risen }
+        if risen >= 1.0 { 1.0 } else { self.policy.cold_from + (1.0 - self.policy.cold_from) * risen }
     }
 
     /// How many of a kind are ready and warm. The cold ones are looked at again from when the next of them
@@ -117,7 +117,7 @@
         let mut count = std::mem::take(&mut self.fleet.warm[kind]);
         if self.now >= count.due {
             let ripe = |y: usize| {
-                let risen = self.fleet.since[y] + self.terms.skew + self.terms.cold;
+                let risen = self.fleet.since[y] + self.policy.skew + self.policy.cold;
                 risen.max(self.fleet.broke_at[y] + BROKEN_FOR) - TICK_INTERVAL
             };
             count.look_again(|y| self.warmth(y) < 1.0, ripe);
@@ -128,7 +128,7 @@
     pub(super) fn learn(&mut self, x: usize, (f, ty): (usize, usize), done: &Out, o: &Outcome) {
         let now = self.now;
         let loaded = if o.found == Found::Untold { done.places } else { o.found != Found::Warm };
-        let objective = self.terms.trigger_types[ty].objective;
+        let objective = self.policy.trigger_types[ty].objective;
         let sample = match o.ending {
             Ending::Ok if loaded => return,
             Ending::Ok => {
@@ -181,7 +181,7 @@
         if self.typical <= TYPICAL_MOST {
             self.limit *= (LIMIT_GROWTH * (self.now - self.limit_at)).exp().min(LIMIT_MOST / self.limit);
         } else if sent_at > self.cut_at {
-            self.limit = (self.limit * LIMIT_CUT).max(LIMIT_LEAST / self.terms.front_ends);
+            self.limit = (self.limit * LIMIT_CUT).max(LIMIT_LEAST / self.policy.front_ends);
             self.cut_at = self.now;
         }
         self.limit_at = self.now;
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -4,8 +4,8 @@
 mod judge;
 mod send;
 
-use crate::chance::Chance;
 use crate::interface::*;
+use crate::random::SeededRandom;
 use crate::state::*;
 
 /// Interval at which whatever waits is looked at again, and after which an unused function, or an executor
@@ -105,12 +105,12 @@
 
 #[derive(Default)]
 pub struct Dispatcher {
-    terms: Terms,
+    policy: PolicyConfig,
     /// Time slots of the budgets for cold executors, and whether this front end has a share of them.
     slot_count: f64,
     holds_share: bool,
     blind: bool, // no list can be had
-    chance: Chance,
+    random: SeededRandom,
     now: f64,
     started: f64,
     beat: f64,
@@ -140,20 +140,20 @@
 }
 
 impl Dispatcher {
-    pub fn new(terms: Terms, seed: u64, now: f64, out: &mut dyn Actions) -> Self {
+    pub fn new(policy: PolicyConfig, seed: u64, now: f64, out: &mut dyn Actions) -> Self {
         let mut dispatcher = Dispatcher {
-            slot_count: terms.front_ends,
+            slot_count: policy.front_ends,
             holds_share: true,
-            usual: terms.trigger_types.iter().map(|t| FIRST_USUAL * t.objective).collect(),
-            shares: terms.quotas.iter().map(|_| TokenBucket::full(now)).collect(),
-            chance: Chance::new(seed),
-            beat: TICK_INTERVAL.max(terms.tick),
-            cache_time: if terms.keep_alive > 0.0 { CACHE_SHARE * terms.keep_alive } else { CACHE_TIME },
+            usual: policy.trigger_types.iter().map(|t| FIRST_USUAL * t.objective).collect(),
+            shares: policy.quotas.iter().map(|_| TokenBucket::full(now)).collect(),
+            random: SeededRandom::new(seed),
+            beat: TICK_INTERVAL.max(policy.tick),
+            cache_time: if policy.keep_alive > 0.0 { CACHE_SHARE * policy.keep_alive } else { CACHE_TIME },
             limit: LIMIT_MOST,
             typical: TYPICAL_MOST / 3.0,
             wake_at: f64::INFINITY,
-            fleet: Fleet::new(terms.zone, LEAST_JUDGED, JUDGED_FOR),
-            terms,
+            fleet: Fleet::new(policy.zone, LEAST_JUDGED, JUDGED_FOR),
+            policy,
             now,
             watch_at: now,
             started: now,
@@ -169,17 +169,17 @@
     }
 
     pub fn has_trigger_type(&self, ty: usize) -> bool {
-        ty < self.terms.trigger_types.len()
+        ty < self.policy.trigger_types.len()
     }
 
     /// Appends a trigger type, or replaces one that no invocation is of any more; it begins like at a start.
     /// What is open keeps the type that it was taken with.
     pub fn set_trigger_type(&mut self, now: f64, index: usize, ty: TriggerType) -> Result<(), ConfigRefused> {
         self.now = now;
-        ty.check(index, self.terms.trigger_types.len())?;
+        ty.check(index, self.policy.trigger_types.len())?;
         self.book.check_unused(index)?;
         put(&mut self.usual, index, FIRST_USUAL * ty.objective);
-        put(&mut self.terms.trigger_types, index, ty);
+        put(&mut self.policy.trigger_types, index, ty);
         Ok(())
     }
 
@@ -187,17 +187,17 @@
     pub fn set_quotas(&mut self, now: f64, quotas: Vec<f64>) -> Result<(), ConfigRefused> {
         self.now = now;
         check_quotas(&quotas)?;
-        let rates = self.terms.quotas.iter().map(|q| q / self.terms.front_ends);
+        let rates = self.policy.quotas.iter().map(|q| q / self.policy.front_ends);
         fill_all(&mut self.shares, now, rates, most_saved);
         self.shares.resize_with(quotas.len(), || TokenBucket::full(now));
-        self.terms.quotas = quotas;
+        self.policy.quotas = quotas;
         Ok(())
     }
 
     pub fn roster(&mut self, now: f64, kind: RosterKind, rows: &[RosterRow], out: &mut dyn Actions) {
         (self.now, self.blind) = (now, kind == RosterKind::Failed);
         if self.blind {
-            self.watch_at = now + WATCH_PAUSE * (0.5 + self.chance.unit());
+            self.watch_at = now + WATCH_PAUSE * (0.5 + self.random.unit());
         }
         take_list(&mut self.fleet, &mut self.book, now, (kind, rows), now - FORGOTTEN);
         self.settle(out);
@@ -206,7 +206,7 @@
     /// How many front ends live. What is shared strictly has to wait while one can't know that.
     pub fn living(&mut self, now: f64, living: MembershipView, out: &mut dyn Actions) {
         self.now = now;
-        (self.terms.front_ends, self.terms.index) = (living.front_ends.max(1.0), living.index);
+        (self.policy.front_ends, self.policy.index) = (living.front_ends.max(1.0), living.index);
         (self.slot_count, self.holds_share) = (living.slot_count.max(1.0), living.shares);
         self.settle(out);
     }
@@ -218,7 +218,7 @@
         }
         let lanes = if inv.lanes >= 1.0 { inv.lanes.floor() } else { 1.0 };
         let f = self.book.function(inv.function, lanes, inv.load_time.unwrap_or(LOAD_TIME));
-        let ty = &self.terms.trigger_types[inv.trigger_type];
+        let ty = &self.policy.trigger_types[inv.trigger_type];
         let objective = (ty.objective + ty.stretch * inv.work.unwrap_or(0.0)).min(ty.timeout);
         let (value, past_share) = self.value(inv);
         self.mean_value += NEWEST.max(1.0 / self.lately.add(1.0, now, PART_TIME)) * (value - self.mean_value);
@@ -239,12 +239,12 @@
         let Some(done) = self.book.ended(i, o.dispatch) else { return };
         let (x, f, ty) = (done.x, self.book.invs[i].f, self.book.invs[i].ty);
         self.fleet.note_ended(x, i, done.at, now);
-        if let Some(&waiting) = self.terms.backlog_field.and_then(|field| o.report.get(field)) {
+        if let Some(&waiting) = self.policy.backlog_field.and_then(|field| o.report.get(field)) {
             let waiting = f64::from(waiting).max(0.0);
             self.mean_backlog += NEWEST * (waiting - self.mean_backlog);
             self.fleet.note_backlog(x, waiting, now);
         }
-        if let Some(&loads) = self.terms.loads_field.and_then(|field| o.report.get(field)) {
+        if let Some(&loads) = self.policy.loads_field.and_then(|field| o.report.get(field)) {
             self.loads.add(f64::from(loads).max(0.0), now, REPORT_TIME);
         }
         self.fleet.note_heard(x, o.ending, now);
@@ -255,13 +255,13 @@
         match o.ending {
             Ending::Ok if self.fleet.ready[x] => {
                 function.know(x, now, until);
-                if self.terms.tells_crowd {
+                if self.policy.tells_crowd {
                     function.tell(f64::from(o.crowd) * wanted, NEWEST_CROWD);
                 }
             }
             Ending::Full => function.known.set_full(x),
             // A client that left early tells nothing of the copy.
-            Ending::TimedOut if o.took < SILENCE * self.terms.trigger_types[ty].objective => {}
+            Ending::TimedOut if o.took < SILENCE * self.policy.trigger_types[ty].objective => {}
             Ending::TimedOut | Ending::ConnectFailed | Ending::Reset | Ending::Miss => function.evict(x),
             Ending::Ok | Ending::Error | Ending::Cancelled | Ending::NeverSent => {}
         }
@@ -278,7 +278,7 @@
             inv.ran = inv.ran.filter(|&(_, at)| at <= done.at).or(Some((x, done.at)));
         }
         if o.closed || o.ending == Ending::Ok {
-            self.book.close(i, self.terms.cancel, out);
+            self.book.close(i, self.policy.cancel, out);
         } else if inv.out.is_empty() && !inv.closed {
             self.book.wait(i);
         }
@@ -319,7 +319,7 @@
         self.now = now;
         if let Some(&i) = self.book.inv_index.get(&inv) {
             self.book.invs[i].streaming = true;
-            if self.terms.cancel {
+            if self.policy.cancel {
                 self.book.cancel(i, Some(dispatch), out);
             }
         }
@@ -330,7 +330,7 @@
         if let Some(&i) = self.book.inv_index.get(&inv) {
             // It grants no order to load: guards against clients that take back what they just asked.
             self.taken.remove(self.book.invs[i].at);
-            self.book.close(i, self.terms.cancel, out);
+            self.book.close(i, self.policy.cancel, out);
         }
     }
 
@@ -359,14 +359,14 @@
             return;
         }
         self.wake_at = f64::INFINITY;
-        if self.terms.roster_asked && now >= self.watch_at {
+        if self.policy.roster_asked && now >= self.watch_at {
             self.watch_at = f64::INFINITY;
             out.watch_roster();
         }
         if now >= self.judge_at {
             self.judge_at = now + 4.0 * self.beat;
             self.judge();
-            self.taken.after(now - self.terms.ration_window);
+            self.taken.after(now - self.policy.ration_window);
             let crowded = self.book.function_index.len() > MOST_FUNCTIONS;
             self.book.sweep(if crowded { now } else { now - FORGOTTEN }, now);
             self.touched.extend(self.fleet.invocations_out().map(|i| self.book.invs[i].f));
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -18,7 +18,7 @@
             true if self.fleet.out_count > 0 => self.judge_at.max(soon),
             true => f64::INFINITY,
         };
-        let due = if self.terms.roster_asked { due.min(self.watch_at.max(self.now)) } else { due };
+        let due = if self.policy.roster_asked { due.min(self.watch_at.max(self.now)) } else { due };
         if due < self.wake_at {
             self.wake_at = due;
             out.wake(due - self.now, 0);
@@ -35,7 +35,7 @@
             // Half the patience at the most: an estimate that throttled everything would never be put right.
             let left = self.usual[inv.ty].min(0.5 * inv.patience);
             let late = settled && self.now + left > inv.at + inv.patience;
-            inv.sent >= self.terms.max_dispatches
+            inv.sent >= self.policy.max_dispatches
                 || self.now + 2.0 * self.beat >= inv.timeout_at
                 || (inv.ran.is_some() && !self.may_repeat_where(i, |_| true))
                 || late && self.may_throttle(i)
@@ -85,9 +85,9 @@
         if self.is_spread(f) && function.known.iter().filter(stands).any(bears) {
             return false;
         }
-        let worth_it = self.terms.answers_miss || self.terms.order_price < ORDER_PRICE_THRESHOLD;
-        let by_order = self.terms.orders && worth_it && self.order(f, x, out);
-        if !by_order && (self.terms.orders && self.terms.answers_miss || !self.dispatch(i, x, true, out)) {
+        let worth_it = self.policy.answers_miss || self.policy.order_price < ORDER_PRICE_THRESHOLD;
+        let by_order = self.policy.orders && worth_it && self.order(f, x, out);
+        if !by_order && (self.policy.orders && self.policy.answers_miss || !self.dispatch(i, x, true, out)) {
             return false;
         }
         let patience_at = self.now + PLACEMENT_TIMEOUT * self.book.functions[f].load_time;
@@ -111,7 +111,7 @@
         let (count, oldest) = (known.clone().count(), known.min_by(|a, b| a.until.total_cmp(&b.until)));
         let due = |k: &&Known| wish.copies > 0 && k.until < now + RENEWED * self.cache_time;
         let renewed = oldest.filter(due).map(|k| k.x);
-        if !spare || !self.terms.orders || function.placement.is_some() || now < function.next_at {
+        if !spare || !self.policy.orders || function.placement.is_some() || now < function.next_at {
             return count;
         }
         let x = if count < wish.copies { self.placement_target(f, None) } else { renewed };
@@ -142,14 +142,14 @@
         for n in 0..self.book.functions[f].out.len() {
             let i = self.book.functions[f].out[n];
             let inv = &self.book.invs[i];
-            let ty = &self.terms.trigger_types[inv.ty];
+            let ty = &self.policy.trigger_types[inv.ty];
             let &[d] = inv.out.as_slice() else { continue };
             let silent = self.fleet.heard[d.x] < d.at && self.now - d.at > SILENCE * ty.objective;
-            let moved = silent && (self.terms.second_copies && !d.places || self.fleet.suspect[d.x]);
+            let moved = silent && (self.policy.second_copies && !d.places || self.fleet.suspect[d.x]);
             if inv.closed || inv.streaming || d.cancelled || ty.effect == Effect::NonIdempotent || !moved {
                 continue;
             }
-            if self.terms.second_copies {
+            if self.policy.second_copies {
                 self.book.functions[f].known.refresh(&self.fleet);
                 if let Some(x) = self.least_busy_known(f, i, true).filter(|&x| !self.fleet.suspect[x]) {
                     return self.dispatch(i, x, false, out);
@@ -157,7 +157,7 @@
                 continue;
             }
             let elsewhere = |x: usize| x != d.x && !self.fleet.suspect[x];
-            let left = self.terms.cancel && inv.sent < self.terms.max_dispatches;
+            let left = self.policy.cancel && inv.sent < self.policy.max_dispatches;
             if left && self.may_repeat_where(i, elsewhere) {
                 self.book.cancel(i, None, out);
                 return true;
@@ -171,9 +171,9 @@
         let inv = &self.book.invs[i];
         let others = inv.out.iter().filter(|d| Some(d.dispatch) != leaving).count();
         !inv.closed
-            && inv.sent - u8::from(leaving.is_some()) < self.terms.max_dispatches
-            && others <= usize::from(self.terms.second_copies)
-            && self.now + self.terms.tick < inv.timeout_at
+            && inv.sent - u8::from(leaving.is_some()) < self.policy.max_dispatches
+            && others <= usize::from(self.policy.second_copies)
+            && self.now + self.policy.tick < inv.timeout_at
             && self.may_repeat(i, x, leaving)
             && self.cold_room(x, self.usual[inv.ty])
     }
@@ -186,19 +186,19 @@
 
     /// Whether another dispatch there could have no second effect.
     fn may_repeat(&self, i: usize, x: usize, leaving: Option<u8>) -> bool {
-        let ty = &self.terms.trigger_types[self.book.invs[i].ty];
+        let ty = &self.policy.trigger_types[self.book.invs[i].ty];
         let harmless = |(at, when): (usize, f64)| match ty.effect {
             Effect::Idempotent => true,
             Effect::NonIdempotent => false,
             Effect::Tokened if !self.fleet.same_group(ty.group, x, at) => false,
-            Effect::Tokened => self.now < when + ty.window - 2.0 * self.terms.tick,
+            Effect::Tokened => self.now < when + ty.window - 2.0 * self.policy.tick,
         };
         self.is_open(x) && self.book.first_sent(i, leaving).is_none_or(harmless)
     }
 
     /// The same of any executor that fits; it is looked for only where one can be.
     fn may_repeat_where(&self, i: usize, fits: impl Fn(usize) -> bool) -> bool {
-        let ty = &self.terms.trigger_types[self.book.invs[i].ty];
+        let ty = &self.policy.trigger_types[self.book.invs[i].ty];
         let group = if ty.effect == Effect::Tokened { ty.group } else { Group::All };
         let ready = self.fleet.ready_in(group, self.book.first_sent(i, None).map(|first| first.0));
         ready.iter().any(|&x| fits(x) && self.may_repeat(i, x, None))
@@ -213,18 +213,18 @@
         }
         // Guards against front ends that see each other come and go late: their parts would exceed the whole.
         // One that started anew knows not what it sent before: it sits out the span that is under way.
-        if !self.holds_share || self.now < self.started + self.terms.fall + 2.0 * TICK_INTERVAL {
+        if !self.holds_share || self.now < self.started + self.policy.fall + 2.0 * TICK_INTERVAL {
             return false;
         }
-        let span = self.now - self.terms.fall - 2.0 * TICK_INTERVAL;
-        let slot = (self.now / (self.terms.fall + self.terms.skew)) as u64;
+        let span = self.now - self.policy.fall - 2.0 * TICK_INTERVAL;
+        let slot = (self.now / (self.policy.fall + self.policy.skew)) as u64;
         let whole = (self.budget_share(x, work) + self.slot_share(x, slot)).floor();
         self.fleet.sent_since(x, span) / work + 1.0 <= whole
     }
 
     /// Its place, from 0 up to 1, among the time slots of an executor that all front ends draw alike.
     pub(super) fn slot_share(&self, x: usize, slot: u64) -> f64 {
-        let drawn = (self.terms.index + self.fleet.rendezvous_number(x, slot)) as u64;
+        let drawn = (self.policy.index + self.fleet.rendezvous_number(x, slot)) as u64;
         (drawn % self.slot_count as u64) as f64 / self.slot_count + 1e-9
     }
 
@@ -236,9 +236,9 @@
         let seen = CARRY_TIME * (1.0 - (-(now - self.started) / CARRY_TIME).exp()).max(0.1);
         let fellows = self.fleet.fellows[kind].at(now, CARRY_TIME).max(1.0);
         let carried = self.fleet.carried[kind].at(now, CARRY_TIME) / seen / fellows;
-        let budget = carried * self.warmth(x) * self.terms.overload_factor * self.terms.fall / work;
+        let budget = carried * self.warmth(x) * self.policy.overload_factor * self.policy.fall / work;
         // Turns of two slots may fall into one span: guards it against both, where they exceed what it bears.
-        let all = (budget * self.terms.front_ends).max(1.0);
+        let all = (budget * self.policy.front_ends).max(1.0);
         (budget * (0.5 + 0.5 * COLD_SLACK / all.sqrt()).min(1.0)).max(1.0 / self.slot_count)
     }
 
@@ -248,9 +248,9 @@
         }
         let &Inv { id, ty, timeout_at, .. } = &self.book.invs[i];
         out.dispatch(id, self.fleet.ids[x], timeout_at - self.now);
-        self.fleet.note_sent(x, i, self.now, self.usual[ty], 2.0 * self.terms.fall);
+        self.fleet.note_sent(x, i, self.now, self.usual[ty], 2.0 * self.policy.fall);
         if self.fleet.suspect[x] {
-            self.fleet.trial_at[x] = self.now + SILENCE * self.terms.trigger_types[ty].objective;
+            self.fleet.trial_at[x] = self.now + SILENCE * self.policy.trigger_types[ty].objective;
         }
         self.book.send(i, x, self.now, places);
         true
@@ -258,10 +258,10 @@
 
     /// Whether the ration, or a part of it, has an order left; a tick to the safe side at either end.
     pub(super) fn ration_left(&mut self, part: f64) -> bool {
-        let (since, tick) = (self.now - self.terms.ration_window, self.terms.tick);
+        let (since, tick) = (self.now - self.policy.ration_window, self.policy.tick);
         let ordered = self.orders.after(since - tick);
-        let granted = self.terms.ration_floor + self.terms.ration_share * self.taken.after(since + tick);
-        self.terms.ration_window <= 0.0 || ordered + 1.0 <= part * granted
+        let granted = self.policy.ration_floor + self.policy.ration_share * self.taken.after(since + tick);
+        self.policy.ration_window <= 0.0 || ordered + 1.0 <= part * granted
     }
 
     /// Drains and the ration: no order to load goes out but through here.
@@ -276,7 +276,7 @@
 
     fn may_throttle(&self, i: usize) -> bool {
         let inv = &self.book.invs[i];
-        let ty = &self.terms.trigger_types[inv.ty];
+        let ty = &self.policy.trigger_types[inv.ty];
         let harmless =
             ty.effect == Effect::Idempotent || ty.effect == Effect::Tokened && ty.group == Group::All;
         harmless || inv.ran.is_none() && inv.out.is_empty()
@@ -285,13 +285,13 @@
     /// The one place of final answers other than succeeded ones.
     fn answer(&mut self, i: usize, out: &mut dyn Actions) {
         if self.may_throttle(i) {
-            let share = STAY_AWAY + (1.0 - STAY_AWAY) * self.chance.unit();
+            let share = STAY_AWAY + (1.0 - STAY_AWAY) * self.random.unit();
             let inv = &self.book.invs[i];
-            out.throttle(inv.id, share * self.terms.max_retry_after, inv.past_share);
+            out.throttle(inv.id, share * self.policy.max_retry_after, inv.past_share);
         } else {
             out.error(self.book.invs[i].id);
         }
-        self.book.close(i, self.terms.cancel, out);
+        self.book.close(i, self.policy.cancel, out);
     }
 
     fn least_busy_known(&self, f: usize, i: usize, with_room: bool) -> Option<usize> {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -104,7 +104,7 @@
 
 /// What a deployment grants and demands, decoded once when a front end starts.
 #[derive(Clone, Debug, Default)]
-pub struct Terms {
+pub struct PolicyConfig {
     pub trigger_types: Vec<TriggerType>,
     /// Invocations a second within each customer's share, over all front ends.
     pub quotas: Vec<f64>,
--- a/src/chance.rs
+++ b/src/random.rs
@@ -1,11 +1,11 @@
 //! A permuted congruential generator (PCG-XSH-RR 64/32).
 
 #[derive(Default)]
-pub struct Chance(u64);
+pub struct SeededRandom(u64);
 
-impl Chance {
+impl SeededRandom {
     pub fn new(seed: u64) -> Self {
-        let mut chance = Chance(seed.wrapping_add(1_442_695_040_888_963_407));
+        let mut chance = SeededRandom(seed.wrapping_add(1_442_695_040_888_963_407));
         chance.draw();
         chance
     }
@@ -26,6 +26,6 @@
 /// One fixed number for each pair, the same at every front end: the generator seeded with the pair.
 pub fn rendezvous_hash(a: u64, b: u64) -> u32 {
     let mut chance =
-        Chance::new(a.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ b.wrapping_mul(0xd6e8_feb8_6659_fd93));
+        SeededRandom::new(a.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ b.wrapping_mul(0xd6e8_feb8_6659_fd93));
     chance.draw()
 }
--- a/src/state/ranking.rs
+++ b/src/state/ranking.rs
@@ -1,8 +1,8 @@
 //! Weighted rendezvous hashing: which executors come first for a function, alike at every front end.
 
 use super::Fleet;
-use crate::chance::rendezvous_hash;
 use crate::interface::ExecutorId;
+use crate::random::rendezvous_hash;
 use std::net::IpAddr;
 
 /// The fewest ranks that are worked out at a time: most functions never need more.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -4,7 +4,7 @@
 
 use orchidtally::interface::*;
 use plain::warm::warm;
-use plain::{Said, World, terms};
+use plain::{Said, World, policy};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -23,8 +23,8 @@
     Ending::Ok,
 ];
 
-fn play(terms: Terms, happenings: &[Happening]) {
-    let mut w = World::new(terms, 6);
+fn play(policy: PolicyConfig, happenings: &[Happening]) {
+    let mut w = World::new(policy, 6);
     for &(what, a, b, later) in happenings {
         match what {
             0..=3 => {
@@ -62,10 +62,10 @@
     let happening = (0u8..11, 0usize..60, 0usize..72, 0.0f64..0.25);
     let day = (any::<[bool; 4]>(), prop::collection::vec(happening, 1..250));
     let outcome = runner.run(&day, |([second_copies, orders, rationed, miss], happenings)| {
-        let mut terms = terms();
-        (terms.second_copies, terms.orders, terms.answers_miss) = (second_copies, orders, miss);
-        terms.ration_window = if rationed { 5.0 } else { 0.0 };
-        play(terms, &happenings);
+        let mut policy = policy();
+        (policy.second_copies, policy.orders, policy.answers_miss) = (second_copies, orders, miss);
+        policy.ration_window = if rationed { 5.0 } else { 0.0 };
+        play(policy, &happenings);
         Ok(())
     });
     outcome.unwrap();
@@ -73,7 +73,7 @@
 
 #[test]
 fn invocations_of_a_cold_function_share_one_placement() {
-    let mut w = World::new(terms(), 6);
+    let mut w = World::new(policy(), 6);
     for _ in 0..4 {
         w.invoke(0, 1, 5.0);
     }
@@ -86,7 +86,7 @@
 #[test]
 fn a_placement_is_drawn_alike_by_all_front_ends() {
     let drawn = |before: u64| {
-        let mut w = World::new(terms(), 6);
+        let mut w = World::new(policy(), 6);
         for _ in 0..before {
             w.dispatcher.timer(100.0, 0, &mut w.plain);
         }
@@ -98,7 +98,7 @@
 
 #[test]
 fn full_answers_do_not_start_a_storm() {
-    let (mut w, x) = warm(terms(), 1);
+    let (mut w, x) = warm(policy(), 1);
     let inv = w.invoke(0, 1, 5.0);
     w.end(inv, 1 - 1, Ending::Full);
     w.pass(0.05);
@@ -109,7 +109,7 @@
 
 #[test]
 fn an_estimate_never_throttles_everything_for_good() {
-    let (mut w, x) = warm(terms(), 1);
+    let (mut w, x) = warm(policy(), 1);
     for _ in 0..60 {
         let (inv, now) = (w.invoke(0, 1, 5.0), w.plain.now);
         let dispatch = (w.plain.taken[inv as usize].sent.len().max(1) - 1) as u8;
@@ -136,7 +136,7 @@
 
 #[test]
 fn a_silent_executor_loses_what_may_be_moved() {
-    let (mut w, x) = warm(Terms { second_copies: true, ..terms() }, 4);
+    let (mut w, x) = warm(PolicyConfig { second_copies: true, ..policy() }, 4);
     w.pass(0.01);
     let stuck = w.invoke(0, 1, 5.0);
     for _ in 0..2 {
@@ -150,7 +150,7 @@
 
 #[test]
 fn one_that_fails_fast_is_left_and_tried_again_later() {
-    let (mut w, x) = warm(terms(), 4);
+    let (mut w, x) = warm(policy(), 4);
     for function in 0..40 {
         let inv = w.invoke(0, function, 5.0);
         w.load_all(Ending::Ok);
@@ -174,7 +174,7 @@
 
 #[test]
 fn one_that_fails_fast_is_left_also_where_answers_take_long_everywhere() {
-    let (mut w, x) = warm(terms(), 4);
+    let (mut w, x) = warm(policy(), 4);
     (1..40).for_each(|function| {
         let inv = w.invoke(0, function, 5.0);
         w.load_all(Ending::Ok);
@@ -196,7 +196,7 @@
 
 #[test]
 fn errors_of_what_no_executor_serves_are_none_of_theirs() {
-    let (mut w, x) = warm(Terms { orders: false, ..terms() }, 4);
+    let (mut w, x) = warm(PolicyConfig { orders: false, ..policy() }, 4);
     for function in 100..160 {
         let first = w.invoke(2, function, 5.0);
         if w.plain.taken[first as usize].sent[0].x == x {
@@ -214,7 +214,7 @@
 
 #[test]
 fn a_refused_connection_is_enough_to_leave_an_executor() {
-    let (mut w, x) = warm(terms(), 4);
+    let (mut w, x) = warm(policy(), 4);
     let inv = w.invoke(2, 1, 5.0);
     w.end(inv, 0, Ending::ConnectFailed);
     w.pass(0.2);
@@ -225,7 +225,7 @@
 
 #[test]
 fn an_executor_that_restarted_is_known_to_be_empty_and_cold() {
-    let (mut w, x) = warm(terms(), 4);
+    let (mut w, x) = warm(policy(), 4);
     let now = w.plain.now;
     w.roster(x, Standing::Ready, now);
     w.invoke(0, 1, 5.0);
@@ -235,7 +235,7 @@
 /// Where executors are told to be warm at once, one that started this moment is.
 #[test]
 fn without_a_cold_time_a_new_executor_is_used_at_once() {
-    let mut w = World::new(Terms { cold: 0.0, orders: false, front_ends: 300.0, ..terms() }, 1);
+    let mut w = World::new(PolicyConfig { cold: 0.0, orders: false, front_ends: 300.0, ..policy() }, 1);
     let started = w.plain.now;
     w.roster(0, Standing::Ready, started);
     (0..5).for_each(|function| _ = w.invoke(0, function, 5.0));
@@ -247,7 +247,7 @@
 #[test]
 fn without_a_turn_at_a_known_cold_executor_another_is_used() {
     let at_once = |trial: u32| {
-        let mut w = World::new(Terms { cold: 1e4, orders: false, front_ends: 2.0, ..terms() }, 2);
+        let mut w = World::new(PolicyConfig { cold: 1e4, orders: false, front_ends: 2.0, ..policy() }, 2);
         let now = w.plain.now;
         (0..2).for_each(|x| w.roster(x, Standing::Ready, now));
         w.pass(trial.into());
@@ -271,7 +271,7 @@
 /// Found with 300 front ends: what was moved from an executor that hung was itself the next to try it.
 #[test]
 fn what_is_moved_from_a_silent_executor_does_not_go_back_there() {
-    let (mut w, x) = warm(terms(), 4);
+    let (mut w, x) = warm(policy(), 4);
     w.took = 0.02;
     for function in 0..200 {
         let inv = w.invoke(0, 2 + function % 20, 5.0);
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -3,7 +3,7 @@
 mod plain;
 
 use orchidtally::interface::*;
-use plain::{World, terms};
+use plain::{World, policy};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -46,9 +46,9 @@
 };
 
 impl Fleet {
-    fn terms(&self, j: usize) -> Terms {
+    fn policy(&self, j: usize) -> PolicyConfig {
         let (front_ends, index) = (self.front_ends as f64, j as f64);
-        Terms { front_ends, index, skew: self.skew, cold: self.cold, orders: false, ..terms() }
+        PolicyConfig { front_ends, index, skew: self.skew, cold: self.cold, orders: false, ..policy() }
     }
 
     fn ahead(&self, j: usize) -> f64 {
@@ -63,7 +63,7 @@
 
     /// When dispatches went to the cold executor, in the same clock, and when it started.
     fn play(&self) -> (Vec<f64>, f64) {
-        let mut all: Vec<World> = (0..self.front_ends).map(|j| World::new(self.terms(j), 5)).collect();
+        let mut all: Vec<World> = (0..self.front_ends).map(|j| World::new(self.policy(j), 5)).collect();
         all.iter_mut().enumerate().for_each(|(j, w)| w.pass(self.ahead(j)));
         all.iter_mut().for_each(|w| w.roster(4, Standing::Gone, f64::NEG_INFINITY));
         let started = all[0].plain.now + STARTED as f64 * STEP;
@@ -79,7 +79,7 @@
                     n == KILLED && ((j * 11 % self.front_ends) as f64) < self.killed * self.front_ends as f64;
                 if killed {
                     to_cold(j, w);
-                    *w = World::new_at(self.terms(j), 5, w.plain.now);
+                    *w = World::new_at(self.policy(j), 5, w.plain.now);
                 }
                 if n == STARTED || killed {
                     (self.left..4).for_each(|x| w.roster(x, Standing::Gone, f64::NEG_INFINITY));
@@ -105,13 +105,13 @@
     /// there: its budget N, two roots of that, and two.
     fn used(&self) -> (f64, usize) {
         let (cold, started) = self.play();
-        let terms = self.terms(0);
+        let policy = self.policy(0);
         let used = |&from: &f64| {
-            let age = from + terms.fall - started;
-            let warmth = terms.cold_from + (1.0 - terms.cold_from) * age / terms.cold;
+            let age = from + policy.fall - started;
+            let warmth = policy.cold_from + (1.0 - policy.cold_from) * age / policy.cold;
             let carried = self.front_ends as f64 * self.rate / 4.0;
-            let budget = terms.overload_factor * warmth * carried * terms.fall;
-            let sum = cold.iter().filter(|&&at| at >= from && at < from + terms.fall).count() as f64;
+            let budget = policy.overload_factor * warmth * carried * policy.fall;
+            let sum = cold.iter().filter(|&&at| at >= from && at < from + policy.fall).count() as f64;
             sum / (budget + 2.0 * budget.sqrt() + 2.0)
         };
         (cold.iter().map(used).fold(0.0, f64::max), cold.len())
@@ -130,7 +130,7 @@
     let outcome = runner.run(&some, |(front_ends, rate, left, skew, uneven, killed)| {
         let (skew, killed) = (skew as f64 / 2.0, [0.0, 0.7, 1.0][killed]);
         let (used, count) = Fleet { front_ends, rate, uneven, skew, left, killed, ..CALM }.used();
-        prop_assert!(used <= 1.0, "{used} of what it may get within {} s", terms().fall);
+        prop_assert!(used <= 1.0, "{used} of what it may get within {} s", policy().fall);
         prop_assert!(left > 0 || count > 0, "the only one left is used");
         Ok(())
     });
@@ -173,7 +173,7 @@
 /// A front end that was killed has forgotten what it sent: it sits out the span that is under way.
 #[test]
 fn one_that_started_anew_sends_a_cold_executor_nothing_within_the_span() {
-    let mut w = World::new(Terms { orders: false, front_ends: 1.0, ..terms() }, 1);
+    let mut w = World::new(PolicyConfig { orders: false, front_ends: 1.0, ..policy() }, 1);
     w.roster(0, Standing::Ready, w.plain.now - 5.0);
     w.invoke(0, 1, 5.0);
     w.pass(1.0);
@@ -188,7 +188,7 @@
 #[test]
 fn a_front_end_that_cannot_know_its_part_leaves_cold_executors_alone() {
     let to_cold = |shares: bool| {
-        let mut w = World::new(Terms { orders: false, ..terms() }, 2);
+        let mut w = World::new(PolicyConfig { orders: false, ..policy() }, 2);
         let began = w.plain.now;
         let living = MembershipView { front_ends: 3.0, slot_count: 4.0, index: 1.0, shares };
         w.dispatcher.living(w.plain.now, living, &mut w.plain);
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -4,18 +4,18 @@
 
 use orchidtally::interface::*;
 use plain::warm::warm;
-use plain::{Said, World, terms};
+use plain::{Said, World, policy};
 
 fn trigger_type(objective: f64) -> TriggerType {
-    TriggerType { objective, ..terms().trigger_types[0].clone() }
+    TriggerType { objective, ..policy().trigger_types[0].clone() }
 }
 
 #[test]
 fn an_appended_trigger_type_is_served() {
-    let (mut w, x) = warm(terms(), 4);
+    let (mut w, x) = warm(policy(), 4);
     assert!(!w.dispatcher.has_trigger_type(3));
     let non_idempotent = TriggerType { effect: Effect::NonIdempotent, ..trigger_type(1.0) };
-    w.plain.terms.trigger_types.push(non_idempotent.clone());
+    w.plain.policy.trigger_types.push(non_idempotent.clone());
     assert_eq!(w.dispatcher.set_trigger_type(w.plain.now, 3, non_idempotent), Ok(()));
     assert!(w.dispatcher.has_trigger_type(3));
     let inv = w.invoke(3, 1, 5.0);
@@ -27,17 +27,17 @@
 
 #[test]
 fn a_trigger_type_in_use_stays_until_its_last_invocation_is_over() {
-    let (mut w, _) = warm(terms(), 4);
+    let (mut w, _) = warm(policy(), 4);
     let inv = w.invoke(0, 1, 5.0);
     let change =
-        |w: &mut World| w.dispatcher.set_trigger_type(w.plain.now, 0, terms().trigger_types[2].clone());
+        |w: &mut World| w.dispatcher.set_trigger_type(w.plain.now, 0, policy().trigger_types[2].clone());
     assert_eq!(change(&mut w), Err(ConfigRefused::InUse { index: 0 }));
     // What is withdrawn is cancelled, and in hand until that is confirmed.
     w.withdraw(inv);
     assert_eq!(change(&mut w), Err(ConfigRefused::InUse { index: 0 }));
     w.end(inv, 0, Ending::Cancelled);
     assert_eq!(change(&mut w), Ok(()));
-    w.plain.terms.trigger_types[0] = terms().trigger_types[2].clone();
+    w.plain.policy.trigger_types[0] = policy().trigger_types[2].clone();
     let inv = w.invoke(0, 1, 5.0);
     w.end(inv, 0, Ending::Error);
     assert_eq!(w.plain.said.last(), Some(&Said::Error(inv)), "it is non-idempotent now");
@@ -45,7 +45,7 @@
 
 #[test]
 fn a_trigger_type_out_of_order_or_without_times_is_refused_and_changes_nothing() {
-    let mut w = World::new(terms(), 4);
+    let mut w = World::new(policy(), 4);
     let now = w.plain.now;
     let mut set = |index, ty| w.dispatcher.set_trigger_type(now, index, ty);
     assert_eq!(set(5, trigger_type(1.0)), Err(ConfigRefused::OutOfOrder { index: 5, next: 3 }));
@@ -88,7 +88,7 @@
 
 #[test]
 fn a_kept_customer_keeps_what_it_saved_and_a_new_one_begins_with_all() {
-    let quotas = |quotas: &[f64]| Terms { front_ends: 1.0, quotas: quotas.to_vec(), ..terms() };
+    let quotas = |quotas: &[f64]| PolicyConfig { front_ends: 1.0, quotas: quotas.to_vec(), ..policy() };
     let mut w = World::new(quotas(&[9.0]), 0);
     // Two seconds of the share and five times its root: 18 + 15 may be saved up.
     assert_eq!(past_share(&mut w.dispatcher, 100.0, 0), 200 - 33);
@@ -108,7 +108,7 @@
 
 #[test]
 fn shares_that_are_no_rates_are_refused_and_change_nothing() {
-    let mut w = World::new(Terms { front_ends: 1.0, quotas: vec![9.0], ..terms() }, 0);
+    let mut w = World::new(PolicyConfig { front_ends: 1.0, quotas: vec![9.0], ..policy() }, 0);
     for quota in [-1.0, f64::NAN, f64::INFINITY] {
         let set = w.dispatcher.set_quotas(100.0, vec![1.0, quota]);
         assert_eq!(set, Err(ConfigRefused::NoQuota { customer: 1 }));
--- a/tests/indices.rs
+++ b/tests/indices.rs
@@ -197,7 +197,7 @@
 fn two_are_left_as_if_the_others_were_taken_out_one_by_one() {
     for len in 0..60 {
         let (mut one, mut other) =
-            (orchidtally::chance::Chance::new(len), orchidtally::chance::Chance::new(len));
+            (orchidtally::random::SeededRandom::new(len), orchidtally::random::SeededRandom::new(len));
         let mut by_one: Vec<usize> = (0..len as usize).map(|x| 3 * x).collect();
         let left = leave_two(by_one.clone(), || one.unit());
         while by_one.len() > 2 {
--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -4,7 +4,7 @@
 
 use orchidtally::interface::*;
 use plain::warm::warm;
-use plain::{Said, World, id, terms};
+use plain::{Said, World, id, policy};
 
 fn leaves(w: &mut World, inv: u32, dispatch: u8) -> bool {
     w.dispatcher.leaves(w.plain.now, inv, dispatch)
@@ -16,8 +16,8 @@
 }
 
 /// One dispatch that is out, and where.
-fn out(terms: Terms) -> (World, u32, usize) {
-    let (mut w, x) = warm(terms, 4);
+fn out(policy: PolicyConfig) -> (World, u32, usize) {
+    let (mut w, x) = warm(policy, 4);
     let inv = w.invoke(0, 1, 5.0);
     assert_eq!(w.plain.said.last(), Some(&Said::Dispatch(inv, x)));
     (w, inv, x)
@@ -26,19 +26,19 @@
 #[test]
 fn nothing_leaves_for_an_executor_that_was_told_draining_or_gone_meanwhile() {
     for standing in [Standing::Draining, Standing::Gone] {
-        let (mut w, inv, x) = out(terms());
+        let (mut w, inv, x) = out(policy());
         assert!(leaves(&mut w, inv, 0) && order_leaves(&mut w, x));
         w.roster(x, standing, f64::NEG_INFINITY);
         assert!(!leaves(&mut w, inv, 0) && !order_leaves(&mut w, x), "{standing:?}");
     }
-    let (mut w, ..) = out(terms());
+    let (mut w, ..) = out(policy());
     assert!(!order_leaves(&mut w, 200), "nobody knows it");
 }
 
 /// The window runs from the first that may have run; the repeat may be on its way for as long as a connection takes.
 #[test]
 fn a_repeat_does_not_leave_once_the_window_of_its_token_is_over() {
-    let (mut w, x) = warm(terms(), 4);
+    let (mut w, x) = warm(policy(), 4);
     let inv = w.invoke(1, 1, 5.0);
     assert_eq!(w.plain.said.last(), Some(&Said::Dispatch(inv, x)));
     assert!(leaves(&mut w, inv, 0), "the first has no window");
@@ -55,15 +55,15 @@
 
 #[test]
 fn nothing_leaves_after_its_time_nor_once_it_is_over() {
-    let (mut w, inv, _) = out(terms());
+    let (mut w, inv, _) = out(policy());
     w.plain.now += 4.997;
     assert!(leaves(&mut w, inv, 0));
     w.plain.now += 0.002;
     assert!(!leaves(&mut w, inv, 0), "less than a moment is left");
-    let (mut w, inv, _) = out(terms());
+    let (mut w, inv, _) = out(policy());
     w.withdraw(inv);
     assert!(!leaves(&mut w, inv, 0) && !leaves(&mut w, 999, 0));
-    let (mut w, inv, _) = out(terms());
+    let (mut w, inv, _) = out(policy());
     w.end(inv, 0, Ending::Ok);
     assert!(!leaves(&mut w, inv, 0));
 }
@@ -72,7 +72,7 @@
 /// when it leaves.
 #[test]
 fn what_leaves_late_counts_at_a_cold_executor_when_it_leaves() {
-    let (mut w, x) = warm(Terms { orders: false, front_ends: 1.0, ..terms() }, 1);
+    let (mut w, x) = warm(PolicyConfig { orders: false, front_ends: 1.0, ..policy() }, 1);
     w.pass(3.0);
     let first = w.invoke(0, 1, 4.0);
     assert_eq!(w.plain.taken[first as usize].sent.len(), 1);
@@ -99,14 +99,14 @@
     };
     let list = |w: &mut World, kind| w.dispatcher.roster(w.plain.now, kind, &[], &mut w.plain);
     let pauses = [0.15, 0.25, 0.45, 0.85];
-    let (mut w, x) = warm(Terms { orders: false, ..terms() }, 1);
+    let (mut w, x) = warm(PolicyConfig { orders: false, ..policy() }, 1);
     assert!(pauses.into_iter().all(|pause| turn_away(&mut w, pause)), "with a list it is asked again");
     list(&mut w, RosterKind::Failed);
     assert!(!turn_away(&mut w, 0.1) && !order_leaves(&mut w, x));
     list(&mut w, RosterKind::Delta);
     assert!(order_leaves(&mut w, x) && turn_away(&mut w, 0.1));
     // One that serves in between is crowded, not draining.
-    let (mut w, x) = warm(Terms { orders: false, ..terms() }, 1);
+    let (mut w, x) = warm(PolicyConfig { orders: false, ..policy() }, 1);
     list(&mut w, RosterKind::Failed);
     assert!(pauses[..3].iter().all(|&pause| turn_away(&mut w, pause)));
     let inv = w.invoke(0, 1, 5.0);
@@ -117,7 +117,7 @@
 /// An order that took its time to leave is one of the span in which it left.
 #[test]
 fn an_order_counts_against_the_ration_when_it_leaves() {
-    let mut w = World::new(Terms { ration_floor: 1.0, ration_share: 0.0, ..terms() }, 4);
+    let mut w = World::new(PolicyConfig { ration_floor: 1.0, ration_share: 0.0, ..policy() }, 4);
     w.invoke(0, 1, 4.0);
     let (given, x, ..) = w.plain.holds[0];
     w.pass(0.3);
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -5,7 +5,7 @@
 use orchidtally::dispatch::Dispatcher;
 use orchidtally::interface::*;
 use plain::warm::warm;
-use plain::{Said, World, terms};
+use plain::{Said, World, policy};
 
 /// Dispatches as they are made, final answers other than succeeded ones, and when to ring; nothing is judged.
 #[derive(Default)]
@@ -43,8 +43,10 @@
 fn a_little_more_out_does_not_part_front_ends_while_executors_are_busy_with_loads() {
     let told = std::cell::Cell::new(0.0);
     let many = || {
-        let mut w =
-            World::new(Terms { front_ends: 300.0, ration_floor: 9.0, loads_field: Some(0), ..terms() }, 6);
+        let mut w = World::new(
+            PolicyConfig { front_ends: 300.0, ration_floor: 9.0, loads_field: Some(0), ..policy() },
+            6,
+        );
         w.report = vec![told.get()];
         let inv = w.invoke(0, 1, 5.0);
         w.load_all(Ending::Ok);
@@ -75,7 +77,7 @@
 /// turns, long after answers were quick again.
 #[test]
 fn after_slow_answers_little_traffic_does_not_wait_for_turns() {
-    let (mut w, x) = warm(Terms { front_ends: 300.0, ..terms() }, 36);
+    let (mut w, x) = warm(PolicyConfig { front_ends: 300.0, ..policy() }, 36);
     let mut play = |took: f64| {
         w.took = took;
         let before = w.sent_to(x);
@@ -97,7 +99,7 @@
 /// longer be in time.
 #[test]
 fn what_is_late_and_has_no_placement_under_way_is_given_up() {
-    let mut w = World::new(terms(), 1);
+    let mut w = World::new(policy(), 1);
     let inv = w.invoke(0, 1, 5.0);
     w.pass(1.2);
     assert!(w.plain.taken[inv as usize].closed_at.is_none(), "its placement is waited for");
@@ -110,7 +112,7 @@
 /// to its least, and throttled what an idle fleet could have served.
 #[test]
 fn a_front_end_with_much_traffic_has_room_for_it_after_a_cut() {
-    let (mut w, _) = warm(Terms { front_ends: 300.0, tells_crowd: true, ..terms() }, 36);
+    let (mut w, _) = warm(PolicyConfig { front_ends: 300.0, tells_crowd: true, ..policy() }, 36);
     let mut play = |took: f64, rounds: usize| {
         w.took = took;
         let mut at_once = 0;
@@ -140,7 +142,7 @@
 #[test]
 fn where_orders_are_dear_the_invocation_is_the_placement() {
     let placed = |order_price: f64, answers_miss: bool| {
-        let mut w = World::new(Terms { order_price, answers_miss, ..terms() }, 6);
+        let mut w = World::new(PolicyConfig { order_price, answers_miss, ..policy() }, 6);
         w.invoke(0, 1, 5.0);
         w.plain.said[0].clone()
     };
@@ -152,7 +154,7 @@
 /// The most that is kept of executors, functions and invocations while each round brings ever new ones.
 fn most_kept(rounds: u32, executors: u32, invocations: u32, step: f64) -> [usize; 3] {
     let mut heard = Heard::default();
-    let mut dispatcher = Dispatcher::new(Terms { orders: false, ..terms() }, 7, 100.0, &mut heard);
+    let mut dispatcher = Dispatcher::new(PolicyConfig { orders: false, ..policy() }, 7, 100.0, &mut heard);
     let mut most = [0; 3];
     for round in 0..rounds {
         let now = 100.0 + step * f64::from(round);
@@ -188,7 +190,7 @@
 /// is repeated in its group only.
 #[test]
 fn an_id_that_was_taken_over_stands_for_the_group_it_was_in() {
-    let mut w = World::new(Terms { ration_window: 0.0, ..terms() }, 2);
+    let mut w = World::new(PolicyConfig { ration_window: 0.0, ..policy() }, 2);
     for _ in 0..2 {
         w.ahead(1, 2);
         w.load_all(Ending::Ok);
@@ -207,7 +209,8 @@
 /// the mean: the share answered within the objective after the first ten seconds, and the loads of all.
 fn idle_fleet(front_ends: u32) -> (f64, usize) {
     const FUNCTIONS: f64 = 20.0;
-    let part = |j: u32| Terms { front_ends: front_ends.into(), index: j.into(), orders: false, ..terms() };
+    let part =
+        |j: u32| PolicyConfig { front_ends: front_ends.into(), index: j.into(), orders: false, ..policy() };
     let rows: Vec<RosterRow> = (0..36).map(plain::row).collect();
     let mut all: Vec<(Dispatcher, Heard, u32)> = vec![];
     for j in 0..front_ends {
@@ -216,7 +219,7 @@
         dispatcher.roster(100.0, RosterKind::Full, &rows, &mut heard);
         all.push((dispatcher, heard, 0));
     }
-    let mut chance = orchidtally::chance::Chance::new(5);
+    let mut random = orchidtally::random::SeededRandom::new(5);
     let (mut copies, mut out) = (std::collections::HashMap::new(), vec![]);
     let (mut functions, mut taken, mut in_time) = (vec![vec![]; front_ends as usize], 0, 0);
     for step in 0..4_000 {
@@ -224,9 +227,9 @@
         let mut touched: Vec<usize> = vec![];
         if step % 5 < 3 {
             // Popularity falls as one over the rank, of front ends as of functions.
-            let j = (f64::from(front_ends).powf(chance.unit()) as usize - 1).min(all.len() - 1);
+            let j = (f64::from(front_ends).powf(random.unit()) as usize - 1).min(all.len() - 1);
             let (dispatcher, heard, next) = &mut all[j];
-            let function = FUNCTIONS.powf(chance.unit()) as u64;
+            let function = FUNCTIONS.powf(random.unit()) as u64;
             let (inv, load_time) = (plain::invocation(now + 5.0), Some(1.0));
             heard.now = now;
             dispatcher.invocation(now, &Invocation { id: *next, function, load_time, ..inv }, heard);
--- a/tests/plain/given.rs
+++ b/tests/plain/given.rs
@@ -56,7 +56,7 @@
     }
 }
 
-pub fn terms() -> Terms {
+pub fn policy() -> PolicyConfig {
     let ty = |effect, group| TriggerType {
         objective: 1.0,
         stretch: 0.0,
@@ -67,7 +67,7 @@
         group,
         window: 2.0,
     };
-    Terms {
+    PolicyConfig {
         trigger_types: vec![
             ty(Effect::Idempotent, Group::All),
             ty(Effect::Tokened, Group::Cell),
