--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -43,7 +43,7 @@
 
 /// The rules' bookkeeping, kept without any help of the module's.
 pub struct Plain {
-    pub terms: Terms,
+    pub policy: PolicyConfig,
     pub now: f64,
     pub fleet: Vec<Executor>,
     pub taken: Vec<Taken>,
@@ -71,16 +71,16 @@
     }
 
     fn warm_part(&self, x: usize) -> f64 {
-        let age = (self.now - self.fleet[x].since) / self.terms.cold;
-        (self.terms.cold_from + (1.0 - self.terms.cold_from) * age).min(1.0)
+        let age = (self.now - self.fleet[x].since) / self.policy.cold;
+        (self.policy.cold_from + (1.0 - self.policy.cold_from) * age).min(1.0)
     }
 
     fn judge_dispatch(&self, inv: u32, x: usize) {
         let taken = self.open(inv);
-        let ty = &self.terms.trigger_types[taken.inv.trigger_type];
+        let ty = &self.policy.trigger_types[taken.inv.trigger_type];
         let out = taken.sent.iter().filter(|s| s.ending.is_none()).count();
-        assert!(out == 0 || self.terms.second_copies, "rule 2: two dispatches of {inv} out");
-        assert!(taken.sent.len() < usize::from(self.terms.max_dispatches), "the dispatch limit");
+        assert!(out == 0 || self.policy.second_copies, "rule 2: two dispatches of {inv} out");
+        assert!(taken.sent.len() < usize::from(self.policy.max_dispatches), "the dispatch limit");
         if let Some(first) = taken.sent.iter().find(|s| Self::may_have_run(s)) {
             match ty.effect {
                 Effect::Idempotent => {}
@@ -97,9 +97,9 @@
             // All invocations here weigh the same, so counts will do. No fellow carried more than all the
             // answers there were, over the shortest time in which a rate is taken; a turn is one more.
             let oks: u32 = self.fleet.iter().map(|e| e.oks).sum();
-            let budget = self.terms.overload_factor * part * self.terms.fall * f64::from(oks) + 1.0;
+            let budget = self.policy.overload_factor * part * self.policy.fall * f64::from(oks) + 1.0;
             let all = self.taken.iter().flat_map(|t| &t.sent);
-            let sent = 1 + all.filter(|s| s.x == x && s.at > self.now - self.terms.fall).count();
+            let sent = 1 + all.filter(|s| s.x == x && s.at > self.now - self.policy.fall).count();
             assert!(sent as f64 <= budget, "rule 4: {sent} sent to a cold executor, {budget} granted");
         }
     }
@@ -120,12 +120,12 @@
     }
     fn throttle(&mut self, inv: u32, retry_after: f64, _past_share: bool) {
         let taken = self.open(inv);
-        let ty = &self.terms.trigger_types[taken.inv.trigger_type];
+        let ty = &self.policy.trigger_types[taken.inv.trigger_type];
         let harmless = ty.effect == Effect::Idempotent
             || ty.effect == Effect::Tokened && ty.group == Group::All
             || !taken.sent.iter().any(Self::may_have_run);
         assert!(harmless, "rule 2: {inv} may have run and was throttled");
-        assert!((0.0..=self.terms.max_retry_after).contains(&retry_after));
+        assert!((0.0..=self.policy.max_retry_after).contains(&retry_after));
         self.close(inv);
         self.said.push(Said::Throttle(inv));
     }
@@ -142,12 +142,12 @@
     fn hold(&mut self, to: ExecutorId, function: u64, copies: u8) {
         let x = number(to);
         assert!(self.fleet[x].ready, "rule 3: an order to an executor told draining or gone");
-        let window = self.terms.ration_window;
+        let window = self.policy.ration_window;
         if copies > 0 && window > 0.0 {
             let recent = |at: f64| at > self.now - window;
             let orders = 1 + self.holds.iter().filter(|h| recent(h.0)).count();
             let taken = self.arrivals.iter().filter(|&&at| recent(at)).count();
-            let most = self.terms.ration_floor + self.terms.ration_share * taken as f64;
+            let most = self.policy.ration_floor + self.policy.ration_share * taken as f64;
             assert!(orders as f64 <= most, "rule 5: {orders} orders, {most} granted");
         }
         self.holds.push((self.now, x, function, true));
@@ -175,16 +175,16 @@
 }
 
 impl World {
-    pub fn new(terms: Terms, executors: usize) -> World {
-        World::new_at(terms, executors, 100.0)
+    pub fn new(policy: PolicyConfig, executors: usize) -> World {
+        World::new_at(policy, executors, 100.0)
     }
 
     /// One that starts at a moment.
-    pub fn new_at(terms: Terms, executors: usize, now: f64) -> World {
+    pub fn new_at(policy: PolicyConfig, executors: usize, now: f64) -> World {
         let executor = |x| Executor { ready: false, since: f64::NEG_INFINITY, cell: x as u16 / 2, oks: 0 };
         let fleet = (0..executors).map(executor).collect();
         let mut plain = Plain {
-            terms: terms.clone(),
+            policy: policy.clone(),
             now,
             fleet,
             taken: vec![],
@@ -193,7 +193,7 @@
             wakes: vec![],
             said: vec![],
         };
-        let dispatcher = Dispatcher::new(terms, 7, now, &mut plain);
+        let dispatcher = Dispatcher::new(policy, 7, now, &mut plain);
         let mut world = World { dispatcher, plain, crowd: 0, report: vec![], took: 0.25 };
         for x in 0..executors {
             world.roster(x, Standing::Ready, f64::NEG_INFINITY);
--- a/tests/plain/warm.rs
+++ b/tests/plain/warm.rs
@@ -4,8 +4,8 @@
 use orchidtally::interface::*;
 
 /// A fleet on which function 1 is known at one executor, and that executor.
-pub fn warm(terms: Terms, executors: usize) -> (World, usize) {
-    let mut w = World::new(terms, executors);
+pub fn warm(policy: PolicyConfig, executors: usize) -> (World, usize) {
+    let mut w = World::new(policy, executors);
     let inv = w.invoke(0, 1, 5.0);
     w.load_all(Ending::Ok);
     let Some(&Said::Dispatch(_, x)) = w.plain.said.last() else { panic!("nothing was sent") };
--- a/tests/room.rs
+++ b/tests/room.rs
@@ -4,11 +4,11 @@
 
 use orchidtally::interface::*;
 use plain::warm::warm;
-use plain::{Said, World, terms};
+use plain::{Said, World, policy};
 
 #[test]
 fn streams_and_odd_inputs_are_taken_calmly() {
-    let (mut w, _) = warm(terms(), 2);
+    let (mut w, _) = warm(policy(), 2);
     let inv = w.invoke(0, 1, 5.0);
     w.dispatcher.streaming(w.plain.now, inv, 0, &mut w.plain);
     w.pass(2.0);
@@ -23,14 +23,14 @@
         w.plain.taken[past as usize].closed_at.is_some(),
         "a client timeout already past is answered at once"
     );
-    let mut empty = World::new(terms(), 0);
+    let mut empty = World::new(policy(), 0);
     empty.invoke(0, 1, 1.0);
     empty.all_answered();
 }
 
 #[test]
 fn a_function_told_to_be_crowded_reaches_more_executors() {
-    let (mut w, _) = warm(Terms { tells_crowd: true, ..terms() }, 6);
+    let (mut w, _) = warm(PolicyConfig { tells_crowd: true, ..policy() }, 6);
     w.crowd = 24;
     for _ in 0..8 {
         let inv = w.invoke(0, 1, 5.0);
@@ -43,7 +43,7 @@
 
 #[test]
 fn a_client_that_leaves_early_is_no_executors_fault_and_an_idle_front_end_sleeps() {
-    let (mut w, x) = warm(terms(), 4);
+    let (mut w, x) = warm(policy(), 4);
     w.invoke(0, 1, 0.2);
     w.pass(1.0);
     assert!(w.plain.wakes.is_empty(), "no timer with nothing waiting or out");
@@ -53,7 +53,7 @@
 
 #[test]
 fn where_most_wait_is_served_first() {
-    let mut w = World::new(Terms { ration_floor: 1.0, ration_share: 0.0, ..terms() }, 4);
+    let mut w = World::new(PolicyConfig { ration_floor: 1.0, ration_share: 0.0, ..policy() }, 4);
     w.invoke(0, 1, 5.0);
     for function in [2, 3, 3, 3, 4] {
         w.invoke(0, function, 5.0);
@@ -73,7 +73,7 @@
 /// Found with 100,000 functions: an entry that had run out, and was not swept yet, held up the next placement.
 #[test]
 fn an_entry_past_its_time_holds_up_no_placement() {
-    let (mut w, _) = warm(terms(), 6);
+    let (mut w, _) = warm(policy(), 6);
     w.pass(9.0);
     let before = w.plain.said.len();
     w.invoke(0, 1, 5.0);
@@ -83,9 +83,9 @@
 /// Found by a rollout's socket test: what is worth little had no place even at an idle executor.
 #[test]
 fn what_is_worth_least_is_served_by_an_idle_fleet() {
-    let mut terms = Terms { front_ends: 1.0, ..terms() };
-    terms.trigger_types[2].billed_value = 0.001;
-    let (mut w, x) = warm(terms, 4);
+    let mut policy = PolicyConfig { front_ends: 1.0, ..policy() };
+    policy.trigger_types[2].billed_value = 0.001;
+    let (mut w, x) = warm(policy, 4);
     for _ in 0..20 {
         let inv = w.invoke(0, 1, 5.0);
         w.end(inv, 0, Ending::Ok);
@@ -97,7 +97,7 @@
 
 #[test]
 fn copies_ahead_leave_half_of_the_ration_and_are_renewed_before_their_time() {
-    let mut w = World::new(Terms { ration_floor: 4.0, ration_share: 0.0, ..terms() }, 6);
+    let mut w = World::new(PolicyConfig { ration_floor: 4.0, ration_share: 0.0, ..policy() }, 6);
     let orders = |w: &World| w.plain.holds.len();
     for function in 1..=4 {
         assert_eq!(w.ahead(function, 1), 0);
@@ -117,7 +117,7 @@
 
 #[test]
 fn what_a_client_takes_back_grants_no_order() {
-    let mut w = World::new(Terms { ration_floor: 1.0, ..terms() }, 6);
+    let mut w = World::new(PolicyConfig { ration_floor: 1.0, ..policy() }, 6);
     for _ in 0..20 {
         let inv = w.invoke(0, 1, 5.0);
         w.withdraw(inv);
