--- /dev/null
+++ b/crates/invariants/src/rules/cold.rs
@@ -0,0 +1,49 @@
+//! Rule 4: a cold executor is never pushed over by front ends that know that it is cold.
+
+use super::Rule;
+use crate::{Limits, Record};
+use std::collections::HashMap;
+
+/// A dispatch that reached an executor.
+struct Arrival {
+    at: f64,
+    life: u64,
+}
+
+pub(super) fn check(limits: &Limits, records: &[&Record]) -> Rule {
+    let mut rule = Rule::new(4);
+    // When an executor had started, as a life of a front end was last told.
+    let mut told: HashMap<(u64, usize), f64> = HashMap::new();
+    let mut arrivals: HashMap<usize, Vec<Arrival>> = HashMap::new();
+    for &record in records {
+        match record {
+            Record::Told { life, executor, since, .. } => {
+                told.insert((*life, *executor), *since);
+            }
+            Record::Reached { at, executor, life, .. } => {
+                arrivals.entry(*executor).or_default().push(Arrival { at: *at, life: *life });
+                // The rule looks at each dispatch to an executor whose start was told.
+                let knew = told.get(&(*life, *executor)).is_some_and(|since| since.is_finite());
+                rule.checked += u64::from(knew);
+            }
+            Record::Fell { at, executor, since } => {
+                let arrivals = arrivals.get(executor).map(Vec::as_slice).unwrap_or_default();
+                let is_recent = |arrival: &&Arrival| arrival.at >= at - limits.fall && arrival.at >= *since;
+                let recent: Vec<_> = arrivals.iter().filter(is_recent).collect();
+                let knew = |arrival: &&&Arrival| {
+                    let told = told.get(&(arrival.life, *executor));
+                    told.is_some_and(|told| *told >= since - limits.transit)
+                };
+                let by_told = recent.iter().filter(knew).count();
+                rule.check(3 * by_told < 2 * recent.len(), || {
+                    let all = recent.len();
+                    format!(
+                        "executor {executor} was pushed over at {at:.3}, {by_told} of {all} by those told"
+                    )
+                });
+            }
+            _ => {}
+        }
+    }
+    rule
+}
--- /dev/null
+++ b/crates/invariants/src/rules/final_answers.rs
@@ -0,0 +1,66 @@
+//! Rule 1: one final answer each, before the client gives up. An invocation in the hands of a front end that was
+//! killed is owed none.
+
+use super::{Rule, Verdict};
+use crate::{Answer, Record};
+use std::collections::HashMap;
+
+/// Seconds before an invocation was sent in which the death of its front end counts: the client may have sent it to
+/// the front end that died.
+const DEATH_MARGIN: f64 = 1.0;
+
+pub(super) fn check(records: &[&Record], verdict: &mut Verdict) -> Rule {
+    let mut rule = Rule::new(1);
+    let mut ends: HashMap<&str, Vec<&Record>> = HashMap::new();
+    let mut killed: HashMap<u32, Vec<f64>> = HashMap::new();
+    for &record in records {
+        match record {
+            Record::Answered { invocation, .. }
+            | Record::Lost { invocation, .. }
+            | Record::Left { invocation, .. }
+            | Record::GaveUp { invocation, .. } => ends.entry(invocation).or_default().push(record),
+            Record::Killed { at, front_end } => killed.entry(*front_end).or_default().push(*at),
+            _ => {}
+        }
+    }
+    for &record in records {
+        let Record::Offered { at, invocation, front_end, until, .. } = record else { continue };
+        verdict.invocations += 1;
+        let ends = ends.get(invocation.as_str()).map(Vec::as_slice).unwrap_or_default();
+        let died = |by: f64| {
+            let times = killed.get(front_end).map(Vec::as_slice).unwrap_or_default();
+            times.iter().any(|&time| (at - DEATH_MARGIN..=by).contains(&time))
+        };
+        match ends {
+            [Record::Answered { at: answered, answer, .. }] => {
+                verdict.count(*answer);
+                rule.check(answered <= until, || {
+                    format!("{invocation} was answered {:.3} s after its client gave up", answered - until)
+                });
+            }
+            [Record::Left { .. }] => verdict.left += 1,
+            [Record::Lost { at: lost, .. } | Record::GaveUp { at: lost, .. }] if died(*lost) => {
+                verdict.lost += 1
+            }
+            [Record::Lost { at: lost, .. }] => rule.check(false, || {
+                format!("{invocation}: the connection broke at {lost:.3} without an answer")
+            }),
+            [Record::GaveUp { .. }] | [] => {
+                rule.check(false, || format!("{invocation} had no answer by {until:.3}"));
+            }
+            many => rule.check(false, || format!("{invocation} had {} final answers", many.len())),
+        }
+    }
+    rule
+}
+
+impl Verdict {
+    fn count(&mut self, answer: Answer) {
+        match answer {
+            Answer::Succeeded => self.succeeded += 1,
+            Answer::Throttled => self.throttled += 1,
+            Answer::Errored => self.errored += 1,
+            Answer::NotTaken => {}
+        }
+    }
+}
