--- a/crates/platform/src/accepting.rs
+++ b/crates/platform/src/accepting.rs
@@ -40,18 +40,18 @@
             };
             made_way = false;
             let mut client = Client::new(stream, now);
-            if self.floor.clients.len() >= self.most_clients {
+            if self.host.clients.len() >= self.most_clients {
                 self.counts.evicted += 1;
                 client.guest = !self.make_way(now);
-                if client.guest && self.floor.clients.len() >= self.most_clients + clients::GUESTS {
+                if client.guest && self.host.clients.len() >= self.most_clients + clients::GUESTS {
                     continue;
                 }
             }
             self.counts.accepted += 1;
-            let token = clients::token(self.floor.clients.vacant_key());
+            let token = clients::token(self.host.clients.vacant_key());
             let both = Interest::READABLE | Interest::WRITABLE;
             if self.poll.registry().register(&mut client.socket.stream, token, both).is_ok() {
-                self.floor.clients.insert(client);
+                self.host.clients.insert(client);
             }
         }
         self.again.push_back(LISTENER);
@@ -62,11 +62,11 @@
     fn make_way(&mut self, now: f64) -> bool {
         for _ in 0..MAKE_WAY {
             let connect_time = self.grounds.connect_time;
-            let Some(slot) = clients::least_missed(&self.floor.clients, now, connect_time) else {
+            let Some(slot) = clients::least_missed(&self.host.clients, now, connect_time) else {
                 return false;
             };
             self.read_client(now, slot);
-            if self.floor.clients.get(slot).is_none_or(Client::is_idle) {
+            if self.host.clients.get(slot).is_none_or(Client::is_idle) {
                 self.close_client(now, slot);
                 return true;
             }
@@ -76,17 +76,17 @@
 
     /// Nobody waits any more for what a client has open.
     pub fn withdraw_all(&mut self, now: f64, slot: usize) {
-        let Some(client) = self.floor.clients.get_mut(slot) else { return };
+        let Some(client) = self.host.clients.get_mut(slot) else { return };
         for inv in std::mem::take(&mut client.open).into_values() {
-            self.floor.drop_invocation(inv);
-            self.engine.withdrawn(now, inv, &mut self.floor);
+            self.host.drop_invocation(inv);
+            self.engine.withdrawn(now, inv, &mut self.host);
         }
     }
 
     /// Closes a client's connection at once; what it has open nobody waits for any more.
     pub fn close_client(&mut self, now: f64, slot: usize) {
         self.withdraw_all(now, slot);
-        let Some(mut client) = self.floor.clients.try_remove(slot) else { return };
+        let Some(mut client) = self.host.clients.try_remove(slot) else { return };
         // One whose socket is gone already needs no more.
         let _ = self.poll.registry().deregister(&mut client.socket.stream);
     }
@@ -94,9 +94,9 @@
     /// Closes it once the client has had time to read what is written.
     pub fn end_client(&mut self, now: f64, slot: usize) {
         self.withdraw_all(now, slot);
-        if let Some(client) = self.floor.clients.get_mut(slot) {
+        if let Some(client) = self.host.clients.get_mut(slot) {
             client.end(now);
         }
-        self.floor.touch_client(slot);
+        self.host.touch_client(slot);
     }
 }
--- a/crates/platform/src/egress.rs
+++ b/crates/platform/src/egress.rs
@@ -1,8 +1,8 @@
 //! Executors: what they answer, and what the end of a connection proves.
 
 use crate::connections;
-use crate::floor::ORDER;
 use crate::front::{Front, READS};
+use crate::host_state::ORDER;
 use orchidtally::interface::{Ending, Found};
 use orchidtally_engine::Told;
 use orchidtally_engine::evidence::{self, Transport};
@@ -26,7 +26,7 @@
 impl Front {
     /// Reads what there is; tells whether the connection still stands.
     pub fn read_connection(&mut self, now: f64, slot: usize) -> bool {
-        let Some(connection) = self.floor.connections.get_mut(slot) else { return false };
+        let Some(connection) = self.host.connections.get_mut(slot) else { return false };
         if !connection.connected {
             match connection.socket.is_connected() {
                 Ok(false) => return true,
@@ -34,11 +34,11 @@
                     connection.connected = true;
                     connection.heard(now);
                     let took = now - connection.begun_at;
-                    if let Some(executor) = self.floor.executors.get_mut(&connection.to) {
+                    if let Some(executor) = self.host.executors.get_mut(&connection.to) {
                         executor.reach = executor.reach.min(took);
                     }
                     self.counts.connections_made += 1;
-                    self.floor.touch_connection(slot);
+                    self.host.touch_connection(slot);
                 }
                 Err(fault) => {
                     self.dissolve(now, slot, Transport::NoConnection, &fault.to_string());
@@ -47,18 +47,18 @@
             }
         }
         for _ in 0..READS {
-            let Some(connection) = self.floor.connections.get_mut(slot) else { return false };
+            let Some(connection) = self.host.connections.get_mut(slot) else { return false };
             match connection.socket.read(&mut self.buffer) {
                 Ok(Brought::Nothing) => {
                     if connection.socket.waiting() > 0 || !connection.queue.is_empty() {
-                        self.floor.touch_connection(slot);
+                        self.host.touch_connection(slot);
                     }
                     return true;
                 }
                 Ok(Brought::Bytes(n)) => {
                     connection.decoder.push(&self.buffer[..n]);
                     loop {
-                        let Some(connection) = self.floor.connections.get_mut(slot) else { return false };
+                        let Some(connection) = self.host.connections.get_mut(slot) else { return false };
                         match connection.decoder.read() {
                             Ok(None) => break connection.heard(now),
                             Ok(Some(answer)) => self.answered(now, slot, answer),
@@ -84,7 +84,7 @@
     }
 
     fn answered(&mut self, now: f64, slot: usize, answer: Answer) {
-        let Some(connection) = self.floor.connections.get_mut(slot) else { return };
+        let Some(connection) = self.host.connections.get_mut(slot) else { return };
         (connection.heard_at, connection.idle_since, connection.answered) = (now, now, true);
         if let Some(tag) = answer.id.strip_prefix(ORDER).and_then(|t| t.parse().ok()) {
             return self.ordered(now, tag, ending(answer.word), answer.count);
@@ -95,12 +95,12 @@
             return connection.settled(&answer.id);
         };
         connection.said(now, answer.id.as_str().into());
-        self.floor.outs.remove(&(out.inv, out.dispatch));
+        self.host.outs.remove(&(out.inv, out.dispatch));
         if answer.word != Word::Done {
-            let executor = self.floor.executors.get(&connection.to).map(|e| e.name.as_str());
+            let executor = self.host.executors.get(&connection.to).map(|e| e.name.as_str());
             debug!(executor, word = ?answer.word, tell = ?answer.tell, after = now - out.at, "no success");
         }
-        self.floor.brought = answer.body;
+        self.host.brought = answer.body;
         let found = match answer.tell {
             Tell::Nothing => Found::Untold,
             Tell::Warm => Found::Warm,
@@ -111,14 +111,14 @@
         let report = orchidtally_lines::report(&answer.meter, &self.grounds.report);
         let told = Told { found, crowd: answer.crowd, report: &report };
         let ending = evidence::ending(ending(answer.word));
-        self.engine.ended(now, out.inv, out.dispatch, ending, told, &mut self.floor);
-        self.floor.brought = vec![];
+        self.engine.ended(now, out.inv, out.dispatch, ending, told, &mut self.host);
+        self.host.brought = vec![];
     }
 
     /// An order to load has come to its end.
     pub fn ordered(&mut self, now: f64, tag: u64, seen: Transport, count: u32) {
-        let Some(order) = self.floor.orders.remove(&tag) else { return };
-        if let Some(connection) = self.floor.connections.get_mut(order.connection) {
+        let Some(order) = self.host.orders.remove(&tag) else { return };
+        if let Some(connection) = self.host.connections.get_mut(order.connection) {
             connection.orders.remove(&tag);
         }
         let ending = match evidence::ending(seen) {
@@ -126,29 +126,29 @@
             Ending::Ok if order.copies == 0 && count == 0 => Ending::Miss,
             ending => ending,
         };
-        self.engine.held(now, order.to, order.function, ending, &mut self.floor);
+        self.engine.held(now, order.to, order.function, ending, &mut self.host);
     }
 
     /// Ends a connection to an executor, and with it all that is open on it.
     pub fn dissolve(&mut self, now: f64, slot: usize, seen: Transport, why: &str) {
-        let Some(mut connection) = self.floor.connections.try_remove(slot) else { return };
+        let Some(mut connection) = self.host.connections.try_remove(slot) else { return };
         // One whose socket is gone already needs no more.
         let _ = self.poll.registry().deregister(&mut connection.socket.stream);
-        if let Some(executor) = self.floor.executors.get_mut(&connection.to) {
+        if let Some(executor) = self.host.executors.get_mut(&connection.to) {
             executor.connections.retain(|&l| l != slot);
             if !connection.is_idle() {
                 self.counts.connections_lost += 1;
                 debug!(executor = executor.name, open = connection.open.len(), why, "lost a connection");
             }
             if !executor.listed && executor.connections.is_empty() {
-                self.floor.executors.remove(&connection.to);
+                self.host.executors.remove(&connection.to);
             }
         }
-        let again = connection.connected || self.floor.stands(connection.to, now);
-        self.floor.send_again(connection.to, connection.take_unwritten(), again);
+        let again = connection.connected || self.host.stands(connection.to, now);
+        self.host.send_again(connection.to, connection.take_unwritten(), again);
         for (id, out) in &connection.open {
-            self.floor.outs.remove(&(out.inv, out.dispatch));
-            self.floor.note_given_up(id, connection.to);
+            self.host.outs.remove(&(out.inv, out.dispatch));
+            self.host.note_given_up(id, connection.to);
         }
         // An answer that breaks off was begun: the executor is there, as it is where it sent what can't be read.
         let seen = if seen == Transport::Broken && connection.decoder.is_within() {
@@ -163,7 +163,7 @@
     pub fn judge_severed(&mut self, now: f64) {
         for _ in 0..self.severed.len() {
             let Some((at, seen, connection)) = self.severed.pop_front() else { return };
-            let stands = self.floor.stands(connection.to, at);
+            let stands = self.host.stands(connection.to, at);
             if seen == Transport::Broken && stands && now < at + connections::ALL_RESET {
                 self.severed.push_back((at, seen, connection));
                 continue;
@@ -172,7 +172,7 @@
             for (out, verdict) in connection.verdicts(seen) {
                 let ending = evidence::ending(if one_of_several { verdict } else { seen });
                 let told = orchidtally_engine::NOTHING_TOLD;
-                self.engine.ended(now, out.inv, out.dispatch, ending, told, &mut self.floor);
+                self.engine.ended(now, out.inv, out.dispatch, ending, told, &mut self.host);
             }
             for &tag in connection.orders.keys() {
                 self.ordered(now, tag, if one_of_several { Transport::Cut } else { seen }, 0);
--- a/crates/platform/src/ending.rs
+++ b/crates/platform/src/ending.rs
@@ -72,13 +72,13 @@
         let _ = self.poll.registry().deregister(&mut listener);
         self.engine.leave();
         let end_by = self.killed_at() - SOONER;
-        self.floor.invocations.values_mut().for_each(|w| w.timeout_at = w.timeout_at.min(end_by));
-        self.engine.end_by(now, end_by, &mut self.floor);
-        info!(open = self.engine.open(), clients = self.floor.clients.len(), "nothing new is taken");
-        let all: Vec<usize> = self.floor.clients.iter().map(|(slot, _)| slot).collect();
+        self.host.invocations.values_mut().for_each(|w| w.timeout_at = w.timeout_at.min(end_by));
+        self.engine.end_by(now, end_by, &mut self.host);
+        info!(open = self.engine.open(), clients = self.host.clients.len(), "nothing new is taken");
+        let all: Vec<usize> = self.host.clients.iter().map(|(slot, _)| slot).collect();
         for slot in all {
-            frames::put(self.floor.clients[slot].socket.out(), frames::NO_MORE, 0, None, None, &[]);
-            self.floor.touch_client(slot);
+            frames::put(self.host.clients[slot].socket.out(), frames::NO_MORE, 0, None, None, &[]);
+            self.host.touch_client(slot);
         }
     }
 
@@ -98,7 +98,7 @@
             return true;
         }
         let is_done = |c: &Client| c.socket.waiting() == 0 && c.is_idle() && !c.is_within();
-        if !self.floor.clients.iter().all(|(_, c)| c.ending.is_some() || is_done(c)) {
+        if !self.host.clients.iter().all(|(_, c)| c.ending.is_some() || is_done(c)) {
             self.quiet_since = None;
             return false;
         }
@@ -106,7 +106,7 @@
             return false;
         }
         // What came since this turn began is answered too.
-        let all: Vec<usize> = self.floor.clients.iter().map(|(slot, _)| slot).collect();
+        let all: Vec<usize> = self.host.clients.iter().map(|(slot, _)| slot).collect();
         all.into_iter().for_each(|slot| self.read_client(now, slot));
         self.settle(now);
         self.quiet_since.is_some()
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::{self, Client};
 use crate::connections;
-use crate::floor::Floor;
+use crate::host_state::HostState;
 use crate::roster::Resolver;
 use crate::start::Start;
 use mio::net::TcpListener;
@@ -57,7 +57,7 @@
     pub listener: Option<TcpListener>,
     pub resolver: Resolver,
     pub engine: Engine,
-    pub floor: Floor,
+    pub host: HostState,
     pub grounds: Grounds,
     pub places: Places,
     pub clock: Clock,
@@ -121,14 +121,14 @@
         // Usual clients hold a third of the descriptors; the rest of their half is for those that misbehave.
         let most_clients = start.sockets / 2;
         let most_connections = start.sockets - most_clients - OWN_SOCKETS;
-        let mut floor = Floor::new(now, poll.registry().try_clone()?, &grounds, most_connections);
-        let engine = Engine::new(grounds.policy.clone(), grounds.most_open, start.seed, now, &mut floor);
+        let mut host = HostState::new(now, poll.registry().try_clone()?, &grounds, most_connections);
+        let engine = Engine::new(grounds.policy.clone(), grounds.most_open, start.seed, now, &mut host);
         let mut front = Front {
             poll,
             listener: Some(listener),
             resolver,
             engine,
-            floor,
+            host,
             grounds,
             places: start.places,
             clock,
@@ -161,8 +161,8 @@
     pub fn turn(&mut self, events: &mut Events, signals: impl FnOnce() -> Vec<i32>) -> io::Result<bool> {
         self.wait(events)?;
         let now = self.now();
-        self.floor.now = now;
-        self.floor.release();
+        self.host.now = now;
+        self.host.release();
         // Answers first: they free places for what clients ask.
         let is_connection = |t: &Token| t.0 >= clients::FIRST_TOKEN && t.0 % 2 == 1;
         let mut tokens: Vec<Token> = events.iter().map(|e| e.token()).collect();
@@ -181,7 +181,7 @@
                 Token(n) => _ = self.read_connection(now, (n - clients::FIRST_TOKEN) / 2),
             }
         }
-        self.engine.turn(now, &mut self.floor);
+        self.engine.turn(now, &mut self.host);
         self.keep_house(now);
         self.settle(now);
         Ok(self.is_over(now))
@@ -195,7 +195,7 @@
     fn wait(&mut self, events: &mut Events) -> io::Result<()> {
         let now = self.now();
         let severed = self.severed.front().map_or(f64::INFINITY, |s| s.0 + connections::ALL_RESET);
-        let held = if self.floor.held.is_empty() { f64::INFINITY } else { now + self.grounds.policy.tick };
+        let held = if self.host.held.is_empty() { f64::INFINITY } else { now + self.grounds.policy.tick };
         let due = self.engine.due_at().min(self.resolver.due_at()).min(self.sweep_at).min(severed).min(held);
         let left = if self.again.is_empty() { (due - now).clamp(0.0, SWEEP) } else { 0.0 };
         match self.poll.poll(events, Some(Duration::from_secs_f64(left))) {
@@ -218,35 +218,35 @@
         if now > self.report_at {
             self.report_at = now + REPORT;
             info!(tally = ?self.engine.tally(), counts = ?self.counts, open = self.engine.open(), kept = ?self.engine.kept(),
-                clients = self.floor.clients.len(), connections = self.floor.connections.len(), "standing");
+                clients = self.host.clients.len(), connections = self.host.connections.len(), "standing");
         }
         let overdue = |(slot, c): (usize, &Client)| Some((slot, c.overdue(now)?));
-        let late: Vec<_> = self.floor.clients.iter().filter_map(overdue).collect();
+        let late: Vec<_> = self.host.clients.iter().filter_map(overdue).collect();
         for (slot, why) in late {
             self.counts.unreadable += 1;
-            if let Some(client) = self.floor.clients.get_mut(slot).filter(|c| c.socket.waiting() == 0) {
+            if let Some(client) = self.host.clients.get_mut(slot).filter(|c| c.socket.waiting() == 0) {
                 client.answer(0, frames::ERRORED, &[], why.as_bytes());
             }
             self.end_client(now, slot);
         }
-        let ended = self.floor.clients.iter().filter(|(_, c)| c.has_ended(now)).map(|(slot, _)| slot);
+        let ended = self.host.clients.iter().filter(|(_, c)| c.has_ended(now)).map(|(slot, _)| slot);
         for slot in ended.collect::<Vec<_>>() {
             self.close_client(now, slot);
         }
         if self.accept_later {
             self.accept(now);
         }
-        self.floor.given_up.retain(|_, until| *until > now);
+        self.host.given_up.retain(|_, until| *until > now);
         let idle_close = self.grounds.idle_close;
         let overdue =
             |(slot, l): (usize, &connections::Connection)| Some((slot, l.overdue(now, idle_close)?));
-        let late: Vec<_> = self.floor.connections.iter().filter_map(overdue).collect();
+        let late: Vec<_> = self.host.connections.iter().filter_map(overdue).collect();
         for (slot, (seen, why)) in late {
             self.dissolve(now, slot, seen, why);
         }
         let order_time = self.grounds.order_time;
         while let Some((&tag, _)) =
-            self.floor.orders.iter().next().filter(|(_, o)| o.begun + order_time <= now)
+            self.host.orders.iter().next().filter(|(_, o)| o.begun + order_time <= now)
         {
             self.ordered(now, tag, Transport::TimedOut, 0);
         }
@@ -258,7 +258,7 @@
     pub fn settle(&mut self, now: f64) {
         loop {
             self.judge_severed(now);
-            for (inv, dispatch, why) in std::mem::take(&mut self.floor.unsent) {
+            for (inv, dispatch, why) in std::mem::take(&mut self.host.unsent) {
                 let ending = evidence::ending(why);
                 self.engine.ended(
                     now,
@@ -266,32 +266,32 @@
                     dispatch,
                     ending,
                     orchidtally_engine::NOTHING_TOLD,
-                    &mut self.floor,
+                    &mut self.host,
                 );
             }
-            for (tag, why) in std::mem::take(&mut self.floor.undone) {
+            for (tag, why) in std::mem::take(&mut self.host.undone) {
                 self.ordered(now, tag, why, 0);
             }
-            for slot in std::mem::take(&mut self.floor.dirty_connections) {
-                if let Some(connection) = self.floor.connections.get_mut(slot) {
+            for slot in std::mem::take(&mut self.host.dirty_connections) {
+                if let Some(connection) = self.host.connections.get_mut(slot) {
                     connection.dirty = false;
                 }
-                if let Err(fault) = self.floor.flush_connection(slot, &mut self.engine)
+                if let Err(fault) = self.host.flush_connection(slot, &mut self.engine)
                     && self.read_connection(now, slot)
                 {
                     // What it answered before it broke was read.
                     self.dissolve(now, slot, Transport::Broken, &fault.to_string());
                 }
             }
-            for (slot, why) in std::mem::take(&mut self.floor.cut) {
-                if self.floor.connections.get(slot).is_some_and(|l| l.is_cut)
+            for (slot, why) in std::mem::take(&mut self.host.cut) {
+                if self.host.connections.get(slot).is_some_and(|l| l.is_cut)
                     && self.read_connection(now, slot)
                 {
                     self.dissolve(now, slot, Transport::Broken, &why);
                 }
             }
-            for slot in std::mem::take(&mut self.floor.dirty_clients) {
-                let Some(client) = self.floor.clients.get_mut(slot) else { continue };
+            for slot in std::mem::take(&mut self.host.dirty_clients) {
+                let Some(client) = self.host.clients.get_mut(slot) else { continue };
                 client.dirty = false;
                 let flushed = client.socket.flush();
                 client.flushed(now);
@@ -308,12 +308,12 @@
                     self.close_client(now, slot);
                 }
             }
-            let floor = &self.floor;
+            let host = &self.host;
             let more = [
-                floor.unsent.len(),
-                floor.undone.len(),
-                floor.dirty_connections.len(),
-                floor.dirty_clients.len(),
+                host.unsent.len(),
+                host.undone.len(),
+                host.dirty_connections.len(),
+                host.dirty_clients.len(),
             ];
             if more == [0; 4] {
                 return;
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -1,12 +1,12 @@
 //! Performs the engine's answers: lines to executors, frames to clients.
 
-use crate::floor::{Floor, PROBE};
+use crate::host_state::{HostState, PROBE};
 use orchidtally::interface::ExecutorId;
 use orchidtally_engine::{Cause, Host};
 use orchidtally_frames as frames;
 use orchidtally_lines as lines;
 
-impl Host for Floor {
+impl Host for HostState {
     fn taken(&mut self, inv: u32) {
         let Some(work) = self.taking.take() else { return };
         if let Some(client) = self.clients.get_mut(work.client) {
--- a/crates/platform/src/floor.rs
+++ b/crates/platform/src/host_state.rs
@@ -1,5 +1,5 @@
-//! What is open, and the connections that lines and frames go over. What comes of a dispatch that can't be sent is
-//! told to the engine after its present turn.
+//! The state of the engine's host: what is open, and the connections to clients and executors. What comes of a dispatch
+//! that can't be sent is reported to the engine after its present call.
 
 use crate::clients::Client;
 use crate::connections::{Connection, Executor};
@@ -30,7 +30,7 @@
     pub timeout_at: f64,
 }
 
-/// What is asked as bytes leave: whether what was decided on earlier still holds.
+/// Asked as bytes leave whether what was decided earlier still holds.
 pub trait Departures {
     fn dispatch_leaves(&mut self, now: f64, inv: u32, dispatch: u8) -> bool;
     fn order_leaves(&mut self, now: f64, to: ExecutorId, at: f64) -> bool;
@@ -55,32 +55,33 @@
     pub connection: usize,
 }
 
-pub struct Floor {
+/// The state of the engine's host.
+pub struct HostState {
     pub now: f64,
     pub registry: Registry,
     pub trigger_types: Vec<String>,
     pub streams: usize,
     pub connect_time: f64,
-    /// What counts as one moment.
+    /// Times that are closer than this count as one.
     pub tick: f64,
-    /// Executors close what was idle for so long.
+    /// Seconds after which executors close an idle connection.
     pub idle_close: f64,
     /// Whether executors take cancels.
     pub cancels: bool,
-    /// Connections to executors at the most.
+    /// The most connections to executors.
     pub most_connections: usize,
     pub clients: Slab<Client>,
     pub connections: Slab<Connection>,
     pub executors: BTreeMap<ExecutorId, Executor>,
     pub invocations: HashMap<u32, OpenInvocation>,
-    /// Bytes of the bodies that are kept.
+    /// Bytes of the request bodies that are kept.
     pub kept: usize,
-    /// Ids of what is open.
+    /// Clients' ids of open invocations.
     pub ids: HashSet<Rc<str>>,
-    /// Where a dispatch is out.
+    /// The connection of each dispatch that is out.
     pub outs: HashMap<(u32, u8), usize>,
     pub held: Held,
-    /// Ids of which a dispatch was given up here, and until when its cancel may be under way.
+    /// Ids of invocations of which a dispatch was cancelled, and until when that cancel may be under way.
     pub given_up: BTreeMap<Rc<str>, f64>,
     pub orders: BTreeMap<u64, Order>,
     pub next_tag: u64,
@@ -89,19 +90,20 @@
     pub undone: Vec<(u64, Transport)>,
     pub dirty_clients: Vec<usize>,
     pub dirty_connections: Vec<usize>,
-    /// Connections with cancels that are not handed over, and those that took them not whole, with the reason.
+    /// Connections with cancels that are not written yet, and those that did not take them whole, with the reason.
     pub cancelled: Vec<usize>,
     pub cut: Vec<(usize, String)>,
     /// The invocation that is being taken.
     pub taking: Option<OpenInvocation>,
-    /// The body of the answer that is being told.
+    /// The body of the answer that is being reported.
     pub brought: Vec<u8>,
     pub longest_stay_away: f64,
 }
 
-impl Floor {
-    pub fn new(now: f64, registry: Registry, grounds: &Grounds, most_connections: usize) -> Floor {
-        Floor {
+impl HostState {
+    /// A host without connections.
+    pub fn new(now: f64, registry: Registry, grounds: &Grounds, most_connections: usize) -> HostState {
+        HostState {
             now,
             registry,
             trigger_types: grounds.trigger_types.clone(),
@@ -134,6 +136,7 @@
         }
     }
 
+    /// Notes that a client has something to write.
     pub fn touch_client(&mut self, slot: usize) {
         if let Some(client) = self.clients.get_mut(slot) {
             client.idle_since = self.now;
@@ -143,6 +146,7 @@
         }
     }
 
+    /// Notes that a connection has something to write.
     pub fn touch_connection(&mut self, slot: usize) {
         if self.connections.get_mut(slot).is_some_and(|l| !std::mem::replace(&mut l.dirty, true)) {
             self.dirty_connections.push(slot);
@@ -160,7 +164,7 @@
         Some(work)
     }
 
-    /// The one place of final answers.
+    /// Sends the final answer of an invocation; no other function does.
     pub fn answer(&mut self, inv: u32, code: u8, fields: &[(&str, &str)], body: &[u8]) {
         let Some(work) = self.drop_invocation(inv) else { return };
         if let Some(client) = self.clients.get_mut(work.client) {
@@ -171,5 +175,5 @@
 }
 
 #[cfg(test)]
-#[path = "tests/floor.rs"]
+#[path = "tests/host_state.rs"]
 mod tests;
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -1,8 +1,8 @@
 //! Clients: what they ask, checked, and what they are told where it is not taken.
 
 use crate::clients::{self, PendingInvocation};
-use crate::floor::OpenInvocation;
 use crate::front::{Front, READS};
+use crate::host_state::OpenInvocation;
 use orchidtally::interface::Effect;
 use orchidtally_engine::{Offer, Refused};
 use orchidtally_frames as frames;
@@ -27,7 +27,7 @@
 impl Front {
     pub fn read_client(&mut self, now: f64, slot: usize) {
         self.read_frames(now, slot);
-        let Some(client) = self.floor.clients.get_mut(slot).filter(|c| c.ending.is_none()) else { return };
+        let Some(client) = self.host.clients.get_mut(slot).filter(|c| c.ending.is_none()) else { return };
         if client.full {
             if client.holds_too_much() {
                 client.answer(0, frames::ERRORED, &[], b"more is asked than answers are read");
@@ -49,12 +49,12 @@
     /// back hundreds at once, each of which would have had its placement.
     fn read_frames(&mut self, now: f64, slot: usize) {
         for _ in 0..READS {
-            let Some(client) = self.floor.clients.get_mut(slot) else { return };
+            let Some(client) = self.host.clients.get_mut(slot) else { return };
             client.full = client.socket.waiting() > clients::BACKLOG;
             match client.socket.read(&mut self.buffer) {
                 Ok(Brought::Nothing) => {
                     if client.socket.waiting() > 0 {
-                        self.floor.touch_client(slot);
+                        self.host.touch_client(slot);
                     }
                     return;
                 }
@@ -67,7 +67,7 @@
                     client.decoder.push(&self.buffer[..n]);
                     if let Err(fault) = self.frames(now, slot) {
                         self.counts.unreadable += 1;
-                        if let Some(client) = self.floor.clients.get_mut(slot) {
+                        if let Some(client) = self.host.clients.get_mut(slot) {
                             client.answer(0, frames::ERRORED, &[], fault.0.as_bytes());
                         }
                         return self.end_client(now, slot);
@@ -82,7 +82,7 @@
     fn frames(&mut self, now: f64, slot: usize) -> Result<(), frames::Unreadable> {
         let mut whole = false;
         loop {
-            let Some(client) = self.floor.clients.get_mut(slot) else { return Ok(()) };
+            let Some(client) = self.host.clients.get_mut(slot) else { return Ok(()) };
             let Some(frame) = client.decoder.read()? else { break };
             whole = true;
             let stream = frame.stream;
@@ -98,22 +98,22 @@
                 frames::WITHDRAW => {
                     client.pending.retain(|f| f.stream != stream);
                     if let Some(&inv) = client.open.get(&stream) {
-                        self.floor.drop_invocation(inv);
-                        self.engine.withdrawn(now, inv, &mut self.floor);
+                        self.host.drop_invocation(inv);
+                        self.engine.withdrawn(now, inv, &mut self.host);
                     }
                 }
                 frames::ASK_READY => {
                     // With nobody who could tell of any executor it serves what comes all the same.
-                    let known = !self.floor.executors.is_empty() || self.resolver.is_quiet();
+                    let known = !self.host.executors.is_empty() || self.resolver.is_quiet();
                     let ready = self.leaving_since.is_none() && known;
                     let code = if ready { frames::IS_READY } else { frames::NOT_READY };
                     frames::put(client.socket.out(), frames::READY, stream, Some(code), Some(&[]), &[]);
-                    self.floor.touch_client(slot);
+                    self.host.touch_client(slot);
                 }
                 _ => return Err(frames::Unreadable("a frame of a type that clients don't send")),
             }
         }
-        if let Some(client) = self.floor.clients.get_mut(slot) {
+        if let Some(client) = self.host.clients.get_mut(slot) {
             client.heard(now, whole);
         }
         Ok(())
@@ -130,19 +130,19 @@
             }
             Ok((offer, work)) => {
                 let full = guest
-                    || self.floor.clients.get(slot).is_none_or(|c| c.open.len() >= clients::MOST_OPEN)
-                    || self.floor.kept + work.body.len() > self.most_held;
+                    || self.host.clients.get(slot).is_none_or(|c| c.open.len() >= clients::MOST_OPEN)
+                    || self.host.kept + work.body.len() > self.most_held;
                 let taken = if full {
                     Err(Refused::Full)
                 } else {
-                    self.floor.taking = Some(work);
-                    self.engine.take(self.floor.now, &offer, &mut self.floor)
+                    self.host.taking = Some(work);
+                    self.engine.take(self.host.now, &offer, &mut self.host)
                 };
-                self.floor.taking = None;
+                self.host.taking = None;
                 match taken {
                     Ok(_) => return,
                     Err(Refused::Full) => {
-                        (frames::THROTTLED, self.floor.longest_stay_away, "too much is open")
+                        (frames::THROTTLED, self.host.longest_stay_away, "too much is open")
                     }
                     Err(Refused::Leaving) => {
                         self.quiet_since = None;
@@ -155,10 +155,10 @@
         self.counts.turned_away += u64::from(code == frames::THROTTLED);
         let ms = format!("{}", (cooldown * 1e3).ceil());
         let fields = [("cooldown", ms.as_str())];
-        if let Some(client) = self.floor.clients.get_mut(slot) {
+        if let Some(client) = self.host.clients.get_mut(slot) {
             client.answer(stream, code, if cooldown > 0.0 { &fields } else { &[] }, why.as_bytes());
         }
-        self.floor.touch_client(slot);
+        self.host.touch_client(slot);
     }
 
     /// What a client asks, checked; or what is wrong with it.
@@ -179,7 +179,7 @@
         let trigger_type = trigger_type.ok_or("'service' names nothing that is served")?;
         let ty = &self.grounds.policy.trigger_types[trigger_type];
         let id = field("ref").filter(|id| hex(id).is_some()).ok_or("'ref' is not 16 hex digits")?;
-        if self.floor.ids.contains(id) {
+        if self.host.ids.contains(id) {
             return Err("'ref' is that of an open invocation");
         }
         let function_text = field("lookup").ok_or("no 'lookup'")?;
--- a/crates/platform/src/listing.rs
+++ b/crates/platform/src/listing.rs
@@ -24,17 +24,17 @@
         if std::mem::replace(&mut self.resolver.told_quiet, quiet) != quiet {
             info!(quiet, "the resolver");
             let kind = if quiet { RosterKind::Failed } else { RosterKind::Delta };
-            self.engine.roster(now, kind, &[], &mut self.floor);
+            self.engine.roster(now, kind, &[], &mut self.host);
         }
     }
 
     /// A whole list of executors: what is not in it is gone.
     pub fn list(&mut self, now: f64, entries: Vec<Entry>) {
-        self.floor.executors.values_mut().for_each(|e| e.listed = false);
+        self.host.executors.values_mut().for_each(|e| e.listed = false);
         let mut moved: Vec<usize> = vec![];
         let rows: Vec<RosterRow> = entries.iter().map(|e| e.row.clone()).collect();
         for entry in entries {
-            let known = self.floor.executors.entry(entry.row.executor).or_insert_with(|| Executor {
+            let known = self.host.executors.entry(entry.row.executor).or_insert_with(|| Executor {
                 name: entry.name,
                 address: entry.address,
                 connections: vec![],
@@ -47,18 +47,18 @@
                 moved.extend(&known.connections);
             }
         }
-        for executor in self.floor.executors.values().filter(|e| !e.listed) {
+        for executor in self.host.executors.values().filter(|e| !e.listed) {
             info!(executor = executor.name, "gone");
             moved.extend(&executor.connections);
         }
         for connection in moved {
             // What is queued there goes over another, or nowhere.
-            self.floor.connections[connection].retired = true;
-            self.floor.touch_connection(connection);
+            self.host.connections[connection].retired = true;
+            self.host.touch_connection(connection);
         }
         let ready = rows.iter().filter(|r| r.standing == Standing::Ready).count();
         info!(executors = rows.len(), ready, "the roster");
-        self.engine.roster(now, RosterKind::Full, &rows, &mut self.floor);
-        self.floor.executors.retain(|_, e| e.listed || !e.connections.is_empty());
+        self.engine.roster(now, RosterKind::Full, &rows, &mut self.host);
+        self.host.executors.retain(|_, e| e.listed || !e.connections.is_empty());
     }
 }
--- a/crates/platform/src/sending.rs
+++ b/crates/platform/src/sending.rs
@@ -1,7 +1,7 @@
 //! Lines to executors: over which connection each goes, and when it leaves.
 
 use crate::connections::{self, BACKLOG, Connection, Queued, Unwritten};
-use crate::floor::{Departures, Floor, ORDER, Order};
+use crate::host_state::{Departures, HostState, ORDER, Order};
 use mio::Interest;
 use mio::net::TcpStream;
 use orchidtally::interface::ExecutorId;
@@ -9,7 +9,7 @@
 use orchidtally_lines as lines;
 use std::rc::Rc;
 
-impl Floor {
+impl HostState {
     /// A connection over which a line may go: the one that stands and has the least open, unless another may
     /// be made to spread over; else one that is being made.
     pub fn connection_for(&mut self, to: ExecutorId, id: &str) -> Result<usize, Transport> {
--- a/crates/platform/src/tests/clients.rs
+++ b/crates/platform/src/tests/clients.rs
@@ -7,10 +7,10 @@
 /// Gives a client more to read than its socket takes.
 fn fill(stage: &mut Stage, slot: usize) {
     let filler = vec![0; 16 << 20];
-    stage.front.floor.clients[slot].socket.out().extend_from_slice(&filler);
-    stage.front.floor.touch_client(slot);
+    stage.front.host.clients[slot].socket.out().extend_from_slice(&filler);
+    stage.front.host.touch_client(slot);
     stage.turn();
-    assert!(stage.front.floor.clients[slot].socket.waiting() > crate::clients::BACKLOG, "it reads nothing");
+    assert!(stage.front.host.clients[slot].socket.waiting() > crate::clients::BACKLOG, "it reads nothing");
 }
 
 /// A client with unread answers was not read, so that nobody saw it leave for 3 s.
@@ -46,11 +46,11 @@
     fill(&mut stage, 0);
     client.write_all(&invocation(1, &id(1), "read")).expect("it stands");
     client.write_all(&invocation(2, &id(2), "read")).expect("it stands");
-    stage.until("read", |s| s.front.floor.clients[0].pending.len() == 2);
+    stage.until("read", |s| s.front.host.clients[0].pending.len() == 2);
     let mut frame = vec![];
     frames::put(&mut frame, frames::WITHDRAW, 1, None, None, &[]);
     client.write_all(&frame).expect("it stands");
-    stage.until("taken back", |s| s.front.floor.clients[0].pending.len() == 1);
+    stage.until("taken back", |s| s.front.host.clients[0].pending.len() == 1);
     assert_eq!(stage.front.engine.open(), 0, "nothing is taken yet");
     let mut all = 0;
     let mut bytes = vec![0; 1 << 20];
@@ -73,7 +73,7 @@
     for n in 1..=40 {
         client.write_all(&invocation(n, &id(n.into()), "read")).expect("it stands");
     }
-    stage.until("ended", |s| s.front.floor.clients.get(0).is_none_or(|c| c.ending.is_some()));
+    stage.until("ended", |s| s.front.host.clients.get(0).is_none_or(|c| c.ending.is_some()));
     assert_eq!(stage.front.engine.open(), 0);
 }
 
@@ -93,7 +93,7 @@
     assert_eq!(heard, (vec![(frames::ANSWER, 0, frames::ERRORED)], Some(Ok(()))));
     // What it sends after that resets nothing, and it is let go of.
     client.write_all(&[0xff; 1024]).expect("it is read over");
-    stage.until("closed", |s| s.front.floor.clients.is_empty());
+    stage.until("closed", |s| s.front.host.clients.is_empty());
 }
 
 /// What it has open is nobody's any more at once, not when it is closed.
--- a/crates/platform/src/tests/gone.rs
+++ b/crates/platform/src/tests/gone.rs
@@ -16,8 +16,8 @@
     }
     assert_eq!(all_dispatches(stage), before);
     assert_eq!(stage.front.engine.open(), 0);
-    assert!(stage.front.floor.invocations.is_empty() && stage.front.floor.held.is_empty());
-    assert!(stage.front.floor.connections.iter().all(|(_, l)| l.queue.is_empty() && l.open.is_empty()));
+    assert!(stage.front.host.invocations.is_empty() && stage.front.host.held.is_empty());
+    assert!(stage.front.host.connections.iter().all(|(_, l)| l.queue.is_empty() && l.open.is_empty()));
 }
 
 fn without_orders(s: &mut Value) {
@@ -31,7 +31,7 @@
     client.write_all(&invocation(1, &id(1), "read")).expect("it stands");
     stage.until("ordered", |s| s.peers.iter_mut().any(|p| !p.lines("PIN", "").is_empty()));
     drop(client);
-    stage.until("gone", |s| s.front.floor.clients.is_empty());
+    stage.until("gone", |s| s.front.host.clients.is_empty());
     nothing_begins(&mut stage, 0);
 }
 
@@ -41,7 +41,7 @@
     let mut client = stage.client();
     client.write_all(&invocation(1, &id(1), "read")).expect("it stands");
     stage.until("queued", |s| {
-        s.front.floor.connections.iter().any(|(_, l)| !l.connected && !l.queue.is_empty())
+        s.front.host.connections.iter().any(|(_, l)| !l.connected && !l.queue.is_empty())
     });
     // Its end is read before the connection is seen to stand.
     client.shutdown(Shutdown::Write).expect("it stands");
@@ -56,9 +56,9 @@
     let mut client = stage.client();
     let (x, end) = stage.out(&mut client, 1, "command");
     stage.peers[x].say(end, "WAIT", &id(1));
-    stage.until("turned away", |s| s.front.floor.outs.is_empty());
+    stage.until("turned away", |s| s.front.host.outs.is_empty());
     drop(client);
-    stage.until("gone", |s| s.front.floor.clients.is_empty());
+    stage.until("gone", |s| s.front.host.clients.is_empty());
     nothing_begins(&mut stage, 1);
 }
 
@@ -71,11 +71,11 @@
     stage.until("two of them", |s| {
         s.peers[x].read();
         let to = orchidtally_resolver::id(&s.peers[x].name);
-        let _ = s.front.floor.connection_for(to, "another");
-        s.front.floor.executors[&to]
+        let _ = s.front.host.connection_for(to, "another");
+        s.front.host.executors[&to]
             .connections
             .iter()
-            .filter(|&&l| s.front.floor.connections[l].connected)
+            .filter(|&&l| s.front.host.connections[l].connected)
             .count()
             > 1
     });
@@ -86,7 +86,7 @@
     drop(client);
     let now = stage.front.now();
     stage.front.read_client(now, 0);
-    assert!(come.contains("DO") && stage.front.floor.clients.is_empty());
+    assert!(come.contains("DO") && stage.front.host.clients.is_empty());
     nothing_begins(&mut stage, 0);
 }
 
@@ -102,7 +102,7 @@
     frames::put(&mut both, frames::WITHDRAW, 2, None, None, &[]);
     both.extend(invocation(3, &id(2), "read"));
     client.write_all(&both).expect("it stands");
-    stage.until("held", |s| !s.front.floor.held.is_empty());
+    stage.until("held", |s| !s.front.host.held.is_empty());
     let before = all_dispatches(&mut stage);
     client.shutdown(Shutdown::Both).expect("it stands");
     let now = stage.front.now();
--- a/crates/platform/src/tests/floor.rs
+++ b/crates/platform/src/tests/host_state.rs
@@ -15,34 +15,33 @@
     "safety": {"cold": 1e9, "coldFrom": 0.2, "overloadFactor": 2, "fall": 1e9},
     "specifics": {"loadControl": true, "notLoaded": "load", "staysLoaded": 8e9}}"#;
 
-/// A floor with some executors, each reached over one connection that stands, and the executors' ends of these.
-fn set(executors: usize) -> (Floor, Vec<ExecutorId>, Vec<std::net::TcpStream>) {
+/// A host's state with some executors, each reached over one connection that stands, and the executors' ends of these.
+fn set(executors: usize) -> (HostState, Vec<ExecutorId>, Vec<std::net::TcpStream>) {
     let settings = serde_json::from_str(SETTINGS).expect("it is JSON");
     let grounds = orchidtally_platform_config::grounds(&settings).expect("they are sound");
     let poll = mio::Poll::new().expect("a poll");
-    let mut floor = Floor::new(0.0, poll.registry().try_clone().expect("it can be"), &grounds, executors);
+    let mut host = HostState::new(0.0, poll.registry().try_clone().expect("it can be"), &grounds, executors);
     let mut ends = vec![];
     let mut ids = vec![];
     for n in 0..executors {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let (name, address) = (format!("s-{n}"), listener.local_addr().expect("it is bound"));
         let id = orchidtally_resolver::id(&name);
-        floor
-            .executors
+        host.executors
             .insert(id, Executor { name, address, connections: vec![], listed: true, reach: f64::INFINITY });
-        let slot = floor.connection_for(id, "").expect("there is room");
+        let slot = host.connection_for(id, "").expect("there is room");
         ends.push(listener.accept().expect("it comes").0);
         ends[n].set_read_timeout(Some(Duration::from_millis(200))).expect("a time");
-        floor.connections[slot].connected = true;
-        floor.executors.get_mut(&id).expect("it is known").reach = 0.001;
+        host.connections[slot].connected = true;
+        host.executors.get_mut(&id).expect("it is known").reach = 0.001;
         ids.push(id);
     }
-    (floor, ids, ends)
+    (host, ids, ends)
 }
 
-fn take(floor: &mut Floor, inv: u32) {
+fn take(host: &mut HostState, inv: u32) {
     let id: Rc<str> = format!("{inv:016x}").into();
-    floor.taking = Some(OpenInvocation {
+    host.taking = Some(OpenInvocation {
         client: usize::MAX,
         stream: 1,
         id,
@@ -52,7 +51,7 @@
         body: vec![],
         timeout_at: 3.0,
     });
-    floor.taken(inv);
+    host.taken(inv);
 }
 
 /// Lets everything leave, or nothing, and counts what it was asked.
@@ -73,14 +72,14 @@
     }
 }
 
-fn flush(floor: &mut Floor) {
-    flush_by(floor, &mut Gate { open: true, asked: 0 });
+fn flush(host: &mut HostState) {
+    flush_by(host, &mut Gate { open: true, asked: 0 });
 }
 
-fn flush_by(floor: &mut Floor, gate: &mut Gate) {
-    for slot in std::mem::take(&mut floor.dirty_connections) {
-        floor.connections[slot].dirty = false;
-        floor.flush_connection(slot, gate).expect("it is taken");
+fn flush_by(host: &mut HostState, gate: &mut Gate) {
+    for slot in std::mem::take(&mut host.dirty_connections) {
+        host.connections[slot].dirty = false;
+        host.flush_connection(slot, gate).expect("it is taken");
     }
 }
 
@@ -95,29 +94,29 @@
 /// before either is sent again.
 #[test]
 fn a_cancel_leaves_before_the_next_dispatch_of_the_same_invocation() {
-    let (mut floor, ids, mut ends) = set(2);
-    (0..2).for_each(|inv| take(&mut floor, inv));
-    floor.dispatch(0, 0, ids[0], 3.0);
-    floor.dispatch(1, 0, ids[1], 3.0);
-    flush(&mut floor);
+    let (mut host, ids, mut ends) = set(2);
+    (0..2).for_each(|inv| take(&mut host, inv));
+    host.dispatch(0, 0, ids[0], 3.0);
+    host.dispatch(1, 0, ids[1], 3.0);
+    flush(&mut host);
     ends.iter_mut().for_each(|end| assert!(come(end).contains("DO")));
     for inv in 0..2 {
-        floor.cancel(inv, 0);
-        floor.dispatch(inv, 1, ids[1 - inv as usize], 3.0);
+        host.cancel(inv, 0);
+        host.dispatch(inv, 1, ids[1 - inv as usize], 3.0);
     }
-    let first = floor.dirty_connections.remove(0);
-    floor.connections[first].dirty = false;
-    floor.flush_connection(first, &mut Gate { open: true, asked: 0 }).expect("it is taken");
+    let first = host.dirty_connections.remove(0);
+    host.connections[first].dirty = false;
+    host.flush_connection(first, &mut Gate { open: true, asked: 0 }).expect("it is taken");
     for end in &mut ends {
         let line = come(end);
         assert!(line.contains("UNDO") && !line.contains(r#""DO""#), "the cancel alone: {line}");
     }
-    flush(&mut floor);
+    flush(&mut host);
     // It waits for a moment from the next turn on.
     for (now, there) in [(0.001, false), (0.002, false), (0.003, true)] {
-        floor.now = now;
-        floor.release();
-        flush(&mut floor);
+        host.now = now;
+        host.release();
+        flush(&mut host);
         ends.iter_mut().for_each(|end| assert_eq!(come(end).contains(r#""DO""#), there, "at {now}"));
     }
 }
@@ -125,19 +124,19 @@
 /// What is held back and taken back then never goes out, and no cancel is owed for it.
 #[test]
 fn what_is_cancelled_while_it_is_held_never_goes_out() {
-    let (mut floor, ids, mut ends) = set(2);
-    take(&mut floor, 0);
-    floor.dispatch(0, 0, ids[0], 3.0);
-    flush(&mut floor);
-    floor.cancel(0, 0);
-    floor.dispatch(0, 1, ids[1], 3.0);
-    floor.cancel(0, 1);
+    let (mut host, ids, mut ends) = set(2);
+    take(&mut host, 0);
+    host.dispatch(0, 0, ids[0], 3.0);
+    flush(&mut host);
+    host.cancel(0, 0);
+    host.dispatch(0, 1, ids[1], 3.0);
+    host.cancel(0, 1);
     for now in [0.001, 0.01] {
-        floor.now = now;
-        floor.release();
-        flush(&mut floor);
+        host.now = now;
+        host.release();
+        flush(&mut host);
     }
-    assert!(floor.held.is_empty() && come(&mut ends[0]).contains("UNDO"));
+    assert!(host.held.is_empty() && come(&mut ends[0]).contains("UNDO"));
     assert_eq!(come(&mut ends[1]), "");
 }
 
@@ -145,20 +144,20 @@
 /// is open on it is given up before it goes out elsewhere.
 #[test]
 fn a_connection_that_takes_no_cancel_is_cut_off() {
-    let (mut floor, ids, mut ends) = set(2);
-    take(&mut floor, 0);
-    floor.dispatch(0, 0, ids[0], 3.0);
-    flush(&mut floor);
-    let slot = floor.executors[&ids[0]].connections[0];
-    while floor.connections[slot].socket.waiting() == 0 {
-        floor.connections[slot].socket.out().resize(1 << 20, b' ');
-        floor.connections[slot].socket.flush().expect("it stands");
+    let (mut host, ids, mut ends) = set(2);
+    take(&mut host, 0);
+    host.dispatch(0, 0, ids[0], 3.0);
+    flush(&mut host);
+    let slot = host.executors[&ids[0]].connections[0];
+    while host.connections[slot].socket.waiting() == 0 {
+        host.connections[slot].socket.out().resize(1 << 20, b' ');
+        host.connections[slot].socket.flush().expect("it stands");
     }
-    floor.cancel(0, 0);
-    floor.dispatch(0, 1, ids[1], 3.0);
-    let elsewhere = floor.executors[&ids[1]].connections[0];
-    floor.flush_connection(elsewhere, &mut Gate { open: true, asked: 0 }).expect("it is taken");
-    assert!(floor.connections[slot].is_cut && floor.cut.len() == 1, "to be dissolved");
+    host.cancel(0, 0);
+    host.dispatch(0, 1, ids[1], 3.0);
+    let elsewhere = host.executors[&ids[1]].connections[0];
+    host.flush_connection(elsewhere, &mut Gate { open: true, asked: 0 }).expect("it is taken");
+    assert!(host.connections[slot].is_cut && host.cut.len() == 1, "to be dissolved");
     let mut rest = vec![];
     ends[0].read_to_end(&mut rest).expect("an end, not a silence");
     assert!(!rest.is_empty());
@@ -167,24 +166,24 @@
 /// Whatever the kernel takes of a batch of lines, none that has not begun to leave stays made.
 #[test]
 fn no_line_stays_made_of_which_the_kernel_took_nothing() {
-    let (mut floor, ids, mut ends) = set(1);
-    let slot = floor.executors[&ids[0]].connections[0];
-    while floor.connections[slot].socket.waiting() == 0 {
-        floor.connections[slot].socket.out().resize(1 << 20, b' ');
-        floor.connections[slot].socket.flush().expect("it stands");
+    let (mut host, ids, mut ends) = set(1);
+    let slot = host.executors[&ids[0]].connections[0];
+    while host.connections[slot].socket.waiting() == 0 {
+        host.connections[slot].socket.out().resize(1 << 20, b' ');
+        host.connections[slot].socket.flush().expect("it stands");
     }
     for inv in 0..30 {
-        take(&mut floor, inv);
-        floor.invocations.get_mut(&inv).expect("it is open").body = vec![7; 16 * 1024];
-        floor.dispatch(inv, 0, ids[0], 3.0);
+        take(&mut host, inv);
+        host.invocations.get_mut(&inv).expect("it is open").body = vec![7; 16 * 1024];
+        host.dispatch(inv, 0, ids[0], 3.0);
     }
     let mut gate = Gate { open: true, asked: 0 };
     let mut bytes = vec![0; 20 * 1024];
     let mut stuck = 0;
-    while !floor.connections[slot].queue.is_empty() {
+    while !host.connections[slot].queue.is_empty() {
         ends[0].read_exact(&mut bytes).expect("there is more");
-        floor.flush_connection(slot, &mut gate).expect("it is taken");
-        let connection = &floor.connections[slot];
+        host.flush_connection(slot, &mut gate).expect("it is taken");
+        let connection = &host.connections[slot];
         let begun =
             |o: &crate::connections::Out| o.from.is_none_or(|from| from < connection.socket.written());
         assert!(connection.open.values().all(begun));
@@ -196,17 +195,17 @@
 /// An executor that is far: its cancel is under way for longer than a tick, and the next dispatch may be faster.
 #[test]
 fn what_is_moved_waits_for_as_long_as_a_connection_to_the_first_took_to_be_made() {
-    let (mut floor, ids, mut ends) = set(2);
-    floor.executors.get_mut(&ids[0]).expect("it is known").reach = 0.02;
-    take(&mut floor, 0);
-    floor.dispatch(0, 0, ids[0], 3.0);
-    flush(&mut floor);
-    floor.cancel(0, 0);
-    floor.dispatch(0, 1, ids[1], 3.0);
+    let (mut host, ids, mut ends) = set(2);
+    host.executors.get_mut(&ids[0]).expect("it is known").reach = 0.02;
+    take(&mut host, 0);
+    host.dispatch(0, 0, ids[0], 3.0);
+    flush(&mut host);
+    host.cancel(0, 0);
+    host.dispatch(0, 1, ids[1], 3.0);
     for (now, there) in [(0.001, false), (0.020, false), (0.022, true)] {
-        floor.now = now;
-        floor.release();
-        flush(&mut floor);
+        host.now = now;
+        host.release();
+        flush(&mut host);
         assert_eq!(come(&mut ends[1]).contains(r#""DO""#), there, "at {now}");
     }
 }
--- a/crates/platform/src/tests/leaving.rs
+++ b/crates/platform/src/tests/leaving.rs
@@ -17,7 +17,7 @@
     let mut client = stage.client();
     let whole = invocation(1, &id(1), "read");
     client.write_all(&whole[..20]).expect("it stands");
-    stage.until("half of it", |s| s.front.floor.clients[0].is_within());
+    stage.until("half of it", |s| s.front.host.clients[0].is_within());
     told_to_end(&mut stage);
     let begun = Instant::now();
     while begun.elapsed() < Duration::from_millis(300) {
@@ -72,8 +72,8 @@
 fn a_client_that_reads_nothing_does_not_hold_up_the_end() {
     let mut stage = Stage::new(1, 128, |_| {});
     let _client = stage.client();
-    stage.front.floor.clients[0].socket.out().resize(16 << 20, 0);
-    stage.front.floor.touch_client(0);
+    stage.front.host.clients[0].socket.out().resize(16 << 20, 0);
+    stage.front.host.touch_client(0);
     told_to_end(&mut stage);
     stage.until("closed", |s| s.front.listener.is_none());
     let now = stage.front.now();
@@ -94,7 +94,7 @@
     told_to_end(&mut stage);
     stage.until("closed", |s| s.front.listener.is_none());
     let since = stage.front.leaving_since.expect("it was told");
-    let by = stage.front.floor.invocations.values().map(|w| w.timeout_at).fold(0.0, f64::max);
+    let by = stage.front.host.invocations.values().map(|w| w.timeout_at).fold(0.0, f64::max);
     assert!(by > since + 3.0 && by < since + 3.7, "{} s after SIGTERM", by - since);
     let mut answers = vec![];
     stage.until("answered", |_| {
--- a/crates/platform/src/tests/mod.rs
+++ b/crates/platform/src/tests/mod.rs
@@ -186,7 +186,7 @@
         };
         let entries = rows.iter().map(entry).collect();
         let now = self.front.now();
-        self.front.floor.now = now;
+        self.front.host.now = now;
         self.front.list(now, entries);
     }
 }
--- a/crates/platform/src/tests/on_the_way.rs
+++ b/crates/platform/src/tests/on_the_way.rs
@@ -7,7 +7,7 @@
 fn queued(stage: &mut Stage, client: &mut TcpStream) -> ExecutorId {
     client.write_all(&invocation(1, &id(1), "read")).expect("it stands");
     let connections = |s: &Stage| {
-        s.front.floor.connections.iter().find(|(_, l)| !l.connected).map(|(_, l)| (l.to, l.queue.len()))
+        s.front.host.connections.iter().find(|(_, l)| !l.connected).map(|(_, l)| (l.to, l.queue.len()))
     };
     stage.until("queued", |s| connections(s).is_some_and(|(_, queued)| queued > 0));
     connections(stage).expect("it is there").0
@@ -76,11 +76,11 @@
 #[test]
 fn what_the_kernel_does_not_take_is_asked_about_again_as_it_leaves() {
     let (mut stage, mut client) = warm(2);
-    let to = stage.front.floor.connections.iter().next().expect("one that stands").1.to;
+    let to = stage.front.host.connections.iter().next().expect("one that stands").1.to;
     let x = number(&stage, to);
     // Nobody reads there until the kernel takes no byte more.
-    for slot in stage.front.floor.executors[&to].connections.clone() {
-        let socket = &mut stage.front.floor.connections[slot].socket;
+    for slot in stage.front.host.executors[&to].connections.clone() {
+        let socket = &mut stage.front.host.connections[slot].socket;
         while socket.waiting() == 0 {
             socket.out().extend_from_slice(&[b' '; 4096]);
             socket.flush().expect("it stands");
@@ -130,9 +130,9 @@
     // Something is written there before anything is read.
     let to = orchidtally_resolver::id(&stage.peers[x].name);
     let now = stage.front.now();
-    for slot in stage.front.floor.executors[&to].connections.clone() {
-        stage.front.floor.connections[slot].queue.push_back(crate::connections::Queued::Line(b"\n".to_vec()));
-        stage.front.floor.touch_connection(slot);
+    for slot in stage.front.host.executors[&to].connections.clone() {
+        stage.front.host.connections[slot].queue.push_back(crate::connections::Queued::Line(b"\n".to_vec()));
+        stage.front.host.touch_connection(slot);
     }
     stage.front.settle(now);
     let mut answers = vec![];
@@ -154,7 +154,7 @@
     both.extend(invocation(101, &id(1), "read"));
     client.write_all(&both).expect("it stands");
     stage.until("taken", |s| s.front.engine.tally().taken == 3);
-    assert!(!stage.front.floor.held.is_empty(), "the turn that gives the first up sends no second");
+    assert!(!stage.front.host.held.is_empty(), "the turn that gives the first up sends no second");
     let sent = |s: &mut Stage| s.peers.iter_mut().map(|p| p.lines("DO", &id(1)).len()).sum::<usize>();
     stage.until("sent again", |s| sent(s) == 2);
 }
@@ -169,7 +169,7 @@
     stage.until("answered", |_| !got(&mut client).0.is_empty());
     // As if it had stood there idle; the look at what is overdue comes later.
     let before = stage.front.now() - 14.0;
-    stage.front.floor.connections.iter_mut().for_each(|(_, l)| l.idle_since = before);
+    stage.front.host.connections.iter_mut().for_each(|(_, l)| l.idle_since = before);
     stage.front.sweep_at = f64::INFINITY;
     let (_, other) = stage.out(&mut client, 2, "read");
     assert_ne!(other, end);
--- a/crates/platform/src/tests/settings.rs
+++ b/crates/platform/src/tests/settings.rs
@@ -49,7 +49,7 @@
         let mut client = stage.client();
         client.write_all(&invocation(1, &id(1), "read")).expect("it stands");
         stage.dispatched(&id(1));
-        let work = stage.front.floor.invocations.values().next().expect("it is open");
+        let work = stage.front.host.invocations.values().next().expect("it is open");
         let left = work.timeout_at - stage.front.now();
         (stage.peers.iter().map(|p| p.orders).sum::<usize>(), left < 0.5)
     };
