Split the coordinator's and the front end's part of rollouts by job

Change: coordinator/{command,rules,state} and frontend/{adopt,load_ahead,local,outcomes,report}; `CommandError` with the same texts, `EvidenceReport`, `AnswerOutcome`, `CoordinatorState`, `EProcess`, `QuantileEstimate`, `SlotCollector`; the coordinator process has `CoordinatorServer` and `StopReason`. Three assertions read a refusal by `to_string()` in place of `.0`; the texts that they want are the same.

--- a/crates/cli/src/journal.rs
+++ b/crates/cli/src/journal.rs
@@ -3,7 +3,7 @@
 use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO};
 use clap::Subcommand;
 use orchidtally_journal::{Journal, Recovered, inspect};
-use orchidtally_rollout::coordinator::Kept;
+use orchidtally_rollout::coordinator::CoordinatorState;
 use orchidtally_trigger::ledger::{self, Ledger};
 use orchidtally_trigger::promises::{self, Promises};
 use serde::de::DeserializeOwned;
@@ -70,7 +70,7 @@
     }
     // Each of a coordinator's entries is its whole state.
     let last = found.entries.last()?;
-    serde_json::from_slice::<Kept>(last).ok()?;
+    serde_json::from_slice::<CoordinatorState>(last).ok()?;
     Some(last.clone())
 }
 
--- a/crates/cli/src/rollout.rs
+++ b/crates/cli/src/rollout.rs
@@ -5,7 +5,7 @@
 use clap::{Subcommand, ValueEnum};
 use futures_lite::StreamExt;
 use http::{Method, StatusCode};
-use orchidtally_coordinator::{Ended, Order, Status};
+use orchidtally_coordinator::{Order, Status, StopReason};
 use orchidtally_rollout::coordinator::Event;
 use orchidtally_rollout::plan::{GATES, Gate};
 use orchidtally_rollout::reckoning::Reckoned;
@@ -277,8 +277,8 @@
     });
     println!("listening on http://{at}");
     match orchidtally_coordinator::run(deployment, state, listener, stopped) {
-        Ok(Ended::Told) => Ok(()),
-        Ok(Ended::Superseded(epoch)) => {
+        Ok(StopReason::Stopped) => Ok(()),
+        Ok(StopReason::Superseded(epoch)) => {
             eprintln!("another coordinator, of term {}, has taken over", epoch.term);
             Err(NOT_SO)
         }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -11,9 +11,9 @@
 use orchidtally_deployment::Deployment;
 use orchidtally_journal::Journal;
 use orchidtally_net::Stream;
-use orchidtally_rollout::coordinator::{Command, Kept, Refused};
+use orchidtally_rollout::coordinator::{Command, CoordinatorState};
 use orchidtally_rollout::evidence::Counts;
-use orchidtally_rollout::frontend::Told;
+use orchidtally_rollout::frontend::EvidenceReport;
 use orchidtally_rollout::plan::GATES;
 use orchidtally_rollout::reckoning::{Reckoned, orders_granted, reckon};
 use orchidtally_rollout::{Coordinator, Epoch, Phase, Plan};
@@ -95,13 +95,14 @@
 
 /// Why a coordinator ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
-    Told,
+pub enum StopReason {
+    /// It was stopped.
+    Stopped,
     /// Another one has a higher term.
     Superseded(Epoch),
 }
 
-struct Office {
+struct CoordinatorServer {
     deployment: Deployment,
     coordinator: RefCell<Coordinator>,
     journal: RefCell<Journal>,
@@ -116,14 +117,14 @@
 }
 
 /// Reads what a journal kept: its last whole entry says everything.
-pub fn recover(folder: &Path) -> io::Result<(Journal, Kept)> {
+pub fn recover(folder: &Path) -> io::Result<(Journal, CoordinatorState)> {
     let (journal, recovered) = Journal::open(folder)?;
     if recovered.cut > 0 {
         warn!(bytes = recovered.cut, "the journal's end was not whole and was cut off");
     }
     let last = recovered.entries.last().or(recovered.snapshot.as_ref());
     let kept = match last {
-        None => Kept::default(),
+        None => CoordinatorState::default(),
         Some(bytes) => serde_json::from_slice(bytes).map_err(|e| {
             let what = format!("{}: the journal's last entry can't be read: {e}", folder.display());
             io::Error::new(io::ErrorKind::InvalidData, what)
@@ -138,11 +139,11 @@
     folder: &Path,
     listener: Async<TcpListener>,
     stop: async_channel::Receiver<()>,
-) -> io::Result<Ended> {
+) -> io::Result<StopReason> {
     let (journal, kept) = recover(folder)?;
     let coordinator = Coordinator::new(kept, rand::random(), now());
     info!(term = coordinator.published().epoch.term, "a coordinator begins its term");
-    let office = Rc::new(Office {
+    let server = Rc::new(CoordinatorServer {
         deployment,
         coordinator: RefCell::new(coordinator),
         journal: RefCell::new(journal),
@@ -150,15 +151,15 @@
         unkept: Cell::new(0),
         connections: Cell::new(0),
     });
-    office.keep()?;
+    server.keep()?;
     let spawner = Rc::new(LocalExecutor::new());
     let accepting = {
-        let (office, spawner) = (office.clone(), spawner.clone());
+        let (server, spawner) = (server.clone(), spawner.clone());
         async move {
             loop {
                 let stream = orchidtally_net::accept(&listener).await;
-                if office.connections.get() < MOST_CONNECTIONS {
-                    spawner.spawn(office.clone().connection(stream)).detach();
+                if server.connections.get() < MOST_CONNECTIONS {
+                    spawner.spawn(server.clone().connection(stream)).detach();
                 }
             }
         }
@@ -166,9 +167,9 @@
     let stopped = async {
         // A closed channel stops as a message does.
         let _ = stop.recv().await;
-        Ok(Ended::Told)
+        Ok(StopReason::Stopped)
     };
-    let work = future::or(stopped, future::or(office.turns(), accepting));
+    let work = future::or(stopped, future::or(server.turns(), accepting));
     async_io::block_on(spawner.run(work))
 }
 
@@ -187,12 +188,12 @@
     reply(status, &json!({ "faults": faults }))
 }
 
-impl Office {
+impl CoordinatorServer {
     /// Writes down all that is to be kept.
     fn keep(&self) -> io::Result<()> {
         self.coordinator.borrow_mut().take_changed();
         self.unkept.set(0);
-        let bytes = serde_json::to_vec(self.coordinator.borrow().kept())?;
+        let bytes = serde_json::to_vec(self.coordinator.borrow().state())?;
         let mut journal = self.journal.borrow_mut();
         if journal.length() > LONG { journal.snapshot(&bytes) } else { journal.append(&bytes) }
     }
@@ -208,14 +209,14 @@
         self.failed.borrow().is_none()
     }
 
-    async fn turns(&self) -> io::Result<Ended> {
+    async fn turns(&self) -> io::Result<StopReason> {
         loop {
             Timer::after(TURN).await;
-            self.coordinator.borrow_mut().turn(now());
+            self.coordinator.borrow_mut().tick(now());
             if let Some(epoch) = self.coordinator.borrow().superseded() {
                 let own = self.coordinator.borrow().published().epoch.term;
                 warn!(own, other = epoch.term, "another coordinator has a higher term; this one stops");
-                return Ok(Ended::Superseded(epoch));
+                return Ok(StopReason::Superseded(epoch));
             }
             self.unkept.set(self.unkept.get() + 1);
             if self.keep_changes() && self.unkept.get() >= KEPT_EVERY && !self.is_idle() {
@@ -269,11 +270,11 @@
     }
 
     fn exchange(&self, body: &[u8]) -> Reply {
-        let told: Told = match serde_json::from_slice(body) {
-            Ok(told) => told,
+        let report: EvidenceReport = match serde_json::from_slice(body) {
+            Ok(report) => report,
             Err(e) => return refused(StatusCode::BAD_REQUEST, &[e.to_string()]),
         };
-        self.coordinator.borrow_mut().evidence(now(), &told);
+        self.coordinator.borrow_mut().evidence(now(), &report);
         let coordinator = self.coordinator.borrow();
         if let Some(epoch) = coordinator.superseded() {
             return refused(
@@ -330,7 +331,7 @@
         };
         let done = self.coordinator.borrow_mut().command(now(), &command, rand::random());
         match done {
-            Err(Refused(why)) => refused(StatusCode::CONFLICT, &[why]),
+            Err(error) => refused(StatusCode::CONFLICT, &[error.to_string()]),
             Ok(()) if self.keep_changes() => reply(StatusCode::OK, &self.status()),
             Ok(()) => refused(StatusCode::INTERNAL_SERVER_ERROR, &["the state can't be kept".into()]),
         }
@@ -338,7 +339,7 @@
 
     fn history(&self, name: &str) -> Reply {
         let coordinator = self.coordinator.borrow();
-        match coordinator.kept().runs.get(name) {
+        match coordinator.state().runs.get(name) {
             Some(run) => reply(StatusCode::OK, &run.history),
             None => refused(StatusCode::NOT_FOUND, &[format!("there is no rollout '{name}'")]),
         }
@@ -346,7 +347,7 @@
 
     fn status(&self) -> serde_json::Value {
         let coordinator = self.coordinator.borrow();
-        let (published, runs) = (coordinator.published(), &coordinator.kept().runs);
+        let (published, runs) = (coordinator.published(), &coordinator.state().runs);
         let list: Vec<Status> = published
             .rollouts
             .iter()
--- /dev/null
+++ b/crates/coordinator/tests/kit/mod.rs
@@ -0,0 +1,243 @@
+//! Coordinators, front ends and executors in one process, on threads.
+
+use bytes::Bytes;
+use futures_lite::future;
+use http::Method;
+use orchidtally_coordinator::{Order, StopReason};
+use orchidtally_deployment::Deployment;
+use orchidtally_frontend::Start;
+use orchidtally_invariants::Record;
+use orchidtally_net::http::ask as http_ask;
+use orchidtally_rollout::Phase;
+use orchidtally_test_servers::client::{Ask, Caller, Heard};
+use orchidtally_test_servers::executor::{Executor, Make, Program, Surroundings, digest};
+use orchidtally_test_servers::store::Store;
+use orchidtally_test_servers::{Stage, any_port, port_for_later};
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+pub const OLD: &[u8] = b"old";
+pub const NEW: &[u8] = b"new";
+pub const LOOK: (usize, &str) = (0, "look");
+pub const ACT: (usize, &str) = (1, "act");
+
+pub struct Gateway {
+    pub at: SocketAddr,
+    pub stop: async_channel::Sender<()>,
+    pub thread: JoinHandle<()>,
+}
+
+impl Gateway {
+    pub fn end(self) {
+        drop(self.stop);
+        self.thread.join().unwrap();
+    }
+}
+
+pub struct CoordinatorThread {
+    pub stop: async_channel::Sender<()>,
+    pub thread: JoinHandle<std::io::Result<StopReason>>,
+}
+
+impl CoordinatorThread {
+    pub fn end(self) -> StopReason {
+        drop(self.stop);
+        self.thread.join().unwrap().unwrap()
+    }
+}
+
+pub struct World {
+    pub stage: Stage,
+    pub executors: Vec<Rc<Executor>>,
+    /// Seconds that a load of the new version takes.
+    pub load: Rc<Cell<f64>>,
+    pub text: String,
+}
+
+pub fn free() -> SocketAddr {
+    port_for_later().unwrap()
+}
+
+pub fn folder(name: &str) -> PathBuf {
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("coordinator-{name}"));
+    let _ = std::fs::remove_dir_all(&path);
+    path
+}
+
+pub fn world(coordinators: &[SocketAddr], loading: &str) -> World {
+    let stage = Stage::new(1);
+    let load = Rc::new(Cell::new(0.05));
+    let store = Store::new(&stage, 8.0, 8);
+    let executors: Vec<_> = (0..2)
+        .map(|number| {
+            let make = Make::roomy(number);
+            let load = load.clone();
+            let catalogue = move |name: &str| {
+                let is_new = name.ends_with(&format!("@{}", digest(NEW)));
+                Some(Program {
+                    lanes: 32,
+                    load_time: if is_new { load.get() } else { 0.05 },
+                    work: 0.005,
+                    package: Bytes::from_static(if is_new { NEW } else { OLD }),
+                    ..Program::default()
+                })
+            };
+            let around = Surroundings {
+                store: store.clone(),
+                catalogue: Rc::new(catalogue),
+                tokens: Rc::default(),
+                token_window: 5.0,
+            };
+            Executor::start(&stage, make, any_port(), around).unwrap()
+        })
+        .collect();
+    let list: Vec<_> = executors.iter().map(|e| format!("{{ address: \"{}\" }}", e.address)).collect();
+    let asked: Vec<_> = coordinators.iter().map(|a| format!("\"{a}\"")).collect();
+    let (old, new) = (digest(OLD), digest(NEW));
+    let function = |name: &str| {
+        format!(
+            r#"{{ name: "{name}", lanes: 32, loadTime: "200ms",
+                versions: [{{ digest: "sha256:{old}" }}, {{ digest: "sha256:{new}" }}],
+                aliases: {{ stable: "sha256:{old}", next: "sha256:{new}" }} }}"#
+        )
+    };
+    let functions: Vec<String> = ["f".into()]
+        .into_iter()
+        .chain((0..10).map(|n| format!("g{n}")))
+        .map(|n: String| function(&n))
+        .collect();
+    let functions = functions.join(", ");
+    let text = format!(
+        r#"{{
+            triggerTypes: [
+                {{ name: "look", effect: "idempotent", objective: "2s", timeout: "4s", lateShare: 0.5 }},
+                {{ name: "act", effect: "nonIdempotent", objective: "2s", timeout: "4s", lateShare: 0.5 }},
+            ],
+            functions: [{functions}],
+            executors: {{ list: [{}] }},
+            safety: {{ cold: "50ms", fall: "10ms" }},
+            loading: {{ {loading} }},
+            rollouts: {{ coordinators: [{}], every: "50ms" }},
+        }}"#,
+        list.join(", "),
+        asked.join(", ")
+    );
+    World { stage, executors, load, text }
+}
+
+pub fn gateway(text: &str) -> Gateway {
+    gateway_ahead(text, 0.0)
+}
+
+/// With a wall clock that is so far ahead.
+pub fn gateway_ahead(text: &str, ahead: f64) -> Gateway {
+    let listener = orchidtally_frontend::listen(any_port()).unwrap();
+    let at = listener.get_ref().local_addr().unwrap();
+    let (stop, stopped) = async_channel::bounded(1);
+    let (text, seed) = (text.to_owned(), u64::from(at.port()));
+    let thread = std::thread::spawn(move || {
+        let deployment = Deployment::read(&text).unwrap_or_else(|f| panic!("{f:?}"));
+        let start = Start {
+            deployment,
+            seed,
+            ahead,
+            step: None,
+            stop: stopped,
+            random: false,
+            triggers: None,
+            promise_store: None,
+            reloads: None,
+        };
+        let tally = orchidtally_frontend::run(start, listener);
+        assert_eq!(tally.overdue, 0);
+    });
+    Gateway { at, stop, thread }
+}
+
+pub fn start_coordinator(text: &str, at: SocketAddr, folder: &Path) -> CoordinatorThread {
+    let (stop, stopped) = async_channel::bounded(1);
+    let (text, folder) = (text.to_owned(), folder.to_owned());
+    let listener = orchidtally_net::listen(at).unwrap();
+    let thread = std::thread::spawn(move || {
+        let deployment = Deployment::read(&text).unwrap_or_else(|f| panic!("{f:?}"));
+        orchidtally_coordinator::run(deployment, &folder, listener, stopped)
+    });
+    CoordinatorThread { stop, thread }
+}
+
+pub async fn order(at: SocketAddr, order: Order) -> (u16, String) {
+    let body = serde_json::to_vec(&order).unwrap();
+    let (status, body) =
+        http_ask(at, Method::POST, "/v1/rollouts/orders", body, Duration::from_secs(3)).await.unwrap();
+    (status.as_u16(), String::from_utf8_lossy(&body).into_owned())
+}
+
+pub fn plan(steps: &str) -> Order {
+    plan_of("r", "f", 0.1, steps)
+}
+
+pub fn plan_of(name: &str, function: &str, pace: f64, steps: &str) -> Order {
+    let plan = format!(
+        "{{ name: '{name}', function: '{function}', to: 'next', loadsPerSecond: {pace}, holdback: 0, keepFrom: '200ms', steps: [{steps}] }}"
+    );
+    Order::Start { plan, dry: false }
+}
+
+pub const ALL_AT_ONCE: &str = "{ share: 1, leastTime: '60s' }";
+
+pub async fn phase(at: SocketAddr) -> Option<Phase> {
+    let (_, body) = http_ask(at, Method::GET, "/v1/rollouts", vec![], Duration::from_secs(3)).await.ok()?;
+    let value: serde_json::Value = serde_json::from_slice(&body).ok()?;
+    serde_json::from_value(value["rollouts"][0]["phase"].clone()).ok()
+}
+
+pub fn on<T>(stage: &Stage, work: impl Future<Output = T>) -> T {
+    let late = async {
+        stage.sleep(30.0).await;
+        panic!("the case did not end");
+    };
+    async_io::block_on(stage.tasks.run(future::or(work, late)))
+}
+
+pub fn ask(name: &str, trigger_type: (usize, &str)) -> Ask {
+    Ask {
+        invocation: name.into(),
+        function: "f".into(),
+        trigger_type: (trigger_type.0, trigger_type.1.into()),
+        time_left: 4.0,
+        ..Ask::default()
+    }
+}
+
+pub fn succeeded(heard: &Heard) -> bool {
+    matches!(heard, Heard::Answered { status: 200, .. })
+}
+
+impl World {
+    /// The digest that each invocation ran, and how often.
+    pub fn ran(&self, invocation: &str) -> Vec<String> {
+        let records = self.stage.records();
+        let of = |r: &Record| match r {
+            Record::RanVersion { invocation: i, loaded, .. } if i == invocation => Some(loaded.clone()),
+            _ => None,
+        };
+        records.iter().filter_map(of).collect()
+    }
+
+    /// Offers one invocation after another until one runs this package.
+    pub async fn until_runs(&self, caller: &Rc<Caller>, label: &str, package: &[u8]) {
+        for n in 0..400 {
+            let name = format!("{label}-{n}");
+            assert!(succeeded(&caller.invoke(&ask(&name, LOOK)).await));
+            if self.ran(&name) == [digest(package)] {
+                return;
+            }
+            self.stage.sleep(0.02).await;
+        }
+        panic!("{label}: the version was never run");
+    }
+}
--- a/crates/frontend/src/hub/invocation.rs
+++ b/crates/frontend/src/hub/invocation.rs
@@ -194,7 +194,7 @@
         let mut shares = self.shares.borrow_mut();
         let find = |name: &str| revision.deployment.functions.get(name).cloned();
         let mut back = published.map_or_else(Vec::new, |p| shares.adopt(now, p, find));
-        back.extend(shares.turn(now));
+        back.extend(shares.tick(now));
         let due = shares.ahead(now);
         drop(shares);
         for &run in &back {
--- a/crates/frontend/src/hub/performer.rs
+++ b/crates/frontend/src/hub/performer.rs
@@ -9,7 +9,7 @@
 use orchidtally_deployment::{Source, Version};
 use orchidtally_engine::{Cause, Engine, Host, Refused};
 use orchidtally_rollout::Arm;
-use orchidtally_rollout::frontend::{Came, may_move};
+use orchidtally_rollout::frontend::{AnswerOutcome, may_move};
 use orchidtally_wire::v1;
 use orchidtally_wire::{PROBE, frame};
 use std::cell::Cell;
@@ -156,14 +156,14 @@
         let took = self.took.take();
         if let (Some(invoked), Some(hub)) = (&client.work.invoked, self.hub.upgrade()) {
             let mut shares = hub.shares.borrow_mut();
-            let (came, may_have_run) = match answer {
+            let (outcome, may_have_run) = match answer {
                 Final::Succeeded(_) => {
                     let (took, warm) = took.unwrap_or((0.0, false));
-                    (Came::Succeeded { took, warm }, true)
+                    (AnswerOutcome::Succeeded { took, warm }, true)
                 }
-                Final::Throttled { .. } => (Came::Throttled, false),
-                Final::Refused { may_have_run, .. } => (Came::Throttled, may_have_run),
-                Final::Errored { may_have_run, .. } => (Came::Errored, may_have_run),
+                Final::Throttled { .. } => (AnswerOutcome::Throttled, false),
+                Final::Refused { may_have_run, .. } => (AnswerOutcome::Throttled, may_have_run),
+                Final::Errored { may_have_run, .. } => (AnswerOutcome::Errored, may_have_run),
             };
             if let Final::Errored { cause: Cause::TimedOut, .. } = answer
                 && client.work.last.get() != 0
@@ -172,8 +172,8 @@
                 let counts = shares.dispatch_failed(hub.now(), last, key, true);
                 client.work.failed.set(client.work.failed.get() | counts);
             }
-            shares.came(invoked, came, client.work.failed.get());
-            let failed = !matches!(came, Came::Succeeded { .. });
+            shares.answered(invoked, outcome, client.work.failed.get());
+            let failed = !matches!(outcome, AnswerOutcome::Succeeded { .. });
             let effect = client.work.trigger_type.policy.effect;
             let may = may_move(effect == Effect::Idempotent, may_have_run);
             let to = shares.goes_back_to(invoked.run).filter(|_| failed && may && invoked.arm == Arm::New);
--- a/crates/frontend/src/rollouts.rs
+++ b/crates/frontend/src/rollouts.rs
@@ -5,7 +5,7 @@
 use http::{Method, StatusCode};
 use orchidtally_net::http::ask;
 use orchidtally_rollout::Published;
-use orchidtally_rollout::frontend::Told;
+use orchidtally_rollout::frontend::EvidenceReport;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,7 +16,7 @@
 const PATIENCE: Duration = Duration::from_secs(1);
 
 /// One round with one coordinator.
-async fn exchange(at: SocketAddr, told: &Told) -> Result<Published, String> {
+async fn exchange(at: SocketAddr, told: &EvidenceReport) -> Result<Published, String> {
     let body = serde_json::to_vec(told).map_err(|e| e.to_string())?;
     let (status, answer) =
         ask(at, Method::POST, EXCHANGE, body, PATIENCE).await.map_err(|e| e.to_string())?;
@@ -31,7 +31,7 @@
     let pause = Duration::from_secs_f64(hub.deployment.rollouts_asked);
     let mut reached = true;
     loop {
-        let told = hub.shares.borrow_mut().tell(hub.sender.get().incarnation);
+        let told = hub.shares.borrow_mut().report(hub.sender.get().incarnation);
         let rounds: Vec<_> = hub.deployment.coordinators.iter().map(|&at| (at, told.clone())).collect();
         let tasks: Vec<_> = rounds
             .into_iter()
@@ -56,7 +56,7 @@
         }
         reached = newest.is_some();
         if !reached {
-            hub.shares.borrow_mut().not_told(told);
+            hub.shares.borrow_mut().not_reported(told);
         }
         hub.rollouts_turn(newest);
         future::yield_now().await;
--- a/crates/rollout/benches/path.rs
+++ b/crates/rollout/benches/path.rs
@@ -3,9 +3,9 @@
 //! `cargo bench -p orchidtally-rollout --bench path`
 
 use orchidtally_deployment::Deployment;
-use orchidtally_rollout::coordinator::{Command, Kept};
+use orchidtally_rollout::coordinator::{Command, CoordinatorState};
 use orchidtally_rollout::evidence::Arm;
-use orchidtally_rollout::frontend::{Came, Place};
+use orchidtally_rollout::frontend::{AnswerOutcome, Place};
 use orchidtally_rollout::split::Who;
 use orchidtally_rollout::{Coordinator, Plan, Shares};
 use std::hint::black_box;
@@ -40,7 +40,7 @@
     let keys: Vec<String> = (0..1_000u64).map(|n| format!("{:016x}", n * 0x9e37_79b9)).collect();
     let mut figures = vec![];
     for on in [0, ROLLOUTS] {
-        let mut coordinator = Coordinator::new(Kept::default(), 1, 0.0);
+        let mut coordinator = Coordinator::new(CoordinatorState::default(), 1, 0.0);
         for n in 0..on {
             // Of the functions that are invoked most.
             let plan = format!(
@@ -48,11 +48,11 @@
             );
             let plan = Plan::read(&plan, &deployment).unwrap_or_else(|f| panic!("{f:?}"));
             let command = Command::Start { plan: Box::new(plan), from: digest(2 * n), to: digest(2 * n + 1) };
-            coordinator.command(1.0, &command, n as u64 + 1).unwrap_or_else(|r| panic!("{}", r.0));
+            coordinator.command(1.0, &command, n as u64 + 1).unwrap_or_else(|r| panic!("{r}"));
         }
         let mut shares = Shares::new(place, 0.0);
         shares.adopt(2.0, coordinator.published().clone(), |name| deployment.function(name));
-        shares.turn(2.1);
+        shares.tick(2.1);
         let (mut best, mut new) = (f64::INFINITY, 0);
         for _ in 0..3 {
             let began = Instant::now();
@@ -66,7 +66,7 @@
                     shares.resolve(&function, None, 0, 0, &who).unwrap_or_else(|| panic!("no version"));
                 if let Some(invoked) = &resolved.invoked {
                     new += u64::from(invoked.arm == Arm::New);
-                    shares.came(invoked, Came::Succeeded { took: 0.02, warm: true }, false);
+                    shares.answered(invoked, AnswerOutcome::Succeeded { took: 0.02, warm: true }, false);
                 }
                 black_box((key, resolved));
             }
@@ -76,7 +76,7 @@
         figures.push(1e9 * best / INVOCATIONS as f64);
     }
     println!(
-        "{FUNCTIONS} functions, ns an invocation to find the function, resolve it and count what it came to"
+        "{FUNCTIONS} functions, ns an invocation to find the function, resolve it and count what it outcome to"
     );
     println!("no rollout             {:>7.0}", figures[0]);
     println!("{ROLLOUTS} rollouts, half of all {:>5.0}", figures[1]);
--- a/crates/rollout/src/evidence.rs
+++ b/crates/rollout/src/evidence.rs
@@ -1,32 +1,39 @@
-//! What invocations of the two versions came to, counted where they were answered. Counts are of the same
-//! trigger type, customer and location over the same short time, so that a trouble common to both versions
-//! falls on both.
+//! Evidence on the two versions of a rollout: what their invocations came to, counted where they were answered.
+//!
+//! Counts are of the same trigger type, customer and location over the same short time, so that a trouble common to
+//! both versions shows in both.
 
 use crate::plan::{GATES, Gate};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
+/// One of the two versions that are compared.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Arm {
+    /// The version that the rollout comes from.
     Old,
+    /// The version that the rollout goes to.
     New,
 }
 
-/// Where an invocation belongs: indices of the deployment's lists.
+/// Where an invocation belongs, by indices of the deployment's lists.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Cell {
+    /// The index of its trigger type.
     pub trigger_type: u16,
+    /// The index of its customer.
     pub customer: u16,
+    /// The index of the front end's location.
     pub location: u16,
 }
 
-/// What one arm came to in one cell.
+/// Counts of one version in one cell.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Counts {
     /// Final answers.
     pub answers: u64,
-    /// Of them, those that a copy gave which was loaded before: they tell the version's own latency.
+    /// Answers of copies that had been loaded before: they show the version's own latency.
     pub warm: u64,
     /// Loads that came to an end; in the old arm those of any other version, as the same store gave them.
     pub loads: u64,
@@ -35,6 +42,7 @@
 }
 
 impl Counts {
+    /// Adds other counts.
     pub fn add(&mut self, other: &Counts) {
         self.answers += other.answers;
         self.warm += other.warm;
@@ -42,7 +50,7 @@
         self.events.iter_mut().zip(other.events).for_each(|(a, b)| *a += b);
     }
 
-    /// Among how many a gate's events are counted.
+    /// The number of answers or loads among which the events of a gate are counted.
     pub fn exposed(&self, gate: Gate) -> u64 {
         match gate {
             Gate::Errors | Gate::Throttled => self.answers,
@@ -51,6 +59,7 @@
         }
     }
 
+    /// Whether nothing was counted.
     pub fn is_nothing(&self) -> bool {
         *self == Counts::default()
     }
@@ -60,48 +69,55 @@
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Slot {
+    /// The cell.
     pub cell: Cell,
-    /// The share with which invocations of the cell were given to the new version during it.
+    /// The share of the cell's invocations that was given to the new version during it.
     pub share: f64,
+    /// Counts of the old version.
     pub old: Counts,
+    /// Counts of the new version.
     pub new: Counts,
 }
 
-/// What a front end adds to its evidence on one run of one rollout.
+/// What a front end adds to the evidence on one run of a rollout.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Delta {
+    /// The run of the rollout.
     pub run: u64,
+    /// The counts since the last delta.
     pub slots: Vec<Slot>,
-    /// An executor found other bytes than the digest named.
+    /// Loads that found other bytes than the digest names.
     pub digest_mismatches: u64,
-    /// It took the rollout back by itself while no coordinator was to be reached, and why.
+    /// Why the front end took the rollout back by itself, while it reached no coordinator.
     pub took_back: Option<String>,
-    /// Its copies of the new version stand, so that it gives it the step's share.
+    /// Whether it knows copies of the new version, so that it gives it the step's share.
     pub ready: bool,
-    /// Invocations of the function that it took a second.
+    /// Invocations of the function that it took, a second.
     pub rate: f64,
 }
 
-/// Gathers slots. A share that changes begins new ones.
+/// Collects slots. A share that changes begins new ones.
 #[derive(Clone, Debug, Default)]
-pub struct Gathered {
+pub struct SlotCollector {
     slots: BTreeMap<(Cell, u64), (Counts, Counts)>,
 }
 
-/// Slots gathered at the most between two exchanges; past it what comes is left out of the evidence.
-const MOST_SLOTS: usize = 4_096;
+/// The most slots between two reports; beyond it answers are left out of the evidence.
+const MAX_SLOTS: usize = 4_096;
 
-impl Gathered {
+impl SlotCollector {
+    /// The counts of a version in a cell; `None` where there are too many slots.
     pub fn at(&mut self, cell: Cell, share: f64, arm: Arm) -> Option<&mut Counts> {
         let key = (cell, share.to_bits());
-        if self.slots.len() >= MOST_SLOTS && !self.slots.contains_key(&key) {
+        if self.slots.len() >= MAX_SLOTS && !self.slots.contains_key(&key) {
             return None;
         }
         let both = self.slots.entry(key).or_default();
         Some(if arm == Arm::Old { &mut both.0 } else { &mut both.1 })
     }
 
+    /// Takes the slots that were collected.
     pub fn take(&mut self) -> Vec<Slot> {
         let slots = std::mem::take(&mut self.slots);
         let slot = |((cell, share), (old, new)): ((Cell, u64), (Counts, Counts))| Slot {
@@ -114,19 +130,22 @@
     }
 }
 
-/// A quantile that is tracked step by step: up by its chance, down by the rest, relative to where it stands.
-/// What it says of a moment was learnt before that moment, so that what is counted against it is fair.
+/// A quantile that is estimated step by step: each value moves it up by a part in proportion to the quantile, or down
+/// by the rest, relative to where it is. A value is compared with what was estimated before it.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Tracked {
+pub struct QuantileEstimate {
+    /// The estimate.
     pub at: f64,
     seen: u32,
 }
 
-impl Tracked {
-    /// Of the first few it takes the largest, else it moves by less and less down to this part.
+impl QuantileEstimate {
+    /// Of so many first values it takes the largest.
     const FIRST: u32 = 20;
+    /// After that it moves by a part that shrinks down to this one.
     const LEAST: f64 = 0.02;
 
+    /// Adds a value.
     pub fn note(&mut self, quantile: f64, value: f64) {
         self.seen = self.seen.saturating_add(1);
         if self.seen <= Self::FIRST {
@@ -137,7 +156,7 @@
         self.at *= if value > self.at { 1.0 + part * quantile } else { 1.0 - part * (1.0 - quantile) };
     }
 
-    /// Where it stands, once it has seen enough to say.
+    /// The estimate, once enough values were seen.
     pub fn known(&self) -> Option<f64> {
         (self.seen > Self::FIRST).then_some(self.at)
     }
--- a/crates/rollout/src/sequential.rs
+++ b/crates/rollout/src/sequential.rs
@@ -1,80 +1,91 @@
-//! A test that stays valid however often it is looked at.
+//! A sequential test that stays valid however often it is looked at.
 //!
-//! Given that an event (an error, a slow answer) happened in a slot, it fell on the new version with a chance
-//! known beforehand if the versions are alike: the share. Against that stand bets that the odds are some times
-//! higher. A bet's stake grows by the likelihood ratio with each event; where the versions are alike, its
-//! expectation never grows, so that it ever exceeds 1/a with a chance of a at the most (Ville's inequality for
-//! nonnegative supermartingales). A trouble may begin at any time, so stakes are put on beginnings: stake j,
-//! 1/(j(j+1)) of all, is played from block j on. One number for each odds carries them all, as a product over
-//! the slots since j is a quotient of products since the start.
+//! Given that an event (an error, a slow answer) happened in a slot, and that the versions are alike, it fell on the
+//! new version with a known probability: the share. Against that hypothesis stand bets that the odds are some times
+//! higher. The wealth of a bet is multiplied by the likelihood ratio of each event. Where the versions are alike its
+//! expectation never grows, so that it ever exceeds 1/a with a probability of a at the most (Ville's inequality for
+//! nonnegative supermartingales). A trouble may begin at any time, so that the wealth is spread over beginnings: the
+//! bet that starts with block j has 1/(j(j+1)) of it. One number for each odds carries all beginnings, as a product
+//! over the slots since j is a quotient of products since the start.
 
 use crate::evidence::{Cell, Counts, Slot};
 use crate::plan::{Gate, Plan};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
-/// Odds that are bet on.
+/// The odds that are bet on.
 const ODDS: [f64; 6] = [1.25, 1.5, 2.0, 3.0, 5.0, 10.0];
-/// A new beginning after this many seconds.
+/// Seconds from one beginning of bets to the next.
 const BLOCK: f64 = 10.0;
-/// No bet takes a share for more certain than this.
+/// The least probability that a bet takes for either version.
 const LEAST_SHARE: f64 = 1e-4;
-/// Groups that are tested by themselves, of each kind.
-const MOST_GROUPS: usize = 64;
+/// The most groups of each kind that are tested by themselves.
+const MAX_GROUPS: usize = 64;
 
-/// The events of one slot: with chance `p` each fell on the new version, and `new` of `all` did.
+/// The greatest wealth of a bet.
+const MAX_WEALTH: f64 = 1e100;
+
+/// The events of one slot.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Events {
+    /// The probability with which each fell on the new version, if the versions are alike.
     pub p: f64,
+    /// Events of the new version.
     pub new: u64,
+    /// Events of both versions.
     pub all: u64,
 }
 
-/// The stakes of one group.
+/// The e-process of one group: the wealth of all bets that have begun.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Stakes {
-    /// Those played, by odds.
+pub struct EProcess {
+    /// The wealth of the bets that have begun, by odds.
     played: [f64; ODDS.len()],
-    /// How many beginnings have been played.
+    /// The number of beginnings.
     begun: u64,
 }
 
-impl Stakes {
-    /// Begins to play one more.
+impl EProcess {
+    /// Begins one more bet.
     pub fn begin(&mut self) {
         self.begun += 1;
-        let stake = 1.0 / (self.begun as f64 * (self.begun as f64 + 1.0));
-        self.played.iter_mut().for_each(|p| *p += stake);
+        let initial = 1.0 / (self.begun as f64 * (self.begun as f64 + 1.0));
+        self.played.iter_mut().for_each(|wealth| *wealth += initial);
     }
 
+    /// Adds the events of a slot.
     pub fn note(&mut self, events: Events) {
         if events.all == 0 {
             return;
         }
         let p = events.p.clamp(LEAST_SHARE, 1.0 - LEAST_SHARE);
         let (new, old) = (events.new as f64, (events.all - events.new.min(events.all)) as f64);
-        for (stake, odds) in self.played.iter_mut().zip(ODDS) {
+        for (wealth, odds) in self.played.iter_mut().zip(ODDS) {
             let bet = odds * p / (odds * p + 1.0 - p);
             let gain = new * (bet / p).ln() + old * ((1.0 - bet) / (1.0 - p)).ln();
-            // Beyond this it is decided; it must stay a number.
-            *stake = (*stake * gain.exp()).min(1e100);
+            // Beyond this it is decided; it has to stay finite.
+            *wealth = (*wealth * gain.exp()).min(MAX_WEALTH);
         }
     }
 
-    /// How many times the stakes have grown: the evidence that the new version is worse.
+    /// The factor by which the wealth has grown: the evidence that the new version is worse, as odds to 1.
     pub fn evidence(&self) -> f64 {
-        let unplayed = 1.0 / (self.begun as f64 + 1.0);
-        self.played.iter().map(|p| p + unplayed).sum::<f64>() / ODDS.len() as f64
+        let unstarted = 1.0 / (self.begun as f64 + 1.0);
+        self.played.iter().map(|p| p + unstarted).sum::<f64>() / ODDS.len() as f64
     }
 }
 
-/// Whose invocations are tested together.
+/// Invocations that are tested together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Group {
+    /// All invocations.
     All,
+    /// Those of a trigger type, by index.
     TriggerType(u16),
+    /// Those of a customer, by index.
     Customer(u16),
+    /// Those taken at a location, by index.
     Location(u16),
 }
 
@@ -98,33 +109,33 @@
     }
 }
 
-/// Half of the stakes are on all together, the rest on the other kinds of groups alike.
-const KINDS: [f64; 4] = [0.5, 1.0 / 6.0, 1.0 / 6.0, 1.0 / 6.0];
+/// The weights of the kinds of groups: half of the wealth is on all together, the rest is spread evenly.
+const KIND_WEIGHTS: [f64; 4] = [0.5, 1.0 / 6.0, 1.0 / 6.0, 1.0 / 6.0];
 
 /// One gate's test.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 struct Test {
     /// By group, in the order in which they were first seen within their kind.
-    groups: Vec<(Group, Stakes)>,
+    groups: Vec<(Group, EProcess)>,
 }
 
 impl Test {
-    /// Of a kind's stakes the n-th group has 1/(n(n+1)); what no group has taken yet is unplayed.
-    fn weights(&self) -> impl Iterator<Item = (f64, &Stakes)> {
-        let mut seen = [0u32; KINDS.len()];
-        self.groups.iter().map(move |(group, stakes)| {
+    /// The n-th group of a kind has 1/(n(n+1)) of its weight; the rest has not been bet.
+    fn weights(&self) -> impl Iterator<Item = (f64, &EProcess)> {
+        let mut seen = [0u32; KIND_WEIGHTS.len()];
+        self.groups.iter().map(move |(group, process)| {
             let n = &mut seen[group.kind()];
             *n += 1;
             let part = if group.kind() == 0 { 1.0 } else { 1.0 / (f64::from(*n) * f64::from(*n + 1)) };
-            (KINDS[group.kind()] * part, stakes)
+            (KIND_WEIGHTS[group.kind()] * part, process)
         })
     }
 
     fn evidence(&self) -> f64 {
         let (mut weight, mut sum) = (0.0, 0.0);
-        for (w, stakes) in self.weights() {
+        for (w, process) in self.weights() {
             weight += w;
-            sum += w * stakes.evidence();
+            sum += w * process.evidence();
         }
         sum + (1.0 - weight)
     }
@@ -135,22 +146,23 @@
         by_group.max_by(|a, b| a.1.total_cmp(&b.1))
     }
 
-    fn stakes(&mut self, group: Group, begun: u64) -> Option<&mut Stakes> {
+    /// The e-process of a group; `None` where too many groups of its kind are tested.
+    fn process(&mut self, group: Group, begun: u64) -> Option<&mut EProcess> {
         if let Some(n) = self.groups.iter().position(|(g, _)| *g == group) {
             return Some(&mut self.groups[n].1);
         }
-        if self.groups.iter().filter(|(g, _)| g.kind() == group.kind()).count() >= MOST_GROUPS {
+        if self.groups.iter().filter(|(g, _)| g.kind() == group.kind()).count() >= MAX_GROUPS {
             return None;
         }
-        // A group that comes late has its earlier beginnings played on nothing, which leaves them as they were.
-        let mut stakes = Stakes::default();
-        (0..begun).for_each(|_| stakes.begin());
-        self.groups.push((group, stakes));
+        // The earlier beginnings of a group that comes late had no events, which leaves them as they were.
+        let mut process = EProcess::default();
+        (0..begun).for_each(|_| process.begin());
+        self.groups.push((group, process));
         self.groups.last_mut().map(|g| &mut g.1)
     }
 }
 
-/// All gates of one rollout.
+/// The tests of all gates of one rollout.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Tests {
     gates: BTreeMap<Gate, Test>,
@@ -158,7 +170,7 @@
     next_at: f64,
 }
 
-/// The events of a slot that a gate looks at. `None` where the slot can't tell the versions apart.
+/// The events of a slot that a gate counts. `None` where the slot can't tell the versions apart.
 pub fn events(plan: &Plan, gate: Gate, slot: &Slot) -> Option<Events> {
     let hold = plan.gate(gate)?;
     let (old, new) = (slot.old.events[gate.index()], slot.new.events[gate.index()]);
@@ -178,7 +190,7 @@
 }
 
 impl Tests {
-    /// Takes in the slots of a time that has passed. Those of an earlier time come first.
+    /// Adds the slots of a time that has passed. Those of an earlier time have to be added first.
     pub fn note(&mut self, plan: &Plan, now: f64, slots: &[Slot]) {
         if now >= self.next_at {
             self.next_at = now + BLOCK;
@@ -190,18 +202,20 @@
             for slot in slots {
                 let Some(events) = events(plan, hold.gate, slot).filter(|e| e.all > 0) else { continue };
                 for group in Group::of(slot.cell) {
-                    if let Some(stakes) = test.stakes(group, self.begun) {
-                        stakes.note(events);
+                    if let Some(process) = test.process(group, self.begun) {
+                        process.note(events);
                     }
                 }
             }
         }
     }
 
+    /// The evidence of a gate that the new version is worse, as odds to 1.
     pub fn evidence(&self, gate: Gate) -> f64 {
         self.gates.get(&gate).map_or(1.0, Test::evidence)
     }
 
+    /// The group with the strongest evidence of a gate, and that evidence.
     pub fn strongest(&self, gate: Gate) -> Option<(Group, f64)> {
         self.gates.get(&gate)?.strongest()
     }
--- a/crates/rollout/tests/loads.rs
+++ b/crates/rollout/tests/loads.rs
@@ -4,7 +4,7 @@
 use orchidtally::dispatch::Dispatcher;
 use orchidtally::interface::*;
 use orchidtally_deployment::Deployment;
-use orchidtally_rollout::coordinator::{Command, Kept};
+use orchidtally_rollout::coordinator::{Command, CoordinatorState};
 use orchidtally_rollout::frontend::Place;
 use orchidtally_rollout::{Coordinator, Plan, Shares};
 use std::collections::BTreeMap;
@@ -86,7 +86,7 @@
         orchidtally_deployment::Source::Listed(rows) => rows.clone(),
         other => panic!("{other:?}"),
     };
-    let mut coordinator = Coordinator::new(Kept::default(), 1, 0.0);
+    let mut coordinator = Coordinator::new(CoordinatorState::default(), 1, 0.0);
     for n in 0..ROLLOUTS {
         let text = format!(
             "{{ name: 'r{n}', function: 'f{n}', to: 'next', priority: {n}, loadsPerSecond: 1, \
@@ -97,7 +97,7 @@
             plan.loads_per_second = 1e9;
         }
         let command = Command::Start { plan: Box::new(plan), from: digest(2 * n), to: digest(2 * n + 1) };
-        coordinator.command(1.0, &command, n as u64 + 1).unwrap_or_else(|r| panic!("{}", r.0));
+        coordinator.command(1.0, &command, n as u64 + 1).unwrap_or_else(|r| panic!("{r}"));
     }
     let mut front_ends: Vec<FrontEnd> = (0..FRONT_ENDS)
         .map(|n| {
