--- a/crates/cli/src/journal.rs
+++ b/crates/cli/src/journal.rs
@@ -62,7 +62,7 @@
     if let Some(records) = of_kind::<ledger::Record>(found) {
         // What is to be done of it is its front end's affair.
         let (ledger, _) = Ledger::recover(&records, u32::MAX, 0.0);
-        return serde_json::to_vec(&ledger.records()).ok();
+        return serde_json::to_vec(&ledger.snapshot()).ok();
     }
     if let Some(records) = of_kind::<promises::Record>(found) {
         let all = Promises::new(f64::INFINITY, usize::MAX, usize::MAX).noted(&records);
--- a/crates/cli/src/rehearse/messages.rs
+++ b/crates/cli/src/rehearse/messages.rs
@@ -4,7 +4,7 @@
 use bytes::Bytes;
 use orchidtally_invariants::Record;
 use orchidtally_mqtt::packet::{Property, Qos};
-use orchidtally_test_servers::broker::{Message, Served};
+use orchidtally_test_servers::broker::{BrokerServer, Message};
 use orchidtally_test_servers::{Stage, any_port};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -22,7 +22,7 @@
 
 pub struct Messages {
     stage: Stage,
-    broker: Rc<Served>,
+    broker: Rc<BrokerServer>,
     folder: PathBuf,
     sent: Cell<u64>,
     open: RefCell<BTreeSet<String>>,
@@ -31,8 +31,8 @@
 impl Messages {
     pub fn new(stage: &Stage, seed: u64) -> io::Result<Messages> {
         let folder = std::env::temp_dir().join(format!("orchidtally-messages-{}-{seed}", std::process::id()));
-        let broker = Served::start(stage, any_port(), None)?;
-        broker.broker.borrow_mut().wrongs.reorders = true;
+        let broker = BrokerServer::start(stage, any_port(), None)?;
+        broker.broker.borrow_mut().faults.reorders = true;
         Ok(Messages { stage: stage.clone(), broker, folder, sent: Cell::new(0), open: RefCell::default() })
     }
 
@@ -109,7 +109,7 @@
     /// Publishes through the day, breaks connections, takes the broker down once with its state, and waits for the
     /// last answers. `twice`: it gives some messages to two front ends, which has to be found.
     pub async fn perform(self: Rc<Self>, from: f64, length: f64, rate: f64, twice: bool) {
-        self.broker.broker.borrow_mut().wrongs.gives_twice = twice.then_some(40);
+        self.broker.broker.borrow_mut().faults.gives_twice = twice.then_some(40);
         let me = self.clone();
         let network = self.stage.spawn(async move {
             me.stage.sleep(from + 0.2 * length - me.stage.now()).await;
--- a/crates/frontend/benches/triggers.rs
+++ b/crates/frontend/benches/triggers.rs
@@ -8,12 +8,12 @@
 use orchidtally_frontend::mqtt::Triggers;
 use orchidtally_journal::Journal;
 use orchidtally_mqtt::packet::{Property, Qos};
-use orchidtally_test_servers::broker::{Message, Served};
+use orchidtally_test_servers::broker::{BrokerServer, Message};
 use orchidtally_test_servers::executor::{Executor, Make, Program, Surroundings, echo};
 use orchidtally_test_servers::store::Store;
 use orchidtally_test_servers::{Stage, any_port};
-use orchidtally_trigger::desk::Desk;
-use orchidtally_trigger::ledger::{Effect, Held, Record, Reply, Work};
+use orchidtally_trigger::Consumer;
+use orchidtally_trigger::ledger::{Effect, InvocationTarget, Record, Reply, StoredMessage};
 use std::collections::HashMap;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -55,7 +55,7 @@
 }
 
 struct Run {
-    broker: Rc<Served>,
+    broker: Rc<BrokerServer>,
     stage: Stage,
     _executor: Rc<Executor>,
     text: String,
@@ -73,7 +73,7 @@
     };
     let executor =
         Executor::start(&stage, Make::roomy(0), any_port(), around).unwrap_or_else(|e| panic!("{e}"));
-    let broker = Served::start(&stage, any_port(), None).unwrap_or_else(|e| panic!("{e}"));
+    let broker = BrokerServer::start(&stage, any_port(), None).unwrap_or_else(|e| panic!("{e}"));
     let text = text(&executor.address.to_string(), &broker.address.to_string(), at);
     Run { broker, stage, _executor: executor, text }
 }
@@ -182,12 +182,16 @@
     let (mut journal, _) = Journal::open(&at).unwrap_or_else(|e| panic!("{e}"));
     let mut entries = vec![];
     for n in 1..=in_hand {
-        let held = Held {
+        let held = StoredMessage {
             name: format!("message-{n}"),
             topic: format!("act/{n}"),
             payload: Bytes::from_static(&[b'x'; 100]),
             reply: Some(Reply { topic: format!("done/{n}"), correlation: Bytes::new() }),
-            work: Work { function: "mist".into(), trigger_type: "act".into(), ..Work::default() },
+            target: InvocationTarget {
+                function: "mist".into(),
+                trigger_type: "act".into(),
+                ..InvocationTarget::default()
+            },
             until: 2e9,
         };
         let taken = Record::Taken {
@@ -213,9 +217,9 @@
     let section = section.unwrap_or_else(|| panic!("no section"));
     let began = Instant::now();
     let triggers = Triggers::open(section, 0).unwrap_or_else(|e| panic!("{e}"));
-    let desk = Desk::new(&triggers.section, &deployment, 0, None, triggers.records(), 1e9);
+    let consumer = Consumer::new(&triggers.section, &deployment, 0, None, triggers.records(), 1e9);
     let took = began.elapsed().as_secs_f64();
-    assert_eq!(desk.in_hand().0, in_hand as usize);
+    assert_eq!(consumer.in_hand().0, in_hand as usize);
     (took, bytes)
 }
 
--- a/crates/frontend/src/ingress/status.rs
+++ b/crates/frontend/src/ingress/status.rs
@@ -50,7 +50,7 @@
         "inHand": standing.in_hand,
         "waiting": standing.waiting,
         "journalWorks": standing.journal_works,
-        "messages": standing.tally,
+        "messages": standing.counters,
     })
 }
 
--- a/crates/frontend/src/mqtt/invoke.rs
+++ b/crates/frontend/src/mqtt/invoke.rs
@@ -7,7 +7,7 @@
 use orchidtally_engine::Cause;
 use orchidtally_rollout::plan::Key;
 use orchidtally_rollout::split::Who;
-use orchidtally_trigger::ledger::{Answer, Held};
+use orchidtally_trigger::ledger::{Answer, StoredMessage};
 use std::rc::Rc;
 
 /// What comes of a message that the configuration doesn't let through: one that may be let through later is tried
@@ -20,46 +20,46 @@
 }
 
 /// Invokes for a message and gives its final answer.
-pub(super) async fn invoke(hub: Rc<Hub>, held: Held, ready_by: f64) -> Answer {
+pub(super) async fn invoke(hub: Rc<Hub>, message: StoredMessage, ready_by: f64) -> Answer {
     let errored = |why: String| Answer::Errored { why, may_have_run: false };
     let revision = hub.revision();
-    let work = &held.work;
-    let Some((trigger_place, trigger_type)) = revision.trigger_type(&work.trigger_type) else {
-        return errored(format!("there is no trigger type '{}' any more", work.trigger_type));
+    let target = &message.target;
+    let Some((trigger_place, trigger_type)) = revision.trigger_type(&target.trigger_type) else {
+        return errored(format!("there is no trigger type '{}' any more", target.trigger_type));
     };
-    let customer = match revision.customer(&work.customer) {
+    let customer = match revision.customer(&target.customer) {
         Some(customer) => customer.index,
         None if !revision.has_customers() => 0,
-        None => return errored(format!("there is no customer '{}' any more", work.customer)),
+        None => return errored(format!("there is no customer '{}' any more", target.customer)),
     };
-    let Some(function) = revision.function(&work.function) else {
-        return errored(format!("there is no function '{}' any more", work.function));
+    let Some(function) = revision.function(&target.function) else {
+        return errored(format!("there is no function '{}' any more", target.function));
     };
     if ready_by <= hub.now() {
         return Answer::Throttled;
     }
-    let key = hub.shares.borrow().key(&work.function).cloned();
+    let key = hub.shares.borrow().key(&target.function).cloned();
     let key = match &key {
-        Some(Key::Customer) => &work.customer,
-        Some(Key::Token) if !work.token.is_empty() => &work.token,
-        _ => &held.name,
+        Some(Key::Customer) => &target.customer,
+        Some(Key::Token) if !target.token.is_empty() => &target.token,
+        _ => &message.name,
     };
-    let who = Who { customer: &work.customer, location: hub.location(), key };
+    let who = Who { customer: &target.customer, location: hub.location(), key };
     let Some(resolved) = hub.resolve(&function, None, trigger_place, customer, &who) else {
-        return errored(format!("function '{}' has no version 'stable'", work.function));
+        return errored(format!("function '{}' has no version 'stable'", target.function));
     };
     let asked = Asked {
-        name: held.name.clone(),
+        name: message.name.clone(),
         function: function.name.clone(),
         resolved,
         revision: revision.clone(),
         trigger_type: trigger_type.clone(),
-        customer: (customer, &work.customer),
-        token: &work.token,
+        customer: (customer, &target.customer),
+        token: &target.token,
         repeat: false,
         timeout_at: ready_by,
-        payload_bytes: held.payload.len() as u64,
-        payload: vec![held.payload.clone()],
+        payload_bytes: message.payload.len() as u64,
+        payload: vec![message.payload.clone()],
     };
     let (inv, answer) = match hub.take_asked(asked) {
         Ok(taken) => taken,
--- a/crates/frontend/src/mqtt/mod.rs
+++ b/crates/frontend/src/mqtt/mod.rs
@@ -1,4 +1,4 @@
-//! Carries messages: the connection to the broker, the journal's thread and the invocations round a `Desk`, which
+//! Carries messages: the connection to the broker, the journal's thread and the invocations round a `Consumer`, which
 //! decides.
 
 mod connection;
@@ -16,8 +16,8 @@
 use orchidtally_deployment::Deployment;
 use orchidtally_journal::Group;
 use orchidtally_mqtt::encode;
-use orchidtally_trigger::Section;
-use orchidtally_trigger::desk::{Desk, Notice, Tally, Todo};
+use orchidtally_trigger::consumer::{Counters, HostAction, Notice};
+use orchidtally_trigger::{Consumer, Section};
 use std::collections::HashMap;
 use std::io;
 use std::path::PathBuf;
@@ -41,7 +41,7 @@
 /// What a front end says of its triggers.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Standing {
-    pub tally: Tally,
+    pub counters: Counters,
     pub connected: bool,
     pub in_hand: usize,
     pub waiting: usize,
@@ -51,7 +51,7 @@
 struct Carrier {
     hub: Rc<Hub>,
     section: Rc<Section>,
-    desk: Desk,
+    consumer: Consumer,
     journal: Group,
     inputs: async_channel::Sender<Input>,
     words: async_channel::Sender<Word>,
@@ -73,7 +73,7 @@
     fn lost(&mut self, why: &str) {
         let Some(_) = self.connection.take() else { return };
         warn!(broker = %self.section.broker, why, "the connection to the broker is gone");
-        self.desk.lost();
+        self.consumer.connection_lost();
         self.later();
     }
 
@@ -98,10 +98,10 @@
         self.look_at = now + FILES_LOOKED_AT;
         if self.connection.is_some() && self.files_changed() != self.files {
             info!("the files of TLS have changed: connecting anew");
-            self.desk.disconnect(now);
+            self.consumer.disconnect(now);
             self.perform();
             self.connection = None;
-            self.desk.lost();
+            self.consumer.connection_lost();
             self.connect_at = now;
         }
     }
@@ -135,7 +135,7 @@
         let read = self.hub.spawn(read(reading, number, self.section.clone(), self.inputs.clone()));
         let write = self.hub.spawn(write(writing, number, outbox.clone(), woken, self.inputs.clone()));
         self.connection = Some(Connection { number, outbox, wake, _tasks: [read, write] });
-        self.desk.connect(self.hub.now());
+        self.consumer.connect(self.hub.now());
     }
 
     fn apply(&mut self, input: Input) {
@@ -154,7 +154,7 @@
             }
             Input::Packet(number, packet) if is_this(number) => {
                 let deployment = self.present_deployment();
-                if let Err(ended) = self.desk.received(now, packet, &deployment) {
+                if let Err(ended) = self.consumer.received(now, packet, &deployment) {
                     self.lost(&ended.to_string());
                 }
             }
@@ -162,7 +162,7 @@
             Input::Packet(..) | Input::Lost(..) | Input::Room => {}
             Input::Came(n, answer) => {
                 self.invocations.remove(&n);
-                self.desk.came(now, n, answer);
+                self.consumer.invocation_ended(now, n, answer);
             }
         }
     }
@@ -170,15 +170,15 @@
     fn heard(&mut self, word: Word) {
         let now = self.hub.now();
         match word {
-            Word::Kept(well) => self.desk.kept(now, well),
-            Word::Replaced(well) => self.desk.replaced(now, well),
+            Word::Kept(well) => self.consumer.journal_appended(now, well),
+            Word::Replaced(well) => self.consumer.journal_replaced(now, well),
         }
     }
 
     fn perform(&mut self) {
-        while let Some(todo) = self.desk.next_todo() {
-            match todo {
-                Todo::Write(entry) => {
+        while let Some(action) = self.consumer.next_action() {
+            match action {
+                HostAction::Append(entry) => {
                     let words = self.words.clone();
                     let told = move |kept: io::Result<()>| {
                         if let Err(fault) = &kept {
@@ -189,10 +189,10 @@
                     };
                     if self.journal.append(entry, told).is_err() {
                         // Its thread has died: its queue is as long as all that can be in hand.
-                        self.desk.kept(self.hub.now(), false);
+                        self.consumer.journal_appended(self.hub.now(), false);
                     }
                 }
-                Todo::Replace(state) => {
+                HostAction::Replace(state) => {
                     let words = self.words.clone();
                     let told = move |done: io::Result<()>| {
                         if let Err(fault) = &done {
@@ -201,25 +201,25 @@
                         let _ = words.send_blocking(Word::Replaced(done.is_ok()));
                     };
                     if self.journal.replace(state, told).is_err() {
-                        self.desk.replaced(self.hub.now(), false);
+                        self.consumer.journal_replaced(self.hub.now(), false);
                     }
                 }
-                Todo::Dispatch(n) => {
-                    let Some(held) = self.desk.held(n).cloned() else { continue };
+                HostAction::Invoke(n) => {
+                    let Some(held) = self.consumer.message(n).cloned() else { continue };
                     let (hub, inputs, ready_by) =
-                        (self.hub.clone(), self.inputs.clone(), self.desk.ready_by(n));
+                        (self.hub.clone(), self.inputs.clone(), self.consumer.ready_by(n));
                     let work = async move {
                         let answer = invoke(hub, held, ready_by).await;
                         let _ = inputs.send(Input::Came(n, answer)).await;
                     };
                     self.invocations.extend(self.hub.spawn(work).map(|task| (n, task)));
                 }
-                Todo::Withdraw(n) => {
+                HostAction::Cancel(n) => {
                     self.invocations.remove(&n);
                 }
             }
         }
-        while let Some(notice) = self.desk.next_notice() {
+        while let Some(notice) = self.consumer.next_notice() {
             match notice {
                 Notice::Connected { session_present } => {
                     self.pause = PAUSE.0;
@@ -241,7 +241,7 @@
         let Some(connection) = &self.connection else { return };
         let mut bytes = connection.outbox.bytes.borrow_mut();
         while bytes.len() < MOST_OUT
-            && let Some(packet) = self.desk.next_packet()
+            && let Some(packet) = self.consumer.next_packet()
         {
             match encode(&packet, self.section.version) {
                 Ok(encoded) => bytes.extend_from_slice(&encoded),
@@ -255,10 +255,10 @@
     }
 
     fn tell(&self) {
-        let (in_hand, waiting) = self.desk.in_hand();
+        let (in_hand, waiting) = self.consumer.in_hand();
         self.hub.triggers.set(Some(Standing {
-            tally: self.desk.tally(),
-            connected: self.desk.is_connected(),
+            counters: self.consumer.counters(),
+            connected: self.consumer.is_connected(),
             in_hand,
             waiting,
             journal_works: self.journal_works,
@@ -282,8 +282,8 @@
         }
         None => None,
     };
-    let desk =
-        Desk::new(&section, &hub.deployment, hub.deployment.policy.index as u32, password, &records, now);
+    let consumer =
+        Consumer::new(&section, &hub.deployment, hub.deployment.policy.index as u32, password, &records, now);
     let (inputs, incoming) = async_channel::bounded(INPUTS);
     let most_entries = 8 * section.most_held() + 1_024;
     let (words, told) = async_channel::bounded(2 * most_entries);
@@ -291,7 +291,7 @@
         journal: Group::sharing(journal, most_entries, sharing),
         hub: hub.clone(),
         section,
-        desk,
+        consumer,
         inputs,
         words,
         connection: None,
@@ -308,7 +308,7 @@
     let mut left = false;
     loop {
         let now = hub.now();
-        if let Err(ended) = carrier.desk.turn(now) {
+        if let Err(ended) = carrier.consumer.tick(now) {
             carrier.lost(&ended.to_string());
         }
         if carrier.connection.is_none() && carrier.connecting.is_none() && now >= carrier.connect_at {
@@ -317,10 +317,10 @@
         carrier.look_at_files(now);
         carrier.perform();
         carrier.tell();
-        if left && carrier.desk.in_hand().0 == 0 {
+        if left && carrier.consumer.in_hand().0 == 0 {
             break;
         }
-        let due = carrier.desk.due_at().min(match (&carrier.connection, &carrier.connecting) {
+        let due = carrier.consumer.next_tick_at().min(match (&carrier.connection, &carrier.connecting) {
             (None, None) => carrier.connect_at,
             _ => f64::INFINITY,
         });
@@ -342,7 +342,7 @@
             Some(Some(Err(word))) => carrier.heard(word),
             Some(None) => {
                 left = true;
-                carrier.desk.leave();
+                carrier.consumer.drain();
             }
             None => {}
         }
@@ -356,7 +356,7 @@
             carrier.apply(input);
         }
     }
-    carrier.desk.disconnect(hub.now());
+    carrier.consumer.disconnect(hub.now());
     carrier.perform();
     if let Some(connection) = carrier.connection.take() {
         connection.outbox.ended.set(true);
--- a/crates/frontend/tests/triggers.rs
+++ b/crates/frontend/tests/triggers.rs
@@ -10,7 +10,7 @@
 use orchidtally_frontend::promise_store::PromiseStore;
 use orchidtally_invariants::Record;
 use orchidtally_mqtt::packet::{Property, Qos};
-use orchidtally_test_servers::broker::{Message, Served, Wire, Wrap};
+use orchidtally_test_servers::broker::{BrokerServer, ByteStream, Message, StreamWrapper};
 use orchidtally_test_servers::client::{Ask, Caller, Heard};
 use orchidtally_test_servers::executor::{Executor, Make, Program, Surroundings, echo};
 use orchidtally_test_servers::store::Store;
@@ -26,7 +26,7 @@
 
 struct World {
     stage: Stage,
-    broker: Rc<Served>,
+    broker: Rc<BrokerServer>,
     _executor: Rc<Executor>,
     text: String,
 }
@@ -51,7 +51,7 @@
     path
 }
 
-fn world(at: &Path, version: &str, tls: &str, wrap: Option<Wrap>) -> World {
+fn world(at: &Path, version: &str, tls: &str, wrap: Option<StreamWrapper>) -> World {
     let stage = Stage::new(1);
     let around = Surroundings {
         store: Store::new(&stage, 8.0, 8),
@@ -62,7 +62,7 @@
         token_window: 5.0,
     };
     let executor = Executor::start(&stage, Make::roomy(0), any_port(), around).unwrap();
-    let broker = Served::start(&stage, any_port(), wrap).unwrap();
+    let broker = BrokerServer::start(&stage, any_port(), wrap).unwrap();
     let text = format!(
         r#"{{
             triggerTypes: [
@@ -181,7 +181,7 @@
     let current: Rc<RefCell<Identity>> = Rc::new(RefCell::new(identity()));
     let (pem, mine) = (at.join("authorities.pem"), current.clone());
     std::fs::write(&pem, current.borrow().0.pem()).unwrap();
-    let wrap: Wrap = Rc::new(move |stream| {
+    let wrap: StreamWrapper = Rc::new(move |stream| {
         let (chain, key) = {
             let identity = mine.borrow();
             let key = PrivateKeyDer::Pkcs8(identity.1.serialize_der().into());
@@ -190,7 +190,7 @@
         async move {
             let config = ServerConfig::builder().with_no_client_auth().with_single_cert(chain, key).ok()?;
             let shaken = TlsAcceptor::from(Arc::new(config)).accept(stream).await.ok()?;
-            Some(Box::new(shaken) as Box<dyn Wire>)
+            Some(Box::new(shaken) as Box<dyn ByteStream>)
         }
         .boxed_local()
     });
@@ -237,10 +237,10 @@
     on(&w.stage, async {
         again(&w).await;
         // CONNACK: server unavailable, not authorized.
-        w.broker.broker.borrow_mut().wrongs.refuses.extend([0x88, 0x87]);
+        w.broker.broker.borrow_mut().faults.refuses.extend([0x88, 0x87]);
         w.broker.break_all();
         again(&w).await;
-        assert!(w.broker.broker.borrow().wrongs.refuses.is_empty());
+        assert!(w.broker.broker.borrow().faults.refuses.is_empty());
         w.broker.malformed.set(true);
         w.broker.break_all();
         again(&w).await;
--- a/crates/mqtt/src/filter.rs
+++ b/crates/mqtt/src/filter.rs
@@ -1,71 +1,66 @@
-//! Topic names and filters: what is valid, what a filter matches, and whether two filters have a topic in common.
+//! Topic names and topic filters: which are valid, what a filter matches, and whether two filters overlap.
 
 use std::fmt;
 
-/// The longest topic or filter in bytes, as the wire has it.
-const LONGEST: usize = 65_535;
+/// The greatest length of a topic name or filter, in bytes.
+const MAX_LENGTH: usize = 65_535;
 
-/// A topic filter, with the group where the subscription is shared.
+/// A valid topic filter, with the group where the subscription is shared.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Filter {
     text: String,
-    /// Where in the text the filter itself begins.
-    from: usize,
+    /// Where the filter itself begins in the text, after the prefix of a shared subscription.
+    start: usize,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Why a topic name or a topic filter is not valid.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Invalid {
+    /// It is empty.
+    #[error("it is empty")]
     Empty,
+    /// It is longer than a string of the protocol can be.
+    #[error("it has over 65535 bytes")]
     TooLong,
-    /// U+0000 is in it.
+    /// It contains U+0000.
+    #[error("it has the character U+0000")]
     Null,
-    /// `#` stands for a whole last level, `+` for a whole level.
+    /// `#` has to stand for all levels from the last on, `+` for a whole level; a topic name has neither.
+    #[error("'+' has to stand for a whole level and '#' for all levels from the last on")]
     Wildcard,
-    /// `$share/GROUP/FILTER` is wanted, the group without wildcards.
+    /// A shared subscription has to be `$share/GROUP/FILTER`, the group without wildcards.
+    #[error("'$share/GROUP/FILTER' is wanted, the group without '+', '#' and '/'")]
     Share,
 }
 
-impl fmt::Display for Invalid {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Invalid::Empty => "it is empty",
-            Invalid::TooLong => "it has over 65535 bytes",
-            Invalid::Null => "it has the character U+0000",
-            Invalid::Wildcard => "'+' has to stand for a whole level and '#' for all levels from the last on",
-            Invalid::Share => "'$share/GROUP/FILTER' is wanted, the group without '+', '#' and '/'",
-        })
-    }
-}
-
-impl std::error::Error for Invalid {}
-
 fn check(text: &str) -> Result<(), Invalid> {
     match text {
         "" => Err(Invalid::Empty),
-        t if t.len() > LONGEST => Err(Invalid::TooLong),
+        t if t.len() > MAX_LENGTH => Err(Invalid::TooLong),
         t if t.contains('\0') => Err(Invalid::Null),
         _ => Ok(()),
     }
 }
 
-/// Whether a message can be published to this topic.
+/// Checks that a message can be published to a topic.
 pub fn check_topic(topic: &str) -> Result<(), Invalid> {
     check(topic)?;
     if topic.contains(['+', '#']) { Err(Invalid::Wildcard) } else { Ok(()) }
 }
 
 impl Filter {
+    /// Parses a filter as it stands in a SUBSCRIBE.
     pub fn parse(text: &str) -> Result<Filter, Invalid> {
         check(text)?;
-        let mut from = 0;
+        let mut start = 0;
         if let Some(rest) = text.strip_prefix("$share/") {
             let (group, filter) = rest.split_once('/').ok_or(Invalid::Share)?;
             if group.is_empty() || group.contains(['+', '#']) || filter.is_empty() {
                 return Err(Invalid::Share);
             }
-            from = text.len() - filter.len();
+            start = text.len() - filter.len();
         }
-        let levels: Vec<&str> = text[from..].split('/').collect();
+        let levels: Vec<&str> = text[start..].split('/').collect();
         for (n, level) in levels.iter().enumerate() {
             let last = n + 1 == levels.len();
             let alone = level.len() == 1;
@@ -73,26 +68,27 @@
                 return Err(Invalid::Wildcard);
             }
         }
-        Ok(Filter { text: text.into(), from })
+        Ok(Filter { text: text.into(), start })
     }
 
-    /// As it is subscribed to.
+    /// The filter as it stands in a SUBSCRIBE.
     pub fn as_str(&self) -> &str {
         &self.text
     }
 
-    /// The group, where the subscription is shared.
+    /// The group of a shared subscription.
     pub fn group(&self) -> Option<&str> {
-        (self.from > 0).then(|| &self.text["$share/".len()..self.from - 1])
+        (self.start > 0).then(|| &self.text["$share/".len()..self.start - 1])
     }
 
     fn levels(&self) -> std::str::Split<'_, char> {
-        self.text[self.from..].split('/')
+        self.text[self.start..].split('/')
     }
 
-    /// What stands for each wildcard, in order, where it matches; for `#` all levels that it stands for.
+    /// What each wildcard stands for in a topic, in order; for `#` all of its levels. `None` where the filter does
+    /// not match the topic.
     pub fn captures<'t>(&self, topic: &'t str) -> Option<Vec<&'t str>> {
-        // What servers say of themselves is matched by name alone.
+        // A wildcard at the start does not match the topics of the server itself, such as $SYS.
         if topic.starts_with('$') && matches!(self.levels().next(), Some("+" | "#")) {
             return None;
         }
@@ -100,7 +96,7 @@
         let mut rest = Some(topic);
         for level in self.levels() {
             if level == "#" {
-                // It stands for its parent level too.
+                // It matches its parent level too.
                 captures.push(rest.unwrap_or_default());
                 return Some(captures);
             }
@@ -118,11 +114,12 @@
         rest.is_none().then_some(captures)
     }
 
+    /// Whether the filter matches a topic.
     pub fn matches(&self, topic: &str) -> bool {
         self.captures(topic).is_some()
     }
 
-    /// Whether any topic is matched by both.
+    /// Whether there is a topic that both filters match.
     pub fn overlaps(&self, other: &Filter) -> bool {
         let (a, b): (Vec<&str>, Vec<&str>) = (self.levels().collect(), other.levels().collect());
         // A wildcard at the start matches no topic that begins with '$'.
@@ -133,7 +130,7 @@
         let mut n = 0;
         loop {
             match (a.get(n), b.get(n)) {
-                // `#` stands for its parent too; but a topic of one empty level is none.
+                // `#` matches its parent too; but a topic of one empty level is not valid.
                 (Some(&"#"), None) | (None, Some(&"#")) => {
                     return n > 1 || !a[0].is_empty() && !b[0].is_empty();
                 }
--- a/crates/mqtt/src/lib.rs
+++ b/crates/mqtt/src/lib.rs
@@ -1,12 +1,12 @@
-//! MQTT 3.1.1 and 5 by the OASIS standards, without I/O: packets and how they lie on the wire, topics and filters.
-//! In here the protocol's own words are used.
+//! MQTT 3.1.1 and 5 by the OASIS standards, without I/O: control packets and their encoding, topic names and
+//! filters, and a client's session. Names are those of the standards.
 
+mod codec;
 pub mod filter;
 pub mod packet;
 pub mod session;
-mod wire;
 
+pub use codec::{CodecError, decode, encode};
 pub use filter::Filter;
 pub use packet::{Packet, Version};
 pub use session::Session;
-pub use wire::{Fault, decode, encode};
--- /dev/null
+++ b/crates/mqtt/src/session/mod.rs
@@ -0,0 +1,296 @@
+//! A client's session as a state machine without I/O.
+//!
+//! The host passes in the packets that arrive and the time, and takes out the packets to send. A session outlives
+//! its connections for as long as the server keeps it too. A delivery is acknowledged when the host says so, which
+//! is how the host holds the server back. Times are in seconds on the host's clock.
+
+mod deadlines;
+mod event;
+mod incoming;
+mod outgoing;
+
+pub use event::{ConnectionError, Delivery, Event, PublishRejected};
+
+use crate::packet::*;
+use bytes::Bytes;
+use deadlines::{Ping, Subscribing};
+use incoming::Unacknowledged;
+use outgoing::{Outgoing, Waiting};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// The receive maximum of a server that states none.
+const DEFAULT_RECEIVE_MAXIMUM: u16 = 65_535;
+
+/// What a client asks for in its CONNECT and SUBSCRIBE, and its own limits.
+#[derive(Clone, Debug)]
+pub struct SessionOptions {
+    /// The protocol version that is spoken.
+    pub version: Version,
+    /// The client identifier, under which the server keeps the session.
+    pub client_id: String,
+    /// The user name, where the server wants one.
+    pub username: Option<String>,
+    /// The password, where the server wants one.
+    pub password: Option<Bytes>,
+    /// Seconds without a packet after which a ping is sent; 0 for none.
+    pub keep_alive: u16,
+    /// Seconds for which the server is to keep the session without a connection; 0 for a clean session.
+    pub session_expiry: u32,
+    /// The most deliveries that may be unacknowledged at a time: the client's receive maximum.
+    pub receive_maximum: u16,
+    /// The size in bytes of the largest packet that the client accepts.
+    pub largest_packet: u32,
+    /// The greatest topic alias that the client accepts; 0 for none.
+    pub topic_aliases: u16,
+    /// The will, if there is one.
+    pub will: Option<Will>,
+    /// The subscriptions of the session.
+    pub filters: Vec<Subscription>,
+    /// The most messages that wait for a packet identifier or for the server's receive maximum.
+    pub most_waiting: usize,
+    /// Whether the server is asked, by pings, to confirm the acknowledgements that it has received. If so,
+    /// `Event::Confirmed` and `Event::Resumed` are reported, and the host calls `Session::complete` for each
+    /// confirmed delivery of QoS 2.
+    pub confirms: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum ConnectionState {
+    Disconnected,
+    /// CONNECT was sent at this time.
+    Connecting(f64),
+    Connected,
+}
+
+/// A client's session with a server.
+pub struct Session {
+    options: SessionOptions,
+    state: ConnectionState,
+    /// Packets to be sent over this connection.
+    packets: VecDeque<Packet>,
+    /// Messages that have a packet identifier, by that identifier.
+    outgoing: BTreeMap<u16, Outgoing>,
+    /// Identifiers of `outgoing` in the order in which they were first sent.
+    send_order: VecDeque<u16>,
+    /// Those of them that were not sent over this connection.
+    unsent: VecDeque<u16>,
+    /// The number of those that were.
+    in_flight: usize,
+    /// Messages without a packet identifier.
+    waiting: VecDeque<Waiting>,
+    /// Packet identifiers that the host has reserved and not used yet.
+    reserved: BTreeSet<u16>,
+    last_token: u64,
+    last_id: u16,
+    /// Delivery numbers of QoS 2 messages that were acknowledged and are not released yet, by packet identifier:
+    /// the session does not deliver these again.
+    received: BTreeMap<u16, u64>,
+    /// Deliveries of this connection that the host has not acknowledged, by number.
+    unacknowledged: BTreeMap<u64, Unacknowledged>,
+    last_delivery: u64,
+    /// Deliveries acknowledged by PUBACK since the last ping.
+    unconfirmed: Vec<u64>,
+    /// Topics by topic alias, on this connection.
+    aliases: BTreeMap<u16, String>,
+    subscribing: Option<Subscribing>,
+    /// What the server has granted: its receive maximum, its maximum packet size and its keep alive.
+    server_receive_maximum: u16,
+    server_packet_size: usize,
+    keep_alive: f64,
+    last_sent_at: f64,
+    ping: Option<Ping>,
+}
+
+impl Session {
+    /// A new session, not connected yet.
+    pub fn new(options: SessionOptions) -> Session {
+        Session {
+            keep_alive: f64::from(options.keep_alive),
+            options,
+            state: ConnectionState::Disconnected,
+            packets: VecDeque::new(),
+            outgoing: BTreeMap::new(),
+            send_order: VecDeque::new(),
+            unsent: VecDeque::new(),
+            in_flight: 0,
+            waiting: VecDeque::new(),
+            reserved: BTreeSet::new(),
+            last_token: 0,
+            last_id: 0,
+            received: BTreeMap::new(),
+            unacknowledged: BTreeMap::new(),
+            last_delivery: 0,
+            unconfirmed: vec![],
+            aliases: BTreeMap::new(),
+            subscribing: None,
+            server_receive_maximum: DEFAULT_RECEIVE_MAXIMUM,
+            server_packet_size: usize::MAX,
+            last_sent_at: 0.0,
+            ping: None,
+        }
+    }
+
+    /// The protocol version that is spoken.
+    pub fn version(&self) -> Version {
+        self.options.version
+    }
+
+    /// Whether the server has accepted the connection.
+    pub fn is_connected(&self) -> bool {
+        self.state == ConnectionState::Connected
+    }
+
+    /// The number of messages that the server has not acknowledged.
+    pub fn unpublished(&self) -> usize {
+        self.waiting.len() + self.outgoing.len()
+    }
+
+    /// The number of deliveries that the host has not acknowledged.
+    pub fn unacknowledged(&self) -> usize {
+        self.unacknowledged.len()
+    }
+
+    /// The next packet to send.
+    pub fn next_packet(&mut self) -> Option<Packet> {
+        self.packets.pop_front()
+    }
+
+    fn send(&mut self, now: f64, packet: Packet) {
+        self.last_sent_at = now;
+        self.packets.push_back(packet);
+    }
+
+    /// The host has opened a connection to the server.
+    pub fn connect(&mut self, now: f64) {
+        let options = &self.options;
+        let mut properties = vec![];
+        if options.version == Version::V5 {
+            properties.push(Property::SessionExpiry(options.session_expiry));
+            properties.push(Property::ReceiveMaximum(options.receive_maximum.max(1)));
+            properties.push(Property::MaximumPacketSize(options.largest_packet.max(1)));
+            properties.push(Property::TopicAliasMaximum(options.topic_aliases));
+        }
+        let connect = Connect {
+            clean: options.session_expiry == 0,
+            keep_alive: options.keep_alive,
+            properties,
+            client_id: options.client_id.clone(),
+            will: options.will.clone(),
+            username: options.username.clone(),
+            password: options.password.clone(),
+        };
+        self.connection_lost();
+        self.state = ConnectionState::Connecting(now);
+        self.send(now, Packet::Connect(connect));
+    }
+
+    /// The connection is gone. What was delivered over it can't be acknowledged any more: the server delivers it
+    /// again.
+    pub fn connection_lost(&mut self) {
+        self.state = ConnectionState::Disconnected;
+        self.packets.clear();
+        self.unacknowledged.clear();
+        self.unconfirmed.clear();
+        self.aliases.clear();
+        self.subscribing = None;
+        self.ping = None;
+    }
+
+    /// Ends the connection in order, so that the will is not published.
+    pub fn disconnect(&mut self, now: f64) {
+        if self.is_connected() {
+            self.send(now, Packet::Disconnect(Reason::default()));
+            self.state = ConnectionState::Disconnected;
+        }
+    }
+
+    /// A packet has arrived from the server. After an error the connection has to be closed.
+    pub fn received(&mut self, now: f64, packet: Packet) -> Result<Vec<Event>, ConnectionError> {
+        if let (ConnectionState::Connecting(_), Packet::ConnAck(ack)) = (self.state, &packet) {
+            return self.connected(now, ack);
+        }
+        if !self.is_connected() {
+            return Err(ConnectionError::Protocol("a packet before CONNACK"));
+        }
+        match packet {
+            Packet::Publish(publish) => self.delivered(now, publish),
+            Packet::PubRel(ack) => Ok(self.released(now, ack)),
+            Packet::PubAck(ack) => self.completed(now, ack, Qos::AtLeastOnce),
+            Packet::PubRec(ack) => self.recorded(now, ack),
+            Packet::PubComp(ack) => self.completed(now, ack, Qos::ExactlyOnce),
+            Packet::SubAck(codes) => self.subscribed(codes),
+            Packet::UnsubAck(_) => Ok(vec![]),
+            Packet::PingResp => Ok(self.ping_answered(now)),
+            Packet::Disconnect(reason) => Err(ConnectionError::Disconnected(reason.code)),
+            _ => Err(ConnectionError::Protocol("a packet that no server sends")),
+        }
+    }
+
+    fn connected(&mut self, now: f64, ack: &ConnAck) -> Result<Vec<Event>, ConnectionError> {
+        if ack.code != 0 {
+            return Err(ConnectionError::Refused(ack.code));
+        }
+        if ack.session_present && self.options.session_expiry == 0 {
+            return Err(ConnectionError::Protocol("a session present after a clean start"));
+        }
+        self.note_server_limits(&ack.properties);
+        self.state = ConnectionState::Connected;
+        if !ack.session_present {
+            // The server has forgotten which messages it has: all that it did not record are sent as new, under the
+            // same identifier and token. It may have passed on those that it had recorded.
+            self.received.clear();
+            self.outgoing.values_mut().for_each(|message| message.sent_before = false);
+        }
+        self.unsent = self.send_order.clone();
+        self.in_flight = 0;
+        self.outgoing.values_mut().for_each(|message| message.sent = false);
+        if !ack.session_present && !self.options.filters.is_empty() {
+            self.subscribe(now)?;
+        }
+        if self.options.confirms {
+            self.send_ping(now, true);
+        }
+        self.send_waiting(now);
+        Ok(vec![Event::Connected { session_present: ack.session_present }])
+    }
+
+    fn note_server_limits(&mut self, properties: &Properties) {
+        self.server_receive_maximum = DEFAULT_RECEIVE_MAXIMUM;
+        self.server_packet_size = usize::MAX;
+        self.keep_alive = f64::from(self.options.keep_alive);
+        for property in properties {
+            match property {
+                Property::ReceiveMaximum(value) => self.server_receive_maximum = *value,
+                Property::MaximumPacketSize(value) => self.server_packet_size = *value as usize,
+                Property::ServerKeepAlive(value) => self.keep_alive = f64::from(*value),
+                Property::AssignedClientId(id) => self.options.client_id = id.clone(),
+                _ => {}
+            }
+        }
+    }
+
+    fn subscribe(&mut self, now: f64) -> Result<(), ConnectionError> {
+        let Some(id) = self.fresh_id() else {
+            return Err(ConnectionError::Protocol("no packet id is free"));
+        };
+        self.subscribing = Some(Subscribing { id, sent_at: now });
+        let subscribe = Subscribe { id, properties: vec![], filters: self.options.filters.clone() };
+        self.send(now, Packet::Subscribe(subscribe));
+        Ok(())
+    }
+
+    fn subscribed(&mut self, codes: Codes) -> Result<Vec<Event>, ConnectionError> {
+        if self.subscribing.take_if(|subscribing| subscribing.id == codes.id).is_none() {
+            return Err(ConnectionError::Protocol("a SUBACK for nothing"));
+        }
+        if codes.codes.len() != self.options.filters.len() {
+            return Err(ConnectionError::Protocol("a SUBACK with another number of codes"));
+        }
+        let subscriptions = self.options.filters.iter().zip(&codes.codes);
+        let refused = subscriptions
+            .filter(|(_, code)| **code >= reason_code::FAILURE)
+            .map(|(subscription, code)| (subscription.filter.clone(), *code))
+            .collect();
+        Ok(vec![Event::Subscribed { refused }])
+    }
+}
--- /dev/null
+++ b/crates/mqtt/src/session/outgoing.rs
@@ -0,0 +1,249 @@
+//! Messages from the client to the server.
+
+use super::{ConnectionError, Event, PublishRejected, Session};
+use crate::packet::*;
+use bytes::Bytes;
+
+/// Bytes that a PUBLISH has beside its topic, payload and properties, at the most.
+const PUBLISH_OVERHEAD: usize = 16;
+
+/// A message that has no packet identifier yet.
+#[derive(Clone, Debug)]
+pub(super) struct Waiting {
+    token: u64,
+    publish: Publish,
+}
+
+/// A message of QoS 1 or 2 that the server has not acknowledged to the end.
+#[derive(Clone, Debug)]
+pub(super) struct Outgoing {
+    token: u64,
+    publish: Publish,
+    /// It was sent over this connection.
+    pub(super) sent: bool,
+    /// It was sent over an earlier connection.
+    pub(super) sent_before: bool,
+    /// The server has sent PUBREC.
+    recorded: bool,
+    /// From now on only PUBREL is sent.
+    released: bool,
+    /// The host says when it is to be released.
+    released_by_host: bool,
+}
+
+fn ack(id: u16, code: u8) -> Ack {
+    Ack { id, code, properties: vec![] }
+}
+
+impl Session {
+    /// A packet identifier that nothing else has.
+    pub(super) fn fresh_id(&mut self) -> Option<u16> {
+        for _ in 0..=u16::MAX {
+            self.last_id = if self.last_id == u16::MAX { 1 } else { self.last_id + 1 };
+            let id = self.last_id;
+            let in_use = self.outgoing.contains_key(&id)
+                || self.reserved.contains(&id)
+                || self.subscribing.as_ref().is_some_and(|subscribing| subscribing.id == id);
+            if !in_use {
+                return Some(id);
+            }
+        }
+        None
+    }
+
+    /// Reserves a packet identifier for `publish_as`: nothing else gets it until that message has come to its end.
+    pub fn reserve(&mut self) -> Option<u16> {
+        let id = self.fresh_id()?;
+        self.reserved.insert(id);
+        Some(id)
+    }
+
+    fn fits(&self, topic: &str, payload: &Bytes, properties: &Properties) -> bool {
+        let length = |property: &Property| match property {
+            Property::CorrelationData(data) => data.len() + 3,
+            Property::User(name, value) => name.len() + value.len() + 5,
+            Property::ResponseTopic(text) | Property::ContentType(text) => text.len() + 3,
+            _ => 8,
+        };
+        let properties: usize = properties.iter().map(length).sum();
+        topic.len() + payload.len() + properties + PUBLISH_OVERHEAD <= self.server_packet_size
+    }
+
+    fn supported(&self, properties: Properties) -> Properties {
+        if self.options.version == Version::V5 { properties } else { vec![] }
+    }
+
+    /// Publishes a message. Returns the token under which its end is reported; nothing is reported with QoS 0.
+    pub fn publish(
+        &mut self,
+        now: f64,
+        topic: &str,
+        payload: Bytes,
+        qos: Qos,
+        properties: Properties,
+    ) -> Result<u64, PublishRejected> {
+        let has_room = self.waiting.len() < self.options.most_waiting;
+        if !has_room || !self.fits(topic, &payload, &properties) {
+            return Err(PublishRejected);
+        }
+        self.last_token += 1;
+        let token = self.last_token;
+        let properties = self.supported(properties);
+        let publish = Publish { qos, topic: topic.to_owned(), properties, payload, ..Publish::default() };
+        self.waiting.push_back(Waiting { token, publish });
+        self.send_waiting(now);
+        Ok(token)
+    }
+
+    /// Publishes a message with QoS 2 under a packet identifier of the host, which keeps it across a crash of the
+    /// process. `again` says that it may have been published before. The server records the message, then the host
+    /// releases it, then it is published.
+    pub fn publish_as(
+        &mut self,
+        now: f64,
+        id: u16,
+        again: bool,
+        topic: &str,
+        payload: Bytes,
+        properties: Properties,
+    ) -> Result<u64, PublishRejected> {
+        if id == 0 || self.outgoing.contains_key(&id) || !self.fits(topic, &payload, &properties) {
+            return Err(PublishRejected);
+        }
+        let properties = self.supported(properties);
+        let topic = topic.to_owned();
+        let publish = Publish { qos: Qos::ExactlyOnce, topic, id, properties, payload, ..Publish::default() };
+        Ok(self.add_host_message(now, publish, again, false))
+    }
+
+    /// Releases a message of `publish_as` that was recorded, and returns its token. One that is not known was
+    /// published before the process crashed.
+    pub fn release(&mut self, now: f64, id: u16) -> u64 {
+        let Some(message) = self.outgoing.get_mut(&id) else {
+            let publish = Publish { qos: Qos::ExactlyOnce, id, ..Publish::default() };
+            return self.add_host_message(now, publish, true, true);
+        };
+        (message.recorded, message.released) = (true, true);
+        let (token, sent) = (message.token, message.sent);
+        if sent && self.is_connected() {
+            self.send(now, Packet::PubRel(ack(id, 0)));
+        }
+        token
+    }
+
+    fn add_host_message(&mut self, now: f64, publish: Publish, sent_before: bool, released: bool) -> u64 {
+        self.last_token += 1;
+        let (token, id) = (self.last_token, publish.id);
+        self.reserved.remove(&id);
+        let message = Outgoing {
+            token,
+            publish,
+            sent: false,
+            sent_before,
+            recorded: released,
+            released,
+            released_by_host: true,
+        };
+        self.outgoing.insert(id, message);
+        self.send_order.push_back(id);
+        self.unsent.push_back(id);
+        self.send_waiting(now);
+        token
+    }
+
+    /// Sends what waits, within the server's receive maximum: first what was sent over an earlier connection.
+    pub(super) fn send_waiting(&mut self, now: f64) {
+        while self.is_connected() && self.in_flight < usize::from(self.server_receive_maximum) {
+            if let Some(id) = self.unsent.pop_front() {
+                self.send_outgoing(now, id);
+                continue;
+            }
+            let Some(Waiting { token, mut publish }) = self.waiting.pop_front() else { return };
+            if publish.qos == Qos::AtMostOnce {
+                self.send(now, Packet::Publish(publish));
+                continue;
+            }
+            let Some(id) = self.fresh_id() else {
+                self.waiting.push_front(Waiting { token, publish });
+                return;
+            };
+            publish.id = id;
+            let message = Outgoing {
+                token,
+                publish,
+                sent: false,
+                sent_before: false,
+                recorded: false,
+                released: false,
+                released_by_host: false,
+            };
+            self.outgoing.insert(id, message);
+            self.send_order.push_back(id);
+            self.send_outgoing(now, id);
+        }
+    }
+
+    fn send_outgoing(&mut self, now: f64, id: u16) {
+        let Some(message) = self.outgoing.get_mut(&id).filter(|message| !message.sent) else { return };
+        message.sent = true;
+        self.in_flight += 1;
+        let packet = if message.released {
+            Packet::PubRel(ack(id, 0))
+        } else if message.recorded {
+            // The host has not released it yet.
+            return;
+        } else {
+            let dup = std::mem::replace(&mut message.sent_before, true);
+            Packet::Publish(Publish { dup, ..message.publish.clone() })
+        };
+        self.send(now, packet);
+    }
+
+    /// PUBREC has arrived.
+    pub(super) fn recorded(&mut self, now: f64, pubrec: Ack) -> Result<Vec<Event>, ConnectionError> {
+        let Some(message) = self.outgoing.get_mut(&pubrec.id) else {
+            let code = match self.options.version {
+                Version::V311 => 0,
+                Version::V5 => reason_code::PACKET_IDENTIFIER_NOT_FOUND,
+            };
+            self.send(now, Packet::PubRel(ack(pubrec.id, code)));
+            return Ok(vec![]);
+        };
+        if message.publish.qos != Qos::ExactlyOnce {
+            return Err(ConnectionError::Protocol("a PUBREC without QoS 2"));
+        }
+        if pubrec.code >= reason_code::FAILURE && !message.released {
+            return Ok(self.finish(now, pubrec.id, pubrec.code));
+        }
+        if message.released_by_host && !message.released {
+            let is_repeated = std::mem::replace(&mut message.recorded, true);
+            let event = Event::Recorded { token: message.token };
+            return Ok(if is_repeated { vec![] } else { vec![event] });
+        }
+        (message.recorded, message.released) = (true, true);
+        self.send(now, Packet::PubRel(ack(pubrec.id, 0)));
+        Ok(vec![])
+    }
+
+    /// PUBACK has arrived for a message of QoS 1, or PUBCOMP for one of QoS 2.
+    pub(super) fn completed(&mut self, now: f64, ack: Ack, qos: Qos) -> Result<Vec<Event>, ConnectionError> {
+        let Some(message) = self.outgoing.get(&ack.id) else {
+            // It belongs to an earlier connection, or to a session that the server had forgotten.
+            return Ok(vec![]);
+        };
+        if message.publish.qos != qos || qos == Qos::ExactlyOnce && !message.released {
+            return Err(ConnectionError::Protocol("an acknowledgement of another kind"));
+        }
+        // A server that does not know an identifier which it had recorded has completed that message before.
+        let was_completed = qos == Qos::ExactlyOnce && ack.code == reason_code::PACKET_IDENTIFIER_NOT_FOUND;
+        Ok(self.finish(now, ack.id, if was_completed { 0 } else { ack.code }))
+    }
+
+    fn finish(&mut self, now: f64, id: u16, code: u8) -> Vec<Event> {
+        let Some(message) = self.outgoing.remove(&id) else { return vec![] };
+        self.send_order.retain(|&other| other != id);
+        self.in_flight -= usize::from(message.sent);
+        self.send_waiting(now);
+        vec![Event::Published { token: message.token, code }]
+    }
+}
--- a/crates/mqtt/tests/codec.rs
+++ b/crates/mqtt/tests/codec.rs
@@ -4,7 +4,7 @@
 use bytes::{Bytes, BytesMut};
 use orchidtally_mqtt::filter::{Invalid, check_topic};
 use orchidtally_mqtt::packet::*;
-use orchidtally_mqtt::{Fault, Filter, decode, encode};
+use orchidtally_mqtt::{CodecError, Filter, decode, encode};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -257,7 +257,7 @@
         "more is to come"
     );
     let long = Packet::Publish(Publish { topic: "a".repeat(70_000), ..Publish::default() });
-    assert_eq!(encode(&long, Version::V5), Err(Fault::Malformed("a field of over 65535 bytes")));
+    assert_eq!(encode(&long, Version::V5), Err(CodecError::Malformed("a field of over 65535 bytes")));
 }
 
 #[test]
--- a/crates/mqtt/tests/session.rs
+++ b/crates/mqtt/tests/session.rs
@@ -3,13 +3,13 @@
 
 use bytes::Bytes;
 use orchidtally_mqtt::packet::*;
-use orchidtally_mqtt::session::{Delivery, Ended, Event, Session, Wish};
+use orchidtally_mqtt::session::{ConnectionError, Delivery, Event, Session, SessionOptions};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-fn wish(version: Version) -> Wish {
-    Wish {
+fn options(version: Version) -> SessionOptions {
+    SessionOptions {
         version,
         client_id: "c".into(),
         username: None,
@@ -188,7 +188,7 @@
     }
 
     fn again(&mut self) {
-        self.session.lost();
+        self.session.connection_lost();
         self.server.to_client.clear();
         self.session.connect(self.now);
     }
@@ -201,7 +201,7 @@
     fn messages_survive_connections_that_break_anywhere(steps in proptest::collection::vec(step(), 1..60), v5: bool) {
         let version = if v5 { Version::V5 } else { Version::V311 };
         let mut p = Play {
-            session: Session::new(wish(version)),
+            session: Session::new(options(version)),
             server: Server::default(),
             now: 0.0,
             held: VecDeque::new(),
@@ -229,7 +229,7 @@
                 Step::Work => {
                     p.up(100);
                     p.down(100);
-                    prop_assert!(p.session.held() <= 3, "the receive maximum holds the server back");
+                    prop_assert!(p.session.unacknowledged() <= 3, "the receive maximum holds the server back");
                 }
                 Step::Acknowledge => {
                     if let Some(d) = p.held.pop_front() {
@@ -258,7 +258,7 @@
 }
 
 fn connected(version: Version) -> Session {
-    let mut s = Session::new(wish(version));
+    let mut s = Session::new(options(version));
     s.connect(0.0);
     let ack = ConnAck {
         properties: vec![Property::ServerKeepAlive(8), Property::MaximumPacketSize(500)],
@@ -271,27 +271,27 @@
 
 #[test]
 fn a_silent_server_is_noticed_and_a_quiet_one_pinged() {
-    let mut s = Session::new(wish(Version::V5));
+    let mut s = Session::new(options(Version::V5));
     s.connect(0.0);
-    assert_eq!((s.due_at(), s.turn(10.0)), (10.0, Err(Ended::Silent)));
+    assert_eq!((s.next_tick_at(), s.tick(10.0)), (10.0, Err(ConnectionError::Silent)));
     let mut s = connected(Version::V5);
     let answer = Packet::SubAck(Codes { id: 1, properties: vec![], codes: vec![0x87] });
     assert_eq!(
         s.received(0.1, answer).unwrap(),
         [Event::Subscribed { refused: vec![("in/#".into(), 0x87)] }]
     );
-    assert_eq!(s.due_at(), 8.0, "the server's keep alive counts");
-    assert_eq!(s.turn(7.0), Ok(()));
+    assert_eq!(s.next_tick_at(), 8.0, "the server's keep alive counts");
+    assert_eq!(s.tick(7.0), Ok(()));
     assert_eq!(s.next_packet(), None);
-    s.turn(8.0).unwrap();
+    s.tick(8.0).unwrap();
     assert_eq!(s.next_packet(), Some(Packet::PingReq));
-    assert_eq!(s.due_at(), 12.0);
+    assert_eq!(s.next_tick_at(), 12.0);
     let mut answered = connected(Version::V5);
     answered.received(0.1, Packet::SubAck(Codes { id: 1, properties: vec![], codes: vec![0] })).unwrap();
-    answered.turn(8.0).unwrap();
+    answered.tick(8.0).unwrap();
     answered.received(8.1, Packet::PingResp).unwrap();
-    assert_eq!(answered.due_at(), 16.0);
-    assert_eq!(s.turn(12.0), Err(Ended::Silent));
+    assert_eq!(answered.next_tick_at(), 16.0);
+    assert_eq!(s.tick(12.0), Err(ConnectionError::Silent));
 }
 
 #[test]
@@ -326,11 +326,11 @@
         ])
         .is_empty()
     );
-    let mut s = Session::new(wish(Version::V311));
+    let mut s = Session::new(options(Version::V311));
     s.connect(0.0);
     assert_eq!(
         s.received(0.0, Packet::ConnAck(ConnAck { code: 5, ..ConnAck::default() })),
-        Err(Ended::Refused(5))
+        Err(ConnectionError::Refused(5))
     );
 }
 
@@ -338,7 +338,7 @@
 fn what_is_longer_than_the_server_takes_or_too_many_is_turned_down_at_once() {
     let mut s = connected(Version::V5);
     assert!(s.publish(0.0, "out/x", vec![0; 600].into(), Qos::AtLeastOnce, vec![]).is_err());
-    s.lost();
+    s.connection_lost();
     for _ in 0..50 {
         s.publish(1.0, "out/x", Bytes::new(), Qos::AtLeastOnce, vec![]).unwrap();
     }
--- /dev/null
+++ b/crates/test-servers/src/broker/mod.rs
@@ -0,0 +1,216 @@
+//! An MQTT broker, 3.1.1 and 5, with what front ends and publishers need: sessions, shared subscriptions, all three
+//! QoS, receive maximum, expiry, retained messages and wills.
+//!
+//! [`Broker`] is a state machine without I/O; [`BrokerServer`] runs one on sockets. It keeps its state for as long as
+//! it lives, and injects the faults that a test asks for. Times are in seconds on the host's clock.
+
+mod requests;
+mod server;
+mod session;
+
+pub use server::{BrokerServer, ByteStream, StreamWrapper};
+
+use bytes::Bytes;
+use orchidtally_mqtt::packet::*;
+use session::ClientSession;
+use std::collections::{BTreeMap, VecDeque};
+
+/// A message at the broker.
+#[derive(Clone, Debug)]
+pub struct Message {
+    /// The topic to which it was published.
+    pub topic: String,
+    /// The payload.
+    pub payload: Bytes,
+    /// The quality of service with which it was published, or is delivered.
+    pub qos: Qos,
+    /// Whether it is retained.
+    pub retain: bool,
+    /// Its properties; empty in version 3.1.1.
+    pub properties: Properties,
+    /// When it expires.
+    pub until: f64,
+}
+
+#[derive(Debug)]
+struct Connection {
+    client: String,
+    version: Version,
+    receive_maximum: u16,
+    session_expiry: f64,
+    will: Option<Will>,
+}
+
+/// What the host has to do for a connection, by its number.
+#[derive(Debug, PartialEq)]
+pub enum Action {
+    /// Send a packet.
+    Send(u64, Packet),
+    /// Close the connection.
+    Close(u64),
+}
+
+/// Faults that the broker injects.
+#[derive(Debug, Default)]
+pub struct BrokerFaults {
+    /// CONNECTs are refused with these codes, one after the other.
+    pub refuses: VecDeque<u8>,
+    /// What was not acknowledged is sent again in reverse order.
+    pub reorders: bool,
+    /// QoS 1 messages of a lost connection go to other members of the group, without being marked as duplicates.
+    pub hands_over: bool,
+    /// One in so many messages of a group is delivered to two members.
+    pub gives_twice: Option<u64>,
+}
+
+/// A shared subscription: its group and its filter.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct SharedSubscription {
+    group: String,
+    filter: String,
+}
+
+/// The broker.
+#[derive(Debug, Default)]
+pub struct Broker {
+    sessions: BTreeMap<String, ClientSession>,
+    connections: BTreeMap<u64, Connection>,
+    /// Messages of shared subscriptions that were delivered to nobody.
+    shared: BTreeMap<SharedSubscription, VecDeque<Message>>,
+    retained: BTreeMap<String, Message>,
+    /// The faults to inject.
+    pub faults: BrokerFaults,
+    /// Messages of shared subscriptions so far.
+    shared_count: u64,
+    rounds: u64,
+    /// Messages that clients have published.
+    pub published: Vec<Message>,
+}
+
+impl Broker {
+    /// The number of messages that were delivered to nobody.
+    pub fn waiting(&self) -> usize {
+        self.shared.values().map(VecDeque::len).sum::<usize>()
+            + self.sessions.values().map(|session| session.queue.len()).sum::<usize>()
+    }
+
+    /// The number of messages that were delivered and are not acknowledged.
+    pub fn given(&self) -> usize {
+        self.sessions.values().map(ClientSession::unacknowledged).sum()
+    }
+
+    /// The protocol version of a connection; 5 for one that has not sent CONNECT.
+    fn version_of(&self, number: u64) -> Version {
+        self.connections.get(&number).map_or(Version::V5, |connection| connection.version)
+    }
+
+    /// Drops a client's session, as after a loss of state.
+    pub fn forget(&mut self, client: &str) {
+        self.sessions.remove(client);
+    }
+
+    /// Publishes a message that comes from no client.
+    pub fn publish(&mut self, now: f64, message: Message) -> Vec<Action> {
+        let mut actions = vec![];
+        self.route(message);
+        self.deliver(now, &mut actions);
+        actions
+    }
+
+    /// Queues a message for all subscriptions that match it.
+    fn route(&mut self, message: Message) {
+        if message.retain {
+            if message.payload.is_empty() {
+                self.retained.remove(&message.topic);
+            } else {
+                self.retained.insert(message.topic.clone(), message.clone());
+            }
+        }
+        let live = Message { retain: false, ..message };
+        let mut groups: BTreeMap<SharedSubscription, Qos> = BTreeMap::new();
+        for session in self.sessions.values_mut() {
+            let matching = session.filters.iter().filter(|(filter, _)| filter.matches(&live.topic));
+            let unshared = matching.clone().filter(|(filter, _)| filter.group().is_none());
+            let unshared_qos = unshared.map(|(_, qos)| *qos).max();
+            for (filter, qos) in matching {
+                if let Some(shared) = SharedSubscription::of(filter) {
+                    groups.insert(shared, *qos);
+                }
+            }
+            if let Some(qos) = unshared_qos {
+                session.queue.push_back(Message { qos: qos.min(live.qos), ..live.clone() });
+            }
+        }
+        for (shared, qos) in groups {
+            let queue = self.shared.entry(shared).or_default();
+            let message = Message { qos: qos.min(live.qos), ..live.clone() };
+            self.shared_count += 1;
+            if self.faults.gives_twice.is_some_and(|n| self.shared_count.is_multiple_of(n)) {
+                queue.push_back(message.clone());
+            }
+            queue.push_back(message);
+        }
+    }
+
+    /// Delivers what waits to clients that have room, one message to each in turn.
+    fn deliver(&mut self, now: f64, actions: &mut Vec<Action>) {
+        loop {
+            let mut delivered = false;
+            let connected: Vec<u64> = self.connections.keys().copied().collect();
+            self.rounds += 1;
+            for position in 0..connected.len() {
+                let number = connected[(position + self.rounds as usize) % connected.len()];
+                delivered |= self.deliver_one(now, number, actions);
+            }
+            if !delivered {
+                return;
+            }
+        }
+    }
+
+    /// Delivers a message over a connection; returns whether there was one.
+    fn deliver_one(&mut self, now: f64, number: u64, actions: &mut Vec<Action>) -> bool {
+        let Some(connection) = self.connections.get(&number) else { return false };
+        let Some(session) = self.sessions.get_mut(&connection.client) else { return false };
+        let has_room = session.unacknowledged() < usize::from(connection.receive_maximum);
+        if session.connection != Some(number) || !has_room {
+            return false;
+        }
+        let mut next = session.queue.pop_front();
+        for (filter, _) in &session.filters {
+            let Some(shared) = SharedSubscription::of(filter).filter(|_| next.is_none()) else { continue };
+            next = self.shared.get_mut(&shared).and_then(VecDeque::pop_front);
+        }
+        let Some(message) = next else { return false };
+        if message.until > now {
+            let packet = session.deliver(message, now, connection.version);
+            actions.push(Action::Send(number, packet));
+        }
+        true
+    }
+
+    /// A connection has ended, in order or not.
+    pub fn lost(&mut self, now: f64, number: u64, in_order: bool) -> Vec<Action> {
+        let mut actions = vec![];
+        let Some(connection) = self.connections.remove(&number) else { return actions };
+        let session = self.sessions.get_mut(&connection.client);
+        if let Some(session) = session.filter(|session| session.connection == Some(number)) {
+            session.connection = None;
+            session.until = now + connection.session_expiry;
+            if self.faults.hands_over {
+                for (shared, message) in session.take_shared() {
+                    self.shared.entry(shared).or_default().push_front(message);
+                }
+            }
+            if connection.session_expiry == 0.0 {
+                self.sessions.remove(&connection.client);
+            }
+        }
+        if let Some(will) = connection.will.filter(|_| !in_order) {
+            let Will { topic, payload, qos, retain, properties } = will;
+            self.route(Message { topic, payload, qos, retain, properties, until: f64::INFINITY });
+        }
+        self.deliver(now, &mut actions);
+        actions
+    }
+}
--- /dev/null
+++ b/crates/test-servers/src/broker/server.rs
@@ -0,0 +1,238 @@
+//! The broker on sockets, with faults of its network.
+
+use super::{Action, Broker, Message};
+use crate::{Stage, Until};
+use bytes::{Bytes, BytesMut};
+use futures_lite::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use orchidtally_mqtt::packet::Version;
+use orchidtally_mqtt::{decode, encode};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{Shutdown, SocketAddr};
+use std::rc::Rc;
+
+/// The size in bytes of the largest packet that is accepted.
+const MAX_PACKET_SIZE: usize = 1_048_576;
+/// Packets that wait to be written to a connection.
+const MAX_QUEUED_PACKETS: usize = 100_000;
+/// Bytes that no control packet begins with.
+const MALFORMED: &[u8] = &[0x00, 0xff, 0xff, 0xff, 0xff, 0xff];
+/// Seconds for which a restart tries to listen at its address again, and between two tries.
+const LISTEN_TIMEOUT: f64 = 2.0;
+const LISTEN_RETRY: f64 = 0.02;
+
+/// Any stream, plain or encrypted.
+pub trait ByteStream: AsyncRead + AsyncWrite + Unpin {}
+impl<T: AsyncRead + AsyncWrite + Unpin> ByteStream for T {}
+
+/// Wraps a stream that was accepted in another, as TLS does; `None` where that fails.
+pub type StreamWrapper =
+    Rc<dyn Fn(orchidtally_net::Stream) -> futures_lite::future::BoxedLocal<Option<Box<dyn ByteStream>>>>;
+
+/// A broker on sockets, with faults of its network.
+pub struct BrokerServer {
+    stage: Stage,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The broker.
+    pub broker: RefCell<Broker>,
+    /// Where packets for a connection go; `None` ends it.
+    writers: RefCell<BTreeMap<u64, async_channel::Sender<Option<Bytes>>>>,
+    last_connection: Cell<u64>,
+    wrapper: Option<StreamWrapper>,
+    /// Nothing is read or written until then.
+    pub silent: Until,
+    /// Seconds that each packet to a client is delayed.
+    pub slow: Cell<f64>,
+    /// One in so many packets breaks its connection; 0 for none.
+    pub breaks_every: Cell<u64>,
+    /// The next connection gets bytes that are no packet.
+    pub malformed: Cell<bool>,
+    packets: Cell<u64>,
+    listening: RefCell<Option<async_executor::Task<()>>>,
+}
+
+impl BrokerServer {
+    /// Starts a broker that listens at an address.
+    pub fn start(
+        stage: &Stage,
+        at: SocketAddr,
+        wrapper: Option<StreamWrapper>,
+    ) -> std::io::Result<Rc<BrokerServer>> {
+        let listener = orchidtally_net::listen(at)?;
+        let server = Rc::new(BrokerServer {
+            stage: stage.clone(),
+            address: listener.get_ref().local_addr()?,
+            broker: RefCell::default(),
+            writers: RefCell::default(),
+            last_connection: Cell::new(0),
+            wrapper,
+            silent: Until::default(),
+            slow: Cell::new(0.0),
+            breaks_every: Cell::new(0),
+            malformed: Cell::new(false),
+            packets: Cell::new(0),
+            listening: RefCell::default(),
+        });
+        server.listen(listener);
+        Ok(server)
+    }
+
+    fn listen(self: &Rc<Self>, listener: async_io::Async<std::net::TcpListener>) {
+        let server = self.clone();
+        let accept = async move {
+            loop {
+                let stream = orchidtally_net::accept(&listener).await;
+                server.stage.spawn(server.clone().serve(stream)).detach();
+            }
+        };
+        *self.listening.borrow_mut() = Some(self.stage.spawn(accept));
+    }
+
+    /// Stops the broker and starts it again after some seconds, with its state or without.
+    pub async fn restart(self: &Rc<Self>, after: f64, keeps_state: bool) -> std::io::Result<()> {
+        *self.listening.borrow_mut() = None;
+        self.break_all();
+        if !keeps_state {
+            *self.broker.borrow_mut() = Broker::default();
+        }
+        self.stage.sleep(after).await;
+        let until = self.stage.now() + LISTEN_TIMEOUT;
+        loop {
+            match orchidtally_net::listen(self.address) {
+                Ok(listener) => {
+                    self.listen(listener);
+                    return Ok(());
+                }
+                Err(e) if self.stage.now() > until => return Err(e),
+                Err(_) => self.stage.sleep(LISTEN_RETRY).await,
+            }
+        }
+    }
+
+    /// The number of connections that were accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.last_connection.get()
+    }
+
+    /// Breaks all connections.
+    pub fn break_all(&self) {
+        let numbers: Vec<u64> = self.writers.borrow().keys().copied().collect();
+        numbers.into_iter().for_each(|number| self.close(number));
+    }
+
+    fn close(&self, number: u64) {
+        if let Some(writer) = self.writers.borrow_mut().remove(&number) {
+            // A full channel belongs to a connection that is not read from: it ends when its writer gives up.
+            let _ = writer.try_send(None);
+        }
+        let actions = self.broker.borrow_mut().lost(self.stage.now(), number, false);
+        self.perform(actions);
+    }
+
+    /// Publishes a message that comes from no client.
+    pub fn publish(&self, message: Message) {
+        let actions = self.broker.borrow_mut().publish(self.stage.now(), message);
+        self.perform(actions);
+    }
+
+    fn perform(&self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(number, packet) => {
+                    let version = self.broker.borrow().version_of(number);
+                    let Ok(bytes) = encode(&packet, version) else { continue };
+                    if let Some(writer) = self.writers.borrow().get(&number) {
+                        let _ = writer.try_send(Some(bytes));
+                    }
+                }
+                Action::Close(number) => self.close(number),
+            }
+        }
+    }
+
+    /// Whether a connection breaks with this packet.
+    fn breaks(&self) -> bool {
+        self.packets.set(self.packets.get() + 1);
+        let every = self.breaks_every.get();
+        every > 0 && self.packets.get().is_multiple_of(every)
+    }
+
+    async fn wait_while_silent(&self) {
+        self.stage.sleep(self.silent.ends() - self.stage.now()).await;
+    }
+
+    /// Serves one connection until it ends.
+    async fn serve(self: Rc<Self>, stream: orchidtally_net::Stream) {
+        let breaker = stream.breaker();
+        let stream: Box<dyn ByteStream> = match &self.wrapper {
+            Some(wrapper) => match wrapper(stream).await {
+                Some(stream) => stream,
+                None => return,
+            },
+            None => Box::new(stream),
+        };
+        let number = self.last_connection.get() + 1;
+        self.last_connection.set(number);
+        let (writer, packets) = async_channel::bounded::<Option<Bytes>>(MAX_QUEUED_PACKETS);
+        let (reader, socket) = futures_lite::io::split(stream);
+        if self.malformed.replace(false) {
+            let _ = writer.try_send(Some(Bytes::from_static(MALFORMED)));
+        }
+        self.writers.borrow_mut().insert(number, writer);
+        let server = self.clone();
+        let writing = self.stage.spawn(async move {
+            server.write(socket, packets).await;
+            if let Some(socket) = breaker {
+                orchidtally_net::break_on_close(&socket);
+                let _ = socket.shutdown(Shutdown::Both);
+            }
+        });
+        self.read(reader, number).await;
+        self.close(number);
+        writing.await;
+    }
+
+    /// Writes packets until the connection ends.
+    async fn write(
+        &self,
+        mut socket: impl AsyncWrite + Unpin,
+        packets: async_channel::Receiver<Option<Bytes>>,
+    ) {
+        while let Ok(Some(bytes)) = packets.recv().await {
+            self.wait_while_silent().await;
+            self.stage.sleep(self.slow.get()).await;
+            if self.breaks() || socket.write_all(&bytes).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Reads packets until the connection ends.
+    async fn read(&self, mut socket: impl AsyncRead + Unpin, number: u64) {
+        let (mut buffer, mut bytes) = (BytesMut::new(), vec![0; 16 * 1024]);
+        let mut version = Version::V5;
+        loop {
+            match socket.read(&mut bytes).await {
+                Ok(0) | Err(_) => return,
+                Ok(length) => buffer.extend_from_slice(&bytes[..length]),
+            }
+            loop {
+                let packet = match decode(&mut buffer, version, MAX_PACKET_SIZE) {
+                    Ok(Some((stated, packet))) => {
+                        version = stated;
+                        packet
+                    }
+                    Ok(None) => break,
+                    Err(_) => return,
+                };
+                self.wait_while_silent().await;
+                if self.breaks() || !self.writers.borrow().contains_key(&number) {
+                    return;
+                }
+                let actions = self.broker.borrow_mut().received(self.stage.now(), number, version, packet);
+                self.perform(actions);
+            }
+        }
+    }
+}
--- a/crates/trigger/src/admission.rs
+++ b/crates/trigger/src/admission.rs
@@ -1,32 +1,42 @@
-//! Which of the messages that wait at this front end are taken on next, and which can't be answered in time any
-//! more. The broker keeps the rest: what is not taken on is not acknowledged, and the receive maximum bounds it.
+//! Admission: which of the messages that wait at this front end are taken next, and which can't be answered in time
+//! any more. The broker keeps the rest: what is not admitted is not acknowledged, and the receive maximum bounds it.
+//!
+//! The limit on invocations in flight grows by one for each round of answers in time and is cut where an answer is
+//! throttled (additive increase, multiplicative decrease).
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-/// Weight of the newest in the usual time of a trigger type.
-const NEWEST: f64 = 0.05;
-/// Where nothing is known of a trigger type, the part of its time left that an answer is thought to take.
-const UNKNOWN: f64 = 0.25;
-/// In flight: what a throttled answer leaves of the limit, and the least of it.
-const CUT: f64 = 0.7;
-const LEAST: f64 = 1.0;
-/// One cut for what was taken on since the last.
+/// The weight of the newest answer in the usual time of a trigger type.
+const NEWEST_WEIGHT: f64 = 0.05;
+/// The part of a message's time left that an answer is assumed to take, where no answer of its trigger type is
+/// known.
+const UNKNOWN_SHARE: f64 = 0.25;
+/// The factor by which a throttled answer cuts the limit, and the least limit.
+const CUT_FACTOR: f64 = 0.7;
+const LEAST_LIMIT: f64 = 1.0;
+/// What was admitted earlier than this many seconds after a cut does not cut the limit again.
 const CUT_PAUSE: f64 = 0.1;
+/// The least time in seconds that an answer is assumed to take.
+const LEAST_TIME: f64 = 1e-6;
 
 /// A message that waits.
 #[derive(Clone, Debug)]
 pub struct Waiting {
+    /// The index of its trigger type.
     pub trigger_type: usize,
+    /// What an answer in time earns.
     pub value: f64,
     /// When its publisher gives up.
     pub until: f64,
-    /// Messages of one key are taken on in their order, one at a time.
+    /// Messages of one key are admitted in their order, one at a time.
     pub key: Option<String>,
 }
 
+/// What becomes of a message that waited, by its number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Decided {
-    TakeOn(u64),
+pub enum Decision {
+    /// It is invoked.
+    Admit(u64),
     /// It can't be answered in time: it is answered as throttled at once, as nothing has run.
     GiveUp(u64),
 }
@@ -35,137 +45,153 @@
 struct InFlight {
     trigger_type: usize,
     key: Option<String>,
-    at: f64,
+    admitted_at: f64,
 }
 
+/// Messages that wait, and the invocations in flight.
 #[derive(Debug)]
-pub struct Admission {
+pub struct AdmissionQueue {
     most_waiting: usize,
     waiting: BTreeMap<u64, Waiting>,
-    /// Those of each key that wait, the oldest first.
-    keys: BTreeMap<String, VecDeque<u64>>,
-    busy: BTreeSet<String>,
+    /// The waiting messages of each key, the oldest first.
+    queues: BTreeMap<String, VecDeque<u64>>,
+    /// Keys of which a message is in flight.
+    busy_keys: BTreeSet<String>,
     in_flight: BTreeMap<u64, InFlight>,
-    usual: Vec<Option<f64>>,
+    /// The usual time of an answer in seconds, by trigger type.
+    usual_times: Vec<Option<f64>>,
     limit: f64,
-    most: f64,
-    cut_at: f64,
+    most_in_flight: f64,
+    last_cut_at: f64,
 }
 
-impl Admission {
-    /// `most`: invocations in flight; `most_waiting`: messages that wait here, the client's receive maximum.
-    pub fn new(trigger_types: usize, most: usize, most_waiting: usize) -> Admission {
-        Admission {
+impl AdmissionQueue {
+    /// An empty queue. `most_waiting` is the client's receive maximum.
+    pub fn new(trigger_types: usize, most_in_flight: usize, most_waiting: usize) -> AdmissionQueue {
+        AdmissionQueue {
             most_waiting,
             waiting: BTreeMap::new(),
-            keys: BTreeMap::new(),
-            busy: BTreeSet::new(),
+            queues: BTreeMap::new(),
+            busy_keys: BTreeSet::new(),
             in_flight: BTreeMap::new(),
-            usual: vec![None; trigger_types],
-            limit: most as f64,
-            most: most as f64,
-            cut_at: f64::NEG_INFINITY,
+            usual_times: vec![None; trigger_types],
+            limit: most_in_flight as f64,
+            most_in_flight: most_in_flight as f64,
+            last_cut_at: f64::NEG_INFINITY,
         }
     }
 
+    /// The number of messages that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
     }
 
+    /// The number of messages that were admitted and are not finished.
     pub fn in_flight(&self) -> usize {
         self.in_flight.len()
     }
 
-    /// A message has come, under a number that grows. Refused where as many wait as may: a broker that keeps to
-    /// the receive maximum never comes to that.
-    pub fn offered(&mut self, n: u64, message: Waiting) -> bool {
-        if self.waiting.len() >= self.most_waiting || message.trigger_type >= self.usual.len() {
+    /// Offers a message under a number that grows. Returns false where as many messages wait as may: a broker that
+    /// keeps to the receive maximum never comes to that.
+    pub fn offer(&mut self, n: u64, message: Waiting) -> bool {
+        if self.waiting.len() >= self.most_waiting || message.trigger_type >= self.usual_times.len() {
             return false;
         }
         if let Some(key) = &message.key {
-            self.keys.entry(key.clone()).or_default().push_back(n);
+            self.queues.entry(key.clone()).or_default().push_back(n);
         }
         self.waiting.insert(n, message);
         true
     }
 
     /// The time that an answer usually takes.
-    fn usual(&self, m: &Waiting, now: f64) -> f64 {
-        self.usual[m.trigger_type].unwrap_or(UNKNOWN * (m.until - now).max(0.0))
+    fn usual_time(&self, message: &Waiting, now: f64) -> f64 {
+        let time_left = (message.until - now).max(0.0);
+        self.usual_times[message.trigger_type].unwrap_or(UNKNOWN_SHARE * time_left)
     }
 
-    fn forget(&mut self, n: u64) -> Option<Waiting> {
-        let m = self.waiting.remove(&n)?;
-        if let Some(key) = &m.key
-            && let Some(queue) = self.keys.get_mut(key)
+    fn remove_waiting(&mut self, n: u64) -> Option<Waiting> {
+        let message = self.waiting.remove(&n)?;
+        if let Some(key) = &message.key
+            && let Some(queue) = self.queues.get_mut(key)
         {
-            queue.retain(|&x| x != n);
+            queue.retain(|&other| other != n);
             if queue.is_empty() {
-                self.keys.remove(key);
+                self.queues.remove(key);
             }
         }
-        Some(m)
+        Some(message)
     }
 
-    /// Whether its turn in its key has come.
-    fn is_first(&self, n: u64, m: &Waiting) -> bool {
-        m.key.as_ref().is_none_or(|key| {
-            !self.busy.contains(key) && self.keys.get(key).and_then(VecDeque::front) == Some(&n)
+    /// Whether no message of its key has to come before it.
+    fn is_first_of_key(&self, n: u64, message: &Waiting) -> bool {
+        message.key.as_ref().is_none_or(|key| {
+            !self.busy_keys.contains(key) && self.queues.get(key).and_then(VecDeque::front) == Some(&n)
         })
     }
 
-    /// What is to be done now: nothing is held that can't be in time, and the room goes to what earns the most for
-    /// its time, the newest first, since it has all of its time before it.
-    pub fn decide(&mut self, now: f64) -> Vec<Decided> {
-        let late = |(&n, m): (&u64, &Waiting)| (now + self.usual(m, now) > m.until).then_some(n);
-        let late: Vec<u64> = self.waiting.iter().filter_map(late).collect();
-        let mut decided = vec![];
-        for n in late {
-            self.forget(n);
-            decided.push(Decided::GiveUp(n));
+    /// Decides on the messages that wait: those that can't be in time are given up, and the room goes to those that
+    /// earn the most for their time, the newest first, since it has all of its time before it.
+    pub fn decide(&mut self, now: f64) -> Vec<Decision> {
+        let mut decisions = vec![];
+        for n in self.late(now) {
+            self.remove_waiting(n);
+            decisions.push(Decision::GiveUp(n));
         }
-        while (self.in_flight.len() as f64) < self.limit.floor().max(LEAST) {
-            let worth = |m: &Waiting| m.value / self.usual(m, now).max(1e-6);
-            let first = self.waiting.iter().filter(|(n, m)| self.is_first(**n, m));
-            let best = first.max_by(|a, b| worth(a.1).total_cmp(&worth(b.1)).then(a.0.cmp(b.0)));
-            let Some(n) = best.map(|(&n, _)| n) else { break };
-            let Some(m) = self.forget(n) else { break };
-            self.busy.extend(m.key.clone());
-            self.in_flight.insert(n, InFlight { trigger_type: m.trigger_type, key: m.key, at: now });
-            decided.push(Decided::TakeOn(n));
+        while (self.in_flight.len() as f64) < self.limit.floor().max(LEAST_LIMIT) {
+            let Some(n) = self.most_valuable(now) else { break };
+            let Some(message) = self.remove_waiting(n) else { break };
+            let Waiting { trigger_type, key, .. } = message;
+            self.busy_keys.extend(key.clone());
+            self.in_flight.insert(n, InFlight { trigger_type, key, admitted_at: now });
+            decisions.push(Decision::Admit(n));
         }
-        decided
+        decisions
     }
 
-    /// What was taken on has no end here: the broker gives it again.
-    pub fn dropped(&mut self, n: u64) {
-        if let Some(key) = self.in_flight.remove(&n).and_then(|d| d.key) {
-            self.busy.remove(&key);
+    /// Messages that can't be answered in time.
+    fn late(&self, now: f64) -> Vec<u64> {
+        let is_late = |message: &Waiting| now + self.usual_time(message, now) > message.until;
+        self.waiting.iter().filter(|(_, message)| is_late(message)).map(|(&n, _)| n).collect()
+    }
+
+    /// The message that earns the most for its time; of several the newest.
+    fn most_valuable(&self, now: f64) -> Option<u64> {
+        let worth = |message: &Waiting| message.value / self.usual_time(message, now).max(LEAST_TIME);
+        let candidates = self.waiting.iter().filter(|(n, message)| self.is_first_of_key(**n, message));
+        let best = candidates.max_by(|a, b| worth(a.1).total_cmp(&worth(b.1)).then(a.0.cmp(b.0)));
+        best.map(|(&n, _)| n)
+    }
+
+    /// An admitted message has no end here: the broker gives it again, or it is set aside.
+    pub fn cancel(&mut self, n: u64) {
+        if let Some(key) = self.in_flight.remove(&n).and_then(|message| message.key) {
+            self.busy_keys.remove(&key);
         }
     }
 
-    /// The connection is gone: what waits is given again.
-    pub fn forget_waiting(&mut self) {
+    /// The connection is lost: the broker gives again what waits.
+    pub fn clear_waiting(&mut self) {
         self.waiting.clear();
-        self.keys.clear();
+        self.queues.clear();
     }
 
-    /// An invocation has had its final answer. Throttled ones cut the limit: there is no room for as many.
-    pub fn ended(&mut self, now: f64, n: u64, throttled: bool) {
-        let Some(done) = self.in_flight.remove(&n) else { return };
-        if let Some(key) = &done.key {
-            self.busy.remove(key);
+    /// An invocation has had its final answer. A throttled one cuts the limit: there is no room for as many.
+    pub fn finished(&mut self, now: f64, n: u64, throttled: bool) {
+        let Some(message) = self.in_flight.remove(&n) else { return };
+        if let Some(key) = &message.key {
+            self.busy_keys.remove(key);
         }
         if throttled {
-            if done.at > self.cut_at + CUT_PAUSE {
-                self.limit = (self.limit * CUT).max(LEAST);
-                self.cut_at = now;
+            if message.admitted_at > self.last_cut_at + CUT_PAUSE {
+                self.limit = (self.limit * CUT_FACTOR).max(LEAST_LIMIT);
+                self.last_cut_at = now;
             }
             return;
         }
-        self.limit = (self.limit + 1.0 / self.limit).min(self.most);
-        let took = now - done.at;
-        let usual = &mut self.usual[done.trigger_type];
-        *usual = Some(usual.map_or(took, |u| u + NEWEST * (took - u)));
+        self.limit = (self.limit + 1.0 / self.limit).min(self.most_in_flight);
+        let took = now - message.admitted_at;
+        let usual_time = &mut self.usual_times[message.trigger_type];
+        *usual_time = Some(usual_time.map_or(took, |usual| usual + NEWEST_WEIGHT * (took - usual)));
     }
 }
--- /dev/null
+++ b/crates/trigger/src/consumer/actions.rs
@@ -0,0 +1,111 @@
+//! Performs the actions of the ledger.
+
+use super::reply::{encode_reply, encode_set_aside_copy};
+use super::{Consumer, HostAction, Notice};
+use crate::ledger::{Action, Answer};
+use orchidtally_mqtt::packet::Qos;
+use std::collections::VecDeque;
+
+/// A message that is being published.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Publication {
+    /// The answer to a message.
+    Reply(u64),
+    /// The copy of a message that is set aside.
+    SetAsideCopy(u64),
+}
+
+impl Publication {
+    /// The number of the message for which it is published.
+    pub(super) fn message(self) -> u64 {
+        let (Publication::Reply(n) | Publication::SetAsideCopy(n)) = self;
+        n
+    }
+}
+
+impl Consumer {
+    pub(super) fn perform(&mut self, now: f64, actions: Vec<Action>) {
+        let mut actions = VecDeque::from(actions);
+        while let Some(action) = actions.pop_front() {
+            actions.extend(self.perform_one(now, action));
+        }
+    }
+
+    /// Performs an action; returns those that follow from it.
+    fn perform_one(&mut self, now: f64, action: Action) -> Vec<Action> {
+        match action {
+            Action::Persist(record) => self.persist(record),
+            Action::Acknowledge(n) => {
+                // Where the connection was lost meanwhile, the broker gives the message again.
+                if let Some(delivery) = self.deliveries.delivery(n) {
+                    self.session.acknowledge(now, delivery, 0);
+                }
+            }
+            Action::Complete(n) => {
+                if let Some(delivery) = self.deliveries.delivery(n) {
+                    self.session.complete(now, delivery);
+                }
+            }
+            Action::Dispatch(n) => self.host_actions.push_back(HostAction::Invoke(n)),
+            Action::Cancel(n) => {
+                self.admission.cancel(n);
+                self.host_actions.push_back(HostAction::Cancel(n));
+            }
+            Action::SetAside(n) => return self.publish_set_aside_copy(now, n),
+            Action::ReserveReplyId(n) => match self.session.reserve() {
+                Some(id) => return self.ledger.reply_id_reserved(n, id),
+                None => self.waiting_for_reply_id.push_back(n),
+            },
+            Action::Publish { n, id, again } => return self.publish_reply(now, n, id, again),
+            Action::Release { n, id } => {
+                let token = self.session.release(now, id);
+                self.publications.insert(token, Publication::Reply(n));
+            }
+        }
+        vec![]
+    }
+
+    fn publish_set_aside_copy(&mut self, now: f64, n: u64) -> Vec<Action> {
+        let (message, answer) = (self.ledger.message(n), self.ledger.answer(n));
+        let (Some(message), Some(Answer::SetAside { why })) = (message, answer) else { return vec![] };
+        self.counters.set_aside += 1;
+        let copy = encode_set_aside_copy(self.version, message, why);
+        self.notices.push_back(Notice::SetAside { topic: message.topic.clone(), why: why.clone() });
+        let token = self.set_aside_topic.as_ref().and_then(|topic| {
+            self.session.publish(now, topic, copy.payload, Qos::AtLeastOnce, copy.properties).ok()
+        });
+        match token {
+            Some(token) => {
+                self.publications.insert(token, Publication::SetAsideCopy(n));
+                vec![]
+            }
+            // There is no topic for it, or it would never be taken there.
+            None => self.ledger.set_aside(n),
+        }
+    }
+
+    fn publish_reply(&mut self, now: f64, n: u64, id: u16, again: bool) -> Vec<Action> {
+        let (message, answer) = (self.ledger.message(n), self.ledger.answer(n));
+        let (Some(message), Some(answer)) = (message, answer) else { return vec![] };
+        let Some(reply) = &message.reply else { return self.ledger.reply_completed(n) };
+        self.counters.unknown += u64::from(*answer == Answer::Unknown);
+        let too_long =
+            Answer::Errored { why: "the answer is longer than the broker takes".into(), may_have_run: true };
+        // An answer that is not accepted is replaced by one that says so.
+        let token = [answer, &too_long].into_iter().find_map(|answer| {
+            let encoded = encode_reply(self.version, message, answer);
+            let (payload, properties) = (encoded.payload, encoded.properties);
+            self.session.publish_as(now, id, again, &reply.topic, payload, properties).ok()
+        });
+        match token {
+            Some(token) => {
+                self.publications.insert(token, Publication::Reply(n));
+                vec![]
+            }
+            None => {
+                self.not_published(n, None);
+                self.ledger.reply_completed(n)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/trigger/src/consumer/delivery_numbers.rs
@@ -0,0 +1,33 @@
+//! Which delivery of the session brought which message.
+
+use std::collections::BTreeMap;
+
+/// The delivery numbers of messages, in both directions.
+#[derive(Default)]
+pub(super) struct DeliveryNumbers {
+    delivery_of: BTreeMap<u64, u64>,
+    message_of: BTreeMap<u64, u64>,
+}
+
+impl DeliveryNumbers {
+    pub(super) fn insert(&mut self, n: u64, delivery: u64) {
+        self.delivery_of.insert(n, delivery);
+        self.message_of.insert(delivery, n);
+    }
+
+    pub(super) fn remove(&mut self, n: u64) {
+        if let Some(delivery) = self.delivery_of.remove(&n) {
+            self.message_of.remove(&delivery);
+        }
+    }
+
+    /// The delivery of a message; `None` where the connection over which it came is lost.
+    pub(super) fn delivery(&self, n: u64) -> Option<u64> {
+        self.delivery_of.get(&n).copied()
+    }
+
+    /// The message of a delivery.
+    pub(super) fn message(&self, delivery: u64) -> Option<u64> {
+        self.message_of.get(&delivery).copied()
+    }
+}
--- /dev/null
+++ b/crates/trigger/src/consumer/events.rs
@@ -0,0 +1,106 @@
+//! What the broker sends.
+
+use super::actions::Publication;
+use super::{Consumer, Notice};
+use crate::ledger::{Action, Redelivery};
+use orchidtally_deployment::Deployment;
+use orchidtally_mqtt::packet::{Packet, reason_code};
+use orchidtally_mqtt::session::{ConnectionError, Event};
+
+impl Consumer {
+    /// A packet has arrived from the broker. After an error the connection has to be closed.
+    pub fn received(
+        &mut self,
+        now: f64,
+        packet: Packet,
+        deployment: &Deployment,
+    ) -> Result<(), ConnectionError> {
+        for event in self.session.received(now, packet)? {
+            self.handle(now, event, deployment)?;
+        }
+        self.decide(now);
+        Ok(())
+    }
+
+    fn handle(&mut self, now: f64, event: Event, deployment: &Deployment) -> Result<(), ConnectionError> {
+        match event {
+            Event::Connected { session_present } => {
+                self.session_present = session_present;
+                self.held_back = Some(vec![]);
+                self.notices.push_back(Notice::Connected { session_present });
+            }
+            Event::Subscribed { refused } => {
+                if !refused.is_empty() {
+                    self.notices.push_back(Notice::Refused(refused));
+                }
+            }
+            Event::Delivered(delivery) => match &mut self.held_back {
+                Some(held_back) => held_back.push(delivery),
+                None => self.take(now, delivery, deployment)?,
+            },
+            Event::Resumed => self.resumed(now, deployment)?,
+            Event::Confirmed { number } => self.confirmed(now, number),
+            Event::Recorded { token } => {
+                if let Some(&Publication::Reply(n)) = self.publications.get(&token) {
+                    let actions = self.ledger.reply_recorded(n);
+                    self.perform(now, actions);
+                }
+            }
+            Event::Published { token, code } => self.published(now, token, code),
+        }
+        Ok(())
+    }
+
+    /// The broker has sent again what it had to send again.
+    fn resumed(&mut self, now: f64, deployment: &Deployment) -> Result<(), ConnectionError> {
+        let held_back = self.held_back.take().unwrap_or_default();
+        let redelivered: Vec<Redelivery> = held_back
+            .iter()
+            .map(|d| Redelivery { packet: d.id, topic: &d.topic, payload: &d.payload })
+            .collect();
+        let actions = self.ledger.session_resumed(self.session_present, &redelivered, self.hands_over);
+        self.perform(now, actions);
+        for delivery in held_back {
+            self.take(now, delivery, deployment)?;
+        }
+        Ok(())
+    }
+
+    fn confirmed(&mut self, now: f64, delivery: u64) {
+        match self.deliveries.message(delivery).filter(|&n| !self.ledger.is_owned(n)) {
+            Some(n) => {
+                let actions = self.ledger.confirmed(n);
+                self.perform(now, actions);
+            }
+            // That it is owned is persisted already, or the message is done with.
+            None => self.session.complete(now, delivery),
+        }
+    }
+
+    fn published(&mut self, now: f64, token: u64, code: u8) {
+        let Some(publication) = self.publications.remove(&token) else { return };
+        let is_refused = code >= reason_code::FAILURE;
+        if is_refused {
+            self.not_published(publication.message(), Some(code));
+        }
+        let actions = match publication {
+            Publication::SetAsideCopy(n) => self.ledger.set_aside(n),
+            Publication::Reply(n) => {
+                self.counters.answered += u64::from(!is_refused);
+                self.ledger.reply_completed(n)
+            }
+        };
+        self.perform(now, actions);
+        if let Some(n) = self.waiting_for_reply_id.pop_front() {
+            self.perform(now, vec![Action::ReserveReplyId(n)]);
+        }
+    }
+
+    /// Notes that what should be published for a message was not.
+    pub(super) fn not_published(&mut self, n: u64, code: Option<u8>) {
+        self.counters.not_published += 1;
+        let reply = self.ledger.message(n).and_then(|message| message.reply.as_ref());
+        let topic = reply.map_or_else(String::new, |reply| reply.topic.clone());
+        self.notices.push_back(Notice::NotPublished { topic, code });
+    }
+}
--- /dev/null
+++ b/crates/trigger/src/consumer/intake.rs
@@ -0,0 +1,159 @@
+//! How deliveries become messages in hand.
+
+use super::{Consumer, DECISION_INTERVAL};
+use crate::admission::{Decision, Waiting};
+use crate::ledger::{Answer, DeliveryId, Effect, InvocationTarget, StoredMessage};
+use crate::rules::{Call, Rules};
+use orchidtally::interface;
+use orchidtally_deployment::Deployment;
+use orchidtally_mqtt::packet::Qos;
+use orchidtally_mqtt::session::{ConnectionError, Delivery};
+
+/// A delivery that waits to be admitted.
+#[derive(Clone, Debug)]
+pub(super) struct Offered {
+    delivery: DeliveryId,
+    effect: Effect,
+    message: StoredMessage,
+}
+
+/// A delivery that can never become an invocation.
+pub(super) struct PoisonMessage {
+    pub(super) n: u64,
+    delivery: Delivery,
+    why: String,
+}
+
+fn delivery_id(delivery: &Delivery) -> DeliveryId {
+    DeliveryId { packet: delivery.number.map(|_| delivery.id), confirms: delivery.qos == Qos::ExactlyOnce }
+}
+
+impl Consumer {
+    /// Takes a delivery in. It waits unacknowledged until it is admitted.
+    pub(super) fn take(
+        &mut self,
+        now: f64,
+        delivery: Delivery,
+        deployment: &Deployment,
+    ) -> Result<(), ConnectionError> {
+        self.counters.delivered += 1;
+        if delivery.retained {
+            self.counters.retained += 1;
+            if let Some(number) = delivery.number {
+                self.session.acknowledge(now, number, 0);
+            }
+            return Ok(());
+        }
+        let n = self.ledger.next_number();
+        if let Some(number) = delivery.number {
+            self.deliveries.insert(n, number);
+        }
+        match self.rules.call(deployment, &delivery) {
+            Ok(call) => self.offer(now, n, delivery, call, deployment),
+            Err(poison) => {
+                let why = poison.to_string();
+                self.poison_messages.push_back(PoisonMessage { n, delivery, why });
+                Ok(())
+            }
+        }
+    }
+
+    fn offer(
+        &mut self,
+        now: f64,
+        n: u64,
+        delivery: Delivery,
+        call: Call,
+        deployment: &Deployment,
+    ) -> Result<(), ConnectionError> {
+        let policy = &deployment.policy.trigger_types[call.trigger_type];
+        let effect = match (policy.effect, policy.group) {
+            (interface::Effect::Idempotent, _) => Effect::Idempotent,
+            (interface::Effect::Tokened, interface::Group::All) => {
+                Effect::Tokened { until: now + policy.window }
+            }
+            // A token that is remembered in a part of the fleet protects within that part alone.
+            (interface::Effect::Tokened | interface::Effect::NonIdempotent, _) => Effect::NonIdempotent,
+        };
+        let rule_time_left = self.rules.list[call.rule].time_left;
+        let until =
+            call.sent_at.map_or(f64::INFINITY, |sent_at| sent_at + rule_time_left).min(now + call.time_left);
+        let waiting = Waiting {
+            trigger_type: call.trigger_type,
+            value: policy.billed_value,
+            until: until - self.answer_margin,
+            key: call.key,
+        };
+        if !self.admission.offer(n, waiting) {
+            if delivery.number.is_none() {
+                self.counters.dropped += 1;
+                return Ok(());
+            }
+            return Err(ConnectionError::Protocol("more deliveries than can be held"));
+        }
+        let has_token = policy.effect == interface::Effect::Tokened;
+        let target = InvocationTarget {
+            function: call.function,
+            trigger_type: deployment.trigger_types[call.trigger_type].name.clone(),
+            customer: call.customer,
+            token: if has_token { call.token } else { String::new() },
+        };
+        let id = delivery_id(&delivery);
+        let message = StoredMessage {
+            name: call.name,
+            topic: delivery.topic,
+            payload: call.payload,
+            reply: call.answer,
+            target,
+            until,
+        };
+        self.offered.insert(n, Offered { delivery: id, effect, message });
+        Ok(())
+    }
+
+    /// Admits what can be admitted now, and answers at once what can't be answered in time.
+    pub(super) fn decide(&mut self, now: f64) {
+        self.next_decision_at = now + DECISION_INTERVAL;
+        let must_wait = self.journal.is_failing()
+            || self.journal.is_full()
+            || self.is_draining
+            || self.held_back.is_some();
+        if must_wait {
+            return;
+        }
+        self.set_poison_messages_aside(now);
+        for decision in self.admission.decide(now) {
+            let (n, answer) = match decision {
+                Decision::Admit(n) => (n, None),
+                Decision::GiveUp(n) => (n, Some(Answer::Throttled)),
+            };
+            let Some(offered) = self.offered.remove(&n) else { continue };
+            self.counters.invoked += u64::from(answer.is_none());
+            self.counters.given_up += u64::from(answer.is_some());
+            let Offered { delivery, effect, message } = offered;
+            let actions = self.ledger.delivered(n, effect, delivery, message.into(), answer);
+            if self.ledger.answer(n).is_some() {
+                // It was set aside: nothing is dispatched for it.
+                self.admission.cancel(n);
+            }
+            self.perform(now, actions);
+        }
+    }
+
+    fn set_poison_messages_aside(&mut self, now: f64) {
+        while let Some(PoisonMessage { n, delivery, why }) = self.poison_messages.pop_front() {
+            let id = delivery_id(&delivery);
+            let message = StoredMessage {
+                name: Rules::name(&delivery),
+                reply: self.rules.reply(&delivery),
+                topic: delivery.topic,
+                payload: delivery.payload,
+                target: InvocationTarget::default(),
+                until: now,
+            };
+            let answer = Some(Answer::SetAside { why });
+            let actions = self.ledger.delivered(n, Effect::NonIdempotent, id, message.into(), answer);
+            self.perform(now, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/trigger/src/ledger/record.rs
@@ -0,0 +1,166 @@
+//! What the ledger's journal holds: messages, their answers, and the steps that were taken for them.
+//!
+//! Records are stored as JSON. Their names are part of the journal's format.
+
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use serde::{Deserialize, Deserializer, Serialize, Serializer};
+use std::rc::Rc;
+
+/// Whether the invocation of a message may run more than once.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub enum Effect {
+    /// Running again is harmless: the message may be dispatched before this front end owns it, and again after a
+    /// crash.
+    Idempotent,
+    /// Running again under the message's token is harmless until the token is forgotten (seconds since 1970). The
+    /// message is dispatched once this front end owns it: the executors of another one may not know the token.
+    Tokened { until: f64 },
+    /// The message is dispatched once, after this front end owns it.
+    NonIdempotent,
+}
+
+/// The final answer to a message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", rename_all_fields = "camelCase", tag = "what")]
+pub enum Answer {
+    /// The invocation succeeded with this response.
+    Succeeded {
+        #[serde(with = "base64_bytes")]
+        payload: Bytes,
+    },
+    /// There was no room in time; nothing has run.
+    Throttled,
+    /// The invocation failed.
+    Errored {
+        /// The reason, for the publisher.
+        why: String,
+        /// Whether the function may have run.
+        may_have_run: bool,
+    },
+    /// The front end crashed after the dispatch: whether the function ran is not known.
+    Unknown,
+    /// The message can never become an invocation, or it was taken too often without coming to an end; nothing has
+    /// run for it.
+    SetAside {
+        /// The reason, for the publisher and the operator.
+        why: String,
+    },
+}
+
+impl Answer {
+    pub(super) fn is_set_aside(&self) -> bool {
+        matches!(self, Answer::SetAside { .. })
+    }
+}
+
+/// Bytes as a text in base64.
+pub(crate) mod base64_bytes {
+    use super::*;
+
+    pub fn serialize<S: Serializer>(bytes: &Bytes, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&STANDARD.encode(bytes))
+    }
+
+    pub fn deserialize<'a, D: Deserializer<'a>>(deserializer: D) -> Result<Bytes, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        STANDARD.decode(text).map(Bytes::from).map_err(serde::de::Error::custom)
+    }
+}
+
+/// Where an answer is published.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reply {
+    /// The topic.
+    pub topic: String,
+    /// The correlation data of the message; empty if it has none.
+    #[serde(with = "base64_bytes", default, skip_serializing_if = "Bytes::is_empty")]
+    pub correlation: Bytes,
+}
+
+/// What a message invokes, by names that outlive a change of the deployment file.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct InvocationTarget {
+    /// The name of the function.
+    pub function: String,
+    /// The name of the trigger type.
+    pub trigger_type: String,
+    /// The name of the customer; empty where the deployment has none.
+    pub customer: String,
+    /// The idempotency token; empty where the trigger type has none.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub token: String,
+}
+
+/// A message as the journal keeps it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct StoredMessage {
+    /// The name of the invocation.
+    pub name: String,
+    /// The topic to which the message was published.
+    pub topic: String,
+    /// The payload.
+    #[serde(with = "base64_bytes")]
+    pub payload: Bytes,
+    /// Where the answer goes; `None` where nobody wants one.
+    pub reply: Option<Reply>,
+    /// What the message invokes.
+    #[serde(rename = "work")]
+    pub target: InvocationTarget,
+    /// When the publisher gives up, in seconds since 1970.
+    pub until: f64,
+}
+
+/// An entry of the journal. Entries are read in the order in which they were written. `n` is the number of the
+/// message, which is unique within the journal.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", tag = "what")]
+pub enum Record {
+    /// The message was taken.
+    Taken {
+        n: u64,
+        effect: Effect,
+        /// The packet identifier of its delivery; `None` with QoS 0.
+        packet: Option<u16>,
+        /// Whether the delivery has QoS 2, with which the broker says what it has received.
+        confirms: bool,
+        /// How often the message has been taken.
+        times: u32,
+        held: Rc<StoredMessage>,
+        /// The answer, where nothing is dispatched for the message.
+        answer: Option<Answer>,
+    },
+    /// The broker gives the message to nobody else.
+    Owned { n: u64 },
+    /// The message is dispatched again after a crash.
+    Again { n: u64 },
+    /// The dispatch of a non-idempotent message follows.
+    Dispatching { n: u64 },
+    /// The message has its final answer.
+    Answered { n: u64, answer: Answer },
+    /// The answer is published under this packet identifier.
+    Publishing { n: u64, id: u16 },
+    /// The broker has recorded the answer: only its release is sent again.
+    Released { n: u64 },
+    /// Nothing is left to be done for the message.
+    Done { n: u64 },
+}
+
+impl Record {
+    /// The number of the message.
+    pub(super) fn number(&self) -> u64 {
+        let (Record::Taken { n, .. }
+        | Record::Owned { n }
+        | Record::Again { n }
+        | Record::Dispatching { n }
+        | Record::Answered { n, .. }
+        | Record::Publishing { n, .. }
+        | Record::Released { n }
+        | Record::Done { n }) = *self;
+        n
+    }
+}
--- a/crates/trigger/src/promises.rs
+++ b/crates/trigger/src/promises.rs
@@ -2,7 +2,7 @@
 //! written down under its name before it is dispatched, and its answer before that is sent. Asked again under that
 //! name it is never run again: its answer is said again, or that it is not known whether it ran.
 
-use crate::ledger::coded;
+use crate::ledger::base64_bytes;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
@@ -13,7 +13,7 @@
     /// The response. A body that is longer than what is kept is left out.
     Answered {
         status: u16,
-        #[serde(with = "coded")]
+        #[serde(with = "base64_bytes")]
         body: Bytes,
         whole: bool,
     },
--- /dev/null
+++ b/crates/trigger/src/rules/mod.rs
@@ -0,0 +1,288 @@
+//! Trigger rules: which message becomes which invocation, and where its answer goes.
+
+mod parse;
+mod poison;
+
+pub use poison::Poison;
+
+use crate::ledger::Reply;
+use crate::pattern::{Captures, Pattern};
+use bytes::Bytes;
+use orchidtally_deployment::Deployment;
+use orchidtally_mqtt::filter::check_topic;
+use orchidtally_mqtt::packet::{Property, Qos};
+use orchidtally_mqtt::session::Delivery;
+use sha2::{Digest, Sha256};
+
+/// The user property by which a publisher may name an invocation, and by which answers name it.
+pub const NAME_PROPERTY: &str = "orchidtally-invocation";
+/// The user property by which a publisher may state an idempotency token.
+const TOKEN_PROPERTY: &str = "idempotency-key";
+/// The greatest length in bytes of a name that a publisher states.
+const MAX_NAME_LENGTH: usize = 128;
+/// Bytes of a token that is derived from a message.
+const TOKEN_BYTES: usize = 16;
+
+/// What a payload has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PayloadFormat {
+    /// Any bytes.
+    Bytes,
+    /// Text in UTF-8.
+    Text,
+    /// A JSON document.
+    Json,
+}
+
+/// Where an answer goes.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ReplyTo {
+    /// To the message's response topic, with its correlation data.
+    ResponseTopic,
+    /// To a topic of the rule.
+    Topic(Pattern),
+    /// Nowhere: no answer is published.
+    Nowhere,
+}
+
+/// A text of a rule.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Value {
+    /// The text itself.
+    Fixed(String),
+    /// What the topic has at a name of the rule's pattern.
+    Captured(String),
+}
+
+impl Value {
+    fn of<'a>(&'a self, captures: &'a Captures) -> &'a str {
+        match self {
+            Value::Fixed(text) => text,
+            Value::Captured(name) => captures.get(name).map_or("", String::as_str),
+        }
+    }
+}
+
+/// What makes two messages the same: a message that is delivered again, to another front end too, has the same
+/// token.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum TokenSource {
+    UserProperty(String),
+    CorrelationData,
+    Payload,
+}
+
+/// A trigger rule.
+#[derive(Clone, Debug)]
+pub struct Rule {
+    /// The topics of the messages that the rule is for.
+    pub topic: Pattern,
+    function: Value,
+    /// The index of the trigger type in the deployment.
+    pub trigger_type: usize,
+    customer: Value,
+    /// Messages of one key are taken in their order. Without a key no order is kept.
+    key: Option<Value>,
+    /// Seconds within which a message has to be answered, unless it expires earlier.
+    pub time_left: f64,
+    /// What a payload has to be.
+    pub payload_format: PayloadFormat,
+    /// The greatest length of a payload in bytes.
+    pub most_bytes: usize,
+    /// Where the answer goes.
+    pub reply_to: ReplyTo,
+    /// The quality of service of the subscription.
+    pub qos: Qos,
+    token: Option<TokenSource>,
+    /// The user property that states when the message was sent, in ms since 1970.
+    sent_at: Option<String>,
+}
+
+/// A message as an invocation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    /// The index of the rule.
+    pub rule: usize,
+    /// The name of the function.
+    pub function: String,
+    /// The index of the trigger type in the deployment.
+    pub trigger_type: usize,
+    /// The name of the customer; empty where the deployment has none.
+    pub customer: String,
+    /// Messages of one key are taken in their order.
+    pub key: Option<String>,
+    /// Seconds within which the message has to be answered, from its delivery on.
+    pub time_left: f64,
+    /// Where the answer goes; `None` where nobody wants one.
+    pub answer: Option<Reply>,
+    /// The name of the invocation, in logs too. A message that is delivered again has the same.
+    pub name: String,
+    /// The idempotency token.
+    pub token: String,
+    /// When the message was sent, in seconds since 1970, where it says so.
+    pub sent_at: Option<f64>,
+    /// The payload.
+    pub payload: Bytes,
+}
+
+/// The trigger rules of a deployment, of which at most one is for a message.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    /// The rules in their order in the deployment file.
+    pub list: Vec<Rule>,
+}
+
+/// The rule that is for a message.
+struct Match<'a> {
+    index: usize,
+    rule: &'a Rule,
+    captures: Captures,
+}
+
+impl Rules {
+    fn find(&self, topic: &str) -> Option<Match<'_>> {
+        self.list
+            .iter()
+            .enumerate()
+            .find_map(|(index, rule)| Some(Match { index, rule, captures: rule.topic.captures(topic)? }))
+    }
+
+    /// Whether a message to this topic would be taken as a trigger.
+    fn is_trigger(&self, topic: &str) -> bool {
+        self.list.iter().any(|rule| rule.topic.filter().matches(topic))
+    }
+
+    /// The name of the invocation of a message.
+    pub fn name(delivery: &Delivery) -> String {
+        let stated = user_property(delivery, NAME_PROPERTY)
+            .filter(|name| !name.is_empty() && name.len() <= MAX_NAME_LENGTH);
+        stated.map_or_else(|| token(delivery, None), str::to_owned)
+    }
+
+    /// Where the answer to a message goes that can't become an invocation.
+    pub fn reply(&self, delivery: &Delivery) -> Option<Reply> {
+        let found = self.find(&delivery.topic)?;
+        self.reply_to(&found, delivery).ok().flatten()
+    }
+
+    /// The invocation that a message becomes, or why it can never become one.
+    pub fn call(&self, deployment: &Deployment, delivery: &Delivery) -> Result<Call, Poison> {
+        let found = self.find(&delivery.topic).ok_or(Poison::NoRule)?;
+        let Match { index, rule, captures } = &found;
+        rule.check_payload(&delivery.payload)?;
+        let function = rule.function.of(captures).to_owned();
+        if deployment.function(&function).is_none() {
+            return Err(Poison::UnknownFunction(function));
+        }
+        let customer = rule.customer.of(captures).to_owned();
+        if !deployment.customers.is_empty() && !deployment.customers.contains(&customer) {
+            return Err(Poison::UnknownCustomer(customer));
+        }
+        let sent_at = rule.sent_at(delivery)?;
+        Ok(Call {
+            rule: *index,
+            function,
+            trigger_type: rule.trigger_type,
+            customer,
+            key: rule.key.as_ref().map(|key| key.of(captures).to_owned()),
+            time_left: expiry(delivery).map_or(rule.time_left, |expiry| expiry.min(rule.time_left)),
+            answer: self.reply_to(&found, delivery)?,
+            name: Rules::name(delivery),
+            token: token(delivery, rule.token.as_ref()),
+            sent_at,
+            payload: delivery.payload.clone(),
+        })
+    }
+
+    fn reply_to(&self, found: &Match, delivery: &Delivery) -> Result<Option<Reply>, Poison> {
+        let topic = match &found.rule.reply_to {
+            ReplyTo::Nowhere => return Ok(None),
+            ReplyTo::Topic(pattern) => pattern.filled(&found.captures),
+            ReplyTo::ResponseTopic => response_topic(delivery),
+        };
+        let topic = topic.filter(|topic| check_topic(topic).is_ok()).ok_or(Poison::NoResponseTopic)?;
+        if self.is_trigger(&topic) {
+            return Err(Poison::Loop(topic));
+        }
+        let correlation = correlation_data(delivery).cloned().unwrap_or_default();
+        Ok(Some(Reply { topic, correlation }))
+    }
+}
+
+impl Rule {
+    fn check_payload(&self, payload: &Bytes) -> Result<(), Poison> {
+        if payload.len() > self.most_bytes {
+            return Err(Poison::TooLong { bytes: payload.len(), most: self.most_bytes });
+        }
+        match self.payload_format {
+            PayloadFormat::Bytes => {}
+            PayloadFormat::Text => {
+                std::str::from_utf8(payload).map_err(|_| Poison::NotText)?;
+            }
+            PayloadFormat::Json => {
+                serde_json::from_slice::<serde::de::IgnoredAny>(payload)
+                    .map_err(|error| Poison::NotJson(error.to_string()))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// When a message was sent, in seconds since 1970, where it says so.
+    fn sent_at(&self, delivery: &Delivery) -> Result<Option<f64>, Poison> {
+        let stated = self.sent_at.as_ref().and_then(|name| user_property(delivery, name));
+        let Some(text) = stated else { return Ok(None) };
+        match text.parse::<u64>() {
+            Ok(milliseconds) => Ok(Some(milliseconds as f64 / 1e3)),
+            Err(_) => Err(Poison::SentAt(text.to_owned())),
+        }
+    }
+}
+
+fn user_property<'d>(delivery: &'d Delivery, wanted: &str) -> Option<&'d str> {
+    delivery.properties.iter().find_map(|property| match property {
+        Property::User(name, value) if name == wanted => Some(value.as_str()),
+        _ => None,
+    })
+}
+
+fn correlation_data(delivery: &Delivery) -> Option<&Bytes> {
+    delivery.properties.iter().find_map(|property| match property {
+        Property::CorrelationData(data) => Some(data),
+        _ => None,
+    })
+}
+
+fn response_topic(delivery: &Delivery) -> Option<String> {
+    delivery.properties.iter().find_map(|property| match property {
+        Property::ResponseTopic(topic) => Some(topic.clone()),
+        _ => None,
+    })
+}
+
+/// Seconds until a message expires.
+fn expiry(delivery: &Delivery) -> Option<f64> {
+    delivery.properties.iter().find_map(|property| match property {
+        Property::MessageExpiry(seconds) => Some(f64::from(*seconds)),
+        _ => None,
+    })
+}
+
+/// A token that is the same for a message that is delivered again, and differs between messages that differ in their
+/// topic or in what the source says. Without a source that is the user property for it, the correlation data, or
+/// the payload, whichever the message has first.
+fn token(delivery: &Delivery, source: Option<&TokenSource>) -> String {
+    let property = |name: &str| user_property(delivery, name).map(str::as_bytes);
+    let correlation_data = || correlation_data(delivery).map(|data| &data[..]);
+    let distinction = match source {
+        Some(TokenSource::UserProperty(name)) => property(name),
+        Some(TokenSource::CorrelationData) => correlation_data(),
+        Some(TokenSource::Payload) => None,
+        None => property(TOKEN_PROPERTY).or_else(correlation_data),
+    };
+    let mut digest = Sha256::new();
+    digest.update((delivery.topic.len() as u64).to_be_bytes());
+    digest.update(&delivery.topic);
+    digest.update([u8::from(distinction.is_some())]);
+    digest.update(distinction.unwrap_or(&delivery.payload));
+    digest.finalize().iter().take(TOKEN_BYTES).map(|byte| format!("{byte:02x}")).collect()
+}
--- a/crates/trigger/src/section.rs
+++ b/crates/trigger/src/section.rs
@@ -1,11 +1,11 @@
 //! The `mqtt` section of a deployment file: the broker, the session, the journal, and the triggers.
 
-use crate::rules::{Answered, Rules};
+use crate::rules::{ReplyTo, Rules};
 use orchidtally_deployment::reader::Place;
 use orchidtally_deployment::{Deployment, Fault};
 use orchidtally_mqtt::filter::check_topic;
 use orchidtally_mqtt::packet::{Subscription, Version};
-use orchidtally_mqtt::session::Wish;
+use orchidtally_mqtt::session::SessionOptions;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -123,7 +123,7 @@
         }
     }
     if version == Version::V311 {
-        let asked = rules.list.iter().position(|r| r.answered == Answered::Response);
+        let asked = rules.list.iter().position(|r| r.reply_to == ReplyTo::ResponseTopic);
         if let Some(n) = asked {
             top.at("triggers").fault(format!(
                 "triggers[{n}]: version 3.1.1 has no response topics; 'answer' has to name one"
@@ -176,7 +176,7 @@
         usize::from(self.receive_maximum) + self.in_flight
     }
 
-    pub fn wish(&self, index: u32) -> Wish {
+    pub fn session_options(&self, index: u32) -> SessionOptions {
         let mut filters: BTreeMap<String, Subscription> = BTreeMap::new();
         for rule in &self.rules.list {
             let filter = format!("$share/{}/{}", self.group, rule.topic.filter());
@@ -190,7 +190,7 @@
             };
             filters.insert(filter, wanted);
         }
-        Wish {
+        SessionOptions {
             version: self.version,
             client_id: self.client_id.replace(INDEX, &index.to_string()),
             username: self.username.clone(),
--- a/crates/trigger/tests/admission.rs
+++ b/crates/trigger/tests/admission.rs
@@ -1,6 +1,6 @@
 //! Admission against a plain queue under more than can be served, and its promises under drawn courses.
 
-use orchidtally_trigger::admission::{Admission, Decided, Waiting};
+use orchidtally_trigger::admission::{AdmissionQueue, Decision, Waiting};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use std::collections::{BTreeMap, VecDeque};
@@ -10,7 +10,7 @@
 
     #[test]
     fn each_message_is_decided_once_and_keys_keep_their_order(steps in proptest::collection::vec((0u8..4, 0u64..3, 0.05..2.0f64, any::<bool>()), 1..120)) {
-        let mut a = Admission::new(2, 4, 20);
+        let mut a = AdmissionQueue::new(2, 4, 20);
         let (mut now, mut n) = (0.0, 0);
         let mut keys: BTreeMap<u64, String> = BTreeMap::new();
         let (mut offered, mut decided) = (vec![], vec![]);
@@ -23,23 +23,23 @@
                     n += 1;
                     let key = (key > 0).then(|| key.to_string());
                     let m = Waiting { trigger_type: (n % 2) as usize, value: time, until: now + time, key: key.clone() };
-                    if a.offered(n, m) {
+                    if a.offer(n, m) {
                         offered.push(n);
                         keys.extend(key.map(|k| (n, k)));
                     }
                 }
                 2 => {
                     if let Some(n) = flying.pop_front() {
-                        a.ended(now, n, throttled);
+                        a.finished(now, n, throttled);
                     }
                 }
                 _ => now += time,
             }
             prop_assert!(a.waiting() <= 20);
             for d in a.decide(now) {
-                let (Decided::TakeOn(n) | Decided::GiveUp(n)) = d;
+                let (Decision::Admit(n) | Decision::GiveUp(n)) = d;
                 decided.push(n);
-                if let Decided::TakeOn(n) = d {
+                if let Decision::Admit(n) = d {
                     if let Some(key) = keys.get(&n) {
                         prop_assert!(flying.iter().all(|f| keys.get(f) != Some(key)), "two of a key in flight");
                         prop_assert!(last.insert(key.clone(), n).is_none_or(|before| before < n), "out of order");
@@ -51,10 +51,10 @@
         }
         now += 100.0;
         while let Some(n) = flying.pop_front() {
-            a.ended(now, n, false);
+            a.finished(now, n, false);
         }
         decided.extend(a.decide(now).into_iter().map(|d| match d {
-            Decided::TakeOn(n) | Decided::GiveUp(n) => n,
+            Decision::Admit(n) | Decision::GiveUp(n) => n,
         }));
         decided.sort_unstable();
         prop_assert_eq!(decided, offered, "each once");
@@ -66,7 +66,7 @@
 fn earned(first_come: bool) -> f64 {
     const SERVERS: usize = 4;
     const TIME: f64 = 0.1;
-    let mut admission = Admission::new(2, SERVERS, 60);
+    let mut admission = AdmissionQueue::new(2, SERVERS, 60);
     let mut broker: VecDeque<(u64, Waiting)> = VecDeque::new();
     let mut plain: VecDeque<u64> = VecDeque::new();
     let mut messages: BTreeMap<u64, Waiting> = BTreeMap::new();
@@ -79,7 +79,7 @@
                 return true;
             }
             earned += if at <= messages[&n].until { messages[&n].value } else { 0.0 };
-            admission.ended(now, n, false);
+            admission.finished(now, n, false);
             false
         });
         seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
@@ -103,10 +103,10 @@
         while admission.waiting() < 60
             && let Some((n, m)) = broker.pop_front()
         {
-            assert!(admission.offered(n, m));
+            assert!(admission.offer(n, m));
         }
         for d in admission.decide(now) {
-            if let Decided::TakeOn(n) = d {
+            if let Decision::Admit(n) = d {
                 flying.push((now + TIME, n));
             }
         }
@@ -126,17 +126,17 @@
 
 #[test]
 fn throttled_answers_cut_what_is_in_flight_and_others_let_it_grow_again() {
-    let mut a = Admission::new(1, 10, 1_000);
+    let mut a = AdmissionQueue::new(1, 10, 1_000);
     let mut n = 0;
-    let mut round = |a: &mut Admission, now: f64, throttled: bool| {
+    let mut round = |a: &mut AdmissionQueue, now: f64, throttled: bool| {
         for _ in 0..20 {
             n += 1;
-            a.offered(n, Waiting { trigger_type: 0, value: 1.0, until: now + 60.0, key: None });
+            a.offer(n, Waiting { trigger_type: 0, value: 1.0, until: now + 60.0, key: None });
         }
         let taken = a.decide(now);
         let on: Vec<u64> =
-            taken.iter().filter_map(|d| if let Decided::TakeOn(n) = d { Some(*n) } else { None }).collect();
-        on.iter().for_each(|&n| a.ended(now + 0.01, n, throttled));
+            taken.iter().filter_map(|d| if let Decision::Admit(n) = d { Some(*n) } else { None }).collect();
+        on.iter().for_each(|&n| a.finished(now + 0.01, n, throttled));
         on.len()
     };
     let limits: Vec<usize> = (0..4).map(|r| round(&mut a, f64::from(r), true)).collect();
--- a/crates/trigger/tests/model.rs
+++ b/crates/trigger/tests/model.rs
@@ -2,7 +2,9 @@
 //! reached is gone through, with the ledger itself.
 
 use bytes::Bytes;
-use orchidtally_trigger::ledger::{Answer, Do, Effect, Held, Ledger, Record, Reply, Work};
+use orchidtally_trigger::ledger::{
+    Action, Answer, DeliveryId, Effect, InvocationTarget, Ledger, Record, Redelivery, Reply, StoredMessage,
+};
 use pathfinding::directed::bfs::bfs_reach;
 use std::collections::{BTreeSet, VecDeque};
 use std::hash::{Hash, Hasher};
@@ -23,7 +25,7 @@
 /// What a front end does next: a thing to do, or something that it is told.
 #[derive(Clone, Debug)]
 enum Task {
-    Do(Do),
+    Action(Action),
     Confirmed(u64),
     Came(u64),
     Recorded(u64),
@@ -87,13 +89,13 @@
     }
 }
 
-fn held(m: usize) -> Rc<Held> {
-    Rc::new(Held {
+fn held(m: usize) -> Rc<StoredMessage> {
+    Rc::new(StoredMessage {
         name: m.to_string(),
         topic: m.to_string(),
         payload: Bytes::new(),
         reply: Some(Reply { topic: "a".into(), correlation: Bytes::new() }),
-        work: Work::default(),
+        target: InvocationTarget::default(),
         until: 1e9,
     })
 }
@@ -121,19 +123,25 @@
     }
 
     fn message(&self, f: usize, n: u64) -> Option<usize> {
-        self.front_ends[f].ledger.as_ref()?.held(n)?.topic.parse().ok()
+        self.front_ends[f].ledger.as_ref()?.message(n)?.topic.parse().ok()
     }
 
     fn give(&mut self, f: usize, m: usize, shape: Shape) {
         self.at[m] = At::Given(f);
         let fe = &mut self.front_ends[f];
         let Some(ledger) = &mut fe.ledger else { return };
-        let n = ledger.number();
-        let todo = ledger.delivered(n, shape.effect, (Some(m as u16 + 1), shape.qos2), held(m), None);
+        let n = ledger.next_number();
+        let todo = ledger.delivered(
+            n,
+            shape.effect,
+            DeliveryId { packet: Some(m as u16 + 1), confirms: shape.qos2 },
+            held(m),
+            None,
+        );
         if shape.planted == Planted::AcknowledgeFirst {
-            fe.todo.push_back(Task::Do(Do::Acknowledge(n)));
+            fe.todo.push_back(Task::Action(Action::Acknowledge(n)));
         }
-        fe.todo.extend(todo.into_iter().map(Task::Do));
+        fe.todo.extend(todo.into_iter().map(Task::Action));
     }
 
     /// The broker hears an acknowledgement.
@@ -147,22 +155,25 @@
     fn perform(&mut self, f: usize, shape: Shape) {
         let Some(task) = self.front_ends[f].todo.pop_front() else { return };
         let message = match &task {
-            Task::Do(Do::Acknowledge(n) | Do::Dispatch(n) | Do::Complete(n) | Do::Publish { n, .. }) => {
-                self.message(f, *n)
-            }
+            Task::Action(
+                Action::Acknowledge(n)
+                | Action::Dispatch(n)
+                | Action::Complete(n)
+                | Action::Publish { n, .. },
+            ) => self.message(f, *n),
             _ => None,
         };
         let fe = &mut self.front_ends[f];
         let Some(ledger) = &mut fe.ledger else { return };
         let more = match task {
-            Task::Do(Do::Write(record)) => {
+            Task::Action(Action::Persist(record)) => {
                 if shape.planted != Planted::ForgetsDispatch || !matches!(record, Record::Dispatching { .. })
                 {
                     fe.journal.push(record.clone());
                 }
-                ledger.kept(&record)
+                ledger.persisted(&record)
             }
-            Task::Do(Do::Acknowledge(n)) => {
+            Task::Action(Action::Acknowledge(n)) => {
                 if let Some(m) = message {
                     if shape.planted == Planted::CompletesFirst && shape.qos2 {
                         self.at[m] = At::Gone;
@@ -171,24 +182,24 @@
                 }
                 vec![]
             }
-            Task::Do(Do::Complete(_)) => {
+            Task::Action(Action::Complete(_)) => {
                 if let Some(m) = message.filter(|&m| self.at[m] == At::Recorded(f)) {
                     self.at[m] = At::Gone;
                 }
                 vec![]
             }
-            Task::Do(Do::Dispatch(n)) => {
+            Task::Action(Action::Dispatch(n)) => {
                 if let Some(m) = message {
                     self.effects[m] += 1;
                 }
                 fe.todo.push_back(Task::Came(n));
                 vec![]
             }
-            Task::Do(Do::Identify(n)) => {
+            Task::Action(Action::ReserveReplyId(n)) => {
                 fe.ids += 1;
-                ledger.identified(n, fe.ids)
+                ledger.reply_id_reserved(n, fe.ids)
             }
-            Task::Do(Do::Publish { n, mut id, again }) => {
+            Task::Action(Action::Publish { n, mut id, again }) => {
                 if shape.planted == Planted::FreshId && again {
                     fe.ids += 1;
                     id = fe.ids;
@@ -202,18 +213,18 @@
                 fe.todo.push_back(Task::Recorded(n));
                 vec![]
             }
-            Task::Do(Do::Release { n, id }) => {
+            Task::Action(Action::Release { n, id }) => {
                 fe.exchanges.remove(&id);
                 fe.todo.push_back(Task::Completed(n));
                 vec![]
             }
-            Task::Do(Do::SetAside(_) | Do::Withdraw(_)) => vec![],
+            Task::Action(Action::SetAside(_) | Action::Cancel(_)) => vec![],
             Task::Confirmed(n) => ledger.confirmed(n),
-            Task::Came(n) => ledger.came(n, Answer::Succeeded { payload: Bytes::new() }),
-            Task::Recorded(n) => ledger.recorded(n),
-            Task::Completed(n) => ledger.completed(n),
+            Task::Came(n) => ledger.invocation_ended(n, Answer::Succeeded { payload: Bytes::new() }),
+            Task::Recorded(n) => ledger.reply_recorded(n),
+            Task::Completed(n) => ledger.reply_completed(n),
         };
-        self.front_ends[f].todo.extend(more.into_iter().map(Task::Do));
+        self.front_ends[f].todo.extend(more.into_iter().map(Task::Action));
     }
 
     fn die(&mut self, f: usize, shape: Shape) {
@@ -231,7 +242,7 @@
     fn come_back(&mut self, f: usize, shape: Shape) {
         let fe = &mut self.front_ends[f];
         let (mut ledger, todo) = Ledger::recover(&fe.journal, 9, 0.0);
-        fe.todo.extend(todo.into_iter().map(Task::Do));
+        fe.todo.extend(todo.into_iter().map(Task::Action));
         let unconfirmed: Vec<(u64, u16)> = ledger.unconfirmed().collect();
         let mut again = vec![];
         let mut confirmed = vec![];
@@ -251,11 +262,14 @@
         }
         let topics: Vec<String> = again.iter().map(usize::to_string).collect();
         let empty = Bytes::new();
-        let given: Vec<(u16, &str, &Bytes)> =
-            again.iter().zip(&topics).map(|(&m, t)| (m as u16 + 1, t.as_str(), &empty)).collect();
-        let todo = ledger.resumed(true, &given, shape.hands_over);
+        let given: Vec<Redelivery> = again
+            .iter()
+            .zip(&topics)
+            .map(|(&m, topic)| Redelivery { packet: m as u16 + 1, topic, payload: &empty })
+            .collect();
+        let todo = ledger.session_resumed(true, &given, shape.hands_over);
         fe.todo.extend(confirmed.into_iter().map(Task::Confirmed));
-        fe.todo.extend(todo.into_iter().map(Task::Do));
+        fe.todo.extend(todo.into_iter().map(Task::Action));
         fe.ledger = Some(ledger);
         for m in again {
             self.give(f, m, shape);
