Break the front end's circles of imports; take and answer invocations in one place

Cause: hub imported etcd, roster and mqtt, which import hub; mqtt imported ingress for its guard. Change: the hub is given what follows the list of executors (`roster_source`) and owns `TriggerStatus`; `Hub::invoke` takes, guards and waits for both. ingress has headers, promise and response; mqtt has host (`ConsumerHost`), consume and tls_files; `NamedCustomer`, `Offered`, `FinalResponse`, `JournalResult` and `Wake` in place of tuples; `Counted` is `ConnectionGuard`. Left: config, which is not touched here, and hub import each other. No change of behaviour.

--- a/crates/frontend/src/hub/invocation.rs
+++ b/crates/frontend/src/hub/invocation.rs
@@ -13,19 +13,39 @@
 use std::rc::Rc;
 use tracing::info;
 
-/// The engine's id for an invocation, kept up to date, and its final answer.
-pub type Taken = (Rc<Cell<u32>>, oneshot::Receiver<Final>);
+/// An invocation that was taken.
+struct Taken {
+    /// The engine's id for it, which changes where it is moved to another version.
+    inv: Rc<Cell<u32>>,
+    answer: oneshot::Receiver<Final>,
+}
+
+/// Withdraws an invocation whose client goes away before it is answered.
+struct WithdrawGuard<'a> {
+    hub: &'a Hub,
+    inv: Rc<Cell<u32>>,
+    is_answered: bool,
+}
+
+impl Drop for WithdrawGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.hub.withdraw(self.inv.get());
+        }
+    }
+}
 
-/// What a dispatch carries, the same for each of an invocation's.
+/// What each dispatch of an invocation carries.
 pub struct Work {
     pub name: String,
     pub function: Rc<str>,
-    /// Of the version that it was resolved to; empty where the function has none.
+    /// The digest of its version; empty where the function has none.
     pub digest: Rc<str>,
-    /// Set where a rollout split it.
+    /// Set where a rollout chose its version.
     pub invoked: Option<Invoked>,
-    /// A dispatch of it failed in a way that counts against its version, and where the last one went.
+    /// A dispatch of it failed in a way that counts against its version.
     pub failed: Cell<bool>,
+    /// The number of the executor of its last dispatch; 0 before the first.
     pub last: Cell<u64>,
     /// Dispatches that it had before it was moved to another version.
     pub dispatched: u32,
@@ -38,18 +58,29 @@
     pub payload_bytes: u64,
 }
 
-/// What is asked, by way of whatever ingress.
+/// The customer of an invocation.
+#[derive(Clone, Copy, Debug)]
+pub struct NamedCustomer<'a> {
+    /// The index in the engine.
+    pub index: usize,
+    /// The name; it may be empty where the deployment has no customers.
+    pub name: &'a str,
+}
+
+/// What an ingress asks for.
 pub struct Asked<'a> {
+    /// The name of the invocation.
     pub name: String,
     pub function: Rc<str>,
     pub resolved: Resolved,
     pub revision: Rc<Revision>,
     pub trigger_type: Rc<TriggerTypeInForce>,
-    /// Its index in the engine, and its name.
-    pub customer: (usize, &'a str),
+    pub customer: NamedCustomer<'a>,
+    /// The idempotency token; empty where there is none.
     pub token: &'a str,
+    /// Whether the client asks again.
     pub repeat: bool,
-    /// When its final answer has to be there.
+    /// When the final answer has to be there.
     pub timeout_at: f64,
     pub payload: Vec<Bytes>,
     pub payload_bytes: u64,
@@ -59,7 +90,7 @@
     /// What it uses, by name.
     pub fn subject(&self) -> Subject<'_> {
         let trigger_type = &self.trigger_type.trigger.name;
-        Subject { function: &self.function, trigger_type, customer: self.customer.1 }
+        Subject { function: &self.function, trigger_type, customer: self.customer.name }
     }
 }
 
@@ -84,36 +115,46 @@
 }
 
 /// A streamed answer was cut off by its executor.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
+#[error("the executor broke off in the middle of its answer")]
 pub struct CutOff;
 
-impl std::fmt::Display for CutOff {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the executor broke off in the middle of its answer")
-    }
-}
-
-impl std::error::Error for CutOff {}
+/// The front end lost track of an invocation, which may have run.
+#[derive(Debug, thiserror::Error)]
+#[error("the front end lost track of it")]
+pub struct AnswerLost;
 
+/// The body of an answer.
 pub enum Brought {
+    /// All of it.
     Whole(Vec<Bytes>),
+    /// Parts that are still to come.
     Streamed(async_channel::Receiver<Result<Bytes, CutOff>>),
 }
 
 /// The final answer, on its way to the client.
 pub enum Final {
+    /// The function has answered.
     Succeeded(Brought),
+    /// There was no room in time; nothing has run.
     Throttled {
+        /// Seconds to stay away.
         retry_after: f64,
+        /// Whether the customer has had its share.
         past_share: bool,
     },
+    /// No executor has answered, or the function failed.
     Errored {
+        /// Which of the two.
         cause: Cause,
+        /// Whether the function may have run.
         may_have_run: bool,
     },
     /// The configuration doesn't let it through any more.
     Refused {
+        /// Why.
         refusal: Refusal,
+        /// Whether the function may have run.
         may_have_run: bool,
     },
 }
@@ -134,16 +175,28 @@
         let inv = Rc::new(Cell::new(0));
         let client = Client { work: Rc::new(work), offer, inv: inv.clone(), reply };
         self.play(|engine, now, performer| performer.offer(engine, now, client))?;
-        Ok((inv, answer))
+        Ok(Taken { inv, answer })
+    }
+
+    /// Invokes what an ingress asks for, and waits for the final answer. Whoever stops waiting withdraws the
+    /// invocation.
+    ///
+    /// # Errors
+    /// The invocation was not taken: nothing of it was dispatched.
+    pub async fn invoke(&self, asked: Asked<'_>) -> Result<Result<Final, AnswerLost>, NotTaken> {
+        let Taken { inv, answer } = self.take_asked(asked)?;
+        let mut guard = WithdrawGuard { hub: self, inv, is_answered: false };
+        let answer = answer.await;
+        guard.is_answered = true;
+        Ok(answer.map_err(|_| AnswerLost))
     }
 
-    /// Takes what an ingress was asked.
-    pub fn take_asked(&self, asked: Asked) -> Result<Taken, NotTaken> {
+    fn take_asked(&self, asked: Asked) -> Result<Taken, NotTaken> {
         self.check_admission(&asked.revision, &asked.subject())?;
         let Resolved { version, invoked } = asked.resolved;
         let offer = Offer {
             trigger_type: asked.trigger_type.index,
-            customer: asked.customer.0,
+            customer: asked.customer.index,
             function: version.key,
             repeat: asked.repeat,
             moved: false,
@@ -162,7 +215,7 @@
             dispatched: 0,
             revision: asked.revision,
             trigger_type: asked.trigger_type,
-            customer: asked.customer.1.to_owned(),
+            customer: asked.customer.name.to_owned(),
             token: asked.token.to_owned(),
             payload: asked.payload,
             payload_bytes: asked.payload_bytes,
@@ -221,7 +274,7 @@
         }
     }
 
-    pub fn withdraw(&self, inv: u32) {
+    fn withdraw(&self, inv: u32) {
         self.play(|engine, now, performer| {
             engine.withdrawn(now, inv, performer);
             performer.clients.remove(&inv);
--- a/crates/frontend/src/hub/mod.rs
+++ b/crates/frontend/src/hub/mod.rs
@@ -1,5 +1,5 @@
-//! One front end: its engine, and what performs the engine's commands on sockets. All of it lives on one
-//! thread; nothing is shared with other front ends.
+//! One front end: its engine, and what performs the engine's commands on sockets. All of it lives on one thread;
+//! nothing is shared with other front ends.
 
 mod exchange;
 mod invocation;
@@ -7,9 +7,12 @@
 mod reconfigure;
 mod refusing;
 mod revision;
+mod trigger_status;
 
-pub use invocation::{Asked, Brought, CutOff, Final, NotTaken};
+pub use invocation::{AnswerLost, Asked, Brought, CutOff, Final, NamedCustomer, NotTaken};
 pub use reconfigure::ReconfigureError;
+pub use revision::{Revision, TriggerTypeInForce};
+pub use trigger_status::TriggerStatus;
 
 use crate::config::Admission;
 use crate::promise_store::PromiseStore;
@@ -34,21 +37,31 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tracing::warn;
 
-/// How often the wall clock is looked at, and idle connections are.
-const UPKEEP: Duration = Duration::from_secs(1);
+/// Starts to follow the list of executors, and returns the task that does it if it is to be replaced at the next call.
+pub type RosterWatcher = fn(&Rc<Hub>) -> Option<Task<()>>;
 
+/// How often the wall clock is read and idle connections are closed.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(1);
+/// How long the name of a version is kept after its last invocation.
+const KEEP_NAMES: Duration = Duration::from_secs(120);
+/// The longest time that a timer sleeps, in seconds.
+const MAX_SLEEP: f64 = 86_400.0;
+
+/// One front end.
 pub struct Hub {
-    /// As the front end started with it. What may have changed since is in [`Hub::revision`].
+    /// The deployment with which the front end started. What may have changed since is in [`Hub::revision`].
     pub deployment: Rc<Deployment>,
     revisions: Revisions,
-    /// Its index changes where it claims one in etcd.
+    /// How the front end names itself to executors. Its index changes where it claims one in etcd.
     pub sender: Cell<v1::Sender>,
-    /// The roster and the front ends, where they come from etcd.
+    /// The list of executors, where it comes from etcd.
     pub cache: RefCell<Cache>,
+    /// The front ends, where they are known from etcd.
     pub members: RefCell<Members>,
     /// Time slots of shared budgets, and since when.
     slot_count: Cell<(u32, f64)>,
     engine: RefCell<Engine>,
+    /// What the front end knows of rollouts.
     pub shares: RefCell<Shares>,
     performer: RefCell<Performer>,
     clock: RefCell<Clock>,
@@ -57,41 +70,46 @@
     armed_for: Cell<f64>,
     rearm: (async_channel::Sender<()>, async_channel::Receiver<()>),
     warned_of_index: Cell<Option<Instant>>,
-    /// Answers that told of another front end with this one's index.
+    /// The number of answers that reported another front end with this one's index.
     pub index_taken: Cell<u64>,
-    /// How triggers stand, where there are any.
-    pub triggers: Cell<Option<crate::mqtt::Standing>>,
+    /// The state of triggers by messages, where there are any.
+    pub triggers: Cell<Option<TriggerStatus>>,
+    /// Promises to HTTP clients, where the deployment has a journal.
     pub promise_store: Option<Rc<PromiseStore>>,
     /// Whether the configuration in force lets invocations through, where it comes from a store.
     pub admission: OnceCell<Admission>,
     is_leaving: Cell<bool>,
-    /// Where it takes invocations.
+    watch_roster: RosterWatcher,
+    /// The address at which it takes invocations.
     pub at: Cell<Option<SocketAddr>>,
 }
 
-/// A number for an executor, for what has to tell them apart only. Never 0.
+/// A number that tells executors apart. It is never 0.
 fn number(executor: ExecutorId) -> u64 {
     let mut hasher = std::hash::DefaultHasher::new();
     executor.hash(&mut hasher);
     hasher.finish() | 1
 }
 
+/// Seconds since 1970 by the system's clock.
 fn wall() -> f64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64())
 }
 
 fn seconds(time: f64) -> Duration {
-    Duration::try_from_secs_f64(time.clamp(0.0, 86_400.0)).unwrap_or_default()
+    Duration::try_from_secs_f64(time.clamp(0.0, MAX_SLEEP)).unwrap_or_default()
 }
 
 impl Hub {
-    /// `ahead`: seconds by which this front end's wall clock is taken to be ahead, for tests of skew.
+    /// A front end that follows nothing yet. `ahead` are seconds by which its wall clock is taken to be ahead, for tests
+    /// of skew; `random` replaces the dispatch module by random choice, for comparisons.
     pub fn new(
         deployment: Deployment,
         seed: u64,
         ahead: f64,
         random: bool,
         promise_store: Option<Rc<PromiseStore>>,
+        watch_roster: RosterWatcher,
         spawner: &Rc<LocalExecutor<'static>>,
     ) -> Rc<Hub> {
         let deployment = Rc::new(deployment);
@@ -138,6 +156,7 @@
                 promise_store,
                 admission: OnceCell::new(),
                 is_leaving: Cell::new(false),
+                watch_roster,
                 at: Cell::new(None),
             }
         });
@@ -147,19 +166,22 @@
         hub
     }
 
+    /// Seconds since 1970, by a clock that never goes back.
     pub fn now(&self) -> f64 {
         self.clock.borrow_mut().read(self.started.elapsed().as_secs_f64())
     }
 
+    /// Spawns work on the front end's thread; `None` where the front end has ended.
     pub fn spawn<T: 'static>(&self, work: impl Future<Output = T> + 'static) -> Option<Task<T>> {
         Some(self.spawner.upgrade()?.spawn(work))
     }
 
+    /// What spawns work on the front end's thread.
     pub fn spawner(&self) -> Weak<LocalExecutor<'static>> {
         self.spawner.clone()
     }
 
-    /// Every call of the engine passes here.
+    /// Calls the engine; every call passes here.
     pub fn play<T>(&self, input: impl FnOnce(&mut Engine, f64, &mut Performer) -> T) -> T {
         let now = self.now();
         let mut engine = self.engine.borrow_mut();
@@ -199,14 +221,15 @@
         }
     }
 
-    /// Follows the wall clock, closes idle connections and forgets names.
+    /// Follows the wall clock, closes idle connections and forgets names, for as long as the front end lives. `step` is
+    /// a time in seconds and how far the wall clock is stepped then, for tests.
     pub async fn keep_house(self: Rc<Self>, ahead: f64, step: Option<(f64, f64)>) {
         let mut warned = false;
         loop {
-            Timer::after(UPKEEP).await;
+            Timer::after(HOUSEKEEPING_INTERVAL).await;
             let monotonic = self.started.elapsed().as_secs_f64();
             let mut clock = self.clock.borrow_mut();
-            let stepped = step.filter(|s| monotonic >= s.0).map_or(0.0, |s| s.1);
+            let stepped = step.filter(|(at, _)| monotonic >= *at).map_or(0.0, |(_, by)| by);
             clock.anchor(monotonic, wall() + ahead + stepped);
             let astray = clock.astray();
             drop(clock);
@@ -217,31 +240,33 @@
             warned = far;
             let mut performer = self.performer.borrow_mut();
             performer.pools.retain(|_, pool| !pool.sweep());
-            let kept = Duration::from_secs(120);
-            performer.names.retain(|_, named| named.at.elapsed() < kept);
+            performer.names.retain(|_, named| named.at.elapsed() < KEEP_NAMES);
         }
     }
 
-    /// Takes nothing new from now on.
+    /// From now on nothing new is taken.
     pub fn leave(&self) {
         self.is_leaving.set(true);
         self.engine.borrow_mut().leave();
     }
 
+    /// Whether nothing new is taken any more.
     pub fn is_leaving(&self) -> bool {
         self.is_leaving.get()
     }
 
+    /// The number of open invocations.
     pub fn open(&self) -> usize {
         self.engine.borrow().open()
     }
 
+    /// Counts of what has happened so far.
     pub fn tally(&self) -> orchidtally_engine::Tally {
         self.engine.borrow().tally()
     }
 
-    /// Tells the module by how many front ends to share. The slots are a power of two, so that it changes seldom, and
-    /// is joined once all must have seen that change.
+    /// Tells the dispatch module how many front ends share the fleet. The number of slots is a power of two, so that it
+    /// changes seldom; a front end joins a new number once all must have seen it.
     pub fn count_front_ends(&self) {
         let now = self.now();
         let figure = self.members.borrow().figure(now);
--- a/crates/frontend/src/hub/performer.rs
+++ b/crates/frontend/src/hub/performer.rs
@@ -3,10 +3,9 @@
 use super::invocation::{Brought, Client, Final, Work};
 use super::{Hub, number, seconds};
 use crate::pool::{Caps, Pool};
-use crate::roster;
 use async_executor::Task;
 use orchidtally::interface::*;
-use orchidtally_deployment::{Source, Version};
+use orchidtally_deployment::Version;
 use orchidtally_engine::{Cause, Engine, Host, Refused};
 use orchidtally_rollout::Arm;
 use orchidtally_rollout::frontend::{AnswerOutcome, may_move};
@@ -271,13 +270,8 @@
 
     fn watch_roster(&mut self) {
         let Some(hub) = self.hub.upgrade() else { return };
-        if let Source::Etcd(etcd) = &hub.deployment.source {
-            info!(endpoints = ?etcd.endpoints, "following the roster in etcd");
-            crate::etcd::keep(&hub, etcd);
-            return;
+        if let Some(task) = (hub.watch_roster)(&hub) {
+            self.roster = Some(task);
         }
-        let Source::Publisher(publisher) = hub.deployment.source else { return };
-        info!(%publisher, "asking for the roster");
-        self.roster = hub.spawn(roster::watch(hub.clone(), publisher));
     }
 }
--- /dev/null
+++ b/crates/frontend/src/ingress/headers.rs
@@ -0,0 +1,110 @@
+//! What the headers of a request ask for.
+
+use super::answer::Problem;
+use super::{CUSTOMER, INVOCATION, REPEAT, TIME_LEFT, TOKEN, TRIGGER_TYPE};
+use crate::hub::{NamedCustomer, Revision, TriggerTypeInForce};
+use http::{HeaderMap, StatusCode};
+use orchidtally::interface::Effect;
+use std::rc::Rc;
+
+/// The greatest length of a header that names something, in bytes.
+const MAX_NAME_LENGTH: usize = 128;
+
+/// A header that may be given once.
+pub(super) fn header<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Problem> {
+    let mut values = headers.get_all(name).iter();
+    let Some(value) = values.next() else { return Ok(None) };
+    if values.next().is_some() {
+        return Err(Problem::bad(format!("header '{name}' is given twice")));
+    }
+    let text = value.to_str().map_err(|_| Problem::bad(format!("header '{name}' is not plain text")))?;
+    if text.is_empty() || text.len() > MAX_NAME_LENGTH {
+        return Err(Problem::bad(format!("header '{name}' must have 1 to {MAX_NAME_LENGTH} letters")));
+    }
+    Ok(Some(text))
+}
+
+/// What the headers of a request ask for.
+pub(super) struct InvocationHeaders<'r> {
+    /// The place of the trigger type among all of the revision.
+    pub(super) trigger_place: usize,
+    pub(super) trigger_type: Rc<TriggerTypeInForce>,
+    pub(super) customer: NamedCustomer<'r>,
+    pub(super) token: Option<&'r str>,
+    /// Seconds for which the client goes on waiting.
+    pub(super) time_left: f64,
+    /// Whether the client asks again.
+    pub(super) repeat: bool,
+    /// The name of the invocation, where the client gives one.
+    pub(super) invocation: Option<&'r str>,
+}
+
+impl<'r> InvocationHeaders<'r> {
+    pub(super) fn read(
+        headers: &'r HeaderMap,
+        revision: &Revision,
+    ) -> Result<InvocationHeaders<'r>, Problem> {
+        let (trigger_place, trigger_type) = trigger_type(headers, revision)?;
+        let customer = customer(headers, revision)?;
+        let policy = &trigger_type.policy;
+        let token = header(headers, TOKEN)?;
+        if policy.effect == Effect::Tokened && token.is_none() {
+            return Err(Problem::bad(format!("header '{TOKEN}' is missing; this trigger type is tokened")));
+        }
+        let time_left = time_left(headers)?.map_or(policy.timeout, |time| time.min(policy.timeout));
+        Ok(InvocationHeaders {
+            trigger_place,
+            customer,
+            token,
+            time_left,
+            repeat: repeat(headers)?,
+            invocation: header(headers, INVOCATION)?,
+            trigger_type,
+        })
+    }
+}
+
+fn trigger_type(
+    headers: &HeaderMap,
+    revision: &Revision,
+) -> Result<(usize, Rc<TriggerTypeInForce>), Problem> {
+    let found = match header(headers, TRIGGER_TYPE)? {
+        Some(name) => revision.trigger_type(name).ok_or_else(|| {
+            let known = revision.trigger_type_names().join(", ");
+            Problem::bad(format!("no trigger type '{name}'; known are {known}"))
+        }),
+        None => revision
+            .only_trigger_type()
+            .ok_or_else(|| Problem::bad(format!("header '{TRIGGER_TYPE}' is missing"))),
+    };
+    found.map(|(place, trigger_type)| (place, trigger_type.clone()))
+}
+
+fn customer<'r>(headers: &'r HeaderMap, revision: &Revision) -> Result<NamedCustomer<'r>, Problem> {
+    let given = header(headers, CUSTOMER)?;
+    if !revision.has_customers() {
+        return Ok(NamedCustomer { index: 0, name: given.unwrap_or_default() });
+    }
+    let name = given.ok_or_else(|| Problem::bad(format!("header '{CUSTOMER}' is missing")))?;
+    match revision.customer(name) {
+        Some(customer) => Ok(NamedCustomer { index: customer.index, name }),
+        None => Err(Problem::new(StatusCode::FORBIDDEN, "unknown customer", format!("no customer '{name}'"))),
+    }
+}
+
+/// Seconds for which the client goes on waiting, where it says so.
+fn time_left(headers: &HeaderMap) -> Result<Option<f64>, Problem> {
+    let Some(text) = header(headers, TIME_LEFT)? else { return Ok(None) };
+    let milliseconds: u32 = text
+        .parse()
+        .map_err(|_| Problem::bad(format!("header '{TIME_LEFT}': '{text}' is no whole number of ms")))?;
+    Ok(Some(f64::from(milliseconds) / 1e3))
+}
+
+fn repeat(headers: &HeaderMap) -> Result<bool, Problem> {
+    match header(headers, REPEAT)? {
+        None | Some("0") => Ok(false),
+        Some("1") => Ok(true),
+        Some(other) => Err(Problem::bad(format!("header '{REPEAT}': '{other}' is neither 0 nor 1"))),
+    }
+}
--- a/crates/frontend/src/ingress/mod.rs
+++ b/crates/frontend/src/ingress/mod.rs
@@ -3,12 +3,14 @@
 //! the invocation, so that a slow sender holds neither a stream nor a decision.
 
 mod answer;
+mod headers;
 mod invoke;
+mod promise;
 mod request;
+mod response;
 mod status;
 
 pub use answer::Answer;
-pub(crate) use request::Guard;
 
 use crate::hub::Hub;
 use answer::{Problem, problem};
@@ -18,10 +20,11 @@
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper_util::server::conn::auto;
-use invoke::{invoke, recorded};
+use invoke::invoke;
 use orchidtally_net::{Stream, within};
+use promise::recorded;
 use smol_hyper::rt::SmolTimer;
-use status::standing;
+use status::status;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
@@ -48,7 +51,7 @@
 
 async fn respond(hub: Rc<Hub>, request: Request<Incoming>) -> Result<Response<Answer>, Infallible> {
     if request.method() == Method::GET && request.uri().path() == "/v1/front-end" {
-        return Ok(standing(&hub));
+        return Ok(status(&hub));
     }
     let asked =
         request.uri().path().strip_prefix("/v1/invocations/").filter(|_| request.method() == Method::GET);
@@ -72,17 +75,18 @@
     }
 }
 
-/// Counts open connections.
-pub struct Counted(Rc<Cell<usize>>);
+/// Counts a connection as open until it is dropped.
+pub struct ConnectionGuard(Rc<Cell<usize>>);
 
-impl Counted {
-    pub fn new(open: &Rc<Cell<usize>>) -> Counted {
+impl ConnectionGuard {
+    /// Counts one more open connection.
+    pub fn new(open: &Rc<Cell<usize>>) -> ConnectionGuard {
         open.set(open.get() + 1);
-        Counted(open.clone())
+        ConnectionGuard(open.clone())
     }
 }
 
-impl Drop for Counted {
+impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         self.0.set(self.0.get() - 1);
     }
@@ -102,7 +106,12 @@
 }
 
 /// Serves one connection until it ends, or until `leaving` closes and what is open on it is answered.
-pub async fn serve(hub: Rc<Hub>, stream: Stream, leaving: async_channel::Receiver<()>, _open: Counted) {
+pub async fn serve(
+    hub: Rc<Hub>,
+    stream: Stream,
+    leaving: async_channel::Receiver<()>,
+    _open: ConnectionGuard,
+) {
     let bounds = hub.deployment.bounds.clone();
     let time = Duration::from_secs_f64(bounds.sender_time);
     let peer = stream.peer();
--- /dev/null
+++ b/crates/frontend/src/ingress/response.rs
@@ -0,0 +1,94 @@
+//! The responses to final answers, and to invocations that are not taken.
+
+use super::answer::{Answer, Problem, problem, stay_away};
+use crate::config::Refusal;
+use crate::hub::{AnswerLost, Brought, Final, Hub, NotTaken};
+use http::{Response, StatusCode};
+use orchidtally_engine::Cause;
+
+/// The response to a final answer.
+pub(super) struct FinalResponse {
+    pub(super) response: Response<Answer>,
+    /// Whether the function may have run.
+    pub(super) may_have_run: bool,
+}
+
+impl FinalResponse {
+    pub(super) fn of(answer: Result<Final, AnswerLost>) -> FinalResponse {
+        match answer {
+            Ok(Final::Succeeded(brought)) => {
+                let response = Response::new(match brought {
+                    Brought::Whole(chunks) => Answer::Chunks(chunks.into()),
+                    Brought::Streamed(parts) => Answer::Streamed(Box::pin(parts)),
+                });
+                FinalResponse { response, may_have_run: true }
+            }
+            Ok(Final::Throttled { retry_after, past_share }) => {
+                let (status, detail) = if past_share {
+                    (StatusCode::TOO_MANY_REQUESTS, "the customer has had its share; nothing has run")
+                } else {
+                    (StatusCode::SERVICE_UNAVAILABLE, "there is no room in time; asking again is harmless")
+                };
+                FinalResponse::problem(status, "throttled", detail, false).retry_after(retry_after)
+            }
+            Ok(Final::Errored { cause, may_have_run }) => {
+                let status = match cause {
+                    Cause::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+                    Cause::Failed => StatusCode::BAD_GATEWAY,
+                };
+                let detail = if may_have_run { "it may have run" } else { "it has not run" };
+                FinalResponse::problem(status, "errored", detail, may_have_run)
+            }
+            Ok(Final::Refused { refusal, may_have_run }) => {
+                let (status, title) = refusal_status(&refusal);
+                let refused = FinalResponse::problem(status, title, &refusal.to_string(), may_have_run);
+                match refusal.retry_after() {
+                    Some(time) => refused.retry_after(time),
+                    None => refused,
+                }
+            }
+            Err(lost) => {
+                let detail = format!("{lost}; it may have run");
+                FinalResponse::problem(StatusCode::INTERNAL_SERVER_ERROR, "errored", &detail, true)
+            }
+        }
+    }
+
+    fn problem(status: StatusCode, title: &str, detail: &str, may_have_run: bool) -> FinalResponse {
+        FinalResponse { response: problem(status, title, detail, may_have_run), may_have_run }
+    }
+
+    fn retry_after(mut self, time: f64) -> FinalResponse {
+        stay_away(self.response.headers_mut(), time);
+        self
+    }
+}
+
+/// The status and title of what the configuration doesn't let through.
+fn refusal_status(refusal: &Refusal) -> (StatusCode, &'static str) {
+    match refusal {
+        Refusal::NotAllowed { .. } => (StatusCode::FORBIDDEN, "not allowed"),
+        Refusal::Stale { .. } | Refusal::NotLoaded { .. } => (StatusCode::SERVICE_UNAVAILABLE, "throttled"),
+    }
+}
+
+/// The response to an invocation that was not taken.
+pub(super) fn not_taken(hub: &Hub, why: NotTaken) -> Problem {
+    let throttled = |detail: &str, time: f64| {
+        let mut problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, "throttled", detail);
+        problem.retry_after = Some(time);
+        problem
+    };
+    match why {
+        NotTaken::Full => {
+            throttled("as many invocations are open as may be", hub.deployment.policy.max_retry_after)
+        }
+        NotTaken::Leaving => throttled("this front end is ending; ask another", 0.0),
+        NotTaken::Refused(refusal) => {
+            let (status, title) = refusal_status(&refusal);
+            let mut problem = Problem::new(status, title, refusal.to_string());
+            problem.retry_after = refusal.retry_after();
+            problem
+        }
+    }
+}
--- a/crates/frontend/src/ingress/status.rs
+++ b/crates/frontend/src/ingress/status.rs
@@ -42,20 +42,20 @@
     })
 }
 
-/// How triggers stand.
+/// The state of triggers by messages.
 fn triggers(hub: &Hub) -> serde_json::Value {
-    let Some(standing) = hub.triggers.get() else { return serde_json::Value::Null };
+    let Some(status) = hub.triggers.get() else { return serde_json::Value::Null };
     json!({
-        "connected": standing.connected,
-        "inHand": standing.in_hand,
-        "waiting": standing.waiting,
-        "journalWorks": standing.journal_works,
-        "messages": standing.counters,
+        "connected": status.connected,
+        "inHand": status.in_hand,
+        "waiting": status.waiting,
+        "journalWorks": status.journal_works,
+        "messages": status.counters,
     })
 }
 
 /// What the front end says of itself.
-pub(super) fn standing(hub: &Hub) -> Response<Answer> {
+pub(super) fn status(hub: &Hub) -> Response<Answer> {
     let t = hub.tally();
     let body = json!({
         "deployment": hub.deployment.name,
--- a/crates/frontend/src/lib.rs
+++ b/crates/frontend/src/lib.rs
@@ -11,12 +11,13 @@
 pub mod reload;
 mod rollouts;
 pub mod roster;
+mod roster_source;
 
 use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use futures_lite::future;
 use hub::Hub;
-use ingress::{Counted, serve, turn_away};
+use ingress::{ConnectionGuard, serve, turn_away};
 use orchidtally_deployment::Deployment;
 use orchidtally_engine::Tally;
 use std::cell::Cell;
@@ -56,7 +57,15 @@
 pub fn run(start: Start, listener: Async<TcpListener>) -> Tally {
     let spawner = Rc::new(LocalExecutor::new());
     let promise_store = start.promise_store.map(Rc::new);
-    let hub = Hub::new(start.deployment, start.seed, start.ahead, start.random, promise_store, &spawner);
+    let hub = Hub::new(
+        start.deployment,
+        start.seed,
+        start.ahead,
+        start.random,
+        promise_store,
+        roster_source::watch,
+        &spawner,
+    );
     hub.at.set(listener.get_ref().local_addr().ok());
     spawner.spawn(hub.clone().keep_time()).detach();
     spawner.spawn(hub.clone().keep_house(start.ahead, start.step)).detach();
@@ -73,8 +82,9 @@
         spawner.spawn(reload::follow(hub.clone(), reloads)).detach();
     }
     let (leave, leaving) = async_channel::bounded::<()>(1);
-    let carried = start.triggers.and_then(|triggers| hub.spawn(mqtt::carry(hub.clone(), triggers, leaving)));
-    let work = attend(hub, spawner.clone(), listener, start.stop, (carried, leave));
+    let consuming =
+        start.triggers.and_then(|triggers| hub.spawn(mqtt::consume(hub.clone(), triggers, leaving)));
+    let work = attend(hub, spawner.clone(), listener, start.stop, (consuming, leave));
     async_io::block_on(spawner.run(work))
 }
 
@@ -83,7 +93,7 @@
     spawner: Rc<LocalExecutor<'static>>,
     listener: Async<TcpListener>,
     stop: async_channel::Receiver<()>,
-    (carried, stop_carrying): (Option<Task<()>>, async_channel::Sender<()>),
+    (consuming, stop_consuming): (Option<Task<()>>, async_channel::Sender<()>),
 ) -> Tally {
     let most = hub.deployment.bounds.connections;
     let open = Rc::new(Cell::new(0));
@@ -102,13 +112,13 @@
         };
         // Those being turned away have a bound as well; past it a connection is just closed.
         if open.get() < most {
-            spawner.spawn(serve(hub.clone(), stream, leaving.clone(), Counted::new(&open))).detach();
+            spawner.spawn(serve(hub.clone(), stream, leaving.clone(), ConnectionGuard::new(&open))).detach();
         } else if open.get() < most + most / 4 + 16 {
             turned_away += 1;
             if turned_away.is_power_of_two() {
                 warn!(turned_away, most, "connections over the bound");
             }
-            let counted = Counted::new(&open);
+            let counted = ConnectionGuard::new(&open);
             let say = async move {
                 turn_away(stream).await;
                 drop(counted);
@@ -117,11 +127,11 @@
         }
     }
     drop(listener);
-    drop(stop_carrying);
+    drop(stop_consuming);
     let deadline = Instant::now() + Duration::from_secs_f64(hub.longest_timeout()) + LEAVE_MARGIN;
-    if let Some(carried) = carried {
+    if let Some(consuming) = consuming {
         // Messages in hand may have to be dispatched yet.
-        let left = orchidtally_net::within(deadline - Instant::now(), carried).await;
+        let left = orchidtally_net::within(deadline - Instant::now(), consuming).await;
         if left.is_none() {
             warn!("left with messages in hand: the journal has them");
         }
--- a/crates/frontend/src/mqtt/connection.rs
+++ b/crates/frontend/src/mqtt/connection.rs
@@ -34,7 +34,8 @@
     Lost(u64, String),
     /// What waits to be written has been, or a part of it.
     Room,
-    Came(u64, Answer),
+    /// The final answer of an invocation, by the number of its message.
+    InvocationEnded(u64, Answer),
 }
 
 /// What waits to be written to the broker.
--- /dev/null
+++ b/crates/frontend/src/mqtt/consume.rs
@@ -0,0 +1,97 @@
+//! Runs a consumer of messages.
+
+use super::Triggers;
+use super::connection::Input;
+use super::host::{ConsumerHost, JournalResult};
+use super::tls_files::CHECK_INTERVAL;
+use crate::hub::Hub;
+use bytes::Bytes;
+use futures_lite::future;
+use orchidtally_journal::Group;
+use orchidtally_trigger::{Consumer, Section};
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{debug, error, info};
+
+/// Inputs that wait to be processed; the socket is not read meanwhile.
+const MAX_INPUTS: usize = 1_024;
+/// The longest sleep in seconds.
+const MAX_SLEEP: f64 = 60.0;
+/// Entries of the journal that wait, for each message that may be in hand, and beyond that.
+const ENTRIES_PER_MESSAGE: usize = 8;
+const SPARE_ENTRIES: usize = 1_024;
+
+/// What ends a sleep.
+enum Wake {
+    Input(Input),
+    JournalResult(JournalResult),
+    /// The front end is ending.
+    Leave,
+}
+
+/// Serves triggers until the front end ends and what was in hand is answered.
+pub async fn consume(hub: Rc<Hub>, triggers: Triggers, leaving: async_channel::Receiver<()>) {
+    let Triggers { section, journal, records, cut, sharing } = triggers;
+    if cut > 0 || !records.is_empty() {
+        info!(entries = records.len(), cut, "the journal of a life before was read");
+    }
+    let section = Rc::new(section);
+    let (index, password) = (hub.deployment.policy.index as u32, read_password(&section));
+    let consumer = Consumer::new(&section, &hub.deployment, index, password, &records, hub.now());
+    let most_entries = ENTRIES_PER_MESSAGE * section.most_held() + SPARE_ENTRIES;
+    let (input_sender, inputs) = async_channel::bounded(MAX_INPUTS);
+    let (result_sender, journal_results) = async_channel::bounded(2 * most_entries);
+    let journal = Group::sharing(journal, most_entries, sharing);
+    let mut host = ConsumerHost::new(hub.clone(), section, consumer, journal, input_sender, result_sender);
+    let mut is_leaving = false;
+    loop {
+        host.tick();
+        if is_leaving && host.consumer.in_hand().0 == 0 {
+            break;
+        }
+        let longest = if host.uses_tls() { CHECK_INTERVAL } else { MAX_SLEEP };
+        let sleep = Duration::from_secs_f64((host.next_tick_at() - hub.now()).clamp(0.0, longest));
+        let input = async { inputs.recv().await.ok().map(Wake::Input) };
+        let journal_result = async { journal_results.recv().await.ok().map(Wake::JournalResult) };
+        let leave = async {
+            if is_leaving {
+                future::pending::<()>().await;
+            }
+            // Nothing is ever sent: the channel closes.
+            let _ = leaving.recv().await;
+            Some(Wake::Leave)
+        };
+        let wake = future::or(journal_result, future::or(input, leave));
+        match orchidtally_net::within(sleep, wake).await.flatten() {
+            Some(Wake::Input(input)) => host.apply(input),
+            Some(Wake::JournalResult(result)) => host.apply_journal_result(result),
+            Some(Wake::Leave) => {
+                is_leaving = true;
+                host.consumer.drain();
+            }
+            None => {}
+        }
+        // What has come together is processed together.
+        for _ in 0..MAX_INPUTS {
+            let Ok(result) = journal_results.try_recv() else { break };
+            host.apply_journal_result(result);
+        }
+        for _ in 0..MAX_INPUTS {
+            let Ok(input) = inputs.try_recv() else { break };
+            host.apply(input);
+        }
+    }
+    host.close().await;
+    debug!("no more messages are carried");
+}
+
+fn read_password(section: &Section) -> Option<Bytes> {
+    let file = section.password_file.as_ref()?;
+    match std::fs::read(file) {
+        Ok(bytes) => Some(Bytes::from(bytes.trim_ascii_end().to_vec())),
+        Err(fault) => {
+            error!(%fault, ?file, "the broker's password can't be read");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/frontend/src/mqtt/host.rs
@@ -0,0 +1,325 @@
+//! Performs what a consumer commands: packets, entries of the journal and invocations.
+
+use super::connection::{Connection, Input, MOST_OUT, Outbox, Wire, connect, read, write};
+use super::invoke::invoke;
+use super::tls_files::TlsFiles;
+use crate::hub::{Hub, TriggerStatus};
+use async_executor::Task;
+use orchidtally_deployment::Deployment;
+use orchidtally_journal::Group;
+use orchidtally_mqtt::encode;
+use orchidtally_trigger::consumer::{HostAction, Notice};
+use orchidtally_trigger::{Consumer, Section};
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{error, info, warn};
+
+/// Seconds until the first try to connect again; each try varies by half.
+const FIRST_RETRY: f64 = 0.1;
+/// The longest time between two tries, in seconds.
+const LONGEST_RETRY: f64 = 5.0;
+/// How long the last packets may take at the end.
+const CLOSE_TIME: Duration = Duration::from_millis(500);
+
+/// A result of the journal's thread: whether it succeeded.
+pub(super) enum JournalResult {
+    Appended(bool),
+    Replaced(bool),
+}
+
+/// The deployment by which messages are judged.
+struct DeploymentInForce {
+    revision: u64,
+    deployment: Rc<Deployment>,
+}
+
+/// A consumer with what it commands.
+pub(super) struct ConsumerHost {
+    hub: Rc<Hub>,
+    section: Rc<Section>,
+    pub(super) consumer: Consumer,
+    journal: Group,
+    inputs: async_channel::Sender<Input>,
+    journal_results: async_channel::Sender<JournalResult>,
+    connection: Option<Connection>,
+    connecting: Option<Task<()>>,
+    connection_count: u64,
+    connect_at: f64,
+    retry_after: f64,
+    invocations: HashMap<u64, Task<()>>,
+    journal_works: bool,
+    tls_files: TlsFiles,
+    in_force: DeploymentInForce,
+}
+
+impl ConsumerHost {
+    pub(super) fn new(
+        hub: Rc<Hub>,
+        section: Rc<Section>,
+        consumer: Consumer,
+        journal: Group,
+        inputs: async_channel::Sender<Input>,
+        journal_results: async_channel::Sender<JournalResult>,
+    ) -> ConsumerHost {
+        let now = hub.now();
+        ConsumerHost {
+            tls_files: TlsFiles::new(&section, now),
+            in_force: DeploymentInForce { revision: 1, deployment: hub.deployment.clone() },
+            hub,
+            section,
+            consumer,
+            journal,
+            inputs,
+            journal_results,
+            connection: None,
+            connecting: None,
+            connection_count: 0,
+            connect_at: now,
+            retry_after: FIRST_RETRY,
+            invocations: HashMap::new(),
+            journal_works: true,
+        }
+    }
+
+    /// Whether the connection uses TLS.
+    pub(super) fn uses_tls(&self) -> bool {
+        self.tls_files.are_used()
+    }
+
+    /// When something is due without any input.
+    pub(super) fn next_tick_at(&self) -> f64 {
+        let is_idle = self.connection.is_none() && self.connecting.is_none();
+        let connect_at = if is_idle { self.connect_at } else { f64::INFINITY };
+        self.consumer.next_tick_at().min(connect_at)
+    }
+
+    /// Does what is due.
+    pub(super) fn tick(&mut self) {
+        let now = self.hub.now();
+        if let Err(ended) = self.consumer.tick(now) {
+            self.lost(&ended.to_string());
+        }
+        if self.connection.is_none() && self.connecting.is_none() && now >= self.connect_at {
+            self.start_connecting();
+        }
+        self.check_tls_files(now);
+        self.perform();
+        self.report();
+    }
+
+    /// Ends a connection whose certificates were replaced; the next one uses the new ones.
+    fn check_tls_files(&mut self, now: f64) {
+        let is_due = self.tls_files.is_check_due(now);
+        if is_due && self.connection.is_some() && self.tls_files.have_changed() {
+            info!("the files of TLS have changed: connecting anew");
+            self.consumer.disconnect(now);
+            self.perform();
+            self.connection = None;
+            self.consumer.connection_lost();
+            self.connect_at = now;
+        }
+    }
+
+    fn start_connecting(&mut self) {
+        self.tls_files.note();
+        let (section, inputs) = (self.section.clone(), self.inputs.clone());
+        let work = async move {
+            let connected = connect(&section).await;
+            // Nobody listens where the front end has ended.
+            let _ = inputs.send(Input::Connected(connected)).await;
+        };
+        self.connecting = self.hub.spawn(work);
+    }
+
+    fn connected(&mut self, stream: Box<dyn Wire>) {
+        self.connection_count += 1;
+        let number = self.connection_count;
+        let (reader, writer) = futures_lite::io::split(stream);
+        let (wake, woken) = async_channel::bounded(1);
+        let outbox = Rc::new(Outbox::default());
+        let read = self.hub.spawn(read(reader, number, self.section.clone(), self.inputs.clone()));
+        let write = self.hub.spawn(write(writer, number, outbox.clone(), woken, self.inputs.clone()));
+        self.connection = Some(Connection { number, outbox, wake, _tasks: [read, write] });
+        self.consumer.connect(self.hub.now());
+    }
+
+    fn lost(&mut self, why: &str) {
+        let Some(_) = self.connection.take() else { return };
+        warn!(broker = %self.section.broker, why, "the connection to the broker is gone");
+        self.consumer.connection_lost();
+        self.connect_later();
+    }
+
+    fn connect_later(&mut self) {
+        self.connect_at = self.hub.now() + self.retry_after * (0.5 + rand::random::<f64>());
+        self.retry_after = (2.0 * self.retry_after).min(LONGEST_RETRY);
+    }
+
+    /// Passes on what has come from a connection or an invocation.
+    pub(super) fn apply(&mut self, input: Input) {
+        let now = self.hub.now();
+        let is_present = |number: u64| self.connection.as_ref().is_some_and(|c| c.number == number);
+        match input {
+            Input::Connected(stream) => {
+                self.connecting = None;
+                match stream {
+                    Ok(stream) => self.connected(stream),
+                    Err(fault) => {
+                        warn!(broker = %self.section.broker, %fault, "the broker is not to be reached");
+                        self.connect_later();
+                    }
+                }
+            }
+            Input::Packet(number, packet) if is_present(number) => {
+                let deployment = self.deployment_in_force();
+                if let Err(ended) = self.consumer.received(now, packet, &deployment) {
+                    self.lost(&ended.to_string());
+                }
+            }
+            Input::Lost(number, why) if is_present(number) => self.lost(&why),
+            Input::Packet(..) | Input::Lost(..) | Input::Room => {}
+            Input::InvocationEnded(n, answer) => {
+                self.invocations.remove(&n);
+                self.consumer.invocation_ended(now, n, answer);
+            }
+        }
+    }
+
+    /// Passes on a result of the journal.
+    pub(super) fn apply_journal_result(&mut self, result: JournalResult) {
+        let now = self.hub.now();
+        match result {
+            JournalResult::Appended(succeeded) => self.consumer.journal_appended(now, succeeded),
+            JournalResult::Replaced(succeeded) => self.consumer.journal_replaced(now, succeeded),
+        }
+    }
+
+    /// The deployment of the revision in force, with trigger types at the places that the rules know.
+    fn deployment_in_force(&mut self) -> Rc<Deployment> {
+        let revision = self.hub.revision();
+        if self.in_force.revision != revision.number {
+            let deployment = Rc::new(revision.aligned_to(&self.hub.deployment));
+            self.in_force = DeploymentInForce { revision: revision.number, deployment };
+        }
+        self.in_force.deployment.clone()
+    }
+
+    fn perform(&mut self) {
+        while let Some(action) = self.consumer.next_action() {
+            match action {
+                HostAction::Append(entry) => self.append(entry),
+                HostAction::Replace(snapshot) => self.replace(snapshot),
+                HostAction::Invoke(n) => self.invoke(n),
+                HostAction::Cancel(n) => {
+                    self.invocations.remove(&n);
+                }
+            }
+        }
+        while let Some(notice) = self.consumer.next_notice() {
+            self.log(notice);
+        }
+        self.send_packets();
+    }
+
+    fn append(&mut self, entry: Vec<u8>) {
+        let results = self.journal_results.clone();
+        let done = move |appended: io::Result<()>| {
+            if let Err(fault) = &appended {
+                error!(%fault, "the journal did not keep an entry");
+            }
+            // Nobody listens where the front end has ended.
+            let _ = results.send_blocking(JournalResult::Appended(appended.is_ok()));
+        };
+        if self.journal.append(entry, done).is_err() {
+            // Its thread has died: its queue is as long as all that can be in hand.
+            self.consumer.journal_appended(self.hub.now(), false);
+        }
+    }
+
+    fn replace(&mut self, snapshot: Vec<u8>) {
+        let results = self.journal_results.clone();
+        let done = move |replaced: io::Result<()>| {
+            if let Err(fault) = &replaced {
+                error!(%fault, "the journal's state could not be replaced");
+            }
+            let _ = results.send_blocking(JournalResult::Replaced(replaced.is_ok()));
+        };
+        if self.journal.replace(snapshot, done).is_err() {
+            self.consumer.journal_replaced(self.hub.now(), false);
+        }
+    }
+
+    fn invoke(&mut self, n: u64) {
+        let Some(message) = self.consumer.message(n).cloned() else { return };
+        let ready_by = self.consumer.ready_by(n);
+        let (hub, inputs) = (self.hub.clone(), self.inputs.clone());
+        let work = async move {
+            let answer = invoke(hub, message, ready_by).await;
+            let _ = inputs.send(Input::InvocationEnded(n, answer)).await;
+        };
+        self.invocations.extend(self.hub.spawn(work).map(|task| (n, task)));
+    }
+
+    fn log(&mut self, notice: Notice) {
+        match notice {
+            Notice::Connected { session_present } => {
+                self.retry_after = FIRST_RETRY;
+                info!(broker = %self.section.broker, session_present, "connected to the broker");
+            }
+            Notice::Refused(filters) => error!(?filters, "the broker refused subscriptions"),
+            Notice::SetAside { topic, why } => warn!(topic, why, "a message was set aside"),
+            Notice::NotPublished { topic, code } => warn!(topic, ?code, "the broker took no answer"),
+            Notice::JournalFailed => {
+                self.journal_works = false;
+                error!("the journal can't be written: no message is taken until it can");
+            }
+            Notice::JournalBack => {
+                self.journal_works = true;
+                info!("the journal can be written again");
+            }
+        }
+    }
+
+    fn send_packets(&mut self) {
+        let Some(connection) = &self.connection else { return };
+        let mut bytes = connection.outbox.bytes.borrow_mut();
+        while bytes.len() < MOST_OUT
+            && let Some(packet) = self.consumer.next_packet()
+        {
+            match encode(&packet, self.section.version) {
+                Ok(encoded) => bytes.extend_from_slice(&encoded),
+                Err(fault) => error!(%fault, "a packet could not be written"),
+            }
+        }
+        if !bytes.is_empty() {
+            // A full channel has woken it already.
+            let _ = connection.wake.try_send(());
+        }
+    }
+
+    fn report(&self) {
+        let (in_hand, waiting) = self.consumer.in_hand();
+        self.hub.triggers.set(Some(TriggerStatus {
+            counters: self.consumer.counters(),
+            connected: self.consumer.is_connected(),
+            in_hand,
+            waiting,
+            journal_works: self.journal_works,
+        }));
+    }
+
+    /// Ends the connection in order.
+    pub(super) async fn close(mut self) {
+        self.consumer.disconnect(self.hub.now());
+        self.perform();
+        let Some(connection) = self.connection.take() else { return };
+        connection.outbox.ended.set(true);
+        let _ = connection.wake.try_send(());
+        let [_, write] = connection._tasks;
+        if let Some(write) = write {
+            let _ = orchidtally_net::within(CLOSE_TIME, write).await;
+        }
+    }
+}
--- a/crates/frontend/src/mqtt/invoke.rs
+++ b/crates/frontend/src/mqtt/invoke.rs
@@ -1,8 +1,7 @@
 //! Invokes for a message.
 
 use crate::config::Refusal;
-use crate::hub::{Asked, Brought, Final, Hub, NotTaken};
-use crate::ingress::Guard;
+use crate::hub::{Asked, Brought, Final, Hub, NamedCustomer, NotTaken};
 use bytes::Bytes;
 use orchidtally_engine::Cause;
 use orchidtally_rollout::plan::Key;
@@ -54,21 +53,18 @@
         resolved,
         revision: revision.clone(),
         trigger_type: trigger_type.clone(),
-        customer: (customer, &target.customer),
+        customer: NamedCustomer { index: customer, name: &target.customer },
         token: &target.token,
         repeat: false,
         timeout_at: ready_by,
         payload_bytes: message.payload.len() as u64,
         payload: vec![message.payload.clone()],
     };
-    let (inv, answer) = match hub.take_asked(asked) {
-        Ok(taken) => taken,
+    let answer = match hub.invoke(asked).await {
+        Ok(answer) => answer,
         Err(NotTaken::Full | NotTaken::Leaving) => return Answer::Throttled,
         Err(NotTaken::Refused(refusal)) => return refused(&refusal, false),
     };
-    let mut guard = Guard { hub: &hub, inv, answered: false };
-    let answer = answer.await;
-    guard.answered = true;
     match answer {
         Ok(Final::Succeeded(Brought::Whole(chunks))) => Answer::Succeeded {
             payload: match chunks.as_slice() {
@@ -89,6 +85,6 @@
             };
             Answer::Errored { why: why.into(), may_have_run }
         }
-        Err(_) => Answer::Errored { why: "the front end lost track of it".into(), may_have_run: true },
+        Err(lost) => Answer::Errored { why: lost.to_string(), may_have_run: true },
     }
 }
--- /dev/null
+++ b/crates/frontend/src/mqtt/tls_files.rs
@@ -0,0 +1,57 @@
+//! Watches the files of TLS, so that a connection is made anew when its certificates were replaced.
+
+use orchidtally_trigger::Section;
+use std::path::PathBuf;
+use std::time::SystemTime;
+
+/// Seconds between two looks at the files.
+pub(super) const CHECK_INTERVAL: f64 = 3.0;
+
+/// When the files of TLS were changed.
+pub(super) struct TlsFiles {
+    paths: Vec<PathBuf>,
+    /// When the newest file was changed, as of the present connection.
+    changed_at: Option<SystemTime>,
+    next_check_at: f64,
+}
+
+impl TlsFiles {
+    pub(super) fn new(section: &Section, now: f64) -> TlsFiles {
+        let mut paths = vec![];
+        if let Some(tls) = &section.tls {
+            paths.push(tls.authorities.clone());
+            paths.extend(tls.identity.iter().flat_map(|(certificates, key)| [certificates, key]).cloned());
+        }
+        TlsFiles { paths, changed_at: None, next_check_at: now }
+    }
+
+    /// Whether the connection uses TLS.
+    pub(super) fn are_used(&self) -> bool {
+        !self.paths.is_empty()
+    }
+
+    /// When the newest of the files was changed.
+    fn newest(&self) -> Option<SystemTime> {
+        let changed_at = |path: &PathBuf| std::fs::metadata(path).and_then(|file| file.modified()).ok();
+        self.paths.iter().filter_map(changed_at).max()
+    }
+
+    /// A connection is being made with the files as they are now.
+    pub(super) fn note(&mut self) {
+        self.changed_at = self.newest();
+    }
+
+    /// Whether a check is due.
+    pub(super) fn is_check_due(&mut self, now: f64) -> bool {
+        if now < self.next_check_at || !self.are_used() {
+            return false;
+        }
+        self.next_check_at = now + CHECK_INTERVAL;
+        true
+    }
+
+    /// Whether a file was changed since the present connection was made.
+    pub(super) fn have_changed(&self) -> bool {
+        self.newest() != self.changed_at
+    }
+}
--- /dev/null
+++ b/crates/frontend/src/roster_source.rs
@@ -0,0 +1,25 @@
+//! Where the list of executors comes from.
+
+use crate::hub::Hub;
+use crate::{etcd, roster};
+use async_executor::Task;
+use orchidtally_deployment::Source;
+use std::rc::Rc;
+use tracing::info;
+
+/// Starts to follow the list of executors that the deployment names. A list in the deployment itself needs no
+/// following, and the one in etcd is followed for as long as the front end lives.
+pub fn watch(hub: &Rc<Hub>) -> Option<Task<()>> {
+    match &hub.deployment.source {
+        Source::Listed(_) => None,
+        Source::Etcd(settings) => {
+            info!(endpoints = ?settings.endpoints, "following the roster in etcd");
+            etcd::keep(hub, settings);
+            None
+        }
+        Source::Publisher(publisher) => {
+            info!(%publisher, "asking for the roster");
+            hub.spawn(roster::watch(hub.clone(), *publisher))
+        }
+    }
+}
