Split the coordinator process by job, and a plan's reading and forecast into steps

A comment that a rename had spoilt ("SeededRandom that a harmless rollout is taken back") says probability again.

--- a/crates/cli/src/rollout.rs
+++ b/crates/cli/src/rollout.rs
@@ -7,8 +7,8 @@
 use http::{Method, StatusCode};
 use orchidtally_coordinator::{Order, Status, StopReason};
 use orchidtally_rollout::coordinator::Event;
+use orchidtally_rollout::forecast::StepForecast;
 use orchidtally_rollout::plan::{GATES, Gate};
-use orchidtally_rollout::reckoning::Reckoned;
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -155,7 +155,7 @@
         println!("{value}");
         return Ok(());
     }
-    let steps: Vec<Reckoned> = read(&value["steps"])?;
+    let steps: Vec<StepForecast> = read(&value["steps"])?;
     println!(
         "step    share  copies  orders  loading s  evidence s  least time s  answers to tell twice the errors"
     );
@@ -170,7 +170,7 @@
             s.orders,
             s.loading,
             s.time,
-            s.telling
+            s.answers_to_detect
         );
         total += s.time;
     }
--- /dev/null
+++ b/crates/coordinator/src/server.rs
@@ -0,0 +1,150 @@
+//! Runs a coordinator on sockets.
+
+use crate::StopReason;
+use crate::journal::{persist, recover};
+use async_executor::LocalExecutor;
+use async_io::{Async, Timer};
+use futures_lite::future;
+use orchidtally_deployment::Deployment;
+use orchidtally_journal::Journal;
+use orchidtally_net::Stream;
+use orchidtally_rollout::Coordinator;
+use smol_hyper::rt::SmolTimer;
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::TcpListener;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tracing::{debug, error, info, warn};
+
+/// The time between two ticks.
+const TICK_INTERVAL: Duration = Duration::from_millis(500);
+/// After so many ticks evidence is persisted, where nothing was decided.
+const TICKS_PER_PERSIST: u32 = 2;
+/// How long a front end or an operator may take to send a request.
+pub(crate) const SENDER_TIME: Duration = Duration::from_secs(5);
+/// The most connections at a time.
+const MAX_CONNECTIONS: usize = 2_000;
+
+/// A coordinator with its journal and its connections.
+pub(crate) struct CoordinatorServer {
+    pub(crate) deployment: Deployment,
+    pub(crate) coordinator: RefCell<Coordinator>,
+    journal: RefCell<Journal>,
+    /// Why the journal can't be written any more: nothing may be published that it does not hold.
+    failure: RefCell<Option<io::Error>>,
+    ticks_since_persist: Cell<u32>,
+    connections: Cell<usize>,
+}
+
+/// Seconds since 1970.
+pub(crate) fn now() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |time| time.as_secs_f64())
+}
+
+/// Runs a coordinator on this thread until it is stopped or superseded.
+pub fn run(
+    deployment: Deployment,
+    folder: &Path,
+    listener: Async<TcpListener>,
+    stop: async_channel::Receiver<()>,
+) -> io::Result<StopReason> {
+    let (journal, state) = recover(folder)?;
+    let coordinator = Coordinator::new(state, rand::random(), now());
+    info!(term = coordinator.published().epoch.term, "a coordinator begins its term");
+    let server = Rc::new(CoordinatorServer {
+        deployment,
+        coordinator: RefCell::new(coordinator),
+        journal: RefCell::new(journal),
+        failure: RefCell::default(),
+        ticks_since_persist: Cell::new(0),
+        connections: Cell::new(0),
+    });
+    server.persist()?;
+    let spawner = Rc::new(LocalExecutor::new());
+    let stopped = async {
+        // A closed channel stops as a message does.
+        let _ = stop.recv().await;
+        Ok(StopReason::Stopped)
+    };
+    let accepting = server.clone().accept(listener, spawner.clone());
+    let work = future::or(stopped, future::or(server.keep_time(), accepting));
+    async_io::block_on(spawner.run(work))
+}
+
+impl CoordinatorServer {
+    /// Persists the whole state.
+    fn persist(&self) -> io::Result<()> {
+        self.coordinator.borrow_mut().take_changed();
+        self.ticks_since_persist.set(0);
+        persist(&mut self.journal.borrow_mut(), self.coordinator.borrow().state())
+    }
+
+    /// Persists what was decided. To be called after every change and before anything is published of it. Returns
+    /// false where that failed, which ends the process.
+    pub(crate) fn persist_changes(&self) -> bool {
+        if self.coordinator.borrow_mut().take_changed()
+            && let Err(fault) = self.persist()
+        {
+            error!(%fault, "the state can't be kept");
+            *self.failure.borrow_mut() = Some(fault);
+        }
+        self.failure.borrow().is_none()
+    }
+
+    async fn keep_time(&self) -> io::Result<StopReason> {
+        loop {
+            Timer::after(TICK_INTERVAL).await;
+            self.coordinator.borrow_mut().tick(now());
+            if let Some(epoch) = self.coordinator.borrow().superseded() {
+                let own = self.coordinator.borrow().published().epoch.term;
+                warn!(own, other = epoch.term, "another coordinator has a higher term; this one stops");
+                return Ok(StopReason::Superseded(epoch));
+            }
+            self.ticks_since_persist.set(self.ticks_since_persist.get() + 1);
+            let is_due = self.ticks_since_persist.get() >= TICKS_PER_PERSIST;
+            if self.persist_changes() && is_due && !self.is_idle() {
+                // Evidence alone: what is lost of it is counted anew.
+                if let Err(fault) = self.persist() {
+                    warn!(%fault, "evidence can't be kept");
+                }
+            }
+            if let Some(fault) = self.failure.borrow_mut().take() {
+                return Err(fault);
+            }
+        }
+    }
+
+    fn is_idle(&self) -> bool {
+        self.coordinator.borrow().published().rollouts.values().all(|rollout| rollout.phase.is_over())
+    }
+
+    async fn accept(
+        self: Rc<Self>,
+        listener: Async<TcpListener>,
+        spawner: Rc<LocalExecutor<'static>>,
+    ) -> io::Result<StopReason> {
+        loop {
+            let stream = orchidtally_net::accept(&listener).await;
+            if self.connections.get() < MAX_CONNECTIONS {
+                spawner.spawn(self.clone().serve(stream)).detach();
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Self>, stream: Stream) {
+        self.connections.set(self.connections.get() + 1);
+        let peer = stream.peer();
+        let service = hyper::service::service_fn(|request| self.respond(request));
+        let served = hyper::server::conn::http1::Builder::new()
+            .timer(SmolTimer::new())
+            .header_read_timeout(SENDER_TIME)
+            .serve_connection(stream, service)
+            .await;
+        if let Err(fault) = served.map_err(|e| e.to_string()) {
+            debug!(?peer, fault, "a connection ended");
+        }
+        self.connections.set(self.connections.get() - 1);
+    }
+}
--- a/crates/rollout/src/frontend/load_ahead.rs
+++ b/crates/rollout/src/frontend/load_ahead.rs
@@ -2,7 +2,7 @@
 
 use super::local::LocalRollout;
 use super::{Place, Shares};
-use crate::reckoning::copies_for;
+use crate::forecast::copies_for;
 use orchidtally_deployment::Version;
 use std::cmp::Reverse;
 
--- a/crates/rollout/src/plan.rs
+++ b/crates/rollout/src/plan.rs
@@ -1,24 +1,27 @@
-//! A rollout's plan, in JSON5, checked as a whole like the deployment file.
+//! The plan of a rollout, in JSON5. It is checked as a whole, like the deployment file.
 
+use crate::forecast;
 use orchidtally_deployment::reader::{Document, Fault, Fields, Place};
 use orchidtally_deployment::{Deployment, Version};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
-/// What the split sticks to.
+/// The sticky key of the split: invocations of one key get the same version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Key {
-    /// Each invocation by itself.
+    /// The name of the invocation: each is split by itself.
     Invocation,
+    /// The customer.
     Customer,
-    /// The idempotency key.
+    /// The idempotency token.
     Token,
+    /// The value of this HTTP header, in lower case.
     Header(String),
 }
 
 impl Key {
-    /// Whether one key stands for many invocations, whose troubles then come together.
+    /// Whether many invocations have the same key, so that their troubles come together.
     pub fn is_shared(&self) -> bool {
         !matches!(self, Key::Invocation)
     }
@@ -35,18 +38,21 @@
     }
 }
 
+/// A step of a plan. Times are in seconds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Step {
-    /// Of the traffic that the step means, from 0 to 1.
+    /// The share of the new version in the traffic that the step is for, from 0 to 1.
     pub share: f64,
-    /// Those who are meant; all where none is named.
+    /// The customers that the step is for; all where none is named.
     pub customers: Vec<String>,
+    /// The locations that the step is for; all where none is named.
     pub locations: Vec<String>,
+    /// The step lasts so long at the least.
     pub least_time: f64,
-    /// Answers of the new version that have to be in.
+    /// Answers of the new version that the step needs.
     pub least_evidence: u64,
-    /// A step that has not passed by then is taken back.
+    /// A step whose evidence is missing after this time is taken back.
     pub longest: Option<f64>,
 }
 
@@ -54,18 +60,23 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Gate {
+    /// Failed invocations.
     Errors,
     /// Answers slower than the old version's 0.9 quantile.
     Slow,
     /// Answers slower than the old version's 0.99 quantile.
     SlowTail,
+    /// Loads that failed.
     LoadFailures,
+    /// Throttled invocations.
     Throttled,
 }
 
+/// All gates, in the order of `Gate::index`.
 pub const GATES: [Gate; 5] = [Gate::Errors, Gate::Slow, Gate::SlowTail, Gate::LoadFailures, Gate::Throttled];
 
 impl Gate {
+    /// The name of the gate in plans and reports.
     pub fn name(self) -> &'static str {
         match self {
             Gate::Errors => "errors",
@@ -76,61 +87,78 @@
         }
     }
 
+    /// The place of the gate in arrays by gate.
     pub fn index(self) -> usize {
         GATES.iter().position(|&g| g == self).unwrap_or(0)
     }
 }
 
-/// How a gate is held.
+/// The terms of a gate.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Hold {
+    /// The gate.
     pub gate: Gate,
-    /// For errors, load failures, throttled: so many times the old version's odds are allowed. For the slow
-    /// ones: so many times its latency.
+    /// The ratio to the old version that is allowed: of the odds of errors, load failures and throttled answers, and
+    /// of the latency for the slow ones.
     pub ratio: f64,
-    /// A gate that fails takes the rollout back; else it holds the step.
+    /// Whether a gate that fails takes the rollout back; otherwise it holds the step.
     pub takes_back: bool,
 }
 
+/// What becomes of a step one of whose gates can't be judged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Unjudged {
+    /// The step is held.
     Hold,
+    /// The gate is left out.
     Advance,
+    /// The rollout is taken back.
     Back,
 }
 
+/// The plan of a rollout. Times are in seconds.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Plan {
+    /// The name of the rollout.
     pub name: String,
+    /// The name of the function.
     pub function: String,
-    /// Aliases or digests, as the plan names them.
+    /// The old version, by an alias or its digest.
     pub from: String,
+    /// The new version, by an alias or its digest.
     pub to: String,
     /// The alias that moves to the new version at the end.
     pub alias: String,
+    /// The sticky key of the split.
     pub key: Key,
+    /// The steps; the last one is for everyone.
     pub steps: Vec<Step>,
+    /// The gates that are judged.
     pub gates: Vec<Hold>,
-    /// SeededRandom that a harmless rollout is taken back, over its whole life and all gates.
+    /// The probability that a harmless rollout is taken back, over its whole life and all gates.
     pub false_alarm: f64,
+    /// What becomes of a step one of whose gates can't be judged.
     pub unjudged: Unjudged,
     /// Loads of the new version a second, over all front ends.
     pub loads_per_second: f64,
-    /// Of rollouts that share the front ends' budget of loads, the greatest comes first.
+    /// Rollouts of a greater priority load first.
     pub priority: u32,
-    /// The part of the traffic that stays on the old version until the rollout is finished, so that there is
-    /// something to compare with while all the rest is on the new one.
+    /// The part of the traffic that stays on the old version until the rollout is finished, so that there is something
+    /// to compare with while the rest is on the new one.
     pub holdback: f64,
     /// How long the old version's copies are kept after the last step.
     pub keep_from: f64,
-    /// Invocations of the function a second over all front ends, where they are known beforehand.
+    /// Invocations of the function a second over all front ends, where that is known beforehand.
     pub rate: Option<f64>,
 }
 
-const TOP: [&str; 15] = [
+/// The longest name of a rollout, in bytes.
+const MAX_NAME_LENGTH: usize = 64;
+
+const KEYS: [&str; 15] = [
     "name",
     "function",
     "from",
@@ -149,7 +177,7 @@
 ];
 
 impl Plan {
-    /// Reads a plan and checks it against the deployment, or tells every fault in it.
+    /// Reads a plan and checks it against the deployment, or returns every fault in it.
     pub fn read(text: &str, deployment: &Deployment) -> Result<Plan, Vec<Fault>> {
         let document = Document::new(text);
         let Some(value) = document.parse() else { return Err(document.faults()) };
@@ -161,72 +189,38 @@
         }
     }
 
+    /// The terms of a gate, where it is judged.
     pub fn gate(&self, gate: Gate) -> Option<&Hold> {
         self.gates.iter().find(|h| h.gate == gate)
     }
 
-    /// Evidence as strong as this takes back: the inverse of a gate's part of the false alarms.
+    /// The evidence that takes the rollout back: the inverse of a gate's part of the false alarms.
     pub fn threshold(&self) -> f64 {
         let judged = self.gates.iter().filter(|h| h.takes_back).count().max(1);
         judged as f64 / self.false_alarm
     }
 }
 
-fn version<'a>(
-    place: &Place,
-    deployment: &Deployment,
-    function: &str,
-    name: &'a str,
-) -> Option<(&'a str, Version)> {
-    let found = deployment.function(function)?;
-    match found.version(name) {
-        Some(version) => Some((name, version.clone())),
-        None => {
-            let aliases: Vec<_> = found.aliases.keys().map(|a| format!("'{a}'")).collect();
-            let what =
-                format!("'{name}' is no alias or digest of '{function}'; aliases: {}", aliases.join(", "));
-            place.fault(what);
-            None
-        }
-    }
-}
-
 fn plan(root: &Place, deployment: &Deployment) -> Option<Plan> {
-    let top = root.object(&TOP);
-    let name = top.at("name").text();
-    if name
-        .as_ref()
-        .is_some_and(|n| n.len() > 64 || !n.chars().all(|c| c.is_ascii_alphanumeric() || "-_.".contains(c)))
-    {
-        top.at("name").fault("1 to 64 of a-z, A-Z, 0-9, '-', '_', '.' are wanted");
-    }
-    let function = top.at("function").text();
-    let known = function.clone().filter(|f| {
-        let known = deployment.functions.contains_key(f.as_str());
-        if !known {
-            top.at("function").fault(format!("the deployment file lists no function '{f}' with versions"));
-        }
-        known
-    });
-    let text = |key: &str, absent: &str| match top.at(key).is_given() {
-        true => top.at(key).text(),
-        false => Some(absent.to_owned()),
+    let fields = root.object(&KEYS);
+    let name = name(&fields);
+    let function = fields.at("function").text();
+    let is_known = function.as_deref().is_some_and(|function| check_function(&fields, function, deployment));
+    let text = |key: &str, default: &str| match fields.at(key).is_given() {
+        true => fields.at(key).text(),
+        false => Some(default.to_owned()),
     };
     let alias = text("alias", "stable");
-    let (from, to) = (text("from", "stable"), top.at("to").text());
-    if let (Some(function), Some(from), Some(to)) = (&known, &from, &to) {
-        let old = version(&top.at("from"), deployment, function, from);
-        let new = version(&top.at("to"), deployment, function, to);
-        if let (Some((_, old)), Some((_, new))) = (old, new)
-            && old.key == new.key
-        {
-            top.at("to").fault(format!("'{from}' and '{to}' are the same version"));
-        }
+    let (from, to) = (text("from", "stable"), fields.at("to").text());
+    if let (Some(function), Some(from), Some(to)) = (function.as_deref().filter(|_| is_known), &from, &to) {
+        check_versions(&fields, deployment, function, from, to);
     }
-    let key = top.maybe("key", key).unwrap_or(Key::Invocation);
-    let steps = steps(&top, deployment);
-    let gates = gates(&top.at("gates"));
-    let rate = top.maybe("rate", |p| p.number(1e-6..=1e7));
+    let unjudged = [("hold", Unjudged::Hold), ("advance", Unjudged::Advance), ("back", Unjudged::Back)];
+    let number = |key, range, default| fields.maybe(key, |place| place.number(range)).unwrap_or(default);
+    let key = fields.maybe("key", key).unwrap_or(Key::Invocation);
+    let steps = steps(&fields, deployment);
+    let gates = gates(&fields.at("gates"));
+    let rate = fields.maybe("rate", |place| place.number(1e-6..=1e7));
     let plan = Plan {
         name: name?,
         function: function?,
@@ -236,30 +230,67 @@
         key,
         steps,
         gates,
-        false_alarm: top.maybe("falseAlarm", |p| p.number(1e-6..=0.1)).unwrap_or(0.005),
-        unjudged: top
-            .maybe("unjudged", |p| {
-                p.one_of(&[
-                    ("hold", Unjudged::Hold),
-                    ("advance", Unjudged::Advance),
-                    ("back", Unjudged::Back),
-                ])
-            })
-            .unwrap_or(Unjudged::Hold),
-        loads_per_second: top.maybe("loadsPerSecond", |p| p.number(0.01..=1e4)).unwrap_or(2.0),
-        priority: top.maybe("priority", |p| p.whole(0..=1_000)).unwrap_or(0),
-        holdback: top.maybe("holdback", |p| p.number(0.0..=0.5)).unwrap_or(0.05),
-        keep_from: top.maybe("keepFrom", |p| p.seconds(0.0..=86_400.0)).unwrap_or(60.0),
+        false_alarm: number("falseAlarm", 1e-6..=0.1, 0.005),
+        unjudged: fields.maybe("unjudged", |place| place.one_of(&unjudged)).unwrap_or(Unjudged::Hold),
+        loads_per_second: number("loadsPerSecond", 0.01..=1e4, 2.0),
+        priority: fields.maybe("priority", |place| place.whole(0..=1_000)).unwrap_or(0),
+        holdback: number("holdback", 0.0..=0.5, 0.05),
+        keep_from: fields.maybe("keepFrom", |place| place.seconds(0.0..=86_400.0)).unwrap_or(60.0),
         rate,
     };
-    known?;
-    crate::reckoning::check(&plan, deployment, &|step, what| match step {
-        Some(n) => top.at("steps").list()[n].fault(what),
-        None => top.at("loadsPerSecond").fault(what),
-    });
+    if !is_known {
+        return None;
+    }
+    for infeasible in forecast::check(&plan, deployment) {
+        match infeasible.step {
+            Some(index) => fields.at("steps").list()[index].fault(infeasible.what),
+            None => fields.at("loadsPerSecond").fault(infeasible.what),
+        }
+    }
     Some(plan)
 }
 
+fn name(fields: &Fields) -> Option<String> {
+    let name = fields.at("name").text()?;
+    let is_valid = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+    if name.len() > MAX_NAME_LENGTH || !name.chars().all(is_valid) {
+        fields.at("name").fault("1 to 64 of a-z, A-Z, 0-9, '-', '_', '.' are wanted");
+    }
+    Some(name)
+}
+
+/// Whether the deployment lists a function; a fault is noted if not.
+fn check_function(fields: &Fields, function: &str, deployment: &Deployment) -> bool {
+    let is_known = deployment.functions.contains_key(function);
+    if !is_known {
+        let what = format!("the deployment file lists no function '{function}' with versions");
+        fields.at("function").fault(what);
+    }
+    is_known
+}
+
+/// Notes a fault where a version is not known, or both are the same.
+fn check_versions(fields: &Fields, deployment: &Deployment, function: &str, from: &str, to: &str) {
+    let old = version(&fields.at("from"), deployment, function, from);
+    let new = version(&fields.at("to"), deployment, function, to);
+    if let (Some(old), Some(new)) = (old, new)
+        && old.key == new.key
+    {
+        fields.at("to").fault(format!("'{from}' and '{to}' are the same version"));
+    }
+}
+
+fn version(place: &Place, deployment: &Deployment, function: &str, name: &str) -> Option<Version> {
+    let found = deployment.function(function)?;
+    let version = found.version(name).cloned();
+    if version.is_none() {
+        let aliases: Vec<_> = found.aliases.keys().map(|alias| format!("'{alias}'")).collect();
+        let aliases = aliases.join(", ");
+        place.fault(format!("'{name}' is no alias or digest of '{function}'; aliases: {aliases}"));
+    }
+    version
+}
+
 fn key(place: &Place) -> Option<Key> {
     let text = place.text()?;
     match text.as_str() {
--- a/crates/rollout/src/state.rs
+++ b/crates/rollout/src/state.rs
@@ -1,22 +1,26 @@
-//! What a coordinator publishes, and the order of what is published.
+//! What a coordinator publishes, and which of two publications is the newer.
 
 use crate::plan::Plan;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Who published: a later term wins, and of two coordinators with one term the greater number drawn.
+/// Who published. A later term wins; of two coordinators of one term the greater number drawn.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Epoch {
+    /// Grows with each start of a coordinator.
     pub term: u64,
+    /// A random number that the coordinator drew at its start.
     pub drawn: u64,
 }
 
+/// The phase of a rollout.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Phase {
     /// Started, and before its first step.
     Planned,
+    /// A step is on.
     Shifting,
     /// Held by an operator.
     Paused,
@@ -29,10 +33,12 @@
 }
 
 impl Phase {
+    /// Whether the rollout has ended.
     pub fn is_over(self) -> bool {
         matches!(self, Phase::Finished | Phase::TakenBack)
     }
 
+    /// The name of the phase for operators.
     pub fn name(self) -> &'static str {
         match self {
             Phase::Planned => "planned",
@@ -45,27 +51,30 @@
     }
 }
 
-/// One rollout as front ends know it.
+/// A rollout as it is published.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Rollout {
+    /// The plan.
     pub plan: Arc<Plan>,
-    /// Drawn at each start, so that a plan started again is another rollout.
+    /// A random number of each start: a plan that is started again is another run.
     pub run: u64,
     /// Grows with each change of this rollout's state.
     pub number: u64,
+    /// The phase.
     pub phase: Phase,
-    /// The step that is on; it means something while shifting or paused.
+    /// The step that is on, while shifting or paused.
     pub step: usize,
-    /// The digests that `from` and `to` named when it was started.
+    /// The digest of the old version.
     pub from: String,
+    /// The digest of the new version.
     pub to: String,
-    /// Why it stands where it stands.
+    /// Why it is in this phase and step.
     pub reason: String,
 }
 
 impl Rollout {
-    /// The step by which traffic is split; none while all of it goes to the old version.
+    /// The step by which traffic is split; `None` while all of it goes to the old version.
     pub fn split_at(&self) -> Option<usize> {
         match self.phase {
             Phase::Planned | Phase::TakenBack => None,
@@ -75,20 +84,22 @@
     }
 }
 
-/// All that a coordinator says at a time.
+/// All that a coordinator publishes at a time.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Published {
+    /// Who published it.
     pub epoch: Epoch,
-    /// Grows with each change of anything.
+    /// Grows with each change.
     pub number: u64,
-    /// By name.
+    /// Rollouts by name.
     pub rollouts: BTreeMap<String, Rollout>,
-    /// Aliases that have moved since the deployment file: by function, then alias, the digest.
+    /// Digests of aliases that have moved since the deployment file, by function and alias.
     pub aliases: BTreeMap<String, BTreeMap<String, String>>,
 }
 
 impl Published {
+    /// Whether this is newer than another publication.
     pub fn is_newer_than(&self, other: &Published) -> bool {
         (self.epoch, self.number) > (other.epoch, other.number)
     }
--- a/crates/rollout/tests/sequential.rs
+++ b/crates/rollout/tests/sequential.rs
@@ -5,7 +5,7 @@
 use kit::{deployment, plan, plan_text, who};
 use orchidtally_rollout::Plan;
 use orchidtally_rollout::evidence::QuantileEstimate;
-use orchidtally_rollout::reckoning::reckon;
+use orchidtally_rollout::forecast::forecast;
 use orchidtally_rollout::sequential::{EProcess, Events};
 use orchidtally_rollout::split::{Who, is_new, place, share};
 use proptest::prelude::*;
@@ -141,7 +141,7 @@
     ] {
         assert!(wrong.contains(part), "{part} is not in:\n{wrong}");
     }
-    let steps = reckon(&plan("rate: 100,"), &d);
+    let steps = forecast(&plan("rate: 100,"), &d);
     // 100 a second of 50 ms over 2 lanes filled to 0.7.
     assert_eq!(steps.iter().map(|s| s.copies).collect::<Vec<_>>(), [1, 2, 4]);
     assert_eq!(steps.iter().map(|s| s.orders).collect::<Vec<_>>(), [4, 4, 8]);
