Split long functions of the front end into steps; types in place of tuples

Cause: `Hub::dispatch` had 90 lines, `Performer::answer` 35 with the evidence in it, `serve` 67, the messages' `invoke` 69. No change of behaviour.

--- a/crates/frontend/src/hub/exchange.rs
+++ b/crates/frontend/src/hub/exchange.rs
@@ -2,7 +2,7 @@
 
 use super::invocation::{Brought, CutOff, Work};
 use super::{Hub, number, seconds};
-use crate::pool::Pool;
+use crate::pool::{Incoming, Pool};
 use bytes::Bytes;
 use orchidtally::interface::*;
 use orchidtally_deployment::Source;
@@ -15,30 +15,58 @@
 use std::time::{Duration, Instant};
 use tracing::{debug, error};
 
-/// Parts of a streamed answer that are held for a client that reads slowly.
+/// Parts of a streamed answer that wait for a client that reads slowly.
 const STREAM_PARTS: usize = 8;
+/// The time between two warnings of another front end with this one's index.
+const INDEX_WARNING_INTERVAL: Duration = Duration::from_secs(10);
+
+/// A dispatch of an invocation.
+pub(super) struct Dispatch {
+    /// The engine's id of the invocation.
+    pub(super) inv: u32,
+    /// The number of the dispatch among those of the invocation.
+    pub(super) number: u8,
+    pub(super) to: ExecutorId,
+    pub(super) pool: Rc<Pool>,
+    pub(super) work: Rc<Work>,
+    /// The key of the version.
+    pub(super) version: u64,
+    /// Seconds until the client gives up.
+    pub(super) time_left: f64,
+}
+
+/// How long a dispatch took.
+#[derive(Clone, Copy)]
+pub(super) struct Timing {
+    /// Seconds from its first byte to its answer.
+    pub(super) took: f64,
+    /// Whether its copy had been loaded before.
+    pub(super) warm: bool,
+}
+
+/// How a dispatch ended.
+struct DispatchEnd<'a> {
+    ending: Ending,
+    told: Told<'a>,
+    brought: Option<Brought>,
+    timing: Option<Timing>,
+}
 
 impl Hub {
-    fn ended(
-        &self,
-        (inv, n): (u32, u8),
-        ending: Ending,
-        told: Told,
-        brought: Option<Brought>,
-        took: Option<(f64, bool)>,
-    ) {
+    fn dispatch_ended(&self, dispatch: &Dispatch, end: DispatchEnd) {
+        let (inv, number) = (dispatch.inv, dispatch.number);
         self.play(|engine, now, performer| {
-            performer.took = took;
-            if let Some(task) = performer.out.remove(&(inv, n)) {
+            performer.timing = end.timing;
+            if let Some(task) = performer.out.remove(&(inv, number)) {
                 task.detach();
             }
-            performer.brought = brought;
-            engine.ended(now, inv, n, ending, told, performer);
+            performer.brought = end.brought;
+            engine.ended(now, inv, number, end.ending, end.told, performer);
             performer.brought = None;
         });
     }
 
-    /// What a dispatch or an order told of whether an executor is there.
+    /// Notes what the end of an exchange says of whether the executor is there.
     fn heard_of(&self, executor: ExecutorId, seen: Option<Transport>) {
         if !matches!(self.deployment.source, Source::Etcd(_)) {
             return;
@@ -58,68 +86,81 @@
     /// Two front ends with one index share a turn at each cold executor.
     fn another_has_index(&self, executor: ExecutorId) {
         self.index_taken.set(self.index_taken.get() + 1);
-        let lately = self.warned_of_index.get().is_some_and(|at| at.elapsed() < Duration::from_secs(10));
-        if !lately {
+        let warned_lately =
+            self.warned_of_index.get().is_some_and(|at| at.elapsed() < INDEX_WARNING_INTERVAL);
+        if !warned_lately {
             self.warned_of_index.set(Some(Instant::now()));
             error!(index = self.sender.get().index, executor = %executor.0, "another front end has this one's index");
         }
     }
 
-    pub(super) async fn dispatch(
-        self: Rc<Self>,
-        inv: u32,
-        n: u8,
-        to: ExecutorId,
-        pool: Rc<Pool>,
-        (work, function): (Rc<Work>, u64),
-        left: f64,
-    ) {
-        let trigger = &work.trigger_type.trigger;
+    /// Sends a dispatch and reports its end to the engine.
+    pub(super) async fn dispatch(self: Rc<Self>, dispatch: Dispatch) {
+        let head = frame(&self.dispatch_head(&dispatch));
+        let began = Instant::now();
+        let refusal = Cell::new(None);
+        let may_leave = || {
+            let refused = self.dispatch_refusal(&dispatch.work);
+            let may_leave = refused.is_none();
+            refusal.set(refused);
+            may_leave
+        };
+        let payload = &dispatch.work.payload;
+        let exchanged = dispatch.pool.exchange_if::<v1::Answer>(DISPATCH, head, payload, may_leave).await;
+        if let Some(refusal) = refusal.take() {
+            return self.refused((dispatch.inv, dispatch.number), refusal);
+        }
+        self.heard_of(dispatch.to, exchanged.as_ref().err().copied());
+        match exchanged {
+            Ok((answer, incoming)) => self.dispatch_answered(&dispatch, began, answer, incoming).await,
+            Err(seen) => self.dispatch_broke_off(&dispatch, seen),
+        }
+    }
+
+    fn dispatch_head(&self, dispatch: &Dispatch) -> v1::Dispatch {
+        let work = &dispatch.work;
         let effect = match work.trigger_type.policy.effect {
             Effect::Idempotent => v1::Effect::Idempotent,
             Effect::Tokened => v1::Effect::Tokened,
             Effect::NonIdempotent => v1::Effect::NonIdempotent,
         };
-        let head = frame(&v1::Dispatch {
+        v1::Dispatch {
             from: Some(self.sender.get()),
             invocation: work.name.clone(),
-            number: work.dispatched + u32::from(n),
+            number: work.dispatched + u32::from(dispatch.number),
             digest: work.digest.to_string(),
             function: work.function.to_string(),
-            trigger_type: trigger.name.clone(),
+            trigger_type: work.trigger_type.trigger.name.clone(),
             customer: work.customer.clone(),
             effect: effect.into(),
             token: work.token.clone(),
-            time_left: (left * 1e6) as u64,
+            time_left: (dispatch.time_left * 1e6) as u64,
             payload_bytes: work.payload_bytes,
-        });
-        let began = Instant::now();
-        let refusal = Cell::new(None);
-        let may_leave = || {
-            refusal.set(self.dispatch_refusal(&work));
-            let refused = refusal.take();
-            let may_leave = refused.is_none();
-            refusal.set(refused);
-            may_leave
-        };
-        let exchanged = pool.exchange_if::<v1::Answer>(DISPATCH, head, &work.payload, may_leave).await;
-        if let Some(refusal) = refusal.take() {
-            return self.refused((inv, n), refusal);
         }
-        self.heard_of(to, exchanged.as_ref().err().copied());
-        let (answer, mut incoming) = match exchanged {
-            Ok(exchanged) => exchanged,
-            Err(seen) => {
-                debug!(inv, n, executor = %to.0, ?seen, "a dispatch ended without an answer");
-                // One that provably never ran says nothing of the version.
-                if !evidence::ending(seen).never_ran() {
-                    self.failed(&work, function, to, true);
-                }
-                return self.ended((inv, n), evidence::ending(seen), NOTHING_TOLD, None, None);
-            }
-        };
+    }
+
+    fn dispatch_broke_off(&self, dispatch: &Dispatch, seen: Transport) {
+        let ending = evidence::ending(seen);
+        debug!(inv = dispatch.inv, n = dispatch.number, executor = %dispatch.to.0, ?seen, "a dispatch ended without an answer");
+        // One that provably never ran says nothing of the version.
+        if !ending.never_ran() {
+            self.version_failed(dispatch, true);
+        }
+        self.dispatch_ended(
+            dispatch,
+            DispatchEnd { ending, told: NOTHING_TOLD, brought: None, timing: None },
+        );
+    }
+
+    async fn dispatch_answered(
+        &self,
+        dispatch: &Dispatch,
+        began: Instant,
+        answer: v1::Answer,
+        mut incoming: Incoming,
+    ) {
         if answer.index_taken {
-            self.another_has_index(to);
+            self.another_has_index(dispatch.to);
         }
         let found = match answer.found() {
             v1::Found::Untold => Found::Untold,
@@ -128,24 +169,18 @@
             v1::Found::Waited => Found::Waited,
             v1::Found::LoadFailed => Found::LoadFailed,
         };
-        let told = Told { found, crowd: answer.crowd, report: &answer.report };
         if matches!(found, Found::Loaded | Found::LoadFailed) {
-            let well = found == Found::Loaded;
-            self.shares.borrow_mut().load_ended(function, well, answer.digest_differs);
+            let succeeded = found == Found::Loaded;
+            self.shares.borrow_mut().load_ended(dispatch.version, succeeded, answer.digest_differs);
         }
-        let took = || Some((began.elapsed().as_secs_f64(), matches!(found, Found::Warm | Found::Untold)));
+        let timing = || Timing {
+            took: began.elapsed().as_secs_f64(),
+            warm: matches!(found, Found::Warm | Found::Untold),
+        };
+        let may_stream = dispatch.work.trigger_type.trigger.streams;
         let (seen, brought) = match answer.ending() {
-            v1::Ending::Ok if answer.streams && trigger.streams => {
-                let (parts, body) = async_channel::bounded(STREAM_PARTS);
-                let mine = self.play(|engine, now, performer| {
-                    performer.brought = Some(Brought::Streamed(body));
-                    performer.took = took();
-                    let mine = engine.streaming(now, inv, n, performer);
-                    performer.brought = None;
-                    mine
-                });
-                let seen = if mine { self.pass_on(&mut incoming, parts).await } else { Transport::Reset };
-                (seen, None)
+            v1::Ending::Ok if answer.streams && may_stream => {
+                (self.stream_answer(dispatch, timing(), &mut incoming).await, None)
             }
             v1::Ending::Ok => match incoming.whole(self.deployment.bounds.answer_bytes).await {
                 Ok(chunks) => (Transport::Answered(Ending::Ok), Some(Brought::Whole(chunks))),
@@ -153,7 +188,7 @@
             },
             v1::Ending::Error => {
                 if found != Found::LoadFailed {
-                    self.failed(&work, function, to, false);
+                    self.version_failed(dispatch, false);
                 }
                 (Transport::Answered(Ending::Error), None)
             }
@@ -161,35 +196,53 @@
             v1::Ending::Miss => (Transport::Answered(Ending::Miss), None),
             v1::Ending::Unspecified => (Transport::Malformed, None),
         };
-        self.ended((inv, n), evidence::ending(seen), told, brought, took());
+        let told = Told { found, crowd: answer.crowd, report: &answer.report };
+        let ending = evidence::ending(seen);
+        self.dispatch_ended(dispatch, DispatchEnd { ending, told, brought, timing: Some(timing()) });
+    }
+
+    /// Passes a streamed answer on, unless another dispatch of the invocation has answered.
+    async fn stream_answer(&self, dispatch: &Dispatch, timing: Timing, incoming: &mut Incoming) -> Transport {
+        let (parts, body) = async_channel::bounded(STREAM_PARTS);
+        let is_first = self.play(|engine, now, performer| {
+            performer.brought = Some(Brought::Streamed(body));
+            performer.timing = Some(timing);
+            let is_first = engine.streaming(now, dispatch.inv, dispatch.number, performer);
+            performer.brought = None;
+            is_first
+        });
+        if is_first { self.pass_on(incoming, parts).await } else { Transport::Reset }
     }
 
-    fn failed(&self, work: &Work, function: u64, to: ExecutorId, broke: bool) {
-        let counts = self.shares.borrow_mut().dispatch_failed(self.now(), number(to), function, broke);
-        work.failed.set(work.failed.get() | counts);
+    /// A dispatch failed in a way that may count against its version.
+    fn version_failed(&self, dispatch: &Dispatch, broke: bool) {
+        let executor = number(dispatch.to);
+        let counts = self.shares.borrow_mut().dispatch_failed(self.now(), executor, dispatch.version, broke);
+        let failed = &dispatch.work.failed;
+        failed.set(failed.get() | counts);
     }
 
-    /// Passes a streamed answer on. A client that doesn't read for the sender's time is given up.
+    /// Passes on the parts of a streamed answer. A client that does not read for the sender's time is given up.
     async fn pass_on(
         &self,
-        incoming: &mut crate::pool::Incoming,
+        incoming: &mut Incoming,
         parts: async_channel::Sender<Result<Bytes, CutOff>>,
     ) -> Transport {
-        let patience = seconds(self.deployment.bounds.sender_time);
+        let time = seconds(self.deployment.bounds.sender_time);
         loop {
-            let part = match orchidtally_net::within(patience, incoming.payload()).await {
+            let part = match orchidtally_net::within(time, incoming.payload()).await {
                 Some(Ok(Some(part))) => Ok(part),
                 Some(Ok(None)) => return Transport::Answered(Ending::Ok),
                 Some(Err(seen)) => {
-                    let _ = orchidtally_net::within(patience, parts.send(Err(CutOff))).await;
+                    let _ = orchidtally_net::within(time, parts.send(Err(CutOff))).await;
                     return seen;
                 }
                 None => {
-                    let _ = orchidtally_net::within(patience, parts.send(Err(CutOff))).await;
+                    let _ = orchidtally_net::within(time, parts.send(Err(CutOff))).await;
                     return Transport::TimedOut;
                 }
             };
-            match orchidtally_net::within(patience, parts.send(part)).await {
+            match orchidtally_net::within(time, parts.send(part)).await {
                 Some(Ok(())) => {}
                 // The client went away, or stopped reading.
                 Some(Err(_)) | None => return Transport::Answered(Ending::Cancelled),
@@ -197,6 +250,7 @@
         }
     }
 
+    /// Sends an order and reports its end to the engine.
     pub(super) async fn order(
         self: Rc<Self>,
         to: ExecutorId,
--- a/crates/frontend/src/hub/performer.rs
+++ b/crates/frontend/src/hub/performer.rs
@@ -1,5 +1,6 @@
 //! Performs what the engine commands: dispatches, orders, probes and final answers.
 
+use super::exchange::{Dispatch, Timing};
 use super::invocation::{Brought, Client, Final, Work};
 use super::{Hub, number, seconds};
 use crate::pool::{Caps, Pool};
@@ -7,8 +8,8 @@
 use orchidtally::interface::*;
 use orchidtally_deployment::Version;
 use orchidtally_engine::{Cause, Engine, Host, Refused};
-use orchidtally_rollout::Arm;
 use orchidtally_rollout::frontend::{AnswerOutcome, may_move};
+use orchidtally_rollout::{Arm, Invoked};
 use orchidtally_wire::v1;
 use orchidtally_wire::{PROBE, frame};
 use std::cell::Cell;
@@ -18,8 +19,8 @@
 use std::time::Instant;
 use tracing::{debug, info, warn};
 
-/// An invocation with less time left than this is not moved to another version.
-const LEAST_MOVED: f64 = 0.05;
+/// An invocation with less time left than this, in seconds, is not moved to another version.
+const LEAST_TIME_TO_MOVE: f64 = 0.05;
 /// Numbers that an invocation's dispatches may have had before it was moved; those after it go on from here.
 const MOST_DISPATCHES: u32 = 256;
 
@@ -37,21 +38,21 @@
     pub(super) at: Instant,
 }
 
-/// Performs what the module answers.
+/// Performs what the engine commands.
 pub struct Performer {
     hub: Weak<Hub>,
     pub(super) clients: HashMap<u32, Client>,
     /// Dispatches that are out; dropping one abandons its stream.
     pub(super) out: HashMap<(u32, u8), Task<()>>,
     pub(super) pools: HashMap<ExecutorId, Rc<Pool>>,
-    /// Names of functions with orders to come, by key: those that were invoked lately.
+    /// Names of versions that were invoked lately, by key: orders name them.
     pub(super) names: HashMap<u64, Named>,
     /// The client whose invocation is being taken.
     taking: Option<Client>,
     /// The payload of the dispatch that is being reported as ended.
     pub(super) brought: Option<Brought>,
-    /// How long that dispatch took, and whether its copy had been loaded before.
-    pub(super) took: Option<(f64, bool)>,
+    /// How long that dispatch took.
+    pub(super) timing: Option<Timing>,
     pub(super) moving: Vec<Moving>,
     roster: Option<Task<()>>,
 }
@@ -66,20 +67,20 @@
             names: HashMap::new(),
             taking: None,
             brought: None,
-            took: None,
+            timing: None,
             moving: vec![],
             roster: None,
         }
     }
 
     fn pool(&mut self, hub: &Rc<Hub>, to: ExecutorId) -> Rc<Pool> {
-        let b = &hub.deployment.bounds;
+        let bounds = &hub.deployment.bounds;
         let caps = Caps {
-            streams_per_connection: b.streams_per_connection,
-            connections: b.connections_per_executor,
-            connect_time: seconds(b.connect_time),
-            idle_close: seconds(b.idle_close),
-            header_bytes: b.header_bytes,
+            streams_per_connection: bounds.streams_per_connection,
+            connections: bounds.connections_per_executor,
+            connect_time: seconds(bounds.connect_time),
+            idle_close: seconds(bounds.idle_close),
+            header_bytes: bounds.header_bytes,
         };
         let new = || Pool::new(SocketAddr::new(to.0, to.1), caps, hub.spawner());
         self.pools.entry(to).or_insert_with(new).clone()
@@ -149,37 +150,17 @@
         }
     }
 
-    /// The one place where a client gets its final answer, and where that becomes evidence.
+    /// Sends the final answer of an invocation to its client; no other function does. What it came to is evidence on
+    /// its version.
     fn answer(&mut self, inv: u32, answer: Final) {
         let Some(client) = self.clients.remove(&inv) else { return };
-        let took = self.took.take();
-        if let (Some(invoked), Some(hub)) = (&client.work.invoked, self.hub.upgrade()) {
-            let mut shares = hub.shares.borrow_mut();
-            let (outcome, may_have_run) = match answer {
-                Final::Succeeded(_) => {
-                    let (took, warm) = took.unwrap_or((0.0, false));
-                    (AnswerOutcome::Succeeded { took, warm }, true)
-                }
-                Final::Throttled { .. } => (AnswerOutcome::Throttled, false),
-                Final::Refused { may_have_run, .. } => (AnswerOutcome::Throttled, may_have_run),
-                Final::Errored { may_have_run, .. } => (AnswerOutcome::Errored, may_have_run),
-            };
-            if let Final::Errored { cause: Cause::TimedOut, .. } = answer
-                && client.work.last.get() != 0
-            {
-                let (last, key) = (client.work.last.get(), client.offer.function);
-                let counts = shares.dispatch_failed(hub.now(), last, key, true);
-                client.work.failed.set(client.work.failed.get() | counts);
-            }
-            shares.answered(invoked, outcome, client.work.failed.get());
-            let failed = !matches!(outcome, AnswerOutcome::Succeeded { .. });
-            let effect = client.work.trigger_type.policy.effect;
-            let may = may_move(effect == Effect::Idempotent, may_have_run);
-            let to = shares.goes_back_to(invoked.run).filter(|_| failed && may && invoked.arm == Arm::New);
-            if let Some(to) = to.filter(|_| client.offer.timeout_at - hub.now() > LEAST_MOVED) {
-                self.moving.push(Moving { client, to, dispatched: MOST_DISPATCHES });
-                return;
-            }
+        let timing = self.timing.take();
+        if let (Some(invoked), Some(hub)) = (client.work.invoked, self.hub.upgrade())
+            && let Some(to) = add_evidence(&hub, &client, &invoked, &answer, timing)
+            && client.offer.timeout_at - hub.now() > LEAST_TIME_TO_MOVE
+        {
+            self.moving.push(Moving { client, to, dispatched: MOST_DISPATCHES });
+            return;
         }
         // A client that went away meanwhile needs no answer.
         let _ = client.reply.send(answer);
@@ -205,6 +186,39 @@
     }
 }
 
+/// Adds the final answer of an invocation to the evidence on its version. Returns the old version where the invocation
+/// may go to it: its own was taken back and the answer is a failure.
+fn add_evidence(
+    hub: &Hub,
+    client: &Client,
+    invoked: &Invoked,
+    answer: &Final,
+    timing: Option<Timing>,
+) -> Option<Version> {
+    let mut shares = hub.shares.borrow_mut();
+    let work = &client.work;
+    let (outcome, may_have_run) = match answer {
+        Final::Succeeded(_) => {
+            let Timing { took, warm } = timing.unwrap_or(Timing { took: 0.0, warm: false });
+            (AnswerOutcome::Succeeded { took, warm }, true)
+        }
+        Final::Throttled { .. } => (AnswerOutcome::Throttled, false),
+        Final::Refused { may_have_run, .. } => (AnswerOutcome::Throttled, *may_have_run),
+        Final::Errored { may_have_run, .. } => (AnswerOutcome::Errored, *may_have_run),
+    };
+    if let Final::Errored { cause: Cause::TimedOut, .. } = answer
+        && work.last.get() != 0
+    {
+        let counts = shares.dispatch_failed(hub.now(), work.last.get(), client.offer.function, true);
+        work.failed.set(work.failed.get() | counts);
+    }
+    shares.answered(invoked, outcome, work.failed.get());
+    let has_failed = !matches!(outcome, AnswerOutcome::Succeeded { .. });
+    let is_idempotent = work.trigger_type.policy.effect == Effect::Idempotent;
+    let moves = has_failed && may_move(is_idempotent, may_have_run) && invoked.arm == Arm::New;
+    shares.goes_back_to(invoked.run).filter(|_| moves)
+}
+
 impl Host for Performer {
     fn taken(&mut self, inv: u32) {
         if let Some(client) = self.taking.take() {
@@ -216,11 +230,12 @@
     fn dispatch(&mut self, inv: u32, dispatch: u8, to: ExecutorId, _within: f64) {
         let Some(hub) = self.hub.upgrade() else { return };
         let Some(client) = self.clients.get(&inv) else { return };
-        let (work, left) =
-            ((client.work.clone(), client.offer.function), client.offer.timeout_at - hub.now());
-        client.work.last.set(number(to));
+        let (work, version) = (client.work.clone(), client.offer.function);
+        let time_left = client.offer.timeout_at - hub.now();
+        work.last.set(number(to));
         let pool = self.pool(&hub, to);
-        if let Some(task) = hub.spawn(hub.clone().dispatch(inv, dispatch, to, pool, work, left)) {
+        let work = Dispatch { inv, number: dispatch, to, pool, work, version, time_left };
+        if let Some(task) = hub.spawn(hub.clone().dispatch(work)) {
             self.out.insert((inv, dispatch), task);
         }
     }
--- a/crates/frontend/src/hub/revision.rs
+++ b/crates/frontend/src/hub/revision.rs
@@ -63,6 +63,7 @@
         !self.customers.is_empty()
     }
 
+    /// A customer by its name.
     pub fn customer(&self, name: &str) -> Option<&Rc<CustomerInForce>> {
         self.customers.get(name)
     }
--- a/crates/frontend/src/ingress/mod.rs
+++ b/crates/frontend/src/ingress/mod.rs
@@ -1,6 +1,7 @@
-//! HTTP/1.1 and HTTP/2 on one port: what clients send becomes an invocation, its final answer a response.
-//! A body is taken in whole chunks, which are handed on as they are; it is here before the module hears of
-//! the invocation, so that a slow sender holds neither a stream nor a decision.
+//! HTTP/1.1 and HTTP/2 on one port: a request becomes an invocation, and its final answer a response.
+//!
+//! A body is taken in whole chunks, which are passed on as they are. It has arrived before the engine hears of the
+//! invocation, so that a slow sender holds neither a stream nor a decision.
 
 mod answer;
 mod headers;
@@ -28,25 +29,32 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 use tracing::{debug, warn};
 
+/// The most requests at a time over one connection of HTTP/2.
+const MAX_CONCURRENT_STREAMS: u32 = 1_000;
+
+/// The header that names the trigger type.
 pub const TRIGGER_TYPE: &str = "orchidtally-trigger-type";
+/// The header that names the customer.
 pub const CUSTOMER: &str = "orchidtally-customer";
-/// Milliseconds that the client goes on waiting.
+/// The header with the milliseconds for which the client goes on waiting.
 pub const TIME_LEFT: &str = "orchidtally-time-left";
-/// `1` where the client asks again.
+/// The header that is `1` where the client asks again.
 pub const REPEAT: &str = "orchidtally-repeat";
-/// The invocation's name in logs and traces; one is drawn where the client gives none.
+/// The header with the invocation's name in logs and traces; one is drawn where the client gives none.
 pub const INVOCATION: &str = "orchidtally-invocation";
-/// `1` where an answer was given before, or would have been.
+/// The header that is `1` where an answer was given before, or would have been.
 pub const RECORDED: &str = "orchidtally-recorded";
-/// `1` where its body was too long to be kept.
+/// The header that is `1` where the body of such an answer was too long to be kept.
 pub const BODY_LEFT_OUT: &str = "orchidtally-body-left-out";
+/// The header with the idempotency token.
 pub const TOKEN: &str = "idempotency-key";
-/// Milliseconds to stay away; `Retry-After` has whole seconds only.
+/// The header with the milliseconds to stay away; `Retry-After` has whole seconds only.
 pub const STAY_AWAY: &str = "orchidtally-stay-away";
 
 async fn respond(hub: Rc<Hub>, request: Request<Incoming>) -> Result<Response<Answer>, Infallible> {
@@ -63,7 +71,7 @@
     Ok(invoke(&hub, request).await.unwrap_or_else(Problem::response))
 }
 
-/// Spawns what the HTTP library wants spawned on this thread.
+/// Spawns work of the HTTP library on this thread.
 #[derive(Clone)]
 struct Spawner(Weak<LocalExecutor<'static>>);
 
@@ -92,7 +100,7 @@
     }
 }
 
-/// Says on a connection over the bound that it is one, and closes it.
+/// Answers a connection over the bound, and closes it.
 pub async fn turn_away(mut stream: Stream) {
     const FULL: &[u8] =
         b"HTTP/1.1 503 Service Unavailable\r\nretry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
@@ -112,45 +120,32 @@
     leaving: async_channel::Receiver<()>,
     _open: ConnectionGuard,
 ) {
-    let bounds = hub.deployment.bounds.clone();
-    let time = Duration::from_secs_f64(bounds.sender_time);
+    let time = Duration::from_secs_f64(hub.deployment.bounds.sender_time);
     let peer = stream.peer();
     if within(time, stream.readable()).await.is_none() {
         debug!(?peer, "closed a connection over which nothing came");
         return;
     }
-    let mut builder = auto::Builder::new(Spawner(hub.spawner()));
-    builder
-        .http1()
-        .timer(SmolTimer::new())
-        .header_read_timeout(time)
-        .max_buf_size(bounds.header_bytes as usize);
-    builder
-        .http2()
-        .timer(SmolTimer::new())
-        .max_header_list_size(bounds.header_bytes)
-        .max_concurrent_streams(1_000)
-        .keep_alive_interval(Some(time))
-        .keep_alive_timeout(time);
-    let spoke = Rc::new(Cell::new(false));
+    let builder = connection_builder(&hub, time);
+    let has_asked = Rc::new(Cell::new(false));
     let service = {
-        let (hub, spoke) = (hub.clone(), spoke.clone());
+        let (hub, has_asked) = (hub.clone(), has_asked.clone());
         hyper::service::service_fn(move |request| {
-            spoke.set(true);
+            has_asked.set(true);
             respond(hub.clone(), request)
         })
     };
     let mut connection = pin!(builder.serve_connection(stream, service));
-    let slow = async {
+    let too_slow = async {
         async_io::Timer::after(2 * time).await;
-        if spoke.get() { future::pending().await } else { None }
+        if has_asked.get() { future::pending().await } else { None }
     };
     let left = async {
         // Nothing is ever sent: the channel closes.
         let _ = leaving.recv().await;
         None
     };
-    let ended = future::or(async { Some(connection.as_mut().await) }, future::or(slow, left)).await;
+    let ended = future::or(async { Some(connection.as_mut().await) }, future::or(too_slow, left)).await;
     let ended = match ended {
         Some(ended) => ended,
         None if leaving.is_closed() => {
@@ -163,13 +158,36 @@
         }
     };
     if let Err(fault) = ended {
-        let plain = fault
-            .downcast_ref::<hyper::Error>()
-            .is_some_and(|e| e.is_incomplete_message() || e.is_canceled());
-        if plain {
-            debug!(?peer, %fault, "a client broke off")
-        } else {
-            warn!(?peer, %fault, "closed a connection")
-        }
+        log_end(peer, &*fault);
+    }
+}
+
+/// The limits of a connection, which a client has this time to keep.
+fn connection_builder(hub: &Hub, time: Duration) -> auto::Builder<Spawner> {
+    let bounds = &hub.deployment.bounds;
+    let mut builder = auto::Builder::new(Spawner(hub.spawner()));
+    builder
+        .http1()
+        .timer(SmolTimer::new())
+        .header_read_timeout(time)
+        .max_buf_size(bounds.header_bytes as usize);
+    builder
+        .http2()
+        .timer(SmolTimer::new())
+        .max_header_list_size(bounds.header_bytes)
+        .max_concurrent_streams(MAX_CONCURRENT_STREAMS)
+        .keep_alive_interval(Some(time))
+        .keep_alive_timeout(time);
+    builder
+}
+
+fn log_end(peer: Option<SocketAddr>, fault: &(dyn std::error::Error + 'static)) {
+    let broke_off = fault
+        .downcast_ref::<hyper::Error>()
+        .is_some_and(|error| error.is_incomplete_message() || error.is_canceled());
+    if broke_off {
+        debug!(?peer, %fault, "a client broke off")
+    } else {
+        warn!(?peer, %fault, "closed a connection")
     }
 }
--- a/crates/frontend/src/mqtt/invoke.rs
+++ b/crates/frontend/src/mqtt/invoke.rs
@@ -1,7 +1,7 @@
 //! Invokes for a message.
 
 use crate::config::Refusal;
-use crate::hub::{Asked, Brought, Final, Hub, NamedCustomer, NotTaken};
+use crate::hub::{AnswerLost, Asked, Brought, Final, Hub, NamedCustomer, NotTaken};
 use bytes::Bytes;
 use orchidtally_engine::Cause;
 use orchidtally_rollout::plan::Key;
@@ -9,8 +9,8 @@
 use orchidtally_trigger::ledger::{Answer, StoredMessage};
 use std::rc::Rc;
 
-/// What comes of a message that the configuration doesn't let through: one that may be let through later is tried
-/// again, unless it may have run.
+/// The answer to a message that the configuration does not let through: one that may be let through later is throttled,
+/// unless it may have run.
 fn refused(refusal: &Refusal, may_have_run: bool) -> Answer {
     if refusal.retry_after().is_some() && !may_have_run {
         return Answer::Throttled;
@@ -18,24 +18,37 @@
     Answer::Errored { why: refusal.to_string(), may_have_run }
 }
 
-/// Invokes for a message and gives its final answer.
+/// Invokes for a message; returns its final answer.
 pub(super) async fn invoke(hub: Rc<Hub>, message: StoredMessage, ready_by: f64) -> Answer {
+    let asked = match ask(&hub, &message, ready_by) {
+        Ok(asked) => asked,
+        Err(answer) => return answer,
+    };
+    match hub.invoke(asked).await {
+        Ok(answer) => final_answer(answer),
+        Err(NotTaken::Full | NotTaken::Leaving) => Answer::Throttled,
+        Err(NotTaken::Refused(refusal)) => refused(&refusal, false),
+    }
+}
+
+/// What a message asks for, or its answer where that can't be invoked.
+fn ask<'m>(hub: &Hub, message: &'m StoredMessage, ready_by: f64) -> Result<Asked<'m>, Answer> {
     let errored = |why: String| Answer::Errored { why, may_have_run: false };
     let revision = hub.revision();
     let target = &message.target;
-    let Some((trigger_place, trigger_type)) = revision.trigger_type(&target.trigger_type) else {
-        return errored(format!("there is no trigger type '{}' any more", target.trigger_type));
-    };
+    let (trigger_place, trigger_type) = revision
+        .trigger_type(&target.trigger_type)
+        .ok_or_else(|| errored(format!("there is no trigger type '{}' any more", target.trigger_type)))?;
     let customer = match revision.customer(&target.customer) {
         Some(customer) => customer.index,
         None if !revision.has_customers() => 0,
-        None => return errored(format!("there is no customer '{}' any more", target.customer)),
-    };
-    let Some(function) = revision.function(&target.function) else {
-        return errored(format!("there is no function '{}' any more", target.function));
+        None => return Err(errored(format!("there is no customer '{}' any more", target.customer))),
     };
+    let function = revision
+        .function(&target.function)
+        .ok_or_else(|| errored(format!("there is no function '{}' any more", target.function)))?;
     if ready_by <= hub.now() {
-        return Answer::Throttled;
+        return Err(Answer::Throttled);
     }
     let key = hub.shares.borrow().key(&target.function).cloned();
     let key = match &key {
@@ -44,10 +57,10 @@
         _ => &message.name,
     };
     let who = Who { customer: &target.customer, location: hub.location(), key };
-    let Some(resolved) = hub.resolve(&function, None, trigger_place, customer, &who) else {
-        return errored(format!("function '{}' has no version 'stable'", target.function));
-    };
-    let asked = Asked {
+    let resolved = hub
+        .resolve(&function, None, trigger_place, customer, &who)
+        .ok_or_else(|| errored(format!("function '{}' has no version 'stable'", target.function)))?;
+    Ok(Asked {
         name: message.name.clone(),
         function: function.name.clone(),
         resolved,
@@ -59,12 +72,11 @@
         timeout_at: ready_by,
         payload_bytes: message.payload.len() as u64,
         payload: vec![message.payload.clone()],
-    };
-    let answer = match hub.invoke(asked).await {
-        Ok(answer) => answer,
-        Err(NotTaken::Full | NotTaken::Leaving) => return Answer::Throttled,
-        Err(NotTaken::Refused(refusal)) => return refused(&refusal, false),
-    };
+    })
+}
+
+/// The answer to a message.
+fn final_answer(answer: Result<Final, AnswerLost>) -> Answer {
     match answer {
         Ok(Final::Succeeded(Brought::Whole(chunks))) => Answer::Succeeded {
             payload: match chunks.as_slice() {
--- a/crates/frontend/src/promise_store.rs
+++ b/crates/frontend/src/promise_store.rs
@@ -1,124 +1,138 @@
-//! Promises to HTTP clients on the disk.
+//! Promises to HTTP clients, persisted in a journal.
 
 use bytes::Bytes;
 use futures_channel::oneshot;
 use orchidtally_deployment::Deployment;
-use orchidtally_journal::{Group, Journal};
+use orchidtally_journal::{Group, Journal, Recovered};
 use orchidtally_trigger::promises::{Promises, Record, Standing};
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::path::Path;
 use std::rc::Rc;
 use tracing::{error, info};
 
-/// Bodies up to this are kept with their answer.
-const LONGEST_BODY: usize = 64 * 1024;
-/// Entries that may wait for the disk.
-const MOST_WAITING: usize = 65_536;
-/// Of the journal's bound, the part that entries may have before they are folded.
-const FOLDED_AT: f64 = 0.5;
+/// The most bytes of a body that is kept with its answer.
+const MAX_BODY: usize = 64 * 1024;
+/// The most entries that wait for the disk.
+const MAX_WAITING: usize = 65_536;
+/// The part of the journal's bound from which on its entries are replaced by a snapshot.
+const SNAPSHOT_THRESHOLD: f64 = 0.5;
+/// Bytes that the journal adds to each entry.
+const ENTRY_OVERHEAD: u64 = 12;
 
+/// The promises of a front end and their journal.
 pub struct PromiseStore {
     promises: RefCell<Promises>,
     journal: Group,
-    /// Bytes of entries since they were folded.
-    entries: Cell<u64>,
+    /// Bytes of the entries since the last snapshot.
+    entry_bytes: Cell<u64>,
     max_bytes: u64,
+    /// An entry was not persisted: a snapshot has to follow before anything is promised.
     failed: Cell<bool>,
 }
 
-/// Why nothing can be promised now.
-#[derive(Debug)]
+/// Nothing can be promised now, because the journal can't be written.
+#[derive(Debug, thiserror::Error)]
+#[error("the journal can't be written")]
 pub struct NotKept;
 
+/// The records that a journal holds, in their order.
+fn read_records(folder: &Path, found: &Recovered) -> io::Result<Vec<Record>> {
+    let mut records: Vec<Record> = match &found.snapshot {
+        Some(snapshot) => serde_json::from_slice(snapshot).map_err(io::Error::from)?,
+        None => vec![],
+    };
+    for entry in &found.entries {
+        let record = serde_json::from_slice(entry).map_err(|e| {
+            let what =
+                format!("{}: an entry can't be read, so that nothing is served: {e}", folder.display());
+            io::Error::new(io::ErrorKind::InvalidData, what)
+        })?;
+        records.push(record);
+    }
+    Ok(records)
+}
+
 impl PromiseStore {
-    /// Opens the journal of a front end, where its deployment has one. What stood in it is kept for as long as
-    /// it says.
+    /// Opens the journal of a front end, where its deployment has one, and restores its promises.
     pub fn open(deployment: &Deployment, now: f64) -> io::Result<Option<PromiseStore>> {
-        let Some(terms) = &deployment.journal else { return Ok(None) };
-        let folder = terms.folder(deployment.policy.index as u32);
+        let Some(settings) = &deployment.journal else { return Ok(None) };
+        let folder = settings.folder(deployment.policy.index as u32);
         let (journal, found) = Journal::open(&folder)?;
-        let mut records: Vec<Record> = match &found.snapshot {
-            Some(state) => serde_json::from_slice(state).map_err(io::Error::from)?,
-            None => vec![],
-        };
-        for entry in &found.entries {
-            let record = serde_json::from_slice(entry).map_err(|e| {
-                let what =
-                    format!("{}: an entry can't be read, so that nothing is served: {e}", folder.display());
-                io::Error::new(io::ErrorKind::InvalidData, what)
-            })?;
-            records.push(record);
-        }
-        let entries = journal.length();
-        let promises = Promises::new(terms.keep, terms.most_kept, LONGEST_BODY).recover(&records, now);
+        let records = read_records(&folder, &found)?;
+        let promises = Promises::new(settings.keep, settings.most_kept, MAX_BODY).recover(&records, now);
         if !promises.is_empty() {
             info!(names = promises.len(), "promises of a life before were read");
         }
         Ok(Some(PromiseStore {
             promises: RefCell::new(promises),
-            journal: Group::new(journal, MOST_WAITING),
-            entries: Cell::new(entries),
-            max_bytes: terms.max_bytes,
+            entry_bytes: Cell::new(journal.length()),
+            journal: Group::new(journal, MAX_WAITING),
+            max_bytes: settings.max_bytes,
             failed: Cell::new(false),
         }))
     }
 
+    /// The state of an invocation by its name.
     pub fn standing(&self, name: &str) -> Option<Standing> {
         self.promises.borrow().standing(name)
     }
 
-    /// Whether the record is on the disk.
-    async fn write(&self, record: &Record) -> bool {
+    /// Persists a record; returns whether it is on the disk.
+    async fn persist(&self, record: &Record) -> bool {
         let entry = serde_json::to_vec(record).unwrap_or_default();
-        self.entries.set(self.entries.get() + entry.len() as u64 + 12);
-        let (tell, told) = oneshot::channel();
-        let handed = self.journal.append(entry, move |kept| {
-            if let Err(fault) = &kept {
+        self.entry_bytes.set(self.entry_bytes.get() + entry.len() as u64 + ENTRY_OVERHEAD);
+        let (sender, result) = oneshot::channel();
+        let queued = self.journal.append(entry, move |appended| {
+            if let Err(fault) = &appended {
                 error!(%fault, "the journal did not keep a promise");
             }
             // Its client may have left.
-            let _ = tell.send(kept.is_ok());
+            let _ = sender.send(appended.is_ok());
         });
-        let kept = handed.is_ok() && told.await.unwrap_or(false);
-        if !kept {
+        let is_persisted = queued.is_ok() && result.await.unwrap_or(false);
+        if !is_persisted {
             self.failed.set(true);
         }
-        kept
+        is_persisted
     }
 
-    /// Writes all that is known anew: where an entry was not kept, or there are many.
-    async fn fold(&self) -> bool {
-        let state = serde_json::to_vec(&self.promises.borrow().records()).unwrap_or_default();
-        let (tell, told) = oneshot::channel();
-        let handed = self.journal.replace(state, move |done| {
-            if let Err(fault) = &done {
+    /// Replaces the journal's content by a snapshot; returns whether that succeeded.
+    async fn write_snapshot(&self) -> bool {
+        let snapshot = serde_json::to_vec(&self.promises.borrow().records()).unwrap_or_default();
+        let (sender, result) = oneshot::channel();
+        let queued = self.journal.replace(snapshot, move |replaced| {
+            if let Err(fault) = &replaced {
                 error!(%fault, "the journal's state could not be replaced");
             }
-            let _ = tell.send(done.is_ok());
+            let _ = sender.send(replaced.is_ok());
         });
-        let done = handed.is_ok() && told.await.unwrap_or(false);
-        if done {
+        let is_replaced = queued.is_ok() && result.await.unwrap_or(false);
+        if is_replaced {
             self.failed.set(false);
-            self.entries.set(0);
+            self.entry_bytes.set(0);
         }
-        done
+        is_replaced
+    }
+
+    fn needs_snapshot(&self) -> bool {
+        let is_long = self.entry_bytes.get() as f64 > SNAPSHOT_THRESHOLD * self.max_bytes as f64;
+        self.failed.get() || is_long
     }
 
-    /// An invocation is offered under a name; a new one is on the disk when this returns.
+    /// Offers an invocation under a name. A new one is promised and on the disk when this returns.
     pub async fn offered(
         self: &Rc<Self>,
         now: f64,
         name: &str,
     ) -> Result<(Standing, Option<Promised>), NotKept> {
-        let many = self.entries.get() as f64 > FOLDED_AT * self.max_bytes as f64;
-        if (self.failed.get() || many) && !self.fold().await {
+        if self.needs_snapshot() && !self.write_snapshot().await {
             return Err(NotKept);
         }
         let standing = self.promises.borrow_mut().offered(now, name);
         let Standing::New(record) = &standing else { return Ok((standing, None)) };
-        let promised = Promised { promise_store: self.clone(), name: name.to_owned(), now, open: true };
-        if !self.write(record).await {
-            let mut promised = promised;
+        let mut promised = Promised { promise_store: self.clone(), name: name.to_owned(), now, open: true };
+        if !self.persist(record).await {
             promised.open = false;
             self.promises.borrow_mut().not_kept(name);
             return Err(NotKept);
@@ -127,7 +141,7 @@
     }
 }
 
-/// An invocation that was promised. Dropped before it is answered, its client has left.
+/// An invocation that was promised. It is dropped before its answer where its client has left.
 pub struct Promised {
     promise_store: Rc<PromiseStore>,
     name: String,
@@ -136,11 +150,12 @@
 }
 
 impl Promised {
-    /// Its final answer, on the disk when this returns, if the disk takes it: it is known all the same.
+    /// Adds the final answer. It is on the disk when this returns, unless the journal can't be written; it is known
+    /// all the same.
     pub async fn answered(mut self, now: f64, ran: bool, status: u16, body: &Bytes) {
         self.open = false;
         let record = self.promise_store.promises.borrow_mut().answered(now, &self.name, ran, status, body);
-        self.promise_store.write(&record).await;
+        self.promise_store.persist(&record).await;
     }
 }
 
@@ -150,7 +165,7 @@
             return;
         }
         let left = self.promise_store.promises.borrow_mut().left(self.now, &self.name);
-        // After a death it is of unknown outcome without this as well.
+        // After a crash its outcome is unknown without this entry too.
         let entry = left.and_then(|record| serde_json::to_vec(&record).ok());
         if let Some(entry) = entry {
             let _ = self.promise_store.journal.append(entry, |_| {});
