Read the mqtt section in steps; document triggers and the invariant checker's records

Change: a function for each part of the section, defaults with names; `Messages` checks the count and the outcomes of answers in steps; pattern errors by thiserror; doc comments on public items of trigger and invariants. Texts and JSON are as before.

--- a/crates/invariants/src/lib.rs
+++ b/crates/invariants/src/lib.rs
@@ -1,6 +1,6 @@
-//! The five rules, checked from records of what went over the sockets: what clients sent and heard, what
-//! reached executors and what came of it there, and what the roster's publisher told whom. It knows neither
-//! the module nor the engine. All times are seconds on one clock.
+//! The five rules, checked from records of what went over the sockets: what clients sent and received, what reached
+//! executors and what came of it there, and what front ends were told of executors. This crate knows neither the
+//! dispatch module nor the engine. All times are seconds on one clock.
 
 mod messages;
 mod rules;
@@ -11,19 +11,27 @@
 use serde::{Deserialize, Serialize};
 pub use spread::{Spread, spread};
 
+/// Whether an invocation may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Effect {
+    /// Running again is harmless.
     Idempotent,
+    /// Running again under the same token is harmless within a group and a window of time.
     Tokened,
+    /// It may run once.
     NonIdempotent,
 }
 
+/// The executors that remember a token together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Group {
+    /// All executors.
     All,
+    /// Those of one location.
     Location,
+    /// Those of one cell.
     Cell,
 }
 
@@ -31,41 +39,60 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Limits {
+    /// The trigger types.
     pub trigger_types: Vec<TriggerType>,
+    /// Whether an idempotent invocation may have two dispatches out at a time.
     pub second_copies: bool,
+    /// Seconds for which new work may still go to an executor that is known to be draining.
     pub drain_grace: f64,
+    /// Seconds before a cold executor was pushed over in which dispatches count as its cause.
     pub fall: f64,
+    /// Orders that a front end may give in a window without any invocation.
     pub ration_floor: f64,
+    /// Orders that a front end may give in a window for each invocation.
     pub ration_share: f64,
+    /// The length of that window in seconds; 0 for no ration.
     pub ration_window: f64,
-    /// What a message may take on its way, so that two records of one thing differ by so much at most.
+    /// Seconds that a message may take on its way: two records of one event differ by that at the most.
     pub transit: f64,
 }
 
+/// A trigger type.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct TriggerType {
+    /// The name.
     pub name: String,
+    /// Whether its invocations may run more than once.
     pub effect: Effect,
+    /// The executors that remember a token together.
     pub group: Group,
+    /// Seconds for which they remember it.
     pub window: f64,
+    /// Seconds within which an answer is in time.
     pub objective: f64,
 }
 
-/// Where an executor stands.
+/// The place of an executor.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Executor {
+    /// The index of its location.
     pub location: u32,
+    /// The index of its cell.
     pub cell: u32,
 }
 
+/// The final answer of an invocation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Answer {
+    /// The function has answered.
     Succeeded,
+    /// There was no room in time.
     Throttled,
+    /// The invocation failed.
     Errored,
-    /// Refused as malformed or over a bound; never an invocation.
+    /// The request was refused as malformed or over a bound: it never was an invocation.
     NotTaken,
 }
 
@@ -73,58 +100,45 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Ending {
+    /// The function has answered.
     Succeeded,
+    /// The function failed.
     Failed,
-    /// Turned away unseen, or not loaded: it never ran.
+    /// It was turned away unseen, or its function could not be loaded: it never ran.
     Refused,
-    /// Reset by the front end, or the connection broke.
+    /// The front end reset it, or the connection broke.
     Abandoned,
     /// The executor crashed with it in hand.
     Crashed,
 }
 
+/// The state of an executor as front ends are told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub enum Standing {
+    /// It takes new work.
     Ready,
+    /// It ends what it has, and takes no new work.
     Draining,
+    /// It is not there.
     Gone,
 }
 
-/// One thing that was said or done. `front_end` is an index; `life` tells its incarnations apart.
+/// An event. `at` is when it was seen; `front_end` is an index, and `life` tells its incarnations apart.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", rename_all_fields = "camelCase", tag = "what")]
 pub enum Record {
     /// A client sent an invocation and waits until `until`.
-    Offered {
-        at: f64,
-        client: u32,
-        invocation: String,
-        front_end: u32,
-        trigger_type: usize,
-        until: f64,
-    },
-    Answered {
-        at: f64,
-        invocation: String,
-        answer: Answer,
-    },
+    Offered { at: f64, client: u32, invocation: String, front_end: u32, trigger_type: usize, until: f64 },
+    /// A client received the final answer.
+    Answered { at: f64, invocation: String, answer: Answer },
     /// The connection broke before an answer.
-    Lost {
-        at: f64,
-        invocation: String,
-    },
+    Lost { at: f64, invocation: String },
     /// The client went away by its own choice.
-    Left {
-        at: f64,
-        invocation: String,
-    },
+    Left { at: f64, invocation: String },
     /// The client's time ran out.
-    GaveUp {
-        at: f64,
-        invocation: String,
-    },
-    /// A dispatch came to an executor.
+    GaveUp { at: f64, invocation: String },
+    /// A dispatch arrived at an executor.
     Reached {
         at: f64,
         executor: usize,
@@ -135,108 +149,42 @@
         token: String,
         trigger_type: String,
     },
-    /// Its work was begun: from here on its effect has taken place.
-    Ran {
-        at: f64,
-        executor: usize,
-        invocation: String,
-    },
-    /// It ran bytes of this digest, where its dispatch named that one.
-    RanVersion {
-        at: f64,
-        executor: usize,
-        invocation: String,
-        named: String,
-        loaded: String,
-    },
-    /// Its token was known, so that it had no second effect.
-    Dropped {
-        at: f64,
-        executor: usize,
-        invocation: String,
-    },
-    Ended {
-        at: f64,
-        executor: usize,
-        invocation: String,
-        number: u32,
-        ending: Ending,
-    },
-    Ordered {
-        at: f64,
-        executor: usize,
-        front_end: u32,
-        life: u64,
-        copies: u32,
-    },
-    /// The publisher told a front end of an executor; `since`: when that last started.
-    Told {
-        at: f64,
-        front_end: u32,
-        life: u64,
-        executor: usize,
-        standing: Standing,
-        since: f64,
-    },
-    /// An executor was pushed over while it was cold; `since`: when it had started.
-    Fell {
-        at: f64,
-        executor: usize,
-        since: f64,
-    },
-    /// An executor stands ready from here on, with nothing in hand and no copy, and runs so many at a time.
-    Stands {
-        at: f64,
-        executor: usize,
-        lanes: u32,
-    },
-    /// It ended, or takes nothing new.
-    Down {
-        at: f64,
-        executor: usize,
-    },
-    /// It began to load a copy of a function, or let the last one go.
-    Loads {
-        at: f64,
-        executor: usize,
-        function: String,
-    },
-    Unloads {
-        at: f64,
-        executor: usize,
-        function: String,
-    },
-    /// An executor read nothing from its sockets from here until `until`.
-    Deaf {
-        at: f64,
-        executor: usize,
-        until: f64,
-    },
-    /// A controller published a message that is to become an invocation.
-    Published {
-        at: f64,
-        invocation: String,
-        trigger_type: String,
-    },
-    /// Its answer came.
-    Heard {
-        at: f64,
-        invocation: String,
-        outcome: String,
-    },
-    /// A front end was killed outright.
-    Killed {
-        at: f64,
-        front_end: u32,
-    },
-    /// A front end takes invocations (again).
-    Up {
-        at: f64,
-        front_end: u32,
-    },
+    /// An executor began to run a dispatch: from then on its effect has taken place.
+    Ran { at: f64, executor: usize, invocation: String },
+    /// An executor ran the package of one digest for a dispatch that named another or the same.
+    RanVersion { at: f64, executor: usize, invocation: String, named: String, loaded: String },
+    /// An executor knew the token of a dispatch, so that it had no second effect.
+    Dropped { at: f64, executor: usize, invocation: String },
+    /// A dispatch ended at its executor.
+    Ended { at: f64, executor: usize, invocation: String, number: u32, ending: Ending },
+    /// An order to load arrived at an executor.
+    Ordered { at: f64, executor: usize, front_end: u32, life: u64, copies: u32 },
+    /// A front end was told of an executor, which last started at `since`.
+    Told { at: f64, front_end: u32, life: u64, executor: usize, standing: Standing, since: f64 },
+    /// An executor that had started at `since` was pushed over while it was cold.
+    Fell { at: f64, executor: usize, since: f64 },
+    /// An executor is ready from now on, with no work and no copy, and runs so many invocations at a time.
+    Stands { at: f64, executor: usize, lanes: u32 },
+    /// An executor ended, or takes nothing new.
+    Down { at: f64, executor: usize },
+    /// An executor began to load a copy of a function.
+    Loads { at: f64, executor: usize, function: String },
+    /// An executor let its last copy of a function go.
+    Unloads { at: f64, executor: usize, function: String },
+    /// An executor reads nothing from its sockets until `until`.
+    Deaf { at: f64, executor: usize, until: f64 },
+    /// A publisher sent a message that is to become an invocation.
+    Published { at: f64, invocation: String, trigger_type: String },
+    /// The publisher of a message received an answer.
+    Heard { at: f64, invocation: String, outcome: String },
+    /// A front end was killed.
+    Killed { at: f64, front_end: u32 },
+    /// A front end takes invocations, perhaps again.
+    Up { at: f64, front_end: u32 },
 }
 
 impl Record {
+    /// When the event was seen.
     pub fn at(&self) -> f64 {
         match *self {
             Record::Offered { at, .. }
--- a/crates/invariants/src/messages.rs
+++ b/crates/invariants/src/messages.rs
@@ -1,84 +1,104 @@
-//! What became of messages: one answer each, what it says being so, and no effect twice that must not be.
+//! What became of messages: one answer each that is true, and no effect twice that must not be.
 
 use crate::{Effect, Limits, Record};
 use serde::Serialize;
 use std::collections::HashMap;
 
+/// Breaches that are described in words.
+const MAX_BREACHES: usize = 8;
+
+/// What was found of messages.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct Messages {
+    /// Messages that were published.
     pub messages: u64,
+    /// Answers that were received.
     pub answers: u64,
+    /// Messages with more than one answer.
     pub answered_twice: u64,
+    /// Messages without an answer.
     pub unanswered: u64,
+    /// Non-idempotent messages that ran more than once.
     pub effects_twice: u64,
+    /// Answers that say that the outcome is not known.
     pub unknown_outcome: u64,
-    /// Answers that say what the executors saw otherwise: succeeded and never run, throttled and run.
+    /// Answers that contradict the executors: succeeded and never run, or throttled and run.
     pub untrue: u64,
-    /// The first of what is wrong, in words.
+    /// The first breaches in words.
     #[serde(skip)]
     pub breaches: Vec<String>,
 }
 
 impl Messages {
+    /// Whether nothing was broken.
     pub fn kept(&self) -> bool {
         self.answered_twice + self.unanswered + self.effects_twice + self.untrue == 0
     }
 
     fn breach(&mut self, what: String) {
-        if self.breaches.len() < 8 {
+        if self.breaches.len() < MAX_BREACHES {
             self.breaches.push(what);
         }
     }
+
+    fn check_answer_count(&mut self, invocation: &str, outcomes: &[&str]) {
+        self.answers += outcomes.len() as u64;
+        match outcomes {
+            [] => {
+                self.unanswered += 1;
+                self.breach(format!("{invocation} had no answer"));
+            }
+            [_] => {}
+            many => {
+                self.answered_twice += 1;
+                self.breach(format!("{invocation} was answered {}", many.join(", then ")));
+            }
+        }
+    }
+
+    fn check_outcome(&mut self, invocation: &str, outcome: &str, effect: Option<Effect>, runs: u64) {
+        self.unknown_outcome += u64::from(outcome == "unknown");
+        let is_true = match outcome {
+            "succeeded" => runs > 0,
+            "throttled" => runs == 0 || effect == Some(Effect::Idempotent),
+            "unknown" => effect != Some(Effect::Idempotent),
+            _ => true,
+        };
+        if !is_true {
+            self.untrue += 1;
+            self.breach(format!("{invocation} was answered {outcome} and ran {runs} times"));
+        }
+    }
 }
 
-/// Judges the messages among some records.
+/// Checks the messages among records.
 pub fn messages(limits: &Limits, records: &[Record]) -> Messages {
     let mut found = Messages::default();
-    let mut answers: HashMap<&str, Vec<&str>> = HashMap::new();
+    let mut outcomes: HashMap<&str, Vec<&str>> = HashMap::new();
     let mut runs: HashMap<&str, u64> = HashMap::new();
-    for r in records {
-        match r {
+    for record in records {
+        match record {
             Record::Heard { invocation, outcome, .. } => {
-                answers.entry(invocation).or_default().push(outcome);
+                outcomes.entry(invocation).or_default().push(outcome);
             }
             Record::Ran { invocation, .. } => *runs.entry(invocation).or_default() += 1,
             _ => {}
         }
     }
-    for r in records {
-        let Record::Published { invocation, trigger_type, .. } = r else { continue };
+    for record in records {
+        let Record::Published { invocation, trigger_type, .. } = record else { continue };
         found.messages += 1;
-        let effect = limits.trigger_types.iter().find(|t| t.name == *trigger_type).map(|t| t.effect);
+        let known = limits.trigger_types.iter().find(|known| known.name == *trigger_type);
+        let effect = known.map(|known| known.effect);
         let runs = runs.get(invocation.as_str()).copied().unwrap_or(0);
         if effect == Some(Effect::NonIdempotent) && runs > 1 {
             found.effects_twice += 1;
             found.breach(format!("{invocation} ran {runs} times"));
         }
-        let heard = answers.get(invocation.as_str()).map(Vec::as_slice).unwrap_or_default();
-        found.answers += heard.len() as u64;
-        match heard {
-            [] => {
-                found.unanswered += 1;
-                found.breach(format!("{invocation} had no answer"));
-            }
-            [_] => {}
-            many => {
-                found.answered_twice += 1;
-                found.breach(format!("{invocation} was answered {}", many.join(", then ")));
-            }
-        }
-        for outcome in heard {
-            found.unknown_outcome += u64::from(*outcome == "unknown");
-            let so = match *outcome {
-                "succeeded" => runs > 0,
-                "throttled" => runs == 0 || effect == Some(Effect::Idempotent),
-                "unknown" => effect != Some(Effect::Idempotent),
-                _ => true,
-            };
-            if !so {
-                found.untrue += 1;
-                found.breach(format!("{invocation} was answered {outcome} and ran {runs} times"));
-            }
+        let outcomes = outcomes.get(invocation.as_str()).map(Vec::as_slice).unwrap_or_default();
+        found.check_answer_count(invocation, outcomes);
+        for outcome in outcomes {
+            found.check_outcome(invocation, outcome, effect, runs);
         }
     }
     found
--- a/crates/trigger/src/consumer/intake.rs
+++ b/crates/trigger/src/consumer/intake.rs
@@ -28,7 +28,24 @@
     DeliveryId { packet: delivery.number.map(|_| delivery.id), confirms: delivery.qos == Qos::ExactlyOnce }
 }
 
+/// Whether the invocation of a message may run more than once.
+fn effect(policy: &interface::TriggerType, now: f64) -> Effect {
+    match (policy.effect, policy.group) {
+        (interface::Effect::Idempotent, _) => Effect::Idempotent,
+        (interface::Effect::Tokened, interface::Group::All) => Effect::Tokened { until: now + policy.window },
+        // A token that is remembered in a part of the fleet protects within that part alone.
+        (interface::Effect::Tokened | interface::Effect::NonIdempotent, _) => Effect::NonIdempotent,
+    }
+}
+
 impl Consumer {
+    /// When the publisher of a message gives up.
+    fn answer_until(&self, call: &Call, now: f64) -> f64 {
+        let rule_time_left = self.rules.list[call.rule].time_left;
+        let since_sent = call.sent_at.map_or(f64::INFINITY, |sent_at| sent_at + rule_time_left);
+        since_sent.min(now + call.time_left)
+    }
+
     /// Takes a delivery in. It waits unacknowledged until it is admitted.
     pub(super) fn take(
         &mut self,
@@ -67,17 +84,8 @@
         deployment: &Deployment,
     ) -> Result<(), ConnectionError> {
         let policy = &deployment.policy.trigger_types[call.trigger_type];
-        let effect = match (policy.effect, policy.group) {
-            (interface::Effect::Idempotent, _) => Effect::Idempotent,
-            (interface::Effect::Tokened, interface::Group::All) => {
-                Effect::Tokened { until: now + policy.window }
-            }
-            // A token that is remembered in a part of the fleet protects within that part alone.
-            (interface::Effect::Tokened | interface::Effect::NonIdempotent, _) => Effect::NonIdempotent,
-        };
-        let rule_time_left = self.rules.list[call.rule].time_left;
-        let until =
-            call.sent_at.map_or(f64::INFINITY, |sent_at| sent_at + rule_time_left).min(now + call.time_left);
+        let effect = effect(policy, now);
+        let until = self.answer_until(&call, now);
         let waiting = Waiting {
             trigger_type: call.trigger_type,
             value: policy.billed_value,
--- a/crates/trigger/src/pattern.rs
+++ b/crates/trigger/src/pattern.rs
@@ -1,9 +1,8 @@
-//! Topic patterns with names: `house/{house}/set/{what...}`. A name in braces stands for a whole level; with `...`
-//! for all levels from there on.
+//! Topic patterns with names, such as `house/{house}/set/{what...}`. A name in braces stands for a whole level; with
+//! `...` it stands for all levels from there on.
 
 use orchidtally_mqtt::Filter;
 use std::collections::BTreeMap;
-use std::fmt;
 
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Part {
@@ -12,41 +11,34 @@
     Rest(String),
 }
 
-/// What a message's topic gave for each name.
+/// What a topic has at each name of a pattern.
 pub type Captures = BTreeMap<String, String>;
 
+/// A topic pattern.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pattern {
     levels: Vec<Part>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Why a text is no topic pattern.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Invalid {
+    /// This level has a brace and is no name in braces.
+    #[error("the level '{0}': a name in braces has to be a whole level, of letters, digits and '_'")]
     Braces(String),
+    /// This name is given twice.
+    #[error("the name '{0}' is given twice")]
     Twice(String),
+    /// A level that stands for all that follow is not the last one.
+    #[error("only the last level can stand for all that follow")]
     Rest,
+    /// No topic can match it, for this reason.
+    #[error("no topic: {0}")]
     Topic(String),
 }
 
-impl fmt::Display for Invalid {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Invalid::Braces(level) => {
-                write!(
-                    f,
-                    "the level '{level}': a name in braces has to be a whole level, of letters, digits and '_'"
-                )
-            }
-            Invalid::Twice(name) => write!(f, "the name '{name}' is given twice"),
-            Invalid::Rest => f.write_str("only the last level can stand for all that follow"),
-            Invalid::Topic(why) => write!(f, "no topic: {why}"),
-        }
-    }
-}
-
-impl std::error::Error for Invalid {}
-
 impl Pattern {
+    /// Parses a pattern.
     pub fn parse(text: &str) -> Result<Pattern, Invalid> {
         let mut levels: Vec<Part> = vec![];
         for level in text.split('/') {
@@ -88,11 +80,12 @@
         self.levels.iter().map(level).collect::<Vec<String>>().join("/")
     }
 
-    /// The filter that matches what the pattern can be.
+    /// The filter that matches the same topics.
     pub fn filter(&self) -> Filter {
         Filter::parse(&self.filter_text()).expect("it was parsed when the pattern was")
     }
 
+    /// The names in their order.
     pub fn names(&self) -> impl Iterator<Item = &str> {
         self.levels.iter().filter_map(|p| match p {
             Part::Name(n) | Part::Rest(n) => Some(n.as_str()),
@@ -100,12 +93,13 @@
         })
     }
 
+    /// What a topic has at each name; `None` where the pattern does not match it.
     pub fn captures(&self, topic: &str) -> Option<Captures> {
         let found = self.filter().captures(topic)?;
         Some(self.names().map(str::to_owned).zip(found.into_iter().map(str::to_owned)).collect())
     }
 
-    /// The topic that it is with these; none where one is missing.
+    /// The topic with these in place of the names; `None` where one is missing.
     pub fn filled(&self, captures: &Captures) -> Option<String> {
         let mut levels = vec![];
         for part in &self.levels {
--- a/crates/trigger/src/promises.rs
+++ b/crates/trigger/src/promises.rs
@@ -1,43 +1,38 @@
-//! What a front end has promised to clients over HTTP for trigger types that are journalled: an invocation is
-//! written down under its name before it is dispatched, and its answer before that is sent. Asked again under that
-//! name it is never run again: its answer is said again, or that it is not known whether it ran.
+//! Promises to clients over HTTP for trigger types that are journalled: an invocation is persisted under its name before
+//! it is dispatched, and its answer before that is sent. An invocation that is asked for again under that name never
+//! runs again: the answer is repeated, or the client is told that it is not known whether it ran. Times are in seconds
+//! since 1970.
 
 use crate::ledger::base64_bytes;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, VecDeque};
 
+/// How an invocation ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", tag = "came")]
 pub enum Outcome {
-    /// The response. A body that is longer than what is kept is left out.
+    /// It was answered. A body that is longer than what is kept is left out.
     Answered {
         status: u16,
         #[serde(with = "base64_bytes")]
         body: Bytes,
         whole: bool,
     },
-    /// The front end died, or the client went away, while its dispatch may have been out.
+    /// The front end crashed, or the client went away, after it may have been dispatched.
     Unknown,
 }
 
+/// An entry of the journal.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "camelCase", tag = "promise")]
 pub enum Record {
-    /// `at`: seconds since 1970.
-    Taken {
-        name: String,
-        at: f64,
-    },
-    Over {
-        name: String,
-        at: f64,
-        outcome: Outcome,
-    },
-    /// Nothing has run: the name is free again.
-    Dropped {
-        name: String,
-    },
+    /// An invocation was promised.
+    Taken { name: String, at: f64 },
+    /// It has ended.
+    Over { name: String, at: f64, outcome: Outcome },
+    /// It has not run: the name is free again.
+    Dropped { name: String },
 }
 
 #[derive(Clone, Debug)]
@@ -46,34 +41,40 @@
     outcome: Option<Outcome>,
 }
 
-/// How an invocation of a name stands.
+/// The state of an invocation by its name.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Standing {
-    /// It is this front end's now, once the record is on the disk.
+    /// It is new, and promised once this record is on the disk.
     New(Record),
+    /// It has no answer yet.
     Running,
+    /// It has ended.
     Over(Outcome),
-    /// As many names are kept as may.
+    /// As many names are kept as may be.
     Full,
 }
 
+/// The promises of a front end.
 #[derive(Clone, Debug, Default)]
 pub struct Promises {
-    /// Names are kept for so long after their answer.
+    /// Seconds for which a name is kept after its answer.
     keep: f64,
+    /// The most names that are kept.
     most: usize,
+    /// The most bytes of a body that is kept.
     longest_body: usize,
     names: BTreeMap<String, Promise>,
-    /// Those that are over, in the order in which they are forgotten.
+    /// Names whose invocations have ended, in the order in which they are forgotten.
     over: VecDeque<(f64, String)>,
 }
 
 impl Promises {
+    /// No promises yet.
     pub fn new(keep: f64, most: usize, longest_body: usize) -> Promises {
         Promises { keep, most, longest_body, ..Promises::default() }
     }
 
-    /// Takes up what a journal holds: what was out when the front end died is of unknown outcome.
+    /// Restores the promises of a journal. Those that were open when the front end crashed have an unknown outcome.
     pub fn recover(self, records: &[Record], now: f64) -> Promises {
         let mut promises = self.noted(records);
         promises.end_open(now);
@@ -81,7 +82,7 @@
         promises
     }
 
-    /// What records say, without a judgement of what was out.
+    /// Applies records, and leaves open what is open.
     pub fn noted(mut self, records: &[Record]) -> Promises {
         records.iter().for_each(|record| self.note(record));
         self
@@ -122,15 +123,17 @@
         }
     }
 
+    /// The number of names that are kept.
     pub fn len(&self) -> usize {
         self.names.len()
     }
 
+    /// Whether no name is kept.
     pub fn is_empty(&self) -> bool {
         self.names.is_empty()
     }
 
-    /// How a name stands, changing nothing.
+    /// The state of a name, without a change.
     pub fn standing(&self, name: &str) -> Option<Standing> {
         self.names.get(name).map(|p| p.outcome.clone().map_or(Standing::Running, Standing::Over))
     }
@@ -149,7 +152,7 @@
         Standing::New(record)
     }
 
-    /// Its final answer. `ran`: whether it may have; if not the name is free again.
+    /// An invocation has its final answer. If it has not run, the name is free again.
     pub fn answered(&mut self, now: f64, name: &str, ran: bool, status: u16, body: &Bytes) -> Record {
         let record = if ran {
             let whole = body.len() <= self.longest_body;
@@ -163,7 +166,7 @@
         record
     }
 
-    /// Its client went away before it was answered.
+    /// The client of an invocation went away before the answer.
     pub fn left(&mut self, now: f64, name: &str) -> Option<Record> {
         let open = self.names.get(name).is_some_and(|p| p.outcome.is_none());
         open.then(|| {
@@ -173,12 +176,12 @@
         })
     }
 
-    /// It could not be written down: nothing was promised and nothing has run.
+    /// The record of a new invocation could not be persisted: nothing is promised and nothing has run.
     pub fn not_kept(&mut self, name: &str) {
         self.names.remove(name);
     }
 
-    /// All that is known, as a journal's snapshot.
+    /// The records that lead to this state: a snapshot of the journal.
     pub fn records(&self) -> Vec<Record> {
         let mut records: Vec<Record> = self
             .names
--- a/crates/trigger/src/section.rs
+++ b/crates/trigger/src/section.rs
@@ -1,7 +1,7 @@
 //! The `mqtt` section of a deployment file: the broker, the session, the journal, and the triggers.
 
 use crate::rules::{ReplyTo, Rules};
-use orchidtally_deployment::reader::Place;
+use orchidtally_deployment::reader::{Fields, Place};
 use orchidtally_deployment::{Deployment, Fault};
 use orchidtally_mqtt::filter::check_topic;
 use orchidtally_mqtt::packet::{Subscription, Version};
@@ -10,46 +10,62 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-/// Files in PEM, read anew for each connection.
+/// The files of TLS in PEM, which are read for each connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Tls {
+    /// The certificates of the authorities that are trusted.
     pub authorities: PathBuf,
-    /// The client's certificates and key, where the broker wants them.
+    /// The files of the client's certificates and key, where the broker wants them.
     pub identity: Option<(PathBuf, PathBuf)>,
-    /// The name that the broker's certificate has to have.
+    /// The name that the broker's certificate has to be for.
     pub name: String,
 }
 
+/// The `mqtt` section.
 #[derive(Clone, Debug)]
 pub struct Section {
+    /// The address of the broker.
     pub broker: SocketAddr,
+    /// The protocol version that is spoken.
     pub version: Version,
     client_id: String,
+    /// The user name, where the broker wants one.
     pub username: Option<String>,
+    /// The file that holds the password.
     pub password_file: Option<PathBuf>,
+    /// Set where the connection uses TLS.
     pub tls: Option<Tls>,
-    /// Front ends share the messages by this name.
+    /// The group of the shared subscriptions, by which front ends share the messages.
     pub group: String,
+    /// Seconds without a packet after which a ping is sent.
     pub keep_alive: u16,
+    /// Seconds for which the broker keeps the session without a connection.
     pub session_expiry: u32,
+    /// The most deliveries that may be unacknowledged at a time.
     pub receive_maximum: u16,
+    /// The most invocations at a time.
     pub in_flight: usize,
+    /// The size in bytes of the largest packet that is accepted.
     pub largest_packet: u32,
-    /// The broker gives a message of QoS 1 that isn't acknowledged to another subscriber of the group.
+    /// The broker gives a message of QoS 1 that is not acknowledged to another subscriber of the group.
     pub hands_over: bool,
     journal: String,
-    /// Entries and snapshot; with more nothing new is taken.
+    /// Bytes of the journal from which on nothing new is taken.
     pub journal_bytes: u64,
+    /// The topic to which messages that are set aside are copied.
     pub set_aside: Option<String>,
+    /// How often a message is taken before it is set aside.
     pub most_times: u32,
-    /// An answer has to be ready by so much earlier than its publisher gives up.
+    /// Seconds by which an answer has to be ready before its publisher gives up.
     pub answer_margin: f64,
+    /// The trigger rules.
     pub rules: Rules,
 }
 
+/// What the front end's index replaces in a text.
 const INDEX: &str = "{index}";
 
-/// Reads a deployment file with its `mqtt` section, if it has one, or tells every fault in both.
+/// Reads a deployment file with its `mqtt` section, if it has one, or returns every fault in both.
 pub fn read(text: &str) -> Result<(Deployment, Option<Section>), Vec<Fault>> {
     Deployment::read_with(
         text,
@@ -59,123 +75,168 @@
     )
 }
 
+const KEYS: [&str; 17] = [
+    "broker",
+    "version",
+    "clientId",
+    "username",
+    "passwordFile",
+    "tls",
+    "group",
+    "keepAlive",
+    "sessionExpiry",
+    "receiveMaximum",
+    "inFlight",
+    "largestPacket",
+    "handsOver",
+    "journal",
+    "setAside",
+    "answerMargin",
+    "triggers",
+];
+
+/// Defaults of what the section leaves out; times in seconds, sizes in bytes.
+mod default {
+    pub const GROUP: &str = "orchidtally";
+    pub const KEEP_ALIVE: f64 = 15.0;
+    pub const SESSION_EXPIRY: f64 = 3_600.0;
+    pub const RECEIVE_MAXIMUM: u32 = 256;
+    pub const IN_FLIGHT: u32 = 256;
+    pub const LARGEST_PACKET: f64 = 2_097_152.0;
+    pub const JOURNAL_BYTES: f64 = 268_435_456.0;
+    pub const MOST_TIMES: u32 = 5;
+    pub const ANSWER_MARGIN: f64 = 0.1;
+}
+
 fn section(place: &Place, deployment: &Deployment) -> Option<Section> {
-    let top = place.object(&[
-        "broker",
-        "version",
-        "clientId",
-        "username",
-        "passwordFile",
-        "tls",
-        "group",
-        "keepAlive",
-        "sessionExpiry",
-        "receiveMaximum",
-        "inFlight",
-        "largestPacket",
-        "handsOver",
-        "journal",
-        "setAside",
-        "answerMargin",
-        "triggers",
-    ]);
-    let broker = top.at("broker").parsed("an address and port", str::parse);
+    let fields = place.object(&KEYS);
+    let broker = fields.at("broker").parsed("an address and port", str::parse);
     let versions = [("5", Version::V5), ("3.1.1", Version::V311)];
-    let version = top.maybe("version", |p| p.one_of(&versions)).unwrap_or(Version::V5);
-    // Each front end has a session and a journal of its own.
-    let own = |place: &Place, text: String| {
-        if deployment.policy.front_ends > 1.0 && !text.contains(INDEX) {
-            place.fault(format!(
-                "there are several front ends; '{INDEX}' has to stand in it for each one's own"
-            ));
-        }
-        text
-    };
-    let client_id = match top.at("clientId").is_given() {
-        true => top.at("clientId").text().map(|t| own(&top.at("clientId"), t)),
+    let version = fields.maybe("version", |p| p.one_of(&versions)).unwrap_or(Version::V5);
+    let client_id = match fields.at("clientId").is_given() {
+        true => fields.at("clientId").text().map(|text| own(&fields.at("clientId"), text, deployment)),
         false => Some(format!("{}-{INDEX}", deployment.name)),
     };
-    let tls = top.maybe("tls", |p| {
-        let f = p.object(&["authorities", "certificate", "key", "name"]);
-        let path = |key| f.maybe(key, Place::text).map(PathBuf::from);
-        let identity = match (path("certificate"), path("key")) {
-            (Some(certificate), Some(key)) => Some((certificate, key)),
-            (None, None) => None,
-            _ => {
-                p.fault("'certificate' and 'key' belong together");
-                None
-            }
-        };
-        let authorities = f.at("authorities").text()?.into();
-        Some(Tls { authorities, identity, name: f.at("name").text()? })
-    });
-    let journal = top.at("journal").object(&["folder", "maxBytes"]);
-    let folder = journal.at("folder").text().map(|t| own(&journal.at("folder"), t));
-    let aside = top.at("setAside");
-    let aside = if aside.is_given() { aside.object(&["topic", "after"]) } else { top.nothing("setAside") };
-    let set_aside = aside.maybe("topic", Place::text);
-    let rules = Rules::at(&top.at("triggers"), deployment);
-    if let Some(topic) = &set_aside {
-        if let Err(why) = check_topic(topic) {
-            aside.at("topic").fault(format!("no topic: {why}"));
-        } else if rules.list.iter().any(|r| r.topic.filter().matches(topic)) {
-            aside.at("topic").fault("what is set aside would come back as a message");
-        }
-    }
+    let tls = fields.maybe("tls", tls);
+    let journal = fields.at("journal").object(&["folder", "maxBytes"]);
+    let folder = journal.at("folder").text().map(|text| own(&journal.at("folder"), text, deployment));
+    let rules = Rules::at(&fields.at("triggers"), deployment);
+    let (set_aside, most_times) = set_aside(&fields, &rules);
     if version == Version::V311 {
-        let asked = rules.list.iter().position(|r| r.reply_to == ReplyTo::ResponseTopic);
-        if let Some(n) = asked {
-            top.at("triggers").fault(format!(
-                "triggers[{n}]: version 3.1.1 has no response topics; 'answer' has to name one"
-            ));
-        }
+        check_reply_topics(&fields, &rules);
     }
-    let answer_margin = top.maybe("answerMargin", |p| p.seconds(0.001..=60.0)).unwrap_or(0.1);
-    if let Some(rule) = rules.list.iter().find(|r| r.time_left <= 2.0 * answer_margin) {
-        let what = format!("leaves no time: '{}' has {} s", rule.topic.filter(), rule.time_left);
-        top.at("answerMargin").fault(what);
-    }
-    let group = top.maybe("group", Place::text).unwrap_or_else(|| "orchidtally".into());
-    if group.contains(['/', '+', '#']) {
-        top.at("group").fault("must not have '/', '+' and '#'");
-    }
-    let whole = |key, range, absent: u32| top.maybe(key, |p| p.whole(range)).unwrap_or(absent);
-    let expiry = top.maybe("sessionExpiry", |p| p.seconds(60.0..=2_592_000.0)).unwrap_or(3_600.0);
+    let answer_margin = answer_margin(&fields, &rules);
+    let group = group(&fields);
+    let whole = |key, range, default: u32| fields.maybe(key, |p| p.whole(range)).unwrap_or(default);
+    let seconds = |key, range, default: f64| fields.maybe(key, |p| p.seconds(range)).unwrap_or(default);
+    let session_expiry = seconds("sessionExpiry", 60.0..=2_592_000.0, default::SESSION_EXPIRY);
+    let keep_alive = seconds("keepAlive", 1.0..=3_600.0, default::KEEP_ALIVE);
+    let largest_packet =
+        fields.maybe("largestPacket", |p| p.bytes(1_024.0..=2e8)).unwrap_or(default::LARGEST_PACKET);
+    let journal_bytes =
+        journal.maybe("maxBytes", |p| p.bytes(65_536.0..=1e12)).unwrap_or(default::JOURNAL_BYTES);
     Some(Section {
         broker: broker?,
         version,
         client_id: client_id?,
-        username: top.maybe("username", Place::text),
-        password_file: top.maybe("passwordFile", Place::text).map(PathBuf::from),
+        username: fields.maybe("username", Place::text),
+        password_file: fields.maybe("passwordFile", Place::text).map(PathBuf::from),
         tls,
         group,
-        keep_alive: top.maybe("keepAlive", |p| p.seconds(1.0..=3_600.0)).unwrap_or(15.0) as u16,
-        session_expiry: expiry as u32,
-        receive_maximum: whole("receiveMaximum", 1..=20_000, 256) as u16,
-        in_flight: whole("inFlight", 1..=100_000, 256) as usize,
-        largest_packet: top.maybe("largestPacket", |p| p.bytes(1_024.0..=2e8)).unwrap_or(2_097_152.0) as u32,
-        hands_over: top.at("handsOver").flag(true),
+        keep_alive: keep_alive as u16,
+        session_expiry: session_expiry as u32,
+        receive_maximum: whole("receiveMaximum", 1..=20_000, default::RECEIVE_MAXIMUM) as u16,
+        in_flight: whole("inFlight", 1..=100_000, default::IN_FLIGHT) as usize,
+        largest_packet: largest_packet as u32,
+        hands_over: fields.at("handsOver").flag(true),
         journal: folder?,
-        journal_bytes: journal.maybe("maxBytes", |p| p.bytes(65_536.0..=1e12)).unwrap_or(268_435_456.0)
-            as u64,
+        journal_bytes: journal_bytes as u64,
         set_aside,
-        most_times: aside.maybe("after", |p| p.whole(1..=1_000)).unwrap_or(5),
+        most_times,
         answer_margin,
         rules,
     })
 }
 
+/// A text that each front end needs for itself, because it has a session and a journal of its own.
+fn own(place: &Place, text: String, deployment: &Deployment) -> String {
+    if deployment.policy.front_ends > 1.0 && !text.contains(INDEX) {
+        place.fault(format!("there are several front ends; '{INDEX}' has to stand in it for each one's own"));
+    }
+    text
+}
+
+fn tls(place: &Place) -> Option<Tls> {
+    let fields = place.object(&["authorities", "certificate", "key", "name"]);
+    let path = |key| fields.maybe(key, Place::text).map(PathBuf::from);
+    let identity = match (path("certificate"), path("key")) {
+        (Some(certificate), Some(key)) => Some((certificate, key)),
+        (None, None) => None,
+        _ => {
+            place.fault("'certificate' and 'key' belong together");
+            None
+        }
+    };
+    let authorities = fields.at("authorities").text()?.into();
+    Some(Tls { authorities, identity, name: fields.at("name").text()? })
+}
+
+/// The topic to which messages that are set aside are copied, and after how many tries that is done.
+fn set_aside(fields: &Fields, rules: &Rules) -> (Option<String>, u32) {
+    let place = fields.at("setAside");
+    let fields =
+        if place.is_given() { place.object(&["topic", "after"]) } else { fields.nothing("setAside") };
+    let topic = fields.maybe("topic", Place::text);
+    if let Some(topic) = &topic {
+        if let Err(why) = check_topic(topic) {
+            fields.at("topic").fault(format!("no topic: {why}"));
+        } else if rules.list.iter().any(|rule| rule.topic.filter().matches(topic)) {
+            fields.at("topic").fault("what is set aside would come back as a message");
+        }
+    }
+    let most_times = fields.maybe("after", |p| p.whole(1..=1_000)).unwrap_or(default::MOST_TIMES);
+    (topic, most_times)
+}
+
+/// Version 3.1.1 has no response topics.
+fn check_reply_topics(fields: &Fields, rules: &Rules) {
+    let without_topic = rules.list.iter().position(|rule| rule.reply_to == ReplyTo::ResponseTopic);
+    if let Some(index) = without_topic {
+        fields.at("triggers").fault(format!(
+            "triggers[{index}]: version 3.1.1 has no response topics; 'answer' has to name one"
+        ));
+    }
+}
+
+fn answer_margin(fields: &Fields, rules: &Rules) -> f64 {
+    let margin = fields.maybe("answerMargin", |p| p.seconds(0.001..=60.0)).unwrap_or(default::ANSWER_MARGIN);
+    if let Some(rule) = rules.list.iter().find(|rule| rule.time_left <= 2.0 * margin) {
+        let what = format!("leaves no time: '{}' has {} s", rule.topic.filter(), rule.time_left);
+        fields.at("answerMargin").fault(what);
+    }
+    margin
+}
+
+fn group(fields: &Fields) -> String {
+    let group = fields.maybe("group", Place::text).unwrap_or_else(|| default::GROUP.into());
+    if group.contains(['/', '+', '#']) {
+        fields.at("group").fault("must not have '/', '+' and '#'");
+    }
+    group
+}
+
 impl Section {
     /// The folder of a front end's journal.
     pub fn folder(&self, index: u32) -> PathBuf {
         self.journal.replace(INDEX, &index.to_string()).into()
     }
 
-    /// Messages that may be in hand at once: those that wait and those in flight.
+    /// The most messages in hand at a time: those that wait and those in flight.
     pub fn most_held(&self) -> usize {
         usize::from(self.receive_maximum) + self.in_flight
     }
 
+    /// The options of a front end's session, without the password.
     pub fn session_options(&self, index: u32) -> SessionOptions {
         let mut filters: BTreeMap<String, Subscription> = BTreeMap::new();
         for rule in &self.rules.list {
