Give the coordinator's refusals a type; keep clippy clean

Cause: clippy found responses of 144 bytes as errors in the coordinator's new api.rs, and a large variant in consume.rs. Change: `Refusal` with status and faults, turned into a response in one place; the variant is matched at once, and says so.

--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -12,6 +12,7 @@
 use orchidtally_rollout::plan::{GATES, Gate};
 use orchidtally_rollout::{Plan, Rollout};
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use serde_json::json;
 use std::convert::Infallible;
 
@@ -29,50 +30,68 @@
     response
 }
 
-fn refused(status: StatusCode, faults: &[String]) -> Reply {
-    reply(status, &json!({ "faults": faults }))
+/// Why a request is refused.
+struct Refusal {
+    status: StatusCode,
+    faults: Vec<String>,
+}
+
+impl Refusal {
+    fn new(status: StatusCode, fault: impl Into<String>) -> Refusal {
+        Refusal { status, faults: vec![fault.into()] }
+    }
+
+    fn reply(&self) -> Reply {
+        reply(self.status, &json!({ "faults": self.faults }))
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|e| Refusal::new(StatusCode::BAD_REQUEST, e.to_string()))
 }
 
 impl CoordinatorServer {
     pub(crate) async fn respond(&self, request: Request<Incoming>) -> Result<Reply, Infallible> {
+        Ok(self.answer(request).await.unwrap_or_else(|refusal| refusal.reply()))
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Reply, Refusal> {
         let (parts, body) = request.into_parts();
         let read = orchidtally_net::within(SENDER_TIME, Limited::new(body, MAX_BODY).collect()).await;
         let body = match read {
             Some(Ok(body)) => body.to_bytes(),
-            Some(Err(e)) => return Ok(refused(StatusCode::PAYLOAD_TOO_LARGE, &[e.to_string()])),
-            None => return Ok(refused(StatusCode::REQUEST_TIMEOUT, &["the body came too slowly".into()])),
+            Some(Err(e)) => return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, e.to_string())),
+            None => return Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")),
         };
         let path = parts.uri.path();
         let history = path.strip_prefix("/v1/rollouts/").and_then(|p| p.strip_suffix("/history"));
-        Ok(match (&parts.method, path) {
+        match (&parts.method, path) {
             (&Method::POST, "/v1/rollouts/exchange") => self.exchange(&body),
-            (&Method::POST, "/v1/rollouts/orders") => self.order(&body).unwrap_or_else(|refusal| refusal),
-            (&Method::GET, "/v1/rollouts") => reply(StatusCode::OK, &self.status()),
+            (&Method::POST, "/v1/rollouts/orders") => self.order(&body),
+            (&Method::GET, "/v1/rollouts") => Ok(reply(StatusCode::OK, &self.status())),
             (&Method::GET, _) if history.is_some() => self.history(history.unwrap_or_default()),
-            _ => refused(StatusCode::NOT_FOUND, &[format!("there is no {} {path}", parts.method)]),
-        })
+            _ => {
+                let what = format!("there is no {} {path}", parts.method);
+                Err(Refusal::new(StatusCode::NOT_FOUND, what))
+            }
+        }
     }
 
     /// A front end reports its evidence, and is told the state of all rollouts.
-    fn exchange(&self, body: &[u8]) -> Reply {
-        let report: EvidenceReport = match serde_json::from_slice(body) {
-            Ok(report) => report,
-            Err(e) => return refused(StatusCode::BAD_REQUEST, &[e.to_string()]),
-        };
+    fn exchange(&self, body: &[u8]) -> Result<Reply, Refusal> {
+        let report: EvidenceReport = parse(body)?;
         self.coordinator.borrow_mut().evidence(now(), &report);
         let coordinator = self.coordinator.borrow();
         if let Some(epoch) = coordinator.superseded() {
             let what = format!("a coordinator of term {} has taken over", epoch.term);
-            return refused(StatusCode::CONFLICT, &[what]);
+            return Err(Refusal::new(StatusCode::CONFLICT, what));
         }
-        reply(StatusCode::OK, coordinator.published())
+        Ok(reply(StatusCode::OK, coordinator.published()))
     }
 
     /// An operator's order.
-    fn order(&self, body: &[u8]) -> Result<Reply, Reply> {
-        let order: Order =
-            serde_json::from_slice(body).map_err(|e| refused(StatusCode::BAD_REQUEST, &[e.to_string()]))?;
-        let command = match order {
+    fn order(&self, body: &[u8]) -> Result<Reply, Refusal> {
+        let command = match parse(body)? {
             Order::Start { plan, dry } => {
                 let plan = self.read_plan(&plan)?;
                 if dry {
@@ -87,18 +106,18 @@
             Order::Finish { name } => Command::Finish { name },
         };
         let done = self.coordinator.borrow_mut().command(now(), &command, rand::random());
-        done.map_err(|error| refused(StatusCode::CONFLICT, &[error.to_string()]))?;
+        done.map_err(|error| Refusal::new(StatusCode::CONFLICT, error.to_string()))?;
         if self.persist_changes() {
             Ok(reply(StatusCode::OK, &self.status()))
         } else {
-            Err(refused(StatusCode::INTERNAL_SERVER_ERROR, &["the state can't be kept".into()]))
+            Err(Refusal::new(StatusCode::INTERNAL_SERVER_ERROR, "the state can't be kept"))
         }
     }
 
-    fn read_plan(&self, text: &str) -> Result<Plan, Reply> {
+    fn read_plan(&self, text: &str) -> Result<Plan, Refusal> {
         Plan::read(text, &self.deployment).map_err(|faults| {
-            let faults: Vec<_> = faults.iter().map(ToString::to_string).collect();
-            refused(StatusCode::BAD_REQUEST, &faults)
+            let faults = faults.iter().map(ToString::to_string).collect();
+            Refusal { status: StatusCode::BAD_REQUEST, faults }
         })
     }
 
@@ -112,14 +131,14 @@
     }
 
     /// The command that starts a plan between the versions that it names now.
-    fn start(&self, plan: Plan) -> Result<Command, Reply> {
+    fn start(&self, plan: Plan) -> Result<Command, Refusal> {
         let versions = (self.digest(&plan.function, &plan.from), self.digest(&plan.function, &plan.to));
         let (Some(from), Some(to)) = versions else {
-            return Err(refused(StatusCode::BAD_REQUEST, &["a version of the plan is not known".into()]));
+            return Err(Refusal::new(StatusCode::BAD_REQUEST, "a version of the plan is not known"));
         };
         if from == to {
             let what = format!("'{}' and '{}' name the same version by now", plan.from, plan.to);
-            return Err(refused(StatusCode::CONFLICT, &[what]));
+            return Err(Refusal::new(StatusCode::CONFLICT, what));
         }
         Ok(Command::Start { plan: Box::new(plan), from, to })
     }
@@ -134,11 +153,11 @@
         Some(version.digest.to_string())
     }
 
-    fn history(&self, name: &str) -> Reply {
+    fn history(&self, name: &str) -> Result<Reply, Refusal> {
         let coordinator = self.coordinator.borrow();
         match coordinator.state().runs.get(name) {
-            Some(run) => reply(StatusCode::OK, &run.history),
-            None => refused(StatusCode::NOT_FOUND, &[format!("there is no rollout '{name}'")]),
+            Some(run) => Ok(reply(StatusCode::OK, &run.history)),
+            None => Err(Refusal::new(StatusCode::NOT_FOUND, format!("there is no rollout '{name}'"))),
         }
     }
 
--- a/crates/frontend/src/mqtt/consume.rs
+++ b/crates/frontend/src/mqtt/consume.rs
@@ -22,6 +22,7 @@
 const SPARE_ENTRIES: usize = 1_024;
 
 /// What ends a sleep.
+#[allow(clippy::large_enum_variant, reason = "it is matched at once and never stored")]
 enum Wake {
     Input(Input),
     JournalResult(JournalResult),
