--- a/crates/cli/src/invoke.rs
+++ b/crates/cli/src/invoke.rs
@@ -1,8 +1,9 @@
-//! `orchidtally invoke`.
+//! `orchidtally invoke`: invokes a function at a front end.
 
-use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO};
+use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO, fail};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use orchidtally_frontend::ingress;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -57,65 +58,74 @@
     name.bytes().map(|b| if plain(b) { char::from(b).to_string() } else { format!("%{b:02X}") }).collect()
 }
 
-pub fn run(arguments: Arguments) -> Result<(), u8> {
-    let payload = payload(&arguments).map_err(|e| {
-        eprintln!("no body: {e}");
-        BAD_INPUT
-    })?;
-    let mut request = http::Request::post(format!("/v1/functions/{}/invocations", escaped(&arguments.name)))
+/// The request that the arguments describe.
+fn request(arguments: &Arguments, payload: Vec<u8>) -> Result<http::Request<Full<Bytes>>, http::Error> {
+    let path = format!("/v1/functions/{}/invocations", escaped(&arguments.name));
+    let mut request = http::Request::post(path)
         .header(http::header::HOST, arguments.at.to_string())
-        .header(orchidtally_frontend::ingress::TIME_LEFT, arguments.time_left.to_string());
+        .header(ingress::TIME_LEFT, arguments.time_left.to_string());
     let headers = [
-        (orchidtally_frontend::ingress::TRIGGER_TYPE, &arguments.trigger_type),
-        (orchidtally_frontend::ingress::CUSTOMER, &arguments.customer),
-        (orchidtally_frontend::ingress::TOKEN, &arguments.token),
+        (ingress::TRIGGER_TYPE, &arguments.trigger_type),
+        (ingress::CUSTOMER, &arguments.customer),
+        (ingress::TOKEN, &arguments.token),
     ];
     for (name, value) in headers {
         if let Some(value) = value {
             request = request.header(name, value);
         }
     }
-    let request = request.body(Full::new(Bytes::from(payload))).map_err(|e| {
-        eprintln!("{e}");
-        BAD_INPUT
-    })?;
-    let time = Duration::from_millis(arguments.time_left.into());
-    let exchange = async {
-        let stream = orchidtally_net::connect(arguments.at, time).await?;
-        let (mut sender, driver) =
-            hyper::client::conn::http1::handshake(stream).await.map_err(std::io::Error::other)?;
-        let work = async {
-            let (parts, body) = sender.send_request(request).await?.into_parts();
-            Ok::<_, hyper::Error>((parts, body.collect().await?.to_bytes()))
-        };
-        let drive = async {
-            // The answer tells how it ended.
-            let _ = driver.await;
-            futures_lite::future::pending().await
-        };
-        futures_lite::future::or(work, drive).await.map_err(std::io::Error::other)
+    request.body(Full::new(Bytes::from(payload)))
+}
+
+/// Sends a request; returns the head and the body of its response.
+async fn exchange(
+    at: SocketAddr,
+    request: http::Request<Full<Bytes>>,
+    time: Duration,
+) -> std::io::Result<(http::response::Parts, Bytes)> {
+    let stream = orchidtally_net::connect(at, time).await?;
+    let (mut sender, driver) =
+        hyper::client::conn::http1::handshake(stream).await.map_err(std::io::Error::other)?;
+    let work = async {
+        let (parts, body) = sender.send_request(request).await?.into_parts();
+        Ok::<_, hyper::Error>((parts, body.collect().await?.to_bytes()))
     };
-    let answered = async_io::block_on(orchidtally_net::within(time, exchange));
+    let drive = async {
+        // The response says how the connection ended.
+        let _ = driver.await;
+        futures_lite::future::pending().await
+    };
+    futures_lite::future::or(work, drive).await.map_err(std::io::Error::other)
+}
+
+fn print_head(parts: &http::response::Parts) {
+    eprintln!("{:?} {}", parts.version, parts.status);
+    for (name, value) in &parts.headers {
+        eprintln!("{name}: {}", String::from_utf8_lossy(value.as_bytes()));
+    }
+}
+
+/// Invokes a function and prints its response.
+pub fn run(arguments: Arguments) -> Result<(), u8> {
+    let payload = payload(&arguments).map_err(|e| fail(BAD_INPUT, format!("no body: {e}")))?;
+    let request = request(&arguments, payload).map_err(|e| fail(BAD_INPUT, e))?;
+    let (at, time) = (arguments.at, Duration::from_millis(arguments.time_left.into()));
+    let answered = async_io::block_on(orchidtally_net::within(time, exchange(at, request, time)));
     let (parts, body) = match answered {
         Some(Ok(answered)) => answered,
-        Some(Err(e)) => {
-            eprintln!("{}: {e}", arguments.at);
-            return Err(COULD_NOT_RUN);
-        }
+        Some(Err(e)) => return Err(fail(COULD_NOT_RUN, format!("{at}: {e}"))),
         None => {
-            eprintln!("{}: no answer within {} ms", arguments.at, arguments.time_left);
-            return Err(NOT_SO);
+            let reason = format!("{at}: no answer within {} ms", arguments.time_left);
+            return Err(fail(NOT_SO, reason));
         }
     };
     if arguments.verbose {
-        eprintln!("{:?} {}", parts.version, parts.status);
-        for (name, value) in &parts.headers {
-            eprintln!("{name}: {}", String::from_utf8_lossy(value.as_bytes()));
-        }
+        print_head(&parts);
     }
+    let is_success = parts.status.is_success();
     let mut out: Box<dyn Write> =
-        if parts.status.is_success() { Box::new(std::io::stdout()) } else { Box::new(std::io::stderr()) };
+        if is_success { Box::new(std::io::stdout()) } else { Box::new(std::io::stderr()) };
     // A reader that closed the pipe has seen what it wanted.
     let _ = out.write_all(&body).and_then(|()| out.flush());
-    if parts.status.is_success() { Ok(()) } else { Err(NOT_SO) }
+    if is_success { Ok(()) } else { Err(NOT_SO) }
 }
--- a/crates/cli/src/journal.rs
+++ b/crates/cli/src/journal.rs
@@ -1,6 +1,6 @@
 //! `orchidtally journal`: looks into a folder of durable state.
 
-use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO};
+use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO, fail};
 use clap::Subcommand;
 use orchidtally_journal::{Journal, Recovered, inspect};
 use orchidtally_rollout::coordinator::CoordinatorState;
@@ -26,18 +26,17 @@
     Compact { folder: PathBuf },
 }
 
-fn told(folder: &Path, fault: &std::io::Error) -> u8 {
-    eprintln!("{fault}");
-    match fault.kind() {
+/// Prints why a journal can't be used; returns the exit code.
+fn journal_failure(folder: &Path, error: &std::io::Error) -> u8 {
+    eprintln!("{error}");
+    match error.kind() {
         ErrorKind::InvalidData => NOT_SO,
-        ErrorKind::NotFound => {
-            eprintln!("{}: there is no journal", folder.display());
-            BAD_INPUT
-        }
+        ErrorKind::NotFound => fail(BAD_INPUT, format!("{}: there is no journal", folder.display())),
         _ => COULD_NOT_RUN,
     }
 }
 
+/// An entry as a line.
 fn line(bytes: &[u8]) -> String {
     match std::str::from_utf8(bytes) {
         Ok(text) if !text.contains(char::is_control) => text.into(),
@@ -45,8 +44,8 @@
     }
 }
 
-/// The records of a journal of some kind, if all that it holds is of that kind.
-fn of_kind<R: DeserializeOwned>(found: &Recovered) -> Option<Vec<R>> {
+/// The records of a journal, if all of them are of this kind.
+fn records_of_kind<R: DeserializeOwned>(found: &Recovered) -> Option<Vec<R>> {
     let mut records: Vec<R> = match &found.snapshot {
         Some(state) => serde_json::from_slice(state).ok()?,
         None => vec![],
@@ -57,14 +56,14 @@
     Some(records)
 }
 
-/// The state that all entries come to.
-fn folded(found: &Recovered) -> Option<Vec<u8>> {
-    if let Some(records) = of_kind::<ledger::Record>(found) {
-        // What is to be done of it is its front end's affair.
+/// A snapshot of the state that all entries lead to.
+fn snapshot(found: &Recovered) -> Option<Vec<u8>> {
+    if let Some(records) = records_of_kind::<ledger::Record>(found) {
+        // The actions are for its front end.
         let (ledger, _) = Ledger::recover(&records, u32::MAX, 0.0);
         return serde_json::to_vec(&ledger.snapshot()).ok();
     }
-    if let Some(records) = of_kind::<promises::Record>(found) {
+    if let Some(records) = records_of_kind::<promises::Record>(found) {
         let all = Promises::new(f64::INFINITY, usize::MAX, usize::MAX).noted(&records);
         return serde_json::to_vec(&all.records()).ok();
     }
@@ -77,7 +76,7 @@
 pub fn run(arguments: Arguments) -> Result<(), u8> {
     match arguments.command {
         Command::Check { folder } => {
-            let found = inspect(&folder).map_err(|e| told(&folder, &e))?;
+            let found = inspect(&folder).map_err(|e| journal_failure(&folder, &e))?;
             let bytes: usize = found.entries.iter().map(Vec::len).sum();
             let snapshot =
                 found.snapshot.map_or("no snapshot".into(), |s| format!("a snapshot of {} bytes", s.len()));
@@ -90,24 +89,24 @@
             }
         }
         Command::Show { folder } => {
-            let found = inspect(&folder).map_err(|e| told(&folder, &e))?;
+            let found = inspect(&folder).map_err(|e| journal_failure(&folder, &e))?;
             found.snapshot.iter().for_each(|s| println!("snapshot {}", line(s)));
             found.entries.iter().enumerate().for_each(|(n, e)| println!("{n} {}", line(e)));
         }
         Command::Compact { folder } => {
             // Opening makes a folder where there is none, which is not meant here.
-            inspect(&folder).map_err(|e| told(&folder, &e))?;
-            let (mut journal, found) = Journal::open(&folder).map_err(|e| told(&folder, &e))?;
+            inspect(&folder).map_err(|e| journal_failure(&folder, &e))?;
+            let (mut journal, found) = Journal::open(&folder).map_err(|e| journal_failure(&folder, &e))?;
             if found.entries.is_empty() {
                 println!("nothing to fold");
                 return Ok(());
             }
-            let Some(state) = folded(&found) else {
+            let Some(state) = snapshot(&found) else {
                 eprintln!("{}: what it holds is of no known kind; it is left as it is", folder.display());
                 return Err(NOT_SO);
             };
             let before = journal.length();
-            journal.snapshot(&state).map_err(|e| told(&folder, &e))?;
+            journal.snapshot(&state).map_err(|e| journal_failure(&folder, &e))?;
             println!("{before} bytes of entries folded into a snapshot of {} bytes", state.len());
         }
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
-//! `orchidtally`: the gateway daemon and its command-line tool. Results go to standard output, logs and
-//! progress to standard error. Exit codes: 0 done, 1 the thing asked about is not so, 2 bad input, 3 could
-//! not run.
+//! `orchidtally`: the gateway daemon and its command-line tool.
+//!
+//! Results go to standard output, logs and progress to standard error. Commands return the exit code of a failure after
+//! they have printed the reason: 1 if what was asked about is not so, 2 for bad input, 3 if the command could not run.
 
 mod invoke;
 mod journal;
@@ -66,29 +67,35 @@
     Measure(measure::Arguments),
 }
 
+/// The exit code if what was asked about is not so.
 pub const NOT_SO: u8 = 1;
+/// The exit code for bad input.
 pub const BAD_INPUT: u8 = 2;
+/// The exit code if the command could not run.
 pub const COULD_NOT_RUN: u8 = 3;
 
-/// Reads a deployment file; faults go to standard error with the file's name.
+/// Prints why a command fails; returns its exit code.
+pub fn fail(code: u8, reason: impl std::fmt::Display) -> u8 {
+    eprintln!("{reason}");
+    code
+}
+
+/// Reads a deployment file; faults are printed with the file's name.
 pub fn read_deployment(file: &Path) -> Result<Deployment, u8> {
     read_whole(file).map(|read| read.0)
 }
 
-/// With its triggers, where it has some.
+/// Reads a deployment file with its triggers, where it has some.
 pub fn read_whole(file: &Path) -> Result<(Deployment, Option<Section>), u8> {
     check_text(file, &read_text(file)?)
 }
 
 /// The text of a deployment file.
 pub fn read_text(file: &Path) -> Result<String, u8> {
-    std::fs::read_to_string(file).map_err(|e| {
-        eprintln!("{}: {e}", file.display());
-        BAD_INPUT
-    })
+    std::fs::read_to_string(file).map_err(|e| fail(BAD_INPUT, format!("{}: {e}", file.display())))
 }
 
-/// Reads a deployment file's text; faults go to standard error with the file's name.
+/// Reads the text of a deployment file; faults are printed with the file's name.
 pub fn check_text(file: &Path, text: &str) -> Result<(Deployment, Option<Section>), u8> {
     orchidtally_trigger::read(text).map_err(|faults| {
         for fault in &faults {
--- a/crates/cli/src/rehearse/day.rs
+++ b/crates/cli/src/rehearse/day.rs
@@ -1,4 +1,4 @@
-//! The script of a day: how much is asked, by what, and what goes wrong when.
+//! The script of a day: the traffic, and what goes wrong when.
 
 use orchidtally_deployment::reader::{Document, Fault, Place};
 use rand::rngs::SmallRng;
@@ -7,8 +7,11 @@
 /// What goes wrong. `size` is the share of those that it can befall.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Kind {
+    /// Executors crash and come back.
     Crash,
+    /// Executors answer nothing for a while.
     Hang,
+    /// Executors answer with errors at once.
     FastErrors,
     /// Executors are told to drain, end and come back cold, one after the other.
     Deploy,
@@ -18,20 +21,27 @@
     StaleRoster,
     /// The publisher breaks all connections off.
     RosterCut,
+    /// Executors report their load late.
     LateReports,
     /// All copies of all functions are dropped at once.
     Rerelease,
     /// Clients wait a fraction of their time only, or leave.
     ShortPatience,
+    /// A part of the traffic is for one function.
     HotFunction,
+    /// A part of the traffic is for functions that are invoked once.
     OneOffs,
     /// The traffic goes to the front ends of one location.
     Shift,
     /// All executors of a location crash.
     LoseLocation,
+    /// Executors accept connections slowly.
     SlowHandshakes,
+    /// Clients ask again without end.
     RepeatingClients,
+    /// Front ends are killed and come back.
     KillFrontEnds,
+    /// Front ends are restarted gracefully.
     RollFrontEnds,
     /// Executors read nothing from their sockets.
     HalfOpen,
@@ -41,6 +51,7 @@
     StopReading,
     /// Clients that send a byte now and then.
     SlowSenders,
+    /// The executors' store refuses loads.
     StoreRefuses,
 }
 
@@ -72,32 +83,45 @@
 ];
 
 impl Kind {
+    /// The name in day files.
     pub fn name(self) -> &'static str {
         KINDS.iter().find(|k| k.0 == self).map_or("unknown", |k| k.1)
     }
 }
 
+/// Something that goes wrong. Times are in seconds.
 #[derive(Clone, Debug)]
 pub struct Trouble {
+    /// What goes wrong.
     pub kind: Kind,
+    /// When, from the begin of the day.
     pub at: f64,
+    /// For how long.
     pub lasts: f64,
+    /// The share of those that it can befall.
     pub size: f64,
 }
 
+/// The script of a day. Times are in seconds.
 #[derive(Clone, Debug)]
 pub struct Day {
+    /// The length of the day.
     pub length: f64,
+    /// The number of front ends.
     pub front_ends: u32,
+    /// The number of executors.
     pub executors: usize,
+    /// The number of locations.
     pub locations: u32,
-    /// Invocations a second, first tries alone.
+    /// Invocations a second, without those that clients send again.
     pub rate: f64,
+    /// The number of functions.
     pub functions: usize,
+    /// What goes wrong, in the order of time.
     pub troubles: Vec<Trouble>,
-    /// The wall clocks of any two front ends differ by so much at the most.
+    /// The greatest difference between the wall clocks of two front ends.
     pub clock_skew: f64,
-    /// One front end's wall clock is stepped by so much in the middle of the day.
+    /// By how much the wall clock of one front end is stepped in the middle of the day.
     pub clock_step: f64,
 }
 
@@ -181,15 +205,44 @@
     Some(Trouble { kind, at: at?, lasts: lasts?, size: size.unwrap_or(usual) })
 }
 
-/// Reads a day as the users' bench prints it, scaled down to this machine, and tells what of it could not be
-/// carried over.
+/// A time in microseconds, as the users' bench prints it, in seconds.
+fn from_micros(micros: f64) -> f64 {
+    micros / 1e6
+}
+
+/// Troubles of a day of the users' bench, with their times stretched to another length; `left_out` gets those that the
+/// rehearsal does not know.
+fn bench_troubles(
+    day: &serde_json::Value,
+    stretch: f64,
+    length: f64,
+    left_out: &mut Vec<String>,
+) -> Vec<Trouble> {
+    let mut troubles = vec![];
+    for trouble in day.get("troubles").and_then(|list| list.as_array()).into_iter().flatten() {
+        let field = |key: &str| trouble.get(key).and_then(serde_json::Value::as_f64);
+        let name = trouble.get("kind").and_then(|kind| kind.as_str()).unwrap_or("unnamed");
+        let known = KINDS.iter().find(|known| !known.3.is_empty() && known.3 == name);
+        let Some(&(kind, _, usual, _)) = known else {
+            left_out.push(format!("the trouble '{name}'"));
+            continue;
+        };
+        let size = field("size").filter(|size| *size > 0.0 && *size <= 1.0).unwrap_or(usual);
+        let at = (from_micros(field("at").unwrap_or(0.0)) * stretch).clamp(0.0, length);
+        let lasts = (from_micros(field("len").unwrap_or(1e6)) * stretch).clamp(0.2, length);
+        troubles.push(Trouble { kind, at, lasts, size });
+    }
+    troubles
+}
+
+/// Reads a day as the users' bench prints it, scaled down to this machine. Returns what of it could not be carried
+/// over too.
 pub fn from_bench(text: &str) -> Result<(Day, Vec<String>), String> {
-    let v: serde_json::Value =
+    let bench_day: serde_json::Value =
         serde_json::from_str(text).map_err(|e| format!("not a day of the bench: {e}"))?;
-    let number = |key: &str| v.pointer(key).and_then(serde_json::Value::as_f64);
-    let count = |key: &str| v.get(key).and_then(|l| l.as_array()).map(Vec::len);
-    let micros = number("/length").ok_or("not a day of the bench: it has no length")?;
-    let seconds = micros / 1e6;
+    let number = |key: &str| bench_day.pointer(key).and_then(serde_json::Value::as_f64);
+    let count = |key: &str| bench_day.get(key).and_then(|list| list.as_array()).map(Vec::len);
+    let seconds = from_micros(number("/length").ok_or("not a day of the bench: it has no length")?);
     let mut left_out = vec![];
     let length = seconds.clamp(5.0, 30.0);
     let stretch = length / seconds;
@@ -204,31 +257,19 @@
             "{servers} executors and {balancers} front ends are played by {executors} and {front_ends}"
         ));
     }
-    let load = number("/traffic/load").unwrap_or(0.7);
-    let mut troubles = vec![];
-    for t in v.get("troubles").and_then(|t| t.as_array()).into_iter().flatten() {
-        let field = |key: &str| t.get(key).and_then(serde_json::Value::as_f64);
-        let name = t.get("kind").and_then(|k| k.as_str()).unwrap_or("unnamed");
-        let Some(&(kind, _, usual, _)) = KINDS.iter().find(|k| !k.3.is_empty() && k.3 == name) else {
-            left_out.push(format!("the trouble '{name}'"));
-            continue;
-        };
-        let size = field("size").filter(|s| *s > 0.0 && *s <= 1.0).unwrap_or(usual);
-        let at = (field("at").unwrap_or(0.0) / 1e6 * stretch).clamp(0.0, length);
-        let lasts = (field("len").unwrap_or(1e6) / 1e6 * stretch).clamp(0.2, length);
-        troubles.push(Trouble { kind, at, lasts, size });
-    }
+    let troubles = bench_troubles(&bench_day, stretch, length, &mut left_out);
     let unlike = [
         ("/traffic/shape", "the shape of the traffic over the day: it is even"),
         ("/classes", "its trigger types: the rehearsal's own are used"),
         ("/tenants/0", "its customers and their shares"),
         ("/fam", "sizes, loads and popularity of its functions: the rehearsal's own are used"),
     ];
-    left_out.extend(unlike.iter().filter(|(key, _)| v.pointer(key).is_some()).map(|u| u.1.to_owned()));
+    let unlike = unlike.iter().filter(|(key, _)| bench_day.pointer(key).is_some());
+    left_out.extend(unlike.map(|(_, what)| (*what).to_owned()));
+    let load = number("/traffic/load").unwrap_or(0.7);
     let rate = (load * executors as f64 * 40.0).min(600.0);
     left_out
         .push(format!("its rate: {rate:.0} invocations a second, {load:.2} of what these executors can do"));
-    let usual = Day::bad(1, length);
     let day = Day {
         length,
         front_ends: front_ends as u32,
@@ -237,7 +278,7 @@
         rate,
         troubles,
         clock_step: 0.0,
-        ..usual
+        ..Day::bad(1, length)
     };
     Ok((day, left_out))
 }
--- a/crates/cli/src/rehearse/messages.rs
+++ b/crates/cli/src/rehearse/messages.rs
@@ -20,6 +20,7 @@
 /// A connection breaks with each so-manieth packet.
 const BREAKS_EVERY: u64 = 400;
 
+/// Messages that are published beside a day's traffic.
 pub struct Messages {
     stage: Stage,
     broker: Rc<BrokerServer>,
@@ -29,6 +30,7 @@
 }
 
 impl Messages {
+    /// Starts the broker.
     pub fn new(stage: &Stage, seed: u64) -> io::Result<Messages> {
         let folder = std::env::temp_dir().join(format!("orchidtally-messages-{}-{seed}", std::process::id()));
         let broker = BrokerServer::start(stage, any_port(), None)?;
@@ -36,6 +38,7 @@
         Ok(Messages { stage: stage.clone(), broker, folder, sent: Cell::new(0), open: RefCell::default() })
     }
 
+    /// The section of the deployment file.
     pub fn description(&self) -> String {
         let trigger = |(name, _): &(&str, f64)| {
             format!(
@@ -146,6 +149,7 @@
         self.hear();
     }
 
+    /// Removes what the rehearsal has left on the disk.
     pub fn end(&self) {
         // It lies in the temporary folder, where nobody misses it.
         let _ = std::fs::remove_dir_all(&self.folder);
--- a/crates/cli/src/rehearse/mod.rs
+++ b/crates/cli/src/rehearse/mod.rs
@@ -8,13 +8,13 @@
 mod rolling;
 mod roster;
 
-use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO};
+use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO, fail, read_text};
 use day::Day;
 use evidence::Missing;
 use orchidtally_invariants::{Answer, Messages, Record, Verdict, judge, messages as judge_messages};
 use serde::Serialize;
 use std::collections::HashMap;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 const BUILT_IN: &str = "built-in";
 
@@ -54,16 +54,9 @@
     front_end_log: String,
 }
 
-fn text(file: &PathBuf) -> Result<String, u8> {
-    std::fs::read_to_string(file).map_err(|e| {
-        eprintln!("{}: {e}", file.display());
-        BAD_INPUT
-    })
-}
-
 fn day(arguments: &Arguments) -> Result<Day, u8> {
     if let Some(file) = &arguments.day {
-        return Day::read(&text(file)?).map_err(|faults| {
+        return Day::read(&read_text(file)?).map_err(|faults| {
             for fault in &faults {
                 eprintln!("{}:{fault}", file.display());
             }
@@ -71,53 +64,52 @@
         });
     }
     if let Some(file) = &arguments.bench_day {
-        let (day, left_out) = day::from_bench(&text(file)?).map_err(|e| {
-            eprintln!("{}: {e}", file.display());
-            BAD_INPUT
-        })?;
+        let (day, left_out) = day::from_bench(&read_text(file)?)
+            .map_err(|e| fail(BAD_INPUT, format!("{}: {e}", file.display())))?;
         for what in left_out {
             println!("not carried over: {what}");
         }
         return Ok(day);
     }
     if !(4.0..=600.0).contains(&arguments.length) {
-        eprintln!("--length {}: 4 to 600 seconds are wanted", arguments.length);
-        return Err(BAD_INPUT);
+        let reason = format!("--length {}: 4 to 600 seconds are wanted", arguments.length);
+        return Err(fail(BAD_INPUT, reason));
     }
     Ok(Day::bad(arguments.seed, arguments.length))
 }
 
+/// The rollout that the arguments ask for.
+fn rollout(arguments: &Arguments) -> Result<Option<rolling::Options>, u8> {
+    let Some(file) = &arguments.rollout else { return Ok(None) };
+    let plan = if file == BUILT_IN { rolling::PLAN.into() } else { read_text(file.as_ref())? };
+    Ok(Some(rolling::Options { plan, new: arguments.new_version }))
+}
+
+/// Writes the records of the traffic, one a line.
+fn write_records(file: &Path, records: &[Record]) -> Result<(), u8> {
+    let lines: Vec<String> = records.iter().filter_map(|r| serde_json::to_string(r).ok()).collect();
+    std::fs::write(file, lines.join("\n") + "\n")
+        .map_err(|e| fail(COULD_NOT_RUN, format!("{}: {e}", file.display())))
+}
+
+/// Plays a day and checks the rules.
 pub fn run(arguments: Arguments) -> Result<(), u8> {
     if arguments.inject_violation == Some(6) && !arguments.mqtt {
-        eprintln!("--inject-violation 6 is a broker's fault: --mqtt is wanted with it");
-        return Err(BAD_INPUT);
+        return Err(fail(BAD_INPUT, "--inject-violation 6 is a broker's fault: --mqtt is wanted with it"));
     }
     let day = day(&arguments)?;
-    let wish = play::Wish {
+    let options = play::Options {
         seed: arguments.seed,
         inject_violation: arguments.inject_violation,
         front_end_log: arguments.front_end_log.clone(),
         messages: arguments.mqtt,
         etcd: arguments.etcd,
-        rollout: match &arguments.rollout {
-            None => None,
-            Some(file) if file == BUILT_IN => {
-                Some(rolling::Wish { plan: rolling::PLAN.into(), new: arguments.new_version })
-            }
-            Some(file) => Some(rolling::Wish { plan: text(&file.into())?, new: arguments.new_version }),
-        },
+        rollout: rollout(&arguments)?,
     };
-    let played = play::play(&day, &wish).map_err(|e| {
-        eprintln!("the day could not be played: {e}");
-        COULD_NOT_RUN
-    })?;
+    let played = play::play(&day, &options)
+        .map_err(|e| fail(COULD_NOT_RUN, format!("the day could not be played: {e}")))?;
     if let Some(file) = &arguments.records {
-        let lines: Vec<String> =
-            played.records.iter().filter_map(|r| serde_json::to_string(r).ok()).collect();
-        std::fs::write(file, lines.join("\n") + "\n").map_err(|e| {
-            eprintln!("{}: {e}", file.display());
-            COULD_NOT_RUN
-        })?;
+        write_records(file, &played.records)?;
     }
     let verdict = judge(&played.limits, &played.fleet, &played.records);
     let messages = arguments.mqtt.then(|| judge_messages(&played.limits, &played.records));
@@ -202,7 +194,7 @@
     }
     println!("service by trigger type:");
     println!("  trigger type     offered  in objective  succeeded  throttled  errored   median    0.99");
-    service(played);
+    print_service(played);
     println!(
         "  of {} invocations, {} were at front ends that were killed and {} clients left early",
         verdict.invocations, verdict.lost, verdict.left
@@ -243,45 +235,69 @@
     println!("{line}");
 }
 
-fn service(played: &play::Played) {
+/// What became of the invocations of one trigger type.
+#[derive(Default)]
+struct Service {
+    offered: u32,
+    in_time: u64,
+    succeeded: u64,
+    throttled: u64,
+    errored: u64,
+    /// Times of those that succeeded, in seconds.
+    times: Vec<f64>,
+}
+
+impl Service {
+    fn add(&mut self, objective: f64, offered_at: f64, end: Option<&(f64, Answer)>) {
+        self.offered += 1;
+        match end {
+            Some((ended_at, Answer::Succeeded)) => {
+                let time = ended_at - offered_at;
+                self.succeeded += 1;
+                self.in_time += u64::from(time <= objective);
+                self.times.push(time);
+            }
+            Some((_, Answer::Throttled)) => self.throttled += 1,
+            Some((_, Answer::Errored)) => self.errored += 1,
+            _ => {}
+        }
+    }
+
+    fn print(mut self, name: &str) {
+        self.times.sort_by(f64::total_cmp);
+        let share = |count: u64| 100.0 * count as f64 / f64::from(self.offered.max(1));
+        println!(
+            "  {name:<15} {:>8} {:>11.1} % {:>8.1} % {:>8.1} % {:>6.1} % {:>5.0} ms {:>4.0} ms",
+            self.offered,
+            share(self.in_time),
+            share(self.succeeded),
+            share(self.throttled),
+            share(self.errored),
+            1e3 * quantile(&self.times, 0.5),
+            1e3 * quantile(&self.times, 0.99),
+        );
+    }
+}
+
+/// Prints what became of invocations, by trigger type.
+fn print_service(played: &play::Played) {
     let ends: HashMap<&str, (f64, Answer)> = played
         .records
         .iter()
-        .filter_map(|r| match r {
+        .filter_map(|record| match record {
             Record::Answered { at, invocation, answer } => Some((invocation.as_str(), (*at, *answer))),
             _ => None,
         })
         .collect();
-    for (n, ty) in played.limits.trigger_types.iter().enumerate() {
-        let (mut offered, mut in_time, mut counts, mut times) = (0, 0, [0u64; 3], vec![]);
-        for r in &played.records {
-            let Record::Offered { at, invocation, trigger_type, .. } = r else { continue };
-            if *trigger_type != n {
-                continue;
-            }
-            offered += 1;
-            match ends.get(invocation.as_str()) {
-                Some((end, Answer::Succeeded)) => {
-                    counts[0] += 1;
-                    times.push(end - at);
-                    in_time += u64::from(end - at <= ty.objective);
-                }
-                Some((_, Answer::Throttled)) => counts[1] += 1,
-                Some((_, Answer::Errored)) => counts[2] += 1,
-                _ => {}
+    for (index, known) in played.limits.trigger_types.iter().enumerate() {
+        let mut service = Service::default();
+        for record in &played.records {
+            if let Record::Offered { at, invocation, trigger_type, .. } = record
+                && *trigger_type == index
+            {
+                service.add(known.objective, *at, ends.get(invocation.as_str()));
             }
         }
-        times.sort_by(f64::total_cmp);
-        let share = |n: u64| 100.0 * n as f64 / f64::from(offered.max(1));
-        println!(
-            "  {:<15} {offered:>8} {:>11.1} % {:>8.1} % {:>8.1} % {:>6.1} % {:>5.0} ms {:>4.0} ms",
-            ty.name,
-            share(in_time),
-            share(counts[0]),
-            share(counts[1]),
-            share(counts[2]),
-            1e3 * quantile(&times, 0.5),
-            1e3 * quantile(&times, 0.99),
-        );
+        service.print(&known.name);
     }
 }
--- a/crates/cli/src/rehearse/play/mod.rs
+++ b/crates/cli/src/rehearse/play/mod.rs
@@ -26,35 +26,52 @@
 use std::process::Child;
 use std::rc::Rc;
 
-/// In which a front end has to take connections after its start.
+/// Seconds in which a front end has to take connections after its start.
 const START_TIME: f64 = 10.0;
-/// A front layer sends nothing more to a killed front end after this.
+/// Seconds after which nothing more is sent to a front end that was killed.
 const NOTICE: f64 = 0.3;
-/// The traffic rises for so long before the day begins.
+/// Seconds for which the traffic rises before the day begins.
 const WARM_UP: f64 = 3.0;
-/// What a message may take on this machine, with front ends and stand-ins on the same cores.
+/// Seconds that a message may take on this machine, with front ends and test servers on the same cores.
 const TRANSIT: f64 = 0.35;
-/// Of the traffic, the share of each trigger type.
+/// Seconds in which front ends have the list of executors after their start.
+const ROSTER_TIME: f64 = 0.3;
+/// Seconds that the answers to messages may take after the day.
+const MESSAGES_TIME: f64 = 20.0;
+/// The number under which a broker that gives messages twice is injected.
+const MESSAGES_RULE: u8 = 6;
+/// The share of each trigger type in the traffic.
 const SHARES: [f64; 4] = [0.45, 0.2, 0.25, 0.1];
 
-/// What of a rehearsal can be chosen.
-pub struct Wish {
+/// The options of a rehearsal.
+pub struct Options {
+    /// The seed of everything that is drawn.
     pub seed: u64,
     /// A violation of this rule is injected.
     pub inject_violation: Option<u8>,
+    /// What front ends log.
     pub front_end_log: String,
-    pub rollout: Option<rolling::Wish>,
+    /// The rollout that is played under the day.
+    pub rollout: Option<rolling::Options>,
+    /// Whether messages are published too.
     pub messages: bool,
+    /// Whether the list of executors comes from etcd.
     pub etcd: bool,
 }
 
 /// What a rehearsal left to be judged.
 pub struct Played {
+    /// What the rules are checked against.
     pub limits: Limits,
+    /// The executors.
     pub fleet: Vec<invariants::Executor>,
+    /// What went over the sockets.
     pub records: Vec<Record>,
+    /// Remarks for the reader.
     pub notes: Vec<String>,
+    /// What became of the rollout.
     pub rollout: Option<rolling::Seen>,
+    /// The list of executors in etcd.
     pub roster: Option<Rc<Roster>>,
     /// Lists that front ends had to ask for again.
     pub relists: u64,
@@ -74,7 +91,7 @@
 struct Rehearsal {
     stage: Stage,
     day: Day,
-    wish_seed: u64,
+    seed: u64,
     log: String,
     file: PathBuf,
     deployment: Deployment,
@@ -104,11 +121,11 @@
 ///
 /// # Errors
 /// A front end or a test server could not be started.
-pub fn play(day: &Day, wish: &Wish) -> io::Result<Played> {
-    let stage = Stage::new(wish.seed);
+pub fn play(day: &Day, options: &Options) -> io::Result<Played> {
+    let stage = Stage::new(options.seed);
     let tasks = stage.tasks.clone();
-    let rehearsal = setup::set(stage, day, wish)?;
-    let played = async_io::block_on(tasks.run(rehearsal.clone().perform(wish)));
+    let rehearsal = setup::set_up(stage, day, options)?;
+    let played = async_io::block_on(tasks.run(rehearsal.clone().perform(options.inject_violation)));
     for fe in &rehearsal.front_ends {
         if let Some(mut child) = fe.child.borrow_mut().take() {
             // It may have ended by itself.
@@ -138,8 +155,41 @@
 }
 
 impl Rehearsal {
-    async fn perform(self: Rc<Self>, wish: &Wish) -> io::Result<Vec<String>> {
-        let violation = wish.inject_violation;
+    /// Runs a part of the day's script in the background. The day is over when all parts are.
+    fn in_background(self: &Rc<Self>, work: impl Future<Output = ()> + 'static) {
+        self.pending.set(self.pending.get() + 1);
+        let rehearsal = self.clone();
+        let work = async move {
+            work.await;
+            rehearsal.pending.set(rehearsal.pending.get() - 1);
+        };
+        self.stage.spawn(work).detach();
+    }
+
+    async fn perform(self: Rc<Self>, violation: Option<u8>) -> io::Result<Vec<String>> {
+        self.start_all().await?;
+        let from = self.stage.now() + WARM_UP;
+        self.start_script(from, violation);
+        let heartbeat = self.stage.spawn(self.clone().heartbeat());
+        let progress = self.stage.spawn(self.clone().progress(from));
+        self.clone().traffic(from).await;
+        self.wait_for_script().await;
+        drop((progress, heartbeat));
+        let mut notes = self.last_words().await;
+        let lag = self.lag.get();
+        if lag > TRANSIT / 4.0 {
+            notes.push(format!(
+                "the stand-ins' thread came up to {lag:.2} s late: that is allowed for in what is checked"
+            ));
+        }
+        if self.pending.get() > 0 {
+            notes.push(format!("{} pieces of the script did not end", self.pending.get()));
+        }
+        Ok(notes)
+    }
+
+    /// Starts all processes, and waits until front ends take invocations.
+    async fn start_all(&self) -> io::Result<()> {
         eprintln!("starting {} front ends and {} executors", self.day.front_ends, self.day.executors);
         if let Some(rolling) = &self.rolling {
             rolling.start(&self.file)?;
@@ -153,76 +203,48 @@
         for fe in &self.front_ends {
             self.until_up(fe).await?;
         }
-        // So that the front ends have the roster.
-        self.stage.sleep(0.3).await;
-        let from = self.stage.now() + WARM_UP;
+        // So that the front ends have the list of executors.
+        self.stage.sleep(ROSTER_TIME).await;
+        Ok(())
+    }
+
+    /// Starts all parts of the script of a day that begins at a time.
+    fn start_script(self: &Rc<Self>, from: f64, violation: Option<u8>) {
+        let (length, rate) = (self.day.length, self.day.rate);
         for trouble in self.day.troubles.clone() {
             self.perform_later(from, trouble);
         }
         if let Some(rule) = violation.filter(|rule| *rule <= 5) {
-            self.pending.set(self.pending.get() + 1);
-            let me = self.clone();
-            let work = async move {
-                me.stage.sleep(WARM_UP + 0.25 * me.day.length).await;
-                me.clone().inject_violation(rule, from).await;
-                me.pending.set(me.pending.get() - 1);
-            };
-            self.stage.spawn(work).detach();
+            let rehearsal = self.clone();
+            self.in_background(async move {
+                rehearsal.stage.sleep(WARM_UP + 0.25 * length).await;
+                rehearsal.inject_violation(rule, from).await;
+            });
         }
         if let Some(rolling) = self.rolling.clone() {
-            let (length, file) = (self.day.length, self.file.clone());
-            self.pending.set(self.pending.get() + 1);
-            let me = self.clone();
-            let work = async move {
-                rolling.perform(from, length, &file).await;
-                me.pending.set(me.pending.get() - 1);
-            };
-            self.stage.spawn(work).detach();
+            let file = self.file.clone();
+            self.in_background(async move { rolling.perform(from, length, &file).await });
         }
         if let Some(roster) = self.roster.clone() {
-            let (length, me) = (self.day.length, self.clone());
-            self.pending.set(self.pending.get() + 1);
-            let work = async move {
-                roster.perform(from, length).await;
-                me.pending.set(me.pending.get() - 1);
-            };
-            self.stage.spawn(work).detach();
+            self.in_background(async move { roster.perform(from, length).await });
         }
         if let Some(messages) = self.messages.clone() {
-            let (length, rate) = (self.day.length, self.day.rate);
-            self.pending.set(self.pending.get() + 1);
-            let me = self.clone();
-            let work = async move {
-                messages.perform(from, length, rate, violation == Some(6)).await;
-                me.pending.set(me.pending.get() - 1);
-            };
-            self.stage.spawn(work).detach();
+            let gives_twice = violation == Some(MESSAGES_RULE);
+            self.in_background(async move { messages.perform(from, length, rate, gives_twice).await });
         }
-        let beat = self.stage.spawn(self.clone().heartbeat());
-        let progress = self.stage.spawn(self.clone().progress(from));
-        self.clone().traffic(from).await;
-        // What is open is answered, and what was ordered to end does.
+    }
+
+    /// Waits until what is open is answered and all parts of the script are over, for a bounded time.
+    async fn wait_for_script(&self) {
         let longest = self.deployment.policy.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
-        let answers = if self.messages.is_some() { 20.0 } else { 0.0 };
+        let answers = if self.messages.is_some() { MESSAGES_TIME } else { 0.0 };
         let until = self.stage.now() + longest + 2.0 + answers;
         while self.pending.get() > 0 && self.stage.now() < until {
             self.stage.sleep(0.02).await;
         }
-        drop((progress, beat));
-        let mut notes = self.last_words().await;
-        let lag = self.lag.get();
-        if lag > TRANSIT / 4.0 {
-            notes.push(format!(
-                "the stand-ins' thread came up to {lag:.2} s late: that is allowed for in what is checked"
-            ));
-        }
-        if self.pending.get() > 0 {
-            notes.push(format!("{} pieces of the script did not end", self.pending.get()));
-        }
-        Ok(notes)
     }
 
-    /// What the front ends and the store say at the end of the day.
+    /// What front ends and the store report at the end of the day.
     async fn last_words(&self) -> Vec<String> {
         let mut notes = vec![format!(
             "the store gave {} loads and turned {} away",
@@ -249,13 +271,13 @@
         notes
     }
 
-    /// What the stand-ins record late can't be told from what was sent late, so their lag is measured.
+    /// Measures how late the test servers' thread runs: what they record late can't be told from what was sent late.
     async fn heartbeat(self: Rc<Self>) {
-        const BEAT: f64 = 0.01;
+        const INTERVAL: f64 = 0.01;
         loop {
             let before = self.stage.now();
-            self.stage.sleep(BEAT).await;
-            self.lag.set(self.lag.get().max(self.stage.now() - before - BEAT));
+            self.stage.sleep(INTERVAL).await;
+            self.lag.set(self.lag.get().max(self.stage.now() - before - INTERVAL));
         }
     }
 
--- a/crates/cli/src/rehearse/play/setup.rs
+++ b/crates/cli/src/rehearse/play/setup.rs
@@ -1,6 +1,6 @@
 //! Sets a rehearsal up: the deployment file that front ends read, executors, the roster's source and front ends.
 
-use super::{FrontEnd, Rehearsal, TRANSIT, Wish};
+use super::{FrontEnd, Options, Rehearsal, TRANSIT};
 use crate::rehearse::day::Day;
 use crate::rehearse::messages::Messages;
 use crate::rehearse::rolling::Rolling;
@@ -15,13 +15,16 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
+use std::path::PathBuf;
 use std::rc::Rc;
 
+/// What each executor has, and what a copy takes.
 const CORES: usize = 2;
 const MEMORY_MB: f64 = 2_000.0;
 const COPY_MB: f64 = 100.0;
 
-fn description(day: &Day, source: &str, more: &str) -> String {
+/// The deployment file that front ends read.
+fn description(day: &Day, source: &str, sections: &str) -> String {
     let locations: Vec<String> = (0..day.locations).map(|n| format!("\"room-{n}\"")).collect();
     format!(
         r#"{{
@@ -45,7 +48,7 @@
   safety: {{ cold: "4s", coldFrom: 0.25, overloadFactor: 2, fall: "500ms" }},
   loading: {{ orders: true, keepAlive: "6s", rationFloor: 2, rationShare: 0.2, rationWindow: "5s" }},
   reports: ["backlog", "memory"],
-  {more}
+  {sections}
 }}
 "#,
         locations = locations.join(", "),
@@ -56,49 +59,47 @@
 
 /// What the rules are checked against, from the same description that the front ends read.
 fn limits(deployment: &Deployment) -> Limits {
-    let t = &deployment.policy;
-    let ty = |(trigger, ty): (&orchidtally_deployment::Trigger, &orchidtally::interface::TriggerType)| {
-        TriggerType {
-            name: trigger.name.clone(),
-            effect: match ty.effect {
-                orchidtally::interface::Effect::Idempotent => Effect::Idempotent,
-                orchidtally::interface::Effect::Tokened => Effect::Tokened,
-                orchidtally::interface::Effect::NonIdempotent => Effect::NonIdempotent,
-            },
-            group: match ty.group {
-                orchidtally::interface::Group::All => Group::All,
-                orchidtally::interface::Group::Zone => Group::Location,
-                orchidtally::interface::Group::Cell => Group::Cell,
-            },
-            window: ty.window,
-            objective: ty.objective,
-        }
-    };
+    let policy = &deployment.policy;
+    let trigger_type =
+        |(trigger, ty): (&orchidtally_deployment::Trigger, &orchidtally::interface::TriggerType)| {
+            TriggerType {
+                name: trigger.name.clone(),
+                effect: match ty.effect {
+                    orchidtally::interface::Effect::Idempotent => Effect::Idempotent,
+                    orchidtally::interface::Effect::Tokened => Effect::Tokened,
+                    orchidtally::interface::Effect::NonIdempotent => Effect::NonIdempotent,
+                },
+                group: match ty.group {
+                    orchidtally::interface::Group::All => Group::All,
+                    orchidtally::interface::Group::Zone => Group::Location,
+                    orchidtally::interface::Group::Cell => Group::Cell,
+                },
+                window: ty.window,
+                objective: ty.objective,
+            }
+        };
     Limits {
-        trigger_types: deployment.trigger_types.iter().zip(&t.trigger_types).map(ty).collect(),
-        second_copies: t.second_copies,
+        trigger_types: deployment.trigger_types.iter().zip(&policy.trigger_types).map(trigger_type).collect(),
+        second_copies: policy.second_copies,
         drain_grace: 1.0,
-        fall: t.fall,
-        ration_floor: t.ration_floor,
-        ration_share: t.ration_share,
-        ration_window: t.ration_window,
+        fall: policy.fall,
+        ration_floor: policy.ration_floor,
+        ration_share: policy.ration_share,
+        ration_window: policy.ration_window,
         transit: TRANSIT,
     }
 }
 
-/// Executors stand in locations by turns; cells are pairs within a location.
+/// The cell of an executor. Executors are dealt to locations in turn; cells are pairs within a location.
 pub(super) fn cell(n: usize, day: &Day) -> u32 {
     let locations = day.locations as usize;
     ((n / locations / 2) * locations + n % locations) as u32
 }
 
-pub(super) fn set(stage: Stage, day: &Day, wish: &Wish) -> io::Result<Rc<Rehearsal>> {
-    let store = Store::new(&stage, 12.0, 48);
-    let rolling = wish.rollout.as_ref().map(|w| Rolling::new(&stage, w)).transpose()?.map(Rc::new);
-    let messages = if wish.messages { Some(Rc::new(Messages::new(&stage, wish.seed)?)) } else { None };
-    let rolled = rolling.clone();
-    let catalogue: Catalogue = Rc::new(move |name| {
-        if let Some(program) = rolled.as_ref().and_then(|r| r.program(name)) {
+/// The functions: that of a rollout, and any other name.
+fn catalogue(rolling: Option<Rc<Rolling>>) -> Catalogue {
+    Rc::new(move |name| {
+        if let Some(program) = rolling.as_ref().and_then(|rolling| rolling.program(name)) {
             return Some(program);
         }
         let streams = if name.starts_with("watch") { 3 } else { 0 };
@@ -111,72 +112,71 @@
             streams,
             ..Program::default()
         })
-    });
+    })
+}
+
+/// What an executor is like.
+fn make(number: usize) -> Make {
+    Make {
+        number,
+        cores: CORES,
+        memory: MEMORY_MB,
+        queue: 40,
+        keep_alive: 6.0,
+        answers_miss: false,
+        fail_is_miss: number.is_multiple_of(2),
+        cold: 4.0,
+        cold_from: 0.25,
+        overload_factor: 2.0,
+        fall: 0.5,
+        down: 2.0,
+        report_delay: 0.3,
+        report_noise: 0.2,
+        report_fields: vec!["backlog".into(), "memory".into()],
+    }
+}
+
+fn start_executors(
+    stage: &Stage,
+    day: &Day,
+    store: &Rc<Store>,
+    catalogue: &Catalogue,
+) -> io::Result<Vec<Rc<Executor>>> {
     let mut tokens: HashMap<u32, Rc<Tokens>> = HashMap::new();
     let mut executors = vec![];
-    let mut rows = vec![];
     for number in 0..day.executors {
-        let make = Make {
-            number,
-            cores: CORES,
-            memory: MEMORY_MB,
-            queue: 40,
-            keep_alive: 6.0,
-            answers_miss: false,
-            fail_is_miss: number % 2 == 0,
-            cold: 4.0,
-            cold_from: 0.25,
-            overload_factor: 2.0,
-            fall: 0.5,
-            down: 2.0,
-            report_delay: 0.3,
-            report_noise: 0.2,
-            report_fields: vec!["backlog".into(), "memory".into()],
-        };
         let around = Surroundings {
             store: store.clone(),
             catalogue: catalogue.clone(),
             tokens: tokens.entry(cell(number, day)).or_default().clone(),
             token_window: 3.0,
         };
-        let executor = Executor::start(&stage, make, any_port(), around)?;
-        rows.push(Row {
-            executor: number,
-            address: executor.address,
-            location: format!("room-{}", number as u32 % day.locations),
-            kind: "box".into(),
-            cell: cell(number, day),
-            weight: 1.0,
-            standing: Standing::Ready,
-            since: f64::NEG_INFINITY,
-        });
-        executors.push(executor);
+        executors.push(Executor::start(stage, make(number), any_port(), around)?);
     }
-    let publisher = Publisher::start(&stage, any_port(), rows)?;
-    let mut more = rolling.as_ref().map(|r| r.description()).unwrap_or_default();
-    more += &messages.as_ref().map(|m| m.description()).unwrap_or_default();
-    let placed = day.clone();
-    let roster = if wish.etcd {
-        Some(Roster::new(&stage, move |n| (n as u32 % placed.locations, cell(n, &placed)))?)
-    } else {
-        None
-    };
-    let source = match &roster {
-        Some(roster) => roster.description(),
-        None => format!("publisher: \"{}\"", publisher.address),
-    };
-    let text = description(day, &source, &more);
-    let deployment = Deployment::read(&text).map_err(|f| io::Error::other(format!("{f:?}")))?;
-    let file = std::env::temp_dir().join(format!(
-        "orchidtally-rehearsal-{}-{}.json5",
-        std::process::id(),
-        wish.seed
-    ));
-    std::fs::write(&file, text)?;
+    Ok(executors)
+}
+
+/// An executor's row in the publisher's list.
+fn row(executor: &Executor, day: &Day) -> Row {
+    let number = executor.make.number;
+    Row {
+        executor: number,
+        address: executor.address,
+        location: format!("room-{}", number as u32 % day.locations),
+        kind: "box".into(),
+        cell: cell(number, day),
+        weight: 1.0,
+        standing: Standing::Ready,
+        since: f64::NEG_INFINITY,
+    }
+}
+
+/// Front ends that are not started yet, with their clients. Their wall clocks are spread over the day's skew.
+fn front_ends(stage: &Stage, day: &Day) -> io::Result<Vec<Rc<FrontEnd>>> {
     let mut front_ends = vec![];
     for n in 0..day.front_ends as usize {
         let (index, at) = (n as u32, port_for_later()?);
-        let callers = (0..4).map(|c| Caller::new(&stage, 10 * index + c, index, at, c == 3)).collect();
+        let callers = (0..4).map(|c| Caller::new(stage, 10 * index + c, index, at, c == 3)).collect();
         let spread = if day.front_ends > 1 { n as f64 / f64::from(day.front_ends - 1) } else { 0.0 };
         front_ends.push(Rc::new(FrontEnd {
             index,
@@ -188,19 +188,53 @@
             step: if n == 0 { day.clock_step } else { 0.0 },
         }));
     }
-    let limits = limits(&deployment);
+    Ok(front_ends)
+}
+
+/// The list of executors in etcd.
+fn etcd_roster(stage: &Stage, day: &Day) -> io::Result<Rc<Roster>> {
+    let day = day.clone();
+    Roster::new(stage, move |n| (n as u32 % day.locations, cell(n, &day)))
+}
+
+/// Where the deployment file of a rehearsal is written.
+fn deployment_path(seed: u64) -> PathBuf {
+    let name = format!("orchidtally-rehearsal-{}-{seed}.json5", std::process::id());
+    std::env::temp_dir().join(name)
+}
+
+/// Sets a rehearsal up; front ends are not started yet.
+pub(super) fn set_up(stage: Stage, day: &Day, options: &Options) -> io::Result<Rc<Rehearsal>> {
+    let store = Store::new(&stage, 12.0, 48);
+    let rolling = options.rollout.as_ref().map(|options| Rolling::new(&stage, options));
+    let rolling = rolling.transpose()?.map(Rc::new);
+    let messages = if options.messages { Some(Rc::new(Messages::new(&stage, options.seed)?)) } else { None };
+    let executors = start_executors(&stage, day, &store, &catalogue(rolling.clone()))?;
+    let rows = executors.iter().map(|executor| row(executor, day)).collect();
+    let publisher = Publisher::start(&stage, any_port(), rows)?;
+    let roster = if options.etcd { Some(etcd_roster(&stage, day)?) } else { None };
+    let source = match &roster {
+        Some(roster) => roster.description(),
+        None => format!("publisher: \"{}\"", publisher.address),
+    };
+    let mut sections = rolling.as_ref().map(|rolling| rolling.description()).unwrap_or_default();
+    sections += &messages.as_ref().map(|messages| messages.description()).unwrap_or_default();
+    let text = description(day, &source, &sections);
+    let deployment = Deployment::read(&text).map_err(|f| io::Error::other(format!("{f:?}")))?;
+    let file = deployment_path(options.seed);
+    std::fs::write(&file, text)?;
     Ok(Rc::new(Rehearsal {
+        front_ends: front_ends(&stage, day)?,
         stage,
         day: day.clone(),
-        wish_seed: wish.seed,
-        log: wish.front_end_log.clone(),
+        seed: options.seed,
+        log: options.front_end_log.clone(),
         file,
+        limits: limits(&deployment),
         deployment,
-        limits,
         store,
         publisher,
         executors,
-        front_ends,
         short_patience: Default::default(),
         hot: Default::default(),
         one_offs: Default::default(),
--- a/crates/cli/src/rehearse/play/traffic.rs
+++ b/crates/cli/src/rehearse/play/traffic.rs
@@ -22,7 +22,7 @@
 
     pub(super) fn name(&self) -> String {
         self.names.set(self.names.get() + 1);
-        format!("{}-{}", self.wish_seed, self.names.get())
+        format!("{}-{}", self.seed, self.names.get())
     }
 
     /// One of the functions, a few of them often.
@@ -72,14 +72,8 @@
             ..Ask::default()
         };
         let effect = kind.effect;
-        self.pending.set(self.pending.get() + 1);
-        let me = self.clone();
-        self.stage
-            .spawn(async move {
-                me.invoke(ask, effect).await;
-                me.pending.set(me.pending.get() - 1);
-            })
-            .detach();
+        let rehearsal = self.clone();
+        self.in_background(async move { rehearsal.invoke(ask, effect).await });
     }
 
     /// One invocation and what its client makes of the answer: it asks again where that is harmless, and
--- a/crates/cli/src/rehearse/play/troubles.rs
+++ b/crates/cli/src/rehearse/play/troubles.rs
@@ -24,15 +24,11 @@
     }
 
     pub(super) fn perform_later(self: &Rc<Self>, from: f64, trouble: Trouble) {
-        self.pending.set(self.pending.get() + 1);
-        let me = self.clone();
-        self.stage
-            .spawn(async move {
-                me.stage.sleep(from + trouble.at - me.stage.now()).await;
-                me.trouble(&trouble).await;
-                me.pending.set(me.pending.get() - 1);
-            })
-            .detach();
+        let rehearsal = self.clone();
+        self.in_background(async move {
+            rehearsal.stage.sleep(from + trouble.at - rehearsal.stage.now()).await;
+            rehearsal.trouble(&trouble).await;
+        });
     }
 
     fn switch(&self, which: &(Until, Cell<f64>), t: &Trouble) {
@@ -131,15 +127,11 @@
     /// A crash of which the publisher hears only once the executor is back.
     fn down_and_up(self: &Rc<Self>, e: Rc<Executor>, lasts: f64) {
         e.crash();
-        self.pending.set(self.pending.get() + 1);
-        let me = self.clone();
-        self.stage
-            .spawn(async move {
-                me.stage.sleep(lasts).await;
-                me.bring_up(&e);
-                me.pending.set(me.pending.get() - 1);
-            })
-            .detach();
+        let rehearsal = self.clone();
+        self.in_background(async move {
+            rehearsal.stage.sleep(lasts).await;
+            rehearsal.bring_up(&e);
+        });
     }
 
     /// A graceful restart, as a deploy makes it.
--- a/crates/cli/src/rehearse/rolling.rs
+++ b/crates/cli/src/rehearse/rolling.rs
@@ -1,5 +1,5 @@
 //! A rollout within a rehearsed day: a coordinator as a process of its own, killed outright on the way, and a new
-//! version that is as the wish has it. What came of it is read off the stand-ins' records.
+//! version that is as the options have it. What came of it is read off the stand-ins' records.
 
 use bytes::Bytes;
 use clap::ValueEnum;
@@ -20,6 +20,7 @@
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
+/// The function that is rolled out.
 pub const FUNCTION: &str = "mist";
 const OLD: &[u8] = b"mist, first version";
 const NEW: &[u8] = b"mist, second version";
@@ -35,6 +36,7 @@
 const FAILS: f64 = 0.45;
 const BY_HAND: f64 = 0.85;
 
+/// The built-in plan.
 pub const PLAN: &str = r#"{
   name: "misting", function: "mist", from: "stable", to: "next",
   loadsPerSecond: 0.8, keepFrom: "30s", falseAlarm: 0.005,
@@ -60,8 +62,11 @@
     OtherBytes,
 }
 
-pub struct Wish {
+/// The options of the rollout that is played under a day.
+pub struct Options {
+    /// The text of the plan.
     pub plan: String,
+    /// What the new version is like.
     pub new: NewVersion,
 }
 
@@ -80,6 +85,7 @@
 }
 
 impl Seen {
+    /// Whether it came to the end that it should.
     pub fn is_well(&self) -> bool {
         // A rehearsal whose rollout never began has tried nothing.
         self.state != NEVER && self.digest_mismatches == 0 && self.back_in_s.is_none_or(|s| s <= BACK_WITHIN)
@@ -97,6 +103,7 @@
     name.unwrap_or_default()
 }
 
+/// A rollout that is played under a day.
 pub struct Rolling {
     stage: Stage,
     plan: String,
@@ -112,17 +119,18 @@
 }
 
 impl Rolling {
-    pub fn new(stage: &Stage, wish: &Wish) -> io::Result<Rolling> {
+    /// A rollout whose coordinator is not started yet.
+    pub fn new(stage: &Stage, options: &Options) -> io::Result<Rolling> {
         let at = port_for_later()?;
         let state = std::env::temp_dir().join(format!("orchidtally-rollout-{}", std::process::id()));
         // One of an earlier process with this number.
         let _ = std::fs::remove_dir_all(&state);
         Ok(Rolling {
             stage: stage.clone(),
-            plan: wish.plan.clone(),
-            name: name(&wish.plan),
-            new: wish.new,
-            fails: Cell::new(if wish.new == NewVersion::Fails { 0.5 } else { 0.0 }),
+            plan: options.plan.clone(),
+            name: name(&options.plan),
+            new: options.new,
+            fails: Cell::new(if options.new == NewVersion::Fails { 0.5 } else { 0.0 }),
             at,
             state,
             child: RefCell::default(),
@@ -132,6 +140,7 @@
     }
 
     /// What the deployment file says of it.
+    /// The sections of the deployment file.
     pub fn description(&self) -> String {
         let (old, new) = (digest(OLD), digest(NEW));
         format!(
--- a/crates/cli/src/rehearse/roster.rs
+++ b/crates/cli/src/rehearse/roster.rs
@@ -16,12 +16,13 @@
 use std::rc::Rc;
 
 const PREFIX: &str = "/orchidtally/executors/";
-/// Seconds that an executor's entry outlives its last word, and between those.
+/// The lease of an executor's entry in seconds, and the seconds between two renewals.
 const LEASE: i64 = 2;
 const RENEWED: f64 = 0.4;
-/// A connection breaks with each so-manieth message.
+/// One in so many messages breaks its connection.
 const BREAKS_EVERY: u64 = 120;
 
+/// The list of executors in etcd.
 pub struct Roster {
     stage: Stage,
     pub etcd: Rc<Served>,
@@ -34,7 +35,7 @@
 
 type Place = Box<dyn Fn(usize) -> (u32, u32)>;
 
-/// What is told of the roster in the last line.
+/// What the last line of the output says of the list of executors.
 #[derive(Debug, Default, Serialize)]
 pub struct Seen {
     pub drains: u64,
@@ -45,12 +46,14 @@
 }
 
 impl Roster {
+    /// A store without entries. `place` returns an executor's location and cell.
     pub fn new(stage: &Stage, place: impl Fn(usize) -> (u32, u32) + 'static) -> io::Result<Rc<Roster>> {
         let etcd = Served::start(stage, 3)?;
         let (entries, executors) = Default::default();
         Ok(Rc::new(Roster { stage: stage.clone(), etcd, entries, executors, place: Box::new(place) }))
     }
 
+    /// The part of the deployment file that names the store.
     pub fn description(&self) -> String {
         let endpoints: Vec<String> = self.etcd.addresses.iter().map(|a| format!("\"{a}\"")).collect();
         format!("etcd: {{ endpoints: [{}], lease: \"3s\" }}", endpoints.join(", "))
--- a/crates/cli/src/rollout.rs
+++ b/crates/cli/src/rollout.rs
@@ -1,11 +1,12 @@
-//! `orchidtally rollout`: an operator's commands, asked of a coordinator.
+//! `orchidtally rollout`: runs a coordinator, and sends it an operator's orders.
 
-use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO, read_deployment};
+use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO, fail, read_deployment, read_text};
 use async_signal::{Signal, Signals};
 use clap::{Subcommand, ValueEnum};
 use futures_lite::StreamExt;
 use http::{Method, StatusCode};
 use orchidtally_coordinator::{Order, Status, StopReason};
+use orchidtally_rollout::Counts;
 use orchidtally_rollout::coordinator::Event;
 use orchidtally_rollout::forecast::StepForecast;
 use orchidtally_rollout::plan::{GATES, Gate};
@@ -14,7 +15,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-const PATIENCE: Duration = Duration::from_secs(5);
+/// How long the coordinator may take to answer.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
 
 #[derive(clap::Args)]
 pub struct Arguments {
@@ -113,13 +115,11 @@
     },
 }
 
-/// Asks the coordinator. Faults that it names go to standard error, behind the name of the file they are in.
+/// Sends a request to the coordinator. Faults that it names are printed after the name of the file that they are in.
 fn ask(place: &Where, method: Method, path: &str, body: Vec<u8>, file: &str) -> Result<Value, u8> {
-    let asked = async_io::block_on(orchidtally_net::http::ask(place.at, method, path, body, PATIENCE));
-    let (status, body) = asked.map_err(|e| {
-        eprintln!("no coordinator at {}: {e}", place.at);
-        COULD_NOT_RUN
-    })?;
+    let asked = async_io::block_on(orchidtally_net::http::ask(place.at, method, path, body, REQUEST_TIMEOUT));
+    let (status, body) =
+        asked.map_err(|e| fail(COULD_NOT_RUN, format!("no coordinator at {}: {e}", place.at)))?;
     let value: Value = serde_json::from_slice(&body).unwrap_or_default();
     if status == StatusCode::OK {
         return Ok(value);
@@ -144,10 +144,8 @@
 }
 
 fn read<T: serde::de::DeserializeOwned>(value: &Value) -> Result<T, u8> {
-    serde_json::from_value(value.clone()).map_err(|e| {
-        eprintln!("the coordinator's answer can't be read: {e}");
-        COULD_NOT_RUN
-    })
+    serde_json::from_value(value.clone())
+        .map_err(|e| fail(COULD_NOT_RUN, format!("the coordinator's answer can't be read: {e}")))
 }
 
 fn show_steps(value: &Value, output: Output) -> Result<(), u8> {
@@ -186,47 +184,43 @@
     let list: Vec<Status> = read(&value["rollouts"])?;
     let shown: Vec<_> = list.iter().filter(|s| only.is_none_or(|n| n == s.name)).collect();
     if let (Some(name), true) = (only, shown.is_empty()) {
-        eprintln!("there is no rollout '{name}'");
-        return Err(NOT_SO);
+        return Err(fail(NOT_SO, format!("there is no rollout '{name}'")));
     }
     if output == Output::Json {
         println!("{}", serde_json::to_string(&shown).unwrap_or_default());
         return Ok(());
     }
     println!("coordinator of term {}, state {}", value["term"], value["number"]);
-    for s in shown {
-        println!(
-            "{} ({}): {}, step {} of {}, share {:.1} %, on for {:.0} s, {:.1} invocations a second",
-            s.name,
-            s.function,
-            s.phase.name(),
-            s.step,
-            s.steps,
-            100.0 * s.share,
-            s.time,
-            s.rate
-        );
-        println!("  {}", s.reason);
-        println!(
-            "  gate           old         new         evidence it is worse (takes back at {:.0})",
-            s.takes_back
-        );
-        for gate in GATES {
-            let Some(evidence) = s.evidence.get(gate.name()) else { continue };
-            let of = |c: &orchidtally_rollout::Counts, gate: Gate| {
-                format!("{}/{}", c.events[gate.index()], c.exposed(gate))
-            };
-            println!(
-                "  {:<12} {:>9} {:>11} {evidence:>12.2}",
-                gate.name(),
-                of(&s.old, gate),
-                of(&s.new, gate)
-            );
-        }
-    }
+    shown.into_iter().for_each(show_rollout);
     Ok(())
 }
 
+fn show_rollout(status: &Status) {
+    println!(
+        "{} ({}): {}, step {} of {}, share {:.1} %, on for {:.0} s, {:.1} invocations a second",
+        status.name,
+        status.function,
+        status.phase.name(),
+        status.step,
+        status.steps,
+        100.0 * status.share,
+        status.time,
+        status.rate
+    );
+    println!("  {}", status.reason);
+    println!(
+        "  gate           old         new         evidence it is worse (takes back at {:.0})",
+        status.takes_back
+    );
+    let events =
+        |counts: &Counts, gate: Gate| format!("{}/{}", counts.events[gate.index()], counts.exposed(gate));
+    for gate in GATES {
+        let Some(evidence) = status.evidence.get(gate.name()) else { continue };
+        let (old, new) = (events(&status.old, gate), events(&status.new, gate));
+        println!("  {:<12} {old:>9} {new:>11} {evidence:>12.2}", gate.name());
+    }
+}
+
 fn show_history(value: &Value, output: Output) -> Result<(), u8> {
     if output == Output::Json {
         println!("{value}");
@@ -255,10 +249,7 @@
     ends: bool,
 ) -> Result<(), u8> {
     let deployment = read_deployment(deployment)?;
-    let could_not = |what: String| {
-        eprintln!("{what}");
-        COULD_NOT_RUN
-    };
+    let could_not = |reason: String| fail(COULD_NOT_RUN, reason);
     let listener =
         orchidtally_net::listen(listen).map_err(|e| could_not(format!("can't listen at {listen}: {e}")))?;
     let at = listener.get_ref().local_addr().unwrap_or(listen);
@@ -279,24 +270,15 @@
     match orchidtally_coordinator::run(deployment, state, listener, stopped) {
         Ok(StopReason::Stopped) => Ok(()),
         Ok(StopReason::Superseded(epoch)) => {
-            eprintln!("another coordinator, of term {}, has taken over", epoch.term);
-            Err(NOT_SO)
+            Err(fail(NOT_SO, format!("another coordinator, of term {}, has taken over", epoch.term)))
         }
         Err(e) => Err(could_not(format!("the state can't be kept: {e}"))),
     }
 }
 
 pub fn run(arguments: Arguments) -> Result<(), u8> {
-    let plain = |place: &Where, o: Order| {
-        let (Order::Pause { name }
-        | Order::Resume { name }
-        | Order::Back { name, .. }
-        | Order::Advance { name, .. }
-        | Order::Finish { name }) = &o
-        else {
-            return Err(BAD_INPUT);
-        };
-        let value = order(place, &o, "")?;
+    let change = |place: &Where, name: &str, change: Order| {
+        let value = order(place, &change, "")?;
         show_status(&value, Some(name), place.output)
     };
     match arguments.command {
@@ -304,10 +286,7 @@
             coordinate(&deployment, &state, listen, until_input_ends)
         }
         Command::Start { plan, dry_run, place } => {
-            let text = std::fs::read_to_string(&plan).map_err(|e| {
-                eprintln!("{}: {e}", plan.display());
-                BAD_INPUT
-            })?;
+            let text = read_text(&plan)?;
             let file = format!("{}:", plan.display());
             let value = order(&place, &Order::Start { plan: text, dry: dry_run }, &file)?;
             if dry_run { show_steps(&value, place.output) } else { show_status(&value, None, place.output) }
@@ -316,11 +295,11 @@
             let value = ask(&place, Method::GET, "/v1/rollouts", vec![], "")?;
             show_status(&value, name.as_deref(), place.output)
         }
-        Command::Pause { name, place } => plain(&place, Order::Pause { name }),
-        Command::Resume { name, place } => plain(&place, Order::Resume { name }),
-        Command::Back { name, why, place } => plain(&place, Order::Back { name, why }),
-        Command::Advance { name, why, place } => plain(&place, Order::Advance { name, why }),
-        Command::Finish { name, place } => plain(&place, Order::Finish { name }),
+        Command::Pause { name, place } => change(&place, &name.clone(), Order::Pause { name }),
+        Command::Resume { name, place } => change(&place, &name.clone(), Order::Resume { name }),
+        Command::Back { name, why, place } => change(&place, &name.clone(), Order::Back { name, why }),
+        Command::Advance { name, why, place } => change(&place, &name.clone(), Order::Advance { name, why }),
+        Command::Finish { name, place } => change(&place, &name.clone(), Order::Finish { name }),
         Command::History { name, place } => {
             let value = ask(&place, Method::GET, &format!("/v1/rollouts/{name}/history"), vec![], "")?;
             show_history(&value, place.output)
--- a/crates/cli/src/roster.rs
+++ b/crates/cli/src/roster.rs
@@ -1,6 +1,7 @@
 //! `orchidtally roster`: the roster in etcd, as operators see and change it.
 
-use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO, read_deployment};
+use crate::{BAD_INPUT, COULD_NOT_RUN, NOT_SO, fail, read_deployment};
+use bytes::Bytes;
 use clap::Subcommand;
 use futures_lite::future::block_on;
 use http::Method;
@@ -55,8 +56,18 @@
     },
 }
 
-const PATIENCE: Duration = Duration::from_secs(3);
+/// How long a request may take.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+/// Requests that are sent to one endpoint after the other.
+const MAX_TRIES: usize = 3;
+/// The time between two looks at the store, and at the front ends.
+const WATCH_INTERVAL: Duration = Duration::from_millis(300);
+const WAIT_INTERVAL: Duration = Duration::from_millis(100);
+/// The longest watch and the longest wait, in seconds.
+const MAX_WATCH: f64 = 1e6;
+const MAX_WAIT: f64 = 3_600.0;
 
+/// The store with the list of executors.
 struct Store {
     client: Client,
     prefix: String,
@@ -64,15 +75,16 @@
 }
 
 impl Store {
+    /// Runs work to its end.
     fn on<T>(&self, work: impl Future<Output = T>) -> T {
         block_on(self.tasks.run(work))
     }
 
-    /// Asks one endpoint after the other.
+    /// Sends a request to one endpoint after the other.
     fn ask<M: prost::Message + Default>(&self, path: &str, question: &impl prost::Message) -> Result<M, u8> {
         let mut last = None;
-        for _ in 0..3 {
-            match self.on(self.client.unary(path, question, PATIENCE)) {
+        for _ in 0..MAX_TRIES {
+            match self.on(self.client.unary(path, question, REQUEST_TIMEOUT)) {
                 Ok(answer) => return Ok(answer),
                 Err(fault @ (Fault::Unreachable(_) | Fault::TimedOut)) => {
                     last = Some(fault);
@@ -84,11 +96,10 @@
                 }
             }
         }
-        let told = last.map_or_else(String::new, |fault| fault.to_string());
-        eprintln!("{told}");
-        Err(COULD_NOT_RUN)
+        Err(fail(COULD_NOT_RUN, last.map_or_else(String::new, |fault| fault.to_string())))
     }
 
+    /// The entries of a kind: names, values and revisions.
     fn list(&self, what: &str) -> Result<Vec<(String, Value, i64)>, u8> {
         let prefix = format!("{}{what}", self.prefix);
         let question = RangeRequest {
@@ -107,7 +118,7 @@
         Ok(answer.kvs.into_iter().map(read).collect())
     }
 
-    /// Executors with the drains that operators ordered put in, and front ends.
+    /// Executors, with the drains that operators have ordered, and front ends.
     fn standing(&self) -> Result<(Vec<Value>, Vec<Value>), u8> {
         let all = self.list(EXECUTORS)?;
         let drained = |name: &str| all.iter().any(|(n, _, _)| *n == format!("{name}/drain"));
@@ -120,16 +131,16 @@
         Ok((executors.collect(), front_ends.collect()))
     }
 
-    /// Waits until each front end has heard of a revision.
+    /// Waits until each front end knows a revision.
     fn wait(&self, revision: i64, seconds: f64) -> Result<(), u8> {
-        let until = Instant::now() + Duration::from_secs_f64(seconds.clamp(0.0, 3_600.0));
+        let until = Instant::now() + Duration::from_secs_f64(seconds.clamp(0.0, MAX_WAIT));
         loop {
             let mut behind = vec![];
             for (index, value, _) in self.list(FRONT_ENDS)? {
                 let at = value.get("at").and_then(Value::as_str).and_then(|a| a.parse::<SocketAddr>().ok());
                 let heard = at.and_then(|at| {
                     let asked =
-                        orchidtally_net::http::ask(at, Method::GET, "/v1/front-end", vec![], PATIENCE);
+                        orchidtally_net::http::ask(at, Method::GET, "/v1/front-end", vec![], REQUEST_TIMEOUT);
                     let (_, body) = self.on(asked).ok()?;
                     let standing: Value = serde_json::from_slice(&body).ok()?;
                     standing.pointer("/roster/revision")?.as_i64()
@@ -146,25 +157,25 @@
                 println!("front ends that have not heard of it: {}", behind.join(", "));
                 return Err(NOT_SO);
             }
-            std::thread::sleep(Duration::from_millis(100));
+            std::thread::sleep(WAIT_INTERVAL);
         }
     }
 }
 
+/// Opens the store that the deployment file names.
 fn open(arguments: &Arguments) -> Result<Store, u8> {
     let Some(file) = &arguments.deployment else {
-        eprintln!("--deployment FILE is missing");
-        return Err(BAD_INPUT);
+        return Err(fail(BAD_INPUT, "--deployment FILE is missing"));
     };
     let deployment = read_deployment(file)?;
     let Source::Etcd(Etcd { endpoints, prefix, .. }) = deployment.source else {
-        eprintln!("{}: its executors come from no etcd", file.display());
-        return Err(BAD_INPUT);
+        return Err(fail(BAD_INPUT, format!("{}: its executors come from no etcd", file.display())));
     };
     let tasks = Rc::new(async_executor::LocalExecutor::new());
     Ok(Store { client: Client::new(endpoints, tasks.clone()), prefix, tasks })
 }
 
+/// An executor as a line of a table.
 fn line(e: &Value) -> String {
     let of = |key: &str| match e.pointer(key) {
         Some(Value::String(text)) => text.clone(),
@@ -182,61 +193,81 @@
     )
 }
 
-pub fn run(arguments: Arguments) -> Result<(), u8> {
-    let store = open(&arguments)?;
-    match arguments.command {
-        Command::List { json: as_json } => {
-            let (executors, front_ends) = store.standing()?;
-            if as_json {
-                println!("{}", json!({ "executors": executors, "frontEnds": front_ends }));
-                return Ok(());
-            }
-            println!("executor                 standing  location     kind      cell  revision");
-            executors.iter().for_each(|e| println!("{}", line(e)));
-            println!("{} executors, {} front ends", executors.len(), front_ends.len());
+impl Store {
+    fn print(&self, as_json: bool) -> Result<(), u8> {
+        let (executors, front_ends) = self.standing()?;
+        if as_json {
+            println!("{}", json!({ "executors": executors, "frontEnds": front_ends }));
+            return Ok(());
         }
-        Command::Watch { seconds } => {
-            let until = seconds.map(|s| Instant::now() + Duration::from_secs_f64(s.clamp(0.0, 1e6)));
-            let mut before: Vec<Value> = vec![];
-            while until.is_none_or(|u| Instant::now() < u) {
-                let (now, _) = store.standing()?;
-                now.iter().filter(|e| !before.contains(e)).for_each(|e| println!("{}", line(e)));
-                let is_there = |e: &&Value| now.iter().any(|n| n["executor"] == e["executor"]);
-                before.iter().filter(|e| !is_there(e)).for_each(|e| println!("{} is gone", e["executor"]));
-                before = now;
-                std::thread::sleep(Duration::from_millis(300));
-            }
+        println!("executor                 standing  location     kind      cell  revision");
+        executors.iter().for_each(|executor| println!("{}", line(executor)));
+        println!("{} executors, {} front ends", executors.len(), front_ends.len());
+        Ok(())
+    }
+
+    /// Prints each change, without end or for some seconds.
+    fn watch(&self, seconds: Option<f64>) -> Result<(), u8> {
+        let until = seconds.map(|time| Instant::now() + Duration::from_secs_f64(time.clamp(0.0, MAX_WATCH)));
+        let mut before: Vec<Value> = vec![];
+        while until.is_none_or(|until| Instant::now() < until) {
+            let (now, _) = self.standing()?;
+            now.iter().filter(|e| !before.contains(e)).for_each(|e| println!("{}", line(e)));
+            let is_there = |e: &&Value| now.iter().any(|n| n["executor"] == e["executor"]);
+            before.iter().filter(|e| !is_there(e)).for_each(|e| println!("{} is gone", e["executor"]));
+            before = now;
+            std::thread::sleep(WATCH_INTERVAL);
         }
-        Command::Drain { executors, wait } => {
-            let known = store.list(EXECUTORS)?;
-            let mut revision = 0;
-            for executor in &executors {
-                if !known.iter().any(|k| k.0 == executor.to_string()) {
-                    eprintln!("{executor} has no entry in the store; it is drained once it has");
-                }
-                let key = format!("{}{EXECUTORS}{executor}/drain", store.prefix);
-                let put = PutRequest { key: key.into(), value: "{}".into(), ..PutRequest::default() };
-                let done: PutResponse = store.ask(PUT, &put)?;
-                revision = done.header.unwrap_or_default().revision;
-                println!("{executor} is drained as of revision {revision}");
+        Ok(())
+    }
+
+    fn drain_key(&self, executor: &SocketAddr) -> Bytes {
+        format!("{}{EXECUTORS}{executor}/drain", self.prefix).into()
+    }
+
+    /// Drains executors; returns the revision of the last change.
+    fn drain(&self, executors: &[SocketAddr]) -> Result<i64, u8> {
+        let known = self.list(EXECUTORS)?;
+        let mut revision = 0;
+        for executor in executors {
+            if !known.iter().any(|(name, _, _)| *name == executor.to_string()) {
+                eprintln!("{executor} has no entry in the store; it is drained once it has");
             }
-            return wait.map_or(Ok(()), |seconds| store.wait(revision, seconds));
+            let put =
+                PutRequest { key: self.drain_key(executor), value: "{}".into(), ..PutRequest::default() };
+            let done: PutResponse = self.ask(PUT, &put)?;
+            revision = done.header.unwrap_or_default().revision;
+            println!("{executor} is drained as of revision {revision}");
         }
-        Command::Undrain { executors, wait } => {
-            let mut revision = 0;
-            for executor in &executors {
-                let key = format!("{}{EXECUTORS}{executor}/drain", store.prefix);
-                let delete = DeleteRangeRequest { key: key.into(), ..DeleteRangeRequest::default() };
-                let done: DeleteRangeResponse = store.ask(DELETE_RANGE, &delete)?;
-                revision = done.header.unwrap_or_default().revision;
-                if done.deleted == 0 {
-                    println!("{executor} was not drained");
-                } else {
-                    println!("{executor} is drained no more as of revision {revision}");
-                }
+        Ok(revision)
+    }
+
+    /// Withdraws drains; returns the revision of the last change.
+    fn undrain(&self, executors: &[SocketAddr]) -> Result<i64, u8> {
+        let mut revision = 0;
+        for executor in executors {
+            let delete =
+                DeleteRangeRequest { key: self.drain_key(executor), ..DeleteRangeRequest::default() };
+            let done: DeleteRangeResponse = self.ask(DELETE_RANGE, &delete)?;
+            revision = done.header.unwrap_or_default().revision;
+            if done.deleted == 0 {
+                println!("{executor} was not drained");
+            } else {
+                println!("{executor} is drained no more as of revision {revision}");
             }
-            return wait.map_or(Ok(()), |seconds| store.wait(revision, seconds));
         }
+        Ok(revision)
     }
-    Ok(())
+}
+
+/// Prints or changes the list of executors in etcd.
+pub fn run(arguments: Arguments) -> Result<(), u8> {
+    let store = open(&arguments)?;
+    let (revision, wait) = match arguments.command {
+        Command::List { json } => return store.print(json),
+        Command::Watch { seconds } => return store.watch(seconds),
+        Command::Drain { executors, wait } => (store.drain(&executors)?, wait),
+        Command::Undrain { executors, wait } => (store.undrain(&executors)?, wait),
+    };
+    wait.map_or(Ok(()), |seconds| store.wait(revision, seconds))
 }
--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -1,13 +1,16 @@
-//! `orchidtally serve`.
+//! `orchidtally serve`: runs a front end.
 
-use crate::{BAD_INPUT, COULD_NOT_RUN, check_text, local, read_text, signals};
+use crate::{BAD_INPUT, COULD_NOT_RUN, check_text, fail, local, read_text, signals};
+use orchidtally_deployment::Deployment;
 use orchidtally_frontend::Start;
 use orchidtally_frontend::mqtt::Triggers;
 use orchidtally_frontend::promise_store::PromiseStore;
 use orchidtally_frontend::reload::Reloads;
+use orchidtally_trigger::Section;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::{SystemTime, UNIX_EPOCH};
 use tracing::info;
 
 #[derive(clap::Args)]
@@ -41,6 +44,7 @@
     random: bool,
 }
 
+/// Parses `AFTER,BY`.
 fn step(text: &str) -> Result<(f64, f64), String> {
     let (after, by) = text.split_once(',').ok_or("AFTER,BY is wanted")?;
     let number = |t: &str| t.parse::<f64>().map_err(|e| format!("'{t}': {e}"));
@@ -56,71 +60,99 @@
     });
 }
 
-/// A front end on the platform's protocol, told all by its environment.
-fn platform() -> Result<(), u8> {
-    let told = |key| std::env::var(key).ok();
-    let bad = |fault: String| {
-        eprintln!("{fault}");
-        BAD_INPUT
-    };
-    let unable = |e: std::io::Error| {
-        eprintln!("can't serve: {e}");
-        COULD_NOT_RUN
-    };
+/// Runs a front end on the platform's protocol, which its environment describes.
+fn serve_platform() -> Result<(), u8> {
+    let variable = |key| std::env::var(key).ok();
+    let bad = |fault: String| fail(BAD_INPUT, fault);
+    let unable = |e: std::io::Error| fail(COULD_NOT_RUN, format!("can't serve: {e}"));
     let signals = orchidtally_platform::PendingSignals::new().map_err(unable)?;
-    let file = PathBuf::from(told("LB_CONFIG").ok_or_else(|| bad("LB_CONFIG names no file".into()))?);
+    let file = variable("LB_CONFIG").ok_or_else(|| bad("LB_CONFIG names no file".into()))?;
+    let file = PathBuf::from(file);
     let start = orchidtally_platform::start::read(&file).map_err(|e| bad(e.to_string()))?;
-    start.agrees(told("LB_NAME").as_deref(), told("LB_LISTEN").as_deref()).map_err(|e| bad(e.to_string()))?;
+    start
+        .agrees(variable("LB_NAME").as_deref(), variable("LB_LISTEN").as_deref())
+        .map_err(|e| bad(e.to_string()))?;
     orchidtally_platform::run(start, file, signals).map(drop).map_err(unable)
 }
 
-/// What reads the deployment file again, and what it is told by.
-fn reading_again(path: PathBuf, text: String) -> (async_channel::Sender<()>, Reloads) {
+/// What a front end is started from.
+struct Loaded {
+    deployment: Deployment,
+    /// Triggers by messages, where the deployment file has a broker.
+    section: Option<Section>,
+    /// The deployment file and its text; `None` with local executors.
+    file: Option<(PathBuf, String)>,
+}
+
+/// Reads the deployment file, or starts local executors where there is none.
+fn load(arguments: &Arguments) -> Result<Loaded, u8> {
+    let mut loaded = match &arguments.deployment {
+        Some(path) => {
+            let text = read_text(path)?;
+            let (deployment, section) = check_text(path, &text)?;
+            Loaded { deployment, section, file: Some((path.clone(), text)) }
+        }
+        None => {
+            let deployment = local::deployment(arguments.listen)
+                .map_err(|e| fail(COULD_NOT_RUN, format!("no local executors: {e}")))?;
+            Loaded { deployment, section: None, file: None }
+        }
+    };
+    if let Some(index) = arguments.index {
+        let policy = &mut loaded.deployment.policy;
+        let (index, count) = (f64::from(index), policy.front_ends);
+        if index >= count {
+            let reason = format!("--index {index} is no index among {count} front ends");
+            return Err(fail(BAD_INPUT, reason));
+        }
+        policy.index = index;
+    }
+    Ok(loaded)
+}
+
+/// Has the deployment file read again when the returned channel is sent to.
+fn watch_for_reloads(path: PathBuf, text: String) -> (async_channel::Sender<()>, Reloads) {
     let (reread, rereads) = async_channel::bounded(1);
     let (tell, read) = async_channel::bounded(1);
     signals::read_again(path.clone(), rereads, tell);
     (reread, Reloads { path, text, read })
 }
 
+/// Seconds since 1970.
+fn now() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |time| time.as_secs_f64())
+}
+
+/// Says where the front end listens, and with local executors how to try it.
+fn greet(at: SocketAddr, is_local: bool) {
+    let mut text = format!("listening on http://{at}\n");
+    if is_local {
+        let functions = local::FUNCTIONS.map(|function| function.0).join(", ");
+        text += &format!("try: curl -d 'hello' http://{at}/v1/functions/upper/invocations\n");
+        text += &format!("functions: {functions}\n");
+    }
+    // Whoever started it may have stopped reading: that is no reason to end.
+    let _ = std::io::stdout().write_all(text.as_bytes());
+}
+
+/// Runs a front end until it is stopped.
 pub fn run(arguments: Arguments) -> Result<(), u8> {
     if arguments.platform {
-        return platform();
-    }
-    let caught = signals::catch().map_err(|e| {
-        eprintln!("can't wait for signals: {e}");
-        COULD_NOT_RUN
-    })?;
-    let text = arguments.deployment.as_deref().map(read_text).transpose()?;
-    let (mut deployment, section) = match arguments.deployment.as_deref().zip(text.as_deref()) {
-        Some((file, text)) => check_text(file, text)?,
-        None => local::deployment(arguments.listen).map(|d| (d, None)).map_err(|e| {
-            eprintln!("no local executors: {e}");
-            COULD_NOT_RUN
-        })?,
-    };
-    if let Some(index) = arguments.index {
-        if f64::from(index) >= deployment.policy.front_ends {
-            eprintln!("--index {index} is no index among {} front ends", deployment.policy.front_ends);
-            return Err(BAD_INPUT);
-        }
-        deployment.policy.index = f64::from(index);
+        return serve_platform();
     }
+    let caught = signals::catch().map_err(|e| fail(COULD_NOT_RUN, format!("can't wait for signals: {e}")))?;
+    let Loaded { deployment, section, file } = load(&arguments)?;
+    let is_local = file.is_none();
     let index = deployment.policy.index as u32;
-    let triggers = section.map(|s| Triggers::open(s, index)).transpose().map_err(|e| {
-        eprintln!("the journal of triggers can't be used: {e}");
-        COULD_NOT_RUN
-    })?;
-    let now =
-        std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64());
-    let promise_store = PromiseStore::open(&deployment, now).map_err(|e| {
-        eprintln!("the journal of promises can't be used: {e}");
-        COULD_NOT_RUN
-    })?;
+    let triggers = section
+        .map(|section| Triggers::open(section, index))
+        .transpose()
+        .map_err(|e| fail(COULD_NOT_RUN, format!("the journal of triggers can't be used: {e}")))?;
+    let promise_store = PromiseStore::open(&deployment, now())
+        .map_err(|e| fail(COULD_NOT_RUN, format!("the journal of promises can't be used: {e}")))?;
     let at = arguments.listen.unwrap_or(deployment.listen);
-    let listener = orchidtally_frontend::listen(at).map_err(|e| {
-        eprintln!("can't listen at {at}: {e}");
-        COULD_NOT_RUN
-    })?;
+    let listener = orchidtally_frontend::listen(at)
+        .map_err(|e| fail(COULD_NOT_RUN, format!("can't listen at {at}: {e}")))?;
     let at = listener.get_ref().local_addr().unwrap_or(at);
     let (stop, stopped) = async_channel::bounded(1);
     if arguments.until_input_ends {
@@ -129,25 +161,12 @@
             stop.close();
         });
     }
-    let (reread, reloads) = match arguments.deployment.clone().zip(text) {
-        Some((path, text)) => {
-            let (reread, reloads) = reading_again(path, text);
-            (Some(reread), Some(reloads))
-        }
-        None => (None, None),
-    };
+    let (reread, reloads) = file.map(|(path, text)| watch_for_reloads(path, text)).unzip();
     signals::follow(caught, stop, reread);
-    let mut words = format!("listening on http://{at}\n");
-    if arguments.deployment.is_none() {
-        words += &format!("try: curl -d 'hello' http://{at}/v1/functions/upper/invocations\n");
-        words += &format!("functions: {}\n", local::FUNCTIONS.map(|f| f.0).join(", "));
-    }
-    // Whoever started it may have stopped reading: that is no reason to end.
-    let _ = std::io::stdout().write_all(words.as_bytes());
-    let seed = arguments.seed.unwrap_or_else(rand::random);
+    greet(at, is_local);
     let start = Start {
         deployment,
-        seed,
+        seed: arguments.seed.unwrap_or_else(rand::random),
         ahead: arguments.clock_ahead,
         step: arguments.clock_step,
         stop: stopped,
