--- /dev/null
+++ b/crates/coordinator/src/api.rs
@@ -0,0 +1,200 @@
+//! What front ends and operators ask of a coordinator over HTTP.
+
+use crate::server::{CoordinatorServer, SENDER_TIME, now};
+use crate::{Order, Status};
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use orchidtally_rollout::coordinator::{Command, Run};
+use orchidtally_rollout::forecast::{StepForecast, forecast, orders_granted};
+use orchidtally_rollout::frontend::EvidenceReport;
+use orchidtally_rollout::plan::{GATES, Gate};
+use orchidtally_rollout::{Plan, Rollout};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::json;
+use std::convert::Infallible;
+
+/// The most bytes of a request's body.
+const MAX_BODY: usize = 16 * 1024 * 1024;
+
+pub(crate) type Reply = Response<Full<Bytes>>;
+
+fn reply(status: StatusCode, body: &impl Serialize) -> Reply {
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    let mut response = Response::new(Full::new(body.into()));
+    *response.status_mut() = status;
+    let json = http::HeaderValue::from_static("application/json");
+    response.headers_mut().insert(http::header::CONTENT_TYPE, json);
+    response
+}
+
+/// Why a request is refused.
+struct Refusal {
+    status: StatusCode,
+    faults: Vec<String>,
+}
+
+impl Refusal {
+    fn new(status: StatusCode, fault: impl Into<String>) -> Refusal {
+        Refusal { status, faults: vec![fault.into()] }
+    }
+
+    fn reply(&self) -> Reply {
+        reply(self.status, &json!({ "faults": self.faults }))
+    }
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Refusal> {
+    serde_json::from_slice(body).map_err(|e| Refusal::new(StatusCode::BAD_REQUEST, e.to_string()))
+}
+
+impl CoordinatorServer {
+    pub(crate) async fn respond(&self, request: Request<Incoming>) -> Result<Reply, Infallible> {
+        Ok(self.answer(request).await.unwrap_or_else(|refusal| refusal.reply()))
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Result<Reply, Refusal> {
+        let (parts, body) = request.into_parts();
+        let read = orchidtally_net::within(SENDER_TIME, Limited::new(body, MAX_BODY).collect()).await;
+        let body = match read {
+            Some(Ok(body)) => body.to_bytes(),
+            Some(Err(e)) => return Err(Refusal::new(StatusCode::PAYLOAD_TOO_LARGE, e.to_string())),
+            None => return Err(Refusal::new(StatusCode::REQUEST_TIMEOUT, "the body came too slowly")),
+        };
+        let path = parts.uri.path();
+        let history = path.strip_prefix("/v1/rollouts/").and_then(|p| p.strip_suffix("/history"));
+        match (&parts.method, path) {
+            (&Method::POST, "/v1/rollouts/exchange") => self.exchange(&body),
+            (&Method::POST, "/v1/rollouts/orders") => self.order(&body),
+            (&Method::GET, "/v1/rollouts") => Ok(reply(StatusCode::OK, &self.status())),
+            (&Method::GET, _) if history.is_some() => self.history(history.unwrap_or_default()),
+            _ => {
+                let what = format!("there is no {} {path}", parts.method);
+                Err(Refusal::new(StatusCode::NOT_FOUND, what))
+            }
+        }
+    }
+
+    /// A front end reports its evidence, and is told the state of all rollouts.
+    fn exchange(&self, body: &[u8]) -> Result<Reply, Refusal> {
+        let report: EvidenceReport = parse(body)?;
+        self.coordinator.borrow_mut().evidence(now(), &report);
+        let coordinator = self.coordinator.borrow();
+        if let Some(epoch) = coordinator.superseded() {
+            let what = format!("a coordinator of term {} has taken over", epoch.term);
+            return Err(Refusal::new(StatusCode::CONFLICT, what));
+        }
+        Ok(reply(StatusCode::OK, coordinator.published()))
+    }
+
+    /// An operator's order.
+    fn order(&self, body: &[u8]) -> Result<Reply, Refusal> {
+        let command = match parse(body)? {
+            Order::Start { plan, dry } => {
+                let plan = self.read_plan(&plan)?;
+                if dry {
+                    return Ok(self.dry_run(&plan));
+                }
+                self.start(plan)?
+            }
+            Order::Pause { name } => Command::Pause { name },
+            Order::Resume { name } => Command::Resume { name },
+            Order::Back { name, why } => Command::Back { name, why },
+            Order::Advance { name, why } => Command::Advance { name, why },
+            Order::Finish { name } => Command::Finish { name },
+        };
+        let done = self.coordinator.borrow_mut().command(now(), &command, rand::random());
+        done.map_err(|error| Refusal::new(StatusCode::CONFLICT, error.to_string()))?;
+        if self.persist_changes() {
+            Ok(reply(StatusCode::OK, &self.status()))
+        } else {
+            Err(Refusal::new(StatusCode::INTERNAL_SERVER_ERROR, "the state can't be kept"))
+        }
+    }
+
+    fn read_plan(&self, text: &str) -> Result<Plan, Refusal> {
+        Plan::read(text, &self.deployment).map_err(|faults| {
+            let faults = faults.iter().map(ToString::to_string).collect();
+            Refusal { status: StatusCode::BAD_REQUEST, faults }
+        })
+    }
+
+    /// The steps of a plan, and its loads against the ration.
+    fn dry_run(&self, plan: &Plan) -> Reply {
+        let steps: Vec<StepForecast> = forecast(plan, &self.deployment);
+        // Without a ration there is no bound to report.
+        let granted = Some(orders_granted(&self.deployment)).filter(|granted| granted.is_finite());
+        let body = json!({ "steps": steps, "loadsPerSecond": plan.loads_per_second, "granted": granted });
+        reply(StatusCode::OK, &body)
+    }
+
+    /// The command that starts a plan between the versions that it names now.
+    fn start(&self, plan: Plan) -> Result<Command, Refusal> {
+        let versions = (self.digest(&plan.function, &plan.from), self.digest(&plan.function, &plan.to));
+        let (Some(from), Some(to)) = versions else {
+            return Err(Refusal::new(StatusCode::BAD_REQUEST, "a version of the plan is not known"));
+        };
+        if from == to {
+            let what = format!("'{}' and '{}' name the same version by now", plan.from, plan.to);
+            return Err(Refusal::new(StatusCode::CONFLICT, what));
+        }
+        Ok(Command::Start { plan: Box::new(plan), from, to })
+    }
+
+    /// The digest of a version that is named by an alias or a digest. An alias names what it has moved to.
+    fn digest(&self, function: &str, name: &str) -> Option<String> {
+        let coordinator = self.coordinator.borrow();
+        let aliases = coordinator.published().aliases.get(function);
+        let moved = aliases.and_then(|aliases| aliases.get(name));
+        let function = self.deployment.function(function)?;
+        let version = function.version(moved.map_or(name, String::as_str))?;
+        Some(version.digest.to_string())
+    }
+
+    fn history(&self, name: &str) -> Result<Reply, Refusal> {
+        let coordinator = self.coordinator.borrow();
+        match coordinator.state().runs.get(name) {
+            Some(run) => Ok(reply(StatusCode::OK, &run.history)),
+            None => Err(Refusal::new(StatusCode::NOT_FOUND, format!("there is no rollout '{name}'"))),
+        }
+    }
+
+    fn status(&self) -> serde_json::Value {
+        let coordinator = self.coordinator.borrow();
+        let (published, runs) = (coordinator.published(), &coordinator.state().runs);
+        let rollouts: Vec<Status> = published
+            .rollouts
+            .iter()
+            .filter_map(|(name, rollout)| Some(status_of(name, rollout, runs.get(name)?)))
+            .collect();
+        json!({
+            "term": published.epoch.term,
+            "number": published.number,
+            "rollouts": rollouts,
+            "aliases": published.aliases,
+        })
+    }
+}
+
+fn status_of(name: &str, rollout: &Rollout, run: &Run) -> Status {
+    let step = rollout.split_at().and_then(|step| rollout.plan.steps.get(step));
+    let is_judged = |gate: &&Gate| rollout.plan.gate(**gate).is_some();
+    let evidence = |gate: &Gate| (gate.name().to_owned(), run.tests.evidence(*gate));
+    Status {
+        name: name.to_owned(),
+        function: rollout.plan.function.clone(),
+        phase: rollout.phase,
+        step: rollout.step + 1,
+        steps: rollout.plan.steps.len(),
+        share: step.map_or(0.0, |step| step.share),
+        reason: rollout.reason.clone(),
+        time: run.time,
+        rate: run.rate(),
+        old: run.step[0],
+        new: run.step[1],
+        evidence: GATES.iter().filter(is_judged).map(evidence).collect(),
+        takes_back: rollout.plan.threshold(),
+    }
+}
--- a/crates/frontend/src/mqtt/invoke.rs
+++ b/crates/frontend/src/mqtt/invoke.rs
@@ -1,17 +1,16 @@
 //! Invokes for a message.
 
 use crate::config::Refusal;
-use crate::hub::{Asked, Brought, Final, Hub, NotTaken};
-use crate::ingress::Guard;
+use crate::hub::{AnswerLost, Asked, Brought, Final, Hub, NamedCustomer, NotTaken};
 use bytes::Bytes;
 use orchidtally_engine::Cause;
 use orchidtally_rollout::plan::Key;
 use orchidtally_rollout::split::Who;
-use orchidtally_trigger::ledger::{Answer, Held};
+use orchidtally_trigger::ledger::{Answer, StoredMessage};
 use std::rc::Rc;
 
-/// What comes of a message that the configuration doesn't let through: one that may be let through later is tried
-/// again, unless it may have run.
+/// The answer to a message that the configuration does not let through: one that may be let through later is throttled,
+/// unless it may have run.
 fn refused(refusal: &Refusal, may_have_run: bool) -> Answer {
     if refusal.retry_after().is_some() && !may_have_run {
         return Answer::Throttled;
@@ -19,56 +18,65 @@
     Answer::Errored { why: refusal.to_string(), may_have_run }
 }
 
-/// Invokes for a message and gives its final answer.
-pub(super) async fn invoke(hub: Rc<Hub>, held: Held, ready_by: f64) -> Answer {
+/// Invokes for a message; returns its final answer.
+pub(super) async fn invoke(hub: Rc<Hub>, message: StoredMessage, ready_by: f64) -> Answer {
+    let asked = match ask(&hub, &message, ready_by) {
+        Ok(asked) => asked,
+        Err(answer) => return answer,
+    };
+    match hub.invoke(asked).await {
+        Ok(answer) => final_answer(answer),
+        Err(NotTaken::Full | NotTaken::Leaving) => Answer::Throttled,
+        Err(NotTaken::Refused(refusal)) => refused(&refusal, false),
+    }
+}
+
+/// What a message asks for, or its answer where that can't be invoked.
+fn ask<'m>(hub: &Hub, message: &'m StoredMessage, ready_by: f64) -> Result<Asked<'m>, Answer> {
     let errored = |why: String| Answer::Errored { why, may_have_run: false };
     let revision = hub.revision();
-    let work = &held.work;
-    let Some((trigger_place, trigger_type)) = revision.trigger_type(&work.trigger_type) else {
-        return errored(format!("there is no trigger type '{}' any more", work.trigger_type));
-    };
-    let customer = match revision.customer(&work.customer) {
+    let target = &message.target;
+    let (trigger_place, trigger_type) = revision
+        .trigger_type(&target.trigger_type)
+        .ok_or_else(|| errored(format!("there is no trigger type '{}' any more", target.trigger_type)))?;
+    let customer = match revision.customer(&target.customer) {
         Some(customer) => customer.index,
         None if !revision.has_customers() => 0,
-        None => return errored(format!("there is no customer '{}' any more", work.customer)),
-    };
-    let Some(function) = revision.function(&work.function) else {
-        return errored(format!("there is no function '{}' any more", work.function));
+        None => return Err(errored(format!("there is no customer '{}' any more", target.customer))),
     };
+    let function = revision
+        .function(&target.function)
+        .ok_or_else(|| errored(format!("there is no function '{}' any more", target.function)))?;
     if ready_by <= hub.now() {
-        return Answer::Throttled;
+        return Err(Answer::Throttled);
     }
-    let key = hub.shares.borrow().key(&work.function).cloned();
+    let key = hub.shares.borrow().key(&target.function).cloned();
     let key = match &key {
-        Some(Key::Customer) => &work.customer,
-        Some(Key::Token) if !work.token.is_empty() => &work.token,
-        _ => &held.name,
-    };
-    let who = Who { customer: &work.customer, location: hub.location(), key };
-    let Some(resolved) = hub.resolve(&function, None, trigger_place, customer, &who) else {
-        return errored(format!("function '{}' has no version 'stable'", work.function));
+        Some(Key::Customer) => &target.customer,
+        Some(Key::Token) if !target.token.is_empty() => &target.token,
+        _ => &message.name,
     };
-    let asked = Asked {
-        name: held.name.clone(),
+    let who = Who { customer: &target.customer, location: hub.location(), key };
+    let resolved = hub
+        .resolve(&function, None, trigger_place, customer, &who)
+        .ok_or_else(|| errored(format!("function '{}' has no version 'stable'", target.function)))?;
+    Ok(Asked {
+        name: message.name.clone(),
         function: function.name.clone(),
         resolved,
         revision: revision.clone(),
         trigger_type: trigger_type.clone(),
-        customer: (customer, &work.customer),
-        token: &work.token,
+        customer: NamedCustomer { index: customer, name: &target.customer },
+        token: &target.token,
         repeat: false,
         timeout_at: ready_by,
-        payload_bytes: held.payload.len() as u64,
-        payload: vec![held.payload.clone()],
-    };
-    let (inv, answer) = match hub.take_asked(asked) {
-        Ok(taken) => taken,
-        Err(NotTaken::Full | NotTaken::Leaving) => return Answer::Throttled,
-        Err(NotTaken::Refused(refusal)) => return refused(&refusal, false),
-    };
-    let mut guard = Guard { hub: &hub, inv, answered: false };
-    let answer = answer.await;
-    guard.answered = true;
+        payload_bytes: message.payload.len() as u64,
+        payload: vec![message.payload.clone()],
+    })
+}
+
+/// The answer to a message.
+fn final_answer(answer: Result<Final, AnswerLost>) -> Answer {
     match answer {
         Ok(Final::Succeeded(Brought::Whole(chunks))) => Answer::Succeeded {
             payload: match chunks.as_slice() {
@@ -89,6 +97,6 @@
             };
             Answer::Errored { why: why.into(), may_have_run }
         }
-        Err(_) => Answer::Errored { why: "the front end lost track of it".into(), may_have_run: true },
+        Err(lost) => Answer::Errored { why: lost.to_string(), may_have_run: true },
     }
 }
