Run real serve processes beside hollow front ends and compare what control costs

`slopes` (and with it `all`) now ends with a comparison: 5 processes of `orchidtally serve` with the store's roster, membership and configuration, 20 hollow front ends in one process and 2 processes without a store follow one roster and one configuration through the same changes. Bytes are counted at the stand-in's sockets by client name (new: `Served::clients`), CPU by `schedstat` (utime and stime of /proc/PID/stat count 10 ms, control uses 50 ms in 15 s), memory as anonymous resident memory above that of a process without a store. Rows `real_control_*` and `hollow_real_*_ratio`. A missing program is told first, exit 3. Parts and processes end with their run, also when it is killed: their standard input is a pipe from it; before, parts had no such tie (read off the code). The stand-in's executors have loopback addresses now, one byte a list entry more, so that no process could go to a foreign machine.

--- /dev/null
+++ b/crates/scale/src/comparison/mod.rs
@@ -0,0 +1,116 @@
+//! Hollow front ends beside real `orchidtally serve` processes: the same store, roster, changes and time for both, and
+//! what control costs each.
+
+mod deployment;
+mod front_ends;
+mod gateway;
+mod meter;
+mod rows;
+mod run;
+
+pub use gateway::{GatewayError, gateway_program};
+pub use rows::rows;
+pub use run::ComparisonError;
+
+use crate::report::Row;
+use crate::size::Size;
+use std::path::Path;
+
+/// How many front ends are compared, and for how long.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// Hollow front ends, all in one process.
+    pub hollow: usize,
+    /// Processes of `orchidtally serve` that follow the store.
+    pub real: usize,
+    /// Processes of `orchidtally serve` without a store: what a front end costs besides control.
+    pub without_store: usize,
+    pub executors: usize,
+    pub functions: usize,
+    /// Seconds from the moment when all front ends follow the store to the measurement.
+    pub settle_s: f64,
+    /// Seconds of the measurement. A change of the roster and one of the configuration fall into each.
+    pub measured_s: usize,
+    /// How long the front ends may take to follow the store, in seconds.
+    pub start_timeout_s: f64,
+    pub seed: u64,
+    /// Whether the figures stand for the design: a short run only shows that the comparison works.
+    pub is_judged: bool,
+}
+
+impl Plan {
+    pub fn new(size: &Size, seed: u64, short: bool) -> Plan {
+        let full = Plan {
+            hollow: 20,
+            real: 5,
+            without_store: 2,
+            executors: size.executors,
+            functions: size.functions,
+            settle_s: 4.0,
+            measured_s: 15,
+            start_timeout_s: 60.0,
+            seed,
+            is_judged: true,
+        };
+        if !short {
+            return full;
+        }
+        Plan { hollow: 2, real: 2, without_store: 1, settle_s: 0.5, measured_s: 2, is_judged: false, ..full }
+    }
+
+    /// Front ends that have their entries in the store.
+    pub fn front_ends(&self) -> usize {
+        self.hollow + self.real
+    }
+}
+
+/// What control costs one front end.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ControlCost {
+    /// Both ways, at the store's sockets.
+    pub bytes_per_s: f64,
+    /// In cores.
+    pub cpu_share: f64,
+    pub memory_bytes: f64,
+}
+
+/// What a comparison found.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Comparison {
+    pub hollow: ControlCost,
+    /// Memory as the kernel counts it for the process, for one hollow front end; its `memory_bytes` are of the heap.
+    pub hollow_resident_bytes: f64,
+    /// A process without a store is subtracted.
+    pub real: ControlCost,
+    /// The process without a store.
+    pub without_store: ControlCost,
+    /// Whole lists of the executors, which come too seldom to fall into the measurement, in bytes a second.
+    pub list_bytes_per_s: f64,
+}
+
+/// Plays the plan with this program as the real front end, and tells its rows.
+pub fn run(plan: &Plan, gateway: &Path) -> Vec<Row> {
+    let found = run::play(plan, gateway);
+    match &found {
+        Ok(found) => tell(plan, found),
+        Err(why) => eprintln!("comparison: hollow and real front ends could not be compared: {why}"),
+    }
+    rows(plan, &found)
+}
+
+fn tell(plan: &Plan, found: &Comparison) {
+    let costs = [
+        ("hollow", plan.hollow, &found.hollow),
+        ("real", plan.real, &found.real),
+        ("without a store", plan.without_store, &found.without_store),
+    ];
+    for (name, count, cost) in costs {
+        eprintln!(
+            "comparison: {count} {name}: {:.0} bytes/s, {:.4} % of a core, {:.2} MB a front end",
+            cost.bytes_per_s,
+            100.0 * cost.cpu_share,
+            cost.memory_bytes / 1e6
+        );
+    }
+    eprintln!("comparison: resident memory of a hollow one: {:.2} MB", found.hollow_resident_bytes / 1e6);
+}
--- a/crates/scale/src/hollow/control.rs
+++ b/crates/scale/src/hollow/control.rs
@@ -57,6 +57,11 @@
     clients: [Client; 3],
 }
 
+/// The name by which the store knows the clients of a front end's membership and roster.
+pub fn client_name(seed: u64) -> String {
+    format!("control.{seed}")
+}
+
 /// Bytes over a front end's connections to the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Bytes {
@@ -78,7 +83,11 @@
         seed: u64,
         tasks: &Rc<LocalExecutor<'static>>,
     ) -> Rc<ControlFrontEnd> {
-        let client = || Client::new(endpoints.to_vec(), tasks.clone());
+        let client = || {
+            let client = Client::new(endpoints.to_vec(), tasks.clone());
+            client.says(client_name(seed));
+            client
+        };
         let engine = Engine::new(policy(front_ends, 0), 1, seed, 0.0, &mut NoCalls);
         Rc::new(ControlFrontEnd {
             started: Instant::now(),
--- a/crates/scale/src/hollow/mod.rs
+++ b/crates/scale/src/hollow/mod.rs
@@ -4,3 +4,4 @@
 pub mod control;
 pub mod decisions;
 mod follow;
+pub mod snapshot;
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`report::Row`] for each limit of the design.
 
 pub mod clock;
+pub mod comparison;
 pub mod config;
 pub mod fleet;
 pub mod hollow;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -4,12 +4,14 @@
 //! are held, 1 one is missed, 2 bad arguments, 3 could not run.
 
 use clap::{Parser, ValueEnum};
-use orchidtally_scale::parts::{Part, PartError};
+use orchidtally_scale::comparison::{self, GatewayError, gateway_program};
+use orchidtally_scale::parts::{self, Part, PartError};
 use orchidtally_scale::report::{self, Report};
 use orchidtally_scale::size::{Injection, Size};
 use orchidtally_scale::{config, fleet, slopes, store, tables};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use thiserror::Error;
 
 const BAD_ARGUMENTS: u8 = 2;
 const COULD_NOT_RUN: u8 = 3;
@@ -22,7 +24,7 @@
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
 enum Run {
-    /// What one more of each dimension costs.
+    /// What one more of each dimension costs, and hollow front ends beside real ones.
     Slopes,
     /// The fleet in simulated time, through failures.
     Fleet,
@@ -59,6 +61,12 @@
     /// Few and small measurements: seconds in all, to check the program and not the design.
     #[arg(long)]
     short: bool,
+    /// The `orchidtally` program that hollow front ends are compared with; by default the one beside this program.
+    #[arg(long, value_name = "FILE")]
+    gateway: Option<PathBuf>,
+    /// Ends when standard input does, so that a part does not outlive its run.
+    #[arg(long, hide = true)]
+    until_input_ends: bool,
     /// Writes the tables of the report between their marks in this Markdown file.
     #[arg(long, value_name = "FILE")]
     tables: Option<PathBuf>,
@@ -72,6 +80,15 @@
     }
 }
 
+/// Why a run gave no report.
+#[derive(Debug, Error)]
+enum RunError {
+    #[error(transparent)]
+    Gateway(#[from] GatewayError),
+    #[error(transparent)]
+    Part(#[from] PartError),
+}
+
 /// The size of a short run: a small one with the same calls at a front end and instances at an executor.
 fn shortened(whole: Size) -> Size {
     let front_ends = whole.front_ends.min(SHORT_FRONT_ENDS);
@@ -111,16 +128,24 @@
         if let Some(value) = self.inject.filter(|_| part == "config").and_then(|i| i.to_possible_value()) {
             add("inject", value.get_name().to_owned());
         }
+        if let Some(gateway) = &self.gateway {
+            add("gateway", gateway.display().to_string());
+        }
         if self.short {
             arguments.push("--short".into());
         }
+        arguments.push("--until-input-ends".into());
         arguments
     }
 }
 
-fn run_slopes(arguments: &Arguments, size: Size) -> Report {
+fn run_slopes(arguments: &Arguments, size: Size) -> Result<Report, GatewayError> {
+    // A program that is missing is told before anything takes its time.
+    let gateway = gateway_program(arguments.gateway.as_deref())?;
     let found = slopes::run(&size, arguments.seed, arguments.short);
-    Report::new(size, arguments.seed, None, found.rows, found.slopes)
+    let plan = comparison::Plan::new(&size, arguments.seed, arguments.short);
+    let rows = found.rows.into_iter().chain(comparison::run(&plan, &gateway)).collect();
+    Ok(Report::new(size, arguments.seed, None, rows, found.slopes))
 }
 
 fn run_fleet(arguments: &Arguments, size: Size) -> Report {
@@ -136,7 +161,8 @@
 }
 
 /// Rows of configuration, which measure all of control together, take the place of those of the slopes.
-fn run_all(arguments: &Arguments, size: Size) -> Result<Report, PartError> {
+fn run_all(arguments: &Arguments, size: Size) -> Result<Report, RunError> {
+    gateway_program(arguments.gateway.as_deref())?;
     let parts: Result<Vec<Part>, PartError> =
         ["slopes", "fleet", "config"].iter().map(|part| Part::start(&arguments.of_part(part))).collect();
     let reports: Vec<Result<Report, PartError>> = parts?.into_iter().map(Part::report).collect();
@@ -161,6 +187,9 @@
         eprintln!("error: --inject plants a fault of 'config': run that, or 'all'");
         return ExitCode::from(BAD_ARGUMENTS);
     }
+    if arguments.until_input_ends {
+        parts::end_with_input(COULD_NOT_RUN);
+    }
     let size = arguments.size();
     let report = match arguments.run {
         Run::Store => {
@@ -176,7 +205,10 @@
                 return ExitCode::from(BAD_ARGUMENTS);
             }
         },
-        Run::Slopes => run_slopes(&arguments, size),
+        Run::Slopes => match run_slopes(&arguments, size) {
+            Ok(report) => report,
+            Err(why) => return failed(&why),
+        },
         Run::Fleet => run_fleet(&arguments, size),
         Run::Config => run_config(&arguments, size),
         Run::All => match run_all(&arguments, size) {
--- a/crates/scale/src/parts.rs
+++ b/crates/scale/src/parts.rs
@@ -2,6 +2,7 @@
 //! mix.
 
 use crate::report::Report;
+use std::io::Read;
 use std::process::{Child, Command, Stdio};
 use thiserror::Error;
 
@@ -14,7 +15,8 @@
     NoReport { part: String },
 }
 
-/// A part that runs.
+/// A part that runs. It ends when this is dropped, and when this process ends, however that does: its standard input is
+/// a pipe from here.
 pub struct Part {
     name: String,
     child: Child,
@@ -25,7 +27,7 @@
     pub fn start(arguments: &[String]) -> Result<Part, PartError> {
         let name = arguments.first().cloned().unwrap_or_default();
         let spawned = std::env::current_exe().and_then(|program| {
-            Command::new(program).args(arguments).stdin(Stdio::null()).stdout(Stdio::piped()).spawn()
+            Command::new(program).args(arguments).stdin(Stdio::piped()).stdout(Stdio::piped()).spawn()
         });
         match spawned {
             Ok(child) => Ok(Part { name, child }),
@@ -34,11 +36,29 @@
     }
 
     /// Waits for its report: the last line that it prints.
-    pub fn report(self) -> Result<Report, PartError> {
-        let name = self.name;
-        let output = self.child.wait_with_output().ok();
-        let text = output.and_then(|output| String::from_utf8(output.stdout).ok()).unwrap_or_default();
+    pub fn report(mut self) -> Result<Report, PartError> {
+        let mut text = String::new();
+        let read = self.child.stdout.take().map(|mut out| out.read_to_string(&mut text));
+        let is_whole = matches!(read, Some(Ok(_)));
         let report = text.lines().last().and_then(|line| serde_json::from_str(line).ok());
-        report.ok_or(PartError::NoReport { part: name })
+        report.filter(|_| is_whole).ok_or_else(|| PartError::NoReport { part: self.name.clone() })
     }
 }
+
+impl Drop for Part {
+    fn drop(&mut self) {
+        // At the end of its standard input it ends.
+        self.child.stdin = None;
+        let _ = self.child.wait();
+    }
+}
+
+/// Ends this process once its standard input has ended, as a part does whose run is gone. What it started sees the end of
+/// its own input then.
+pub fn end_with_input(exit_code: u8) {
+    std::thread::spawn(move || {
+        // An input that can't be read has ended too.
+        let _ = std::io::copy(&mut std::io::stdin().lock(), &mut std::io::sink());
+        std::process::exit(exit_code.into());
+    });
+}
--- a/crates/scale/src/store/command.rs
+++ b/crates/scale/src/store/command.rs
@@ -11,6 +11,8 @@
     Addresses,
     /// What the process and its members have used so far.
     Usage,
+    /// What the clients have moved so far, by name.
+    Clients,
     /// Puts entries of so many executors in.
     PutExecutors { count: usize },
     /// Changes the standing of so many executors, from this one on, each in a transaction of its own.
@@ -47,6 +49,14 @@
     pub watches: u64,
 }
 
+/// What the clients of one name moved over all their connections.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct ClientUsage {
+    pub name: String,
+    pub bytes_received: u64,
+    pub bytes_sent: u64,
+}
+
 /// What the store's process used.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Usage {
@@ -70,6 +80,9 @@
         by_region: Vec<Vec<SocketAddr>>,
     },
     Usage(Usage),
+    Clients {
+        clients: Vec<ClientUsage>,
+    },
     Failed {
         reason: String,
     },
--- a/crates/scale/src/store/mod.rs
+++ b/crates/scale/src/store/mod.rs
@@ -5,7 +5,7 @@
 mod process;
 mod serve;
 
-pub use command::{Answer, Command, MemberUsage, Usage};
+pub use command::{Answer, ClientUsage, Command, MemberUsage, Usage};
 pub use process::{StoreError, StoreProcess};
 pub use serve::serve;
 
--- a/crates/scale/src/store/process.rs
+++ b/crates/scale/src/store/process.rs
@@ -1,6 +1,6 @@
 //! The run's side of the store's process.
 
-use super::command::{Answer, Command, Usage};
+use super::command::{Answer, ClientUsage, Command, Usage};
 use std::io::{BufRead, BufReader, Write};
 use std::net::SocketAddr;
 use std::process::{Child, ChildStdin, ChildStdout, Stdio};
@@ -68,6 +68,14 @@
         }
     }
 
+    /// What the clients have moved so far, by name.
+    pub fn clients(&mut self) -> Result<Vec<ClientUsage>, StoreError> {
+        match self.ask(&Command::Clients)? {
+            Answer::Clients { clients } => Ok(clients),
+            other => Err(StoreError::Failed(format!("{other:?} instead of its clients"))),
+        }
+    }
+
     /// The members' addresses by the client's region, members of that region first.
     pub fn addresses(&mut self) -> Result<Vec<Vec<SocketAddr>>, StoreError> {
         match self.ask(&Command::Addresses)? {
--- a/crates/scale/src/store/serve.rs
+++ b/crates/scale/src/store/serve.rs
@@ -1,6 +1,6 @@
 //! The store's process: the stand-in on loopback sockets, and commands from standard input.
 
-use super::command::{Answer, Command, MemberUsage, Usage};
+use super::command::{Answer, ClientUsage, Command, MemberUsage, Usage};
 use super::{MEMBER_REGIONS, PREFIX};
 use crate::clock;
 use crate::config::{entries, request};
@@ -8,9 +8,10 @@
 use orchidtally_config_sync::writer::{self, DEFAULT_MAX_OPERATIONS, ReadValue, ReadValues};
 use orchidtally_etcd::rpc::{CompactionRequest, PutRequest, RangeRequest};
 use orchidtally_test_servers::Stage;
-use orchidtally_test_servers::etcd::{CrashPoint, Served};
+use orchidtally_test_servers::etcd::{ClientCounters, CrashPoint, Served};
 use std::collections::BTreeSet;
 use std::io::{BufRead, Write};
+use std::net::Ipv4Addr;
 use std::rc::Rc;
 
 /// Commands that wait at most; the run waits for each answer, so that one is enough.
@@ -18,6 +19,9 @@
 /// A member tells a watch of progress by itself only so seldom, as etcd does, in seconds.
 const PROGRESS_INTERVAL: f64 = 600.0;
 
+/// The address of the first executor; the next ones follow it.
+const FIRST_EXECUTOR: Ipv4Addr = Ipv4Addr::new(127, 1, 0, 0);
+
 /// Serves until standard input ends.
 pub fn serve(seed: u64) -> std::io::Result<()> {
     let stage = Stage::new(seed);
@@ -53,6 +57,7 @@
     match command {
         Command::Addresses => return Answer::Addresses { by_region: addresses(served) },
         Command::Usage => return Answer::Usage(usage_of(served)),
+        Command::Clients => return Answer::Clients { clients: clients_of(served) },
         Command::PutExecutors { count } => {
             return put(served, (0..*count).map(|n| executor_entry(n, true)));
         }
@@ -107,6 +112,15 @@
     }
 }
 
+fn clients_of(served: &Served) -> Vec<ClientUsage> {
+    let usage = |client: ClientCounters| ClientUsage {
+        name: client.name,
+        bytes_received: client.bytes_received,
+        bytes_sent: client.bytes_sent,
+    };
+    served.clients().into_iter().map(usage).collect()
+}
+
 fn put(served: &Served, entries: impl IntoIterator<Item = (Vec<u8>, Vec<u8>)>) -> Answer {
     for (key, value) in entries {
         let request = PutRequest { key: key.into(), value: value.into(), ..PutRequest::default() };
@@ -161,9 +175,10 @@
     }
 }
 
-/// An executor's key and value, as `docs/operate/etcd.md` says.
+/// An executor's key and value, as `docs/operate/etcd.md` says. The addresses are loopback's: a front end that went to
+/// one would leave the machine in peace.
 fn executor_entry(number: usize, is_ready: bool) -> (Vec<u8>, Vec<u8>) {
-    let address = std::net::Ipv4Addr::from(0x0a00_0000 + number as u32);
+    let address = Ipv4Addr::from(FIRST_EXECUTOR.to_bits() + number as u32);
     let standing = if is_ready { "ready" } else { "draining" };
     let value = serde_json::json!({
         "location": format!("zone-{}", number % 8), "kind": "standard", "cell": number % 64,
--- a/crates/scale/tests/short.rs
+++ b/crates/scale/tests/short.rs
@@ -1,18 +1,14 @@
 //! The program in its short form: the shape of its last line, its exit codes, and that planted faults are found. No
 //! timings are judged.
 
+mod kit;
+
+use kit::run;
 use orchidtally_scale::report::{Report, Row, Verdict};
-use std::process::{Command, Output};
+use std::process::Output;
 
 const IN_FORCE: &str = "config_in_force_s";
 
-fn run(arguments: &[&str]) -> Output {
-    Command::new(env!("CARGO_BIN_EXE_orchidtally-scale"))
-        .args(arguments)
-        .output()
-        .expect("the program starts")
-}
-
 /// The report in the last line, and the exit code that fits it.
 fn report(output: &Output) -> Report {
     let text = String::from_utf8_lossy(&output.stdout);
--- a/crates/test-servers/src/etcd/link.rs
+++ b/crates/test-servers/src/etcd/link.rs
@@ -66,12 +66,13 @@
 
 /// The stream of a connection, which passes nothing while its link is cut.
 pub(super) struct LinkStream {
-    stream: Counted<Stream>,
+    /// Counted for its member and for its client.
+    stream: Counted<Counted<Stream>>,
     link: Rc<Link>,
 }
 
 impl LinkStream {
-    pub fn new(stream: Counted<Stream>, link: Rc<Link>) -> LinkStream {
+    pub fn new(stream: Counted<Counted<Stream>>, link: Rc<Link>) -> LinkStream {
         LinkStream { stream, link }
     }
 }
--- a/crates/test-servers/src/etcd/mod.rs
+++ b/crates/test-servers/src/etcd/mod.rs
@@ -4,6 +4,7 @@
 //! All members share one `Store`. One that reaches no leader with a majority keeps the view of the moment when it lost
 //! it: it answers serializable ranges and watches from that, and nothing else.
 
+mod clients;
 mod cluster;
 mod counters;
 mod exchange;
@@ -16,6 +17,7 @@
 mod transaction;
 mod watch;
 
+pub use clients::ClientCounters;
 pub use cluster::Region;
 pub use counters::{Counters, Exchanges};
 pub use faults::{CrashPoint, Faults, Timing};
--- a/crates/test-servers/src/etcd/server.rs
+++ b/crates/test-servers/src/etcd/server.rs
@@ -1,5 +1,6 @@
 //! Members on sockets, and the script's hands on them: members that stop and start, regions that are cut off.
 
+use super::clients::{ClientCounters, Clients};
 use super::cluster::{Cluster, Region};
 use super::counters::{Counters, MemberCounters, Open};
 use super::faults::{CrashPoint, Faults, PlannedCrash, Timing};
@@ -8,8 +9,8 @@
 use crate::Stage;
 use async_io::Async;
 use futures_lite::future;
-use orchidtally_etcd::Counted;
 use orchidtally_etcd::rpc::Event;
+use orchidtally_etcd::{Counted, Traffic};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -37,6 +38,7 @@
     pub timing: Timing,
     pub(super) cluster: RefCell<Cluster>,
     pub(super) counters: Vec<MemberCounters>,
+    clients: Clients,
     pub(super) messages: Cell<u64>,
     links: RefCell<BTreeMap<u64, Rc<Link>>>,
     next_link: Cell<u64>,
@@ -73,6 +75,7 @@
             timing: Timing::default(),
             cluster: RefCell::new(cluster),
             counters: regions.iter().map(|_| MemberCounters::default()).collect(),
+            clients: Clients::default(),
             messages: Cell::new(0),
             links: RefCell::default(),
             next_link: Cell::new(0),
@@ -155,6 +158,11 @@
         total
     }
 
+    /// What clients moved so far, by name.
+    pub fn clients(&self) -> Vec<ClientCounters> {
+        self.clients.snapshot()
+    }
+
     /// Whether a member follows a leader now.
     pub fn has_leader(&self, member: usize) -> bool {
         self.cluster.borrow().has_leader(member, self.stage.now())
@@ -202,13 +210,17 @@
         self.links.borrow_mut().insert(key, link.clone());
         let counters = &self.counters[link.member];
         let open = Open::new(&counters.connections_open);
-        let stream = LinkStream::new(Counted::new(stream, counters.traffic.clone()), link.clone());
+        let traffic = Rc::new(Traffic::default());
+        let client = self.clients.connection(traffic.clone());
+        let counted = Counted::new(Counted::new(stream, counters.traffic.clone()), traffic);
+        let stream = LinkStream::new(counted, link.clone());
         let serve = async {
             let Ok(mut connection) = h2::server::handshake(stream).await else { return };
             // Exchanges end with their connection.
             let exchanges = async_executor::LocalExecutor::new();
             let accept = async {
                 while let Some(Ok((request, respond))) = connection.accept().await {
+                    client.requested(&request);
                     exchanges.spawn(self.clone().exchange(link.member, request, respond)).detach();
                 }
             };
