Split the front end's etcd.rs by job and run hollow front ends on it

Names of the field in place of ours (`PATIENCE` is `REQUEST_TIMEOUT`, `ASKED` `PROGRESS_INTERVAL`, `Others` `FrontEndsFollower`), types in place of tuples (`List`, `Lease`, `StoreConnections`). Intervals, draws, log lines and what stands in the store are as before. Hollow front ends have the policy of a deployment file, that of the real ones beside them, in place of a list of values. tests/hollow.rs compares their settings with those of a deployment file.

--- /dev/null
+++ b/crates/frontend/src/etcd/entries.rs
@@ -0,0 +1,69 @@
+//! Entries of the store as the cores of membership take them.
+
+use crate::roster::row;
+use orchidtally::interface::RosterRow;
+use orchidtally_deployment::Deployment;
+use orchidtally_etcd::rpc::event::EventType;
+use orchidtally_etcd::rpc::{Event, KeyValue, ResponseHeader};
+use orchidtally_membership::{Change, Stamp};
+use orchidtally_wire::v1;
+
+/// Which store answered, and how far it had come.
+pub(super) fn stamp(header: &ResponseHeader) -> Stamp {
+    Stamp { cluster: header.cluster_id, revision: header.revision }
+}
+
+/// An entry as a list has it.
+pub(super) fn listed(entry: &KeyValue) -> Change<'_> {
+    Change {
+        key: &entry.key,
+        value: Some(&entry.value[..]),
+        created: entry.create_revision,
+        modified: entry.mod_revision,
+    }
+}
+
+/// What some events of a watch tell, in their order.
+pub(super) fn changes(events: &[Event]) -> Vec<Change<'_>> {
+    events.iter().filter_map(changed).collect()
+}
+
+fn changed(event: &Event) -> Option<Change<'_>> {
+    let change = listed(event.kv.as_ref()?);
+    let is_deleted = event.r#type() == EventType::Delete;
+    Some(Change { value: change.value.filter(|_| !is_deleted), ..change })
+}
+
+/// The index of a front end by the key of its entry.
+pub(super) fn index(key: &[u8]) -> Option<u32> {
+    std::str::from_utf8(key).ok()?.rsplit('/').next()?.parse().ok()
+}
+
+/// What an executor's entry says of it, or why that can't be read.
+pub(super) fn executor(
+    deployment: &Deployment,
+    key: &[u8],
+    value: &[u8],
+    now: f64,
+) -> Result<RosterRow, String> {
+    let fields: serde_json::Value = serde_json::from_slice(value).map_err(|why| format!("no JSON: {why}"))?;
+    let key = std::str::from_utf8(key).ok();
+    let address = key.and_then(|key| key.rsplit('/').next()).ok_or("no address in its key")?;
+    let text = |name: &str| fields.get(name).and_then(|field| field.as_str()).unwrap_or_default().to_owned();
+    let number = |name: &str, absent: f64| fields.get(name).map_or(Some(absent), serde_json::Value::as_f64);
+    let standing = match text("standing").as_str() {
+        "ready" => v1::Standing::Ready,
+        "draining" => v1::Standing::Draining,
+        other => return Err(format!("the standing '{other}' is neither 'ready' nor 'draining'")),
+    };
+    let told = v1::RosterRow {
+        address: address.into(),
+        location: text("location"),
+        kind: text("kind"),
+        cell: number("cell", 0.0).ok_or("'cell' is no number")? as u32,
+        standing: standing.into(),
+        weight: number("weight", 1.0).ok_or("'weight' is no number")?,
+        since: number("since", 0.0).ok_or("'since' is no number")?,
+    };
+    row(deployment, &told, now)
+}
--- /dev/null
+++ b/crates/frontend/src/etcd/hub_host.rs
@@ -0,0 +1,55 @@
+//! Ties membership to a front end's hub.
+
+use super::{MembershipHost, OwnEntry, StoreConnections, follow_store};
+use crate::hub::Hub;
+use orchidtally::interface::{RosterKind, RosterRow};
+use orchidtally_deployment::{Deployment, Etcd};
+use orchidtally_membership::{Cache, Members};
+use std::cell::RefCell;
+use std::rc::Rc;
+use tracing::info;
+
+impl MembershipHost for Hub {
+    fn now(&self) -> f64 {
+        Hub::now(self)
+    }
+
+    fn deployment(&self) -> &Deployment {
+        &self.deployment
+    }
+
+    fn cache(&self) -> &RefCell<Cache> {
+        &self.cache
+    }
+
+    fn members(&self) -> &RefCell<Members> {
+        &self.members
+    }
+
+    fn own_entry(&self) -> OwnEntry {
+        OwnEntry {
+            life: self.sender.get().incarnation,
+            location: self.location().to_owned(),
+            at: self.at.get(),
+        }
+    }
+
+    fn roster_changed(&self, kind: RosterKind, rows: &[RosterRow]) {
+        if kind == RosterKind::Full {
+            info!(executors = rows.len(), "the roster is here");
+        }
+        self.play(|engine, now, performer| engine.roster(now, kind, rows, performer));
+    }
+
+    fn members_changed(&self) {
+        self.count_front_ends();
+    }
+}
+
+/// Keeps the roster and the membership for as long as the front end lives.
+pub fn keep(hub: &Rc<Hub>, etcd: &Etcd) {
+    let Some(tasks) = hub.spawner().upgrade() else { return };
+    let name = format!("{}.{}", hub.deployment.policy.index as u32, hub.sender.get().incarnation);
+    let connections = StoreConnections::new(etcd, &name, &tasks);
+    follow_store(hub, &connections, etcd, &tasks).into_iter().for_each(|task| task.detach());
+}
--- /dev/null
+++ b/crates/frontend/src/etcd/registration.rs
@@ -0,0 +1,151 @@
+//! A front end's own entry in the store, under an index that no other has, and its lease.
+
+use super::FRONT_ENDS;
+use super::entries;
+use super::follow::{FIRST_RETRY_DELAY, REQUEST_TIMEOUT, list};
+use super::host::MembershipHost;
+use bytes::Bytes;
+use orchidtally_deployment::Etcd;
+use orchidtally_etcd::rpc::compare::{CompareResult, CompareTarget, TargetUnion};
+use orchidtally_etcd::rpc::request_op::Request;
+use orchidtally_etcd::rpc::{
+    Compare, LeaseGrantRequest, LeaseGrantResponse, LeaseKeepAliveRequest, LeaseKeepAliveResponse,
+    PutRequest, RequestOp, TxnRequest, TxnResponse,
+};
+use orchidtally_etcd::{Client, Fault, LEASE_GRANT, LEASE_KEEP_ALIVE, TXN};
+use orchidtally_membership::Members;
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+use tracing::{debug, info, warn};
+
+/// Renewals within the time to live of a lease.
+const RENEWALS: f64 = 4.0;
+
+/// Keeps the entry of one host.
+pub(super) struct Registration<H> {
+    host: Rc<H>,
+    client: Rc<Client>,
+    /// All front ends' entries begin so.
+    prefix: String,
+    /// The time to live that is asked for, in whole seconds.
+    wanted_ttl: i64,
+}
+
+/// A lease that the store granted.
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    id: i64,
+    /// In seconds.
+    ttl: f64,
+    /// The store keeps it until then at least, by the host's clock.
+    until: f64,
+}
+
+impl<H: MembershipHost> Registration<H> {
+    pub fn new(host: Rc<H>, client: Rc<Client>, etcd: &Etcd) -> Registration<H> {
+        let prefix = format!("{}{FRONT_ENDS}", etcd.prefix);
+        Registration { host, client, prefix, wanted_ttl: etcd.lease.ceil() as i64 }
+    }
+
+    /// Claims an index and keeps the entry's lease, again for as long as it is polled.
+    pub async fn keep(self) {
+        let mut lost_claims = 0;
+        loop {
+            match self.claim(lost_claims).await {
+                Ok(Some(lease)) => {
+                    lost_claims = 0;
+                    if let Err(fault) = self.keep_lease(lease).await {
+                        self.failed(&fault);
+                    }
+                }
+                Ok(None) => lost_claims += 1,
+                Err(fault) => self.failed(&fault),
+            }
+            let delay = FIRST_RETRY_DELAY * (1.0 + 2.0 * rand::random::<f64>());
+            async_io::Timer::after(Duration::from_secs_f64(delay)).await;
+        }
+    }
+
+    fn failed(&self, fault: &Fault) {
+        warn!(endpoint = ?self.client.endpoint(), %fault, "this front end's lease can't be kept");
+        self.client.fail_over();
+    }
+
+    /// Puts the entry under a free index; `None` if another front end was faster.
+    async fn claim(&self, lost_claims: u32) -> Result<Option<Lease>, Fault> {
+        let entries = list(&self.client, &self.prefix).await?.entries;
+        let taken: BTreeSet<u32> = entries.iter().filter_map(|entry| entries::index(&entry.key)).collect();
+        let index = Members::wanted(&taken, rand::random(), lost_claims);
+        let began = self.host.now();
+        let grant = LeaseGrantRequest { ttl: self.wanted_ttl, id: 0 };
+        let granted: LeaseGrantResponse = self.client.unary(LEASE_GRANT, &grant, REQUEST_TIMEOUT).await?;
+        let claim = self.claim_transaction(index, granted.id);
+        let claimed: TxnResponse = self.client.unary(TXN, &claim, REQUEST_TIMEOUT).await?;
+        if !claimed.succeeded {
+            return Ok(None);
+        }
+        let ttl = granted.ttl.max(1) as f64;
+        {
+            let mut members = self.host.members().borrow_mut();
+            members.owns(self.host.now(), index, 0.0);
+            members.renewed(began, ttl);
+        }
+        info!(index, "this front end is in the store");
+        self.host.members_changed();
+        Ok(Some(Lease { id: granted.id, ttl, until: began + ttl }))
+    }
+
+    /// Puts the entry where no other stands.
+    fn claim_transaction(&self, index: u32, lease: i64) -> TxnRequest {
+        let key = Bytes::from(format!("{}{index}", self.prefix));
+        let value = serde_json::json!(self.host.own_entry()).to_string();
+        let is_free = Compare {
+            result: CompareResult::Equal.into(),
+            target: CompareTarget::Create.into(),
+            key: key.clone(),
+            target_union: Some(TargetUnion::CreateRevision(0)),
+        };
+        let put = PutRequest { key, value: value.into(), lease, prev_kv: false };
+        TxnRequest {
+            compare: vec![is_free],
+            success: vec![RequestOp { request: Some(Request::RequestPut(put)) }],
+            failure: vec![],
+        }
+    }
+
+    /// Renews a lease until it is over: by the store's word, or because the store did not answer for so long.
+    async fn keep_lease(&self, mut lease: Lease) -> Result<(), Fault> {
+        let interval = Duration::from_secs_f64(lease.ttl / RENEWALS);
+        loop {
+            async_io::Timer::after(interval).await;
+            let began = self.host.now();
+            match self.renew(lease.id).await {
+                Ok(answer) if answer.ttl > 0 => {
+                    lease.until = began + answer.ttl as f64;
+                    self.host.members().borrow_mut().renewed(began, answer.ttl as f64);
+                }
+                Ok(_) => {
+                    warn!("this front end's lease was over though it lives");
+                    self.host.members().borrow_mut().disowned();
+                    return Ok(());
+                }
+                Err(fault) if self.host.now() > lease.until => {
+                    self.host.members().borrow_mut().disowned();
+                    return Err(fault);
+                }
+                Err(fault) => {
+                    debug!(%fault, "the lease was not renewed");
+                    self.client.fail_over();
+                }
+            }
+        }
+    }
+
+    async fn renew(&self, id: i64) -> Result<LeaseKeepAliveResponse, Fault> {
+        let question = LeaseKeepAliveRequest { id };
+        let mut stream =
+            self.client.both::<LeaseKeepAliveResponse>(LEASE_KEEP_ALIVE, &question, REQUEST_TIMEOUT).await?;
+        orchidtally_net::within(REQUEST_TIMEOUT, stream.next()).await.unwrap_or(Err(Fault::TimedOut))
+    }
+}
--- /dev/null
+++ b/crates/frontend/src/etcd/roster.rs
@@ -0,0 +1,69 @@
+//! Follows the executors' entries.
+
+use super::entries;
+use super::follow::Follower;
+use super::host::MembershipHost;
+use orchidtally_etcd::rpc::{Event, KeyValue, ResponseHeader};
+use orchidtally_membership::cache::Told;
+use orchidtally_membership::{Change, Next};
+use std::rc::Rc;
+use tracing::debug;
+
+/// Feeds a host's cache and tells the host what changed.
+pub(super) struct RosterFollower<H> {
+    host: Rc<H>,
+}
+
+impl<H: MembershipHost> RosterFollower<H> {
+    pub fn new(host: Rc<H>) -> RosterFollower<H> {
+        RosterFollower { host }
+    }
+
+    fn tell(&self, told: Told) {
+        if let Some((kind, rows)) = told {
+            self.host.roster_changed(kind, &rows);
+        }
+    }
+}
+
+impl<H: MembershipHost> Follower for RosterFollower<H> {
+    fn now(&self) -> f64 {
+        self.host.now()
+    }
+
+    fn next(&self) -> Next {
+        self.host.cache().borrow().next()
+    }
+
+    fn listed(&self, _began: f64, header: &ResponseHeader, list: &[KeyValue]) {
+        let now = self.host.now();
+        let list: Vec<Change> = list.iter().map(entries::listed).collect();
+        let read = |key: &[u8], value: &[u8]| entries::executor(self.host.deployment(), key, value, now);
+        let told = self.host.cache().borrow_mut().listed(now, entries::stamp(header), &list, &read);
+        self.tell(told);
+    }
+
+    fn changed(&self, header: &ResponseHeader, events: &[Event]) {
+        let now = self.host.now();
+        let changes = entries::changes(events);
+        let read = |key: &[u8], value: &[u8]| entries::executor(self.host.deployment(), key, value, now);
+        let told = self.host.cache().borrow_mut().changed(now, entries::stamp(header), &changes, &read);
+        for (key, why) in self.host.cache().borrow().faults() {
+            debug!(key = %String::from_utf8_lossy(key), why, "an entry can't be read; the last good one counts");
+        }
+        self.tell(told);
+    }
+
+    fn progressed(&self, _began: f64, header: &ResponseHeader) {
+        self.host.cache().borrow_mut().progressed(self.host.now(), entries::stamp(header));
+    }
+
+    fn compacted(&self) {
+        self.host.cache().borrow_mut().compacted();
+    }
+
+    fn turn(&self) {
+        let told = self.host.cache().borrow_mut().turn(self.host.now());
+        self.tell(told);
+    }
+}
--- a/crates/membership/src/cache.rs
+++ b/crates/membership/src/cache.rs
@@ -15,7 +15,7 @@
 /// Executors that are remembered to have drained.
 const MOST_DRAINED: usize = 100_000;
 /// A list is asked for so often at the least, in seconds.
-const LISTED_AGAIN: f64 = 300.0;
+pub const LIST_INTERVAL: f64 = 300.0;
 /// Malformed entries that are remembered by name.
 const MOST_FAULTS: usize = 1_000;
 
@@ -140,7 +140,7 @@
     pub fn progressed(&mut self, now: f64, stamp: Stamp) {
         self.heard_at = now;
         // Guards against a store that was set back and has caught up since, which no revision tells.
-        self.stale |= now - self.listed_at > LISTED_AGAIN;
+        self.stale |= now - self.listed_at > LIST_INTERVAL;
         match &mut self.stamp {
             Some(known) if known.cluster == stamp.cluster && known.revision <= stamp.revision => {
                 known.revision = stamp.revision;
--- a/crates/scale/src/comparison/front_ends.rs
+++ b/crates/scale/src/comparison/front_ends.rs
@@ -1,13 +1,14 @@
 //! The front ends of a comparison: hollow ones in this process, real ones as processes.
 
+use super::Plan;
 use super::gateway::{Gateway, GatewayError};
 use super::meter;
 use super::run::ComparisonError;
-use super::{Plan, deployment};
 use crate::clock;
 use crate::config::entries;
 use crate::hollow::configuration::{Configuration, Options};
 use crate::hollow::control::ControlFrontEnd;
+use crate::hollow::deployment;
 use crate::store;
 use async_executor::{LocalExecutor, Task};
 use orchidtally_config_sync::SettingsError;
@@ -113,11 +114,16 @@
         for number in plan.hollow..plan.front_ends() {
             let path = folder.join(SNAPSHOT);
             std::fs::write(folder.join(SNAPSHOT.replace(INDEX, &number.to_string())), snapshot)?;
-            let text = deployment::with_store(plan, &store::endpoints_of(number, by_region), &path);
+            let text = deployment::with_configuration(
+                plan.front_ends(),
+                &store::endpoints_of(number, by_region),
+                &path,
+            );
             all.with_store.push(Gateway::start(program, folder, &format!("real-{number}"), number, &text)?);
         }
         for number in 0..plan.without_store {
-            let (name, text) = (format!("without-store-{number}"), deployment::without_store(plan));
+            let (name, text) =
+                (format!("without-store-{number}"), deployment::without_store(plan.front_ends()));
             all.without_store.push(Gateway::start(program, folder, &name, number, &text)?);
         }
         Ok(all)
--- a/crates/scale/src/comparison/mod.rs
+++ b/crates/scale/src/comparison/mod.rs
@@ -1,7 +1,6 @@
 //! Hollow front ends beside real `orchidtally serve` processes: the same store, roster, changes and time for both, and
 //! what control costs each.
 
-mod deployment;
 mod front_ends;
 mod gateway;
 mod meter;
--- a/crates/scale/src/comparison/deployment.rs
+++ b/crates/scale/src/hollow/deployment.rs
@@ -1,7 +1,7 @@
-//! The deployment files of real front ends.
+//! The deployment files of front ends, hollow and real ones.
 
-use super::Plan;
 use crate::store::PREFIX;
+use orchidtally_deployment::Deployment;
 use serde_json::{Value, json};
 use std::net::SocketAddr;
 use std::path::Path;
@@ -16,14 +16,19 @@
 /// An executor for a front end whose roster is in its file; it is never called.
 const UNUSED_EXECUTOR: &str = "127.0.0.1:9";
 
+/// Reads one of the files below.
+pub(super) fn parsed(text: &str) -> Deployment {
+    Deployment::read(text).expect("the deployment file of a hollow front end has no fault")
+}
+
 /// What the files of all front ends have in common. JSON is JSON5 as well.
-fn common(plan: &Plan) -> Value {
+fn common(front_ends: usize) -> Value {
     let zones: Vec<String> = (0..ZONES).map(|zone| format!("zone-{zone}")).collect();
     json!({
         "name": "scale",
         "locations": zones,
         "kinds": [KIND],
-        "frontEnds": { "count": plan.front_ends() },
+        "frontEnds": { "count": front_ends },
         "triggerTypes": [
             { "name": "http", "effect": "idempotent", "objective": "1500ms", "timeout": "6s" },
         ],
@@ -31,14 +36,23 @@
     })
 }
 
-/// The file of a front end that follows the store: its executors, the other front ends and its configuration.
-/// `{index}` in the path of the snapshot stands for the front end's index.
-pub fn with_store(plan: &Plan, endpoints: &[SocketAddr], snapshot: &Path) -> String {
-    let mut file = common(plan);
+fn following_roster(front_ends: usize, endpoints: &[SocketAddr]) -> Value {
+    let mut file = common(front_ends);
     file["executors"] = json!({
         "allowedNetworks": [NETWORK],
         "etcd": { "endpoints": endpoints, "prefix": PREFIX },
     });
+    file
+}
+
+/// The file of one of so many front ends that follows the store's executors and front ends.
+pub fn with_roster(front_ends: usize, endpoints: &[SocketAddr]) -> String {
+    following_roster(front_ends, endpoints).to_string()
+}
+
+/// The same with the store's configuration. `{index}` in the snapshot's path stands for the front end's index.
+pub fn with_configuration(front_ends: usize, endpoints: &[SocketAddr], snapshot: &Path) -> String {
+    let mut file = following_roster(front_ends, endpoints);
     file["configuration"] = json!({
         "store": { "endpoints": endpoints, "prefix": format!("{PREFIX}config/") },
         "snapshot": snapshot,
@@ -47,8 +61,8 @@
 }
 
 /// The file of a front end that follows no store.
-pub fn without_store(plan: &Plan) -> String {
-    let mut file = common(plan);
+pub fn without_store(front_ends: usize) -> String {
+    let mut file = common(front_ends);
     file["executors"] = json!({ "list": [{ "address": UNUSED_EXECUTOR }] });
     file.to_string()
 }
--- a/crates/scale/src/hollow/mod.rs
+++ b/crates/scale/src/hollow/mod.rs
@@ -3,5 +3,5 @@
 pub mod configuration;
 pub mod control;
 pub mod decisions;
-mod follow;
+pub mod deployment;
 pub mod snapshot;
