Compare real front ends with hollow ones in processes of their own too, and mend what these left out

Cause: after the first comparison real front ends took 3.1 times the CPU and 1.7 times the memory of hollow ones in one process. A profile of a real one (perf, 4 s) has 29 % of its samples in `config_sync::view::is_before_kind`: for each view a hub looks through all buckets for trigger types and quotas, which the hollow one left out. Wakes a second were the same (9.8 and 9.7), so timers were ruled out. Of the memory, 14.3 MB are freed buffers that the allocator keeps: with MALLOC_MMAP_THRESHOLD_=131072 real ones took 31.7 MB and hollow ones alone 31.4 (trial, once).

Three hollow front ends get processes of their own beside the twenty, rows `hollow_alone_real_*_ratio`, and the run `comparison` has this part alone.

--- a/crates/scale/src/comparison/front_ends.rs
+++ b/crates/scale/src/comparison/front_ends.rs
@@ -12,6 +12,7 @@
 use crate::store;
 use async_executor::{LocalExecutor, Task};
 use orchidtally_config_sync::SettingsError;
+use orchidtally_frontend::config::SnapshotFile;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::rc::Rc;
@@ -34,6 +35,7 @@
     pub fn start(
         plan: &Plan,
         snapshot: &[u8],
+        folder: &Path,
         by_region: &[Vec<SocketAddr>],
         tasks: &Rc<LocalExecutor<'static>>,
     ) -> Result<HollowFrontEnds, ComparisonError> {
@@ -52,7 +54,8 @@
         let mut started = vec![];
         let mut configurations = vec![];
         for (number, control) in controls.iter().enumerate() {
-            let configuration = configuration(plan, number, snapshot, by_region, tasks)?;
+            let endpoints = store::endpoints_of(number, by_region);
+            let configuration = configuration(plan.seed, number, snapshot, folder, &endpoints, tasks)?;
             started.extend(control.start(tasks));
             started.push(configuration.start(tasks));
             configurations.push(configuration);
@@ -77,20 +80,22 @@
     }
 }
 
-fn configuration(
-    plan: &Plan,
+/// The configuration of a hollow front end, from a snapshot. Its own ones are written to `folder`.
+pub(super) fn configuration(
+    seed: u64,
     number: usize,
     snapshot: &[u8],
-    by_region: &[Vec<SocketAddr>],
+    folder: &Path,
+    endpoints: &[SocketAddr],
     tasks: &Rc<LocalExecutor<'static>>,
 ) -> Result<Rc<Configuration>, SettingsError> {
     let options = Options {
         number,
-        endpoints: &store::endpoints_of(number, by_region),
+        endpoints,
         settings: entries::settings(),
         start_from: Some(snapshot),
-        snapshot: None,
-        seed: plan.seed.wrapping_mul(1_000_003) + number as u64,
+        snapshot: Some(SnapshotFile::new(folder.join(format!("hollow-{number}.snapshot")))),
+        seed: seed.wrapping_mul(1_000_003) + number as u64,
         on_apply: Rc::new(|_, _| {}),
     };
     Configuration::new(options, tasks)
@@ -111,7 +116,7 @@
         by_region: &[Vec<SocketAddr>],
     ) -> Result<RealFrontEnds, ComparisonError> {
         let mut all = RealFrontEnds { with_store: vec![], without_store: vec![] };
-        for number in plan.hollow..plan.front_ends() {
+        for number in plan.real_numbers() {
             let path = folder.join(SNAPSHOT);
             std::fs::write(folder.join(SNAPSHOT.replace(INDEX, &number.to_string())), snapshot)?;
             let text = deployment::with_configuration(
--- a/crates/scale/src/comparison/meter.rs
+++ b/crates/scale/src/comparison/meter.rs
@@ -1,6 +1,5 @@
 //! What other processes use, as the kernel tells it under `/proc`.
 
-use super::gateway::Gateway;
 use std::io;
 use thiserror::Error;
 
@@ -43,18 +42,17 @@
     Ok(kilobytes.ok_or_else(missing)? * BYTES_PER_KB)
 }
 
-fn mean(processes: &[Gateway], figure: impl Fn(u32) -> Result<f64, MeterError>) -> Result<f64, MeterError> {
-    let figures: Result<Vec<f64>, MeterError> =
-        processes.iter().map(|gateway| figure(gateway.process())).collect();
+fn mean(processes: &[u32], figure: impl Fn(u32) -> Result<f64, MeterError>) -> Result<f64, MeterError> {
+    let figures: Result<Vec<f64>, MeterError> = processes.iter().map(|process| figure(*process)).collect();
     Ok(figures?.iter().sum::<f64>() / processes.len().max(1) as f64)
 }
 
 /// Processor time of some processes so far, in the mean, in seconds.
-pub fn mean_cpu_s(processes: &[Gateway]) -> Result<f64, MeterError> {
+pub fn mean_cpu_s(processes: &[u32]) -> Result<f64, MeterError> {
     mean(processes, cpu_s)
 }
 
 /// Resident memory of some processes that stands in no file, in the mean, in bytes.
-pub fn mean_anonymous_bytes(processes: &[Gateway]) -> Result<f64, MeterError> {
+pub fn mean_anonymous_bytes(processes: &[u32]) -> Result<f64, MeterError> {
     mean(processes, anonymous_bytes)
 }
--- a/crates/scale/src/comparison/mod.rs
+++ b/crates/scale/src/comparison/mod.rs
@@ -1,18 +1,26 @@
 //! Hollow front ends beside real `orchidtally serve` processes: the same store, roster, changes and time for both, and
 //! what control costs each.
+//!
+//! A hollow front end runs the true hosts and cores. Where its figures part from a real one's, that is known to come from
+//! two things. Many in one process are waked together, which saves processor time: those in processes of their own show how
+//! much. And the system's allocator keeps memory of buffers as large as a snapshot, which the heap's count of what is in
+//! use does not have.
 
+mod alone;
 mod front_ends;
 mod gateway;
 mod meter;
 mod rows;
 mod run;
 
+pub use alone::serve as serve_alone;
 pub use gateway::{GatewayError, gateway_program};
 pub use rows::rows;
 pub use run::ComparisonError;
 
 use crate::report::Row;
 use crate::size::Size;
+use std::ops::Range;
 use std::path::Path;
 
 /// How many front ends are compared, and for how long.
@@ -20,6 +28,8 @@
 pub struct Plan {
     /// Hollow front ends, all in one process.
     pub hollow: usize,
+    /// Hollow front ends in processes of their own.
+    pub alone: usize,
     /// Processes of `orchidtally serve` that follow the store.
     pub real: usize,
     /// Processes of `orchidtally serve` without a store: what a front end costs besides control.
@@ -41,6 +51,7 @@
     pub fn new(size: &Size, seed: u64, short: bool) -> Plan {
         let full = Plan {
             hollow: 20,
+            alone: 3,
             real: 5,
             without_store: 2,
             executors: size.executors,
@@ -54,12 +65,31 @@
         if !short {
             return full;
         }
-        Plan { hollow: 2, real: 2, without_store: 1, settle_s: 0.5, measured_s: 2, is_judged: false, ..full }
+        Plan {
+            hollow: 2,
+            alone: 1,
+            real: 2,
+            without_store: 1,
+            settle_s: 0.5,
+            measured_s: 2,
+            is_judged: false,
+            ..full
+        }
     }
 
     /// Front ends that have their entries in the store.
     pub fn front_ends(&self) -> usize {
-        self.hollow + self.real
+        self.hollow + self.real + self.alone
+    }
+
+    /// The numbers of front ends that are real: behind the hollow ones in one process.
+    pub fn real_numbers(&self) -> Range<usize> {
+        self.hollow..self.hollow + self.real
+    }
+
+    /// The numbers of hollow front ends in processes of their own: the last ones.
+    pub fn alone_numbers(&self) -> Range<usize> {
+        self.hollow + self.real..self.front_ends()
     }
 }
 
@@ -77,6 +107,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Comparison {
     pub hollow: ControlCost,
+    /// A hollow front end in a process of its own, by the clock and the memory of that; a process without a store is
+    /// subtracted from its memory.
+    pub alone: ControlCost,
     /// Memory as the kernel counts it for the process, for one hollow front end; its `memory_bytes` are of the heap.
     pub hollow_resident_bytes: f64,
     /// A process without a store is subtracted.
@@ -100,6 +133,7 @@
 fn tell(plan: &Plan, found: &Comparison) {
     let costs = [
         ("hollow", plan.hollow, &found.hollow),
+        ("hollow alone", plan.alone, &found.alone),
         ("real", plan.real, &found.real),
         ("without a store", plan.without_store, &found.without_store),
     ];
--- a/crates/scale/src/comparison/run.rs
+++ b/crates/scale/src/comparison/run.rs
@@ -1,17 +1,20 @@
 //! Plays a comparison: starts everything, waits until all follow the store, and measures.
 
+use super::alone::{AloneOrder, AloneProcess};
 use super::front_ends::{HollowFrontEnds, RealFrontEnds};
-use super::gateway::GatewayError;
+use super::gateway::{Gateway, GatewayError};
 use super::meter::{self, MeterError};
 use super::{Comparison, ControlCost, Plan};
 use crate::clock;
 use crate::hollow::configuration::client_name;
 use crate::hollow::control::{self, LIST_INTERVAL_S};
 use crate::hollow::snapshot::{self, SnapshotError};
-use crate::store::{ClientUsage, Command, StoreError, StoreProcess};
+use crate::store::{self, ClientUsage, Command, StoreError, StoreProcess};
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use orchidtally_config_sync::SettingsError;
+use std::net::SocketAddr;
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -31,8 +34,12 @@
     Settings(#[from] SettingsError),
     #[error(transparent)]
     Snapshot(#[from] SnapshotError),
-    #[error("a folder for deployment files and snapshots can't be used: {0}; make room, or set TMPDIR")]
-    Folder(#[from] std::io::Error),
+    #[error("deployment files, snapshots or processes can't be used: {0}; make room, or set TMPDIR")]
+    Io(#[from] std::io::Error),
+    #[error("a hollow front end in a process of its own found no snapshot to start from")]
+    NoSnapshot,
+    #[error("a hollow front end in a process of its own did not follow the store in time")]
+    AloneNotReady,
     #[error("{hollow} hollow and {real} real front ends followed the store within {seconds} s")]
     NotReady { hollow: usize, real: usize, seconds: f64 },
 }
@@ -65,27 +72,29 @@
     let tasks = Rc::new(LocalExecutor::new());
     let work = async {
         let path = folder.0.join("first.snapshot");
-        let snapshot = snapshot::write_snapshot(path, &by_region[0], &tasks, plan.start_timeout_s).await?;
+        let snapshot =
+            snapshot::write_snapshot(path.clone(), &by_region[0], &tasks, plan.start_timeout_s).await?;
         let real = RealFrontEnds::start(plan, gateway, &folder.0, &snapshot, &by_region)?;
-        let hollow = HollowFrontEnds::start(plan, &snapshot, &by_region, &tasks)?;
+        let alone = start_alone(plan, &path, &by_region)?;
+        let hollow = HollowFrontEnds::start(plan, &snapshot, &folder.0, &by_region, &tasks)?;
         drop(snapshot);
-        let mut run = Run { plan, store: &mut store, hollow, real };
+        let mut run = Run { plan, store: &mut store, hollow, alone, real };
         run.until_all_follow().await?;
         run.measure().await
     };
     async_io::block_on(tasks.run(work))
 }
 
-/// Whether a client of the store belongs to a hollow front end of the plan.
-fn is_hollow_client(plan: &Plan, name: &str) -> bool {
+/// Whether a client of the store belongs to one of these hollow front ends.
+fn is_hollow_client(plan: &Plan, mut numbers: Range<usize>, name: &str) -> bool {
     let names_of = |number| [client_name(number), control::client_name(plan.seed + number as u64)];
-    (0..plan.hollow).any(|number| names_of(number).iter().any(|known| known == name))
+    numbers.any(|number| names_of(number).iter().any(|known| known == name))
 }
 
 /// Whether it belongs to a real one: those are called by their index and more behind a dot or a dash.
 fn is_real_client(plan: &Plan, name: &str) -> bool {
     let index = name.split(['.', '-']).next().and_then(|index| index.parse().ok());
-    index.is_some_and(|index: usize| (plan.hollow..plan.front_ends()).contains(&index))
+    index.is_some_and(|index: usize| plan.real_numbers().contains(&index))
 }
 
 /// Bytes both ways of some clients so far.
@@ -94,11 +103,33 @@
     meant.map(|client| (client.bytes_received + client.bytes_sent) as f64).sum()
 }
 
+fn ids(processes: &[Gateway]) -> Vec<u32> {
+    processes.iter().map(Gateway::process).collect()
+}
+
+/// Starts the hollow front ends that have processes of their own.
+fn start_alone(
+    plan: &Plan,
+    snapshot: &Path,
+    by_region: &[Vec<SocketAddr>],
+) -> Result<Vec<AloneProcess>, ComparisonError> {
+    let order = |number| AloneOrder {
+        number,
+        front_ends: plan.front_ends(),
+        seed: plan.seed,
+        endpoints: store::endpoints_of(number, by_region),
+        snapshot: snapshot.into(),
+        start_timeout_s: plan.start_timeout_s,
+    };
+    plan.alone_numbers().map(|number| AloneProcess::start(&order(number))).collect()
+}
+
 /// What all have used up to a moment.
 struct Reading {
     at: Instant,
     clients: Vec<ClientUsage>,
     hollow_cpu_s: f64,
+    alone_cpu_s: f64,
     real_cpu_s: f64,
     without_store_cpu_s: f64,
 }
@@ -108,6 +139,7 @@
     plan: &'r Plan,
     store: &'r mut StoreProcess,
     hollow: HollowFrontEnds,
+    alone: Vec<AloneProcess>,
     real: RealFrontEnds,
 }
 
@@ -117,6 +149,7 @@
         loop {
             let (hollow, real) = (self.hollow.ready(self.plan), self.real.ready(self.plan).await?);
             if hollow == self.plan.hollow && real == self.plan.real {
+                self.alone.iter_mut().try_for_each(AloneProcess::until_ready)?;
                 eprintln!("comparison: all follow the store after {:.1} s", began.elapsed().as_secs_f64());
                 return Ok(());
             }
@@ -135,13 +168,18 @@
         self.store.ask(&Command::ChangeFunctions { from, count: 1, version }).map(drop)
     }
 
+    fn alone_ids(&self) -> Vec<u32> {
+        self.alone.iter().map(AloneProcess::process).collect()
+    }
+
     fn read(&mut self) -> Result<Reading, ComparisonError> {
         Ok(Reading {
             at: Instant::now(),
             clients: self.store.clients()?,
             hollow_cpu_s: clock::process_cpu_s(),
-            real_cpu_s: meter::mean_cpu_s(&self.real.with_store)?,
-            without_store_cpu_s: meter::mean_cpu_s(&self.real.without_store)?,
+            alone_cpu_s: meter::mean_cpu_s(&self.alone_ids())?,
+            real_cpu_s: meter::mean_cpu_s(&ids(&self.real.with_store))?,
+            without_store_cpu_s: meter::mean_cpu_s(&ids(&self.real.without_store))?,
         })
     }
 
@@ -160,28 +198,36 @@
 
     fn costs(&self, before: &Reading, after: &Reading) -> Result<Comparison, ComparisonError> {
         let seconds = after.at.duration_since(before.at).as_secs_f64();
-        let bytes_per_s = |belongs: fn(&Plan, &str) -> bool, count: usize| {
-            let so_far = |clients| bytes_of(clients, |name| belongs(self.plan, name));
-            (so_far(&after.clients) - so_far(&before.clients)) / seconds / count as f64
+        let bytes_per_s = |belongs: &dyn Fn(&str) -> bool, count: usize| {
+            let spent = bytes_of(&after.clients, belongs) - bytes_of(&before.clients, belongs);
+            spent / seconds / count as f64
+        };
+        let hollow_bytes_per_s = |numbers: Range<usize>| {
+            bytes_per_s(&|name| is_hollow_client(self.plan, numbers.clone(), name), numbers.len())
         };
         let hollow_count = self.plan.hollow as f64;
         let resident = meter::anonymous_bytes(std::process::id())? - self.hollow.resident_before;
         let without_store = ControlCost {
             bytes_per_s: 0.0,
             cpu_share: (after.without_store_cpu_s - before.without_store_cpu_s) / seconds,
-            memory_bytes: meter::mean_anonymous_bytes(&self.real.without_store)?,
+            memory_bytes: meter::mean_anonymous_bytes(&ids(&self.real.without_store))?,
         };
         Ok(Comparison {
             hollow: ControlCost {
-                bytes_per_s: bytes_per_s(is_hollow_client, self.plan.hollow),
+                bytes_per_s: hollow_bytes_per_s(0..self.plan.hollow),
                 cpu_share: (after.hollow_cpu_s - before.hollow_cpu_s) / seconds / hollow_count,
                 memory_bytes: (clock::heap_bytes() - self.hollow.heap_before) / hollow_count,
             },
+            alone: ControlCost {
+                bytes_per_s: hollow_bytes_per_s(self.plan.alone_numbers()),
+                cpu_share: (after.alone_cpu_s - before.alone_cpu_s) / seconds,
+                memory_bytes: meter::mean_anonymous_bytes(&self.alone_ids())? - without_store.memory_bytes,
+            },
             hollow_resident_bytes: resident / hollow_count,
             real: ControlCost {
-                bytes_per_s: bytes_per_s(is_real_client, self.plan.real),
+                bytes_per_s: bytes_per_s(&|name| is_real_client(self.plan, name), self.plan.real),
                 cpu_share: (after.real_cpu_s - before.real_cpu_s) / seconds - without_store.cpu_share,
-                memory_bytes: meter::mean_anonymous_bytes(&self.real.with_store)?
+                memory_bytes: meter::mean_anonymous_bytes(&ids(&self.real.with_store))?
                     - without_store.memory_bytes,
             },
             without_store,
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -6,10 +6,10 @@
 use clap::{Parser, ValueEnum};
 use orchidtally_scale::comparison::{self, GatewayError, gateway_program};
 use orchidtally_scale::parts::{self, Part, PartError};
-use orchidtally_scale::report::{self, Report};
+use orchidtally_scale::report::{self, Report, Row};
 use orchidtally_scale::size::{Injection, Size};
 use orchidtally_scale::{config, fleet, slopes, store, tables};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use thiserror::Error;
 
@@ -26,6 +26,8 @@
 enum Run {
     /// What one more of each dimension costs, and hollow front ends beside real ones.
     Slopes,
+    /// Hollow front ends beside real ones alone.
+    Comparison,
     /// The fleet in simulated time, through failures.
     Fleet,
     /// Distribution of configuration, through failures.
@@ -37,6 +39,9 @@
     /// The control store of a run, as a process of its own.
     #[value(hide = true)]
     Store,
+    /// A hollow front end of a comparison, as a process of its own.
+    #[value(hide = true)]
+    Hollow,
 }
 
 /// Scale tests of orchidtally's own parts, for maintainers.
@@ -143,11 +148,21 @@
     // A program that is missing is told before anything takes its time.
     let gateway = gateway_program(arguments.gateway.as_deref())?;
     let found = slopes::run(&size, arguments.seed, arguments.short);
-    let plan = comparison::Plan::new(&size, arguments.seed, arguments.short);
-    let rows = found.rows.into_iter().chain(comparison::run(&plan, &gateway)).collect();
+    let rows = found.rows.into_iter().chain(comparison_rows(arguments, &size, &gateway)).collect();
     Ok(Report::new(size, arguments.seed, None, rows, found.slopes))
 }
 
+fn run_comparison(arguments: &Arguments, size: Size) -> Result<Report, GatewayError> {
+    let gateway = gateway_program(arguments.gateway.as_deref())?;
+    let rows = comparison_rows(arguments, &size, &gateway);
+    Ok(Report::new(size, arguments.seed, None, rows, vec![]))
+}
+
+fn comparison_rows(arguments: &Arguments, size: &Size, gateway: &Path) -> Vec<Row> {
+    let plan = comparison::Plan::new(size, arguments.seed, arguments.short);
+    comparison::run(&plan, gateway)
+}
+
 fn run_fleet(arguments: &Arguments, size: Size) -> Report {
     let default = if arguments.short { SHORT_FLEET_SECONDS } else { fleet::SECONDS };
     let rows = fleet::run(&size, arguments.seed, arguments.seconds.unwrap_or(default));
@@ -198,6 +213,12 @@
                 Err(why) => failed(&format!("the store could not serve: {why}")),
             };
         }
+        Run::Hollow => {
+            return match comparison::serve_alone() {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(why) => failed(&why),
+            };
+        }
         Run::Stored => match serde_json::from_reader(std::io::stdin().lock()) {
             Ok(report) => report,
             Err(why) => {
@@ -209,6 +230,10 @@
             Ok(report) => report,
             Err(why) => return failed(&why),
         },
+        Run::Comparison => match run_comparison(&arguments, size) {
+            Ok(report) => report,
+            Err(why) => return failed(&why),
+        },
         Run::Fleet => run_fleet(&arguments, size),
         Run::Config => run_config(&arguments, size),
         Run::All => match run_all(&arguments, size) {
--- a/crates/scale/tests/comparison.rs
+++ b/crates/scale/tests/comparison.rs
@@ -10,13 +10,16 @@
 use std::process::{Command, Stdio};
 use std::time::{Duration, Instant};
 
-const ROWS: [&str; 6] = [
+const ROWS: [&str; 9] = [
     "real_control_bytes_per_s",
     "hollow_real_bytes_ratio",
+    "hollow_alone_real_bytes_ratio",
     "real_control_cpu_share",
     "hollow_real_cpu_ratio",
+    "hollow_alone_real_cpu_ratio",
     "real_control_memory_mb",
     "hollow_real_memory_ratio",
+    "hollow_alone_real_memory_ratio",
 ];
 /// What nothing here takes longer than.
 const TIMEOUT: Duration = Duration::from_secs(60);
@@ -37,6 +40,7 @@
 fn a_difference_of_a_fifth_is_held_either_way_and_more_is_missed() {
     let found = Comparison {
         hollow: cost(1_100.0, 0.0010, 50e6),
+        alone: cost(1_100.0, 0.0012, 20e6),
         real: cost(1_000.0, 0.0012, 30e6),
         list_bytes_per_s: 100.0,
         ..Comparison::default()
@@ -48,7 +52,13 @@
     assert!((measured("hollow_real_bytes_ratio") - 1_200.0 / 1_100.0).abs() < 1e-9);
     assert!((measured("hollow_real_cpu_ratio") - 1.2).abs() < 1e-9, "the greater one is above the line");
     assert!((measured("hollow_real_memory_ratio") - 5.0 / 3.0).abs() < 1e-9);
-    assert!(row(&rows, "hollow_real_bytes_ratio").held);
+    assert_eq!(measured("hollow_alone_real_cpu_ratio"), 1.0);
+    assert!(
+        (measured("hollow_alone_real_memory_ratio") - 1.5).abs() < 1e-9,
+        "the smaller one is below the line"
+    );
+    assert!(row(&rows, "hollow_real_bytes_ratio").held && row(&rows, "hollow_alone_real_cpu_ratio").held);
+    assert!(!row(&rows, "hollow_alone_real_memory_ratio").held);
     assert!(!row(&rows, "hollow_real_memory_ratio").held);
     let limits = ["real_control_bytes_per_s", "real_control_cpu_share", "real_control_memory_mb"];
     assert_eq!(limits.map(|name| row(&rows, name).limit), [12_000.0, 0.048, 64.0]);
@@ -77,7 +87,7 @@
 
 #[test]
 fn a_gateway_that_is_not_built_is_told_before_anything_runs() {
-    for run in ["slopes", "all"] {
+    for run in ["slopes", "comparison", "all"] {
         let arguments = [run, "--gateway", "/nowhere/orchidtally"];
         let output = Command::new(kit::SCALE).args(arguments).output().expect("the program starts");
         let messages = String::from_utf8_lossy(&output.stderr);
@@ -90,7 +100,7 @@
 
 #[test]
 fn hollow_and_real_front_ends_run_side_by_side() {
-    let output = kit::run(&["slopes", "--short", "--seed", "5"]);
+    let output = kit::run(&["comparison", "--short", "--seed", "5"]);
     let text = String::from_utf8_lossy(&output.stdout);
     let messages = String::from_utf8_lossy(&output.stderr);
     let report: Report = serde_json::from_str(text.lines().last().unwrap_or_default())
@@ -98,7 +108,7 @@
     for name in ROWS {
         let row = row(&report.rows, name);
         assert!(row.note.starts_with("2 processes of `orchidtally serve`: "), "{row:?}\n{messages}");
-        assert!(row.note.contains("2 hollow front ends in one process"), "{row:?}");
+        assert!(row.note.contains("2 hollow front ends in one process beside them: "), "{row:?}");
         // So short a run can't tell of the design.
         assert!(row.measured.is_none(), "{row:?}");
     }
