Read what was missed with several reads under way; tell deletions by digests

Cause: behind a compaction a front end read one range at a time, so that small answers were paced by the way to the store, not by bytes: 100 missed changes took 19.6 s with 150 ms one way. Each deletion cost 1.4 reads and 1,080 bytes, as the keys of its whole bucket were read: 100 took 33.45 s (77.05 s with 150 ms one way), 400 took 94.05 s. And it stood still for up to 3 s before its first read.

Change: the ranges of a step are read side by side, up to 16, each charged to the pace when it is sent. A bucket that only lost up to three entries differs by the sum of their hashes: those names are looked up in what is known and asked for by key alone; a bucket whose digest misleads is read as before. Instead of a drawn standstill the digests are read at half the pace. An answer's bytes are its message's and 60, not the connection's counter, which tells of all reads that are under way and of the watch.

Left open: a read counts 300 bytes at least, so 400 deletions are about what 18 s carry.

--- a/crates/config-sync/src/action.rs
+++ b/crates/config-sync/src/action.rs
@@ -15,6 +15,8 @@
     Scan,
     /// What changed since the applied revision, where digests differ.
     Changed,
+    /// One key that digests show as deleted.
+    Deletion,
     /// One bucket whose digest differs: its keys, or its entries.
     Bucket(usize),
 }
--- a/crates/config-sync/src/keys.rs
+++ b/crates/config-sync/src/keys.rs
@@ -170,6 +170,13 @@
         format!("{}entries/{:04x}/{}", self.prefix, key.bucket(), key).into_bytes()
     }
 
+    /// The range that holds one entry's key and no other.
+    pub fn entry_alone(&self, key: &EntryKey) -> KeyRange {
+        let start = self.entry(key);
+        let end = [&start[..], &[0]].concat();
+        KeyRange { start, end }
+    }
+
     /// The range of all entries; it is what is watched.
     pub fn entries(&self) -> KeyRange {
         KeyRange::of_prefix(format!("{}entries/", self.prefix).into_bytes())
--- a/crates/config-sync/src/lib.rs
+++ b/crates/config-sync/src/lib.rs
@@ -26,6 +26,7 @@
 
 mod applier;
 mod backlog;
+mod deletions;
 mod freshness;
 mod pacing;
 mod stored;
--- a/crates/config-sync/src/stored.rs
+++ b/crates/config-sync/src/stored.rs
@@ -14,7 +14,7 @@
 }
 
 impl StoredEntry {
-    fn hash(&self) -> u64 {
+    pub(crate) fn hash(&self) -> u64 {
         entry_hash(self.key.as_str(), &self.document)
     }
 
--- a/crates/config-sync/src/sync/barrier.rs
+++ b/crates/config-sync/src/sync/barrier.rs
@@ -121,7 +121,7 @@
 
     fn same_store(&mut self, now: f64, open: &OpenBarrier, revision: i64) {
         match self.phase {
-            Phase::AwaitingBarrier => self.delay(now, self.need),
+            Phase::AwaitingBarrier => self.start_reading(now, self.need),
             Phase::Halted { state: ReportedState::UnknownFormat, .. } => {
                 self.fault = None;
                 self.resume(now);
@@ -144,7 +144,7 @@
         self.close_watch();
         self.reading = None;
         self.freshness.forget_questions();
-        self.delay(now, if is_first { Need::CatchUp } else { Need::Rebase });
+        self.start_reading(now, if is_first { Need::CatchUp } else { Need::Rebase });
         self.mark_report(now);
     }
 }
--- a/crates/config-sync/src/sync/catch_up.rs
+++ b/crates/config-sync/src/sync/catch_up.rs
@@ -1,17 +1,17 @@
 //! What the answers of reads mean: the store's history is the one that is known, or another; what is missing is
 //! staged, and comes into force whole at one revision.
 
-use super::reading::{OpenRead, Reading, Step};
+use super::reading::{LEAST_READ_BYTES, Part, Reading, Step};
+use super::requests::OpenRead;
 use super::{ConfigSync, Need, Phase};
-use crate::keys::{EntryKey, Keyspace, group_of};
-use crate::message::{RangeAnswer, RangeEntry, RequestFailure, RequestId};
+use crate::keys::EntryKey;
+use crate::message::{RangeAnswer, RangeEntry};
 use crate::report::ReportedState;
 use crate::schema::Schema;
 use crate::stored::{Stored, StoredEntry};
-use std::collections::{BTreeMap, BTreeSet};
 
 /// What is to be done after an answer.
-enum Outcome {
+pub(super) enum Outcome {
     /// More is to be read.
     GoOn,
     /// All is read; so many buckets have digests that don't fit their entries.
@@ -26,9 +26,10 @@
     /// A read was answered.
     pub fn range_answer(&mut self, now: f64, answer: RangeAnswer) {
         let Some(open) = self.take_open_read(answer.id) else { return };
-        self.read_pace.charge(now, answer.bytes as f64);
-        match self.judge_answer(&open, answer) {
-            Outcome::GoOn => {}
+        let bytes = (answer.bytes as f64).max(LEAST_READ_BYTES);
+        self.read_pace.charge(now, bytes - open.charged);
+        match self.judge_answer(open, answer) {
+            Outcome::GoOn => self.leave_slow_start(now),
             Outcome::Done { digest_faults } => self.finish_reading(now, digest_faults),
             Outcome::OtherHistory => self.halt(now, ReportedState::StoreSetBack),
             Outcome::TooLarge => {
@@ -38,44 +39,15 @@
         }
     }
 
-    /// A read or a barrier failed.
-    pub fn request_failed(&mut self, now: f64, id: RequestId, failure: RequestFailure) {
-        if self.barrier_failed(now, id) || self.take_open_read(id).is_none() {
-            return;
+    /// Once digests are read the pace is known to be needed, or not.
+    fn leave_slow_start(&mut self, now: f64) {
+        let reads_digests = |reading: &Reading| matches!(reading.step, Step::Digests { .. });
+        if !self.reading.as_ref().is_some_and(reads_digests) {
+            self.read_pace.end_slow_start(now);
         }
-        match failure {
-            RequestFailure::Unavailable => self.pause_reading(now),
-            RequestFailure::Compacted => self.read_was_compacted(now),
-            RequestFailure::FutureRevision => self.halt(now, ReportedState::StoreSetBack),
-        }
-    }
-
-    fn take_open_read(&mut self, id: RequestId) -> Option<OpenRead> {
-        let reading = self.reading.as_mut()?;
-        reading.open.take_if(|open| open.id == id)
     }
 
-    /// The revision that was read at is gone.
-    fn read_was_compacted(&mut self, now: f64) {
-        let Some(reading) = &mut self.reading else { return };
-        if !reading.is_verification() {
-            reading.begin_anew();
-            self.pause_reading(now);
-            return;
-        }
-        self.reading = None;
-        match self.phase {
-            Phase::Following => self.schedule_audit(now),
-            // Without the old revision nothing shows that the history is the same.
-            _ if self.distrusts => self.halt(now, ReportedState::StoreSetBack),
-            _ => {
-                self.close_watch();
-                self.delay(now, Need::CatchUp);
-            }
-        }
-    }
-
-    fn judge_answer(&mut self, open: &OpenRead, answer: RangeAnswer) -> Outcome {
+    fn judge_answer(&mut self, open: OpenRead, answer: RangeAnswer) -> Outcome {
         let same_cluster = self.source.is_some_and(|source| source.cluster == answer.header.cluster);
         if !same_cluster || answer.header.revision < open.known_revision {
             return Outcome::OtherHistory;
@@ -85,26 +57,35 @@
             reading.revision = answer.header.revision;
         }
         reading.learn_size(answer.entries.len(), answer.bytes);
-        let last = answer.entries.last().map(|entry| entry.key.clone()).filter(|_| answer.more);
-        let outcome = self.take_in(&mut reading, answer.entries, last);
+        let last = answer.entries.last().filter(|_| answer.more);
+        if let Some(last) = last {
+            reading.pending.push_front(open.part.after(&last.key, answer.entries.len()));
+        }
+        let is_page = last.is_some();
+        let outcome = self.take_in(&mut reading, &open.part, answer.entries, is_page);
         self.reading = Some(reading);
         outcome
     }
 
-    fn take_in(&mut self, reading: &mut Reading, entries: Vec<RangeEntry>, last: Option<Vec<u8>>) -> Outcome {
-        let rest = last.map(|last| reading.range(&self.keyspace).after(&last));
-        let is_page = rest.is_some();
-        reading.rest = rest;
-        match &mut reading.step {
-            Step::Digests { .. } => self.take_digests(reading, entries, is_page),
+    fn take_in(
+        &mut self,
+        reading: &mut Reading,
+        part: &Part,
+        entries: Vec<RangeEntry>,
+        is_page: bool,
+    ) -> Outcome {
+        match &reading.step {
+            Step::Digests { .. } => self.take_digests(reading, entries),
             Step::Scan => self.take_scanned(reading, entries),
-            Step::Changed { .. } => self.take_changed(reading, entries, is_page),
-            Step::BucketKeys { .. } => self.take_bucket_keys(reading, entries, is_page),
-            Step::Buckets { .. } => self.take_bucket(reading, entries, is_page),
+            Step::Deletions { .. } => self.take_deletion(reading, part, entries),
+            Step::Changed => self.take_changed(reading, entries),
+            Step::BucketKeys { .. } => self.take_bucket_keys(reading, part.bucket, entries, is_page),
+            Step::Buckets { .. } => self.take_bucket(reading, part.bucket, entries, is_page),
         }
     }
 
-    fn take_digests(&self, reading: &mut Reading, entries: Vec<RangeEntry>, is_page: bool) -> Outcome {
+    fn take_digests(&self, reading: &mut Reading, entries: Vec<RangeEntry>) -> Outcome {
+        let is_through = reading.step_is_through();
         let Step::Digests { read } = &mut reading.step else { return Outcome::GoOn };
         for entry in entries {
             if let Some(group) = self.keyspace.parse_digest(&entry.key) {
@@ -112,19 +93,19 @@
                 read.decode_group(group, &entry.value);
             }
         }
-        if is_page {
+        if !is_through {
             return Outcome::GoOn;
         }
         reading.digests = std::mem::take(read);
-        if reading.scan.is_some() {
-            reading.enter(Step::Scan);
+        if let Some(scan) = &reading.scan {
+            let rest = scan.rest.clone().unwrap_or_else(|| self.keyspace.entries());
+            reading.enter(Step::Scan, [Part::new(rest, 0, 0)]);
             return Outcome::GoOn;
         }
-        enter_changed(reading, &self.keyspace)
+        self.enter_deletions(reading, false)
     }
 
     fn take_scanned(&mut self, reading: &mut Reading, entries: Vec<RangeEntry>) -> Outcome {
-        let rest = reading.rest.take();
         if self.stage(reading, entries) {
             return Outcome::TooLarge;
         }
@@ -132,29 +113,43 @@
         if scan.began_at == 0 {
             scan.began_at = reading.revision;
         }
-        if rest.is_some() {
-            scan.rest = rest;
+        if let Some(rest) = reading.pending.front() {
+            scan.rest = Some(rest.range.clone());
             return Outcome::GoOn;
         }
         reading.changed_from = scan.began_at + 1;
         reading.scan = None;
-        enter_changed(reading, &self.keyspace)
+        self.enter_changed(reading)
     }
 
-    fn take_changed(&mut self, reading: &mut Reading, entries: Vec<RangeEntry>, is_page: bool) -> Outcome {
-        if self.stage(reading, entries) {
-            return Outcome::TooLarge;
+    /// A key that digests showed as deleted was asked for. If it is there, its bucket's digest misleads.
+    fn take_deletion(&mut self, reading: &mut Reading, part: &Part, entries: Vec<RangeEntry>) -> Outcome {
+        if !entries.is_empty() {
+            reading.misleading.insert(part.bucket);
         }
-        let Step::Changed { ranges } = &mut reading.step else { return Outcome::GoOn };
-        if is_page {
+        let is_through = reading.step_is_through();
+        let Step::Deletions { likely, changes_are_read } = &mut reading.step else { return Outcome::GoOn };
+        if !is_through {
             return Outcome::GoOn;
         }
-        ranges.pop_front();
-        if !ranges.is_empty() {
+        let changes_are_read = *changes_are_read;
+        for (bucket, keys) in std::mem::take(likely) {
+            if !reading.misleading.contains(&bucket) {
+                keys.iter().for_each(|key| reading.staged.delete(key));
+            }
+        }
+        self.leave_deletions(reading, changes_are_read)
+    }
+
+    fn take_changed(&mut self, reading: &mut Reading, entries: Vec<RangeEntry>) -> Outcome {
+        if self.stage(reading, entries) {
+            return Outcome::TooLarge;
+        }
+        if !reading.step_is_through() {
             return Outcome::GoOn;
         }
         reading.changed_from = reading.revision + 1;
-        enter_bucket_keys(reading)
+        self.enter_deletions(reading, true)
     }
 
     /// Puts what was read to what is staged; whether that is more than the front end takes.
@@ -170,50 +165,51 @@
     fn take_bucket_keys(
         &mut self,
         reading: &mut Reading,
+        bucket: usize,
         entries: Vec<RangeEntry>,
         is_page: bool,
     ) -> Outcome {
-        let Step::BucketKeys { remaining, listed } = &mut reading.step else { return Outcome::GoOn };
-        listed.extend(entries.iter().filter_map(|entry| self.keyspace.parse_entry(&entry.key)));
+        let Step::BucketKeys { listed } = &mut reading.step else { return Outcome::GoOn };
+        let of_bucket = listed.entry(bucket).or_default();
+        of_bucket.extend(entries.iter().filter_map(|entry| self.keyspace.parse_entry(&entry.key)));
         if is_page {
             return Outcome::GoOn;
         }
-        let listed = std::mem::take(listed);
-        if let Some(bucket) = remaining.pop_front() {
-            let staged = reading.staged.bucket(bucket).iter().map(|entry| entry.key.clone());
-            let deleted: Vec<EntryKey> = staged.filter(|key| !listed.contains(key)).collect();
-            deleted.iter().for_each(|key| reading.staged.delete(key));
-        }
-        if remaining.is_empty() { enter_buckets(reading) } else { Outcome::GoOn }
+        let of_bucket = listed.remove(&bucket).unwrap_or_default();
+        let staged = reading.staged.bucket(bucket).iter().map(|entry| entry.key.clone());
+        let deleted: Vec<EntryKey> = staged.filter(|key| !of_bucket.contains(key)).collect();
+        deleted.iter().for_each(|key| reading.staged.delete(key));
+        if reading.step_is_through() { self.enter_buckets(reading) } else { Outcome::GoOn }
     }
 
-    fn take_bucket(&mut self, reading: &mut Reading, entries: Vec<RangeEntry>, is_page: bool) -> Outcome {
-        let Step::Buckets { remaining, entries: collected } = &mut reading.step else { return Outcome::GoOn };
-        let Some(bucket) = remaining.front().copied() else { return Outcome::GoOn };
+    fn take_bucket(
+        &mut self,
+        reading: &mut Reading,
+        bucket: usize,
+        entries: Vec<RangeEntry>,
+        is_page: bool,
+    ) -> Outcome {
+        let Step::Buckets { collected } = &mut reading.step else { return Outcome::GoOn };
+        let of_bucket = collected.entry(bucket).or_default();
         for entry in entries {
-            collected.extend(self.read_entry(entry).filter(|entry| entry.key.bucket() == bucket));
+            of_bucket.extend(self.read_entry(entry).filter(|entry| entry.key.bucket() == bucket));
         }
-        let is_too_large = collected.len() > self.settings.max_entries;
+        let is_too_large = of_bucket.len() > self.settings.max_entries;
         if is_page && !is_too_large {
             return Outcome::GoOn;
         }
-        let collected = std::mem::take(collected);
-        remaining.pop_front();
-        let is_last = remaining.is_empty();
+        let of_bucket = collected.remove(&bucket).unwrap_or_default();
         if is_too_large {
             return Outcome::TooLarge;
         }
-        if self.shows_other_history(reading, bucket, &collected) {
+        if self.shows_other_history(reading, bucket, &of_bucket) {
             return Outcome::OtherHistory;
         }
-        reading.staged.replace_bucket(bucket, collected);
+        reading.staged.replace_bucket(bucket, of_bucket);
         if self.is_too_large(&reading.staged) {
             return Outcome::TooLarge;
         }
-        if !is_last {
-            return Outcome::GoOn;
-        }
-        done(reading)
+        if reading.step_is_through() { done(reading) } else { Outcome::GoOn }
     }
 
     /// Whether a bucket can't be the known history's. What was written up to the applied revision never changes: an
@@ -283,44 +279,6 @@
     }
 }
 
-/// Reads what was changed in the groups that differ, if revisions tell.
-fn enter_changed(reading: &mut Reading, keyspace: &Keyspace) -> Outcome {
-    if reading.changed_from == 0 || reading.changed_from > reading.revision {
-        return enter_bucket_keys(reading);
-    }
-    let mut spans: BTreeMap<usize, (usize, usize)> = BTreeMap::new();
-    for bucket in reading.digests.differing(reading.staged.digests()) {
-        spans.entry(group_of(bucket)).or_insert((bucket, bucket)).1 = bucket;
-    }
-    if spans.is_empty() {
-        return done(reading);
-    }
-    let range = |(first, last): &(usize, usize)| keyspace.bucket(*first).through(keyspace.bucket(*last));
-    let ranges = spans.values().map(range).collect();
-    reading.enter(Step::Changed { ranges });
-    Outcome::GoOn
-}
-
-/// Finds what was deleted, if anything still differs. Another history's keys are known to differ in their values.
-fn enter_bucket_keys(reading: &mut Reading) -> Outcome {
-    let differing = reading.digests.differing(reading.staged.digests());
-    if differing.is_empty() || reading.need != Need::CatchUp {
-        return enter_buckets(reading);
-    }
-    reading.enter(Step::BucketKeys { remaining: differing.into(), listed: BTreeSet::new() });
-    Outcome::GoOn
-}
-
-/// Reads the buckets that differ, if any do.
-fn enter_buckets(reading: &mut Reading) -> Outcome {
-    let differing = reading.digests.differing(reading.staged.digests());
-    if differing.is_empty() {
-        return done(reading);
-    }
-    reading.enter(Step::Buckets { remaining: differing.into(), entries: vec![] });
-    Outcome::GoOn
-}
-
 /// Whether two buckets, both sorted by key, hold the same keys and documents.
 fn same_content(known: &[StoredEntry], read: &[StoredEntry]) -> bool {
     let same = |(known, read): (&StoredEntry, &StoredEntry)| {
@@ -330,6 +288,6 @@
 }
 
 /// All buckets that differed were read whole: where digests still differ, they are at fault.
-fn done(reading: &Reading) -> Outcome {
+pub(super) fn done(reading: &Reading) -> Outcome {
     Outcome::Done { digest_faults: reading.digests.differing(reading.staged.digests()).len() }
 }
--- a/crates/config-sync/src/sync/mod.rs
+++ b/crates/config-sync/src/sync/mod.rs
@@ -8,7 +8,9 @@
 mod catch_up;
 mod publishing;
 mod reading;
+mod requests;
 mod restoring;
+mod steps;
 mod timers;
 mod verdict;
 mod watching;
@@ -49,10 +51,6 @@
     Disconnected,
     /// The first barrier of this connection isn't answered yet.
     AwaitingBarrier,
-    /// A drawn delay before reading, so that front ends that come back together don't read together.
-    Delaying {
-        until: f64,
-    },
     /// Reading what decides, or brings, the view; changes wait.
     Reading,
     /// The view follows the watch.
@@ -214,13 +212,6 @@
         RequestId(self.next_request)
     }
 
-    /// Waits for a drawn delay, then reads what is needed.
-    fn delay(&mut self, now: f64, need: Need) {
-        self.need = need;
-        let until = now + self.draw(self.settings.spread);
-        self.phase = Phase::Delaying { until };
-    }
-
     /// Keeps the last good view until the store has come right.
     fn halt(&mut self, now: f64, state: ReportedState) {
         if matches!(self.phase, Phase::Halted { state: known, .. } if known == state) {
--- a/crates/config-sync/src/sync/reading.rs
+++ b/crates/config-sync/src/sync/reading.rs
@@ -1,23 +1,27 @@
-//! Reads, one after another and at the pace.
+//! What is read, in which order: the steps of a run of reads, and the ranges of each.
 //!
-//! Digests come first. A front end that has nothing reads all entries once. One that has something reads, of the
-//! groups in which digests differ, what was changed since; then the keys of buckets that still differ, where something
-//! was deleted; then what differs even so, whole.
+//! Digests come first. A front end that has nothing reads all entries once. One that has something asks for the keys that
+//! digests show as deleted; then it reads, of the groups in which digests differ, what was changed since; then the keys of
+//! buckets that still differ; then what differs even so, whole. The ranges of one step don't depend on each other:
+//! several are read at a time.
 
+use super::requests::OpenRead;
 use super::{ConfigSync, Need, Phase};
-use crate::action::{Action, ReadKind, ReadRequest};
+use crate::action::ReadKind;
 use crate::digest::Digests;
-use crate::keys::{EntryKey, KeyRange, Keyspace};
-use crate::message::{RequestFailure, RequestId};
+use crate::keys::{EntryKey, KeyRange};
 use crate::schema::Schema;
 use crate::stored::{Stored, StoredEntry};
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Bytes of an entry on the wire before any was seen, and of a digest group.
 const ENTRY_BYTES_GUESS: f64 = 400.0;
 const DIGEST_GROUP_BYTES: f64 = 330.0;
-/// Bytes of a key on the wire without its value.
+/// Bytes of a key on the wire without its value, and of an answer without entries.
 const KEY_BYTES: f64 = 100.0;
+const ANSWER_BYTES: f64 = 100.0;
+/// Bytes that a read counts at the least: its question takes as much as a small answer.
+pub(super) const LEAST_READ_BYTES: f64 = 300.0;
 /// The weight of the newest answer in the mean size of entries.
 const NEWEST_WEIGHT: f64 = 0.3;
 /// Entries that one read asks for at most.
@@ -35,23 +39,49 @@
     },
     /// All entries; for the first load only.
     Scan,
-    /// What was changed, in these ranges, the first one now.
-    Changed { ranges: VecDeque<KeyRange> },
+    /// Keys that digests show as deleted, one a range.
+    Deletions {
+        /// The keys of each bucket.
+        likely: BTreeMap<usize, Vec<EntryKey>>,
+        /// What was changed was read before.
+        changes_are_read: bool,
+    },
+    /// What was changed in the groups that differ.
+    Changed,
     /// Keys of buckets; what isn't among them was deleted.
     BucketKeys {
-        /// Buckets to be read, the first one now.
-        remaining: VecDeque<usize>,
-        /// What was read of the first.
-        listed: BTreeSet<EntryKey>,
+        /// What was read so far, by bucket.
+        listed: BTreeMap<usize, BTreeSet<EntryKey>>,
     },
+    /// Whole buckets.
     Buckets {
-        /// Buckets to be read, the first one now.
-        remaining: VecDeque<usize>,
-        /// What was read of the first.
-        entries: Vec<StoredEntry>,
+        /// What was read so far, by bucket.
+        collected: BTreeMap<usize, Vec<StoredEntry>>,
     },
 }
 
+/// A range of the present step that is to be read.
+#[derive(Clone, Debug)]
+pub(super) struct Part {
+    pub(super) range: KeyRange,
+    /// The bucket that it is of, where a step reads buckets.
+    pub(super) bucket: usize,
+    /// Entries that it is expected to hold.
+    pub(super) expected: usize,
+}
+
+impl Part {
+    pub(super) fn new(range: KeyRange, bucket: usize, expected: usize) -> Part {
+        Part { range, bucket, expected }
+    }
+
+    /// What is left of it behind a page that ended with this key.
+    pub(super) fn after(&self, last: &[u8], read: usize) -> Part {
+        let expected = self.expected.saturating_sub(read).max(1);
+        Part { range: self.range.after(last), bucket: self.bucket, expected }
+    }
+}
+
 /// A run of reads at one revision of the store.
 #[derive(Clone, Debug)]
 pub(super) struct Reading {
@@ -65,13 +95,16 @@
     pub(super) scan: Option<Scan>,
     /// What was known at `revision` (verification), or what was known and read so far (catch-up).
     pub(super) staged: Stored,
-    /// Where the next page begins.
-    pub(super) rest: Option<KeyRange>,
     /// The store's digests at `revision`, once they are read.
     pub(super) digests: Digests,
-    pub(super) open: Option<OpenRead>,
+    /// Buckets whose digests showed deletions of entries that are still there.
+    pub(super) misleading: BTreeSet<usize>,
+    /// What the present step has still to ask for.
+    pub(super) pending: VecDeque<Part>,
+    /// What was asked and not answered.
+    pub(super) open: Vec<OpenRead>,
     /// Not before this time, after a failure.
-    not_before: f64,
+    pub(super) not_before: f64,
     pause: f64,
     entry_bytes: f64,
 }
@@ -85,37 +118,25 @@
     pub(super) rest: Option<KeyRange>,
 }
 
-/// A read that isn't answered yet.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct OpenRead {
-    pub(super) id: RequestId,
-    deadline: f64,
-    /// Applied when it was asked: a linearizable answer can't be older in the same history.
-    pub(super) known_revision: i64,
-}
-
 impl Reading {
-    pub(super) fn new(need: Need, revision: i64, changed_from: i64, staged: Stored) -> Reading {
-        Reading {
+    fn new(need: Need, revision: i64, changed_from: i64, staged: Stored, digests: KeyRange) -> Reading {
+        let mut reading = Reading {
             need,
-            step: Step::Digests { read: Digests::default() },
+            step: Step::Scan,
             revision,
             changed_from,
             scan: None,
             staged,
-            rest: None,
             digests: Digests::default(),
-            open: None,
+            misleading: BTreeSet::new(),
+            pending: VecDeque::new(),
+            open: vec![],
             not_before: f64::NEG_INFINITY,
             pause: FIRST_PAUSE,
             entry_bytes: ENTRY_BYTES_GUESS,
-        }
-    }
-
-    /// Reads everything.
-    fn first_load() -> Reading {
-        let reading = Reading::new(Need::CatchUp, 0, 0, Stored::default());
-        Reading { scan: Some(Scan::default()), ..reading }
+        };
+        reading.enter_digests(digests);
+        reading
     }
 
     /// Whether what is staged serves this need.
@@ -128,19 +149,31 @@
     }
 
     /// Begins anew at the newest revision; what is staged stays.
-    pub(super) fn begin_anew(&mut self) {
-        self.step = Step::Digests { read: Digests::default() };
-        (self.revision, self.rest, self.open) = (0, None, None);
+    pub(super) fn begin_anew(&mut self, digests: KeyRange) {
+        self.revision = 0;
+        self.misleading.clear();
+        self.enter_digests(digests);
+    }
+
+    fn enter_digests(&mut self, digests: KeyRange) {
+        self.enter(Step::Digests { read: Digests::default() }, [Part::new(digests, 0, 0)]);
     }
 
     /// Goes on with what comes next.
-    pub(super) fn enter(&mut self, step: Step) {
-        (self.step, self.rest) = (step, None);
+    pub(super) fn enter(&mut self, step: Step, parts: impl IntoIterator<Item = Part>) {
+        self.step = step;
+        self.pending = parts.into_iter().collect();
+        self.open.clear();
+    }
+
+    /// Whether all of the present step was answered.
+    pub(super) fn step_is_through(&self) -> bool {
+        self.pending.is_empty() && self.open.is_empty()
     }
 
     /// Learns the size of entries from an answer.
     pub(super) fn learn_size(&mut self, entries: usize, bytes: usize) {
-        let has_values = !matches!(self.step, Step::Digests { .. } | Step::BucketKeys { .. });
+        let has_values = matches!(self.step, Step::Scan | Step::Changed | Step::Buckets { .. });
         if entries > 0 && has_values {
             let size = bytes as f64 / entries as f64;
             self.entry_bytes += NEWEST_WEIGHT * (size - self.entry_bytes);
@@ -148,133 +181,107 @@
         self.pause = FIRST_PAUSE;
     }
 
-    /// Entries that fit one page.
-    fn limit(&self, page_bytes: f64) -> i64 {
-        let each = match self.step {
+    /// Waits a while after a failed read. Reads that fail together are one failure.
+    pub(super) fn pause(&mut self, now: f64, part: f64) {
+        if self.not_before > now {
+            return;
+        }
+        self.not_before = now + 2.0 * self.pause * part;
+        self.pause = (2.0 * self.pause).min(LONGEST_PAUSE);
+    }
+
+    /// Bytes of an entry in the present step's answers.
+    fn bytes_each(&self) -> f64 {
+        match self.step {
             Step::Digests { .. } => DIGEST_GROUP_BYTES,
-            Step::BucketKeys { .. } => KEY_BYTES,
-            Step::Scan | Step::Changed { .. } | Step::Buckets { .. } => self.entry_bytes.max(1.0),
-        };
-        (page_bytes / each).clamp(1.0, MAX_LIMIT) as i64
+            Step::Deletions { .. } | Step::BucketKeys { .. } => KEY_BYTES,
+            Step::Scan | Step::Changed | Step::Buckets { .. } => self.entry_bytes.max(1.0),
+        }
     }
 
-    /// The range of the next read.
-    pub(super) fn range(&self, keyspace: &Keyspace) -> KeyRange {
-        let scanned = self.scan.as_ref().and_then(|scan| scan.rest.clone());
-        let whole = match &self.step {
-            Step::Digests { .. } => keyspace.digests(),
-            Step::Scan => return scanned.unwrap_or_else(|| keyspace.entries()),
-            Step::Changed { ranges } => ranges.front().cloned().unwrap_or_else(|| keyspace.entries()),
-            Step::BucketKeys { remaining, .. } | Step::Buckets { remaining, .. } => {
-                keyspace.bucket(remaining.front().copied().unwrap_or(0))
+    /// Entries that fit one page.
+    pub(super) fn limit(&self, page_bytes: f64) -> i64 {
+        (page_bytes / self.bytes_each()).clamp(1.0, MAX_LIMIT) as i64
+    }
+
+    /// Bytes that the answer to the next read should have.
+    pub(super) fn expected_bytes(&self, part: &Part, page_bytes: f64) -> f64 {
+        match self.step {
+            Step::Digests { .. } | Step::Scan => page_bytes,
+            // The key should be gone.
+            Step::Deletions { .. } => LEAST_READ_BYTES,
+            Step::Changed | Step::BucketKeys { .. } | Step::Buckets { .. } => {
+                let entries = part.expected as f64 * self.bytes_each();
+                (ANSWER_BYTES + entries).clamp(LEAST_READ_BYTES.min(page_bytes), page_bytes)
             }
-        };
-        self.rest.clone().unwrap_or(whole)
+        }
     }
 
-    fn min_mod_revision(&self) -> i64 {
+    pub(super) fn min_mod_revision(&self) -> i64 {
         match self.step {
-            Step::Changed { .. } => self.changed_from,
+            Step::Changed => self.changed_from,
             _ => 0,
         }
     }
 
-    fn kind(&self) -> ReadKind {
-        match &self.step {
+    pub(super) fn reads_keys_only(&self) -> bool {
+        matches!(self.step, Step::Deletions { .. } | Step::BucketKeys { .. })
+    }
+
+    pub(super) fn kind(&self, part: &Part) -> ReadKind {
+        match self.step {
             Step::Digests { .. } => ReadKind::Digests,
             Step::Scan => ReadKind::Scan,
-            Step::Changed { .. } => ReadKind::Changed,
-            Step::BucketKeys { remaining, .. } | Step::Buckets { remaining, .. } => {
-                ReadKind::Bucket(remaining.front().copied().unwrap_or(0))
-            }
+            Step::Deletions { .. } => ReadKind::Deletion,
+            Step::Changed => ReadKind::Changed,
+            Step::BucketKeys { .. } | Step::Buckets { .. } => ReadKind::Bucket(part.bucket),
         }
     }
 }
 
 impl<S: Schema> ConfigSync<S> {
-    /// Begins what is needed before the watch is followed.
-    pub(super) fn begin_reading(&mut self) {
+    /// Begins what is needed before the watch is followed: slowly, as others may have come together with this one.
+    pub(super) fn start_reading(&mut self, now: f64, need: Need) {
+        self.need = need;
         self.phase = Phase::Reading;
-        if let Some(reading) = self.reading.as_mut().filter(|reading| reading.goes_on_with(self.need)) {
-            reading.begin_anew();
+        let part = self.draw(1.0);
+        self.read_pace.start_slowly(now, self.settings.spread, part);
+        let digests = self.keyspace.digests();
+        if let Some(reading) = self.reading.as_mut().filter(|reading| reading.goes_on_with(need)) {
+            reading.begin_anew(digests);
             return;
         }
-        self.reading = Some(match self.need {
-            Need::Verification => Reading::new(self.need, self.applied_revision, 0, self.stored.clone()),
+        self.reading = Some(self.new_reading(need, digests));
+    }
+
+    fn new_reading(&self, need: Need, digests: KeyRange) -> Reading {
+        let known = self.stored.clone();
+        match need {
+            Need::Verification => Reading::new(need, self.applied_revision, 0, known, digests),
             Need::CatchUp if self.loaded.is_some() => {
-                Reading::new(self.need, 0, self.applied_revision + 1, self.stored.clone())
+                Reading::new(need, 0, self.applied_revision + 1, known, digests)
+            }
+            Need::CatchUp => {
+                let reading = Reading::new(need, 0, 0, Stored::default(), digests);
+                Reading { scan: Some(Scan::default()), ..reading }
             }
-            Need::CatchUp => Reading::first_load(),
-            Need::Rebase => Reading::new(self.need, 0, 0, self.stored.clone()),
-        });
+            Need::Rebase => Reading::new(need, 0, 0, known, digests),
+        }
     }
 
     /// Compares digests while the watch is followed.
     pub(super) fn begin_audit(&mut self) {
-        let staged = self.stored.clone();
-        self.reading = Some(Reading::new(Need::Verification, self.applied_revision, 0, staged));
-    }
-
-    /// When something is to be done about reads.
-    pub(super) fn read_timer(&self) -> f64 {
-        let Some(reading) = &self.reading else { return f64::INFINITY };
-        if !matches!(self.phase, Phase::Reading | Phase::Following) {
-            return f64::INFINITY;
-        }
-        match reading.open {
-            Some(open) => open.deadline,
-            None => self.read_pace.ready_at(self.settings.page_bytes).max(reading.not_before),
-        }
-    }
-
-    pub(super) fn run_read_timer(&mut self, now: f64) {
-        if now < self.read_timer() {
-            return;
-        }
-        match self.reading.as_ref().and_then(|reading| reading.open) {
-            Some(open) => self.request_failed(now, open.id, RequestFailure::Unavailable),
-            None => self.send_read(now),
-        }
-    }
-
-    /// Waits a while after a failed read.
-    pub(super) fn pause_reading(&mut self, now: f64) {
-        let Some(pause) = self.reading.as_ref().map(|reading| reading.pause) else { return };
-        let drawn = self.draw(2.0 * pause);
-        if let Some(reading) = &mut self.reading {
-            reading.not_before = now + drawn;
-            reading.pause = (2.0 * pause).min(LONGEST_PAUSE);
-        }
+        self.reading = Some(self.new_reading(Need::Verification, self.keyspace.digests()));
     }
 
     /// What was asked is not waited for; a verification begins anew, a catch-up keeps what it has read.
-    pub(super) fn forget_requests(&mut self) {
+    pub(super) fn forget_reads(&mut self) {
         if self.reading.as_ref().is_some_and(Reading::is_verification) {
             self.reading = None;
         }
+        let digests = self.keyspace.digests();
         if let Some(reading) = &mut self.reading {
-            reading.begin_anew();
+            reading.begin_anew(digests);
         }
-        let is_local =
-            |action: &Action<S::Entry>| matches!(action, Action::Apply(_) | Action::WriteSnapshot { .. });
-        self.actions.retain(is_local);
-    }
-
-    fn send_read(&mut self, now: f64) {
-        let id = self.request_id();
-        let known_revision = if self.loaded == self.source { self.applied_revision } else { 0 };
-        let deadline = now + self.settings.request_timeout;
-        let Some(reading) = &mut self.reading else { return };
-        reading.open = Some(OpenRead { id, deadline, known_revision });
-        let request = ReadRequest {
-            id,
-            kind: reading.kind(),
-            range: reading.range(&self.keyspace),
-            min_mod_revision: reading.min_mod_revision(),
-            at_revision: reading.revision,
-            limit: reading.limit(self.settings.page_bytes),
-            keys_only: matches!(reading.step, Step::BucketKeys { .. }),
-        };
-        self.actions.push_back(Action::Read(request));
     }
 }
--- a/crates/config-sync/src/sync/timers.rs
+++ b/crates/config-sync/src/sync/timers.rs
@@ -45,7 +45,7 @@
 
     /// Reads again what a halted front end has to have read.
     pub(super) fn resume(&mut self, now: f64) {
-        self.delay(now, self.need);
+        self.start_reading(now, self.need);
         if self.need == Need::Verification && !self.distrusts {
             self.open_watch();
         }
@@ -63,7 +63,6 @@
 
     fn phase_timer(&self) -> f64 {
         match self.phase {
-            Phase::Delaying { until } => until,
             Phase::Halted { retry_at, .. } => retry_at,
             Phase::Disconnected | Phase::AwaitingBarrier | Phase::Reading | Phase::Following => f64::INFINITY,
         }
@@ -73,10 +72,8 @@
         if now < self.phase_timer() {
             return;
         }
-        match self.phase {
-            Phase::Delaying { .. } => self.begin_reading(),
-            Phase::Halted { .. } => self.resume(now),
-            _ => {}
+        if matches!(self.phase, Phase::Halted { .. }) {
+            self.resume(now);
         }
     }
 
--- a/crates/config-sync/src/sync/watching.rs
+++ b/crates/config-sync/src/sync/watching.rs
@@ -38,7 +38,10 @@
         self.freshness.forget_questions();
         self.stop_barriers();
         self.audit_at = f64::INFINITY;
-        self.forget_requests();
+        self.forget_reads();
+        let is_local =
+            |action: &Action<S::Entry>| matches!(action, Action::Apply(_) | Action::WriteSnapshot { .. });
+        self.actions.retain(is_local);
         self.mark_report(now);
     }
 
@@ -50,7 +53,7 @@
         if self.backlog.push(batch.changes, batch.complete).is_err() {
             self.close_watch();
             self.reading = None;
-            self.delay(now, Need::CatchUp);
+            self.start_reading(now, Need::CatchUp);
             return;
         }
         self.apply_backlog(now);
@@ -75,7 +78,7 @@
         if self.phase == Phase::AwaitingBarrier {
             self.need = Need::CatchUp;
         } else {
-            self.delay(now, Need::CatchUp);
+            self.start_reading(now, Need::CatchUp);
         }
     }
 
--- a/crates/config-sync/tests/kit/front_end.rs
+++ b/crates/config-sync/tests/kit/front_end.rs
@@ -1,7 +1,7 @@
 //! A front end in simulated time: the core with a host in memory, one connection to one member at a time.
 
 use super::store::{MEMBERS, Store};
-use orchidtally_config_sync::action::ReadRequest;
+use orchidtally_config_sync::action::{ReadKind, ReadRequest};
 use orchidtally_config_sync::schema::GatewayEntry;
 use orchidtally_config_sync::{
     Action, BarrierAnswer, Change, ConfigSync, GatewaySchema, Header, RangeAnswer, Report, RequestFailure,
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-/// One way between a front end and a member, in seconds.
+/// The usual time of one way between a front end and a member, in seconds.
 const LATENCY: f64 = 0.03;
 /// Between fragments of one transaction, in seconds.
 const FRAGMENT_DELAY: f64 = 0.1;
@@ -42,6 +42,8 @@
     /// Bytes of read answers, by second.
     pub reads_by_second: BTreeMap<u64, usize>,
     pub reads: usize,
+    /// Read answers and their bytes, by what was read.
+    pub reads_by_kind: BTreeMap<&'static str, (usize, usize)>,
     pub scans: usize,
     pub bucket_reads: usize,
 }
@@ -59,6 +61,8 @@
     pub report: Option<Report>,
     pub applied: Vec<Arc<View<GatewayEntry>>>,
     pub traffic: Traffic,
+    /// One way between it and its member, in seconds.
+    pub latency: f64,
     /// Changes in one message of the watch at most.
     pub fragment: usize,
     /// The greatest pause between tries to connect, in seconds.
@@ -72,6 +76,16 @@
     stream_until: f64,
 }
 
+fn kind_name(kind: ReadKind) -> &'static str {
+    match kind {
+        ReadKind::Digests => "digests",
+        ReadKind::Scan => "scan",
+        ReadKind::Deletion => "deletion",
+        ReadKind::Changed => "changed",
+        ReadKind::Bucket(_) => "bucket",
+    }
+}
+
 impl FrontEnd {
     pub fn new(settings: SyncSettings, seed: u64, region: usize, now: f64) -> FrontEnd {
         let core =
@@ -87,6 +101,7 @@
             report: None,
             applied: vec![],
             traffic: Traffic::default(),
+            latency: LATENCY,
             fragment: usize::MAX,
             reconnect_pause: 2.0,
             reconnect_at: now,
@@ -102,7 +117,7 @@
     pub fn restart(&mut self, settings: SyncSettings, seed: u64, now: f64) {
         let fresh = FrontEnd::new(settings, seed, self.region, now);
         let disk = std::mem::take(&mut self.disk);
-        *self = FrontEnd { disk, side: self.side, ..fresh };
+        *self = FrontEnd { disk, side: self.side, latency: self.latency, ..fresh };
         let newest_first: Vec<&[u8]> = self.disk.iter().rev().map(Vec::as_slice).collect();
         self.core.restore(now, &newest_first);
     }
@@ -217,7 +232,7 @@
 
     fn send(&mut self, now: f64, bytes: usize, message: Message) {
         self.count(now, bytes);
-        let due = now + LATENCY;
+        let due = now + self.latency;
         let place = self.inbox.iter().position(|(other, _)| *other > due).unwrap_or(self.inbox.len());
         self.inbox.insert(place, (due, message));
     }
@@ -282,8 +297,8 @@
     fn read(&mut self, now: f64, request: &ReadRequest, store: &mut Store) {
         self.traffic.reads += 1;
         match request.kind {
-            orchidtally_config_sync::action::ReadKind::Scan => self.traffic.scans += 1,
-            orchidtally_config_sync::action::ReadKind::Bucket(_) => self.traffic.bucket_reads += 1,
+            ReadKind::Scan => self.traffic.scans += 1,
+            ReadKind::Bucket(_) => self.traffic.bucket_reads += 1,
             _ => {}
         }
         let answer = store.range(
@@ -302,8 +317,10 @@
                 let each = |e: &orchidtally_config_sync::RangeEntry| e.key.len() + e.value.len() + 24;
                 let bytes = 60 + entries.iter().map(each).sum::<usize>();
                 *self.traffic.reads_by_second.entry(now as u64).or_default() += bytes;
+                let of_kind = self.traffic.reads_by_kind.entry(kind_name(request.kind)).or_default();
+                *of_kind = (of_kind.0 + 1, of_kind.1 + bytes);
                 let answer = RangeAnswer { id: request.id, header, entries, more, bytes };
-                self.send(now + LATENCY, bytes, Message::Range(answer));
+                self.send(now + self.latency, bytes, Message::Range(answer));
             }
             Err(failure) => self.fail(now, request.id, failure),
         }
@@ -317,11 +334,11 @@
         }
         let header = Header { cluster: store.cluster, revision: store.revision };
         let generation = store.get(&self.core.keyspace().generation()).map(|known| known.value);
-        self.send(now + LATENCY, 100, Message::Barrier(BarrierAnswer { id, header, generation }));
+        self.send(now + self.latency, 100, Message::Barrier(BarrierAnswer { id, header, generation }));
     }
 
     fn fail(&mut self, now: f64, id: RequestId, failure: RequestFailure) {
-        let delay = if failure == RequestFailure::Unavailable { REQUEST_TIMEOUT } else { LATENCY };
+        let delay = if failure == RequestFailure::Unavailable { REQUEST_TIMEOUT } else { self.latency };
         self.send(now + delay, 40, Message::Failed(id, failure));
     }
 
@@ -331,7 +348,7 @@
         if !store.has_quorum(self.member) {
             return;
         }
-        self.send(now + LATENCY, 60, Message::Reported(report.sequence));
+        self.send(now + self.latency, 60, Message::Reported(report.sequence));
         self.report = Some(report);
         store.touch();
     }
--- a/crates/frontend/src/config/exchange.rs
+++ b/crates/frontend/src/config/exchange.rs
@@ -8,6 +8,10 @@
 };
 use orchidtally_etcd::rpc::{KeyValue, RangeRequest, RangeResponse, ResponseHeader};
 use orchidtally_etcd::{Fault, RANGE, grpc};
+use prost::Message;
+
+/// Bytes of an answer besides its message: its headers and trailers, and the frames round them.
+const ENVELOPE_BYTES: usize = 60;
 
 pub(super) fn header(header: Option<&ResponseHeader>) -> Header {
     let told = header.copied().unwrap_or_default();
@@ -40,14 +44,14 @@
             keys_only: request.keys_only,
             ..RangeRequest::default()
         };
-        let before = self.client.traffic().received();
         let answered = self.client.unary::<RangeResponse>(RANGE, &question, self.settings.patience).await;
         if !self.is_in_session(session) {
             return;
         }
         match answered {
             Ok(answer) => {
-                let bytes = (self.client.traffic().received() - before) as usize;
+                // Others are under way over the same connection: its counter tells of all of them.
+                let bytes = answer.encoded_len() + ENVELOPE_BYTES;
                 let header = header(answer.header.as_ref());
                 let entries = answer.kvs.into_iter().map(entry).collect();
                 let answer = RangeAnswer { id: request.id, header, entries, more: answer.more, bytes };
