Give the report's lease back when a front end ends; writers see it as gone

Cause: a graceful end left the report to its lease: for 10 s a writer saw a live front end that is behind, then one that is lost, and could not tell an end from a crash.

Change: once everything is answered `serve` revokes its lease and puts a last report, state `ended`, under a lease of twice the limit within which changes are in force. `in_force` doesn't count such a front end as missing; `in_force::ended` names them. The store is waited for a second in all. The one line outside of the configuration is the call in `attend`.

--- a/crates/config-sync/src/in_force.rs
+++ b/crates/config-sync/src/in_force.rs
@@ -32,7 +32,8 @@
         /// Rejections that its report leaves out.
         omitted: usize,
     },
-    /// It was there when the change was written, and its lease is over: it died, or is cut off.
+    /// It was there when the change was written, and its lease is over without its word that it ended: it died, or is
+    /// cut off.
     LeaseLost,
 }
 
@@ -58,7 +59,7 @@
 /// The answer to "is it in force everywhere?".
 #[derive(Clone, Debug, PartialEq)]
 pub enum InForce {
-    /// All front ends that were there at the write or are there now have it.
+    /// All front ends that were there at the write or are there now have it, or have ended.
     Everywhere,
     /// These are missing, sorted by name; what is taken away is treated by itself.
     Missing {
@@ -86,7 +87,8 @@
 ///
 /// `at_write` names the front ends that had a lease when the change was written, `live` those that have one now,
 /// `reports` holds the reports that were read last (linearizably), by front end. `limit` is
-/// [`SyncSettings::in_force_limit`](crate::SyncSettings::in_force_limit) in seconds.
+/// [`SyncSettings::in_force_limit`](crate::SyncSettings::in_force_limit) in seconds. A front end whose report says that
+/// it has ended is gone: it serves nothing and is not missing; [`ended`] names them.
 pub fn in_force(
     written: &Written,
     now: f64,
@@ -112,7 +114,16 @@
     InForce::Missing { missing, revocations }
 }
 
+/// The front ends whose reports say that they have ended, sorted by name.
+pub fn ended(reports: &BTreeMap<String, Report>) -> Vec<&str> {
+    let has_ended = |report: &Report| report.state == ReportedState::Ended;
+    reports.iter().filter(|(_, report)| has_ended(report)).map(|(name, _)| name.as_str()).collect()
+}
+
 fn missing_reason(written: &Written, is_live: bool, report: Option<&Report>) -> Option<MissingReason> {
+    if report.is_some_and(|report| report.state == ReportedState::Ended) {
+        return None;
+    }
     if !is_live {
         return Some(MissingReason::LeaseLost);
     }
--- a/crates/config-sync/src/report.rs
+++ b/crates/config-sync/src/report.rs
@@ -18,6 +18,8 @@
     StoreTooLarge,
     /// The generation key can't be read by this version.
     UnknownFormat,
+    /// It has ended and serves nothing any more: its last word, which stands for a while only.
+    Ended,
 }
 
 /// The value of a report key, as JSON.
--- a/crates/config-sync/tests/writing.rs
+++ b/crates/config-sync/tests/writing.rs
@@ -121,6 +121,20 @@
     assert_eq!(in_force(&WRITTEN, 101.0, &at_write, &live, &reports, 18.0), InForce::Everywhere);
 }
 
+#[test]
+fn a_front_end_that_ended_is_gone_and_not_missing() {
+    let last = Report { state: ReportedState::Ended, ..report(40) };
+    let reports = BTreeMap::from([("has-it".into(), report(50)), ("ended".into(), last)]);
+    let at_write = names(&["ended", "has-it"]);
+    for live in [names(&["has-it"]), names(&["ended", "has-it"])] {
+        assert_eq!(in_force(&WRITTEN, 101.0, &at_write, &live, &reports, 18.0), InForce::Everywhere);
+    }
+    assert_eq!(orchidtally_config_sync::in_force::ended(&reports), ["ended"]);
+    let lost = BTreeMap::from([("has-it".into(), report(50))]);
+    let answer = in_force(&WRITTEN, 101.0, &at_write, &names(&["has-it"]), &lost, 18.0);
+    assert!(matches!(answer, InForce::Missing { missing, .. } if missing.len() == 1));
+}
+
 #[test]
 fn who_is_missing_is_named_with_the_reason() {
     let rejection =
--- a/crates/frontend/src/config/host.rs
+++ b/crates/frontend/src/config/host.rs
@@ -147,10 +147,12 @@
         }
     }
 
-    /// Gives its connection up; to be called once the task of [`ConfigHost::run`] was dropped. The store ends its lease.
+    /// Gives its connection up for good, as a process that dies. The store ends its lease when its time is over.
     pub fn stop(&self) {
         self.is_connected.set(false);
+        self.connect_at.set(f64::INFINITY);
         drop(self.watch.take());
+        self.core.borrow_mut().disconnected(self.now());
     }
 
     fn next_timer(&self) -> f64 {
--- a/crates/frontend/src/config/hub_target.rs
+++ b/crates/frontend/src/config/hub_target.rs
@@ -142,3 +142,10 @@
     tasks.spawn(host.run()).detach();
     Ok(())
 }
+
+/// Has the store of configuration know that a hub's front end has ended; to be called once it serves nothing any more.
+pub async fn detach(hub: &Hub) {
+    if let Some(admission) = hub.admission.get() {
+        admission.host.leave().await;
+    }
+}
--- a/crates/frontend/src/config/lease.rs
+++ b/crates/frontend/src/config/lease.rs
@@ -9,6 +9,7 @@
     LeaseGrantRequest, LeaseGrantResponse, LeaseKeepAliveRequest, LeaseKeepAliveResponse,
 };
 use orchidtally_etcd::{Fault, LEASE_GRANT, LEASE_KEEP_ALIVE};
+use std::time::Duration;
 use tracing::warn;
 
 /// Renewals within the time to live of a lease.
@@ -28,13 +29,18 @@
         if let Some(lease) = self.lease.get().filter(|lease| self.now() < lease.until) {
             return Ok(lease);
         }
+        let lease = self.grant_lease(self.settings.lease).await?;
+        self.lease.set(Some(lease));
+        Ok(lease)
+    }
+
+    /// A new lease of its own.
+    pub(super) async fn grant_lease(&self, time_to_live: Duration) -> Result<Lease, Fault> {
         let asked_at = self.now();
-        let question = LeaseGrantRequest { ttl: self.settings.lease.as_secs().max(1) as i64, id: 0 };
+        let question = LeaseGrantRequest { ttl: time_to_live.as_secs().max(1) as i64, id: 0 };
         let granted: LeaseGrantResponse =
             self.client.unary(LEASE_GRANT, &question, self.settings.patience).await?;
-        let lease = Lease { id: granted.id, until: asked_at + granted.ttl as f64 };
-        self.lease.set(Some(lease));
-        Ok(lease)
+        Ok(Lease { id: granted.id, until: asked_at + granted.ttl as f64 })
     }
 
     /// Renews the lease for as long as the session lasts.
--- a/crates/frontend/src/config/mod.rs
+++ b/crates/frontend/src/config/mod.rs
@@ -2,7 +2,7 @@
 //! protocol, keeps its snapshot on disk, and puts its views in force at a [`ConfigTarget`].
 //!
 //! [`ConfigHost`] needs no front end: whoever has an executor, a client of the store and a target can run one.
-//! [`attach`] ties one to a front end's hub.
+//! [`attach`] ties one to a front end's hub, [`detach`] ends it with the front end.
 
 mod admission;
 mod backoff;
@@ -11,6 +11,7 @@
 mod host;
 mod hub_target;
 mod lease;
+mod leaving;
 mod overlay;
 mod report;
 mod settings;
@@ -22,7 +23,7 @@
 pub use admission::{Admission, Refusal, Subject};
 pub use clock::boot_time;
 pub use host::ConfigHost;
-pub use hub_target::{DeploymentSchema, HubConfig, attach, sync_settings};
+pub use hub_target::{DeploymentSchema, HubConfig, attach, detach, sync_settings};
 pub use overlay::{ConfigView, Overlay};
 pub use settings::HostSettings;
 pub use snapshot_file::SnapshotFile;
--- a/crates/frontend/src/config/report.rs
+++ b/crates/frontend/src/config/report.rs
@@ -2,6 +2,7 @@
 
 use super::ConfigTarget;
 use super::host::ConfigHost;
+use super::lease::Lease;
 use super::status::PublishedReport;
 use orchidtally_config_sync::{Report, Schema};
 use orchidtally_etcd::rpc::{PutRequest, PutResponse};
@@ -15,7 +16,7 @@
     /// Puts a report into the store and tells the core whether it stands there.
     pub(super) async fn put_report(&self, session: u64, report: Report) {
         let sequence = report.sequence;
-        let put = self.try_put_report(report).await;
+        let put = self.try_put_report(session, report).await;
         if !self.is_in_session(session) {
             return;
         }
@@ -32,12 +33,20 @@
         }
     }
 
-    async fn try_put_report(&self, report: Report) -> Result<(), Fault> {
-        let lease = self.lease().await?.id;
+    async fn try_put_report(&self, session: u64, report: Report) -> Result<(), Fault> {
+        let lease = self.lease().await?;
+        if !self.is_in_session(session) {
+            return Err(Fault::Unreachable("the connection was given up".into()));
+        }
+        self.store_report(report, lease).await
+    }
+
+    /// Puts a report into the store under a lease.
+    pub(super) async fn store_report(&self, report: Report, lease: Lease) -> Result<(), Fault> {
         let key = self.core.borrow().keyspace().report(&self.settings.front_end);
         let published = PublishedReport { report, snapshot_fault: self.snapshot_fault.borrow().clone() };
         let value = serde_json::to_vec(&published).unwrap_or_default();
-        let put = PutRequest { key: key.into(), value: value.into(), lease, prev_kv: false };
+        let put = PutRequest { key: key.into(), value: value.into(), lease: lease.id, prev_kv: false };
         self.client.unary::<PutResponse>(PUT, &put, self.settings.patience).await.map(drop)
     }
 }
--- a/crates/frontend/src/lib.rs
+++ b/crates/frontend/src/lib.rs
@@ -135,5 +135,6 @@
     if hub.open() > 0 || open.get() > 0 {
         warn!(open = hub.open(), connections = open.get(), "left with clients still there");
     }
+    config::detach(&hub).await;
     hub.tally()
 }
