--- a/crates/scale/src/slopes/configuration.rs
+++ b/crates/scale/src/slopes/configuration.rs
@@ -156,8 +156,9 @@
     let mut changes = Changes { store, entries: setting.entries, next: 0, version: 0 };
     let revision = changes.commit(setting.missed)?;
     changes.store.run(&Command::Compact)?;
-    let began = Instant::now();
     let front_ends = FrontEnds::start(&setting, &by_region, &snapshot, &tasks)?;
+    // Each has read its snapshot, on a core of its own in a fleet.
+    let began = Instant::now();
     let return_s = front_ends.until_seen(revision, began).await?;
     let return_bytes = front_ends.mean_received();
     let mut bursts = vec![];
@@ -202,7 +203,7 @@
         }
         let spread = entries::settings().spread;
         let usual =
-            Setting { front_ends: 5, entries: 2_000, missed: 20, bursts: vec![TRANSACTION], seed, spread };
+            Setting { front_ends: 5, entries: 500, missed: 20, bursts: vec![TRANSACTION], seed, spread };
         Sizes {
             missed: vec![20, 40, 80, 140, 200],
             entries: vec![1_000, 2_000, 4_000, 8_000, 16_000],
@@ -216,17 +217,23 @@
 /// Measured costs by size.
 type Costs = Vec<(usize, Cost)>;
 
-/// Measures several settings side by side: few front ends each, which mostly wait for their pace.
-async fn side_by_side(
+/// Measurements that run, by size.
+type Started = Vec<(usize, Task<Result<Cost, RunError>>)>;
+
+/// Starts measuring several settings side by side: few front ends each, which mostly wait for their pace.
+fn side_by_side(
     sizes: &[usize],
     setting: impl Fn(usize) -> Setting,
     tasks: &Rc<LocalExecutor<'static>>,
-) -> Result<Costs, RunError> {
-    let start = |size: &usize| tasks.spawn(measure(setting(*size), tasks.clone()));
-    let started: Vec<Task<Result<Cost, RunError>>> = sizes.iter().map(start).collect();
+) -> Started {
+    let start = |size: &usize| (*size, tasks.spawn(measure(setting(*size), tasks.clone())));
+    sizes.iter().map(start).collect()
+}
+
+async fn finished(started: Started) -> Result<Costs, RunError> {
     let mut costs = vec![];
-    for (size, task) in sizes.iter().zip(started) {
-        costs.push((*size, task.await?));
+    for (size, task) in started {
+        costs.push((size, task.await?));
     }
     Ok(costs)
 }
@@ -243,10 +250,12 @@
 
 fn tell(dimension: &str, costs: &Costs) {
     for (size, cost) in costs {
-        let burst = cost.bursts.first().map_or(f64::NAN, |burst| burst.in_force_s);
+        let burst = cost.bursts.first().map(|burst| burst.in_force_s);
         eprintln!(
-            "slopes: {size} {dimension}: back after {:.2} s with {:.0} bytes, a burst in force after {burst:.2} s",
-            cost.return_s, cost.return_bytes
+            "slopes: {size} {dimension}: back after {:.2} s with {:.0} bytes{}",
+            cost.return_s,
+            cost.return_bytes,
+            burst.map_or(String::new(), |seconds| format!(", a burst in force after {seconds:.2} s"))
         );
     }
 }
@@ -256,19 +265,21 @@
     let sizes = Sizes::new(size, seed, short);
     let tasks = Rc::new(LocalExecutor::new());
     let usual = || sizes.usual.clone();
+    let began = Instant::now();
     let work = async {
-        let missed =
-            side_by_side(&sizes.missed, |missed| Setting { missed, bursts: vec![], ..usual() }, &tasks)
-                .await?;
+        let missed = Setting { bursts: vec![], ..usual() };
+        let missed = side_by_side(&sizes.missed, |count| Setting { missed: count, ..missed.clone() }, &tasks);
+        let entries = side_by_side(&sizes.entries, |entries| Setting { entries, ..usual() }, &tasks);
+        let front_ends = by_front_ends(&sizes, &tasks).await?;
+        let (missed, entries) = (finished(missed).await?, finished(entries).await?);
         tell("changes missed", &missed);
-        let entries = side_by_side(&sizes.entries, |entries| Setting { entries, ..usual() }, &tasks).await?;
         tell("entries", &entries);
-        let front_ends = by_front_ends(&sizes, &tasks).await?;
         tell("front ends", &front_ends);
         // Alone, as processor time is the whole process's.
         let few = sizes.front_ends[1];
         let setting = Setting { front_ends: few, bursts: sizes.bursts.clone(), ..usual() };
         let in_bursts = measure(setting, tasks.clone()).await?.bursts;
+        eprintln!("slopes: configuration took {:.1} s", began.elapsed().as_secs_f64());
         Ok(slopes(&sizes, &missed, &entries, &front_ends, &in_bursts))
     };
     async_io::block_on(tasks.run(work))
