--- a/crates/config-sync/src/sync/mod.rs
+++ b/crates/config-sync/src/sync/mod.rs
@@ -8,7 +8,9 @@
 mod catch_up;
 mod publishing;
 mod reading;
+mod requests;
 mod restoring;
+mod steps;
 mod timers;
 mod verdict;
 mod watching;
@@ -49,10 +51,6 @@
     Disconnected,
     /// The first barrier of this connection isn't answered yet.
     AwaitingBarrier,
-    /// A drawn delay before reading, so that front ends that come back together don't read together.
-    Delaying {
-        until: f64,
-    },
     /// Reading what decides, or brings, the view; changes wait.
     Reading,
     /// The view follows the watch.
@@ -104,6 +102,8 @@
     backlog: Backlog,
     watch_is_open: bool,
     reopen_watch_at: f64,
+    /// When the watch told of a change last.
+    watch_told_at: f64,
     freshness: Freshness,
     barriers: Barriers,
     reading: Option<Reading>,
@@ -142,6 +142,7 @@
             backlog: Backlog::new(settings.max_pending_changes, settings.max_pending_bytes),
             watch_is_open: false,
             reopen_watch_at: f64::INFINITY,
+            watch_told_at: f64::NEG_INFINITY,
             freshness: Freshness::default(),
             barriers: Barriers::default(),
             reading: None,
@@ -214,13 +215,6 @@
         RequestId(self.next_request)
     }
 
-    /// Waits for a drawn delay, then reads what is needed.
-    fn delay(&mut self, now: f64, need: Need) {
-        self.need = need;
-        let until = now + self.draw(self.settings.spread);
-        self.phase = Phase::Delaying { until };
-    }
-
     /// Keeps the last good view until the store has come right.
     fn halt(&mut self, now: f64, state: ReportedState) {
         if matches!(self.phase, Phase::Halted { state: known, .. } if known == state) {
--- a/crates/config-sync/src/sync/timers.rs
+++ b/crates/config-sync/src/sync/timers.rs
@@ -45,7 +45,7 @@
 
     /// Reads again what a halted front end has to have read.
     pub(super) fn resume(&mut self, now: f64) {
-        self.delay(now, self.need);
+        self.start_reading(now, self.need);
         if self.need == Need::Verification && !self.distrusts {
             self.open_watch();
         }
@@ -63,7 +63,6 @@
 
     fn phase_timer(&self) -> f64 {
         match self.phase {
-            Phase::Delaying { until } => until,
             Phase::Halted { retry_at, .. } => retry_at,
             Phase::Disconnected | Phase::AwaitingBarrier | Phase::Reading | Phase::Following => f64::INFINITY,
         }
@@ -73,19 +72,21 @@
         if now < self.phase_timer() {
             return;
         }
-        match self.phase {
-            Phase::Delaying { .. } => self.begin_reading(),
-            Phase::Halted { .. } => self.resume(now),
-            _ => {}
+        if matches!(self.phase, Phase::Halted { .. }) {
+            self.resume(now);
         }
     }
 
-    /// A watch that lags behind what a barrier named is opened anew, at another member.
+    /// A watch that lags behind what a barrier named and is silent is opened anew, at another member. One that still tells
+    /// of changes would have to tell them again: it is given the time for which entries may be used without a proof.
     fn watch_timer(&self) -> f64 {
         if !self.watch_is_open {
             return self.reopen_watch_at;
         }
-        self.freshness.waiting_since(self.backlog.complete_through()) + self.settings.watch_timeout
+        let timeout = self.settings.watch_timeout;
+        let lags_since = self.freshness.waiting_since(self.backlog.complete_through());
+        let silent_until = lags_since.max(self.watch_told_at) + timeout;
+        silent_until.min(lags_since + self.settings.freshness_bound.max(timeout))
     }
 
     fn run_watch_timer(&mut self, now: f64) {
