--- a/src/dispatch/judge.rs
+++ b/src/dispatch/judge.rs
@@ -115,13 +115,11 @@
     /// can have become warm.
     fn warm(&mut self, kind: usize) -> usize {
         let mut count = std::mem::take(&mut self.fleet.warm[kind]);
-        if self.now >= count.due {
-            let ripe = |y: usize| {
-                let risen = self.fleet.since[y] + self.policy.skew + self.policy.cold;
-                risen.max(self.fleet.broke_at[y] + BROKEN_FOR) - TICK_INTERVAL
-            };
-            count.look_again(|y| self.warmth(y) < 1.0, ripe);
-        }
+        let ripe = |y: usize| {
+            let risen = self.fleet.since[y] + self.policy.skew + self.policy.cold;
+            risen.max(self.fleet.broke_at[y] + BROKEN_FOR) - TICK_INTERVAL
+        };
+        count.look_again(self.now, |y| self.warmth(y) < 1.0, ripe);
         self.fleet.set_warm(kind, count)
     }
 
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -188,8 +188,7 @@
         self.now = now;
         check_quotas(&quotas)?;
         let rates = self.policy.quotas.iter().map(|q| q / self.policy.front_ends);
-        fill_all(&mut self.shares, now, rates, most_saved);
-        self.shares.resize_with(quotas.len(), || TokenBucket::full(now));
+        refill(&mut self.shares, now, rates, most_saved, quotas.len());
         self.policy.quotas = quotas;
         Ok(())
     }
@@ -216,8 +215,7 @@
         if !inv.moved {
             self.taken.add(now);
         }
-        let lanes = if inv.lanes >= 1.0 { inv.lanes.floor() } else { 1.0 };
-        let f = self.book.function(inv.function, lanes, inv.load_time.unwrap_or(LOAD_TIME));
+        let f = self.book.function(inv.function, inv.lanes, inv.load_time.unwrap_or(LOAD_TIME));
         let ty = &self.policy.trigger_types[inv.trigger_type];
         let objective = (ty.objective + ty.stretch * inv.work.unwrap_or(0.0)).min(ty.timeout);
         let (value, past_share) = self.value(inv);
@@ -239,13 +237,12 @@
         let Some(done) = self.book.ended(i, o.dispatch) else { return };
         let (x, f, ty) = (done.x, self.book.invs[i].f, self.book.invs[i].ty);
         self.fleet.note_ended(x, i, done.at, now);
-        if let Some(&waiting) = self.policy.backlog_field.and_then(|field| o.report.get(field)) {
-            let waiting = f64::from(waiting).max(0.0);
+        if let Some(waiting) = o.reported(self.policy.backlog_field) {
             self.mean_backlog += NEWEST * (waiting - self.mean_backlog);
             self.fleet.note_backlog(x, waiting, now);
         }
-        if let Some(&loads) = self.policy.loads_field.and_then(|field| o.report.get(field)) {
-            self.loads.add(f64::from(loads).max(0.0), now, REPORT_TIME);
+        if let Some(loads) = o.reported(self.policy.loads_field) {
+            self.loads.add(loads, now, REPORT_TIME);
         }
         self.fleet.note_heard(x, o.ending, now);
         self.fleet.note_answer(x, o.ending);
@@ -273,14 +270,11 @@
             self.fleet.remember(y, now, FAILED, JUDGED);
             self.judge();
         }
-        let inv = &mut self.book.invs[i];
-        if !o.ending.never_ran() {
-            inv.ran = inv.ran.filter(|&(_, at)| at <= done.at).or(Some((x, done.at)));
-        }
+        self.book.note_ran(i, &done, o.ending);
         if o.closed || o.ending == Ending::Ok {
             self.book.close(i, self.policy.cancel, out);
-        } else if inv.out.is_empty() && !inv.closed {
-            self.book.wait(i);
+        } else {
+            self.book.wait_again(i);
         }
         self.book.release(i);
         self.touched.push(f);
@@ -291,8 +285,7 @@
     /// that are slow to be made or to take bytes. Could harm by a dispatch that is decided on over and over.
     pub fn leaves(&mut self, now: f64, inv: u32, dispatch: u8) -> bool {
         self.now = now;
-        let Some(&i) = self.book.inv_index.get(&inv) else { return false };
-        let Some(d) = self.book.out_of(i, dispatch) else { return false };
+        let Some((i, d)) = self.book.out_of(inv, dispatch) else { return false };
         let work = self.fleet.take_sent(d.x, d.at);
         let leaves = self.allows_dispatch(i, d.x, Some(dispatch));
         self.fleet.sent[d.x].extend(work.filter(|_| leaves).map(|work| (now, work)));
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -90,8 +90,7 @@
         if !by_order && (self.policy.orders && self.policy.answers_miss || !self.dispatch(i, x, true, out)) {
             return false;
         }
-        let patience_at = self.now + PLACEMENT_TIMEOUT * self.book.functions[f].load_time;
-        self.book.functions[f].placement = Some(Placement { x, by_order, patience_at });
+        self.book.functions[f].begin_placement(x, by_order, self.now, PLACEMENT_TIMEOUT);
         true
     }
 
@@ -101,8 +100,7 @@
     /// placements; it could harm where orders are scarce, so a part of them is left to those.
     pub fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Actions) -> usize {
         self.now = now;
-        let (lanes, load_time) = (wish.lanes.max(1.0).floor(), wish.load_time.unwrap_or(LOAD_TIME));
-        let f = self.book.function(wish.function, lanes, load_time);
+        let f = self.book.function(wish.function, wish.lanes, wish.load_time.unwrap_or(LOAD_TIME));
         self.touched.push(f);
         self.settle(out); // ends a placement past its patience
         let spare = self.ration_left(AHEAD);
@@ -117,8 +115,7 @@
         let x = if count < wish.copies { self.placement_target(f, None) } else { renewed };
         let ordered = x.filter(|&x| self.order(f, x, out));
         if let Some(x) = ordered.filter(|_| count < wish.copies) {
-            let patience_at = now + PLACEMENT_TIMEOUT * self.book.functions[f].load_time;
-            self.book.functions[f].placement = Some(Placement { x, by_order: true, patience_at });
+            self.book.functions[f].begin_placement(x, true, now, PLACEMENT_TIMEOUT);
         }
         count
     }
@@ -126,13 +123,8 @@
     /// A placement has come to its end; a failed one alone is tried again, after a growing pause.
     pub(super) fn placed(&mut self, f: usize, x: usize, by_order: bool, well: bool) {
         let function = &mut self.book.functions[f];
-        if function.placement.take_if(|p| p.x == x && p.by_order == by_order).is_none() {
-            return;
-        }
-        function.failed = (!well).then_some(x);
-        function.tries = if well { 0 } else { function.tries + 1 };
-        if !well {
-            function.next_at = self.now + BACKOFF * BACKOFF_GROWTH.powi(function.tries - 1);
+        if let Some(tries) = function.end_placement(x, by_order, well) {
+            function.next_at = self.now + BACKOFF * BACKOFF_GROWTH.powi(tries - 1);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -242,6 +242,13 @@
     pub report: &'a [f32],
 }
 
+impl Outcome<'_> {
+    /// What its load report says in a field, if the field is told; never under 0.
+    pub fn reported(&self, field: Option<usize>) -> Option<f64> {
+        self.report.get(field?).map(|&told| f64::from(told).max(0.0))
+    }
+}
+
 /// The module's answers, in the order in which they take effect.
 pub trait Actions {
     fn dispatch(&mut self, inv: u32, to: ExecutorId, time_out: f64);
--- a/src/state/book.rs
+++ b/src/state/book.rs
@@ -1,7 +1,7 @@
 //! Functions and invocations, and the dispatches that are out.
 
 use super::{DecayingSum, Fleet, KnownSet, Ranking};
-use crate::interface::{Actions, ConfigRefused, Kept};
+use crate::interface::{Actions, ConfigRefused, Ending, Kept};
 use std::collections::btree_map::Entry;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -92,6 +92,20 @@
         self.everywhere += weight.max(1.0 / self.heard) * (told - self.everywhere);
     }
 
+    /// Enters a placement that is given some load times.
+    pub fn begin_placement(&mut self, x: usize, by_order: bool, now: f64, load_times: f64) {
+        let patience_at = now + load_times * self.load_time;
+        self.placement = Some(Placement { x, by_order, patience_at });
+    }
+
+    /// Ends the placement at an executor, if it is under way; tells how many failed in a row where it failed.
+    pub fn end_placement(&mut self, x: usize, by_order: bool, well: bool) -> Option<i32> {
+        self.placement.take_if(|p| p.x == x && p.by_order == by_order)?;
+        self.failed = (!well).then_some(x);
+        self.tries = if well { 0 } else { self.tries + 1 };
+        (!well).then_some(self.tries)
+    }
+
     pub fn evict(&mut self, x: usize) {
         self.known.remove(x);
         self.last_warm = self.last_warm.filter(|w| w.0 != x);
@@ -117,8 +131,9 @@
 }
 
 impl Book {
-    /// The slot of a function, which is added where it is new.
+    /// The slot of a function, which is added where it is new, with whole lanes and one at the least.
     pub fn function(&mut self, key: u64, lanes: f64, load_time: f64) -> usize {
+        let lanes = lanes.max(1.0).floor();
         *self.function_index.entry(key).or_insert_with(|| {
             let f = self.free_functions.pop().unwrap_or(self.functions.len());
             if f == self.functions.len() {
@@ -205,9 +220,11 @@
         self.release(i);
     }
 
-    /// A dispatch that is out and not cancelled.
-    pub fn out_of(&self, i: usize, dispatch: u8) -> Option<Out> {
-        self.invs[i].out.iter().find(|d| !d.cancelled && d.dispatch == dispatch).copied()
+    /// A dispatch that is out and not cancelled, and its invocation's slot, by the invocation's id.
+    pub fn out_of(&self, inv: u32, dispatch: u8) -> Option<(usize, Out)> {
+        let i = *self.inv_index.get(&inv)?;
+        let out = self.invs[i].out.iter().find(|d| !d.cancelled && d.dispatch == dispatch);
+        out.map(|d| (i, *d))
     }
 
     /// Adds a dispatch to those that are out.
@@ -253,7 +270,22 @@
         Some(ended)
     }
 
-    pub fn wait(&mut self, i: usize) {
+    /// Notes that a dispatch which ended so may have run, unless an earlier one may have.
+    pub fn note_ran(&mut self, i: usize, ended: &Out, ending: Ending) {
+        let ran = &mut self.invs[i].ran;
+        if !ending.never_ran() && ran.is_none_or(|(_, at)| at > ended.at) {
+            *ran = Some((ended.x, ended.at));
+        }
+    }
+
+    /// The invocation waits, if it has no final answer and nothing out.
+    pub fn wait_again(&mut self, i: usize) {
+        if self.invs[i].out.is_empty() && !self.invs[i].closed {
+            self.wait(i);
+        }
+    }
+
+    fn wait(&mut self, i: usize) {
         let f = self.invs[i].f;
         self.functions[f].out.retain(|&o| o != i);
         self.functions[f].waiting.push(i);
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -91,8 +91,11 @@
 }
 
 impl WarmCount {
-    /// Leaves those that are cold still, and notes when the first of them can become warm.
-    pub fn look_again(&mut self, is_cold: impl Fn(usize) -> bool, ripe_at: impl Fn(usize) -> f64) {
+    /// Leaves those that are cold still, and notes when the first of them can become warm; not before it is due.
+    pub fn look_again(&mut self, now: f64, is_cold: impl Fn(usize) -> bool, ripe_at: impl Fn(usize) -> f64) {
+        if now < self.due {
+            return;
+        }
         self.cold.retain(|&x| is_cold(x));
         self.due = self.cold.iter().map(|&x| ripe_at(x)).fold(f64::INFINITY, f64::min);
     }
--- a/src/state/meters.rs
+++ b/src/state/meters.rs
@@ -56,14 +56,17 @@
     }
 }
 
-/// Adds to each of some allowances what came in since the last time, by its rate and the most at that rate.
-pub fn fill_all(
-    buckets: &mut [TokenBucket],
+/// Adds to each of some allowances what came in since the last time, by its rate and the most at that rate; then
+/// there are `count` of them, new ones full.
+pub fn refill(
+    buckets: &mut Vec<TokenBucket>,
     now: f64,
     rates: impl Iterator<Item = f64>,
     most: fn(f64) -> f64,
+    count: usize,
 ) {
     buckets.iter_mut().zip(rates).for_each(|(bucket, rate)| bucket.fill(now, rate, most(rate)));
+    buckets.resize_with(count, || TokenBucket::full(now));
 }
 
 /// A sum that fades over time.
