Place what may have run again within its group where nobody there is known

So a tokened invocation that may have run waited for its timeout where no executor of its group was known.

Now the first waiting one that is free goes first, else the first that is bound to its group; candidates are asked may_repeat, and so are the known ones that hold a placement back. is_open moved from may_repeat to its callers, so that nothing changes for what is free. The ranking holds all ready executors for a bound one.

Three tests in tests/choice.rs; all fail without the change (sent once where two are wanted); the second also fails without may_repeat in `bears`.

--- a/src/dispatch/judge.rs
+++ b/src/dispatch/judge.rs
@@ -80,14 +80,18 @@
     /// The last executor known warm, else the less loaded of two, drawn with the function's key for a seed:
     /// all front ends draw the same and share the copy that one has loaded. It has room for what is placed.
     pub(super) fn placement_target(&mut self, f: usize, placed: Option<usize>) -> Option<usize> {
-        // As many as are wanted fit among so many and those that can't.
+        // As many as are wanted fit among so many and those that can't. For one that may have run that is any
+        // number: all are ranked. It has to stay rare, and does: those known in its group come first.
         let wanted = self.wanted(f).max(2.0) as usize;
+        let bound = placed.is_some_and(|i| self.book.invs[i].ran.is_some() && !self.is_idempotent(i));
         let function = &mut self.book.functions[f];
-        let unfit = function.known.len() + 1 + self.fleet.unsound_bound(self.blind);
+        let unfit = function.known.len() + 1 + self.fleet.unfit_bound(self.blind || bound);
         self.fleet.rank(&mut function.ranking, function.key, wanted + unfit);
         let function = &self.book.functions[f];
         let is_sound = |x: usize| self.is_open(x) && !self.fleet.suspect[x];
-        let fits = |&x: &usize| is_sound(x) && function.failed != Some(x) && !function.knows(x, self.now);
+        let may_run = |x: usize| placed.is_none_or(|i| self.may_repeat(i, x, None));
+        let is_new = |x: usize| function.failed != Some(x) && !function.knows(x, self.now);
+        let fits = |&x: &usize| is_sound(x) && is_new(x) && may_run(x);
         let last = function.last_warm.filter(|&(x, at)| self.now < at + self.policy.keep_alive && fits(&x));
         if let Some((x, _)) = last {
             return Some(x);
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -72,17 +72,17 @@
             return true;
         }
         let free = |&&i: &&usize| self.book.invs[i].ran.is_none() || self.is_idempotent(i);
-        let Some(&i) = function.waiting.iter().find(free).filter(|_| self.now >= function.next_at) else {
-            return false;
-        };
+        // Else one that is bound to its group: guards it against waiting there for what nobody loads.
+        let first = function.waiting.iter().find(free).or(function.waiting.first());
+        let Some(&i) = first.filter(|_| self.now >= function.next_at) else { return false };
         let Some(x) = self.placement_target(f, Some(i)) else { return false };
         let function = &self.book.functions[f];
         // Guards against copies for what only crowding holds up. A cold one without a turn has no room.
         let (most, work) = (SPREAD * self.busy(x), self.usual[self.book.invs[i].ty]);
         // Not one whose time is over: with many functions it is long until they are swept.
         let stands = |k: &&Known| k.until > self.now && !self.fleet.suspect[k.x] && self.has_lane(f, k);
-        let bears = |k: &Known| self.busy(k.x) < most && self.cold_room(k.x, work);
-        if self.is_spread(f) && function.known.iter().filter(stands).any(bears) {
+        let bears = |x: usize| self.busy(x) < most && self.cold_room(x, work) && self.may_repeat(i, x, None);
+        if self.is_spread(f) && function.known.iter().filter(stands).any(|k| bears(k.x)) {
             return false;
         }
         let worth_it = self.policy.answers_miss || self.policy.order_price < ORDER_PRICE_THRESHOLD;
@@ -166,6 +166,7 @@
             && inv.sent - u8::from(leaving.is_some()) < self.policy.max_dispatches
             && others <= usize::from(self.policy.second_copies)
             && self.now + self.policy.tick < inv.timeout_at
+            && self.is_open(x)
             && self.may_repeat(i, x, leaving)
             && self.cold_room(x, self.usual[inv.ty])
     }
@@ -177,7 +178,7 @@
     }
 
     /// Whether another dispatch there could have no second effect.
-    fn may_repeat(&self, i: usize, x: usize, leaving: Option<u8>) -> bool {
+    pub(super) fn may_repeat(&self, i: usize, x: usize, leaving: Option<u8>) -> bool {
         let ty = &self.policy.trigger_types[self.book.invs[i].ty];
         let harmless = |(at, when): (usize, f64)| match ty.effect {
             Effect::Idempotent => true,
@@ -185,7 +186,7 @@
             Effect::Tokened if !self.fleet.same_group(ty.group, x, at) => false,
             Effect::Tokened => self.now < when + ty.window - 2.0 * self.policy.tick,
         };
-        self.is_open(x) && self.book.first_sent(i, leaving).is_none_or(harmless)
+        self.book.first_sent(i, leaving).is_none_or(harmless)
     }
 
     /// The same of any executor that fits; it is looked for only where one can be.
@@ -193,7 +194,7 @@
         let ty = &self.policy.trigger_types[self.book.invs[i].ty];
         let group = if ty.effect == Effect::Tokened { ty.group } else { Group::All };
         let ready = self.fleet.ready_in(group, self.book.first_sent(i, None).map(|first| first.0));
-        ready.iter().any(|&x| fits(x) && self.may_repeat(i, x, None))
+        ready.iter().any(|&x| fits(x) && self.is_open(x) && self.may_repeat(i, x, None))
     }
 
     /// A cold executor's budget over the span in which it could be pushed over: this front end's part, what's
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -265,9 +265,9 @@
         self.suspects = suspects;
     }
 
-    /// At least as many ready ones as are suspect, or turn away what they are sent where that counts.
-    pub fn unsound_bound(&self, turned_away_counts: bool) -> usize {
-        if turned_away_counts { self.ready_count } else { self.suspects.len() }
+    /// At least as many ready ones as are suspect, or unfit for another reason where there is one.
+    pub fn unfit_bound(&self, has_other_reason: bool) -> usize {
+        if has_other_reason { self.ready_count } else { self.suspects.len() }
     }
 
     /// Notes that an executor broke off or took no connection, as so many failed answers.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -288,3 +288,66 @@
     let moved: Vec<_> = stuck.iter().map(sent).filter(|s| s[0] == x && s.len() > 1).collect();
     assert!(!moved.is_empty() && moved.iter().all(|s| s[1] != x), "{moved:?} from {x}");
 }
+
+/// A world whose placements are dispatches, with one tokened invocation that may have run at the first executor it
+/// was sent to; and the other executor of that one's group.
+fn one_that_may_have_run(function: u64) -> (World, u32, usize) {
+    let mut w = World::new(PolicyConfig { orders: false, ..policy() }, 8);
+    let inv = w.invoke(1, function, 5.0);
+    let first = w.plain.taken[inv as usize].sent[0].x;
+    (w, inv, first ^ 1)
+}
+
+fn sent_to(w: &World, inv: u32) -> Vec<usize> {
+    w.plain.taken[inv as usize].sent.iter().map(|s| s.x).collect()
+}
+
+/// Found on socket days: where no executor was known in its group it was held until its client had left.
+#[test]
+fn one_that_may_have_run_is_placed_again_within_its_group() {
+    for function in 0..40 {
+        let (mut w, inv, fellow) = one_that_may_have_run(function);
+        w.end(inv, 0, Ending::Error);
+        w.pass(0.5);
+        assert_eq!(sent_to(&w, inv), [fellow ^ 1, fellow], "function {function}");
+        w.end(inv, 1, Ending::Ok);
+        w.all_answered();
+    }
+}
+
+#[test]
+fn one_that_may_have_run_is_placed_again_though_executors_outside_its_group_are_known() {
+    for function in 0..40 {
+        let (mut w, inv, fellow) = one_that_may_have_run(function);
+        let outside: Vec<usize> = (0..8).filter(|x| x / 2 != fellow / 2).collect();
+        outside[1..].iter().for_each(|&x| w.roster(x, Standing::Draining, f64::NEG_INFINITY));
+        w.roster(fellow, Standing::Draining, f64::NEG_INFINITY);
+        w.end(inv, 0, Ending::Error);
+        w.pass(0.2);
+        let other = w.invoke(0, function, 5.0);
+        assert_eq!(sent_to(&w, other), outside[..1], "function {function}");
+        w.end(other, 0, Ending::Ok);
+        w.pass(0.1);
+        assert_eq!(sent_to(&w, inv), [fellow ^ 1, fellow ^ 1], "function {function}");
+        w.end(inv, 1, Ending::Ok);
+        w.all_answered();
+    }
+}
+
+#[test]
+fn one_that_may_have_run_is_never_placed_outside_its_group_or_past_its_window() {
+    for function in 0..40 {
+        // The executors remember a token for 2 s.
+        for (back_after, sent) in [(1.9, 2), (2.1, 1)] {
+            let (mut w, inv, fellow) = one_that_may_have_run(function);
+            w.roster(fellow, Standing::Draining, f64::NEG_INFINITY);
+            w.end(inv, 0, Ending::Error);
+            w.pass(back_after);
+            assert_eq!(sent_to(&w, inv), [fellow ^ 1], "function {function}, with no other in its group");
+            w.roster(fellow, Standing::Ready, f64::NEG_INFINITY);
+            w.pass(0.1);
+            assert_eq!(sent_to(&w, inv).len(), sent, "function {function}, back after {back_after} s");
+            w.all_answered();
+        }
+    }
+}
