Place functions within the front end's own region where regions are told

Now PolicyConfig::regions has the region of each zone (`regions` in a deployment file, checked with line, key and remedy). The ranking has the ready executors of the own region first, in it and in the rest the first two of different zones; has_region keeps placements in the region while it has an executor that is ready, sound and not where the last one failed; wanted counts what may be placed at; is_spread brings back what went elsewhere. Off by default.

--- a/crates/deployment/src/lib.rs
+++ b/crates/deployment/src/lib.rs
@@ -7,6 +7,7 @@
 mod executors;
 mod functions;
 pub mod reader;
+mod regions;
 mod sections;
 mod trigger_types;
 
--- a/crates/deployment/src/sections.rs
+++ b/crates/deployment/src/sections.rs
@@ -4,6 +4,7 @@
 use crate::executors::executors;
 use crate::functions::function;
 use crate::reader::{Fields, Place};
+use crate::regions::regions;
 use crate::trigger_types::trigger_type;
 use crate::{Bounds, Deployment, Journalling, Source};
 use orchidtally::interface::*;
@@ -19,6 +20,7 @@
         "listen",
         "location",
         "locations",
+        "regions",
         "kinds",
         "frontEnds",
         "crossing",
@@ -185,6 +187,7 @@
         index: f64::from(index),
         zone,
         crossing: top.maybe("crossing", |p| p.number(0.0..=10.0)).unwrap_or(0.02),
+        regions: regions(&top, &locations),
         tick,
         max_dispatches: whole("maxDispatches", 1..=255, 4) as u8,
         second_copies: limits.at("secondCopies").flag(false),
--- /dev/null
+++ b/crates/deployment/tests/regions.rs
@@ -0,0 +1,80 @@
+//! The section that tells which locations stand near each other.
+
+use orchidtally_deployment::{Deployment, restart_needed};
+
+const EXAMPLE: &str = include_str!("../../../examples/deployments/ferry-lines.json5");
+
+fn with_section(section: &str) -> String {
+    let base = r#"{
+  triggerTypes: [{ name: "a", effect: "idempotent", objective: "1s", timeout: "1s" }],
+  otherFunctions: {},
+  locations: ["east", "west", "south"],
+  location: "west",
+  executors: { list: [{ address: "127.0.0.1:1" }] },
+"#;
+    format!("{base}{section}\n}}")
+}
+
+fn faults(section: &str) -> Vec<String> {
+    let faults = Deployment::read(&with_section(section)).expect_err(section);
+    faults.iter().map(ToString::to_string).collect()
+}
+
+#[test]
+fn the_example_is_sound() {
+    let deployment = Deployment::read(EXAMPLE).expect("the example is sound");
+    assert_eq!(deployment.locations, ["east-port", "west-port", "island"]);
+    assert_eq!(deployment.policy.regions, [Some(0), Some(0), Some(1)]);
+    assert_eq!(deployment.policy.zone, 2);
+}
+
+#[test]
+fn it_may_be_left_out() {
+    let deployment = Deployment::read(&with_section("")).expect("sound");
+    assert!(deployment.policy.regions.is_empty());
+}
+
+#[test]
+fn locations_are_found_by_their_names() {
+    let section =
+        r#"regions: [{ name: "r", locations: ["south"] }, { name: "s", locations: ["west", "east"] }],"#;
+    let deployment = Deployment::read(&with_section(section)).expect("sound");
+    assert_eq!(deployment.policy.regions, [Some(1), Some(1), Some(0)]);
+}
+
+#[test]
+fn every_fault_of_it_is_told_with_its_place_and_remedy() {
+    let told = faults(
+        r#"  regions: [
+    { name: "coast", locations: ["east", "nowhere"] },
+    { name: "coast", locations: ["west", "east"] },
+    { name: "inland", locations: [], zone: 3 },
+  ],"#,
+    );
+    let expected = [
+        "7:12: regions: location 'south' is in no region; name it under one of them",
+        "8:42: regions[0].locations[1]: 'nowhere' is none of 'east', 'west', 'south'",
+        "9:13: regions[1].name: there are two regions 'coast'",
+        "9:42: regions[1].locations[1]: is in region 'coast' already; a location stands in one",
+        "10:34: regions[2].locations: at least one location is wanted",
+        "10:38: regions[2].zone: unknown key",
+    ];
+    for fault in expected {
+        assert!(told.iter().any(|t| t.starts_with(fault)), "'{fault}' is missing from {told:#?}");
+    }
+    assert_eq!(told.len(), expected.len(), "{told:#?}");
+}
+
+#[test]
+fn an_empty_one_is_a_fault() {
+    let expected =
+        "7:10: regions: at least one region is wanted; leave 'regions' out to place functions anywhere";
+    assert_eq!(faults("regions: [],"), [expected]);
+}
+
+#[test]
+fn a_change_of_it_takes_effect_at_a_restart() {
+    let one = with_section(r#"regions: [{ name: "r", locations: ["east", "west", "south"] }],"#);
+    let told: Vec<String> = restart_needed(&with_section(""), &one).iter().map(ToString::to_string).collect();
+    assert!(told.len() == 1 && told[0].starts_with("7:10: regions: has changed"), "{told:?}");
+}
--- a/crates/platform-config/src/lib.rs
+++ b/crates/platform-config/src/lib.rs
@@ -126,6 +126,7 @@
         index: amount_or(v, "index", 0.0)?,
         zone: if need(v, "zone").is_ok() { within(v, "zone", 0.0, 255.0)? as u8 } else { 0 },
         crossing: amount_or(v, "penalties.crossZone", 0.0)?,
+        regions: vec![],
         tick: seconds(v, "tick")?,
         max_dispatches: within(v, "limits.maxAttempts", 1.0, f64::INFINITY)?.min(255.0) as u8,
         second_copies: flag(v, "limits.secondCopies")?,
--- a/src/dispatch/judge.rs
+++ b/src/dispatch/judge.rs
@@ -7,11 +7,22 @@
     /// seen here is a sample of what all front ends take, so one invocation alone tells nothing.
     pub(super) fn wanted(&self, f: usize) -> f64 {
         let seen = (self.book.functions[f].taken.at(self.now, PART_TIME) - 1.0).max(0.0);
-        let ready = self.fleet.ready_count as f64;
+        let in_region = self.has_region(f).then_some(self.fleet.ready_in_region.len());
+        let ready = in_region.unwrap_or(self.fleet.ready_count) as f64;
         let by_traffic = COPIES * ready * seen / (self.lately.at(self.now, PART_TIME) + SAMPLE);
         (1.0 + by_traffic.max(self.book.functions[f].everywhere / CROWD)).min(ready)
     }
 
+    fn may_place(&self, f: usize, x: usize) -> bool {
+        self.is_open(x) && !self.fleet.suspect[x] && self.book.functions[f].failed != Some(x)
+    }
+
+    /// Whether the own region has an executor to place at: none elsewhere is taken then. Guards functions
+    /// against regions cut from each other; could harm where a region has less room than traffic.
+    pub(super) fn has_region(&self, f: usize) -> bool {
+        self.fleet.ready_in_region.iter().any(|&x| self.may_place(f, x))
+    }
+
     pub(super) fn is_idempotent(&self, i: usize) -> bool {
         self.policy.trigger_types[self.book.invs[i].ty].effect == Effect::Idempotent
     }
@@ -88,10 +99,10 @@
         let unfit = function.known.len() + 1 + self.fleet.unfit_bound(self.blind || bound);
         self.fleet.rank(&mut function.ranking, function.key, wanted + unfit);
         let function = &self.book.functions[f];
-        let is_sound = |x: usize| self.is_open(x) && !self.fleet.suspect[x];
+        let anywhere = bound || !self.has_region(f);
         let may_run = |x: usize| placed.is_none_or(|i| self.may_repeat(i, x, None));
-        let is_new = |x: usize| function.failed != Some(x) && !function.knows(x, self.now);
-        let fits = |&x: &usize| is_sound(x) && is_new(x) && may_run(x);
+        let is_new = |x: usize| self.may_place(f, x) && !function.knows(x, self.now);
+        let fits = |&x: &usize| (anywhere || self.fleet.in_region(x)) && is_new(x) && may_run(x);
         let last = function.last_warm.filter(|&(x, at)| self.now < at + self.policy.keep_alive && fits(&x));
         if let Some((x, _)) = last {
             return Some(x);
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -152,7 +152,7 @@
             limit: LIMIT_MOST,
             typical: TYPICAL_MOST / 3.0,
             wake_at: f64::INFINITY,
-            fleet: Fleet::new(policy.zone, LEAST_JUDGED, JUDGED_FOR),
+            fleet: Fleet::new(policy.zone, LEAST_JUDGED, JUDGED_FOR).in_regions(policy.regions.clone()),
             policy,
             now,
             watch_at: now,
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -298,9 +298,12 @@
         known.least(|load| self.busy_by(load, 1.0), value)
     }
 
-    /// Whether as many executors are known as the function wants.
+    /// Whether as many executors are known as the function wants, and one in the own region where that has any:
+    /// guards what went elsewhere against staying there.
     fn is_spread(&self, f: usize) -> bool {
-        self.book.functions[f].known.len() as f64 + 1.0 > self.wanted(f)
+        let known = &self.book.functions[f].known;
+        let is_near = |k: &Known| k.until > self.now && self.fleet.in_region(k.x) || !self.has_region(f);
+        known.len() as f64 + 1.0 > self.wanted(f) && known.iter().any(is_near)
     }
 
     /// Room: own in-flight below the lanes.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -116,6 +116,9 @@
     /// Its location, and what a dispatch to another one costs.
     pub zone: u8,
     pub crossing: f64,
+    /// The region of each zone, by the zone's number; zones past its end have none. Where the front end's own zone
+    /// has one, functions are placed there while it has an executor that is ready and sound. Empty: anywhere.
+    pub regions: Vec<Option<u8>>,
     pub tick: f64,
     pub max_dispatches: u8,
     pub second_copies: bool,
--- a/src/state/fleet.rs
+++ b/src/state/fleet.rs
@@ -1,8 +1,8 @@
 //! Executors: what the roster tells of each, and what was sent there and heard.
 
 use super::groups::Groups;
-use super::ranking::Ranked;
-use super::{DecayingSum, Load, Pause};
+use super::ranking::Pool;
+use super::{DecayingSum, Load, Pause, Regions};
 use crate::interface::{Ending, ExecutorId, Group};
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -20,11 +20,11 @@
     pub weight: Vec<f64>,
     /// Counts changes of the ready ones and of their weights: rankings hold as long as it stays.
     pub(super) version: u64,
-    pub(super) ranked: Vec<Ranked>,
-    /// What these weigh together.
-    pub(super) ranked_weight: f64,
-    /// The ready ones in the order of their indices, in all and by group.
+    /// The ready ones of the front end's own region, and all others.
+    pub(super) ranked: [Pool; 2],
+    /// The ready ones in the order of their indices, in all, in the front end's own region and by group.
     pub(super) ready_in_all: Vec<usize>,
+    pub ready_in_region: Vec<usize>,
     pub(super) ready_in_zone: Groups,
     pub(super) ready_in_cell: Groups,
     pub since: Vec<f64>,
@@ -74,6 +74,7 @@
     pub(super) forgotten_changes: u64,
     /// The front end's own location.
     home: u8,
+    pub(super) regions: Regions,
     /// Since when it is in no list: infinity while it is in one, minus infinity where the index is free.
     pub(super) gone_at: Vec<f64>,
     pub(super) free: Vec<usize>,
@@ -116,6 +117,16 @@
         Fleet { home, least_judged, judged_for, ..Fleet::default() }
     }
 
+    /// One without executors, with the regions of locations.
+    pub fn in_regions(self, of_zones: Vec<Option<u8>>) -> Fleet {
+        Fleet { regions: Regions::new(of_zones, self.home), ..self }
+    }
+
+    /// Whether an executor stands in the front end's own region.
+    pub fn in_region(&self, x: usize) -> bool {
+        self.regions.is_own(self.zone[x])
+    }
+
     fn note_change(&mut self, x: usize) {
         self.changed.push_back(x);
         if self.changed.len() > MOST_CHANGES {
--- a/src/state/listing.rs
+++ b/src/state/listing.rs
@@ -90,6 +90,7 @@
     fn update_ready(&mut self) {
         self.ready_in_all = self.all().filter(|&x| self.ready[x]).collect();
         self.ready_count = self.ready_in_all.len();
+        self.ready_in_region = self.ready_in_all.iter().copied().filter(|&x| self.in_region(x)).collect();
         self.ready_in_zone = Groups::new(&self.ready_in_all, |x| usize::from(self.zone[x]));
         self.ready_in_cell = Groups::new(&self.ready_in_all, |x| usize::from(self.cell[x]));
     }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -7,6 +7,7 @@
 mod listing;
 mod meters;
 mod ranking;
+mod regions;
 
 use crate::interface::{RosterKind, RosterRow};
 pub use book::*;
@@ -14,6 +15,7 @@
 pub use known::{Known, KnownSet, Load};
 pub use meters::*;
 pub use ranking::Ranking;
+pub use regions::Regions;
 
 /// Enters a list and voids what was known of executors that restarted, drain or are gone. Executors that are
 /// in no list since `forgotten` and that nothing refers to any more are dropped.
--- a/tests/plain/given.rs
+++ b/tests/plain/given.rs
@@ -80,6 +80,7 @@
         index: 0.0,
         zone: 0,
         crossing: 0.02,
+        regions: vec![],
         tick: 0.002,
         max_dispatches: 4,
         second_copies: false,
--- a/tests/plain/mod.rs
+++ b/tests/plain/mod.rs
@@ -37,6 +37,7 @@
 pub struct Executor {
     pub ready: bool,
     pub since: f64,
+    pub zone: u8,
     pub cell: u16,
     pub oks: u32,
 }
@@ -181,8 +182,19 @@
 
     /// One that starts at a moment.
     pub fn new_at(policy: PolicyConfig, executors: usize, now: f64) -> World {
-        let executor = |x| Executor { ready: false, since: f64::NEG_INFINITY, cell: x as u16 / 2, oks: 0 };
-        let fleet = (0..executors).map(executor).collect();
+        World::in_zones_at(policy, &vec![0; executors], now)
+    }
+
+    /// One whose executors stand in these zones.
+    pub fn in_zones(policy: PolicyConfig, zones: &[u8]) -> World {
+        World::in_zones_at(policy, zones, 100.0)
+    }
+
+    fn in_zones_at(policy: PolicyConfig, zones: &[u8], now: f64) -> World {
+        let since = f64::NEG_INFINITY;
+        let executor =
+            |(x, &zone): (usize, &u8)| Executor { ready: false, since, zone, cell: x as u16 / 2, oks: 0 };
+        let fleet = zones.iter().enumerate().map(executor).collect();
         let mut plain = Plain {
             policy: policy.clone(),
             now,
@@ -195,7 +207,7 @@
         };
         let dispatcher = Dispatcher::new(policy, 7, now, &mut plain);
         let mut world = World { dispatcher, plain, crowd: 0, report: vec![], took: 0.25 };
-        for x in 0..executors {
+        for x in 0..zones.len() {
             world.roster(x, Standing::Ready, f64::NEG_INFINITY);
         }
         world
@@ -204,7 +216,7 @@
     pub fn roster(&mut self, x: usize, standing: Standing, since: f64) {
         let e = &mut self.plain.fleet[x];
         (e.ready, e.since) = (standing == Standing::Ready, since.max(e.since));
-        let row = RosterRow { cell: e.cell, standing, since, ..row(x) };
+        let row = RosterRow { zone: e.zone, cell: e.cell, standing, since, ..row(x) };
         self.dispatcher.roster(self.plain.now, RosterKind::Delta, &[row], &mut self.plain);
     }
 
