--- a/crates/engine/examples/decision_cost.rs
+++ b/crates/engine/examples/decision_cost/main.rs
@@ -4,18 +4,21 @@
 //! `cargo run --release -p orchidtally-engine --example decision_cost -- [NAME=VALUE ...]`
 //!
 //! Names are `seconds` (120), `seed` (1), `day` (`calm`, `loaded` or `faults`), `executors`
-//! (36,300,1000,3000), `rate` (182 calls a second) and `exponent` (1.6, of Zipf's law over 21,000 functions).
+//! (36,300,1000,3000), `rate` (182 calls a second), `exponent` (1.6, of Zipf's law over 21,000 functions) and
+//! `regions` (0: the front end is not told of any; else the eight zones are spread over so many).
 //! The front end is one of 550. CPU time is the thread's own (Linux only), of the second half, with the
 //! simulation's part in it.
 
+mod play;
+
 use orchidtally::interface::*;
 use orchidtally::random::{SeededRandom, rendezvous_hash};
 use orchidtally::state::Ordered;
 use orchidtally_engine::{Cause, Engine, Host, Offer, Told};
+use play::{Day, Play};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 
-const FUNCTIONS: usize = 21_000;
 const FRONT_ENDS: f64 = 550.0;
 const START: f64 = 1_000.0;
 const ANSWER_TIME: f64 = 0.05;
@@ -23,16 +26,6 @@
 const KEEP_ALIVE: f64 = 60.0;
 const ZONES: u32 = 8;
 
-#[derive(Clone, Copy, PartialEq)]
-enum Day {
-    /// All executors alike, sound and idle.
-    Calm,
-    /// They report invocations of other front ends that wait.
-    Loaded,
-    /// They also differ in weight, drain, restart, fail and move.
-    Faults,
-}
-
 enum Event {
     Ends { inv: u32, dispatch: u8, x: usize, function: u64, ending: Ending, found: Found },
     Held { to: ExecutorId, function: u64, ending: Ending },
@@ -146,7 +139,7 @@
     fn watch_roster(&mut self) {}
 }
 
-fn policy(day: Day) -> PolicyConfig {
+fn policy(day: Day, regions: u32) -> PolicyConfig {
     let ty = |effect, group| TriggerType {
         objective: 1.0,
         stretch: 0.0,
@@ -167,6 +160,10 @@
         front_ends: FRONT_ENDS,
         index: 17.0,
         crossing: 0.02,
+        regions: (0..ZONES)
+            .filter(|_| regions > 0)
+            .map(|zone| Some((zone * regions / ZONES) as u8))
+            .collect(),
         tick: 0.002,
         max_dispatches: 4,
         cancel: true,
@@ -224,58 +221,6 @@
     stat.split(' ').next().and_then(|ns| ns.parse::<f64>().ok()).unwrap_or(f64::NAN) / 1e9
 }
 
-/// What is played.
-struct Play {
-    seconds: f64,
-    seed: u64,
-    day: Day,
-    executors: Vec<u32>,
-    rate: f64,
-    exponent: f64,
-}
-
-impl Play {
-    fn from_arguments(arguments: impl Iterator<Item = String>) -> Result<Play, String> {
-        let executors = vec![36, 300, 1_000, 3_000];
-        let mut play =
-            Play { seconds: 120.0, seed: 1, day: Day::Calm, executors, rate: 182.0, exponent: 1.6 };
-        for argument in arguments {
-            let (name, value) =
-                argument.split_once('=').ok_or(format!("{argument}: NAME=VALUE is wanted"))?;
-            let number = || value.parse::<f64>().map_err(|e| format!("{argument}: {e}"));
-            match (name, value) {
-                ("seconds", _) => play.seconds = number()?,
-                ("seed", _) => play.seed = number()? as u64,
-                ("rate", _) => play.rate = number()?,
-                ("exponent", _) => play.exponent = number()?,
-                ("day", "calm") => play.day = Day::Calm,
-                ("day", "loaded") => play.day = Day::Loaded,
-                ("day", "faults") => play.day = Day::Faults,
-                ("executors", _) => {
-                    let all = value.split(',').map(|n| n.parse().map_err(|e| format!("{argument}: {e}")));
-                    play.executors = all.collect::<Result<_, _>>()?;
-                }
-                _ => return Err(format!("{argument}: there is no such name or value")),
-            }
-        }
-        Ok(play)
-    }
-
-    /// The share of the first so many functions in all calls.
-    fn shares(&self) -> Vec<f64> {
-        let weights = (1..=FUNCTIONS).map(|n| (n as f64).powf(-self.exponent));
-        let mut shares: Vec<f64> = weights
-            .scan(0.0, |sum, weight| {
-                *sum += weight;
-                Some(*sum)
-            })
-            .collect();
-        let all = shares[FUNCTIONS - 1];
-        shares.iter_mut().for_each(|share| *share /= all);
-        shares
-    }
-}
-
 struct Seen {
     us_a_call: f64,
     ms_a_list: f64,
@@ -296,7 +241,7 @@
 }
 
 fn run(play: &Play, executors: u32, shares: &[f64]) -> Seen {
-    let &Play { seconds, seed, day, rate, .. } = play;
+    let &Play { seconds, seed, day, rate, regions, .. } = play;
     let mut simulation = Simulation {
         day,
         now: START,
@@ -313,7 +258,7 @@
         succeeded: 0,
         given_up: 0,
     };
-    let mut engine = Engine::new(policy(day), 100_000, seed, START, &mut simulation);
+    let mut engine = Engine::new(policy(day, regions), 100_000, seed, START, &mut simulation);
     let mut rows: Vec<RosterRow> = (0..executors).map(|x| row(day, x, 0, f64::NEG_INFINITY)).collect();
     engine.roster(START, RosterKind::Full, &rows, &mut simulation);
     let mut arrivals = SeededRandom::new(seed ^ 0x5eed);
