Tell the fleet run's front ends the regions of zones

Plan::regions_told; the runs tell them.

tests/fleet.rs: failures_are_seen_in_the_counts asks for calls lost in a cut; with regions told there are none, so it plays that cut with regions untold, its assertions as they were, and one more on crossings; a new test asks for no crossing and no loss where they are told.

--- a/crates/scale/src/fleet/front_end.rs
+++ b/crates/scale/src/fleet/front_end.rs
@@ -213,7 +213,7 @@
 pub const NON_IDEMPOTENT: usize = 1;
 
 /// The terms of a deployment file with the assumptions of this run, and its defaults otherwise.
-pub fn policy(front_ends: usize, index: usize, place: Place) -> PolicyConfig {
+pub fn policy(front_ends: usize, index: usize, place: Place, regions: Vec<Option<u8>>) -> PolicyConfig {
     let trigger_type = |effect| TriggerType {
         objective: OBJECTIVE,
         stretch: 0.0,
@@ -231,6 +231,7 @@
         index: index as f64,
         zone: place.zone,
         crossing: CROSSING,
+        regions,
         tick: 0.002,
         max_dispatches: 4,
         cancel: true,
--- a/crates/scale/src/fleet/simulation.rs
+++ b/crates/scale/src/fleet/simulation.rs
@@ -36,6 +36,8 @@
     pub size: Size,
     pub scenario: Scenario,
     pub policy: Policy,
+    /// Whether the front ends are told which zones form a region.
+    pub regions_told: bool,
     /// Simulated seconds before the measurement: with popular functions thinned, and in all.
     pub warm_up_thinned: f64,
     pub warm_up: f64,
@@ -180,7 +182,9 @@
     /// A front end that has just started and knows nothing.
     fn front_end(&mut self, number: usize, life: u8) -> FrontEnd {
         let place = self.shared.topology.front_ends[number];
-        let policy = policy(self.plan.size.front_ends, number, place);
+        let told = self.plan.regions_told;
+        let regions = if told { self.shared.topology.regions.clone() } else { vec![] };
+        let policy = policy(self.plan.size.front_ends, number, place, regions);
         let seed = self.plan.seed.wrapping_mul(1_000_003) + (number * 256 + usize::from(life)) as u64;
         let mut state = HostState::new(number as u16, life, place, self.plan.size.executors);
         let now = self.shared.now;
--- a/crates/scale/src/fleet/topology.rs
+++ b/crates/scale/src/fleet/topology.rs
@@ -35,20 +35,28 @@
     pub executors: Vec<Place>,
     /// The rack of each executor; a rack stands in one zone.
     pub racks: Vec<u16>,
+    /// The region of each zone, as a deployment file tells it to the front ends.
+    pub regions: Vec<Option<u8>>,
 }
 
 impl Topology {
     /// `regions` and `zones` at least 1, and no fewer zones than regions.
     pub fn new(front_ends: usize, executors: usize, regions: usize, zones: usize) -> Topology {
+        let region_of = |zone: usize| zone * regions / zones;
         let place = |machine: usize| {
             let region = machine % regions;
-            let of_region: Vec<usize> = (0..zones).filter(|zone| zone * regions / zones == region).collect();
+            let of_region: Vec<usize> = (0..zones).filter(|&zone| region_of(zone) == region).collect();
             let zone = of_region[(machine / regions) % of_region.len()];
             Place { region: region as u8, zone: zone as u8 }
         };
         let executors: Vec<Place> = (0..executors).map(place).collect();
         let racks = racks(&executors, zones);
-        Topology { front_ends: (0..front_ends).map(place).collect(), executors, racks }
+        Topology {
+            front_ends: (0..front_ends).map(place).collect(),
+            executors,
+            racks,
+            regions: (0..zones).map(|zone| Some(region_of(zone) as u8)).collect(),
+        }
     }
 
     /// The roster row of an executor that started at `since`.
--- a/crates/scale/tests/fleet.rs
+++ b/crates/scale/tests/fleet.rs
@@ -16,6 +16,7 @@
         size,
         scenario,
         policy: Policy::Dispatcher,
+        regions_told: true,
         warm_up_thinned: 2.0,
         warm_up: 6.0,
         seconds: 14.0,
@@ -57,15 +58,28 @@
 fn failures_are_seen_in_the_counts() {
     let zone = counts(&plan(Scenario::ZoneLost, None));
     assert!(zone.all.front_end_lost > 0, "{zone:?}");
-    let cut = counts(&plan(Scenario::RegionCut, None));
+    // Where no regions are told, calls cross them and are lost with the way there.
+    let untold = |scenario| counts(&Plan { regions_told: false, ..plan(scenario, None) });
+    let cut = untold(Scenario::RegionCut);
     assert!(cut.cut_off.offered > 2_000 && cut.not_cut_off.offered > cut.cut_off.offered, "{cut:?}");
     let settled = cut.cut_off_settled.offered * 2;
     assert!(settled.abs_diff(cut.cut_off.offered) * 10 < cut.cut_off.offered, "{cut:?}");
-    let calm = counts(&plan(Scenario::Calm, None));
+    let calm = untold(Scenario::Calm);
+    assert!(calm.crossing * 4 > calm.dispatches, "{calm:?}");
     assert_eq!((calm.cut_off.offered, calm.not_cut_off.offered), (0, 0));
     assert!(cut.all.errored + cut.all.throttled > calm.all.errored + calm.all.throttled, "{cut:?}, {calm:?}");
 }
 
+#[test]
+fn where_regions_are_told_calls_stay_in_theirs_and_a_cut_costs_none() {
+    for scenario in [Scenario::Calm, Scenario::RegionCut] {
+        let counts = counts(&plan(scenario, None));
+        assert_eq!(counts.crossing, 0, "{scenario:?}: {counts:?}");
+    }
+    let cut = counts(&plan(Scenario::RegionCut, None)).cut_off;
+    assert!(cut.offered > 2_000 && cut.share(cut.in_time) > 0.97, "{cut:?}");
+}
+
 #[test]
 fn the_same_seed_gives_the_same_counts_also_side_by_side() {
     let plans = [Scenario::Calm, Scenario::Restarts, Scenario::RegionCut].map(|s| plan(s, None));
