--- a/src/dispatch/judge.rs
+++ b/src/dispatch/judge.rs
@@ -7,11 +7,22 @@
     /// seen here is a sample of what all front ends take, so one invocation alone tells nothing.
     pub(super) fn wanted(&self, f: usize) -> f64 {
         let seen = (self.book.functions[f].taken.at(self.now, PART_TIME) - 1.0).max(0.0);
-        let ready = self.fleet.ready_count as f64;
+        let in_region = self.has_region(f).then_some(self.fleet.ready_in_region.len());
+        let ready = in_region.unwrap_or(self.fleet.ready_count) as f64;
         let by_traffic = COPIES * ready * seen / (self.lately.at(self.now, PART_TIME) + SAMPLE);
         (1.0 + by_traffic.max(self.book.functions[f].everywhere / CROWD)).min(ready)
     }
 
+    fn may_place(&self, f: usize, x: usize) -> bool {
+        self.is_open(x) && !self.fleet.suspect[x] && self.book.functions[f].failed != Some(x)
+    }
+
+    /// Whether the own region has an executor to place at: none elsewhere is taken then. Guards functions
+    /// against regions cut from each other; could harm where a region has less room than traffic.
+    pub(super) fn has_region(&self, f: usize) -> bool {
+        self.fleet.ready_in_region.iter().any(|&x| self.may_place(f, x))
+    }
+
     pub(super) fn is_idempotent(&self, i: usize) -> bool {
         self.policy.trigger_types[self.book.invs[i].ty].effect == Effect::Idempotent
     }
@@ -80,14 +91,18 @@
     /// The last executor known warm, else the less loaded of two, drawn with the function's key for a seed:
     /// all front ends draw the same and share the copy that one has loaded. It has room for what is placed.
     pub(super) fn placement_target(&mut self, f: usize, placed: Option<usize>) -> Option<usize> {
-        // As many as are wanted fit among so many and those that can't.
+        // As many as are wanted fit among so many and those that can't. For one that may have run that is any
+        // number: all are ranked. It has to stay rare, and does: those known in its group come first.
         let wanted = self.wanted(f).max(2.0) as usize;
+        let bound = placed.is_some_and(|i| self.book.invs[i].ran.is_some() && !self.is_idempotent(i));
         let function = &mut self.book.functions[f];
-        let unfit = function.known.len() + 1 + self.fleet.unsound_bound(self.blind);
+        let unfit = function.known.len() + 1 + self.fleet.unfit_bound(self.blind || bound);
         self.fleet.rank(&mut function.ranking, function.key, wanted + unfit);
         let function = &self.book.functions[f];
-        let is_sound = |x: usize| self.is_open(x) && !self.fleet.suspect[x];
-        let fits = |&x: &usize| is_sound(x) && function.failed != Some(x) && !function.knows(x, self.now);
+        let anywhere = bound || !self.has_region(f);
+        let may_run = |x: usize| placed.is_none_or(|i| self.may_repeat(i, x, None));
+        let is_new = |x: usize| self.may_place(f, x) && !function.knows(x, self.now);
+        let fits = |&x: &usize| (anywhere || self.fleet.in_region(x)) && is_new(x) && may_run(x);
         let last = function.last_warm.filter(|&(x, at)| self.now < at + self.policy.keep_alive && fits(&x));
         if let Some((x, _)) = last {
             return Some(x);
@@ -115,13 +130,11 @@
     /// can have become warm.
     fn warm(&mut self, kind: usize) -> usize {
         let mut count = std::mem::take(&mut self.fleet.warm[kind]);
-        if self.now >= count.due {
-            let ripe = |y: usize| {
-                let risen = self.fleet.since[y] + self.policy.skew + self.policy.cold;
-                risen.max(self.fleet.broke_at[y] + BROKEN_FOR) - TICK_INTERVAL
-            };
-            count.look_again(|y| self.warmth(y) < 1.0, ripe);
-        }
+        let ripe = |y: usize| {
+            let risen = self.fleet.since[y] + self.policy.skew + self.policy.cold;
+            risen.max(self.fleet.broke_at[y] + BROKEN_FOR) - TICK_INTERVAL
+        };
+        count.look_again(self.now, |y| self.warmth(y) < 1.0, ripe);
         self.fleet.set_warm(kind, count)
     }
 
--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -72,17 +72,17 @@
             return true;
         }
         let free = |&&i: &&usize| self.book.invs[i].ran.is_none() || self.is_idempotent(i);
-        let Some(&i) = function.waiting.iter().find(free).filter(|_| self.now >= function.next_at) else {
-            return false;
-        };
+        // Else one that is bound to its group: guards it against waiting there for what nobody loads.
+        let first = function.waiting.iter().find(free).or(function.waiting.first());
+        let Some(&i) = first.filter(|_| self.now >= function.next_at) else { return false };
         let Some(x) = self.placement_target(f, Some(i)) else { return false };
         let function = &self.book.functions[f];
         // Guards against copies for what only crowding holds up. A cold one without a turn has no room.
         let (most, work) = (SPREAD * self.busy(x), self.usual[self.book.invs[i].ty]);
         // Not one whose time is over: with many functions it is long until they are swept.
         let stands = |k: &&Known| k.until > self.now && !self.fleet.suspect[k.x] && self.has_lane(f, k);
-        let bears = |k: &Known| self.busy(k.x) < most && self.cold_room(k.x, work);
-        if self.is_spread(f) && function.known.iter().filter(stands).any(bears) {
+        let bears = |x: usize| self.busy(x) < most && self.cold_room(x, work) && self.may_repeat(i, x, None);
+        if self.is_spread(f) && function.known.iter().filter(stands).any(|k| bears(k.x)) {
             return false;
         }
         let worth_it = self.policy.answers_miss || self.policy.order_price < ORDER_PRICE_THRESHOLD;
@@ -90,8 +90,7 @@
         if !by_order && (self.policy.orders && self.policy.answers_miss || !self.dispatch(i, x, true, out)) {
             return false;
         }
-        let patience_at = self.now + PLACEMENT_TIMEOUT * self.book.functions[f].load_time;
-        self.book.functions[f].placement = Some(Placement { x, by_order, patience_at });
+        self.book.functions[f].begin_placement(x, by_order, self.now, PLACEMENT_TIMEOUT);
         true
     }
 
@@ -101,8 +100,7 @@
     /// placements; it could harm where orders are scarce, so a part of them is left to those.
     pub fn ahead(&mut self, now: f64, wish: &Ahead, out: &mut dyn Actions) -> usize {
         self.now = now;
-        let (lanes, load_time) = (wish.lanes.max(1.0).floor(), wish.load_time.unwrap_or(LOAD_TIME));
-        let f = self.book.function(wish.function, lanes, load_time);
+        let f = self.book.function(wish.function, wish.lanes, wish.load_time.unwrap_or(LOAD_TIME));
         self.touched.push(f);
         self.settle(out); // ends a placement past its patience
         let spare = self.ration_left(AHEAD);
@@ -117,8 +115,7 @@
         let x = if count < wish.copies { self.placement_target(f, None) } else { renewed };
         let ordered = x.filter(|&x| self.order(f, x, out));
         if let Some(x) = ordered.filter(|_| count < wish.copies) {
-            let patience_at = now + PLACEMENT_TIMEOUT * self.book.functions[f].load_time;
-            self.book.functions[f].placement = Some(Placement { x, by_order: true, patience_at });
+            self.book.functions[f].begin_placement(x, true, now, PLACEMENT_TIMEOUT);
         }
         count
     }
@@ -126,13 +123,8 @@
     /// A placement has come to its end; a failed one alone is tried again, after a growing pause.
     pub(super) fn placed(&mut self, f: usize, x: usize, by_order: bool, well: bool) {
         let function = &mut self.book.functions[f];
-        if function.placement.take_if(|p| p.x == x && p.by_order == by_order).is_none() {
-            return;
-        }
-        function.failed = (!well).then_some(x);
-        function.tries = if well { 0 } else { function.tries + 1 };
-        if !well {
-            function.next_at = self.now + BACKOFF * BACKOFF_GROWTH.powi(function.tries - 1);
+        if let Some(tries) = function.end_placement(x, by_order, well) {
+            function.next_at = self.now + BACKOFF * BACKOFF_GROWTH.powi(tries - 1);
         }
     }
 
@@ -174,6 +166,7 @@
             && inv.sent - u8::from(leaving.is_some()) < self.policy.max_dispatches
             && others <= usize::from(self.policy.second_copies)
             && self.now + self.policy.tick < inv.timeout_at
+            && self.is_open(x)
             && self.may_repeat(i, x, leaving)
             && self.cold_room(x, self.usual[inv.ty])
     }
@@ -185,7 +178,7 @@
     }
 
     /// Whether another dispatch there could have no second effect.
-    fn may_repeat(&self, i: usize, x: usize, leaving: Option<u8>) -> bool {
+    pub(super) fn may_repeat(&self, i: usize, x: usize, leaving: Option<u8>) -> bool {
         let ty = &self.policy.trigger_types[self.book.invs[i].ty];
         let harmless = |(at, when): (usize, f64)| match ty.effect {
             Effect::Idempotent => true,
@@ -193,7 +186,7 @@
             Effect::Tokened if !self.fleet.same_group(ty.group, x, at) => false,
             Effect::Tokened => self.now < when + ty.window - 2.0 * self.policy.tick,
         };
-        self.is_open(x) && self.book.first_sent(i, leaving).is_none_or(harmless)
+        self.book.first_sent(i, leaving).is_none_or(harmless)
     }
 
     /// The same of any executor that fits; it is looked for only where one can be.
@@ -201,7 +194,7 @@
         let ty = &self.policy.trigger_types[self.book.invs[i].ty];
         let group = if ty.effect == Effect::Tokened { ty.group } else { Group::All };
         let ready = self.fleet.ready_in(group, self.book.first_sent(i, None).map(|first| first.0));
-        ready.iter().any(|&x| fits(x) && self.may_repeat(i, x, None))
+        ready.iter().any(|&x| fits(x) && self.is_open(x) && self.may_repeat(i, x, None))
     }
 
     /// A cold executor's budget over the span in which it could be pushed over: this front end's part, what's
@@ -305,9 +298,12 @@
         known.least(|load| self.busy_by(load, 1.0), value)
     }
 
-    /// Whether as many executors are known as the function wants.
+    /// Whether as many executors are known as the function wants, and one in the own region where that has any:
+    /// guards what went elsewhere against staying there.
     fn is_spread(&self, f: usize) -> bool {
-        self.book.functions[f].known.len() as f64 + 1.0 > self.wanted(f)
+        let known = &self.book.functions[f].known;
+        let is_near = |k: &Known| k.until > self.now && self.fleet.in_region(k.x) || !self.has_region(f);
+        known.len() as f64 + 1.0 > self.wanted(f) && known.iter().any(is_near)
     }
 
     /// Room: own in-flight below the lanes.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -116,6 +116,9 @@
     /// Its location, and what a dispatch to another one costs.
     pub zone: u8,
     pub crossing: f64,
+    /// The region of each zone, by the zone's number; zones past its end have none. Where the front end's own zone
+    /// has one, functions are placed there while it has an executor that is ready and sound. Empty: anywhere.
+    pub regions: Vec<Option<u8>>,
     pub tick: f64,
     pub max_dispatches: u8,
     pub second_copies: bool,
@@ -242,6 +245,13 @@
     pub report: &'a [f32],
 }
 
+impl Outcome<'_> {
+    /// What its load report says in a field, if the field is told; never under 0.
+    pub fn reported(&self, field: Option<usize>) -> Option<f64> {
+        self.report.get(field?).map(|&told| f64::from(told).max(0.0))
+    }
+}
+
 /// The module's answers, in the order in which they take effect.
 pub trait Actions {
     fn dispatch(&mut self, inv: u32, to: ExecutorId, time_out: f64);
