--- a/src/dispatch/send.rs
+++ b/src/dispatch/send.rs
@@ -298,8 +298,8 @@
         known.least(|load| self.busy_by(load, 1.0), value)
     }
 
-    /// Whether as many executors are known as the function wants, and one in the own region where that has any:
-    /// guards what went elsewhere against staying there.
+    /// Whether as many executors are known as the function wants, and one in the own region where that has
+    /// any: guards what went elsewhere against staying there.
     fn is_spread(&self, f: usize) -> bool {
         let known = &self.book.functions[f].known;
         let is_near = |k: &Known| k.until > self.now && self.fleet.in_region(k.x) || !self.has_region(f);
