Take the hollow front ends' trigger types and customers out again: 550 of them share a core

Cause: a view costs a front end some 0.9 ms for them, which a real one spends on its own core; in the run of configuration 550 hollow ones spend it on one. That this is the cause and not the load is likely, not measured: no run without it beside it.

--- a/crates/scale/src/hollow/configuration.rs
+++ b/crates/scale/src/hollow/configuration.rs
@@ -1,17 +1,12 @@
 //! A hollow front end's configuration: the true host of configuration distribution round its core, over the true etcd
-//! client. What a hub does with a view is done by a [`CallView`].
+//! client. What a hub would do with a view is done by a [`CallView`].
 
 use super::control::Bytes;
-use super::deployment;
 use async_executor::{LocalExecutor, Task};
-use orchidtally::interface::TriggerType;
 use orchidtally_config_sync::schema::GatewayEntry;
 use orchidtally_config_sync::{GatewaySchema, ReportedState, SettingsError, SyncSettings, Verdict, View};
-use orchidtally_deployment::{Deployment, Trigger};
 use orchidtally_etcd::Client;
-use orchidtally_frontend::config::{
-    ApplyError, ConfigHost, ConfigTarget, HostSettings, Overlay, SnapshotFile,
-};
+use orchidtally_frontend::config::{ApplyError, ConfigHost, ConfigTarget, HostSettings, SnapshotFile};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,31 +18,15 @@
 /// What a front end's calls see.
 pub struct CallView {
     number: usize,
-    /// The file that views stand over.
-    deployment: Deployment,
     view: RefCell<Arc<View<GatewayEntry>>>,
-    /// Trigger types and customers in force, as a hub works them out for its engine.
-    policies: RefCell<Policies>,
     on_apply: OnApply,
     /// A fault on purpose: the view stays as it is, and the host is told that the new one is in force.
     keeps_old_view: Cell<bool>,
 }
 
-/// What an engine has to know of a view.
-#[derive(Default)]
-struct Policies {
-    _trigger_types: Vec<(Trigger, TriggerType)>,
-    _customers: Vec<(String, f64)>,
-}
-
 impl ConfigTarget<GatewayEntry> for CallView {
     fn apply(&self, view: &Arc<View<GatewayEntry>>) -> Result<(), ApplyError> {
         if !self.keeps_old_view.get() {
-            let overlay = Overlay { deployment: &self.deployment, view: Some(view) };
-            self.policies.replace(Policies {
-                _trigger_types: overlay.trigger_types(),
-                _customers: overlay.customers(),
-            });
             (self.on_apply)(self.number, view);
             *self.view.borrow_mut() = view.clone();
         }
@@ -85,9 +64,7 @@
     ) -> Result<Rc<Configuration>, SettingsError> {
         let target = CallView {
             number: options.number,
-            deployment: deployment::parsed(&deployment::without_store(1)),
             view: RefCell::default(),
-            policies: RefCell::default(),
             on_apply: options.on_apply,
             keeps_old_view: Cell::new(false),
         };
