--- a/crates/platform-config/src/lib.rs
+++ b/crates/platform-config/src/lib.rs
@@ -107,6 +107,10 @@
     })
 }
 
+/// Reads the platform's settings object, in JSON, into the module's configuration; durations become seconds.
+///
+/// # Errors
+/// It is no JSON, or a key is missing, of another form or out of its range: the fault names the key.
 pub fn read(bytes: &[u8]) -> Result<PolicyConfig, Fault> {
     decode(&serde_json::from_slice(bytes).map_err(|e| Fault::NotJson(e.to_string()))?)
 }
