--- a/crates/platform/src/egress.rs
+++ b/crates/platform/src/egress.rs
@@ -8,7 +8,7 @@
 use orchidtally_engine::evidence::{self, Transport};
 use orchidtally_lines::{Answer, Tell, Word};
 use orchidtally_net::turn::Brought;
-use tracing::debug;
+use tracing::{debug, info};
 
 /// What the module is told of an answer's ending.
 fn ending(word: Word) -> Transport {
@@ -138,7 +138,10 @@
             executor.connections.retain(|&l| l != slot);
             if !connection.is_idle() {
                 self.counts.connections_lost += 1;
-                debug!(executor = executor.name, open = connection.open.len(), why, "lost a connection");
+                if let Some(left_out) = self.close_log.admit(now) {
+                    let (open, connected) = (connection.open.len(), connection.connected);
+                    info!(executor = executor.name, open, connected, why, left_out, "lost a connection");
+                }
             }
             if !executor.listed && executor.connections.is_empty() {
                 self.host.executors.remove(&connection.to);
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -3,6 +3,7 @@
 use crate::clients::{self, Client};
 use crate::connections;
 use crate::host_state::HostState;
+use crate::log_budget::LogBudget;
 use crate::roster::Resolver;
 use crate::start::Start;
 use mio::net::TcpListener;
@@ -70,6 +71,7 @@
     pub counts: Counts,
     /// Connections to executors that ended, when and how, with what is to be judged of them.
     pub severed: VecDeque<(f64, Transport, connections::Connection)>,
+    pub close_log: LogBudget,
     /// Connections wait to be accepted for which there was no descriptor.
     pub accept_later: bool,
     pub leaving_since: Option<f64>,
@@ -140,6 +142,7 @@
             buffer: vec![0; READ].into(),
             counts: Counts::default(),
             severed: VecDeque::new(),
+            close_log: LogBudget::default(),
             accept_later: false,
             leaving_since: None,
             reread_until: f64::NEG_INFINITY,
--- a/crates/platform/src/host.rs
+++ b/crates/platform/src/host.rs
@@ -5,6 +5,7 @@
 use orchidtally_engine::{Cause, Host};
 use orchidtally_frames as frames;
 use orchidtally_lines as lines;
+use tracing::info;
 
 impl Host for HostState {
     fn taken(&mut self, inv: u32) {
@@ -55,13 +56,21 @@
         self.answer(inv, frames::SUCCEEDED, &[], &body);
     }
 
-    fn throttled(&mut self, inv: u32, retry_after: f64, _past_share: bool) {
+    fn throttled(&mut self, inv: u32, retry_after: f64, past_share: bool) {
+        if let Some(left_out) = self.answer_log.admit(self.now) {
+            let invocation = self.invocations.get(&inv).map(|open| &*open.id);
+            info!(invocation, retry_after, past_share, left_out, "throttled");
+        }
         let ms = format!("{}", (retry_after * 1e3).round().max(0.0) as u64);
         let fields = [("cooldown", ms.as_str())];
         self.answer(inv, frames::THROTTLED, if retry_after > 0.0 { &fields } else { &[] }, &[]);
     }
 
-    fn errored(&mut self, inv: u32, _cause: Cause, _may_have_run: bool) {
+    fn errored(&mut self, inv: u32, cause: Cause, may_have_run: bool) {
+        if let Some(left_out) = self.answer_log.admit(self.now) {
+            let invocation = self.invocations.get(&inv).map(|open| &*open.id);
+            info!(invocation, ?cause, may_have_run, left_out, "errored");
+        }
         self.answer(inv, frames::ERRORED, &[], &[]);
     }
 
--- a/crates/platform/src/host_state.rs
+++ b/crates/platform/src/host_state.rs
@@ -4,6 +4,8 @@
 use crate::clients::Client;
 use crate::connections::{Connection, Executor};
 use crate::held::Held;
+use crate::log_budget::LogBudget;
+use crate::roster::HeldList;
 use mio::Registry;
 use orchidtally::interface::ExecutorId;
 use orchidtally_engine::Engine;
@@ -98,6 +100,10 @@
     /// The body of the answer that is being reported.
     pub brought: Vec<u8>,
     pub longest_stay_away: f64,
+    /// The list that decisions rest on, for the log.
+    pub view: HeldList,
+    pub dispatch_log: LogBudget,
+    pub answer_log: LogBudget,
 }
 
 impl HostState {
@@ -133,6 +139,9 @@
             taking: None,
             brought: vec![],
             longest_stay_away: grounds.policy.max_retry_after,
+            view: HeldList::default(),
+            dispatch_log: LogBudget::default(),
+            answer_log: LogBudget::default(),
         }
     }
 
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -13,6 +13,7 @@
 mod host_state;
 mod ingress;
 mod listing;
+mod log_budget;
 mod roster;
 mod sending;
 pub mod start;
--- a/crates/platform/src/listing.rs
+++ b/crates/platform/src/listing.rs
@@ -12,6 +12,7 @@
         if let Some(entries) = self.resolver.read(now, &mut self.places) {
             self.list(now, entries);
         }
+        self.host.view = self.resolver.held;
         if named != self.places.named() || left_out != self.places.left_out {
             let ((locations, kinds), left_out) = (self.places.named(), self.places.left_out);
             warn!(locations, kinds, left_out, "lists name locations or kinds that the settings don't");
@@ -57,7 +58,8 @@
             self.host.touch_connection(connection);
         }
         let ready = rows.iter().filter(|r| r.standing == Standing::Ready).count();
-        info!(executors = rows.len(), ready, "the roster");
+        let (serial, age) = (self.resolver.held.serial, now - self.resolver.held.asked_at);
+        info!(executors = rows.len(), ready, serial, age, "the roster");
         self.engine.roster(now, RosterKind::Full, &rows, &mut self.host);
         self.host.executors.retain(|_, e| e.listed || !e.connections.is_empty());
     }
--- a/crates/platform/src/roster.rs
+++ b/crates/platform/src/roster.rs
@@ -1,11 +1,14 @@
 //! Asks the resolver for the list of executors, over and over.
 
+use crate::log_budget::LogBudget;
 use mio::net::UdpSocket;
 use mio::{Interest, Registry};
 use orchidtally_resolver::{Entry, LONGEST, Places};
 use std::collections::VecDeque;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use tracing::warn;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// An event counts as told 1.5 s after it happened: asked this often, several answers may be lost by then.
 const ASK_EVERY: f64 = 0.2;
@@ -17,11 +20,31 @@
 /// Resolvers asked before that are still heard.
 const MOST_BEFORE: usize = 2;
 
-/// Where it is asked, and the ids of the queries that are out, in their order.
+/// A query that is out.
+struct Query {
+    id: u16,
+    sent_at: f64,
+}
+
+/// Where it is asked, and the queries that are out, in their order.
 struct Asked {
     socket: UdpSocket,
     at: SocketAddr,
-    queries: VecDeque<u16>,
+    queries: VecDeque<Query>,
+}
+
+/// The list that is held: its serial, when the question that it answers went out, and a digest of the answer.
+#[derive(Clone, Copy, Debug)]
+pub struct HeldList {
+    pub serial: u32,
+    pub asked_at: f64,
+    digest: u64,
+}
+
+impl Default for HeldList {
+    fn default() -> HeldList {
+        HeldList { serial: 0, asked_at: f64::NEG_INFINITY, digest: 0 }
+    }
 }
 
 pub struct Resolver {
@@ -29,7 +52,8 @@
     /// Those asked before, until the present one has answered: what they sent by then was told.
     before: VecDeque<Asked>,
     next_at: f64,
-    serial: u32,
+    pub held: HeldList,
+    log: LogBudget,
     buffer: Box<[u8]>,
     /// Queries since the last good answer.
     unanswered: usize,
@@ -63,7 +87,8 @@
             now,
             before: VecDeque::new(),
             next_at: 0.0,
-            serial,
+            held: HeldList { serial, ..HeldList::default() },
+            log: LogBudget::default(),
             buffer,
             unanswered: 0,
             told_quiet: false,
@@ -104,7 +129,7 @@
         let id = rand::random();
         self.next_at = now + ANSWER_WITHIN;
         self.unanswered += 1;
-        self.now.queries.push_back(id);
+        self.now.queries.push_back(Query { id, sent_at: now });
         if self.now.queries.len() > MOST_ASKED {
             self.now.queries.pop_front();
         }
@@ -130,18 +155,42 @@
                     // Nobody listens there, for now.
                     Err(_) => continue,
                 };
-                let id = self.buffer[..read].first_chunk().map_or(0, |&id| u16::from_be_bytes(id));
-                let Some(query) = asked.queries.iter().position(|&asked| asked == id) else {
+                let bytes = &self.buffer[..read];
+                let id = bytes.first_chunk().map_or(0, |&id| u16::from_be_bytes(id));
+                let Some(query) = asked.queries.iter().position(|asked| asked.id == id) else {
                     self.bad += 1;
+                    if let Some(left_out) = self.log.admit(now) {
+                        warn!(resolver = %asked.at, id, left_out, "an answer to no open question was passed over");
+                    }
                     continue;
                 };
-                match orchidtally_resolver::answer(&self.buffer[..read], id, self.serial, places) {
+                let asked_at = asked.queries[query].sent_at;
+                let held = self.held;
+                match orchidtally_resolver::answer(bytes, id, held.serial, places) {
                     // An older list than was told already comes from a resolver that lags: asked again soon.
-                    Ok((serial, _)) if serial < self.serial => self.bad += 1,
+                    Ok((serial, _)) if serial < held.serial => {
+                        self.bad += 1;
+                        if let Some(left_out) = self.log.admit(now) {
+                            let age = now - asked_at;
+                            warn!(resolver = %asked.at, serial, held = held.serial, age, left_out,
+                                "an answer with an older serial was passed over");
+                        }
+                    }
                     Ok((serial, entries)) => {
+                        let digest = xxh3_64(&bytes[2..]);
+                        if entries.is_none()
+                            && held.digest != 0
+                            && held.digest != digest
+                            && let Some(left_out) = self.log.admit(now)
+                        {
+                            let age = now - asked_at;
+                            warn!(resolver = %asked.at, serial, age, left_out,
+                                "an answer has the serial that is held and other content");
+                        }
                         // Those asked before stay: what is told in a late answer is told all the same.
                         asked.queries.remove(query);
-                        (self.bad, self.unanswered, self.serial) = (0, 0, serial);
+                        (self.bad, self.unanswered) = (0, 0);
+                        self.held = HeldList { serial, asked_at, digest };
                         newest = entries.or(newest);
                         if is_present {
                             answered = true;
@@ -150,12 +199,9 @@
                     }
                     Err(fault) => {
                         self.bad += 1;
-                        if self.bad.is_power_of_two() {
-                            tracing::warn!(
-                                fault,
-                                bad = self.bad,
-                                "an answer of the resolver was passed over"
-                            );
+                        if let Some(left_out) = self.log.admit(now) {
+                            warn!(resolver = %asked.at, fault, bad = self.bad, left_out,
+                                "an answer of the resolver was passed over");
                         }
                     }
                 }
--- a/crates/platform/src/sending.rs
+++ b/crates/platform/src/sending.rs
@@ -2,12 +2,35 @@
 
 use crate::connections::{self, BACKLOG, Connection, Queued, Unwritten};
 use crate::host_state::{Departures, HostState, ORDER, Order};
+use crate::log_budget::LogBudget;
+use crate::roster::HeldList;
 use mio::Interest;
 use mio::net::TcpStream;
 use orchidtally::interface::ExecutorId;
 use orchidtally_engine::evidence::Transport;
 use orchidtally_lines as lines;
 use std::rc::Rc;
+use tracing::{debug, info};
+
+/// Age of the view, in seconds, past which each dispatch is logged.
+const OLD_VIEW: f64 = 1.0;
+
+/// Logs a dispatch with the serial and the age of the list that it rests on.
+fn log_dispatch(
+    budget: &mut LogBudget,
+    now: f64,
+    view: &HeldList,
+    (invocation, dispatch): (&str, u8),
+    executor: Option<&str>,
+) {
+    let (serial, age) = (view.serial, now - view.asked_at);
+    if age > OLD_VIEW
+        && let Some(left_out) = budget.admit(now)
+    {
+        info!(invocation, dispatch, executor, serial, age, left_out, "a dispatch leaves on an old list");
+    }
+    debug!(invocation, dispatch, executor, serial, age, "a dispatch leaves");
+}
 
 impl HostState {
     /// A connection over which a line may go: the one that stands and has the least open, unless another may
@@ -224,6 +247,8 @@
                             continue;
                         };
                         out.from = Some(from);
+                        let executor = self.executors.get(&connection.to).map(|e| e.name.as_str());
+                        log_dispatch(&mut self.dispatch_log, self.now, &self.view, (&id, dispatch), executor);
                         let left = (work.timeout_at - self.now).max(0.001);
                         lines::dispatch(&lines::Dispatch {
                             id: &id,
--- a/crates/test-servers/src/platform/resolver.rs
+++ b/crates/test-servers/src/platform/resolver.rs
@@ -30,8 +30,20 @@
     Failed,
     /// The list before this one.
     Stale,
+    /// The rows of the list before this one, under the present serial.
+    OldRows,
+    /// This list under a serial that is so much higher.
+    Ahead(u32),
     /// Sent long after the next query, so that later ones overtake it.
     Late,
+    /// Sent so many milliseconds late.
+    LateBy(u32),
+    /// Sent twice.
+    Doubled,
+    /// One executor's text is unreadable.
+    OddText,
+    /// One executor's standing is the other one.
+    OddStanding,
 }
 
 pub struct Resolver {
@@ -129,6 +141,8 @@
         let before = self.before.borrow();
         let (serial, rows) = match odd {
             Some(Odd::Stale) => (before.0, before.1.clone()),
+            Some(Odd::OldRows) => (self.serial.get(), before.1.clone()),
+            Some(Odd::Ahead(by)) => (self.serial.get().wrapping_add(by), self.rows.borrow().clone()),
             _ => (self.serial.get(), self.rows.borrow().clone()),
         };
         let targets: Vec<String> = rows.iter().map(|r| format!("{}.east.hosts", r.executor.name)).collect();
@@ -139,10 +153,11 @@
             Some(Odd::Failed) => *packet.rcode_mut() = simple_dns::RCODE::ServerFailure,
             _ => {}
         }
-        for (row, target) in rows.iter().zip(&targets) {
+        for (n, (row, target)) in rows.iter().zip(&targets).enumerate() {
             let (e, target) = (&row.executor, Name::new(target)?);
             let at = e.at[front_end as usize];
-            let priority = u16::from(row.standing != Standing::Ready);
+            let is_odd = |kind| n == 0 && odd == Some(kind);
+            let priority = u16::from((row.standing != Standing::Ready) != is_odd(Odd::OddStanding));
             let srv = SRV { priority, weight: 40, port: at.port(), target: target.clone() };
             packet.answers.push(ResourceRecord::new(Name::new(SERVICE)?, CLASS::IN, 0, RData::SRV(srv)));
             if let IpAddr::V4(ip) = at.ip() {
@@ -151,7 +166,10 @@
             }
             let mut txt = TXT::new();
             let figures = [format!("cell={}", e.cell), format!("started={}", self.started(e))];
-            for text in ["kind=std"].into_iter().chain(figures.iter().map(String::as_str)) {
+            for text in [if is_odd(Odd::OddText) { "kin" } else { "kind=std" }]
+                .into_iter()
+                .chain(figures.iter().map(String::as_str))
+            {
                 txt.add_string(text)?;
             }
             let txt = RData::TXT(txt.into_owned());
@@ -186,11 +204,22 @@
                 if odd == Some(Odd::Cut) {
                     list.truncate(list.len() / 2);
                 }
-                if odd.is_none() || odd == Some(Odd::Late) {
+                let is_told = matches!(
+                    odd,
+                    None | Some(Odd::Ahead(_) | Odd::Late | Odd::LateBy(_) | Odd::Doubled | Odd::OddText)
+                );
+                if is_told {
                     me.tell(front_end);
                 }
                 let (me, socket) = (me.clone(), socket.clone());
-                let late = if odd == Some(Odd::Late) { 0.2 + 0.3 * me.stage.unit() } else { 0.0 };
+                let late = match odd {
+                    Some(Odd::Late) => 0.2 + 0.3 * me.stage.unit(),
+                    Some(Odd::LateBy(ms)) => f64::from(ms) / 1e3,
+                    _ => 0.0,
+                };
+                if odd == Some(Odd::Doubled) {
+                    let _ = socket.send_to(&list, from).await;
+                }
                 let sending = async move {
                     me.stage.sleep(late).await;
                     // One who is gone asks no more.
