Try again after local failures: no descriptor, no route, a file half written

Cause: one failed read of the new file or one failed socket after SIGHUP left the old resolver asked for good; a connect that failed on this machine was told to the module as the executor's; accepting evicted idle clients for faults of one connection. Change: the file is read again with backoff up to 4 s until it can be used; own faults (crates/net/src/own_fault.rs) prove nothing of an executor and are tried again every 20 ms within the connect time; only EMFILE makes an idle client give way; a start tries again for 5 s.

--- a/crates/engine/src/evidence.rs
+++ b/crates/engine/src/evidence.rs
@@ -9,6 +9,8 @@
     Answered(Ending),
     /// No connection stood in time: refused, unreachable, or no handshake.
     NoConnection,
+    /// This machine could open no connection: it says nothing of the executor.
+    NoResource,
     /// All connections that may be opened were full for as long as one waits for them.
     Saturated,
     /// The connection broke before a byte of the dispatch was handed to the kernel.
@@ -43,6 +45,6 @@
         Transport::Cut => Ending::Cancelled,
         Transport::Reset | Transport::Broken => Ending::Reset,
         Transport::TimedOut => Ending::TimedOut,
-        Transport::Withheld => Ending::NeverSent,
+        Transport::Withheld | Transport::NoResource => Ending::NeverSent,
     }
 }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,8 +2,11 @@
 //! kernel, and the time-outs that go with them.
 
 pub mod http;
+mod own_fault;
 pub mod turn;
 
+pub use own_fault::{is_out_of_descriptors, is_out_of_resources, is_own_fault};
+
 use async_io::{Async, Timer};
 use futures_lite::future;
 use futures_lite::io::{AsyncRead, AsyncWrite};
--- a/crates/platform/src/accepting.rs
+++ b/crates/platform/src/accepting.rs
@@ -3,6 +3,7 @@
 use crate::clients::{self, Client};
 use crate::front::{Front, LISTENER};
 use mio::Interest;
+use orchidtally_net::{is_out_of_descriptors, is_out_of_resources};
 use std::io::ErrorKind;
 use tracing::debug;
 
@@ -20,16 +21,14 @@
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                // Also one that broke before it was taken.
-                Err(e) if matches!(e.kind(), ErrorKind::Interrupted | ErrorKind::ConnectionAborted) => {
-                    continue;
-                }
+                // It broke before it was taken, which accepting tells in many ways.
+                Err(fault) if !is_out_of_resources(&fault) => continue,
                 Err(fault) => {
                     // No descriptor or no memory: an idle one makes way. Where none is, or that was of no help, it is
                     // tried again with the next look at what is overdue; asking without a pause would take the whole
                     // core, and closing on and on every idle client.
                     debug!(%fault, "accepting");
-                    if !made_way && self.make_way(now) {
+                    if is_out_of_descriptors(&fault) && !made_way && self.make_way(now) {
                         self.counts.evicted += 1;
                         made_way = true;
                         continue;
--- a/crates/platform/src/egress.rs
+++ b/crates/platform/src/egress.rs
@@ -7,6 +7,7 @@
 use orchidtally_engine::Told;
 use orchidtally_engine::evidence::{self, Transport};
 use orchidtally_lines::{Answer, Tell, Word};
+use orchidtally_net::is_own_fault;
 use orchidtally_net::turn::Brought;
 use tracing::{debug, info};
 
@@ -41,7 +42,11 @@
                     self.host.touch_connection(slot);
                 }
                 Err(fault) => {
-                    self.dissolve(now, slot, Transport::NoConnection, &fault.to_string());
+                    let seen = match is_own_fault(&fault) {
+                        true => Transport::NoResource,
+                        false => Transport::NoConnection,
+                    };
+                    self.dissolve(now, slot, seen, &fault.to_string());
                     return false;
                 }
             }
@@ -147,7 +152,8 @@
                 self.host.executors.remove(&connection.to);
             }
         }
-        let again = connection.connected || self.host.stands(connection.to, now);
+        let reachable = connection.connected || seen == Transport::NoResource;
+        let again = reachable || self.host.stands(connection.to, now);
         self.host.send_again(connection.to, connection.take_unwritten(), again);
         for (id, out) in &connection.open {
             self.host.outs.remove(&(out.inv, out.dispatch));
--- a/crates/platform/src/ending.rs
+++ b/crates/platform/src/ending.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::Client;
 use crate::front::{Front, RESOLVER};
+use crate::log_budget::LogBudget;
 use crate::start;
 use orchidtally_frames as frames;
 use signal_hook::consts::SIGHUP;
@@ -23,6 +24,49 @@
 /// nobody tells when it is whole. What the new resolver has to tell counts as told 4 s after the signal.
 const REREAD_EVERY: f64 = 0.25;
 const REREAD_FOR: f64 = 3.5;
+/// Where it could not be used until then it is tried again after pauses that double up to this, until it can be: given up,
+/// the resolver that was asked before would be asked for good.
+const LONGEST_REREAD_PAUSE: f64 = 4.0;
+
+/// Reads of the file after SIGHUP.
+#[derive(Debug)]
+pub struct Reread {
+    /// It is read again until then, and on while it can't be used.
+    until: f64,
+    /// When next; infinity for never.
+    at: f64,
+    pause: f64,
+    log: LogBudget,
+}
+
+impl Default for Reread {
+    fn default() -> Reread {
+        Reread { until: f64::NEG_INFINITY, at: f64::INFINITY, pause: REREAD_EVERY, log: LogBudget::default() }
+    }
+}
+
+impl Reread {
+    /// A signal has come.
+    fn begin(&mut self, now: f64) {
+        (self.until, self.at, self.pause) = (now + REREAD_FOR, now, REREAD_EVERY);
+    }
+
+    fn is_due(&self, now: f64) -> bool {
+        now >= self.at
+    }
+
+    /// It was read; sets when it is again.
+    fn done(&mut self, now: f64, was_used: bool) {
+        if now < self.until {
+            self.at = now + REREAD_EVERY;
+        } else if was_used {
+            self.at = f64::INFINITY;
+        } else {
+            self.pause = (2.0 * self.pause).min(LONGEST_REREAD_PAUSE);
+            self.at = now + self.pause;
+        }
+    }
+}
 
 impl Front {
     pub fn signalled(&mut self, now: f64, signal: i32) {
@@ -31,32 +75,39 @@
             self.leaving_since.get_or_insert(now);
             return;
         }
-        self.reread_until = now + REREAD_FOR;
-        self.reread(now, true);
+        self.reread.begin(now);
+        self.reread(now);
     }
 
-    /// Takes the resolver's address from the file after SIGHUP, as often as it may still change.
-    pub fn reread(&mut self, now: f64, first: bool) {
-        if now < self.reread_at && !first {
+    /// Takes the resolver's address from the file after SIGHUP, as often as it may still change and until it can be.
+    pub fn reread(&mut self, now: f64) {
+        if !self.reread.is_due(now) {
             return;
         }
-        self.reread_at = if now < self.reread_until { now + REREAD_EVERY } else { f64::INFINITY };
-        let last = self.reread_at.is_infinite();
-        match start::read(&self.file) {
-            Err(fault) if first => {
-                warn!(%fault, "the new file can't be used yet; the old one stays, it is read again")
-            }
-            Err(fault) if last => warn!(%fault, "the new file can't be used; the old one stays"),
-            Err(_) => {}
-            Ok(new) if new.resolver == self.resolver.at() => {
-                if first {
-                    info!("the new file names the same resolver");
-                }
+        let was_used = match start::read(&self.file) {
+            Err(fault) => {
+                self.note_unusable(now, &fault.to_string());
+                false
             }
+            Ok(new) if new.resolver == self.resolver.at() => true,
             Ok(new) => match self.resolver.turn_to(new.resolver, self.poll.registry(), RESOLVER) {
-                Ok(()) => info!(resolver = %new.resolver, "asks another resolver"),
-                Err(fault) => warn!(%fault, resolver = %new.resolver, "the resolver can't be asked"),
+                Ok(()) => {
+                    info!(resolver = %new.resolver, "asks another resolver");
+                    true
+                }
+                Err(fault) => {
+                    self.note_unusable(now, &fault.to_string());
+                    false
+                }
             },
+        };
+        self.reread.done(now, was_used);
+    }
+
+    fn note_unusable(&mut self, now: f64, fault: &str) {
+        if let Some(left_out) = self.reread.log.admit(now) {
+            let asked = self.resolver.at();
+            warn!(fault, %asked, left_out, "the new file can't be used yet; the old one stays, it is read again");
         }
     }
 
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::{self, Client};
 use crate::connections;
+use crate::ending::Reread;
 use crate::host_state::HostState;
 use crate::log_budget::LogBudget;
 use crate::process_clock::ProcessClock;
@@ -12,6 +13,7 @@
 use orchidtally_engine::evidence::{self, Transport};
 use orchidtally_engine::{Engine, Tally};
 use orchidtally_frames as frames;
+use orchidtally_net::is_own_fault;
 use orchidtally_platform_config::Grounds;
 use orchidtally_resolver::{Places, RosterView};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -69,9 +71,7 @@
     /// Connections wait to be accepted for which there was no descriptor.
     pub accept_later: bool,
     pub leaving_since: Option<f64>,
-    /// The file is read again until then, and when next.
-    pub reread_until: f64,
-    pub reread_at: f64,
+    pub reread: Reread,
     /// Nothing has been open, and nobody has asked, since.
     pub quiet_since: Option<f64>,
     pub file: PathBuf,
@@ -90,9 +90,26 @@
     }
 }
 
+/// Calls that a start needs are tried again after this pause, for so long: what the machine lacks may be there then, and
+/// the address may still be held by the process before.
+const START_PAUSE: Duration = Duration::from_millis(50);
+const START_TRIES: usize = 100;
+
+/// Tries again what fails for want of something on this machine.
+fn persist<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let may_pass = |fault: &io::Error| is_own_fault(fault) || fault.kind() == io::ErrorKind::AddrInUse;
+    for _ in 1..START_TRIES {
+        match call() {
+            Err(fault) if may_pass(&fault) => std::thread::sleep(START_PAUSE),
+            other => return other,
+        }
+    }
+    call()
+}
+
 /// Serves until told to end and what was taken is answered.
 pub fn run(start: Start, file: PathBuf, PendingSignals(mut signals): PendingSignals) -> io::Result<Tally> {
-    let poll = Poll::new()?;
+    let poll = persist(Poll::new)?;
     poll.registry().register(&mut signals, SIGNALS, Interest::READABLE)?;
     let mut front = Front::new(start, file, poll)?;
     let mut events = Events::with_capacity(1024);
@@ -107,10 +124,10 @@
 
 impl Front {
     pub fn new(start: Start, file: PathBuf, poll: Poll) -> io::Result<Front> {
-        let mut listener = TcpListener::bind(start.listen)?;
+        let mut listener = persist(|| TcpListener::bind(start.listen))?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
         let view = RosterView::new(start.serial, &start.known);
-        let resolver = Resolver::new(start.resolver, view, poll.registry(), RESOLVER)?;
+        let resolver = persist(|| Resolver::new(start.resolver, view.clone(), poll.registry(), RESOLVER))?;
         let grounds = start.grounds;
         let mut clock = ProcessClock::new();
         let now = clock.read();
@@ -141,8 +158,7 @@
             close_log: LogBudget::default(),
             accept_later: false,
             leaving_since: None,
-            reread_until: f64::NEG_INFINITY,
-            reread_at: f64::INFINITY,
+            reread: Reread::default(),
             quiet_since: None,
             file,
             sweep_at: now,
@@ -258,7 +274,7 @@
         {
             self.ordered(now, tag, Transport::TimedOut, 0);
         }
-        self.reread(now, false);
+        self.reread(now);
         self.stop_taking(now);
     }
 
--- a/crates/platform/src/sending.rs
+++ b/crates/platform/src/sending.rs
@@ -8,9 +8,12 @@
 use orchidtally::interface::ExecutorId;
 use orchidtally_engine::evidence::Transport;
 use orchidtally_lines as lines;
+use orchidtally_net::is_own_fault;
 use std::rc::Rc;
 use tracing::{debug, info, warn};
 
+/// Pause after this machine could open no connection.
+const RETRY_PAUSE: f64 = 0.02;
 /// Age of the view, in seconds, past which each dispatch is logged.
 const OLD_VIEW: f64 = 1.0;
 
@@ -85,12 +88,16 @@
 
     fn begin_connection(&mut self, to: ExecutorId) -> Result<usize, Transport> {
         let executor = self.executors.get_mut(&to).ok_or(Transport::NoConnection)?;
-        let mut stream = TcpStream::connect(executor.address).map_err(|_| Transport::NoConnection)?;
+        let seen = |fault: std::io::Error| match is_own_fault(&fault) {
+            true => Transport::NoResource,
+            false => Transport::NoConnection,
+        };
+        let mut stream = TcpStream::connect(executor.address).map_err(seen)?;
         let slot = self.connections.vacant_key();
         let both = Interest::READABLE | Interest::WRITABLE;
         self.registry
             .register(&mut stream, connections::token(slot), both)
-            .map_err(|_| Transport::NoConnection)?;
+            .map_err(|_| Transport::NoResource)?;
         self.connections.insert(Connection::new(to, stream, self.now, self.connect_time));
         executor.connections.push(slot);
         Ok(slot)
@@ -111,8 +118,8 @@
 
     /// What was held back and may go now.
     pub fn release(&mut self) {
-        for (inv, dispatch, to) in self.held.due(self.now) {
-            self.send(inv, dispatch, to, self.now);
+        for (inv, dispatch, to, at) in self.held.due(self.now) {
+            self.send(inv, dispatch, to, at.unwrap_or(self.now));
         }
     }
 
@@ -130,6 +137,10 @@
                 self.outs.insert((inv, dispatch), slot);
                 self.touch_connection(slot);
             }
+            // The machine may have what it lacks a moment later; the executor is not to blame.
+            Err(Transport::NoResource) if self.now + RETRY_PAUSE < at + self.connect_time => {
+                self.held.push_again(inv, dispatch, to, RETRY_PAUSE, at);
+            }
             Err(why) => self.unsent.push((inv, dispatch, why)),
         }
     }
