Take starts by when they were listed; count the time that bytes waited while stopped

Change: a start that its first listing does not bear out is that listing; after a standstill deadlines count from its beginning.

--- /dev/null
+++ b/crates/cli/examples/fault_shim.rs
@@ -0,0 +1,193 @@
+//! A library that is loaded into a front end's process before the C library (LD_PRELOAD) and makes its system calls fail
+//! as Linux documents, by seed, and its wall clock step. Monotonic time is untouched. It is a preloaded library and no
+//! seam in the program, so that the very program that is released runs, with the calls of all its libraries.
+//!
+//! | variable | meaning |
+//! | --- | --- |
+//! | `FAULT_WALL` | `AFTER,BY`: so many seconds after the first look at the clock, the wall clock is so many ahead |
+//! | `FAULT_PERCENT` | how many in a hundred calls fail or are short; 0 where it is left out |
+//! | `FAULT_SEED` | which of them |
+
+use libc::{c_int, c_void, epoll_event, size_t, sockaddr, socklen_t, ssize_t, timespec};
+use std::sync::OnceLock;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// What the environment asks for.
+struct Plan {
+    wall_after: f64,
+    wall_by: f64,
+    percent: u64,
+    seed: u64,
+}
+
+/// Kinds of calls, each with a stream of chance of its own.
+#[derive(Clone, Copy)]
+enum Call {
+    Accept,
+    Socket,
+    Connect,
+    Send,
+    Receive,
+    Wait,
+}
+
+fn plan() -> &'static Plan {
+    static PLAN: OnceLock<Plan> = OnceLock::new();
+    PLAN.get_or_init(|| {
+        let text = |key| std::env::var(key).unwrap_or_default();
+        let wall = text("FAULT_WALL");
+        let (after, by) = wall.split_once(',').unwrap_or(("0", "0"));
+        Plan {
+            wall_after: after.parse().unwrap_or(0.0),
+            wall_by: by.parse().unwrap_or(0.0),
+            percent: text("FAULT_PERCENT").parse().unwrap_or(0),
+            seed: text("FAULT_SEED").parse().unwrap_or(1),
+        }
+    })
+}
+
+/// The next number of a call's stream (SplitMix64).
+fn draw(call: Call) -> u64 {
+    static COUNTS: [AtomicU64; 6] = [const { AtomicU64::new(0) }; 6];
+    let count = COUNTS[call as usize].fetch_add(1, Ordering::Relaxed);
+    let stream = plan().seed << 40 | (call as u64) << 32;
+    let mut z = stream.wrapping_add(count).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ z >> 30).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ z >> 27).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ z >> 31
+}
+
+/// Whether a call fails, and a number to choose how by.
+fn fails(call: Call) -> Option<usize> {
+    let percent = plan().percent;
+    if percent == 0 {
+        return None;
+    }
+    let drawn = draw(call);
+    (drawn % 100 < percent).then_some((drawn / 100) as usize)
+}
+
+/// Fails with one of some errors.
+fn fail(choice: usize, errors: &[c_int]) -> c_int {
+    // SAFETY: the C library's place of this thread's error.
+    unsafe { *libc::__errno_location() = errors[choice % errors.len()] };
+    -1
+}
+
+/// The function of a name that would have been called.
+macro_rules! real {
+    ($name:literal, $kind:ty) => {{
+        static REAL: OnceLock<usize> = OnceLock::new();
+        // SAFETY: the name ends with a zero; the C library has a function of that name and kind.
+        let at = *REAL.get_or_init(|| unsafe { libc::dlsym(libc::RTLD_NEXT, $name.as_ptr()) as usize });
+        // SAFETY: as above.
+        unsafe { std::mem::transmute::<usize, $kind>(at) }
+    }};
+}
+
+fn is_stream(socket: c_int) -> bool {
+    let (mut kind, mut size) = (0 as c_int, size_of::<c_int>() as socklen_t);
+    // SAFETY: both places are this function's, and the size is the kind's.
+    let told = unsafe {
+        libc::getsockopt(socket, libc::SOL_SOCKET, libc::SO_TYPE, (&raw mut kind).cast(), &raw mut size)
+    };
+    told == 0 && kind == libc::SOCK_STREAM
+}
+
+/// # Safety
+/// As `clock_gettime` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn clock_gettime(clock: libc::clockid_t, at: *mut timespec) -> c_int {
+    let real = real!(c"clock_gettime", unsafe extern "C" fn(libc::clockid_t, *mut timespec) -> c_int);
+    // SAFETY: the caller's promise.
+    let result = unsafe { real(clock, at) };
+    if clock == libc::CLOCK_REALTIME && result == 0 {
+        static FIRST: OnceLock<f64> = OnceLock::new();
+        // SAFETY: the call above has filled it.
+        let at = unsafe { &mut *at };
+        let now = at.tv_sec as f64 + at.tv_nsec as f64 / 1e9;
+        if now >= FIRST.get_or_init(|| now) + plan().wall_after {
+            at.tv_sec += plan().wall_by as libc::time_t;
+        }
+    }
+    result
+}
+
+/// # Safety
+/// As `accept4` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn accept4(s: c_int, at: *mut sockaddr, size: *mut socklen_t, flags: c_int) -> c_int {
+    let real = real!(c"accept4", unsafe extern "C" fn(c_int, *mut sockaddr, *mut socklen_t, c_int) -> c_int);
+    let errors = [libc::ECONNABORTED, libc::ENFILE, libc::ENOBUFS, libc::ENETUNREACH, libc::EINTR];
+    match fails(Call::Accept) {
+        Some(choice) => fail(choice, &errors),
+        // SAFETY: the caller's promise.
+        None => unsafe { real(s, at, size, flags) },
+    }
+}
+
+/// # Safety
+/// As `socket` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn socket(domain: c_int, kind: c_int, protocol: c_int) -> c_int {
+    let real = real!(c"socket", unsafe extern "C" fn(c_int, c_int, c_int) -> c_int);
+    match fails(Call::Socket) {
+        Some(choice) => fail(choice, &[libc::ENFILE, libc::ENOBUFS]),
+        // SAFETY: the caller's promise.
+        None => unsafe { real(domain, kind, protocol) },
+    }
+}
+
+/// # Safety
+/// As `connect` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn connect(s: c_int, at: *const sockaddr, size: socklen_t) -> c_int {
+    let real = real!(c"connect", unsafe extern "C" fn(c_int, *const sockaddr, socklen_t) -> c_int);
+    match fails(Call::Connect) {
+        Some(choice) => fail(choice, &[libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::ENOBUFS]),
+        // SAFETY: the caller's promise.
+        None => unsafe { real(s, at, size) },
+    }
+}
+
+/// # Safety
+/// As `send` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn send(s: c_int, bytes: *const c_void, size: size_t, flags: c_int) -> ssize_t {
+    let real = real!(c"send", unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t);
+    let size = match fails(Call::Send) {
+        Some(choice) if !is_stream(s) => {
+            return fail(choice, &[libc::ENOBUFS, libc::ENETUNREACH]) as ssize_t;
+        }
+        Some(choice) => size.min(1).max(choice % size.max(1)),
+        None => size,
+    };
+    // SAFETY: the caller's promise; no more than it gave is sent.
+    unsafe { real(s, bytes, size, flags) }
+}
+
+/// # Safety
+/// As `recv` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn recv(s: c_int, into: *mut c_void, size: size_t, flags: c_int) -> ssize_t {
+    let real = real!(c"recv", unsafe extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t);
+    let size = match fails(Call::Receive) {
+        Some(_) if !is_stream(s) => return fail(0, &[libc::EINTR]) as ssize_t,
+        Some(choice) => size.min(1).max(choice % size.clamp(1, 64)),
+        None => size,
+    };
+    // SAFETY: the caller's promise; no more than it has room for is read.
+    unsafe { real(s, into, size, flags) }
+}
+
+/// # Safety
+/// As `epoll_wait` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn epoll_wait(e: c_int, into: *mut epoll_event, most: c_int, time: c_int) -> c_int {
+    let real = real!(c"epoll_wait", unsafe extern "C" fn(c_int, *mut epoll_event, c_int, c_int) -> c_int);
+    match fails(Call::Wait) {
+        Some(choice) => fail(choice, &[libc::EINTR]),
+        // SAFETY: the caller's promise.
+        None => unsafe { real(e, into, most, time) },
+    }
+}
--- a/crates/cli/tests/day/mod.rs
+++ b/crates/cli/tests/day/mod.rs
@@ -70,6 +70,8 @@
     pub processes: RefCell<Vec<Option<Child>>>,
     pub clients: Vec<Rc<Client>>,
     pub next: Cell<u64>,
+    /// What is set in the environment of front ends that start from now on.
+    pub environment: RefCell<Vec<(&'static str, String)>>,
     /// By trigger type: succeeded, throttled, errored, without an answer.
     pub answered: Cell<[[u32; 4]; 3]>,
 }
@@ -104,14 +106,35 @@
             processes: RefCell::new((0..front_ends).map(|_| None).collect()),
             clients,
             next: Cell::new(1),
+            environment: RefCell::default(),
             answered: Cell::default(),
         })
     }
 
-    fn file(&self, j: u32) -> PathBuf {
+    pub fn file(&self, j: u32) -> PathBuf {
         PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("day-{}-{j}.json", self.name))
     }
 
+    /// Where its log goes on, life after life.
+    fn log(&self, j: u32) -> Stdio {
+        let path = self.file(j).with_extension("log");
+        let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
+        file.map_or_else(|_| Stdio::null(), Stdio::from)
+    }
+
+    /// Has front ends that start from now on run with the library of faults in `examples/fault_shim.rs`.
+    pub fn shim(&self, variables: &[(&'static str, String)]) {
+        let beside = PathBuf::from(PROGRAM).with_file_name("examples").join("libfault_shim.so");
+        assert!(
+            beside.is_file(),
+            "{} is missing: cargo build -p orchidtally-cli --examples",
+            beside.display()
+        );
+        let mut environment = variables.to_vec();
+        environment.push(("LD_PRELOAD", beside.display().to_string()));
+        *self.environment.borrow_mut() = environment;
+    }
+
     pub fn configure(&self, j: u32) {
         let told = json!({
             "name": format!("n{j}"), "listen": self.at[j as usize], "seed": format!("{:016x}", 77 + j),
@@ -126,7 +149,8 @@
         self.lives.begin(j);
         self.configure(j);
         let mut command = Command::new(PROGRAM);
-        command.args(["serve", "--platform"]).env("LB_CONFIG", self.file(j)).stderr(Stdio::null());
+        command.args(["serve", "--platform"]).env("LB_CONFIG", self.file(j)).stderr(self.log(j));
+        command.envs(self.environment.borrow().iter().map(|(key, value)| (*key, value.clone())));
         self.processes.borrow_mut()[j as usize] = Some(command.spawn().unwrap());
         for _ in 0..1_000 {
             if TcpStream::connect(self.at[j as usize]).is_ok() {
@@ -200,8 +224,20 @@
     front_ends: u32,
     seconds: f64,
     script: impl FnOnce(Rc<Day>) -> F,
+) -> (Verdict, f64) {
+    play_prepared(name, front_ends, seconds, |_| {}, script)
+}
+
+/// The same; something is done before the front ends start.
+pub fn play_prepared<F: Future<Output = ()>>(
+    name: &str,
+    front_ends: u32,
+    seconds: f64,
+    prepare: impl FnOnce(&Day),
+    script: impl FnOnce(Rc<Day>) -> F,
 ) -> (Verdict, f64) {
     let day = Day::new(name, front_ends, 11);
+    prepare(&day);
     let all = async {
         for j in 0..front_ends {
             day.start(j).await;
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -126,11 +126,11 @@
     pub fn new(start: Start, file: PathBuf, poll: Poll) -> io::Result<Front> {
         let mut listener = persist(|| TcpListener::bind(start.listen))?;
         poll.registry().register(&mut listener, LISTENER, Interest::READABLE)?;
-        let view = RosterView::new(start.serial, &start.known);
-        let resolver = persist(|| Resolver::new(start.resolver, view.clone(), poll.registry(), RESOLVER))?;
-        let grounds = start.grounds;
         let mut clock = ProcessClock::new();
         let now = clock.read();
+        let view = RosterView::new(now, start.serial, &start.known);
+        let resolver = persist(|| Resolver::new(start.resolver, view.clone(), poll.registry(), RESOLVER))?;
+        let grounds = start.grounds;
         // Usual clients hold a third of the descriptors; the rest of their half is for those that misbehave.
         let most_clients = start.sockets / 2;
         let most_connections = start.sockets - most_clients - OWN_SOCKETS;
@@ -167,7 +167,8 @@
         };
         info!(name = start.name, listen = %start.listen, resolver = %start.resolver,
             executors = start.known.len(), sockets = start.sockets, memory = start.memory, "serving");
-        front.list(now, start.known);
+        let rows = front.resolver.view().rows();
+        front.list(now, rows);
         front.settle(now);
         Ok(front)
     }
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -93,7 +93,8 @@
                     }
                     client.last_stream = stream;
                     let payload = frame.payload.map(<[u8]>::to_vec);
-                    client.pending.push(PendingInvocation { at: now, stream, payload });
+                    let at = self.host.clock.arrived_by(now);
+                    client.pending.push(PendingInvocation { at, stream, payload });
                 }
                 frames::WITHDRAW => {
                     client.pending.retain(|f| f.stream != stream);
--- a/crates/platform/src/listing.rs
+++ b/crates/platform/src/listing.rs
@@ -70,7 +70,8 @@
         }
         let ready = rows.iter().filter(|r| r.standing == Standing::Ready).count();
         let (serial, age) = (self.resolver.view().serial(), now - self.host.view.fresh_at);
-        info!(executors = rows.len(), ready, serial, age, "the roster");
+        let youngest = rows.iter().map(|r| now - r.since).fold(f64::INFINITY, f64::min);
+        info!(executors = rows.len(), ready, serial, age, youngest, "the roster");
         self.engine.roster(now, RosterKind::Full, &rows, &mut self.host);
         self.host.executors.retain(|_, e| e.listed || !e.connections.is_empty());
     }
--- a/crates/platform/src/process_clock.rs
+++ b/crates/platform/src/process_clock.rs
@@ -17,8 +17,13 @@
     began: Instant,
     read_at: f64,
     stood_still: Option<f64>,
+    /// The latest standstill: from when to when.
+    latest: Option<(f64, f64)>,
 }
 
+/// What was read so soon after a standstill may have come at its beginning.
+const CATCHING_UP: f64 = 0.05;
+
 impl ProcessClock {
     /// Begins at the wall clock's time.
     pub fn new() -> ProcessClock {
@@ -28,7 +33,7 @@
     /// Begins at a time in seconds.
     pub fn starting_at(now: f64) -> ProcessClock {
         let clock = Clock::new(0.0, now);
-        ProcessClock { clock, began: Instant::now(), read_at: 0.0, stood_still: None }
+        ProcessClock { clock, began: Instant::now(), read_at: 0.0, stood_still: None, latest: None }
     }
 
     /// The time in seconds.
@@ -37,10 +42,21 @@
         let gap = monotonic - std::mem::replace(&mut self.read_at, monotonic);
         if gap > STOOD_STILL {
             self.stood_still = Some(self.stood_still.map_or(gap, |before| before.max(gap)));
+            let now = self.clock.read(monotonic);
+            self.latest = Some((now - gap, now));
         }
         self.clock.read(monotonic)
     }
 
+    /// When bytes that are read now may have come: after a standstill nobody knows for how long they have waited. Guards
+    /// deadlines of clients against counting from then; could harm one whose bytes have just come.
+    pub fn arrived_by(&self, now: f64) -> f64 {
+        match self.latest {
+            Some((from, until)) if now < until + CATCHING_UP => from,
+            _ => now,
+        }
+    }
+
     /// For how long the process did not run, where it did not since this was asked last.
     pub fn take_standstill(&mut self) -> Option<f64> {
         self.stood_still.take()
--- a/crates/platform/src/tests/roster.rs
+++ b/crates/platform/src/tests/roster.rs
@@ -18,7 +18,7 @@
     let at = there.local_addr().expect("it is bound");
     let poll = mio::Poll::new().expect("a poll");
     let mut resolver =
-        Resolver::new(at, RosterView::new(1, &[]), poll.registry(), mio::Token(0)).expect("a socket");
+        Resolver::new(at, RosterView::new(0.0, 1, &[]), poll.registry(), mio::Token(0)).expect("a socket");
     let mut places = Places::new(vec![], vec![]);
     let mut queries = vec![];
     for n in 0..3 {
@@ -69,7 +69,7 @@
     };
     let poll = mio::Poll::new().expect("a poll");
     let mut asking =
-        Resolver::new(at, RosterView::new(1, &[]), poll.registry(), mio::Token(0)).expect("a socket");
+        Resolver::new(at, RosterView::new(0.0, 1, &[]), poll.registry(), mio::Token(0)).expect("a socket");
     let mut places = Places::new(vec![], vec![]);
     asking.turn(0.0);
     asking.turn(0.15);
@@ -95,7 +95,7 @@
     let at = there.local_addr().expect("it is bound");
     let poll = mio::Poll::new().expect("a poll");
     let mut asking =
-        Resolver::new(at, RosterView::new(1, &[]), poll.registry(), mio::Token(0)).expect("a socket");
+        Resolver::new(at, RosterView::new(0.0, 1, &[]), poll.registry(), mio::Token(0)).expect("a socket");
     let mut places = Places::new(vec![], vec![]);
     asking.turn(0.0);
     let mut query = [0; 512];
@@ -115,7 +115,7 @@
     let at = there.local_addr().expect("it is bound");
     let poll = mio::Poll::new().expect("a poll");
     let mut asking =
-        Resolver::new(at, RosterView::new(1, &[]), poll.registry(), mio::Token(0)).expect("a socket");
+        Resolver::new(at, RosterView::new(0.0, 1, &[]), poll.registry(), mio::Token(0)).expect("a socket");
     let mut places = Places::new(vec![], vec![]);
     let mut queries = vec![];
     for n in 0..60 {
@@ -136,7 +136,7 @@
     let at = there.local_addr().expect("it is bound");
     let poll = mio::Poll::new().expect("a poll");
     let mut asking =
-        Resolver::new(at, RosterView::new(1, &[]), poll.registry(), mio::Token(0)).expect("a socket");
+        Resolver::new(at, RosterView::new(0.0, 1, &[]), poll.registry(), mio::Token(0)).expect("a socket");
     (0..QUIET_AFTER).for_each(|n| asking.turn(n as f64));
     assert!(asking.is_quiet());
     asking.ask_anew();
@@ -150,7 +150,7 @@
     let poll = mio::Poll::new().expect("a poll");
     let at = there.local_addr().expect("it is bound");
     let mut asking =
-        Resolver::new(at, RosterView::new(1, &[]), poll.registry(), mio::Token(0)).expect("a socket");
+        Resolver::new(at, RosterView::new(0.0, 1, &[]), poll.registry(), mio::Token(0)).expect("a socket");
     let mut places = Places::new(vec![], vec![]);
     let (mut now, mut quiet) = (0.0, vec![]);
     for n in 0..60 {
--- a/crates/resolver/benches/lists.rs
+++ b/crates/resolver/benches/lists.rs
@@ -45,7 +45,7 @@
             assert_eq!(list.entries.len(), executors);
             list
         };
-        let (held, mut view) = (read(&plain), RosterView::new(0, &[]));
+        let (held, mut view) = (read(&plain), RosterView::new(0.0, 0, &[]));
         let mut now = 0.0;
         let times = [
             ("plain", plain.len(), least(rounds, || _ = read(&plain))),
--- a/crates/resolver/src/view.rs
+++ b/crates/resolver/src/view.rs
@@ -22,6 +22,9 @@
 /// And so many of them; past that the one told first is forgotten.
 const MOST_REMEMBERED: usize = 4_096;
 
+/// A start is on a list so many seconds after it at the most, by the platform's protocol.
+const LISTED_WITHIN: f64 = 1.5;
+
 /// What came of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -48,6 +51,26 @@
     }
 }
 
+/// An executor on the list that is held.
+#[derive(Clone, Debug)]
+struct Held {
+    entry: Entry,
+    /// When its present start was first on a list; for the list of the view's own start, that start.
+    listed_at: f64,
+}
+
+impl Held {
+    /// When it started, on the caller's clock. Starts are told by the wall clocks of other machines, and this one's may
+    /// have been stepped: a start is no later than its first listing, and hardly earlier. One that was listed at the view's
+    /// own start may have started long before or just then, which no clock here can tell: it is taken for new. Guards
+    /// executors that have just started against work for warm ones; could harm by too little work for a while.
+    fn since(&self) -> f64 {
+        let told = self.entry.row.since;
+        let is_plausible = (self.listed_at - LISTED_WITHIN..=self.listed_at).contains(&told);
+        if told == f64::NEG_INFINITY || is_plausible { told } else { self.listed_at }
+    }
+}
+
 /// When an executor was told draining or gone.
 #[derive(Clone, Copy, Debug)]
 struct Withdrawal {
@@ -64,7 +87,7 @@
 pub struct RosterView {
     serial: u32,
     asked_at: f64,
-    entries: BTreeMap<String, Entry>,
+    entries: BTreeMap<String, Held>,
     withdrawn: BTreeMap<String, Withdrawal>,
     older_in_a_row: u32,
 }
@@ -75,17 +98,18 @@
 }
 
 impl RosterView {
-    /// The view of a start: what the configuration lists. Nobody knows how old it is.
-    pub fn new(serial: u32, entries: &[Entry]) -> RosterView {
+    /// The view of a start at a time: what the configuration lists. Nobody knows how old it is.
+    pub fn new(now: f64, serial: u32, entries: &[Entry]) -> RosterView {
         let draining = entries.iter().filter(|e| e.row.standing != Standing::Ready);
         let draining: Vec<String> = draining.map(|e| e.name.clone()).collect();
         let mut view = RosterView {
             serial,
             asked_at: f64::NEG_INFINITY,
-            entries: entries.iter().map(|e| (e.name.clone(), e.clone())).collect(),
+            entries: BTreeMap::new(),
             withdrawn: BTreeMap::new(),
             older_in_a_row: 0,
         };
+        view.entries = view.listed(now, entries);
         draining.iter().for_each(|name| view.withdraw(f64::NEG_INFINITY, serial, name));
         view
     }
@@ -107,8 +131,9 @@
 
     /// The rows as they count. One told away and ready again before its time is draining.
     pub fn rows(&self) -> Vec<Entry> {
-        let row = |entry: &Entry| {
-            let mut entry = entry.clone();
+        let row = |held: &Held| {
+            let mut entry = held.entry.clone();
+            entry.row.since = held.since();
             if self.withdrawn.contains_key(&entry.name) {
                 entry.row.standing = Standing::Draining;
             }
@@ -144,7 +169,9 @@
         let mut entries = list.entries.clone();
         for odd in &list.odd {
             // Nothing can be done with one of which nothing else is known.
-            let Some(mut entry) = self.entries.get(&odd.name).cloned() else { continue };
+            let Some(mut entry) = self.entries.get(&odd.name).map(|held| held.entry.clone()) else {
+                continue;
+            };
             entry.row.standing = odd.standing;
             entries.push(entry);
         }
@@ -158,16 +185,12 @@
 
     /// Takes a list in the place of the one that is held.
     fn adopt(&mut self, now: f64, answer: &Answer, order: Ordering) {
-        let new: BTreeMap<String, Entry> =
-            answer.entries.iter().map(|e| (e.name.clone(), e.clone())).collect();
-        let is_away = |e: &Entry| new.get(&e.name).is_none_or(|n| n.row.standing != Standing::Ready);
-        let away: Vec<String> =
-            self.entries.values().filter(|e| is_away(e)).map(|e| e.name.clone()).collect();
+        let new = self.listed(now, &answer.entries);
+        let is_away = |name: &String| new.get(name).is_none_or(|n| n.entry.row.standing != Standing::Ready);
+        let away: Vec<String> = self.entries.keys().filter(|name| is_away(name)).cloned().collect();
         away.iter().for_each(|name| self.withdraw(now, answer.serial, name));
-        for entry in new.values() {
-            if entry.row.standing == Standing::Ready {
-                self.vote_ready(entry, answer.serial, order);
-            }
+        for held in new.values().filter(|held| held.entry.row.standing == Standing::Ready) {
+            self.vote_ready(&held.entry, answer.serial, order);
         }
         self.entries = new;
         (self.serial, self.older_in_a_row) = (answer.serial, 0);
@@ -175,6 +198,16 @@
         self.withdrawn.retain(|name, w| entries.contains_key(name) || now < w.at + REMEMBERED);
     }
 
+    /// The rows of a list, with the time at which each start was first listed.
+    fn listed(&self, now: f64, entries: &[Entry]) -> BTreeMap<String, Held> {
+        let held = |entry: &Entry| {
+            let before = self.entries.get(&entry.name).filter(|b| b.entry.row.since == entry.row.since);
+            let listed_at = before.map_or(now, |before| before.listed_at);
+            (entry.name.clone(), Held { entry: entry.clone(), listed_at })
+        };
+        entries.iter().map(held).collect()
+    }
+
     /// A list tells an executor ready; where it was told away, that takes several, or another start.
     fn vote_ready(&mut self, entry: &Entry, serial: u32, order: Ordering) {
         let Some(withdrawal) = self.withdrawn.get_mut(&entry.name) else { return };
@@ -188,8 +221,8 @@
 
     /// An executor on the held list was told draining or gone.
     fn withdraw(&mut self, now: f64, serial: u32, name: &str) {
-        let Some(entry) = self.entries.get(name) else { return };
-        let first = Withdrawal { since: entry.row.since, serial, at: now, ready_votes: 0 };
+        let Some(held) = self.entries.get(name) else { return };
+        let first = Withdrawal { since: held.entry.row.since, serial, at: now, ready_votes: 0 };
         let withdrawal = self.withdrawn.entry(name.to_owned()).or_insert(first);
         (withdrawal.at, withdrawal.ready_votes) = (now, 0);
         if self.withdrawn.len() > MOST_REMEMBERED {
@@ -204,7 +237,7 @@
     fn take_drains(&mut self, now: f64, answer: &Answer) {
         for told in answer.entries.iter().filter(|e| e.row.standing != Standing::Ready) {
             let held = self.entries.get(&told.name);
-            if held.is_some_and(|held| told.row.since >= held.row.since) {
+            if held.is_some_and(|held| told.row.since >= held.entry.row.since) {
                 self.withdraw(now, answer.serial, &told.name);
             }
         }
--- a/crates/resolver/tests/view.rs
+++ b/crates/resolver/tests/view.rs
@@ -29,7 +29,7 @@
 
 impl Told {
     fn new(first: &Answer) -> Told {
-        Told { view: RosterView::new(first.serial, &first.entries), now: 0.0 }
+        Told { view: RosterView::new(0.0, first.serial, &first.entries), now: 0.0 }
     }
 
     fn take(&mut self, answer: &Answer) -> Outcome {
@@ -123,7 +123,7 @@
 /// What it answers was asked before: it is as old as its question, whenever it comes.
 #[test]
 fn the_view_is_as_fresh_as_its_question() {
-    let mut view = RosterView::new(1, &list(1, 3, &[]).entries);
+    let mut view = RosterView::new(0.0, 1, &list(1, 3, &[]).entries);
     assert_eq!(view.fresh_at(), f64::NEG_INFINITY);
     view.take(9.0, 5.0, &list(1, 3, &[]));
     assert_eq!(view.fresh_at(), 5.0);
@@ -142,7 +142,7 @@
 /// One row that can't be read cost every later list, drains and all.
 #[test]
 fn a_row_that_can_not_be_read_keeps_its_place_and_loses_its_standing() {
-    let mut view = RosterView::new(1, &list(1, 3, &[]).entries);
+    let mut view = RosterView::new(0.0, 1, &list(1, 3, &[]).entries);
     let mut whole = list(2, 4, &[0]);
     let _unreadable = whole.entries.remove(1);
     let odd = vec![
@@ -158,6 +158,34 @@
     assert_eq!(view.fresh_at(), 0.9);
 }
 
+/// Starts are told by other machines' wall clocks; this one's may be an hour ahead or behind.
+#[test]
+fn an_executor_that_has_just_started_is_new_whatever_the_wall_clock_tells() {
+    let hour = 3_600.0;
+    for told in [-hour, -1.0, 0.0, 1.0, hour] {
+        let mut view = RosterView::new(100.0, 1, &[entry(0, Standing::Ready, 100.0 + told)]);
+        let new = entry(1, Standing::Ready, 200.0 + told);
+        let old = entry(0, Standing::Ready, 100.0 + told);
+        view.take(200.0, 200.0, &Answer { serial: 2, entries: vec![old.clone(), new.clone()] });
+        let since: Vec<f64> = view.rows().iter().map(|e| e.row.since).collect();
+        assert!(
+            (98.5..=100.0).contains(&since[0]) && (198.5..=200.0).contains(&since[1]),
+            "{told}: {since:?}"
+        );
+        // It stays so, until it starts anew.
+        view.take(300.0, 300.0, &Answer { serial: 3, entries: vec![old, new] });
+        assert_eq!(view.rows().iter().map(|e| e.row.since).collect::<Vec<_>>(), since, "{told}");
+        view.take(
+            400.0,
+            400.0,
+            &Answer { serial: 4, entries: vec![entry(0, Standing::Ready, 400.0 + told)] },
+        );
+        assert!((398.5..=400.0).contains(&view.rows()[0].row.since), "{told}");
+    }
+    let long_ago = RosterView::new(100.0, 1, &[entry(0, Standing::Ready, f64::NEG_INFINITY)]);
+    assert_eq!(long_ago.rows()[0].row.since, f64::NEG_INFINITY);
+}
+
 proptest! {
     /// Whatever comes under whatever serial: an executor that the last three true lists in a row told draining is not
     /// ready, and one that they told ready for four seconds is.
--- a/crates/test-servers/src/platform/resolver.rs
+++ b/crates/test-servers/src/platform/resolver.rs
@@ -57,6 +57,8 @@
     /// Nothing is answered until then; since when.
     away: Until,
     told: RefCell<HashMap<(u64, usize), Standing>>,
+    /// The one address that answers, where the others no longer do.
+    only: Cell<Option<SocketAddr>>,
 }
 
 const SERVICE: &str = "_data._tcp.farm.lan";
@@ -74,6 +76,7 @@
             odd: Cell::default(),
             away: Until::default(),
             told: RefCell::default(),
+            only: Cell::default(),
         })
     }
 
@@ -84,6 +87,11 @@
         self.serial.set(self.serial.get() + 1);
     }
 
+    /// Nobody answers at the other addresses from now on.
+    pub fn close_all_but(&self, at: SocketAddr) {
+        self.only.set(Some(at));
+    }
+
     /// Answers nothing for a time. Whatever it would have told counts as told at the latest `counts_after` after that
     /// began.
     pub fn go_away(self: &Rc<Self>, time: f64, counts_after: f64, front_ends: u32) {
@@ -192,7 +200,8 @@
             while let Ok((n, from)) = socket.recv_from(&mut query).await {
                 let odd = me.odd.get().filter(|o| me.stage.unit() < o.1).map(|o| o.0);
                 let id = u16::from_be_bytes([query[0], query[1]]);
-                if n < 12 || me.away.is_on(me.stage.now()) {
+                let closed = me.only.get().is_some_and(|only| only != at);
+                if n < 12 || closed || me.away.is_on(me.stage.now()) {
                     continue;
                 }
                 if odd == Some(Odd::Lost) {
