Soak a few real front ends under faults drawn by seed; bound starts by the youngest

The checker learns Record::Stopped: what falls due in a stop is owed 0.1 s after it; a test shows that it still fails for later ones and for what was due before.

--- /dev/null
+++ b/crates/cli/tests/platform_soak.rs
@@ -0,0 +1,308 @@
+//! Days with faults drawn by seed, alone and together: a few real front ends, signals in series, clients that go on using
+//! their connections until the kill. A short run by default; for a long one, by hand:
+//!
+//! ```text
+//! SOAK_SEEDS=60 cargo test --release -p orchidtally-cli --test platform_soak -- --nocapture
+//! ```
+//!
+//! `SOAK_FIRST` is the first seed. Each seed has a line; the last one counts the rules checked and broken.
+
+mod day;
+
+use day::*;
+use orchidtally_invariants::{Record, Standing, Verdict};
+use orchidtally_test_servers::platform::{Odd, Spoil};
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use std::process::Child;
+use std::rc::Rc;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+const FRONT_ENDS: u32 = 3;
+const EXECUTORS: usize = 6;
+/// Executors that stay ready whatever is drawn.
+const STAY: usize = 2;
+const SECONDS: f64 = 7.0;
+/// A change of the list counts as told after so long.
+const TOLD_WITHIN: f64 = 1.5;
+/// SIGKILL comes so long after SIGTERM: the longest client timeout of the settings, and 0.7 s.
+const KILLED_AFTER: f64 = 3.7;
+/// A front end is stopped for this part of its clients' time at the most.
+const LONGEST_STOP: f64 = 0.8;
+/// Days that are played at a time.
+const AT_A_TIME: usize = 4;
+const SHORT_RUN: u64 = 12;
+
+/// One fault of a day.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    /// A share of the resolver's answers is odd for a while.
+    OddAnswers(Odd, f64, f64),
+    /// The resolver answers nothing for a while.
+    Silence(f64),
+    /// A share of an executor's answers is spoilt from now on.
+    SpoiltAnswers(usize, Spoil, f64),
+    /// An executor's machine is not heard for a while.
+    Vanish(usize, f64),
+    /// An executor stands otherwise from now on.
+    Change(usize, Standing),
+    /// A front end is stopped for a while.
+    Stop(u32, f64),
+    /// A front end gets SIGHUP so many times.
+    HangUp(u32, u32),
+    /// A front end is told to end, and killed at the earliest; another starts.
+    Replace(u32),
+    /// A front end is killed outright; another starts.
+    Kill(u32),
+}
+
+/// Draws a fault.
+fn draw(random: &mut SmallRng) -> Fault {
+    let odd = [
+        Odd::Lost,
+        Odd::Foreign,
+        Odd::Truncated,
+        Odd::Cut,
+        Odd::Failed,
+        Odd::Stale,
+        Odd::OldRows,
+        Odd::Ahead(1),
+        Odd::Ahead(1_000),
+        Odd::Late,
+        Odd::Doubled,
+        Odd::OddText,
+        Odd::OddStanding,
+    ];
+    let spoils = [Spoil::Unread, Spoil::Half, Spoil::Noise, Spoil::BadBody, Spoil::Twice, Spoil::Never];
+    let (front_end, executor) = (random.random_range(0..FRONT_ENDS), random.random_range(STAY..EXECUTORS));
+    let time = random.random_range(0.3..1.2);
+    match random.random_range(0..12) {
+        0..3 => {
+            let odd = *odd.choose(random).expect("there are some");
+            Fault::OddAnswers(odd, random.random_range(0.2..0.6), time)
+        }
+        3 => Fault::Silence(3.0 * time),
+        4 => {
+            let spoil = *spoils.choose(random).expect("there are some");
+            Fault::SpoiltAnswers(random.random_range(0..EXECUTORS), spoil, 0.05)
+        }
+        5 => Fault::Vanish(executor, time),
+        6 => Fault::Change(executor, Standing::Draining),
+        7 => Fault::Change(executor, Standing::Gone),
+        8 => Fault::Change(executor, Standing::Ready),
+        9 => Fault::Stop(front_end, 1.8 * time),
+        10 => Fault::HangUp(front_end, random.random_range(1..5)),
+        _ if random.random_bool(0.5) => Fault::Replace(front_end),
+        _ => Fault::Kill(front_end),
+    }
+}
+
+/// What is found wrong with a day besides its rules.
+type Wrong = Rc<std::cell::RefCell<Vec<String>>>;
+
+/// Whether the process of a front end is there and under no other fault.
+fn take(day: &Day, j: u32) -> Option<Child> {
+    day.processes.borrow_mut()[j as usize].take()
+}
+
+async fn change(day: &Day, x: usize, standing: Standing) {
+    if standing == Standing::Ready {
+        if !day.executors[x].draining.replace(false) {
+            return;
+        }
+        // It comes back as one that has just started, after it was gone.
+        day.change(x, Standing::Gone);
+        day.stage.sleep(0.4).await;
+        day.executors[x].since.set(day.stage.now());
+    } else {
+        day.executors[x].draining.set(true);
+    }
+    day.change(x, standing);
+    day.resolver.tell_later(TOLD_WITHIN, FRONT_ENDS);
+}
+
+/// Waits for the end of a process that was told to end; kills it at the earliest that it may be.
+async fn ended(day: &Day, process: &mut Child, wrong: &Wrong) {
+    let by = day.stage.now() + KILLED_AFTER;
+    while day.stage.now() < by {
+        if let Some(status) = process.try_wait().unwrap() {
+            if status.code() != Some(0) {
+                wrong.borrow_mut().push(format!("a front end told to end ended with {status}"));
+            }
+            return;
+        }
+        day.stage.sleep(0.01).await;
+    }
+    wrong.borrow_mut().push("a front end had to be killed after its time".to_owned());
+    process.kill().unwrap();
+    process.wait().unwrap();
+}
+
+async fn inflict(day: Rc<Day>, fault: Fault, wrong: Wrong) {
+    match fault {
+        Fault::OddAnswers(odd, share, time) => {
+            day.resolver.odd.set(Some((odd, share)));
+            day.stage.sleep(time).await;
+            day.resolver.odd.set(None);
+        }
+        Fault::Silence(time) => day.resolver.go_away(time, 4.5, FRONT_ENDS),
+        Fault::SpoiltAnswers(x, spoil, share) => day.executors[x].faults.spoils.set(Some((spoil, share))),
+        Fault::Vanish(x, time) => day.executors[x].fall_silent(time),
+        Fault::Change(x, standing) => change(&day, x, standing).await,
+        Fault::Stop(j, time) => {
+            let Some(process) = take(&day, j) else { return };
+            let id = process.id();
+            signal(id, "STOP");
+            // Nobody answers in time who is stopped for longer than clients wait.
+            let at = day.stage.now();
+            day.stage.sleep(time.min(LONGEST_STOP * day.allow.get())).await;
+            signal(id, "CONT");
+            day.stage.record(Record::Stopped { at, front_end: j, until: day.stage.now() });
+            day.processes.borrow_mut()[j as usize] = Some(process);
+        }
+        Fault::HangUp(j, times) => {
+            for _ in 0..times {
+                let Some(id) = day.processes.borrow()[j as usize].as_ref().map(Child::id) else { return };
+                let moved = day.resolver.open(j).unwrap();
+                day.dns.borrow_mut()[j as usize] = moved;
+                // Half of it first, as by a slow writer.
+                std::fs::write(day.file(j), "{").unwrap();
+                signal(id, "HUP");
+                day.stage.sleep(0.1).await;
+                day.configure(j);
+            }
+        }
+        Fault::Replace(j) => {
+            let Some(mut process) = take(&day, j) else { return };
+            signal(process.id(), "TERM");
+            ended(&day, &mut process, &wrong).await;
+            day.start(j).await;
+        }
+        Fault::Kill(j) => {
+            let Some(mut process) = take(&day, j) else { return };
+            day.stage.record(Record::Killed { at: day.stage.now(), front_end: j });
+            process.kill().unwrap();
+            process.wait().unwrap();
+            day.start(j).await;
+        }
+    }
+}
+
+fn signal(id: u32, name: &str) {
+    let told = std::process::Command::new("sh").args(["-c", &format!("kill -{name} {id}")]).status();
+    assert!(told.unwrap().success());
+}
+
+/// What a day came to.
+struct Played {
+    seed: u64,
+    verdict: Verdict,
+    faults: Vec<Fault>,
+    wrong: Vec<String>,
+}
+
+impl Played {
+    fn is_sound(&self) -> bool {
+        self.verdict.kept() && self.wrong.is_empty()
+    }
+
+    fn line(&self) -> String {
+        let v = &self.verdict;
+        let broken: Vec<String> = v.rules.iter().map(|r| format!("{}/{}", r.broken, r.checked)).collect();
+        format!(
+            "seed {}: {} faults, {} invocations, {} succeeded, {} throttled, {} errored; rules broken/checked {}{}",
+            self.seed,
+            self.faults.len(),
+            v.invocations,
+            v.succeeded,
+            v.throttled,
+            v.errored,
+            broken.join(" "),
+            if self.is_sound() { "" } else { "  BAD" }
+        )
+    }
+}
+
+fn play_seed(seed: u64) -> Played {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let day = Day::new(&format!("soak-{seed}"), FRONT_ENDS, seed);
+    if random.random_bool(0.3) {
+        day.allow.set(0.3);
+    }
+    let percent = if random.random_bool(0.3) { random.random_range(1..8) } else { 0 };
+    let step = *[0.0, 0.0, 3_600.0, -3_600.0, 5.0, -5.0].choose(&mut random).expect("there are some");
+    day.shim(&[
+        ("FAULT_PERCENT", format!("{percent}")),
+        ("FAULT_SEED", format!("{seed}")),
+        ("FAULT_WALL", format!("2,{step}")),
+    ]);
+    let (wrong, mut faults) = (Wrong::default(), vec![]);
+    let all = async {
+        for j in 0..FRONT_ENDS {
+            day.start(j).await;
+        }
+        let script = async {
+            let mut under_way = vec![];
+            while day.stage.now() < SECONDS - 1.0 {
+                day.stage.sleep(random.random_range(0.15..0.9)).await;
+                let fault = draw(&mut random);
+                faults.push(fault);
+                under_way.push(day.stage.spawn(inflict(day.clone(), fault, wrong.clone())));
+            }
+            for fault in under_way {
+                fault.await;
+            }
+        };
+        futures_lite::future::zip(day.traffic(SECONDS), script).await;
+    };
+    async_io::block_on(day.stage.tasks.run(all));
+    for process in day.processes.borrow_mut().iter_mut().flatten() {
+        if let Some(status) = process.try_wait().unwrap() {
+            wrong.borrow_mut().push(format!("a front end ended by itself: {status}"));
+        }
+    }
+    let wrong = wrong.borrow().clone();
+    Played { seed, verdict: day.verdict(), faults, wrong }
+}
+
+fn number(key: &str, otherwise: u64) -> u64 {
+    std::env::var(key).ok().and_then(|text| text.parse().ok()).unwrap_or(otherwise)
+}
+
+#[test]
+fn days_with_faults_drawn_by_seed_keep_the_rules() {
+    let (first, count) = (number("SOAK_FIRST", 1), number("SOAK_SEEDS", SHORT_RUN));
+    let (next, played) = (AtomicU64::new(first), Mutex::new(vec![]));
+    std::thread::scope(|scope| {
+        for _ in 0..AT_A_TIME {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= first + count {
+                        return;
+                    }
+                    let day = play_seed(seed);
+                    println!("{}", day.line());
+                    let breaches = day.verdict.rules.iter().flat_map(|r| &r.breaches);
+                    breaches.chain(&day.wrong).for_each(|what| println!("    {what}"));
+                    if !day.is_sound() {
+                        println!("    faults: {:?}", day.faults);
+                    }
+                    let broken = day.verdict.rules.iter().map(|r| r.broken).sum::<u64>();
+                    let checked = day.verdict.rules.iter().map(|r| r.checked).sum::<u64>();
+                    played.lock().unwrap().push((seed, broken, checked, day.is_sound()));
+                }
+            });
+        }
+    });
+    let mut played = played.into_inner().unwrap();
+    played.sort_unstable();
+    let (broken, checked): (u64, u64) = played.iter().fold((0, 0), |sum, p| (sum.0 + p.1, sum.1 + p.2));
+    let bad: Vec<u64> = played.iter().filter(|p| !p.3).map(|p| p.0).collect();
+    let worst = played.iter().max_by_key(|p| p.1).filter(|p| p.1 > 0).map(|p| p.0);
+    println!("{} seeds: {checked} checks, {broken} broken, bad seeds {bad:?}, worst {worst:?}", played.len());
+    assert!(checked > 500 * count, "too little was checked: {checked}");
+    assert!(bad.is_empty(), "seeds {bad:?}");
+}
--- a/crates/invariants/src/lib.rs
+++ b/crates/invariants/src/lib.rs
@@ -177,6 +177,8 @@
     Published { at: f64, invocation: String, trigger_type: String },
     /// The publisher of a message received an answer.
     Heard { at: f64, invocation: String, outcome: String },
+    /// A front end was stopped (SIGSTOP) and went on at `until`.
+    Stopped { at: f64, front_end: u32, until: f64 },
     /// A front end was killed.
     Killed { at: f64, front_end: u32 },
     /// A front end takes invocations, perhaps again.
@@ -207,6 +209,7 @@
             | Record::Deaf { at, .. }
             | Record::Published { at, .. }
             | Record::Heard { at, .. }
+            | Record::Stopped { at, .. }
             | Record::Killed { at, .. }
             | Record::Up { at, .. } => at,
         }
--- a/crates/invariants/tests/rules.rs
+++ b/crates/invariants/tests/rules.rs
@@ -183,3 +183,16 @@
     assert!(broken(vec![order(0), order(1), order(2), deaf(1)]).is_empty(), "they were given before");
     assert_eq!(broken(vec![order(0), order(1), order(2), deaf(2)]), [5], "another one was deaf");
 }
+
+/// Nobody answers while it is stopped; once it goes on, what is overdue is owed at once.
+#[test]
+fn an_answer_due_while_its_front_end_is_stopped_is_owed_when_it_goes_on() {
+    let stopped = |from: f64, until: f64| Record::Stopped { at: from, front_end: 0, until };
+    let late = |at: f64| vec![offered(4.0, "b", 0), answered(at, "b", Answer::Throttled)];
+    let with = |stop: Record, at: f64| broken([vec![stop], late(at)].concat());
+    assert_eq!(broken(late(8.05)), [1], "it was due at 7.0");
+    assert!(with(stopped(6.0, 8.0), 8.05).is_empty());
+    assert_eq!(with(stopped(6.0, 8.0), 8.2), [1], "not at once");
+    assert_eq!(with(stopped(7.5, 8.0), 8.05), [1], "it was due before the stop");
+    assert_eq!(broken(vec![stopped(6.0, 8.0), offered(4.0, "b", 0)]), [1], "never");
+}
--- a/crates/resolver/src/view.rs
+++ b/crates/resolver/src/view.rs
@@ -55,20 +55,21 @@
 #[derive(Clone, Debug)]
 struct Held {
     entry: Entry,
-    /// When its present start was first on a list; for the list of the view's own start, that start.
-    listed_at: f64,
+    /// When it started at the latest, on the caller's clock.
+    since: f64,
 }
 
-impl Held {
-    /// When it started, on the caller's clock. Starts are told by the wall clocks of other machines, and this one's may
-    /// have been stepped: a start is no later than its first listing, and hardly earlier. One that was listed at the view's
-    /// own start may have started long before or just then, which no clock here can tell: it is taken for new. Guards
-    /// executors that have just started against work for warm ones; could harm by too little work for a while.
-    fn since(&self) -> f64 {
-        let told = self.entry.row.since;
-        let is_plausible = (self.listed_at - LISTED_WITHIN..=self.listed_at).contains(&told);
-        if told == f64::NEG_INFINITY || is_plausible { told } else { self.listed_at }
-    }
+/// When an executor started that was first listed at a time. Starts are told by the wall clocks of other machines, and
+/// this one's may have been stepped: a start is no later than its first listing, and hardly earlier. Guards executors
+/// that have just started against work for warm ones; could harm by too little work for a while.
+fn listed_start(told: f64, listed_at: f64) -> f64 {
+    let is_plausible = (listed_at - LISTED_WITHIN..=listed_at).contains(&told);
+    if told == f64::NEG_INFINITY || is_plausible { told } else { listed_at }
+}
+
+/// The latest of some starts that may be compared with each other.
+fn youngest(entries: &[Entry]) -> f64 {
+    entries.iter().map(|e| e.row.since).fold(f64::NEG_INFINITY, f64::max)
 }
 
 /// When an executor was told draining or gone.
@@ -109,7 +110,11 @@
             withdrawn: BTreeMap::new(),
             older_in_a_row: 0,
         };
-        view.entries = view.listed(now, entries);
+        // The youngest may have started just now, and the others so much earlier: whatever the wall clock here tells.
+        let youngest = youngest(entries);
+        let since = |told: f64| if told == f64::NEG_INFINITY { told } else { now - (youngest - told) };
+        let held = |e: &Entry| (e.name.clone(), Held { entry: e.clone(), since: since(e.row.since) });
+        view.entries = entries.iter().map(held).collect();
         draining.iter().for_each(|name| view.withdraw(f64::NEG_INFINITY, serial, name));
         view
     }
@@ -133,7 +138,7 @@
     pub fn rows(&self) -> Vec<Entry> {
         let row = |held: &Held| {
             let mut entry = held.entry.clone();
-            entry.row.since = held.since();
+            entry.row.since = held.since;
             if self.withdrawn.contains_key(&entry.name) {
                 entry.row.standing = Standing::Draining;
             }
@@ -198,12 +203,13 @@
         self.withdrawn.retain(|name, w| entries.contains_key(name) || now < w.at + REMEMBERED);
     }
 
-    /// The rows of a list, with the time at which each start was first listed.
+    /// The rows of a list that has come now, with when each of them started.
     fn listed(&self, now: f64, entries: &[Entry]) -> BTreeMap<String, Held> {
         let held = |entry: &Entry| {
-            let before = self.entries.get(&entry.name).filter(|b| b.entry.row.since == entry.row.since);
-            let listed_at = before.map_or(now, |before| before.listed_at);
-            (entry.name.clone(), Held { entry: entry.clone(), listed_at })
+            let told = entry.row.since;
+            let before = self.entries.get(&entry.name).filter(|before| before.entry.row.since == told);
+            let since = before.map_or_else(|| listed_start(told, now), |before| before.since);
+            (entry.name.clone(), Held { entry: entry.clone(), since })
         };
         entries.iter().map(held).collect()
     }
--- a/crates/resolver/tests/view.rs
+++ b/crates/resolver/tests/view.rs
@@ -182,6 +182,15 @@
         );
         assert!((398.5..=400.0).contains(&view.rows()[0].row.since), "{told}");
     }
+    // Of several at a start the youngest may be new, and the others are so much older.
+    for told in [-hour, 0.0, hour] {
+        let since = [-50.0, -2.0, f64::NEG_INFINITY].map(|since| 100.0 + told + since);
+        let entries: Vec<Entry> =
+            (0..).zip(since).map(|(n, since)| entry(n, Standing::Ready, since)).collect();
+        let taken: Vec<f64> =
+            RosterView::new(100.0, 1, &entries).rows().iter().map(|e| e.row.since).collect();
+        assert_eq!(taken, [52.0, 100.0, f64::NEG_INFINITY], "{told}");
+    }
     let long_ago = RosterView::new(100.0, 1, &[entry(0, Standing::Ready, f64::NEG_INFINITY)]);
     assert_eq!(long_ago.rows()[0].row.since, f64::NEG_INFINITY);
 }
--- a/crates/test-servers/src/platform/resolver.rs
+++ b/crates/test-servers/src/platform/resolver.rs
@@ -87,6 +87,18 @@
         self.serial.set(self.serial.get() + 1);
     }
 
+    /// What happened so long ago counts as told, unless nobody is answered at all.
+    pub fn tell_later(self: &Rc<Self>, after: f64, front_ends: u32) {
+        let me = self.clone();
+        let telling = async move {
+            me.stage.sleep(after).await;
+            if !me.away.is_on(me.stage.now()) {
+                (0..front_ends).for_each(|j| me.tell(j));
+            }
+        };
+        self.stage.spawn(telling).detach();
+    }
+
     /// Nobody answers at the other addresses from now on.
     pub fn close_all_but(&self, at: SocketAddr) {
         self.only.set(Some(at));
