Ask the module again as bytes leave the HTTP front end too

Change: exchange_if asks Engine::leaves and Engine::order_leaves; the time of an order is the engine's, so that its place in the ration is found again.

--- a/crates/frontend/src/hub/exchange.rs
+++ b/crates/frontend/src/hub/exchange.rs
@@ -101,7 +101,7 @@
         let refusal = Cell::new(None);
         let may_leave = || {
             let refused = self.dispatch_refusal(&dispatch.work);
-            let may_leave = refused.is_none();
+            let may_leave = refused.is_none() && self.still_holds(&dispatch);
             refusal.set(refused);
             may_leave
         };
@@ -117,6 +117,12 @@
         }
     }
 
+    /// Asks the module again, as bytes go out that may have waited for a connection: the executor may drain by now, the
+    /// client's time or the window of its token be over.
+    fn still_holds(&self, dispatch: &Dispatch) -> bool {
+        self.engine.borrow_mut().leaves(self.now(), dispatch.inv, dispatch.number)
+    }
+
     fn dispatch_head(&self, dispatch: &Dispatch) -> v1::Dispatch {
         let work = &dispatch.work;
         let effect = match work.trigger_type.policy.effect {
@@ -257,10 +263,16 @@
         pool: Rc<Pool>,
         order: v1::Order,
         function: u64,
+        given_at: f64,
     ) {
         let time = seconds(self.deployment.bounds.order_time);
-        let answered =
-            orchidtally_net::within(time, pool.exchange::<v1::OrderAnswer>(ORDER, frame(&order), &[])).await;
+        // One that loads nothing may always go.
+        let may_leave = || {
+            order.kind() != v1::OrderKind::Hold
+                || self.engine.borrow_mut().order_leaves(self.now(), to, given_at)
+        };
+        let exchange = pool.exchange_if::<v1::OrderAnswer>(ORDER, frame(&order), &[], may_leave);
+        let answered = orchidtally_net::within(time, exchange).await;
         let mut differs = false;
         let seen = match answered {
             None => Transport::TimedOut,
--- a/crates/frontend/src/hub/mod.rs
+++ b/crates/frontend/src/hub/mod.rs
@@ -186,6 +186,7 @@
         let now = self.now();
         let mut engine = self.engine.borrow_mut();
         let mut performer = self.performer.borrow_mut();
+        performer.now = now;
         let result = input(&mut engine, now, &mut performer);
         while let Some(moving) = performer.moving.pop() {
             performer.offer_again(&mut engine, now, moving);
--- a/crates/frontend/src/hub/performer.rs
+++ b/crates/frontend/src/hub/performer.rs
@@ -55,6 +55,8 @@
     pub(super) timing: Option<Timing>,
     pub(super) moving: Vec<Moving>,
     roster: Option<Task<()>>,
+    /// The time of the engine's present call.
+    pub(super) now: f64,
 }
 
 impl Performer {
@@ -70,6 +72,7 @@
             timing: None,
             moving: vec![],
             roster: None,
+            now: 0.0,
         }
     }
 
@@ -180,7 +183,7 @@
             copies: copies.into(),
         };
         let pool = self.pool(&hub, to);
-        if let Some(task) = hub.spawn(hub.clone().order(to, pool, order, function)) {
+        if let Some(task) = hub.spawn(hub.clone().order(to, pool, order, function, self.now)) {
             task.detach();
         }
     }
