Test that nothing leaves the HTTP front end for one told draining meanwhile

Three non-idempotent invocations, one stream to the executor; it is told draining while two of them wait.

--- /dev/null
+++ b/crates/frontend/tests/departures.rs
@@ -0,0 +1,54 @@
+//! What was decided is asked again as its bytes leave, which may be long after: dispatches that wait for a stream.
+
+mod gateway_kit;
+
+use gateway_kit::*;
+use orchidtally_invariants::{Record, Standing};
+use orchidtally_test_servers::client::Caller;
+use orchidtally_test_servers::executor::{Executor, Make, Program, Surroundings, echo};
+use orchidtally_test_servers::publisher::Publisher;
+use orchidtally_test_servers::store::Store;
+use orchidtally_test_servers::{Stage, any_port};
+use std::rc::Rc;
+
+/// Seconds that an invocation takes; the next one waits for its stream for as long.
+const WORK: f64 = 0.6;
+
+fn slow_executor(stage: &Stage) -> Rc<Executor> {
+    let program =
+        |_: &str| Some(Program { lanes: 32, load_time: 0.01, work: WORK, run: echo, ..Program::default() });
+    let around = Surroundings {
+        store: Store::new(stage, 8.0, 8),
+        catalogue: Rc::new(program),
+        tokens: Rc::default(),
+        token_window: 5.0,
+    };
+    Executor::start(stage, Make::roomy(0), any_port(), around).unwrap()
+}
+
+#[test]
+fn nothing_leaves_for_an_executor_that_was_told_draining_while_it_waited_for_a_stream() {
+    let stage = Stage::new(1);
+    let one = slow_executor(&stage);
+    let publisher = Publisher::start(&stage, any_port(), vec![row(0, one.address, Standing::Ready)]).unwrap();
+    publisher.delay.set(0.0);
+    let orders_off = "loading: { orders: false }";
+    let text = description(&format!("publisher: \"{}\"", publisher.address), orders_off);
+    let narrow = "limits: { connectTime: \"3s\", streamsPerConnection: 1, connectionsPerExecutor: 1,";
+    let gateway = gateway(text.replace("limits: { connectTime: \"200ms\",", narrow));
+    let caller = Caller::new(&stage, 0, 0, gateway.at, false);
+    on(&stage, async {
+        assert_eq!(status(&caller.invoke(&ask("warms", LOOK)).await), 200);
+        let out = all(&stage, &caller, (0..3).map(|n| ask(&format!("a{n}"), ACT)).collect());
+        let drain = async {
+            stage.sleep(WORK / 3.0).await;
+            publisher.change(0, Standing::Draining, f64::NEG_INFINITY);
+        };
+        let (heard, ()) = futures_lite::future::zip(out, drain).await;
+        let statuses: Vec<u16> = heard.iter().map(status).collect();
+        assert_eq!(statuses.iter().filter(|&&s| s == 200).count(), 1, "{statuses:?}");
+    });
+    let reached = |r: &Record| matches!(r, Record::Reached { invocation, .. } if invocation.starts_with('a'));
+    assert_eq!(stage.records().iter().filter(|r| reached(r)).count(), 1, "only the one that had its stream");
+    gateway.end();
+}
