--- a/crates/resolver/src/view.rs
+++ b/crates/resolver/src/view.rs
@@ -59,11 +59,11 @@
     since: f64,
 }
 
-/// When an executor started that was first listed at a time. Starts are told by the wall clocks of other machines, and
-/// this one's may have been stepped: a start is no later than its first listing, and hardly earlier. Guards executors
-/// that have just started against work for warm ones; could harm by too little work for a while.
-fn listed_start(told: f64, listed_at: f64) -> f64 {
-    let is_plausible = (listed_at - LISTED_WITHIN..=listed_at).contains(&told);
+/// When an executor started that was first listed at a time, and on no list as late as another. Starts are told by the
+/// wall clocks of other machines, and this one's may have been stepped: a start lies between these two, or hardly before.
+/// Guards executors that have just started against work for warm ones; could harm by too little work for a while.
+fn listed_start(told: f64, absent_at: f64, listed_at: f64) -> f64 {
+    let is_plausible = (absent_at - LISTED_WITHIN..=listed_at).contains(&told);
     if told == f64::NEG_INFINITY || is_plausible { told } else { listed_at }
 }
 
@@ -87,6 +87,7 @@
 #[derive(Clone, Debug)]
 pub struct RosterView {
     serial: u32,
+    began_at: f64,
     asked_at: f64,
     entries: BTreeMap<String, Held>,
     withdrawn: BTreeMap<String, Withdrawal>,
@@ -105,6 +106,7 @@
         let draining: Vec<String> = draining.map(|e| e.name.clone()).collect();
         let mut view = RosterView {
             serial,
+            began_at: now,
             asked_at: f64::NEG_INFINITY,
             entries: BTreeMap::new(),
             withdrawn: BTreeMap::new(),
@@ -205,10 +207,11 @@
 
     /// The rows of a list that has come now, with when each of them started.
     fn listed(&self, now: f64, entries: &[Entry]) -> BTreeMap<String, Held> {
+        let absent_at = self.asked_at.max(self.began_at);
         let held = |entry: &Entry| {
             let told = entry.row.since;
             let before = self.entries.get(&entry.name).filter(|before| before.entry.row.since == told);
-            let since = before.map_or_else(|| listed_start(told, now), |before| before.since);
+            let since = before.map_or_else(|| listed_start(told, absent_at, now), |before| before.since);
             (entry.name.clone(), Held { entry: entry.clone(), since })
         };
         entries.iter().map(held).collect()
--- a/crates/resolver/tests/view.rs
+++ b/crates/resolver/tests/view.rs
@@ -166,6 +166,8 @@
         let mut view = RosterView::new(100.0, 1, &[entry(0, Standing::Ready, 100.0 + told)]);
         let new = entry(1, Standing::Ready, 200.0 + told);
         let old = entry(0, Standing::Ready, 100.0 + told);
+        // It was on no list a moment before.
+        view.take(199.9, 199.9, &Answer { serial: 1, entries: vec![old.clone()] });
         view.take(200.0, 200.0, &Answer { serial: 2, entries: vec![old.clone(), new.clone()] });
         let since: Vec<f64> = view.rows().iter().map(|e| e.row.since).collect();
         assert!(
