--- a/crates/invariants/src/rules/final_answers.rs
+++ b/crates/invariants/src/rules/final_answers.rs
@@ -39,10 +39,12 @@
             let times = killed.get(front_end).map(Vec::as_slice).unwrap_or_default();
             times.iter().any(|&time| (at - DEATH_MARGIN..=by).contains(&time))
         };
+        let stops = stopped.get(front_end).map(Vec::as_slice).unwrap_or_default();
+        let was_stopped =
+            |from: f64, to: f64| stops.iter().any(|stop| stop.0 <= from && to <= stop.1 + OVERDUE_ANSWERED);
         match ends {
             [Record::Answered { at: answered, answer, .. }] => {
                 verdict.count(*answer);
-                let stops = stopped.get(front_end).map(Vec::as_slice).unwrap_or_default();
                 let stop = stops.iter().find(|(from, to)| (*from..=to + OVERDUE_ANSWERED).contains(until));
                 let due = stop.map_or(*until, |(_, to)| until.max(to + OVERDUE_ANSWERED));
                 rule.check(*answered <= due, || {
@@ -50,6 +52,8 @@
                 });
             }
             [Record::Left { .. }] => verdict.left += 1,
+            // Its front end was stopped for all of the time in which it could have answered late.
+            [Record::GaveUp { at: lost, .. }] if was_stopped(*until, *lost) => verdict.lost += 1,
             [Record::Lost { at: lost, .. } | Record::GaveUp { at: lost, .. }] if died(*lost) => {
                 verdict.lost += 1
             }
--- a/crates/invariants/tests/rules.rs
+++ b/crates/invariants/tests/rules.rs
@@ -195,4 +195,7 @@
     assert_eq!(with(stopped(6.0, 8.0), 8.2), [1], "not at once");
     assert_eq!(with(stopped(7.5, 8.0), 8.05), [1], "it was due before the stop");
     assert_eq!(broken(vec![stopped(6.0, 8.0), offered(4.0, "b", 0)]), [1], "never");
+    let gave_up = |at: f64| Record::GaveUp { at, invocation: "b".into() };
+    assert!(broken(vec![stopped(6.0, 8.0), offered(4.0, "b", 0), gave_up(7.5)]).is_empty());
+    assert_eq!(broken(vec![stopped(6.0, 7.35), offered(4.0, "b", 0), gave_up(7.5)]), [1], "it had its time");
 }
