Test limits and departures after a standstill in one process

The limit told to an executor is at most what the client had left when the standstill began, and nothing leaves on a view from before until it is confirmed.

--- a/crates/platform/src/tests/mod.rs
+++ b/crates/platform/src/tests/mod.rs
@@ -6,6 +6,7 @@
 mod leaving;
 mod on_the_way;
 mod settings;
+mod standstill;
 
 use super::*;
 use orchidtally::interface::*;
