--- a/crates/cli/tests/day/mod.rs
+++ b/crates/cli/tests/day/mod.rs
@@ -20,9 +20,9 @@
 /// As the platform grants it; a front end asks some six times within it.
 pub const GRACE: f64 = 1.0;
 
-fn settings(front_ends: u32, index: u32) -> Value {
+fn settings(front_ends: u32, index: u32, deadline: f64) -> Value {
     let class = |name: &str, semantics: &str| {
-        json!({"name": name, "aim": 1e9, "deadline": 3e9, "credit": 1.0, "lateWorth": 0.2,
+        json!({"name": name, "aim": 1e9, "deadline": deadline * 1e9, "credit": 1.0, "lateWorth": 0.2,
             "semantics": semantics, "dedupScope": "cell", "dedupWindow": WINDOW * 1e9})
     };
     json!({
@@ -70,6 +70,8 @@
     pub processes: RefCell<Vec<Option<Child>>>,
     pub clients: Vec<Rc<Client>>,
     pub next: Cell<u64>,
+    /// The client timeout of the settings, in seconds.
+    pub deadline: Cell<f64>,
     /// Seconds for which clients wait.
     pub allow: Cell<f64>,
     /// What is set in the environment of front ends that start from now on.
@@ -108,6 +110,7 @@
             processes: RefCell::new((0..front_ends).map(|_| None).collect()),
             clients,
             next: Cell::new(1),
+            deadline: Cell::new(3.0),
             allow: Cell::new(2.5),
             environment: RefCell::default(),
             answered: Cell::default(),
@@ -143,7 +146,7 @@
             "name": format!("n{j}"), "listen": self.at[j as usize], "seed": format!("{:016x}", 77 + j),
             "dns": self.dns.borrow()[j as usize],
             "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 128},
-            "settings": settings(self.at.len() as u32, j), "known": self.resolver.known(j),
+            "settings": settings(self.at.len() as u32, j, self.deadline.get()), "known": self.resolver.known(j),
         });
         std::fs::write(self.file(j), told.to_string()).unwrap();
     }
--- a/crates/cli/tests/platform_soak.rs
+++ b/crates/cli/tests/platform_soak.rs
@@ -27,8 +27,10 @@
 const SECONDS: f64 = 7.0;
 /// A change of the list counts as told after so long.
 const TOLD_WITHIN: f64 = 1.5;
-/// SIGKILL comes so long after SIGTERM: the longest client timeout of the settings, and 0.7 s.
-const KILLED_AFTER: f64 = 3.7;
+/// SIGKILL comes so long after SIGTERM, and the longest client timeout of the settings.
+const KILLED_AFTER: f64 = 0.7;
+/// Short deadlines: of the settings, and of the clients.
+const SHORT: f64 = 0.3;
 /// Days that are played at a time.
 const AT_A_TIME: usize = 4;
 const SHORT_RUN: u64 = 12;
@@ -126,7 +128,7 @@
 
 /// Waits for the end of a process that was told to end; kills it at the earliest that it may be.
 async fn ended(day: &Day, process: &mut Child, wrong: &Wrong) {
-    let by = day.stage.now() + KILLED_AFTER;
+    let by = day.stage.now() + day.deadline.get() + KILLED_AFTER;
     while day.stage.now() < by {
         if let Some(status) = process.try_wait().unwrap() {
             if status.code() != Some(0) {
@@ -236,7 +238,8 @@
     let mut random = SmallRng::seed_from_u64(seed);
     let day = Day::new(&format!("soak-{seed}"), FRONT_ENDS, seed);
     if random.random_bool(0.3) {
-        day.allow.set(0.3);
+        day.allow.set(SHORT);
+        day.deadline.set(SHORT);
     }
     let percent = if random.random_bool(0.3) { random.random_range(1..8) } else { 0 };
     let step = *[0.0, 0.0, 3_600.0, -3_600.0, 5.0, -5.0].choose(&mut random).expect("there are some");
