--- a/crates/platform-config/src/lib.rs
+++ b/crates/platform-config/src/lib.rs
@@ -162,7 +162,7 @@
 
 /// What the platform's front end needs of the settings besides the policy configuration.
 #[derive(Clone, Debug)]
-pub struct Grounds {
+pub struct FrontEndSettings {
     pub policy: PolicyConfig,
     /// Names, each list by the index that the module knows.
     pub trigger_types: Vec<String>,
@@ -187,9 +187,9 @@
 }
 
 /// Reads settings for a front end on sockets.
-pub fn grounds(v: &Value) -> Result<Grounds, Fault> {
+pub fn front_end_settings(v: &Value) -> Result<FrontEndSettings, Fault> {
     let trigger_types = list(v, "classes")?.iter().map(|c| text(c, "name").map(str::to_owned));
-    Ok(Grounds {
+    Ok(FrontEndSettings {
         policy: decode(v)?,
         trigger_types: trigger_types.collect::<Result<_, _>>()?,
         customers: customers(v)?
--- a/crates/platform-config/tests/settings.rs
+++ b/crates/platform-config/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Each setting at its edges, absent and malformed: read, or named in what is told.
 
 use orchidtally::interface::PolicyConfig;
-use orchidtally_platform_config::{grounds, read};
+use orchidtally_platform_config::{front_end_settings, read};
 use serde_json::{Value, json};
 
 fn settings() -> Value {
@@ -79,7 +79,7 @@
     for pointer in
         ["/limits/maxOpen", "/limits/streamsPerConn", "/limits/connectTimeout", "/limits/idleClose"]
     {
-        let fault = grounds(&with(pointer, Some(json!(-1)))).expect_err(pointer).to_string();
+        let fault = front_end_settings(&with(pointer, Some(json!(-1)))).expect_err(pointer).to_string();
         assert!(fault.contains(&pointer[8..]), "{fault}");
     }
 }
--- a/crates/platform/src/egress.rs
+++ b/crates/platform/src/egress.rs
@@ -113,7 +113,7 @@
             Tell::Joined => Found::Waited,
             Tell::LoadFailed => Found::LoadFailed,
         };
-        let report = orchidtally_lines::report(&answer.meter, &self.grounds.report);
+        let report = orchidtally_lines::report(&answer.meter, &self.settings.report);
         let told = Told { found, crowd: answer.crowd, report: &report };
         let ending = evidence::ending(ending(answer.word));
         self.engine.ended(now, out.inv, out.dispatch, ending, told, &mut self.host);
--- a/crates/platform/src/ending.rs
+++ b/crates/platform/src/ending.rs
@@ -135,7 +135,7 @@
 
     /// When the process may be killed, once it was told to end.
     fn killed_at(&self) -> f64 {
-        let longest = self.grounds.policy.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
+        let longest = self.settings.policy.trigger_types.iter().map(|t| t.timeout).fold(0.0, f64::max);
         self.leaving_since.map_or(f64::INFINITY, |since| since + longest.min(LONGEST_COUNTED) + KILLED_AFTER)
     }
 
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -14,7 +14,7 @@
 use orchidtally_engine::{Engine, Tally};
 use orchidtally_frames as frames;
 use orchidtally_net::is_own_fault;
-use orchidtally_platform_config::Grounds;
+use orchidtally_platform_config::FrontEndSettings;
 use orchidtally_resolver::{Places, RosterView};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook_mio::v1_0::Signals;
@@ -57,7 +57,7 @@
     pub resolver: Resolver,
     pub engine: Engine,
     pub host: HostState,
-    pub grounds: Grounds,
+    pub settings: FrontEndSettings,
     pub places: Places,
     pub most_clients: usize,
     pub most_held: usize,
@@ -130,14 +130,14 @@
         let now = clock.read();
         let view = RosterView::new(now, start.serial, &start.known);
         let resolver = persist(|| Resolver::new(start.resolver, view.clone(), poll.registry(), RESOLVER))?;
-        let grounds = start.grounds;
+        let settings = start.settings;
         // Usual clients hold a third of the descriptors; the rest of their half is for those that misbehave.
         let most_clients = start.sockets / 2;
         let most_connections = start.sockets - most_clients - OWN_SOCKETS;
-        let mut host = HostState::new(now, poll.registry().try_clone()?, &grounds, most_connections);
+        let mut host = HostState::new(now, poll.registry().try_clone()?, &settings, most_connections);
         host.clock = clock;
         host.view.serial = start.serial;
-        let mut engine = Engine::new(grounds.policy.clone(), grounds.most_open, start.seed, now, &mut host);
+        let mut engine = Engine::new(settings.policy.clone(), settings.most_open, start.seed, now, &mut host);
         // The list of the start is that of this moment, by the platform's page.
         engine.view_confirmed(now, now, &mut host);
         let mut front = Front {
@@ -146,7 +146,7 @@
             resolver,
             engine,
             host,
-            grounds,
+            settings,
             places: start.places,
             most_clients,
             // Bodies may take a quarter of the memory; the rest is for buffers and tables.
@@ -220,7 +220,7 @@
     fn wait(&mut self, events: &mut Events) -> io::Result<()> {
         let now = self.now();
         let severed = self.severed.front().map_or(f64::INFINITY, |s| s.0 + connections::ALL_RESET);
-        let held = if self.host.held.is_empty() { f64::INFINITY } else { now + self.grounds.policy.tick };
+        let held = if self.host.held.is_empty() { f64::INFINITY } else { now + self.settings.policy.tick };
         let due = self.engine.due_at().min(self.resolver.due_at()).min(self.sweep_at).min(severed).min(held);
         let left = if self.again.is_empty() { (due - now).clamp(0.0, SWEEP) } else { 0.0 };
         match self.poll.poll(events, Some(Duration::from_secs_f64(left))) {
@@ -262,14 +262,14 @@
             self.accept(now);
         }
         self.host.given_up.retain(|_, until| *until > now);
-        let idle_close = self.grounds.idle_close;
+        let idle_close = self.settings.idle_close;
         let overdue =
             |(slot, l): (usize, &connections::Connection)| Some((slot, l.overdue(now, idle_close)?));
         let late: Vec<_> = self.host.connections.iter().filter_map(overdue).collect();
         for (slot, (seen, why)) in late {
             self.dissolve(now, slot, seen, why);
         }
-        let order_time = self.grounds.order_time;
+        let order_time = self.settings.order_time;
         while let Some((&tag, _)) =
             self.host.orders.iter().next().filter(|(_, o)| o.begun + order_time <= now)
         {
--- a/crates/platform/src/host_state.rs
+++ b/crates/platform/src/host_state.rs
@@ -10,7 +10,7 @@
 use orchidtally::interface::ExecutorId;
 use orchidtally_engine::Engine;
 use orchidtally_engine::evidence::Transport;
-use orchidtally_platform_config::Grounds;
+use orchidtally_platform_config::FrontEndSettings;
 use slab::Slab;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
@@ -125,18 +125,23 @@
 
 impl HostState {
     /// A host without connections.
-    pub fn new(now: f64, registry: Registry, grounds: &Grounds, most_connections: usize) -> HostState {
+    pub fn new(
+        now: f64,
+        registry: Registry,
+        settings: &FrontEndSettings,
+        most_connections: usize,
+    ) -> HostState {
         HostState {
             now,
             clock: ProcessClock::starting_at(now),
             stood_still: false,
             registry,
-            trigger_types: grounds.trigger_types.clone(),
-            streams: grounds.streams,
-            connect_time: grounds.connect_time,
-            tick: grounds.policy.tick,
-            idle_close: grounds.idle_close,
-            cancels: grounds.policy.cancel,
+            trigger_types: settings.trigger_types.clone(),
+            streams: settings.streams,
+            connect_time: settings.connect_time,
+            tick: settings.policy.tick,
+            idle_close: settings.idle_close,
+            cancels: settings.policy.cancel,
             most_connections,
             clients: Slab::new(),
             connections: Slab::new(),
@@ -157,7 +162,7 @@
             cut: vec![],
             taking: None,
             brought: vec![],
-            longest_stay_away: grounds.policy.max_retry_after,
+            longest_stay_away: settings.policy.max_retry_after,
             view: ViewStamp { serial: 0, fresh_at: now },
             dispatch_log: LogBudget::default(),
             answer_log: LogBudget::default(),
--- a/crates/platform/src/ingress.rs
+++ b/crates/platform/src/ingress.rs
@@ -176,9 +176,9 @@
         }
         let field = |name: &str| fields.iter().find(|f| f.0 == name).map(|f| f.1);
         let service = field("service").ok_or("no 'service'")?;
-        let trigger_type = self.grounds.trigger_types.iter().position(|t| t == service);
+        let trigger_type = self.settings.trigger_types.iter().position(|t| t == service);
         let trigger_type = trigger_type.ok_or("'service' names nothing that is served")?;
-        let ty = &self.grounds.policy.trigger_types[trigger_type];
+        let ty = &self.settings.policy.trigger_types[trigger_type];
         let id = field("ref").filter(|id| hex(id).is_some()).ok_or("'ref' is not 16 hex digits")?;
         if self.host.ids.contains(id) {
             return Err("'ref' is that of an open invocation");
@@ -193,7 +193,7 @@
             Some(_) => return Err("'dup' is neither 1 nor absent"),
         };
         // Who names no customer is within nobody's share, and takes of none.
-        let customers = &self.grounds.customers;
+        let customers = &self.settings.customers;
         let customer = match field("project").filter(|_| !customers.is_empty()) {
             None => customers.len(),
             Some(name) => customers.iter().position(|c| c == name).ok_or("'project' names no customer")?,
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -1,14 +1,15 @@
 //! What a front end is told at its start, and again when its file is replaced.
 
-use orchidtally_platform_config::Grounds;
+use orchidtally_platform_config::FrontEndSettings;
 use orchidtally_resolver::{Entry, Places};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
 use thiserror::Error;
 
+/// The file as it is written.
 #[derive(Deserialize)]
-struct Told {
+struct StartFile {
     name: String,
     listen: SocketAddr,
     seed: String,
@@ -34,7 +35,7 @@
     pub serial: u32,
     pub known: Vec<Entry>,
     pub places: Places,
-    pub grounds: Grounds,
+    pub settings: FrontEndSettings,
 }
 
 /// Why a front end can't start from its file, and what to do about it.
@@ -67,30 +68,30 @@
 
 pub(crate) fn parse(file: &str, text: &[u8]) -> Result<Start, Fault> {
     let file = || file.to_owned();
-    let told: Told =
+    let written: StartFile =
         serde_json::from_slice(text).map_err(|e| Fault::NotJson { file: file(), why: e.to_string() })?;
-    let grounds = orchidtally_platform_config::grounds(&told.settings)
+    let settings = orchidtally_platform_config::front_end_settings(&written.settings)
         .map_err(|source| Fault::Settings { file: file(), source })?;
-    let mut places = Places::new(grounds.zones.clone(), grounds.kinds.clone());
-    let (serial, known) = orchidtally_resolver::known(&told.known, &mut places)
+    let mut places = Places::new(settings.zones.clone(), settings.kinds.clone());
+    let (serial, known) = orchidtally_resolver::known(&written.known, &mut places)
         .map_err(|why| Fault::Known { file: file(), why })?;
-    let seed =
-        u64::from_str_radix(&told.seed, 16).map_err(|e| Fault::Seed { file: file(), why: e.to_string() })?;
+    let seed = u64::from_str_radix(&written.seed, 16)
+        .map_err(|e| Fault::Seed { file: file(), why: e.to_string() })?;
     let least = |value: f64, least: f64, key| match value >= least {
         true => Ok(value as usize),
         false => Err(Fault::Limit { file: file(), key, value, least }),
     };
     Ok(Start {
-        name: told.name,
-        listen: told.listen,
+        name: written.name,
+        listen: written.listen,
         seed,
-        memory: least(told.limits.memory_mb, 8.0, "memory_mb")? << 20,
-        sockets: least(told.limits.sockets, 48.0, "sockets")?,
-        resolver: told.dns,
+        memory: least(written.limits.memory_mb, 8.0, "memory_mb")? << 20,
+        sockets: least(written.limits.sockets, 48.0, "sockets")?,
+        resolver: written.dns,
         serial,
         known,
         places,
-        grounds,
+        settings,
     })
 }
 
--- a/crates/platform/src/tests/host_state.rs
+++ b/crates/platform/src/tests/host_state.rs
@@ -18,9 +18,9 @@
 /// A host's state with some executors, each reached over one connection that stands, and the executors' ends of these.
 fn set(executors: usize) -> (HostState, Vec<ExecutorId>, Vec<std::net::TcpStream>) {
     let settings = serde_json::from_str(SETTINGS).expect("it is JSON");
-    let grounds = orchidtally_platform_config::grounds(&settings).expect("they are sound");
+    let settings = orchidtally_platform_config::front_end_settings(&settings).expect("they are sound");
     let poll = mio::Poll::new().expect("a poll");
-    let mut host = HostState::new(0.0, poll.registry().try_clone().expect("it can be"), &grounds, executors);
+    let mut host = HostState::new(0.0, poll.registry().try_clone().expect("it can be"), &settings, executors);
     let mut ends = vec![];
     let mut ids = vec![];
     for n in 0..executors {
