Let one spoilt record move nobody; retry the start's own reads

What a list tells of an executor besides its standing counts when it is told twice in a row; listed twice it stands as the worse; reading the file and catching signals at a start are tried again after faults of this machine. Tests in crates/resolver/tests/view.rs.

--- a/crates/cli/src/serve.rs
+++ b/crates/cli/src/serve.rs
@@ -68,7 +68,7 @@
     let signals = orchidtally_platform::PendingSignals::new().map_err(unable)?;
     let file = variable("LB_CONFIG").ok_or_else(|| bad("LB_CONFIG names no file".into()))?;
     let file = PathBuf::from(file);
-    let start = orchidtally_platform::start::read(&file).map_err(|e| bad(e.to_string()))?;
+    let start = orchidtally_platform::start::read_at_start(&file).map_err(|e| bad(e.to_string()))?;
     start
         .agrees(variable("LB_NAME").as_deref(), variable("LB_LISTEN").as_deref())
         .map_err(|e| bad(e.to_string()))?;
--- a/crates/platform/src/front.rs
+++ b/crates/platform/src/front.rs
@@ -7,7 +7,7 @@
 use crate::log_budget::LogBudget;
 use crate::process_clock::ProcessClock;
 use crate::roster::Resolver;
-use crate::start::Start;
+use crate::start::{START_PAUSE, START_TRIES, Start};
 use mio::net::TcpListener;
 use mio::{Events, Interest, Poll, Token};
 use orchidtally_engine::evidence::{self, Transport};
@@ -86,15 +86,10 @@
 
 impl PendingSignals {
     pub fn new() -> io::Result<PendingSignals> {
-        Signals::new([SIGTERM, SIGINT, SIGHUP]).map(PendingSignals)
+        persist(|| Signals::new([SIGTERM, SIGINT, SIGHUP])).map(PendingSignals)
     }
 }
 
-/// Calls that a start needs are tried again after this pause, for so long: what the machine lacks may be there then, and
-/// the address may still be held by the process before.
-const START_PAUSE: Duration = Duration::from_millis(50);
-const START_TRIES: usize = 100;
-
 /// Tries again what fails for want of something on this machine.
 fn persist<T>(mut call: impl FnMut() -> io::Result<T>) -> io::Result<T> {
     let may_pass = |fault: &io::Error| is_own_fault(fault) || fault.kind() == io::ErrorKind::AddrInUse;
--- a/crates/platform/src/start.rs
+++ b/crates/platform/src/start.rs
@@ -1,10 +1,12 @@
 //! What a front end is told at its start, and again when its file is replaced.
 
+use orchidtally_net::is_own_fault;
 use orchidtally_platform_config::FrontEndSettings;
 use orchidtally_resolver::{Entry, Places};
 use serde::Deserialize;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 use thiserror::Error;
 
 /// The file as it is written.
@@ -19,6 +21,11 @@
     settings: serde_json::Value,
 }
 
+/// Calls that a start needs are tried again after this pause, so many times: what the machine lacks may be there then,
+/// and the address may still be held by the process before.
+pub(crate) const START_PAUSE: Duration = Duration::from_millis(50);
+pub(crate) const START_TRIES: usize = 100;
+
 #[derive(Deserialize)]
 struct Limits {
     memory_mb: f64,
@@ -66,6 +73,19 @@
     parse(&file, &text)
 }
 
+/// The same at a start, where there is no earlier file to go on with: a read that fails for want of something on this
+/// machine is tried again for a while.
+pub fn read_at_start(path: &Path) -> Result<Start, Fault> {
+    let may_pass = |fault: &Fault| matches!(fault, Fault::Unreadable { source, .. } if is_own_fault(source));
+    for _ in 1..START_TRIES {
+        match read(path) {
+            Err(fault) if may_pass(&fault) => std::thread::sleep(START_PAUSE),
+            other => return other,
+        }
+    }
+    read(path)
+}
+
 pub(crate) fn parse(file: &str, text: &[u8]) -> Result<Start, Fault> {
     let file = || file.to_owned();
     let written: StartFile =
--- a/crates/resolver/src/view.rs
+++ b/crates/resolver/src/view.rs
@@ -57,6 +57,31 @@
     entry: Entry,
     /// When it started at the latest, on the caller's clock.
     since: f64,
+    /// What the last list told of it besides its standing, where that differs from the entry.
+    differs: Option<Entry>,
+}
+
+impl Held {
+    fn new(entry: Entry, since: f64) -> Held {
+        Held { entry, since, differs: None }
+    }
+
+    /// Takes what a list tells of the same start: its standing at once, and whatever else differs when it is told twice
+    /// in a row. Guards against one spoilt record, by which an executor would be looked for elsewhere, found unreachable
+    /// and taken for broken; could harm one that moves, by 0.2 s.
+    fn retold(&self, told: &Entry) -> Held {
+        let mut told_before = self.entry.clone();
+        told_before.row.standing = told.row.standing;
+        if told_before == *told {
+            return Held::new(told_before, self.since);
+        }
+        let mut besides = told.clone();
+        besides.row.standing = Standing::Ready;
+        if self.differs.as_ref() == Some(&besides) {
+            return Held::new(told.clone(), self.since);
+        }
+        Held { entry: told_before, since: self.since, differs: Some(besides) }
+    }
 }
 
 /// When an executor started that was first listed at a time, and on no list as late as another. Starts are told by the
@@ -115,7 +140,7 @@
         // The youngest may have started just now, and the others so much earlier: whatever the wall clock here tells.
         let youngest = youngest(entries);
         let since = |told: f64| if told == f64::NEG_INFINITY { told } else { now - (youngest - told) };
-        let held = |e: &Entry| (e.name.clone(), Held { entry: e.clone(), since: since(e.row.since) });
+        let held = |e: &Entry| (e.name.clone(), Held::new(e.clone(), since(e.row.since)));
         view.entries = entries.iter().map(held).collect();
         draining.iter().for_each(|name| view.withdraw(f64::NEG_INFINITY, serial, name));
         view
@@ -133,7 +158,9 @@
 
     /// Whether an answer that repeats the last one byte for byte could change nothing but the view's freshness.
     pub fn is_settled(&self) -> bool {
-        self.older_in_a_row == 0 && self.withdrawn.values().all(|w| w.ready_votes == 0)
+        self.older_in_a_row == 0
+            && self.withdrawn.values().all(|w| w.ready_votes == 0)
+            && self.entries.values().all(|held| held.differs.is_none())
     }
 
     /// The rows as they count. One told away and ready again before its time is draining.
@@ -208,13 +235,19 @@
     /// The rows of a list that has come now, with when each of them started.
     fn listed(&self, now: f64, entries: &[Entry]) -> BTreeMap<String, Held> {
         let absent_at = self.asked_at.max(self.began_at);
-        let held = |entry: &Entry| {
+        let mut listed: BTreeMap<String, Held> = BTreeMap::new();
+        for entry in entries {
             let told = entry.row.since;
             let before = self.entries.get(&entry.name).filter(|before| before.entry.row.since == told);
-            let since = before.map_or_else(|| listed_start(told, absent_at, now), |before| before.since);
-            (entry.name.clone(), Held { entry: entry.clone(), since })
-        };
-        entries.iter().map(held).collect()
+            let new = || Held::new(entry.clone(), listed_start(told, absent_at, now));
+            let mut held = before.map_or_else(new, |before| before.retold(entry));
+            // Listed twice it stands as the worse of the two.
+            if let Some(twice) = listed.get(&entry.name).filter(|t| t.entry.row.standing != Standing::Ready) {
+                held.entry.row.standing = twice.entry.row.standing;
+            }
+            listed.insert(entry.name.clone(), held);
+        }
+        listed
     }
 
     /// A list tells an executor ready; where it was told away, that takes several, or another start.
--- a/crates/resolver/tests/view.rs
+++ b/crates/resolver/tests/view.rs
@@ -158,6 +158,42 @@
     assert_eq!(view.fresh_at(), 0.9);
 }
 
+#[test]
+fn one_spoilt_record_moves_nobody_and_two_in_a_row_do() {
+    let mut told = Told::new(&list(1, 2, &[]));
+    let mut moved = list(1, 2, &[]);
+    moved.entries[0].address = ([10, 9, 9, 9], 1).into();
+    let address = |told: &Told| told.view.rows()[0].address.to_string();
+    let first = address(&told);
+    told.take(&moved);
+    assert_eq!(address(&told), first, "told once");
+    assert!(!told.view.is_settled(), "the same answer again tells something");
+    told.take(&list(1, 2, &[]));
+    told.take(&moved);
+    assert_eq!(address(&told), first, "not in a row");
+    told.take(&moved);
+    assert_eq!(address(&told), "10.9.9.9:1");
+    assert!(told.view.is_settled());
+    // Its standing counts at once all the same.
+    moved.entries[0].address = ([10, 8, 8, 8], 1).into();
+    moved.entries[0].row.standing = Standing::Draining;
+    told.take(&moved);
+    assert_eq!((address(&told).as_str(), told.ready()), ("10.9.9.9:1", vec![1]));
+}
+
+#[test]
+fn one_that_is_listed_twice_stands_as_the_worse_of_the_two() {
+    for order in [[Standing::Ready, Standing::Draining], [Standing::Draining, Standing::Ready]] {
+        let mut told = Told::new(&list(1, 2, &[]));
+        let mut twice = list(2, 2, &[]);
+        let [first, second] = order.map(|standing| entry(0, standing, f64::NEG_INFINITY));
+        twice.entries[0] = first;
+        twice.entries.push(second);
+        told.take(&twice);
+        assert_eq!(told.ready(), [1], "{order:?}");
+    }
+}
+
 /// Starts are told by other machines' wall clocks; this one's may be an hour ahead or behind.
 #[test]
 fn an_executor_that_has_just_started_is_new_whatever_the_wall_clock_tells() {
