--- a/crates/resolver/src/view.rs
+++ b/crates/resolver/src/view.rs
@@ -22,8 +22,10 @@
 /// And so many of them; past that the one told first is forgotten.
 const MOST_REMEMBERED: usize = 4_096;
 
-/// A start is on a list so many seconds after it at the most, by the platform's protocol.
-const LISTED_WITHIN: f64 = 1.5;
+/// An executor is on a list so many seconds after its start: a change is told within 1.5 s, and it has to get ready
+/// before. Guards executors that were slow to get ready against being taken for new at their listing (2 to 3 s were
+/// seen); could harm by that much where the wall clock is ahead by no more.
+const LISTED_WITHIN: f64 = 4.0;
 
 /// What came of an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
