--- a/crates/platform-config/src/lib.rs
+++ b/crates/platform-config/src/lib.rs
@@ -187,6 +187,9 @@
 }
 
 /// Reads settings for a front end on sockets.
+///
+/// # Errors
+/// A key is missing, of another form or out of its range: the fault names the key.
 pub fn front_end_settings(v: &Value) -> Result<FrontEndSettings, Fault> {
     let trigger_types = list(v, "classes")?.iter().map(|c| text(c, "name").map(str::to_owned));
     Ok(FrontEndSettings {
