Give twice only messages that must not run twice; keep a dead executor's port free in a test

Change: the fault takes a filter of topics (GivesTwice) and counts the messages that match; rehearse gives twice one in 20 of type act. port_for_later in hard_cases. Both tests assert what they did before.

--- a/crates/cli/src/rehearse/messages.rs
+++ b/crates/cli/src/rehearse/messages.rs
@@ -3,8 +3,9 @@
 
 use bytes::Bytes;
 use orchidtally_invariants::Record;
+use orchidtally_mqtt::filter::Filter;
 use orchidtally_mqtt::packet::{Property, Qos};
-use orchidtally_test_servers::broker::{BrokerServer, Message};
+use orchidtally_test_servers::broker::{BrokerServer, GivesTwice, Message};
 use orchidtally_test_servers::{Stage, any_port};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
@@ -19,6 +20,10 @@
 const HOUSES: f64 = 12.0;
 /// A connection breaks with each so-manieth packet.
 const BREAKS_EVERY: u64 = 400;
+/// The topics of the messages that must not run twice, by their trigger type.
+const RUN_ONCE_TOPICS: &str = "house/+/act/+";
+/// Of these messages, one in so many is given to two front ends where that is wanted.
+const GIVES_TWICE_EVERY: u64 = 20;
 
 /// Messages that are published beside a day's traffic.
 pub struct Messages {
@@ -109,10 +114,20 @@
         }
     }
 
+    /// Lets the broker give some of the messages that must not run twice to two front ends. Of the others a second
+    /// run breaks no rule, so that a day in which the fault fell on those alone would prove nothing.
+    fn give_twice(&self) {
+        let filter = Filter::parse(RUN_ONCE_TOPICS).expect("a valid filter");
+        let fault = GivesTwice::one_in(GIVES_TWICE_EVERY, filter);
+        self.broker.broker.borrow_mut().faults.gives_twice = Some(fault);
+    }
+
     /// Publishes through the day, breaks connections, takes the broker down once with its state, and waits for the
     /// last answers. `twice`: it gives some messages to two front ends, which has to be found.
     pub async fn perform(self: Rc<Self>, from: f64, length: f64, rate: f64, twice: bool) {
-        self.broker.broker.borrow_mut().faults.gives_twice = twice.then_some(40);
+        if twice {
+            self.give_twice();
+        }
         let me = self.clone();
         let network = self.stage.spawn(async move {
             me.stage.sleep(from + 0.2 * length - me.stage.now()).await;
--- a/crates/frontend/tests/hard_cases.rs
+++ b/crates/frontend/tests/hard_cases.rs
@@ -11,7 +11,7 @@
 use orchidtally_test_servers::client::{Ask, Caller, Heard};
 use orchidtally_test_servers::publisher::Publisher;
 use orchidtally_test_servers::raw::{self, Kind, Next};
-use orchidtally_test_servers::{Stage, any_port};
+use orchidtally_test_servers::{Stage, any_port, port_for_later};
 use orchidtally_wire::{frame, v1};
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -78,7 +78,7 @@
 #[test]
 fn an_executor_that_dies_before_any_byte_costs_nothing() {
     let stage = Stage::new(1);
-    let gone = TcpListener::bind(any_port()).unwrap().local_addr().unwrap();
+    let gone = port_for_later().unwrap();
     let stands = executor(&stage, 0, 0.01);
     let gateway = gateway(description(&listed(&[gone, stands.address]), NO_ORDERS));
     let caller = Caller::new(&stage, 0, 0, gateway.at, false);
--- a/crates/test-servers/src/broker/mod.rs
+++ b/crates/test-servers/src/broker/mod.rs
@@ -11,6 +11,7 @@
 pub use server::{BrokerServer, ByteStream, StreamWrapper};
 
 use bytes::Bytes;
+use orchidtally_mqtt::filter::Filter;
 use orchidtally_mqtt::packet::*;
 use session::ClientSession;
 use std::collections::{BTreeMap, VecDeque};
@@ -59,8 +60,32 @@
     pub reorders: bool,
     /// QoS 1 messages of a lost connection go to other members of the group, without being marked as duplicates.
     pub hands_over: bool,
-    /// One in so many messages of a group is delivered to two members.
-    pub gives_twice: Option<u64>,
+    /// Some messages of a group are delivered to two members.
+    pub gives_twice: Option<GivesTwice>,
+}
+
+/// Which messages of a group are delivered to two members.
+#[derive(Debug)]
+pub struct GivesTwice {
+    filter: Filter,
+    every: u64,
+    matched: u64,
+}
+
+impl GivesTwice {
+    /// One in `every` messages whose topic matches the filter.
+    pub fn one_in(every: u64, filter: Filter) -> GivesTwice {
+        GivesTwice { filter, every, matched: 0 }
+    }
+
+    /// Counts a message, and returns whether it is one of those.
+    fn applies_to(&mut self, topic: &str) -> bool {
+        if !self.filter.matches(topic) {
+            return false;
+        }
+        self.matched += 1;
+        self.matched.is_multiple_of(self.every)
+    }
 }
 
 /// A shared subscription: its group and its filter.
@@ -80,8 +105,6 @@
     retained: BTreeMap<String, Message>,
     /// The faults to inject.
     pub faults: BrokerFaults,
-    /// Messages of shared subscriptions so far.
-    shared_count: u64,
     rounds: u64,
     /// Messages that clients have published.
     pub published: Vec<Message>,
@@ -144,8 +167,7 @@
         for (shared, qos) in groups {
             let queue = self.shared.entry(shared).or_default();
             let message = Message { qos: qos.min(live.qos), ..live.clone() };
-            self.shared_count += 1;
-            if self.faults.gives_twice.is_some_and(|n| self.shared_count.is_multiple_of(n)) {
+            if self.faults.gives_twice.as_mut().is_some_and(|fault| fault.applies_to(&message.topic)) {
                 queue.push_back(message.clone());
             }
             queue.push_back(message);
--- a/crates/trigger/tests/simulation/mod.rs
+++ b/crates/trigger/tests/simulation/mod.rs
@@ -3,9 +3,10 @@
 
 use bytes::{Bytes, BytesMut};
 use orchidtally_deployment::Deployment;
+use orchidtally_mqtt::filter::Filter;
 use orchidtally_mqtt::packet::{Packet, Version};
 use orchidtally_mqtt::{decode, encode};
-use orchidtally_test_servers::broker::{Action, Broker};
+use orchidtally_test_servers::broker::{Action, Broker, GivesTwice};
 use orchidtally_trigger::Consumer;
 use orchidtally_trigger::consumer::HostAction;
 use orchidtally_trigger::ledger::{Answer, Record};
@@ -99,7 +100,8 @@
         let mut broker = Broker::default();
         broker.faults.hands_over = hands_over;
         broker.faults.reorders = seed.is_multiple_of(2);
-        broker.faults.gives_twice = (planted == Planted::GivesTwice).then_some(5);
+        let gives_twice = || GivesTwice::one_in(5, Filter::parse("#").unwrap());
+        broker.faults.gives_twice = (planted == Planted::GivesTwice).then(gives_twice);
         let mut world = World {
             random: SmallRng::seed_from_u64(seed),
             now: 1_000.0,
