Tell the HTTP front end's engine how old its list of etcd is, and of standstills

Its engine never heard how old the list was, nor that the process had been stopped; a member of etcd that has lost its leader went on to tell of progress in what it knew before, which counted as news; an answer for progress was dated by the latest question, and what came unasked by that too. Change: the engine hears when a question went out that the store has answered (list, or progress with the id that answers questions, one question at a time), that one has no answer (view_lost), and of standstills over 0.25 s (StandstillDetector in crates/engine, which the platform's ProcessClock uses as well; the clock is looked at every 50 ms). Streams ask for a leader ('hasleader', etcd's metadata), which the stand-in now obeys. Bytes read right after a standstill count from its beginning.

--- a/crates/engine/src/baseline.rs
+++ b/crates/engine/src/baseline.rs
@@ -26,6 +26,8 @@
     fn view_confirmed(&mut self, _now: f64, _at: f64, _out: &mut dyn Actions) {}
     /// The process did not run for a while.
     fn stood_still(&mut self, _now: f64) {}
+    /// The source of the roster does not answer what was asked at a time.
+    fn view_lost(&mut self, _now: f64, _asked_at: f64) {}
     fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Actions);
     fn outcome(&mut self, now: f64, o: &Outcome, out: &mut dyn Actions);
     fn streaming(&mut self, now: f64, inv: u32, dispatch: u8, out: &mut dyn Actions);
@@ -67,6 +69,9 @@
     fn stood_still(&mut self, now: f64) {
         Dispatcher::stood_still(self, now);
     }
+    fn view_lost(&mut self, now: f64, asked_at: f64) {
+        Dispatcher::view_lost(self, now, asked_at);
+    }
     fn invocation(&mut self, now: f64, inv: &Invocation, out: &mut dyn Actions) {
         Dispatcher::invocation(self, now, inv, out);
     }
--- a/crates/engine/src/lib.rs
+++ b/crates/engine/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 mod desk;
 pub mod evidence;
+pub mod standstill;
 
 use baseline::Decisions;
 use desk::{Desk, Open, Speaker};
@@ -292,6 +293,12 @@
         self.dispatcher.stood_still(self.desk.now);
     }
 
+    /// The source of the roster does not answer what was asked at a time. Whoever tells this goes on asking.
+    pub fn view_lost(&mut self, now: f64, asked_at: f64) {
+        self.desk.now = now.max(self.desk.now);
+        self.dispatcher.view_lost(self.desk.now, asked_at);
+    }
+
     pub fn living(&mut self, now: f64, living: MembershipView, host: &mut dyn Host) {
         self.play(now, host, |dispatcher, now, out| dispatcher.living(now, living, out));
     }
--- a/crates/etcd/src/client.rs
+++ b/crates/etcd/src/client.rs
@@ -13,6 +13,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// A stream that asks for this is ended by a member that has lost its leader; else that goes on to tell of progress in
+/// what it knew before, which nobody can tell from a store in which nothing changes.
+pub const REQUIRE_LEADER: &str = "hasleader";
 /// The longest answer: a roster of some 100,000 entries.
 pub const LONGEST: usize = 64 * 1024 * 1024;
 const CONNECT_TIME: Duration = Duration::from_secs(2);
@@ -170,6 +173,9 @@
             .header(http::header::CONTENT_TYPE, CONTENT_TYPE)
             .header(http::header::TE, "trailers")
             .header(http::header::USER_AGENT, self.name.borrow().as_str());
+        if !ends {
+            request = request.header(REQUIRE_LEADER, "true");
+        }
         if let Some(token) = self.token.borrow().as_ref() {
             request = request.header("token", token);
         }
--- a/crates/etcd/src/lib.rs
+++ b/crates/etcd/src/lib.rs
@@ -6,7 +6,7 @@
 pub mod traffic;
 pub mod watch;
 
-pub use client::{Client, Fault};
+pub use client::{Client, Fault, REQUIRE_LEADER};
 pub use traffic::{Counted, Traffic};
 pub use watch::{Told, Watch};
 
--- a/crates/etcd/src/watch.rs
+++ b/crates/etcd/src/watch.rs
@@ -6,6 +6,9 @@
 use crate::rpc::{Event, ResponseHeader, WatchCreateRequest, WatchRequest, WatchResponse};
 use bytes::Bytes;
 
+/// The id of an answer to a question for progress: it holds for all watches of the stream.
+const ALL_WATCHES: i64 = -1;
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Told {
     Created,
@@ -17,6 +20,8 @@
     /// Nothing happened up to this revision.
     Progress {
         header: ResponseHeader,
+        /// It answers a question for progress, and does not come of itself.
+        is_answer: bool,
     },
     /// What it wanted to go on from is no longer there: a list has to begin anew, at this revision or later.
     Compacted {
@@ -65,8 +70,8 @@
         if response.created {
             self.id = Some(response.watch_id);
         }
-        // -1 stands for progress of all watches of the stream.
-        if response.watch_id != -1 && self.id.is_some_and(|id| id != response.watch_id) {
+        let is_answer = response.watch_id == ALL_WATCHES;
+        if !is_answer && self.id.is_some_and(|id| id != response.watch_id) {
             return vec![];
         }
         if response.compact_revision > 0 {
@@ -92,7 +97,7 @@
         let last = events.iter().map(modified).max().unwrap_or(0);
         if events.is_empty() {
             self.next = self.next.max(header.revision + 1);
-            return vec![Told::Progress { header }];
+            return vec![Told::Progress { header, is_answer }];
         }
         // The header may be ahead of the events: more of them may come.
         self.next = self.next.max(last + 1);
--- a/crates/frontend/src/config/watch.rs
+++ b/crates/frontend/src/config/watch.rs
@@ -83,7 +83,7 @@
                     let batch = WatchBatch { header: header(Some(&of)), changes, complete: true };
                     self.feed(|core, now| core.watch_batch(now, batch));
                 }
-                Told::Progress { header: of } => {
+                Told::Progress { header: of, .. } => {
                     self.feed(|core, now| core.watch_progress(now, header(Some(&of))));
                 }
                 Told::Compacted { revision } => {
--- a/crates/frontend/src/etcd/follow.rs
+++ b/crates/frontend/src/etcd/follow.rs
@@ -13,10 +13,10 @@
 
 /// An exchange that has no answer by then has failed.
 pub(super) const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
-/// The store is asked for its progress so often.
-const PROGRESS_INTERVAL: Duration = Duration::from_millis(700);
-/// After so many intervals without a word it has failed.
-const MAX_SILENT_INTERVALS: u32 = 3;
+/// The store is asked for its progress so often, in seconds.
+const PROGRESS_INTERVAL: f64 = 0.7;
+/// A question for progress that has no answer by then, in seconds: the store has failed.
+const PROGRESS_TIMEOUT: f64 = 2.8;
 /// Entries in one page of a list.
 const PAGE_SIZE: i64 = 2_000;
 /// Between tries, in seconds: the first delay and the longest. Each is drawn from nothing to twice its length, so that
@@ -36,8 +36,12 @@
 
     fn changed(&self, header: &ResponseHeader, events: &[Event]);
 
-    /// Nothing else had happened when the store was asked at `began`.
-    fn progressed(&self, began: f64, header: &ResponseHeader);
+    /// Nothing else had happened when the store was asked at `began`; without that it was not asked, and how old its
+    /// word is nobody knows.
+    fn progressed(&self, began: Option<f64>, header: &ResponseHeader);
+
+    /// The store can't be followed: a try that began at `began` has failed.
+    fn lost(&self, began: f64);
 
     /// What a watch would go on from is gone.
     fn compacted(&self);
@@ -78,10 +82,12 @@
 pub(super) async fn follow(client: Rc<Client>, prefix: String, follower: impl Follower) {
     let mut delay = FIRST_RETRY_DELAY;
     loop {
+        let began = follower.now();
         match follow_once(&client, &prefix, &follower).await {
             Ok(()) => delay = FIRST_RETRY_DELAY,
             Err(fault) => {
                 warn!(endpoint = ?client.endpoint(), prefix, %fault, "the store can't be followed");
+                follower.lost(began);
                 client.fail_over();
                 let drawn = delay * 2.0 * rand::random::<f64>();
                 async_io::Timer::after(Duration::from_secs_f64(drawn)).await;
@@ -102,28 +108,21 @@
     let Next::Watch(from) = follower.next() else { return Ok(()) };
     let mut watch = Watch::new(prefix.as_bytes().to_vec(), from);
     let mut stream = client.both::<WatchResponse>(WATCH, &watch.request(), REQUEST_TIMEOUT).await?;
-    let mut silent_intervals = 0;
-    let mut asked_at = follower.now();
+    let mut questions = ProgressQuestions::new(follower.now());
     loop {
-        let Some(response) = orchidtally_net::within(PROGRESS_INTERVAL, stream.next()).await else {
-            silent_intervals += 1;
-            if silent_intervals > MAX_SILENT_INTERVALS {
-                return Err(Fault::TimedOut);
-            }
-            asked_at = follower.now();
-            stream.send(&progress_request())?;
-            follower.turn();
-            continue;
-        };
-        silent_intervals = 0;
-        for told in watch.received(response?) {
-            if take(told, prefix, asked_at, follower) == Watched::Ended {
-                return Ok(());
+        let time_left = Duration::from_secs_f64(questions.due_in(follower.now()));
+        let response = orchidtally_net::within(time_left, stream.next()).await;
+        if let Some(response) = response {
+            for told in watch.received(response?) {
+                if take(told, prefix, &mut questions, follower) == Watched::Ended {
+                    return Ok(());
+                }
             }
         }
-        if follower.now() - asked_at > PROGRESS_INTERVAL.as_secs_f64() {
-            asked_at = follower.now();
-            stream.send(&progress_request())?;
+        match questions.due(follower.now()) {
+            Some(Due::Question) => stream.send(&progress_request())?,
+            Some(Due::Failure) => return Err(Fault::TimedOut),
+            None => {}
         }
         follower.turn();
         if follower.next() == Next::List {
@@ -132,6 +131,50 @@
     }
 }
 
+/// Questions for a watch's progress, one at a time: an answer doesn't name its question.
+struct ProgressQuestions {
+    asked_at: f64,
+    is_answered: bool,
+}
+
+/// What is due with a question for progress.
+enum Due {
+    /// The next one is to be sent.
+    Question,
+    /// The last one had no answer in time.
+    Failure,
+}
+
+impl ProgressQuestions {
+    /// Of a watch that begins now; the first question is due at once.
+    fn new(now: f64) -> ProgressQuestions {
+        ProgressQuestions { asked_at: now - PROGRESS_INTERVAL, is_answered: true }
+    }
+
+    /// Until something is due, in seconds.
+    fn due_in(&self, now: f64) -> f64 {
+        let time = if self.is_answered { PROGRESS_INTERVAL } else { PROGRESS_TIMEOUT };
+        (self.asked_at + time - now).clamp(0.0, PROGRESS_TIMEOUT)
+    }
+
+    /// What is due now; a question that is counts as sent.
+    fn due(&mut self, now: f64) -> Option<Due> {
+        if self.due_in(now) > 0.0 {
+            return None;
+        }
+        if !self.is_answered {
+            return Some(Due::Failure);
+        }
+        (self.asked_at, self.is_answered) = (now, false);
+        Some(Due::Question)
+    }
+
+    /// When the question was sent that is answered now; none if nothing was asked.
+    fn answered(&mut self) -> Option<f64> {
+        (!std::mem::replace(&mut self.is_answered, true)).then_some(self.asked_at)
+    }
+}
+
 fn progress_request() -> WatchRequest {
     WatchRequest { request_union: Some(RequestUnion::ProgressRequest(WatchProgressRequest {})) }
 }
@@ -143,12 +186,15 @@
     Ended,
 }
 
-/// Hands one thing that a watch told to the follower. Progress was last asked for at `asked_at`.
-fn take(told: Told, prefix: &str, asked_at: f64, follower: &impl Follower) -> Watched {
+/// Hands one thing that a watch told to the follower.
+fn take(told: Told, prefix: &str, questions: &mut ProgressQuestions, follower: &impl Follower) -> Watched {
     match told {
         Told::Created => {}
         Told::Events { header, events } => follower.changed(&header, &events),
-        Told::Progress { header } => follower.progressed(asked_at, &header),
+        Told::Progress { header, is_answer } => {
+            let asked_at = if is_answer { questions.answered() } else { None };
+            follower.progressed(asked_at, &header);
+        }
         Told::Compacted { revision } => {
             info!(prefix, revision, "the watch fell behind a compaction: listing anew");
             follower.compacted();
--- a/crates/frontend/src/etcd/front_ends.rs
+++ b/crates/frontend/src/etcd/front_ends.rs
@@ -70,7 +70,7 @@
         self.saw(self.current_as_of.get());
     }
 
-    fn progressed(&self, began: f64, header: &ResponseHeader) {
+    fn progressed(&self, began: Option<f64>, header: &ResponseHeader) {
         let stamp = entries::stamp(header);
         let is_other = |known: Stamp| known.cluster != stamp.cluster || known.revision > stamp.revision;
         if self.stamp.get().is_some_and(is_other) {
@@ -78,9 +78,14 @@
             return;
         }
         self.stamp.set(Some(stamp));
-        self.saw(began);
+        if let Some(began) = began {
+            self.saw(began);
+        }
     }
 
+    /// How old the view is, is known from when it was seen last.
+    fn lost(&self, _began: f64) {}
+
     fn compacted(&self) {
         self.is_stale.set(true);
     }
--- a/crates/frontend/src/etcd/host.rs
+++ b/crates/frontend/src/etcd/host.rs
@@ -29,6 +29,12 @@
     /// Executors have changed, or the first whole list is here.
     fn roster_changed(&self, kind: RosterKind, rows: &[RosterRow]);
 
+    /// The roster as it was told was true when the store was asked at a time, which has answered that.
+    fn roster_confirmed(&self, asked_at: f64);
+
+    /// The store can't be followed: what was asked at a time has no answer.
+    fn roster_lost(&self, asked_at: f64);
+
     /// The front ends that share budgets, or this one's part in them, may have changed.
     fn members_changed(&self);
 }
--- a/crates/frontend/src/etcd/hub_host.rs
+++ b/crates/frontend/src/etcd/hub_host.rs
@@ -41,6 +41,14 @@
         self.play(|engine, now, performer| engine.roster(now, kind, rows, performer));
     }
 
+    fn roster_confirmed(&self, asked_at: f64) {
+        Hub::roster_confirmed(self, asked_at);
+    }
+
+    fn roster_lost(&self, asked_at: f64) {
+        Hub::roster_lost(self, asked_at);
+    }
+
     fn members_changed(&self) {
         self.count_front_ends();
     }
--- a/crates/frontend/src/etcd/roster.rs
+++ b/crates/frontend/src/etcd/roster.rs
@@ -35,12 +35,13 @@
         self.host.cache().borrow().next()
     }
 
-    fn listed(&self, _began: f64, header: &ResponseHeader, list: &[KeyValue]) {
+    fn listed(&self, began: f64, header: &ResponseHeader, list: &[KeyValue]) {
         let now = self.host.now();
         let list: Vec<Change> = list.iter().map(entries::listed).collect();
         let read = |key: &[u8], value: &[u8]| entries::executor(self.host.deployment(), key, value, now);
         let told = self.host.cache().borrow_mut().listed(now, entries::stamp(header), &list, &read);
         self.tell(told);
+        self.host.roster_confirmed(began);
     }
 
     fn changed(&self, header: &ResponseHeader, events: &[Event]) {
@@ -54,8 +55,16 @@
         self.tell(told);
     }
 
-    fn progressed(&self, _began: f64, header: &ResponseHeader) {
+    fn progressed(&self, began: Option<f64>, header: &ResponseHeader) {
         self.host.cache().borrow_mut().progressed(self.host.now(), entries::stamp(header));
+        // Where a list has to come first, what is known is not what the store has.
+        if let Some(began) = began.filter(|_| self.next() != Next::List) {
+            self.host.roster_confirmed(began);
+        }
+    }
+
+    fn lost(&self, began: f64) {
+        self.host.roster_lost(began);
     }
 
     fn compacted(&self) {
--- a/crates/frontend/src/hub/exchange.rs
+++ b/crates/frontend/src/hub/exchange.rs
@@ -120,7 +120,14 @@
     /// Asks the module again, as bytes go out that may have waited for a connection: the executor may drain by now, the
     /// client's time or the window of its token be over.
     fn still_holds(&self, dispatch: &Dispatch) -> bool {
-        self.engine.borrow_mut().leaves(self.now(), dispatch.inv, dispatch.number)
+        let now = self.look();
+        self.engine.borrow_mut().leaves(now, dispatch.inv, dispatch.number)
+    }
+
+    /// The same of an order to load that was given at a time.
+    fn order_still_holds(&self, to: ExecutorId, given_at: f64) -> bool {
+        let now = self.look();
+        self.engine.borrow_mut().order_leaves(now, to, given_at)
     }
 
     fn dispatch_head(&self, dispatch: &Dispatch) -> v1::Dispatch {
@@ -267,10 +274,7 @@
     ) {
         let time = seconds(self.deployment.bounds.order_time);
         // One that loads nothing may always go.
-        let may_leave = || {
-            order.kind() != v1::OrderKind::Hold
-                || self.engine.borrow_mut().order_leaves(self.now(), to, given_at)
-        };
+        let may_leave = || order.kind() != v1::OrderKind::Hold || self.order_still_holds(to, given_at);
         let exchange = pool.exchange_if::<v1::OrderAnswer>(ORDER, frame(&order), &[], may_leave);
         let answered = orchidtally_net::within(time, exchange).await;
         let mut differs = false;
--- a/crates/frontend/src/hub/mod.rs
+++ b/crates/frontend/src/hub/mod.rs
@@ -8,6 +8,7 @@
 mod refusing;
 mod revision;
 mod trigger_status;
+mod view_age;
 
 pub use invocation::{AnswerLost, Asked, Brought, CutOff, Final, NamedCustomer, NotTaken};
 pub use reconfigure::ReconfigureError;
@@ -23,6 +24,7 @@
 use orchidtally_engine::Engine;
 use orchidtally_engine::baseline::Random;
 use orchidtally_engine::clock::Clock;
+use orchidtally_engine::standstill::StandstillDetector;
 use orchidtally_membership::members::LATE;
 use orchidtally_membership::{Cache, Members};
 use orchidtally_rollout::Shares;
@@ -65,6 +67,7 @@
     pub shares: RefCell<Shares>,
     performer: RefCell<Performer>,
     clock: RefCell<Clock>,
+    standstills: RefCell<StandstillDetector>,
     started: Instant,
     spawner: Weak<LocalExecutor<'static>>,
     armed_for: Cell<f64>,
@@ -146,6 +149,7 @@
                 engine: RefCell::new(engine),
                 performer: RefCell::new(performer),
                 clock,
+                standstills: RefCell::new(StandstillDetector::new(now)),
                 started,
                 spawner: Rc::downgrade(spawner),
                 armed_for: Cell::new(f64::INFINITY),
@@ -168,7 +172,9 @@
 
     /// Seconds since 1970, by a clock that never goes back.
     pub fn now(&self) -> f64 {
-        self.clock.borrow_mut().read(self.started.elapsed().as_secs_f64())
+        let now = self.clock.borrow_mut().read(self.started.elapsed().as_secs_f64());
+        self.standstills.borrow_mut().look(now);
+        now
     }
 
     /// Spawns work on the front end's thread; `None` where the front end has ended.
@@ -183,7 +189,7 @@
 
     /// Calls the engine; every call passes here.
     pub fn play<T>(&self, input: impl FnOnce(&mut Engine, f64, &mut Performer) -> T) -> T {
-        let now = self.now();
+        let now = self.look();
         let mut engine = self.engine.borrow_mut();
         let mut performer = self.performer.borrow_mut();
         performer.now = now;
--- a/crates/frontend/src/ingress/invoke.rs
+++ b/crates/frontend/src/ingress/invoke.rs
@@ -23,7 +23,7 @@
 }
 
 pub(super) async fn invoke(hub: &Hub, request: Request<Incoming>) -> Result<Response<Answer>, Problem> {
-    let arrived = hub.now();
+    let arrived = hub.arrived_by();
     let revision = hub.revision();
     let (parts, incoming) = request.into_parts();
     let path_name = function_of(parts.uri.path())?;
--- a/crates/frontend/src/lib.rs
+++ b/crates/frontend/src/lib.rs
@@ -68,6 +68,7 @@
     );
     hub.at.set(listener.get_ref().local_addr().ok());
     spawner.spawn(hub.clone().keep_time()).detach();
+    spawner.spawn(hub.clone().watch_clock()).detach();
     spawner.spawn(hub.clone().keep_house(start.ahead, start.step)).detach();
     if !hub.deployment.coordinators.is_empty() {
         spawner.spawn(rollouts::keep_up(hub.clone())).detach();
--- a/crates/membership/tests/cache.rs
+++ b/crates/membership/tests/cache.rs
@@ -134,7 +134,7 @@
                         events.iter().filter_map(|e| Some(change(e.kv.as_ref()?, e.r#type == 1))).collect();
                     self.cache.changed(self.now, stamp(&header), &changes, &read)
                 }
-                Told::Progress { header } => {
+                Told::Progress { header, .. } => {
                     self.cache.progressed(self.now, stamp(&header));
                     None
                 }
--- a/crates/platform/src/tests/process_clock.rs
+++ b/crates/platform/src/tests/process_clock.rs
@@ -1,6 +1,7 @@
 //! Time, and whether the process stood still.
 
 use super::*;
+use orchidtally_engine::standstill::STOOD_STILL;
 use std::time::Duration;
 
 #[test]
--- a/crates/scale/src/hollow/control.rs
+++ b/crates/scale/src/hollow/control.rs
@@ -157,6 +157,14 @@
         self.engine.borrow_mut().roster(self.now(), kind, rows, &mut NoCalls);
     }
 
+    fn roster_confirmed(&self, asked_at: f64) {
+        self.engine.borrow_mut().view_confirmed(self.now(), asked_at, &mut NoCalls);
+    }
+
+    fn roster_lost(&self, asked_at: f64) {
+        self.engine.borrow_mut().view_lost(self.now(), asked_at);
+    }
+
     fn members_changed(&self) {
         let figure = self.members.borrow().figure(self.now());
         let view = MembershipView {
--- a/crates/test-servers/src/etcd/exchange.rs
+++ b/crates/test-servers/src/etcd/exchange.rs
@@ -26,6 +26,8 @@
     pub member: usize,
     /// The name that the client gives itself, or nothing.
     pub agent: String,
+    /// A stream of it is to end where the member has no leader.
+    pub requires_leader: bool,
 }
 
 /// The connection is gone, or goes with this message.
@@ -123,7 +125,8 @@
         let path = request.uri().path().to_owned();
         let header = |name| request.headers().get(name).and_then(|v| v.to_str().ok()).map(str::to_owned);
         let token = header("token");
-        let caller = Caller { member, agent: header("user-agent").unwrap_or_default() };
+        let requires_leader = header(orchidtally_etcd::REQUIRE_LEADER).is_some_and(|value| value == "true");
+        let caller = Caller { member, agent: header("user-agent").unwrap_or_default(), requires_leader };
         let body = request.into_body();
         let wanted = self.faults.token.borrow().clone();
         if wanted.is_some() && wanted != token && path != orchidtally_etcd::AUTHENTICATE {
--- a/crates/test-servers/src/etcd/faults.rs
+++ b/crates/test-servers/src/etcd/faults.rs
@@ -42,6 +42,8 @@
     pub request_timeout: Cell<f64>,
     /// From the loss of a leader to the next one. etcd's is 1 to 2 s.
     pub election_time: Cell<f64>,
+    /// A stream that requires a leader is ended after so long without one. etcd's is three election timeouts.
+    pub leaderless_time: Cell<f64>,
     /// Changes that a watch has to hear of are gathered for so long, and 50 us longer for each watch that is open.
     pub watch_batch_time: Cell<f64>,
     /// A watch that asked for it hears of progress so often when there are no events. etcd's is 600 s.
@@ -53,6 +55,7 @@
         Timing {
             request_timeout: Cell::new(7.0),
             election_time: Cell::new(1.0),
+            leaderless_time: Cell::new(1.5),
             watch_batch_time: Cell::new(0.005),
             progress_interval: Cell::new(0.5),
         }
--- a/crates/test-servers/src/etcd/watch.rs
+++ b/crates/test-servers/src/etcd/watch.rs
@@ -9,7 +9,7 @@
 use super::store::{View, check_watchable};
 use bytes::{Bytes, BytesMut};
 use futures_lite::future;
-use orchidtally_etcd::grpc::{deframe, frame};
+use orchidtally_etcd::grpc::{Status, UNAVAILABLE, deframe, frame, trailers};
 use orchidtally_etcd::rpc::watch_request::RequestUnion;
 use orchidtally_etcd::rpc::*;
 
@@ -51,6 +51,8 @@
     open: Vec<Open<'a>>,
     next_id: i64,
     is_progress_asked: bool,
+    /// Since when the member has been without a leader.
+    leaderless_since: Option<f64>,
 }
 
 impl Served {
@@ -70,9 +72,16 @@
             open: vec![],
             next_id: 1,
             is_progress_asked: false,
+            leaderless_since: None,
         };
         loop {
             let changed = self.store.borrow().next_change();
+            if stream.has_lost_leader() {
+                let message = "etcdserver: no leader".to_owned();
+                // The client may have gone.
+                let _ = stream.out.send_trailers(trailers(&Status { code: UNAVAILABLE, message }));
+                return;
+            }
             if stream.deliver().await.is_err() {
                 return;
             }
@@ -82,7 +91,7 @@
                 Wake::Changed
             };
             let timer = async {
-                self.stage.sleep(stream.next_progress_in()).await;
+                self.stage.sleep(stream.next_progress_in().min(stream.leaderless_time_left())).await;
                 Wake::TimeOver
             };
             match future::or(read, future::or(change, timer)).await {
@@ -119,6 +128,22 @@
         WatchResponse { header, watch_id: id, ..WatchResponse::default() }
     }
 
+    /// Whether the client requires a leader and the member has had none for too long.
+    fn has_lost_leader(&mut self) -> bool {
+        if !self.caller.requires_leader || self.server.has_leader(self.caller.member) {
+            self.leaderless_since = None;
+            return false;
+        }
+        self.leaderless_since.get_or_insert(self.server.stage.now());
+        self.leaderless_time_left() <= 0.0
+    }
+
+    /// Until the stream is ended for want of a leader, in seconds.
+    fn leaderless_time_left(&self) -> f64 {
+        let time = self.server.timing.leaderless_time.get();
+        self.leaderless_since.map_or(IDLE_TIME, |since| since + time - self.server.stage.now())
+    }
+
     /// Until a watch is told of progress, in seconds.
     fn next_progress_in(&self) -> f64 {
         let now = self.server.stage.now();
--- a/crates/test-servers/tests/etcd_watch.rs
+++ b/crates/test-servers/tests/etcd_watch.rs
@@ -63,7 +63,7 @@
                             heard = modified;
                         }
                     }
-                    Told::Progress { header } => assert_eq!(header.revision, heard),
+                    Told::Progress { header, .. } => assert_eq!(header.revision, heard),
                     other => panic!("{other:?}"),
                 }
             }
--- a/crates/test-servers/tests/kit/mod.rs
+++ b/crates/test-servers/tests/kit/mod.rs
@@ -99,7 +99,7 @@
         let ask = RequestUnion::ProgressRequest(WatchProgressRequest {});
         self.stream.send(&WatchRequest { request_union: Some(ask) }).unwrap();
         loop {
-            if let Some(Told::Progress { header }) = self.next().await.first() {
+            if let Some(Told::Progress { header, .. }) = self.next().await.first() {
                 return header.revision;
             }
         }
--- a/src/dispatch/freshness.rs
+++ b/src/dispatch/freshness.rs
@@ -47,9 +47,19 @@
     /// It was true at a time.
     pub(super) fn confirm(&mut self, at: f64) {
         self.confirmed_at = Some(self.confirmed_at.map_or(at, |before| before.max(at)));
-        if self.resumed_at.is_some_and(|resumed| at >= resumed) {
-            self.resumed_at = None;
-        }
+        self.is_silent = false;
+        self.end_suspension(at);
+    }
+
+    /// Its source does not answer what was asked at a time.
+    pub(super) fn lose(&mut self, asked_at: f64) {
+        self.is_silent = true;
+        self.end_suspension(asked_at);
+    }
+
+    /// What became of a question that was asked at a time is known.
+    fn end_suspension(&mut self, asked_at: f64) {
+        self.resumed_at.take_if(|resumed| asked_at >= *resumed);
     }
 
     /// The process stood still until now.
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -218,6 +218,12 @@
         self.view.resume(now);
     }
 
+    /// The source of the roster does not answer what was asked at a time. Whoever tells this goes on asking.
+    pub fn view_lost(&mut self, now: f64, asked_at: f64) {
+        self.now = now;
+        self.view.lose(asked_at);
+    }
+
     /// How many front ends live. What is shared strictly has to wait while one can't know that.
     pub fn living(&mut self, now: f64, living: MembershipView, out: &mut dyn Actions) {
         self.now = now;
