Date the publisher's list by pings; tell executors the time left as bytes leave; links with faults

Cause: the publisher's list had no age: one whose path was lost without a word was followed for good. The time that an executor is told was reckoned when the dispatch was decided on, not as its bytes leave: over by what it waited for a connection or stream. Change: HTTP/2 pings, every 0.7 s, date the list (what came before the answer is taken before it); without an answer in 2.8 s the publisher is asked anew. The head of a dispatch is made as it leaves. FaultProxy in crates/test-servers: stalls either way, resets, cuts a line in two, freezes a path, is late to dial; before the platform's executors by Executor::link. The soak draws resets, cut lines and stalled answers as well.

--- a/crates/cli/tests/day/mod.rs
+++ b/crates/cli/tests/day/mod.rs
@@ -141,6 +141,11 @@
         *self.environment.borrow_mut() = environment;
     }
 
+    /// Puts links between front ends that start from now on and all executors.
+    pub fn link(&self) {
+        self.executors.iter().for_each(|executor| executor.link().unwrap());
+    }
+
     pub fn configure(&self, j: u32) {
         let told = json!({
             "name": format!("n{j}"), "listen": self.at[j as usize], "seed": format!("{:016x}", 77 + j),
--- a/crates/cli/tests/platform_soak.rs
+++ b/crates/cli/tests/platform_soak.rs
@@ -48,6 +48,12 @@
     Vanish(usize, f64),
     /// An executor stands otherwise from now on.
     Change(usize, Standing),
+    /// All connections to an executor are reset.
+    Reset(usize),
+    /// So many more bytes reach an executor from each front end, then the connection is reset.
+    HalfLine(usize, usize),
+    /// What an executor sends comes only after a while.
+    StalledAnswers(usize, f64),
     /// A front end is stopped for a while.
     Stop(u32, f64),
     /// The same, and shortly after it was stopped an executor begins to drain.
@@ -80,7 +86,8 @@
     let spoils = [Spoil::Unread, Spoil::Half, Spoil::Noise, Spoil::BadBody, Spoil::Twice, Spoil::Never];
     let (front_end, executor) = (random.random_range(0..FRONT_ENDS), random.random_range(STAY..EXECUTORS));
     let time = random.random_range(0.3..1.2);
-    match random.random_range(0..13) {
+    let any_executor = random.random_range(0..EXECUTORS);
+    match random.random_range(0..16) {
         0..3 => {
             let odd = *odd.choose(random).expect("there are some");
             Fault::OddAnswers(odd, random.random_range(0.2..0.6), time)
@@ -88,7 +95,7 @@
         3 => Fault::Silence(3.0 * time),
         4 => {
             let spoil = *spoils.choose(random).expect("there are some");
-            Fault::SpoiltAnswers(random.random_range(0..EXECUTORS), spoil, 0.05)
+            Fault::SpoiltAnswers(any_executor, spoil, 0.05)
         }
         5 => Fault::Vanish(executor, time),
         6 => Fault::Change(executor, Standing::Draining),
@@ -97,6 +104,9 @@
         9 => Fault::Stop(front_end, 1.8 * time),
         10 => Fault::HangUp(front_end, random.random_range(1..5)),
         11 => Fault::StopThroughDrain(front_end, executor, random.random_range(1.0..4.0)),
+        12 => Fault::Reset(any_executor),
+        13 => Fault::HalfLine(any_executor, random.random_range(0..2_000)),
+        14 => Fault::StalledAnswers(any_executor, time),
         _ if random.random_bool(0.5) => Fault::Replace(front_end),
         _ => Fault::Kill(front_end),
     }
@@ -168,6 +178,14 @@
         Fault::Silence(time) => day.resolver.go_away(time, 4.5, FRONT_ENDS),
         Fault::SpoiltAnswers(x, spoil, share) => day.executors[x].faults.spoils.set(Some((spoil, share))),
         Fault::Vanish(x, time) => day.executors[x].fall_silent(time),
+        Fault::Reset(x) => day.executors[x].links.borrow().iter().for_each(|link| link.reset()),
+        Fault::HalfLine(x, bytes) => {
+            day.executors[x].links.borrow().iter().for_each(|link| link.reset_after.set(Some(bytes)));
+        }
+        Fault::StalledAnswers(x, time) => {
+            let until = day.stage.now() + time;
+            day.executors[x].links.borrow().iter().for_each(|link| link.stalls_answers.set(until));
+        }
         Fault::Change(x, standing) => change(&day, x, standing).await,
         Fault::Stop(j, time) => stop(&day, j, time, None).await,
         Fault::StopThroughDrain(j, x, time) => stop(&day, j, time, Some(x)).await,
@@ -241,6 +259,8 @@
         day.allow.set(SHORT);
         day.deadline.set(SHORT);
     }
+    // Before the first list, which tells the links' addresses.
+    day.link();
     let percent = if random.random_bool(0.3) { random.random_range(1..8) } else { 0 };
     let step = *[0.0, 0.0, 3_600.0, -3_600.0, 5.0, -5.0].choose(&mut random).expect("there are some");
     day.shim(&[
--- a/crates/frontend/src/hub/exchange.rs
+++ b/crates/frontend/src/hub/exchange.rs
@@ -17,6 +17,8 @@
 
 /// Parts of a streamed answer that wait for a client that reads slowly.
 const STREAM_PARTS: usize = 8;
+/// In a second.
+const MICROSECONDS: f64 = 1e6;
 /// The time between two warnings of another front end with this one's index.
 const INDEX_WARNING_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -31,8 +33,8 @@
     pub(super) work: Rc<Work>,
     /// The key of the version.
     pub(super) version: u64,
-    /// Seconds until the client gives up.
-    pub(super) time_left: f64,
+    /// When the client gives up.
+    pub(super) timeout_at: f64,
 }
 
 /// How long a dispatch took.
@@ -96,17 +98,16 @@
 
     /// Sends a dispatch and reports its end to the engine.
     pub(super) async fn dispatch(self: Rc<Self>, dispatch: Dispatch) {
-        let head = frame(&self.dispatch_head(&dispatch));
         let began = Instant::now();
         let refusal = Cell::new(None);
-        let may_leave = || {
+        let head = || {
             let refused = self.dispatch_refusal(&dispatch.work);
             let may_leave = refused.is_none() && self.still_holds(&dispatch);
             refusal.set(refused);
-            may_leave
+            may_leave.then(|| frame(&self.dispatch_head(&dispatch)))
         };
         let payload = &dispatch.work.payload;
-        let exchanged = dispatch.pool.exchange_if::<v1::Answer>(DISPATCH, head, payload, may_leave).await;
+        let exchanged = dispatch.pool.exchange_if::<v1::Answer>(DISPATCH, head, payload).await;
         if let Some(refusal) = refusal.take() {
             return self.refused((dispatch.inv, dispatch.number), refusal);
         }
@@ -147,7 +148,7 @@
             customer: work.customer.clone(),
             effect: effect.into(),
             token: work.token.clone(),
-            time_left: (dispatch.time_left * 1e6) as u64,
+            time_left: ((dispatch.timeout_at - self.now()).max(0.0) * MICROSECONDS) as u64,
             payload_bytes: work.payload_bytes,
         }
     }
@@ -274,8 +275,11 @@
     ) {
         let time = seconds(self.deployment.bounds.order_time);
         // One that loads nothing may always go.
-        let may_leave = || order.kind() != v1::OrderKind::Hold || self.order_still_holds(to, given_at);
-        let exchange = pool.exchange_if::<v1::OrderAnswer>(ORDER, frame(&order), &[], may_leave);
+        let head = || {
+            let may_leave = order.kind() != v1::OrderKind::Hold || self.order_still_holds(to, given_at);
+            may_leave.then(|| frame(&order))
+        };
+        let exchange = pool.exchange_if::<v1::OrderAnswer>(ORDER, head, &[]);
         let answered = orchidtally_net::within(time, exchange).await;
         let mut differs = false;
         let seen = match answered {
--- a/crates/frontend/src/hub/performer.rs
+++ b/crates/frontend/src/hub/performer.rs
@@ -234,10 +234,10 @@
         let Some(hub) = self.hub.upgrade() else { return };
         let Some(client) = self.clients.get(&inv) else { return };
         let (work, version) = (client.work.clone(), client.offer.function);
-        let time_left = client.offer.timeout_at - hub.now();
+        let timeout_at = client.offer.timeout_at;
         work.last.set(number(to));
         let pool = self.pool(&hub, to);
-        let work = Dispatch { inv, number: dispatch, to, pool, work, version, time_left };
+        let work = Dispatch { inv, number: dispatch, to, pool, work, version, timeout_at };
         if let Some(task) = hub.spawn(hub.clone().dispatch(work)) {
             self.out.insert((inv, dispatch), task);
         }
--- a/crates/frontend/src/pool.rs
+++ b/crates/frontend/src/pool.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use futures_channel::oneshot;
 use h2::client::SendRequest;
+use h2::{Ping, PingPong};
 use orchidtally_engine::evidence::Transport;
 use orchidtally_wire::{CONTENT_TYPE, Deframer, LONGEST_HEAD};
 use prost::Message;
@@ -32,6 +33,8 @@
     idle_since: Cell<Instant>,
     /// Bytes handed to the kernel.
     written: Rc<Cell<u64>>,
+    /// None while somebody waits for an answer to one.
+    ping: RefCell<Option<PingPong>>,
 }
 
 #[derive(Default)]
@@ -158,13 +161,14 @@
             let mut builder = h2::client::Builder::new();
             builder.max_header_list_size(self.caps.header_bytes).enable_push(false);
             builder.initial_window_size(1 << 20).initial_connection_window_size(4 << 20);
-            let (sender, driver) =
+            let (sender, mut driver) =
                 builder.handshake::<_, Bytes>(stream).await.map_err(std::io::Error::other)?;
-            Ok::<_, std::io::Error>((sender, driver, written))
+            let ping = driver.ping_pong();
+            Ok::<_, std::io::Error>((sender, driver, written, ping))
         };
         let shaken = orchidtally_net::within(self.caps.connect_time, handshake).await;
         self.state.borrow_mut().connecting -= 1;
-        let (sender, driver, written) = match shaken {
+        let (sender, driver, written, ping) = match shaken {
             Some(Ok(shaken)) => shaken,
             failed => {
                 let why = failed.map_or_else(
@@ -184,6 +188,7 @@
             closed: Cell::new(false),
             idle_since: Cell::new(Instant::now()),
             written,
+            ping: RefCell::new(ping),
         });
         self.state.borrow_mut().connections.push(connection.clone());
         self.wake_all(None);
@@ -210,21 +215,30 @@
         head: Bytes,
         payload: &[Bytes],
     ) -> Result<(M, Incoming), Transport> {
-        self.exchange_if(path, head, payload, || true).await
+        self.exchange_if(path, || Some(head), payload).await
     }
 
-    /// The same, unless `may_leave` says no right before the bytes go out.
+    /// The same, with a message that is made right before the bytes go out, or none if they are not to.
     pub async fn exchange_if<M: Message + Default>(
         self: &Rc<Self>,
         path: &str,
-        head: Bytes,
+        head: impl FnOnce() -> Option<Bytes>,
         payload: &[Bytes],
-        may_leave: impl FnOnce() -> bool,
     ) -> Result<(M, Incoming), Transport> {
+        let mut incoming = self.begin(path, head, payload).await?;
+        let message = incoming.message(LONGEST_HEAD).await?;
+        Ok((message, incoming))
+    }
+
+    /// Sends the same, and reads nothing of what comes back.
+    pub async fn begin(
+        self: &Rc<Self>,
+        path: &str,
+        head: impl FnOnce() -> Option<Bytes>,
+        payload: &[Bytes],
+    ) -> Result<Incoming, Transport> {
         let lease = self.lease().await?;
-        if !may_leave() {
-            return Err(Transport::Withheld);
-        }
+        let Some(head) = head() else { return Err(Transport::Withheld) };
         let sent_from = lease.connection.written.get();
         let classify = |e: &h2::Error| seen(e, sent_from, &lease.connection);
         let request = http::Request::post(format!("http://{}{path}", self.to))
@@ -244,10 +258,21 @@
             warn!(executor = %self.to, status = %response.status(), path, "an executor refused a message");
             return Err(Transport::Malformed);
         }
-        let mut incoming =
-            Incoming { stream: response.into_body(), deframer: Deframer::default(), sent_from, lease };
-        let message = incoming.message(LONGEST_HEAD).await?;
-        Ok((message, incoming))
+        Ok(Incoming { stream: response.into_body(), deframer: Deframer::default(), sent_from, lease })
+    }
+}
+
+/// Pings on a connection.
+pub struct Pinger(Rc<Connection>);
+
+impl Pinger {
+    /// Asks whether the peer is there. Whatever it sent before its answer has come by then; a second question at a
+    /// time is not taken.
+    pub async fn ping(&self) -> Result<(), Transport> {
+        let mut ping = self.0.ping.borrow_mut().take().ok_or(Transport::Saturated)?;
+        let answered = ping.ping(Ping::opaque()).await;
+        *self.0.ping.borrow_mut() = Some(ping);
+        answered.map(drop).map_err(|_| Transport::Broken)
     }
 }
 
@@ -264,6 +289,11 @@
 }
 
 impl Incoming {
+    /// Pings on the connection over which this comes.
+    pub fn pinger(&self) -> Pinger {
+        Pinger(self.lease.connection.clone())
+    }
+
     /// The next chunk, if any is left.
     async fn more(&mut self) -> Result<bool, Transport> {
         match self.stream.data().await {
--- a/crates/frontend/src/roster.rs
+++ b/crates/frontend/src/roster.rs
@@ -1,32 +1,38 @@
-//! Sources of the roster. A source is a stream of lists and deltas as they are told; what to do when it ends
-//! is the module's to say, which asks for it again.
+//! The roster from a publisher over the executors' protocol: a full list, then what changes, over one stream. Pings
+//! over its connection tell when that was up to date. What to do when it ends is the module's to say, which asks for
+//! it again.
 
 use crate::hub::Hub;
-use crate::pool::{Caps, Pool};
-use futures_lite::stream::{Stream, StreamExt};
+use crate::pool::{Caps, Incoming, Pinger, Pool};
+use async_io::Timer;
+use futures_lite::future;
 use orchidtally::interface::*;
 use orchidtally_deployment::Deployment;
+use orchidtally_engine::evidence::Transport;
 use orchidtally_wire::v1;
 use orchidtally_wire::{LONGEST_ROSTER, ROSTER, frame};
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tracing::{info, warn};
 
-/// One thing that a source told.
-pub type Told = (RosterKind, Vec<RosterRow>);
+/// The publisher is asked so often whether it is there.
+const PING_INTERVAL: Duration = Duration::from_millis(700);
+/// A publisher that has not answered by then is not there.
+const PING_TIMEOUT: Duration = Duration::from_millis(2_800);
 
-/// A source of the roster.
-pub trait Source {
-    /// What it tells from now on; the first is a full list. It ends with the connection.
-    fn told(self) -> impl Stream<Item = Told>;
-}
-
-/// A publisher over the executors' protocol.
-pub struct Publisher {
-    pub hub: Rc<Hub>,
-    pub address: SocketAddr,
+/// Why a publisher is not followed any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum Ended {
+    /// No connection, or it broke, or a message could not be read.
+    #[error("its connection ended: {0:?}")]
+    Connection(Transport),
+    /// It told something that is neither a list nor a change.
+    #[error("it sent a message of an unknown kind; it may be newer than this front end")]
+    UnknownKind,
+    /// It has not answered a ping in time.
+    #[error("it did not answer in time")]
+    Silent,
 }
 
 /// A row as the module takes it, or why it can't.
@@ -58,59 +64,72 @@
     })
 }
 
-impl Source for Publisher {
-    fn told(self) -> impl Stream<Item = Told> {
-        let bounds = &self.hub.deployment.bounds;
-        let caps = Caps {
-            streams_per_connection: 1,
-            connections: 1,
-            connect_time: Duration::from_secs_f64(bounds.connect_time),
-            idle_close: Duration::ZERO,
-            header_bytes: bounds.header_bytes,
-        };
-        let pool = Pool::new(self.address, caps, self.hub.spawner());
-        let ask = frame(&v1::RosterWatch { from: Some(self.hub.sender.get()) });
-        let start = (self.hub, pool, None);
-        futures_lite::stream::unfold(start, move |(hub, pool, incoming)| {
-            let ask = ask.clone();
-            async move {
-                let (update, incoming) = match incoming {
-                    None => pool.exchange::<v1::RosterUpdate>(ROSTER, ask, &[]).await.ok()?,
-                    Some(mut incoming) => {
-                        let read = crate::pool::Incoming::message::<v1::RosterUpdate>;
-                        (read(&mut incoming, LONGEST_ROSTER).await.ok()?, incoming)
-                    }
-                };
-                let kind = match update.kind() {
-                    v1::RosterKind::FullList => RosterKind::Full,
-                    v1::RosterKind::Delta => RosterKind::Delta,
-                    v1::RosterKind::RosterUnspecified => return None,
-                };
-                let now = hub.now();
-                let read = |r: &v1::RosterRow| match row(&hub.deployment, r, now) {
-                    Ok(row) => Some(row),
-                    Err(fault) => {
-                        warn!(executor = r.address, fault, "an executor was refused");
-                        None
-                    }
-                };
-                let rows = update.rows.iter().filter_map(read).collect();
-                Some(((kind, rows), (hub, pool, Some(incoming))))
-            }
-        })
-    }
+/// Follows a publisher to the end of its connection, and tells the module of that.
+pub async fn watch(hub: Rc<Hub>, address: SocketAddr) {
+    let Err(ended) = follow(&hub, address).await;
+    warn!(%address, why = %ended, "the roster's publisher is not there");
+    hub.play(|engine, now, performer| engine.roster(now, RosterKind::Failed, &[], performer));
 }
 
-/// Tells the module what a publisher tells, and that it ended.
-pub async fn watch(hub: Rc<Hub>, address: SocketAddr) {
-    let mut told = pin!(Publisher { hub: hub.clone(), address }.told());
-    let mut first = true;
-    while let Some((kind, rows)) = told.next().await {
-        if std::mem::take(&mut first) {
-            info!(%address, executors = rows.len(), "the roster is here");
+async fn follow(hub: &Rc<Hub>, address: SocketAddr) -> Result<std::convert::Infallible, Ended> {
+    let bounds = &hub.deployment.bounds;
+    let caps = Caps {
+        streams_per_connection: 1,
+        connections: 1,
+        connect_time: Duration::from_secs_f64(bounds.connect_time),
+        idle_close: Duration::ZERO,
+        header_bytes: bounds.header_bytes,
+    };
+    let pool = Pool::new(address, caps, hub.spawner());
+    let question = frame(&v1::RosterWatch { from: Some(hub.sender.get()) });
+    let asked_at = hub.now();
+    let first = async {
+        let mut incoming = pool.begin(ROSTER, || Some(question), &[]).await?;
+        Ok((incoming.message::<v1::RosterUpdate>(LONGEST_ROSTER).await?, incoming))
+    };
+    let first = orchidtally_net::within(PING_TIMEOUT, first).await.ok_or(Ended::Silent)?;
+    let (list, incoming) = first.map_err(Ended::Connection)?;
+    info!(%address, executors = list.rows.len(), "the roster is here");
+    take(hub, &list)?;
+    hub.roster_confirmed(asked_at);
+    let pinger = incoming.pinger();
+    // What came before the answer to a ping is taken before it.
+    future::or(take_changes(hub, incoming), keep_pinging(hub, &pinger)).await
+}
+
+/// Tells the module what the publisher tells.
+fn take(hub: &Hub, update: &v1::RosterUpdate) -> Result<(), Ended> {
+    let kind = match update.kind() {
+        v1::RosterKind::FullList => RosterKind::Full,
+        v1::RosterKind::Delta => RosterKind::Delta,
+        v1::RosterKind::RosterUnspecified => return Err(Ended::UnknownKind),
+    };
+    let now = hub.now();
+    let read = |told: &v1::RosterRow| match row(&hub.deployment, told, now) {
+        Ok(row) => Some(row),
+        Err(fault) => {
+            warn!(executor = told.address, fault, "an executor was refused");
+            None
         }
-        hub.play(|engine, now, performer| engine.roster(now, kind, &rows, performer));
+    };
+    let rows: Vec<RosterRow> = update.rows.iter().filter_map(read).collect();
+    hub.play(|engine, now, performer| engine.roster(now, kind, &rows, performer));
+    Ok(())
+}
+
+async fn take_changes(hub: &Hub, mut incoming: Incoming) -> Result<std::convert::Infallible, Ended> {
+    loop {
+        let update = incoming.message::<v1::RosterUpdate>(LONGEST_ROSTER).await;
+        take(hub, &update.map_err(Ended::Connection)?)?;
+    }
+}
+
+async fn keep_pinging(hub: &Hub, pinger: &Pinger) -> Result<std::convert::Infallible, Ended> {
+    loop {
+        Timer::after(PING_INTERVAL).await;
+        let asked_at = hub.now();
+        let answered = orchidtally_net::within(PING_TIMEOUT, pinger.ping()).await;
+        answered.ok_or(Ended::Silent)?.map_err(Ended::Connection)?;
+        hub.roster_confirmed(asked_at);
     }
-    warn!(%address, "the roster's publisher is not there");
-    hub.play(|engine, now, performer| engine.roster(now, RosterKind::Failed, &[], performer));
 }
--- a/crates/frontend/tests/departures.rs
+++ b/crates/frontend/tests/departures.rs
@@ -26,16 +26,20 @@
     Executor::start(stage, Make::roomy(0), any_port(), around).unwrap()
 }
 
+/// A front end with one stream to each executor.
+fn narrow_gateway(source: &str) -> Gateway {
+    let narrow = "limits: { connectTime: \"3s\", streamsPerConnection: 1, connectionsPerExecutor: 1,";
+    let text = description(source, "loading: { orders: false }");
+    gateway(text.replace("limits: { connectTime: \"200ms\",", narrow))
+}
+
 #[test]
 fn nothing_leaves_for_an_executor_that_was_told_draining_while_it_waited_for_a_stream() {
     let stage = Stage::new(1);
     let one = slow_executor(&stage);
     let publisher = Publisher::start(&stage, any_port(), vec![row(0, one.address, Standing::Ready)]).unwrap();
     publisher.delay.set(0.0);
-    let orders_off = "loading: { orders: false }";
-    let text = description(&format!("publisher: \"{}\"", publisher.address), orders_off);
-    let narrow = "limits: { connectTime: \"3s\", streamsPerConnection: 1, connectionsPerExecutor: 1,";
-    let gateway = gateway(text.replace("limits: { connectTime: \"200ms\",", narrow));
+    let gateway = narrow_gateway(&format!("publisher: \"{}\"", publisher.address));
     let caller = Caller::new(&stage, 0, 0, gateway.at, false);
     on(&stage, async {
         assert_eq!(status(&caller.invoke(&ask("warms", LOOK)).await), 200);
@@ -52,3 +56,21 @@
     assert_eq!(stage.records().iter().filter(|r| reached(r)).count(), 1, "only the one that had its stream");
     gateway.end();
 }
+
+/// The term: at most what the client has left, with 0.15 s of slack.
+#[test]
+fn an_executor_is_told_the_time_that_is_left_as_the_dispatch_leaves() {
+    let stage = Stage::new(2);
+    let one = slow_executor(&stage);
+    let gateway = narrow_gateway(&listed(&[one.address]));
+    let caller = Caller::new(&stage, 0, 0, gateway.at, false);
+    on(&stage, async {
+        assert_eq!(status(&caller.invoke(&ask("warms", LOOK)).await), 200);
+        let asked = ask("waits", ACT);
+        let heard = all(&stage, &caller, vec![ask("goes", ACT), asked.clone()]).await;
+        assert!(heard.iter().all(|heard| status(heard) == 200), "{heard:?}");
+        let (told, left) = (one.last_time_left.get(), asked.time_left - WORK);
+        assert!(told <= left + 0.15 && told > left / 2.0, "{told} s of {left}");
+    });
+    gateway.end();
+}
--- a/crates/test-servers/src/executor/dispatch.rs
+++ b/crates/test-servers/src/executor/dispatch.rs
@@ -11,6 +11,9 @@
 use orchidtally_wire::v1;
 use std::rc::Rc;
 
+/// In a second.
+const MICROSECONDS: f64 = 1e6;
+
 impl Executor {
     fn index_taken(&self, from: v1::Sender) -> bool {
         let now = self.stage.now();
@@ -37,6 +40,7 @@
             token: dispatch.token.clone(),
             trigger_type: dispatch.trigger_type.clone(),
         });
+        self.last_time_left.set(dispatch.time_left as f64 / MICROSECONDS);
         self.in_hand.set(self.in_hand.get() + 1);
         let in_hand = InHand {
             executor: self.clone(),
--- a/crates/test-servers/src/executor/mod.rs
+++ b/crates/test-servers/src/executor/mod.rs
@@ -54,6 +54,8 @@
     goodbye: RefCell<Option<Sender<()>>>,
     me: Weak<Executor>,
     pub fell: Cell<u32>,
+    /// The time that clients had left, as the last dispatch told it, in seconds.
+    pub last_time_left: Cell<f64>,
     falling: Cell<bool>,
 }
 
@@ -90,6 +92,7 @@
             goodbye: RefCell::default(),
             me: me.clone(),
             fell: Cell::new(0),
+            last_time_left: Cell::new(f64::INFINITY),
             falling: Cell::new(false),
         });
         executor.serve(listener);
--- a/crates/test-servers/src/lib.rs
+++ b/crates/test-servers/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod etcd;
 pub mod executor;
+pub mod fault_proxy;
 pub mod platform;
 pub mod publisher;
 pub mod raw;
--- a/crates/test-servers/src/platform/executor.rs
+++ b/crates/test-servers/src/platform/executor.rs
@@ -1,6 +1,7 @@
 //! Executors on the platform's lines.
 
 use super::Lives;
+use crate::fault_proxy::FaultProxy;
 use crate::{Stage, Until, any_port};
 use async_channel::Sender;
 use async_executor::Task;
@@ -41,8 +42,10 @@
     pub name: String,
     /// Executors of a cell share the tokens they have seen.
     pub cell: u16,
-    /// Where each front end reaches it.
+    /// Where it listens for each front end.
     pub at: Vec<SocketAddr>,
+    /// What each front end's connections pass through, where a script wants that.
+    pub links: RefCell<Vec<Rc<FaultProxy>>>,
     pub faults: Faults,
     pub draining: Cell<bool>,
     pub load_time: f64,
@@ -133,6 +136,7 @@
             name: format!("s-{number:08x}"),
             cell: (number / 2) as u16,
             at,
+            links: RefCell::default(),
             faults: Faults::default(),
             draining: Cell::default(),
             load_time: 0.05,
@@ -158,6 +162,19 @@
 }
 
 impl Executor {
+    /// Puts a proxy before each of its addresses.
+    pub fn link(&self) -> std::io::Result<()> {
+        let links = self.at.iter().map(|&at| FaultProxy::start(&self.stage, at));
+        *self.links.borrow_mut() = links.collect::<std::io::Result<_>>()?;
+        Ok(())
+    }
+
+    /// Where a front end reaches it.
+    pub fn reached_at(&self, front_end: u32) -> SocketAddr {
+        let link = self.links.borrow().get(front_end as usize).map(|link| link.address);
+        link.unwrap_or(self.at[front_end as usize])
+    }
+
     /// From here on it reads nothing and takes no connection, as a machine that has vanished.
     pub fn fall_silent(&self, time: f64) {
         let at = self.stage.now();
--- a/crates/test-servers/src/platform/resolver.rs
+++ b/crates/test-servers/src/platform/resolver.rs
@@ -149,7 +149,7 @@
         let host = |row: &Row| {
             let e = &row.executor;
             let health = if row.standing == Standing::Ready { "SERVING" } else { "DRAINING" };
-            json!({"host": e.name, "dial": e.at[front_end as usize], "site": "east", "class": "std",
+            json!({"host": e.name, "dial": e.reached_at(front_end), "site": "east", "class": "std",
                 "block": e.cell, "health": health, "share": 4, "born_ms": self.started(e)})
         };
         let hosts: Vec<Value> = self.rows.borrow().iter().map(host).collect();
@@ -175,7 +175,7 @@
         }
         for (n, (row, target)) in rows.iter().zip(&targets).enumerate() {
             let (e, target) = (&row.executor, Name::new(target)?);
-            let at = e.at[front_end as usize];
+            let at = e.reached_at(front_end);
             let is_odd = |kind| n == 0 && odd == Some(kind);
             let priority = u16::from((row.standing != Standing::Ready) != is_odd(Odd::OddStanding));
             let srv = SRV { priority, weight: 40, port: at.port(), target: target.clone() };
