--- a/crates/cli/examples/fault_shim.rs
+++ b/crates/cli/examples/fault_shim.rs
@@ -7,10 +7,15 @@
 //! | `FAULT_WALL` | `AFTER,BY`: so many seconds after the first look at the clock, the wall clock is so many ahead |
 //! | `FAULT_PERCENT` | how many in a hundred calls fail or are short; 0 where it is left out |
 //! | `FAULT_SEED` | which of them |
+//! | `FAULT_DISK` | `AFTER,FOR,FOLDER`: see below |
+//!
+//! `FAULT_DISK`: from so many seconds after the first write on, and for so many, writes and syncs of files fail whose
+//! paths contain `FOLDER`: the first write is cut in half, then there is ENOSPC and EIO in turn.
 
 use libc::{c_int, c_void, epoll_event, size_t, sockaddr, socklen_t, ssize_t, timespec};
 use std::sync::OnceLock;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::time::Instant;
 
 /// What the environment asks for.
 struct Plan {
@@ -85,6 +90,79 @@
     }};
 }
 
+/// Where and when files can't be written.
+struct DiskPlan {
+    after: f64,
+    time: f64,
+    folder: String,
+}
+
+fn disk_plan() -> Option<&'static DiskPlan> {
+    static PLAN: OnceLock<Option<DiskPlan>> = OnceLock::new();
+    let read = || {
+        let text = std::env::var("FAULT_DISK").ok()?;
+        let mut parts = text.splitn(3, ',');
+        let mut number = || parts.next()?.parse::<f64>().ok();
+        let (after, time) = (number()?, number()?);
+        Some(DiskPlan { after, time, folder: parts.next()?.to_owned() })
+    };
+    PLAN.get_or_init(read).as_ref()
+}
+
+/// Whether a call on a file fails now, and how many have before it.
+fn disk_fails(file: c_int) -> Option<usize> {
+    static FIRST: OnceLock<Instant> = OnceLock::new();
+    static COUNT: AtomicUsize = AtomicUsize::new(0);
+    let plan = disk_plan()?;
+    let passed = FIRST.get_or_init(Instant::now).elapsed().as_secs_f64();
+    if passed < plan.after || passed > plan.after + plan.time {
+        return None;
+    }
+    let path = std::fs::read_link(format!("/proc/self/fd/{file}")).ok()?;
+    let is_in_folder = path.to_string_lossy().contains(&plan.folder);
+    is_in_folder.then(|| COUNT.fetch_add(1, Ordering::Relaxed))
+}
+
+const DISK_ERRORS: [c_int; 2] = [libc::ENOSPC, libc::EIO];
+
+/// # Safety
+/// As `write` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn write(file: c_int, bytes: *const c_void, size: size_t) -> ssize_t {
+    let real = real!(c"write", unsafe extern "C" fn(c_int, *const c_void, size_t) -> ssize_t);
+    let size = match disk_fails(file) {
+        Some(0) if size > 1 => size / 2,
+        Some(count) => return fail(count, &DISK_ERRORS) as ssize_t,
+        None => size,
+    };
+    // SAFETY: the caller's promise; no more than it gave is written.
+    unsafe { real(file, bytes, size) }
+}
+
+/// # Safety
+/// As `fsync` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fsync(file: c_int) -> c_int {
+    let real = real!(c"fsync", unsafe extern "C" fn(c_int) -> c_int);
+    match disk_fails(file) {
+        Some(count) => fail(count, &DISK_ERRORS),
+        // SAFETY: the caller's promise.
+        None => unsafe { real(file) },
+    }
+}
+
+/// # Safety
+/// As `fdatasync` of the C library.
+#[unsafe(no_mangle)]
+pub unsafe extern "C" fn fdatasync(file: c_int) -> c_int {
+    let real = real!(c"fdatasync", unsafe extern "C" fn(c_int) -> c_int);
+    match disk_fails(file) {
+        Some(count) => fail(count, &DISK_ERRORS),
+        // SAFETY: the caller's promise.
+        None => unsafe { real(file) },
+    }
+}
+
 fn is_stream(socket: c_int) -> bool {
     let (mut kind, mut size) = (0 as c_int, size_of::<c_int>() as socklen_t);
     // SAFETY: both places are this function's, and the size is the kind's.
--- a/crates/cli/tests/serve_kit/mod.rs
+++ b/crates/cli/tests/serve_kit/mod.rs
@@ -79,7 +79,21 @@
 
     /// The same; `meanwhile` gets the process before it listens.
     pub fn start_with(arguments: &[&str], meanwhile: impl FnOnce(&Child)) -> Serve {
+        Serve::start_in(&[], arguments, meanwhile)
+    }
+
+    /// The same with the library of faults in `examples/fault_shim.rs`, which reads these variables.
+    pub fn start_shimmed(variables: &[(&str, String)], arguments: &[&str]) -> Serve {
+        let shim = PathBuf::from(PROGRAM).with_file_name("examples").join("libfault_shim.so");
+        assert!(shim.is_file(), "{} is missing: cargo build -p orchidtally-cli --examples", shim.display());
+        let mut environment = variables.to_vec();
+        environment.push(("LD_PRELOAD", shim.display().to_string()));
+        Serve::start_in(&environment, arguments, |_| {})
+    }
+
+    fn start_in(environment: &[(&str, String)], arguments: &[&str], meanwhile: impl FnOnce(&Child)) -> Serve {
         let mut process = Command::new(PROGRAM)
+            .envs(environment.iter().map(|(key, value)| (*key, value.clone())))
             .args(["serve", "--listen", "127.0.0.1:0"])
             .args(arguments)
             .stdout(Stdio::piped())
