Let clients withdraw in the soak; judge attempts after that; one front end alone in slow start

Cause: two terms had no test of their own: an attempt that begins over 0.1 s after its client has left is a lost request, and the budget of an executor in slow start binds on a front end that is alone and under 30 calls. Change: rule 1 of the checker finds attempts that begin later (a moment for the transit; from the end of a stop where the front end was stopped). A tenth of the soak's invocations is withdrawn soon. tests/cold.rs: one front end alone, budgets under 30.

--- a/crates/cli/tests/day/mod.rs
+++ b/crates/cli/tests/day/mod.rs
@@ -19,6 +19,8 @@
 pub const WINDOW: f64 = 5.0;
 /// As the platform grants it; a front end asks some six times within it.
 pub const GRACE: f64 = 1.0;
+/// Clients that leave do so within this time, in seconds: about what an invocation takes.
+const LONGEST_PATIENCE: f64 = 0.05;
 
 fn settings(front_ends: u32, index: u32, deadline: f64) -> Value {
     let class = |name: &str, semantics: &str| {
@@ -74,6 +76,8 @@
     pub deadline: Cell<f64>,
     /// Seconds for which clients wait.
     pub allow: Cell<f64>,
+    /// The share of invocations whose clients withdraw them soon.
+    pub leaving: Cell<f64>,
     /// What is set in the environment of front ends that start from now on.
     pub environment: RefCell<Vec<(&'static str, String)>>,
     /// By trigger type: succeeded, throttled, errored, without an answer.
@@ -112,6 +116,7 @@
             next: Cell::new(1),
             deadline: Cell::new(3.0),
             allow: Cell::new(2.5),
+            leaving: Cell::new(0.0),
             environment: RefCell::default(),
             answered: Cell::default(),
         })
@@ -195,8 +200,13 @@
                     body: n.to_string().into_bytes(),
                 };
                 let (client, day) = (client.clone(), self.clone());
+                let leaves = self.leaving.get() > 0.0 && self.stage.unit() < self.leaving.get();
+                let patience = if leaves { LONGEST_PATIENCE * self.stage.unit() } else { f64::INFINITY };
                 out.push(self.stage.spawn(async move {
-                    let answer = client.invoke(&ask).await;
+                    let answer = client.invoke_for(&ask, patience).await;
+                    if leaves && answer.is_none() {
+                        return;
+                    }
                     let mut all = day.answered.get();
                     all[ask.trigger_type.0][match answer {
                         Some(Answer::Succeeded) => 0,
--- a/crates/cli/tests/platform_soak.rs
+++ b/crates/cli/tests/platform_soak.rs
@@ -31,6 +31,8 @@
 const KILLED_AFTER: f64 = 0.7;
 /// Short deadlines: of the settings, and of the clients.
 const SHORT: f64 = 0.3;
+/// The share of invocations that are withdrawn.
+const LEAVING: f64 = 0.1;
 /// Days that are played at a time.
 const AT_A_TIME: usize = 4;
 const SHORT_RUN: u64 = 12;
@@ -239,13 +241,14 @@
         let v = &self.verdict;
         let broken: Vec<String> = v.rules.iter().map(|r| format!("{}/{}", r.broken, r.checked)).collect();
         format!(
-            "seed {}: {} faults, {} invocations, {} succeeded, {} throttled, {} errored; rules broken/checked {}{}",
+            "seed {}: {} faults, {} invocations, {} succeeded, {} throttled, {} errored, {} withdrawn; rules broken/checked {}{}",
             self.seed,
             self.faults.len(),
             v.invocations,
             v.succeeded,
             v.throttled,
             v.errored,
+            v.left,
             broken.join(" "),
             if self.is_sound() { "" } else { "  BAD" }
         )
@@ -259,6 +262,7 @@
         day.allow.set(SHORT);
         day.deadline.set(SHORT);
     }
+    day.leaving.set(LEAVING);
     // Before the first list, which tells the links' addresses.
     day.link();
     let percent = if random.random_bool(0.3) { random.random_range(1..8) } else { 0 };
--- a/crates/invariants/src/rules/final_answers.rs
+++ b/crates/invariants/src/rules/final_answers.rs
@@ -1,9 +1,9 @@
 //! Rule 1: one final answer each, before the client gives up. An invocation in the hands of a front end that was
-//! killed is owed none. One whose client's time ends while its front end is stopped is owed its answer a moment after
+//! killed is owed none, and one whose client has left no attempt that begins later. One whose client's time ends while its front end is stopped is owed its answer a moment after
 //! that goes on: nobody can answer sooner.
 
 use super::{Rule, Verdict};
-use crate::{Answer, Record};
+use crate::{Answer, Limits, Record};
 use std::collections::HashMap;
 
 /// Seconds before an invocation was sent in which the death of its front end counts: the client may have sent it to
@@ -13,8 +13,12 @@
 /// Seconds after a stopped front end goes on within which it answers what is overdue.
 const OVERDUE_ANSWERED: f64 = 0.1;
 
-pub(super) fn check(records: &[&Record], verdict: &mut Verdict) -> Rule {
+/// Seconds after a client has left within which an attempt for it may still begin.
+const ATTEMPT_MARGIN: f64 = 0.1;
+
+pub(super) fn check(limits: &Limits, records: &[&Record], verdict: &mut Verdict) -> Rule {
     let mut rule = Rule::new(1);
+    let mut attempts: HashMap<&str, Vec<f64>> = HashMap::new();
     let mut ends: HashMap<&str, Vec<&Record>> = HashMap::new();
     let mut killed: HashMap<u32, Vec<f64>> = HashMap::new();
     let mut stopped: HashMap<u32, Vec<(f64, f64)>> = HashMap::new();
@@ -24,6 +28,7 @@
             | Record::Lost { invocation, .. }
             | Record::Left { invocation, .. }
             | Record::GaveUp { invocation, .. } => ends.entry(invocation).or_default().push(record),
+            Record::Reached { at, invocation, .. } => attempts.entry(invocation).or_default().push(*at),
             Record::Killed { at, front_end } => killed.entry(*front_end).or_default().push(*at),
             Record::Stopped { at, front_end, until } => {
                 stopped.entry(*front_end).or_default().push((*at, *until));
@@ -51,7 +56,16 @@
                     format!("{invocation} was answered {:.3} s after its client gave up", answered - until)
                 });
             }
-            [Record::Left { .. }] => verdict.left += 1,
+            [Record::Left { at: left, .. }] => {
+                verdict.left += 1;
+                let stop = stops.iter().find(|(from, to)| (*from..=*to).contains(left));
+                let heard = stop.map_or(*left, |(_, to)| *to);
+                let last = heard + ATTEMPT_MARGIN + limits.transit;
+                let attempts = attempts.get(invocation.as_str()).map(Vec::as_slice).unwrap_or_default();
+                rule.check(attempts.iter().all(|&at| at <= last), || {
+                    format!("{invocation}: an attempt began over {ATTEMPT_MARGIN} s after its client left at {left:.3}")
+                });
+            }
             // Its front end was stopped for all of the time in which it could have answered late.
             [Record::GaveUp { at: lost, .. }] if was_stopped(*until, *lost) => verdict.lost += 1,
             [Record::Lost { at: lost, .. } | Record::GaveUp { at: lost, .. }] if died(*lost) => {
--- a/crates/invariants/src/rules/mod.rs
+++ b/crates/invariants/src/rules/mod.rs
@@ -76,7 +76,7 @@
     let mut records: Vec<&Record> = records.iter().collect();
     records.sort_by(|a, b| a.at().total_cmp(&b.at()));
     let mut verdict = Verdict::default();
-    let final_answers = final_answers::check(&records, &mut verdict);
+    let final_answers = final_answers::check(limits, &records, &mut verdict);
     verdict.rules = vec![
         final_answers,
         effects::check(limits, fleet, &records),
--- a/crates/invariants/tests/rules.rs
+++ b/crates/invariants/tests/rules.rs
@@ -199,3 +199,17 @@
     assert!(broken(vec![stopped(6.0, 8.0), offered(4.0, "b", 0), gave_up(7.5)]).is_empty());
     assert_eq!(broken(vec![stopped(6.0, 7.35), offered(4.0, "b", 0), gave_up(7.5)]), [1], "it had its time");
 }
+
+/// What has begun for a client that has left is a lost request; a moment is granted, and the time of a stop.
+#[test]
+fn an_attempt_that_begins_long_after_its_client_has_left_is_found() {
+    let left = |at| Record::Left { at, invocation: "a".into() };
+    let broken = |records: &[Record]| judge(&limits(), &[], records).rules[0].broken;
+    let day = |attempt| vec![offered(1.0, "a", 0), left(1.5), reached(attempt, "a", 0, 0, "look")];
+    assert_eq!(broken(&day(1.4)), 0);
+    assert_eq!(broken(&day(1.79)), 0, "within 0.1 s and the transit");
+    assert_eq!(broken(&day(1.81)), 1);
+    let stopped = Record::Stopped { at: 1.4, front_end: 0, until: 2.0 };
+    assert_eq!(broken(&[day(2.2), vec![stopped.clone()]].concat()), 0, "it could not hear of it before");
+    assert_eq!(broken(&[day(2.4), vec![stopped]].concat()), 1);
+}
--- a/crates/test-servers/src/platform/client.rs
+++ b/crates/test-servers/src/platform/client.rs
@@ -92,6 +92,11 @@
 
     /// Sends an invocation and notes what comes of it; nothing where no connection came about.
     pub async fn invoke(&self, ask: &Ask) -> Option<Answer> {
+        self.invoke_for(ask, f64::INFINITY).await
+    }
+
+    /// The same, and withdraws the invocation if it has no answer after some seconds.
+    pub async fn invoke_for(&self, ask: &Ask, patience: f64) -> Option<Answer> {
         let open = self.connection().await.ok()?;
         let stream = open.next.get();
         open.next.set(stream + 1);
@@ -126,7 +131,28 @@
             self.stage.sleep(until + 0.5 - self.stage.now()).await;
             Some((0, vec![]))
         };
-        let heard = future::or(heard, timed_out).await;
+        let leaves = async {
+            if patience.is_finite() {
+                self.stage.sleep(patience).await;
+            } else {
+                future::pending::<()>().await;
+            }
+        };
+        let answered = async { Some(future::or(heard, timed_out).await) };
+        let Some(heard) = future::or(answered, async {
+            leaves.await;
+            None
+        })
+        .await
+        else {
+            let mut frame = vec![];
+            frames::put(&mut frame, frames::WITHDRAW, stream, None, None, &[]);
+            // The front end may have gone.
+            let _ = (&*open.stream).write_all(&frame).await;
+            self.stage.record(Record::Left { at: self.stage.now(), invocation });
+            open.waiting.borrow_mut().remove(&stream);
+            return None;
+        };
         let at = self.stage.now();
         let answer = match heard {
             Some((frames::SUCCEEDED, body)) if body == ask.body => Answer::Succeeded,
--- a/tests/cold.rs
+++ b/tests/cold.rs
@@ -139,8 +139,8 @@
 
 /// The same at the sizes that count, from hardly any traffic to much, with every trouble at once.
 #[test]
-fn from_two_to_hundreds_of_front_ends_and_from_little_traffic_to_much_none_is_pushed_over() {
-    for front_ends in [2, 3, 20, 30, 300, 350] {
+fn from_one_to_hundreds_of_front_ends_and_from_little_traffic_to_much_none_is_pushed_over() {
+    for front_ends in [1, 2, 3, 20, 30, 300, 350] {
         for (rate, uneven) in [(0.02, false), (0.3, true), (3.0, false), (3.0, true)] {
             for killed in [0.0, 0.7] {
                 let (used, _) = Fleet { front_ends, rate, uneven, skew: 0.5, killed, ..CALM }.used();
@@ -153,6 +153,22 @@
     }
 }
 
+/// The budget binds on a front end that is alone too, also where it is under 30 calls; what is judged by here is the
+/// stricter of the bounds for such.
+#[test]
+fn one_front_end_alone_pushes_none_over_with_small_budgets() {
+    for rate in [1.0, 4.0, 12.0, 30.0, 55.0] {
+        for (left, surge) in [(1, 1.0), (0, 1.0), (0, 4.0)] {
+            let fleet = Fleet { front_ends: 1, rate, left, surge, functions: 1, ..CALM };
+            let largest_budget = 2.0 * rate / 4.0 * policy().fall;
+            assert!(largest_budget < 30.0);
+            let (used, count) = fleet.used();
+            assert!(used <= 1.0, "{used} of its budget at {rate} a second, {left} others, surge {surge}");
+            assert!(left > 0 || count > 0, "the only one left is used");
+        }
+    }
+}
+
 /// The worst case, in which every turn that all of them have is met: two time slots fall into a span, and each
 /// gives half of the budget and one root of it.
 #[test]
