--- a/crates/cli/tests/platform_shim.rs
+++ b/crates/cli/tests/platform_shim.rs
@@ -75,3 +75,20 @@
         kept(&name, day, 0.95);
     }
 }
+
+/// A connection that is broken shows as ETIMEDOUT or EHOSTUNREACH too; what was sent over it may have run all the same.
+#[test]
+fn connections_that_break_with_any_error_break_no_rule() {
+    for (seed, broken) in [(1, 5), (2, 20), (3, 60)] {
+        let name = format!("broken-{seed}");
+        let shim = |day: &Day| {
+            day.shim(&[("FAULT_BROKEN", format!("{broken}")), ("FAULT_SEED", format!("{seed}"))]);
+        };
+        let day = play_prepared(&name, 2, 3.0, shim, |day| async move {
+            day.stage.sleep(1.0).await;
+            day.change(0, Standing::Draining);
+        });
+        println!("{name}: {} succeeded", day.1);
+        kept(&name, day, 0.6);
+    }
+}
--- a/crates/invariants/src/rules/final_answers.rs
+++ b/crates/invariants/src/rules/final_answers.rs
@@ -2,6 +2,7 @@
 //! killed is owed none, and one whose client has left no attempt that begins later. One whose client's time ends while its front end is stopped is owed its answer a moment after
 //! that goes on: nobody can answer sooner.
 
+use super::paused_reads::PausedReads;
 use super::{Rule, Verdict};
 use crate::{Answer, Limits, Record};
 use std::collections::HashMap;
@@ -19,6 +20,7 @@
 pub(super) fn check(limits: &Limits, records: &[&Record], verdict: &mut Verdict) -> Rule {
     let mut rule = Rule::new(1);
     let mut attempts: HashMap<&str, Vec<f64>> = HashMap::new();
+    let paused_reads = PausedReads::of(records);
     let mut ends: HashMap<&str, Vec<&Record>> = HashMap::new();
     let mut killed: HashMap<u32, Vec<f64>> = HashMap::new();
     let mut stopped: HashMap<u32, Vec<(f64, f64)>> = HashMap::new();
@@ -28,6 +30,9 @@
             | Record::Lost { invocation, .. }
             | Record::Left { invocation, .. }
             | Record::GaveUp { invocation, .. } => ends.entry(invocation).or_default().push(record),
+            // What waited in an executor's sockets may have left its front end long before.
+            Record::Reached { at, executor, .. }
+                if paused_reads.may_have_delayed(*executor, *at, limits.transit) => {}
             Record::Reached { at, invocation, .. } => attempts.entry(invocation).or_default().push(*at),
             Record::Killed { at, front_end } => killed.entry(*front_end).or_default().push(*at),
             Record::Stopped { at, front_end, until } => {
--- a/crates/invariants/tests/rules.rs
+++ b/crates/invariants/tests/rules.rs
@@ -212,4 +212,11 @@
     let stopped = Record::Stopped { at: 1.4, front_end: 0, until: 2.0 };
     assert_eq!(broken(&[day(2.2), vec![stopped.clone()]].concat()), 0, "it could not hear of it before");
     assert_eq!(broken(&[day(2.4), vec![stopped]].concat()), 1);
+    let deaf = |until| Record::Deaf { at: 1.4, executor: 0, until };
+    assert_eq!(
+        broken(&[day(2.2), vec![deaf(2.1)]].concat()),
+        0,
+        "it may have waited in the executor's socket"
+    );
+    assert_eq!(broken(&[day(2.4), vec![deaf(2.1)]].concat()), 1);
 }
