--- a/crates/cli/src/rehearse/play/setup.rs
+++ b/crates/cli/src/rehearse/play/setup.rs
@@ -87,6 +87,7 @@
         ration_share: policy.ration_share,
         ration_window: policy.ration_window,
         transit: TRANSIT,
+        leave_margin: None,
     }
 }
 
--- a/crates/cli/tests/day/mod.rs
+++ b/crates/cli/tests/day/mod.rs
@@ -57,6 +57,7 @@
         ration_share: 0.2,
         ration_window: 5.0,
         transit: 0.05,
+        leave_margin: Some(0.1),
     }
 }
 
--- a/crates/invariants/src/lib.rs
+++ b/crates/invariants/src/lib.rs
@@ -55,6 +55,10 @@
     pub ration_window: f64,
     /// Seconds that a message may take on its way: two records of one event differ by that at the most.
     pub transit: f64,
+    /// Seconds after a client has left within which an attempt for it may still begin; none where nothing is promised
+    /// of that.
+    #[serde(default)]
+    pub leave_margin: Option<f64>,
 }
 
 /// A trigger type.
--- a/crates/invariants/tests/rules.rs
+++ b/crates/invariants/tests/rules.rs
@@ -23,6 +23,7 @@
         ration_share: 0.5,
         ration_window: 5.0,
         transit: 0.2,
+        leave_margin: Some(0.1),
     }
 }
 
