Review, case 1: a tokened repeat waits for a stream past its window and runs twice

Cause, as far as read: the gateway revalidates a dispatch before it hands it to the HTTP/2 library, which queues streams over the executor's limit for any time. The script starts a front end from the release build between two executors of one cell that serve one stream at a time, and ends a connection under a tokened invocation. Nothing outside review/ is changed.

--- /dev/null
+++ b/review/standins/src/lib.rs
@@ -0,0 +1,166 @@
+//! What the cases share: the record, the program's processes, a small HTTP/1.1 client and an executor of the gateway.
+
+pub mod client;
+pub mod executor;
+
+use std::fs::File;
+use std::io::Write;
+use std::os::unix::process::CommandExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Mutex;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// Exit codes of a case.
+pub const HELD: i32 = 0;
+pub const BROKEN: i32 = 1;
+pub const COULD_NOT_RUN: i32 = 2;
+
+/// Whether the disruption takes place; `TROUBLE=0` leaves it out.
+pub fn has_trouble() -> bool {
+    std::env::var("TROUBLE").as_deref() != Ok("0")
+}
+
+/// Seconds since 1970 by the system's clock.
+pub fn unix_time() -> f64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0.0, |time| time.as_secs_f64())
+}
+
+/// The file `record.txt` of a case. Each line has the seconds since the start of the case.
+pub struct Record {
+    started: Instant,
+    file: Mutex<File>,
+}
+
+impl Record {
+    /// Creates the file that the variable `RECORD` names.
+    pub fn create() -> Record {
+        let path = std::env::var("RECORD").unwrap_or_else(|_| "record.txt".into());
+        let file = File::create(&path).unwrap_or_else(|error| {
+            eprintln!("{path}: {error}");
+            std::process::exit(COULD_NOT_RUN)
+        });
+        Record {
+            started: Instant::now(),
+            file: Mutex::new(file),
+        }
+    }
+
+    /// Seconds since the start of the case.
+    pub fn now(&self) -> f64 {
+        self.started.elapsed().as_secs_f64()
+    }
+
+    /// Writes a line to the file and to standard output.
+    pub fn line(&self, text: impl AsRef<str>) {
+        let line = format!("{:8.3} {}", self.now(), text.as_ref());
+        println!("{line}");
+        let mut file = self.file.lock().unwrap_or_else(|error| error.into_inner());
+        let _ = writeln!(file, "{line}");
+    }
+}
+
+/// A folder under the system's temporary folder, removed at the end.
+pub struct TemporaryFolder(pub PathBuf);
+
+impl TemporaryFolder {
+    pub fn create() -> TemporaryFolder {
+        let name = format!("orchidtally-review-{}-{}", std::process::id(), unix_time());
+        let path = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&path).expect("the temporary folder can be created");
+        TemporaryFolder(path)
+    }
+
+    pub fn write(&self, name: &str, text: &str) -> PathBuf {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).expect("a file in the temporary folder can be written");
+        path
+    }
+}
+
+impl Drop for TemporaryFolder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A process of the program; it is killed when dropped.
+pub struct Process {
+    child: Child,
+    log: PathBuf,
+}
+
+impl Process {
+    /// Starts a command line by the shell, from the root of the repository. Its output goes to the file `log`.
+    pub fn start(command: &str, environment: &[(&str, String)], log: &Path) -> Process {
+        let output = File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("the log can be written");
+        let mut shell = Command::new("/bin/sh");
+        shell
+            .args(["-c", command])
+            .envs(environment.iter().map(|(key, value)| (*key, value)))
+            .stdin(Stdio::null())
+            .stdout(output.try_clone().expect("the log can be written"))
+            .stderr(output);
+        // The process ends with the case, also where the case itself is killed.
+        unsafe {
+            shell.pre_exec(|| {
+                libc::prctl(libc::PR_SET_PDEATHSIG, libc::SIGKILL);
+                Ok(())
+            });
+        }
+        let child = shell.spawn().expect("the shell can be started");
+        Process {
+            child,
+            log: log.to_owned(),
+        }
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: i32) {
+        // The command lines begin with `exec`, so the shell's process id is that of the program.
+        unsafe {
+            libc::kill(self.child.id() as i32, signal);
+        }
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        self.signal(libc::SIGKILL);
+        let _ = self.child.wait();
+    }
+
+    /// What the process has written.
+    pub fn output(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// An address of the loopback interface with a port that is free.
+pub fn free_address() -> std::net::SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("it is bound")
+}
+
+/// Waits until a condition holds; returns whether it did within the limit.
+pub fn wait_until(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let deadline = Instant::now() + limit;
+    while Instant::now() < deadline {
+        if condition() {
+            return true;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    false
+}
