--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod executor;
+pub mod platform;
 
 use std::fs::File;
 use std::io::Write;
