--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
-# A streamed answer whose client takes nothing for longer than `senderTime`.
+# A front end that starts anew, told that an executor is gone, while the resolver's list lags.
 # Needs `cargo build --release` and `review/build.sh`. Exit code 1: the rule was broken; 0: it held; 2: the case could
 # not run. `TROUBLE=0` leaves the disruption out. What was sent, answered and run is in `record.txt` beside this file.
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
-case_program=target/review/release/streamed
+case_program=target/review/release/gone
 if [ ! -x "$case_program" ] || [ ! -x target/release/orchidtally ]; then
     echo "build first: cargo build --release && review/build.sh" >&2
     exit 2
