Review, case 1: SIGTERM with the broker away loses invocations taken meanwhile by HTTP

Cause, as far as read: the shutdown waits for the message consumer up to the deadline of everything, and goes on admitting by HTTP until then. The script stops the stand-in broker after a message is the front end's, sends SIGTERM, and lets four clients go on with their open connections.

--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -1,4 +1,4 @@
-//! A client of the gateway by HTTP/1.1, one request a connection.
+//! A client of the gateway by HTTP/1.1, one request at a time on a connection.
 
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -35,16 +35,33 @@
     headers: &[(&str, &str)],
     body: &[u8],
 ) -> io::Result<TcpStream> {
-    let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
+    let mut stream = connect(address)?;
+    send_on(&mut stream, method, path, headers, body)?;
+    Ok(stream)
+}
+
+/// Opens a connection.
+pub fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
     stream.set_read_timeout(Some(Duration::from_secs(40)))?;
-    let mut request = format!("{method} {path} HTTP/1.1\r\nhost: {address}\r\n");
+    Ok(stream)
+}
+
+/// Sends a request on an open connection.
+pub fn send_on(
+    stream: &mut TcpStream,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut request = format!("{method} {path} HTTP/1.1\r\nhost: front-end\r\n");
     for (name, value) in headers {
         request += &format!("{name}: {value}\r\n");
     }
     request += &format!("content-length: {}\r\n\r\n", body.len());
     stream.write_all(request.as_bytes())?;
-    stream.write_all(body)?;
-    Ok(stream)
+    stream.write_all(body)
 }
 
 /// Reads a response. `pause_after` bytes of its body, `pause` is waited once before more is read.
--- a/review/standins/src/lib.rs
+++ b/review/standins/src/lib.rs
@@ -1,5 +1,6 @@
 //! What the cases share: the record, the program's processes, a small HTTP/1.1 client and an executor of the gateway.
 
+pub mod broker;
 pub mod client;
 pub mod executor;
 pub mod platform;
@@ -136,6 +137,20 @@
         let _ = self.child.wait();
     }
 
+    /// Waits for the end of the process, for `limit` at most; returns its exit code, if it had one.
+    pub fn wait(&mut self, limit: Duration) -> Option<Option<i32>> {
+        let deadline = Instant::now() + limit;
+        loop {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status.code());
+            }
+            if Instant::now() > deadline {
+                return None;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     /// What the process has written.
     pub fn output(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
