Withdraw executors that the initial list reports as gone

Cause: `initial_endpoints` dropped an executor whose last update says DELETED, and with it that it had been told so. `EndpointView::new` could record withdrawals only for the executors that were left. A later older list therefore contradicted nothing: after three answers (REQUIRED_OLDER_ANSWERS) it replaced the view, and the sixteen confirmations that a withdrawal asks for did not apply. Evidence: the log of the case, "executors=3 ready=3 serial=3" at the start and "executors=4 ready=4 serial=1" at the third older answer.

Change: `initial_endpoints` (now in `initial_list.rs`) returns every executor that an update named and that is not in use after all of them, with the latest start time told of it: DELETED, left out by a later complete update, or draining in a zone without an index. The view records a withdrawal for each, dated by the start of the process: dated by minus infinity, as the draining ones were, the first list would have let it expire. "withdrawn executor is ready again" logs both reports when a withdrawal ends.

Why it works: who was told away is now owned by `Withdrawals` whatever the form; sixteen answers in a row last longer than a resolver lags. What comes back by a newer list is ready after three answers, with a later start at once, as without a restart.

The test resolver's initial list was one complete list, so no test or soak had ever been told DELETED at a start; it now tells the first list and its changes.

--- a/crates/cli/tests/platform_days.rs
+++ b/crates/cli/tests/platform_days.rs
@@ -5,7 +5,7 @@
 
 use async_io::Async;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, future};
-use orchidtally_invariants::{EndpointState, TrafficRecord};
+use orchidtally_invariants::EndpointState;
 use orchidtally_platform_client_protocol as frames;
 use orchidtally_test_servers::platform::{ClientRequest, ResponseFault};
 use scenario::*;
@@ -58,14 +58,7 @@
     let outcome = run_scenario("restart", 3, 3.0, |fleet| async move {
         fleet.environment.sleep(0.8).await;
         fleet.signal(0, "TERM");
-        let at = fleet.environment.now();
-        fleet
-            .environment
-            .record(TrafficRecord::FrontEndKilled { at, front_end: 1 });
-        let killed = fleet.processes.borrow_mut()[1].take();
-        let mut killed = killed.expect("the front end is running");
-        killed.kill().unwrap();
-        killed.wait().unwrap();
+        fleet.kill(1);
         fleet.start(1).await;
         fleet.environment.sleep(1.2).await;
         let exit_status = fleet.processes.borrow_mut()[0]
--- a/crates/cli/tests/platform_views.rs
+++ b/crates/cli/tests/platform_views.rs
@@ -26,6 +26,31 @@
     assert_rules_hold("old-rows", outcome, 0.95);
 }
 
+/// Guards against a deletion that a restart forgets: the initial list reported an executor as deleted, and three outdated
+/// answers made it ready (docs/incidents/2026-12-04-deleted-at-start.md).
+#[test]
+fn an_executor_that_the_initial_list_reports_as_deleted_gets_nothing_from_a_resolver_that_lags() {
+    let outcome = run_scenario("deleted-at-start", 1, 7.5, |fleet| async move {
+        fleet.environment.sleep(0.5).await;
+        fleet.set_endpoint_state(0, EndpointState::Draining);
+        fleet.environment.sleep(0.5).await;
+        fleet.set_endpoint_state(0, EndpointState::Gone);
+        fleet.environment.sleep(0.5).await;
+        fleet.kill(0);
+        // About eleven answers, fewer than end a withdrawal, for longer than the drain grace. The executor is ready on the
+        // list before both changes.
+        fleet
+            .resolver
+            .answer_fault
+            .set(Some((AnswerFault::OutdatedList(2), 1.0)));
+        fleet.start(0).await;
+        fleet.environment.sleep(2.2).await;
+        fleet.resolver.answer_fault.set(None);
+    });
+    assert!(outcome.0.rules[2].checked > 0, "{:?}", outcome.0);
+    assert_rules_hold("deleted-at-start", outcome, 0.9);
+}
+
 /// Once a resolver fault is over, answers that it left behind must not delay a drain any further.
 #[test]
 fn serial_jumps_and_invalid_rows_hide_no_drain() {
--- a/crates/cli/tests/scenario/mod.rs
+++ b/crates/cli/tests/scenario/mod.rs
@@ -6,8 +6,8 @@
 
 use futures_lite::future;
 use orchidtally_invariants::{
-    DeduplicationScope, EndpointState, FinalAnswer, Idempotency, Limits, TriggerType, Verdict,
-    check_rules,
+    DeduplicationScope, EndpointState, FinalAnswer, Idempotency, Limits, TrafficRecord,
+    TriggerType, Verdict, check_rules,
 };
 use orchidtally_test_servers::TestEnvironment;
 use orchidtally_test_servers::platform::{
@@ -220,6 +220,17 @@
         panic!("front end {j} did not start to listen");
     }
 
+    /// Kills a front end and waits for its end.
+    pub fn kill(&self, j: u32) {
+        let at = self.environment.now();
+        self.environment
+            .record(TrafficRecord::FrontEndKilled { at, front_end: j });
+        let process = self.processes.borrow_mut()[j as usize].take();
+        let mut process = process.expect("the front end is running");
+        process.kill().unwrap();
+        process.wait().unwrap();
+    }
+
     pub fn signal(&self, j: u32, name: &str) {
         let id = self.processes.borrow()[j as usize]
             .as_ref()
--- a/crates/platform-discovery/benches/lists.rs
+++ b/crates/platform-discovery/benches/lists.rs
@@ -7,7 +7,7 @@
 mod dns_answers;
 
 use orchidtally_platform_discovery::{
-    EndpointView, LocationTable, initial_endpoints, parse_answer,
+    EndpointView, InitialEndpoints, LocationTable, initial_endpoints, parse_answer,
 };
 use std::hint::black_box;
 use std::time::Instant;
@@ -51,7 +51,10 @@
             assert_eq!(list.endpoints.len(), executors);
             list
         };
-        let (list, mut view) = (parse(&plain), EndpointView::new(0.0, 0, &[]));
+        let (list, mut view) = (
+            parse(&plain),
+            EndpointView::new(0.0, &InitialEndpoints::default()),
+        );
         let mut now = 0.0;
         let times = [
             (
--- a/crates/platform-discovery/src/lib.rs
+++ b/crates/platform-discovery/src/lib.rs
@@ -4,6 +4,7 @@
 //! opens no sockets.
 
 mod answer;
+mod initial_list;
 mod serial;
 mod view;
 mod withdrawals;
@@ -12,12 +13,13 @@
     AnswerError, EndpointList, EndpointStateOnly, InvalidRecord, PartialEndpointList, build_query,
     parse_answer,
 };
-use orchidtally_dispatch_policy::interface::{Endpoint, EndpointState, ExecutorId};
-use serde::Deserialize;
-use std::collections::BTreeMap;
+pub use initial_list::{
+    InitialEndpoints, InitialEndpointsError, WithdrawnExecutor, initial_endpoints,
+};
+use orchidtally_dispatch_policy::interface::{Endpoint, ExecutorId};
 use std::net::{IpAddr, Ipv6Addr, SocketAddr};
-use thiserror::Error;
 pub use view::{EndpointView, ListOutcome};
+pub use withdrawals::{EndedWithdrawal, ReadyReport, ReportOrigin, WithdrawalReport};
 
 /// The DNS service name whose SRV targets are the executors.
 pub const SERVICE: &str = "_data._tcp.farm.lan";
@@ -123,117 +125,3 @@
         f64::NEG_INFINITY
     }
 }
-
-/// The JSON object of the initial endpoint list.
-#[derive(Deserialize)]
-struct InitialList {
-    #[serde(rename = "index")]
-    serial: u32,
-    updates: Vec<Update>,
-}
-
-#[derive(Deserialize)]
-struct Update {
-    endpoints: HostUpdate,
-}
-
-#[derive(Deserialize)]
-struct HostUpdate {
-    /// Whether the update replaces all hosts of the updates before it.
-    #[serde(rename = "whole")]
-    is_complete: bool,
-    hosts: Vec<Host>,
-}
-
-#[derive(Deserialize)]
-struct Host {
-    #[serde(rename = "host")]
-    name: String,
-    #[serde(rename = "dial")]
-    address: SocketAddr,
-    #[serde(rename = "site")]
-    zone: String,
-    #[serde(rename = "class")]
-    kind: String,
-    #[serde(rename = "block")]
-    cell: u16,
-    #[serde(rename = "health")]
-    state: HostState,
-    #[serde(rename = "share")]
-    weight: f64,
-    #[serde(default, rename = "born_ms")]
-    started_ms: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "UPPERCASE")]
-enum HostState {
-    Serving,
-    Draining,
-    Deleted,
-}
-
-/// The endpoint list that a front end starts with.
-#[derive(Clone, Debug, PartialEq)]
-pub struct InitialEndpoints {
-    /// The number of the last event that the list reflects.
-    pub serial: u32,
-    /// The executors, ordered by name.
-    pub endpoints: Vec<DiscoveredEndpoint>,
-}
-
-/// Why the initial endpoint list can't be read.
-#[derive(Debug, Error)]
-#[error(transparent)]
-pub struct InitialEndpointsError(#[from] serde_json::Error);
-
-/// Reads the initial endpoint list by applying its updates in order.
-///
-/// # Errors
-/// A key is missing or has an invalid value; the error names the key or the value.
-pub fn initial_endpoints(
-    value: &serde_json::Value,
-    locations: &mut LocationTable,
-) -> Result<InitialEndpoints, InitialEndpointsError> {
-    let list = InitialList::deserialize(value)?;
-    let mut endpoints: BTreeMap<String, DiscoveredEndpoint> = BTreeMap::new();
-    for update in list.updates {
-        if update.endpoints.is_complete {
-            endpoints.clear();
-        }
-        for host in update.endpoints.hosts {
-            endpoints.remove(&host.name);
-            if let Some(discovered) = discovered_endpoint(&host, locations)
-                && discovered.endpoint.state != EndpointState::Gone
-            {
-                endpoints.insert(host.name, discovered);
-            }
-        }
-    }
-    Ok(InitialEndpoints {
-        serial: list.serial,
-        endpoints: endpoints.into_values().collect(),
-    })
-}
-
-/// Builds the endpoint of a host; `None` if no index is left for its zone.
-fn discovered_endpoint(host: &Host, locations: &mut LocationTable) -> Option<DiscoveredEndpoint> {
-    let state = match host.state {
-        HostState::Serving => EndpointState::Ready,
-        HostState::Draining => EndpointState::Draining,
-        HostState::Deleted => EndpointState::Gone,
-    };
-    Some(DiscoveredEndpoint {
-        name: host.name.clone(),
-        address: host.address,
-        endpoint: Endpoint {
-            executor: executor_id(&host.name),
-            zone: locations.zone(&host.zone)?,
-            kind: locations.kind(&host.kind),
-            cell: host.cell,
-            state,
-            weight: host.weight,
-            started_at: started_at(host.started_ms),
-        },
-    })
-}
--- a/crates/platform-discovery/src/view.rs
+++ b/crates/platform-discovery/src/view.rs
@@ -6,7 +6,10 @@
 
 use crate::serial::compare_serials;
 use crate::withdrawals::Withdrawals;
-use crate::{DiscoveredEndpoint, EndpointList, PartialEndpointList};
+use crate::{
+    DiscoveredEndpoint, EndedWithdrawal, EndpointList, InitialEndpoints, PartialEndpointList,
+    ReadyReport, ReportOrigin, WithdrawalReport,
+};
 use orchidtally_dispatch_policy::interface::EndpointState;
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
@@ -130,6 +133,27 @@
         .fold(f64::NEG_INFINITY, f64::max)
 }
 
+/// The executors that the initial list reports as draining or gone.
+fn initial_withdrawals(now: f64, initial: &InitialEndpoints) -> Withdrawals {
+    let report = |state: EndpointState, started_at: f64| WithdrawalReport {
+        origin: ReportOrigin::InitialList,
+        state,
+        serial: initial.serial,
+        started_at,
+        received_at: now,
+    };
+    let mut withdrawals = Withdrawals::default();
+    for executor in &initial.withdrawn {
+        withdrawals.record(&executor.name, report(executor.state, executor.started_at));
+    }
+    for DiscoveredEndpoint { name, endpoint, .. } in &initial.endpoints {
+        if endpoint.state != EndpointState::Ready {
+            withdrawals.record(name, report(endpoint.state, endpoint.started_at));
+        }
+    }
+    withdrawals
+}
+
 /// The current view of the executors and its freshness. All times are in seconds on the caller's clock.
 #[derive(Clone, Debug)]
 pub struct EndpointView {
@@ -139,6 +163,8 @@
     queried_at: f64,
     endpoints: BTreeMap<String, CurrentEndpoint>,
     withdrawals: Withdrawals,
+    /// The withdrawals that the last list ended.
+    ended_withdrawals: Vec<EndedWithdrawal>,
     /// The number of consecutive answers with an older serial.
     older_answers: u32,
 }
@@ -146,10 +172,10 @@
 impl EndpointView {
     /// Creates the view from the initial endpoint list. The age of that list is unknown, so the view is not fresh until
     /// the first answer.
-    pub fn new(now: f64, serial: u32, endpoints: &[DiscoveredEndpoint]) -> EndpointView {
+    pub fn new(now: f64, initial: &InitialEndpoints) -> EndpointView {
         // The executor that started last may have started just now, and the others that much earlier. The wall clock
         // doesn't matter, because only differences between reported start times are used.
-        let latest_start = latest_start(endpoints);
+        let latest_start = latest_start(&initial.endpoints);
         let estimated_start = |reported: f64| {
             if reported == f64::NEG_INFINITY {
                 reported
@@ -164,20 +190,15 @@
                 CurrentEndpoint::new(discovered.clone(), started_at),
             )
         };
-        let mut view = EndpointView {
-            serial,
+        EndpointView {
+            serial: initial.serial,
             created_at: now,
             queried_at: f64::NEG_INFINITY,
-            endpoints: endpoints.iter().map(current).collect(),
-            withdrawals: Withdrawals::default(),
+            endpoints: initial.endpoints.iter().map(current).collect(),
+            withdrawals: initial_withdrawals(now, initial),
+            ended_withdrawals: vec![],
             older_answers: 0,
-        };
-        for discovered in endpoints {
-            if discovered.endpoint.state != EndpointState::Ready {
-                view.record_withdrawal(f64::NEG_INFINITY, serial, &discovered.name);
-            }
         }
-        view
     }
 
     /// The serial of the list that the view reflects.
@@ -191,6 +212,11 @@
         self.queried_at
     }
 
+    /// The withdrawals that the last list ended: their executors were reported as draining or gone, and are ready again.
+    pub fn ended_withdrawals(&self) -> &[EndedWithdrawal] {
+        &self.ended_withdrawals
+    }
+
     /// Whether an answer that repeats the last one byte for byte could change nothing but the freshness.
     pub fn is_settled(&self) -> bool {
         self.older_answers == 0
@@ -218,12 +244,14 @@
     /// Records that the query sent at `queried_at` was answered by a byte-for-byte repetition of the last answer.
     pub fn confirm_unchanged(&mut self, queried_at: f64) {
         self.queried_at = self.queried_at.max(queried_at);
+        self.ended_withdrawals.clear();
     }
 
     /// Applies a complete list that answers the query sent at `queried_at`.
     pub fn apply_list(&mut self, now: f64, queried_at: f64, list: &EndpointList) -> ListOutcome {
         let order = compare_serials(list.serial, self.serial);
         let is_overtaken = queried_at < self.queried_at;
+        self.ended_withdrawals.clear();
         if order == Ordering::Less && !is_overtaken {
             self.older_answers += 1;
         }
@@ -284,15 +312,20 @@
             .cloned()
             .collect();
         for name in &withdrawn {
-            self.record_withdrawal(now, list.serial, name);
+            let state = replacement
+                .get(name)
+                .map_or(EndpointState::Gone, |current| current.listed.endpoint.state);
+            self.record_withdrawal(now, list.serial, name, state);
         }
         for current in replacement.values().filter(|current| current.is_ready()) {
-            self.withdrawals.confirm_ready(
-                &current.listed.name,
-                current.listed.endpoint.started_at,
-                list.serial,
-                order == Ordering::Less,
-            );
+            let report = ReadyReport {
+                serial: list.serial,
+                is_older_list: order == Ordering::Less,
+                started_at: current.listed.endpoint.started_at,
+                received_at: now,
+            };
+            let ended = self.withdrawals.confirm_ready(&current.listed.name, report);
+            self.ended_withdrawals.extend(ended);
         }
         self.endpoints = replacement;
         self.serial = list.serial;
@@ -330,11 +363,17 @@
         merged
     }
 
-    /// Records that a list reported an executor of the view as draining or gone.
-    fn record_withdrawal(&mut self, now: f64, serial: u32, name: &str) {
+    /// Records that an answer reported an executor of the view as draining or gone.
+    fn record_withdrawal(&mut self, now: f64, serial: u32, name: &str, state: EndpointState) {
         if let Some(current) = self.endpoints.get(name) {
-            let started_at = current.listed.endpoint.started_at;
-            self.withdrawals.record(now, serial, name, started_at);
+            let report = WithdrawalReport {
+                origin: ReportOrigin::Answer,
+                state,
+                serial,
+                started_at: current.listed.endpoint.started_at,
+                received_at: now,
+            };
+            self.withdrawals.record(name, report);
         }
     }
 
@@ -347,7 +386,8 @@
                     reported.endpoint.started_at >= current.listed.endpoint.started_at
                 });
             if reported.endpoint.state != EndpointState::Ready && is_same_or_later_start {
-                self.record_withdrawal(now, list.serial, &reported.name);
+                let state = reported.endpoint.state;
+                self.record_withdrawal(now, list.serial, &reported.name, state);
             }
         }
     }
--- a/crates/platform-discovery/src/withdrawals.rs
+++ b/crates/platform-discovery/src/withdrawals.rs
@@ -2,6 +2,7 @@
 //! confirmed.
 
 use crate::serial::compare_serials;
+use orchidtally_dispatch_policy::interface::EndpointState;
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
@@ -18,13 +19,61 @@
 /// The maximum number of withdrawals; beyond it, the oldest one is removed.
 const MAX_WITHDRAWALS: usize = 4_096;
 
+/// Which list reported an executor's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReportOrigin {
+    /// The list that the front end started with.
+    InitialList,
+    /// An answer of the resolver.
+    Answer,
+}
+
+/// A list's report that an executor is draining or gone.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WithdrawalReport {
+    /// Which list reported it.
+    pub origin: ReportOrigin,
+    /// Draining or gone.
+    pub state: EndpointState,
+    /// The serial of the list.
+    pub serial: u32,
+    /// The reported start time of the executor, in seconds on its own wall clock.
+    pub started_at: f64,
+    /// When the list was applied, in seconds on the caller's clock.
+    pub received_at: f64,
+}
+
+/// A list's report that an executor is ready.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReadyReport {
+    /// The serial of the list.
+    pub serial: u32,
+    /// Whether that serial is older than the serial of the view.
+    pub is_older_list: bool,
+    /// The reported start time of the executor, in seconds on its own wall clock.
+    pub started_at: f64,
+    /// When the list was applied, in seconds on the caller's clock.
+    pub received_at: f64,
+}
+
+/// The end of an executor's withdrawal.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EndedWithdrawal {
+    /// The executor's name.
+    pub name: String,
+    /// The report that withdrew the executor.
+    pub withdrawn_by: WithdrawalReport,
+    /// The report that ended the withdrawal.
+    pub ended_by: ReadyReport,
+    /// The number of consecutive answers that reported the executor as ready.
+    pub confirmations: u32,
+}
+
 /// The withdrawal of an executor.
 #[derive(Clone, Copy, Debug)]
 struct Withdrawal {
-    /// The reported start time of the executor when it was withdrawn.
-    started_at: f64,
-    /// The serial of the list that withdrew the executor.
-    serial: u32,
+    /// The report that withdrew the executor.
+    report: WithdrawalReport,
     /// When a list last reported the executor as draining or gone.
     recorded_at: f64,
     /// The number of consecutive answers since then that reported the executor as ready.
@@ -48,17 +97,15 @@
             .all(|withdrawal| withdrawal.ready_confirmations == 0)
     }
 
-    /// Records that the list with a serial reported an executor as draining or gone. `started_at` is the executor's
-    /// reported start time.
-    pub(crate) fn record(&mut self, now: f64, serial: u32, name: &str, started_at: f64) {
+    /// Records a report that an executor is draining or gone.
+    pub(crate) fn record(&mut self, name: &str, report: WithdrawalReport) {
         let first = Withdrawal {
-            started_at,
-            serial,
-            recorded_at: now,
+            report,
+            recorded_at: report.received_at,
             ready_confirmations: 0,
         };
         let withdrawal = self.0.entry(name.to_owned()).or_insert(first);
-        withdrawal.recorded_at = now;
+        withdrawal.recorded_at = report.received_at;
         withdrawal.ready_confirmations = 0;
         if self.0.len() > MAX_WITHDRAWALS {
             self.remove_oldest();
@@ -76,30 +123,34 @@
         }
     }
 
-    /// Handles a list that reports an executor as ready. Its withdrawal ends after enough consecutive reports, or at once
-    /// if the executor has a later start time. `is_older_list` is whether the serial of the list is older than that of
-    /// the view.
+    /// Handles a report that an executor is ready. Its withdrawal ends after enough consecutive reports, or at once if
+    /// the executor has a later start time.
     pub(crate) fn confirm_ready(
         &mut self,
         name: &str,
-        started_at: f64,
-        serial: u32,
-        is_older_list: bool,
-    ) {
-        let Some(withdrawal) = self.0.get_mut(name) else {
-            return;
-        };
+        report: ReadyReport,
+    ) -> Option<EndedWithdrawal> {
+        let withdrawal = self.0.get_mut(name)?;
         withdrawal.ready_confirmations += 1;
-        let is_older =
-            is_older_list || compare_serials(serial, withdrawal.serial) == Ordering::Less;
+        let withdrawn_by = withdrawal.report;
+        let is_older = report.is_older_list
+            || compare_serials(report.serial, withdrawn_by.serial) == Ordering::Less;
         let required = if is_older {
             READY_CONFIRMATIONS_OLDER
         } else {
             READY_CONFIRMATIONS
         };
-        if started_at > withdrawal.started_at || withdrawal.ready_confirmations >= required {
-            self.0.remove(name);
+        let confirmations = withdrawal.ready_confirmations;
+        if report.started_at <= withdrawn_by.started_at && confirmations < required {
+            return None;
         }
+        self.0.remove(name);
+        Some(EndedWithdrawal {
+            name: name.to_owned(),
+            withdrawn_by,
+            ended_by: report,
+            confirmations,
+        })
     }
 
     /// Removes the withdrawals of unlisted executors that were recorded more than `RETENTION` ago.
--- a/crates/platform-discovery/tests/lists.rs
+++ b/crates/platform-discovery/tests/lists.rs
@@ -287,8 +287,11 @@
         ],
     );
     let list = serde_json::json!({"index": 3, "updates": [complete, changes]});
-    let InitialEndpoints { serial, endpoints } =
-        initial_endpoints(&list, &mut locations).expect("a valid list");
+    let InitialEndpoints {
+        serial,
+        endpoints,
+        withdrawn,
+    } = initial_endpoints(&list, &mut locations).expect("a valid list");
     let actual: Vec<_> = endpoints
         .iter()
         .map(|discovered| {
@@ -305,6 +308,12 @@
         ("s-3", EndpointState::Ready, 2.5),
     ];
     assert_eq!(actual, expected);
+    let deleted = WithdrawnExecutor {
+        name: "s-1".into(),
+        state: EndpointState::Gone,
+        started_at: f64::NEG_INFINITY,
+    };
+    assert_eq!(withdrawn, [deleted]);
     let invalid = update(true, vec![host("s-1", "ODD", 0)]);
     let error = initial_endpoints(
         &serde_json::json!({"index": 3, "updates": [invalid]}),
--- a/crates/platform-discovery/tests/view.rs
+++ b/crates/platform-discovery/tests/view.rs
@@ -1,81 +1,12 @@
 //! Which lists the view believes: lists with wrong serials, overtaken answers, records that can't be read.
 
-use orchidtally_dispatch_policy::interface::{Endpoint, EndpointState};
+mod support;
+
+use orchidtally_dispatch_policy::interface::EndpointState;
 use orchidtally_platform_discovery::*;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
-
-/// Seconds between two queries.
-const POLL_INTERVAL: f64 = 0.2;
-
-fn discovered(n: u32, state: EndpointState, started_at: f64) -> DiscoveredEndpoint {
-    let name = format!("s-{n}");
-    let executor = executor_id(&name);
-    let endpoint = Endpoint {
-        executor,
-        zone: 0,
-        kind: 0,
-        cell: 1,
-        state,
-        weight: 4.0,
-        started_at,
-    };
-    DiscoveredEndpoint {
-        name,
-        address: ([10, 1, 0, n as u8], 4100).into(),
-        endpoint,
-    }
-}
-
-/// A list of the executors from 0 to `count`, exclusive; those in `draining` are draining, the others ready.
-fn list(serial: u32, count: u32, draining: &[u32]) -> EndpointList {
-    let state = |n| {
-        if draining.contains(&n) {
-            EndpointState::Draining
-        } else {
-            EndpointState::Ready
-        }
-    };
-    EndpointList {
-        serial,
-        endpoints: (0..count)
-            .map(|n| discovered(n, state(n), f64::NEG_INFINITY))
-            .collect(),
-    }
-}
-
-/// A view that receives an answer every 0.2 s.
-struct PolledView {
-    view: EndpointView,
-    now: f64,
-}
-
-impl PolledView {
-    fn new(initial: &EndpointList) -> PolledView {
-        PolledView {
-            view: EndpointView::new(0.0, initial.serial, &initial.endpoints),
-            now: 0.0,
-        }
-    }
-
-    /// Applies the answer to a query that was sent `POLL_INTERVAL` after the previous one.
-    fn apply(&mut self, list: &EndpointList) -> ListOutcome {
-        self.now += POLL_INTERVAL;
-        self.view.apply_list(self.now, self.now, list)
-    }
-
-    /// The numbers of the executors that are ready.
-    fn ready(&self) -> Vec<u32> {
-        let ready = self
-            .view
-            .endpoints()
-            .into_iter()
-            .filter(|discovered| discovered.endpoint.state == EndpointState::Ready);
-        ready
-            .map(|discovered| discovered.name[2..].parse().expect("a number"))
-            .collect()
-    }
-}
+use support::*;
 
 /// Guards against a drain that is missed: an answer had the old records under the serial of the drain. The correct list
 /// after it had the serial of the view and was ignored.
@@ -116,83 +47,10 @@
     assert_eq!((polled.view.serial(), polled.ready()), (0, vec![0, 1, 2]));
 }
 
-/// A list that lags has an older serial than the view. It changes nothing as long as current lists arrive in between.
-#[test]
-fn a_list_that_lags_reverts_nothing() {
-    let mut polled = PolledView::new(&list(3, 3, &[1]));
-    for _ in 0..20 {
-        assert_eq!(
-            polled.apply(&list(2, 3, &[])),
-            ListOutcome::Older { changed: false }
-        );
-        assert_eq!(
-            polled.apply(&list(2, 2, &[])),
-            ListOutcome::Older { changed: false }
-        );
-        assert_eq!(polled.apply(&list(3, 3, &[1])), ListOutcome::Confirmed);
-        assert_eq!(polled.ready(), [0, 2]);
-    }
-    // If only the older list arrives, the view adopts it. A withdrawn executor remains withdrawn for longer than a
-    // resolver lags.
-    for _ in 0..8 {
-        polled.apply(&list(2, 3, &[]));
-    }
-    assert_eq!((polled.view.serial(), polled.ready()), (2, vec![0, 2]));
-}
-
-#[test]
-fn a_withdrawn_executor_is_ready_again_after_three_lists_or_with_a_later_start() {
-    let mut polled = PolledView::new(&list(1, 2, &[]));
-    polled.apply(&list(2, 2, &[0]));
-    for expected in [&[1][..], &[1], &[0, 1]] {
-        polled.apply(&list(3, 2, &[]));
-        assert_eq!(polled.ready(), expected);
-    }
-    polled.apply(&list(4, 1, &[]));
-    let mut restarted = list(5, 2, &[]);
-    restarted.endpoints[1].endpoint.started_at = 9.0;
-    polled.apply(&restarted);
-    assert_eq!(polled.ready(), [0, 1]);
-}
-
-/// Guards against a drain that one damaged answer ends. The executor restarts while it is withdrawn and is listed as
-/// draining with its new start time, so that an answer with this start time is no sign of a further restart.
-#[test]
-fn one_damaged_answer_ends_no_drain_after_a_restart_that_was_listed_as_draining() {
-    let mut polled = PolledView::new(&list(1, 2, &[]));
-    polled.apply(&list(2, 2, &[1]));
-    let mut draining = list(3, 2, &[1]);
-    draining.endpoints[1].endpoint.started_at = 9.0;
-    polled.apply(&draining);
-    let mut damaged = list(3, 2, &[]);
-    damaged.endpoints[1].endpoint.started_at = 9.0;
-    polled.apply(&damaged);
-    assert_eq!(polled.ready(), [0]);
-}
-
-#[test]
-fn one_damaged_state_is_corrected_by_the_answers_after_it() {
-    let mut polled = PolledView::new(&list(1, 2, &[]));
-    polled.apply(&list(1, 2, &[0]));
-    assert_eq!(polled.ready(), [1]);
-    for _ in 0..3 {
-        polled.apply(&list(1, 2, &[]));
-    }
-    assert_eq!(polled.ready(), [0, 1]);
-    polled.apply(&list(2, 2, &[0]));
-    polled.apply(&list(2, 2, &[]));
-    polled.apply(&list(2, 2, &[0]));
-    assert_eq!(
-        polled.ready(),
-        [1],
-        "one damaged answer makes no executor ready"
-    );
-}
-
 /// An answer is as old as its query, no matter when it arrives.
 #[test]
 fn the_view_is_as_fresh_as_its_query() {
-    let mut view = EndpointView::new(0.0, 1, &list(1, 3, &[]).endpoints);
+    let mut view = view_started_at(0.0, list(1, 3, &[]).endpoints);
     assert_eq!(view.fresh_at(), f64::NEG_INFINITY);
     view.apply_list(9.0, 5.0, &list(1, 3, &[]));
     assert_eq!(view.fresh_at(), 5.0);
@@ -217,7 +75,7 @@
 /// Guards against one record that can't be read making every later list unusable, so that drains are missed.
 #[test]
 fn an_executor_with_an_invalid_record_keeps_its_address_and_changes_its_state() {
-    let mut view = EndpointView::new(0.0, 1, &list(1, 3, &[]).endpoints);
+    let mut view = view_started_at(0.0, list(1, 3, &[]).endpoints);
     let mut complete = list(2, 4, &[0]);
     let _unreadable = complete.endpoints.remove(1);
     let state_only = vec![
@@ -308,10 +166,9 @@
 fn an_executor_that_has_just_started_counts_as_new_whatever_the_wall_clock_shows() {
     let hour = 3_600.0;
     for clock_offset in [-hour, -1.0, 0.0, 1.0, hour] {
-        let mut view = EndpointView::new(
+        let mut view = view_started_at(
             100.0,
-            1,
-            &[discovered(0, EndpointState::Ready, 100.0 + clock_offset)],
+            vec![discovered(0, EndpointState::Ready, 100.0 + clock_offset)],
         );
         let new = discovered(1, EndpointState::Ready, 200.0 + clock_offset);
         let old = discovered(0, EndpointState::Ready, 100.0 + clock_offset);
@@ -379,7 +236,7 @@
             .zip(reported)
             .map(|(n, started_at)| discovered(n, EndpointState::Ready, started_at))
             .collect();
-        let estimated: Vec<f64> = EndpointView::new(100.0, 1, &endpoints)
+        let estimated: Vec<f64> = view_started_at(100.0, endpoints)
             .endpoints()
             .iter()
             .map(|discovered| discovered.endpoint.started_at)
@@ -390,10 +247,9 @@
             "{clock_offset}"
         );
     }
-    let started_long_ago = EndpointView::new(
+    let started_long_ago = view_started_at(
         100.0,
-        1,
-        &[discovered(0, EndpointState::Ready, f64::NEG_INFINITY)],
+        vec![discovered(0, EndpointState::Ready, f64::NEG_INFINITY)],
     );
     assert_eq!(
         started_long_ago.endpoints()[0].endpoint.started_at,
--- a/crates/platform-frontend/src/event_loop/mod.rs
+++ b/crates/platform-frontend/src/event_loop/mod.rs
@@ -115,7 +115,7 @@
         let listener = ClientListener::bind(start.listen, poll.registry(), max_clients)?;
         let mut clock = ProcessClock::new();
         let now = clock.read();
-        let view = EndpointView::new(now, start.initial_serial, &start.initial_endpoints);
+        let view = EndpointView::new(now, &start.initial_list);
         let discovery =
             EndpointDiscovery::new(start.resolver, view, start.locations, poll.registry())?;
         let settings = start.settings;
@@ -127,7 +127,7 @@
         );
         host.set_clock(clock);
         host.set_view(crate::engine_host::ViewVersion {
-            serial: start.initial_serial,
+            serial: start.initial_list.serial,
             fresh_at: now,
         });
         let mut engine = Engine::new(
@@ -157,7 +157,8 @@
             counters: ConnectionCounters::default(),
         };
         info!(name = start.name, listen = %start.listen, resolver = %start.resolver,
-            executors = start.initial_endpoints.len(), sockets = start.max_descriptors,
+            executors = start.initial_list.endpoints.len(),
+            withdrawn = start.initial_list.withdrawn.len(), sockets = start.max_descriptors,
             memory = start.memory_bytes, "serving");
         let endpoints = event_loop.discovery.endpoints();
         event_loop.apply_endpoint_list(now, endpoints);
--- a/crates/platform-frontend/src/resolver.rs
+++ b/crates/platform-frontend/src/resolver.rs
@@ -10,7 +10,7 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use tracing::warn;
+use tracing::{info, warn};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Seconds from an answer to the next query. The platform expects a front end to know of an event 1.5 s after it
@@ -233,6 +233,8 @@
     /// The hash of the last answer if it confirmed the view. An identical answer is not parsed again.
     confirmed_digest: Option<u64>,
     log_limiter: LogRateLimiter,
+    /// Limits the lines on ended withdrawals, of which a list can bring one for each of its executors.
+    ended_withdrawals_limiter: LogRateLimiter,
     buffer: Box<[u8]>,
 }
 
@@ -242,6 +244,7 @@
             view,
             confirmed_digest: None,
             log_limiter: LogRateLimiter::default(),
+            ended_withdrawals_limiter: LogRateLimiter::default(),
             buffer: vec![0; MAX_ANSWER_LENGTH].into(),
         }
     }
@@ -317,6 +320,7 @@
             }
         };
         channel.close_query(id);
+        self.log_ended_withdrawals(now);
         self.confirmed_digest = outcome.confirms().then_some(digest);
         let is_contradictory =
             !outcome.confirms() || serial == held_serial && outcome.has_changes();
@@ -326,6 +330,21 @@
         }
         Some(outcome)
     }
+
+    /// Logs why executors that were reported as draining or gone are ready again.
+    fn log_ended_withdrawals(&mut self, now: f64) {
+        for ended in self.view.ended_withdrawals() {
+            let Some(suppressed) = self.ended_withdrawals_limiter.try_acquire(now) else {
+                continue;
+            };
+            let (withdrawn_by, ended_by) = (ended.withdrawn_by, ended.ended_by);
+            info!(executor = %ended.name, origin = ?withdrawn_by.origin, state = ?withdrawn_by.state,
+                withdrawn_serial = withdrawn_by.serial, withdrawn_started_at = withdrawn_by.started_at,
+                withdrawn_age = now - withdrawn_by.received_at, ready_serial = ended_by.serial,
+                ready_started_at = ended_by.started_at, confirmations = ended.confirmations, suppressed,
+                "withdrawn executor is ready again");
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/platform-frontend/src/start.rs
+++ b/crates/platform-frontend/src/start.rs
@@ -1,7 +1,7 @@
 //! The start file: the configuration that a front end reads at startup and again when the file is replaced.
 
 use orchidtally_platform_config::{FrontEndSettings, SettingsError};
-use orchidtally_platform_discovery::{DiscoveredEndpoint, InitialEndpointsError, LocationTable};
+use orchidtally_platform_discovery::{InitialEndpoints, InitialEndpointsError, LocationTable};
 use orchidtally_socket_io::is_local_error;
 use serde::Deserialize;
 use std::io;
@@ -53,10 +53,8 @@
     pub max_descriptors: usize,
     /// The resolver's address.
     pub resolver: SocketAddr,
-    /// The serial of the initial endpoint list.
-    pub initial_serial: u32,
-    /// The endpoints of the initial endpoint list.
-    pub initial_endpoints: Vec<DiscoveredEndpoint>,
+    /// The initial endpoint list.
+    pub initial_list: InitialEndpoints,
     /// The zones and executor kinds that the settings and the initial endpoint list name.
     pub locations: LocationTable,
     /// The settings of the engine, the dispatch policy and the connections.
@@ -196,11 +194,13 @@
             }
         })?;
     let mut locations = LocationTable::new(settings.zones.clone(), settings.executor_kinds.clone());
-    let initial = orchidtally_platform_discovery::initial_endpoints(&raw.known, &mut locations)
-        .map_err(|source| StartError::InitialEndpoints {
-            file: file(),
-            source,
-        })?;
+    let initial_list =
+        orchidtally_platform_discovery::initial_endpoints(&raw.known, &mut locations).map_err(
+            |source| StartError::InitialEndpoints {
+                file: file(),
+                source,
+            },
+        )?;
     let seed = u64::from_str_radix(&raw.seed, 16).map_err(|source| StartError::Seed {
         file: file(),
         source,
@@ -224,8 +224,7 @@
         memory_bytes: at_least(raw.limits.memory_mb, MIN_MEMORY_MB, "memory_mb")? << 20,
         max_descriptors: at_least(raw.limits.sockets, MIN_DESCRIPTORS, "sockets")?,
         resolver: raw.dns,
-        initial_serial: initial.serial,
-        initial_endpoints: initial.endpoints,
+        initial_list,
         locations,
         settings,
     })
--- a/crates/platform-frontend/src/tests/resolver.rs
+++ b/crates/platform-frontend/src/tests/resolver.rs
@@ -1,6 +1,7 @@
 //! Answers that arrive late, out of order, or from a previous resolver.
 
 use super::*;
+use orchidtally_platform_discovery::InitialEndpoints;
 
 /// Encodes an answer with an empty endpoint list to a query.
 fn answer(query: &[u8], serial: u32) -> Vec<u8> {
@@ -14,13 +15,21 @@
     bytes
 }
 
+/// An initial list with serial 1 and no executors.
+fn initial_list() -> InitialEndpoints {
+    InitialEndpoints {
+        serial: 1,
+        ..InitialEndpoints::default()
+    }
+}
+
 /// Creates a resolver's socket and a client that queries it.
 fn resolver_and_client() -> (std::net::UdpSocket, mio::Poll, ResolverClient) {
     let resolver_socket =
         std::net::UdpSocket::bind("127.0.0.1:0").expect("a loopback port is available");
     let address = resolver_socket.local_addr().expect("the socket is bound");
     let poll = mio::Poll::new().expect("the poll can be created");
-    let view = EndpointView::new(0.0, 1, &[]);
+    let view = EndpointView::new(0.0, &initial_list());
     let client = ResolverClient::new(address, view, poll.registry(), mio::Token(0))
         .expect("the socket can be set up");
     (resolver_socket, poll, client)
@@ -115,7 +124,7 @@
     let poll = mio::Poll::new().expect("the poll can be created");
     let mut client = ResolverClient::new(
         first_address,
-        EndpointView::new(0.0, 1, &[]),
+        EndpointView::new(0.0, &initial_list()),
         poll.registry(),
         mio::Token(0),
     )
@@ -211,7 +220,7 @@
     let address = resolver_socket.local_addr().expect("the socket is bound");
     let mut client = ResolverClient::new(
         address,
-        EndpointView::new(0.0, 1, &[]),
+        EndpointView::new(0.0, &initial_list()),
         poll.registry(),
         mio::Token(0),
     )
--- a/crates/platform-frontend/tests/stored_formats.rs
+++ b/crates/platform-frontend/tests/stored_formats.rs
@@ -36,11 +36,12 @@
         (0x9b1f_03aa, 64 << 20, 200)
     );
     assert_eq!(
-        (start.resolver.to_string(), start.initial_serial),
+        (start.resolver.to_string(), start.initial_list.serial),
         ("127.0.0.1:5353".into(), 17)
     );
     let names: Vec<&str> = start
-        .initial_endpoints
+        .initial_list
+        .endpoints
         .iter()
         .map(|endpoint| endpoint.name.as_str())
         .collect();
--- a/crates/test-servers/src/platform/mod.rs
+++ b/crates/test-servers/src/platform/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod executor;
 mod executor_faults;
+mod list_history;
 mod resolver;
 
 pub use client::{Client, ClientRequest};
--- a/crates/test-servers/src/platform/resolver.rs
+++ b/crates/test-servers/src/platform/resolver.rs
@@ -2,6 +2,7 @@
 
 use super::Incarnations;
 use super::executor::Executor;
+use super::list_history::{ListHistory, PastEndpoint};
 use crate::{TestEnvironment, TimedFault, unused_address};
 use async_io::Async;
 use orchidtally_invariants::{EndpointState, TrafficRecord};
@@ -37,6 +38,8 @@
     ServerFailure,
     /// The answer has the previous list with its serial.
     PreviousList,
+    /// The answer has the list from this many changes ago with its serial.
+    OutdatedList(usize),
     /// The answer has the entries of the previous list under the current serial.
     PreviousRows,
     /// The answer has the current list under a serial that is higher by this number.
@@ -58,8 +61,7 @@
     environment: TestEnvironment,
     incarnations: Rc<Incarnations>,
     rows: RefCell<Vec<ListedEndpoint>>,
-    previous: RefCell<(u32, Vec<ListedEndpoint>)>,
-    serial: Cell<u32>,
+    history: RefCell<ListHistory>,
     /// The fault in answers, and its probability for each query.
     pub answer_fault: Cell<Option<(AnswerFault, f64)>>,
     /// No query is answered while this is active.
@@ -83,12 +85,12 @@
             state: EndpointState::Ready,
         };
         let rows: Vec<ListedEndpoint> = executors.iter().map(ready).collect();
+        let history = ListHistory::new(past_endpoints(environment, &rows));
         Rc::new(Resolver {
             environment: environment.clone(),
             incarnations: incarnations.clone(),
-            previous: RefCell::new((1, rows.clone())),
             rows: RefCell::new(rows),
-            serial: Cell::new(1),
+            history: RefCell::new(history),
             answer_fault: Cell::default(),
             outage: TimedFault::default(),
             notified: RefCell::default(),
@@ -98,9 +100,13 @@
 
     /// Changes the list and increments its serial.
     pub fn change(&self, change: impl FnOnce(&mut Vec<ListedEndpoint>)) {
-        *self.previous.borrow_mut() = (self.serial.get(), self.rows.borrow().clone());
         change(&mut self.rows.borrow_mut());
-        self.serial.set(self.serial.get() + 1);
+        self.history.borrow_mut().push(self.current_endpoints());
+    }
+
+    /// The entries of the current list, with the start times that their executors have now.
+    fn current_endpoints(&self) -> Vec<PastEndpoint> {
+        past_endpoints(&self.environment, &self.rows.borrow())
     }
 
     /// Records the list as known to all front ends after `after` seconds, unless no query is answered at that time.
@@ -137,6 +143,11 @@
 
     /// Records each state in the current list that is new to the front end's current incarnation.
     fn record_notified(&self, front_end: u32) {
+        self.record_notified_of(front_end, []);
+    }
+
+    /// Like [`Resolver::record_notified`], also for executors that are `also_notified` as gone.
+    fn record_notified_of(&self, front_end: u32, also_notified: impl IntoIterator<Item = usize>) {
         let (at, incarnation) = (self.environment.now(), self.incarnations.of(front_end));
         let rows = self.rows.borrow();
         let mut notified = self.notified.borrow_mut();
@@ -147,6 +158,7 @@
             .map(|k| k.1)
             .collect();
         numbers.extend(rows.iter().map(|r| r.executor.number));
+        numbers.extend(also_notified);
         numbers.sort_unstable();
         numbers.dedup();
         for executor in numbers {
@@ -166,26 +178,13 @@
         }
     }
 
-    fn started(&self, executor: &Executor) -> u64 {
-        (self.environment.unix_time(executor.started_at.get()) * 1e3) as u64
-    }
-
-    /// The endpoint list for a front end's initial configuration. Records it as known to the front end.
+    /// The endpoint list for a front end's initial configuration: the first list, then its changes, as a platform that
+    /// tells all events. Records the states in the latest list as known to the front end.
     pub fn initial_list(&self, front_end: u32) -> Value {
-        self.record_notified(front_end);
-        let host = |row: &ListedEndpoint| {
-            let e = &row.executor;
-            let health = if row.state == EndpointState::Ready {
-                "SERVING"
-            } else {
-                "DRAINING"
-            };
-            json!({"host": e.name, "dial": e.address_for(front_end), "site": "east", "class": "std",
-                "block": e.cell, "health": health, "share": 4, "born_ms": self.started(e)})
-        };
-        let hosts: Vec<Value> = self.rows.borrow().iter().map(host).collect();
-        let endpoints = json!({"seq": 1, "whole": true, "hosts": hosts});
-        json!({"index": self.serial.get(), "updates": [{"index": 1, "endpoints": endpoints}]})
+        let mut history = self.history.borrow_mut();
+        history.replace_latest(self.current_endpoints());
+        self.record_notified_of(front_end, history.executors());
+        json!({"index": history.serial(), "updates": history.updates(front_end)})
     }
 
     fn list(
@@ -194,19 +193,18 @@
         front_end: u32,
         fault: Option<AnswerFault>,
     ) -> Result<Vec<u8>, simple_dns::SimpleDnsError> {
-        let before = self.previous.borrow();
-        let (serial, rows) = match fault {
-            Some(AnswerFault::PreviousList) => (before.0, before.1.clone()),
-            Some(AnswerFault::PreviousRows) => (self.serial.get(), before.1.clone()),
-            Some(AnswerFault::SerialJump(by)) => (
-                self.serial.get().wrapping_add(by),
-                self.rows.borrow().clone(),
-            ),
-            _ => (self.serial.get(), self.rows.borrow().clone()),
+        let history = self.history.borrow();
+        let current = self.current_endpoints();
+        let (serial, endpoints): (u32, &[PastEndpoint]) = match fault {
+            Some(AnswerFault::PreviousList) => history.list_before(1),
+            Some(AnswerFault::OutdatedList(changes)) => history.list_before(changes),
+            Some(AnswerFault::PreviousRows) => (history.serial(), history.list_before(1).1),
+            Some(AnswerFault::SerialJump(by)) => (history.serial().wrapping_add(by), &current),
+            _ => (history.serial(), &current),
         };
-        let targets: Vec<String> = rows
+        let targets: Vec<String> = endpoints
             .iter()
-            .map(|r| format!("{}.east.hosts", r.executor.name))
+            .map(|endpoint| format!("{}.east.hosts", endpoint.listed.executor.name))
             .collect();
         let mut packet = Packet::new_reply(if fault == Some(AnswerFault::WrongId) {
             !id
@@ -221,61 +219,14 @@
             }
             _ => {}
         }
-        for (n, (row, target)) in rows.iter().zip(&targets).enumerate() {
+        for (n, (endpoint, target)) in endpoints.iter().zip(&targets).enumerate() {
             let row_fault = fault.filter(|_| n == 0);
-            self.push_endpoint(&mut packet, row, target, front_end, row_fault)?;
+            push_endpoint(&mut packet, endpoint, target, front_end, row_fault)?;
         }
         push_authority(&mut packet, serial)?;
         packet.build_bytes_vec_compressed()
     }
 
-    /// Adds the SRV, A and TXT records of one executor.
-    fn push_endpoint<'a>(
-        &self,
-        packet: &mut Packet<'a>,
-        row: &ListedEndpoint,
-        target: &'a str,
-        front_end: u32,
-        fault: Option<AnswerFault>,
-    ) -> Result<(), simple_dns::SimpleDnsError> {
-        let executor = &row.executor;
-        let target = Name::new(target)?;
-        let address = executor.address_for(front_end);
-        let is_inverted = fault == Some(AnswerFault::WrongState);
-        let priority = u16::from((row.state != EndpointState::Ready) != is_inverted);
-        let srv = RData::SRV(SRV {
-            priority,
-            weight: 40,
-            port: address.port(),
-            target: target.clone(),
-        });
-        packet
-            .answers
-            .push(ResourceRecord::new(Name::new(SERVICE)?, CLASS::IN, 0, srv));
-        if let IpAddr::V4(ip) = address.ip() {
-            let a = RData::A(A::from(ip));
-            packet
-                .additional_records
-                .push(ResourceRecord::new(target.clone(), CLASS::IN, 0, a));
-        }
-        let kind = if fault == Some(AnswerFault::UnreadableText) {
-            "kin"
-        } else {
-            "kind=std"
-        };
-        let cell = format!("cell={}", executor.cell);
-        let started = format!("started={}", self.started(executor));
-        let mut txt = TXT::new();
-        for text in [kind, &cell, &started] {
-            txt.add_string(text)?;
-        }
-        let txt = RData::TXT(txt.into_owned());
-        packet
-            .additional_records
-            .push(ResourceRecord::new(target, CLASS::IN, 0, txt));
-        Ok(())
-    }
-
     /// Opens an address at which the front end can query the list. Fails if it can't be bound.
     pub fn open(self: &Rc<Self>, front_end: u32) -> std::io::Result<SocketAddr> {
         let socket = Rc::new(Async::<UdpSocket>::bind(unused_address())?);
@@ -362,3 +313,61 @@
         .push(ResourceRecord::new(name()?, CLASS::IN, 0, RData::SOA(soa)));
     Ok(())
 }
+
+/// Adds the SRV, A and TXT records of one executor.
+fn push_endpoint<'a>(
+    packet: &mut Packet<'a>,
+    endpoint: &PastEndpoint,
+    target: &'a str,
+    front_end: u32,
+    fault: Option<AnswerFault>,
+) -> Result<(), simple_dns::SimpleDnsError> {
+    let executor = &endpoint.listed.executor;
+    let target = Name::new(target)?;
+    let address = executor.address_for(front_end);
+    let is_inverted = fault == Some(AnswerFault::WrongState);
+    let priority = u16::from((endpoint.listed.state != EndpointState::Ready) != is_inverted);
+    let srv = RData::SRV(SRV {
+        priority,
+        weight: 40,
+        port: address.port(),
+        target: target.clone(),
+    });
+    packet
+        .answers
+        .push(ResourceRecord::new(Name::new(SERVICE)?, CLASS::IN, 0, srv));
+    if let IpAddr::V4(ip) = address.ip() {
+        let a = RData::A(A::from(ip));
+        packet
+            .additional_records
+            .push(ResourceRecord::new(target.clone(), CLASS::IN, 0, a));
+    }
+    let kind = if fault == Some(AnswerFault::UnreadableText) {
+        "kin"
+    } else {
+        "kind=std"
+    };
+    let cell = format!("cell={}", executor.cell);
+    let started = format!("started={}", endpoint.started_ms);
+    let mut txt = TXT::new();
+    for text in [kind, &cell, &started] {
+        txt.add_string(text)?;
+    }
+    let txt = RData::TXT(txt.into_owned());
+    packet
+        .additional_records
+        .push(ResourceRecord::new(target, CLASS::IN, 0, txt));
+    Ok(())
+}
+
+/// The entries of a list, with the start times that their executors have now.
+fn past_endpoints(environment: &TestEnvironment, rows: &[ListedEndpoint]) -> Vec<PastEndpoint> {
+    let started_ms =
+        |executor: &Executor| (environment.unix_time(executor.started_at.get()) * 1e3) as u64;
+    rows.iter()
+        .map(|listed| PastEndpoint {
+            started_ms: started_ms(&listed.executor),
+            listed: listed.clone(),
+        })
+        .collect()
+}
