--- a/crates/platform-discovery/src/lib.rs
+++ b/crates/platform-discovery/src/lib.rs
@@ -4,6 +4,7 @@
 //! opens no sockets.
 
 mod answer;
+mod current_endpoint;
 mod initial_list;
 mod serial;
 mod view;
