Withdraw executors that drain on a list but that the view lacks

Cause: a withdrawal was recorded only for an executor that the view had before the answer. Without a trace stayed: an executor first listed as draining (one damaged answer then made it ready), a drain on an overtaken answer or one with an older serial (three outdated answers made it ready), a drain of a new executor of which only the state could be read.

Change: `record_withdrawals` and `apply_drains` record each report that is not ready, whether or not the view has the executor. A report without a readable start time is ended by confirmations alone.

--- a/crates/platform-discovery/src/view.rs
+++ b/crates/platform-discovery/src/view.rs
@@ -11,7 +11,7 @@
     DiscoveredEndpoint, EndedWithdrawal, EndpointList, InitialEndpoints, PartialEndpointList,
     ReadyReport, ReportOrigin, WithdrawalReport,
 };
-use orchidtally_dispatch_policy::interface::EndpointState;
+use orchidtally_dispatch_policy::interface::{Endpoint, EndpointState};
 use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
@@ -60,13 +60,29 @@
         .fold(f64::NEG_INFINITY, f64::max)
 }
 
+/// The report of an answer that an executor is draining or gone.
+fn answer_report(
+    now: f64,
+    serial: u32,
+    state: EndpointState,
+    started_at: Option<f64>,
+) -> WithdrawalReport {
+    WithdrawalReport {
+        origin: ReportOrigin::Answer,
+        state,
+        serial,
+        started_at,
+        received_at: now,
+    }
+}
+
 /// The executors that the initial list reports as draining or gone.
 fn initial_withdrawals(now: f64, initial: &InitialEndpoints) -> Withdrawals {
     let report = |state: EndpointState, started_at: f64| WithdrawalReport {
         origin: ReportOrigin::InitialList,
         state,
         serial: initial.serial,
-        started_at,
+        started_at: Some(started_at),
         received_at: now,
     };
     let mut withdrawals = Withdrawals::default();
@@ -199,7 +215,8 @@
     }
 
     /// Applies a list that answers the query sent at `queried_at`, and that has only the state of some executors. Their
-    /// other attributes remain as they are in the view; executors that the view does not contain are ignored.
+    /// other attributes remain as they are in the view. Of executors that the view does not contain only a drain is
+    /// recorded, because an executor whose address is unknown can't be used.
     pub fn apply_partial_list(
         &mut self,
         now: f64,
@@ -208,13 +225,14 @@
     ) -> ListOutcome {
         let mut endpoints = partial.endpoints.clone();
         for reported in &partial.state_only {
-            // An executor whose address is unknown can't be used.
-            let Some(current) = self.endpoints.get(&reported.name) else {
-                continue;
-            };
-            let mut discovered = current.listed.clone();
-            discovered.endpoint.state = reported.state;
-            endpoints.push(discovered);
+            if let Some(current) = self.endpoints.get(&reported.name) {
+                let mut discovered = current.listed.clone();
+                discovered.endpoint.state = reported.state;
+                endpoints.push(discovered);
+            } else if reported.state != EndpointState::Ready {
+                let report = answer_report(now, partial.serial, reported.state, None);
+                self.withdrawals.record(&reported.name, report);
+            }
         }
         let list = EndpointList {
             serial: partial.serial,
@@ -231,19 +249,7 @@
     /// Replaces the view by a list whose serial compares to that of the view as `order`.
     fn replace(&mut self, now: f64, list: &EndpointList, order: Ordering) {
         let replacement = self.merge(now, &list.endpoints);
-        let is_ready = |name: &String| replacement.get(name).is_some_and(CurrentEndpoint::is_ready);
-        let withdrawn: Vec<String> = self
-            .endpoints
-            .keys()
-            .filter(|name| !is_ready(name))
-            .cloned()
-            .collect();
-        for name in &withdrawn {
-            let state = replacement
-                .get(name)
-                .map_or(EndpointState::Gone, |current| current.listed.endpoint.state);
-            self.record_withdrawal(now, list.serial, name, state);
-        }
+        self.record_withdrawals(now, list.serial, &replacement);
         for current in replacement.values().filter(|current| current.is_ready()) {
             let report = ReadyReport {
                 serial: list.serial,
@@ -290,31 +296,53 @@
         merged
     }
 
-    /// Records that an answer reported an executor of the view as draining or gone.
-    fn record_withdrawal(&mut self, now: f64, serial: u32, name: &str, state: EndpointState) {
-        if let Some(current) = self.endpoints.get(name) {
-            let report = WithdrawalReport {
-                origin: ReportOrigin::Answer,
-                state,
-                serial,
-                started_at: current.listed.endpoint.started_at,
-                received_at: now,
-            };
+    /// Records the executors that are draining on a list which replaces the view, and those that the list lacks.
+    fn record_withdrawals(
+        &mut self,
+        now: f64,
+        serial: u32,
+        replacement: &BTreeMap<String, CurrentEndpoint>,
+    ) {
+        let not_ready = replacement
+            .iter()
+            .filter(|(_, current)| !current.is_ready());
+        for (name, current) in not_ready {
+            let reported = &current.listed.endpoint;
+            let started_at = reported.started_at.max(self.listed_start(name));
+            let report = answer_report(now, serial, reported.state, Some(started_at));
             self.withdrawals.record(name, report);
         }
+        let missing = self
+            .endpoints
+            .iter()
+            .filter(|(name, _)| !replacement.contains_key(*name));
+        for (name, current) in missing {
+            let started_at = Some(current.listed.endpoint.started_at);
+            let report = answer_report(now, serial, EndpointState::Gone, started_at);
+            self.withdrawals.record(name, report);
+        }
+    }
+
+    /// The reported start time of an executor of the view; negative infinity if the view lacks the executor.
+    fn listed_start(&self, name: &str) -> f64 {
+        self.endpoints
+            .get(name)
+            .map_or(f64::NEG_INFINITY, |current| {
+                current.listed.endpoint.started_at
+            })
     }
 
-    /// Withdraws the executors that are draining on a list that does not replace the view. Records with an earlier start
-    /// time than in the view are ignored.
+    /// Withdraws the executors that are draining on a list that does not replace the view, also those that the view
+    /// lacks. Records with an earlier start time than in the view are ignored.
     fn apply_drains(&mut self, now: f64, list: &EndpointList) {
         for reported in &list.endpoints {
-            let is_same_or_later_start =
-                self.endpoints.get(&reported.name).is_some_and(|current| {
-                    reported.endpoint.started_at >= current.listed.endpoint.started_at
-                });
-            if reported.endpoint.state != EndpointState::Ready && is_same_or_later_start {
-                let state = reported.endpoint.state;
-                self.record_withdrawal(now, list.serial, &reported.name, state);
+            let Endpoint {
+                state, started_at, ..
+            } = reported.endpoint;
+            let has_later_start = self.listed_start(&reported.name) > started_at;
+            if state != EndpointState::Ready && !has_later_start {
+                let report = answer_report(now, list.serial, state, Some(started_at));
+                self.withdrawals.record(&reported.name, report);
             }
         }
     }
--- a/crates/platform-discovery/src/withdrawals.rs
+++ b/crates/platform-discovery/src/withdrawals.rs
@@ -37,8 +37,8 @@
     pub state: EndpointState,
     /// The serial of the list.
     pub serial: u32,
-    /// The reported start time of the executor, in seconds on its own wall clock.
-    pub started_at: f64,
+    /// The reported start time of the executor, in seconds on its own wall clock; `None` if it can't be read.
+    pub started_at: Option<f64>,
     /// When the list was applied, in seconds on the caller's clock.
     pub received_at: f64,
 }
@@ -141,7 +141,10 @@
             READY_CONFIRMATIONS
         };
         let confirmations = withdrawal.ready_confirmations;
-        if report.started_at <= withdrawn_by.started_at && confirmations < required {
+        let has_restarted = withdrawn_by
+            .started_at
+            .is_some_and(|started_at| report.started_at > started_at);
+        if !has_restarted && confirmations < required {
             return None;
         }
         self.0.remove(name);
--- a/crates/platform-discovery/tests/withdrawals.rs
+++ b/crates/platform-discovery/tests/withdrawals.rs
@@ -2,6 +2,7 @@
 
 mod support;
 
+use orchidtally_dispatch_policy::interface::EndpointState;
 use orchidtally_platform_discovery::*;
 use support::*;
 
@@ -193,3 +194,71 @@
         "one damaged answer makes no executor ready"
     );
 }
+
+/// Guards against a drain that one damaged answer ends: the first list that had the executor reported it as draining.
+#[test]
+fn an_executor_that_is_first_listed_as_draining_is_withdrawn() {
+    let mut polled = PolledView::new(&list(1, 2, &[]));
+    polled.apply(&list(2, 3, &[2]));
+    polled.apply(&list(2, 3, &[]));
+    assert_eq!(polled.ready(), [0, 1]);
+}
+
+/// Guards against a drain that is forgotten because the view lacks the executor: an answer that was overtaken, or that
+/// has an older serial, reported it, and three outdated answers after it made the executor ready.
+#[test]
+fn a_drain_on_a_list_that_does_not_replace_the_view_counts_for_an_executor_that_the_view_lacks() {
+    let mut older = PolledView::new(&list(5, 2, &[]));
+    older.apply(&list(4, 3, &[2]));
+    let mut overtaken = PolledView::new(&list(5, 2, &[]));
+    overtaken.apply(&list(5, 2, &[]));
+    overtaken.view.apply_list(0.3, 0.1, &list(5, 3, &[2]));
+    for mut polled in [older, overtaken] {
+        for answer in 1..16 {
+            polled.apply(&list(3, 3, &[]));
+            assert_eq!(polled.ready(), [0, 1], "older answer {answer}");
+        }
+    }
+}
+
+/// Guards against a drain that is forgotten because only the state of a new executor could be read.
+#[test]
+fn a_drain_counts_for_an_executor_that_the_view_lacks_if_only_its_state_can_be_read() {
+    let mut polled = PolledView::new(&list(1, 2, &[]));
+    let partial = PartialEndpointList {
+        serial: 2,
+        endpoints: list(2, 2, &[]).endpoints,
+        state_only: vec![EndpointStateOnly {
+            name: "s-2".into(),
+            state: EndpointState::Draining,
+        }],
+        locations: LocationTable::default(),
+    };
+    polled.now += POLL_INTERVAL;
+    polled
+        .view
+        .apply_partial_list(polled.now, polled.now, &partial);
+    // Its start time could not be read, so no start time is a sign of a restart.
+    let mut ready = list(2, 3, &[]);
+    ready.endpoints[2].endpoint.started_at = 9.0;
+    for expected in [&[0, 1][..], &[0, 1], &[0, 1, 2]] {
+        polled.apply(&ready);
+        assert_eq!(polled.ready(), expected);
+    }
+}
+
+/// Guards against a drain that ends at once because its record had the start time from before a restart.
+#[test]
+fn a_drain_with_an_earlier_start_time_than_in_the_view_ends_after_three_answers() {
+    let with_start = |mut list: EndpointList, started_at| {
+        list.endpoints[1].endpoint.started_at = started_at;
+        list
+    };
+    let ready = with_start(list(3, 2, &[]), 9.0);
+    let mut polled = PolledView::new(&with_start(list(1, 2, &[]), 9.0));
+    polled.apply(&with_start(list(2, 2, &[1]), 5.0));
+    for expected in [&[0][..], &[0], &[0, 1]] {
+        polled.apply(&ready);
+        assert_eq!(polled.ready(), expected);
+    }
+}
--- a/crates/platform-frontend/src/resolver.rs
+++ b/crates/platform-frontend/src/resolver.rs
@@ -339,7 +339,7 @@
             };
             let (withdrawn_by, ended_by) = (ended.withdrawn_by, ended.ended_by);
             info!(executor = %ended.name, origin = ?withdrawn_by.origin, state = ?withdrawn_by.state,
-                withdrawn_serial = withdrawn_by.serial, withdrawn_started_at = withdrawn_by.started_at,
+                withdrawn_serial = withdrawn_by.serial, withdrawn_started_at = ?withdrawn_by.started_at,
                 withdrawn_age = now - withdrawn_by.received_at, ready_serial = ended_by.serial,
                 ready_started_at = ended_by.started_at, confirmations = ended.confirmations, suppressed,
                 "withdrawn executor is ready again");
