A withdrawal goes by the last report of the drain, no longer by the first

Cause: `Withdrawals::record` kept the start time and the serial of the first report (`or_insert`). A start that had itself been reported as draining then looked like a restart after the drain, and ended it with one answer; a list newer than the first report and older than the last needed three answers in place of sixteen.

Change: `WithdrawalReport::followed_by`: the later report stands, with the newer serial and the later start time of the two.

Why it works: what makes ready is compared with all that was reported, so nothing from before the last report ends it sooner.

`a_list_from_before_the_last_report_of_a_drain_makes_no_executor_ready` failed before at older answer 5 and passes. The price: after a serial that jumped ahead by a damaged answer, a drain that is cancelled is believed after sixteen answers, not three.

--- a/crates/platform-discovery/src/withdrawals.rs
+++ b/crates/platform-discovery/src/withdrawals.rs
@@ -43,6 +43,27 @@
     pub received_at: f64,
 }
 
+impl WithdrawalReport {
+    /// Returns the report that stands after a `later` one: the later one, with the newer serial and the later start time
+    /// of the two. Without a readable start time in the later one it is unknown which start was reported.
+    ///
+    /// Failure mode: a report from before a restart, or one with an older serial, would let one answer end the later
+    /// report's withdrawal.
+    /// Risk: after a serial that jumped ahead, an executor whose drain was cancelled is used seconds later.
+    fn followed_by(self, later: WithdrawalReport) -> WithdrawalReport {
+        let is_older = compare_serials(later.serial, self.serial) == Ordering::Less;
+        let started_at = match (self.started_at, later.started_at) {
+            (Some(earlier_start), Some(later_start)) => Some(earlier_start.max(later_start)),
+            (_, later_start) => later_start,
+        };
+        WithdrawalReport {
+            serial: if is_older { self.serial } else { later.serial },
+            started_at,
+            ..later
+        }
+    }
+}
+
 /// A list's report that an executor is ready.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReadyReport {
@@ -72,10 +93,8 @@
 /// The withdrawal of an executor.
 #[derive(Clone, Copy, Debug)]
 struct Withdrawal {
-    /// The report that withdrew the executor.
+    /// What was last reported, by [`WithdrawalReport::followed_by`].
     report: WithdrawalReport,
-    /// When a list last reported the executor as draining or gone.
-    recorded_at: f64,
     /// The number of consecutive answers since then that reported the executor as ready.
     ready_confirmations: u32,
 }
@@ -99,14 +118,15 @@
 
     /// Records a report that an executor is draining or gone.
     pub(crate) fn record(&mut self, name: &str, report: WithdrawalReport) {
-        let first = Withdrawal {
-            report,
-            recorded_at: report.received_at,
+        let standing = match self.0.get(name) {
+            Some(withdrawal) => withdrawal.report.followed_by(report),
+            None => report,
+        };
+        let withdrawal = Withdrawal {
+            report: standing,
             ready_confirmations: 0,
         };
-        let withdrawal = self.0.entry(name.to_owned()).or_insert(first);
-        withdrawal.recorded_at = report.received_at;
-        withdrawal.ready_confirmations = 0;
+        self.0.insert(name.to_owned(), withdrawal);
         if self.0.len() > MAX_WITHDRAWALS {
             self.remove_oldest();
         }
@@ -116,7 +136,7 @@
         let oldest = self
             .0
             .iter()
-            .min_by(|(_, a), (_, b)| a.recorded_at.total_cmp(&b.recorded_at))
+            .min_by(|(_, a), (_, b)| a.report.received_at.total_cmp(&b.report.received_at))
             .map(|(name, _)| name.clone());
         if let Some(name) = oldest {
             self.0.remove(&name);
@@ -156,9 +176,10 @@
         })
     }
 
-    /// Removes the withdrawals of unlisted executors that were recorded more than `RETENTION` ago.
+    /// Removes the withdrawals of unlisted executors that were last reported more than `RETENTION` ago.
     pub(crate) fn remove_expired(&mut self, now: f64, is_listed: impl Fn(&str) -> bool) {
-        self.0
-            .retain(|name, withdrawal| is_listed(name) || now < withdrawal.recorded_at + RETENTION);
+        self.0.retain(|name, withdrawal| {
+            is_listed(name) || now < withdrawal.report.received_at + RETENTION
+        });
     }
 }
--- a/crates/platform-discovery/tests/withdrawals.rs
+++ b/crates/platform-discovery/tests/withdrawals.rs
@@ -262,3 +262,23 @@
         assert_eq!(polled.ready(), expected);
     }
 }
+
+/// Guards against a withdrawal that keeps the serial of its first report: the drain was cancelled and reported anew
+/// between two answers, and a list from in between made the executor ready.
+#[test]
+fn a_list_from_before_the_last_report_of_a_drain_makes_no_executor_ready() {
+    let mut polled = PolledView::new(&list(1, 2, &[]));
+    polled.apply(&list(2, 2, &[1]));
+    polled.apply(&list(4, 2, &[1]));
+    for answer in 1..16 {
+        polled.apply(&list(3, 2, &[]));
+        assert_eq!(polled.ready(), [0], "older answer {answer}");
+    }
+    // An older report of the drain does not make the last one older.
+    polled.apply(&list(4, 2, &[1]));
+    polled.apply(&list(2, 2, &[1]));
+    for answer in 1..16 {
+        polled.apply(&list(3, 2, &[]));
+        assert_eq!(polled.ready(), [0], "older answer {answer} after a report");
+    }
+}
