Answers that arrive together count as one confirmation of a withdrawn executor

Sixteen answers were counted, meant as twice the 1.5 s by which a resolver lags, whatever the time between them; twenty waiting queries, answered at once, were enough. The same for the three answers of a newer list with one spoilt state.

Change: of answers less than 0.12 s apart (queries go out 0.15 or 0.2 s apart) one counts.

Measured: `answers_that_arrive_together_count_as_one_confirmation` failed before (ready [0, 1] after twenty answers at one time, expected [0]) and passes. All else in the crate as before.

--- a/crates/platform-discovery/src/withdrawals.rs
+++ b/crates/platform-discovery/src/withdrawals.rs
@@ -14,6 +14,11 @@
 /// The same number for answers whose serial is older than that of the list that withdrew the executor. A resolver lags by
 /// at most 1.5 s; at five answers per second this many answers take about twice as long.
 const READY_CONFIRMATIONS_OLDER: u32 = 16;
+/// The time in seconds between two answers of which both count as confirmations, less than between two queries.
+///
+/// Failure mode: a resolver that stood still answers all queries that have waited in its socket at once.
+/// Risk: if answers arrive bunched, an executor is used some tenths of a second later.
+const MIN_CONFIRMATION_INTERVAL: f64 = 0.12;
 /// How long in seconds the withdrawal of an executor is kept after the executor disappeared from the lists.
 const RETENTION: f64 = 120.0;
 /// The maximum number of withdrawals; beyond it, the oldest one is removed.
@@ -95,8 +100,44 @@
 struct Withdrawal {
     /// What was last reported, by [`WithdrawalReport::followed_by`].
     report: WithdrawalReport,
-    /// The number of consecutive answers since then that reported the executor as ready.
+    /// The number of consecutive answers since then that reported the executor as ready and count.
     ready_confirmations: u32,
+    /// When the last of them was applied, in seconds on the caller's clock.
+    confirmed_at: f64,
+}
+
+impl Withdrawal {
+    fn new(report: WithdrawalReport) -> Withdrawal {
+        Withdrawal {
+            report,
+            ready_confirmations: 0,
+            confirmed_at: f64::NEG_INFINITY,
+        }
+    }
+
+    /// Counts an answer that reported the executor as ready, unless it came together with the one before.
+    fn confirm(&mut self, received_at: f64) {
+        if received_at >= self.confirmed_at + MIN_CONFIRMATION_INTERVAL {
+            self.ready_confirmations += 1;
+            self.confirmed_at = received_at;
+        }
+    }
+
+    /// Whether the executor may be used again, after this report has been counted.
+    fn is_ended_by(&self, report: &ReadyReport) -> bool {
+        let has_restarted = self
+            .report
+            .started_at
+            .is_some_and(|started_at| report.started_at > started_at);
+        let is_older = report.is_older_list
+            || compare_serials(report.serial, self.report.serial) == Ordering::Less;
+        let required = if is_older {
+            READY_CONFIRMATIONS_OLDER
+        } else {
+            READY_CONFIRMATIONS
+        };
+        has_restarted || self.ready_confirmations >= required
+    }
 }
 
 /// The withdrawn executors, by name.
@@ -122,11 +163,7 @@
             Some(withdrawal) => withdrawal.report.followed_by(report),
             None => report,
         };
-        let withdrawal = Withdrawal {
-            report: standing,
-            ready_confirmations: 0,
-        };
-        self.0.insert(name.to_owned(), withdrawal);
+        self.0.insert(name.to_owned(), Withdrawal::new(standing));
         if self.0.len() > MAX_WITHDRAWALS {
             self.remove_oldest();
         }
@@ -151,22 +188,12 @@
         report: ReadyReport,
     ) -> Option<EndedWithdrawal> {
         let withdrawal = self.0.get_mut(name)?;
-        withdrawal.ready_confirmations += 1;
-        let withdrawn_by = withdrawal.report;
-        let is_older = report.is_older_list
-            || compare_serials(report.serial, withdrawn_by.serial) == Ordering::Less;
-        let required = if is_older {
-            READY_CONFIRMATIONS_OLDER
-        } else {
-            READY_CONFIRMATIONS
-        };
-        let confirmations = withdrawal.ready_confirmations;
-        let has_restarted = withdrawn_by
-            .started_at
-            .is_some_and(|started_at| report.started_at > started_at);
-        if !has_restarted && confirmations < required {
+        withdrawal.confirm(report.received_at);
+        if !withdrawal.is_ended_by(&report) {
             return None;
         }
+        let withdrawn_by = withdrawal.report;
+        let confirmations = withdrawal.ready_confirmations;
         self.0.remove(name);
         Some(EndedWithdrawal {
             name: name.to_owned(),
--- a/crates/platform-discovery/tests/withdrawals.rs
+++ b/crates/platform-discovery/tests/withdrawals.rs
@@ -282,3 +282,31 @@
         assert_eq!(polled.ready(), [0], "older answer {answer} after a report");
     }
 }
+
+/// Guards against a resolver that stands still and then answers all waiting queries at once from an older list: each
+/// answer counted as a confirmation, whatever the time between them.
+#[test]
+fn answers_that_arrive_together_count_as_one_confirmation() {
+    let mut polled = PolledView::new(&list(3, 2, &[1]));
+    let mut queries = 0.0;
+    let mut apply_at = |polled: &mut PolledView, now: f64, serial: u32| {
+        queries += 0.15;
+        polled.view.apply_list(now, queries, &list(serial, 2, &[]));
+    };
+    // Two standstills, each followed by twenty answers.
+    for now in [6.0, 9.0] {
+        for _ in 0..20 {
+            apply_at(&mut polled, now, 1);
+        }
+        assert_eq!(polled.ready(), [0], "at {now}");
+    }
+    // The same from a newer list, in which the state may be damaged.
+    for _ in 0..3 {
+        apply_at(&mut polled, 12.0, 4);
+    }
+    polled.view.apply_list(12.0, 9.0, &list(4, 2, &[1]));
+    for _ in 0..3 {
+        apply_at(&mut polled, 12.2, 4);
+        assert_eq!(polled.ready(), [0]);
+    }
+}
