Keep the withdrawals of a large release; past the limit the oldest reports go

Cause: 4,096 withdrawals. Six in ten of 3,200 executors replaced three times within two minutes are 5,760, and the adoption of an older list withdraws the 3,200 of the view as well. Past the limit the lowest name of those with the same time went, so that of a long initial list the latest deletions could be the first to go; and each further report searched all of them.

Change: 16,384, and once that is exceeded by 1,024 those with the oldest reports go together. The bound holds memory to some 2 MB (reckoned).

Measured: `replacing_a_large_fleet_again_and_again_drives_out_no_withdrawal` (3,200 of 3,200 ready before, 0 now) and `the_latest_deletions_of_a_long_initial_list_are_kept` (ready [0, 1, 2] at the third older answer before) failed before and pass.

--- a/crates/platform-discovery/src/withdrawals.rs
+++ b/crates/platform-discovery/src/withdrawals.rs
@@ -21,8 +21,10 @@
 const MIN_CONFIRMATION_INTERVAL: f64 = 0.12;
 /// How long in seconds the withdrawal of an executor is kept after the executor disappeared from the lists.
 const RETENTION: f64 = 120.0;
-/// The maximum number of withdrawals; beyond it, the oldest one is removed.
-const MAX_WITHDRAWALS: usize = 4_096;
+/// The number of withdrawals that are always kept: a fleet of 3,200 executors, replaced five times within `RETENTION`.
+const MAX_WITHDRAWALS: usize = 16_384;
+/// The number by which that may be exceeded before those with the oldest reports are removed together.
+const MAX_EXCESS: usize = 1_024;
 
 /// Which list reported an executor's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -104,12 +106,15 @@
     ready_confirmations: u32,
     /// When the last of them was applied, in seconds on the caller's clock.
     confirmed_at: f64,
+    /// The position of the last report among all reports.
+    sequence: u64,
 }
 
 impl Withdrawal {
-    fn new(report: WithdrawalReport) -> Withdrawal {
+    fn new(report: WithdrawalReport, sequence: u64) -> Withdrawal {
         Withdrawal {
             report,
+            sequence,
             ready_confirmations: 0,
             confirmed_at: f64::NEG_INFINITY,
         }
@@ -142,42 +147,50 @@
 
 /// The withdrawn executors, by name.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Withdrawals(BTreeMap<String, Withdrawal>);
+pub(crate) struct Withdrawals {
+    by_name: BTreeMap<String, Withdrawal>,
+    /// The number of reports so far.
+    reports: u64,
+}
 
 impl Withdrawals {
     /// Whether an executor is withdrawn.
     pub(crate) fn contains(&self, name: &str) -> bool {
-        self.0.contains_key(name)
+        self.by_name.contains_key(name)
     }
 
     /// Whether a repetition of the last answer would change nothing.
     pub(crate) fn is_settled(&self) -> bool {
-        self.0
+        self.by_name
             .values()
             .all(|withdrawal| withdrawal.ready_confirmations == 0)
     }
 
     /// Records a report that an executor is draining or gone.
     pub(crate) fn record(&mut self, name: &str, report: WithdrawalReport) {
-        let standing = match self.0.get(name) {
+        let standing = match self.by_name.get(name) {
             Some(withdrawal) => withdrawal.report.followed_by(report),
             None => report,
         };
-        self.0.insert(name.to_owned(), Withdrawal::new(standing));
-        if self.0.len() > MAX_WITHDRAWALS {
-            self.remove_oldest();
+        self.reports += 1;
+        let withdrawal = Withdrawal::new(standing, self.reports);
+        self.by_name.insert(name.to_owned(), withdrawal);
+        if self.by_name.len() > MAX_WITHDRAWALS + MAX_EXCESS {
+            self.remove_oldest_reports();
         }
     }
 
-    fn remove_oldest(&mut self) {
-        let oldest = self
-            .0
-            .iter()
-            .min_by(|(_, a), (_, b)| a.report.received_at.total_cmp(&b.report.received_at))
-            .map(|(name, _)| name.clone());
-        if let Some(name) = oldest {
-            self.0.remove(&name);
-        }
+    /// Removes all but `MAX_WITHDRAWALS`.
+    fn remove_oldest_reports(&mut self) {
+        let mut sequences: Vec<u64> = self
+            .by_name
+            .values()
+            .map(|withdrawal| withdrawal.sequence)
+            .collect();
+        let excess = sequences.len().saturating_sub(MAX_WITHDRAWALS);
+        let (_, &mut first_kept, _) = sequences.select_nth_unstable(excess);
+        self.by_name
+            .retain(|_, withdrawal| withdrawal.sequence >= first_kept);
     }
 
     /// Handles a report that an executor is ready. Its withdrawal ends after enough consecutive reports, or at once if
@@ -187,14 +200,14 @@
         name: &str,
         report: ReadyReport,
     ) -> Option<EndedWithdrawal> {
-        let withdrawal = self.0.get_mut(name)?;
+        let withdrawal = self.by_name.get_mut(name)?;
         withdrawal.confirm(report.received_at);
         if !withdrawal.is_ended_by(&report) {
             return None;
         }
         let withdrawn_by = withdrawal.report;
         let confirmations = withdrawal.ready_confirmations;
-        self.0.remove(name);
+        self.by_name.remove(name);
         Some(EndedWithdrawal {
             name: name.to_owned(),
             withdrawn_by,
@@ -205,7 +218,7 @@
 
     /// Removes the withdrawals of unlisted executors that were last reported more than `RETENTION` ago.
     pub(crate) fn remove_expired(&mut self, now: f64, is_listed: impl Fn(&str) -> bool) {
-        self.0.retain(|name, withdrawal| {
+        self.by_name.retain(|name, withdrawal| {
             is_listed(name) || now < withdrawal.report.received_at + RETENTION
         });
     }
--- a/crates/platform-discovery/tests/withdrawals.rs
+++ b/crates/platform-discovery/tests/withdrawals.rs
@@ -8,7 +8,7 @@
 
 /// A host of an initial list.
 fn host(n: u32, health: &str, started_ms: u64) -> serde_json::Value {
-    serde_json::json!({"host": format!("s-{n}"), "dial": format!("10.1.0.{n}:4100"), "site": "east", "class": "std",
+    serde_json::json!({"host": format!("s-{n}"), "dial": format!("10.1.0.{}:4100", n % 256), "site": "east", "class": "std",
         "block": 1, "health": health, "share": 4, "born_ms": started_ms})
 }
 
@@ -310,3 +310,39 @@
         assert_eq!(polled.ready(), [0]);
     }
 }
+
+/// A list without the executors from 0 to `first`, exclusive.
+fn list_from(serial: u32, first: u32, count: u32) -> EndpointList {
+    let mut list = list(serial, count, &[]);
+    list.endpoints.drain(..first as usize);
+    list
+}
+
+/// Guards against withdrawals that a large release drives out: six in ten of 3,200 executors are replaced, three times
+/// within a minute, and then the resolver lags.
+#[test]
+fn replacing_a_large_fleet_again_and_again_drives_out_no_withdrawal() {
+    let (fleet, replaced) = (3_200, 1_920);
+    let mut polled = PolledView::new(&list_from(1, 0, fleet));
+    for release in 1..4 {
+        polled.now += 20.0;
+        let first = release * replaced;
+        polled.apply(&list_from(1 + release, first, first + fleet));
+    }
+    for _ in 1..16 {
+        polled.apply(&list_from(1, 0, fleet));
+        let replaced = polled.ready().into_iter().filter(|&n| n < fleet);
+        assert_eq!(replaced.count(), 0);
+    }
+}
+
+/// Guards against recent deletions that many earlier ones of the same initial list drive out.
+#[test]
+fn the_latest_deletions_of_a_long_initial_list_are_kept() {
+    let deletions: Vec<serde_json::Value> = (0..40_000)
+        .rev()
+        .map(|n| update(false, &[host(n, "DELETED", 0)]))
+        .collect();
+    let mut polled = started_with(40_000, &deletions);
+    assert_withdrawn_while_the_resolver_lags(&mut polled, &[]);
+}
