A list after a store rollback makes no drained executor ready

Cause: the list that shows the rollback considered such an entry as draining (DrainHistory), but its revisions were then those of the store, so that the next list (after a watch that broke, or after 300 s at the latest) put the same unchanged entry in as ready.

Change: the cached entry remembers the value that it overrides; the same value under the same revisions changes nothing. A new registration, another value, or an operator's drain and its withdrawal end it.

--- a/crates/membership/src/cache/entry.rs
+++ b/crates/membership/src/cache/entry.rs
@@ -1,5 +1,6 @@
 //! A cached entry of an executor.
 
+use crate::EntryChange;
 use orchidtally_dispatch_policy::interface::{Endpoint, EndpointState};
 
 /// Suffix of the key by which an operator drains the executor whose key precedes it.
@@ -15,6 +16,8 @@
     pub(super) created: i64,
     /// Revision at which the entry was last modified.
     pub(super) modified: i64,
+    /// The endpoint that a restored store had, if it is considered as draining all the same.
+    pub(super) overridden: Option<Endpoint>,
     /// Since when the store no longer has the entry, if it is retained all the same.
     pub(super) retained_since: Option<f64>,
 }
@@ -24,6 +27,13 @@
         self.retained_since.is_some()
     }
 
+    /// Whether an entry of the store is the one that is considered as draining although it says ready.
+    pub(super) fn is_overridden(&self, entry: &EntryChange, endpoint: &Endpoint) -> bool {
+        self.created == entry.created
+            && self.modified == entry.modified
+            && self.overridden.as_ref() == Some(endpoint)
+    }
+
     pub(super) fn is_ready(&self) -> bool {
         self.endpoint.state == EndpointState::Ready
     }
--- a/crates/membership/src/cache/updates.rs
+++ b/crates/membership/src/cache/updates.rs
@@ -61,19 +61,32 @@
         };
         let was_drained = self.drain_history.contains(entry.key, &endpoint);
         if is_rollback && endpoint.state == EndpointState::Ready && was_drained {
-            let draining = with_state(&endpoint, EndpointState::Draining);
-            self.insert(entry, draining, changed);
+            self.insert_as_draining(entry, endpoint, changed);
             return;
         }
-        let is_outdated = self
-            .entries
-            .get(entry.key)
-            .is_some_and(|known| known.created == entry.created && known.modified > entry.modified);
-        if is_rollback || !is_outdated {
+        let is_superseded = self.entries.get(entry.key).is_some_and(|known| {
+            known.is_overridden(entry, &endpoint)
+                || known.created == entry.created && known.modified > entry.modified
+        });
+        if is_rollback || !is_superseded {
             self.insert(entry, endpoint, changed);
         }
     }
 
+    /// Inserts an entry of a restored store as draining, until the store has another entry.
+    fn insert_as_draining(
+        &mut self,
+        entry: &EntryChange,
+        endpoint: Endpoint,
+        changed: &mut Vec<Endpoint>,
+    ) {
+        let draining = with_state(&endpoint, EndpointState::Draining);
+        self.insert(entry, draining, changed);
+        if let Some(cached) = self.entries.get_mut(entry.key) {
+            cached.overridden = Some(endpoint);
+        }
+    }
+
     fn keys_missing_from(&self, list: &[EntryChange]) -> Vec<Vec<u8>> {
         let listed: BTreeSet<&[u8]> = list.iter().map(|entry| entry.key).collect();
         self.entries
@@ -143,7 +156,7 @@
         } else {
             self.operator_drains.remove(executor_key);
         }
-        let Some(entry) = self.entries.get(executor_key) else {
+        let Some(entry) = self.entries.get_mut(executor_key) else {
             return;
         };
         // An entry that the store no longer has isn't inserted again.
@@ -156,7 +169,9 @@
             created: entry.created,
             modified: entry.modified,
         };
-        let registered = entry.registered.clone();
+        // The withdrawal of an operator's drain also ends a drain from before a rollback.
+        let restored = entry.overridden.take_if(|_| !is_drained);
+        let registered = restored.unwrap_or_else(|| entry.registered.clone());
         self.insert(&unchanged, registered, changed);
     }
 
@@ -187,7 +202,11 @@
         };
         let endpoint = with_state(&registered, state);
         self.drain_history.record(change.key, &endpoint);
-        let previous = self.entries.get(change.key).map(|entry| &entry.endpoint);
+        let known = self.entries.get(change.key);
+        let overridden = known
+            .filter(|known| known.created == change.created && known.modified == change.modified)
+            .and_then(|known| known.overridden.clone());
+        let previous = known.map(|known| &known.endpoint);
         // Another executor has registered under the key, so the previous one is reported as gone first.
         if let Some(previous) = previous.filter(|known| known.executor != endpoint.executor) {
             changed.push(with_state(previous, EndpointState::Gone));
@@ -200,6 +219,7 @@
             registered,
             created: change.created,
             modified: change.modified,
+            overridden,
             retained_since: None,
         };
         self.entries.insert(change.key.to_vec(), entry);
--- a/crates/membership/tests/kit/mod.rs
+++ b/crates/membership/tests/kit/mod.rs
@@ -1,6 +1,9 @@
 //! A simulation of a store, a watch with faults (disconnected, duplicated, late, compacted, rolled back) and a cache
 //! that follows it, with steps in random order.
 
+// Each test binary uses a part of this module.
+#![allow(dead_code)]
+
 use bytes::Bytes;
 use orchidtally_dispatch_policy::interface::{
     Endpoint, EndpointState, EndpointUpdateKind, ExecutorId,
