An operator's drain reaches executors that are retained after a mass expiry

`docs/operate/etcd.md` says that front ends send nothing new.

Change: the drain counts, and the entry stays retained. In a list, drains are applied to retained entries before the missing ones are removed; a drained executor that the store lacks is then gone, as before.

Measured: `an_operator_drains_an_executor_that_is_retained_after_a_mass_expiry`, by an event and by a list, failed before (Ready) and passes, with the withdrawal of the drain.

--- a/crates/membership/src/cache/updates.rs
+++ b/crates/membership/src/cache/updates.rs
@@ -38,6 +38,7 @@
                 self.apply_listed_entry(entry, is_rollback, parse, &mut changed);
             }
         }
+        self.apply_operator_drains_to_retained(&mut changed);
         let missing = self.keys_missing_from(list);
         self.remove(now, missing, is_rollback, &mut changed);
         if !std::mem::replace(&mut self.has_list, true) {
@@ -159,10 +160,6 @@
         let Some(entry) = self.entries.get_mut(executor_key) else {
             return;
         };
-        // An entry that the store no longer has isn't inserted again.
-        if entry.is_retained() {
-            return;
-        }
         let unchanged = EntryChange {
             key: executor_key,
             value: None,
@@ -172,7 +169,30 @@
         // The withdrawal of an operator's drain also ends a drain from before a rollback.
         let restored = entry.overridden.take_if(|_| !is_drained);
         let registered = restored.unwrap_or_else(|| entry.registered.clone());
+        let retained_since = entry.retained_since;
         self.insert(&unchanged, registered, changed);
+        // The store still lacks an entry that it lacked before.
+        if let Some(entry) = self.entries.get_mut(executor_key) {
+            entry.retained_since = retained_since;
+        }
+    }
+
+    /// Applies the operator's drains of a list to executors that are retained, which the list lacks.
+    fn apply_operator_drains_to_retained(&mut self, changed: &mut Vec<Endpoint>) {
+        let is_drained_while_retained = |key: &&Vec<u8>| {
+            self.entries
+                .get(*key)
+                .is_some_and(|entry| entry.is_retained() && entry.is_ready())
+        };
+        let drained: Vec<Vec<u8>> = self
+            .operator_drains
+            .iter()
+            .filter(is_drained_while_retained)
+            .cloned()
+            .collect();
+        for key in drained {
+            self.apply_operator_drain(&key, true, changed);
+        }
     }
 
     /// Parses an entry; if it can't be parsed, its error is remembered.
--- a/crates/membership/tests/withdrawals.rs
+++ b/crates/membership/tests/withdrawals.rs
@@ -145,3 +145,37 @@
     store.list(8, &all_ready());
     assert_eq!(store.state(0), EndpointState::Ready);
 }
+
+/// Guards against an operator who can't drain an executor that is retained after a mass expiry: the drain was ignored,
+/// and the executor got work for as long as it answered.
+#[test]
+fn an_operator_drains_an_executor_that_is_retained_after_a_mass_expiry() {
+    let drain = format!("{}/drain", key(0));
+    let drained: Entry = (drain.clone(), "", 21, 21);
+    let by_event = |store: &mut FollowedStore| store.put(&drain, "", 21, 21);
+    let by_list = |store: &mut FollowedStore| store.list(21, std::slice::from_ref(&drained));
+    let forms: [&dyn Fn(&mut FollowedStore); 2] = [&by_event, &by_list];
+    for learn_of_drain in forms {
+        let mut store = FollowedStore::new();
+        store.list(20, &[]);
+        assert_eq!(store.cache.executor_counts().retained, EXECUTORS);
+        assert_eq!(store.state(0), EndpointState::Ready);
+        learn_of_drain(&mut store);
+        assert_ne!(store.state(0), EndpointState::Ready);
+        assert_eq!(store.state(1), EndpointState::Ready);
+        // Nor is it ready for a restored store that has lost the drain's key.
+        store.list(15, &[]);
+        assert_ne!(store.state(0), EndpointState::Ready);
+        assert_eq!(store.cache.executor_counts().retained, EXECUTORS - 1);
+    }
+    let mut store = FollowedStore::new();
+    store.list(20, &[]);
+    store.put(&drain, "", 21, 21);
+    store.delete(&drain, 22);
+    assert_eq!(
+        store.state(0),
+        EndpointState::Ready,
+        "the drain is withdrawn"
+    );
+    assert_eq!(store.cache.executor_counts().retained, EXECUTORS);
+}
