--- a/crates/cli/tests/platform_views.rs
+++ b/crates/cli/tests/platform_views.rs
@@ -51,6 +51,30 @@
     assert_rules_hold("deleted-at-start", outcome, 0.9);
 }
 
+/// Guards against a drain that a switch to another resolver forgets: the new one lags, and has the executor as ready.
+#[test]
+fn a_drain_that_the_previous_resolver_reported_counts_after_a_switch_to_one_that_lags() {
+    let outcome = run_scenario("drained-before-switch", 1, 5.5, |fleet| async move {
+        // A front end gets no SIGHUP in its first second.
+        fleet.environment.sleep(1.1).await;
+        fleet.set_endpoint_state(0, EndpointState::Draining);
+        fleet.environment.sleep(0.5).await;
+        fleet
+            .resolver
+            .answer_fault
+            .set(Some((AnswerFault::OutdatedList(1), 1.0)));
+        let new_address = fleet.resolver.open(0).unwrap();
+        fleet.resolver_addresses.borrow_mut()[0] = new_address;
+        fleet.resolver.answer_only_at(new_address);
+        fleet.write_settings(0);
+        fleet.signal(0, "HUP");
+        fleet.environment.sleep(2.4).await;
+        fleet.resolver.answer_fault.set(None);
+    });
+    assert!(outcome.0.rules[2].checked > 0, "{:?}", outcome.0);
+    assert_rules_hold("drained-before-switch", outcome, 0.9);
+}
+
 /// Once a resolver fault is over, answers that it left behind must not delay a drain any further.
 #[test]
 fn serial_jumps_and_invalid_rows_hide_no_drain() {
