Shut down every ingress of the HTTP front end at once, and finish them beside each other

And an invocation whose body came after SIGTERM was rejected with `mayHaveRun: false`, then answered as of unknown outcome when it was sent again.

Cause: `shut_down` waited for messages in flight with the time that was meant for everything, and stopped admission only then: messages had still to be dispatched, and the engine has one switch for all. The check of admission lay behind the journalled start.

Change: `shutdown.rs`. At the signal requests are no longer admitted (checked before the start is journalled), connections are told, and no more messages are taken over; requests and messages are finished beside each other up to the same deadline; then the engine stops.

Why it works: what is admitted has been admitted before the signal, so its client timeout ends a second before the deadline; a broker that is away keeps only its own part.

--- a/crates/http-frontend/src/ingress/invoke.rs
+++ b/crates/http-frontend/src/ingress/invoke.rs
@@ -7,7 +7,7 @@
 use super::request::{function_name, read_body};
 use super::response::{FinalResponse, rejection_problem};
 use crate::durable_invocation_store::PersistedInvocation;
-use crate::router::{IngressRequest, Revision, Router};
+use crate::router::{IngressRequest, RejectionReason, Revision, Router};
 use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, HeaderName, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
@@ -73,6 +73,9 @@
         payload_bytes,
     };
     // Admission is checked before the start is persisted, so that a rejected invocation leaves no record.
+    if router.is_draining() {
+        return Err(rejection_problem(router, RejectionReason::ShuttingDown));
+    }
     router
         .check_admission(&revision, &ingress_request.subject())
         .map_err(|why| rejection_problem(router, why))?;
--- a/crates/http-frontend/src/lib.rs
+++ b/crates/http-frontend/src/lib.rs
@@ -14,26 +14,22 @@
 pub mod reload;
 mod rollouts;
 mod router;
+mod shutdown;
 
-use async_executor::{LocalExecutor, Task};
-use async_io::{Async, Timer};
+use async_executor::LocalExecutor;
+use async_io::Async;
 use futures_lite::future;
 use ingress::{ConnectionGuard, reject_connection, serve};
 use orchidtally_deployment::Deployment;
 pub use orchidtally_engine::Counters;
 use orchidtally_socket_io::Stream;
 use router::Router;
+use shutdown::{MessageConsumer, shut_down};
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-use tracing::{error, info, warn};
+use tracing::{error, warn};
 
-/// How long a shutdown waits for open invocations beyond the longest client timeout. The front end exits after that in
-/// any case.
-const DRAIN_MARGIN: Duration = Duration::from_secs(1);
-/// How often a shutdown checks for open invocations and connections.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(5);
 /// Concurrent rejections that are allowed in addition to a quarter of the connection limit.
 const SPARE_REJECTIONS: usize = 16;
 
@@ -131,12 +127,6 @@
     async_io::block_on(spawner.run(work))
 }
 
-/// The task that consumes messages, and the channel whose closing stops it.
-struct MessageConsumer {
-    task: Option<Task<()>>,
-    stop: async_channel::Sender<()>,
-}
-
 /// Accepts client connections within the connection limit.
 struct ClientConnections {
     router: Rc<Router>,
@@ -219,42 +209,3 @@
     shut_down(&connections, consumer, drain).await;
     connections.router.counters()
 }
-
-/// Waits for open invocations, up to the longest client timeout and a margin, and deregisters the front end.
-async fn shut_down(
-    connections: &ClientConnections,
-    consumer: MessageConsumer,
-    drain: async_channel::Sender<()>,
-) {
-    let router = &connections.router;
-    drop(consumer.stop);
-    let deadline =
-        Instant::now() + Duration::from_secs_f64(router.longest_timeout()) + DRAIN_MARGIN;
-    if let Some(task) = consumer.task {
-        // Messages in flight may still have to be dispatched, so admission stops only after them.
-        let drained = orchidtally_socket_io::with_timeout(deadline - Instant::now(), task).await;
-        if drained.is_none() {
-            warn!("shutdown deadline reached with messages in flight; the journal keeps them");
-        }
-    }
-    router.start_draining();
-    info!(
-        open = router.open_invocations(),
-        connections = connections.open_connections.get(),
-        "termination signal received, draining"
-    );
-    drop(drain);
-    while connections.has_open_work() && Instant::now() < deadline {
-        Timer::after(DRAIN_POLL_INTERVAL).await;
-    }
-    if connections.has_open_work() {
-        warn!(
-            open = router.open_invocations(),
-            connections = connections.open_connections.get(),
-            "shutdown deadline reached with open connections"
-        );
-    }
-    if let Some(admission) = router.admission.get() {
-        admission.detach().await;
-    }
-}
--- a/crates/http-frontend/src/router/mod.rs
+++ b/crates/http-frontend/src/router/mod.rs
@@ -290,13 +290,17 @@
         }
     }
 
-    /// Stops admitting invocations.
-    pub fn start_draining(&self) {
+    /// Stops admitting clients' requests, as the front end is shutting down.
+    pub fn stop_admitting_requests(&self) {
         self.is_draining.set(true);
+    }
+
+    /// Stops admitting invocations, also those of messages.
+    pub fn stop_admitting(&self) {
         self.engine.borrow_mut().start_draining();
     }
 
-    /// Whether no further invocations are admitted.
+    /// Whether no further requests of clients are admitted.
     pub fn is_draining(&self) -> bool {
         self.is_draining.get()
     }
