Decide on a dispatch when its HTTP/2 stream and window are open, not when it is queued

Cause: `Pool::send` decided, made the message and gave both to the library, which queues a stream over the peer's limit, and bytes over its window, for any time. The pool counted against `streamsPerConnection` alone.

Change: the peer's limit counts as the connection's capacity. What is over it all the same hands over headers only; `wait_until_writable` waits within `connectTime`, and only then the dispatch is decided on and its message made. Too late is returned as never run.

Why it works: the message is what an executor runs, and nothing is awaited between the decision and handing it to an open stream.

--- a/crates/cli/src/rehearse/execution/setup.rs
+++ b/crates/cli/src/rehearse/execution/setup.rs
@@ -156,6 +156,7 @@
         downtime: 2.0,
         report_delay: 0.3,
         report_noise: 0.2,
+        max_streams: 1_000,
         report_fields: vec!["backlog".into(), "memory".into()],
     }
 }
--- a/crates/http-frontend/src/pool/exchange.rs
+++ b/crates/http-frontend/src/pool/exchange.rs
@@ -3,10 +3,14 @@
 use super::connection::transport_outcome;
 use super::{Incoming, Pool};
 use bytes::Bytes;
+use futures_lite::future;
+use h2::SendStream;
+use h2::client::SendRequest;
 use orchidtally_engine::transport_outcome::TransportOutcome;
 use orchidtally_executor_protocol::{CONTENT_TYPE, Deframer, MAX_MESSAGE_LENGTH};
 use prost::Message;
 use std::rc::Rc;
+use std::time::Instant;
 use tracing::warn;
 
 impl Pool {
@@ -40,10 +44,8 @@
         head: impl FnOnce() -> Option<Bytes>,
         payload: &[Bytes],
     ) -> Result<Incoming, TransportOutcome> {
-        let lease = self.acquire_stream().await?;
-        let Some(head) = head() else {
-            return Err(TransportOutcome::NeverSent);
-        };
+        let deadline = Instant::now() + self.limits.connect_timeout;
+        let lease = self.acquire_stream(deadline).await?;
         let written_before = lease.connection.written.get();
         let classify = |e: &h2::Error| transport_outcome(e, written_before, &lease.connection);
         let request = http::Request::post(format!("http://{}{path}", self.address))
@@ -54,6 +56,11 @@
         let (response, mut send_stream) = sender
             .send_request(request, false)
             .map_err(|e| classify(&e))?;
+        // The request has no meaning to the executor without its message, which leaves only now.
+        wait_until_writable(sender, &mut send_stream, deadline).await?;
+        let Some(head) = head() else {
+            return Err(TransportOutcome::NeverSent);
+        };
         // The chunks are queued without copying; the peer's flow control window determines when they are sent.
         let last = payload.len();
         send_stream
@@ -77,3 +84,31 @@
         })
     }
 }
+
+/// Waits until the peer's limit on concurrent streams admits a stream and its flow control window is open. The library
+/// queues the stream until then. When the stream is dropped, the peer gets no more than its headers and a reset.
+///
+/// Failure mode: a peer that serves fewer streams than this pool expects, or opens no window, lets the message wait in
+/// the library, and it leaves when what was decided about it no longer holds.
+/// Risk: none where the peer has room, as nothing is awaited then.
+async fn wait_until_writable(
+    sender: SendRequest<Bytes>,
+    stream: &mut SendStream<Bytes>,
+    deadline: Instant,
+) -> Result<(), TransportOutcome> {
+    let writable = async {
+        sender.ready().await.ok()?;
+        stream.reserve_capacity(1);
+        while stream.capacity() == 0 {
+            future::poll_fn(|cx| stream.poll_capacity(cx)).await?.ok()?;
+        }
+        Some(())
+    };
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    match orchidtally_socket_io::with_timeout(time_left, writable).await {
+        Some(Some(())) => Ok(()),
+        // The connection or the stream has ended before the message left.
+        Some(None) => Err(TransportOutcome::NothingWritten),
+        None => Err(TransportOutcome::Saturated),
+    }
+}
--- a/crates/http-frontend/src/pool/mod.rs
+++ b/crates/http-frontend/src/pool/mod.rs
@@ -115,8 +115,9 @@
     fn try_acquire_stream(self: &Rc<Self>) -> Option<StreamLease> {
         let state = self.state.borrow();
         let has_free_stream = |connection: &&Rc<Connection>| {
-            !connection.is_closed.get()
-                && connection.open_streams.get() < self.limits.max_streams_per_connection
+            let peer_limit = connection.sender.current_max_send_streams();
+            let capacity = self.limits.max_streams_per_connection.min(peer_limit);
+            !connection.is_closed.get() && connection.open_streams.get() < capacity
         };
         let connection = state.connections.iter().find(has_free_stream)?.clone();
         connection
@@ -128,8 +129,10 @@
         })
     }
 
-    async fn acquire_stream(self: &Rc<Self>) -> Result<StreamLease, TransportOutcome> {
-        let deadline = Instant::now() + self.limits.connect_timeout;
+    async fn acquire_stream(
+        self: &Rc<Self>,
+        deadline: Instant,
+    ) -> Result<StreamLease, TransportOutcome> {
         loop {
             while let Some(lease) = self.try_acquire_stream() {
                 // A connection that the peer is closing accepts no new stream.
--- a/crates/http-frontend/src/pool/opening.rs
+++ b/crates/http-frontend/src/pool/opening.rs
@@ -73,6 +73,8 @@
         let mut builder = h2::client::Builder::new();
         builder
             .max_header_list_size(self.limits.max_header_bytes)
+            // Until the peer has stated its own limit.
+            .initial_max_send_streams(self.limits.max_streams_per_connection)
             .enable_push(false);
         builder
             .initial_window_size(STREAM_WINDOW)
--- a/crates/http-frontend/tests/front_end_kit/mod.rs
+++ b/crates/http-frontend/tests/front_end_kit/mod.rs
@@ -32,6 +32,16 @@
     environment: &TestEnvironment,
     number: usize,
     catalogue: impl Fn(&str) -> Option<Program> + 'static,
+) -> Rc<Executor> {
+    let spec = ExecutorSpec::with_ample_capacity(number);
+    start_executor_with(environment, spec, catalogue)
+}
+
+/// Like [`start_executor`], with another configuration.
+pub fn start_executor_with(
+    environment: &TestEnvironment,
+    spec: ExecutorSpec,
+    catalogue: impl Fn(&str) -> Option<Program> + 'static,
 ) -> Rc<Executor> {
     let resources = SharedResources {
         store: PackageStore::new(environment, 8.0, 8),
@@ -39,7 +49,6 @@
         token_cache: Rc::default(),
         deduplication_window: 5.0,
     };
-    let spec = ExecutorSpec::with_ample_capacity(number);
     Executor::start(environment, spec, unused_address(), resources).unwrap()
 }
 
--- a/crates/http-frontend/tests/scripted_executor/mod.rs
+++ b/crates/http-frontend/tests/scripted_executor/mod.rs
@@ -31,6 +31,16 @@
     environment: &TestEnvironment,
     script: impl FnMut(&raw::Frame) -> ScriptAction + 'static,
 ) -> SocketAddr {
+    scripted_with_settings(environment, &[], script)
+}
+
+/// Like [`scripted`], with HTTP/2 settings of the executor.
+pub fn scripted_with_settings(
+    environment: &TestEnvironment,
+    settings: &[(u16, u32)],
+    script: impl FnMut(&raw::Frame) -> ScriptAction + 'static,
+) -> SocketAddr {
+    let settings = raw::settings_with(settings);
     let listener = Async::<TcpListener>::bind(unused_address()).unwrap();
     let at = listener.get_ref().local_addr().unwrap();
     let script = Rc::new(RefCell::new(script));
@@ -39,10 +49,12 @@
         .spawn(async move {
             while let Ok(socket) = raw::accept(&listener).await {
                 let script = script.clone();
+                let settings = settings.clone();
                 serve
                     .spawn(async move {
                         // The connection ends by the script or by the peer; both are expected.
-                        let _ = raw::connection(socket, move |f| (script.borrow_mut())(f)).await;
+                        let script = move |f: &raw::Frame| (script.borrow_mut())(f);
+                        let _ = raw::connection_with(&settings, socket, script).await;
                     })
                     .detach();
             }
--- a/crates/test-servers/src/executor/connection.rs
+++ b/crates/test-servers/src/executor/connection.rs
@@ -28,7 +28,7 @@
         }
         let mut builder = h2::server::Builder::new();
         builder
-            .max_concurrent_streams(1_000)
+            .max_concurrent_streams(self.spec.max_streams)
             .initial_window_size(1 << 20)
             .initial_connection_window_size(4 << 20);
         let Some(Ok(mut connection)) = orchidtally_socket_io::with_timeout(
--- a/crates/test-servers/src/executor/spec.rs
+++ b/crates/test-servers/src/executor/spec.rs
@@ -39,6 +39,8 @@
     pub report_delay: f64,
     /// The largest relative error of the backlog in a report.
     pub report_noise: f64,
+    /// The largest number of streams on a connection at a time, as the executor states it.
+    pub max_streams: u32,
     /// The names of the values in a report, in their order: `backlog`, `memory` or `outstanding`.
     pub report_fields: Vec<String>,
 }
@@ -61,6 +63,7 @@
             downtime: 1.0,
             report_delay: 0.0,
             report_noise: 0.0,
+            max_streams: 1_000,
             report_fields: vec![],
         }
     }
--- a/crates/test-servers/src/raw.rs
+++ b/crates/test-servers/src/raw.rs
@@ -69,6 +69,21 @@
     frame(4, 0, 0, &[])
 }
 
+/// A SETTINGS frame with these settings: their identifiers and values.
+pub fn settings_with(settings: &[(u16, u32)]) -> Vec<u8> {
+    let mut payload = vec![];
+    for (identifier, value) in settings {
+        payload.extend(identifier.to_be_bytes());
+        payload.extend(value.to_be_bytes());
+    }
+    frame(4, 0, 0, &payload)
+}
+
+/// The identifier of the setting that limits the streams that the client may open (RFC 9113, section 6.5.2).
+pub const MAX_CONCURRENT_STREAMS: u16 = 3;
+/// The identifier of the setting for the initial flow control window of streams.
+pub const INITIAL_WINDOW_SIZE: u16 = 4;
+
 /// Response headers that hold `:status: 200` alone.
 pub fn ok(stream: u32) -> Vec<u8> {
     frame(1, 4, stream, &[0x88])
@@ -120,12 +135,21 @@
 
 /// Serves one connection and calls the script for each frame. SETTINGS and PING frames are acknowledged without it.
 pub async fn connection(
+    socket: Async<TcpStream>,
+    script: impl FnMut(&Frame) -> ScriptAction,
+) -> std::io::Result<()> {
+    connection_with(&settings(), socket, script).await
+}
+
+/// Like [`connection`], with the frame of the server's settings.
+pub async fn connection_with(
+    settings: &[u8],
     mut socket: Async<TcpStream>,
     mut script: impl FnMut(&Frame) -> ScriptAction,
 ) -> std::io::Result<()> {
     let mut preface = [0; 24];
     socket.read_exact(&mut preface).await?;
-    socket.write_all(&settings()).await?;
+    socket.write_all(settings).await?;
     loop {
         let received = read(&mut socket).await?;
         match received.kind {
