A dispatch whose stream is open awaits nothing before its message

The wait polled the sender and built a timer each time. The library assigns no capacity to a stream over the peer's limit, so that capacity alone tells whether a stream is open and has a window: it is asked first, and only without it something is awaited. The tests of stream limits, revalidation and connection failures pass as before.

--- a/crates/http-frontend/src/pool/exchange.rs
+++ b/crates/http-frontend/src/pool/exchange.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use futures_lite::future;
 use h2::SendStream;
-use h2::client::SendRequest;
 use orchidtally_engine::transport_outcome::TransportOutcome;
 use orchidtally_executor_protocol::{CONTENT_TYPE, Deframer, MAX_MESSAGE_LENGTH};
 use prost::Message;
@@ -57,7 +56,7 @@
             .send_request(request, false)
             .map_err(|e| classify(&e))?;
         // The request has no meaning to the executor without its message, which leaves only now.
-        wait_until_writable(sender, &mut send_stream, deadline).await?;
+        wait_until_writable(&mut send_stream, deadline).await?;
         let Some(head) = head() else {
             return Err(TransportOutcome::NeverSent);
         };
@@ -92,13 +91,15 @@
 /// the library, and it leaves when what was decided about it no longer holds.
 /// Risk: none where the peer has room, as nothing is awaited then.
 async fn wait_until_writable(
-    sender: SendRequest<Bytes>,
     stream: &mut SendStream<Bytes>,
     deadline: Instant,
 ) -> Result<(), TransportOutcome> {
+    // A stream that waits for the peer's limit is assigned no capacity.
+    stream.reserve_capacity(1);
+    if stream.capacity() > 0 {
+        return Ok(());
+    }
     let writable = async {
-        sender.ready().await.ok()?;
-        stream.reserve_capacity(1);
         while stream.capacity() == 0 {
             future::poll_fn(|cx| stream.poll_capacity(cx)).await?.ok()?;
         }
