--- a/review/standins-2/src/bin/added_trigger.rs
+++ b/review/standins-2/src/bin/added_trigger.rs
@@ -2,7 +2,7 @@
 //! the front end's session.
 
 use orchidtally_mqtt::Version;
-use review_standins_2::broker::{Broker, Message};
+use review_standins_2::broker::{Broker, Message, Settings};
 use review_standins_2::*;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -65,7 +65,7 @@
         executor::loads_at_once(),
         record.clone(),
     );
-    let broker = Broker::start(Version::V5, &record);
+    let broker = Broker::start(Settings::plain(Version::V5), &record);
     let front_end = free_address();
     let text = |triggers: &str| deployment(front_end, executor, broker.address, &folder, triggers);
     let both = format!("{SET}\n      {YARD}");
--- a/review/standins-2/src/bin/backlog.rs
+++ b/review/standins-2/src/bin/backlog.rs
@@ -1,7 +1,7 @@
 //! Commands are published while a front end with MQTT 3.1.1 is away; the broker keeps them and gives them when it is back.
 
 use orchidtally_mqtt::Version;
-use review_standins_2::broker::{Broker, Message};
+use review_standins_2::broker::{Broker, Message, Settings};
 use review_standins_2::*;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,7 +26,7 @@
         executor::loads_at_once(),
         record.clone(),
     );
-    let broker = Broker::start(Version::V311, &record);
+    let broker = Broker::start(Settings::plain(Version::V311), &record);
     let front_end = free_address();
     let text = format!(
         r#"{{
--- a/review/standins-2/src/broker.rs
+++ b/review/standins-2/src/broker.rs
@@ -11,9 +11,33 @@
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
-/// The largest packet that is read, in bytes.
-const MAX_PACKET: usize = 1 << 20;
+/// The largest packet that a broker without a limit of its own reads, in bytes.
+const MAX_PACKET: usize = 64 << 20;
+/// The reason code of a DISCONNECT after a packet that is longer than the broker's limit (MQTT 5, 3.1.2.11.4).
+const PACKET_TOO_LARGE: u8 = 0x95;
+
+/// The settings of a broker.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    pub version: Version,
+    /// The largest packet that it takes, in bytes, which CONNACK states; version 5 only.
+    pub max_packet: Option<u32>,
+    /// How long it takes to record a publication, before PUBREC.
+    pub recording: Duration,
+}
+
+impl Settings {
+    /// No limit, and no delay.
+    pub fn plain(version: Version) -> Settings {
+        Settings {
+            version,
+            max_packet: None,
+            recording: Duration::ZERO,
+        }
+    }
+}
 
 /// A message for a client.
 #[derive(Clone, Debug)]
@@ -59,6 +83,7 @@
     connection: Option<(u64, TcpStream)>,
     connections: u64,
     answers: Vec<Answer>,
+    refused: usize,
     subscribes: Vec<Vec<String>>,
     present: Vec<bool>,
     unmatched: usize,
@@ -122,8 +147,8 @@
 }
 
 impl Broker {
-    /// Starts a broker for clients of a version.
-    pub fn start(version: Version, record: &Arc<Record>) -> Broker {
+    /// Starts a broker.
+    pub fn start(settings: Settings, record: &Arc<Record>) -> Broker {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("it is bound");
         let state: Arc<Mutex<State>> = Arc::default();
@@ -131,12 +156,12 @@
         std::thread::spawn(move || {
             for connection in listener.incoming().flatten() {
                 let (shared, log) = (shared.clone(), log.clone());
-                std::thread::spawn(move || serve(connection, version, &shared, &log));
+                std::thread::spawn(move || serve(connection, settings, &shared, &log));
             }
         });
         Broker {
             address,
-            version,
+            version: settings.version,
             state,
             record: record.clone(),
         }
@@ -161,6 +186,11 @@
         taken
     }
 
+    /// How many packets were longer than the broker's limit.
+    pub fn refused(&self) -> usize {
+        lock(&self.state).refused
+    }
+
     /// Answers that clients have published so far.
     pub fn answers(&self) -> Vec<Answer> {
         lock(&self.state).answers.clone()
@@ -185,7 +215,9 @@
     }
 }
 
-fn serve(mut stream: TcpStream, version: Version, state: &Mutex<State>, record: &Record) {
+fn serve(mut stream: TcpStream, settings: Settings, state: &Mutex<State>, record: &Record) {
+    let version = settings.version;
+    let limit = settings.max_packet.map_or(MAX_PACKET, |limit| limit as usize);
     let (mut buffer, mut bytes) = (BytesMut::new(), vec![0; 16 * 1024]);
     let _ = stream.set_nodelay(true);
     let mut client = None;
@@ -200,13 +232,25 @@
             _ => break,
         }
         loop {
-            match decode(&mut buffer, version, MAX_PACKET) {
+            match decode(&mut buffer, version, limit) {
                 Ok(Some((_, packet))) => {
                     let mut state = lock(state);
-                    handle(&mut stream, number, packet, version, &mut client, &mut state, record);
+                    handle(&mut stream, number, packet, settings, &mut client, &mut state, record);
                 }
                 Ok(None) => break,
-                Err(_) => break 'connection,
+                Err(error) => {
+                    record.line(format!("broker: DISCONNECT, a packet can't be taken: {error}"));
+                    lock(state).refused += 1;
+                    let reason = Reason {
+                        code: PACKET_TOO_LARGE,
+                        ..Reason::default()
+                    };
+                    if version == Version::V5 {
+                        send(&mut stream, &Packet::Disconnect(reason), version);
+                    }
+                    let _ = stream.shutdown(Shutdown::Both);
+                    break 'connection;
+                }
             }
         }
     }
@@ -221,14 +265,15 @@
     stream: &mut TcpStream,
     number: u64,
     packet: Packet,
-    version: Version,
+    settings: Settings,
     client: &mut Option<String>,
     state: &mut State,
     record: &Record,
 ) {
+    let version = settings.version;
     if let Packet::Connect(connect) = packet {
         *client = Some(connect.client_id.clone());
-        return accept(stream, number, connect, version, state, record);
+        return accept(stream, number, connect, settings, state, record);
     }
     let Some(session) = client.as_ref().and_then(|name| state.sessions.get_mut(name)) else {
         return;
@@ -274,7 +319,15 @@
                     outcome,
                 });
             }
-            send(stream, &Packet::PubRec(ack(publish.id)), version);
+            let recorded = Packet::PubRec(ack(publish.id));
+            if let (Ok(mut copy), false) = (stream.try_clone(), settings.recording.is_zero()) {
+                std::thread::spawn(move || {
+                    std::thread::sleep(settings.recording);
+                    send(&mut copy, &recorded, version);
+                });
+            } else {
+                send(stream, &recorded, version);
+            }
         }
         Packet::PubRel(got) => {
             session.incoming.remove(&got.id);
@@ -288,10 +341,11 @@
     stream: &mut TcpStream,
     number: u64,
     connect: Connect,
-    version: Version,
+    settings: Settings,
     state: &mut State,
     record: &Record,
 ) {
+    let version = settings.version;
     if connect.clean {
         state.sessions.remove(&connect.client_id);
     }
@@ -311,8 +365,10 @@
             _ => None,
         })
         .unwrap_or(usize::from(u16::MAX));
+    let limit = settings.max_packet.map(Property::MaximumPacketSize);
     let accepted = ConnAck {
         session_present,
+        properties: limit.into_iter().collect(),
         ..ConnAck::default()
     };
     send(stream, &Packet::ConnAck(accepted), version);
