--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -1,9 +1,10 @@
-//! What the cases share: the record, processes of the program, a small HTTP/1.1 client, an executor of the gateway and
-//! an MQTT broker.
+//! What the cases share: the record, processes of the program, a small HTTP/1.1 client, an executor of the gateway,
+//! an MQTT broker and a configuration store.
 
 pub mod broker;
 pub mod client;
 pub mod executor;
+pub mod store;
 
 use std::fs::File;
 use std::io::Write;
