--- a/review/standins-2/src/executor.rs
+++ b/review/standins-2/src/executor.rs
@@ -11,7 +11,8 @@
     DISPATCH_PATH, Deframer, LOAD_PATH, MAX_MESSAGE_LENGTH, frame, v1,
 };
 use prost::Message;
-use std::net::{SocketAddr, TcpListener};
+use std::cell::RefCell;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -49,16 +50,52 @@
     orders: OrderScript,
     record: Arc<Record>,
 ) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = listener.local_addr().expect("it is bound");
-    std::thread::spawn(move || {
-        let tasks = Rc::new(LocalExecutor::new());
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let executor = start_at(any, number, dispatches, orders, record);
+    let address = executor.address;
+    // It goes on without its handle.
+    std::mem::forget(executor);
+    address
+}
+
+/// An executor that can die.
+pub struct Executor {
+    pub address: SocketAddr,
+    dies: async_channel::Sender<()>,
+    thread: Option<std::thread::JoinHandle<()>>,
+}
+
+impl Executor {
+    /// Ends the executor as the death of its process does: its connections are reset, and new ones are refused.
+    pub fn die(mut self) {
+        self.dies.close();
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Starts an executor at an address on a thread of its own.
+pub fn start_at(
+    address: SocketAddr,
+    number: usize,
+    dispatches: DispatchScript,
+    orders: OrderScript,
+    record: Arc<Record>,
+) -> Executor {
+    let listener = orchidtally_socket_io::listen(address).expect("the port is free");
+    let address = listener.get_ref().local_addr().expect("it is bound");
+    let listener: TcpListener = listener.into_inner().expect("it is not polled yet");
+    let (dies, death) = async_channel::bounded::<()>(1);
+    let thread = std::thread::spawn(move || {
+        let sockets: Rc<RefCell<Vec<TcpStream>>> = Rc::default();
+        let tasks = LocalExecutor::new();
         let listener = Async::new(listener).expect("the listener can be polled");
         let accept = async {
             loop {
                 let stream = orchidtally_socket_io::accept(&listener).await;
+                sockets.borrow_mut().extend(stream.abort_handle());
                 let work = serve(
-                    tasks.clone(),
                     stream,
                     number,
                     dispatches.clone(),
@@ -68,13 +105,23 @@
                 tasks.spawn(work).detach();
             }
         };
-        async_io::block_on(tasks.run(accept));
+        let dead = async {
+            // No message is ever sent; closing the channel is the signal.
+            let _ = death.recv().await;
+        };
+        async_io::block_on(tasks.run(future::or(accept, dead)));
+        sockets.borrow().iter().for_each(orchidtally_socket_io::reset_on_close);
+        // The sockets are closed as the thread ends.
     });
-    address
+    Executor {
+        address,
+        dies,
+        thread: Some(thread),
+    }
 }
 
+/// Serves a connection until it ends. Dropping this ends all that is open on it.
 async fn serve(
-    tasks: Rc<LocalExecutor<'static>>,
     stream: orchidtally_socket_io::Stream,
     number: usize,
     dispatches: DispatchScript,
@@ -84,13 +131,17 @@
     let Ok(mut connection) = h2::server::Builder::new().handshake::<_, Bytes>(stream).await else {
         return;
     };
-    while let Some(Ok((request, respond))) = connection.accept().await {
-        let (dispatches, orders, record) = (dispatches.clone(), orders.clone(), record.clone());
-        let work = async move {
-            handle(request, respond, number, dispatches, orders, &record).await;
-        };
-        tasks.spawn(work).detach();
-    }
+    let tasks = LocalExecutor::new();
+    let accept = async {
+        while let Some(Ok((request, respond))) = connection.accept().await {
+            let (dispatches, orders, record) = (dispatches.clone(), orders.clone(), record.clone());
+            let work = async move {
+                handle(request, respond, number, dispatches, orders, &record).await;
+            };
+            tasks.spawn(work).detach();
+        }
+    };
+    tasks.run(accept).await;
 }
 
 async fn read_body(stream: &mut h2::RecvStream) -> Option<Deframer> {
