--- a/review/standins-2/src/bin/backlog.rs
+++ b/review/standins-2/src/bin/photos.rs
@@ -1,4 +1,4 @@
-//! Commands are published while a front end with MQTT 3.1.1 is away; the broker keeps them and gives them when it is back.
+//! Messages with large payloads wait at the broker while a front end is away; it is given them when it is back.
 
 use orchidtally_mqtt::Version;
 use review_standins_2::broker::{Broker, Message, Settings};
@@ -6,12 +6,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Commands, each of its own house.
-const COMMANDS: usize = 1_500;
-/// Between two commands where the front end is there, in microseconds.
-const PACE: u64 = 5_000;
-/// How long answers are waited for, in seconds.
-const PATIENCE: u64 = 45;
+/// Messages, each of its own camera, and the length of their payloads in bytes.
+const PHOTOS: usize = 240;
+const PAYLOAD: usize = 600 * 1024;
+/// Between two messages where the front end is there, in milliseconds.
+const PACE: u64 = 100;
+/// How long answers are waited for after the last message, in seconds.
+const PATIENCE: u64 = 60;
 
 fn main() {
     std::process::exit(play());
@@ -22,28 +23,29 @@
     let folder = TemporaryFolder::create();
     let executor = executor::start(
         1,
-        Arc::new(|_| (Duration::from_millis(5), executor::succeeded(), b"moved".to_vec())),
+        Arc::new(|_| (Duration::from_millis(50), executor::succeeded(), b"frost: none".to_vec())),
         executor::loads_at_once(),
         record.clone(),
     );
-    let broker = Broker::start(Settings::plain(Version::V311), &record);
+    let broker = Broker::start(Settings::plain(Version::V5), &record);
     let front_end = free_address();
+    // The journal, `receiveMaximum`, `inFlight`, `largestPacket` and `limits` are the pages' defaults.
     let text = format!(
         r#"{{
   name: "greenhouses",
   listen: "{front_end}",
   frontEnds: {{ count: 1, index: 0, clockSkew: "500ms" }},
   triggerTypes: [
-    {{ name: "actuator-command", effect: "nonIdempotent", objective: "500ms", timeout: "3s", billedValue: 5 }},
+    {{ name: "reading", effect: "idempotent", objective: "2s", timeout: "10s", lateShare: 0.3 }},
   ],
-  functions: [{{ name: "vent", lanes: 16, memory: "100MB", loadTime: "1s", work: "5ms" }}],
+  functions: [{{ name: "frost", lanes: 16, memory: "100MB", loadTime: "1s", work: "50ms" }}],
   executors: {{ allowedNetworks: ["127.0.0.0/8"], list: [{{ address: "{executor}" }}] }},
   mqtt: {{
-    broker: "{broker}", version: "3.1.1", clientId: "gateway-{{index}}",
+    broker: "{broker}", version: "5", clientId: "gateway-{{index}}",
     journal: {{ folder: "{journals}/mqtt-{{index}}", maxBytes: "256MiB" }},
     triggers: [
-      {{ topic: "house/{{house}}/set/{{function}}", function: "{{function}}", triggerType: "actuator-command",
-        key: "{{house}}", timeLeft: "3s", answer: "house/{{house}}/result/{{function}}" }},
+      {{ topic: "house/{{house}}/photo/{{function}}", function: "{{function}}", triggerType: "reading",
+        answer: "house/{{house}}/result/{{function}}" }},
     ],
   }},
 }}
@@ -63,18 +65,20 @@
         record.line("the front end is killed");
         process.kill();
     }
-    record.line(format!("publisher: {COMMANDS} commands, each for another house"));
-    for house in 0..COMMANDS {
+    record.line(format!("publisher: {PHOTOS} messages of {PAYLOAD} bytes"));
+    for photo in 0..PHOTOS {
+        let mut payload = vec![b'.'; PAYLOAD];
+        payload[..8].copy_from_slice(format!("{photo:08}").as_bytes());
         let taken = broker.publish(&Message {
-            topic: format!("house/h{house}/set/vent"),
-            payload: format!("{{\"open\":{house}}}").into_bytes(),
+            topic: format!("house/h{photo}/photo/frost"),
+            payload,
             response_topic: None,
         });
         if taken != 1 {
-            return could_not_run(&record, "the broker has no subscription for a command");
+            return could_not_run(&record, "the broker has no subscription for a message");
         }
         if !has_trouble() {
-            std::thread::sleep(Duration::from_micros(PACE));
+            pause(PACE);
         }
     }
     if has_trouble() {
@@ -82,26 +86,21 @@
         process = Process::start(&command, &log);
     }
     let answered = || broker.answers().len();
-    let is_done = wait_until(Duration::from_secs(PATIENCE), || answered() >= COMMANDS);
-    let connects = broker.connects().len();
-    record.line(format!(
-        "{} of {COMMANDS} commands are answered, {connects} connections so far",
-        answered()
-    ));
-    let limit = Duration::from_secs(2);
+    let is_done = wait_until(Duration::from_secs(PATIENCE), || answered() >= PHOTOS);
+    record.line(format!("{} of {PHOTOS} messages are answered", answered()));
+    let limit = Duration::from_secs(5);
     let status = client::request(front_end, "GET", "/v1/front-end", &[], b"", limit);
     record.line(format!("the front end says {}", status.map_or(String::new(), |s| s.text())));
     let output = process.output();
     let lines: Vec<&str> = output.lines().collect();
-    record.line(format!(
-        "the front end's log, the last of {} lines:\n{}",
-        lines.len(),
-        lines[lines.len().saturating_sub(12)..].join("\n")
-    ));
+    record.line(format!("the front end's log, of {} lines:", lines.len()));
+    for line in lines.iter().take(6).chain(lines.iter().skip(lines.len().saturating_sub(3).max(6))) {
+        record.line(format!("  {line}"));
+    }
     if !is_done {
         record.line(format!(
-            "BROKEN: {} commands have no answer {PATIENCE} s after the front end is back",
-            COMMANDS - answered()
+            "BROKEN: {} messages have no answer {PATIENCE} s after the front end is back",
+            PHOTOS - answered()
         ));
         return BROKEN;
     }
