--- a/review/standins-2/src/bin/added_trigger.rs
+++ b/review/standins-2/src/bin/added_trigger.rs
@@ -138,6 +138,7 @@
             topic: format!("{place}/set/vent"),
             payload: b"open".to_vec(),
             response_topic: Some(topic.clone()),
+            token: None,
         });
         record.line(format!("publisher: a command on {place}/set/vent, for {taken} session(s)"));
         pause(50);
--- a/review/standins-2/src/bin/large_answer.rs
+++ b/review/standins-2/src/bin/large_answer.rs
@@ -76,6 +76,7 @@
             topic: format!("house/rose-house/set/{function}"),
             payload: answer.as_bytes().to_vec(),
             response_topic: Some(answer.to_owned()),
+            token: None,
         });
     };
     let is_answered = |topic: &str| broker.answers().iter().any(|answer| answer.topic == topic);
--- a/review/standins-2/src/bin/photos.rs
+++ b/review/standins-2/src/bin/photos.rs
@@ -73,6 +73,7 @@
             topic: format!("house/h{photo}/photo/frost"),
             payload,
             response_topic: None,
+            token: None,
         });
         if taken != 1 {
             return could_not_run(&record, "the broker has no subscription for a message");
--- a/review/standins-2/src/bin/told_harmless.rs
+++ b/review/standins-2/src/bin/told_harmless.rs
@@ -1,6 +1,9 @@
-//! A tokened invocation runs at an executor that dies; its client is told that asking again is harmless, and does.
+//! Tokened invocations, one by HTTP and one by MQTT, run at an executor that dies; those who asked are told that asking
+//! again is harmless, and do.
 
 use orchidtally_executor_protocol::v1;
+use orchidtally_mqtt::Version;
+use review_standins_2::broker::{Broker, Message, Settings};
 use review_standins_2::executor::{DispatchScript, Executor};
 use review_standins_2::*;
 use std::collections::HashMap;
@@ -12,7 +15,11 @@
 const WINDOW: f64 = 6.0;
 /// How long the executor is away after its death, in seconds.
 const AWAY: f64 = 8.1;
-const TOKEN: &str = "plan-7f3a";
+/// The tokens of the client by HTTP and of the publisher.
+const CLIENT: &str = "plan-7f3a";
+const PUBLISHER: &str = "plan-9c11";
+/// How often somebody asks at the most.
+const TRIES: usize = 14;
 
 fn main() {
     std::process::exit(play());
@@ -22,7 +29,7 @@
 #[derive(Default)]
 struct Ran {
     remembered: HashMap<String, Instant>,
-    runs: Vec<f64>,
+    runs: Vec<(String, f64)>,
 }
 
 fn play() -> i32 {
@@ -39,12 +46,14 @@
             }
             let mut ran = lock(&ran);
             ran.remembered.retain(|_, at| at.elapsed().as_secs_f64() < WINDOW);
+            // A message's token is derived from its topic and its key, so the payload tells whose it is.
+            let who = if dispatch.token == CLIENT { CLIENT } else { PUBLISHER };
             if ran.remembered.contains_key(&dispatch.token) {
-                record.line(format!("executor 1: drops a repeat of {}", dispatch.token));
+                record.line(format!("executor 1: drops a repeat of {who}"));
             } else {
                 ran.remembered.insert(dispatch.token.clone(), Instant::now());
-                ran.runs.push(record.now());
-                record.line(format!("executor 1: RUNS {}", dispatch.token));
+                ran.runs.push((who.into(), record.now()));
+                record.line(format!("executor 1: RUNS {who} (token {})", dispatch.token));
             }
             let _ = lock(&began).send(());
             (Duration::from_millis(200), executor::succeeded(), b"planned".to_vec())
@@ -54,6 +63,7 @@
     let start = |at| executor::start_at(at, 1, script.clone(), executor::loads_at_once(), record.clone());
     let executor: Executor = start(any);
     let address = executor.address;
+    let broker = Arc::new(Broker::start(Settings::plain(Version::V5), &record));
     let front_end = free_address();
     let text = format!(
         r#"{{
@@ -71,13 +81,23 @@
   executors: {{ allowedNetworks: ["127.0.0.0/8"], list: [{{ address: "{address}" }}] }},
   limits: {{ maxDispatches: 3, connectTime: "150ms" }},
   loading: {{ orders: true, keepAlive: "20s", rationFloor: 2, rationShare: 0.1, rationWindow: "5s" }},
+  mqtt: {{
+    broker: "{broker}", version: "5", clientId: "gateway-{{index}}",
+    journal: {{ folder: "{journals}/mqtt-{{index}}", maxBytes: "256MiB" }},
+    triggers: [
+      {{ topic: "quay/{{quay}}/plan/{{function}}", function: "{{function}}", triggerType: "berth-plan", timeLeft: "8s" }},
+    ],
+  }},
 }}
-"#
+"#,
+        broker = broker.address,
+        journals = folder.0.display()
     );
     let file = folder.write("deployment.json5", &text);
     let command = format!("exec target/release/orchidtally serve --deployment {}", file.display());
     let process = Process::start(&command, &folder.0.join("log"));
-    if !wait_until(Duration::from_secs(10), || client::is_up(front_end)) {
+    let is_served = || client::is_up(front_end) && !broker.subscribes().is_empty();
+    if !wait_until(Duration::from_secs(10), is_served) {
         return could_not_run(&record, process.output());
     }
     // Other clients ask for what may run again, five times a second.
@@ -96,8 +116,14 @@
         let record = record.clone();
         std::thread::spawn(move || ask_until_done(front_end, &record))
     };
-    if begun.recv_timeout(Duration::from_secs(5)).is_err() {
-        return could_not_run(&record, process.output());
+    let publisher = {
+        let (record, broker) = (record.clone(), broker.clone());
+        std::thread::spawn(move || publish_until_done(&broker, &record))
+    };
+    for _ in 0..2 {
+        if begun.recv_timeout(Duration::from_secs(5)).is_err() {
+            return could_not_run(&record, process.output());
+        }
     }
     let _later: Executor;
     if has_trouble() {
@@ -108,19 +134,29 @@
         record.line("executor 1 is back at its address");
         _later = start(address);
     }
-    let answers = client.join().unwrap_or_default();
+    let statuses = client.join().unwrap_or_default();
+    let outcomes = publisher.join().unwrap_or_default();
     pause(500);
     record.line(format!("the front end's log:\n{}", process.output()));
     let runs = lock(&ran).runs.clone();
-    record.line(format!("{TOKEN} ran at {runs:?}; its client was answered {answers:?}"));
-    if runs.is_empty() || answers.is_empty() {
-        return could_not_run(&record, "nothing was run or answered");
+    record.line(format!("the client by HTTP was answered {statuses:?}, the publisher {outcomes:?}"));
+    if statuses.is_empty() || outcomes.is_empty() {
+        return could_not_run(&record, "nothing was answered");
+    }
+    let mut broken = vec![];
+    for who in [CLIENT, PUBLISHER] {
+        let at: Vec<f64> = runs.iter().filter(|(name, _)| name == who).map(|(_, at)| *at).collect();
+        record.line(format!("{who} ran at {at:.2?}"));
+        if at.is_empty() {
+            return could_not_run(&record, "an invocation never ran");
+        }
+        if at.len() > 1 {
+            broken.push(who);
+        }
     }
-    if runs.len() > 1 {
+    if !broken.is_empty() {
         record.line(format!(
-            "BROKEN: {TOKEN} ran {} times, {:.2} s apart; its client had only been answered throttled in between",
-            runs.len(),
-            runs[1] - runs[0]
+            "BROKEN: {broken:?} ran more than once; those who asked were answered throttled and nothing else in between"
         ));
         return BROKEN;
     }
@@ -131,14 +167,14 @@
 fn ask_until_done(front_end: SocketAddr, record: &Record) -> Vec<u16> {
     let mut statuses = vec![];
     let path = "/v1/functions/berth-order/invocations";
-    for number in 0..8 {
+    for number in 0..TRIES {
         let is_repeat = if number > 0 { "1" } else { "0" };
         let headers = [
             ("orchidtally-trigger-type", "berth-plan"),
-            ("idempotency-key", TOKEN),
+            ("idempotency-key", CLIENT),
             ("orchidtally-repeat", is_repeat),
         ];
-        record.line(format!("client: asks, token {TOKEN}, repeat {is_repeat}"));
+        record.line(format!("client: asks, token {CLIENT}, repeat {is_repeat}"));
         let Ok(answer) = client::request(front_end, "POST", path, &headers, b"", Duration::from_secs(12)) else {
             record.line("client: no answer");
             return statuses;
@@ -158,3 +194,31 @@
     }
     statuses
 }
+
+/// Publishes until the outcome is another one than `throttled`, each time a second later; returns the outcomes.
+fn publish_until_done(broker: &Broker, record: &Record) -> Vec<String> {
+    let mut outcomes = vec![];
+    for number in 0..TRIES {
+        record.line(format!("publisher: asks, key {PUBLISHER}, try {number}"));
+        broker.publish(&Message {
+            topic: "quay/north/plan/berth-order".into(),
+            payload: b"{}".to_vec(),
+            response_topic: Some("quay/north/done".into()),
+            token: Some(PUBLISHER.into()),
+        });
+        if !wait_until(Duration::from_secs(12), || broker.answers().len() > number) {
+            record.line("publisher: no answer");
+            return outcomes;
+        }
+        let answer = broker.answers()[number].clone();
+        let outcome = answer.outcome.unwrap_or_default();
+        let text = String::from_utf8_lossy(&answer.payload).into_owned();
+        record.line(format!("publisher: answered {outcome}: {text}"));
+        outcomes.push(outcome.clone());
+        if outcome != "throttled" {
+            return outcomes;
+        }
+        pause(1_000);
+    }
+    outcomes
+}
--- a/review/standins-2/src/broker.rs
+++ b/review/standins-2/src/broker.rs
@@ -46,6 +46,8 @@
     pub payload: Vec<u8>,
     /// The response topic; version 5 only.
     pub response_topic: Option<String>,
+    /// The user property `idempotency-key`; version 5 only.
+    pub token: Option<String>,
 }
 
 /// An exchange with a client that is not completed.
@@ -133,14 +135,15 @@
 }
 
 fn publish(message: &Message, id: u16, dup: bool, version: Version) -> Packet {
-    let topic = message.response_topic.clone();
-    let properties = topic.filter(|_| version == Version::V5).map(Property::ResponseTopic);
+    let topic = message.response_topic.clone().map(Property::ResponseTopic);
+    let token = message.token.clone().map(|token| Property::User("idempotency-key".into(), token));
+    let properties = topic.into_iter().chain(token).filter(|_| version == Version::V5);
     Packet::Publish(Publish {
         dup,
         qos: Qos::ExactlyOnce,
         topic: message.topic.clone(),
         id,
-        properties: properties.into_iter().collect(),
+        properties: properties.collect(),
         payload: Bytes::copy_from_slice(&message.payload),
         ..Publish::default()
     })
