--- a/review/standins-2/src/bin/added_trigger.rs
+++ b/review/standins-2/src/bin/added_trigger.rs
@@ -61,7 +61,13 @@
     let folder = TemporaryFolder::create();
     let executor = executor::start(
         1,
-        Arc::new(|_| (Duration::from_millis(20), executor::succeeded(), b"moved".to_vec())),
+        Arc::new(|_| {
+            (
+                Duration::from_millis(20),
+                executor::succeeded(),
+                b"moved".to_vec(),
+            )
+        }),
         executor::loads_at_once(),
         record.clone(),
     );
@@ -71,10 +77,16 @@
     let both = format!("{SET}\n      {YARD}");
     let before = if has_trouble() { SET } else { both.as_str() };
     let file = folder.write("deployment.json5", &text(before));
-    let command = format!("exec target/release/orchidtally serve --deployment {}", file.display());
+    let command = format!(
+        "exec target/release/orchidtally serve --deployment {}",
+        file.display()
+    );
     let log = folder.0.join("log");
 
-    record.line(format!("the front end starts with {} trigger(s)", before.matches("topic").count()));
+    record.line(format!(
+        "the front end starts with {} trigger(s)",
+        before.matches("topic").count()
+    ));
     let mut process = Process::start(&command, &log);
     let is_served = |connects: usize| {
         wait_until(Duration::from_secs(10), || {
@@ -90,13 +102,17 @@
 
     folder.write("deployment.json5", &text(&both));
     let check = format!("exec target/release/orchidtally check {}", file.display());
-    if Process::start(&check, &folder.0.join("check")).wait(Duration::from_secs(10)) != Some(Some(0)) {
+    if Process::start(&check, &folder.0.join("check")).wait(Duration::from_secs(10))
+        != Some(Some(0))
+    {
         return could_not_run(&record, "the new file does not pass the check");
     }
     record.line("the file with both triggers passes the check; SIGTERM to the front end");
     process.signal(libc::SIGTERM);
     let ended = process.wait(Duration::from_secs(10));
-    record.line(format!("the front end has ended with {ended:?}, and is started again"));
+    record.line(format!(
+        "the front end has ended with {ended:?}, and is started again"
+    ));
     if ended != Some(Some(0)) {
         return could_not_run(&record, process.output());
     }
@@ -110,8 +126,14 @@
     let added = commands(&broker, "yard/north-yard", "after", &record);
     let limit = Duration::from_secs(2);
     let status = client::request(front_end, "GET", "/v1/front-end", &[], b"", limit);
-    record.line(format!("the front end says {}", status.map_or(String::new(), |s| s.text())));
-    record.line(format!("the broker got SUBSCRIBE for {:?}", broker.subscribes()));
+    record.line(format!(
+        "the front end says {}",
+        status.map_or(String::new(), |s| s.text())
+    ));
+    record.line(format!(
+        "the broker got SUBSCRIBE for {:?}",
+        broker.subscribes()
+    ));
     process.signal(libc::SIGTERM);
     process.wait(Duration::from_secs(10));
     record.line(format!("the front end's log:\n{}", process.output()));
@@ -130,9 +152,16 @@
 
 /// Publishes commands with QoS 2 and waits for their answers; returns how many came within the client timeout.
 fn commands(broker: &Broker, place: &str, name: &str, record: &Record) -> usize {
-    let answers = |topic: &str| broker.answers().iter().filter(|answer| answer.topic == topic).count();
-    let topics: Vec<String> =
-        (1..=COMMANDS).map(|number| format!("{place}/done/{name}-{number}")).collect();
+    let answers = |topic: &str| {
+        broker
+            .answers()
+            .iter()
+            .filter(|answer| answer.topic == topic)
+            .count()
+    };
+    let topics: Vec<String> = (1..=COMMANDS)
+        .map(|number| format!("{place}/done/{name}-{number}"))
+        .collect();
     for topic in &topics {
         let taken = broker.publish(&Message {
             topic: format!("{place}/set/vent"),
@@ -140,13 +169,17 @@
             response_topic: Some(topic.clone()),
             token: None,
         });
-        record.line(format!("publisher: a command on {place}/set/vent, for {taken} session(s)"));
+        record.line(format!(
+            "publisher: a command on {place}/set/vent, for {taken} session(s)"
+        ));
         pause(50);
     }
     wait_until(Duration::from_secs(CLIENT_TIMEOUT + SLACK), || {
         topics.iter().all(|topic| answers(topic) > 0)
     });
     let answered = topics.iter().filter(|topic| answers(topic) > 0).count();
-    record.line(format!("{answered} of {COMMANDS} commands on {place} are answered"));
+    record.line(format!(
+        "{answered} of {COMMANDS} commands on {place} are answered"
+    ));
     answered
 }
--- a/review/standins-2/src/bin/large_answer.rs
+++ b/review/standins-2/src/bin/large_answer.rs
@@ -25,10 +25,19 @@
     let record = Record::create();
     let folder = TemporaryFolder::create();
     let answer = |dispatch: &v1::Dispatch| {
-        let body = if dispatch.function == "report" { vec![b'x'; LARGE] } else { b"moved".to_vec() };
+        let body = if dispatch.function == "report" {
+            vec![b'x'; LARGE]
+        } else {
+            b"moved".to_vec()
+        };
         (Duration::from_millis(20), executor::succeeded(), body)
     };
-    let executor = executor::start(1, Arc::new(answer), executor::loads_at_once(), record.clone());
+    let executor = executor::start(
+        1,
+        Arc::new(answer),
+        executor::loads_at_once(),
+        record.clone(),
+    );
     let settings = Settings {
         version: Version::V5,
         max_packet: Some(MAX_PACKET),
@@ -63,7 +72,10 @@
         journals = folder.0.display()
     );
     let file = folder.write("deployment.json5", &text);
-    let command = format!("exec target/release/orchidtally serve --deployment {}", file.display());
+    let command = format!(
+        "exec target/release/orchidtally serve --deployment {}",
+        file.display()
+    );
     let log = folder.0.join("log");
     let mut process = Process::start(&command, &log);
     let is_subscribed = || client::is_up(front_end) && !broker.subscribes().is_empty();
@@ -71,7 +83,9 @@
         return could_not_run(&record, process.output());
     }
     let publish = |function: &str, answer: &str| {
-        record.line(format!("publisher: a command for {function}, answer wanted on {answer}"));
+        record.line(format!(
+            "publisher: a command for {function}, answer wanted on {answer}"
+        ));
         broker.publish(&Message {
             topic: format!("house/rose-house/set/{function}"),
             payload: answer.as_bytes().to_vec(),
@@ -81,12 +95,17 @@
     };
     let is_answered = |topic: &str| broker.answers().iter().any(|answer| answer.topic == topic);
     publish("report", "house/rose-house/done/report");
-    if !wait_until(Duration::from_secs(5), || is_answered("house/rose-house/done/report")) {
+    if !wait_until(Duration::from_secs(5), || {
+        is_answered("house/rose-house/done/report")
+    }) {
         return could_not_run(&record, process.output());
     }
     for answer in broker.answers() {
         let text = String::from_utf8_lossy(&answer.payload).into_owned();
-        record.line(format!("broker: records an answer, {:?}: {text}", answer.outcome));
+        record.line(format!(
+            "broker: records an answer, {:?}: {text}",
+            answer.outcome
+        ));
     }
     if has_trouble() {
         pause(RECORDING / 3);
@@ -98,13 +117,16 @@
         }
     }
     pause(1_000);
-    let topics: Vec<String> =
-        (1..=COMMANDS).map(|number| format!("house/rose-house/done/{number}")).collect();
+    let topics: Vec<String> = (1..=COMMANDS)
+        .map(|number| format!("house/rose-house/done/{number}"))
+        .collect();
     for topic in &topics {
         publish("vent", topic);
         pause(50);
     }
-    wait_until(Duration::from_secs(PATIENCE), || topics.iter().all(|topic| is_answered(topic)));
+    wait_until(Duration::from_secs(PATIENCE), || {
+        topics.iter().all(|topic| is_answered(topic))
+    });
     let answered = topics.iter().filter(|topic| is_answered(topic)).count();
     record.line(format!(
         "{answered} of {COMMANDS} commands are answered; {} connections, {} packets were too long for the broker",
--- a/review/standins-2/src/bin/photos.rs
+++ b/review/standins-2/src/bin/photos.rs
@@ -23,7 +23,13 @@
     let folder = TemporaryFolder::create();
     let executor = executor::start(
         1,
-        Arc::new(|_| (Duration::from_millis(50), executor::succeeded(), b"frost: none".to_vec())),
+        Arc::new(|_| {
+            (
+                Duration::from_millis(50),
+                executor::succeeded(),
+                b"frost: none".to_vec(),
+            )
+        }),
         executor::loads_at_once(),
         record.clone(),
     );
@@ -54,7 +60,10 @@
         journals = folder.0.display()
     );
     let file = folder.write("deployment.json5", &text);
-    let command = format!("exec target/release/orchidtally serve --deployment {}", file.display());
+    let command = format!(
+        "exec target/release/orchidtally serve --deployment {}",
+        file.display()
+    );
     let log = folder.0.join("log");
     let mut process = Process::start(&command, &log);
     let is_subscribed = || client::is_up(front_end) && !broker.subscribes().is_empty();
@@ -91,11 +100,18 @@
     record.line(format!("{} of {PHOTOS} messages are answered", answered()));
     let limit = Duration::from_secs(5);
     let status = client::request(front_end, "GET", "/v1/front-end", &[], b"", limit);
-    record.line(format!("the front end says {}", status.map_or(String::new(), |s| s.text())));
+    record.line(format!(
+        "the front end says {}",
+        status.map_or(String::new(), |s| s.text())
+    ));
     let output = process.output();
     let lines: Vec<&str> = output.lines().collect();
     record.line(format!("the front end's log, of {} lines:", lines.len()));
-    for line in lines.iter().take(6).chain(lines.iter().skip(lines.len().saturating_sub(3).max(6))) {
+    for line in lines
+        .iter()
+        .take(6)
+        .chain(lines.iter().skip(lines.len().saturating_sub(3).max(6)))
+    {
         record.line(format!("  {line}"));
     }
     if !is_done {
--- a/review/standins-2/src/bin/told_harmless.rs
+++ b/review/standins-2/src/bin/told_harmless.rs
@@ -42,25 +42,47 @@
         let (ran, record) = (ran.clone(), record.clone());
         Arc::new(move |dispatch: &v1::Dispatch| {
             if dispatch.trigger_type != "berth-plan" {
-                return (Duration::from_millis(60), executor::succeeded(), b"seen".to_vec());
+                return (
+                    Duration::from_millis(60),
+                    executor::succeeded(),
+                    b"seen".to_vec(),
+                );
             }
             let mut ran = lock(&ran);
-            ran.remembered.retain(|_, at| at.elapsed().as_secs_f64() < WINDOW);
+            ran.remembered
+                .retain(|_, at| at.elapsed().as_secs_f64() < WINDOW);
             // A message's token is derived from its topic and its key, so the payload tells whose it is.
-            let who = if dispatch.token == CLIENT { CLIENT } else { PUBLISHER };
+            let who = if dispatch.token == CLIENT {
+                CLIENT
+            } else {
+                PUBLISHER
+            };
             if ran.remembered.contains_key(&dispatch.token) {
                 record.line(format!("executor 1: drops a repeat of {who}"));
             } else {
-                ran.remembered.insert(dispatch.token.clone(), Instant::now());
+                ran.remembered
+                    .insert(dispatch.token.clone(), Instant::now());
                 ran.runs.push((who.into(), record.now()));
                 record.line(format!("executor 1: RUNS {who} (token {})", dispatch.token));
             }
             let _ = lock(&began).send(());
-            (Duration::from_millis(200), executor::succeeded(), b"planned".to_vec())
+            (
+                Duration::from_millis(200),
+                executor::succeeded(),
+                b"planned".to_vec(),
+            )
         })
     };
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let start = |at| executor::start_at(at, 1, script.clone(), executor::loads_at_once(), record.clone());
+    let start = |at| {
+        executor::start_at(
+            at,
+            1,
+            script.clone(),
+            executor::loads_at_once(),
+            record.clone(),
+        )
+    };
     let executor: Executor = start(any);
     let address = executor.address;
     let broker = Arc::new(Broker::start(Settings::plain(Version::V5), &record));
@@ -94,7 +116,10 @@
         journals = folder.0.display()
     );
     let file = folder.write("deployment.json5", &text);
-    let command = format!("exec target/release/orchidtally serve --deployment {}", file.display());
+    let command = format!(
+        "exec target/release/orchidtally serve --deployment {}",
+        file.display()
+    );
     let process = Process::start(&command, &folder.0.join("log"));
     let is_served = || client::is_up(front_end) && !broker.subscribes().is_empty();
     if !wait_until(Duration::from_secs(10), is_served) {
@@ -106,7 +131,14 @@
             std::thread::spawn(move || {
                 let headers = [("orchidtally-trigger-type", "camera-look")];
                 let path = "/v1/functions/hook-find/invocations";
-                client::request(front_end, "POST", path, &headers, b"", Duration::from_secs(4))
+                client::request(
+                    front_end,
+                    "POST",
+                    path,
+                    &headers,
+                    b"",
+                    Duration::from_secs(4),
+                )
             });
             pause(200);
         }
@@ -139,13 +171,19 @@
     pause(500);
     record.line(format!("the front end's log:\n{}", process.output()));
     let runs = lock(&ran).runs.clone();
-    record.line(format!("the client by HTTP was answered {statuses:?}, the publisher {outcomes:?}"));
+    record.line(format!(
+        "the client by HTTP was answered {statuses:?}, the publisher {outcomes:?}"
+    ));
     if statuses.is_empty() || outcomes.is_empty() {
         return could_not_run(&record, "nothing was answered");
     }
     let mut broken = vec![];
     for who in [CLIENT, PUBLISHER] {
-        let at: Vec<f64> = runs.iter().filter(|(name, _)| name == who).map(|(_, at)| *at).collect();
+        let at: Vec<f64> = runs
+            .iter()
+            .filter(|(name, _)| name == who)
+            .map(|(_, at)| *at)
+            .collect();
         record.line(format!("{who} ran at {at:.2?}"));
         if at.is_empty() {
             return could_not_run(&record, "an invocation never ran");
@@ -175,7 +213,14 @@
             ("orchidtally-repeat", is_repeat),
         ];
         record.line(format!("client: asks, token {CLIENT}, repeat {is_repeat}"));
-        let Ok(answer) = client::request(front_end, "POST", path, &headers, b"", Duration::from_secs(12)) else {
+        let Ok(answer) = client::request(
+            front_end,
+            "POST",
+            path,
+            &headers,
+            b"",
+            Duration::from_secs(12),
+        ) else {
             record.line("client: no answer");
             return statuses;
         };
@@ -189,7 +234,10 @@
         if answer.status != 503 {
             return statuses;
         }
-        let wait = answer.header("retry-after").and_then(|text| text.parse().ok()).unwrap_or(1);
+        let wait = answer
+            .header("retry-after")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(1);
         std::thread::sleep(Duration::from_secs(wait));
     }
     statuses
--- a/review/standins-2/src/broker.rs
+++ b/review/standins-2/src/broker.rs
@@ -115,7 +115,11 @@
 impl Session {
     fn unused_id(&mut self) -> u16 {
         loop {
-            self.last_id = if self.last_id == u16::MAX { 1 } else { self.last_id + 1 };
+            self.last_id = if self.last_id == u16::MAX {
+                1
+            } else {
+                self.last_id + 1
+            };
             if !self.open.contains_key(&self.last_id) {
                 return self.last_id;
             }
@@ -136,8 +140,14 @@
 
 fn publish(message: &Message, id: u16, dup: bool, version: Version) -> Packet {
     let topic = message.response_topic.clone().map(Property::ResponseTopic);
-    let token = message.token.clone().map(|token| Property::User("idempotency-key".into(), token));
-    let properties = topic.into_iter().chain(token).filter(|_| version == Version::V5);
+    let token = message
+        .token
+        .clone()
+        .map(|token| Property::User("idempotency-key".into(), token));
+    let properties = topic
+        .into_iter()
+        .chain(token)
+        .filter(|_| version == Version::V5);
     Packet::Publish(Publish {
         dup,
         qos: Qos::ExactlyOnce,
@@ -176,7 +186,10 @@
         let state = &mut *state;
         let mut taken = 0;
         for session in state.sessions.values_mut() {
-            let matches = session.filters.iter().any(|(_, filter)| filter.matches(&message.topic));
+            let matches = session
+                .filters
+                .iter()
+                .any(|(_, filter)| filter.matches(&message.topic));
             if matches {
                 taken += 1;
                 session.queued.push_back(message.clone());
@@ -220,7 +233,9 @@
 
 fn serve(mut stream: TcpStream, settings: Settings, state: &Mutex<State>, record: &Record) {
     let version = settings.version;
-    let limit = settings.max_packet.map_or(MAX_PACKET, |limit| limit as usize);
+    let limit = settings
+        .max_packet
+        .map_or(MAX_PACKET, |limit| limit as usize);
     let (mut buffer, mut bytes) = (BytesMut::new(), vec![0; 16 * 1024]);
     let _ = stream.set_nodelay(true);
     let mut client = None;
@@ -238,11 +253,21 @@
             match decode(&mut buffer, version, limit) {
                 Ok(Some((_, packet))) => {
                     let mut state = lock(state);
-                    handle(&mut stream, number, packet, settings, &mut client, &mut state, record);
+                    handle(
+                        &mut stream,
+                        number,
+                        packet,
+                        settings,
+                        &mut client,
+                        &mut state,
+                        record,
+                    );
                 }
                 Ok(None) => break,
                 Err(error) => {
-                    record.line(format!("broker: DISCONNECT, a packet can't be taken: {error}"));
+                    record.line(format!(
+                        "broker: DISCONNECT, a packet can't be taken: {error}"
+                    ));
                     lock(state).refused += 1;
                     let reason = Reason {
                         code: PACKET_TOO_LARGE,
@@ -259,7 +284,11 @@
     }
     record.line("broker: the connection has ended");
     let mut state = lock(state);
-    if state.connection.as_ref().is_some_and(|(current, _)| *current == number) {
+    if state
+        .connection
+        .as_ref()
+        .is_some_and(|(current, _)| *current == number)
+    {
         state.connection = None;
     }
 }
@@ -278,7 +307,10 @@
         *client = Some(connect.client_id.clone());
         return accept(stream, number, connect, settings, state, record);
     }
-    let Some(session) = client.as_ref().and_then(|name| state.sessions.get_mut(name)) else {
+    let Some(session) = client
+        .as_ref()
+        .and_then(|name| state.sessions.get_mut(name))
+    else {
         return;
     };
     match packet {
@@ -311,10 +343,15 @@
             session.deliver(stream, version);
         }
         Packet::Publish(publish) => {
-            let outcome = publish.properties.iter().find_map(|property| match property {
-                Property::User(name, value) if name == "orchidtally-outcome" => Some(value.clone()),
-                _ => None,
-            });
+            let outcome = publish
+                .properties
+                .iter()
+                .find_map(|property| match property {
+                    Property::User(name, value) if name == "orchidtally-outcome" => {
+                        Some(value.clone())
+                    }
+                    _ => None,
+                });
             if session.incoming.insert(publish.id) {
                 state.answers.push(Answer {
                     topic: publish.topic,
--- a/review/standins-2/src/executor.rs
+++ b/review/standins-2/src/executor.rs
@@ -18,7 +18,8 @@
 use std::time::Duration;
 
 /// Decides what becomes of a dispatch that has arrived whole: how long it runs, and its answer and body.
-pub type DispatchScript = Arc<dyn Fn(&v1::Dispatch) -> (Duration, v1::Answer, Vec<u8>) + Send + Sync>;
+pub type DispatchScript =
+    Arc<dyn Fn(&v1::Dispatch) -> (Duration, v1::Answer, Vec<u8>) + Send + Sync>;
 /// Decides what becomes of an order to load: how long it takes, and its answer.
 pub type OrderScript = Arc<dyn Fn(&v1::Order) -> (Duration, v1::OrderAnswer) + Send + Sync>;
 
@@ -110,7 +111,10 @@
             let _ = death.recv().await;
         };
         async_io::block_on(tasks.run(future::or(accept, dead)));
-        sockets.borrow().iter().for_each(orchidtally_socket_io::reset_on_close);
+        sockets
+            .borrow()
+            .iter()
+            .for_each(orchidtally_socket_io::reset_on_close);
         // The sockets are closed as the thread ends.
     });
     Executor {
@@ -128,7 +132,10 @@
     orders: OrderScript,
     record: Arc<Record>,
 ) {
-    let Ok(mut connection) = h2::server::Builder::new().handshake::<_, Bytes>(stream).await else {
+    let Ok(mut connection) = h2::server::Builder::new()
+        .handshake::<_, Bytes>(stream)
+        .await
+    else {
         return;
     };
     let tasks = LocalExecutor::new();
@@ -188,7 +195,10 @@
             ));
             let (time, answer, output) = dispatches(&dispatch);
             if is_reset(&mut respond, time).await {
-                record.line(format!("executor {number}: {} is given up", dispatch.invocation));
+                record.line(format!(
+                    "executor {number}: {} is given up",
+                    dispatch.invocation
+                ));
                 return None;
             }
             send(&mut respond, &answer, output)
--- a/review/standins-2/src/lib.rs
+++ b/review/standins-2/src/lib.rs
@@ -1,10 +1,9 @@
-//! What the cases share: the record, processes of the program, a small HTTP/1.1 client, an executor of the gateway,
-//! an MQTT broker and a configuration store.
+//! What the cases share: the record, processes of the program, a small HTTP/1.1 client, an executor of the gateway
+//! and an MQTT broker.
 
 pub mod broker;
 pub mod client;
 pub mod executor;
-pub mod store;
 
 use std::fs::File;
 use std::io::Write;
@@ -27,7 +26,9 @@
 
 /// Locks a mutex, also after a panic of another thread.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
 /// The file `record.txt` of a case. Each line has the seconds since the start of the case.
