--- a/review/standins-2/src/broker.rs
+++ b/review/standins-2/src/broker.rs
@@ -15,7 +15,7 @@
 
 /// The largest packet that a broker without a limit of its own reads, in bytes.
 const MAX_PACKET: usize = 64 << 20;
-/// The reason code of a DISCONNECT after a packet that is longer than the broker's limit (MQTT 5, 3.1.2.11.4).
+/// The reason code of a DISCONNECT after a packet that is longer than the broker's limit (MQTT 5, "Maximum Packet Size").
 const PACKET_TOO_LARGE: u8 = 0x95;
 
 /// The settings of a broker.
