--- a/review/standins-2/src/bin/told_harmless.rs
+++ b/review/standins-2/src/bin/told_harmless.rs
@@ -13,8 +13,12 @@
 
 /// How long the executors drop repeats of a token: the trigger type's `window`, in seconds.
 const WINDOW: f64 = 6.0;
+/// How long the other three executors have no room, from the moment at which the second token first ran, in seconds.
+const FULL: f64 = 7.0;
 /// How long the executor is away after its death, in seconds.
 const AWAY: f64 = 8.1;
+/// How long an invocation runs.
+const WORK: Duration = Duration::from_millis(800);
 /// The tokens of the client by HTTP and of the publisher.
 const CLIENT: &str = "plan-7f3a";
 const PUBLISHER: &str = "plan-9c11";
@@ -25,9 +29,11 @@
     std::process::exit(play());
 }
 
-/// What the executor has run, and the tokens that it remembers, also over its death.
+/// What the executors have run, and the tokens that they remember together, also over the death of one.
 #[derive(Default)]
 struct Ran {
+    /// When a token ran for the first time, the last of them.
+    last_first: Option<Instant>,
     remembered: HashMap<String, Instant>,
     runs: Vec<(String, f64)>,
 }
@@ -58,19 +64,18 @@
                 PUBLISHER
             };
             if ran.remembered.contains_key(&dispatch.token) {
-                record.line(format!("executor 1: drops a repeat of {who}"));
+                record.line(format!("an executor drops a repeat of {who}"));
             } else {
                 ran.remembered
                     .insert(dispatch.token.clone(), Instant::now());
+                if ran.runs.len() < 2 {
+                    ran.last_first = Some(Instant::now());
+                }
                 ran.runs.push((who.into(), record.now()));
-                record.line(format!("executor 1: RUNS {who} (token {})", dispatch.token));
+                record.line(format!("an executor RUNS {who} (token {})", dispatch.token));
             }
             let _ = lock(&began).send(());
-            (
-                Duration::from_millis(200),
-                executor::succeeded(),
-                b"planned".to_vec(),
-            )
+            (WORK, executor::succeeded(), b"planned".to_vec())
         })
     };
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -85,23 +90,54 @@
     };
     let executor: Executor = start(any);
     let address = executor.address;
+    // The other three have their lanes of the function full with work of the other front end, for a while.
+    let busy: DispatchScript = {
+        let (ran, script) = (ran.clone(), script.clone());
+        Arc::new(move |dispatch: &v1::Dispatch| {
+            let first = lock(&ran).last_first;
+            let is_full = first.is_none_or(|at| at.elapsed().as_secs_f64() < FULL);
+            if dispatch.trigger_type != "berth-plan" || !is_full {
+                return script(dispatch);
+            }
+            let answer = v1::Answer {
+                ending: v1::Ending::Full.into(),
+                found: v1::Found::Warm.into(),
+                crowd: 2,
+                ..v1::Answer::default()
+            };
+            (Duration::ZERO, answer, vec![])
+        })
+    };
+    let list: Vec<String> = [address]
+        .into_iter()
+        .chain((2..=4).map(|number| {
+            executor::start(
+                number,
+                busy.clone(),
+                executor::loads_at_once(),
+                record.clone(),
+            )
+        }))
+        .map(|address| format!("{{ address: \"{address}\" }}"))
+        .collect();
+    let list = list.join(", ");
     let broker = Arc::new(Broker::start(Settings::plain(Version::V5), &record));
     let front_end = free_address();
     let text = format!(
         r#"{{
   name: "harbour-cranes",
   listen: "{front_end}",
-  frontEnds: {{ count: 1, index: 0, clockSkew: "500ms" }},
+  frontEnds: {{ count: 2, index: 0, clockSkew: "500ms" }},
   triggerTypes: [
     {{ name: "berth-plan", effect: "tokened", group: "all", window: "{WINDOW}s", objective: "2s", timeout: "8s", billedValue: 2 }},
     {{ name: "camera-look", effect: "idempotent", objective: "400ms", timeout: "2s", lateShare: 0.3 }},
   ],
   functions: [
-    {{ name: "berth-order", lanes: 2, memory: "640MB", loadTime: "2.5s", work: "200ms" }},
+    {{ name: "berth-order", lanes: 2, memory: "640MB", loadTime: "2.5s", work: "800ms" }},
     {{ name: "hook-find", lanes: 8, memory: "1.2GB", loadTime: "4s", work: "60ms" }},
   ],
-  executors: {{ allowedNetworks: ["127.0.0.0/8"], list: [{{ address: "{address}" }}] }},
-  limits: {{ maxDispatches: 3, connectTime: "150ms" }},
+  executors: {{ allowedNetworks: ["127.0.0.0/8"], list: [{list}] }},
+  limits: {{ maxDispatches: 5, connectTime: "150ms" }},
   loading: {{ orders: true, keepAlive: "20s", rationFloor: 2, rationShare: 0.1, rationWindow: "5s" }},
   mqtt: {{
     broker: "{broker}", version: "5", clientId: "gateway-{{index}}",
@@ -153,14 +189,14 @@
         std::thread::spawn(move || publish_until_done(&broker, &record))
     };
     for _ in 0..2 {
-        if begun.recv_timeout(Duration::from_secs(5)).is_err() {
+        if begun.recv_timeout(Duration::from_secs(10)).is_err() {
             return could_not_run(&record, process.output());
         }
     }
     let _later: Executor;
     if has_trouble() {
         pause(50);
-        record.line("executor 1 dies: its connections are reset, new ones are refused");
+        record.line("executor 1 of 4 dies: its connections are reset, new ones are refused");
         executor.die();
         std::thread::sleep(Duration::from_secs_f64(AWAY));
         record.line("executor 1 is back at its address");
