--- a/crates/platform-client-protocol/src/lib.rs
+++ b/crates/platform-client-protocol/src/lib.rs
@@ -102,6 +102,11 @@
         self.bytes.extend_from_slice(&bytes[skipped..]);
     }
 
+    /// Bytes of memory that the decoder holds.
+    pub fn held_bytes(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Whether a frame has arrived only in part.
     pub fn has_partial_frame(&self) -> bool {
         self.skip > 0 || self.position < self.bytes.len()
--- a/crates/platform-executor-protocol/src/lib.rs
+++ b/crates/platform-executor-protocol/src/lib.rs
@@ -203,6 +203,11 @@
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// Bytes of memory that the decoder holds.
+    pub fn held_bytes(&self) -> usize {
+        self.bytes.capacity()
+    }
+
     /// Whether a line has arrived only in part.
     pub fn has_partial_line(&self) -> bool {
         self.position < self.bytes.len()
--- a/crates/platform-frontend/src/client_connection.rs
+++ b/crates/platform-frontend/src/client_connection.rs
@@ -27,6 +27,25 @@
 /// response.
 pub const MAX_OVER_LIMIT: usize = 2;
 
+/// Why a client connection is closed, for the log.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CloseCause {
+    /// The client has closed the connection, or it broke.
+    Ended,
+    /// The client violated the protocol.
+    ProtocolError,
+    /// A timeout expired; the text says which.
+    TimedOut(&'static str),
+    /// The client sent more invocations than it may have open while it read no responses.
+    TooManyPending,
+    /// Another connection needed the descriptor.
+    Evicted,
+    /// The connection was accepted above the limit, and its first frame is answered.
+    OverLimit,
+    /// The orderly close is complete.
+    LingerEnded,
+}
+
 /// An invocation that was read and is not admitted yet.
 pub struct PendingInvocation {
     /// The earliest time at which it may have arrived, in seconds.
@@ -120,6 +139,20 @@
         }
     }
 
+    /// Bytes of memory that input occupies: a partial frame and pending invocations.
+    pub fn held_input_bytes(&self) -> usize {
+        let payload_bytes =
+            |pending: &PendingInvocation| pending.payload.as_ref().map_or(0, Vec::capacity);
+        let payloads: usize = self.pending.iter().map(payload_bytes).sum();
+        let entries = self.pending.capacity() * size_of::<PendingInvocation>();
+        self.decoder.held_bytes() + payloads + entries
+    }
+
+    /// Bytes of memory that unread output occupies.
+    pub fn held_output_bytes(&self) -> usize {
+        self.socket.held_bytes()
+    }
+
     /// Whether no invocation is open or pending.
     pub fn is_idle(&self) -> bool {
         self.open_invocations.is_empty() && self.pending.is_empty()
--- a/crates/platform-frontend/src/engine_host/mod.rs
+++ b/crates/platform-frontend/src/engine_host/mod.rs
@@ -12,6 +12,7 @@
 use crate::executor_pool::ExecutorPool;
 use crate::invocation_table::{InvocationTable, OpenInvocation};
 use crate::log_rate_limiter::LogRateLimiter;
+use crate::memory_use::HeldBytes;
 use crate::process_clock::ProcessClock;
 pub use flushing::SendRevalidator;
 use mio::Registry;
@@ -320,6 +321,23 @@
         }
     }
 
+    /// What is held in memory at the will of peers, by owner.
+    pub fn held_bytes(&self) -> HeldBytes {
+        let mut held = HeldBytes {
+            invocations: self.invocations.held_bytes(),
+            ..HeldBytes::default()
+        };
+        for (_, client) in &self.clients {
+            held.client_input += client.held_input_bytes();
+            held.client_output += client.held_output_bytes();
+        }
+        for (_, connection) in self.pool.connections() {
+            held.executor_input += connection.decoder.held_bytes();
+            held.executor_output += connection.held_output_bytes();
+        }
+        held
+    }
+
     /// Whether no dispatch is in flight.
     #[cfg(test)]
     pub fn has_no_dispatch_in_flight(&self) -> bool {
--- a/crates/platform-frontend/src/event_loop/client_listener.rs
+++ b/crates/platform-frontend/src/event_loop/client_listener.rs
@@ -1,7 +1,7 @@
 //! Accepts and closes client connections, and limits their number.
 
 use super::EventLoop;
-use crate::client_connection::{ClientConnection, MAX_OVER_LIMIT, eviction_candidate};
+use crate::client_connection::{ClientConnection, CloseCause, MAX_OVER_LIMIT, eviction_candidate};
 use crate::source::EventSource;
 use crate::start::retry_local_failures;
 use mio::net::{TcpListener, TcpStream};
@@ -9,7 +9,7 @@
 use orchidtally_socket_io::{is_out_of_descriptors, is_out_of_resources};
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use tracing::debug;
+use tracing::{debug, info};
 
 /// The largest number of connections accepted per poll.
 const ACCEPTS_PER_POLL: usize = 256;
@@ -145,7 +145,7 @@
                 .get(slot)
                 .is_none_or(ClientConnection::is_idle)
             {
-                self.close_client(now, slot);
+                self.close_client(now, slot, CloseCause::Evicted);
                 return true;
             }
         }
@@ -165,7 +165,8 @@
     }
 
     /// Closes a client connection at once and cancels its open invocations.
-    pub(super) fn close_client(&mut self, now: f64, slot: usize) {
+    pub(super) fn close_client(&mut self, now: f64, slot: usize, cause: CloseCause) {
+        self.log_close(now, slot, cause);
         self.cancel_open_invocations(now, slot);
         let Some(mut client) = self.host.clients.try_remove(slot) else {
             return;
@@ -176,7 +177,8 @@
 
     /// Cancels the open invocations of a client, and closes its connection once the output is written and the client
     /// has had time to read it.
-    pub(super) fn close_client_after_flush(&mut self, now: f64, slot: usize) {
+    pub(super) fn close_client_after_flush(&mut self, now: f64, slot: usize, cause: CloseCause) {
+        self.log_close(now, slot, cause);
         self.cancel_open_invocations(now, slot);
         if let Some(client) = self.host.clients.get_mut(slot) {
             client.begin_close(now);
@@ -184,6 +186,30 @@
         self.host.mark_client_dirty(slot);
     }
 
+    /// Logs why a connection is closed, unless its close is routine or was logged when it began.
+    fn log_close(&mut self, now: f64, slot: usize, cause: CloseCause) {
+        let Some(client) = self.host.clients.get(slot) else {
+            return;
+        };
+        let is_routine = cause == CloseCause::Ended && client.is_idle();
+        if is_routine || client.closing.is_some() {
+            return;
+        }
+        let Some(suppressed) = self.close_log_limiter.try_acquire(now) else {
+            return;
+        };
+        info!(
+            client = slot,
+            ?cause,
+            open = client.open_invocations.len(),
+            pending = client.pending.len(),
+            held_input = client.held_input_bytes(),
+            held_output = client.held_output_bytes(),
+            suppressed,
+            "client connection closed"
+        );
+    }
+
     /// The slots of all clients.
     pub(super) fn client_slots(&self) -> Vec<usize> {
         self.host.clients.iter().map(|(slot, _)| slot).collect()
--- a/crates/platform-frontend/src/event_loop/client_requests.rs
+++ b/crates/platform-frontend/src/event_loop/client_requests.rs
@@ -1,14 +1,16 @@
 //! Handles client frames: admits invocations or rejects them, and handles cancels and readiness queries.
 
 use super::{EventLoop, MAX_READS_PER_POLL};
-use crate::client_connection::{MAX_BACKLOG_BYTES, MAX_OPEN_INVOCATIONS, PendingInvocation};
+use crate::client_connection::{
+    CloseCause, MAX_BACKLOG_BYTES, MAX_OPEN_INVOCATIONS, PendingInvocation,
+};
 use crate::invocation_request::{InvalidInvocation, InvocationOrigin, parse_invocation};
 use crate::source::EventSource;
 use orchidtally_engine::AdmissionError;
 use orchidtally_platform_client_protocol::{self as protocol, ProtocolError};
 use orchidtally_socket_io::buffered::ReadOutcome;
 use thiserror::Error;
-use tracing::debug;
+use tracing::info;
 
 /// Why an invocation is rejected without being admitted. The text is sent to the client as the response body, so it is
 /// part of the protocol.
@@ -54,7 +56,7 @@
                     &[],
                     b"more is asked than answers are read",
                 );
-                self.close_client_after_flush(now, slot);
+                self.close_client_after_flush(now, slot, CloseCause::TooManyPending);
             }
             return;
         }
@@ -66,7 +68,7 @@
             }
         }
         if is_over_limit && has_sent_frame {
-            self.close_client_after_flush(now, slot);
+            self.close_client_after_flush(now, slot, CloseCause::OverLimit);
         }
     }
 
@@ -90,7 +92,7 @@
                 }
                 Ok(ReadOutcome::Bytes(n)) if client.closing.is_some() => {
                     if !client.discard_while_closing(n) {
-                        return self.close_client(now, slot);
+                        return self.close_client(now, slot, CloseCause::LingerEnded);
                     }
                 }
                 Ok(ReadOutcome::Bytes(n)) => {
@@ -99,7 +101,9 @@
                         return self.close_after_protocol_error(now, slot, error);
                     }
                 }
-                Ok(ReadOutcome::EndOfStream) | Err(_) => return self.close_client(now, slot),
+                Ok(ReadOutcome::EndOfStream) | Err(_) => {
+                    return self.close_client(now, slot, CloseCause::Ended);
+                }
             }
         }
         self.unfinished_reads.push_back(EventSource::Client(slot));
@@ -110,7 +114,7 @@
         if let Some(client) = self.host.clients.get_mut(slot) {
             client.respond(0, protocol::ERRORED, &[], error.to_string().as_bytes());
         }
-        self.close_client_after_flush(now, slot);
+        self.close_client_after_flush(now, slot, CloseCause::ProtocolError);
     }
 
     /// Handles the complete frames in the decoder.
@@ -236,7 +240,12 @@
             }
         };
         let reason = rejection.to_string();
-        debug!(reason, "invocation rejected");
+        if let Some(suppressed) = self.rejection_log_limiter.try_acquire(self.host.now()) {
+            info!(
+                client = slot,
+                stream, reason, suppressed, "invocation rejected"
+            );
+        }
         let milliseconds = format!("{}", (retry_after * 1e3).ceil());
         let cooldown = [("cooldown", milliseconds.as_str())];
         let fields: &[(&str, &str)] = if retry_after > 0.0 { &cooldown } else { &[] };
--- a/crates/platform-frontend/src/event_loop/maintenance.rs
+++ b/crates/platform-frontend/src/event_loop/maintenance.rs
@@ -1,15 +1,21 @@
 //! Periodic work: connection and load command timeouts, clock adjustment, and the status log.
 
 use super::EventLoop;
+use crate::client_connection::CloseCause;
 use crate::executor_connection::CloseReason;
+use crate::memory_use::ResidentMemory;
 use orchidtally_engine::transport_outcome::TransportOutcome;
 use orchidtally_platform_client_protocol as protocol;
-use tracing::info;
+use tracing::{info, warn};
 
 /// Seconds between two sweeps, each of which checks all connections for timeouts.
 pub(super) const SWEEP_INTERVAL: f64 = 0.025;
 /// Seconds between two adjustments of the process clock to the wall clock.
 const CLOCK_INTERVAL: f64 = 1.0;
+/// Seconds between two readings of the process's memory.
+const MEMORY_INTERVAL: f64 = 1.0;
+/// The fraction of the memory limit above which resident memory is logged at each reading.
+const HIGH_MEMORY_FRACTION: f64 = 0.75;
 /// Seconds between two status log lines.
 const STATUS_INTERVAL: f64 = 10.0;
 
@@ -17,6 +23,7 @@
 pub(super) struct MaintenanceSchedule {
     next_sweep_at: f64,
     next_clock_adjustment_at: f64,
+    next_memory_reading_at: f64,
     next_status_at: f64,
 }
 
@@ -26,6 +33,7 @@
         MaintenanceSchedule {
             next_sweep_at: now,
             next_clock_adjustment_at: now + CLOCK_INTERVAL,
+            next_memory_reading_at: now + MEMORY_INTERVAL,
             next_status_at: now + STATUS_INTERVAL,
         }
     }
@@ -59,6 +67,15 @@
         is_due
     }
 
+    /// Returns whether a reading of the process's memory is due. If so, schedules the next one.
+    fn take_memory_reading(&mut self, now: f64) -> bool {
+        let is_due = now > self.next_memory_reading_at;
+        if is_due {
+            self.next_memory_reading_at = now + MEMORY_INTERVAL;
+        }
+        is_due
+    }
+
     /// Returns whether a status line is due. If so, schedules the next one.
     fn take_status(&mut self, now: f64) -> bool {
         let is_due = now > self.next_status_at;
@@ -80,6 +97,9 @@
         if self.maintenance.take_clock_adjustment(now) {
             self.host.adjust_to_wall_clock();
         }
+        if self.maintenance.take_memory_reading(now) {
+            self.check_memory();
+        }
         if self.maintenance.take_status(now) {
             self.log_status();
         }
@@ -107,10 +127,33 @@
             tables = ?self.engine.table_sizes(),
             clients = self.host.clients.len(),
             executor_connections = self.host.pool.connection_count(),
+            held = ?self.host.held_bytes(),
+            resident = ?ResidentMemory::read(),
             "status"
         );
     }
 
+    /// Warns if the process is close to its memory limit, with what it holds.
+    fn check_memory(&self) {
+        let Some(resident) = ResidentMemory::read() else {
+            return;
+        };
+        let limit = self.memory_bytes;
+        if resident.current as f64 <= HIGH_MEMORY_FRACTION * limit as f64 {
+            return;
+        }
+        warn!(
+            resident = resident.current,
+            peak = resident.peak,
+            limit,
+            held = ?self.host.held_bytes(),
+            tables = ?self.engine.table_sizes(),
+            clients = self.host.clients.len(),
+            open = self.engine.open_invocations(),
+            "resident memory is close to the limit"
+        );
+    }
+
     /// Begins to close client connections whose timeouts have expired, and completes closes that are due.
     fn close_overdue_clients(&mut self, now: f64) {
         let overdue: Vec<(usize, &'static str)> = self
@@ -129,7 +172,7 @@
             {
                 client.respond(0, protocol::ERRORED, &[], reason.as_bytes());
             }
-            self.close_client_after_flush(now, slot);
+            self.close_client_after_flush(now, slot, CloseCause::TimedOut(reason));
         }
         let due: Vec<usize> = self
             .host
@@ -139,7 +182,7 @@
             .map(|(slot, _)| slot)
             .collect();
         for slot in due {
-            self.close_client(now, slot);
+            self.close_client(now, slot, CloseCause::LingerEnded);
         }
     }
 
--- a/crates/platform-frontend/src/event_loop/mod.rs
+++ b/crates/platform-frontend/src/event_loop/mod.rs
@@ -13,6 +13,7 @@
 mod settings_reload;
 
 use crate::engine_host::EngineHost;
+use crate::log_rate_limiter::LogRateLimiter;
 use crate::process_clock::ProcessClock;
 use crate::signals::PendingSignals;
 use crate::source::EventSource;
@@ -76,12 +77,16 @@
     reload: SettingsReload,
     maintenance: MaintenanceSchedule,
     settings: FrontEndSettings,
+    /// The memory limit of the process, in bytes.
+    memory_bytes: usize,
     /// The limit on the total size of request bodies, in bytes.
     max_body_bytes: usize,
     /// Sources that may have more input than was read in this poll.
     unfinished_reads: VecDeque<EventSource>,
     read_buffer: Box<[u8]>,
     counters: ConnectionCounters,
+    close_log_limiter: LogRateLimiter,
+    rejection_log_limiter: LogRateLimiter,
 }
 
 /// Serves clients until a termination signal arrives and the graceful shutdown completes. Returns the engine's
@@ -150,11 +155,14 @@
             reload: SettingsReload::new(file),
             maintenance: MaintenanceSchedule::new(now),
             settings,
+            memory_bytes: start.memory_bytes,
             // Request bodies may use a quarter of the memory. The rest is for buffers and tables.
             max_body_bytes: start.memory_bytes / 4,
             unfinished_reads: VecDeque::new(),
             read_buffer: vec![0; READ_BUFFER_BYTES].into(),
             counters: ConnectionCounters::default(),
+            close_log_limiter: LogRateLimiter::default(),
+            rejection_log_limiter: LogRateLimiter::default(),
         };
         info!(name = start.name, listen = %start.listen, resolver = %start.resolver,
             executors = start.initial_list.endpoints.len(),
--- a/crates/platform-frontend/src/event_loop/output.rs
+++ b/crates/platform-frontend/src/event_loop/output.rs
@@ -1,7 +1,7 @@
 //! Flushes output to clients and executors, and reports unsent commands to the engine.
 
 use super::EventLoop;
-use crate::client_connection::MAX_BACKLOG_BYTES;
+use crate::client_connection::{CloseCause, MAX_BACKLOG_BYTES};
 use crate::source::EventSource;
 use orchidtally_engine::transport_outcome::{self, TransportOutcome};
 use std::net::Shutdown;
@@ -100,7 +100,7 @@
             let _ = client.socket.stream.shutdown(Shutdown::Write);
         }
         if flushed.is_err() {
-            self.close_client(now, slot);
+            self.close_client(now, slot, CloseCause::Ended);
         }
     }
 }
--- a/crates/platform-frontend/src/executor_connection.rs
+++ b/crates/platform-frontend/src/executor_connection.rs
@@ -207,6 +207,11 @@
             && self.socket.pending_bytes() == 0
     }
 
+    /// Bytes of memory that commands occupy which the kernel has not accepted yet.
+    pub fn held_output_bytes(&self) -> usize {
+        self.socket.held_bytes() + self.queue.capacity() * size_of::<QueuedCommand>()
+    }
+
     /// Abandons a dispatch, and returns whether the executor may have received a part of it.
     pub fn abandon(&mut self, id: &Rc<str>) -> bool {
         let Some(dispatch) = self.in_flight.remove(id) else {
--- a/crates/platform-frontend/src/invocation_table.rs
+++ b/crates/platform-frontend/src/invocation_table.rs
@@ -62,6 +62,11 @@
         self.body_bytes
     }
 
+    /// Bytes of memory that the invocations occupy.
+    pub fn held_bytes(&self) -> usize {
+        self.body_bytes + self.open.capacity() * size_of::<(u32, OpenInvocation)>()
+    }
+
     /// Limits every deadline to `latest`, in seconds.
     pub fn cap_deadlines(&mut self, latest: f64) {
         for open in self.open.values_mut() {
--- a/crates/socket-io/src/buffered.rs
+++ b/crates/socket-io/src/buffered.rs
@@ -80,6 +80,11 @@
         self.write_buffer.len() - self.flushed
     }
 
+    /// Bytes of memory that the write buffer holds.
+    pub fn held_bytes(&self) -> usize {
+        self.write_buffer.capacity()
+    }
+
     /// The number of bytes handed to the kernel since the connection was opened.
     pub fn bytes_written(&self) -> u64 {
         self.bytes_written
