--- /dev/null
+++ b/crates/cli/tests/crowd/mod.rs
@@ -0,0 +1,255 @@
+//! Crowds of misbehaving clients for a platform front end, and the measurement of its peak memory.
+
+// Each test binary uses a part of this module.
+#![allow(dead_code)]
+
+use crate::kit::*;
+use orchidtally_platform_client_protocol as frames;
+use serde_json::Value;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+/// Descriptors of the front end under test.
+pub const DESCRIPTORS: usize = 384;
+/// Connections of a crowd: as many clients as the front end serves at a time, less the usual client's.
+pub const CROWD: usize = DESCRIPTORS / 2 - 2;
+/// How long a crowd misbehaves.
+pub const DURATION: Duration = Duration::from_secs(3);
+/// The time that the usual client allows for an invocation, as `kit::invocation` states it.
+const CLIENT_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// The allowance that the platform's rules add to time limits.
+const ALLOWANCE: Duration = Duration::from_millis(50);
+/// Pause before a client of the crowd connects again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(2);
+
+/// Waits until no other test of this binary runs a crowd, since two at once would measure each other.
+pub fn wait_for_turn() -> MutexGuard<'static, ()> {
+    static TURN: Mutex<()> = Mutex::new(());
+    TURN.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Starts a front end with two executors and a memory limit in MiB.
+pub fn start_limited(name: &str, memory_mb: u64, dispatch_log: DispatchLog) -> FrontEnd {
+    let executors: Vec<Value> = (1..=2)
+        .map(|n| host(n, start_executor(dispatch_log.clone())))
+        .collect();
+    start_limited_with(name, memory_mb, &executors, dispatch_log)
+}
+
+/// Starts a front end with the given endpoint list and a memory limit in MiB.
+pub fn start_limited_with(
+    name: &str,
+    memory_mb: u64,
+    executors: &[Value],
+    dispatch_log: DispatchLog,
+) -> FrontEnd {
+    let (text, address) = settings_file(executors, DESCRIPTORS);
+    let mut settings: Value = serde_json::from_str(&text).unwrap();
+    settings["limits"]["memory_mb"] = memory_mb.into();
+    let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{memory_mb}.json"));
+    std::fs::write(&file, settings.to_string()).unwrap();
+    let log = std::fs::File::create(file.with_extension("log")).unwrap();
+    let process = std::process::Command::new(PROGRAM)
+        .args(["serve", "--platform"])
+        .env("LB_CONFIG", &file)
+        .stderr(log)
+        .spawn()
+        .unwrap();
+    let front_end = FrontEnd {
+        process,
+        address,
+        file,
+        dispatch_log,
+    };
+    front_end.wait_until_listening();
+    front_end
+}
+
+/// The peak of a process's resident memory in bytes; 0 once it has ended.
+pub fn peak_memory(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kibibytes = peak.and_then(|text| text.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+    kibibytes.unwrap_or_default() * 1024
+}
+
+/// What one client of a crowd does over one connection. It returns at the end of the connection, or when `is_over`.
+pub type Behaviour = fn(&mut TcpStream, &Numbers, &AtomicBool) -> std::io::Result<()>;
+
+/// Numbers that no other client of the crowd has drawn.
+#[derive(Default)]
+pub struct Numbers(AtomicU64);
+
+impl Numbers {
+    pub fn next(&self) -> u64 {
+        // Far from the ids of the usual client.
+        (1 << 40) + self.0.fetch_add(1, Ordering::Relaxed)
+    }
+}
+
+/// Clients that behave alike and connect again as often as they are disconnected.
+pub struct Crowd {
+    is_over: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl Crowd {
+    pub fn start(address: SocketAddr, size: usize, behaviour: Behaviour) -> Crowd {
+        let (is_over, numbers) = (
+            Arc::new(AtomicBool::new(false)),
+            Arc::new(Numbers::default()),
+        );
+        let clients = (0..size).map(|_| {
+            let (is_over, numbers) = (is_over.clone(), numbers.clone());
+            std::thread::spawn(move || {
+                while !is_over.load(Ordering::Relaxed) {
+                    if let Ok(mut stream) = TcpStream::connect(address) {
+                        let timeout = Some(Duration::from_millis(500));
+                        stream.set_read_timeout(timeout).unwrap();
+                        stream.set_write_timeout(timeout).unwrap();
+                        // The front end may end the connection at any time.
+                        let _ = behaviour(&mut stream, &numbers, &is_over);
+                    }
+                    std::thread::sleep(RECONNECT_PAUSE);
+                }
+            })
+        });
+        Crowd {
+            clients: clients.collect(),
+            is_over,
+        }
+    }
+
+    pub fn stop(self) {
+        self.is_over.store(true, Ordering::Relaxed);
+        for client in self.clients {
+            client.join().unwrap();
+        }
+    }
+}
+
+/// What a usual client met.
+#[derive(Debug, Default)]
+pub struct Served {
+    pub asked: u32,
+    pub succeeded: u32,
+    pub throttled: u32,
+    /// Without an answer when the client's time was up.
+    pub late: u32,
+    /// Errored, or on a connection that ended without an answer.
+    pub failed: u32,
+}
+
+/// Invokes a prompt function ten times a second for `duration`, over a connection of its own.
+pub fn serve_usual_client(front_end: &FrontEnd, duration: Duration) -> Served {
+    let (mut served, mut client) = (Served::default(), front_end.client());
+    let until = Instant::now() + duration;
+    client
+        .set_read_timeout(Some(CLIENT_TIMEOUT + ALLOWANCE))
+        .unwrap();
+    let mut stream = 0;
+    while Instant::now() < until {
+        served.asked += 1;
+        stream += 1;
+        let id = hex_id(u64::from(served.asked));
+        let asked_at = Instant::now();
+        let is_sent = client
+            .write_all(&invocation(stream, &id, "read", PROMPT, b"usual"))
+            .is_ok();
+        match is_sent.then(|| read_frame(&mut client)).flatten() {
+            Some((frames::RESPONSE, _, frames::SUCCEEDED, _)) => served.succeeded += 1,
+            Some((frames::RESPONSE, _, frames::THROTTLED, _)) => served.throttled += 1,
+            answer => {
+                if answer.is_none() && asked_at.elapsed() >= CLIENT_TIMEOUT {
+                    served.late += 1;
+                } else {
+                    served.failed += 1;
+                }
+                let Ok(next) = TcpStream::connect(front_end.address) else {
+                    return served;
+                };
+                next.set_read_timeout(Some(CLIENT_TIMEOUT + ALLOWANCE))
+                    .unwrap();
+                (client, stream) = (next, 0);
+            }
+        }
+        std::thread::sleep(Duration::from_millis(100));
+    }
+    served
+}
+
+/// Writes all bytes in pieces, with a pause after each.
+pub fn write_pieces(
+    stream: &mut TcpStream,
+    bytes: &[u8],
+    piece: usize,
+    pause: Duration,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    for part in bytes.chunks(piece) {
+        if is_over.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        stream.write_all(part)?;
+        std::thread::sleep(pause);
+    }
+    Ok(())
+}
+
+/// Reads and drops what arrives until the connection ends.
+pub fn read_until_end(stream: &mut TcpStream, is_over: &AtomicBool) -> std::io::Result<()> {
+    let mut buffer = vec![0; 64 * 1024];
+    while !is_over.load(Ordering::Relaxed) {
+        match stream.read(&mut buffer) {
+            Ok(0) => return Ok(()),
+            Ok(_) => {}
+            Err(error) if matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(())
+}
+
+/// Sends the frames of `next`, which gets their numbers, without a pause until the connection ends. Reads nothing.
+pub fn flood(
+    stream: &mut TcpStream,
+    mut next: impl FnMut(u32) -> Vec<u8>,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    let mut number = 0;
+    while !is_over.load(Ordering::Relaxed) {
+        let mut batch = vec![];
+        while batch.len() < 64 * 1024 {
+            number += 1;
+            batch.extend(next(number));
+        }
+        stream.write_all(&batch)?;
+    }
+    Ok(())
+}
+
+/// Judges a front end that served a crowd and a usual client: it lives, its peak memory is within its limit, and the
+/// usual client got an answer to each invocation in time.
+pub fn assert_within_limits(name: &str, front_end: &mut FrontEnd, memory_mb: u64, served: &Served) {
+    let peak = peak_memory(front_end.process.id());
+    println!(
+        "{name}: peak {:.1} of {memory_mb} MiB, {served:?}",
+        peak as f64 / (1 << 20) as f64
+    );
+    let ended = front_end.process.try_wait().unwrap();
+    assert!(ended.is_none(), "{name}: the front end ended: {ended:?}");
+    assert!(
+        peak <= memory_mb << 20,
+        "{name}: {peak} bytes resident, the limit is {memory_mb} MiB"
+    );
+    assert_eq!(
+        (served.late, served.failed),
+        (0, 0),
+        "{name}: each usual invocation is answered in time: {served:?}"
+    );
+}
--- /dev/null
+++ b/crates/cli/tests/platform_memory.rs
@@ -0,0 +1,152 @@
+//! Runs the `orchidtally` binary under crowds of misbehaving clients, and checks that it stays within its memory limit
+//! and answers its usual clients in time.
+
+mod crowd;
+mod kit;
+
+use crowd::*;
+use kit::*;
+use orchidtally_platform_client_protocol as frames;
+use std::io::Write;
+use std::net::TcpStream;
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+/// The largest request that the platform's protocol allows, with a body of 16 KiB.
+fn large_invocation(stream: u32, id: u64, function: &str) -> Vec<u8> {
+    invocation(
+        stream,
+        &hex_id(id),
+        "command",
+        function,
+        &[b'x'; frames::MAX_BODY_LENGTH],
+    )
+}
+
+/// Header of an INVOKE frame whose payload has the given length.
+fn invoke_header(payload_length: usize, stream: u32) -> Vec<u8> {
+    let mut header = (payload_length as u32 + 5).to_be_bytes().to_vec();
+    header.push(frames::INVOKE);
+    header.extend(stream.to_be_bytes());
+    header
+}
+
+/// Runs a crowd and a usual client against front ends with memory limits of 48 and of 32 MiB.
+fn assert_survives(name: &str, size: usize, behaviour: Behaviour) {
+    let _turn = wait_for_turn();
+    for memory_mb in [48, 32] {
+        let mut front_end = start_limited(name, memory_mb, DispatchLog::default());
+        let crowd = Crowd::start(front_end.address, size, behaviour);
+        let served = serve_usual_client(&front_end, DURATION);
+        crowd.stop();
+        assert_within_limits(name, &mut front_end, memory_mb, &served);
+    }
+}
+
+/// A large request, of which the last piece is missing.
+fn stop_half_way(
+    stream: &mut TcpStream,
+    _numbers: &Numbers,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    let payload = 2 * frames::MAX_BODY_LENGTH - 5;
+    stream.write_all(&invoke_header(payload, 1))?;
+    write_pieces(
+        stream,
+        &vec![b'x'; payload - 100],
+        4 * 1024,
+        Duration::from_millis(100),
+        is_over,
+    )?;
+    read_until_end(stream, is_over)
+}
+
+/// Large requests of which nobody reads the answers.
+fn read_no_answers(
+    stream: &mut TcpStream,
+    numbers: &Numbers,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    flood(
+        stream,
+        |n| large_invocation(n, numbers.next(), PROMPT),
+        is_over,
+    )
+}
+
+/// Requests without any field, as fast as they are taken.
+fn send_unsound(
+    stream: &mut TcpStream,
+    _numbers: &Numbers,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    flood_and_read(stream, |n| [invoke_header(1, n), vec![0]].concat(), is_over)
+}
+
+/// Requests with as many fields as a head can have.
+fn send_many_fields(
+    stream: &mut TcpStream,
+    numbers: &Numbers,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    let names: Vec<String> = (0..250).map(|n| format!("{n:x}")).collect();
+    let id = numbers.next();
+    flood_and_read(
+        stream,
+        |n| {
+            let fields: Vec<(&str, &str)> = names.iter().map(|name| (name.as_str(), "")).collect();
+            let mut frame = vec![];
+            frames::write_frame(
+                &mut frame,
+                frames::INVOKE,
+                n,
+                None,
+                Some(&fields),
+                &id.to_be_bytes(),
+            );
+            frame
+        },
+        is_over,
+    )
+}
+
+/// Sends frames in one thread and reads the answers in another.
+fn flood_and_read(
+    stream: &mut TcpStream,
+    next: impl FnMut(u32) -> Vec<u8>,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    let mut reading = stream.try_clone()?;
+    std::thread::scope(|scope| {
+        scope.spawn(move || read_until_end(&mut reading, is_over));
+        let sent = flood(stream, next, is_over);
+        // Fails if the connection has ended.
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+        sent
+    })
+}
+
+/// Guards against input of slow writers that adds up past the memory limit.
+#[test]
+fn a_crowd_that_stops_half_way_through_a_large_request_stays_within_the_memory_limit() {
+    assert_survives("half-way", CROWD, stop_half_way);
+}
+
+/// Guards against input and responses of clients that read nothing, which add up past the memory limit.
+#[test]
+fn a_crowd_that_reads_no_answers_stays_within_the_memory_limit() {
+    assert_survives("unread", CROWD, read_no_answers);
+}
+
+/// Guards against holding the responses to all clients until the end of a poll, past the memory limit, and against
+/// polls of seconds, in which no usual client gets an answer.
+#[test]
+fn a_crowd_that_sends_unsound_requests_stays_within_the_memory_limit() {
+    assert_survives("unsound", CROWD, send_unsound);
+}
+
+/// Guards against heads of many fields, whose comparison kept the front end from answering usual clients in time.
+#[test]
+fn a_crowd_that_sends_heads_of_many_fields_does_not_delay_usual_clients() {
+    assert_survives("many-fields", CROWD, send_many_fields);
+}
