Give each client a bounded turn, and write its responses at the end of the turn

Cause: a poll read up to 256 KiB of each ready client, held the responses to all of them until its end, and took seconds. A frame of 13 bytes became a response of some 45, so 190 clients made 144 MB of output before the first byte was written. Evidence: the status line of the reproduction, client_output= of 147 MB resident.

Change: ready clients queue, each once. A turn takes up to 64 KiB in reads of 16 KiB, decodes 512 frames and admits or rejects 64 invocations; its output is written at once. A poll spends 5 ms on clients, then executors and timers have their turn, so that none waits for a crowd. Invocations count as arrived when their client was queued; a client that waits for its turn does not time out.

--- a/crates/cli/tests/crowd/mod.rs
+++ b/crates/cli/tests/crowd/mod.rs
@@ -147,42 +147,63 @@
 
 /// Invokes a prompt function ten times a second for `duration`, over a connection of its own.
 pub fn serve_usual_client(front_end: &FrontEnd, duration: Duration) -> Served {
-    let (mut served, mut client) = (Served::default(), front_end.client());
+    let mut client = UsualClient::connect(front_end.address);
     let until = Instant::now() + duration;
-    client
-        .set_read_timeout(Some(CLIENT_TIMEOUT + ALLOWANCE))
-        .unwrap();
-    let mut stream = 0;
+    let mut served = Served::default();
     while Instant::now() < until {
         served.asked += 1;
-        stream += 1;
         let id = hex_id(u64::from(served.asked));
         let asked_at = Instant::now();
-        let is_sent = client
-            .write_all(&invocation(stream, &id, "read", PROMPT, b"usual"))
-            .is_ok();
-        match is_sent.then(|| read_frame(&mut client)).flatten() {
-            Some((frames::RESPONSE, _, frames::SUCCEEDED, _)) => served.succeeded += 1,
-            Some((frames::RESPONSE, _, frames::THROTTLED, _)) => served.throttled += 1,
-            answer => {
-                if answer.is_none() && asked_at.elapsed() >= CLIENT_TIMEOUT {
-                    served.late += 1;
-                } else {
-                    served.failed += 1;
-                }
-                let Ok(next) = TcpStream::connect(front_end.address) else {
-                    return served;
-                };
-                next.set_read_timeout(Some(CLIENT_TIMEOUT + ALLOWANCE))
-                    .unwrap();
-                (client, stream) = (next, 0);
-            }
+        let code = client.ask(&id).or_else(|| client.ask_again(asked_at, &id));
+        match code {
+            Some(frames::SUCCEEDED) => served.succeeded += 1,
+            Some(frames::THROTTLED) => served.throttled += 1,
+            None if asked_at.elapsed() >= CLIENT_TIMEOUT => served.late += 1,
+            _ => served.failed += 1,
         }
         std::thread::sleep(Duration::from_millis(100));
     }
     served
 }
 
+struct UsualClient {
+    address: SocketAddr,
+    connection: TcpStream,
+    stream: u32,
+}
+
+impl UsualClient {
+    fn connect(address: SocketAddr) -> UsualClient {
+        let connection = TcpStream::connect(address).unwrap();
+        let timeout = Some(CLIENT_TIMEOUT + ALLOWANCE);
+        connection.set_read_timeout(timeout).unwrap();
+        UsualClient {
+            address,
+            connection,
+            stream: 0,
+        }
+    }
+
+    /// Sends an invocation and returns the code of its answer; `None` if there is none.
+    fn ask(&mut self, id: &str) -> Option<u8> {
+        self.stream += 1;
+        let frame = invocation(self.stream, id, "read", PROMPT, b"usual");
+        self.connection.write_all(&frame).ok()?;
+        let (kind, stream, code, _) = read_frame(&mut self.connection)?;
+        ((kind, stream) == (frames::RESPONSE, self.stream)).then_some(code)
+    }
+
+    /// Resends, once and on a new connection, an invocation that crossed the close of an idle connection, as the
+    /// platform's protocol has it.
+    fn ask_again(&mut self, asked_at: Instant, id: &str) -> Option<u8> {
+        if asked_at.elapsed() > ALLOWANCE {
+            return None;
+        }
+        *self = UsualClient::connect(self.address);
+        self.ask(id)
+    }
+}
+
 /// Writes all bytes in pieces, with a pause after each.
 pub fn write_pieces(
     stream: &mut TcpStream,
--- a/crates/platform-frontend/src/client_connection.rs
+++ b/crates/platform-frontend/src/client_connection.rs
@@ -5,7 +5,7 @@
 use orchidtally_platform_client_protocol::{self as protocol, Decoder};
 use orchidtally_socket_io::buffered::BufferedSocket;
 use slab::Slab;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Invocations that may be open on one connection at the same time.
 pub const MAX_OPEN_INVOCATIONS: usize = 32;
@@ -77,7 +77,7 @@
     /// The highest stream used so far.
     pub last_stream: u32,
     /// Invocations that were read and are not admitted yet.
-    pub pending: Vec<PendingInvocation>,
+    pub pending: VecDeque<PendingInvocation>,
     /// When the client connected or its current partial frame began; `None` while no frame is awaited.
     awaiting_frame_since: Option<f64>,
     /// When the client last read some of the unwritten output, and the total of bytes written by then; `None` if
@@ -105,7 +105,7 @@
             decoder: Decoder::default(),
             open_invocations: BTreeMap::new(),
             last_stream: 0,
-            pending: vec![],
+            pending: VecDeque::new(),
             awaiting_frame_since: Some(now),
             stalled_since: None,
             idle_since: now,
--- a/crates/platform-frontend/src/event_loop/client_listener.rs
+++ b/crates/platform-frontend/src/event_loop/client_listener.rs
@@ -105,7 +105,7 @@
                 }
             }
         }
-        self.unfinished_reads.push_back(EventSource::Listener);
+        self.queue_source(EventSource::Listener, now);
     }
 
     fn add_client(&mut self, now: f64, stream: TcpStream) {
@@ -138,7 +138,7 @@
             let Some(slot) = eviction_candidate(&self.host.clients, now, connect_timeout) else {
                 return false;
             };
-            self.read_client(now, slot);
+            self.read_client(now, slot, now);
             if self
                 .host
                 .clients
--- a/crates/platform-frontend/src/event_loop/client_requests.rs
+++ b/crates/platform-frontend/src/event_loop/client_requests.rs
@@ -1,8 +1,8 @@
 //! Handles client frames: admits invocations or rejects them, and handles cancels and readiness queries.
 
-use super::{EventLoop, MAX_READS_PER_POLL};
+use super::EventLoop;
 use crate::client_connection::{
-    CloseCause, MAX_BACKLOG_BYTES, MAX_OPEN_INVOCATIONS, PendingInvocation,
+    ClientConnection, CloseCause, MAX_BACKLOG_BYTES, MAX_OPEN_INVOCATIONS, PendingInvocation,
 };
 use crate::invocation_request::{InvalidInvocation, InvocationOrigin, parse_invocation};
 use crate::source::EventSource;
@@ -12,6 +12,43 @@
 use thiserror::Error;
 use tracing::info;
 
+/// Bytes of one read from a client.
+const CLIENT_READ_BYTES: usize = 16 * 1024;
+/// Reads from a client in one turn.
+const READS_PER_TURN: usize = 4;
+/// Frames of a client that are decoded in one turn.
+const FRAMES_PER_TURN: usize = 512;
+/// Invocations of a client that are admitted or rejected in one turn. The responses are held until they are written.
+const ADMISSIONS_PER_TURN: usize = 2 * MAX_OPEN_INVOCATIONS;
+/// Unwritten bytes from which on a client's output is written at the end of its turn instead of that of the poll.
+const PROMPT_FLUSH_BYTES: usize = 4 * 1024;
+
+/// What is left of a client's turn in a poll.
+///
+/// Failure mode: clients that send at full speed keep a poll busy for seconds, and the front end holds the responses to
+/// all that it has read meanwhile.
+/// Risk: a usual client with more input than a turn takes waits for the turns of all others.
+struct Turn {
+    reads_left: usize,
+    frames_left: usize,
+    /// The earliest time at which the input may have arrived, in seconds.
+    ready_since: f64,
+}
+
+impl Turn {
+    fn new(ready_since: f64) -> Turn {
+        Turn {
+            reads_left: READS_PER_TURN,
+            frames_left: FRAMES_PER_TURN,
+            ready_since,
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        self.reads_left == 0 || self.frames_left == 0
+    }
+}
+
 /// Why an invocation is rejected without being admitted. The text is sent to the client as the response body, so it is
 /// part of the protocol.
 #[derive(Debug, Error)]
@@ -37,9 +74,29 @@
 }
 
 impl EventLoop {
-    /// Reads a client connection and admits or rejects the invocations that have arrived.
-    pub(super) fn read_client(&mut self, now: f64, slot: usize) {
-        self.read_client_socket(now, slot);
+    /// Gives a client a turn: reads its connection and admits or rejects the invocations that have arrived.
+    /// `ready_since` is the earliest time at which the input may have arrived, in seconds.
+    pub(super) fn read_client(&mut self, now: f64, slot: usize, ready_since: f64) {
+        let Some(client) = self.host.clients.get_mut(slot) else {
+            return;
+        };
+        client.is_backpressured = client.socket.pending_bytes() > MAX_BACKLOG_BYTES;
+        if client.pending.is_empty() || client.is_backpressured {
+            self.read_client_socket(now, slot, ready_since);
+        } else {
+            // Invocations that an earlier turn left come first, and the next turn reads on.
+            self.ready_clients.push(EventSource::Client(slot), now);
+        }
+        self.admit_pending(now, slot);
+        let is_large =
+            |client: &ClientConnection| client.socket.pending_bytes() >= PROMPT_FLUSH_BYTES;
+        if self.host.clients.get(slot).is_some_and(is_large) {
+            self.flush_client(now, slot);
+        }
+    }
+
+    /// Admits or rejects the pending invocations of a client, unless it has to read responses first.
+    fn admit_pending(&mut self, now: f64, slot: usize) {
         let Some(client) = self
             .host
             .clients
@@ -62,28 +119,54 @@
         }
         let is_over_limit = client.is_over_limit;
         let has_sent_frame = client.has_sent_frame;
-        for pending in std::mem::take(&mut client.pending) {
+        for _ in 0..ADMISSIONS_PER_TURN {
+            let Some(pending) = self.next_pending(slot) else {
+                break;
+            };
             if let Err(rejection) = self.admit(slot, &pending, is_over_limit) {
                 self.reject(slot, pending.stream, &rejection);
             }
         }
-        if is_over_limit && has_sent_frame {
+        if self.has_pending(slot) {
+            self.ready_clients.push(EventSource::Client(slot), now);
+        } else if is_over_limit && has_sent_frame {
             self.close_client_after_flush(now, slot, CloseCause::OverLimit);
         }
     }
 
-    /// Reads the available input and handles its frames. Invocations are queued for admission.
+    /// Removes and returns the first pending invocation of a client.
+    fn next_pending(&mut self, slot: usize) -> Option<PendingInvocation> {
+        self.host.clients.get_mut(slot)?.pending.pop_front()
+    }
+
+    fn has_pending(&self, slot: usize) -> bool {
+        let client = self.host.clients.get(slot);
+        client.is_some_and(|client| !client.pending.is_empty())
+    }
+
+    /// Reads the available input and handles its frames, as many as one turn allows. Invocations are queued for
+    /// admission.
     ///
     /// This also happens under backpressure, so that cancels and the end of the connection are noticed at once. Queued
     /// invocations are admitted only after the read, so that those cancelled in the same batch never reach the engine.
     /// Failure mode: a client cancels hundreds of invocations at once, each of which would have been placed first.
-    fn read_client_socket(&mut self, now: f64, slot: usize) {
-        for _ in 0..MAX_READS_PER_POLL {
+    fn read_client_socket(&mut self, now: f64, slot: usize, ready_since: f64) {
+        let mut turn = Turn::new(ready_since);
+        loop {
+            if let Err(error) = self.handle_frames(now, slot, &mut turn) {
+                return self.close_after_protocol_error(now, slot, error);
+            }
+            if turn.is_over() {
+                return self.ready_clients.push(EventSource::Client(slot), now);
+            }
+            turn.reads_left -= 1;
             let Some(client) = self.host.clients.get_mut(slot) else {
                 return;
             };
-            client.is_backpressured = client.socket.pending_bytes() > MAX_BACKLOG_BYTES;
-            match client.socket.read(&mut self.read_buffer) {
+            match client
+                .socket
+                .read(&mut self.read_buffer[..CLIENT_READ_BYTES])
+            {
                 Ok(ReadOutcome::WouldBlock) => {
                     if client.socket.pending_bytes() > 0 {
                         self.host.mark_client_dirty(slot);
@@ -95,18 +178,12 @@
                         return self.close_client(now, slot, CloseCause::LingerEnded);
                     }
                 }
-                Ok(ReadOutcome::Bytes(n)) => {
-                    client.decoder.push(&self.read_buffer[..n]);
-                    if let Err(error) = self.handle_frames(now, slot) {
-                        return self.close_after_protocol_error(now, slot, error);
-                    }
-                }
+                Ok(ReadOutcome::Bytes(n)) => client.decoder.push(&self.read_buffer[..n]),
                 Ok(ReadOutcome::EndOfStream) | Err(_) => {
                     return self.close_client(now, slot, CloseCause::Ended);
                 }
             }
         }
-        self.unfinished_reads.push_back(EventSource::Client(slot));
     }
 
     fn close_after_protocol_error(&mut self, now: f64, slot: usize, error: ProtocolError) {
@@ -117,17 +194,32 @@
         self.close_client_after_flush(now, slot, CloseCause::ProtocolError);
     }
 
-    /// Handles the complete frames in the decoder.
-    fn handle_frames(&mut self, now: f64, slot: usize) -> Result<(), ProtocolError> {
+    /// Handles the complete frames in the decoder, as many as are left of the turn.
+    fn handle_frames(
+        &mut self,
+        now: f64,
+        slot: usize,
+        turn: &mut Turn,
+    ) -> Result<(), ProtocolError> {
         let mut had_frame = false;
         loop {
-            let Some(client) = self.host.clients.get_mut(slot) else {
+            let Some(client) = self
+                .host
+                .clients
+                .get_mut(slot)
+                .filter(|client| client.closing.is_none())
+            else {
                 return Ok(());
             };
+            if turn.frames_left == 0 {
+                client.record_read(now, had_frame);
+                return Ok(());
+            }
             let Some(frame) = client.decoder.next_frame()? else {
                 client.record_read(now, had_frame);
                 return Ok(());
             };
+            turn.frames_left -= 1;
             had_frame = true;
             let stream = frame.stream;
             match frame.kind {
@@ -136,10 +228,10 @@
                         return Err(ProtocolError::ReusedStream);
                     }
                     let payload = frame.payload.map(<[u8]>::to_vec);
-                    let arrived_at = self.host.earliest_arrival(now);
+                    let arrived_at = self.host.earliest_arrival(now).min(turn.ready_since);
                     if let Some(client) = self.host.clients.get_mut(slot) {
                         client.last_stream = stream;
-                        client.pending.push(PendingInvocation {
+                        client.pending.push_back(PendingInvocation {
                             arrived_at,
                             stream,
                             payload,
--- a/crates/platform-frontend/src/event_loop/endpoint_discovery.rs
+++ b/crates/platform-frontend/src/event_loop/endpoint_discovery.rs
@@ -121,7 +121,7 @@
     pub(super) fn read_resolver(&mut self, now: f64) {
         let summary = self.discovery.read(now);
         if summary.has_more {
-            self.unfinished_reads.push_back(EventSource::Resolver);
+            self.queue_source(EventSource::Resolver, now);
         }
         if summary.is_confirmed {
             let view = self.discovery.view_version();
--- a/crates/platform-frontend/src/event_loop/executor_responses.rs
+++ b/crates/platform-frontend/src/event_loop/executor_responses.rs
@@ -90,7 +90,7 @@
                 }
             }
         }
-        self.unfinished_reads.push_back(EventSource::Executor(slot));
+        self.queue_source(EventSource::Executor(slot), now);
         true
     }
 
--- a/crates/platform-frontend/src/event_loop/graceful_shutdown.rs
+++ b/crates/platform-frontend/src/event_loop/graceful_shutdown.rs
@@ -173,7 +173,7 @@
         }
         // Invocations that arrived since this poll began are answered before the exit.
         for slot in self.client_slots() {
-            self.read_client(now, slot);
+            self.read_client(now, slot, now);
         }
         self.flush_all(now);
         self.shutdown.is_idle()
--- a/crates/platform-frontend/src/event_loop/maintenance.rs
+++ b/crates/platform-frontend/src/event_loop/maintenance.rs
@@ -4,6 +4,7 @@
 use crate::client_connection::CloseCause;
 use crate::executor_connection::CloseReason;
 use crate::memory_use::ResidentMemory;
+use crate::source::EventSource;
 use orchidtally_engine::transport_outcome::TransportOutcome;
 use orchidtally_platform_client_protocol as protocol;
 use tracing::{info, warn};
@@ -160,6 +161,8 @@
             .host
             .clients
             .iter()
+            // The rest of a frame may have arrived and wait for the client's turn.
+            .filter(|&(slot, _)| !self.ready_clients.contains(EventSource::Client(slot)))
             .filter_map(|(slot, client)| Some((slot, client.timeout_reason(now)?)))
             .collect();
         for (slot, reason) in overdue {
--- a/crates/platform-frontend/src/event_loop/mod.rs
+++ b/crates/platform-frontend/src/event_loop/mod.rs
@@ -10,6 +10,7 @@
 mod lost_connections;
 mod maintenance;
 mod output;
+mod ready_queue;
 mod settings_reload;
 
 use crate::engine_host::EngineHost;
@@ -27,9 +28,9 @@
 use orchidtally_engine::{Counters, Engine};
 use orchidtally_platform_config::FrontEndSettings;
 use orchidtally_platform_discovery::EndpointView;
+use ready_queue::ReadyQueue;
 use settings_reload::SettingsReload;
 use signal_hook::consts::SIGHUP;
-use std::collections::VecDeque;
 use std::io;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -37,8 +38,10 @@
 
 /// Size of the buffer for one read, in bytes.
 const READ_BUFFER_BYTES: usize = 64 * 1024;
-/// Reads from one connection per poll, so that a busy connection doesn't starve the others.
+/// Reads from one executor connection per poll, so that a busy connection doesn't starve the others.
 const MAX_READS_PER_POLL: usize = 4;
+/// Seconds that a poll spends on clients at the most, so that executors and timers don't wait for a crowd of clients.
+const CLIENT_TIME_PER_POLL: f64 = 0.005;
 /// The largest number of events that one poll returns.
 const EVENTS_PER_POLL: usize = 1024;
 /// File descriptors reserved for the listener, the sockets of the current and previous resolvers, the signal pipe, log
@@ -81,8 +84,10 @@
     memory_bytes: usize,
     /// The limit on the total size of request bodies, in bytes.
     max_body_bytes: usize,
-    /// Sources that may have more input than was read in this poll.
-    unfinished_reads: VecDeque<EventSource>,
+    /// Clients that have input to handle.
+    ready_clients: ReadyQueue,
+    /// Other sources that have input to handle.
+    ready_sources: ReadyQueue,
     read_buffer: Box<[u8]>,
     counters: ConnectionCounters,
     close_log_limiter: LogRateLimiter,
@@ -158,7 +163,8 @@
             memory_bytes: start.memory_bytes,
             // Request bodies may use a quarter of the memory. The rest is for buffers and tables.
             max_body_bytes: start.memory_bytes / 4,
-            unfinished_reads: VecDeque::new(),
+            ready_clients: ReadyQueue::default(),
+            ready_sources: ReadyQueue::default(),
             read_buffer: vec![0; READ_BUFFER_BYTES].into(),
             counters: ConnectionCounters::default(),
             close_log_limiter: LogRateLimiter::default(),
@@ -183,9 +189,45 @@
         self.wait(events)?;
         let now = self.read_clock();
         self.host.send_due_dispatches();
+        self.queue_ready_sources(events, now);
+        self.handle_ready_sources(now, take_signals);
+        self.read_ready_clients();
+        let now = self.read_clock();
+        self.engine.run_due_timers(now, &mut self.host);
+        self.run_maintenance(now);
+        self.flush_all(now);
+        Ok(self.is_finished(now))
+    }
+
+    /// Queues the sources of the events. Executors come first, because their responses free capacity for client
+    /// requests.
+    fn queue_ready_sources(&mut self, events: &Events, now: f64) {
+        let mut sources: Vec<EventSource> = events
+            .iter()
+            .map(|event| EventSource::from_token(event.token()))
+            .collect();
+        sources.sort_by_key(|source| !matches!(source, EventSource::Executor(_)));
+        for source in sources {
+            self.queue_source(source, now);
+        }
+    }
+
+    /// Queues a source that has input to handle.
+    fn queue_source(&mut self, source: EventSource, now: f64) {
+        match source {
+            EventSource::Client(_) => self.ready_clients.push(source, now),
+            _ => self.ready_sources.push(source, now),
+        }
+    }
+
+    /// Handles the input of each queued source except clients.
+    fn handle_ready_sources(&mut self, now: f64, take_signals: impl FnOnce() -> Vec<i32>) {
         let mut take_signals = Some(take_signals);
-        for source in self.ready_sources(events) {
-            match source {
+        for _ in 0..self.ready_sources.len() {
+            let Some(ready) = self.ready_sources.pop() else {
+                return;
+            };
+            match ready.source {
                 EventSource::Listener => self.accept(now),
                 EventSource::Resolver => self.read_resolver(now),
                 EventSource::Signals => {
@@ -194,26 +236,26 @@
                         self.handle_signal(now, signal);
                     }
                 }
-                EventSource::Client(slot) => self.read_client(now, slot),
+                EventSource::Client(slot) => self.read_client(now, slot, ready.since),
                 EventSource::Executor(slot) => _ = self.read_executor(now, slot),
             }
         }
-        self.engine.run_due_timers(now, &mut self.host);
-        self.run_maintenance(now);
-        self.flush_all(now);
-        Ok(self.is_finished(now))
     }
 
-    /// Returns the sources of the events, followed by those with unfinished reads. Executors come first among the
-    /// events, because their responses free capacity for client requests.
-    fn ready_sources(&mut self, events: &Events) -> Vec<EventSource> {
-        let mut sources: Vec<EventSource> = events
-            .iter()
-            .map(|event| EventSource::from_token(event.token()))
-            .collect();
-        sources.sort_by_key(|source| !matches!(source, EventSource::Executor(_)));
-        sources.extend(self.unfinished_reads.drain(..));
-        sources
+    /// Gives each queued client a turn, until all had one or the time for clients is used up.
+    fn read_ready_clients(&mut self) {
+        let started_at = self.read_clock();
+        for _ in 0..self.ready_clients.len() {
+            let now = self.read_clock();
+            if now > started_at + CLIENT_TIME_PER_POLL {
+                return;
+            }
+            if let Some(ready) = self.ready_clients.pop()
+                && let EventSource::Client(slot) = ready.source
+            {
+                self.read_client(now, slot, ready.since);
+            }
+        }
     }
 
     /// Reads the clock. If it shows a process stall, the engine is notified, so that it dispatches nothing on a stale
@@ -245,7 +287,7 @@
             .min(self.maintenance.next_sweep_at())
             .min(self.lost_connections.next_report_at())
             .min(delayed_dispatches_at);
-        let timeout = if self.unfinished_reads.is_empty() {
+        let timeout = if self.ready_clients.is_empty() && self.ready_sources.is_empty() {
             (due_at - now).clamp(0.0, SWEEP_INTERVAL)
         } else {
             0.0
--- a/crates/platform-frontend/src/event_loop/output.rs
+++ b/crates/platform-frontend/src/event_loop/output.rs
@@ -79,7 +79,7 @@
         }
     }
 
-    fn flush_client(&mut self, now: f64, slot: usize) {
+    pub(super) fn flush_client(&mut self, now: f64, slot: usize) {
         let Some(client) = self.host.clients.get_mut(slot) else {
             return;
         };
@@ -87,7 +87,7 @@
         let flushed = client.socket.flush();
         client.record_flush(now);
         if client.is_backpressured && client.socket.pending_bytes() <= MAX_BACKLOG_BYTES {
-            self.unfinished_reads.push_back(EventSource::Client(slot));
+            self.ready_clients.push(EventSource::Client(slot), now);
         }
         let is_written = client.socket.pending_bytes() == 0;
         if let Some(closing) = client
--- a/crates/platform-frontend/src/source.rs
+++ b/crates/platform-frontend/src/source.rs
@@ -6,7 +6,7 @@
 const FIRST_CONNECTION_TOKEN: usize = 16;
 
 /// The object that a readiness event or an unfinished read belongs to.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EventSource {
     /// The listener for clients.
     Listener,
--- a/crates/platform-frontend/src/tests/disconnects.rs
+++ b/crates/platform-frontend/src/tests/disconnects.rs
@@ -79,7 +79,7 @@
         .shutdown(Shutdown::Write)
         .expect("the connection is open");
     let now = front_end.event_loop.read_clock();
-    front_end.event_loop.read_client(now, 0);
+    front_end.event_loop.read_client(now, 0, now);
     assert_no_new_work(&mut front_end, 0);
 }
 
@@ -141,7 +141,7 @@
     });
     drop(client);
     let now = front_end.event_loop.read_clock();
-    front_end.event_loop.read_client(now, 0);
+    front_end.event_loop.read_client(now, 0, now);
     assert!(received.contains("DO") && front_end.event_loop.host.clients.is_empty());
     assert_no_new_work(&mut front_end, 0);
 }
@@ -175,7 +175,7 @@
         .shutdown(Shutdown::Both)
         .expect("the connection is open");
     let now = front_end.event_loop.read_clock();
-    front_end.event_loop.read_client(now, 0);
+    front_end.event_loop.read_client(now, 0, now);
     assert_no_new_work(&mut front_end, before);
 }
 
