Close a client as soon as the poll reports its end, whatever is unread ahead of it

Cause: the end of a connection was noticed when it was read, after everything ahead of it. What a turn did not reach was admitted in the turns that followed.

Change: the readiness event tells that the peer has closed (EPOLLRDHUP); the client is closed before anything is read.

--- a/crates/platform-frontend/src/event_loop/mod.rs
+++ b/crates/platform-frontend/src/event_loop/mod.rs
@@ -13,6 +13,7 @@
 mod ready_queue;
 mod settings_reload;
 
+use crate::client_connection::CloseCause;
 use crate::engine_host::EngineHost;
 use crate::log_rate_limiter::LogRateLimiter;
 use crate::process_clock::ProcessClock;
@@ -200,8 +201,16 @@
     }
 
     /// Queues the sources of the events. Executors come first, because their responses free capacity for client
-    /// requests.
+    /// requests. A client that has closed its connection is closed at once.
+    ///
+    /// Failure mode: requests that wait unread, ahead of the end of their connection, are dispatched although nobody
+    /// waits for them.
     fn queue_ready_sources(&mut self, events: &Events, now: f64) {
+        for event in events.iter().filter(|event| event.is_read_closed()) {
+            if let EventSource::Client(slot) = EventSource::from_token(event.token()) {
+                self.close_client(now, slot, CloseCause::Ended);
+            }
+        }
         let mut sources: Vec<EventSource> = events
             .iter()
             .map(|event| EventSource::from_token(event.token()))
--- a/crates/platform-frontend/src/tests/disconnects.rs
+++ b/crates/platform-frontend/src/tests/disconnects.rs
@@ -223,3 +223,32 @@
     );
     assert_no_new_work(&mut front_end, 1);
 }
+
+/// Guards against dispatching what a client sent ahead of the end of its connection, when more input is unread than one
+/// turn takes.
+#[test]
+fn invocations_that_wait_ahead_of_the_end_of_a_connection_are_not_dispatched() {
+    const READINESS_QUERIES: u32 = 2_000;
+    let mut front_end = TestFrontEnd::new(1, 128, |_| {});
+    let mut client = front_end.connect_client();
+    let mut sent = vec![];
+    for n in 1..=5 {
+        sent.extend(invocation_frame(n, &invocation_id(n.into()), "read"));
+    }
+    for _ in 0..READINESS_QUERIES {
+        protocol::write_frame(
+            &mut sent,
+            protocol::READINESS_QUERY,
+            0,
+            None,
+            Some(&[]),
+            &[],
+        );
+    }
+    client.write_all(&sent).expect("the connection is open");
+    drop(client);
+    front_end.poll_until("the end of the connection", |front_end| {
+        front_end.event_loop.host.clients.is_empty()
+    });
+    assert_eq!(front_end.event_loop.engine.counters().admitted, 0);
+}
