Evict clients that send invalid invocations before idle, well-behaved ones

Cause: the eviction preferred the connection that was idle for the longest time; whoever sends at full speed is never that one, and was not evictable at all while its invocations were pending.

Change: a client whose latest invocation was invalid gives way first, with what it still has pending; such invocations are owed an error or a close.

Measured: clients_that_send_invalid_invocations_are_evicted_before_an_idle_client fails without the change.

--- a/crates/platform-frontend/src/client_connection.rs
+++ b/crates/platform-frontend/src/client_connection.rs
@@ -91,6 +91,8 @@
     pub is_backpressured: bool,
     /// The client has sent at least one complete frame.
     pub has_sent_frame: bool,
+    /// The latest invocation that was handled is invalid.
+    pub sends_invalid: bool,
     /// The connection was accepted above the limit and is closed once its first frame is answered.
     pub is_over_limit: bool,
     /// Set while the connection is being closed.
@@ -112,6 +114,7 @@
             is_dirty: false,
             is_backpressured: false,
             has_sent_frame: false,
+            sends_invalid: false,
             is_over_limit: false,
             closing: None,
         }
@@ -158,6 +161,12 @@
         self.open_invocations.is_empty() && self.pending.is_empty()
     }
 
+    /// Whether the connection may be closed in favor of another one: it is idle, or only invalid invocations are
+    /// pending on it.
+    pub fn is_evictable(&self) -> bool {
+        self.open_invocations.is_empty() && (self.pending.is_empty() || self.sends_invalid)
+    }
+
     /// Whether a part of a frame has arrived.
     pub fn has_partial_frame(&self) -> bool {
         self.decoder.has_partial_frame()
@@ -235,13 +244,15 @@
     }
 }
 
-/// Returns the idle connection to close in favor of a new one, if there is one.
+/// Returns the connection to close in favor of a new one, if there is one: an idle one, or one whose invocations are
+/// invalid.
 ///
 /// The order of preference is: connections that are closing, those that have waited for a frame for longer than the
-/// connect timeout, those that never sent a frame, and then the one that has been idle for the longest time.
+/// connect timeout, those that send invalid invocations, those that never sent a frame, and then the one that has been
+/// idle for the longest time.
 ///
-/// Failure mode: misbehaving clients that open hundreds of silent connections displace well-behaved clients, which are
-/// idle between two invocations.
+/// Failure mode: misbehaving clients that open hundreds of connections, and stay silent or send at full speed what is
+/// invalid, displace well-behaved clients, which are idle between two invocations.
 /// Risk: a client that is very slow to send its first frame is disconnected.
 pub fn eviction_candidate(
     clients: &Slab<ClientConnection>,
@@ -257,13 +268,14 @@
         (
             client.closing.is_none(),
             !frame_is_overdue(client),
+            !client.sends_invalid,
             client.has_sent_frame,
             Ordered(client.idle_since),
         )
     };
     clients
         .iter()
-        .filter(|(_, client)| client.is_idle())
+        .filter(|(_, client)| client.is_evictable())
         .min_by_key(|(_, client)| order(client))
         .map(|(slot, _)| slot)
 }
--- a/crates/platform-frontend/src/event_loop/client_listener.rs
+++ b/crates/platform-frontend/src/event_loop/client_listener.rs
@@ -96,7 +96,7 @@
                     // repeated evictions would close every idle client.
                     debug!(%error, "accept failed");
                     let should_evict = is_out_of_descriptors(&error) && !has_evicted;
-                    if !should_evict || !self.evict_idle_client(now) {
+                    if !should_evict || !self.evict_client(now) {
                         self.listener.must_retry = true;
                         return;
                     }
@@ -113,7 +113,7 @@
         let max_clients = self.listener.max_clients;
         if self.host.clients.len() >= max_clients {
             self.counters.evicted += 1;
-            client.is_over_limit = !self.evict_idle_client(now);
+            client.is_over_limit = !self.evict_client(now);
             if client.is_over_limit && self.host.clients.len() >= max_clients + MAX_OVER_LIMIT {
                 return;
             }
@@ -130,9 +130,9 @@
         }
     }
 
-    /// Closes an idle client in favor of a new one, and returns whether there was one. A candidate is read once more
-    /// first: if an invocation has arrived meanwhile, it is not idle and another candidate is tried.
-    fn evict_idle_client(&mut self, now: f64) -> bool {
+    /// Closes an evictable client in favor of a new one, and returns whether there was one. A candidate is read once
+    /// more first: if an invocation has arrived meanwhile, another candidate is tried.
+    fn evict_client(&mut self, now: f64) -> bool {
         for _ in 0..EVICTION_ATTEMPTS {
             let connect_timeout = self.settings.connect_timeout;
             let Some(slot) = eviction_candidate(&self.host.clients, now, connect_timeout) else {
@@ -143,7 +143,7 @@
                 .host
                 .clients
                 .get(slot)
-                .is_none_or(ClientConnection::is_idle)
+                .is_none_or(ClientConnection::is_evictable)
             {
                 self.close_client(now, slot, CloseCause::Evicted);
                 return true;
--- a/crates/platform-frontend/src/event_loop/client_requests.rs
+++ b/crates/platform-frontend/src/event_loop/client_requests.rs
@@ -309,6 +309,9 @@
         if is_over_limit || has_no_stream || body_bytes > self.max_body_bytes {
             return Err(Rejection::AtCapacity);
         }
+        if let Some(client) = self.host.clients.get_mut(slot) {
+            client.sends_invalid = false;
+        }
         self.host
             .admit(&mut self.engine, &parsed.request, parsed.invocation)?;
         Ok(())
@@ -342,6 +345,7 @@
         let cooldown = [("cooldown", milliseconds.as_str())];
         let fields: &[(&str, &str)] = if retry_after > 0.0 { &cooldown } else { &[] };
         if let Some(client) = self.host.clients.get_mut(slot) {
+            client.sends_invalid = matches!(rejection, Rejection::Invalid(_));
             client.respond(stream, code, fields, reason.as_bytes());
         }
         self.host.mark_client_dirty(slot);
--- a/crates/platform-frontend/src/tests/clients.rs
+++ b/crates/platform-frontend/src/tests/clients.rs
@@ -220,6 +220,38 @@
     drop(silent_clients);
 }
 
+/// Guards against closing an idle, well-behaved client in favor of a new connection while others send invalid
+/// invocations at full speed, which makes them look more active.
+#[test]
+fn clients_that_send_invalid_invocations_are_evicted_before_an_idle_client() {
+    let mut front_end = TestFrontEnd::new(1, 48, |_| {});
+    let mut regular_client = front_end.connect_client();
+    let (executor, connection) = front_end.invoke(&mut regular_client, 1, "read");
+    front_end.executors[executor].respond(connection, "DONE", &invocation_id(1));
+    front_end.poll_until("the response", |_| {
+        !read_frames(&mut regular_client).0.is_empty()
+    });
+    let max_clients = front_end.event_loop.listener.max_clients();
+    let mut invalid_clients: Vec<TcpStream> = (1..max_clients)
+        .map(|_| front_end.connect_client())
+        .collect();
+    for client in &mut invalid_clients {
+        client
+            .write_all(&invocation_frame(1, "no id", "read"))
+            .expect("the connection is open");
+    }
+    front_end.poll_until("all rejections", |front_end| {
+        front_end.event_loop.counters.invalid as usize == max_clients - 1
+    });
+    let new_clients: Vec<TcpStream> = (0..8).map(|_| front_end.connect_client()).collect();
+    assert_eq!(
+        read_frames(&mut regular_client),
+        (vec![], None),
+        "the connection stays open"
+    );
+    drop((invalid_clients, new_clients));
+}
+
 /// Guards against closing a new connection without a response, which counts as a lost invocation.
 #[test]
 fn a_new_client_is_throttled_if_every_connection_is_busy() {
