--- a/crates/dispatch-policy/src/dispatch/mod.rs
+++ b/crates/dispatch-policy/src/dispatch/mod.rs
@@ -60,6 +60,8 @@
     replica_lifetime: f64,
     /// Interval at which waiting invocations are evaluated again.
     tick_interval: f64,
+    /// Earliest time at which the rules run for all waiting functions again if they are many.
+    next_full_run_at: f64,
     next_subscription_at: f64,
     next_timer_at: f64,
     next_maintenance_at: f64,
@@ -92,6 +94,7 @@
             load_budget: LoadBudget::new(&config),
             replica_lifetime: replica_selection::replica_lifetime(&config),
             tick_interval: rules::TICK_INTERVAL.max(config.clock_tick),
+            next_full_run_at: now,
             next_subscription_at: now,
             next_timer_at: f64::INFINITY,
             next_maintenance_at: 0.0,
--- a/crates/dispatch-policy/src/dispatch/rules.rs
+++ b/crates/dispatch-policy/src/dispatch/rules.rs
@@ -7,6 +7,13 @@
 /// Interval in seconds at which waiting invocations are evaluated again, unless the clock is coarser.
 pub(super) const TICK_INTERVAL: f64 = 0.025;
 
+/// Number of functions with waiting invocations up to which every input runs the rules for all of them. Above it, that
+/// happens once in each tick, and the other inputs run the rules for the functions that they changed.
+///
+/// Failure mode: invocations of ever new functions wait, and each input takes a time proportional to their number.
+/// Risk: capacity that an input frees serves another function up to a tick later.
+const MAX_WAITING_FUNCTIONS_PER_INPUT: usize = 64;
+
 /// A rule performs one action for a function if it applies. Returns whether it did.
 type Rule = fn(&mut Dispatcher, FunctionIndex, &mut dyn Actions) -> bool;
 
@@ -20,11 +27,11 @@
 ];
 
 impl Dispatcher {
-    /// Runs the rules for all functions that an input changed or that have waiting invocations, then sets the timer for
-    /// the remaining invocations.
+    /// Runs the rules for the functions that an input changed and for those with waiting invocations, then sets the
+    /// timer for the remaining invocations.
     pub(super) fn run_rules(&mut self, actions: &mut dyn Actions) {
+        self.mark_waiting_functions();
         let functions = &self.workload.functions;
-        self.dirty_functions.extend(functions.with_waiting());
         // The function with the most waiting invocations comes first, so that scarce capacity and loads serve the most
         // invocations.
         self.dirty_functions
@@ -35,6 +42,18 @@
         self.set_next_timer(actions);
     }
 
+    /// Marks all functions with waiting invocations for the rules, unless they are too many to do so with every input.
+    fn mark_waiting_functions(&mut self) {
+        let waiting = self.workload.functions.with_waiting();
+        if waiting.len() > MAX_WAITING_FUNCTIONS_PER_INPUT {
+            if self.now < self.next_full_run_at {
+                return;
+            }
+            self.next_full_run_at = self.now + self.tick_interval;
+        }
+        self.dirty_functions.extend(waiting);
+    }
+
     /// Sets the timer to the next tick while invocations wait, or to the next maintenance while dispatches are in
     /// flight. A subscription that is due earlier takes precedence.
     fn set_next_timer(&mut self, actions: &mut dyn Actions) {
