Bound the table of functions by the memory limit, at each new function

A new function takes the place of others: of one without warm replicas if the next sixteen of the table hold one, else of the least recently invoked one that has nothing open. The load budget counts 65,536 invocations of its window at the most.

--- a/crates/capacity-model/src/fleet/front_end.rs
+++ b/crates/capacity-model/src/fleet/front_end.rs
@@ -275,6 +275,7 @@
         zone: place.zone,
         cross_zone_cost: CROSSING,
         zone_regions: regions,
+        max_functions: None,
         clock_tick: 0.002,
         max_dispatches: 4,
         allows_cancellation: true,
--- a/crates/deployment/src/policy.rs
+++ b/crates/deployment/src/policy.rs
@@ -74,6 +74,7 @@
             zone,
             cross_zone_cost: number(top, "crossing", 0.0..=10.0, 0.02),
             zone_regions: read_regions(top, self.locations),
+            max_functions: None,
             clock_tick: self.front_ends.clock_tick,
             max_dispatches: max_dispatches.unwrap_or(4) as u8,
             allows_hedging: limits.at("secondCopies").flag(false),
--- a/crates/dispatch-policy/src/dispatch/load_budget.rs
+++ b/crates/dispatch-policy/src/dispatch/load_budget.rs
@@ -3,6 +3,9 @@
 use crate::interface::PolicyConfig;
 use crate::state::SlidingWindow;
 
+/// Number of invocations in the window above which further ones do not raise the budget.
+const MAX_COUNTED_INVOCATIONS: f64 = 65_536.0;
+
 /// Accepted invocations and load commands within the window of the budget. Times are in seconds.
 pub(super) struct LoadBudget {
     /// Load commands granted in each window regardless of traffic.
@@ -30,8 +33,13 @@
     }
 
     /// Adds an accepted invocation.
+    ///
+    /// Failure mode: clients that send and cancel at full speed fill the memory with the times of their invocations.
+    /// Risk: the budget is smaller than the invocations would allow.
     pub(super) fn record_invocation(&mut self, now: f64) {
-        self.accepted_at.add(now);
+        if self.accepted_at.count_after(now - self.window) < MAX_COUNTED_INVOCATIONS {
+            self.accepted_at.add(now);
+        }
     }
 
     /// Removes an invocation that was accepted at `accepted_at` and cancelled by its client.
--- a/crates/dispatch-policy/src/dispatch/maintenance.rs
+++ b/crates/dispatch-policy/src/dispatch/maintenance.rs
@@ -1,7 +1,8 @@
 //! Work triggered by the timer besides the rules: subscriptions, outlier detection and the removal of unused records.
 
-use super::Dispatcher;
-use crate::interface::Actions;
+use super::{Dispatcher, placement};
+use crate::interface::{Actions, Invocation};
+use crate::state::FunctionIndex;
 
 /// Ticks between two maintenance runs.
 const MAINTENANCE_TICKS: f64 = 4.0;
@@ -10,9 +11,8 @@
 /// Failure mode: functions and executors with ever new identifiers fill the memory.
 /// Risk: an executor that returns later is cold although it has announced no start.
 pub(super) const FORGET_AFTER: f64 = 120.0;
-/// Number of functions above which unused ones are removed immediately. This number takes about 10 MB of the 32 MB that
-/// a front end may use.
-const MAX_FUNCTIONS: usize = 16_384;
+/// Number of functions above which unused ones are removed immediately, unless the configuration sets another.
+pub(super) const DEFAULT_MAX_FUNCTIONS: usize = 16_384;
 /// Seconds by which a timer may fire early.
 const TIMER_TOLERANCE: f64 = 1e-6;
 
@@ -35,10 +35,30 @@
         self.run_rules(actions);
     }
 
+    /// The number of functions above which unused ones are removed immediately.
+    fn max_functions(&self) -> usize {
+        self.config.max_functions.unwrap_or(DEFAULT_MAX_FUNCTIONS)
+    }
+
+    /// Returns the index of the function of an invocation. If it is new and the table is full, others are
+    /// forgotten in its favor, so that only functions that are in use exceed the limit.
+    pub(super) fn find_or_insert_function(&mut self, invocation: &Invocation) -> FunctionIndex {
+        let max_functions = self.max_functions();
+        let functions = &mut self.workload.functions;
+        if functions.find(invocation.function).is_none() {
+            while functions.function_count() >= max_functions && functions.forget_one(self.now) {}
+        }
+        functions.find_or_insert(
+            invocation.function,
+            invocation.concurrency,
+            invocation.load_time.unwrap_or(placement::DEFAULT_LOAD_TIME),
+        )
+    }
+
     fn run_maintenance(&mut self) {
         self.detect_outliers();
         self.load_budget.expire(self.now);
-        let is_over_capacity = self.workload.functions.function_count() > MAX_FUNCTIONS;
+        let is_over_capacity = self.workload.functions.function_count() > self.max_functions();
         let unused_since = if is_over_capacity {
             self.now
         } else {
--- a/crates/dispatch-policy/src/dispatch/mod.rs
+++ b/crates/dispatch-policy/src/dispatch/mod.rs
@@ -225,11 +225,7 @@
         if !invocation.is_migrated {
             self.load_budget.record_invocation(now);
         }
-        let function = self.workload.functions.find_or_insert(
-            invocation.function,
-            invocation.concurrency,
-            invocation.load_time.unwrap_or(placement::DEFAULT_LOAD_TIME),
-        );
+        let function = self.find_or_insert_function(invocation);
         let trigger_type = &self.config.trigger_types[invocation.trigger_type];
         let expected_work = invocation.expected_work.unwrap_or(0.0);
         let objective = (trigger_type.latency_objective
--- a/crates/dispatch-policy/src/policy_config.rs
+++ b/crates/dispatch-policy/src/policy_config.rs
@@ -133,6 +133,9 @@
     /// region, functions are placed in that region while it has an executor that is ready and not ejected. If the list
     /// is empty, functions are placed anywhere.
     pub zone_regions: Vec<Option<u8>>,
+    /// Number of functions above which unused ones are forgotten at once; `None` for the default of the policy. A
+    /// function takes about [`FUNCTION_BYTES`](crate::state::FUNCTION_BYTES) of memory.
+    pub max_functions: Option<usize>,
     /// Resolution of the clock.
     pub clock_tick: f64,
     /// Maximum number of dispatches of one invocation.
--- a/crates/dispatch-policy/src/state/function.rs
+++ b/crates/dispatch-policy/src/state/function.rs
@@ -282,12 +282,21 @@
         Some(self.consecutive_placement_failures)
     }
 
+    /// Returns when the function was last invoked, in seconds.
+    pub(super) fn last_invoked_at(&self) -> f64 {
+        self.arrivals.updated_at()
+    }
+
+    /// Returns whether the function has no open invocations, and no placement that can still succeed in time.
+    pub(super) fn is_idle(&self, now: f64) -> bool {
+        let is_placed = self
+            .placement
+            .is_some_and(|placement| placement.expires_at > now);
+        self.waiting.is_empty() && self.in_flight.is_empty() && !is_placed
+    }
+
     /// Returns whether the function has no invocations, placement or warm replicas and was last invoked before `since`.
-    pub(super) fn is_unused(&self, since: f64) -> bool {
-        self.waiting.is_empty()
-            && self.in_flight.is_empty()
-            && self.placement.is_none()
-            && self.warm_replicas.is_empty()
-            && self.arrivals.updated_at() < since
+    pub(super) fn is_unused(&self, since: f64, now: f64) -> bool {
+        self.is_idle(now) && self.warm_replicas.is_empty() && self.last_invoked_at() < since
     }
 }
--- a/crates/dispatch-policy/src/state/function_table.rs
+++ b/crates/dispatch-policy/src/state/function_table.rs
@@ -4,6 +4,8 @@
 use std::collections::{BTreeSet, HashMap};
 use std::ops::{Index, IndexMut};
 
+/// Bytes of memory that the record of a function takes about, with its ranking and its entries in the tables.
+pub const FUNCTION_BYTES: usize = size_of::<Function>() + 256;
 /// A sweep examines one in `SWEEP_DIVISOR` functions, but at least `MIN_SWEPT` of them.
 const SWEEP_DIVISOR: usize = 64;
 const MIN_SWEPT: usize = 16;
@@ -72,6 +74,33 @@
         })
     }
 
+    /// Forgets one function without open invocations and placement, if there is one among the next few of the table:
+    /// one without warm replicas if possible, else the least recently invoked one. Returns whether there was one.
+    ///
+    /// Failure mode: functions that are invoked once fill the table.
+    /// Risk: a function whose warm replicas are forgotten is placed anew.
+    pub fn forget_one(&mut self, now: f64) -> bool {
+        let mut least_recent: Option<FunctionIndex> = None;
+        for _ in 0..MIN_SWEPT.min(self.functions.len()) {
+            if self.sweep_next(f64::INFINITY, now) {
+                return true;
+            }
+            let index = FunctionIndex::new(self.sweep_position);
+            let is_older =
+                |than: FunctionIndex| self[index].last_invoked_at() < self[than].last_invoked_at();
+            if self.is_listed(index)
+                && self[index].is_idle(now)
+                && least_recent.is_none_or(is_older)
+            {
+                least_recent = Some(index);
+            }
+        }
+        if let Some(index) = least_recent {
+            self.remove(index);
+        }
+        least_recent.is_some()
+    }
+
     /// Returns the functions with waiting invocations.
     pub fn with_waiting(&self) -> &BTreeSet<FunctionIndex> {
         &self.with_waiting
@@ -84,19 +113,34 @@
             .max(MIN_SWEPT)
             .min(self.functions.len());
         for _ in 0..swept {
-            self.sweep_position = (self.sweep_position + 1) % self.functions.len();
-            let index = FunctionIndex::new(self.sweep_position);
-            let function = &mut self.functions[self.sweep_position];
-            function.drop_expired(now);
-            let is_listed = self.by_key.get(&function.key()) == Some(&index);
-            if is_listed && function.is_unused(unused_since) {
-                self.by_key.remove(&function.key());
-                *function = Function::default();
-                self.free.push(index);
-            }
+            self.sweep_next(unused_since, now);
         }
     }
 
+    /// Examines the next function of the table. Returns whether it was removed, as one that was not used since
+    /// `unused_since`.
+    fn sweep_next(&mut self, unused_since: f64, now: f64) -> bool {
+        self.sweep_position = (self.sweep_position + 1) % self.functions.len();
+        let index = FunctionIndex::new(self.sweep_position);
+        self[index].drop_expired(now);
+        let is_removed = self.is_listed(index) && self[index].is_unused(unused_since, now);
+        if is_removed {
+            self.remove(index);
+        }
+        is_removed
+    }
+
+    /// Whether a slot holds a function, rather than being free.
+    fn is_listed(&self, index: FunctionIndex) -> bool {
+        self.by_key.get(&self[index].key()) == Some(&index)
+    }
+
+    fn remove(&mut self, index: FunctionIndex) {
+        let removed = std::mem::take(&mut self[index]);
+        self.by_key.remove(&removed.key());
+        self.free.push(index);
+    }
+
     /// Removes the warm replicas of some executors from all functions.
     pub fn evict_executors(&mut self, evicted: &[ExecutorIndex]) {
         if evicted.is_empty() {
--- a/crates/dispatch-policy/src/state/mod.rs
+++ b/crates/dispatch-policy/src/state/mod.rs
@@ -26,7 +26,7 @@
 pub use executor::{Executor, ExecutorDispatch, LoadEstimate};
 pub use executor_table::ExecutorTable;
 pub use function::{Function, LastWarm, Placement};
-pub use function_table::FunctionTable;
+pub use function_table::{FUNCTION_BYTES, FunctionTable};
 pub use index::{ExecutorIndex, FunctionIndex, InvocationIndex};
 pub use invocation_table::InvocationTable;
 pub use open_invocation::{InFlightDispatch, OpenInvocation, PossibleExecution, Priority};
--- a/crates/dispatch-policy/tests/decision_trace/scenarios.rs
+++ b/crates/dispatch-policy/tests/decision_trace/scenarios.rs
@@ -100,6 +100,7 @@
         zone: 0,
         cross_zone_cost: 0.02,
         zone_regions: vec![],
+        max_functions: None,
         clock_tick: 0.002,
         max_dispatches: 4,
         allows_hedging: false,
--- a/crates/platform-config/src/policy.rs
+++ b/crates/platform-config/src/policy.rs
@@ -41,6 +41,7 @@
         },
         cross_zone_cost: non_negative_or(settings, "penalties.crossZone", 0.0)?,
         zone_regions: vec![],
+        max_functions: None,
         clock_tick: seconds(settings, "tick")?,
         max_dispatches: number_within(settings, "limits.maxAttempts", 1.0, f64::INFINITY)?
             .min(255.0) as u8,
--- a/crates/platform-config/tests/stored_formats.rs
+++ b/crates/platform-config/tests/stored_formats.rs
@@ -82,6 +82,7 @@
         zone,
         cross_zone_cost,
         zone_regions,
+        max_functions,
         clock_tick,
         max_dispatches,
         allows_hedging,
@@ -106,8 +107,8 @@
         pending_loads_field,
     } = parse_policy_config(SETTINGS.as_bytes()).expect("the settings are valid");
     assert_eq!(
-        (trigger_types.len(), quotas, zone_regions),
-        (5, vec![5.5, 6.5], vec![])
+        (trigger_types.len(), quotas, zone_regions, max_functions),
+        (5, vec![5.5, 6.5], vec![], None)
     );
     assert_eq!(
         (
--- a/crates/platform-frontend/src/lib.rs
+++ b/crates/platform-frontend/src/lib.rs
@@ -15,6 +15,7 @@
 mod invocation_request;
 mod invocation_table;
 mod log_rate_limiter;
+mod memory_budget;
 mod memory_use;
 mod process_clock;
 mod resolver;
--- a/crates/platform-frontend/src/start.rs
+++ b/crates/platform-frontend/src/start.rs
@@ -1,5 +1,6 @@
 //! The start file: the configuration that a front end reads at startup and again when the file is replaced.
 
+use crate::memory_budget;
 use orchidtally_platform_config::{FrontEndSettings, SettingsError};
 use orchidtally_platform_discovery::{InitialEndpoints, InitialEndpointsError, LocationTable};
 use orchidtally_socket_io::is_local_error;
@@ -186,7 +187,7 @@
             file: file(),
             source,
         })?;
-    let settings =
+    let mut settings =
         orchidtally_platform_config::front_end_settings(&raw.settings).map_err(|source| {
             StartError::Settings {
                 file: file(),
@@ -217,11 +218,13 @@
             })
         }
     };
+    let memory_bytes = at_least(raw.limits.memory_mb, MIN_MEMORY_MB, "memory_mb")? << 20;
+    settings.policy.max_functions = Some(memory_budget::max_functions(memory_bytes));
     Ok(StartConfig {
         name: raw.name,
         listen: raw.listen,
         seed,
-        memory_bytes: at_least(raw.limits.memory_mb, MIN_MEMORY_MB, "memory_mb")? << 20,
+        memory_bytes,
         max_descriptors: at_least(raw.limits.sockets, MIN_DESCRIPTORS, "sockets")?,
         resolver: raw.dns,
         initial_list,
