Divide the memory limit among what peers make the front end hold, with an answer to full

Cause: every connection was bounded, and nobody owned the sum. 192 clients and 176 executor connections could hold 98 MB of unread responses, 24 MB of partial frames (a decoder kept the 128 KiB of its largest read for ten bytes) and 22 MB of partial lines; request bodies had a quarter of the limit for themselves. Nothing but the bodies came from memory_mb, and the number of descriptors raised the sum.

Change: MemoryBudget owns the sum. Clients' input, unread responses and open invocations have an eighth of the limit each, executors' input and output a sixteenth. What is held is summed up each time a sixteenth of a share was read. Past a share, unread output is written first; then the client, or the executor connection, that holds the most is closed. An invocation is throttled unless its client then holds no more, in bytes and number, than what is left free, so a crowd leaves room for a client with one invocation. Decoders and write buffers give unused memory back.

--- a/crates/cli/tests/crowd/mod.rs
+++ b/crates/cli/tests/crowd/mod.rs
@@ -14,10 +14,17 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-/// Descriptors of the front end under test.
+/// Descriptors of a front end, as in the incident.
 pub const DESCRIPTORS: usize = 384;
+/// Descriptors of a front end on the largest machine.
+pub const MANY_DESCRIPTORS: usize = 1_024;
 /// Connections of a crowd: as many clients as the front end serves at a time, less the usual client's.
-pub const CROWD: usize = DESCRIPTORS / 2 - 2;
+pub const CROWD: usize = crowd_size(DESCRIPTORS);
+
+pub const fn crowd_size(descriptors: usize) -> usize {
+    descriptors / 2 - 2
+}
+
 /// How long a crowd misbehaves.
 pub const DURATION: Duration = Duration::from_secs(3);
 /// The time that the usual client allows for an invocation, as `kit::invocation` states it.
@@ -33,22 +40,31 @@
     TURN.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-/// Starts a front end with two executors and a memory limit in MiB.
-pub fn start_limited(name: &str, memory_mb: u64, dispatch_log: DispatchLog) -> FrontEnd {
+/// The limits of a front end.
+#[derive(Clone, Copy)]
+pub struct ProcessLimits {
+    pub memory_mb: u64,
+    pub descriptors: usize,
+}
+
+/// Starts a front end with two executors.
+pub fn start_limited(name: &str, limits: ProcessLimits) -> FrontEnd {
+    let dispatch_log = DispatchLog::default();
     let executors: Vec<Value> = (1..=2)
         .map(|n| host(n, start_executor(dispatch_log.clone())))
         .collect();
-    start_limited_with(name, memory_mb, &executors, dispatch_log)
+    start_limited_with(name, limits, &executors, dispatch_log)
 }
 
-/// Starts a front end with the given endpoint list and a memory limit in MiB.
+/// Starts a front end with the given endpoint list.
 pub fn start_limited_with(
     name: &str,
-    memory_mb: u64,
+    limits: ProcessLimits,
     executors: &[Value],
     dispatch_log: DispatchLog,
 ) -> FrontEnd {
-    let (text, address) = settings_file(executors, DESCRIPTORS);
+    let memory_mb = limits.memory_mb;
+    let (text, address) = settings_file(executors, limits.descriptors);
     let mut settings: Value = serde_json::from_str(&text).unwrap();
     settings["limits"]["memory_mb"] = memory_mb.into();
     let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{memory_mb}.json"));
--- a/crates/cli/tests/platform_memory.rs
+++ b/crates/cli/tests/platform_memory.rs
@@ -9,7 +9,7 @@
 use orchidtally_platform_client_protocol as frames;
 use std::io::Write;
 use std::net::TcpStream;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 /// The largest request that the platform's protocol allows, with a body of 16 KiB.
@@ -33,16 +33,33 @@
 
 /// Runs a crowd and a usual client against front ends with memory limits of 48 and of 32 MiB.
 fn assert_survives(name: &str, size: usize, behaviour: Behaviour) {
-    let _turn = wait_for_turn();
     for memory_mb in [48, 32] {
-        let mut front_end = start_limited(name, memory_mb, DispatchLog::default());
-        let crowd = Crowd::start(front_end.address, size, behaviour);
-        let served = serve_usual_client(&front_end, DURATION);
-        crowd.stop();
-        assert_within_limits(name, &mut front_end, memory_mb, &served);
+        let limits = ProcessLimits {
+            memory_mb,
+            descriptors: DESCRIPTORS,
+        };
+        assert_survives_with(name, limits, size, behaviour);
     }
 }
 
+/// Runs a crowd and a usual client against the smallest memory with the most descriptors that the platform gives.
+fn assert_survives_with_many_descriptors(name: &str, behaviour: Behaviour) {
+    let limits = ProcessLimits {
+        memory_mb: 32,
+        descriptors: MANY_DESCRIPTORS,
+    };
+    assert_survives_with(name, limits, crowd_size(MANY_DESCRIPTORS), behaviour);
+}
+
+fn assert_survives_with(name: &str, limits: ProcessLimits, size: usize, behaviour: Behaviour) {
+    let _turn = wait_for_turn();
+    let mut front_end = start_limited(name, limits);
+    let crowd = Crowd::start(front_end.address, size, behaviour);
+    let served = serve_usual_client(&front_end, DURATION);
+    crowd.stop();
+    assert_within_limits(name, &mut front_end, limits.memory_mb, &served);
+}
+
 /// A large request, of which the last piece is missing.
 fn stop_half_way(
     stream: &mut TcpStream,
@@ -126,6 +143,50 @@
     })
 }
 
+/// Large requests that no executor answers.
+fn keep_open(
+    stream: &mut TcpStream,
+    numbers: &Numbers,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    for n in 1..=32 {
+        stream.write_all(&large_invocation(n, numbers.next(), NO_RESPONSE))?;
+    }
+    read_until_end(stream, is_over)
+}
+
+/// The same, and the answers are not read.
+fn send_unsound_unread(
+    stream: &mut TcpStream,
+    _numbers: &Numbers,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    flood(stream, |n| [invoke_header(1, n), vec![0]].concat(), is_over)
+}
+
+/// A request for a function that nobody else names, taken back at once, again and again.
+fn name_new_functions(
+    stream: &mut TcpStream,
+    numbers: &Numbers,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    let mut number = 0;
+    while !is_over.load(Ordering::Relaxed) {
+        // Each batch is admitted before it is taken back, because the two are written apart.
+        let (mut batch, mut cancels) = (vec![], vec![]);
+        for _ in 0..30 {
+            number += 1;
+            let id = numbers.next();
+            batch.extend(invocation(number, &hex_id(id), "read", &hex_id(id), b""));
+            frames::write_frame(&mut cancels, frames::CANCEL, number, None, None, &[]);
+        }
+        stream.write_all(&batch)?;
+        std::thread::sleep(Duration::from_micros(500));
+        stream.write_all(&cancels)?;
+    }
+    Ok(())
+}
+
 /// Guards against input of slow writers that adds up past the memory limit.
 #[test]
 fn a_crowd_that_stops_half_way_through_a_large_request_stays_within_the_memory_limit() {
@@ -150,3 +211,37 @@
 fn a_crowd_that_sends_heads_of_many_fields_does_not_delay_usual_clients() {
     assert_survives("many-fields", CROWD, send_many_fields);
 }
+
+/// Guards against request bodies that one crowd holds open, so that usual clients are turned away.
+#[test]
+fn a_crowd_that_keeps_large_requests_open_stays_within_the_memory_limit() {
+    assert_survives("open", CROWD, keep_open);
+}
+
+/// Guards against responses that nobody reads, past the memory limit.
+#[test]
+fn a_crowd_that_reads_no_rejections_stays_within_the_memory_limit() {
+    assert_survives("unread-rejections", CROWD, send_unsound_unread);
+}
+
+/// Guards against records of ever new functions, past the memory limit.
+#[test]
+fn a_crowd_that_names_ever_new_functions_stays_within_the_memory_limit() {
+    assert_survives("new-functions", CROWD, name_new_functions);
+}
+
+/// Guards against one client that keeps all others from being answered.
+#[test]
+fn one_client_at_full_speed_does_not_delay_usual_clients() {
+    assert_survives("one-unsound", 1, send_unsound);
+    assert_survives("one-many-fields", 1, send_many_fields);
+    assert_survives("one-new-functions", 1, name_new_functions);
+}
+
+/// Guards against sums over connections that pass the memory limit where there are many descriptors for little memory.
+#[test]
+fn crowds_stay_within_a_small_memory_limit_where_there_are_many_descriptors() {
+    assert_survives_with_many_descriptors("many-half-way", stop_half_way);
+    assert_survives_with_many_descriptors("many-unread", read_no_answers);
+    assert_survives_with_many_descriptors("many-open", keep_open);
+}
--- a/crates/platform-client-protocol/src/lib.rs
+++ b/crates/platform-client-protocol/src/lib.rs
@@ -98,7 +98,7 @@
     pub fn push(&mut self, bytes: &[u8]) {
         let skipped = self.skip.min(bytes.len());
         self.skip -= skipped;
-        self.bytes.drain(..std::mem::take(&mut self.position));
+        self.release_read_bytes();
         self.bytes.extend_from_slice(&bytes[skipped..]);
     }
 
@@ -120,7 +120,7 @@
     pub fn next_frame(&mut self) -> Result<Option<Frame<'_>>, ProtocolError> {
         let available = self.bytes.len() - self.position;
         if available < LENGTH_BYTES {
-            return Ok(self.release_if_empty());
+            return Ok(self.release_read_bytes());
         }
         let length = big_endian(&self.bytes[self.position..]) as usize;
         if length < MIN_FRAME_LENGTH {
@@ -130,7 +130,7 @@
             return Err(ProtocolError::FrameTooLong);
         }
         if available < LENGTH_BYTES + MIN_FRAME_LENGTH {
-            return Ok(self.release_if_empty());
+            return Ok(self.release_read_bytes());
         }
         let header_start = self.position + LENGTH_BYTES;
         let kind = self.bytes[header_start];
@@ -146,7 +146,7 @@
             }));
         }
         if available < LENGTH_BYTES + length {
-            return Ok(self.release_if_empty());
+            return Ok(self.release_read_bytes());
         }
         self.position += LENGTH_BYTES + length;
         Ok(Some(Frame {
@@ -156,10 +156,11 @@
         }))
     }
 
-    /// Frees the buffer if it is empty, so that idle connections hold no memory. Always returns `None`.
-    fn release_if_empty(&mut self) -> Option<Frame<'_>> {
-        if self.position == self.bytes.len() {
-            self.bytes = Vec::new();
+    /// Frees the memory of frames that were returned, so that the buffer is no larger than what is left of the bytes.
+    /// Always returns `None`.
+    fn release_read_bytes(&mut self) -> Option<Frame<'_>> {
+        if self.position > 0 {
+            self.bytes = self.bytes[self.position..].to_vec();
             self.position = 0;
         }
         None
--- a/crates/platform-executor-protocol/src/lib.rs
+++ b/crates/platform-executor-protocol/src/lib.rs
@@ -199,10 +199,18 @@
 impl Decoder {
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
-        self.bytes.drain(..std::mem::take(&mut self.position));
+        self.release_read_bytes();
         self.bytes.extend_from_slice(bytes);
     }
 
+    /// Frees the memory of lines that were returned, so that the buffer is no larger than what is left of the bytes.
+    fn release_read_bytes(&mut self) {
+        if self.position > 0 {
+            self.bytes = self.bytes[self.position..].to_vec();
+            self.position = 0;
+        }
+    }
+
     /// Bytes of memory that the decoder holds.
     pub fn held_bytes(&self) -> usize {
         self.bytes.capacity()
@@ -232,11 +240,7 @@
             }
             None if rest.len() <= MAX_LINE_LENGTH => {
                 self.searched = rest.len();
-                if rest.is_empty() {
-                    // Frees the buffer, so that idle connections hold no memory.
-                    self.bytes = Vec::new();
-                    self.position = 0;
-                }
+                self.release_read_bytes();
                 Ok(None)
             }
             _ => Err(ProtocolError::LineTooLong),
--- a/crates/platform-frontend/src/client_connection.rs
+++ b/crates/platform-frontend/src/client_connection.rs
@@ -42,6 +42,10 @@
     Evicted,
     /// The connection was accepted above the limit, and its first frame is answered.
     OverLimit,
+    /// The client held the most input when the share of the memory for input was exceeded.
+    InputShareExceeded,
+    /// The client held the most unread output when the share of the memory for output was exceeded.
+    OutputShareExceeded,
     /// The orderly close is complete.
     LingerEnded,
 }
@@ -74,6 +78,8 @@
     pub decoder: Decoder,
     /// The engine's ids of the open invocations, by stream.
     pub open_invocations: BTreeMap<u32, u32>,
+    /// Bytes of memory that the open invocations occupy.
+    pub open_bytes: usize,
     /// The highest stream used so far.
     pub last_stream: u32,
     /// Invocations that were read and are not admitted yet.
@@ -106,6 +112,7 @@
             socket: BufferedSocket::new(stream),
             decoder: Decoder::default(),
             open_invocations: BTreeMap::new(),
+            open_bytes: 0,
             last_stream: 0,
             pending: VecDeque::new(),
             awaiting_frame_since: Some(now),
@@ -190,9 +197,10 @@
     }
 
     /// Begins an orderly close, which ends once the output is written and the client has had time to read it. Pending
-    /// invocations are dropped.
+    /// invocations and partial frames are dropped.
     pub fn begin_close(&mut self, now: f64) {
-        self.pending.clear();
+        self.pending = VecDeque::new();
+        self.decoder = Decoder::default();
         self.closing.get_or_insert(CloseState {
             deadline: now + CLOSE_LINGER,
             bytes_left: CLOSE_LINGER_BYTES,
--- a/crates/platform-frontend/src/engine_host/callbacks.rs
+++ b/crates/platform-frontend/src/engine_host/callbacks.rs
@@ -15,6 +15,7 @@
         };
         if let Some(client) = self.clients.get_mut(open.client) {
             client.open_invocations.insert(open.stream, invocation);
+            client.open_bytes += open.held_bytes();
         }
         self.invocations.insert(invocation, open);
     }
--- a/crates/platform-frontend/src/engine_host/mod.rs
+++ b/crates/platform-frontend/src/engine_host/mod.rs
@@ -305,6 +305,7 @@
         let open = self.invocations.remove(invocation)?;
         if let Some(client) = self.clients.get_mut(open.client) {
             client.open_invocations.remove(&open.stream);
+            client.open_bytes = client.open_bytes.saturating_sub(open.held_bytes());
         }
         Some(open)
     }
--- a/crates/platform-frontend/src/event_loop/client_requests.rs
+++ b/crates/platform-frontend/src/event_loop/client_requests.rs
@@ -5,6 +5,8 @@
     ClientConnection, CloseCause, MAX_BACKLOG_BYTES, MAX_OPEN_INVOCATIONS, PendingInvocation,
 };
 use crate::invocation_request::{InvalidInvocation, InvocationOrigin, parse_invocation};
+use crate::invocation_table::OpenInvocation;
+use crate::memory_budget::may_take;
 use crate::source::EventSource;
 use orchidtally_engine::AdmissionError;
 use orchidtally_platform_client_protocol::{self as protocol, ProtocolError};
@@ -93,6 +95,7 @@
         if self.host.clients.get(slot).is_some_and(is_large) {
             self.flush_client(now, slot);
         }
+        self.relieve_memory(now);
     }
 
     /// Admits or rejects the pending invocations of a client, unless it has to read responses first.
@@ -178,7 +181,10 @@
                         return self.close_client(now, slot, CloseCause::LingerEnded);
                     }
                 }
-                Ok(ReadOutcome::Bytes(n)) => client.decoder.push(&self.read_buffer[..n]),
+                Ok(ReadOutcome::Bytes(n)) => {
+                    client.decoder.push(&self.read_buffer[..n]);
+                    self.memory_budget.record_read(n);
+                }
                 Ok(ReadOutcome::EndOfStream) | Err(_) => {
                     return self.close_client(now, slot, CloseCause::Ended);
                 }
@@ -300,13 +306,7 @@
         let parsed = parse_invocation(&self.settings, origin, payload, |id| {
             self.host.invocations.contains_client_invocation_id(id)
         })?;
-        let has_no_stream = self
-            .host
-            .clients
-            .get(slot)
-            .is_none_or(|client| client.open_invocations.len() >= MAX_OPEN_INVOCATIONS);
-        let body_bytes = self.host.invocations.body_bytes() + parsed.invocation.body.len();
-        if is_over_limit || has_no_stream || body_bytes > self.max_body_bytes {
+        if is_over_limit || !self.has_room_for(slot, &parsed.invocation) {
             return Err(Rejection::AtCapacity);
         }
         if let Some(client) = self.host.clients.get_mut(slot) {
@@ -317,6 +317,25 @@
         Ok(())
     }
 
+    /// Whether a client may have another open invocation.
+    fn has_room_for(&self, slot: usize, invocation: &OpenInvocation) -> bool {
+        let Some(client) = self.host.clients.get(slot) else {
+            return false;
+        };
+        let open = client.open_invocations.len();
+        let all_open = self.engine.open_invocations();
+        let held_by_all = self.host.invocations.held_bytes();
+        let share = self.memory_budget.shares().invocations;
+        open < MAX_OPEN_INVOCATIONS
+            && may_take(1, open, all_open, self.settings.max_open_invocations)
+            && may_take(
+                invocation.held_bytes(),
+                client.open_bytes,
+                held_by_all,
+                share,
+            )
+    }
+
     /// Responds to an invocation that was not admitted.
     fn reject(&mut self, slot: usize, stream: u32, rejection: &Rejection) {
         let (code, retry_after) = match rejection {
--- a/crates/platform-frontend/src/event_loop/executor_responses.rs
+++ b/crates/platform-frontend/src/event_loop/executor_responses.rs
@@ -64,6 +64,7 @@
                 }
                 Ok(ReadOutcome::Bytes(n)) => {
                     connection.decoder.push(&self.read_buffer[..n]);
+                    self.memory_budget.record_read(n);
                     if !self.handle_responses(now, slot) {
                         return false;
                     }
--- a/crates/platform-frontend/src/event_loop/lost_connections.rs
+++ b/crates/platform-frontend/src/event_loop/lost_connections.rs
@@ -4,6 +4,7 @@
 use crate::executor_connection::ExecutorConnection;
 use crate::log_rate_limiter::LogRateLimiter;
 use orchidtally_engine::transport_outcome::{self, TransportOutcome};
+use orchidtally_platform_executor_protocol::Decoder;
 use std::collections::VecDeque;
 use tracing::info;
 
@@ -83,6 +84,7 @@
         } else {
             evidence
         };
+        connection.decoder = Decoder::default();
         self.lost_connections.unreported.push_back(LostConnection {
             closed_at: now,
             evidence,
--- a/crates/platform-frontend/src/event_loop/mod.rs
+++ b/crates/platform-frontend/src/event_loop/mod.rs
@@ -9,6 +9,7 @@
 mod graceful_shutdown;
 mod lost_connections;
 mod maintenance;
+mod memory_pressure;
 mod output;
 mod ready_queue;
 mod settings_reload;
@@ -16,6 +17,7 @@
 use crate::client_connection::CloseCause;
 use crate::engine_host::EngineHost;
 use crate::log_rate_limiter::LogRateLimiter;
+use crate::memory_budget::MemoryBudget;
 use crate::process_clock::ProcessClock;
 use crate::signals::PendingSignals;
 use crate::source::EventSource;
@@ -63,6 +65,8 @@
     rejected: u64,
     /// Client connections that were closed because of a protocol error or a timeout.
     protocol_errors: u64,
+    /// Connections of clients and executors that were closed because a share of the memory was exceeded.
+    out_of_memory: u64,
     /// Executor connections that were established.
     executor_connections_made: u64,
     /// Executor connections that were lost while in use.
@@ -83,8 +87,7 @@
     settings: FrontEndSettings,
     /// The memory limit of the process, in bytes.
     memory_bytes: usize,
-    /// The limit on the total size of request bodies, in bytes.
-    max_body_bytes: usize,
+    memory_budget: MemoryBudget,
     /// Clients that have input to handle.
     ready_clients: ReadyQueue,
     /// Other sources that have input to handle.
@@ -162,8 +165,7 @@
             maintenance: MaintenanceSchedule::new(now),
             settings,
             memory_bytes: start.memory_bytes,
-            // Request bodies may use a quarter of the memory. The rest is for buffers and tables.
-            max_body_bytes: start.memory_bytes / 4,
+            memory_budget: MemoryBudget::new(start.memory_bytes),
             ready_clients: ReadyQueue::default(),
             ready_sources: ReadyQueue::default(),
             read_buffer: vec![0; READ_BUFFER_BYTES].into(),
@@ -246,7 +248,10 @@
                     }
                 }
                 EventSource::Client(slot) => self.read_client(now, slot, ready.since),
-                EventSource::Executor(slot) => _ = self.read_executor(now, slot),
+                EventSource::Executor(slot) => {
+                    self.read_executor(now, slot);
+                    self.relieve_memory(now);
+                }
             }
         }
     }
--- a/crates/platform-frontend/src/invocation_table.rs
+++ b/crates/platform-frontend/src/invocation_table.rs
@@ -3,6 +3,10 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
+/// Bytes of memory that the records of an open invocation take about, in all tables, without its body and idempotency
+/// key.
+const RECORD_BYTES: usize = 1_024;
+
 /// An invocation that the engine has admitted.
 pub struct OpenInvocation {
     /// The slot of the client connection.
@@ -23,18 +27,26 @@
     pub timeout_at: f64,
 }
 
-/// Open invocations by the engine's id. Also tracks the ids chosen by clients and the total size of the bodies.
+impl OpenInvocation {
+    /// Bytes of memory that the invocation occupies while it is open.
+    pub fn held_bytes(&self) -> usize {
+        let key_bytes = self.idempotency_key.as_ref().map_or(0, String::len);
+        RECORD_BYTES + key_bytes + self.body.len()
+    }
+}
+
+/// Open invocations by the engine's id. Also tracks the ids chosen by clients and the memory that all occupy.
 #[derive(Default)]
 pub struct InvocationTable {
     open: HashMap<u32, OpenInvocation>,
     client_invocation_ids: HashSet<Rc<str>>,
-    body_bytes: usize,
+    held_bytes: usize,
 }
 
 impl InvocationTable {
     /// Adds an invocation under the engine's id.
     pub fn insert(&mut self, invocation: u32, open: OpenInvocation) {
-        self.body_bytes += open.body.len();
+        self.held_bytes += open.held_bytes();
         self.client_invocation_ids.insert(open.id.clone());
         self.open.insert(invocation, open);
     }
@@ -42,7 +54,7 @@
     /// Removes and returns an invocation, if it is open.
     pub fn remove(&mut self, invocation: u32) -> Option<OpenInvocation> {
         let open = self.open.remove(&invocation)?;
-        self.body_bytes -= open.body.len();
+        self.held_bytes -= open.held_bytes();
         self.client_invocation_ids.remove(&open.id);
         Some(open)
     }
@@ -57,14 +69,9 @@
         self.client_invocation_ids.contains(id)
     }
 
-    /// The total size of the request bodies in bytes.
-    pub fn body_bytes(&self) -> usize {
-        self.body_bytes
-    }
-
     /// Bytes of memory that the invocations occupy.
     pub fn held_bytes(&self) -> usize {
-        self.body_bytes + self.open.capacity() * size_of::<(u32, OpenInvocation)>()
+        self.held_bytes
     }
 
     /// Limits every deadline to `latest`, in seconds.
--- a/crates/platform-frontend/src/memory_use.rs
+++ b/crates/platform-frontend/src/memory_use.rs
@@ -17,6 +17,18 @@
     pub executor_output: usize,
 }
 
+impl HeldBytes {
+    /// The sum over all owners.
+    #[cfg(test)]
+    pub fn total(&self) -> usize {
+        self.client_input
+            + self.client_output
+            + self.invocations
+            + self.executor_input
+            + self.executor_output
+    }
+}
+
 /// Memory of this process as the system counts it, in bytes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResidentMemory {
--- a/crates/socket-io/src/buffered.rs
+++ b/crates/socket-io/src/buffered.rs
@@ -4,6 +4,18 @@
 use mio::net::TcpStream;
 use std::io::{self, ErrorKind, Read, Write};
 
+/// Capacity in bytes up to which a buffer is never shrunk.
+const MIN_SHRUNK_CAPACITY: usize = 4 * 1024;
+
+/// Returns the unused memory of a buffer that is less than a quarter full.
+///
+/// Connections that once received or sent much would otherwise keep that memory for as long as they hold a few bytes.
+pub fn shrink_if_sparse(buffer: &mut Vec<u8>) {
+    if buffer.capacity() > MIN_SHRUNK_CAPACITY && buffer.len() < buffer.capacity() / 4 {
+        buffer.shrink_to_fit();
+    }
+}
+
 /// A connection and its write buffer. The owner has to bound the size of the buffer.
 pub struct BufferedSocket {
     /// The socket.
@@ -95,6 +107,7 @@
     pub fn discard_unsent(&mut self, from: u64) {
         let kept = from.saturating_sub(self.bytes_written) as usize;
         self.write_buffer.truncate(self.flushed + kept);
+        shrink_if_sparse(&mut self.write_buffer);
     }
 
     /// Hands as many pending bytes to the kernel as it accepts.
@@ -112,6 +125,7 @@
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock => {
                     self.write_buffer.drain(..std::mem::take(&mut self.flushed));
+                    shrink_if_sparse(&mut self.write_buffer);
                     return Ok(());
                 }
                 Err(e) => return Err(e),
