Bound accepts in place of other clients, and count pending bytes as they change

Cause: at the connection limit each accept gave the client that it evicted another turn, up to 256 times a poll, while all clients together have 5 ms; and the sum of what is held walked every pending invocation, for each client that was closed. A cancel walked them too.

Change: a poll accepts 16 connections in place of others, and a client that sends invalid invocations is evicted without another turn. PendingInvocations keeps its bytes as it changes and finds a stream by binary search.

--- a/crates/cli/tests/platform_memory.rs
+++ b/crates/cli/tests/platform_memory.rs
@@ -244,4 +244,6 @@
     assert_survives_with_many_descriptors("many-half-way", stop_half_way);
     assert_survives_with_many_descriptors("many-unread", read_no_answers);
     assert_survives_with_many_descriptors("many-open", keep_open);
+    assert_survives_with_many_descriptors("many-unread-rejections", send_unsound_unread);
+    assert_survives_with_many_descriptors("many-unsound", send_unsound);
 }
--- a/crates/platform-frontend/src/client_connection.rs
+++ b/crates/platform-frontend/src/client_connection.rs
@@ -1,11 +1,12 @@
 //! A client connection: its open invocations, its timeouts and its orderly close.
 
+use crate::pending_invocations::PendingInvocations;
 use mio::net::TcpStream;
 use orchidtally_dispatch_policy::state::Ordered;
 use orchidtally_platform_client_protocol::{self as protocol, Decoder};
 use orchidtally_socket_io::buffered::BufferedSocket;
 use slab::Slab;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 /// Invocations that may be open on one connection at the same time.
 pub const MAX_OPEN_INVOCATIONS: usize = 32;
@@ -50,16 +51,6 @@
     LingerEnded,
 }
 
-/// An invocation that was read and is not admitted yet.
-pub struct PendingInvocation {
-    /// The earliest time at which it may have arrived, in seconds.
-    pub arrived_at: f64,
-    /// The stream on the connection.
-    pub stream: u32,
-    /// The payload; `None` if the frame is longer than the decoder buffers.
-    pub payload: Option<Vec<u8>>,
-}
-
 /// The state of a connection that is being closed.
 pub struct CloseState {
     /// When the connection is closed at the latest, in seconds.
@@ -83,7 +74,7 @@
     /// The highest stream used so far.
     pub last_stream: u32,
     /// Invocations that were read and are not admitted yet.
-    pub pending: VecDeque<PendingInvocation>,
+    pub pending: PendingInvocations,
     /// When the client connected or its current partial frame began; `None` while no frame is awaited.
     awaiting_frame_since: Option<f64>,
     /// When the client last read some of the unwritten output, and the total of bytes written by then; `None` if
@@ -114,7 +105,7 @@
             open_invocations: BTreeMap::new(),
             open_bytes: 0,
             last_stream: 0,
-            pending: VecDeque::new(),
+            pending: PendingInvocations::default(),
             awaiting_frame_since: Some(now),
             stalled_since: None,
             idle_since: now,
@@ -151,11 +142,7 @@
 
     /// Bytes of memory that input occupies: a partial frame and pending invocations.
     pub fn held_input_bytes(&self) -> usize {
-        let payload_bytes =
-            |pending: &PendingInvocation| pending.payload.as_ref().map_or(0, Vec::capacity);
-        let payloads: usize = self.pending.iter().map(payload_bytes).sum();
-        let entries = self.pending.capacity() * size_of::<PendingInvocation>();
-        self.decoder.held_bytes() + payloads + entries
+        self.decoder.held_bytes() + self.pending.held_bytes()
     }
 
     /// Bytes of memory that unread output occupies.
@@ -187,19 +174,14 @@
     /// Whether the pending invocations exceed, in number or bytes, what a client that reads its responses could have
     /// open.
     pub fn exceeds_pending_limit(&self) -> bool {
-        let bytes: usize = self
-            .pending
-            .iter()
-            .filter_map(|pending| pending.payload.as_ref())
-            .map(Vec::len)
-            .sum();
-        self.pending.len() > MAX_OPEN_INVOCATIONS || bytes > MAX_BACKLOG_BYTES
+        self.pending.len() > MAX_OPEN_INVOCATIONS
+            || self.pending.payload_bytes() > MAX_BACKLOG_BYTES
     }
 
     /// Begins an orderly close, which ends once the output is written and the client has had time to read it. Pending
     /// invocations and partial frames are dropped.
     pub fn begin_close(&mut self, now: f64) {
-        self.pending = VecDeque::new();
+        self.pending = PendingInvocations::default();
         self.decoder = Decoder::default();
         self.closing.get_or_insert(CloseState {
             deadline: now + CLOSE_LINGER,
--- a/crates/platform-frontend/src/event_loop/client_listener.rs
+++ b/crates/platform-frontend/src/event_loop/client_listener.rs
@@ -13,6 +13,11 @@
 
 /// The largest number of connections accepted per poll.
 const ACCEPTS_PER_POLL: usize = 256;
+/// The largest number of connections per poll that are accepted in place of another.
+///
+/// Failure mode: clients that connect again as soon as they are closed keep a poll busy, and the connected clients wait.
+/// Risk: new connections wait in the backlog.
+const EVICTIONS_PER_POLL: usize = 16;
 /// The largest number of idle connections considered per eviction.
 const EVICTION_ATTEMPTS: usize = 4;
 
@@ -74,11 +79,24 @@
 }
 
 impl EventLoop {
-    /// Accepts the connections that wait in the backlog.
+    /// Accepts connections that wait in the backlog, as many as one poll allows.
     pub(super) fn accept(&mut self, now: f64) {
+        self.accept_with_evictions(now, EVICTIONS_PER_POLL);
+    }
+
+    /// Accepts all connections that wait in the backlog: one call accepts at least as many as it holds.
+    pub(super) fn accept_backlog(&mut self, now: f64) {
+        self.accept_with_evictions(now, ACCEPTS_PER_POLL);
+    }
+
+    fn accept_with_evictions(&mut self, now: f64, max_evictions: usize) {
         self.listener.must_retry = false;
         let mut has_evicted = false;
+        let evicted_before = self.counters.evicted;
         for _ in 0..ACCEPTS_PER_POLL {
+            if self.counters.evicted >= evicted_before + max_evictions as u64 {
+                break;
+            }
             let Some(socket) = &self.listener.socket else {
                 return;
             };
@@ -130,15 +148,17 @@
         }
     }
 
-    /// Closes an evictable client in favor of a new one, and returns whether there was one. A candidate is read once
-    /// more first: if an invocation has arrived meanwhile, another candidate is tried.
+    /// Closes an evictable client in favor of a new one, and returns whether there was one. A candidate that sent
+    /// nothing invalid is read once more first: if an invocation has arrived meanwhile, another candidate is tried.
     fn evict_client(&mut self, now: f64) -> bool {
         for _ in 0..EVICTION_ATTEMPTS {
             let connect_timeout = self.settings.connect_timeout;
             let Some(slot) = eviction_candidate(&self.host.clients, now, connect_timeout) else {
                 return false;
             };
-            self.read_client(now, slot, now);
+            if !self.host.clients[slot].sends_invalid {
+                self.read_client(now, slot, now);
+            }
             if self
                 .host
                 .clients
--- a/crates/platform-frontend/src/event_loop/client_requests.rs
+++ b/crates/platform-frontend/src/event_loop/client_requests.rs
@@ -2,11 +2,12 @@
 
 use super::EventLoop;
 use crate::client_connection::{
-    ClientConnection, CloseCause, MAX_BACKLOG_BYTES, MAX_OPEN_INVOCATIONS, PendingInvocation,
+    ClientConnection, CloseCause, MAX_BACKLOG_BYTES, MAX_OPEN_INVOCATIONS,
 };
 use crate::invocation_request::{InvalidInvocation, InvocationOrigin, parse_invocation};
 use crate::invocation_table::OpenInvocation;
 use crate::memory_budget::may_take;
+use crate::pending_invocations::PendingInvocation;
 use crate::source::EventSource;
 use orchidtally_engine::AdmissionError;
 use orchidtally_platform_client_protocol::{self as protocol, ProtocolError};
@@ -139,7 +140,7 @@
 
     /// Removes and returns the first pending invocation of a client.
     fn next_pending(&mut self, slot: usize) -> Option<PendingInvocation> {
-        self.host.clients.get_mut(slot)?.pending.pop_front()
+        self.host.clients.get_mut(slot)?.pending.pop()
     }
 
     fn has_pending(&self, slot: usize) -> bool {
@@ -237,7 +238,7 @@
                     let arrived_at = self.host.earliest_arrival(now).min(turn.ready_since);
                     if let Some(client) = self.host.clients.get_mut(slot) {
                         client.last_stream = stream;
-                        client.pending.push_back(PendingInvocation {
+                        client.pending.push(PendingInvocation {
                             arrived_at,
                             stream,
                             payload,
@@ -255,7 +256,7 @@
         let Some(client) = self.host.clients.get_mut(slot) else {
             return;
         };
-        client.pending.retain(|pending| pending.stream != stream);
+        client.pending.remove(stream);
         if let Some(&invocation) = client.open_invocations.get(&stream) {
             self.host.remove_invocation(invocation);
             self.engine
--- a/crates/platform-frontend/src/event_loop/graceful_shutdown.rs
+++ b/crates/platform-frontend/src/event_loop/graceful_shutdown.rs
@@ -119,9 +119,8 @@
         if !self.listener.is_open() || !self.shutdown.must_stop_accepting(now) {
             return;
         }
-        // Accepts the connections in the listener's backlog, so that they are notified too: one call accepts at least
-        // as many as the backlog holds.
-        self.accept(now);
+        // The connections in the backlog are notified too.
+        self.accept_backlog(now);
         // The listener is closed when this function returns.
         let Some(_listener) = self.listener.take_socket(self.poll.registry()) else {
             return;
--- a/crates/platform-frontend/src/lib.rs
+++ b/crates/platform-frontend/src/lib.rs
@@ -17,6 +17,7 @@
 mod log_rate_limiter;
 mod memory_budget;
 mod memory_use;
+mod pending_invocations;
 mod process_clock;
 mod resolver;
 mod signals;
