Tests: readiness queries, large answers read slowly, and new functions of clients that close

Three more ways to make a front end hold memory at its clients' will, each with a real process and 48 and 32 MiB.

--- a/crates/cli/tests/crowd/mod.rs
+++ b/crates/cli/tests/crowd/mod.rs
@@ -270,6 +270,29 @@
     Ok(())
 }
 
+/// Runs `send` while a little of what arrives is read now and then.
+pub fn read_in_drops(
+    stream: &mut TcpStream,
+    send: impl FnOnce(&mut TcpStream) -> std::io::Result<()>,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    const DROP_BYTES: usize = 512;
+    const DROP_INTERVAL: Duration = Duration::from_millis(200);
+    let mut reading = stream.try_clone()?;
+    std::thread::scope(|scope| {
+        scope.spawn(move || {
+            let mut drop = vec![0; DROP_BYTES];
+            while !is_over.load(Ordering::Relaxed) && !matches!(reading.read(&mut drop), Ok(0)) {
+                std::thread::sleep(DROP_INTERVAL);
+            }
+        });
+        let sent = send(stream);
+        // Fails if the connection has ended.
+        let _ = stream.shutdown(std::net::Shutdown::Both);
+        sent
+    })
+}
+
 /// Judges a front end that served a crowd and a usual client: it lives, its peak memory is within its limit, and the
 /// usual client got an answer to each invocation in time.
 pub fn assert_within_limits(name: &str, front_end: &mut FrontEnd, memory_mb: u64, served: &Served) {
--- a/crates/cli/tests/kit/mod.rs
+++ b/crates/cli/tests/kit/mod.rs
@@ -25,6 +25,10 @@
 pub const NO_RESPONSE: &str = "0000000000000004";
 /// Function whose executor responds after 0.9 s.
 pub const SLOW: &str = "0000000000000005";
+/// Function whose executor responds at once with a body of 41 KiB.
+pub const LARGE_RESPONSE: &str = "0000000000000006";
+/// Length of the body, in base64, that `LARGE_RESPONSE` returns.
+const LARGE_RESPONSE_LENGTH: usize = 56 * 1024;
 
 /// Dispatches that the executors received, in order of arrival, by the invocation ID that the client chose.
 pub type DispatchLog = Arc<Mutex<HashMap<String, Vec<Value>>>>;
@@ -65,6 +69,12 @@
             }
             ("DO", GARBAGE_RESPONSE) if is_first => "\u{1}noise\n".into(),
             ("DO", NO_RESPONSE) if is_first => continue,
+            ("DO", LARGE_RESPONSE) => {
+                let body = "A".repeat(LARGE_RESPONSE_LENGTH);
+                json!({"t": "DONE", "i": id, "f": {"tell": "warm", "crowd": "1"}, "b": body})
+                    .to_string()
+                    + "\n"
+            }
             ("DO", item) => {
                 if item == SLOW {
                     std::thread::sleep(Duration::from_millis(900));
--- a/crates/cli/tests/platform_memory.rs
+++ b/crates/cli/tests/platform_memory.rs
@@ -127,6 +127,70 @@
     )
 }
 
+/// Readiness queries at full speed; nothing is read.
+fn query_readiness_unread(
+    stream: &mut TcpStream,
+    _numbers: &Numbers,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    flood(stream, |_| readiness_query(), is_over)
+}
+
+/// Readiness queries at full speed, of whose answers a little is read now and then.
+fn query_readiness_read_in_drops(
+    stream: &mut TcpStream,
+    _numbers: &Numbers,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    read_in_drops(
+        stream,
+        |stream| flood(stream, |_| readiness_query(), is_over),
+        is_over,
+    )
+}
+
+/// Requests with large answers, of which a little is read now and then.
+fn read_large_answers_in_drops(
+    stream: &mut TcpStream,
+    numbers: &Numbers,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    read_in_drops(
+        stream,
+        |stream| {
+            for n in 1..=32 {
+                let id = hex_id(numbers.next());
+                stream.write_all(&invocation(n, &id, "read", LARGE_RESPONSE, b""))?;
+            }
+            while !is_over.load(Ordering::Relaxed) {
+                std::thread::sleep(Duration::from_millis(10));
+            }
+            Ok(())
+        },
+        is_over,
+    )
+}
+
+/// Large requests for functions that nobody else names, from a client that closes its connection at once.
+fn name_new_functions_and_close(
+    stream: &mut TcpStream,
+    numbers: &Numbers,
+    _is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    for n in 1..=4 {
+        let id = numbers.next();
+        stream.write_all(&large_invocation(n, id, &hex_id(id)))?;
+    }
+    std::thread::sleep(Duration::from_millis(5));
+    Ok(())
+}
+
+fn readiness_query() -> Vec<u8> {
+    let mut frame = vec![];
+    frames::write_frame(&mut frame, frames::READINESS_QUERY, 0, None, Some(&[]), &[]);
+    frame
+}
+
 /// Sends frames in one thread and reads the answers in another.
 fn flood_and_read(
     stream: &mut TcpStream,
@@ -247,3 +311,24 @@
     assert_survives_with_many_descriptors("many-unread-rejections", send_unsound_unread);
     assert_survives_with_many_descriptors("many-unsound", send_unsound);
 }
+
+/// Guards against answers to readiness queries that are held without a limit for a client that does not read them, or
+/// reads more slowly than it asks.
+#[test]
+fn clients_that_query_readiness_faster_than_they_read_stay_within_the_memory_limit() {
+    assert_survives("one-readiness-unread", 1, query_readiness_unread);
+    assert_survives("one-readiness-drops", 1, query_readiness_read_in_drops);
+    assert_survives("readiness-drops", CROWD, query_readiness_read_in_drops);
+}
+
+/// Guards against large answers to many clients that read slowly, which add up past the memory limit.
+#[test]
+fn a_crowd_that_reads_large_answers_slowly_stays_within_the_memory_limit() {
+    assert_survives("large-answers-drops", CROWD, read_large_answers_in_drops);
+}
+
+/// Guards against memory that large requests leave behind between the records of ever new functions.
+#[test]
+fn a_crowd_that_names_new_functions_and_closes_stays_within_the_memory_limit() {
+    assert_survives("new-functions-closed", CROWD, name_new_functions_and_close);
+}
