--- a/crates/platform-frontend/src/engine_host/flushing.rs
+++ b/crates/platform-frontend/src/engine_host/flushing.rs
@@ -1,6 +1,7 @@
 //! Encodes queued commands and writes them to the sockets, after the engine has revalidated each of them.
 
-use super::{AbortedConnection, EngineHost, LOAD_COMMAND_PREFIX, ViewVersion};
+use super::load_commands::LOAD_COMMAND_PREFIX;
+use super::{AbortedConnection, EngineHost, ViewVersion};
 use crate::delayed_dispatches::DispatchKey;
 use crate::executor_connection::{MAX_UNFLUSHED_BYTES, QueuedCommand};
 use crate::log_rate_limiter::LogRateLimiter;
--- a/crates/platform-frontend/src/engine_host/mod.rs
+++ b/crates/platform-frontend/src/engine_host/mod.rs
@@ -5,6 +5,7 @@
 
 mod callbacks;
 mod flushing;
+mod load_commands;
 mod sending;
 
 use crate::client_connection::ClientConnection;
@@ -15,6 +16,7 @@
 use crate::memory_use::HeldBytes;
 use crate::process_clock::ProcessClock;
 pub use flushing::SendRevalidator;
+pub use load_commands::LoadCommand;
 use mio::Registry;
 use orchidtally_dispatch_policy::interface::{DispatchStatus, ExecutorId};
 use orchidtally_engine::transport_outcome::TransportOutcome;
@@ -25,8 +27,6 @@
 use std::rc::Rc;
 use tracing::warn;
 
-/// Prefix of the tags of load commands on the wire. It can't begin an invocation id, which is 16 hexadecimal digits.
-const LOAD_COMMAND_PREFIX: &str = "order-";
 /// Prefix of the tags of health checks on the wire.
 const HEALTH_CHECK_PREFIX: &str = "probe-";
 
@@ -39,21 +39,6 @@
     pub fresh_at: f64,
 }
 
-/// A load command whose result is not known yet.
-#[derive(Clone, Copy, Debug)]
-pub struct LoadCommand {
-    /// The executor that it is for.
-    pub executor_id: ExecutorId,
-    /// The function to load.
-    pub function: u64,
-    /// The number of replicas to load; 0 only queries how many are loaded.
-    pub replicas: u8,
-    /// When it was issued, in seconds.
-    pub issued_at: f64,
-    /// The slot of the connection that carries it, if it has one.
-    pub connection: Option<usize>,
-}
-
 /// A dispatch that could not be sent.
 pub struct UnsentDispatch {
     /// The dispatch.
@@ -350,29 +335,6 @@
         self.in_flight.remove(&key);
     }
 
-    /// Removes and returns a load command, so that it gets no further result.
-    pub fn remove_load_command(&mut self, tag: u64) -> Option<LoadCommand> {
-        let command = self.load_commands.remove(&tag)?;
-        if let Some(connection) = command
-            .connection
-            .and_then(|slot| self.pool.connection_mut(slot))
-        {
-            connection.load_commands.remove(&tag);
-        }
-        Some(command)
-    }
-
-    /// Returns the tag of the oldest load command if it was issued at least `timeout` seconds ago.
-    pub fn expired_load_command(&self, now: f64, timeout: f64) -> Option<u64> {
-        let (&tag, command) = self.load_commands.first_key_value()?;
-        (command.issued_at + timeout <= now).then_some(tag)
-    }
-
-    /// Parses the tag from the id of a response to a load command. Returns `None` for other responses.
-    pub fn load_command_tag(id: &str) -> Option<u64> {
-        id.strip_prefix(LOAD_COMMAND_PREFIX)?.parse().ok()
-    }
-
     /// Records that a dispatch to an executor was abandoned now, so that the next dispatch of its invocation is delayed
     /// until the cancel has arrived. The two travel over different connections, which don't preserve their order.
     pub fn record_abandoned(&mut self, id: &Rc<str>, executor_id: ExecutorId) {
--- a/crates/platform-frontend/src/engine_host/sending.rs
+++ b/crates/platform-frontend/src/engine_host/sending.rs
@@ -1,6 +1,6 @@
 //! Queues commands for executors on connections.
 
-use super::{EngineHost, LoadCommand, UnsentDispatch, UnsentLoadCommand};
+use super::{EngineHost, UnsentDispatch, UnsentLoadCommand};
 use crate::delayed_dispatches::DispatchKey;
 use crate::executor_connection::{InFlightDispatch, QueuedCommand, UnwrittenCommands};
 use orchidtally_dispatch_policy::interface::ExecutorId;
@@ -101,42 +101,6 @@
         }
     }
 
-    /// Issues a load command, or a replica query if `replicas` is 0.
-    pub(super) fn issue_load_command(
-        &mut self,
-        executor_id: ExecutorId,
-        function: u64,
-        replicas: u8,
-    ) {
-        let tag = self.next_tag;
-        self.next_tag += 1;
-        let command = LoadCommand {
-            executor_id,
-            function,
-            replicas,
-            issued_at: self.now,
-            connection: None,
-        };
-        self.load_commands.insert(tag, command);
-        self.send_load_command(tag, executor_id);
-    }
-
-    fn send_load_command(&mut self, tag: u64, executor_id: ExecutorId) {
-        match self.pool.connection_for(self.now, executor_id, "") {
-            Ok(slot) => {
-                if let Some(connection) = self.pool.connection_mut(slot) {
-                    connection.load_commands.insert(tag, None);
-                    connection.queue.push_back(QueuedCommand::LoadCommand(tag));
-                }
-                if let Some(command) = self.load_commands.get_mut(&tag) {
-                    command.connection = Some(slot);
-                }
-                self.pool.mark_dirty(slot);
-            }
-            Err(evidence) => self.report_unsent_load_command(tag, evidence),
-        }
-    }
-
     /// Queues an encoded line whose loss need not be reported.
     pub(super) fn send_line(&mut self, executor_id: ExecutorId, line: Vec<u8>) {
         let Ok(slot) = self.pool.connection_for(self.now, executor_id, "") else {
