Turn away an id that was dispatched, must not run twice, and comes again

Cause: an id was free again as soon as its client had left or had its answer, while the dispatch of it may have run or still runs; it is new in the engine, so no proof of the first one is asked for.

Such an id is answered as errored, which says that it may have run. One that was throttled, or failed provably without having run, may come again, as may idempotent ones.

Measured: an_id_that_may_have_run_is_not_dispatched_again_once_its_client_has_left fails without the change for commands and tokened updates and passes with it. Not covered: the id at another front end, or after a restart; the state is lost then.

--- a/crates/platform-frontend/src/engine_host/callbacks.rs
+++ b/crates/platform-frontend/src/engine_host/callbacks.rs
@@ -61,6 +61,7 @@
         let milliseconds = format!("{}", (retry_after * 1e3).round().max(0.0) as u64);
         let cooldown = [("cooldown", milliseconds.as_str())];
         let fields: &[(&str, &str)] = if retry_after > 0.0 { &cooldown } else { &[] };
+        self.record_never_ran(invocation);
         self.respond(invocation, client_protocol::THROTTLED, fields, &[]);
     }
 
@@ -75,6 +76,9 @@
                 "invocation failed"
             );
         }
+        if !may_have_run {
+            self.record_never_ran(invocation);
+        }
         self.respond(invocation, client_protocol::ERRORED, &[], &[]);
     }
 
--- a/crates/platform-frontend/src/engine_host/flushing.rs
+++ b/crates/platform-frontend/src/engine_host/flushing.rs
@@ -184,6 +184,11 @@
             return None;
         };
         connection.in_flight.get_mut(id)?.line_start = Some(line_start);
+        if !open.is_repeatable
+            && let Some(id) = open.id_number()
+        {
+            self.executed_ids.insert(id);
+        }
         let time_left = (open.timeout_at - self.now).max(MIN_TIME_LEFT);
         let line = protocol::encode_dispatch(&protocol::Dispatch {
             id,
--- a/crates/platform-frontend/src/engine_host/mod.rs
+++ b/crates/platform-frontend/src/engine_host/mod.rs
@@ -10,7 +10,9 @@
 
 use crate::client_connection::ClientConnection;
 use crate::delayed_dispatches::{DelayedDispatches, DispatchKey};
+use crate::executed_ids::ExecutedIds;
 use crate::executor_pool::ExecutorPool;
+use crate::invocation_request::IdState;
 use crate::invocation_table::{InvocationTable, OpenInvocation};
 use crate::log_rate_limiter::LogRateLimiter;
 use crate::memory_use::HeldBytes;
@@ -83,6 +85,8 @@
     pub pool: ExecutorPool,
     /// The open invocations.
     pub invocations: InvocationTable,
+    /// The ids of invocations that were dispatched and must not run twice.
+    executed_ids: ExecutedIds,
     now: f64,
     clock: ProcessClock,
     /// A process stall was detected since the last call of `take_stall`.
@@ -124,11 +128,13 @@
         registry: Registry,
         settings: &FrontEndSettings,
         max_executor_connections: usize,
+        executed_ids: ExecutedIds,
     ) -> EngineHost {
         EngineHost {
             clients: Slab::new(),
             pool: ExecutorPool::new(registry, settings, max_executor_connections),
             invocations: InvocationTable::default(),
+            executed_ids,
             now,
             clock: ProcessClock::starting_at(now),
             has_stalled: false,
@@ -285,6 +291,29 @@
         !self.delayed_dispatches.is_empty()
     }
 
+    /// What is known of an invocation id that a client has chosen.
+    pub fn id_state(&self, id: &str) -> IdState {
+        let is_executed = |id| self.executed_ids.contains(id);
+        if self.invocations.contains_client_invocation_id(id) {
+            IdState::Open
+        } else if u64::from_str_radix(id, 16).is_ok_and(is_executed) {
+            IdState::Executed
+        } else {
+            IdState::Unused
+        }
+    }
+
+    /// Records that an open invocation provably never ran.
+    fn record_never_ran(&mut self, invocation: u32) {
+        let id = self
+            .invocations
+            .get(invocation)
+            .and_then(OpenInvocation::id_number);
+        if let Some(id) = id {
+            self.executed_ids.remove(id);
+        }
+    }
+
     /// Removes an invocation that got its final response or was cancelled by its client.
     pub fn remove_invocation(&mut self, invocation: u32) -> Option<OpenInvocation> {
         let open = self.invocations.remove(invocation)?;
--- a/crates/platform-frontend/src/event_loop/client_requests.rs
+++ b/crates/platform-frontend/src/event_loop/client_requests.rs
@@ -304,9 +304,8 @@
             client: slot,
             stream: pending.stream,
         };
-        let parsed = parse_invocation(&self.settings, origin, payload, |id| {
-            self.host.invocations.contains_client_invocation_id(id)
-        })?;
+        let id_state = |id: &str| self.host.id_state(id);
+        let parsed = parse_invocation(&self.settings, origin, payload, id_state)?;
         if is_over_limit || !self.has_room_for(slot, &parsed.invocation) {
             return Err(Rejection::AtCapacity);
         }
--- a/crates/platform-frontend/src/event_loop/mod.rs
+++ b/crates/platform-frontend/src/event_loop/mod.rs
@@ -16,8 +16,9 @@
 
 use crate::client_connection::CloseCause;
 use crate::engine_host::EngineHost;
+use crate::executed_ids::ExecutedIds;
 use crate::log_rate_limiter::LogRateLimiter;
-use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::{self, MemoryBudget};
 use crate::process_clock::ProcessClock;
 use crate::signals::PendingSignals;
 use crate::source::EventSource;
@@ -138,6 +139,7 @@
             poll.registry().try_clone()?,
             &settings,
             max_executor_connections,
+            ExecutedIds::new(memory_budget::executed_id_bytes(start.memory_bytes)),
         );
         host.set_clock(clock);
         host.set_view(crate::engine_host::ViewVersion {
--- a/crates/platform-frontend/src/invocation_request.rs
+++ b/crates/platform-frontend/src/invocation_request.rs
@@ -43,6 +43,9 @@
     /// The invocation id is that of an open invocation.
     #[error("'ref' is that of an open invocation")]
     DuplicateId,
+    /// The invocation id is that of an ended invocation that may have run and must not run twice.
+    #[error("'ref' is that of an invocation that may have run")]
+    ExecutedId,
     /// The request names no function.
     #[error("no 'lookup'")]
     MissingFunction,
@@ -91,8 +94,18 @@
     pub stream: u32,
 }
 
-/// Parses and validates the payload of an invocation frame. `is_id_in_use` returns whether an invocation with that id,
-/// as chosen by its client, is open.
+/// What is known of an invocation id that a client has chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IdState {
+    /// No invocation with this id is open, nor has one been dispatched that must not run twice.
+    Unused,
+    /// An invocation with this id is open.
+    Open,
+    /// An invocation with this id has ended, may have run and must not run twice.
+    Executed,
+}
+
+/// Parses and validates the payload of an invocation frame. `id_state` returns what is known of an invocation id.
 ///
 /// # Errors
 /// The first check that the payload fails.
@@ -100,7 +113,7 @@
     settings: &FrontEndSettings,
     origin: InvocationOrigin,
     payload: &[u8],
-    is_id_in_use: impl Fn(&str) -> bool,
+    id_state: impl Fn(&str) -> IdState,
 ) -> Result<ParsedInvocation, InvalidInvocation> {
     let (fields, body) = parse_fields(payload)?;
     if body.len() > MAX_BODY_LENGTH {
@@ -114,7 +127,7 @@
         .position(|name| name == trigger_type_name)
         .ok_or(InvalidInvocation::UnknownTriggerType)?;
     let policy = &settings.policy.trigger_types[trigger_type];
-    let id = parse_client_invocation_id(&fields, is_id_in_use)?;
+    let id = parse_client_invocation_id(&fields, id_state)?;
     let function_text = field(&fields, "lookup").ok_or(InvalidInvocation::MissingFunction)?;
     let function = parse_hex(function_text).ok_or(InvalidInvocation::InvalidFunction)?;
     let client_timeout_ms = field(&fields, "allow")
@@ -141,6 +154,7 @@
             client: origin.client,
             stream: origin.stream,
             id: id.into(),
+            is_repeatable: policy.idempotency == Idempotency::Idempotent,
             trigger_type,
             function: function_text.into(),
             idempotency_key: idempotency_key.map(str::to_owned),
@@ -171,15 +185,16 @@
 
 fn parse_client_invocation_id<'a>(
     fields: &Fields<'a>,
-    is_id_in_use: impl Fn(&str) -> bool,
+    id_state: impl Fn(&str) -> IdState,
 ) -> Result<&'a str, InvalidInvocation> {
     let id = field(fields, "ref")
         .filter(|id| parse_hex(id).is_some())
         .ok_or(InvalidInvocation::InvalidId)?;
-    if is_id_in_use(id) {
-        return Err(InvalidInvocation::DuplicateId);
+    match id_state(id) {
+        IdState::Unused => Ok(id),
+        IdState::Open => Err(InvalidInvocation::DuplicateId),
+        IdState::Executed => Err(InvalidInvocation::ExecutedId),
     }
-    Ok(id)
 }
 
 fn parse_retry_flag(fields: &Fields) -> Result<bool, InvalidInvocation> {
--- a/crates/platform-frontend/src/invocation_table.rs
+++ b/crates/platform-frontend/src/invocation_table.rs
@@ -15,6 +15,8 @@
     pub stream: u32,
     /// The invocation id chosen by the client.
     pub id: Rc<str>,
+    /// Whether it may run twice.
+    pub is_repeatable: bool,
     /// The index of its trigger type.
     pub trigger_type: usize,
     /// The function id as the client wrote it.
@@ -28,6 +30,11 @@
 }
 
 impl OpenInvocation {
+    /// The invocation id as a number; `None` if it is no hexadecimal number.
+    pub fn id_number(&self) -> Option<u64> {
+        u64::from_str_radix(&self.id, 16).ok()
+    }
+
     /// Bytes of memory that the invocation occupies while it is open.
     pub fn held_bytes(&self) -> usize {
         let key_bytes = self.idempotency_key.as_ref().map_or(0, String::len);
--- a/crates/platform-frontend/src/lib.rs
+++ b/crates/platform-frontend/src/lib.rs
@@ -10,6 +10,7 @@
 mod delayed_dispatches;
 mod engine_host;
 mod event_loop;
+mod executed_ids;
 mod executor_connection;
 mod executor_pool;
 mod invocation_request;
--- a/crates/platform-frontend/src/memory_budget.rs
+++ b/crates/platform-frontend/src/memory_budget.rs
@@ -61,6 +61,11 @@
     (memory_bytes / 8 / FUNCTION_BYTES).min(MAX_FUNCTIONS)
 }
 
+/// The memory in bytes for ids of executed invocations under a memory limit in bytes.
+pub fn executed_id_bytes(memory_bytes: usize) -> usize {
+    memory_bytes / 64
+}
+
 /// Whether a holder may take more of a limited resource: as long as it then holds no more than what is left free.
 ///
 /// Failure mode: a crowd takes all of a resource, and a client with a single invocation is turned away.
--- a/crates/platform-frontend/src/tests/disconnects.rs
+++ b/crates/platform-frontend/src/tests/disconnects.rs
@@ -252,3 +252,46 @@
     });
     assert_eq!(front_end.event_loop.engine.counters().admitted, 0);
 }
+
+/// Guards against running an id twice that comes again after its client has left while it ran.
+#[test]
+fn an_id_that_may_have_run_is_not_dispatched_again_once_its_client_has_left() {
+    for trigger_type in ["command", "update"] {
+        let mut front_end = TestFrontEnd::new(1, 128, |_| {});
+        let mut client = front_end.connect_client();
+        front_end.invoke(&mut client, 1, trigger_type);
+        drop(client);
+        front_end.poll_until("the disconnect", |front_end| {
+            front_end.event_loop.host.clients.is_empty()
+        });
+        let before = dispatch_count(&mut front_end);
+        let mut next_client = front_end.connect_client();
+        next_client
+            .write_all(&invocation_frame(1, &invocation_id(1), trigger_type))
+            .expect("the connection is open");
+        let mut received = vec![];
+        front_end.poll_until("an answer", |_| {
+            received.extend(read_frames(&mut next_client).0);
+            !received.is_empty()
+        });
+        assert_eq!(received, [(protocol::RESPONSE, 1, protocol::ERRORED)]);
+        assert_no_new_work(&mut front_end, before);
+    }
+}
+
+/// An id may come again if its invocation may run twice.
+#[test]
+fn an_id_that_may_run_again_is_dispatched_again() {
+    let mut front_end = TestFrontEnd::new(1, 128, |_| {});
+    let mut client = front_end.connect_client();
+    let (executor, connection) = front_end.invoke(&mut client, 1, "read");
+    front_end.executors[executor].respond(connection, "DONE", &invocation_id(1));
+    front_end.poll_until("the response", |_| !read_frames(&mut client).0.is_empty());
+    let before = dispatch_count(&mut front_end);
+    client
+        .write_all(&invocation_frame(2, &invocation_id(1), "read"))
+        .expect("the connection is open");
+    front_end.poll_until("another dispatch", |front_end| {
+        dispatch_count(front_end) > before
+    });
+}
--- a/crates/platform-frontend/src/tests/engine_host.rs
+++ b/crates/platform-frontend/src/tests/engine_host.rs
@@ -33,6 +33,7 @@
             .expect("the registry can be cloned"),
         &settings,
         executors,
+        ExecutedIds::new(1024),
     );
     let mut sockets = vec![];
     let mut ids = vec![];
@@ -85,6 +86,7 @@
         client: usize::MAX,
         stream: 1,
         id,
+        is_repeatable: true,
         trigger_type: 0,
         function: "0000000000000001".into(),
         idempotency_key: None,
--- a/crates/platform-frontend/src/tests/memory_budget.rs
+++ b/crates/platform-frontend/src/tests/memory_budget.rs
@@ -8,7 +8,7 @@
         let limit = memory_mb * MEBIBYTE;
         let budget = MemoryBudget::new(limit);
         let functions = max_functions(limit) * FUNCTION_BYTES;
-        let total = budget.shares().total() + functions;
+        let total = budget.shares().total() + functions + executed_id_bytes(limit);
         assert!(total <= limit * 3 / 4, "{total} of {memory_mb} MiB");
     }
 }
--- a/crates/platform-frontend/src/tests/settings.rs
+++ b/crates/platform-frontend/src/tests/settings.rs
@@ -26,8 +26,8 @@
         stream: 1,
     };
     let host = &front_end.event_loop.host;
-    let is_open = |id: &str| host.invocations.contains_client_invocation_id(id);
-    parse_invocation(&front_end.event_loop.settings, origin, payload, is_open)
+    let id_state = |id: &str| host.id_state(id);
+    parse_invocation(&front_end.event_loop.settings, origin, payload, id_state)
         .map(|parsed| parsed.request.customer)
         .map_err(|error| error.to_string())
 }
