Replace a test that had a command run twice under one id

an_id_in_use_is_rejected_until_its_client_cancels asked that a command, which is not idempotent, is dispatched again when its id comes again after a cancel, although the first dispatch was out and may have run.

In its place: the same checks for a read, which may run twice, and one more test by which commands and tokened updates stay errored and are dispatched once.

--- a/crates/cli/tests/kit/mod.rs
+++ b/crates/cli/tests/kit/mod.rs
@@ -248,8 +248,11 @@
     output
 }
 
-/// Reads the next frame: its type, stream, code and body. Returns `None` at the end of the connection.
-pub fn read_frame(client: &mut TcpStream) -> Option<(u8, u32, u8, Vec<u8>)> {
+/// A frame from the front end: its type, stream, code and body.
+pub type Answer = (u8, u32, u8, Vec<u8>);
+
+/// Reads the next frame. Returns `None` at the end of the connection.
+pub fn read_frame(client: &mut TcpStream) -> Option<Answer> {
     let mut length = [0; 4];
     client.read_exact(&mut length).ok()?;
     let mut frame = vec![0; u32::from_be_bytes(length) as usize];
@@ -263,7 +266,7 @@
 }
 
 /// Sends a frame and reads the next one that the front end sends.
-pub fn exchange(client: &mut TcpStream, invocation: &[u8]) -> (u8, u32, u8, Vec<u8>) {
+pub fn exchange(client: &mut TcpStream, invocation: &[u8]) -> Answer {
     client.write_all(invocation).unwrap();
     read_frame(client).expect("the front end responds")
 }
--- a/crates/cli/tests/platform.rs
+++ b/crates/cli/tests/platform.rs
@@ -118,40 +118,54 @@
     }
 }
 
-#[test]
-fn an_id_in_use_is_rejected_until_its_client_cancels() {
-    let front_end = start("open");
+/// Sends an invocation that gets no response, reuses its ID from another client while it is open, cancels it, and
+/// reuses its ID again. Returns the code of the first reuse and the answer to the second one.
+fn reuse_id_after_cancel(front_end: &FrontEnd, id: &str, service: &str) -> (u8, Answer) {
     let (mut first, mut second) = (front_end.client(), front_end.client());
     first
-        .write_all(&invocation(1, &hex_id(1), "command", NO_RESPONSE, b""))
+        .write_all(&invocation(1, id, service, NO_RESPONSE, b""))
         .unwrap();
     let started_at = Instant::now();
-    while front_end.dispatches(&hex_id(1)).is_empty() {
+    while front_end.dispatches(id).is_empty() {
         assert!(
             started_at.elapsed() < Duration::from_secs(5),
             "the invocation was not dispatched"
         );
         std::thread::sleep(Duration::from_millis(5));
     }
-    let answer = exchange(
-        &mut second,
-        &invocation(1, &hex_id(1), "command", PROMPT, b"other"),
-    );
-    assert_eq!(answer.2, frames::ERRORED);
+    let while_open = exchange(&mut second, &invocation(1, id, service, PROMPT, b"other"));
     let mut cancel = vec![];
     frames::write_frame(&mut cancel, frames::CANCEL, 1, None, None, &[]);
     first.write_all(&cancel).unwrap();
-    // A withdrawn invocation gets no response: the next one is that of another stream, and the ID may be used again.
-    let answer = exchange(
-        &mut first,
-        &invocation(2, &hex_id(1), "command", PROMPT, b"again"),
-    );
+    // A withdrawn invocation gets no response: the next one is that of another stream.
+    let after_cancel = exchange(&mut first, &invocation(2, id, service, PROMPT, b"again"));
+    (while_open.2, after_cancel)
+}
+
+#[test]
+fn an_id_in_use_is_rejected_until_its_client_cancels() {
+    let front_end = start("open");
+    let (while_open, after_cancel) = reuse_id_after_cancel(&front_end, &hex_id(1), "read");
+    assert_eq!(while_open, frames::ERRORED);
     assert_eq!(
-        answer,
+        after_cancel,
         (frames::RESPONSE, 2, frames::SUCCEEDED, b"again".to_vec())
     );
 }
 
+/// Guards against running an ID twice that is sent again after a cancel, when it may have run.
+#[test]
+fn an_id_that_may_have_run_and_must_not_run_twice_stays_rejected_after_a_cancel() {
+    let front_end = start("open-command");
+    for (id, service) in [(hex_id(1), "command"), (hex_id(2), "update")] {
+        let (while_open, (kind, stream, code, _)) = reuse_id_after_cancel(&front_end, &id, service);
+        assert_eq!(while_open, frames::ERRORED, "{service}");
+        let answer = (kind, stream, code);
+        assert_eq!(answer, (frames::RESPONSE, 2, frames::ERRORED), "{service}");
+        assert_eq!(front_end.dispatches(&id).len(), 1, "{service}");
+    }
+}
+
 #[test]
 fn an_unusable_settings_file_is_reported_with_its_name_and_key() {
     let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("bad.json");
