Write the log in a thread of its own, with a bounded queue

Cause: each log line was written to standard error by the one thread of the front end, and a full pipe blocks it.

Change: LogWriter queues 1,024 lines for a thread that writes them; further ones are dropped, and the next line tells how many. The end of the process waits 0.2 s at the most for the last lines. If the thread can't be started, lines are written directly as before.

Measured: a_log_that_nobody_reads_does_not_stop_the_front_end (a pipe of 64 KiB, trace level) fails without the change and passes with it.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,7 @@
 mod invoke;
 mod journal;
 mod local;
+mod log_writer;
 mod measure;
 mod rehearse;
 mod rollout;
@@ -128,11 +129,12 @@
             return ExitCode::from(BAD_INPUT);
         }
     };
+    let (log_writer, _finish_guard) = log_writer::LogWriter::start();
     let colours = std::io::stderr().is_terminal();
     let logs = tracing_subscriber::fmt()
         .with_env_filter(filter)
         .with_ansi(colours)
-        .with_writer(std::io::stderr);
+        .with_writer(log_writer);
     match arguments.log_format {
         Format::Text => logs.init(),
         Format::Json => logs.json().init(),
