Soak: crowds of misbehaving clients among the faults, and the memory limit among the checks

A seed may now draw crowds of 40 clients at a front end with 128 descriptors and 32 MiB, in six behaviours that no executor sees, beside signals in series, restarts and all other faults. A front end whose peak passes its limit is a problem of the seed.

--- a/crates/cli/tests/crowd/mod.rs
+++ b/crates/cli/tests/crowd/mod.rs
@@ -3,6 +3,8 @@
 // Each test binary uses a part of this module.
 #![allow(dead_code)]
 
+pub mod behaviours;
+
 use crate::kit::*;
 use orchidtally_platform_client_protocol as frames;
 use serde_json::Value;
--- a/crates/cli/tests/platform_soak.rs
+++ b/crates/cli/tests/platform_soak.rs
@@ -1,5 +1,5 @@
 //! Soak test with random faults drawn by seed, one at a time and overlapping: a few front end processes, series of
-//! signals, and clients that keep using their connections until the process is killed. The default run is short. A long
+//! signals, crowds of misbehaving clients, and clients that keep using their connections until the process is killed. The default run is short. A long
 //! run:
 //!
 //! ```text
@@ -9,9 +9,12 @@
 //! `SOAK_FIRST` is the first seed. The test prints a line for each seed, and at the end the number of checks and of
 //! broken rules.
 
+mod crowd;
+mod kit;
 mod scenario;
 mod soak_faults;
 
+use crowd::peak_memory;
 use orchidtally_invariants::Verdict;
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
@@ -122,6 +125,12 @@
     };
     async_io::block_on(fleet.environment.tasks.run(all));
     for process in fleet.processes.borrow_mut().iter_mut().flatten() {
+        let peak = peak_memory(process.id());
+        if peak > MEMORY_MB << 20 {
+            problems.borrow_mut().push(format!(
+                "a front end held {peak} bytes, the limit is {MEMORY_MB} MiB"
+            ));
+        }
         if let Some(status) = process.try_wait().unwrap() {
             problems
                 .borrow_mut()
--- a/crates/cli/tests/scenario/mod.rs
+++ b/crates/cli/tests/scenario/mod.rs
@@ -25,6 +25,8 @@
 pub const DEDUPLICATION_WINDOW: f64 = 5.0;
 /// The drain grace that the platform grants, in seconds. A front end queries its resolver about six times within it.
 pub const DRAIN_GRACE: f64 = 1.0;
+/// The memory limit of a front end in MiB.
+pub const MEMORY_MB: u64 = 32;
 /// Clients that cancel do so within this time, in seconds: about the duration of an invocation.
 const MAX_CANCELLATION_DELAY: f64 = 0.05;
 
@@ -189,7 +191,7 @@
         let settings = json!({
             "name": format!("n{j}"), "listen": self.addresses[j as usize], "seed": format!("{:016x}", 77 + j),
             "dns": self.resolver_addresses.borrow()[j as usize],
-            "limits": {"cores": 1.0, "memory_mb": 32, "sockets": 128},
+            "limits": {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 128},
             "settings": settings(self.addresses.len() as u32, j, self.client_timeout.get()), "known": self.resolver.initial_list(j),
         });
         std::fs::write(self.settings_path(j), settings.to_string()).unwrap();
--- a/crates/cli/tests/soak_faults/mod.rs
+++ b/crates/cli/tests/soak_faults/mod.rs
@@ -1,6 +1,8 @@
 //! The faults of the soak test: drawn from a seeded generator and applied to the front ends' processes and the test
 //! servers.
 
+use crate::crowd::behaviours::*;
+use crate::crowd::{Behaviour, Crowd};
 use crate::scenario::*;
 use orchidtally_invariants::{EndpointState, TrafficRecord};
 use orchidtally_test_servers::platform::{AnswerFault, ResponseFault};
@@ -23,6 +25,19 @@
 /// Time between SIGTERM and SIGKILL in addition to the client timeout of the settings, in seconds.
 const KILL_DELAY: f64 = 0.7;
 
+/// Clients of a crowd, fewer than a front end with 128 descriptors serves.
+const CROWD: usize = 40;
+
+/// What crowds do: nothing that an executor would receive.
+const CROWD_BEHAVIOURS: [Behaviour; 6] = [
+    stop_half_way,
+    send_unsound,
+    send_unsound_unread,
+    send_many_fields,
+    query_readiness_unread,
+    query_readiness_read_in_drops,
+];
+
 /// A fault of the soak test. Times are in seconds.
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
@@ -52,6 +67,8 @@
     Restart(u32),
     /// A front end is killed without SIGTERM; a new one starts.
     Kill(u32),
+    /// A crowd of clients misbehaves at a front end for a while, as `CROWD_BEHAVIOURS` says under that index.
+    Crowd(u32, usize, f64),
 }
 
 /// Draws a random fault.
@@ -85,7 +102,7 @@
     );
     let time = random.random_range(0.3..1.2);
     let any_executor = random.random_range(0..EXECUTORS);
-    match random.random_range(0..16) {
+    match random.random_range(0..18) {
         0..3 => {
             let answer_fault = *answer_faults.choose(random).expect("the list is not empty");
             Fault::FaultyAnswers(answer_fault, random.random_range(0.2..0.6), time)
@@ -107,6 +124,10 @@
         12 => Fault::ConnectionReset(any_executor),
         13 => Fault::ResetWithinLine(any_executor, random.random_range(0..2_000)),
         14 => Fault::StalledResponses(any_executor, time),
+        15..17 => {
+            let behaviour = random.random_range(0..CROWD_BEHAVIOURS.len());
+            Fault::Crowd(front_end, behaviour, time)
+        }
         _ if random.random_bool(0.5) => Fault::Restart(front_end),
         _ => Fault::Kill(front_end),
     }
@@ -217,6 +238,13 @@
         Fault::StateChange(x, state) => change_state(&fleet, x, state).await,
         Fault::Pause(j, time) => pause(&fleet, j, time, None).await,
         Fault::DrainDuringPause(j, x, time) => pause(&fleet, j, time, Some(x)).await,
+        Fault::Crowd(j, behaviour, time) => {
+            let address = fleet.addresses[j as usize];
+            let crowd = Crowd::start(address, CROWD, CROWD_BEHAVIOURS[behaviour]);
+            fleet.environment.sleep(time).await;
+            // Joins the crowd's threads without holding up the other tasks.
+            std::thread::spawn(move || crowd.stop());
+        }
         Fault::Reload(j, times) => {
             for _ in 0..times {
                 let Some(id) = fleet.processes.borrow()[j as usize].as_ref().map(Child::id) else {
