--- a/crates/cli/tests/crowd/behaviours.rs
+++ b/crates/cli/tests/crowd/behaviours.rs
@@ -212,3 +212,16 @@
     }
     Ok(())
 }
+
+/// Large requests for functions that nobody else names, as many as a connection may have open, whose answers are read.
+pub fn invoke_new_functions(
+    stream: &mut TcpStream,
+    numbers: &Numbers,
+    is_over: &AtomicBool,
+) -> std::io::Result<()> {
+    for n in 1..=32 {
+        let id = numbers.next();
+        stream.write_all(&large_invocation(n, id, &hex_id(id)))?;
+    }
+    read_until_end(stream, is_over)
+}
--- a/crates/cli/tests/crowd/mod.rs
+++ b/crates/cli/tests/crowd/mod.rs
@@ -9,7 +9,7 @@
 use orchidtally_platform_client_protocol as frames;
 use serde_json::Value;
 use std::io::{ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -88,6 +88,37 @@
     front_end
 }
 
+/// Starts an executor that answers each line with the beginning of a long line, and reads on.
+pub fn start_executor_of_partial_lines() -> SocketAddr {
+    const PARTIAL_LINE_BYTES: usize = 60 * 1024;
+    start_executor_with(|mut stream| {
+        let mut buffer = vec![0; 64 * 1024];
+        while let Ok(1..) = stream.read(&mut buffer) {
+            // The front end may have ended the connection.
+            let _ = stream.write_all(&[b' '; PARTIAL_LINE_BYTES]);
+        }
+    })
+}
+
+/// Starts an executor that accepts connections and reads nothing.
+pub fn start_executor_that_reads_nothing() -> SocketAddr {
+    start_executor_with(|stream| {
+        std::thread::sleep(2 * DURATION);
+        drop(stream);
+    })
+}
+
+fn start_executor_with(serve: fn(TcpStream)) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
 /// The peak of a process's resident memory in bytes; 0 once it has ended.
 pub fn peak_memory(process: u32) -> u64 {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
--- a/crates/cli/tests/platform_memory.rs
+++ b/crates/cli/tests/platform_memory.rs
@@ -117,3 +117,38 @@
 fn a_crowd_that_names_new_functions_and_closes_stays_within_the_memory_limit() {
     assert_survives("new-functions-closed", CROWD, name_new_functions_and_close);
 }
+
+/// Runs a crowd with many functions against a front end whose executors misbehave. Usual clients can't be served then,
+/// but are answered.
+fn assert_survives_executors(name: &str, start_executor: fn() -> std::net::SocketAddr) {
+    const EXECUTORS: usize = 100;
+    let _turn = wait_for_turn();
+    let limits = ProcessLimits {
+        memory_mb: 32,
+        descriptors: MANY_DESCRIPTORS,
+    };
+    let hosts: Vec<_> = (0..EXECUTORS)
+        .map(|n| kit::host(n, start_executor()))
+        .collect();
+    let mut front_end = start_limited_with(name, limits, &hosts, kit::DispatchLog::default());
+    let crowd = Crowd::start(front_end.address, CROWD, invoke_new_functions);
+    let served = serve_usual_client(&front_end, DURATION);
+    crowd.stop();
+    let answered = Served {
+        failed: 0,
+        ..served
+    };
+    assert_within_limits(name, &mut front_end, limits.memory_mb, &answered);
+}
+
+/// Guards against partial lines of many executors that add up past the memory limit.
+#[test]
+fn executors_that_do_not_finish_their_lines_stay_within_the_memory_limit() {
+    assert_survives_executors("partial-lines", start_executor_of_partial_lines);
+}
+
+/// Guards against commands for many executors that read nothing, which add up past the memory limit.
+#[test]
+fn executors_that_read_nothing_stay_within_the_memory_limit() {
+    assert_survives_executors("no-reads", start_executor_that_reads_nothing);
+}
