HTTP: bound the sum of the request bodies that are held

Change: limits.heldBodyBytes bounds the bytes of all bodies that are being received or belong to open invocations, 64 times bodyBytes where the file does not say. Past it a request gets 503 with Retry-After; it never reached the engine. What a request holds is free again when it ends.

Responses that clients do not read, streams, MQTT messages and the coordinator's reports have no common limit yet: open.

--- a/crates/deployment/src/limits.rs
+++ b/crates/deployment/src/limits.rs
@@ -6,7 +6,7 @@
 use std::ops::RangeInclusive;
 
 /// The keys of the section; some of them are read into the policy's configuration.
-pub(crate) const LIMIT_KEYS: [&str; 16] = [
+pub(crate) const LIMIT_KEYS: [&str; 17] = [
     "maxDispatches",
     "secondCopies",
     "cancel",
@@ -15,6 +15,7 @@
     "connections",
     "headerBytes",
     "bodyBytes",
+    "heldBodyBytes",
     "answerBytes",
     "senderTime",
     "answerMargin",
@@ -28,6 +29,9 @@
 /// The sizes of header buffers, in bytes, that the HTTP libraries support.
 const HEADER_BYTES_RANGE: RangeInclusive<f64> = 8_192.0..=1e6;
 
+/// Request bodies of the largest size that may be held at a time, unless the file says how many bytes.
+const HELD_BODIES: f64 = 64.0;
+
 /// The limits of a front end. Times are in seconds.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -39,6 +43,8 @@
     pub max_header_bytes: u32,
     /// The most bytes of a request's body.
     pub max_body_bytes: usize,
+    /// The most bytes of all request bodies that are being received or belong to open invocations.
+    pub max_held_body_bytes: usize,
     /// The most bytes of a response's body.
     pub max_response_bytes: usize,
     /// The time limit for receiving a request's headers, and then its body.
@@ -75,11 +81,13 @@
     };
     let header_bytes =
         |bytes: f64| bytes.clamp(*HEADER_BYTES_RANGE.start(), *HEADER_BYTES_RANGE.end()) as u32;
+    let max_body_bytes = bytes("bodyBytes", 1_048_576.0);
     Limits {
         max_open_invocations: count("openInvocations", 1..=10_000_000, 20_000),
         max_connections: count("connections", 1..=1_000_000, 10_000),
         max_header_bytes: header_bytes(bytes("headerBytes", 16_384.0)),
-        max_body_bytes: bytes("bodyBytes", 1_048_576.0) as usize,
+        max_body_bytes: max_body_bytes as usize,
+        max_held_body_bytes: bytes("heldBodyBytes", HELD_BODIES * max_body_bytes) as usize,
         max_response_bytes: bytes("answerBytes", 4_194_304.0) as usize,
         request_read_timeout: time("senderTime", 600.0, 10.0),
         response_margin: time("answerMargin", 5.0, 0.025),
--- a/crates/http-frontend/src/ingress/invoke.rs
+++ b/crates/http-frontend/src/ingress/invoke.rs
@@ -54,8 +54,8 @@
         is_retry,
         ..
     } = invocation_headers;
-    let (payload, payload_bytes) =
-        read_body(router, incoming, content_length(&parts.headers)).await?;
+    let body = read_body(router, incoming, content_length(&parts.headers)).await?;
+    let _held = body.held;
     let limits = &router.deployment.limits;
     let ingress_request = IngressRequest {
         name: invocation.clone(),
@@ -69,8 +69,8 @@
         timeout_at: arrived_at + time_left
             - limits.response_margin
             - router.open_invocations() as f64 * limits.response_margin_per_open,
-        payload,
-        payload_bytes,
+        payload: body.chunks,
+        payload_bytes: body.length,
     };
     // Admission is checked before the start is persisted, so that a rejected invocation leaves no record.
     if router.is_draining() {
--- a/crates/http-frontend/src/ingress/mod.rs
+++ b/crates/http-frontend/src/ingress/mod.rs
@@ -6,12 +6,14 @@
 mod answer;
 mod durable_invocation;
 mod headers;
+mod held_bodies;
 mod invoke;
 mod request;
 mod response;
 mod status;
 
 pub use answer::ResponseBody;
+pub use held_bodies::HeldBodies;
 
 use crate::router::Router;
 use answer::{Problem, problem};
--- a/crates/http-frontend/src/ingress/request.rs
+++ b/crates/http-frontend/src/ingress/request.rs
@@ -1,7 +1,9 @@
 //! Reads the path and the body of a request.
 
 use super::answer::Problem;
-use crate::router::Router;
+use super::held_bodies::HeldBody;
+use super::response::rejection_problem;
+use crate::router::{RejectionReason, Router};
 use bytes::Bytes;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -42,13 +44,22 @@
     String::from_utf8(bytes).map_err(|_| Problem::bad_request("the function's name is not UTF-8"))
 }
 
-/// Reads the body of a request in chunks, and returns them with the length in bytes. `content_length` is the value of
-/// the request's header.
+/// The body of a request.
+pub(super) struct ReceivedBody {
+    /// The body, as it was received.
+    pub(super) chunks: Vec<Bytes>,
+    /// The length in bytes.
+    pub(super) length: u64,
+    /// Counts the body as held until the invocation has ended.
+    pub(super) held: HeldBody,
+}
+
+/// Reads the body of a request in chunks. `content_length` is the value of the request's header.
 pub(super) async fn read_body(
     router: &Router,
     incoming: Incoming,
     content_length: Option<u64>,
-) -> Result<(Vec<Bytes>, u64), Problem> {
+) -> Result<ReceivedBody, Problem> {
     let limits = &router.deployment.limits;
     let too_large = || {
         let detail = format!("{} bytes at most are taken", limits.max_body_bytes);
@@ -63,6 +74,7 @@
     }
     let read_all = async {
         let (mut chunks, mut length) = (vec![], 0u64);
+        let mut held = router.held_bodies.begin();
         let mut incoming = incoming;
         while let Some(frame) = incoming.frame().await {
             let frame =
@@ -74,10 +86,17 @@
                 if length > limits.max_body_bytes as u64 {
                     return Err(too_large());
                 }
+                if !held.try_grow(chunk.len()) {
+                    return Err(rejection_problem(router, RejectionReason::AtCapacity));
+                }
                 chunks.push(chunk);
             }
         }
-        Ok((chunks, length))
+        Ok(ReceivedBody {
+            chunks,
+            length,
+            held,
+        })
     };
     with_timeout(
         Duration::from_secs_f64(limits.request_read_timeout),
--- a/crates/http-frontend/src/router/mod.rs
+++ b/crates/http-frontend/src/router/mod.rs
@@ -22,6 +22,7 @@
 
 use crate::config::Admission;
 use crate::durable_invocation_store::DurableInvocationStore;
+use crate::ingress::HeldBodies;
 use action_executor::ActionExecutor;
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -81,6 +82,8 @@
     duplicate_index_warned_at: Cell<Option<Instant>>,
     /// The number of responses that reported a duplicate of this front end's index.
     pub duplicate_index_reports: Cell<u64>,
+    /// The request bodies that are held.
+    pub held_bodies: HeldBodies,
     /// The status of the message triggers, where there are any.
     pub triggers: Cell<Option<TriggerStatus>>,
     /// The store of durable HTTP invocations, where the deployment has a journal.
@@ -152,6 +155,7 @@
             Router {
                 traffic_split: RefCell::new(TrafficSplit::new(front_end_info, now)),
                 revisions: Revisions::new(deployment.clone()),
+                held_bodies: HeldBodies::new(deployment.limits.max_held_body_bytes),
                 deployment,
                 sender: Cell::new(sender),
                 cache: RefCell::new(EndpointCache::new(now)),
--- a/crates/http-frontend/tests/client_requests.rs
+++ b/crates/http-frontend/tests/client_requests.rs
@@ -137,6 +137,46 @@
     assert_eq!(gateway.end().admitted, 20, "the slow request was admitted");
 }
 
+/// Guards against bodies of many clients that stop half way, each within its limit, which fill the memory.
+#[test]
+fn bodies_of_many_slow_uploads_are_turned_away_past_their_common_limit() {
+    const UPLOADS: usize = 20;
+    const BODY_BYTES: usize = 100 * 1024;
+    const HELD_BODIES: usize = 10;
+    let environment = TestEnvironment::new(1);
+    let executor = executor(&environment, 0, 0.0);
+    let text = deployment_text(&executor_list(&[executor.address]), "");
+    let limit = format!("heldBodyBytes: \"{}KiB\", bodyBytes", HELD_BODIES * 100);
+    let gateway = gateway(text.replace("bodyBytes", &limit));
+    let turned_away = run(&environment, async {
+        let mut uploads = vec![];
+        for _ in 0..UPLOADS {
+            let mut upload = Async::<TcpStream>::connect(gateway.address).await.unwrap();
+            let head = format!(
+                "POST /v1/functions/f/invocations HTTP/1.1\r\nhost: g\r\norchidtally-trigger-type: look\r\ncontent-length: {}\r\n\r\n",
+                BODY_BYTES + 1
+            );
+            upload.write_all(head.as_bytes()).await.unwrap();
+            // Fails if the upload is turned away before it is sent.
+            let _ = upload.write_all(&vec![b'x'; BODY_BYTES]).await;
+            uploads.push(upload);
+        }
+        let mut turned_away = 0;
+        for mut upload in uploads {
+            let mut answer = vec![0; 12];
+            upload.read_exact(&mut answer).await.unwrap();
+            turned_away += usize::from(answer.ends_with(b"503"));
+        }
+        // The uploads have timed out, and what they held is free again.
+        let client = TestClient::new(&environment, 0, 0, gateway.address, false);
+        let outcomes = invoke_all(&environment, &client, vec![request("a", IDEMPOTENT)]).await;
+        assert_eq!(status(&outcomes[0]), 200, "{outcomes:?}");
+        turned_away
+    });
+    assert_eq!(turned_away, UPLOADS - HELD_BODIES);
+    gateway.end();
+}
+
 #[test]
 fn malformed_requests_get_a_4xx_status_and_reach_no_executor() {
     let environment = TestEnvironment::new(1);
--- a/crates/mqtt-triggers/tests/deployment_keys.rs
+++ b/crates/mqtt-triggers/tests/deployment_keys.rs
@@ -49,7 +49,7 @@
     let expected = read_as(&complete).expect("the fixture is valid");
     let mut all = vec![];
     pointers(&complete, "", &mut all);
-    assert_eq!(all.len(), 196, "{all:#?}");
+    assert_eq!(all.len(), 197, "{all:#?}");
     for pointer in all {
         let mut reduced = complete.clone();
         let (place, key) = pointer.rsplit_once('/').expect("a pointer");
@@ -99,6 +99,7 @@
         max_connections: connections,
         max_header_bytes: header_bytes,
         max_body_bytes: body_bytes,
+        max_held_body_bytes: held_body_bytes,
         max_response_bytes: answer_bytes,
         request_read_timeout: sender_time,
         response_margin: reply_margin,
@@ -113,7 +114,10 @@
         (open_invocations, connections, header_bytes),
         (101, 102, 16_000)
     );
-    assert_eq!((body_bytes, answer_bytes), (8 << 20, 9 << 20));
+    assert_eq!(
+        (body_bytes, held_body_bytes, answer_bytes),
+        (8 << 20, 80 << 20, 9 << 20)
+    );
     assert_eq!(
         (sender_time, reply_margin, answer_time),
         (11.0, 0.03, 0.002)
