--- a/crates/platform-frontend/src/event_loop/maintenance.rs
+++ b/crates/platform-frontend/src/event_loop/maintenance.rs
@@ -16,7 +16,7 @@
 /// Seconds between two readings of the process's memory.
 const MEMORY_INTERVAL: f64 = 1.0;
 /// The fraction of the memory limit above which resident memory is logged at each reading.
-const HIGH_MEMORY_FRACTION: f64 = 0.75;
+const HIGH_MEMORY_FRACTION: f64 = 0.5;
 /// Seconds between two status log lines.
 const STATUS_INTERVAL: f64 = 10.0;
 
@@ -134,7 +134,7 @@
         );
     }
 
-    /// Warns if the process is close to its memory limit, with what it holds.
+    /// Warns if the process holds much of its memory limit, with what it holds for whom.
     fn check_memory(&self) {
         let Some(resident) = ResidentMemory::read() else {
             return;
@@ -151,7 +151,7 @@
             tables = ?self.engine.table_sizes(),
             clients = self.host.clients.len(),
             open = self.engine.open_invocations(),
-            "resident memory is close to the limit"
+            "resident memory is above half of the limit"
         );
     }
 
